--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,167 @@
+// The client over Beast.
+#include "http/client.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace borageford::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::size_t piece_size = 16U * 1024;
+constexpr std::uint32_t head_limit = 64U * 1024;
+
+beast::http::request<beast::http::string_body> to_library(const endpoint& server, const request& call) {
+    beast::http::request<beast::http::string_body> out;
+    out.version(11);
+    out.method_string(call.method);
+    out.target(call.target);
+    out.set(beast::http::field::host, to_string(server));
+    for (const auto& field : call.headers) {
+        out.set(field.name, field.value);
+    }
+    out.body() = call.body;
+    out.prepare_payload();
+    return out;
+}
+
+} // namespace
+
+struct client_exchange::state {
+    state(const asio::any_io_executor& executor, exchange_limits given) : stream(executor), limits(given) {
+        parser.body_limit(boost::none);
+        parser.header_limit(head_limit);
+    }
+
+    [[noreturn]] void fail(exchange_stage stage, const beast::error_code& error) {
+        cancel();
+        throw exchange_error(stage, error == beast::error::timeout, error.message());
+    }
+
+    void cancel() noexcept {
+        boost::system::error_code ignored;
+        stream.socket().close(ignored);
+    }
+
+    beast::tcp_stream stream;
+    exchange_limits limits;
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::buffer_body> parser;
+    std::size_t body_bytes = 0;
+};
+
+client_exchange::client_exchange(const asio::any_io_executor& executor, exchange_limits limits)
+    : m_state(std::make_unique<state>(executor, limits)) {}
+
+client_exchange::~client_exchange() = default;
+
+asio::awaitable<response_head> client_exchange::send(const endpoint& server, const request& call) {
+    auto& stream = m_state->stream;
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+
+    stream.expires_after(m_state->limits.connect);
+    co_await stream.async_connect(server, token);
+    if (error) {
+        m_state->fail(exchange_stage::connecting, error);
+    }
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+
+    const auto out = to_library(server, call);
+    stream.expires_after(m_state->limits.head);
+    co_await beast::http::async_write(stream, out, token);
+    if (error) {
+        m_state->fail(exchange_stage::sending, error);
+    }
+    co_await beast::http::async_read_header(stream, m_state->buffer, m_state->parser, token);
+    if (error) {
+        m_state->fail(exchange_stage::waiting, error);
+    }
+
+    response_head head;
+    head.status = m_state->parser.get().result_int();
+    for (const auto& field : m_state->parser.get()) {
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    co_return head;
+}
+
+asio::awaitable<std::string> client_exchange::read_some() {
+    auto& parser = m_state->parser;
+    while (!parser.is_done()) {
+        std::string piece(piece_size, '\0');
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        m_state->stream.expires_after(m_state->limits.idle);
+        beast::error_code error;
+        co_await beast::http::async_read_some(m_state->stream, m_state->buffer, parser,
+                                              asio::redirect_error(asio::use_awaitable, error));
+        if (error == beast::http::error::need_buffer) {
+            error = {};
+        }
+        if (error) {
+            m_state->fail(exchange_stage::reading, error);
+        }
+        piece.resize(piece.size() - parser.get().body().size);
+        m_state->body_bytes += piece.size();
+        if (m_state->body_bytes > m_state->limits.body_limit) {
+            m_state->fail(exchange_stage::reading, beast::http::error::body_limit);
+        }
+        if (!piece.empty()) {
+            co_return piece;
+        }
+    }
+    co_return std::string();
+}
+
+void client_exchange::cancel() noexcept {
+    m_state->cancel();
+}
+
+asio::awaitable<response> fetch(const asio::any_io_executor& executor, const endpoint& server,
+                                const request& call, exchange_limits limits) {
+    client_exchange exchange(executor, limits);
+    response answer;
+    answer.head = co_await exchange.send(server, call);
+    for (auto piece = co_await exchange.read_some(); !piece.empty(); piece = co_await exchange.read_some()) {
+        answer.body += piece;
+    }
+    co_return answer;
+}
+
+endpoint parse_endpoint(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        throw std::invalid_argument("expected ADDRESS:PORT, for example 127.0.0.1:8080");
+    }
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(host, error);
+    std::uint16_t port = 0;
+    const auto* last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, last, port);
+    if (error || parsed.ec != std::errc{} || parsed.ptr != last) {
+        throw std::invalid_argument("expected an IP number and a port, for example 127.0.0.1:8080");
+    }
+    return {address, port};
+}
+
+std::string to_string(const endpoint& address) {
+    const auto host = address.address().to_string();
+    const auto port = std::to_string(address.port());
+    return address.address().is_v6() ? "[" + host + "]:" + port : host + ":" + port;
+}
+
+} // namespace borageford::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,369 @@
+// The server over Beast: one coroutine, on a strand of its own, for each connection.
+#include "http/server.hpp"
+
+#include "base/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace borageford::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+struct response_writer::state {
+    explicit state(beast::tcp_stream& connection, std::chrono::milliseconds limit)
+        : stream(connection), write_time(limit) {}
+
+    beast::tcp_stream& stream;
+    std::chrono::milliseconds write_time;
+    bool keep_alive = true;
+    bool begun = false;
+    bool chunked = false;
+    bool ended = false;
+};
+
+namespace {
+
+using stream_pointer = std::shared_ptr<beast::tcp_stream>;
+
+constexpr std::size_t read_size = 4096;
+constexpr std::size_t linger_bytes = 16U * 1024 * 1024;
+constexpr std::chrono::seconds linger_time{2};
+constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
+
+beast::http::fields to_library(const header_fields& headers) {
+    beast::http::fields fields;
+    for (const auto& field : headers) {
+        fields.insert(field.name, field.value);
+    }
+    return fields;
+}
+
+request from_library(beast::http::request<beast::http::string_body>&& received) {
+    request call;
+    call.method = std::string(received.method_string());
+    call.target = std::string(received.target());
+    for (const auto& field : received) {
+        call.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    call.body = std::move(received.body());
+    return call;
+}
+
+/// What reading a request's bytes ran into, as a kind to answer; nothing when the caller just went away.
+std::optional<error_kind> refusal_for(const beast::error_code& error) {
+    if (error == beast::http::error::header_limit) {
+        return error_kind::headers_too_large;
+    }
+    if (error == beast::http::error::body_limit) {
+        return error_kind::body_too_large;
+    }
+    if (error == beast::error::timeout) {
+        return error_kind::request_timeout;
+    }
+    if (error == beast::http::error::end_of_stream || error == beast::http::error::partial_message ||
+        error.category() != beast::http::make_error_code(beast::http::error::bad_method).category()) {
+        return std::nullopt;
+    }
+    return error_kind::bad_request;
+}
+
+} // namespace
+
+asio::awaitable<void> response_writer::write(const response& answer) {
+    m_state.begun = true;
+    m_state.ended = true;
+    beast::http::response<beast::http::string_body> out(
+        beast::http::response_header<>(to_library(answer.head.headers)));
+    out.version(11);
+    out.result(answer.head.status);
+    out.body() = answer.body;
+    out.keep_alive(m_state.keep_alive);
+    out.prepare_payload();
+    m_state.stream.expires_after(m_state.write_time);
+    co_await beast::http::async_write(m_state.stream, out, asio::use_awaitable);
+}
+
+asio::awaitable<void> response_writer::begin(const response_head& head) {
+    m_state.begun = true;
+    m_state.chunked = true;
+    beast::http::response<beast::http::empty_body> out(
+        beast::http::response_header<>(to_library(head.headers)));
+    out.version(11);
+    out.result(head.status);
+    out.keep_alive(m_state.keep_alive);
+    out.chunked(true);
+    beast::http::response_serializer<beast::http::empty_body> serializer(out);
+    m_state.stream.expires_after(m_state.write_time);
+    co_await beast::http::async_write_header(m_state.stream, serializer, asio::use_awaitable);
+}
+
+asio::awaitable<void> response_writer::write_piece(std::string_view piece) {
+    if (piece.empty()) {
+        co_return; // an empty chunk would mark the end
+    }
+    m_state.stream.expires_after(m_state.write_time);
+    co_await asio::async_write(m_state.stream, beast::http::make_chunk(asio::buffer(piece)),
+                               asio::use_awaitable);
+}
+
+asio::awaitable<void> response_writer::finish() {
+    m_state.ended = true;
+    m_state.stream.expires_after(m_state.write_time);
+    co_await asio::async_write(m_state.stream, beast::http::make_chunk_last(), asio::use_awaitable);
+}
+
+void response_writer::cut() noexcept {
+    m_state.keep_alive = false;
+    m_state.ended = true;
+    m_state.stream.close();
+}
+
+asio::awaitable<void> response_writer::wait_for_disconnect() {
+    auto& socket = m_state.stream.socket();
+    while (!m_state.ended) {
+        beast::error_code error;
+        co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        if (error || m_state.ended) {
+            co_return;
+        }
+        char next = 0;
+        socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+        if (error) {
+            co_return;
+        }
+        // Bytes of a next request: they are read after this answer. Until then the caller counts as there.
+        asio::steady_timer pause(socket.get_executor(), std::chrono::milliseconds(250));
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+bool response_writer::has_begun() const noexcept {
+    return m_state.begun;
+}
+
+struct server::state : std::enable_shared_from_this<server::state> {
+    state(const asio::any_io_executor& given, server_limits bounds, handler handle_request,
+          refusal_formatter format)
+        : executor(given),
+          limits(bounds),
+          handle(std::move(handle_request)),
+          refuse(std::move(format)),
+          acceptor(asio::make_strand(given)) {}
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<bool> wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<void> answer(const request& call, response_writer& writer);
+    asio::awaitable<void> refuse_and_close(beast::tcp_stream& stream, error_kind kind, std::string_view why);
+    static asio::awaitable<void> linger(beast::tcp_stream& stream);
+    void drain();
+
+    asio::any_io_executor executor;
+    server_limits limits;
+    handler handle;
+    refusal_formatter refuse;
+    tcp::acceptor acceptor;
+    std::atomic<bool> draining = false;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> in_progress = 0;
+
+    /// Connections that wait for a next request; drain() ends them. Guarded by `idle_mutex`.
+    std::mutex idle_mutex;
+    std::set<stream_pointer> idle;
+};
+
+asio::awaitable<void> server::state::accept() {
+    const auto self = shared_from_this();
+    while (!draining.load()) {
+        beast::error_code error;
+        auto socket = co_await acceptor.async_accept(asio::make_strand(executor),
+                                                     asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            if (draining.load() || error == asio::error::operation_aborted) {
+                co_return;
+            }
+            // Out of descriptors, most likely: wait for some to be closed instead of spinning.
+            asio::steady_timer pause(acceptor.get_executor(), std::chrono::milliseconds(50));
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        auto strand = socket.get_executor();
+        asio::co_spawn(strand, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> server::state::serve(tcp::socket socket) {
+    const auto self = shared_from_this();
+    ++connections;
+    const auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    try {
+        boost::system::error_code ignored;
+        stream->socket().set_option(tcp::no_delay(true), ignored);
+        if (connections.load() > limits.connections) {
+            co_await refuse_and_close(*stream, error_kind::too_many_connections, "");
+        } else {
+            beast::flat_buffer buffer;
+            while (co_await wait_for_bytes(stream, buffer) && co_await serve_one(*stream, buffer)) {
+            }
+        }
+    } catch (const std::exception&) {
+        // The caller went away in the middle; whoever worked on its request was told by the writer.
+    }
+    --connections;
+}
+
+asio::awaitable<bool> server::state::wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer) {
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    {
+        const std::scoped_lock lock(idle_mutex);
+        if (draining.load()) {
+            co_return false;
+        }
+        idle.insert(stream);
+    }
+    beast::error_code error;
+    stream->expires_after(limits.idle_time);
+    const auto count = co_await stream->async_read_some(buffer.prepare(read_size),
+                                                        asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(count);
+    const std::scoped_lock lock(idle_mutex);
+    idle.erase(stream);
+    co_return !error;
+}
+
+asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    stream.expires_after(limits.request_time);
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    co_await beast::http::async_read_header(stream, buffer, parser, token);
+    if (!error && beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+        co_await asio::async_write(stream, asio::buffer(continue_line), token);
+    }
+    if (!error) {
+        co_await beast::http::async_read(stream, buffer, parser, token);
+    }
+    if (error) {
+        if (const auto kind = refusal_for(error)) {
+            co_await refuse_and_close(stream, *kind, error.message());
+        }
+        co_return false;
+    }
+    stream.expires_never();
+    response_writer::state shared(stream, limits.write_time);
+    shared.keep_alive = parser.get().keep_alive() && !draining.load();
+    const auto call = from_library(parser.release());
+    response_writer writer(shared);
+    co_await answer(call, writer);
+    co_return shared.keep_alive&& shared.ended;
+}
+
+asio::awaitable<void> server::state::answer(const request& call, response_writer& writer) {
+    ++in_progress;
+    bool failed = false;
+    std::string why;
+    try {
+        co_await handle(call, writer);
+    } catch (const boost::system::system_error&) {
+        writer.cut(); // the caller is gone
+    } catch (const std::exception& problem) {
+        failed = true;
+        why = problem.what();
+    }
+    if (failed) {
+        log::error("request_handler_failed", {{"target", call.target}, {"why", why}});
+        if (writer.has_begun()) {
+            writer.cut();
+        } else {
+            co_await writer.write(refuse(error_kind::internal, why));
+        }
+    }
+    --in_progress;
+}
+
+asio::awaitable<void> server::state::refuse_and_close(beast::tcp_stream& stream, error_kind kind,
+                                                      std::string_view why) {
+    response_writer::state shared(stream, limits.write_time);
+    shared.keep_alive = false;
+    response_writer writer(shared);
+    co_await writer.write(refuse(kind, why));
+    co_await linger(stream);
+}
+
+// Closing a socket while the caller still sends resets the connection, and the caller may never see the
+// refusal just written. Reading what it sends, for a bounded time and size, lets the answer arrive.
+asio::awaitable<void> server::state::linger(beast::tcp_stream& stream) {
+    beast::error_code error;
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    stream.expires_after(linger_time);
+    std::array<char, read_size> scrap{};
+    for (std::size_t total = 0; !error && total < linger_bytes;) {
+        total += co_await stream.async_read_some(asio::buffer(scrap),
+                                                 asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void server::state::drain() {
+    draining.store(true);
+    asio::post(acceptor.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+    const std::scoped_lock lock(idle_mutex);
+    for (const auto& stream : idle) {
+        asio::post(stream->get_executor(), [stream] { stream->cancel(); });
+    }
+}
+
+server::server(const asio::any_io_executor& executor, server_limits limits, handler handle,
+               refusal_formatter refuse)
+    : m_state(std::make_shared<state>(executor, limits, std::move(handle), std::move(refuse))) {}
+
+server::~server() {
+    m_state->drain();
+}
+
+tcp::endpoint server::listen(const tcp::endpoint& address) {
+    auto& acceptor = m_state->acceptor;
+    acceptor.open(address.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen();
+    const auto in_use = acceptor.local_endpoint();
+    asio::co_spawn(acceptor.get_executor(), m_state->accept(), asio::detached);
+    return in_use;
+}
+
+void server::drain() {
+    m_state->drain();
+}
+
+std::size_t server::requests_in_progress() const noexcept {
+    return m_state->in_progress.load();
+}
+
+std::size_t server::open_connections() const noexcept {
+    return m_state->connections.load();
+}
+
+} // namespace borageford::http
--- /dev/null
+++ b/src/settings/ini_document.cpp
@@ -0,0 +1,160 @@
+// The INI reader. Boost.PropertyTree's own forgets line numbers, which every complaint here must name, so
+// the few rules of the format are read directly.
+#include "settings/ini_document.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+#include <utility>
+
+namespace borageford::settings {
+namespace {
+
+constexpr std::string_view blanks = " \t\r";
+
+std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    const auto last = text.find_last_not_of(blanks);
+    return text.substr(first, last - first + 1);
+}
+
+bool has_control_character(std::string_view text) {
+    return std::ranges::any_of(text, [](unsigned char c) { return c < ' ' && c != '\t'; });
+}
+
+class ini_reader {
+public:
+    ini_reader(ini_document& document, std::vector<problem>& problems)
+        : m_document(document), m_problems(problems) {}
+
+    void read_line(std::string_view raw) {
+        ++m_line;
+        const auto line = trim(raw);
+        if (line.empty() || line.front() == ';' || line.front() == '#') {
+            return;
+        }
+        if (has_control_character(line)) {
+            complain("", "text without control characters");
+        } else if (line.front() == '[') {
+            read_section(line);
+        } else {
+            read_entry(line);
+        }
+    }
+
+private:
+    void complain(std::string key, std::string expected) {
+        m_problems.push_back({m_document.file, m_line, std::move(key), std::move(expected)});
+    }
+
+    void read_section(std::string_view line) {
+        m_section_is_usable = false;
+        if (line.back() != ']') {
+            complain(std::string(line), "a section header closed by ]");
+            return;
+        }
+        const auto title = trim(line.substr(1, line.size() - 2));
+        if (title.empty()) {
+            complain("[]", "a section kind between [ and ]");
+            return;
+        }
+        const auto space = title.find_first_of(blanks);
+        ini_section section{std::string(title.substr(0, space)), "", m_line, {}};
+        if (space != std::string_view::npos) {
+            section.name = trim(title.substr(space));
+        }
+        if (has_section(section)) {
+            complain(section.title(), "each section once");
+            return;
+        }
+        m_document.sections.push_back(std::move(section));
+        m_section_is_usable = true;
+    }
+
+    [[nodiscard]] bool has_section(const ini_section& section) const {
+        return std::ranges::any_of(m_document.sections, [&section](const ini_section& other) {
+            return other.kind == section.kind && other.name == section.name;
+        });
+    }
+
+    void read_entry(std::string_view line) {
+        const auto equals = line.find('=');
+        const auto key = trim(line.substr(0, equals));
+        if (equals == std::string_view::npos || key.empty()) {
+            complain(std::string(line), "key = value");
+            return;
+        }
+        if (m_document.sections.empty()) {
+            complain(std::string(key), "a [section] before the first key");
+            return;
+        }
+        if (!m_section_is_usable) {
+            return; // its header has been complained about
+        }
+        auto& section = m_document.sections.back();
+        if (section.find(key) != nullptr) {
+            complain(section.title() + "." + std::string(key), "each key once in its section");
+            return;
+        }
+        section.entries.push_back({std::string(key), std::string(trim(line.substr(equals + 1))), m_line});
+    }
+
+    ini_document& m_document;
+    std::vector<problem>& m_problems;
+    unsigned m_line = 0;
+    bool m_section_is_usable = false;
+};
+
+} // namespace
+
+std::string problem::to_string() const {
+    std::string text = file;
+    if (line > 0) {
+        text += ":" + std::to_string(line);
+    }
+    if (!key.empty()) {
+        text += ": " + key;
+    }
+    return text + ": expected " + expected;
+}
+
+std::string ini_section::title() const {
+    return name.empty() ? kind : kind + " " + name;
+}
+
+const ini_entry* ini_section::find(std::string_view key) const {
+    const auto found = std::ranges::find(entries, key, &ini_entry::key);
+    return found == entries.end() ? nullptr : &*found;
+}
+
+ini_document parse_ini(std::string_view text, std::string_view file, std::vector<problem>& problems) {
+    ini_document document{std::string(file), {}};
+    if (text.size() > text_limit) {
+        problems.push_back({document.file, 0, "", "at most " + std::to_string(text_limit) + " bytes"});
+        return document;
+    }
+    ini_reader reader(document, problems);
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        reader.read_line(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return document;
+}
+
+std::string read_file(const std::string& path, std::vector<problem>& problems) {
+    std::ifstream stream(path, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    if (!stream.is_open() || stream.bad()) {
+        problems.push_back({path, 0, "", "a readable file (" + std::generic_category().message(errno) + ")"});
+        return {};
+    }
+    return text;
+}
+
+} // namespace borageford::settings
--- /dev/null
+++ b/src/wire/peer_connection.cpp
@@ -0,0 +1,207 @@
+// Reading, writing and watching one connection between two of our processes.
+#include "wire/peer_connection.hpp"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace borageford::wire {
+
+namespace asio = boost::asio;
+
+peer_connection::peer_connection(asio::ip::tcp::socket socket, strand_type strand, timer_service& timers,
+                                 heartbeat_settings heartbeat, hello_message own_hello,
+                                 std::function<std::uint64_t()> revision, callbacks calls)
+    : m_strand(std::move(strand)),
+      m_socket(std::move(socket)),
+      m_timers(timers),
+      m_heartbeat(heartbeat),
+      m_own_hello(std::move(own_hello)),
+      m_revision(std::move(revision)),
+      m_calls(std::move(calls)),
+      m_last_received(std::chrono::steady_clock::now()) {}
+
+void peer_connection::start() {
+    asio::dispatch(m_strand, [self = shared_from_this()] { self->start_on_strand(); });
+}
+
+void peer_connection::start_on_strand() {
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    enqueue(encode(m_revision(), m_own_hello));
+    m_heartbeat_timer = m_timers.every(m_strand, m_heartbeat.period, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->check_silence();
+        }
+    });
+    read_header();
+}
+
+void peer_connection::send(message content) {
+    auto bytes = encode(m_revision(), content);
+    asio::dispatch(m_strand, [self = shared_from_this(), bytes = std::move(bytes)]() mutable {
+        self->enqueue(std::move(bytes));
+    });
+}
+
+void peer_connection::close(const std::string& reason) {
+    asio::dispatch(m_strand, [self = shared_from_this(), reason] { self->finish(reason); });
+}
+
+void peer_connection::enqueue(std::vector<std::byte> bytes) {
+    if (m_finished) {
+        return;
+    }
+    m_outgoing_bytes += bytes.size();
+    if (m_outgoing_bytes > outgoing_limit) {
+        finish("peer does not read");
+        return;
+    }
+    m_outgoing.push_back(std::move(bytes));
+    if (!m_writing) {
+        write_next();
+    }
+}
+
+void peer_connection::write_next() {
+    m_writing = true;
+    auto done = [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        self->m_writing = false;
+        if (self->m_finished) {
+            return;
+        }
+        if (error) {
+            self->finish("write: " + error.message());
+            return;
+        }
+        self->m_outgoing_bytes -= self->m_outgoing.front().size();
+        self->m_outgoing.pop_front();
+        if (!self->m_outgoing.empty()) {
+            self->write_next();
+        }
+    };
+    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
+                      asio::bind_executor(m_strand, std::move(done)));
+}
+
+void peer_connection::read_header() {
+    auto done = [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (self->m_finished) {
+            return;
+        }
+        if (error) {
+            self->finish("read: " + error.message());
+            return;
+        }
+        try {
+            self->read_body(decode_length(self->m_header));
+        } catch (const frame_error& failure) {
+            self->finish(failure.what());
+        }
+    };
+    asio::async_read(m_socket, asio::buffer(m_header), asio::bind_executor(m_strand, std::move(done)));
+}
+
+void peer_connection::read_body(std::uint32_t length) {
+    m_body.resize(length);
+    auto done = [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (self->m_finished) {
+            return;
+        }
+        if (error) {
+            self->finish("read: " + error.message());
+            return;
+        }
+        try {
+            self->handle(decode(self->m_body));
+        } catch (const frame_error& failure) {
+            self->finish(failure.what());
+            return;
+        }
+        if (!self->m_finished) {
+            self->read_header();
+        }
+    };
+    asio::async_read(m_socket, asio::buffer(m_body), asio::bind_executor(m_strand, std::move(done)));
+}
+
+void peer_connection::handle(envelope received) {
+    m_last_received = std::chrono::steady_clock::now();
+    if (const auto* hello = std::get_if<hello_message>(&received.content)) {
+        handle_hello(*hello);
+        return;
+    }
+    if (!m_opened) {
+        finish("message before hello");
+        return;
+    }
+    if (const auto* heartbeat = std::get_if<heartbeat_message>(&received.content)) {
+        handle_heartbeat(*heartbeat);
+    }
+    // Heartbeats are passed on too: they carry the peer's revision.
+    m_calls.received(std::move(received));
+}
+
+void peer_connection::handle_hello(const hello_message& hello) {
+    if (m_opened) {
+        finish("second hello");
+        return;
+    }
+    if (hello.protocol_version != protocol_version) {
+        finish("peer speaks protocol version " + std::to_string(hello.protocol_version));
+        return;
+    }
+    m_opened = true;
+    m_calls.opened(hello);
+}
+
+void peer_connection::handle_heartbeat(const heartbeat_message& heartbeat) {
+    if (!heartbeat.is_reply) {
+        send_heartbeat(true);
+    }
+    if (heartbeat.load != nullptr && m_calls.load_received) {
+        m_calls.load_received(*heartbeat.load);
+    }
+}
+
+void peer_connection::send_heartbeat(bool is_reply) {
+    heartbeat_message heartbeat;
+    heartbeat.sequence = ++m_heartbeat_sequence;
+    heartbeat.is_reply = is_reply;
+    if (m_calls.current_load) {
+        heartbeat.load = m_calls.current_load();
+    }
+    enqueue(encode(m_revision(), std::move(heartbeat)));
+}
+
+void peer_connection::check_silence() {
+    const auto silence = std::chrono::steady_clock::now() - m_last_received;
+    const auto limit = m_opened ? m_heartbeat.silence_limit : m_heartbeat.handshake_limit;
+    if (silence > limit) {
+        finish(m_opened ? "silent" : "no handshake");
+        return;
+    }
+    if (m_opened) {
+        send_heartbeat(false);
+    }
+}
+
+void peer_connection::finish(const std::string& reason) {
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_heartbeat_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    m_outgoing.clear();
+    auto calls = std::move(m_calls);
+    calls.closed(reason);
+}
+
+} // namespace borageford::wire
