Fix the dispatch protocol's terms; add the runtime that processes share

docs/design/dispatch.md says what entry and sidecar may rely on. attach carries the incarnation that got the start, so that a restarted sidecar's empty ledger isn't taken as proof that nothing ran. The headers of platform, configuration, metrics and audit fix what the parts offer each other before they are written.

--- /dev/null
+++ b/src/audit/recorder.hpp
@@ -0,0 +1,52 @@
+// Gathers audit records and writes them in batches to the platform's object store.
+#pragma once
+
+#include "audit/record.hpp"
+#include "base/timer_service.hpp"
+#include "platform/object_store.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace borageford::audit {
+
+struct recorder_settings {
+    std::string vm;
+    std::string role; ///< "entry" or "sidecar"
+    std::chrono::milliseconds flush_period{5000};
+    std::size_t batch_limit = 2000;   ///< records in one object
+    std::size_t memory_limit = 50000; ///< records held while the store is out; the oldest give way, as a gap
+};
+
+/// record() is safe from any thread and never blocks on the store.
+class recorder {
+public:
+    recorder(boost::asio::any_io_executor executor, timer_service& timers, platform::object_store& store,
+             recorder_settings settings);
+    ~recorder();
+    recorder(const recorder&) = delete;
+    recorder& operator=(const recorder&) = delete;
+    recorder(recorder&&) = delete;
+    recorder& operator=(recorder&&) = delete;
+
+    void start();
+    void record(audit::record entry);
+
+    /// Writes what is held, then calls `done`, at the latest after `limit`.
+    void flush(std::chrono::milliseconds limit, std::function<void()> done);
+
+    [[nodiscard]] std::uint64_t lost_records() const noexcept;
+    [[nodiscard]] std::size_t held_records() const noexcept;
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace borageford::audit
--- /dev/null
+++ b/src/configuration/configuration_follower.hpp
@@ -0,0 +1,49 @@
+// Keeps a process at the newest configuration it can learn of: by polling the table's head, and from peers.
+#pragma once
+
+#include "base/timer_service.hpp"
+#include "configuration/configuration.hpp"
+#include "platform/table.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace borageford::configuration {
+
+/// Invariant: the revision held only grows, whatever a stale read or a peer says.
+/// All calls are safe from any thread.
+class configuration_follower {
+public:
+    using change_listener = std::function<void(const std::shared_ptr<const configuration>&)>;
+
+    configuration_follower(boost::asio::any_io_executor executor, timer_service& timers,
+                           platform::table& table, std::chrono::milliseconds poll_period);
+    ~configuration_follower();
+    configuration_follower(const configuration_follower&) = delete;
+    configuration_follower& operator=(const configuration_follower&) = delete;
+    configuration_follower(configuration_follower&&) = delete;
+    configuration_follower& operator=(configuration_follower&&) = delete;
+
+    /// Starts to poll; `changed` is called on the executor with every newer configuration, in order.
+    void start(change_listener changed);
+
+    /// The configuration in force here; empty (revision 0) until one is known. Never null.
+    [[nodiscard]] std::shared_ptr<const configuration> current() const noexcept;
+    [[nodiscard]] revision_number revision() const noexcept;
+
+    /// Takes what a peer sent; ignored unless it is newer and valid. Returns whether it was taken.
+    bool take_from_peer(revision_number revision, std::string_view text);
+
+    /// Polls now: after a freeze, or when a peer is known to be ahead and can't be asked.
+    void poll_soon();
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace borageford::configuration
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -1347,6 +1347,7 @@
   uint32_t retry_after_ms = 0;
   borageford::wire::id running_dispatch{};
   std::string backend_server{};
+  uint32_t marks = 0;
   std::unique_ptr<borageford::wire::load_report_message> load{};
   offer_reply_message() = default;
   offer_reply_message(const offer_reply_message &o);
@@ -1365,7 +1366,8 @@
     VT_RETRY_AFTER_MS = 10,
     VT_RUNNING_DISPATCH = 12,
     VT_BACKEND_SERVER = 14,
-    VT_LOAD = 16
+    VT_MARKS = 16,
+    VT_LOAD = 18
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
@@ -1385,6 +1387,9 @@
   const flatbuffers::String *backend_server() const {
     return GetPointer<const flatbuffers::String *>(VT_BACKEND_SERVER);
   }
+  uint32_t marks() const {
+    return GetField<uint32_t>(VT_MARKS, 0);
+  }
   const borageford::wire::load_report *load() const {
     return GetPointer<const borageford::wire::load_report *>(VT_LOAD);
   }
@@ -1397,6 +1402,7 @@
            VerifyField<borageford::wire::id>(verifier, VT_RUNNING_DISPATCH, 8) &&
            VerifyOffset(verifier, VT_BACKEND_SERVER) &&
            verifier.VerifyString(backend_server()) &&
+           VerifyField<uint32_t>(verifier, VT_MARKS, 4) &&
            VerifyOffset(verifier, VT_LOAD) &&
            verifier.VerifyTable(load()) &&
            verifier.EndTable();
@@ -1428,6 +1434,9 @@
   void add_backend_server(flatbuffers::Offset<flatbuffers::String> backend_server) {
     fbb_.AddOffset(offer_reply::VT_BACKEND_SERVER, backend_server);
   }
+  void add_marks(uint32_t marks) {
+    fbb_.AddElement<uint32_t>(offer_reply::VT_MARKS, marks, 0);
+  }
   void add_load(flatbuffers::Offset<borageford::wire::load_report> load) {
     fbb_.AddOffset(offer_reply::VT_LOAD, load);
   }
@@ -1450,9 +1459,11 @@
     uint32_t retry_after_ms = 0,
     const borageford::wire::id *running_dispatch = nullptr,
     flatbuffers::Offset<flatbuffers::String> backend_server = 0,
+    uint32_t marks = 0,
     flatbuffers::Offset<borageford::wire::load_report> load = 0) {
   offer_replyBuilder builder_(_fbb);
   builder_.add_load(load);
+  builder_.add_marks(marks);
   builder_.add_backend_server(backend_server);
   builder_.add_running_dispatch(running_dispatch);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -1475,6 +1486,7 @@
     uint32_t retry_after_ms = 0,
     const borageford::wire::id *running_dispatch = nullptr,
     const char *backend_server = nullptr,
+    uint32_t marks = 0,
     flatbuffers::Offset<borageford::wire::load_report> load = 0) {
   auto backend_server__ = backend_server ? _fbb.CreateString(backend_server) : 0;
   return borageford::wire::Createoffer_reply(
@@ -1485,6 +1497,7 @@
       retry_after_ms,
       running_dispatch,
       backend_server__,
+      marks,
       load);
 }
 
@@ -2244,6 +2257,7 @@
 struct attach_message : public flatbuffers::NativeTable {
   typedef attach TableType;
   borageford::wire::id dispatch{};
+  borageford::wire::id incarnation{};
   uint64_t offset = 0;
 };
 
@@ -2253,17 +2267,22 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DISPATCH = 4,
-    VT_OFFSET = 6
+    VT_INCARNATION = 6,
+    VT_OFFSET = 8
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
   }
+  const borageford::wire::id *incarnation() const {
+    return GetStruct<const borageford::wire::id *>(VT_INCARNATION);
+  }
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
+           VerifyField<borageford::wire::id>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            verifier.EndTable();
   }
@@ -2279,6 +2298,9 @@
   void add_dispatch(const borageford::wire::id *dispatch) {
     fbb_.AddStruct(attach::VT_DISPATCH, dispatch);
   }
+  void add_incarnation(const borageford::wire::id *incarnation) {
+    fbb_.AddStruct(attach::VT_INCARNATION, incarnation);
+  }
   void add_offset(uint64_t offset) {
     fbb_.AddElement<uint64_t>(attach::VT_OFFSET, offset, 0);
   }
@@ -2296,9 +2318,11 @@
 inline flatbuffers::Offset<attach> Createattach(
     flatbuffers::FlatBufferBuilder &_fbb,
     const borageford::wire::id *dispatch = nullptr,
+    const borageford::wire::id *incarnation = nullptr,
     uint64_t offset = 0) {
   attachBuilder builder_(_fbb);
   builder_.add_offset(offset);
+  builder_.add_incarnation(incarnation);
   builder_.add_dispatch(dispatch);
   return builder_.Finish();
 }
@@ -3169,6 +3193,7 @@
         retry_after_ms(o.retry_after_ms),
         running_dispatch(o.running_dispatch),
         backend_server(o.backend_server),
+        marks(o.marks),
         load((o.load) ? new borageford::wire::load_report_message(*o.load) : nullptr) {
 }
 
@@ -3179,6 +3204,7 @@
   std::swap(retry_after_ms, o.retry_after_ms);
   std::swap(running_dispatch, o.running_dispatch);
   std::swap(backend_server, o.backend_server);
+  std::swap(marks, o.marks);
   std::swap(load, o.load);
   return *this;
 }
@@ -3198,6 +3224,7 @@
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = running_dispatch(); if (_e) _o->running_dispatch = *_e; }
   { auto _e = backend_server(); if (_e) _o->backend_server = _e->str(); }
+  { auto _e = marks(); _o->marks = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<borageford::wire::load_report_message>(_e->UnPack(_resolver)); }
 }
 
@@ -3215,6 +3242,7 @@
   auto _retry_after_ms = _o->retry_after_ms;
   auto _running_dispatch = &_o->running_dispatch;
   auto _backend_server = _o->backend_server.empty() ? 0 : _fbb.CreateString(_o->backend_server);
+  auto _marks = _o->marks;
   auto _load = _o->load ? Createload_report(_fbb, _o->load.get(), _rehasher) : 0;
   return borageford::wire::Createoffer_reply(
       _fbb,
@@ -3224,6 +3252,7 @@
       _retry_after_ms,
       _running_dispatch,
       _backend_server,
+      _marks,
       _load);
 }
 
@@ -3508,6 +3537,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = dispatch(); if (_e) _o->dispatch = *_e; }
+  { auto _e = incarnation(); if (_e) _o->incarnation = *_e; }
   { auto _e = offset(); _o->offset = _e; }
 }
 
@@ -3520,10 +3550,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const attach_message* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _dispatch = &_o->dispatch;
+  auto _incarnation = &_o->incarnation;
   auto _offset = _o->offset;
   return borageford::wire::Createattach(
       _fbb,
       _dispatch,
+      _incarnation,
       _offset);
 }
 
