Add the entry: offers in waves, one start, whole answers, claimed keys

A request is offered to the homes of its prefix first and to others in growing waves; the first grant gets the one start, the rest is withdrawn. Chunks are taken by offset, once and in order, and only an end marker with the total length ends an answer. A connection lost after the start leads to a question for the dispatch's fate, never to a second start.

--- /dev/null
+++ b/src/entry/call_parser.cpp
@@ -0,0 +1,254 @@
+// Parsing of completions and of calls to plain services.
+#include "entry/call_parser.hpp"
+
+#include "base/hash.hpp"
+#include "base/request_error.hpp"
+#include "base/sha256.hpp"
+#include "entry/prompt.hpp"
+#include "settings/section_reader.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::entry {
+namespace {
+
+namespace json = boost::json;
+using configuration::configuration;
+
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::string_view completion_path = "/v1/completions";
+constexpr std::string_view services_path = "/services/";
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::size_t longest_key = 256;
+
+json::object parse_body(const std::string& body) {
+    json::error_code error;
+    auto value = json::parse(body, error);
+    if (error) {
+        throw request_error(error_kind::bad_request, "The body isn't valid JSON: " + error.message());
+    }
+    if (!value.is_object()) {
+        throw request_error(error_kind::bad_request, "The body must be a JSON object.");
+    }
+    return std::move(value.as_object());
+}
+
+/// Text of a message: a string, or the text parts of an array of parts.
+void append_content(std::string& prompt, const json::value& content) {
+    if (const auto* text = content.if_string()) {
+        prompt.append(text->data(), text->size());
+        return;
+    }
+    const auto* parts = content.if_array();
+    if (parts == nullptr) {
+        return;
+    }
+    for (const auto& part : *parts) {
+        const auto* object = part.if_object();
+        const auto* text = object == nullptr ? nullptr : object->if_contains("text");
+        if (text != nullptr && text->is_string()) {
+            prompt.append(text->as_string().data(), text->as_string().size());
+        }
+    }
+}
+
+std::string chat_prompt(const json::object& body) {
+    const auto* messages = body.if_contains("messages");
+    if (messages == nullptr || !messages->is_array() || messages->as_array().empty()) {
+        throw request_error(error_kind::bad_request, "\"messages\" must be an array with at least one message.");
+    }
+    std::string prompt;
+    for (const auto& message : messages->as_array()) {
+        const auto* object = message.if_object();
+        const auto* role = object == nullptr ? nullptr : object->if_contains("role");
+        if (role == nullptr || !role->is_string()) {
+            throw request_error(error_kind::bad_request, "Each message must be an object with a \"role\".");
+        }
+        prompt.append(role->as_string().data(), role->as_string().size()).append("\n");
+        if (const auto* content = object->if_contains("content")) {
+            append_content(prompt, *content);
+        }
+        prompt.append("\n");
+    }
+    return prompt;
+}
+
+std::string completion_prompt(const json::object& body) {
+    const auto* prompt = body.if_contains("prompt");
+    if (prompt == nullptr || !prompt->is_string()) {
+        throw request_error(error_kind::bad_request, "\"prompt\" must be a string.");
+    }
+    return std::string(prompt->as_string());
+}
+
+bool read_flag(const json::object& body, std::string_view name) {
+    const auto* value = body.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+        return false;
+    }
+    if (!value->is_bool()) {
+        throw request_error(error_kind::bad_request, "\"" + std::string(name) + "\" must be true or false.");
+    }
+    return value->as_bool();
+}
+
+std::uint32_t expected_output(const json::object& body, const configuration::model& model) {
+    for (const auto* name : {"max_completion_tokens", "max_tokens"}) {
+        const auto* value = body.if_contains(name);
+        if (value == nullptr || value->is_null()) {
+            continue;
+        }
+        if (!value->is_number() || value->to_number<double>() < 1) {
+            throw request_error(error_kind::bad_request, "\"" + std::string(name) + "\" must be a positive number.");
+        }
+        const auto asked = value->to_number<double>();
+        return static_cast<std::uint32_t>(std::min<double>(asked, model.expected_output_tokens));
+    }
+    return model.expected_output_tokens;
+}
+
+void read_completion(call& parsed, const http::request& received, std::string_view path) {
+    const auto body = parse_body(received.body);
+    const auto* name = body.if_contains("model");
+    if (name == nullptr || !name->is_string()) {
+        throw request_error(error_kind::bad_request, "\"model\" must be the name of a model.");
+    }
+    parsed.target = std::string(name->as_string());
+    const auto* model = parsed.configuration->find_model(parsed.target);
+    if (model == nullptr) {
+        throw request_error(error_kind::unknown_model,
+                            "There is no model \"" + parsed.target + "\" in the configuration.");
+    }
+    const auto prompt = path == chat_path ? chat_prompt(body) : completion_prompt(body);
+    parsed.prompt_tokens = count_tokens(prompt);
+    if (parsed.prompt_tokens > model->context_tokens) {
+        throw request_error(error_kind::bad_request,
+                            "The prompt has about " + std::to_string(parsed.prompt_tokens) +
+                                " tokens; the model takes " + std::to_string(model->context_tokens) + ".");
+    }
+    parsed.prefix_hashes = hash_prefixes(prompt);
+    parsed.expected_output_tokens = expected_output(body, *model);
+    parsed.is_streamed = read_flag(body, "stream");
+}
+
+void read_service_call(call& parsed, std::string_view path) {
+    const auto rest = path.substr(services_path.size());
+    parsed.target = std::string(rest.substr(0, rest.find('/')));
+    parsed.is_service = true;
+    if (parsed.configuration->find_service(parsed.target) == nullptr) {
+        throw request_error(error_kind::unknown_service,
+                            "There is no service \"" + parsed.target + "\" in the configuration.");
+    }
+    const auto after = services_path.size() + parsed.target.size();
+    parsed.path.erase(0, after);
+    if (parsed.path.empty() || parsed.path.front() != '/') {
+        parsed.path.insert(0, "/");
+    }
+}
+
+void choose_tier(call& parsed, const http::request& received) {
+    const auto* own = parsed.configuration->find_tier(parsed.workspace->tier);
+    parsed.tier = own;
+    const auto asked = http::find_header(received.headers, tier_header);
+    if (!asked) {
+        return;
+    }
+    const auto* tier = parsed.configuration->find_tier(*asked);
+    if (tier == nullptr) {
+        throw request_error(error_kind::bad_request, "There is no tier \"" + std::string(*asked) + "\".");
+    }
+    // A header lowers the tier and never raises it.
+    if (own == nullptr || tier->rank > own->rank) {
+        parsed.tier = tier;
+    }
+}
+
+void choose_route(call& parsed, const http::request& received) {
+    parsed.route = parsed.configuration->find_route(parsed.workspace->name, parsed.tier->name, parsed.target,
+                                                    parsed.is_service);
+    if (parsed.route == nullptr) {
+        throw request_error(error_kind::forbidden, "No route lets workspace \"" + parsed.workspace->name +
+                                                       "\" use \"" + parsed.target + "\" in tier \"" +
+                                                       parsed.tier->name + "\".");
+    }
+    // The stricter of route and caller counts.
+    const auto asked = http::find_header(received.headers, "X-Idempotent");
+    parsed.is_idempotent = parsed.route->idempotent && asked != "no";
+}
+
+void read_key(call& parsed, const http::request& received) {
+    const auto key = http::find_header(received.headers, idempotency_key_header);
+    if (key) {
+        if (key->empty() || key->size() > longest_key) {
+            throw request_error(error_kind::bad_request, "Idempotency-Key must have 1 to 256 characters.");
+        }
+        parsed.idempotency_key = *key;
+        parsed.resend_key = std::max<std::uint64_t>(1, hash_bytes(*key, hash_bytes(parsed.workspace->name)));
+    } else if (!parsed.is_idempotent) {
+        throw request_error(error_kind::idempotency_key_required);
+    }
+}
+
+void read_deadline(call& parsed, const http::request& received, std::chrono::milliseconds fallback) {
+    auto allowed = fallback;
+    if (const auto text = http::find_header(received.headers, deadline_header)) {
+        const auto asked = settings::parse_duration(*text);
+        if (!asked || asked->count() == 0) {
+            throw request_error(error_kind::bad_request,
+                                "X-Deadline must be a duration with its unit, for example 1500ms.");
+        }
+        allowed = std::min(*asked, std::chrono::milliseconds(std::chrono::hours(1)));
+    }
+    parsed.deadline = parsed.received + allowed;
+}
+
+} // namespace
+
+const configuration::workspace& find_workspace(const configuration& current, const http::request& received) {
+    if (current.is_empty()) {
+        throw request_error(error_kind::no_configuration);
+    }
+    const auto header = http::find_header(received.headers, "Authorization");
+    if (!header || !header->starts_with(bearer)) {
+        throw request_error(error_kind::unauthorized, "The request needs \"Authorization: Bearer KEY\".");
+    }
+    const auto* found = current.find_workspace_by_key_hash(sha256_hex(header->substr(bearer.size())));
+    if (found == nullptr) {
+        throw request_error(error_kind::unauthorized);
+    }
+    return *found;
+}
+
+call parse_call(std::shared_ptr<const configuration> current, const http::request& received,
+                std::chrono::milliseconds default_deadline) {
+    call parsed;
+    parsed.configuration = std::move(current);
+    parsed.workspace = &find_workspace(*parsed.configuration, received);
+    parsed.method = received.method;
+    parsed.path = received.target;
+    parsed.content_type = std::string(http::find_header(received.headers, "Content-Type").value_or("application/json"));
+
+    const auto path = http::path_of(received.target);
+    if (path == chat_path || path == completion_path) {
+        if (received.method != "POST") {
+            throw request_error(error_kind::method_not_allowed, "Completions take POST.");
+        }
+        read_completion(parsed, received, path);
+    } else if (path.starts_with(services_path)) {
+        read_service_call(parsed, path);
+    } else {
+        throw request_error(error_kind::not_found);
+    }
+    choose_tier(parsed, received);
+    choose_route(parsed, received);
+    read_key(parsed, received);
+    read_deadline(parsed, received, default_deadline);
+    parsed.body = received.body;
+    parsed.fingerprint = hash_bytes(parsed.body, hash_bytes(parsed.path, hash_bytes(parsed.workspace->name)));
+    return parsed;
+}
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/caller_api.cpp
@@ -0,0 +1,151 @@
+// The callers' side of an entry.
+#include "entry/caller_api.hpp"
+
+#include "base/request_error.hpp"
+#include "entry/answers.hpp"
+#include "entry/call_parser.hpp"
+#include "entry/request_run.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds retry_elsewhere{1000};
+
+http::response plain(unsigned status, std::string text) {
+    return http::make_response(status, "text/plain", std::move(text));
+}
+
+/// Tells the run when its caller closes the connection, for as long as the run lives.
+asio::awaitable<void> watch_caller(http::response_writer writer, std::weak_ptr<event_mailbox> events) {
+    co_await writer.wait_for_disconnect();
+    if (const auto still_waiting = events.lock()) {
+        still_waiting->push(caller_gone{});
+    }
+}
+
+} // namespace
+
+caller_api::caller_api(entry_context& context) : m_context(context) {}
+
+bool caller_api::is_ready() const {
+    return !is_draining() && m_context.configuration.revision() > 0;
+}
+
+asio::awaitable<void> caller_api::handle(const http::request& received, http::response_writer& writer) {
+    const auto path = http::path_of(received.target);
+    if (path == "/healthz") {
+        co_await writer.write(plain(200, "alive\n"));
+    } else if (path == "/readyz") {
+        co_await writer.write(is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n"));
+    } else {
+        co_await handle_call(received, writer);
+    }
+}
+
+asio::awaitable<void> caller_api::handle_call(const http::request& received, http::response_writer& writer) {
+    m_context.metrics.received();
+    std::optional<request_error> refusal;
+    std::optional<call> request;
+    std::optional<http::response> models;
+    try {
+        if (is_draining()) {
+            throw request_error(error_kind::draining, {}, retry_elsewhere);
+        }
+        if (http::path_of(received.target) == "/v1/models") {
+            models = list_models(received);
+        } else {
+            request = parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
+        }
+    } catch (const request_error& error) {
+        refusal = error;
+    }
+    if (refusal) {
+        m_context.metrics.failed(refusal->kind());
+        co_await writer.write(error_response(*refusal, identifier::random()));
+    } else if (models) {
+        co_await writer.write(*models);
+    } else {
+        record(*request, audit::event::received, nullptr);
+        co_await run(*request, writer);
+    }
+}
+
+asio::awaitable<void> caller_api::run(const call& request, http::response_writer& writer) {
+    const auto executor = co_await asio::this_coro::executor;
+    const auto events = std::make_shared<event_mailbox>(executor);
+    asio::co_spawn(executor, watch_caller(writer, events), asio::detached);
+
+    caller_answer answer(request, writer, m_context.settings.answer_limit);
+    request_run serving(m_context, request, answer, events);
+    std::optional<request_error> failure;
+    try {
+        co_await serving.serve();
+    } catch (const request_error& error) {
+        failure = error;
+    } catch (const caller_left&) {
+        m_context.metrics.caller_left();
+        record(request, audit::event::cancelled, nullptr);
+        writer.cut();
+    }
+    if (failure) {
+        record(request, answer_for(failure->kind()).ran == run_state::no ? audit::event::refused
+                                                                         : audit::event::failed,
+               &*failure);
+        co_await answer_error(request, answer, *failure, writer);
+    }
+}
+
+asio::awaitable<void> caller_api::answer_error(const call& request, const caller_answer& answer,
+                                               const request_error& error, http::response_writer& writer) {
+    m_context.metrics.failed(error.kind());
+    if (!answer.has_begun()) {
+        co_await writer.write(error_response(error, request.id));
+        co_return;
+    }
+    // The stream has begun: its last event says why it ends, and the missing end marker that it isn't whole.
+    co_await writer.write_piece(error_event(error, request.id));
+    writer.cut();
+}
+
+http::response caller_api::list_models(const http::request& received) const {
+    const auto current = m_context.configuration.current();
+    const auto& workspace = find_workspace(*current, received);
+    json::array models;
+    for (const auto& model : current->models) {
+        if (current->find_route(workspace.name, workspace.tier, model.name, false) != nullptr) {
+            models.push_back(json::object{{"id", model.name}, {"object", "model"}, {"owned_by", "borageford"}});
+        }
+    }
+    return http::make_response(200, "application/json",
+                               json::serialize(json::object{{"object", "list"}, {"data", std::move(models)}}));
+}
+
+void caller_api::record(const call& request, audit::event what, const request_error* error) {
+    audit::record entry;
+    entry.what = what;
+    entry.request = request.id;
+    entry.workspace = request.workspace->name;
+    entry.tier = request.tier->rank;
+    entry.target = request.target;
+    entry.revision = request.configuration->revision;
+    if (error != nullptr) {
+        entry.reason = error->kind();
+        entry.detail = error->what();
+    }
+    m_context.audit.record(std::move(entry));
+}
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/caller_api.hpp
@@ -0,0 +1,39 @@
+// What callers can ask an entry: completions, plain services, the list of models, and whether it is well.
+#pragma once
+
+#include "entry/entry_context.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+
+namespace borageford::entry {
+
+class caller_api {
+public:
+    explicit caller_api(entry_context& context);
+
+    /// Handles one request from its parsing to the end of its answer.
+    boost::asio::awaitable<void> handle(const http::request& received, http::response_writer& writer);
+
+    /// From now on new requests are refused as not run; those in progress go on.
+    void drain() noexcept { m_draining.store(true); }
+    [[nodiscard]] bool is_draining() const noexcept { return m_draining.load(); }
+    /// True when a caller can be served: not draining, and a configuration is known.
+    [[nodiscard]] bool is_ready() const;
+
+private:
+    boost::asio::awaitable<void> handle_call(const http::request& received, http::response_writer& writer);
+    boost::asio::awaitable<void> run(const call& request, http::response_writer& writer);
+    boost::asio::awaitable<void> answer_error(const call& request, const caller_answer& answer,
+                                              const request_error& error, http::response_writer& writer);
+    [[nodiscard]] http::response list_models(const http::request& received) const;
+    void record(const call& request, audit::event what, const request_error* error);
+
+    entry_context& m_context;
+    std::atomic<bool> m_draining = false;
+};
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/dispatch_event.hpp
@@ -0,0 +1,28 @@
+// What can happen to a request while its coroutine waits.
+#pragma once
+
+#include "base/identifier.hpp"
+#include "entry/mailbox.hpp"
+#include "wire/message.hpp"
+
+#include <memory>
+#include <variant>
+
+namespace borageford::entry {
+
+/// The connection that carried this dispatch has ended; nothing more comes on it.
+struct connection_lost {
+    dispatch_id dispatch;
+};
+
+/// The caller has closed its connection.
+struct caller_gone {};
+
+using dispatch_event =
+    std::variant<wire::offer_reply_message, wire::grant_message, wire::not_begun_message,
+                 wire::answer_head_message, wire::chunk_message, wire::answer_end_message, wire::fate_message,
+                 connection_lost, caller_gone>;
+
+using event_mailbox = mailbox<dispatch_event>;
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/entry_context.hpp
@@ -0,0 +1,23 @@
+// The parts of an entry that serving one request needs.
+#pragma once
+
+#include "audit/recorder.hpp"
+#include "configuration/configuration_follower.hpp"
+#include "entry/claim_store.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/entry_settings.hpp"
+#include "entry/server_directory.hpp"
+
+namespace borageford::entry {
+
+/// References to parts that live as long as the entry process.
+struct entry_context {
+    const entry_settings& settings;
+    configuration::configuration_follower& configuration;
+    server_directory& servers;
+    claim_store& claims;
+    entry_metrics& metrics;
+    audit::recorder& audit;
+};
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,217 @@
+// Putting an entry together, and its graceful stop.
+#include "entry/entry_process.hpp"
+
+#include "entry/answers.hpp"
+#include "entry/caller_api.hpp"
+#include "entry/entry_context.hpp"
+#include "entry/entry_settings.hpp"
+#include "platform/object_store.hpp"
+#include "platform/table.hpp"
+#include "platform/vm_directory.hpp"
+#include "process/runtime.hpp"
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr int wrong_settings_exit_code = 2;
+constexpr milliseconds stop_check_period{20};
+constexpr milliseconds last_flush_limit{2000};
+
+wire::hello_message make_hello(const entry_settings& settings, const identifier& incarnation) {
+    wire::hello_message hello;
+    hello.protocol_version = wire::protocol_version;
+    hello.role = wire::process_role::entry;
+    hello.incarnation = wire::to_wire(incarnation);
+    hello.vm = settings.common.vm;
+    hello.failure_domain = settings.common.failure_domain;
+    hello.region = settings.common.region;
+    return hello;
+}
+
+http::response refuse_without_call(error_kind kind, std::string_view detail) {
+    return error_response(request_error(kind, std::string(detail)), identifier::random());
+}
+
+/// All parts of an entry, in the order in which they depend on each other.
+class entry_process {
+public:
+    explicit entry_process(entry_settings settings);
+
+    int run();
+
+private:
+    link_context make_link_context();
+    void handle_peer_message(wire::envelope& received, wire::peer_connection& connection);
+    void follow_revision(std::uint64_t peer_revision, wire::peer_connection& connection);
+    void rebuild_servers();
+    boost::asio::awaitable<void> handle_admin(const http::request& received, http::response_writer& writer);
+    void stop_gracefully();
+    void finish_when_idle();
+
+    entry_settings m_settings;
+    process::runtime m_runtime;
+    metrics::registry m_registry;
+    entry_metrics m_metrics;
+    platform::table m_table;
+    platform::object_store m_objects;
+    platform::vm_directory m_vms;
+    configuration::configuration_follower m_configuration;
+    link_context m_link_context;
+    server_directory m_servers;
+    claim_store m_claims;
+    audit::recorder m_audit;
+    entry_context m_context;
+    caller_api m_callers;
+    http::server m_caller_server;
+    http::server m_admin_server;
+    timer_subscription m_stop_timer;
+    std::optional<steady_clock::time_point> m_stop_by;
+};
+
+entry_process::entry_process(entry_settings settings)
+    : m_settings(std::move(settings)), m_runtime(m_settings.common.threads), m_metrics(m_registry),
+      m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
+      m_objects(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
+      m_vms(m_runtime.executor(), m_runtime.timers(), m_settings.common.platform,
+            m_settings.common.platform_timeout, m_settings.common.poll_period),
+      m_configuration(m_runtime.executor(), m_runtime.timers(), m_table, m_settings.common.poll_period),
+      m_link_context(make_link_context()), m_servers(m_link_context),
+      m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
+      m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "entry"}),
+      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit}, m_callers(m_context),
+      m_caller_server(
+          m_runtime.executor(), m_settings.callers,
+          [this](const http::request& received, http::response_writer& writer) {
+              return m_callers.handle(received, writer);
+          },
+          refuse_without_call),
+      m_admin_server(
+          m_runtime.executor(), {},
+          [this](const http::request& received, http::response_writer& writer) {
+              return handle_admin(received, writer);
+          },
+          refuse_without_call) {}
+
+link_context entry_process::make_link_context() {
+    return {m_runtime.executor(),
+            m_runtime.timers(),
+            {m_settings.common.heartbeat_period, m_settings.common.silence_limit, m_settings.connect_limit},
+            make_hello(m_settings, m_runtime.incarnation()),
+            m_settings.connect_limit,
+            m_settings.idle_connection,
+            [this] { return m_configuration.revision(); },
+            [this](const std::string&, wire::envelope& received, wire::peer_connection& connection) {
+                handle_peer_message(received, connection);
+            }};
+}
+
+int entry_process::run() {
+    m_configuration.start([this](const auto&) { rebuild_servers(); });
+    m_vms.start([this](const auto&) { rebuild_servers(); });
+    m_audit.start();
+    const auto callers = m_caller_server.listen(m_settings.callers_listen);
+    const auto admin = m_admin_server.listen(m_settings.admin_listen);
+    const std::array listeners{process::listener_address{"callers", callers},
+                               process::listener_address{"admin", admin}};
+    log::info("entry_started", {{"vm", m_settings.common.vm},
+                                {"incarnation", m_runtime.incarnation().to_string()}});
+    process::print_ready(listeners);
+    return m_runtime.run([this] { stop_gracefully(); });
+}
+
+void entry_process::rebuild_servers() {
+    m_servers.update(*m_configuration.current(), *m_vms.current());
+}
+
+void entry_process::handle_peer_message(wire::envelope& received, wire::peer_connection& connection) {
+    if (const auto* reply = std::get_if<wire::configuration_reply_message>(&received.content)) {
+        m_configuration.take_from_peer(reply->revision, reply->text);
+        return;
+    }
+    if (std::holds_alternative<wire::configuration_request_message>(received.content)) {
+        const auto current = m_configuration.current();
+        wire::configuration_reply_message reply;
+        reply.revision = current->revision;
+        reply.text = current->text;
+        connection.send(std::move(reply));
+        return;
+    }
+    follow_revision(received.revision, connection);
+}
+
+/// Whoever is behind asks the one that is ahead, so a revision spreads while the platform is out.
+void entry_process::follow_revision(std::uint64_t peer_revision, wire::peer_connection& connection) {
+    if (peer_revision <= m_configuration.revision()) {
+        return;
+    }
+    wire::configuration_request_message request;
+    request.known_revision = m_configuration.revision();
+    connection.send(request);
+}
+
+asio::awaitable<void> entry_process::handle_admin(const http::request& received, http::response_writer& writer) {
+    const auto path = http::path_of(received.target);
+    if (path == "/metrics") {
+        co_await writer.write(http::make_response(200, "text/plain; version=0.0.4", m_registry.exposition()));
+    } else if (path == "/healthz") {
+        co_await writer.write(http::make_response(200, "text/plain", "alive\n"));
+    } else {
+        co_await writer.write(refuse_without_call(error_kind::not_found, ""));
+    }
+}
+
+/// Nothing in progress is cut: new requests are refused as not run, the rest goes on to its end.
+void entry_process::stop_gracefully() {
+    m_callers.drain();
+    m_caller_server.drain();
+    m_stop_by = steady_clock::now() + m_settings.stop_limit;
+    m_stop_timer =
+        m_runtime.timers().every(m_runtime.executor(), stop_check_period, [this] { finish_when_idle(); });
+}
+
+void entry_process::finish_when_idle() {
+    const bool is_idle = m_caller_server.requests_in_progress() == 0;
+    if (!is_idle && steady_clock::now() < *m_stop_by) {
+        return;
+    }
+    m_stop_timer.cancel();
+    log::info("entry_stopping", {{"in_progress", std::to_string(m_caller_server.requests_in_progress())}});
+    m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
+}
+
+} // namespace
+
+int run_entry(const std::string& settings_file) {
+    std::vector<settings::problem> problems;
+    const auto text = settings::read_file(settings_file, problems);
+    auto settings = read_entry_settings(settings::parse_ini(text, settings_file, problems), problems);
+    if (!problems.empty()) {
+        for (const auto& problem : problems) {
+            std::cerr << problem.to_string() << '\n';
+        }
+        return wrong_settings_exit_code;
+    }
+    log::start(settings.common.log_format, settings.common.log_level, "entry");
+    try {
+        entry_process process(std::move(settings));
+        return process.run();
+    } catch (const std::exception& error) {
+        log::error("entry_failed", {{"why", error.what()}});
+        return EXIT_FAILURE;
+    }
+}
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,66 @@
+// Reading an entry's settings file.
+#include "entry/entry_settings.hpp"
+
+#include "settings/section_reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace borageford::entry {
+namespace {
+
+constexpr std::array<std::string_view, 3> placements{"late_binding", "power_of_two", "round_robin"};
+constexpr std::array<std::string_view, 3> sections{"process", "platform", "entry"};
+constexpr milliseconds shortest{1};
+constexpr milliseconds longest{3'600'000};
+constexpr std::uint64_t smallest_size = 1024;
+constexpr std::uint64_t largest_size = 64ULL * 1024 * 1024;
+constexpr std::int64_t most_connections = 1'000'000;
+constexpr std::size_t hash_digits = 64;
+
+bool is_hash(std::string_view text) {
+    return text.size() == hash_digits &&
+           std::ranges::all_of(text, [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+void read_caller_limits(settings::section_reader& reader, http::server_limits& limits) {
+    limits.header_bytes = reader.size("header_limit", limits.header_bytes, smallest_size, largest_size);
+    limits.body_bytes = reader.size("body_limit", limits.body_bytes, smallest_size, largest_size);
+    limits.request_time = reader.duration("request_time", limits.request_time, shortest, longest);
+    limits.idle_time = reader.duration("caller_idle_time", limits.idle_time, shortest, longest);
+    limits.write_time = reader.duration("write_time", limits.write_time, shortest, longest);
+    limits.connections = static_cast<std::size_t>(
+        reader.number("connections", static_cast<std::int64_t>(limits.connections), 1, most_connections));
+}
+
+} // namespace
+
+entry_settings read_entry_settings(const settings::ini_document& document,
+                                   std::vector<settings::problem>& problems) {
+    entry_settings result;
+    result.common = process::read_common_settings(document, problems);
+    process::refuse_unknown_sections(document, sections, problems);
+
+    settings::section_reader reader(document, process::find_section(document, "entry"), "entry", problems);
+    result.callers_listen = reader.address("callers_listen");
+    result.admin_listen = reader.address("admin_listen");
+    result.admin_token_hash = reader.text("admin_token_sha256");
+    if (!result.admin_token_hash.empty() && !is_hash(result.admin_token_hash)) {
+        reader.complain("admin_token_sha256", "64 hexadecimal digits");
+    }
+    read_caller_limits(reader, result.callers);
+    result.placement = placements.at(reader.choice("placement", placements, 0));
+    result.default_deadline = reader.duration("default_deadline", result.default_deadline, shortest, longest);
+    result.fate_limit = reader.duration("fate_limit", result.fate_limit, shortest, longest);
+    result.connect_limit = reader.duration("connect_limit", result.connect_limit, shortest, longest);
+    result.idle_connection = reader.duration("idle_connection", result.idle_connection, shortest, longest);
+    result.claim_window = reader.duration("claim_window", result.claim_window, milliseconds(0), longest);
+    result.claim_limit = reader.duration("claim_limit", result.claim_limit, shortest, longest);
+    result.stop_limit = reader.duration("stop_limit", result.stop_limit, shortest, longest);
+    result.answer_limit = reader.size("answer_limit", result.answer_limit, smallest_size, largest_size);
+    reader.finish();
+    return result;
+}
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/entry_settings.hpp
@@ -0,0 +1,39 @@
+// The settings of an entry: where callers and operators reach it, its bounds and its patience.
+#pragma once
+
+#include "http/server.hpp"
+#include "process/common_settings.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace borageford::entry {
+
+using std::chrono::milliseconds;
+
+struct entry_settings {
+    process::common_settings common;
+    boost::asio::ip::tcp::endpoint callers_listen;
+    boost::asio::ip::tcp::endpoint admin_listen;
+    std::string admin_token_hash; ///< SHA-256 of the operators' token, hexadecimal
+    http::server_limits callers;
+    std::string placement;               ///< round_robin, power_of_two or late_binding
+    milliseconds default_deadline{60000}; ///< to the start of the request, when its caller names none
+    milliseconds fate_limit{10000};       ///< how long the fate of a started request is asked for
+    milliseconds connect_limit{1000};     ///< to a sidecar
+    milliseconds idle_connection{30000};  ///< a connection to a sidecar without work is closed after this
+    milliseconds claim_window{3};         ///< claims of idempotency keys within it share a transaction
+    milliseconds claim_limit{2000};       ///< a claim that takes longer is given up: not run
+    milliseconds stop_limit{600000};      ///< a graceful stop ends what still runs after this
+    std::size_t answer_limit = 16U * 1024 * 1024; ///< bytes of one answer held for a caller
+};
+
+/// Reads and checks the whole file; complaints go to `problems`.
+[[nodiscard]] entry_settings read_entry_settings(const settings::ini_document& document,
+                                                 std::vector<settings::problem>& problems);
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/offer_round.hpp
@@ -0,0 +1,82 @@
+// Offers one request to backend servers in waves until one of them grants it, or all have refused.
+#pragma once
+
+#include "entry/call.hpp"
+#include "entry/dispatch_event.hpp"
+#include "entry/entry_context.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace borageford::entry {
+
+/// A sidecar has room and waits for our start.
+struct granted_place {
+    std::shared_ptr<sidecar_link> link;
+    std::string backend_server;
+    dispatch_id dispatch;
+    identifier incarnation;
+    std::uint64_t revision = 0; ///< the sidecar's
+};
+
+/// A sidecar runs this very request already, or holds its answer.
+struct attachable_place {
+    std::shared_ptr<sidecar_link> link;
+    std::string backend_server;
+    dispatch_id dispatch;
+};
+
+using place = std::variant<granted_place, attachable_place>;
+
+/// Invariants: nothing has run for any offer of a round; an offer leaves `m_open_offers` when it is
+/// refused, lost, withdrawn or taken.
+class offer_round {
+public:
+    offer_round(entry_context& context, const call& request, std::shared_ptr<event_mailbox> events);
+
+    /// Throws request_error (the request has not run) and caller_left.
+    boost::asio::awaitable<place> find_place();
+
+    /// Takes back every offer that is still open; `started_at` names where the request went instead.
+    void withdraw_all();
+
+private:
+    struct open_offer {
+        std::shared_ptr<sidecar_link> link;
+        std::string backend_server;
+    };
+
+    void plan();
+    void send_next_wave();
+    void send_offer(const candidate& server);
+    [[nodiscard]] std::optional<place> handle(const dispatch_event& event);
+    [[nodiscard]] std::optional<place> take_reply(const wire::offer_reply_message& reply);
+    [[nodiscard]] std::optional<place> take_grant(const wire::grant_message& grant);
+    void take_refusal(const dispatch_id& dispatch, error_kind kind, std::chrono::milliseconds retry_after);
+    [[nodiscard]] bool is_exhausted() const noexcept;
+    [[noreturn]] void refuse() const;
+    void record(audit::event what, const dispatch_id& dispatch, const std::string& backend_server,
+                std::optional<error_kind> reason = std::nullopt);
+
+    entry_context& m_context;
+    const call& m_call;
+    std::shared_ptr<event_mailbox> m_events;
+    std::shared_ptr<const candidate_table> m_table; ///< kept alive for the candidates in the waves
+
+    std::vector<std::vector<candidate>> m_waves;
+    std::size_t m_next_wave = 0;
+    std::chrono::steady_clock::time_point m_next_wave_at;
+    std::unordered_map<dispatch_id, open_offer> m_open_offers;
+    std::optional<error_kind> m_refusal; ///< the one that says most, of those that came
+    std::optional<std::chrono::milliseconds> m_retry_after; ///< the soonest that any sidecar named
+};
+
+} // namespace borageford::entry
--- /dev/null
+++ b/src/entry/request_run.cpp
@@ -0,0 +1,358 @@
+// One request from its offers to the end of its answer.
+#include "entry/request_run.hpp"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr int most_attempts = 4;
+constexpr milliseconds first_ask_delay{20};
+constexpr milliseconds longest_ask_delay{1000};
+/// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
+constexpr std::chrono::hours longest_wait{24};
+
+std::int64_t now_seconds() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
+/// Refusals after a grant that another backend server may answer differently.
+bool is_worth_another_place(error_kind kind) {
+    return kind == error_kind::stale_revision || kind == error_kind::draining ||
+           kind == error_kind::no_backend_server || kind == error_kind::overloaded;
+}
+
+} // namespace
+
+request_run::request_run(entry_context& context, const call& request, caller_answer& answer,
+                         std::shared_ptr<event_mailbox> events)
+    : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
+
+asio::awaitable<void> request_run::serve() {
+    for (int attempt = 1;; ++attempt) {
+        offer_round round(m_context, m_call, m_events);
+        std::optional<request_error> refusal;
+        try {
+            const auto found = co_await round.find_place();
+            if (const auto* running = std::get_if<attachable_place>(&found)) {
+                round.withdraw_all();
+                join(*running);
+            } else {
+                co_await take_grant(std::get<granted_place>(found));
+                round.withdraw_all();
+            }
+        } catch (const request_error& error) {
+            refusal = error;
+        }
+        if (refusal) {
+            round.withdraw_all();
+            settle_claim(false);
+            throw *refusal;
+        }
+        if (co_await follow() == follow_result::whole) {
+            co_return;
+        }
+        m_context.metrics.placed_again();
+        const bool try_again = !m_not_begun || is_worth_another_place(m_not_begun->kind());
+        if (!try_again || attempt == most_attempts) {
+            settle_claim(false);
+            throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
+        }
+    }
+}
+
+/// Starts the request, or gives the grant back when the start isn't ours to send.
+asio::awaitable<void> request_run::take_grant(granted_place place) {
+    std::optional<request_error> refusal;
+    try {
+        if (co_await claim_before_start(place)) {
+            start(place);
+            co_return;
+        }
+    } catch (const request_error& error) {
+        refusal = error;
+    }
+    wire::withdraw_message withdrawal;
+    withdrawal.dispatch = wire::to_wire(place.dispatch);
+    place.link->forget(place.dispatch);
+    place.link->send_if_connected(withdrawal);
+    if (refusal) {
+        throw *refusal;
+    }
+}
+
+/// Returns whether the start is ours to send; otherwise another run of this request has been joined.
+asio::awaitable<bool> request_run::claim_before_start(const granted_place& place) {
+    if (m_call.is_idempotent) {
+        co_return true;
+    }
+    m_claim.dispatch = place.dispatch;
+    m_claim.request = m_call.id;
+    m_claim.fingerprint = m_call.fingerprint;
+    m_claim.backend_server = place.backend_server;
+    m_claim.incarnation = place.incarnation;
+    m_claim.time = now_seconds();
+    co_return co_await claim(place);
+}
+
+asio::awaitable<bool> request_run::claim(const granted_place& place) {
+    const auto result =
+        co_await m_context.claims.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    if (const auto* taken = std::get_if<claim_taken>(&result)) {
+        m_claim.version = taken->version;
+        record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}});
+        co_return true;
+    }
+    co_return co_await join_claimed(std::get<claim_held>(result).current);
+}
+
+/// Another run holds the key: its answer is this caller's answer, if it is still to be had.
+asio::awaitable<bool> request_run::join_claimed(const entry::claim& current) {
+    if (current.fingerprint != m_call.fingerprint) {
+        throw request_error(error_kind::idempotency_key_reused);
+    }
+    const auto table = m_context.servers.current();
+    const auto found = table->by_server.find(current.backend_server);
+    if (found == table->by_server.end()) {
+        throw request_error(current.state == claim_state::finished ? error_kind::already_ran
+                                                                   : error_kind::outcome_unknown);
+    }
+    m_claim = current;
+    m_joined = true;
+    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
+    m_context.metrics.attached();
+    attach();
+    co_return false;
+}
+
+void request_run::join(const attachable_place& place) {
+    m_joined = true;
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation()};
+    m_context.metrics.attached();
+    record(audit::event::attached, *m_started);
+    attach();
+}
+
+void request_run::start(const granted_place& place) {
+    m_joined = false;
+    m_lost_since.reset();
+    m_ask_at.reset();
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation};
+    wire::start_message start;
+    start.dispatch = wire::to_wire(place.dispatch);
+    start.revision = m_call.configuration->revision;
+    start.method = m_call.method;
+    start.path = m_call.path;
+    start.content_type = m_call.content_type;
+    start.body.assign(m_call.body.begin(), m_call.body.end());
+    start.streamed = m_call.is_streamed;
+    m_context.metrics.started();
+    m_context.metrics.queue_wait(m_call, steady_clock::now() - m_call.received);
+    record(audit::event::started, *m_started);
+    place.link->send_for(place.dispatch, m_events, std::move(start));
+}
+
+void request_run::attach() {
+    wire::attach_message attach;
+    attach.dispatch = wire::to_wire(m_started->dispatch);
+    attach.incarnation = wire::to_wire(m_started->incarnation);
+    attach.offset = m_answer.received();
+    m_started->link->send_for(m_started->dispatch, m_events, attach);
+}
+
+asio::awaitable<request_run::follow_result> request_run::follow() {
+    for (;;) {
+        const auto until = m_ask_at.value_or(steady_clock::now() + longest_wait);
+        auto event = co_await m_events->receive(until);
+        if (!event) {
+            ask_fate_again();
+            continue;
+        }
+        if (!concerns_current(*event)) {
+            continue;
+        }
+        if (const auto result = co_await handle(std::move(*event))) {
+            co_return *result;
+        }
+    }
+}
+
+/// Late messages of earlier offers may still be in the mailbox; only the started dispatch counts.
+bool request_run::concerns_current(const dispatch_event& event) const {
+    return std::visit(
+        [this](const auto& content) {
+            using content_type = std::decay_t<decltype(content)>;
+            if constexpr (std::is_same_v<content_type, caller_gone>) {
+                return true;
+            } else if constexpr (std::is_same_v<content_type, connection_lost>) {
+                return content.dispatch == m_started->dispatch;
+            } else {
+                return wire::from_wire(content.dispatch) == m_started->dispatch;
+            }
+        },
+        event);
+}
+
+asio::awaitable<std::optional<request_run::follow_result>> request_run::handle(dispatch_event event) {
+    if (const auto* chunk = std::get_if<wire::chunk_message>(&event)) {
+        co_await take_chunk(*chunk);
+    } else if (auto* head = std::get_if<wire::answer_head_message>(&event)) {
+        co_await m_answer.take_head(head->status, std::move(head->content_type));
+    } else if (const auto* end = std::get_if<wire::answer_end_message>(&event)) {
+        co_return co_await take_end(*end);
+    } else if (const auto* fate = std::get_if<wire::fate_message>(&event)) {
+        co_return take_fate(*fate);
+    } else if (const auto* refusal = std::get_if<wire::not_begun_message>(&event)) {
+        co_return take_not_begun(*refusal);
+    } else if (std::holds_alternative<connection_lost>(event)) {
+        note_lost_connection();
+    } else if (std::holds_alternative<caller_gone>(event)) {
+        wire::abandon_message abandon;
+        abandon.dispatch = wire::to_wire(m_started->dispatch);
+        m_started->link->send_if_connected(abandon);
+        m_started->link->forget(m_started->dispatch);
+        throw caller_left();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> request_run::take_chunk(const wire::chunk_message& chunk) {
+    const auto now = steady_clock::now();
+    const bool is_first = !m_answer.first_piece();
+    const std::string_view bytes(reinterpret_cast<const char*>(chunk.data.data()), chunk.data.size());
+    if (!co_await m_answer.take(chunk.offset, bytes)) {
+        attach(); // bytes are missing: ask for the answer from where we are
+        co_return;
+    }
+    if (is_first) {
+        m_context.metrics.first_token(m_call, now - m_call.received);
+    } else if (m_last_piece) {
+        m_context.metrics.between_tokens(m_call, now - *m_last_piece);
+    }
+    m_last_piece = now;
+}
+
+asio::awaitable<std::optional<request_run::follow_result>>
+request_run::take_end(const wire::answer_end_message& end) {
+    if (end.failed) {
+        m_started->link->forget(m_started->dispatch);
+        std::optional<milliseconds> retry_after;
+        if (end.retry_after_ms > 0) {
+            retry_after = milliseconds(end.retry_after_ms);
+        }
+        throw request_error(wire::error_kind_from_wire(end.error_kind), {}, retry_after);
+    }
+    if (m_answer.received() < end.total_length || !m_answer.has_head()) {
+        attach();
+        co_return std::nullopt;
+    }
+    co_await m_answer.finish();
+    // Only now: an answer given up by its sidecar before the caller has it would be lost with this entry.
+    wire::acknowledge_message acknowledge;
+    acknowledge.dispatch = wire::to_wire(m_started->dispatch);
+    m_started->link->send_if_connected(acknowledge);
+    m_started->link->forget(m_started->dispatch);
+    settle_claim(true);
+    m_context.metrics.answered();
+    m_context.metrics.total(m_call, steady_clock::now() - m_call.received);
+    record(audit::event::answered, *m_started);
+    co_return follow_result::whole;
+}
+
+std::optional<request_run::follow_result> request_run::take_fate(const wire::fate_message& fate) {
+    m_ask_at.reset();
+    switch (fate.state) {
+    case wire::dispatch_fate::running:
+    case wire::dispatch_fate::finished:
+        m_lost_since.reset();
+        return std::nullopt;
+    case wire::dispatch_fate::not_begun:
+        if (!m_answer.has_head()) {
+            m_not_begun.reset();
+            m_started->link->forget(m_started->dispatch);
+            return follow_result::not_begun;
+        }
+        break; // it had begun: a sidecar that says otherwise knows nothing
+    case wire::dispatch_fate::unknown:
+        break;
+    }
+    m_started->link->forget(m_started->dispatch);
+    if (m_joined && m_claim.state == claim_state::finished) {
+        throw request_error(error_kind::already_ran);
+    }
+    throw request_error(error_kind::outcome_unknown);
+}
+
+std::optional<request_run::follow_result> request_run::take_not_begun(const wire::not_begun_message& refusal) {
+    if (m_answer.has_head()) {
+        throw request_error(error_kind::outcome_unknown);
+    }
+    m_started->link->forget(m_started->dispatch);
+    m_not_begun = request_error(wire::error_kind_from_wire(refusal.error_kind), {},
+                                milliseconds(refusal.retry_after_ms));
+    return follow_result::not_begun;
+}
+
+void request_run::note_lost_connection() {
+    const auto now = steady_clock::now();
+    if (!m_lost_since) {
+        m_lost_since = now;
+        m_ask_delay = first_ask_delay;
+    } else {
+        m_ask_delay = std::min<steady_clock::duration>(m_ask_delay * 2, longest_ask_delay);
+    }
+    if (now - *m_lost_since > m_context.settings.fate_limit) {
+        throw request_error(error_kind::outcome_unknown);
+    }
+    m_ask_at = now + m_ask_delay;
+}
+
+/// The sidecar may have come back at another address: the newest one known is asked.
+void request_run::ask_fate_again() {
+    if (!m_ask_at) {
+        return;
+    }
+    m_ask_at.reset();
+    const auto table = m_context.servers.current();
+    const auto found = table->by_server.find(m_started->backend_server);
+    if (found != table->by_server.end()) {
+        m_started->link = found->second;
+    }
+    attach();
+}
+
+void request_run::settle_claim(bool has_run) {
+    if (m_claim.version == 0) {
+        return;
+    }
+    if (has_run) {
+        m_context.claims.note_finished(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    } else if (!m_joined) {
+        m_context.claims.release(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    }
+    m_claim.version = 0;
+}
+
+void request_run::record(audit::event what, const started_dispatch& place, std::string detail) {
+    audit::record entry;
+    entry.what = what;
+    entry.request = m_call.id;
+    entry.dispatch = place.dispatch;
+    entry.workspace = m_call.workspace->name;
+    entry.tier = m_call.tier->rank;
+    entry.target = m_call.target;
+    entry.backend_server = place.backend_server;
+    entry.revision = m_call.configuration->revision;
+    entry.detail = std::move(detail);
+    m_context.audit.record(std::move(entry));
+}
+
+} // namespace borageford::entry
