Read the operators' intent, and keep a process at the newest revision

Other parts need the configuration's values and the follower. The parser reports everything wrong with a file in one go, by line; names that cross-refer are checked, and a model and a service may not share a name, since an offer names its target without its kind. A complaint about a key's hash never quotes the value, which may be the key itself.

A tick that comes late by three quarters of a second counts as a freeze and makes it poll at once. Trusting the wall clock for that was ruled out: operators and time services set it.

The unit tests pass: 36 kinds of fault, each named by its key, and the example intent.

--- /dev/null
+++ b/src/configuration/configuration_follower.cpp
@@ -0,0 +1,230 @@
+// Polling the head, taking revisions from peers, and noticing that the process was frozen.
+#include "configuration/configuration_follower.hpp"
+
+#include "base/log.hpp"
+#include "configuration/intent_parser.hpp"
+#include "configuration/revision_rows.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace borageford::configuration {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often the process looks whether it was frozen.
+constexpr std::chrono::milliseconds freeze_check_period{250};
+/// A tick that comes this much late means that the process stood still, not that it was busy.
+constexpr std::chrono::milliseconds freeze_threshold{750};
+
+} // namespace
+
+/// Invariants: `current` is replaced only under `mutex`, and only by a higher revision; `changed`, `polling`
+/// and `last_tick` are touched only on the strand; one poll runs at a time.
+struct configuration_follower::state : std::enable_shared_from_this<configuration_follower::state> {
+    state(const asio::any_io_executor& executor, timer_service& given_timers, platform::table& given_table,
+          std::chrono::milliseconds given_period)
+        : strand(asio::make_strand(executor)),
+          timers(given_timers),
+          table(given_table),
+          period(given_period),
+          current(std::make_shared<const configuration>()) {}
+
+    void start(change_listener listener) {
+        changed = std::move(listener);
+        last_tick = timer_service::clock::now();
+        announce(current.load());
+        begin_poll();
+    }
+
+    void begin_poll() {
+        if (stopped) {
+            return;
+        }
+        if (polling) {
+            poll_again = true;
+            return;
+        }
+        polling = true;
+        asio::co_spawn(strand, poll(shared_from_this()), asio::detached);
+    }
+
+    static asio::awaitable<void> poll(std::shared_ptr<state> self) {
+        try {
+            co_await read_newer(*self);
+            self->note_reachable(true, "");
+        } catch (const std::exception& error) {
+            self->note_reachable(false, error.what());
+        }
+        self->polling = false;
+        if (std::exchange(self->poll_again, false)) {
+            self->begin_poll();
+        }
+    }
+
+    static asio::awaitable<void> read_newer(state& self) {
+        const auto head = co_await self.table.read(head_key);
+        if (!head || self.stopped) {
+            co_return; // once stopped, the table may be gone
+        }
+        const auto named = decode_head(head->value);
+        // A stale read names an old head; going back to it would undo an accepted configuration.
+        if (named.revision <= self.current.load()->revision) {
+            co_return;
+        }
+        const auto row = co_await self.table.read(revision_key(named.revision));
+        if (!row) {
+            co_return; // the head was read fresher than the row; the next poll finds it
+        }
+        const auto found = decode_revision(row->value);
+        self.take(named.revision, found.text, "table");
+    }
+
+    bool take(revision_number revision, std::string_view text, std::string_view source) {
+        if (revision <= current.load()->revision) {
+            return false;
+        }
+        std::vector<settings::problem> problems;
+        auto parsed = parse_intent(text, "revision " + std::to_string(revision), problems);
+        if (!problems.empty()) {
+            // The text was checked before it was committed: either a peer damaged it or this process is
+            // older than what was confirmed. Keeping the revision in force is safe; the counterpart is that
+            // `status` shows this node as behind.
+            note_unusable(revision, problems.front().to_string(), source);
+            return false;
+        }
+        parsed.revision = revision;
+        return replace(std::make_shared<const configuration>(std::move(parsed)), source);
+    }
+
+    bool replace(const std::shared_ptr<const configuration>& next, std::string_view source) {
+        {
+            const std::scoped_lock lock(mutex);
+            if (next->revision <= current.load()->revision) {
+                return false;
+            }
+            current.store(next);
+        }
+        log::info("configuration_in_force",
+                  {{"revision", std::to_string(next->revision)}, {"source", std::string(source)}});
+        asio::post(strand, [self = shared_from_this(), next] { self->announce(next); });
+        return true;
+    }
+
+    /// Posts of two threads may arrive crossed; an older revision isn't announced after a newer one.
+    void announce(const std::shared_ptr<const configuration>& next) {
+        if (stopped || !changed || next->revision <= announced) {
+            return;
+        }
+        announced = next->revision;
+        changed(next);
+    }
+
+    /// A process that was frozen wakes with what it knew before; the configuration may have moved on.
+    /// Steady time goes on while a process is stopped, so a tick that comes very late shows it.
+    void check_freeze() {
+        const auto now = timer_service::clock::now();
+        const auto late = now - last_tick - freeze_check_period;
+        last_tick = now;
+        if (late < freeze_threshold) {
+            return;
+        }
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(late);
+        log::warning("process_was_frozen", {{"milliseconds", std::to_string(milliseconds.count())}});
+        begin_poll();
+    }
+
+    void note_unusable(revision_number revision, const std::string& error, std::string_view source) {
+        if (unusable.exchange(revision) == revision) {
+            return;
+        }
+        log::error(
+            "configuration_unusable",
+            {{"revision", std::to_string(revision)}, {"source", std::string(source)}, {"error", error}});
+    }
+
+    void note_reachable(bool now, const std::string& error) {
+        if (now == reachable) {
+            return;
+        }
+        reachable = now;
+        if (now) {
+            log::info("configuration_table_reachable");
+        } else {
+            log::warning("configuration_table_unreachable", {{"error", error}});
+        }
+    }
+
+    asio::strand<asio::any_io_executor> strand;
+    timer_service& timers;
+    platform::table& table;
+    std::chrono::milliseconds period;
+    change_listener changed;
+    std::mutex mutex;
+    std::atomic<std::shared_ptr<const configuration>> current;
+    std::atomic<revision_number> unusable = 0;
+    revision_number announced = 0;
+    bool polling = false;
+    bool poll_again = false;
+    bool reachable = true;
+    std::atomic<bool> stopped = false;
+    timer_service::clock::time_point last_tick;
+    timer_subscription poll_timer;
+    timer_subscription freeze_timer;
+};
+
+configuration_follower::configuration_follower(asio::any_io_executor executor, timer_service& timers,
+                                               platform::table& table, std::chrono::milliseconds poll_period)
+    : m_state(std::make_shared<state>(executor, timers, table, poll_period)) {}
+
+configuration_follower::~configuration_follower() {
+    m_state->stopped = true;
+    m_state->poll_timer.cancel();
+    m_state->freeze_timer.cancel();
+}
+
+void configuration_follower::start(change_listener changed) {
+    asio::post(m_state->strand, [self = m_state, listener = std::move(changed)]() mutable {
+        self->start(std::move(listener));
+    });
+    const std::weak_ptr weak = m_state;
+    m_state->poll_timer = m_state->timers.every(m_state->strand, m_state->period, [weak] {
+        if (const auto self = weak.lock()) {
+            self->begin_poll();
+        }
+    });
+    m_state->freeze_timer = m_state->timers.every(m_state->strand, freeze_check_period, [weak] {
+        if (const auto self = weak.lock()) {
+            self->check_freeze();
+        }
+    });
+}
+
+std::shared_ptr<const configuration> configuration_follower::current() const noexcept {
+    return m_state->current.load();
+}
+
+revision_number configuration_follower::revision() const noexcept {
+    return current()->revision;
+}
+
+bool configuration_follower::take_from_peer(revision_number revision, std::string_view text) {
+    return m_state->take(revision, text, "peer");
+}
+
+void configuration_follower::poll_soon() {
+    asio::post(m_state->strand, [self = m_state] { self->begin_poll(); });
+}
+
+} // namespace borageford::configuration
--- /dev/null
+++ b/src/configuration/revision_rows.cpp
@@ -0,0 +1,65 @@
+// Revisions as JSON values of the table.
+#include "configuration/revision_rows.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstddef>
+#include <stdexcept>
+
+namespace borageford::configuration {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t revision_digits = 12;
+
+std::string text_of(const json::value& from, std::string_view key) {
+    return json::value_to<std::string>(from.at(key));
+}
+
+template <typename Decode>
+auto decode_row(std::string_view value, Decode decode) {
+    try {
+        return decode(json::parse(value));
+    } catch (const std::exception& error) {
+        throw std::runtime_error(std::string("a configuration row that can't be read: ") + error.what());
+    }
+}
+
+} // namespace
+
+std::string revision_key(revision_number revision) {
+    const auto digits = std::to_string(revision);
+    const auto padding = digits.size() < revision_digits ? revision_digits - digits.size() : 0;
+    return std::string(revision_prefix) + std::string(padding, '0') + digits;
+}
+
+std::string encode(const head_row& head) {
+    return json::serialize(
+        json::object{{"revision", head.revision}, {"plan", head.plan}, {"operator", head.operator_name}});
+}
+
+std::string encode(const revision_row& revision) {
+    return json::serialize(json::object{{"revision", revision.revision},
+                                        {"plan", revision.plan},
+                                        {"operator", revision.operator_name},
+                                        {"time", revision.time},
+                                        {"text", revision.text}});
+}
+
+head_row decode_head(std::string_view value) {
+    return decode_row(value, [](const json::value& from) {
+        return head_row{from.at("revision").to_number<revision_number>(), text_of(from, "plan"),
+                        text_of(from, "operator")};
+    });
+}
+
+revision_row decode_revision(std::string_view value) {
+    return decode_row(value, [](const json::value& from) {
+        return revision_row{from.at("revision").to_number<revision_number>(), text_of(from, "plan"),
+                            text_of(from, "operator"), text_of(from, "time"), text_of(from, "text")};
+    });
+}
+
+} // namespace borageford::configuration
--- /dev/null
+++ b/tests/unit/test_intent_parser.cpp
@@ -0,0 +1,161 @@
+// The intent file: what the examples say is read, and everything wrong with a file is said at once.
+#include "configuration/intent_parser.hpp"
+#include "settings/ini_document.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using configuration::parse_intent;
+using settings::problem;
+
+namespace {
+
+const std::string hash_a(64, 'a');
+
+const std::string sound = "[tier high]\nrank = 0\n"
+                          "[model m]\nversion = 1\nadapters = x\n"
+                          "[service s]\n"
+                          "[workspace w]\nkey_sha256 = " +
+                          hash_a +
+                          "\ntier = high\n"
+                          "[backend_server b]\nfailure_domain = d\nmodels = m\n"
+                          "[route r]\nworkspace = w\nmodel = m\n";
+
+std::vector<problem> problems_of(const std::string& text) {
+    std::vector<problem> problems;
+    static_cast<void>(parse_intent(text, "intent.ini", problems));
+    return problems;
+}
+
+bool complains(const std::vector<problem>& problems, unsigned line, const std::string& key,
+               const std::string& part) {
+    return std::ranges::any_of(problems, [&](const problem& found) {
+        return found.line == line && found.key == key && found.expected.find(part) != std::string::npos;
+    });
+}
+
+/// One fault in an otherwise sound file.
+struct fault {
+    std::string text;
+    std::string key;
+    std::string expected;
+};
+
+} // namespace
+
+TEST_CASE("a sound intent is read whole", "[configuration]") {
+    std::vector<problem> problems;
+    const auto read = parse_intent(sound, "intent.ini", problems);
+    REQUIRE(problems.empty());
+    CHECK(read.tiers.size() == 1);
+    CHECK(read.find_workspace_by_key_hash(hash_a)->name == "w");
+    CHECK(read.find_model("m")->adapters == std::vector<std::string>{"x"});
+    CHECK(read.find_backend_server("b")->slots == 16);
+    CHECK(read.find_route("w", "high", "m", false)->idempotent);
+    CHECK(read.find_route("w", "high", "s", true) == nullptr);
+    CHECK(read.text == sound);
+}
+
+TEST_CASE("the example intent has no faults", "[configuration][examples]") {
+    std::vector<problem> problems;
+    const std::string path = EXAMPLES_FOLDER "/intent.ini";
+    const auto read = parse_intent(settings::read_file(path, problems), path, problems);
+    for (const auto& found : problems) {
+        UNSCOPED_INFO(found.to_string());
+    }
+    REQUIRE(problems.empty());
+    CHECK(read.workspaces.size() == 5);
+    CHECK(read.find_route("lectores", "interactive", "pluma", false)->idempotent);
+    CHECK_FALSE(read.find_route("lectores", "interactive", "marcadores", true)->idempotent);
+}
+
+TEST_CASE("each kind of fault names its key and what was expected", "[configuration]") {
+    // An operator mistypes one thing in a long file. Taken silently, it would route or limit callers wrongly
+    // until someone complains; so each fault must be named where it stands.
+    const std::string hash_b(64, 'b');
+    const std::vector<fault> faults{
+        {"[tire low]\n", "tire low", "one of the sections"},
+        {"[tier]\nrank = 1\n", "tier", "a name of at most 64"},
+        {"[tier a/b]\nrank = 1\n", "tier a/b", "a name of at most 64"},
+        {"[tier low]\n", "tier low.rank", "required"},
+        {"[tier low]\nrank = -1\n", "tier low.rank", "whole number"},
+        {"[tier low]\nrank = 0\n", "tier low.rank", "tier high has the same"},
+        {"[tier low]\nrank = 1\nfirst_token = 5\n", "tier low.first_token", "duration with its unit"},
+        {"[tier low]\nrank = 1\nspeed = 5\n", "tier low.speed", "a known key"},
+        {"[model n]\n", "model n.version", "required"},
+        {"[model n]\nversion = 1\ncontext_tokens = many\n", "model n.context_tokens", "whole number"},
+        {"[model n]\nversion = 1\ncontext_tokens = 10\nexpected_output_tokens = 11\n",
+         "model n.expected_output_tokens", "no more than"},
+        {"[model n]\nversion = 1\nadapters = y, y\n", "model n.adapters", "repeated"},
+        {"[service m]\n", "service m", "a name that no model has"},
+        {"[workspace v]\ntier = high\n", "workspace v.key_sha256", "at least one"},
+        {"[workspace v]\nkey_sha256 = secret\ntier = high\n", "workspace v.key_sha256", "64 lower-case"},
+        {"[workspace v]\nkey_sha256 = " + hash_a + "\ntier = high\n", "workspace v.key_sha256",
+         "workspace w has the same"},
+        {"[workspace v]\nkey_sha256 = " + hash_b + "\n", "workspace v.tier", "required"},
+        {"[workspace v]\nkey_sha256 = " + hash_b + "\ntier = top\n", "workspace v.tier", "\"top\""},
+        {"[workspace v]\nkey_sha256 = " + hash_b + "\ntier = high\nrequests_per_second = nan\n",
+         "workspace v.requests_per_second", "a number"},
+        {"[workspace v]\nkey_sha256 = " + hash_b + "\ntier = high\nconcurrent_requests = 1.5\n",
+         "workspace v.concurrent_requests", "whole number"},
+        {"[backend_server c]\nmodels = m\n", "backend_server c.failure_domain", "required"},
+        {"[backend_server c]\nfailure_domain = d\n", "backend_server c.models", "at least one model"},
+        {"[backend_server c]\nfailure_domain = d\nmodels = q\n", "backend_server c.models", "\"q\""},
+        {"[backend_server c]\nkind = gpu\nfailure_domain = d\nmodels = m\n", "backend_server c.kind",
+         "one of engine service"},
+        {"[backend_server c]\nkind = service\nfailure_domain = d\nmodels = m\n", "backend_server c.models",
+         "no models"},
+        {"[backend_server c]\nfailure_domain = d\nmodels = m\nservices = s\n", "backend_server c.services",
+         "no services"},
+        {"[backend_server c]\nfailure_domain = d\nmodels = m\nadapters = z\n", "backend_server c.adapters",
+         "\"z\""},
+        {"[backend_server c]\nfailure_domain = d\nmodels = m\nslots = 0\n", "backend_server c.slots",
+         "whole number"},
+        {"[backend_server c]\nfailure_domain = d\nmodels = m\ndrained = maybe\n", "backend_server c.drained",
+         "one of no yes"},
+        {"[route q]\nmodel = m\n", "route q.workspace", "required"},
+        {"[route q]\nworkspace = nobody\nmodel = m\n", "route q.workspace", "\"nobody\""},
+        {"[route q]\nworkspace = w\n", "route q.model", "either a model or a service"},
+        {"[route q]\nworkspace = w\nmodel = m\nservice = s\n", "route q.service", "either a model"},
+        {"[route q]\nworkspace = w\nmodel = m\ntiers = low\n", "route q.tiers", "\"low\""},
+        {"[route q]\nworkspace = w\nmodel = gone\n", "route q.model", "\"gone\""},
+        {"[route q]\nworkspace = w\nservice = s\nidempotent = 1\n", "route q.idempotent", "one of no yes"},
+    };
+    const auto lines = static_cast<unsigned>(std::ranges::count(sound, '\n'));
+    for (const auto& entry : faults) {
+        const auto problems = problems_of(sound + entry.text);
+        INFO(entry.text);
+        REQUIRE(problems.size() == 1);
+        CHECK(problems.front().file == "intent.ini");
+        CHECK(problems.front().line > lines);
+        CHECK(complains(problems, problems.front().line, entry.key, entry.expected));
+    }
+}
+
+TEST_CASE("all faults of a file are reported at once, in the order of lines", "[configuration]") {
+    const auto problems = problems_of("[tier high]\nrank = x\n[workspace w]\ntier = top\n[nonsense]\n");
+    REQUIRE(problems.size() == 4);
+    CHECK(complains(problems, 2, "tier high.rank", "whole number"));
+    CHECK(complains(problems, 3, "workspace w.key_sha256", "at least one"));
+    CHECK(complains(problems, 4, "workspace w.tier", "\"top\""));
+    CHECK(complains(problems, 5, "nonsense", "one of the sections"));
+}
+
+TEST_CASE("an empty intent is refused", "[configuration]") {
+    const auto problems = problems_of("");
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().expected == "at least one [tier NAME] section");
+}
+
+TEST_CASE("a key pasted in place of its hash is not repeated in the complaint", "[configuration]") {
+    // An operator pastes the API key itself. A complaint that quotes it would carry the secret into terminals
+    // and logs, where others read it.
+    const auto problems =
+        problems_of("[tier high]\nrank = 0\n[workspace w]\nkey_sha256 = hunter2\ntier = high\n");
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().to_string().find("hunter2") == std::string::npos);
+}
