--- /dev/null
+++ b/tests/fakes/prefix_cache.hpp
@@ -0,0 +1,68 @@
+// An engine's cache of prompt prefixes: least recently used blocks go first, and its events are published
+// late and with gaps.
+#pragma once
+
+#include "fakes/engine_request.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+namespace borageford::test {
+
+/// Invariant: holds at most the given number of tokens.
+class prefix_cache {
+public:
+    using clock = std::chrono::steady_clock;
+
+    explicit prefix_cache(std::uint64_t capacity_tokens) : m_capacity(capacity_tokens) {}
+
+    /// The tokens of the prompt's longest cached prefix; marks its blocks as used.
+    [[nodiscard]] std::uint32_t find_prefix(std::span<const prompt_block> blocks);
+
+    /// Notes what was prefilled from this token on, and caches the whole blocks. Returns how many of those
+    /// tokens had been prefilled here before.
+    std::uint32_t store(std::span<const prompt_block> blocks, std::uint32_t from_token);
+
+    /// The events after a sequence number that are older than the lag, as the interface describes.
+    [[nodiscard]] std::string events_after(std::uint64_t sequence, std::chrono::milliseconds lag) const;
+
+    /// Every block ever prefilled here: `{"HASH": [times, tokens]}`.
+    [[nodiscard]] std::string describe_prefilled() const;
+
+    [[nodiscard]] std::uint64_t cached_tokens() const noexcept { return m_tokens; }
+
+private:
+    struct cached_block {
+        std::uint64_t hash;
+        std::uint32_t tokens;
+    };
+    struct prefill_count {
+        std::uint32_t times = 0;
+        std::uint32_t tokens = 0;
+    };
+    struct event {
+        std::uint64_t sequence;
+        clock::time_point time;
+        bool is_stored;
+        std::uint64_t hash;
+    };
+
+    void put(const prompt_block& block);
+    void publish(bool is_stored, std::uint64_t hash);
+
+    std::uint64_t m_capacity;
+    std::uint64_t m_tokens = 0;
+    std::list<cached_block> m_recent; ///< most recently used first
+    std::unordered_map<std::uint64_t, std::list<cached_block>::iterator> m_blocks;
+    std::unordered_map<std::uint64_t, prefill_count> m_prefilled;
+    std::deque<event> m_events;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace borageford::test
