Add counters, gauges and histograms with their text exposition

Every library needs to count, so this one stands low in the order of dependency.

A histogram keeps fixed buckets, which a collector can add up over processes, and quantiles estimated by Boost.Accumulators (extended P-square) for whoever reads one process. Up to eleven samples the estimator's markers mean nothing, so quantiles are exact until then. The buckets hold 68 ms and 1.1 s, the default targets, so that the share of samples within target is read off exactly. Sharding by thread was ruled out: estimates of several estimators can't be merged, and the lock is held for one sample.

Labels per name are bounded at 2048 members, above 230 workspaces times 4 tiers.

--- /dev/null
+++ b/src/metrics/histogram_state.cpp
@@ -0,0 +1,79 @@
+// Adding samples to a histogram and reading quantiles from it.
+#include "metrics/histogram_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace borageford::metrics {
+
+namespace accumulator = boost::accumulators;
+
+histogram::state::state()
+    : m_accumulators(accumulator::tag::extended_p_square::probabilities = estimated_quantiles) {}
+
+void histogram::state::record(double seconds) {
+    // A clock that stepped back or a division by zero upstream must not spoil the sums for good.
+    if (!std::isfinite(seconds)) {
+        return;
+    }
+    const double sample = std::max(seconds, 0.0);
+    const auto bucket = std::ranges::lower_bound(bucket_bounds, sample) - bucket_bounds.begin();
+    const std::scoped_lock lock(m_mutex);
+    const auto before = accumulator::count(m_accumulators);
+    if (before < m_first.size()) {
+        m_first.at(before) = sample;
+    }
+    m_accumulators(sample);
+    ++m_buckets.at(static_cast<std::size_t>(bucket));
+}
+
+histogram_summary histogram::state::summary() const {
+    const std::scoped_lock lock(m_mutex);
+    histogram_summary out;
+    out.count = accumulator::count(m_accumulators);
+    out.sum = accumulator::sum(m_accumulators);
+    std::uint64_t total = 0;
+    for (std::size_t index = 0; index < out.cumulative.size(); ++index) {
+        total += m_buckets.at(index);
+        out.cumulative.at(index) = total;
+    }
+    return out;
+}
+
+double histogram::state::quantile(double share) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto samples = accumulator::count(m_accumulators);
+    const double bounded = std::clamp(share, 0.0, 1.0);
+    if (samples <= m_first.size()) {
+        return exact_quantile(samples, bounded);
+    }
+    return estimated_quantile(bounded);
+}
+
+double histogram::state::exact_quantile(std::size_t samples, double share) const {
+    if (samples == 0) {
+        return 0;
+    }
+    auto sorted = m_first;
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(samples));
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(samples)));
+    return sorted.at(std::max<std::size_t>(rank, 1) - 1);
+}
+
+double histogram::state::estimated_quantile(double share) const {
+    const auto estimates = accumulator::extended_p_square(m_accumulators);
+    double lower_share = 0;
+    double lower = accumulator::min(m_accumulators);
+    for (std::size_t index = 0; index < estimated_quantiles.size(); ++index) {
+        const double upper_share = estimated_quantiles.at(index);
+        const double upper = estimates[static_cast<std::ptrdiff_t>(index)];
+        if (share <= upper_share) {
+            return std::lerp(lower, upper, (share - lower_share) / (upper_share - lower_share));
+        }
+        lower_share = upper_share;
+        lower = upper;
+    }
+    return std::lerp(lower, accumulator::max(m_accumulators), (share - lower_share) / (1.0 - lower_share));
+}
+
+} // namespace borageford::metrics
--- a/src/metrics/registry.hpp
+++ b/src/metrics/registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -50,6 +51,9 @@
 /// whose label values are "other", so that hostile input can't fill memory.
 class registry {
 public:
+    /// Members of one name, more than the workspaces times the tiers that the design is sized for.
+    static constexpr std::size_t members_limit = 2048;
+
     registry();
     ~registry();
     registry(const registry&) = delete;
