--- /dev/null
+++ b/src/backend/backend_server.hpp
@@ -0,0 +1,36 @@
+// The one backend server beside a sidecar, whichever kind it is.
+#pragma once
+
+#include "backend/model_engine.hpp"
+#include "backend/plain_service.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <variant>
+
+namespace borageford::backend {
+
+/// Calls that a kind can't serve say so: a plain service knows no streams to resume or cancel.
+class backend_server {
+public:
+    using server = std::variant<model_engine, plain_service>;
+
+    explicit backend_server(server kind);
+
+    [[nodiscard]] bool is_engine() const noexcept;
+    /// Null for a plain service.
+    [[nodiscard]] model_engine* as_engine() noexcept;
+
+    boost::asio::awaitable<answer_head> run(answer_stream& stream, dispatch_id dispatch, const call& work);
+    boost::asio::awaitable<std::optional<answer_head>> resume(answer_stream& stream, dispatch_id dispatch,
+                                                              std::uint64_t offset);
+    boost::asio::awaitable<bool> cancel(dispatch_id dispatch);
+    boost::asio::awaitable<bool> is_healthy();
+
+private:
+    server m_server;
+};
+
+} // namespace borageford::backend
--- /dev/null
+++ b/src/backend/http_exchange.cpp
@@ -0,0 +1,54 @@
+// Small exchanges with a backend server.
+#include "backend/http_exchange.hpp"
+
+namespace borageford::backend {
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr std::size_t control_body_limit = 4U * 1024 * 1024;
+
+} // namespace
+
+failure meaning_of(const http::exchange_error& error) noexcept {
+    if (error.stage() == http::exchange_stage::connecting) {
+        return failure::unreachable;
+    }
+    return error.has_timed_out() ? failure::silent : failure::cut;
+}
+
+http::request make_call(dispatch_id dispatch, const call& work) {
+    http::request request;
+    request.method = work.method;
+    request.target = work.path;
+    request.body = work.body;
+    request.headers.push_back({"X-Request-Id", dispatch.to_string()});
+    if (!work.content_type.empty()) {
+        request.headers.push_back({"Content-Type", work.content_type});
+    }
+    return request;
+}
+
+boost::asio::awaitable<http::response> exchange(const boost::asio::any_io_executor& executor,
+                                                const http::endpoint& server, const http::request& request,
+                                                std::chrono::milliseconds limit) {
+    try {
+        const http::exchange_limits limits{limit, limit, limit, control_body_limit};
+        co_return co_await http::fetch(executor, server, request, limits);
+    } catch (const http::exchange_error& error) {
+        throw backend_error(meaning_of(error), error.what());
+    }
+}
+
+boost::asio::awaitable<bool> answers_health(const boost::asio::any_io_executor& executor,
+                                            const http::endpoint& server, std::chrono::milliseconds limit) {
+    http::request request;
+    request.target = "/health";
+    try {
+        const auto answer = co_await exchange(executor, server, request, limit);
+        co_return answer.head.status == status_ok;
+    } catch (const backend_error&) {
+        co_return false;
+    }
+}
+
+} // namespace borageford::backend
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -1738,6 +1738,8 @@
 struct withdraw_message : public flatbuffers::NativeTable {
   typedef withdraw TableType;
   borageford::wire::id dispatch{};
+  std::string started_at{};
+  borageford::wire::id running_dispatch{};
 };
 
 struct withdraw FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1745,14 +1747,25 @@
   typedef withdrawBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DISPATCH = 4
+    VT_DISPATCH = 4,
+    VT_STARTED_AT = 6,
+    VT_RUNNING_DISPATCH = 8
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
   }
+  const flatbuffers::String *started_at() const {
+    return GetPointer<const flatbuffers::String *>(VT_STARTED_AT);
+  }
+  const borageford::wire::id *running_dispatch() const {
+    return GetStruct<const borageford::wire::id *>(VT_RUNNING_DISPATCH);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
+           VerifyOffset(verifier, VT_STARTED_AT) &&
+           verifier.VerifyString(started_at()) &&
+           VerifyField<borageford::wire::id>(verifier, VT_RUNNING_DISPATCH, 8) &&
            verifier.EndTable();
   }
   withdraw_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1767,6 +1780,12 @@
   void add_dispatch(const borageford::wire::id *dispatch) {
     fbb_.AddStruct(withdraw::VT_DISPATCH, dispatch);
   }
+  void add_started_at(flatbuffers::Offset<flatbuffers::String> started_at) {
+    fbb_.AddOffset(withdraw::VT_STARTED_AT, started_at);
+  }
+  void add_running_dispatch(const borageford::wire::id *running_dispatch) {
+    fbb_.AddStruct(withdraw::VT_RUNNING_DISPATCH, running_dispatch);
+  }
   explicit withdrawBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1780,8 +1799,12 @@
 
 inline flatbuffers::Offset<withdraw> Createwithdraw(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const borageford::wire::id *dispatch = nullptr) {
+    const borageford::wire::id *dispatch = nullptr,
+    flatbuffers::Offset<flatbuffers::String> started_at = 0,
+    const borageford::wire::id *running_dispatch = nullptr) {
   withdrawBuilder builder_(_fbb);
+  builder_.add_running_dispatch(running_dispatch);
+  builder_.add_started_at(started_at);
   builder_.add_dispatch(dispatch);
   return builder_.Finish();
 }
@@ -1791,6 +1814,19 @@
   static auto constexpr Create = Createwithdraw;
 };
 
+inline flatbuffers::Offset<withdraw> CreatewithdrawDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const borageford::wire::id *dispatch = nullptr,
+    const char *started_at = nullptr,
+    const borageford::wire::id *running_dispatch = nullptr) {
+  auto started_at__ = started_at ? _fbb.CreateString(started_at) : 0;
+  return borageford::wire::Createwithdraw(
+      _fbb,
+      dispatch,
+      started_at__,
+      running_dispatch);
+}
+
 flatbuffers::Offset<withdraw> Createwithdraw(flatbuffers::FlatBufferBuilder &_fbb, const withdraw_message *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct not_begun_message : public flatbuffers::NativeTable {
@@ -2259,6 +2295,7 @@
   borageford::wire::id dispatch{};
   borageford::wire::id incarnation{};
   uint64_t offset = 0;
+  uint32_t started_ms_ago = 0;
 };
 
 struct attach FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2268,7 +2305,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DISPATCH = 4,
     VT_INCARNATION = 6,
-    VT_OFFSET = 8
+    VT_OFFSET = 8,
+    VT_STARTED_MS_AGO = 10
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
@@ -2279,11 +2317,15 @@
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
   }
+  uint32_t started_ms_ago() const {
+    return GetField<uint32_t>(VT_STARTED_MS_AGO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
            VerifyField<borageford::wire::id>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STARTED_MS_AGO, 4) &&
            verifier.EndTable();
   }
   attach_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2304,6 +2346,9 @@
   void add_offset(uint64_t offset) {
     fbb_.AddElement<uint64_t>(attach::VT_OFFSET, offset, 0);
   }
+  void add_started_ms_ago(uint32_t started_ms_ago) {
+    fbb_.AddElement<uint32_t>(attach::VT_STARTED_MS_AGO, started_ms_ago, 0);
+  }
   explicit attachBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2319,9 +2364,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const borageford::wire::id *dispatch = nullptr,
     const borageford::wire::id *incarnation = nullptr,
-    uint64_t offset = 0) {
+    uint64_t offset = 0,
+    uint32_t started_ms_ago = 0) {
   attachBuilder builder_(_fbb);
   builder_.add_offset(offset);
+  builder_.add_started_ms_ago(started_ms_ago);
   builder_.add_incarnation(incarnation);
   builder_.add_dispatch(dispatch);
   return builder_.Finish();
@@ -3342,6 +3389,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = dispatch(); if (_e) _o->dispatch = *_e; }
+  { auto _e = started_at(); if (_e) _o->started_at = _e->str(); }
+  { auto _e = running_dispatch(); if (_e) _o->running_dispatch = *_e; }
 }
 
 inline flatbuffers::Offset<withdraw> withdraw::Pack(flatbuffers::FlatBufferBuilder &_fbb, const withdraw_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3353,9 +3402,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const withdraw_message* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _dispatch = &_o->dispatch;
+  auto _started_at = _o->started_at.empty() ? 0 : _fbb.CreateString(_o->started_at);
+  auto _running_dispatch = &_o->running_dispatch;
   return borageford::wire::Createwithdraw(
       _fbb,
-      _dispatch);
+      _dispatch,
+      _started_at,
+      _running_dispatch);
 }
 
 inline not_begun_message *not_begun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3539,6 +3592,7 @@
   { auto _e = dispatch(); if (_e) _o->dispatch = *_e; }
   { auto _e = incarnation(); if (_e) _o->incarnation = *_e; }
   { auto _e = offset(); _o->offset = _e; }
+  { auto _e = started_ms_ago(); _o->started_ms_ago = _e; }
 }
 
 inline flatbuffers::Offset<attach> attach::Pack(flatbuffers::FlatBufferBuilder &_fbb, const attach_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3552,11 +3606,13 @@
   auto _dispatch = &_o->dispatch;
   auto _incarnation = &_o->incarnation;
   auto _offset = _o->offset;
+  auto _started_ms_ago = _o->started_ms_ago;
   return borageford::wire::Createattach(
       _fbb,
       _dispatch,
       _incarnation,
-      _offset);
+      _offset,
+      _started_ms_ago);
 }
 
 inline fate_message *fate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
