--- a/src/entry/caller_api.hpp
+++ b/src/entry/caller_api.hpp
@@ -1,6 +1,8 @@
 // What callers can ask an entry: completions, plain services, the list of models, and whether it is well.
 #pragma once
 
+#include "base/request_error.hpp"
+#include "entry/caller_answer.hpp"
 #include "entry/entry_context.hpp"
 #include "http/server.hpp"
 
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -2,6 +2,7 @@
 // its caller (docs/design/dispatch.md).
 #pragma once
 
+#include "base/request_error.hpp"
 #include "entry/call.hpp"
 #include "entry/caller_answer.hpp"
 #include "entry/dispatch_event.hpp"
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,6 +1,5 @@
 // The one program: picks the subcommand. Abseil's flags stay here, at the edge.
 #include "entry/entry_process.hpp"
-#include "sidecar/sidecar_process.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -48,20 +47,17 @@
     return with_settings(borageford::entry::run_entry);
 }
 
-int sidecar_command(arguments) {
-    return with_settings(borageford::sidecar::run_sidecar);
-}
-
 constexpr std::array subcommands{
     subcommand{"entry", entry_command},
-    subcommand{"sidecar", sidecar_command},
 };
 
 } // namespace
 
 int main(int argument_count, char** argument_values) {
     absl::FlagsUsageConfig configuration;
-    configuration.version_string = [] { return std::string("borageford 0.1.0\n"); };
+    configuration.version_string = [] {
+        return std::string("borageford 0.1.0\n");
+    };
     absl::SetFlagsUsageConfig(configuration);
     absl::SetProgramUsageMessage(usage.data());
     const auto parsed = absl::ParseCommandLine(argument_count, argument_values);
