Record decisions in batches in the object store

Entries and sidecars hand each decision to a recorder, which closes a batch every 30 s and writes it as one object. 1,650 writers at the 5 s first planned are 330 writes a second, as many as the platform takes for everything; at 30 s they are 55.

Keys go by minute, role and writer, so that a reader needs a moment and a name and no index that somebody would have to keep. Records of one request share one line, since a line a record repeated the same names five times.

While the store is out, batches wait under their own keys. When memory is full the oldest gives way to a small gap object under its key, so that a reader of that time learns of the loss; a batch being written doesn't give way, or its gap would overwrite it later. The backlog is written four batches a period, not at once.

Ruled out: a line a record (it repeats what a request shares), joining the batches of an outage into one (a reader of the outage's minutes wouldn't find them).

--- a/src/audit/record.hpp
+++ b/src/audit/record.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace borageford::audit {
 
@@ -49,4 +50,7 @@
     std::string detail; ///< what bound the decision, in a few words
 };
 
+/// Records of the same microsecond keep their order.
+void sort_by_time(std::vector<record>& records);
+
 } // namespace borageford::audit
--- /dev/null
+++ b/src/audit/recorder.cpp
@@ -0,0 +1,210 @@
+// Closes a batch at each period and writes the backlog, a few batches at a time.
+#include "audit/recorder.hpp"
+
+#include "audit/backlog.hpp"
+#include "base/log.hpp"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::audit {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+/// After an outage every process has a backlog. Written all at once, 1,650 of them would bring the store down
+/// again; four batches a period each are 220 writes a second at most, and clear an hour's backlog of 120
+/// batches in 20 minutes.
+constexpr unsigned writes_per_period = 4;
+constexpr milliseconds flush_retry_delay{200};
+
+backlog_limits limits_of(const recorder_settings& settings) {
+    return {std::max<std::size_t>(settings.batch_limit, 1), settings.memory_limit};
+}
+
+/// A share of the period, so that processes started together don't write together.
+milliseconds random_phase(milliseconds period) {
+    const auto whole = static_cast<std::uint64_t>(std::max<milliseconds::rep>(period.count(), 1));
+    return milliseconds(identifier::random().low % whole);
+}
+
+} // namespace
+
+/// Invariants: all but `records` is touched on the strand only; one write is under way at most.
+struct recorder::state : std::enable_shared_from_this<recorder::state> {
+    state(const asio::any_io_executor& executor, timer_service& timer_source, platform::object_store& target,
+          recorder_settings chosen)
+        : strand(asio::make_strand(executor)),
+          timers(timer_source),
+          store(target),
+          settings(std::move(chosen)),
+          records({settings.role, settings.vm, settings.backend_server}, identifier::random(),
+                  limits_of(settings)) {}
+
+    void start() {
+        phase_timer =
+            timers.after(strand, random_phase(settings.flush_period), on_self(&state::begin_period));
+    }
+
+    /// A callback that doesn't keep the state alive.
+    std::function<void()> on_self(void (state::*call)()) {
+        return [weak = weak_from_this(), call] {
+            if (const auto self = weak.lock()) {
+                ((*self).*call)();
+            }
+        };
+    }
+
+    void begin_period() {
+        period_timer = timers.every(strand, settings.flush_period, on_self(&state::end_period));
+        end_period();
+    }
+
+    void end_period() {
+        records.close(system_clock::now(), false);
+        allowed_writes = writes_per_period;
+        write_soon();
+    }
+
+    void begin_flush(milliseconds limit, std::function<void()> done) {
+        phase_timer.cancel();
+        period_timer.cancel();
+        records.close(system_clock::now(), true);
+        flushed = std::move(done);
+        flush_timer = timers.after(strand, limit, on_self(&state::end_flush));
+        write_soon();
+    }
+
+    void end_flush() {
+        flush_timer.cancel();
+        retry_timer.cancel();
+        if (const auto done = std::exchange(flushed, {})) {
+            done();
+        }
+    }
+
+    void write_soon() {
+        if (is_writing) {
+            return;
+        }
+        is_writing = true;
+        asio::co_spawn(strand, write_all(shared_from_this()), asio::detached);
+    }
+
+    static asio::awaitable<void> write_all(std::shared_ptr<state> self) {
+        while (self->may_write()) {
+            auto next = self->records.begin_write();
+            if (!next) {
+                break;
+            }
+            const bool is_written = co_await self->write(std::move(*next));
+            if (!is_written) {
+                self->retry_flush();
+                break;
+            }
+        }
+        self->is_writing = false;
+        if (self->flushed && self->records.closed_batches() == 0) {
+            self->end_flush();
+        }
+    }
+
+    /// Between periods only a flush tries again; else the next period does.
+    void retry_flush() {
+        if (flushed) {
+            retry_timer = timers.after(strand, flush_retry_delay, on_self(&state::write_soon));
+        }
+    }
+
+    bool may_write() {
+        if (flushed) {
+            return true;
+        }
+        if (allowed_writes == 0) {
+            return false;
+        }
+        --allowed_writes;
+        return true;
+    }
+
+    asio::awaitable<bool> write(pending_object object) {
+        bool is_written = false;
+        try {
+            co_await store.put(object.key, std::move(object.text));
+            is_written = true;
+        } catch (const platform::platform_error& error) {
+            // The batch stays and is written again under its key, also when the answer was lost after the
+            // write took effect: the same bytes under the same key are no second batch.
+            note_outage(error.what());
+        }
+        records.end_write(object.sequence, is_written);
+        if (is_written) {
+            note_success();
+        }
+        co_return is_written;
+    }
+
+    void note_outage(const std::string& reason) {
+        if (!std::exchange(is_store_out, true)) {
+            log::warning("audit_store_unavailable", {{"reason", reason}});
+        }
+    }
+
+    void note_success() {
+        if (std::exchange(is_store_out, false)) {
+            log::info("audit_store_available", {{"lost_records", std::to_string(records.lost_records())}});
+        }
+    }
+
+    asio::strand<asio::any_io_executor> strand;
+    timer_service& timers;
+    platform::object_store& store;
+    const recorder_settings settings;
+    backlog records;
+    timer_subscription phase_timer;
+    timer_subscription period_timer;
+    timer_subscription flush_timer;
+    timer_subscription retry_timer;
+    std::function<void()> flushed; ///< set while flush() waits
+    unsigned allowed_writes = 0;
+    bool is_writing = false;
+    bool is_store_out = false;
+};
+
+recorder::recorder(asio::any_io_executor executor, timer_service& timers, platform::object_store& store,
+                   recorder_settings settings)
+    : m_state(std::make_shared<state>(executor, timers, store, std::move(settings))) {}
+
+recorder::~recorder() = default;
+
+void recorder::start() {
+    asio::post(m_state->strand, [self = m_state] { self->start(); });
+}
+
+void recorder::record(audit::record entry) {
+    m_state->records.add(std::move(entry));
+}
+
+void recorder::flush(milliseconds limit, std::function<void()> done) {
+    asio::post(m_state->strand, [self = m_state, limit, done = std::move(done)]() mutable {
+        self->begin_flush(limit, std::move(done));
+    });
+}
+
+std::uint64_t recorder::lost_records() const noexcept {
+    return m_state->records.lost_records();
+}
+
+std::size_t recorder::held_records() const noexcept {
+    return m_state->records.held_records();
+}
+
+} // namespace borageford::audit
