--- a/tests/fakes/engine_stream.cpp
+++ b/tests/fakes/engine_stream.cpp
@@ -34,7 +34,7 @@
 }
 
 void engine_stream::add_rubbish() {
-    bytes += std::string("\x01\x02{{ not an answer \xff\xfe\n\n", 24);
+    bytes += "\x01\x02{{ not an answer \xff\xfe\n\n";
     is_finished = true;
     ended_at = std::chrono::steady_clock::now();
     wake();
--- a/tests/fakes/prefix_cache.hpp
+++ b/tests/fakes/prefix_cache.hpp
@@ -47,10 +47,10 @@
         std::uint32_t tokens = 0;
     };
     struct event {
-        std::uint64_t sequence;
+        std::uint64_t sequence = 0;
         clock::time_point time;
-        bool is_stored;
-        std::uint64_t hash;
+        bool is_stored = true;
+        std::uint64_t hash = 0;
     };
 
     void put(const prompt_block& block);
