--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,178 @@
+// See the header.
+#include "support/child_process.hpp"
+
+#include "support/wait_until.hpp"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <poll.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace borageford::test {
+
+namespace {
+
+constexpr std::size_t shown_log_bytes = 4000;
+constexpr int signal_exit_base = 128;
+constexpr std::size_t read_size = 4096;
+
+void check(int result, const char* what) {
+    if (result != 0) {
+        throw std::system_error(result, std::generic_category(), what);
+    }
+}
+
+/// What the child's standard output and error become. Freed even when starting fails.
+class spawn_actions {
+public:
+    spawn_actions(int output, const std::string& log) {
+        check(posix_spawn_file_actions_init(&m_actions), "posix_spawn_file_actions_init");
+        check(posix_spawn_file_actions_adddup2(&m_actions, output, STDOUT_FILENO), "adddup2");
+        check(posix_spawn_file_actions_addopen(&m_actions, STDERR_FILENO, log.c_str(),
+                                               O_WRONLY | O_CREAT | O_APPEND, 0644),
+              "addopen");
+    }
+    ~spawn_actions() { posix_spawn_file_actions_destroy(&m_actions); }
+    spawn_actions(const spawn_actions&) = delete;
+    spawn_actions& operator=(const spawn_actions&) = delete;
+    spawn_actions(spawn_actions&&) = delete;
+    spawn_actions& operator=(spawn_actions&&) = delete;
+
+    [[nodiscard]] const posix_spawn_file_actions_t* get() const { return &m_actions; }
+
+private:
+    posix_spawn_file_actions_t m_actions{};
+};
+
+} // namespace
+
+child_process::child_process(const std::filesystem::path& program, std::vector<std::string> arguments,
+                             std::filesystem::path log)
+    : m_log(std::move(log)) {
+    std::array<int, 2> ends{};
+    // Closed at exec, so that no other child holds this one's pipe open after its end.
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::system_error(errno, std::generic_category(), "pipe2");
+    }
+    m_output = ends[0];
+    const spawn_actions actions(ends[1], m_log.string());
+    arguments.insert(arguments.begin(), program.string());
+    std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
+    for (auto& argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    const int result = posix_spawn(&m_id, program.c_str(), actions.get(), nullptr, pointers.data(), environ);
+    close(ends[1]);
+    if (result != 0) {
+        close(m_output);
+        check(result, program.c_str());
+    }
+}
+
+child_process::~child_process() {
+    if (!m_exit_code) {
+        ::kill(m_id, SIGKILL);
+        collect(true);
+    }
+    close(m_output);
+}
+
+std::string child_process::wait_for_line(std::string_view first_word) {
+    const auto limit = std::chrono::steady_clock::now() + hang_guard;
+    while (std::chrono::steady_clock::now() < limit) {
+        for (auto end = m_text.find('\n'); end != std::string::npos; end = m_text.find('\n')) {
+            const auto line = m_text.substr(0, end);
+            m_text.erase(0, end + 1);
+            if (line.starts_with(first_word)) {
+                return line;
+            }
+        }
+        if (!read_more(std::chrono::milliseconds(500)) && !is_running()) {
+            throw std::runtime_error("process ended before it was ready: " + log_text());
+        }
+    }
+    throw std::runtime_error("process never said " + std::string(first_word) + ": " + log_text());
+}
+
+void child_process::kill() {
+    if (m_exit_code) {
+        return;
+    }
+    signal_child(SIGKILL);
+    collect(true);
+}
+
+void child_process::freeze() {
+    signal_child(SIGSTOP);
+    // Returns only once the process has really stopped, so that what a test does next comes after.
+    int status = 0;
+    waitpid(m_id, &status, WUNTRACED);
+}
+
+void child_process::thaw() {
+    signal_child(SIGCONT);
+}
+
+int child_process::wait_for_exit() {
+    wait_until("the end of process " + std::to_string(m_id), [this] { return !is_running(); });
+    return *m_exit_code;
+}
+
+bool child_process::is_running() {
+    collect(false);
+    return !m_exit_code;
+}
+
+std::string child_process::log_text() const {
+    std::ifstream file(m_log);
+    std::stringstream text;
+    text << file.rdbuf();
+    auto whole = text.str();
+    if (whole.size() > shown_log_bytes) {
+        whole.erase(0, whole.size() - shown_log_bytes);
+    }
+    return whole;
+}
+
+void child_process::signal_child(int signal) const {
+    if (!m_exit_code) {
+        ::kill(m_id, signal);
+    }
+}
+
+bool child_process::read_more(std::chrono::milliseconds patience) {
+    pollfd wanted{m_output, POLLIN, 0};
+    if (poll(&wanted, 1, static_cast<int>(patience.count())) <= 0) {
+        return false;
+    }
+    std::array<char, read_size> piece{};
+    const auto count = read(m_output, piece.data(), piece.size());
+    if (count <= 0) {
+        return false;
+    }
+    m_text.append(piece.data(), static_cast<std::size_t>(count));
+    return true;
+}
+
+void child_process::collect(bool wait) {
+    if (m_exit_code) {
+        return;
+    }
+    int status = 0;
+    if (waitpid(m_id, &status, wait ? 0 : WNOHANG) != m_id) {
+        return;
+    }
+    m_exit_code = WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status) : WEXITSTATUS(status);
+}
+
+} // namespace borageford::test
--- /dev/null
+++ b/tests/support/fault_proxy.cpp
@@ -0,0 +1,360 @@
+// See the header.
+#include "support/fault_proxy.hpp"
+
+#include "support/wait_until.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <future>
+#include <list>
+#include <map>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace borageford::test {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t piece_size = 16384;
+constexpr std::size_t corrupt_stride = 7;
+
+enum class lane_state : std::uint8_t { passing, holding, dropping };
+
+struct lane {
+    lane_state state = lane_state::passing;
+    std::string pending; ///< raw bytes or half a frame that no unit was made of yet
+};
+
+/// One accepted connection and the one behind it.
+struct relay {
+    explicit relay(tcp::socket accepted)
+        : client(std::move(accepted)),
+          server(client.get_executor()),
+          changed(client.get_executor(), asio::steady_timer::time_point::max()) {}
+
+    tcp::socket& source(direction way) { return way == direction::up ? client : server; }
+    tcp::socket& sink(direction way) { return way == direction::up ? server : client; }
+    lane& at(direction way) { return lanes.at(static_cast<std::size_t>(way)); }
+
+    void cut(cut_kind kind) {
+        boost::system::error_code ignored;
+        for (auto* socket : {&client, &server}) {
+            if (kind == cut_kind::reset) {
+                socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            } else {
+                socket->shutdown(tcp::socket::shutdown_both, ignored);
+            }
+            socket->close(ignored);
+        }
+        changed.cancel();
+    }
+
+    tcp::socket client;
+    tcp::socket server;
+    std::array<lane, 2> lanes;
+    asio::steady_timer changed; ///< never expires; cancelled when a lane's state changes
+};
+
+struct armed_fault {
+    direction way;
+    unit_matcher matches;
+    fault what;
+};
+
+std::string corrupted(std::string unit) {
+    for (std::size_t index = wire::frame_header_size; index < unit.size(); index += corrupt_stride) {
+        unit[index] = static_cast<char>(unit[index] ^ 0x5a);
+    }
+    return unit;
+}
+
+} // namespace
+
+unit_matcher contains(std::string text) {
+    return [wanted = std::move(text)](std::string_view unit) {
+        return unit.find(wanted) != std::string_view::npos;
+    };
+}
+
+struct fault_proxy::state {
+    state(const endpoint& server, proxy_units kind)
+        : target(server),
+          units(kind),
+          acceptor(context, endpoint(asio::ip::address_v4::loopback(), 0)),
+          address(acceptor.local_endpoint()) {
+        asio::co_spawn(context, accept(), asio::detached);
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~state() {
+        context.stop();
+        thread.join();
+    }
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    state(state&&) = delete;
+    state& operator=(state&&) = delete;
+
+    /// Runs on the proxy's thread and waits for the result, so that a command has acted when it returns.
+    template <typename Action>
+    auto on_thread(Action action) {
+        std::packaged_task<decltype(action())()> task(std::move(action));
+        auto result = task.get_future();
+        asio::post(context, [&task] { task(); });
+        return result.get();
+    }
+
+    asio::awaitable<void> accept() {
+        while (true) {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            if (refusing) {
+                socket.close();
+                continue;
+            }
+            ++accepted;
+            asio::co_spawn(context, serve(std::make_shared<relay>(std::move(socket))), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<relay> link) {
+        boost::system::error_code error;
+        co_await link->server.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            link->cut(cut_kind::reset);
+            co_return;
+        }
+        link->client.set_option(tcp::no_delay(true), error);
+        link->server.set_option(tcp::no_delay(true), error);
+        relays.push_back(link);
+        asio::co_spawn(context, pump(link, direction::up), asio::detached);
+        asio::co_spawn(context, pump(link, direction::down), asio::detached);
+    }
+
+    asio::awaitable<void> pump(std::shared_ptr<relay> link, direction way) {
+        try {
+            co_await pump_units(*link, way);
+        } catch (const boost::system::system_error& problem) {
+            if (problem.code() == asio::error::eof) {
+                boost::system::error_code ignored;
+                link->sink(way).shutdown(tcp::socket::shutdown_send, ignored);
+                finish(link, way);
+                co_return;
+            }
+        }
+        link->cut(cut_kind::reset);
+        relays.remove(link);
+    }
+
+    /// Once both ends have said that they send no more, the relay is done.
+    void finish(const std::shared_ptr<relay>& link, direction way) {
+        auto& finished = half_closed[link.get()];
+        finished |= way == direction::up ? 1U : 2U;
+        if (finished == 3U) {
+            half_closed.erase(link.get());
+            relays.remove(link);
+        }
+    }
+
+    asio::awaitable<void> pump_units(relay& link, direction way) {
+        while (true) {
+            while (link.at(way).state == lane_state::holding) {
+                co_await wait_for_change(link);
+            }
+            auto unit = co_await read_unit(link, way);
+            const auto action = find_fault(unit, way);
+            if (action == fault::hold) {
+                link.at(way).state = lane_state::holding;
+            } else if (action == fault::drop || action == fault::drop_both) {
+                link.at(way).state = lane_state::dropping;
+                if (action == fault::drop_both) {
+                    link.at(way == direction::up ? direction::down : direction::up).state =
+                        lane_state::dropping;
+                }
+            }
+            if (action) {
+                note_fired();
+            }
+            while (link.at(way).state == lane_state::holding) {
+                co_await wait_for_change(link);
+            }
+            if (link.at(way).state == lane_state::dropping) {
+                continue;
+            }
+            co_await send_unit(link, way, std::move(unit), action.value_or(fault::pass));
+        }
+    }
+
+    asio::awaitable<void> send_unit(relay& link, direction way, std::string unit, fault action) {
+        if (delay.count() > 0) {
+            asio::steady_timer timer(context, delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (action == fault::lose) {
+            link.cut(cut_kind::reset);
+            co_return;
+        }
+        if (action == fault::corrupt) {
+            unit = corrupted(std::move(unit));
+        } else if (action == fault::truncate) {
+            unit.resize(unit.size() / 2);
+        } else if (action == fault::duplicate) {
+            unit += unit;
+        }
+        co_await asio::async_write(link.sink(way), asio::buffer(unit), asio::use_awaitable);
+        if (action == fault::truncate) {
+            link.cut(cut_kind::end);
+        } else if (action == fault::cut_after) {
+            // The peer must be able to read what was let through: a reset would throw it away unread.
+            link.cut(cut_kind::end);
+        }
+    }
+
+    asio::awaitable<std::string> read_unit(relay& link, direction way) {
+        auto& source = link.source(way);
+        std::string unit;
+        if (units == proxy_units::raw) {
+            unit.resize(piece_size);
+            unit.resize(co_await source.async_read_some(asio::buffer(unit), asio::use_awaitable));
+            co_return unit;
+        }
+        unit.resize(wire::frame_header_size);
+        co_await asio::async_read(source, asio::buffer(unit), asio::use_awaitable);
+        const auto header = std::as_bytes(std::span<const char, wire::frame_header_size>(unit));
+        const auto length = wire::decode_length(header);
+        unit.resize(wire::frame_header_size + length);
+        co_await asio::async_read(source, asio::buffer(unit.data() + wire::frame_header_size, length),
+                                  asio::use_awaitable);
+        co_return unit;
+    }
+
+    std::optional<fault> find_fault(std::string_view unit, direction way) {
+        const auto found = std::ranges::find_if(
+            armed, [&](const armed_fault& item) { return item.way == way && item.matches(unit); });
+        if (found == armed.end()) {
+            return std::nullopt;
+        }
+        const auto what = found->what;
+        armed.erase(found);
+        return what;
+    }
+
+    void note_fired() {
+        if (armed.empty()) {
+            all_fired.store(true);
+        }
+    }
+
+    static asio::awaitable<void> wait_for_change(relay& link) {
+        boost::system::error_code ignored;
+        co_await link.changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!link.client.is_open()) {
+            throw boost::system::system_error(asio::error::operation_aborted);
+        }
+    }
+
+    void set_lanes(direction way, lane_state wanted) {
+        for (const auto& link : relays) {
+            link->at(way).state = wanted;
+            link->changed.cancel();
+        }
+    }
+
+    void release_lanes() {
+        for (const auto& link : relays) {
+            for (auto& each : link->lanes) {
+                each.state = each.state == lane_state::holding ? lane_state::passing : each.state;
+            }
+            link->changed.cancel();
+        }
+    }
+
+    asio::io_context context{1};
+    endpoint target;
+    proxy_units units;
+    tcp::acceptor acceptor;
+    endpoint address;
+    std::chrono::milliseconds delay{0};
+    bool refusing = false;
+    std::list<std::shared_ptr<relay>> relays;
+    std::map<relay*, unsigned> half_closed;
+    std::vector<armed_fault> armed;
+    std::size_t accepted = 0;
+    std::atomic<bool> all_fired = true;
+    std::thread thread;
+};
+
+fault_proxy::fault_proxy(const endpoint& target, proxy_units units)
+    : m_state(std::make_unique<state>(target, units)) {}
+
+fault_proxy::~fault_proxy() = default;
+
+fault_proxy::endpoint fault_proxy::address() const {
+    return m_state->address;
+}
+
+void fault_proxy::set_target(const endpoint& target) {
+    m_state->on_thread([&] { m_state->target = target; });
+}
+
+void fault_proxy::set_delay(std::chrono::milliseconds delay) {
+    m_state->on_thread([&] { m_state->delay = delay; });
+}
+
+void fault_proxy::set_refusing(bool refusing) {
+    m_state->on_thread([&] { m_state->refusing = refusing; });
+}
+
+void fault_proxy::cut(cut_kind kind) {
+    m_state->on_thread([&] {
+        for (const auto& link : std::list(m_state->relays)) {
+            link->cut(kind);
+        }
+    });
+}
+
+void fault_proxy::drop(direction way) {
+    m_state->on_thread([&] { m_state->set_lanes(way, lane_state::dropping); });
+}
+
+void fault_proxy::hold(direction way) {
+    m_state->on_thread([&] { m_state->set_lanes(way, lane_state::holding); });
+}
+
+void fault_proxy::release() {
+    m_state->on_thread([&] { m_state->release_lanes(); });
+}
+
+void fault_proxy::arm(direction way, unit_matcher matches, fault what) {
+    m_state->on_thread([&] {
+        m_state->all_fired.store(false);
+        m_state->armed.push_back({way, std::move(matches), what});
+    });
+}
+
+void fault_proxy::wait_for_fault() {
+    wait_until("the armed fault", [this] { return m_state->all_fired.load(); });
+}
+
+std::size_t fault_proxy::open_connections() const {
+    return m_state->on_thread([this] { return m_state->relays.size(); });
+}
+
+std::size_t fault_proxy::accepted_connections() const {
+    return m_state->on_thread([this] { return m_state->accepted; });
+}
+
+} // namespace borageford::test
