Complain once about a tier's rank, and order complaints without a deprecated call

A tier with a missing or malformed rank drew a second complaint, that another tier has rank 0, because the fallback was compared; the parser is mended.

--- a/src/configuration/intent_parser.cpp
+++ b/src/configuration/intent_parser.cpp
@@ -7,9 +7,9 @@
 #include <array>
 #include <cstddef>
 #include <functional>
-#include <limits>
-#include <map>
+#include <span>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace borageford::configuration {
@@ -129,11 +129,12 @@
         auto reader = reader_for(section);
         tier item;
         item.name = section.name;
-        const bool has_rank = section.find("rank") != nullptr;
-        if (!has_rank) {
+        const auto problems_before = m_problems.size();
+        if (section.find("rank") == nullptr) {
             reader.complain("rank", "a whole number from 0 (the highest tier) on (the key is required)");
         }
         item.rank = static_cast<unsigned>(reader.number("rank", 0, 0, highest_rank));
+        const bool has_rank = m_problems.size() == problems_before;
         item.first_token_target =
             reader.duration("first_token", item.first_token_target, shortest_target, longest_target);
         item.between_tokens_target =
@@ -323,8 +324,10 @@
     const auto first = problems.size();
     const auto document = settings::parse_ini(text, file, problems);
     intent_reader(document, result, problems).read();
-    std::stable_sort(problems.begin() + static_cast<std::ptrdiff_t>(first), problems.end(),
-                     [](const problem& left, const problem& right) { return left.line < right.line; });
+    const auto own = std::span(problems).subspan(first);
+    std::ranges::sort(own, [](const problem& left, const problem& right) {
+        return std::tie(left.line, left.key) < std::tie(right.line, right.key);
+    });
     return result;
 }
 
