Add plans, commits, and the administration API

Operators had no way to change anything. A plan compares an intent with the newest revision in operators' words, with warnings, and is kept as an object so that any entry can confirm it. A commit inserts the row of revision base + 1 on the condition that there is none: since numbers have no gaps and rows are never deleted, that is the same as asking for the head not to have moved, and unlike the head's version it needs no read that may be stale. A lost answer is resolved by that row, which names the plan.

The administration is one class with an http::handler. To wire it: build administration_context from the entry's parts, fill node_view, pass calls under /admin/ to administration::handle, and give entries a revision_listener on their peer address, through which other entries ask for their revision.

--- /dev/null
+++ b/src/admin/administration.hpp
@@ -0,0 +1,98 @@
+// The administration API of an entry: operators' calls as JSON over HTTP, each with the operators' token.
+// docs/ADMINISTRATION.md describes every call.
+#pragma once
+
+#include "admin/node_view.hpp"
+#include "admin/planner.hpp"
+#include "admin/revision_survey.hpp"
+#include "admin/spread_watch.hpp"
+#include "configuration/configuration_follower.hpp"
+#include "configuration/revision_store.hpp"
+#include "http/message.hpp"
+#include "http/server.hpp"
+#include "platform/object_store.hpp"
+#include "platform/table.hpp"
+#include "platform/vm_directory.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace borageford::admin {
+
+/// References to parts of the entry that outlive the administration.
+struct administration_context {
+    boost::asio::any_io_executor executor;
+    timer_service& timers;
+    configuration::configuration_follower& follower;
+    platform::vm_directory& vms;
+    platform::table& table;
+    platform::object_store& objects;
+    peer_identity identity;
+    std::string token_hash; ///< SHA-256 of the operators' token, lower-case hexadecimal
+};
+
+/// Safe from any thread.
+class administration {
+public:
+    administration(administration_context context, node_view view);
+
+    /// Every call's path starts with this.
+    static constexpr std::string_view path_prefix = "/admin/";
+
+    /// Answers one call. For an http::server's handler.
+    boost::asio::awaitable<void> handle(const http::request& call, http::response_writer& writer);
+
+private:
+    /// One call, taken apart.
+    struct admin_call {
+        const http::request& request;
+        std::vector<std::string> arguments; ///< what stands for each "*" of its pattern
+        std::string operator_name;
+    };
+    using call_handler = boost::asio::awaitable<http::response> (administration::*)(const admin_call&);
+    struct api_call {
+        std::string_view method;
+        std::string_view pattern;
+        call_handler handle;
+    };
+
+    [[nodiscard]] static std::span<const api_call> api_calls();
+    boost::asio::awaitable<http::response> answer(const http::request& call);
+    void check_token(const http::request& call) const;
+
+    boost::asio::awaitable<http::response> make_plan(const admin_call& call);
+    boost::asio::awaitable<http::response> show_plan(const admin_call& call);
+    boost::asio::awaitable<http::response> confirm_plan(const admin_call& call);
+    boost::asio::awaitable<http::response> list_revisions(const admin_call& call);
+    boost::asio::awaitable<http::response> show_revision(const admin_call& call);
+    boost::asio::awaitable<http::response> revert_revision(const admin_call& call);
+    boost::asio::awaitable<http::response> show_status(const admin_call& call);
+    boost::asio::awaitable<http::response> list_servers(const admin_call& call);
+    boost::asio::awaitable<http::response> drain_server(const admin_call& call);
+    boost::asio::awaitable<http::response> undrain_server(const admin_call& call);
+    boost::asio::awaitable<http::response> list_quarantine(const admin_call& call);
+    boost::asio::awaitable<http::response> release_from_quarantine(const admin_call& call);
+    boost::asio::awaitable<http::response> show_limits(const admin_call& call);
+    boost::asio::awaitable<http::response> explain_request(const admin_call& call);
+    boost::asio::awaitable<http::response> find_requests(const admin_call& call);
+
+    [[nodiscard]] std::vector<configuration::workspace_use> limits_in_use() const;
+    boost::asio::awaitable<std::optional<configuration::revision_number>> read_head();
+    boost::asio::awaitable<std::optional<configuration::spread_row>>
+    read_spread(configuration::revision_number revision);
+
+    administration_context m_context;
+    node_view m_view;
+    configuration::revision_store m_store;
+    revision_survey m_survey;
+    spread_watch m_spread;
+    planner m_planner;
+};
+
+} // namespace borageford::admin
--- /dev/null
+++ b/src/admin/configuration_exchange.cpp
@@ -0,0 +1,39 @@
+// The three messages of the exchange.
+#include "admin/configuration_exchange.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace borageford::admin {
+
+void ask_when_behind(const configuration::configuration_follower& follower, std::uint64_t peer_revision,
+                     wire::peer_connection& connection) {
+    const auto held = follower.revision();
+    if (peer_revision <= held) {
+        return;
+    }
+    wire::configuration_request_message request;
+    request.known_revision = held;
+    connection.send(std::move(request));
+}
+
+void exchange_configuration(configuration::configuration_follower& follower, const wire::envelope& received,
+                            wire::peer_connection& connection) {
+    if (const auto* reply = std::get_if<wire::configuration_reply_message>(&received.content)) {
+        follower.take_from_peer(reply->revision, reply->text);
+        return;
+    }
+    if (std::holds_alternative<wire::configuration_request_message>(received.content)) {
+        const auto current = follower.current();
+        wire::configuration_reply_message reply;
+        reply.revision = current->revision;
+        reply.text = current->text;
+        connection.send(std::move(reply));
+        // Its answer shows at once whether the peer took the revision.
+        connection.send(wire::heartbeat_message());
+        return;
+    }
+    ask_when_behind(follower, received.revision, connection);
+}
+
+} // namespace borageford::admin
--- /dev/null
+++ b/src/admin/spread_watch.cpp
@@ -0,0 +1,70 @@
+// Surveys, repeated while a node is behind.
+#include "admin/spread_watch.hpp"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace borageford::admin {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// A node that can't be reached is tried again after this; one that is reached is waited for meanwhile.
+constexpr milliseconds survey_limit{2000};
+constexpr milliseconds pause_between_surveys{250};
+
+/// Returns after the delay.
+asio::awaitable<void> pause(timer_service& timers, milliseconds delay) {
+    const auto executor = co_await asio::this_coro::executor;
+    timer_subscription subscription;
+    auto initiate = [&](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        subscription = timers.after(executor, delay, [shared] { std::move (*shared)(); });
+    };
+    co_await asio::async_initiate<const asio::use_awaitable_t<>, void()>(initiate, asio::use_awaitable);
+}
+
+} // namespace
+
+std::vector<std::string> nodes_behind(const std::vector<node_revision>& nodes,
+                                      configuration::revision_number revision) {
+    std::vector<std::string> behind;
+    for (const auto& node : nodes) {
+        if (!node.is_leaving && node.revision.value_or(0) < revision) {
+            behind.push_back(node.vm);
+        }
+    }
+    return behind;
+}
+
+asio::awaitable<configuration::spread_row> spread_watch::watch(configuration::revision_number revision,
+                                                               steady_clock::time_point accepted,
+                                                               milliseconds limit) {
+    const auto give_up = accepted + limit;
+    configuration::spread_row spread;
+    spread.revision = revision;
+    while (true) {
+        const auto left = std::chrono::ceil<milliseconds>(give_up - steady_clock::now());
+        const auto nodes =
+            co_await m_survey.ask_all(revision, std::clamp(left, milliseconds(1), survey_limit));
+        const auto now = steady_clock::now();
+        spread.nodes = nodes.size();
+        spread.behind = nodes_behind(nodes, revision);
+        spread.milliseconds =
+            static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now - accepted).count());
+        if (spread.behind.empty() || now >= give_up) {
+            co_return spread;
+        }
+        co_await pause(m_timers, pause_between_surveys);
+    }
+}
+
+} // namespace borageford::admin
