Add the adaptive limit and the cost estimator to the policy library

The limit has two controllers. Between-token times bound the running sequences; first-token times of prompts that shared the engine with others bound the prefill in progress. A lone prompt's first-token time is left out, since no smaller limit would have helped it. A cut goes to what a proportional model expects to fit, at most by half a window: cutting on every late sample was ruled out, because what already runs goes on being late after the cut and the limit would fall to 1.

In the unit test an engine whose steps get ten times slower finds the limit at a fifth or less within four seconds of its events. [policy] passes (23 cases).

--- /dev/null
+++ b/src/policy/cost_estimator.cpp
@@ -0,0 +1,77 @@
+// Running means and decayed quotients.
+#include "policy/cost_estimator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace borageford::policy {
+namespace {
+
+constexpr std::size_t bytes_per_token = 4;
+constexpr std::uint32_t samples_needed = 5;
+constexpr double smallest_weight = 0.05;
+constexpr double kept_per_prefill = 0.95;
+constexpr double shortest_prefill_seconds = 0.001;
+constexpr std::string_view shared_key = "\n";
+constexpr auto soonest_return = std::chrono::milliseconds(500);
+constexpr auto latest_return = std::chrono::milliseconds(60000);
+
+} // namespace
+
+std::uint32_t count_prompt_tokens(std::size_t bytes) noexcept {
+    return static_cast<std::uint32_t>((bytes + bytes_per_token - 1) / bytes_per_token);
+}
+
+std::chrono::milliseconds retry_after(std::uint64_t tokens, double drain_rate, duration unmeasured) noexcept {
+    using std::chrono::milliseconds;
+    const double seconds = drain_rate > 0 ? static_cast<double>(tokens) / drain_rate : to_seconds(unmeasured);
+    const double bounded = std::min(seconds, to_seconds(latest_return));
+    const auto wait = milliseconds(static_cast<std::int64_t>(std::ceil(bounded * 1000)));
+    return std::clamp<milliseconds>(wait, soonest_return, latest_return);
+}
+
+cost_estimator::cost_estimator(duration memory) : m_output(memory) {}
+
+void cost_estimator::record_output(std::string_view workspace, std::string_view route,
+                                   std::uint32_t output_tokens) {
+    auto key = make_key(workspace, route);
+    if (m_outputs.size() >= most_keys && !m_outputs.contains(key)) {
+        key = std::string(shared_key);
+    }
+    auto& known = m_outputs[key];
+    ++known.count;
+    const double weight = std::max(smallest_weight, 1.0 / known.count);
+    known.mean += weight * (output_tokens - known.mean);
+}
+
+std::uint32_t cost_estimator::expected_output(std::string_view workspace, std::string_view route,
+                                              std::uint32_t unmeasured) const {
+    const auto found = m_outputs.find(make_key(workspace, route));
+    if (found == m_outputs.end() || found->second.count < samples_needed) {
+        return unmeasured;
+    }
+    return std::max(1U, static_cast<std::uint32_t>(std::lround(found->second.mean)));
+}
+
+void cost_estimator::record_prefill(std::uint64_t tokens, duration elapsed) {
+    m_prefill_tokens = kept_per_prefill * m_prefill_tokens + static_cast<double>(tokens);
+    m_prefill_seconds =
+        kept_per_prefill * m_prefill_seconds + std::max(to_seconds(elapsed), shortest_prefill_seconds);
+}
+
+void cost_estimator::record_output_tokens(std::uint64_t tokens, bool was_busy, time_point now) {
+    m_output.record(static_cast<double>(tokens), was_busy, now);
+}
+
+double cost_estimator::prefill_rate() const noexcept {
+    return m_prefill_seconds > 0 ? m_prefill_tokens / m_prefill_seconds : 0;
+}
+
+std::string cost_estimator::make_key(std::string_view workspace, std::string_view route) {
+    std::string key(workspace);
+    key += '\n';
+    key += route;
+    return key;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/limit_controller.cpp
@@ -0,0 +1,78 @@
+// Judges one window of samples at a time.
+#include "policy/limit_controller.hpp"
+
+#include <algorithm>
+
+namespace borageford::policy {
+namespace {
+
+constexpr std::size_t most_samples = 1024;
+constexpr double deepest_cut = 0.5;
+/// A cut aims a little under the target, so that the next window isn't over it again.
+constexpr double cut_margin = 0.95;
+constexpr double fast_growth = 0.3;
+constexpr double slow_growth = 0.08;
+/// No growth while the measured time is above this share of the target.
+constexpr double growth_threshold = 0.85;
+/// The limit counts as binding from this share on.
+constexpr double binding_share = 0.75;
+
+} // namespace
+
+limit_controller::limit_controller(limit_controller_settings settings)
+    : m_settings(settings), m_limit(std::clamp(settings.initial, settings.minimum, settings.maximum)) {
+    m_samples.reserve(most_samples);
+}
+
+void limit_controller::record(duration measured, double in_use, time_point now) {
+    if (m_samples.empty()) {
+        m_window_start = now;
+        m_peak_use = 0;
+    }
+    if (m_samples.size() < most_samples) {
+        m_samples.push_back(to_seconds(measured));
+    }
+    m_peak_use = std::max(m_peak_use, in_use);
+    const auto age = now - m_window_start;
+    const bool is_full = age >= m_settings.window && m_samples.size() >= m_settings.samples;
+    if (is_full || age >= m_settings.longest_window) {
+        judge();
+        m_samples.clear();
+    }
+}
+
+void limit_controller::set_maximum(double maximum) noexcept {
+    m_settings.maximum = std::max(maximum, m_settings.minimum);
+    m_limit = std::clamp(m_limit, m_settings.minimum, m_settings.maximum);
+}
+
+void limit_controller::judge() {
+    const auto count = m_samples.size();
+    const auto index = std::min(count - 1, static_cast<std::size_t>(m_settings.quantile * count));
+    const auto place = m_samples.begin() + static_cast<std::ptrdiff_t>(index);
+    std::ranges::nth_element(m_samples, place);
+    if (*place > m_settings.target_seconds) {
+        shrink(*place);
+    } else if (*place < growth_threshold * m_settings.target_seconds) {
+        grow(*place);
+    }
+}
+
+void limit_controller::shrink(double measured) {
+    m_has_shrunk = true;
+    const double fitting = cut_margin * m_peak_use * m_settings.target_seconds / measured;
+    const double cut = std::max(fitting, deepest_cut * m_limit);
+    m_limit = std::clamp(std::min(cut, m_limit), m_settings.minimum, m_settings.maximum);
+}
+
+void limit_controller::grow(double measured) {
+    if (m_peak_use < binding_share * m_limit) {
+        return;
+    }
+    const double headroom = std::min(1.0, m_settings.target_seconds / measured - 1);
+    const double share = m_has_shrunk ? slow_growth : fast_growth;
+    const double step = std::max(share * headroom * m_limit, share * m_settings.minimum);
+    m_limit = std::min(m_limit + step, m_settings.maximum);
+}
+
+} // namespace borageford::policy
