--- /dev/null
+++ b/src/policy/late_binding.cpp
@@ -0,0 +1,168 @@
+// Ranks candidates as homes and by expected first-token time, and lays offers out in time.
+#include "policy/late_binding.hpp"
+
+#include "policy/random_sequence.hpp"
+#include "policy/rendezvous.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace borageford::policy {
+namespace {
+
+/// A report older than this says nothing about the wait.
+constexpr auto oldest_report = std::chrono::seconds(5);
+/// Taken as the wait where nothing is known: neither attractive nor hopeless.
+constexpr double unknown_wait_seconds = 0.1;
+constexpr double unmeasured_prefill_rate = 4000;
+/// What crossing to another failure domain of the region costs; decides between equals.
+constexpr double other_domain_seconds = 0.005;
+/// A prefix counts as held from this share of the prompt on.
+constexpr double held_share = 0.3;
+
+/// A candidate with what the decision needs to know of it.
+struct assessed_candidate {
+    std::size_t index = 0;
+    bool is_own_region = true;
+    bool fits_target = true; ///< can prefill the prompt in time when it starts at once
+    double wait_seconds = 0;
+    double first_token_seconds = 0;
+    double home_score = 0;
+    bool can_be_home = false; ///< of one's own region and not too busy
+    bool holds_prefix = false;
+};
+
+double mean_prefill_rate(std::span<const placement_candidate> candidates) {
+    double sum = 0;
+    std::size_t measured = 0;
+    for (const auto& candidate : candidates) {
+        if (candidate.load && candidate.load->prefill_tokens_per_second > 0) {
+            sum += candidate.load->prefill_tokens_per_second;
+            ++measured;
+        }
+    }
+    return measured > 0 ? sum / static_cast<double>(measured) : unmeasured_prefill_rate;
+}
+
+double prefill_rate_of(const placement_candidate& candidate, double mean) {
+    const bool is_measured = candidate.load && candidate.load->prefill_tokens_per_second > 0;
+    return is_measured ? candidate.load->prefill_tokens_per_second : mean;
+}
+
+double wait_of(const placement_candidate& candidate, double prefill_rate) {
+    double wait = unknown_wait_seconds;
+    if (candidate.load && candidate.load->age < oldest_report) {
+        wait = to_seconds(candidate.load->expected_wait);
+    }
+    return wait + static_cast<double>(candidate.own_prompt_tokens_since) / prefill_rate;
+}
+
+std::vector<assessed_candidate> assess(const placement_request& request,
+                                       std::span<const placement_candidate> candidates,
+                                       double prefill_share) {
+    const double mean = mean_prefill_rate(candidates);
+    std::vector<assessed_candidate> assessed;
+    assessed.reserve(candidates.size());
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto& candidate = candidates[index];
+        const double rate = prefill_rate_of(candidate, mean);
+        const auto cached = std::min(candidate.cached_tokens, request.prompt_tokens);
+        const double prefill_seconds = (request.prompt_tokens - cached) / rate;
+        const bool is_own_domain = candidate.failure_domain == request.failure_domain;
+        assessed_candidate result;
+        result.index = index;
+        result.is_own_region = candidate.region == request.region;
+        result.fits_target = prefill_seconds <= prefill_share * to_seconds(request.first_token_target);
+        result.wait_seconds = wait_of(candidate, rate);
+        result.first_token_seconds =
+            result.wait_seconds + prefill_seconds + (is_own_domain ? 0 : other_domain_seconds);
+        if (request.home_key) {
+            result.home_score = rendezvous_score(*request.home_key, candidate.name_hash, rate);
+        }
+        result.holds_prefix = cached > 0 && cached >= held_share * request.prompt_tokens;
+        assessed.push_back(result);
+    }
+    return assessed;
+}
+
+/// Homes in the order of preference: in time before too slow, then those that hold the prefix, then by
+/// rendezvous.
+bool is_better_home(const assessed_candidate& left, const assessed_candidate& right) {
+    if (left.can_be_home != right.can_be_home) {
+        return left.can_be_home;
+    }
+    if (left.fits_target != right.fits_target) {
+        return left.fits_target;
+    }
+    if (left.holds_prefix != right.holds_prefix) {
+        return left.holds_prefix;
+    }
+    return left.home_score > right.home_score;
+}
+
+bool is_better_other(const assessed_candidate& left, const assessed_candidate& right) {
+    if (left.is_own_region != right.is_own_region) {
+        return left.is_own_region;
+    }
+    return left.first_token_seconds < right.first_token_seconds;
+}
+
+/// Moves the homes to the front; returns how many there are.
+std::size_t choose_homes(std::vector<assessed_candidate>& assessed, const late_binding_settings& settings) {
+    const auto least = std::ranges::min_element(assessed, {}, &assessed_candidate::wait_seconds);
+    const double busy_wait = std::max(to_seconds(settings.busy_wait), 2 * least->wait_seconds);
+    for (auto& candidate : assessed) {
+        candidate.can_be_home = candidate.is_own_region && candidate.wait_seconds <= busy_wait;
+    }
+    std::ranges::sort(assessed, is_better_home);
+    const auto able = std::ranges::count(assessed, true, &assessed_candidate::can_be_home);
+    return std::min(settings.homes, static_cast<std::size_t>(able));
+}
+
+/// Puts the best of a few random ones first, the rest behind them by expected first-token time.
+void order_others(std::span<assessed_candidate> others, std::size_t sampled, std::uint64_t seed) {
+    std::ranges::sort(others, is_better_other);
+    const auto own_region = std::ranges::find(others, false, &assessed_candidate::is_own_region);
+    const auto own_count = static_cast<std::size_t>(own_region - others.begin());
+    random_sequence random(seed);
+    for (std::size_t place = 0; place < std::min(sampled, own_count); ++place) {
+        std::swap(others[place], others[place + random.below(own_count - place)]);
+    }
+    const auto sample_end = std::min(sampled, own_count);
+    std::ranges::sort(others.first(sample_end), is_better_other);
+    std::ranges::sort(others.subspan(sample_end), is_better_other);
+}
+
+} // namespace
+
+placement_plan late_binding::plan(const placement_request& request,
+                                  std::span<const placement_candidate> candidates) const {
+    placement_plan plan;
+    if (candidates.empty()) {
+        return plan;
+    }
+    auto assessed = assess(request, candidates, m_settings.prefill_share);
+    const std::size_t homes = request.home_key ? choose_homes(assessed, m_settings) : 0;
+    const bool is_held = homes > 0 && assessed.front().holds_prefix;
+    for (std::size_t place = 0; place < homes; ++place) {
+        const bool waits = is_held && !assessed[place].holds_prefix;
+        plan.offers.push_back({assessed[place].index, waits ? m_settings.second_home_delay : duration{}});
+    }
+    const auto others = std::span(assessed).subspan(homes);
+    order_others(others, m_settings.sampled, request.seed);
+    duration after = homes > 0 ? m_settings.others_delay : duration{};
+    std::size_t group = m_settings.first_group;
+    std::size_t left_in_group = group;
+    for (const auto& other : others) {
+        if (left_in_group == 0) {
+            after += m_settings.others_delay;
+            group *= 2;
+            left_in_group = group;
+        }
+        plan.offers.push_back({other.index, after});
+        --left_in_group;
+    }
+    return plan;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/late_binding.hpp
@@ -0,0 +1,40 @@
+// Placement by offers: first to the homes of the prompt's prefix, then to others, until one grants.
+#pragma once
+
+#include "policy/placement_values.hpp"
+
+namespace borageford::policy {
+
+struct late_binding_settings {
+    std::size_t homes = 2;
+    /// A home that isn't believed to hold the prefix is asked this much after one that is: it would have
+    /// to prefill again what the other has cached.
+    duration second_home_delay = std::chrono::milliseconds(60);
+    /// Others are asked this long after the homes, in groups that double.
+    duration others_delay = std::chrono::milliseconds(150);
+    std::size_t first_group = 2;
+    /// Of how many random candidates the first group is the best: an entry that always took the best of
+    /// all would run to the same one as every other entry.
+    std::size_t sampled = 4;
+    /// A home whose expected wait is longer is left while another candidate's is less than half of it
+    /// (bounded load).
+    duration busy_wait = std::chrono::milliseconds(400);
+    /// Homes are chosen among those that can prefill the whole prompt within this part of the first-token
+    /// target, if there are any.
+    double prefill_share = 0.7;
+};
+
+/// Invariant: a plan names every candidate once; those of another region come after all of one's own.
+class late_binding {
+public:
+    late_binding() = default;
+    explicit late_binding(late_binding_settings settings) : m_settings(settings) {}
+
+    [[nodiscard]] placement_plan plan(const placement_request& request,
+                                      std::span<const placement_candidate> candidates) const;
+
+private:
+    late_binding_settings m_settings;
+};
+
+} // namespace borageford::policy
