Add the sidecar: offers, grants, starts, answers, attach, graceful stop

The only gate to a backend server had to stand before entries can be tried.

Weighed and left out: several strands inside a sidecar. One engine's traffic is small, and one strand makes the order of grants, starts and withdrawals plain.

--- a/src/backend/answer_checker.hpp
+++ b/src/backend/answer_checker.hpp
@@ -25,6 +25,7 @@
     void finish() const;
 
     [[nodiscard]] const usage& measured() const noexcept { return m_usage; }
+    void set_measured(const usage& counts) noexcept { m_usage = counts; }
 
 private:
     bool take_line(std::string_view line);
--- /dev/null
+++ b/src/sidecar/dispatch_manager.cpp
@@ -0,0 +1,288 @@
+// The life of a started dispatch.
+#include "sidecar/dispatch_manager.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace borageford::sidecar {
+
+namespace asio = boost::asio;
+using std::chrono::steady_clock;
+
+dispatch_manager::dispatch_manager(sidecar_context& context, backend::backend_server& server,
+                                   const identifier& own_incarnation, std::function<void()> room_freed)
+    : m_context(context),
+      m_own_incarnation(own_incarnation),
+      m_room_freed(std::move(room_freed)),
+      m_delivery(context.peers),
+      m_runner(context.strand, server, context.monitor, context.settings, make_callbacks()) {}
+
+dispatch_runner::callbacks dispatch_manager::make_callbacks() {
+    dispatch_runner::callbacks calls;
+    calls.progressed = [this](dispatch_record& dispatch, std::size_t bytes) {
+        m_context.store.count_bytes(bytes);
+        announce_adopted(dispatch);
+        m_delivery.deliver(dispatch);
+    };
+    calls.tokens_came = [this](dispatch_record& dispatch, std::size_t tokens) {
+        count_tokens(dispatch, tokens);
+    };
+    calls.ended = [this](const record_pointer& dispatch, answer_ending ending) {
+        end(dispatch, ending);
+    };
+    calls.never_began = [this](const record_pointer& dispatch) {
+        take_back(dispatch);
+    };
+    calls.lost = [this](const record_pointer& dispatch) {
+        return report_lost(dispatch);
+    };
+    calls.unknown = [this](const record_pointer& dispatch) {
+        forget_unknown(dispatch);
+    };
+    return calls;
+}
+
+void dispatch_manager::begin(const record_pointer& dispatch, connection_id reader) {
+    dispatch->started = steady_clock::now();
+    dispatch->readers.push_back({reader, 0, false});
+    m_context.store.add(dispatch);
+    m_context.metrics.started(dispatch->request, dispatch->started - dispatch->request.received);
+    m_context.record(audit::event::started, dispatch->request);
+    m_runner.start(dispatch);
+}
+
+void dispatch_manager::attach(connection_id connection, const wire::attach_message& request) {
+    const auto id = wire::from_wire(request.dispatch);
+    m_context.metrics.attached();
+    const auto found = m_context.store.find(id);
+    if (found != nullptr) {
+        if (!found->is_adopted || found->is_announced) {
+            send_fate(connection, request.dispatch,
+                      found->ended ? wire::dispatch_fate::finished : wire::dispatch_fate::running);
+        }
+        found->grace.cancel();
+        m_context.record(audit::event::attached, found->request);
+        m_delivery.add_reader(*found, connection, request.offset);
+        return;
+    }
+    if (wire::from_wire(request.incarnation) != m_own_incarnation && m_context.ledger.find(id) == nullptr) {
+        adopt(connection, request);
+        return;
+    }
+    const auto age = std::chrono::milliseconds(request.started_ms_ago);
+    switch (m_context.ledger.attach(id, age, steady_clock::now())) {
+    case ledger::attach_result::not_begun:
+        send_fate(connection, request.dispatch, wire::dispatch_fate::not_begun);
+        return;
+    case ledger::attach_result::finished: {
+        // Its answer was acknowledged, or has given way to others.
+        send_fate(connection, request.dispatch, wire::dispatch_fate::finished);
+        wire::answer_end_message end;
+        end.dispatch = request.dispatch;
+        end.failed = true;
+        end.error_kind = wire::to_wire(error_kind::already_ran);
+        m_context.peers.send(connection, std::move(end));
+        return;
+    }
+    case ledger::attach_result::running:
+    case ledger::attach_result::unknown:
+        break;
+    }
+    send_fate(connection, request.dispatch, wire::dispatch_fate::unknown);
+}
+
+/// A former incarnation of this sidecar got the start: only the backend server can know what became of it.
+void dispatch_manager::adopt(connection_id connection, const wire::attach_message& request) {
+    const auto dispatch = std::make_shared<dispatch_record>();
+    dispatch->request.dispatch = wire::from_wire(request.dispatch);
+    dispatch->request.received = steady_clock::now();
+    dispatch->started = dispatch->request.received;
+    dispatch->is_adopted = true;
+    dispatch->call.streamed = true;
+    dispatch->admission = m_context.limit.admit(0);
+    dispatch->readers.push_back({connection, request.offset, false});
+    m_context.ledger.adopt(dispatch->request.dispatch);
+    m_context.store.add(dispatch);
+    m_runner.start(dispatch);
+}
+
+/// Only now is it known that the backend server still has it.
+void dispatch_manager::announce_adopted(dispatch_record& dispatch) {
+    if (!dispatch.is_adopted || dispatch.is_announced) {
+        return;
+    }
+    dispatch.is_announced = true;
+    for (const auto& reader : dispatch.readers) {
+        send_fate(reader.connection, wire::to_wire(dispatch.request.dispatch), wire::dispatch_fate::running);
+    }
+}
+
+void dispatch_manager::send_fate(connection_id connection, const wire::id& dispatch,
+                                 wire::dispatch_fate state) {
+    wire::fate_message fate;
+    fate.dispatch = dispatch;
+    fate.state = state;
+    m_context.peers.send(connection, std::move(fate));
+}
+
+void dispatch_manager::acknowledge(const wire::acknowledge_message& request) {
+    m_context.store.acknowledge(wire::from_wire(request.dispatch));
+}
+
+void dispatch_manager::abandon(connection_id connection, const wire::abandon_message& request) {
+    const auto found = m_context.store.find(wire::from_wire(request.dispatch));
+    if (found != nullptr && answer_delivery::remove_reader(*found, connection)) {
+        start_grace(found);
+    }
+}
+
+void dispatch_manager::drop_connection(connection_id connection) {
+    for (const auto& dispatch : m_context.store.running()) {
+        if (answer_delivery::remove_reader(*dispatch, connection)) {
+            start_grace(dispatch);
+        }
+    }
+}
+
+/// Nobody reads it: a resend may come for it soon, yet an answer for nobody must not hold room for long.
+/// One that isn't idempotent goes on, since cancelling it would leave its effect half done.
+void dispatch_manager::start_grace(const record_pointer& dispatch) {
+    if (!dispatch->readers.empty() || dispatch->ended || !dispatch->request.is_idempotent) {
+        return;
+    }
+    dispatch->grace = m_context.timers.after(
+        m_context.strand, m_context.settings.resend_grace, [this, weak = std::weak_ptr(dispatch)] {
+            const auto held = weak.lock();
+            if (held != nullptr && held->readers.empty() && !held->ended) {
+                m_context.metrics.cancelled();
+                m_context.record(audit::event::cancelled, held->request);
+                m_runner.cancel(held);
+            }
+        });
+}
+
+void dispatch_manager::count_tokens(dispatch_record& dispatch, std::size_t tokens) {
+    const auto now = steady_clock::now();
+    dispatch.tokens += tokens;
+    m_context.costs.record_output_tokens(tokens, true, now);
+    if (!dispatch.first_token) {
+        const auto elapsed = now - dispatch.started;
+        dispatch.first_token = now;
+        dispatch.last_token = now;
+        if (!dispatch.is_adopted) {
+            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed);
+            m_context.limit.record_first_token(dispatch.admission, elapsed, now);
+            m_context.metrics.first_token(dispatch.request, elapsed);
+        }
+        m_room_freed();
+        return;
+    }
+    // Tokens that came in one piece: each is taken to have taken its share of the time.
+    const auto each = (now - dispatch.last_token) / static_cast<std::int64_t>(tokens);
+    dispatch.last_token = now;
+    m_context.limit.record_between_tokens(each, now);
+    m_context.metrics.between_tokens(dispatch.request, each);
+}
+
+void dispatch_manager::end(const record_pointer& dispatch, answer_ending ending) {
+    const auto now = steady_clock::now();
+    const auto& request = dispatch->request;
+    if (ending.failure) {
+        if (ending.retry_after.count() == 0) {
+            ending.retry_after = m_context.monitor.retry_after(now);
+        }
+        m_context.metrics.failed(*ending.failure);
+    } else {
+        m_context.prefixes.add(request.prefix_hashes);
+        m_context.costs.record_output(request.workspace, request.target, ending.usage.output_tokens);
+    }
+    m_context.metrics.ended(*dispatch, now - dispatch->started, ending.usage);
+    m_context.record(audit::event::ended, request, ending.failure);
+    m_context.ledger.finish(request.dispatch, now);
+    dispatch->answer.end(ending);
+    dispatch->ended = now;
+    dispatch->call = {};
+    dispatch->grace.cancel();
+    release_room(*dispatch);
+    m_context.store.keep(dispatch, now);
+    m_delivery.deliver(*dispatch);
+    m_room_freed();
+}
+
+/// The backend server can't have got it: the entry may place it elsewhere.
+void dispatch_manager::take_back(const record_pointer& dispatch) {
+    const auto now = steady_clock::now();
+    const auto& request = dispatch->request;
+    m_context.ledger.take_back(request.dispatch, now);
+    release_room(*dispatch);
+    m_context.store.remove(request.dispatch);
+    m_context.metrics.refused(error_kind::no_backend_server, request.tier);
+    m_context.record(audit::event::refused, request, error_kind::no_backend_server, "never begun");
+    wire::not_begun_message refusal;
+    refusal.dispatch = wire::to_wire(request.dispatch);
+    refusal.error_kind = wire::to_wire(error_kind::no_backend_server);
+    refusal.retry_after_ms = static_cast<std::uint32_t>(m_context.monitor.retry_after(now).count());
+    for (const auto& reader : dispatch->readers) {
+        m_context.peers.send(reader.connection, refusal);
+    }
+    m_room_freed();
+}
+
+void dispatch_manager::forget_unknown(const record_pointer& dispatch) {
+    release_room(*dispatch);
+    for (const auto& reader : dispatch->readers) {
+        send_fate(reader.connection, wire::to_wire(dispatch->request.dispatch), wire::dispatch_fate::unknown);
+    }
+    m_context.ledger.finish(dispatch->request.dispatch, steady_clock::now());
+    m_context.store.remove(dispatch->request.dispatch);
+    m_room_freed();
+}
+
+void dispatch_manager::release_room(dispatch_record& dispatch) {
+    m_context.limit.release(dispatch.admission);
+}
+
+void dispatch_manager::choose_suspects() {
+    // A request that ran at a dead server before is the likelier cause. Marking those beside it again would
+    // put the innocent in quarantine with it.
+    auto running = m_context.store.running();
+    const auto is_marked = [this](const record_pointer& dispatch) {
+        return m_context.marks.count(dispatch->request.fingerprint) > 0;
+    };
+    const auto has_marked = std::ranges::any_of(running, is_marked);
+    for (const auto& dispatch : running) {
+        const auto has_begun =
+            !dispatch->is_adopted && dispatch->backend_epoch + 1 == m_context.monitor.epoch();
+        dispatch->is_suspect = has_begun && (!has_marked || is_marked(dispatch));
+    }
+    m_context.metrics.backend_died();
+}
+
+bool dispatch_manager::is_running_marked() const {
+    const auto running = m_context.store.running();
+    return std::ranges::any_of(running, [this](const record_pointer& dispatch) {
+        return m_context.marks.count(dispatch->request.fingerprint) > 0;
+    });
+}
+
+/// The mark is written before the failure is told: a caller that sends the request again at once, to another
+/// entry, must find it.
+asio::awaitable<void> dispatch_manager::report_lost(record_pointer dispatch) {
+    if (!dispatch->is_suspect || dispatch->request.fingerprint == 0) {
+        co_return;
+    }
+    dispatch->is_suspect = false;
+    const auto fingerprint = dispatch->request.fingerprint;
+    const auto mark = m_context.marks.add(fingerprint);
+    wire::crash_mark_message message;
+    message.fingerprint = fingerprint;
+    message.backend_server = mark.backend_server;
+    message.mark = wire::to_wire(mark.mark);
+    m_context.peers.send_to_all(message);
+    co_await m_context.marks.write(fingerprint, mark, m_context.settings.mark_limit);
+}
+
+} // namespace borageford::sidecar
--- /dev/null
+++ b/src/sidecar/dispatch_runner.cpp
@@ -0,0 +1,217 @@
+// Running one dispatch: call, read, check, resume after a cut.
+#include "sidecar/dispatch_runner.hpp"
+
+#include "base/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace borageford::sidecar {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned status_ok = 200;
+/// Statuses by which an engine says that the request itself is at fault: they are the caller's answer.
+constexpr std::array<unsigned, 4> request_fault_statuses{400, 404, 413, 422};
+/// Cuts in a row, without a byte in between, after which resuming is given up.
+constexpr unsigned resume_limit = 3;
+
+} // namespace
+
+/// Where one dispatch stands while it is followed.
+struct dispatch_runner::attempt {
+    backend::event_stream_checker checker;
+    bool must_resume = false;
+    unsigned resumes = 0; ///< since the last byte
+    bool is_over = false; ///< its end was reported
+    backend::failure failed = backend::failure::cut;
+    std::string error;
+    bool has_failed = false;
+};
+
+dispatch_runner::dispatch_runner(asio::strand<asio::any_io_executor> strand, backend::backend_server& server,
+                                 backend_monitor& monitor, const sidecar_settings& settings, callbacks calls)
+    : m_strand(std::move(strand)),
+      m_server(server),
+      m_monitor(monitor),
+      m_settings(settings),
+      m_calls(std::move(calls)) {}
+
+void dispatch_runner::start(const record_pointer& dispatch) {
+    dispatch->backend_epoch = m_monitor.epoch();
+    dispatch->stream = std::make_unique<backend::answer_stream>(m_strand, limits_for(*dispatch));
+    asio::co_spawn(m_strand, run(dispatch), asio::detached);
+}
+
+void dispatch_runner::cancel(const record_pointer& dispatch) {
+    dispatch->is_cancelled = true;
+    if (dispatch->stream != nullptr) {
+        dispatch->stream->cancel();
+    }
+    asio::co_spawn(m_strand, tell_cancel(dispatch->request.dispatch), asio::detached);
+}
+
+asio::awaitable<void> dispatch_runner::run(record_pointer dispatch) {
+    attempt state;
+    state.must_resume = dispatch->is_adopted;
+    while (!state.is_over) {
+        state.has_failed = false;
+        try {
+            co_await follow(*dispatch, state);
+        } catch (const backend::backend_error& error) {
+            state.has_failed = true;
+            state.failed = error.what_failed();
+            state.error = error.what();
+        } catch (const std::exception& error) {
+            state.has_failed = true;
+            state.failed = backend::failure::garbled;
+            state.error = error.what();
+        }
+        if (!state.has_failed) {
+            break;
+        }
+        co_await recover(dispatch, state);
+    }
+    dispatch->stream.reset();
+    if (!state.is_over) {
+        m_calls.ended(dispatch,
+                      {.failure = std::nullopt, .retry_after = {}, .usage = state.checker.measured()});
+    }
+}
+
+asio::awaitable<void> dispatch_runner::follow(dispatch_record& dispatch, attempt& state) {
+    co_await open(dispatch, state);
+    co_await read(dispatch, state);
+}
+
+asio::awaitable<void> dispatch_runner::open(dispatch_record& dispatch, attempt& state) {
+    const auto id = dispatch.request.dispatch;
+    if (state.must_resume) {
+        auto head = co_await m_server.resume(*dispatch.stream, id, dispatch.answer.length());
+        if (!head) {
+            throw backend::backend_error(backend::failure::unreachable, "the engine does not know it");
+        }
+        if (!dispatch.answer.head()) {
+            dispatch.answer.set_head(std::move(*head));
+        }
+    } else {
+        dispatch.answer.set_head(co_await m_server.run(*dispatch.stream, id, dispatch.call));
+    }
+    m_calls.progressed(dispatch, 0);
+}
+
+asio::awaitable<void> dispatch_runner::read(dispatch_record& dispatch, attempt& state) {
+    const auto status = dispatch.answer.head()->status;
+    const auto is_checked = m_server.is_engine() && status == status_ok;
+    if (m_server.is_engine() && status != status_ok &&
+        std::ranges::find(request_fault_statuses, status) == request_fault_statuses.end()) {
+        throw backend::backend_error(backend::failure::refused, "status " + std::to_string(status));
+    }
+    // Of an adopted dispatch only the answer itself tells how it was asked for.
+    const auto is_stream = (dispatch.call.streamed && !dispatch.is_adopted) ||
+                           dispatch.answer.head()->content_type.starts_with("text/event-stream");
+    for (auto piece = co_await dispatch.stream->read_some(); !piece.empty();
+         piece = co_await dispatch.stream->read_some()) {
+        state.resumes = 0;
+        if (dispatch.answer.length() + piece.size() > m_settings.answer_size) {
+            throw backend::backend_error(backend::failure::garbled, "the answer is over the size limit");
+        }
+        const auto tokens = is_checked && is_stream ? state.checker.take(piece) : 0;
+        if (tokens > 0) {
+            m_calls.tokens_came(dispatch, tokens);
+        }
+        dispatch.answer.append(piece);
+        m_calls.progressed(dispatch, piece.size());
+    }
+    if (is_checked && is_stream) {
+        state.checker.finish();
+    }
+    if (is_checked && !is_stream) {
+        state.checker.set_measured(backend::check_whole_answer(dispatch.answer.body()));
+    }
+}
+
+/// Decides what a failure means. Leaves `state.is_over` false when the dispatch is to be resumed.
+asio::awaitable<void> dispatch_runner::recover(const record_pointer& dispatch, attempt& state) {
+    using enum backend::failure;
+    if (dispatch->is_cancelled) {
+        state.is_over = true;
+        m_calls.ended(
+            dispatch,
+            {.failure = error_kind::cancelled, .retry_after = {}, .usage = state.checker.measured()});
+        co_return;
+    }
+    if (state.failed == unreachable && !state.must_resume) {
+        state.is_over = true;
+        m_monitor.report_lost(dispatch->backend_epoch);
+        m_calls.never_began(dispatch);
+        co_return;
+    }
+    if (state.failed == cut && m_server.is_engine() && state.resumes < resume_limit) {
+        ++state.resumes;
+        state.must_resume = true;
+        dispatch->stream = std::make_unique<backend::answer_stream>(m_strand, limits_for(*dispatch));
+        co_return;
+    }
+    state.is_over = true;
+    if (state.failed == unreachable && dispatch->is_adopted) {
+        m_calls.unknown(dispatch);
+        co_return;
+    }
+    const auto is_gone =
+        state.failed == unreachable || (state.failed == cut && !co_await m_server.is_healthy());
+    if (is_gone) {
+        // Told before this dispatch ends, so that what ran beside it is known while it still counts as
+        // running.
+        m_monitor.report_lost(dispatch->backend_epoch);
+        co_await m_calls.lost(dispatch);
+    }
+    if (state.failed == silent && dispatch->request.is_idempotent) {
+        asio::co_spawn(m_strand, tell_cancel(dispatch->request.dispatch), asio::detached);
+    }
+    log::warning("dispatch_failed", {{"dispatch", dispatch->request.dispatch.to_string()},
+                                     {"kind", std::string(to_string(kind_of(state.failed)))},
+                                     {"error", state.error}});
+    m_calls.ended(dispatch,
+                  {.failure = kind_of(state.failed), .retry_after = {}, .usage = state.checker.measured()});
+}
+
+asio::awaitable<void> dispatch_runner::tell_cancel(dispatch_id dispatch) {
+    try {
+        co_await m_server.cancel(dispatch);
+    } catch (const backend::backend_error& error) {
+        log::warning("cancel_failed", {{"dispatch", dispatch.to_string()}, {"error", error.what()}});
+    }
+}
+
+backend::stream_limits dispatch_runner::limits_for(const dispatch_record& dispatch) const {
+    backend::stream_limits limits;
+    limits.connect = m_settings.connect_limit;
+    limits.head = dispatch.call.streamed ? m_settings.first_token_limit : m_settings.whole_answer_limit;
+    limits.idle = m_settings.stall_limit;
+    limits.body_bytes = m_settings.answer_size + 1;
+    return limits;
+}
+
+error_kind dispatch_runner::kind_of(backend::failure what) {
+    switch (what) {
+    case backend::failure::silent:
+        return error_kind::backend_stalled;
+    case backend::failure::garbled:
+        return error_kind::backend_garbled;
+    case backend::failure::unreachable:
+    case backend::failure::cut:
+    case backend::failure::refused:
+        break;
+    }
+    return error_kind::backend_failed;
+}
+
+} // namespace borageford::sidecar
--- /dev/null
+++ b/src/sidecar/peer_registry.cpp
@@ -0,0 +1,111 @@
+// Accepting and holding entries' connections.
+#include "sidecar/peer_registry.hpp"
+
+#include "base/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace borageford::sidecar {
+namespace {
+
+namespace asio = boost::asio;
+
+/// After a failed accept (out of file descriptors, say): trying again at once would spin.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
+peer_registry::peer_registry(asio::strand<asio::any_io_executor> strand, timer_service& timers,
+                             wire::heartbeat_settings heartbeat, std::size_t limit, callbacks calls)
+    : m_strand(std::move(strand)),
+      m_timers(timers),
+      m_heartbeat(heartbeat),
+      m_limit(limit),
+      m_calls(std::move(calls)),
+      m_acceptor(m_strand) {}
+
+asio::ip::tcp::endpoint peer_registry::listen(const asio::ip::tcp::endpoint& address) {
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    asio::post(m_strand, [this] { accept_next(); });
+    return m_acceptor.local_endpoint();
+}
+
+void peer_registry::accept_next() {
+    m_acceptor.async_accept(asio::any_io_executor(m_strand), [this](const boost::system::error_code& error,
+                                                                    asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            log::warning("accept_failed", {{"error", error.message()}});
+            m_accept_later = m_timers.after(m_strand, accept_pause, [this] { accept_next(); });
+            return;
+        }
+        add(std::move(socket));
+        accept_next();
+    });
+}
+
+void peer_registry::add(asio::ip::tcp::socket socket) {
+    if (m_peers.size() >= m_limit) {
+        log::warning("peer_refused", {{"reason", "too many connections"}});
+        return;
+    }
+    const auto id = ++m_last_connection;
+    wire::peer_connection::callbacks calls;
+    calls.opened = [this, id](const wire::hello_message& hello) {
+        m_peers.at(id).is_opened = true;
+        log::info("peer_opened", {{"vm", hello.vm}});
+    };
+    calls.received = [this, id](wire::envelope received) {
+        m_calls.received(id, std::move(received));
+    };
+    // A send can find its connection broken. Its owner must not see the connection vanish in the middle of
+    // what it does, so the end is reported later.
+    calls.closed = [this, id](const std::string& reason) {
+        asio::post(m_strand, [this, id, reason] { remove(id, reason); });
+    };
+    calls.current_load = m_calls.current_load;
+    const auto connection =
+        std::make_shared<wire::peer_connection>(std::move(socket), m_strand, m_timers, m_heartbeat,
+                                                m_calls.make_hello(), m_calls.revision, std::move(calls));
+    m_peers.emplace(id, peer{connection, false});
+    connection->start();
+}
+
+void peer_registry::remove(connection_id connection, const std::string& reason) {
+    if (m_peers.erase(connection) == 0) {
+        return;
+    }
+    log::info("peer_closed", {{"reason", reason}});
+    m_calls.closed(connection);
+}
+
+void peer_registry::send(connection_id connection, wire::message content) {
+    const auto found = m_peers.find(connection);
+    if (found != m_peers.end()) {
+        found->second.connection->send(std::move(content));
+    }
+}
+
+void peer_registry::send_to_all(const wire::message& content) {
+    for (const auto& [id, held] : m_peers) {
+        if (held.is_opened) {
+            held.connection->send(content);
+        }
+    }
+}
+
+void peer_registry::close_all(const std::string& reason) {
+    for (const auto& [id, held] : m_peers) {
+        held.connection->close(reason);
+    }
+}
+
+} // namespace borageford::sidecar
--- /dev/null
+++ b/src/sidecar/prefix_memory.cpp
@@ -0,0 +1,48 @@
+// Remembering cached blocks.
+#include "sidecar/prefix_memory.hpp"
+
+namespace borageford::sidecar {
+
+void prefix_memory::add(std::span<const std::uint64_t> hashes) {
+    for (const auto hash : hashes) {
+        const auto found = m_blocks.find(hash);
+        if (found != m_blocks.end()) {
+            m_use.splice(m_use.begin(), m_use, found->second);
+            continue;
+        }
+        m_use.push_front(hash);
+        m_blocks.emplace(hash, m_use.begin());
+        if (m_blocks.size() > m_limit) {
+            m_blocks.erase(m_use.back());
+            m_use.pop_back();
+        }
+    }
+}
+
+void prefix_memory::remove(std::span<const std::uint64_t> hashes) {
+    for (const auto hash : hashes) {
+        const auto found = m_blocks.find(hash);
+        if (found != m_blocks.end()) {
+            m_use.erase(found->second);
+            m_blocks.erase(found);
+        }
+    }
+}
+
+void prefix_memory::clear() {
+    m_blocks.clear();
+    m_use.clear();
+}
+
+std::uint32_t prefix_memory::cached_tokens(std::span<const std::uint64_t> hashes) const {
+    std::uint32_t tokens = 0;
+    for (const auto hash : hashes) {
+        if (!m_blocks.contains(hash)) {
+            break;
+        }
+        tokens += tokens_per_block;
+    }
+    return tokens;
+}
+
+} // namespace borageford::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_core.hpp
@@ -0,0 +1,52 @@
+// Routes what entries say to the parts that decide about it, and keeps the sidecar's configuration, limits
+// and ticks going.
+#pragma once
+
+#include "backend/backend_server.hpp"
+#include "sidecar/dispatch_manager.hpp"
+#include "sidecar/offer_scheduler.hpp"
+#include "sidecar/sidecar_context.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace borageford::sidecar {
+
+/// Used on the strand.
+class sidecar_core {
+public:
+    sidecar_core(sidecar_context& context, backend::backend_server& server,
+                 const identifier& own_incarnation);
+
+    void start();
+
+    void receive(connection_id connection, wire::envelope received);
+    void drop_connection(connection_id connection);
+    /// A newer configuration is in force.
+    void follow_configuration();
+    void backend_came_up();
+    void backend_went_down();
+
+    /// Takes no new work from now on. `done` is called when everything that runs has ended and its answers
+    /// have been acknowledged or given up.
+    void leave(std::function<void()> done);
+
+    [[nodiscard]] bool is_leaving() const noexcept { return m_is_leaving; }
+    [[nodiscard]] std::unique_ptr<wire::load_report_message> make_load_report() const;
+
+private:
+    void handle(connection_id connection, wire::message content);
+    void follow_revision(connection_id connection, std::uint64_t peer_revision);
+    void send_configuration(connection_id connection);
+    void tick();
+    void finish_leaving();
+
+    sidecar_context& m_context;
+    dispatch_manager m_dispatches;
+    offer_scheduler m_offers;
+    timer_subscription m_tick;
+    bool m_is_leaving = false;
+    std::function<void()> m_left;
+};
+
+} // namespace borageford::sidecar
