--- a/src/base/sha256.cpp
+++ b/src/base/sha256.cpp
@@ -1,8 +1,9 @@
 // SHA-256 by OpenSSL.
 #include "base/sha256.hpp"
 
-#include <array>
 #include <openssl/evp.h>
+
+#include <array>
 #include <stdexcept>
 
 namespace borageford {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -112,7 +112,6 @@
     std::vector<backend_unit> m_backends;
     std::vector<entry_unit> m_entries;
     std::uint64_t m_revision = 0;
-    std::uint64_t m_head_version = 0;
     unsigned m_starts = 0;
 };
 
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -215,10 +215,8 @@
             unit += unit;
         }
         co_await asio::async_write(link.sink(way), asio::buffer(unit), asio::use_awaitable);
-        if (action == fault::truncate) {
-            link.cut(cut_kind::end);
-        } else if (action == fault::cut_after) {
-            // The peer must be able to read what was let through: a reset would throw it away unread.
+        // The peer must be able to read what was let through: a reset would throw it away unread.
+        if (action == fault::truncate || action == fault::cut_after) {
             link.cut(cut_kind::end);
         }
     }
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -26,7 +26,7 @@
     drop,      ///< swallow it and all that follows in this direction, silently
     drop_both, ///< swallow it and all that follows in both directions, silently
     lose,      ///< swallow it and reset the connection
-    cut_after, ///< let it through, then reset the connection
+    cut_after, ///< let it through, then end the connection
     truncate,  ///< let half of it through, then end the connection
     duplicate, ///< send it twice
     corrupt    ///< change some of its bytes
@@ -81,7 +81,6 @@
     void arm(direction way, unit_matcher matches, fault what);
     /// Returns once every armed fault has fired.
     void wait_for_fault();
-    /// Units that matched, of all that came in this direction, counted from the start.
     [[nodiscard]] std::size_t open_connections() const;
     [[nodiscard]] std::size_t accepted_connections() const;
 
