Wire placement policies and the administration into the entry

Placement is a variant chosen by the setting and visited; offers go out in the plan's groups, the next at once when all have refused. Withdrawals name where the request was started, so a home can send a resend there. Request ids carry their time and entry, so explain finds the batches.

--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -57,7 +57,8 @@
 std::string chat_prompt(const json::object& body) {
     const auto* messages = body.if_contains("messages");
     if (messages == nullptr || !messages->is_array() || messages->as_array().empty()) {
-        throw request_error(error_kind::bad_request, "\"messages\" must be an array with at least one message.");
+        throw request_error(error_kind::bad_request,
+                            "\"messages\" must be an array with at least one message.");
     }
     std::string prompt;
     for (const auto& message : messages->as_array()) {
@@ -101,7 +102,8 @@
             continue;
         }
         if (!value->is_number() || value->to_number<double>() < 1) {
-            throw request_error(error_kind::bad_request, "\"" + std::string(name) + "\" must be a positive number.");
+            throw request_error(error_kind::bad_request,
+                                "\"" + std::string(name) + "\" must be a positive number.");
         }
         const auto asked = value->to_number<double>();
         return static_cast<std::uint32_t>(std::min<double>(asked, model.expected_output_tokens));
@@ -222,14 +224,16 @@
     return *found;
 }
 
-call parse_call(std::shared_ptr<const configuration::configuration> current, const http::request& received,
-                std::chrono::milliseconds default_deadline) {
+call parse_call(const request_id& id, std::shared_ptr<const configuration::configuration> current,
+                const http::request& received, std::chrono::milliseconds default_deadline) {
     call parsed;
+    parsed.id = id;
     parsed.configuration = std::move(current);
     parsed.workspace = &find_workspace(*parsed.configuration, received);
     parsed.method = received.method;
     parsed.path = received.target;
-    parsed.content_type = std::string(http::find_header(received.headers, "Content-Type").value_or("application/json"));
+    parsed.content_type =
+        std::string(http::find_header(received.headers, "Content-Type").value_or("application/json"));
 
     const auto path = http::path_of(received.target);
     if (path == chat_path || path == completion_path) {
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,6 +1,7 @@
 // The callers' side of an entry.
 #include "entry/caller_api.hpp"
 
+#include "audit/request_identifier.hpp"
 #include "base/request_error.hpp"
 #include "entry/answers.hpp"
 #include "entry/call_parser.hpp"
@@ -57,6 +58,7 @@
 
 asio::awaitable<void> caller_api::handle_call(const http::request& received, http::response_writer& writer) {
     m_context.metrics.received();
+    const auto id = audit::make_request_identifier(m_context.settings.common.vm);
     std::optional<request_error> refusal;
     std::optional<call> request;
     std::optional<http::response> models;
@@ -67,14 +69,15 @@
         if (http::path_of(received.target) == "/v1/models") {
             models = list_models(received);
         } else {
-            request = parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
+            request = parse_call(id, m_context.configuration.current(), received,
+                                 m_context.settings.default_deadline);
         }
     } catch (const request_error& error) {
         refusal = error;
     }
     if (refusal) {
         m_context.metrics.failed(refusal->kind());
-        co_await writer.write(error_response(*refusal, identifier::random()));
+        co_await writer.write(error_response(*refusal, id));
     } else if (models) {
         co_await writer.write(*models);
     } else {
@@ -101,8 +104,9 @@
         writer.cut();
     }
     if (failure) {
-        record(request, answer_for(failure->kind()).ran == run_state::no ? audit::event::refused
-                                                                         : audit::event::failed,
+        record(request,
+               answer_for(failure->kind()).ran == run_state::no ? audit::event::refused
+                                                                : audit::event::failed,
                &*failure);
         co_await answer_error(request, answer, *failure, writer);
     }
@@ -126,11 +130,13 @@
     json::array models;
     for (const auto& model : current->models) {
         if (current->find_route(workspace.name, workspace.tier, model.name, false) != nullptr) {
-            models.push_back(json::object{{"id", model.name}, {"object", "model"}, {"owned_by", "borageford"}});
+            models.push_back(
+                json::object{{"id", model.name}, {"object", "model"}, {"owned_by", "borageford"}});
         }
     }
-    return http::make_response(200, "application/json",
-                               json::serialize(json::object{{"object", "list"}, {"data", std::move(models)}}));
+    return http::make_response(
+        200, "application/json",
+        json::serialize(json::object{{"object", "list"}, {"data", std::move(models)}}));
 }
 
 void caller_api::record(const call& request, audit::event what, const request_error* error) {
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -8,6 +8,9 @@
 #include "entry/entry_settings.hpp"
 #include "entry/server_directory.hpp"
 
+#include <atomic>
+#include <cstdint>
+
 namespace borageford::entry {
 
 /// References to parts that live as long as the entry process.
@@ -18,6 +21,7 @@
     claim_store& claims;
     entry_metrics& metrics;
     audit::recorder& audit;
+    std::atomic<std::uint64_t> placements = 0; ///< made by this entry so far
 };
 
 } // namespace borageford::entry
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,6 +1,9 @@
 // Putting an entry together, and its graceful stop.
 #include "entry/entry_process.hpp"
 
+#include "admin/administration.hpp"
+#include "admin/configuration_exchange.hpp"
+#include "admin/revision_listener.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
 #include "entry/entry_context.hpp"
@@ -54,8 +57,9 @@
 
 private:
     link_context make_link_context();
-    void handle_peer_message(wire::envelope& received, wire::peer_connection& connection);
-    void follow_revision(std::uint64_t peer_revision, wire::peer_connection& connection);
+    admin::administration_context make_administration_context();
+    admin::node_view make_node_view();
+    std::vector<admin::backend_server_state> show_servers();
     void rebuild_servers();
     boost::asio::awaitable<void> handle_admin(const http::request& received, http::response_writer& writer);
     void stop_gracefully();
@@ -69,12 +73,15 @@
     platform::object_store m_objects;
     platform::vm_directory m_vms;
     configuration::configuration_follower m_configuration;
+    admin::peer_identity m_peer_identity;
     link_context m_link_context;
     server_directory m_servers;
     claim_store m_claims;
     audit::recorder m_audit;
     entry_context m_context;
     caller_api m_callers;
+    admin::revision_listener m_peer_listener;
+    admin::administration m_administration;
     http::server m_caller_server;
     http::server m_admin_server;
     timer_subscription m_stop_timer;
@@ -82,16 +89,25 @@
 };
 
 entry_process::entry_process(entry_settings settings)
-    : m_settings(std::move(settings)), m_runtime(m_settings.common.threads), m_metrics(m_registry),
+    : m_settings(std::move(settings)),
+      m_runtime(m_settings.common.threads),
+      m_metrics(m_registry),
       m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_objects(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_vms(m_runtime.executor(), m_runtime.timers(), m_settings.common.platform,
             m_settings.common.platform_timeout, m_settings.common.poll_period),
       m_configuration(m_runtime.executor(), m_runtime.timers(), m_table, m_settings.common.poll_period),
-      m_link_context(make_link_context()), m_servers(m_link_context),
+      m_peer_identity{
+          make_hello(m_settings, m_runtime.incarnation()),
+          {m_settings.common.heartbeat_period, m_settings.common.silence_limit, m_settings.connect_limit}},
+      m_link_context(make_link_context()),
+      m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "entry"}),
-      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit}, m_callers(m_context),
+      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit},
+      m_callers(m_context),
+      m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
+      m_administration(make_administration_context(), make_node_view()),
       m_caller_server(
           m_runtime.executor(), m_settings.callers,
           [this](const http::request& received, http::response_writer& writer) {
@@ -108,26 +124,63 @@
 link_context entry_process::make_link_context() {
     return {m_runtime.executor(),
             m_runtime.timers(),
-            {m_settings.common.heartbeat_period, m_settings.common.silence_limit, m_settings.connect_limit},
-            make_hello(m_settings, m_runtime.incarnation()),
+            m_peer_identity.heartbeat,
+            m_peer_identity.hello,
             m_settings.connect_limit,
             m_settings.idle_connection,
             [this] { return m_configuration.revision(); },
             [this](const std::string&, wire::envelope& received, wire::peer_connection& connection) {
-                handle_peer_message(received, connection);
+                admin::exchange_configuration(m_configuration, received, connection);
             }};
 }
 
+admin::administration_context entry_process::make_administration_context() {
+    return {m_runtime.executor(), m_runtime.timers(),         m_configuration, m_vms, m_table, m_objects,
+            m_peer_identity,      m_settings.admin_token_hash};
+}
+
+admin::node_view entry_process::make_node_view() {
+    admin::node_view view;
+    view.backend_servers = [this] {
+        return show_servers();
+    };
+    return view;
+}
+
+std::vector<admin::backend_server_state> entry_process::show_servers() {
+    const auto now = steady_clock::now();
+    std::vector<admin::backend_server_state> states;
+    for (const auto& [name, link] : m_servers.current()->by_server) {
+        admin::backend_server_state state;
+        state.name = name;
+        state.is_connected = link->is_connected();
+        state.is_leaving = link->is_leaving();
+        if (const auto load = link->load()) {
+            state.report_age = std::chrono::duration_cast<milliseconds>(now - load->reported);
+            state.queued_requests = load->queued_requests;
+            state.running_sequences = load->running_sequences;
+            state.sequence_limit = load->sequence_limit;
+            state.prefill_tokens_per_second = load->prefill_tokens_per_second;
+            state.output_tokens_per_second = load->output_tokens_per_second;
+            state.expected_wait = milliseconds(load->expected_wait_ms);
+        }
+        states.push_back(std::move(state));
+    }
+    return states;
+}
+
 int entry_process::run() {
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
     const auto callers = m_caller_server.listen(m_settings.callers_listen);
     const auto admin = m_admin_server.listen(m_settings.admin_listen);
+    const auto peers = m_peer_listener.listen(m_settings.peers_listen);
     const std::array listeners{process::listener_address{"callers", callers},
-                               process::listener_address{"admin", admin}};
-    log::info("entry_started", {{"vm", m_settings.common.vm},
-                                {"incarnation", m_runtime.incarnation().to_string()}});
+                               process::listener_address{"admin", admin},
+                               process::listener_address{"peers", peers}};
+    log::info("entry_started",
+              {{"vm", m_settings.common.vm}, {"incarnation", m_runtime.incarnation().to_string()}});
     process::print_ready(listeners);
     return m_runtime.run([this] { stop_gracefully(); });
 }
@@ -136,40 +189,15 @@
     m_servers.update(*m_configuration.current(), *m_vms.current());
 }
 
-void entry_process::handle_peer_message(wire::envelope& received, wire::peer_connection& connection) {
-    if (const auto* reply = std::get_if<wire::configuration_reply_message>(&received.content)) {
-        m_configuration.take_from_peer(reply->revision, reply->text);
-        return;
-    }
-    if (std::holds_alternative<wire::configuration_request_message>(received.content)) {
-        const auto current = m_configuration.current();
-        wire::configuration_reply_message reply;
-        reply.revision = current->revision;
-        reply.text = current->text;
-        connection.send(std::move(reply));
-        return;
-    }
-    follow_revision(received.revision, connection);
-}
-
-/// Whoever is behind asks the one that is ahead, so a revision spreads while the platform is out.
-void entry_process::follow_revision(std::uint64_t peer_revision, wire::peer_connection& connection) {
-    if (peer_revision <= m_configuration.revision()) {
-        return;
-    }
-    wire::configuration_request_message request;
-    request.known_revision = m_configuration.revision();
-    connection.send(request);
-}
-
-asio::awaitable<void> entry_process::handle_admin(const http::request& received, http::response_writer& writer) {
+asio::awaitable<void> entry_process::handle_admin(const http::request& received,
+                                                  http::response_writer& writer) {
     const auto path = http::path_of(received.target);
     if (path == "/metrics") {
         co_await writer.write(http::make_response(200, "text/plain; version=0.0.4", m_registry.exposition()));
     } else if (path == "/healthz") {
         co_await writer.write(http::make_response(200, "text/plain", "alive\n"));
     } else {
-        co_await writer.write(refuse_without_call(error_kind::not_found, ""));
+        co_await m_administration.handle(received, writer);
     }
 }
 
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -45,12 +45,14 @@
     settings::section_reader reader(document, process::find_section(document, "entry"), "entry", problems);
     result.callers_listen = reader.address("callers_listen");
     result.admin_listen = reader.address("admin_listen");
+    result.peers_listen = reader.address("peers_listen");
     result.admin_token_hash = reader.text("admin_token_sha256");
     if (!result.admin_token_hash.empty() && !is_hash(result.admin_token_hash)) {
         reader.complain("admin_token_sha256", "64 hexadecimal digits");
     }
     read_caller_limits(reader, result.callers);
-    result.placement = placements.at(reader.choice("placement", placements, 0));
+    const auto placement = placements.at(reader.choice("placement", placements, 0));
+    result.placement = policy::find_placement_policy(placement).value_or(policy::late_binding());
     result.default_deadline = reader.duration("default_deadline", result.default_deadline, shortest, longest);
     result.fate_limit = reader.duration("fate_limit", result.fate_limit, shortest, longest);
     result.connect_limit = reader.duration("connect_limit", result.connect_limit, shortest, longest);
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/server.hpp"
+#include "policy/placement.hpp"
 #include "process/common_settings.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,9 +20,10 @@
     process::common_settings common;
     boost::asio::ip::tcp::endpoint callers_listen;
     boost::asio::ip::tcp::endpoint admin_listen;
-    std::string admin_token_hash; ///< SHA-256 of the operators' token, hexadecimal
+    boost::asio::ip::tcp::endpoint peers_listen; ///< for other entries: revisions
+    std::string admin_token_hash;                ///< SHA-256 of the operators' token, hexadecimal
     http::server_limits callers;
-    std::string placement;               ///< round_robin, power_of_two or late_binding
+    policy::placement_policy placement;
     milliseconds default_deadline{60000}; ///< to the start of the request, when its caller names none
     milliseconds fate_limit{10000};       ///< how long the fate of a started request is asked for
     milliseconds connect_limit{1000};     ///< to a sidecar
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -5,7 +5,6 @@
 #include "entry/request_run.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace borageford::entry {
@@ -16,18 +15,37 @@
 
 namespace {
 
-constexpr milliseconds wave_delay{150};
-constexpr std::size_t first_wave = 2;
-constexpr std::size_t prefix_block = 3; ///< the block whose hash names a prompt's home
+/// The block whose hash names a prompt's home: far enough in to tell chapters apart that begin with the same
+/// instructions, early enough for short prompts.
+constexpr std::size_t home_block = 3;
 constexpr milliseconds default_retry{1000};
 
-/// Weighted rendezvous order by the prompt's prefix: the same prefix finds the same backend servers.
-double rendezvous_height(std::uint64_t name_hash, std::uint64_t prefix) {
-    std::uint64_t mixed = name_hash ^ (prefix * 0x9E3779B97F4A7C15ULL);
-    mixed ^= mixed >> 31U;
-    mixed *= 0xBF58476D1CE4E5B9ULL;
-    mixed ^= mixed >> 29U;
-    return -std::log((static_cast<double>(mixed >> 11U) + 1) / 9007199254740994.0);
+std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
+    const auto load = link.load();
+    if (!load) {
+        return std::nullopt;
+    }
+    return policy::reported_load{load->queued_requests, load->running_sequences,
+                                 load->prefill_tokens_per_second, milliseconds(load->expected_wait_ms),
+                                 now - load->reported};
+}
+
+std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers,
+                                                  const call& request) {
+    const auto now = steady_clock::now();
+    std::vector<policy::placement_candidate> described;
+    described.reserve(servers.size());
+    for (const auto& server : servers) {
+        policy::placement_candidate entry;
+        entry.name_hash = server.name_hash;
+        entry.failure_domain = server.failure_domain;
+        entry.region = server.region;
+        entry.load = load_for_policy(*server.link, now);
+        entry.own_requests_since = server.link->sent_since_report();
+        entry.own_prompt_tokens_since = std::uint64_t{entry.own_requests_since} * request.prompt_tokens;
+        described.push_back(entry);
+    }
+    return described;
 }
 
 /// Of two reasons the one that tells the caller more.
@@ -55,32 +73,35 @@
     : m_context(context), m_call(request), m_events(std::move(events)), m_table(context.servers.current()) {}
 
 void offer_round::plan() {
-    auto servers = server_directory::find(*m_table, m_call.target, m_call.is_service);
-    std::erase_if(servers, [](const candidate& server) {
+    m_candidates = server_directory::find(*m_table, m_call.target, m_call.is_service);
+    std::erase_if(m_candidates, [](const candidate& server) {
         return server.link->is_leaving() || server.link->is_unreachable();
     });
     const auto& hashes = m_call.prefix_hashes;
-    const auto prefix = hashes.empty() ? m_call.id.low : hashes.at(std::min(prefix_block, hashes.size() - 1));
-    std::ranges::sort(servers, {}, [prefix](const candidate& server) {
-        return rendezvous_height(server.name_hash, prefix);
-    });
-    for (std::size_t begin = 0, size = first_wave; begin < servers.size(); begin += size, size *= 2) {
-        const auto end = std::min(begin + size, servers.size());
-        m_waves.emplace_back(servers.begin() + static_cast<std::ptrdiff_t>(begin),
-                             servers.begin() + static_cast<std::ptrdiff_t>(end));
+    const auto& common = m_context.settings.common;
+    policy::placement_request request;
+    if (!hashes.empty()) {
+        request.home_key = hashes.at(std::min(home_block, hashes.size() - 1));
     }
+    request.prompt_tokens = m_call.prompt_tokens;
+    request.tier = m_call.tier->rank;
+    request.first_token_target = m_call.tier->first_token_target;
+    request.failure_domain = common.failure_domain;
+    request.region = common.region;
+    request.sequence = m_context.placements++;
+    request.seed = m_call.id.low;
+    m_plan = policy::plan_placement(m_context.settings.placement, request, describe(m_candidates, m_call));
 }
 
 asio::awaitable<place> offer_round::find_place() {
     plan();
-    if (m_waves.empty()) {
+    if (m_plan.offers.empty()) {
         throw request_error(error_kind::no_backend_server, {}, m_context.settings.common.poll_period);
     }
-    send_next_wave();
+    send_due_offers();
     for (;;) {
-        const bool has_more = m_next_wave < m_waves.size();
-        const auto until = has_more ? std::min(m_call.deadline, m_next_wave_at) : m_call.deadline;
-        const auto event = co_await m_events->receive(until);
+        const auto event = co_await m_events->receive(
+            std::min(m_call.deadline, next_offer_time().value_or(m_call.deadline)));
         if (event) {
             if (auto found = handle(*event)) {
                 co_return *found;
@@ -88,11 +109,10 @@
         } else if (steady_clock::now() >= m_call.deadline) {
             withdraw_all();
             throw request_error(error_kind::deadline_unreachable, {}, m_retry_after.value_or(default_retry));
-        } else {
-            send_next_wave();
         }
-        while (m_open_offers.empty() && m_next_wave < m_waves.size()) {
-            send_next_wave();
+        send_due_offers();
+        while (m_open_offers.empty() && m_next_offer < m_plan.offers.size()) {
+            send_next_group(); // all have refused: no use in waiting for the next group's time
         }
         if (is_exhausted()) {
             refuse();
@@ -100,8 +120,29 @@
     }
 }
 
+std::optional<steady_clock::time_point> offer_round::next_offer_time() const {
+    if (m_next_offer == m_plan.offers.size()) {
+        return std::nullopt;
+    }
+    return m_began + m_plan.offers.at(m_next_offer).after;
+}
+
+void offer_round::send_due_offers() {
+    for (auto next = next_offer_time(); next && *next <= steady_clock::now(); next = next_offer_time()) {
+        send_next_group();
+    }
+}
+
+void offer_round::send_next_group() {
+    const auto after = m_plan.offers.at(m_next_offer).after;
+    while (m_next_offer < m_plan.offers.size() && m_plan.offers.at(m_next_offer).after == after) {
+        send_offer(m_candidates.at(m_plan.offers.at(m_next_offer).candidate));
+        ++m_next_offer;
+    }
+}
+
 bool offer_round::is_exhausted() const noexcept {
-    return m_open_offers.empty() && m_next_wave == m_waves.size();
+    return m_open_offers.empty() && m_next_offer == m_plan.offers.size();
 }
 
 void offer_round::refuse() const {
@@ -109,14 +150,6 @@
                         m_retry_after.value_or(default_retry));
 }
 
-void offer_round::send_next_wave() {
-    for (const auto& server : m_waves.at(m_next_wave)) {
-        send_offer(server);
-    }
-    ++m_next_wave;
-    m_next_wave_at = steady_clock::now() + wave_delay;
-}
-
 void offer_round::send_offer(const candidate& server) {
     const auto dispatch = identifier::random();
     wire::offer_message offer;
@@ -166,7 +199,8 @@
         return std::nullopt;
     }
     if (reply.verdict == wire::offer_verdict::refused) {
-        take_refusal(dispatch, wire::error_kind_from_wire(reply.error_kind), milliseconds(reply.retry_after_ms));
+        take_refusal(dispatch, wire::error_kind_from_wire(reply.error_kind),
+                     milliseconds(reply.retry_after_ms));
         return std::nullopt;
     }
     attachable_place where{found->second.link, found->second.backend_server,
@@ -210,10 +244,12 @@
     }
 }
 
-void offer_round::withdraw_all() {
+void offer_round::withdraw_all(const std::string& started_at, const dispatch_id& running) {
     for (const auto& [dispatch, offer] : std::exchange(m_open_offers, {})) {
         wire::withdraw_message withdrawal;
         withdrawal.dispatch = wire::to_wire(dispatch);
+        withdrawal.started_at = started_at;
+        withdrawal.running_dispatch = wire::to_wire(running);
         offer.link->forget(dispatch);
         offer.link->send_if_connected(withdrawal);
         m_context.metrics.withdrawn();
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -45,8 +45,9 @@
     /// Throws request_error (the request has not run) and caller_left.
     boost::asio::awaitable<place> find_place();
 
-    /// Takes back every offer that is still open; `started_at` names where the request went instead.
-    void withdraw_all();
+    /// Takes back every offer that is still open, naming where the request went instead: a home that knows
+    /// can send a resend there.
+    void withdraw_all(const std::string& started_at = {}, const dispatch_id& running = {});
 
 private:
     struct open_offer {
@@ -55,7 +56,9 @@
     };
 
     void plan();
-    void send_next_wave();
+    void send_due_offers();
+    void send_next_group();
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
     void send_offer(const candidate& server);
     [[nodiscard]] std::optional<place> handle(const dispatch_event& event);
     [[nodiscard]] std::optional<place> take_reply(const wire::offer_reply_message& reply);
@@ -71,11 +74,12 @@
     std::shared_ptr<event_mailbox> m_events;
     std::shared_ptr<const candidate_table> m_table; ///< kept alive for the candidates in the waves
 
-    std::vector<std::vector<candidate>> m_waves;
-    std::size_t m_next_wave = 0;
-    std::chrono::steady_clock::time_point m_next_wave_at;
+    std::vector<candidate> m_candidates;
+    policy::placement_plan m_plan; ///< indexes m_candidates; in the order of time
+    std::size_t m_next_offer = 0;  ///< in m_plan
+    std::chrono::steady_clock::time_point m_began = std::chrono::steady_clock::now();
     std::unordered_map<dispatch_id, open_offer> m_open_offers;
-    std::optional<error_kind> m_refusal; ///< the one that says most, of those that came
+    std::optional<error_kind> m_refusal;                    ///< the one that says most, of those that came
     std::optional<std::chrono::milliseconds> m_retry_after; ///< the soonest that any sidecar named
 };
 
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -43,11 +43,11 @@
         try {
             const auto found = co_await round.find_place();
             if (const auto* running = std::get_if<attachable_place>(&found)) {
-                round.withdraw_all();
+                round.withdraw_all(running->backend_server, running->dispatch);
                 join(*running);
             } else {
                 co_await take_grant(std::get<granted_place>(found));
-                round.withdraw_all();
+                round.withdraw_all(m_started->backend_server, m_started->dispatch);
             }
         } catch (const request_error& error) {
             refusal = error;
@@ -127,7 +127,8 @@
     }
     m_claim = current;
     m_joined = true;
-    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
+    m_started =
+        started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
     m_context.metrics.attached();
     attach();
     co_return false;
@@ -291,7 +292,8 @@
     throw request_error(error_kind::outcome_unknown);
 }
 
-std::optional<request_run::follow_result> request_run::take_not_begun(const wire::not_begun_message& refusal) {
+std::optional<request_run::follow_result>
+request_run::take_not_begun(const wire::not_begun_message& refusal) {
     if (m_answer.has_head()) {
         throw request_error(error_kind::outcome_unknown);
     }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -171,10 +171,11 @@
 void cluster::start_entry(std::size_t index) {
     auto& unit = m_entries.at(index);
     const auto settings =
-        write_file(unit.vm + ".ini", common_settings(unit.vm, "sala-a") +
-                                         "[entry]\ncallers_listen = 127.0.0.1:0\nadmin_listen = "
-                                         "127.0.0.1:0\nadmin_token_sha256 = " +
-                                         sha256_hex("operator-token") + "\n" + m_options.entry_settings);
+        write_file(unit.vm + ".ini",
+                   common_settings(unit.vm, "sala-a") +
+                       "[entry]\ncallers_listen = 127.0.0.1:0\npeers_listen = 127.0.0.1:0\nadmin_listen = "
+                       "127.0.0.1:0\nadmin_token_sha256 = " +
+                       sha256_hex("operator-token") + "\n" + m_options.entry_settings);
     unit.process = std::make_unique<child_process>(
         program_folder / "borageford", std::vector<std::string>{"entry", "--settings", settings.string()},
         m_folder / (unit.vm + ".log"));
