Drive a real sidecar message by message in tests

A peer client speaks for the entry, so that starts, copies and attaches can be sent at moments that a real entry never chooses.

--- /dev/null
+++ b/tests/failure/test_sidecar_dispatch.cpp
@@ -0,0 +1,206 @@
+// A real sidecar beside a real stand-in of an engine; the test speaks for the entry, message by message.
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/sidecar_driver.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace borageford;
+using namespace borageford::test;
+
+TEST_CASE("sidecar: a granted request is started and its whole answer delivered", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("capitulo uno", {.tokens = 30});
+    const auto dispatch = driver.offer(entry, work);
+    CHECK(entry.wait_for<wire::offer_reply_message>(dispatch).verdict == wire::offer_verdict::queued);
+    driver.grant_and_start(entry, dispatch, work);
+    const auto answer = driver.read_answer(entry, dispatch);
+    CHECK_FALSE(answer.end.failed);
+    CHECK(answer.end.total_length == answer.body.size());
+    CHECK(text_of_stream(answer.body) == expected_text(work, 30));
+    CHECK(answer.end.output_tokens == 30);
+    CHECK(system.runs_of(work) == 1);
+}
+
+// An entry was frozen between the grant and its start. Its caller has long been told "not run" by then; a
+// start that ran now would be a second copy.
+TEST_CASE("sidecar: a start after its lease is not begun and never runs", "[sidecar]") {
+    cluster system(
+        {.entries = 0, .backend_servers = {{.name = "pluma-1"}}, .sidecar_settings = "grant_lease = 30ms\n"});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("tarde", {.tokens = 5});
+    const auto dispatch = driver.offer(entry, work);
+    entry.wait_for<wire::grant_message>(dispatch);
+    const auto refusal = entry.wait_for<wire::not_begun_message>(dispatch);
+    driver.start(entry, dispatch, work);
+    entry.wait_for<wire::not_begun_message>(dispatch);
+    CHECK(answer_for(wire::error_kind_from_wire(refusal.error_kind)).ran == run_state::no);
+    CHECK(system.runs_of(work) == 0);
+}
+
+// The connection that carried the start has gone silent; the entry asks on a new one before the start
+// arrives. Told "not begun", it places the request elsewhere, so the late start must not run here too.
+TEST_CASE("sidecar: a start that arrives after its fate was asked does not run", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto old_connection = driver.connect();
+    auto new_connection = driver.connect();
+    const auto work = make_completion("silencio", {.tokens = 5});
+    const auto dispatch = driver.offer(old_connection, work);
+    old_connection.wait_for<wire::grant_message>(dispatch);
+    driver.attach(new_connection, dispatch, 0);
+    CHECK(new_connection.wait_for<wire::fate_message>(dispatch).state == wire::dispatch_fate::not_begun);
+    driver.start(old_connection, dispatch, work);
+    old_connection.wait_for<wire::not_begun_message>(dispatch);
+    CHECK(system.runs_of(work) == 0);
+}
+
+// The connection breaks in the middle of an answer. The user must see it go on at the very byte where it
+// stopped.
+TEST_CASE("sidecar: several connections read one answer, each from its own offset", "[sidecar]") {
+    cluster system(
+        {.entries = 0,
+         .backend_servers = {{.name = "pluma-1", .arguments = {"--output-tokens-per-second", "200"}}}});
+    sidecar_driver driver(system);
+    auto first = driver.connect();
+    const auto work = make_completion("dos lectores", {.tokens = 60});
+    const auto dispatch = driver.offer(first, work);
+    driver.grant_and_start(first, dispatch, work);
+    auto piece = first.wait_for<wire::chunk_message>(dispatch);
+    std::string begun(piece.data.begin(), piece.data.end());
+    auto second = driver.connect();
+    auto third = driver.connect();
+    driver.attach(second, dispatch, begun.size());
+    driver.attach(third, dispatch, 0);
+    first.close();
+    CHECK(second.wait_for<wire::fate_message>(dispatch).state == wire::dispatch_fate::running);
+    const auto rest = driver.read_answer(second, dispatch, begun.size());
+    const auto whole = driver.read_answer(third, dispatch);
+    CHECK(begun + rest.body == whole.body);
+    CHECK(rest.end.total_length == whole.body.size());
+    CHECK(text_of_stream(whole.body) == expected_text(work, 60));
+    CHECK(system.runs_of(work) == 1);
+}
+
+// The answer's last part was lost on the way. It must still be there until the entry has said that it has it
+// all, and afterwards nobody may be told that it never ran.
+TEST_CASE("sidecar: an answer is kept until it is acknowledged, and then counts as run", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("guardado", {.tokens = 10});
+    const auto dispatch = driver.offer(entry, work);
+    driver.grant_and_start(entry, dispatch, work);
+    const auto answer = driver.read_answer(entry, dispatch);
+    driver.attach(entry, dispatch, 0);
+    CHECK(entry.wait_for<wire::fate_message>(dispatch).state == wire::dispatch_fate::finished);
+    CHECK(driver.read_answer(entry, dispatch).body == answer.body);
+    wire::acknowledge_message acknowledge;
+    acknowledge.dispatch = wire::to_wire(dispatch);
+    entry.send(acknowledge);
+    driver.attach(entry, dispatch, 0);
+    CHECK(entry.wait_for<wire::fate_message>(dispatch).state == wire::dispatch_fate::finished);
+    const auto end = entry.wait_for<wire::answer_end_message>(dispatch);
+    CHECK(end.failed);
+    CHECK(wire::error_kind_from_wire(end.error_kind) == error_kind::already_ran);
+}
+
+// An operator confirmed a new revision between grant and start; the place may no longer be allowed.
+TEST_CASE("sidecar: a start under another revision is not begun", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("revision", {.tokens = 5});
+    const auto dispatch = driver.offer(entry, work);
+    const auto grant = entry.wait_for<wire::grant_message>(dispatch);
+    driver.start(entry, dispatch, work, grant.revision + 1);
+    const auto refusal = entry.wait_for<wire::not_begun_message>(dispatch);
+    CHECK(wire::error_kind_from_wire(refusal.error_kind) == error_kind::stale_revision);
+    CHECK(system.runs_of(work) == 0);
+}
+
+// A caller whose entry died sends the same request again through another entry. It must not be paid for
+// twice.
+TEST_CASE("sidecar: a resend finds the running answer", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto first = driver.connect();
+    const auto work = make_completion("otra vez", {.tokens = 40});
+    const auto dispatch = driver.offer(first, work, {.resend_key = 77});
+    driver.grant_and_start(first, dispatch, work);
+    first.wait_for<wire::answer_head_message>(dispatch);
+    first.close();
+    auto second = driver.connect();
+    const auto resend = driver.offer(second, work, {.resend_key = 77});
+    const auto reply = second.wait_for<wire::offer_reply_message>(resend);
+    REQUIRE(reply.verdict == wire::offer_verdict::attachable);
+    const auto running = wire::from_wire(reply.running_dispatch);
+    CHECK(running == dispatch);
+    driver.attach(second, running, 0);
+    CHECK(text_of_stream(driver.read_answer(second, running).body) == expected_text(work, 40));
+    CHECK(system.runs_of(work) == 1);
+}
+
+// The same, but the first copy was started at another backend server: this one was only offered it.
+TEST_CASE("sidecar: a resend learns where its first copy was started", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("en otro lado", {.tokens = 5});
+    const auto dispatch = driver.offer(entry, work, {.resend_key = 78});
+    entry.wait_for<wire::grant_message>(dispatch);
+    wire::withdraw_message withdrawal;
+    withdrawal.dispatch = wire::to_wire(dispatch);
+    withdrawal.started_at = "pluma-2";
+    withdrawal.running_dispatch = wire::id(7, 8);
+    entry.send(withdrawal);
+    const auto resend = driver.offer(entry, work, {.resend_key = 78});
+    const auto reply = entry.wait_for<wire::offer_reply_message>(resend);
+    CHECK(reply.verdict == wire::offer_verdict::known_elsewhere);
+    CHECK(reply.backend_server == "pluma-2");
+    CHECK(wire::from_wire(reply.running_dispatch) == dispatch_id{7, 8});
+}
+
+// The caller is gone and no resend comes: an answer for nobody must not hold an engine's room for long.
+TEST_CASE("sidecar: an abandoned stream is cancelled at the engine after the grace", "[sidecar]") {
+    cluster system(
+        {.entries = 0,
+         .backend_servers = {{.name = "pluma-1", .arguments = {"--output-tokens-per-second", "5"}}},
+         .sidecar_settings = "resend_grace = 50ms\n"});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("abandonado", {.tokens = 500});
+    const auto dispatch = driver.offer(entry, work);
+    driver.grant_and_start(entry, dispatch, work);
+    entry.wait_for<wire::answer_head_message>(dispatch);
+    wire::abandon_message abandon;
+    abandon.dispatch = wire::to_wire(dispatch);
+    entry.send(abandon);
+    wait_until("the engine's cancellation", [&] { return system.server_count(0, "cancelled") == 1; });
+}
+
+// A call that may not be repeated was abandoned by its caller. Cancelling it would leave its effect half
+// done.
+TEST_CASE("sidecar: an abandoned call that is not idempotent runs to its end", "[sidecar]") {
+    cluster system(
+        {.entries = 0,
+         .backend_servers = {{.name = "pluma-1", .arguments = {"--output-tokens-per-second", "100"}}},
+         .sidecar_settings = "resend_grace = 1ms\n"});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("una vez", {.tokens = 60});
+    const auto dispatch = driver.offer(entry, work, {.idempotent = false});
+    driver.grant_and_start(entry, dispatch, work);
+    entry.wait_for<wire::answer_head_message>(dispatch);
+    wire::abandon_message abandon;
+    abandon.dispatch = wire::to_wire(dispatch);
+    entry.send(abandon);
+    entry.close();
+    auto later = driver.connect();
+    driver.attach(later, dispatch, 0);
+    CHECK(text_of_stream(driver.read_answer(later, dispatch).body) == expected_text(work, 60));
+    CHECK(system.server_count(0, "cancelled") == 0);
+}
