--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,103 @@
+// Deaths by fingerprint; everything else is computed from them.
+#include "policy/quarantine.hpp"
+
+#include <algorithm>
+
+namespace borageford::policy {
+namespace {
+
+/// More deaths than this of one fingerprint change nothing.
+constexpr std::size_t most_deaths = 16;
+
+} // namespace
+
+quarantine::quarantine(quarantine_settings settings) : m_settings(settings) {}
+
+void quarantine::record_mark(std::uint64_t fingerprint, std::string_view backend_server,
+                             const identifier& mark, time_point now) {
+    if (m_deaths.size() >= m_settings.most_fingerprints && !m_deaths.contains(fingerprint)) {
+        remove_oldest();
+    }
+    auto& deaths = m_deaths[fingerprint];
+    if (std::ranges::find(deaths, mark, &death::mark) != deaths.end()) {
+        return;
+    }
+    if (deaths.size() >= most_deaths) {
+        deaths.erase(deaths.begin());
+    }
+    deaths.push_back({mark, std::string(backend_server), now});
+}
+
+std::size_t quarantine::marks(std::uint64_t fingerprint, time_point now) const {
+    const auto found = m_deaths.find(fingerprint);
+    if (found == m_deaths.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::ranges::count_if(found->second, [&](const death& known) { return counts(known, now); }));
+}
+
+std::optional<duration> quarantine::time_left(std::uint64_t fingerprint, time_point now) const {
+    const auto found = m_deaths.find(fingerprint);
+    if (found == m_deaths.end()) {
+        return std::nullopt;
+    }
+    const auto until = quarantined_until(found->second, now);
+    return until ? std::optional(*until - now) : std::nullopt;
+}
+
+std::vector<quarantined_request> quarantine::list(time_point now) const {
+    std::vector<quarantined_request> listed;
+    for (const auto& [fingerprint, deaths] : m_deaths) {
+        const auto until = quarantined_until(deaths, now);
+        if (!until) {
+            continue;
+        }
+        quarantined_request request{fingerprint, {}, *until};
+        for (const auto& known : deaths) {
+            request.backend_servers.push_back(known.backend_server);
+        }
+        listed.push_back(std::move(request));
+    }
+    return listed;
+}
+
+bool quarantine::release(std::uint64_t fingerprint) {
+    const auto found = m_deaths.find(fingerprint);
+    if (found == m_deaths.end()) {
+        return false;
+    }
+    for (auto& known : found->second) {
+        known.is_released = true;
+    }
+    return true;
+}
+
+bool quarantine::counts(const death& known, time_point now) const {
+    return !known.is_released && now - known.at <= m_settings.mark_lifetime;
+}
+
+std::optional<time_point> quarantine::quarantined_until(const std::vector<death>& deaths,
+                                                        time_point now) const {
+    std::size_t counted = 0;
+    time_point last{};
+    for (const auto& known : deaths) {
+        if (counts(known, now)) {
+            ++counted;
+            last = std::max(last, known.at);
+        }
+    }
+    const auto until = last + m_settings.quarantine_time;
+    if (counted < m_settings.servers_lost || until <= now) {
+        return std::nullopt;
+    }
+    return until;
+}
+
+void quarantine::remove_oldest() {
+    const auto oldest =
+        std::ranges::min_element(m_deaths, {}, [](const auto& entry) { return entry.second.back().at; });
+    m_deaths.erase(oldest);
+}
+
+} // namespace borageford::policy
