--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 namespace json = boost::json;
-using configuration::configuration;
 
 constexpr std::string_view chat_path = "/v1/chat/completions";
 constexpr std::string_view completion_path = "/v1/completions";
@@ -209,7 +208,8 @@
 
 } // namespace
 
-const configuration::workspace& find_workspace(const configuration& current, const http::request& received) {
+const configuration::workspace& find_workspace(const configuration::configuration& current,
+                                               const http::request& received) {
     if (current.is_empty()) {
         throw request_error(error_kind::no_configuration);
     }
@@ -224,7 +224,7 @@
     return *found;
 }
 
-call parse_call(std::shared_ptr<const configuration> current, const http::request& received,
+call parse_call(std::shared_ptr<const configuration::configuration> current, const http::request& received,
                 std::chrono::milliseconds default_deadline) {
     call parsed;
     parsed.configuration = std::move(current);
