--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -224,9 +224,10 @@
     return *found;
 }
 
-call parse_call(std::shared_ptr<const configuration::configuration> current, const http::request& received,
-                std::chrono::milliseconds default_deadline) {
+call parse_call(const request_id& id, std::shared_ptr<const configuration::configuration> current,
+                const http::request& received, std::chrono::milliseconds default_deadline) {
     call parsed;
+    parsed.id = id;
     parsed.configuration = std::move(current);
     parsed.workspace = &find_workspace(*parsed.configuration, received);
     parsed.method = received.method;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -43,11 +43,11 @@
         try {
             const auto found = co_await round.find_place();
             if (const auto* running = std::get_if<attachable_place>(&found)) {
-                round.withdraw_all();
+                round.withdraw_all(running->backend_server, running->dispatch);
                 join(*running);
             } else {
                 co_await take_grant(std::get<granted_place>(found));
-                round.withdraw_all();
+                round.withdraw_all(m_started->backend_server, m_started->dispatch);
             }
         } catch (const request_error& error) {
             refusal = error;
