--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,5 +1,6 @@
 // The one program: picks the subcommand. Abseil's flags stay here, at the edge.
 #include "entry/entry_process.hpp"
+#include "sidecar/sidecar_process.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -47,8 +48,13 @@
     return with_settings(borageford::entry::run_entry);
 }
 
+int sidecar_command(arguments) {
+    return with_settings(borageford::sidecar::run_sidecar);
+}
+
 constexpr std::array subcommands{
     subcommand{"entry", entry_command},
+    subcommand{"sidecar", sidecar_command},
 };
 
 } // namespace
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -90,7 +90,7 @@
       m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_objects(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_configuration(m_runtime.executor(), m_runtime.timers(), m_table, m_settings.common.poll_period),
-      m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "sidecar"}),
+      m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {.vm = m_settings.common.vm, .role = "sidecar", .backend_server = m_settings.backend_server}),
       m_server(backend::model_engine(m_strand, m_settings.backend_address, m_settings.control_timeout)),
       m_monitor(m_strand, m_runtime.timers(), m_server, m_settings.health_period),
       m_ledger({m_settings.ledger_retention, m_settings.ledger_entries}),
