--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -142,6 +142,9 @@
     if (const auto* heartbeat = std::get_if<heartbeat_message>(&received.content)) {
         handle_heartbeat(*heartbeat);
     }
+    if (m_finished) {
+        return;
+    }
     // Heartbeats are passed on too: they carry the peer's revision.
     m_calls.received(std::move(received));
 }
@@ -200,8 +203,10 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
     m_outgoing.clear();
-    auto calls = std::move(m_calls);
-    calls.closed(reason);
+    m_calls.closed(reason);
+    // Dropped later: one of the callbacks may be running now, with the close called from inside it, and its
+    // captures must outlive it.
+    asio::post(m_strand, [self = shared_from_this()] { self->m_calls = {}; });
 }
 
 } // namespace borageford::wire
