Name conditional values before they stand in a co_await

The plain service's stand-in aborted with a double free on its second call. The compiler (g++ 12) destroys the temporaries of a conditional expression twice when it stands inside a co_await or co_return expression; the same form stood in the readiness answer and in the plan's answers. Ruled out: the HTTP server, whose other handlers ran clean.

--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -193,7 +193,10 @@
     const auto file = http::query_value(call.request.target, "file").value_or("intent");
     const auto result =
         co_await m_planner.make_plan(call.request.body, file, call.operator_name, limits_in_use());
-    co_return result.problems.empty() ? plan_answer(result.plan) : problems_answer(result.problems);
+    if (!result.problems.empty()) {
+        co_return problems_answer(result.problems);
+    }
+    co_return plan_answer(result.plan);
 }
 
 asio::awaitable<http::response> administration::show_plan(const admin_call& call) {
@@ -233,7 +236,10 @@
 asio::awaitable<http::response> administration::revert_revision(const admin_call& call) {
     const auto number = parse_count(call.arguments.front(), "the revision");
     const auto result = co_await m_planner.make_revert_plan(number, call.operator_name, limits_in_use());
-    co_return result.problems.empty() ? plan_answer(result.plan) : problems_answer(result.problems);
+    if (!result.problems.empty()) {
+        co_return problems_answer(result.problems);
+    }
+    co_return plan_answer(result.plan);
 }
 
 asio::awaitable<http::response> administration::show_status(const admin_call& /*call*/) {
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -50,7 +50,9 @@
     if (path == "/healthz") {
         co_await writer.write(plain(200, "alive\n"));
     } else if (path == "/readyz") {
-        co_await writer.write(is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n"));
+        // Named first: this compiler destroys the temporaries of a conditional twice within a co_await.
+        const auto answer = is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n");
+        co_await writer.write(answer);
     } else {
         co_await handle_call(received, writer);
     }
--- a/tests/fakes/fake_service.cpp
+++ b/tests/fakes/fake_service.cpp
@@ -48,7 +48,9 @@
             writer.cut();
             co_return;
         }
-        co_await writer.write(json_response(200, m_faults.garble ? "\x01rubbish" : describe(call, id)));
+        // Named first: this compiler destroys the temporaries of a conditional twice within a co_await.
+        const auto body = m_faults.garble ? std::string("\x01rubbish") : describe(call, id);
+        co_await writer.write(json_response(200, body));
     }
 
     [[nodiscard]] static std::string describe(const http::request& call, const std::string& id) {
