Explain what happened to a request from both sides' records

The explainer takes a request id, walks the entry's batches from the minute the id carries, then those of the sidecars that the entry's records name, each until its part has an end. Where the entry died with its records, all sidecars' batches of that minute are read instead, bounded, since no name leads to them.

Gaps, batches missing from a sequence, batches that can't be read, limits reached and records not yet written are said, so that silence never passes for "nothing happened".

--- /dev/null
+++ b/src/audit/explainer.cpp
@@ -0,0 +1,247 @@
+// Walking the keys minute by minute: first the entry that made the request id, then the sidecars it names.
+#include "audit/explainer.hpp"
+
+#include "audit/batch.hpp"
+#include "audit/narrative.hpp"
+#include "audit/request_history.hpp"
+#include "audit/request_identifier.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace borageford::audit {
+
+namespace asio = boost::asio;
+using time_point = std::chrono::system_clock::time_point;
+
+namespace {
+
+constexpr std::size_t page_size = 1000;
+constexpr std::string_view entry_role = "entry";
+constexpr std::string_view sidecar_role = "sidecar";
+
+minute_point minute_of(time_point time) {
+    return std::chrono::floor<std::chrono::minutes>(time);
+}
+
+std::string describe_writer(const batch_key& key) {
+    return key.role + " " + key.writer;
+}
+
+} // namespace
+
+/// One question. Invariant: every object is read at most once.
+class explainer::search {
+public:
+    using key_filter = std::function<bool(const batch_key&)>;
+    using record_filter = std::function<bool(const record&)>;
+
+    search(platform::object_store& store, const explainer_limits& limits, record_filter wanted)
+        : m_store(store), m_limits(limits), m_wanted(std::move(wanted)) {}
+
+    asio::awaitable<void> read_minute(std::string prefix, const key_filter& is_wanted) {
+        std::string after;
+        while (true) {
+            const auto page = co_await m_store.list(prefix, after, page_size);
+            for (const auto& object : page) {
+                const auto key = batch_key::parse(object.key);
+                if (key && is_wanted(*key)) {
+                    co_await read_batch(*key, object.key);
+                }
+            }
+            if (page.size() < page_size) {
+                co_return;
+            }
+            after = page.back().key;
+        }
+    }
+
+    [[nodiscard]] const findings& found() const { return m_found; }
+
+    [[nodiscard]] time_point last_record_time() const {
+        time_point last;
+        for (const auto& witnessed : m_found.records) {
+            last = std::max(last, witnessed.entry.time);
+        }
+        return last;
+    }
+
+    findings finish() {
+        note_missing_batches();
+        std::ranges::sort(m_found.records, {}, [](const witnessed_record& witnessed) {
+            return std::pair(witnessed.entry.time, witnessed.role);
+        });
+        return std::move(m_found);
+    }
+
+    void remark(std::string sentence) {
+        if (std::ranges::find(m_found.remarks, sentence) == m_found.remarks.end()) {
+            m_found.remarks.push_back(std::move(sentence));
+        }
+    }
+
+    [[nodiscard]] bool has_reached_limit() const { return m_found.objects_read >= m_limits.object_limit; }
+
+private:
+    asio::awaitable<void> read_batch(const batch_key& key, const std::string& name) {
+        if (!m_seen.insert(name).second) {
+            co_return;
+        }
+        m_sequences[{describe_writer(key), key.incarnation}].insert(key.sequence);
+        if (has_reached_limit()) {
+            remark("more than " + std::to_string(m_limits.object_limit) +
+                   " batches would have to be read; those past that number were not.");
+            co_return;
+        }
+        ++m_found.objects_read;
+        const auto bytes = co_await m_store.get(name);
+        if (!bytes) {
+            remark("batch " + name + " was listed but is gone.");
+            co_return;
+        }
+        try {
+            take(key, decode_batch(*bytes));
+        } catch (const batch_error& error) {
+            remark("batch " + name + " can't be read: " + error.what() + ".");
+        }
+    }
+
+    void take(const batch_key& key, batch content) {
+        for (auto& entry : content.records) {
+            if (entry.what == event::gap) {
+                remark(describe_writer(key) + " lost records: from " + format_time(entry.time) + ", " +
+                       entry.detail + ".");
+            } else if (m_wanted(entry)) {
+                m_found.records.push_back({std::move(entry), key.role, key.writer});
+            }
+        }
+    }
+
+    /// Sequences have no holes, so one in the middle is a batch that somebody removed or the store lost.
+    void note_missing_batches() {
+        for (const auto& [writer, sequences] : m_sequences) {
+            const auto expected = *sequences.rbegin() - *sequences.begin() + 1;
+            if (expected != sequences.size()) {
+                remark(std::to_string(expected - sequences.size()) + " batches of " + writer.first +
+                       " between those read are not in the store.");
+            }
+        }
+    }
+
+    platform::object_store& m_store;
+    const explainer_limits& m_limits;
+    record_filter m_wanted;
+    findings m_found;
+    std::set<std::string> m_seen;
+    std::map<std::pair<std::string, identifier>, std::set<std::uint64_t>> m_sequences;
+};
+
+explainer::explainer(platform::object_store& store, explainer_limits limits, clock_reader now)
+    : m_store(store), m_limits(limits), m_now(std::move(now)) {}
+
+namespace {
+
+const std::function<bool(const batch_key&)> every_batch = [](const batch_key&) {
+    return true;
+};
+
+/// The backend servers that any record names.
+std::set<std::string> named_servers(const findings& found) {
+    std::set<std::string> out;
+    for (const auto& witnessed : found.records) {
+        if (!witnessed.entry.backend_server.empty()) {
+            out.insert(witnessed.entry.backend_server);
+        }
+    }
+    return out;
+}
+
+/// Whether the records tell the end of every attempt at this backend server.
+bool is_settled(const request_history& history, const std::string& server) {
+    return std::ranges::all_of(history.attempts, [&server](const attempt& place) {
+        return place.backend_server != server || place.ended || place.has_been_withdrawn ||
+               place.was_pushed_out || place.has_lapsed || (place.refusal && place.queued);
+    });
+}
+
+} // namespace
+
+/// The entry's side: its clock made the id, its records and its keys, so the walk starts at that minute.
+asio::awaitable<void> explainer::read_entry(search& looked, request_id request, minute_point last) {
+    const search::key_filter from_its_entry = [request](const batch_key& key) {
+        return may_come_from(request, key.writer);
+    };
+    for (auto minute = minute_of(start_time(request)); minute <= last; minute += std::chrono::minutes(1)) {
+        co_await looked.read_minute(key_prefix(minute, entry_role), from_its_entry);
+        if (make_history(request, looked.found()).outcome) {
+            co_return;
+        }
+    }
+}
+
+/// The side of the sidecars that the records name, each until the end of its part.
+asio::awaitable<void> explainer::read_named_sidecars(search& looked, request_id request, minute_point last) {
+    for (const auto& server : named_servers(looked.found())) {
+        for (auto minute = minute_of(start_time(request) - m_limits.clock_difference); minute <= last;
+             minute += std::chrono::minutes(1)) {
+            co_await looked.read_minute(key_prefix(minute, sidecar_role, server), every_batch);
+            if (is_settled(make_history(request, looked.found()), server)) {
+                break;
+            }
+        }
+    }
+}
+
+/// The entry died with its records: no name leads to the sidecars, so all of that time are read.
+asio::awaitable<void> explainer::read_all_sidecars(search& looked, request_id request, minute_point last) {
+    const auto start = start_time(request);
+    const auto end = std::min(last, minute_of(start + m_limits.batch_delay + m_limits.clock_difference));
+    for (auto minute = minute_of(start - m_limits.clock_difference); minute <= end;
+         minute += std::chrono::minutes(1)) {
+        co_await looked.read_minute(key_prefix(minute, sidecar_role), every_batch);
+    }
+}
+
+asio::awaitable<findings> explainer::find_request(request_id request) {
+    const auto start = start_time(request);
+    const auto now = m_now();
+    search looked(m_store, m_limits, [&request](const record& entry) { return entry.request == request; });
+    if (start > now + m_limits.clock_difference) {
+        looked.remark("this id doesn't carry a time that has come: no entry of this system made it.");
+        co_return looked.finish();
+    }
+    const auto last = minute_of(std::min(now + m_limits.clock_difference, start + m_limits.request_time));
+    co_await read_entry(looked, request, last);
+    if (named_servers(looked.found()).empty() && !make_history(request, looked.found()).outcome) {
+        co_await read_all_sidecars(looked, request, last);
+    }
+    co_await read_named_sidecars(looked, request, last);
+    remark_if_recent(looked, std::max(start, looked.last_record_time()), now);
+    co_return looked.finish();
+}
+
+asio::awaitable<findings> explainer::find_workspace(std::string workspace, time_point from, time_point to) {
+    const auto last_minute = minute_of(std::min(m_now(), to + m_limits.batch_delay));
+    search looked(m_store, m_limits, [&](const record& entry) {
+        return (workspace.empty() || entry.workspace == workspace) && entry.time >= from && entry.time <= to;
+    });
+    for (auto minute = minute_of(from); minute <= last_minute && !looked.has_reached_limit();
+         minute += std::chrono::minutes(1)) {
+        co_await looked.read_minute(key_prefix(minute, entry_role), every_batch);
+    }
+    remark_if_recent(looked, to, m_now());
+    co_return looked.finish();
+}
+
+void explainer::remark_if_recent(search& looked, time_point last, time_point now) const {
+    if (last + m_limits.batch_delay > now) {
+        looked.remark("records of the last " + std::to_string(m_limits.batch_delay.count()) +
+                      " s may not be written yet; ask again.");
+    }
+}
+
+} // namespace borageford::audit
--- a/src/audit/recorder.hpp
+++ b/src/audit/recorder.hpp
@@ -24,7 +24,7 @@
     std::chrono::milliseconds flush_period{30000};
     std::size_t batch_limit = 2000;    ///< records in one object
     std::size_t memory_limit = 120000; ///< records held while the store is out; the oldest give way, as a gap
-    std::string backend_server;        ///< for sidecars: their batches are found under this name
+    std::string backend_server{};      ///< for sidecars: their batches are found under this name
 };
 
 /// record() is safe from any thread and never blocks on the store. The store must outlive the executor's
--- /dev/null
+++ b/src/audit/request_history.cpp
@@ -0,0 +1,169 @@
+// Reading records in the order of their time and noting on the attempt what each says.
+#include "audit/request_history.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace borageford::audit {
+namespace {
+
+constexpr std::string_view entry_role = "entry";
+
+attempt& find_attempt(request_history& history, const record& entry) {
+    const auto found = std::ranges::find(history.attempts, entry.dispatch, &attempt::dispatch);
+    if (found != history.attempts.end()) {
+        return *found;
+    }
+    attempt fresh;
+    fresh.dispatch = entry.dispatch;
+    history.attempts.push_back(std::move(fresh));
+    return history.attempts.back();
+}
+
+/// What the entry says of an attempt.
+void note_entry_record(attempt& place, const record& entry) {
+    switch (entry.what) {
+    case event::offered:
+        place.offered = entry.time;
+        break;
+    case event::started:
+        place.start_sent = entry.time;
+        break;
+    case event::refused:
+        // What the sidecar told the entry; its own record says the same and may be lost.
+        if (!place.refusal) {
+            place.refusal = entry.reason;
+            place.detail = entry.detail;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/// What the sidecar says of it.
+void note_sidecar_record(attempt& place, const record& entry) {
+    switch (entry.what) {
+    case event::queued:
+        place.queued = entry.time;
+        break;
+    case event::refused:
+        place.refusal = entry.reason.value_or(error_kind::internal);
+        place.detail = entry.detail;
+        break;
+    case event::pushed_out:
+        place.was_pushed_out = true;
+        break;
+    case event::granted:
+        place.granted = entry.time;
+        break;
+    case event::withdrawn:
+        place.has_been_withdrawn = true;
+        break;
+    case event::lapsed:
+        place.has_lapsed = true;
+        break;
+    case event::started:
+        place.started = entry.time;
+        break;
+    case event::ended:
+        place.ended = entry.time;
+        place.failure = entry.reason;
+        break;
+    case event::cancelled:
+        place.was_cancelled = true;
+        break;
+    default:
+        break;
+    }
+}
+
+bool is_outcome(event what) {
+    return what == event::answered || what == event::refused || what == event::failed ||
+           what == event::cancelled;
+}
+
+void note_attempt(request_history& history, const witnessed_record& witnessed) {
+    const auto& entry = witnessed.entry;
+    auto& place = find_attempt(history, entry);
+    place.revision = entry.revision;
+    if (!entry.backend_server.empty()) {
+        place.backend_server = entry.backend_server;
+    }
+    if (witnessed.role == entry_role) {
+        note_entry_record(place, entry);
+    } else {
+        note_sidecar_record(place, entry);
+    }
+}
+
+void note_record(request_history& history, const witnessed_record& witnessed) {
+    const auto& entry = witnessed.entry;
+    history.records.push_back(witnessed);
+    if (history.workspace.empty()) {
+        history.workspace = entry.workspace;
+        history.tier = entry.tier;
+        history.target = entry.target;
+    }
+    if (!entry.dispatch.is_none()) {
+        note_attempt(history, witnessed);
+    }
+    if (witnessed.role != entry_role) {
+        return;
+    }
+    history.entry = witnessed.writer;
+    if (entry.what == event::received) {
+        history.received = entry.time;
+        history.revision = entry.revision;
+    }
+    // A refusal that names a dispatch is one sidecar's; the entry may still find another place.
+    if (is_outcome(entry.what) && (entry.dispatch.is_none() || entry.what == event::answered)) {
+        history.outcome = entry;
+    }
+}
+
+} // namespace
+
+std::vector<const attempt*> request_history::runs() const {
+    std::vector<const attempt*> out;
+    for (const auto& place : attempts) {
+        if (place.has_run()) {
+            out.push_back(&place);
+        }
+    }
+    return out;
+}
+
+bool request_history::may_have_run() const {
+    return std::ranges::any_of(attempts, &attempt::may_have_run);
+}
+
+request_history make_history(const request_id& request, const findings& found) {
+    request_history history;
+    history.request = request;
+    for (const auto& witnessed : found.records) {
+        if (witnessed.entry.request == request) {
+            note_record(history, witnessed);
+        }
+    }
+    return history;
+}
+
+std::vector<request_history> make_histories(const findings& found) {
+    std::vector<request_history> histories;
+    std::map<request_id, std::size_t> indexes;
+    for (const auto& witnessed : found.records) {
+        const auto& request = witnessed.entry.request;
+        if (request.is_none()) {
+            continue;
+        }
+        const auto [place, is_new] = indexes.try_emplace(request, histories.size());
+        if (is_new) {
+            histories.emplace_back().request = request;
+        }
+        note_record(histories.at(place->second), witnessed);
+    }
+    return histories;
+}
+
+} // namespace borageford::audit
