--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,6 +1,7 @@
 // The callers' side of an entry.
 #include "entry/caller_api.hpp"
 
+#include "audit/request_identifier.hpp"
 #include "base/request_error.hpp"
 #include "entry/answers.hpp"
 #include "entry/call_parser.hpp"
@@ -69,6 +70,7 @@
         } else {
             request =
                 parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
+            request->id = audit::make_request_identifier(m_context.settings.common.vm);
         }
     } catch (const request_error& error) {
         refusal = error;
