--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -14,7 +14,7 @@
 
 /// Invariant: `workspace`, `tier` and `route` point into `configuration`, which the call keeps alive.
 struct call {
-    request_id id = identifier::random();
+    request_id id;
     std::shared_ptr<const configuration::configuration> configuration;
     const configuration::workspace* workspace = nullptr;
     const configuration::tier* tier = nullptr;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -58,6 +58,7 @@
 
 asio::awaitable<void> caller_api::handle_call(const http::request& received, http::response_writer& writer) {
     m_context.metrics.received();
+    const auto id = audit::make_request_identifier(m_context.settings.common.vm);
     std::optional<request_error> refusal;
     std::optional<call> request;
     std::optional<http::response> models;
@@ -68,16 +69,15 @@
         if (http::path_of(received.target) == "/v1/models") {
             models = list_models(received);
         } else {
-            request =
-                parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
-            request->id = audit::make_request_identifier(m_context.settings.common.vm);
+            request = parse_call(id, m_context.configuration.current(), received,
+                                 m_context.settings.default_deadline);
         }
     } catch (const request_error& error) {
         refusal = error;
     }
     if (refusal) {
         m_context.metrics.failed(refusal->kind());
-        co_await writer.write(error_response(*refusal, identifier::random()));
+        co_await writer.write(error_response(*refusal, id));
     } else if (models) {
         co_await writer.write(*models);
     } else {
