Hold workspaces to their limits, remember prefixes, watch for crash marks

Admission by rate, tokens and concurrency divided over live entries; own retries within a budget; prompts' homes from the prefix index; marked requests go where fewest others run, one place after the other, and are refused as quarantined at the second server lost, also when a sidecar says so first. The row format of marks has one library now, which sidecar and entry share.

--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -5,6 +5,7 @@
 #include "base/request_error.hpp"
 #include "base/sha256.hpp"
 #include "entry/prompt.hpp"
+#include "policy/prefix_index.hpp"
 #include "settings/section_reader.hpp"
 
 #include <boost/json.hpp>
@@ -22,6 +23,7 @@
 constexpr std::string_view services_path = "/services/";
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t longest_key = 256;
+constexpr std::size_t most_blocks = 64; ///< of a prompt, hashed; longer ones are told apart by these
 
 json::object parse_body(const std::string& body) {
     json::error_code error;
@@ -130,7 +132,7 @@
                             "The prompt has about " + std::to_string(parsed.prompt_tokens) +
                                 " tokens; the model takes " + std::to_string(model->context_tokens) + ".");
     }
-    parsed.prefix_hashes = hash_prefixes(prompt);
+    parsed.prefix_hashes = policy::hash_prefix_blocks(prompt, most_blocks);
     parsed.expected_output_tokens = expected_output(body, *model);
     parsed.is_streamed = read_flag(body, "stream");
 }
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -97,6 +97,7 @@
     request_run serving(m_context, request, answer, events);
     std::optional<request_error> failure;
     try {
+        const auto permit = m_context.admissions.admit(request);
         co_await serving.serve();
     } catch (const request_error& error) {
         failure = error;
--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <deque>
 #include <optional>
+#include <ranges>
 #include <set>
 #include <utility>
 #include <vector>
@@ -188,15 +189,15 @@
 /// A transaction is all or nothing: when one claim is held already, the others go again without it.
 void claim_store::state::settle(const std::vector<change_pointer>& batch,
                                 const platform::transaction_result& result) {
-    for (auto change = batch.rbegin(); change != batch.rend(); ++change) {
+    for (const auto& change : batch | std::views::reverse) {
         if (result.committed) {
             ++rows;
-            (*change)->version = result.version;
-            finish(**change, change_outcome::committed);
-        } else if (std::ranges::find(result.failed_keys, (*change)->key) != result.failed_keys.end()) {
-            finish(**change, change_outcome::conflict);
+            change->version = result.version;
+            finish(*change, change_outcome::committed);
+        } else if (std::ranges::find(result.failed_keys, change->key) != result.failed_keys.end()) {
+            finish(*change, change_outcome::conflict);
         } else {
-            waiting.push_front(*change);
+            waiting.push_front(change);
         }
     }
 }
--- /dev/null
+++ b/src/entry/crash_watch.cpp
@@ -0,0 +1,126 @@
+// Gathering marks from peers and from the table.
+#include "entry/crash_watch.hpp"
+
+#include "marks/crash_mark.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t scan_limit = 1000;
+
+} // namespace
+
+struct crash_watch::state : std::enable_shared_from_this<crash_watch::state> {
+    state(asio::any_io_executor given, timer_service& service, platform::table& rows)
+        : executor(std::move(given)), timers(service), table(rows) {}
+
+    asio::awaitable<void> read_all();
+    void take_row(const platform::row& row, std::set<std::uint64_t>& standing);
+    void drop_released(const std::set<std::uint64_t>& standing);
+
+    asio::any_io_executor executor;
+    timer_service& timers;
+    platform::table& table;
+    timer_subscription timer;
+    std::atomic<bool> is_reading = false;
+
+    mutable std::mutex mutex;
+    policy::quarantine quarantine;    ///< guarded by mutex
+    std::set<std::uint64_t> at_table; ///< fingerprints whose row was there at the last reading; by mutex
+};
+
+void crash_watch::state::take_row(const platform::row& row, std::set<std::uint64_t>& standing) {
+    std::uint64_t fingerprint = 0;
+    if (!marks::parse_key(row.key, fingerprint)) {
+        return;
+    }
+    standing.insert(fingerprint);
+    const auto now = steady_clock::now();
+    const std::scoped_lock lock(mutex);
+    for (const auto& mark : marks::decode_row(row.value)) {
+        quarantine.record_mark(fingerprint, mark.backend_server, mark.mark, now);
+    }
+}
+
+/// A row that was there and is gone was released by an operator.
+void crash_watch::state::drop_released(const std::set<std::uint64_t>& standing) {
+    const std::scoped_lock lock(mutex);
+    for (const auto fingerprint : at_table) {
+        if (!standing.contains(fingerprint)) {
+            quarantine.release(fingerprint);
+        }
+    }
+    at_table = standing;
+}
+
+asio::awaitable<void> crash_watch::state::read_all() {
+    const auto self = shared_from_this();
+    try {
+        std::set<std::uint64_t> standing;
+        std::string after;
+        for (bool is_last = false; !is_last;) {
+            const auto rows = co_await table.scan(marks::key_prefix, after, scan_limit);
+            for (const auto& row : rows) {
+                take_row(row, standing);
+                after = row.key;
+            }
+            is_last = rows.size() < scan_limit;
+        }
+        drop_released(standing);
+    } catch (const std::exception&) {
+        // An outage, or a row that another version wrote: what is known stays.
+    }
+    is_reading.store(false);
+}
+
+crash_watch::crash_watch(asio::any_io_executor executor, timer_service& timers, platform::table& table)
+    : m_state(std::make_shared<state>(std::move(executor), timers, table)) {}
+
+crash_watch::~crash_watch() {
+    m_state->timer.cancel();
+}
+
+void crash_watch::start(std::chrono::milliseconds period) {
+    const auto read = [weak = std::weak_ptr(m_state)] {
+        const auto shared = weak.lock();
+        if (shared != nullptr && !shared->is_reading.exchange(true)) {
+            asio::co_spawn(shared->executor, shared->read_all(), asio::detached);
+        }
+    };
+    m_state->timer = m_state->timers.every(m_state->executor, period, read);
+    read();
+}
+
+void crash_watch::take(const wire::crash_mark_message& mark) {
+    const std::scoped_lock lock(m_state->mutex);
+    m_state->quarantine.record_mark(mark.fingerprint, mark.backend_server, wire::from_wire(mark.mark),
+                                    steady_clock::now());
+}
+
+std::size_t crash_watch::marks(std::uint64_t fingerprint) const {
+    const std::scoped_lock lock(m_state->mutex);
+    return m_state->quarantine.marks(fingerprint, steady_clock::now());
+}
+
+std::optional<std::chrono::milliseconds> crash_watch::quarantine_left(std::uint64_t fingerprint) const {
+    const std::scoped_lock lock(m_state->mutex);
+    const auto left = m_state->quarantine.time_left(fingerprint, steady_clock::now());
+    if (!left) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(*left);
+}
+
+} // namespace borageford::entry
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -3,9 +3,12 @@
 
 #include "audit/recorder.hpp"
 #include "configuration/configuration_follower.hpp"
+#include "entry/admission.hpp"
 #include "entry/claim_store.hpp"
+#include "entry/crash_watch.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/entry_settings.hpp"
+#include "entry/placement_memory.hpp"
 #include "entry/server_directory.hpp"
 
 #include <atomic>
@@ -19,9 +22,12 @@
     configuration::configuration_follower& configuration;
     server_directory& servers;
     claim_store& claims;
+    admission& admissions;
+    placement_memory& placements;
+    crash_watch& crashes;
     entry_metrics& metrics;
     audit::recorder& audit;
-    std::atomic<std::uint64_t> placements = 0; ///< made by this entry so far
+    std::atomic<std::uint64_t> placement_count = 0; ///< made by this entry so far
 };
 
 } // namespace borageford::entry
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -4,6 +4,9 @@
 #include "admin/administration.hpp"
 #include "admin/configuration_exchange.hpp"
 #include "admin/revision_listener.hpp"
+#include "audit/explainer.hpp"
+#include "audit/narrative.hpp"
+#include "base/hash.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
 #include "entry/entry_context.hpp"
@@ -13,6 +16,7 @@
 #include "platform/vm_directory.hpp"
 #include "process/runtime.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <iostream>
@@ -60,6 +64,10 @@
     admin::administration_context make_administration_context();
     admin::node_view make_node_view();
     std::vector<admin::backend_server_state> show_servers();
+    asio::awaitable<std::optional<admin::explanation>> explain(request_id request);
+    asio::awaitable<admin::explanation> find_requests(admin::request_query query);
+    void take_peer_message(const std::string& backend_server, wire::envelope& received,
+                           wire::peer_connection& connection);
     void rebuild_servers();
     boost::asio::awaitable<void> handle_admin(const http::request& received, http::response_writer& writer);
     void stop_gracefully();
@@ -77,6 +85,9 @@
     link_context m_link_context;
     server_directory m_servers;
     claim_store m_claims;
+    admission m_admissions;
+    placement_memory m_placements;
+    crash_watch m_crashes;
     audit::recorder m_audit;
     entry_context m_context;
     caller_api m_callers;
@@ -103,8 +114,10 @@
       m_link_context(make_link_context()),
       m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
+      m_crashes(m_runtime.executor(), m_runtime.timers(), m_table),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "entry"}),
-      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit},
+      m_context{m_settings,   m_configuration, m_servers, m_claims, m_admissions,
+                m_placements, m_crashes,       m_metrics, m_audit},
       m_callers(m_context),
       m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
       m_administration(make_administration_context(), make_node_view()),
@@ -129,8 +142,9 @@
             m_settings.connect_limit,
             m_settings.idle_connection,
             [this] { return m_configuration.revision(); },
-            [this](const std::string&, wire::envelope& received, wire::peer_connection& connection) {
-                admin::exchange_configuration(m_configuration, received, connection);
+            [this](const std::string& backend_server, wire::envelope& received,
+                   wire::peer_connection& connection) {
+                take_peer_message(backend_server, received, connection);
             }};
 }
 
@@ -144,6 +158,15 @@
     view.backend_servers = [this] {
         return show_servers();
     };
+    view.limits_in_use = [this] {
+        return m_admissions.use();
+    };
+    view.explain = [this](request_id request) {
+        return explain(request);
+    };
+    view.find_requests = [this](admin::request_query query) {
+        return find_requests(std::move(query));
+    };
     return view;
 }
 
@@ -169,10 +192,27 @@
     return states;
 }
 
+asio::awaitable<std::optional<admin::explanation>> entry_process::explain(request_id request) {
+    audit::explainer explainer(m_objects, {});
+    const auto found = co_await explainer.find_request(request);
+    admin::explanation result;
+    result.lines = audit::describe_request(request, found);
+    co_return result;
+}
+
+asio::awaitable<admin::explanation> entry_process::find_requests(admin::request_query query) {
+    audit::explainer explainer(m_objects, {});
+    const auto found = co_await explainer.find_workspace(query.workspace, query.from, query.to);
+    admin::explanation result;
+    result.lines = audit::list_requests(query.workspace, found, query.limit);
+    co_return result;
+}
+
 int entry_process::run() {
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
+    m_crashes.start(m_settings.common.poll_period);
     const auto callers = m_caller_server.listen(m_settings.callers_listen);
     const auto admin = m_admin_server.listen(m_settings.admin_listen);
     const auto peers = m_peer_listener.listen(m_settings.peers_listen);
@@ -185,8 +225,24 @@
     return m_runtime.run([this] { stop_gracefully(); });
 }
 
+void entry_process::take_peer_message(const std::string& backend_server, wire::envelope& received,
+                                      wire::peer_connection& connection) {
+    if (const auto* mark = std::get_if<wire::crash_mark_message>(&received.content)) {
+        m_crashes.take(*mark);
+        m_placements.forget_server(hash_bytes(backend_server));
+        return;
+    }
+    admin::exchange_configuration(m_configuration, received, connection);
+}
+
 void entry_process::rebuild_servers() {
-    m_servers.update(*m_configuration.current(), *m_vms.current());
+    const auto current = m_configuration.current();
+    const auto vms = m_vms.current();
+    m_servers.update(*current, *vms);
+    const auto entries = std::ranges::count_if(*vms, [](const auto& item) {
+        return item.second.role == platform::vm_role::entry && item.second.state == platform::vm_state::live;
+    });
+    m_admissions.update(*current, static_cast<unsigned>(entries));
 }
 
 asio::awaitable<void> entry_process::handle_admin(const http::request& received,
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -5,6 +5,7 @@
 #include "entry/request_run.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace borageford::entry {
@@ -15,10 +16,8 @@
 
 namespace {
 
-/// The block whose hash names a prompt's home: far enough in to tell chapters apart that begin with the same
-/// instructions, early enough for short prompts.
-constexpr std::size_t home_block = 3;
 constexpr milliseconds default_retry{1000};
+constexpr milliseconds marked_offer_delay{500};
 
 std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
     const auto load = link.load();
@@ -30,8 +29,8 @@
                                  now - load->reported};
 }
 
-std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers,
-                                                  const call& request) {
+std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers, const call& request,
+                                                  std::span<const policy::prefix_holder> holders) {
     const auto now = steady_clock::now();
     std::vector<policy::placement_candidate> described;
     described.reserve(servers.size());
@@ -43,6 +42,8 @@
         entry.load = load_for_policy(*server.link, now);
         entry.own_requests_since = server.link->sent_since_report();
         entry.own_prompt_tokens_since = std::uint64_t{entry.own_requests_since} * request.prompt_tokens;
+        const auto holder = std::ranges::find(holders, server.name_hash, &policy::prefix_holder::server);
+        entry.cached_tokens = holder == holders.end() ? 0 : holder->tokens;
         described.push_back(entry);
     }
     return described;
@@ -77,20 +78,37 @@
     std::erase_if(m_candidates, [](const candidate& server) {
         return server.link->is_leaving() || server.link->is_unreachable();
     });
-    const auto& hashes = m_call.prefix_hashes;
     const auto& common = m_context.settings.common;
     policy::placement_request request;
-    if (!hashes.empty()) {
-        request.home_key = hashes.at(std::min(home_block, hashes.size() - 1));
-    }
+    request.home_key = m_context.placements.home_key(m_call.prefix_hashes);
     request.prompt_tokens = m_call.prompt_tokens;
     request.tier = m_call.tier->rank;
     request.first_token_target = m_call.tier->first_token_target;
     request.failure_domain = common.failure_domain;
     request.region = common.region;
-    request.sequence = m_context.placements++;
+    request.sequence = m_context.placement_count++;
     request.seed = m_call.id.low;
-    m_plan = policy::plan_placement(m_context.settings.placement, request, describe(m_candidates, m_call));
+    const auto holders = m_context.placements.find_holders(m_call.prefix_hashes);
+    const auto described = describe(m_candidates, m_call, holders);
+    m_plan = policy::plan_placement(m_context.settings.placement, request, described);
+    if (m_context.crashes.marks(m_call.fingerprint) > 0) {
+        plan_for_marked();
+    }
+}
+
+/// A request that was running when a backend server died may be what killed it: it goes where the fewest
+/// others run, one place after the other, so that it can take little with it.
+void offer_round::plan_for_marked() {
+    const auto running = [this](const policy::planned_offer& offer) {
+        const auto load = m_candidates.at(offer.candidate).link->load();
+        return load ? load->running_sequences : 0;
+    };
+    std::ranges::sort(m_plan.offers, {}, running);
+    policy::duration after{};
+    for (auto& offer : m_plan.offers) {
+        offer.after = after;
+        after += marked_offer_delay;
+    }
 }
 
 asio::awaitable<place> offer_round::find_place() {
@@ -234,6 +252,10 @@
         return;
     }
     record(audit::event::refused, dispatch, found->second.backend_server, kind);
+    if (kind == error_kind::quarantined) {
+        withdraw_all(); // final, wherever it was said
+        throw request_error(kind, {}, retry_after);
+    }
     found->second.link->forget(dispatch);
     m_open_offers.erase(found);
     if (!m_refusal || says_more(kind, *m_refusal)) {
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -56,6 +56,7 @@
     };
 
     void plan();
+    void plan_for_marked();
     void send_due_offers();
     void send_next_group();
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,6 +1,8 @@
 // One request from its offers to the end of its answer.
 #include "entry/request_run.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -37,6 +39,9 @@
     : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
 
 asio::awaitable<void> request_run::serve() {
+    if (const auto left = m_context.crashes.quarantine_left(m_call.fingerprint)) {
+        throw request_error(error_kind::quarantined, {}, left);
+    }
     for (int attempt = 1;; ++attempt) {
         offer_round round(m_context, m_call, m_events);
         std::optional<request_error> refusal;
@@ -61,8 +66,8 @@
             co_return;
         }
         m_context.metrics.placed_again();
-        const bool try_again = !m_not_begun || is_worth_another_place(m_not_begun->kind());
-        if (!try_again || attempt == most_attempts) {
+        const bool is_worth_it = !m_not_begun || is_worth_another_place(m_not_begun->kind());
+        if (!is_worth_it || attempt == most_attempts || !m_context.admissions.try_retry()) {
             settle_claim(false);
             throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
         }
@@ -158,6 +163,7 @@
     m_context.metrics.started();
     m_context.metrics.queue_wait(m_call, steady_clock::now() - m_call.received);
     record(audit::event::started, *m_started);
+    m_context.placements.record_start(m_call.prefix_hashes, hash_bytes(place.backend_server));
     place.link->send_for(place.dispatch, m_events, std::move(start));
 }
 
--- a/src/sidecar/crash_marks.cpp
+++ b/src/sidecar/crash_marks.cpp
@@ -2,30 +2,24 @@
 #include "sidecar/crash_marks.hpp"
 
 #include "base/log.hpp"
+#include "marks/crash_mark.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <memory>
 #include <set>
-#include <stdexcept>
 #include <utility>
 
 namespace borageford::sidecar {
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
-constexpr std::string_view key_prefix = "mark/";
-constexpr int hexadecimal = 16;
-constexpr std::size_t key_digits = 16;
 constexpr std::size_t scan_limit = 1000;
 constexpr std::chrono::milliseconds write_pause{200};
 constexpr unsigned write_attempts = 300; ///< with the pause between them: at least a minute of outage
@@ -35,52 +29,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-bool parse_mark_key(std::string_view key, std::uint64_t& fingerprint) {
-    key.remove_prefix(std::min(key.size(), key_prefix.size()));
-    const auto parsed = std::from_chars(key.data(), key.data() + key.size(), fingerprint, hexadecimal);
-    return parsed.ec == std::errc{} && parsed.ptr == key.data() + key.size() && key.size() == key_digits;
-}
-
 bool has_mark(const std::vector<crash_mark>& marks, const identifier& mark) {
     return std::ranges::find(marks, mark, &crash_mark::mark) != marks.end();
 }
 
 } // namespace
 
-std::string mark_key(std::uint64_t fingerprint) {
-    std::string digits(key_digits, '0');
-    std::string shortest(key_digits, '0');
-    const auto written =
-        std::to_chars(shortest.data(), shortest.data() + shortest.size(), fingerprint, hexadecimal);
-    const auto length = static_cast<std::size_t>(written.ptr - shortest.data());
-    digits.replace(key_digits - length, length, shortest, 0, length);
-    return std::string(key_prefix) + digits;
-}
-
-std::string encode_marks(const std::vector<crash_mark>& marks) {
-    json::array list;
-    for (const auto& mark : marks) {
-        list.push_back(
-            {{"mark", mark.mark.to_string()}, {"backend_server", mark.backend_server}, {"time", mark.time}});
-    }
-    return json::serialize(json::object{{"marks", std::move(list)}});
-}
-
-std::vector<crash_mark> decode_marks(std::string_view value) {
-    std::vector<crash_mark> marks;
-    try {
-        const auto parsed = json::parse({value.data(), value.size()});
-        for (const auto& item : parsed.at("marks").as_array()) {
-            const auto mark = identifier::parse(std::string(item.at("mark").as_string()));
-            marks.push_back({mark.value(), std::string(item.at("backend_server").as_string()),
-                             item.at("time").to_number<std::int64_t>()});
-        }
-    } catch (const std::exception& error) {
-        throw std::invalid_argument(std::string("not a row of crash marks: ") + error.what());
-    }
-    return marks;
-}
-
 crash_marks::crash_marks(asio::strand<asio::any_io_executor> strand, timer_service& timers,
                          platform::table& table, std::string backend_server)
     : m_strand(std::move(strand)),
@@ -159,23 +113,23 @@
         boost::system::error_code ignored;
         co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    log::error("crash_mark_not_written", {{"row", mark_key(fingerprint)}});
+    log::error("crash_mark_not_written", {{"row", marks::key_for(fingerprint)}});
 }
 
 /// Reads the row first: another backend server may have died of the same request, and a lost answer of an
 /// earlier attempt shows as our mark standing there.
 asio::awaitable<bool> crash_marks::try_write(std::uint64_t fingerprint, const crash_mark& mark) {
-    const auto key = mark_key(fingerprint);
+    const auto key = marks::key_for(fingerprint);
     try {
         const auto row = co_await m_table.read(key);
-        auto marks = row ? decode_marks(row->value) : std::vector<crash_mark>();
+        auto marks = row ? marks::decode_row(row->value) : std::vector<crash_mark>();
         if (has_mark(marks, mark.mark) || marks.size() >= marks_limit) {
             co_return true;
         }
         marks.push_back(mark);
         platform::transaction changes;
         changes.conditions.push_back({key, row ? row->version : 0});
-        changes.puts.push_back({key, encode_marks(marks)});
+        changes.puts.push_back({key, marks::encode_row(marks)});
         const auto result = co_await m_table.transact(changes);
         co_return result.committed;
     } catch (const platform::platform_error&) {
@@ -192,14 +146,14 @@
     try {
         std::string after;
         for (;;) {
-            const auto rows = co_await m_table.scan(key_prefix, after, scan_limit);
+            const auto rows = co_await m_table.scan(marks::key_prefix, after, scan_limit);
             for (const auto& row : rows) {
                 std::uint64_t fingerprint = 0;
-                if (!parse_mark_key(row.key, fingerprint)) {
+                if (!marks::parse_key(row.key, fingerprint)) {
                     continue;
                 }
                 standing.insert(fingerprint);
-                for (const auto& mark : decode_marks(row.value)) {
+                for (const auto& mark : marks::decode_row(row.value)) {
                     take(fingerprint, mark);
                 }
             }
--- a/src/sidecar/crash_marks.hpp
+++ b/src/sidecar/crash_marks.hpp
@@ -4,6 +4,7 @@
 
 #include "base/identifier.hpp"
 #include "base/timer_service.hpp"
+#include "marks/crash_mark.hpp"
 #include "platform/table.hpp"
 #include "policy/time.hpp"
 
@@ -23,18 +24,7 @@
 
 namespace borageford::sidecar {
 
-/// One death of a backend server while a request ran there.
-struct crash_mark {
-    identifier mark;
-    std::string backend_server;
-    std::int64_t time = 0; ///< milliseconds since 1970
-};
-
-/// The row's key for a request's fingerprint.
-[[nodiscard]] std::string mark_key(std::uint64_t fingerprint);
-/// Throws std::invalid_argument for text that isn't such a row.
-[[nodiscard]] std::vector<crash_mark> decode_marks(std::string_view value);
-[[nodiscard]] std::string encode_marks(const std::vector<crash_mark>& marks);
+using marks::crash_mark;
 
 /// Used on its strand. Invariants: a mark counts once, however often it is heard of; at most
 /// `fingerprint_limit` fingerprints are held, the oldest going first.
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -34,7 +34,7 @@
 
 void sidecar_core::handle(connection_id connection, wire::message content) {
     std::visit(
-        [this, connection](auto&& message) {
+        [this, connection](auto& message) {
             using type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<type, wire::offer_message>) {
                 m_offers.take(connection, message);
