--- a/src/sidecar/crash_marks.cpp
+++ b/src/sidecar/crash_marks.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <charconv>
 #include <memory>
-#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -41,6 +40,16 @@
     return parsed.ec == std::errc{} && parsed.ptr == key.data() + key.size() && key.size() == key_digits;
 }
 
+/// The marks of a row; none when another version wrote it in a way that this one can't read.
+std::vector<crash_mark> read_marks(const platform::row& row) {
+    try {
+        return decode_marks(row.value);
+    } catch (const std::invalid_argument& error) {
+        log::error("crash_mark_row_unreadable", {{"row", row.key}, {"error", error.what()}});
+        return {};
+    }
+}
+
 bool has_mark(const std::vector<crash_mark>& marks, const identifier& mark) {
     return std::ranges::find(marks, mark, &crash_mark::mark) != marks.end();
 }
@@ -82,11 +91,13 @@
 }
 
 crash_marks::crash_marks(asio::strand<asio::any_io_executor> strand, timer_service& timers,
-                         platform::table& table, std::string backend_server)
+                         platform::table& table, std::string backend_server,
+                         std::chrono::milliseconds lifetime)
     : m_strand(std::move(strand)),
       m_timers(timers),
       m_table(table),
-      m_backend_server(std::move(backend_server)) {}
+      m_backend_server(std::move(backend_server)),
+      m_lifetime(lifetime) {}
 
 void crash_marks::start(std::chrono::milliseconds period) {
     const auto read = [this] {
@@ -105,13 +116,22 @@
 
 std::size_t crash_marks::count(std::uint64_t fingerprint) const {
     const auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? 0 : found->second.marks.size();
+    if (found == m_entries.end()) {
+        return 0;
+    }
+    const auto counts = [this](const crash_mark& mark) {
+        return !is_expired(mark);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(found->second.marks, counts));
 }
 
 void crash_marks::take(std::uint64_t fingerprint, const crash_mark& mark) {
     auto& held = hold(fingerprint);
     if (!has_mark(held.marks, mark.mark) && held.marks.size() < marks_limit) {
         held.marks.push_back(mark);
+        if (mark.time == 0) {
+            held.marks.back().time = milliseconds_since_1970();
+        }
     }
 }
 
@@ -187,44 +207,66 @@
 }
 
 asio::awaitable<void> crash_marks::read_all() {
-    std::set<std::uint64_t> standing;
-    bool is_complete = false;
     try {
-        std::string after;
-        for (;;) {
-            const auto rows = co_await m_table.scan(key_prefix, after, scan_limit);
-            for (const auto& row : rows) {
-                std::uint64_t fingerprint = 0;
-                if (!parse_mark_key(row.key, fingerprint)) {
-                    continue;
-                }
-                standing.insert(fingerprint);
-                for (const auto& mark : decode_marks(row.value)) {
-                    take(fingerprint, mark);
-                }
+        forget_released(co_await read_rows());
+    } catch (const platform::platform_error&) {
+        // What is known stays while the platform is out.
+    }
+    m_is_reading = false;
+}
+
+/// Returns the fingerprints that have a row.
+asio::awaitable<std::set<std::uint64_t>> crash_marks::read_rows() {
+    std::set<std::uint64_t> standing;
+    std::string after;
+    for (;;) {
+        const auto rows = co_await m_table.scan(key_prefix, after, scan_limit);
+        for (const auto& row : rows) {
+            std::uint64_t fingerprint = 0;
+            if (!parse_mark_key(row.key, fingerprint)) {
+                continue;
             }
-            if (rows.size() < scan_limit) {
-                break;
+            standing.insert(fingerprint);
+            const auto marks = read_marks(row);
+            for (const auto& mark : marks) {
+                take(fingerprint, mark);
             }
-            after = rows.back().key;
-        }
-        is_complete = true;
-    } catch (const std::exception&) {
-        // An outage, or a row that another version wrote: what is known stays.
-    }
-    if (is_complete) {
-        // A row that is gone was released by an operator or has expired; one not yet written stays.
-        std::erase_if(m_order, [&](std::uint64_t fingerprint) {
-            const auto found = m_entries.find(fingerprint);
-            const auto is_released =
-                found != m_entries.end() && found->second.is_written && !standing.contains(fingerprint);
-            if (is_released) {
-                m_entries.erase(found);
+            // One sidecar removes it, not all of them at once.
+            const auto is_over =
+                std::ranges::all_of(marks, [this](const crash_mark& mark) { return is_expired(mark); });
+            if (is_over && !marks.empty() && marks.back().backend_server == m_backend_server) {
+                co_await remove_row(row);
             }
-            return is_released;
-        });
+        }
+        if (rows.size() < scan_limit) {
+            co_return standing;
+        }
+        after = rows.back().key;
     }
-    m_is_reading = false;
+}
+
+asio::awaitable<void> crash_marks::remove_row(platform::row row) {
+    platform::transaction changes;
+    changes.conditions.push_back({row.key, row.version});
+    changes.deletes.push_back(row.key);
+    co_await m_table.transact(changes);
+}
+
+/// A row that is gone was released by an operator or has expired; one not yet written stays.
+void crash_marks::forget_released(const std::set<std::uint64_t>& standing) {
+    std::erase_if(m_order, [&](std::uint64_t fingerprint) {
+        const auto found = m_entries.find(fingerprint);
+        const auto is_released =
+            found != m_entries.end() && found->second.is_written && !standing.contains(fingerprint);
+        if (is_released) {
+            m_entries.erase(found);
+        }
+        return is_released;
+    });
+}
+
+bool crash_marks::is_expired(const crash_mark& mark) const {
+    return milliseconds_since_1970() - mark.time > m_lifetime.count();
 }
 
 } // namespace borageford::sidecar
--- a/src/sidecar/crash_marks.hpp
+++ b/src/sidecar/crash_marks.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -44,8 +45,9 @@
     /// Marks of one fingerprint beyond this change nothing.
     static constexpr std::size_t marks_limit = 16;
 
+    /// `lifetime`: how long a mark counts.
     crash_marks(boost::asio::strand<boost::asio::any_io_executor> strand, timer_service& timers,
-                platform::table& table, std::string backend_server);
+                platform::table& table, std::string backend_server, std::chrono::milliseconds lifetime);
 
     /// Starts to read the marks at the table at this period: those of others, and those that were released.
     void start(std::chrono::milliseconds period);
@@ -75,11 +77,16 @@
     boost::asio::awaitable<void> write_until_done(std::uint64_t fingerprint, crash_mark mark,
                                                   std::function<void()> done);
     boost::asio::awaitable<void> read_all();
+    boost::asio::awaitable<std::set<std::uint64_t>> read_rows();
+    boost::asio::awaitable<void> remove_row(platform::row row);
+    void forget_released(const std::set<std::uint64_t>& standing);
+    [[nodiscard]] bool is_expired(const crash_mark& mark) const;
 
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     timer_service& m_timers;
     platform::table& m_table;
     std::string m_backend_server;
+    std::chrono::milliseconds m_lifetime;
     std::unordered_map<std::uint64_t, entry> m_entries;
     std::deque<std::uint64_t> m_order; ///< fingerprints, oldest first
     timer_subscription m_timer;
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// A request under which so many backend servers have died isn't run any more.
+constexpr std::size_t quarantine_marks = 2;
+
 std::uint32_t to_wire_milliseconds(milliseconds time) {
     constexpr std::int64_t most = UINT32_MAX;
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
@@ -30,7 +33,7 @@
     if (reply_to_resend(connection, offer)) {
         return;
     }
-    if (const auto obstacle = find_obstacle(offer.target, offer.is_service)) {
+    if (const auto obstacle = find_obstacle(request)) {
         refuse(connection, request, *obstacle);
         return;
     }
@@ -88,7 +91,7 @@
     return true;
 }
 
-std::optional<error_kind> offer_scheduler::find_obstacle(const std::string& target, bool is_service) const {
+std::optional<error_kind> offer_scheduler::find_obstacle(const offered_request& request) const {
     if (m_is_draining) {
         return error_kind::draining;
     }
@@ -97,7 +100,8 @@
         return error_kind::no_configuration;
     }
     const auto* server = current->find_backend_server(m_context.settings.backend_server);
-    if (server == nullptr || !configuration::configuration::serves(*server, target, is_service)) {
+    if (server == nullptr ||
+        !configuration::configuration::serves(*server, request.target, request.is_service)) {
         return error_kind::no_backend_server;
     }
     if (server->drained) {
@@ -106,6 +110,9 @@
     if (!m_context.monitor.is_up()) {
         return error_kind::no_backend_server;
     }
+    if (m_context.marks.count(request.fingerprint) >= quarantine_marks) {
+        return error_kind::quarantined;
+    }
     return std::nullopt;
 }
 
@@ -351,7 +358,7 @@
     }
     for (const auto& id : waiting) {
         const auto& request = m_offers.at(id).request;
-        if (const auto obstacle = find_obstacle(request.target, request.is_service)) {
+        if (const auto obstacle = find_obstacle(request)) {
             end_offer(id, *obstacle);
         }
     }
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -62,7 +62,7 @@
     using offer_map = std::unordered_map<dispatch_id, pending_offer>;
 
     /// Why this can't be served here now; nothing when it can.
-    [[nodiscard]] std::optional<error_kind> find_obstacle(const std::string& target, bool is_service) const;
+    [[nodiscard]] std::optional<error_kind> find_obstacle(const offered_request& request) const;
     bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
     [[nodiscard]] offered_request read_offer(const wire::offer_message& offer) const;
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -56,6 +56,7 @@
             } else if constexpr (std::is_same_v<type, wire::crash_mark_message>) {
                 m_context.marks.take(message.fingerprint,
                                      {wire::from_wire(message.mark), message.backend_server, 0});
+                m_offers.review();
             }
             // All else is a heartbeat, or something that only a sidecar says.
         },
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::milliseconds handshake_limit{2000};
 constexpr std::chrono::milliseconds last_flush_limit{2000};
 /// Marks are rare and told between peers at once; the table is only read for those that were missed.
-constexpr int mark_read_periods = 10;
+constexpr int mark_read_periods = 5;
 constexpr std::size_t prefix_blocks = 200'000;
 
 store_limits make_store_limits(const sidecar_settings& settings) {
@@ -98,7 +98,7 @@
       m_store(make_store_limits(m_settings)),
       m_limit({}),
       m_prefixes(prefix_blocks),
-      m_marks(m_strand, m_runtime.timers(), m_table, m_settings.backend_server),
+      m_marks(m_strand, m_runtime.timers(), m_table, m_settings.backend_server, m_settings.mark_lifetime),
       m_peers(m_strand, m_runtime.timers(),
               {m_settings.common.heartbeat_period, m_settings.common.silence_limit, handshake_limit},
               m_settings.peer_connections, make_peer_callbacks()),
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::array<std::string_view, 3> known_sections{"process", "platform", "sidecar"};
 constexpr milliseconds shortest{1};
 constexpr milliseconds longest{3'600'000};
+constexpr milliseconds longest_lifetime{7LL * 24 * 3'600'000};
 constexpr std::int64_t most_entries = 10'000'000;
 constexpr std::uint64_t smallest_memory = 64U * 1024;
 constexpr std::uint64_t largest_memory = 64ULL * 1024 * 1024 * 1024;
@@ -51,6 +52,7 @@
     out.order_timeout = reader.duration("order_timeout", out.order_timeout, shortest, longest);
     out.order_lease = reader.duration("order_lease", out.order_lease, shortest, longest);
     out.mark_limit = reader.duration("mark_limit", out.mark_limit, shortest, longest);
+    out.mark_lifetime = reader.duration("mark_lifetime", out.mark_lifetime, shortest, longest_lifetime);
     if (out.order_timeout >= out.order_lease) {
         reader.complain("order_timeout", "a duration shorter than order_lease");
     }
--- a/src/sidecar/sidecar_settings.hpp
+++ b/src/sidecar/sidecar_settings.hpp
@@ -43,6 +43,7 @@
     std::chrono::milliseconds order_timeout{3000}; ///< one order
     std::chrono::milliseconds order_lease{10'000}; ///< for engines that don't check fencing numbers
     std::chrono::milliseconds mark_limit{500};     ///< for writing a crash mark before a failure is told
+    std::chrono::milliseconds mark_lifetime{3'600'000}; ///< how long a crash mark counts
 };
 
 /// Reads the file. Complaints go to `problems`; the result is used only when there are none.
