Verify the revision after a freeze; finish, deliver, then stop

A sidecar that was stopped by its VM wakes with an old revision, and a start may wait in its socket. Each message and tick now looks at the time since the last one; after a second of nothing, grants and starts are held until the table's head or a peer says that the revision still stands.

A stop waited for every kept answer, failed ones too, which entries never acknowledge; and it closed connections before the last messages were written. It now waits for whole answers only, for at most resend_grace, and leaves the connections open while the audit is flushed.

--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -1,6 +1,7 @@
 // Keeping started dispatches within bounds.
 #include "sidecar/dispatch_store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageford::sidecar {
@@ -105,13 +106,11 @@
     return found;
 }
 
-std::vector<dispatch_store::record_pointer> dispatch_store::all() const {
-    std::vector<record_pointer> found;
-    found.reserve(m_records.size());
-    for (const auto& [id, record] : m_records) {
-        found.push_back(record);
-    }
-    return found;
+bool dispatch_store::has_undelivered(duration grace, time_point now) const {
+    return std::ranges::any_of(m_records, [grace, now](const auto& held) {
+        const auto& record = *held.second;
+        return record.ended && !record.answer.ending()->failure && now - *record.ended < grace;
+    });
 }
 
 void dispatch_store::forget_resend_key(const dispatch_record& dispatch) {
--- a/src/sidecar/dispatch_store.hpp
+++ b/src/sidecar/dispatch_store.hpp
@@ -59,10 +59,11 @@
     void count_bytes(std::uint64_t bytes);
 
     [[nodiscard]] std::vector<record_pointer> running() const;
-    [[nodiscard]] std::vector<record_pointer> all() const;
     [[nodiscard]] std::size_t running_count() const noexcept { return m_running; }
     [[nodiscard]] std::size_t kept_count() const noexcept { return m_records.size() - m_running; }
     [[nodiscard]] std::uint64_t memory() const noexcept { return m_memory; }
+    /// Whether a whole answer that ended less than `grace` ago hasn't been acknowledged.
+    [[nodiscard]] bool has_undelivered(duration grace, time_point now) const;
     /// Whether kept answers have given way to running ones and there's still too much.
     [[nodiscard]] bool is_full() const noexcept { return m_memory >= m_limits.memory; }
 
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "configuration/configuration_follower.hpp"
 #include "ledger/dispatch_ledger.hpp"
+#include "platform/table.hpp"
 #include "policy/adaptive_limit.hpp"
 #include "policy/cost_estimator.hpp"
 #include "sidecar/backend_monitor.hpp"
@@ -28,6 +29,7 @@
     boost::asio::strand<boost::asio::any_io_executor> strand;
     timer_service& timers;
     const sidecar_settings& settings;
+    platform::table& table;
     configuration::configuration_follower& configuration;
     audit::recorder& audit;
     sidecar_metrics& metrics;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -2,7 +2,15 @@
 #include "sidecar/sidecar_core.hpp"
 
 #include "base/log.hpp"
+#include "configuration/revision_rows.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <string>
 #include <type_traits>
 #include <utility>
 
@@ -14,6 +22,9 @@
 
 /// Grants lapse and deadlines are noticed this late at most.
 constexpr std::chrono::milliseconds tick_period{20};
+/// A tick that is this late means that the process stood still, not that it was busy.
+constexpr std::chrono::milliseconds freeze_threshold{1000};
+constexpr std::chrono::milliseconds verification_pause{100};
 
 } // namespace
 
@@ -28,6 +39,7 @@
 }
 
 void sidecar_core::receive(connection_id connection, wire::envelope received) {
+    notice_freeze();
     follow_revision(connection, received.revision);
     handle(connection, std::move(received.content));
 }
@@ -53,6 +65,7 @@
                 send_configuration(connection);
             } else if constexpr (std::is_same_v<type, wire::configuration_reply_message>) {
                 m_context.configuration.take_from_peer(message.revision, message.text);
+                finish_verification(m_verification);
             } else if constexpr (std::is_same_v<type, wire::crash_mark_message>) {
                 m_context.marks.take(message.fingerprint,
                                      {wire::from_wire(message.mark), message.backend_server, 0});
@@ -105,7 +118,57 @@
     m_offers.review();
 }
 
+/// A process that was stopped wakes with what it knew before: meanwhile a newer revision may have taken its
+/// backend server out of use. Noticed by a tick that comes late, before anything is decided: otherwise a
+/// start that had waited in the socket would run under a revision that is no longer in force.
+void sidecar_core::notice_freeze() {
+    const auto now = steady_clock::now();
+    const auto silence = now - m_last_seen;
+    m_last_seen = now;
+    if (silence < freeze_threshold) {
+        return;
+    }
+    const auto lost = std::chrono::duration_cast<std::chrono::milliseconds>(silence);
+    log::warning("frozen", {{"milliseconds", std::to_string(lost.count())}});
+    m_offers.hold(true);
+    ++m_verification;
+    wire::configuration_request_message request;
+    request.known_revision = m_context.configuration.revision();
+    m_context.peers.send_to_all(request);
+    boost::asio::co_spawn(m_context.strand, verify_revision(m_verification), boost::asio::detached);
+}
+
+/// Reads the head until an answer comes. A peer's answer ends the wait as well, so an outage of the platform
+/// doesn't keep a thawed sidecar out of work.
+boost::asio::awaitable<void> sidecar_core::verify_revision(std::uint64_t verification) {
+    boost::asio::steady_timer pause(m_context.strand);
+    while (m_verification == verification && m_verified != verification) {
+        try {
+            const auto head = co_await m_context.table.read(configuration::head_key);
+            const auto named = head ? configuration::decode_head(head->value).revision : 0;
+            if (named <= m_context.configuration.revision()) {
+                finish_verification(verification);
+                co_return;
+            }
+            m_context.configuration.poll_soon();
+        } catch (const std::exception&) {
+            // The platform is out: tried again.
+        }
+        pause.expires_after(verification_pause);
+        boost::system::error_code ignored;
+        co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+void sidecar_core::finish_verification(std::uint64_t verification) {
+    if (m_verification == verification) {
+        m_verified = verification;
+        m_offers.hold(false);
+    }
+}
+
 void sidecar_core::tick() {
+    notice_freeze();
     const auto now = steady_clock::now();
     m_offers.tick();
     m_context.store.forget_old(now);
@@ -124,7 +187,10 @@
 }
 
 void sidecar_core::finish_leaving() {
-    if (!m_left || m_context.store.running_count() > 0 || m_context.store.kept_count() > 0) {
+    if (!m_left || m_context.store.running_count() > 0) {
+        return;
+    }
+    if (m_context.store.has_undelivered(m_context.settings.resend_grace, steady_clock::now())) {
         return;
     }
     std::exchange(m_left, {})();
--- a/src/sidecar/sidecar_core.hpp
+++ b/src/sidecar/sidecar_core.hpp
@@ -39,12 +39,18 @@
     void follow_revision(connection_id connection, std::uint64_t peer_revision);
     void send_configuration(connection_id connection);
     void tick();
+    void notice_freeze();
+    boost::asio::awaitable<void> verify_revision(std::uint64_t verification);
+    void finish_verification(std::uint64_t verification);
     void finish_leaving();
 
     sidecar_context& m_context;
     dispatch_manager m_dispatches;
     offer_scheduler m_offers;
     timer_subscription m_tick;
+    time_point m_last_seen = std::chrono::steady_clock::now();
+    std::uint64_t m_verification = 0; ///< counts the freezes
+    std::uint64_t m_verified = 0;     ///< the last of them after which the revision was verified
     bool m_is_leaving = false;
     std::function<void()> m_left;
 };
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -102,9 +102,9 @@
       m_peers(m_strand, m_runtime.timers(),
               {m_settings.common.heartbeat_period, m_settings.common.silence_limit, handshake_limit},
               m_settings.peer_connections, make_peer_callbacks()),
-      m_context{m_strand, m_runtime.timers(), m_settings, m_configuration, m_audit, m_metrics,
-                m_peers,  m_ledger,           m_store,    m_limit,         m_costs, m_prefixes,
-                m_marks,  m_monitor},
+      m_context{m_strand, m_runtime.timers(), m_settings, m_table, m_configuration, m_audit,    m_metrics,
+                m_peers,  m_ledger,           m_store,    m_limit, m_costs,         m_prefixes, m_marks,
+                m_monitor},
       m_core(m_context, m_server, m_runtime.incarnation()),
       m_status_server(
           m_runtime.executor(), {},
@@ -237,7 +237,7 @@
 void sidecar_process::finish() {
     m_monitor.stop();
     m_marks.stop();
-    m_peers.close_all("stopped");
+    // Connections stay open meanwhile, so that the last messages are written.
     m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
 }
 
