Order the engine under a fencing number and a lease

Only one sidecar may order an engine, and some engines obey any number. The row fencing/BACKEND_SERVER names the holder; a lease is counted from before the write that took it, each order gets less time than is left, and where the engine doesn't check numbers a newcomer waits the former holder's lease out after taking the row. A holder that has nothing left to order releases it, so replacements in normal running wait for nothing.

A renewal every few seconds at each sidecar was ruled out: 350 of them would take about a hundred writes a second of the table for nothing.

Offers for models that the engine hasn't loaded are refused.

--- a/src/backend/model_engine.cpp
+++ b/src/backend/model_engine.cpp
@@ -148,6 +148,8 @@
     for (const auto& item : read_array(answer, "adapters")) {
         if (item.is_string()) {
             now.adapters.emplace_back(item.get_string());
+        } else if (item.is_object()) {
+            now.adapters.push_back(read_text(item.get_object(), "name"));
         }
     }
     now.role = read_text(answer, "role");
--- /dev/null
+++ b/src/sidecar/engine_plan.cpp
@@ -0,0 +1,60 @@
+// Planning orders.
+#include "sidecar/engine_plan.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace borageford::sidecar {
+namespace {
+
+using backend::order_kind;
+
+bool has_name(const std::vector<std::string>& names, const std::string& name) {
+    return std::ranges::find(names, name) != names.end();
+}
+
+const backend::loaded_model* find_loaded(const backend::engine_state& now, const std::string& name) {
+    const auto found = std::ranges::find(now.models, name, &backend::loaded_model::name);
+    return found == now.models.end() ? nullptr : &*found;
+}
+
+void plan_models(const configuration::configuration& wanted, const configuration::backend_server& server,
+                 const backend::engine_state& now, std::vector<backend::order>& orders) {
+    for (const auto& name : server.models) {
+        const auto* model = wanted.find_model(name);
+        const auto* loaded = find_loaded(now, name);
+        if (model != nullptr && (loaded == nullptr || loaded->version != model->version)) {
+            orders.push_back({0, order_kind::load_model, name, model->version});
+        }
+    }
+    for (const auto& name : server.adapters) {
+        if (!has_name(now.adapters, name)) {
+            orders.push_back({0, order_kind::load_adapter, name, {}});
+        }
+    }
+    for (const auto& name : now.adapters) {
+        if (!has_name(server.adapters, name)) {
+            orders.push_back({0, order_kind::unload_adapter, name, {}});
+        }
+    }
+    for (const auto& loaded : now.models) {
+        if (!has_name(server.models, loaded.name)) {
+            orders.push_back({0, order_kind::unload_model, loaded.name, loaded.version});
+        }
+    }
+}
+
+} // namespace
+
+std::vector<backend::order> plan_orders(const configuration::configuration& wanted,
+                                        const configuration::backend_server& server,
+                                        const backend::engine_state& now) {
+    std::vector<backend::order> orders;
+    if (!server.role.empty() && server.role != now.role) {
+        orders.push_back({0, order_kind::set_role, server.role, {}});
+    }
+    plan_models(wanted, server, now, orders);
+    return orders;
+}
+
+} // namespace borageford::sidecar
--- /dev/null
+++ b/src/sidecar/fencing_lease.cpp
@@ -0,0 +1,134 @@
+// Taking, renewing and releasing the right to order.
+#include "sidecar/fencing_lease.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+namespace borageford::sidecar {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::steady_clock;
+
+} // namespace
+
+std::string encode_fencing(const fencing_row& row) {
+    return json::serialize(json::object{{"number", row.number},
+                                        {"holder", row.holder.to_string()},
+                                        {"lease_ms", row.lease.count()},
+                                        {"released", row.is_released},
+                                        {"writes", row.writes}});
+}
+
+fencing_row decode_fencing(std::string_view value) {
+    try {
+        const auto parsed = json::parse({value.data(), value.size()});
+        fencing_row row;
+        row.number = parsed.at("number").to_number<std::uint64_t>();
+        row.holder = identifier::parse(std::string(parsed.at("holder").as_string())).value();
+        row.lease = std::chrono::milliseconds(parsed.at("lease_ms").to_number<std::int64_t>());
+        row.is_released = parsed.at("released").as_bool();
+        row.writes = parsed.at("writes").to_number<std::uint64_t>();
+        return row;
+    } catch (const std::exception& error) {
+        throw std::invalid_argument(std::string("not a row of a fencing number: ") + error.what());
+    }
+}
+
+fencing_lease::fencing_lease(platform::table& table, std::string_view backend_server, identifier incarnation,
+                             std::chrono::milliseconds lease)
+    : m_table(table),
+      m_key("fencing/" + std::string(backend_server)),
+      m_incarnation(incarnation),
+      m_lease(lease) {}
+
+policy::duration fencing_lease::time_left(policy::time_point now) const noexcept {
+    return now < m_valid_from ? policy::duration::zero()
+                              : std::max(policy::duration::zero(), m_valid_until - now);
+}
+
+asio::awaitable<std::optional<policy::duration>> fencing_lease::take(bool is_waited_out) {
+    const auto row = co_await m_table.read(m_key);
+    const auto version = row ? row->version : 0;
+    const auto held = row ? decode_fencing(row->value) : fencing_row{};
+    const bool is_own = row && held.holder == m_incarnation;
+    const bool is_free = !row || held.is_released || is_own;
+    // From before the write: the row may take effect any time between now and the answer, and whoever waits
+    // this lease out counts from when it sees the write.
+    const auto asked = steady_clock::now();
+    if (!is_free && m_number != 0 && must_respect(held, version, asked)) {
+        co_return std::nullopt;
+    }
+    fencing_row next;
+    next.number = is_own && !held.is_released ? held.number : held.number + 1;
+    next.holder = m_incarnation;
+    next.lease = m_lease;
+    next.writes = held.writes + 1;
+    if (!co_await write(next, version)) {
+        co_return std::nullopt;
+    }
+    m_number = next.number;
+    const auto wait = is_free || !is_waited_out ? policy::duration::zero() : policy::duration(held.lease);
+    m_valid_from = std::max(m_valid_from, steady_clock::now() + wait);
+    m_valid_until = asked + m_lease;
+    co_return wait;
+}
+
+/// Who was displaced leaves the row to the newer holder while that one goes on writing it: taking it back
+/// would set the two of them ordering against each other for ever.
+bool fencing_lease::must_respect(const fencing_row& held, std::uint64_t version, policy::time_point now) {
+    if (m_seen_version != version) {
+        m_seen_version = version;
+        m_seen_since = now;
+    }
+    return now - m_seen_since < held.lease;
+}
+
+asio::awaitable<bool> fencing_lease::write(const fencing_row& next, std::uint64_t version) {
+    const auto value = encode_fencing(next);
+    platform::transaction changes;
+    changes.conditions.push_back({m_key, version});
+    changes.puts.push_back({m_key, value});
+    bool is_lost = false;
+    try {
+        const auto result = co_await m_table.transact(changes);
+        co_return result.committed;
+    } catch (const platform::platform_error& error) {
+        if (error.possible_effect() == platform::effect::none) {
+            throw;
+        }
+        is_lost = true;
+    }
+    // The answer was lost: the row says whether the write took effect.
+    const auto row = co_await m_table.read(m_key);
+    co_return is_lost&& row && row->value == value;
+}
+
+asio::awaitable<void> fencing_lease::release() {
+    if (m_number == 0) {
+        co_return;
+    }
+    m_valid_until = {}; // before anyone can learn of it
+    try {
+        const auto row = co_await m_table.read(m_key);
+        if (!row) {
+            co_return;
+        }
+        auto held = decode_fencing(row->value);
+        if (held.holder != m_incarnation || held.is_released) {
+            co_return;
+        }
+        held.is_released = true;
+        ++held.writes;
+        co_await write(held, row->version);
+    } catch (const std::exception&) {
+        // Whoever comes next waits the lease out.
+    }
+}
+
+} // namespace borageford::sidecar
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -107,7 +107,7 @@
     if (server->drained) {
         return error_kind::draining;
     }
-    if (!m_context.monitor.is_up()) {
+    if (!m_context.monitor.is_up() || (!request.is_service && !m_context.models.has(request.target))) {
         return error_kind::no_backend_server;
     }
     if (m_context.marks.count(request.fingerprint) >= quarantine_marks) {
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -11,6 +11,7 @@
 #include "sidecar/backend_monitor.hpp"
 #include "sidecar/crash_marks.hpp"
 #include "sidecar/dispatch_store.hpp"
+#include "sidecar/loaded_models.hpp"
 #include "sidecar/peer_registry.hpp"
 #include "sidecar/prefix_memory.hpp"
 #include "sidecar/sidecar_metrics.hpp"
@@ -39,6 +40,7 @@
     policy::adaptive_limit& limit;
     policy::cost_estimator& costs;
     prefix_memory& prefixes;
+    loaded_models& models;
     crash_marks& marks;
     backend_monitor& monitor;
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -32,9 +32,11 @@
                            const identifier& own_incarnation)
     : m_context(context),
       m_dispatches(context, server, own_incarnation, [this] { m_offers.grant_room(); }),
-      m_offers(context, m_dispatches) {}
+      m_offers(context, m_dispatches),
+      m_orders(context, server, own_incarnation, [this] { m_offers.review(); }) {}
 
 void sidecar_core::start() {
+    m_orders.start();
     m_tick = m_context.timers.every(m_context.strand, tick_period, [this] { tick(); });
 }
 
@@ -51,7 +53,7 @@
             if constexpr (std::is_same_v<type, wire::offer_message>) {
                 m_offers.take(connection, message);
             } else if constexpr (std::is_same_v<type, wire::start_message>) {
-                m_offers.start(connection, std::move(message));
+                m_offers.start(connection, std::forward<decltype(message)>(message));
             } else if constexpr (std::is_same_v<type, wire::withdraw_message>) {
                 m_offers.withdraw(message);
             } else if constexpr (std::is_same_v<type, wire::attach_message>) {
@@ -106,14 +108,17 @@
         m_context.limit.set_slots(server->slots);
     }
     m_offers.review();
+    m_orders.compare_soon();
 }
 
 void sidecar_core::backend_came_up() {
+    m_orders.compare_soon();
     m_offers.grant_room();
 }
 
 void sidecar_core::backend_went_down() {
     m_context.prefixes.clear();
+    m_context.models.forget();
     m_dispatches.choose_suspects();
     m_offers.review();
 }
--- a/src/sidecar/sidecar_core.hpp
+++ b/src/sidecar/sidecar_core.hpp
@@ -5,6 +5,7 @@
 #include "backend/backend_server.hpp"
 #include "sidecar/dispatch_manager.hpp"
 #include "sidecar/offer_scheduler.hpp"
+#include "sidecar/order_controller.hpp"
 #include "sidecar/sidecar_context.hpp"
 
 #include <functional>
@@ -31,6 +32,9 @@
     /// have been acknowledged or given up.
     void leave(std::function<void()> done);
 
+    /// Gives no more orders; the lease is free for whoever comes next.
+    boost::asio::awaitable<void> stop_orders() { return m_orders.stop(); }
+
     [[nodiscard]] bool is_leaving() const noexcept { return m_is_leaving; }
     [[nodiscard]] std::unique_ptr<wire::load_report_message> make_load_report() const;
 
@@ -47,6 +51,7 @@
     sidecar_context& m_context;
     dispatch_manager m_dispatches;
     offer_scheduler m_offers;
+    order_controller m_orders;
     timer_subscription m_tick;
     time_point m_last_seen = std::chrono::steady_clock::now();
     std::uint64_t m_verification = 0; ///< counts the freezes
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -8,6 +8,7 @@
 #include "process/runtime.hpp"
 #include "sidecar/sidecar_core.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -74,12 +75,14 @@
     policy::adaptive_limit m_limit;
     policy::cost_estimator m_costs;
     prefix_memory m_prefixes;
+    loaded_models m_models;
     crash_marks m_marks;
     peer_registry m_peers;
     sidecar_context m_context;
     sidecar_core m_core;
     http::server m_status_server;
     std::atomic<bool> m_is_leaving = false;
+    std::atomic<bool> m_is_service = false;
 };
 
 sidecar_process::sidecar_process(sidecar_settings settings)
@@ -103,8 +106,8 @@
               {m_settings.common.heartbeat_period, m_settings.common.silence_limit, handshake_limit},
               m_settings.peer_connections, make_peer_callbacks()),
       m_context{m_strand, m_runtime.timers(), m_settings, m_table, m_configuration, m_audit,    m_metrics,
-                m_peers,  m_ledger,           m_store,    m_limit, m_costs,         m_prefixes, m_marks,
-                m_monitor},
+                m_peers,  m_ledger,           m_store,    m_limit, m_costs,         m_prefixes, m_models,
+                m_marks,  m_monitor},
       m_core(m_context, m_server, m_runtime.incarnation()),
       m_status_server(
           m_runtime.executor(), {},
@@ -194,6 +197,7 @@
         return;
     }
     const auto is_engine = server->kind == configuration::backend_kind::engine;
+    m_is_service = !is_engine;
     if (is_engine == m_server.is_engine()) {
         return;
     }
@@ -223,7 +227,8 @@
 }
 
 bool sidecar_process::is_ready() const {
-    return m_monitor.is_up() && m_configuration.revision() > 0 && !m_is_leaving.load();
+    return m_monitor.is_up() && m_configuration.revision() > 0 && !m_is_leaving.load() &&
+           (m_models.is_asked() || m_is_service.load());
 }
 
 /// Nothing that runs is cut: peers learn at once that no new work is taken, and the process ends when the
@@ -238,7 +243,9 @@
     m_monitor.stop();
     m_marks.stop();
     // Connections stay open meanwhile, so that the last messages are written.
-    m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
+    asio::co_spawn(m_strand, m_core.stop_orders(), [this](const std::exception_ptr&) {
+        m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
+    });
 }
 
 } // namespace
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -51,6 +51,7 @@
     out.order_period = reader.duration("order_period", out.order_period, shortest, longest);
     out.order_timeout = reader.duration("order_timeout", out.order_timeout, shortest, longest);
     out.order_lease = reader.duration("order_lease", out.order_lease, shortest, longest);
+    out.load_spread = reader.duration("load_spread", out.load_spread, milliseconds(0), longest);
     out.mark_limit = reader.duration("mark_limit", out.mark_limit, shortest, longest);
     out.mark_lifetime = reader.duration("mark_lifetime", out.mark_lifetime, shortest, longest_lifetime);
     if (out.order_timeout >= out.order_lease) {
--- a/src/sidecar/sidecar_settings.hpp
+++ b/src/sidecar/sidecar_settings.hpp
@@ -42,6 +42,7 @@
     std::chrono::milliseconds order_period{1000};  ///< between comparisons of what is wanted with what is
     std::chrono::milliseconds order_timeout{3000}; ///< one order
     std::chrono::milliseconds order_lease{10'000}; ///< for engines that don't check fencing numbers
+    std::chrono::milliseconds load_spread{2000};   ///< loads wait for a random part of it
     std::chrono::milliseconds mark_limit{500};     ///< for writing a crash mark before a failure is told
     std::chrono::milliseconds mark_lifetime{3'600'000}; ///< how long a crash mark counts
 };
