--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -8,6 +8,7 @@
 #include "process/runtime.hpp"
 #include "sidecar/sidecar_core.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -29,7 +30,7 @@
 constexpr std::chrono::milliseconds handshake_limit{2000};
 constexpr std::chrono::milliseconds last_flush_limit{2000};
 /// Marks are rare and told between peers at once; the table is only read for those that were missed.
-constexpr int mark_read_periods = 10;
+constexpr int mark_read_periods = 5;
 constexpr std::size_t prefix_blocks = 200'000;
 
 store_limits make_store_limits(const sidecar_settings& settings) {
@@ -74,12 +75,14 @@
     policy::adaptive_limit m_limit;
     policy::cost_estimator m_costs;
     prefix_memory m_prefixes;
+    loaded_models m_models;
     crash_marks m_marks;
     peer_registry m_peers;
     sidecar_context m_context;
     sidecar_core m_core;
     http::server m_status_server;
     std::atomic<bool> m_is_leaving = false;
+    std::atomic<bool> m_is_service = false;
 };
 
 sidecar_process::sidecar_process(sidecar_settings settings)
@@ -98,12 +101,12 @@
       m_store(make_store_limits(m_settings)),
       m_limit({}),
       m_prefixes(prefix_blocks),
-      m_marks(m_strand, m_runtime.timers(), m_table, m_settings.backend_server),
+      m_marks(m_strand, m_runtime.timers(), m_table, m_settings.backend_server, m_settings.mark_lifetime),
       m_peers(m_strand, m_runtime.timers(),
               {m_settings.common.heartbeat_period, m_settings.common.silence_limit, handshake_limit},
               m_settings.peer_connections, make_peer_callbacks()),
-      m_context{m_strand, m_runtime.timers(), m_settings, m_configuration, m_audit, m_metrics,
-                m_peers,  m_ledger,           m_store,    m_limit,         m_costs, m_prefixes,
+      m_context{m_strand, m_runtime.timers(), m_settings, m_table, m_configuration, m_audit,    m_metrics,
+                m_peers,  m_ledger,           m_store,    m_limit, m_costs,         m_prefixes, m_models,
                 m_marks,  m_monitor},
       m_core(m_context, m_server, m_runtime.incarnation()),
       m_status_server(
@@ -194,6 +197,7 @@
         return;
     }
     const auto is_engine = server->kind == configuration::backend_kind::engine;
+    m_is_service = !is_engine;
     if (is_engine == m_server.is_engine()) {
         return;
     }
@@ -223,7 +227,8 @@
 }
 
 bool sidecar_process::is_ready() const {
-    return m_monitor.is_up() && m_configuration.revision() > 0 && !m_is_leaving.load();
+    return m_monitor.is_up() && m_configuration.revision() > 0 && !m_is_leaving.load() &&
+           (m_models.is_asked() || m_is_service.load());
 }
 
 /// Nothing that runs is cut: peers learn at once that no new work is taken, and the process ends when the
@@ -237,8 +242,10 @@
 void sidecar_process::finish() {
     m_monitor.stop();
     m_marks.stop();
-    m_peers.close_all("stopped");
-    m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
+    // Connections stay open meanwhile, so that the last messages are written.
+    asio::co_spawn(m_strand, m_core.stop_orders(), [this](const std::exception_ptr&) {
+        m_audit.flush(last_flush_limit, [this] { m_runtime.finish(); });
+    });
 }
 
 } // namespace
