--- /dev/null
+++ b/tests/load/load_plan.cpp
@@ -0,0 +1,153 @@
+// Poisson arrivals over chapters that are used several times, drawn from one seeded generator.
+#include "load/load_plan.hpp"
+
+#include "base/hash.hpp"
+#include "support/answer_text.hpp"
+
+#include <array>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <span>
+
+namespace borageford::test {
+namespace {
+
+constexpr double bytes_per_token = 4;
+constexpr std::size_t open_chapters = 40; ///< of one workspace, that further tasks are about
+constexpr std::size_t preamble_bytes = 640;
+
+/// Two workspaces are large.
+constexpr std::array<double, workspace_count> workspace_weights{0.4, 0.3, 0.12, 0.1, 0.08};
+constexpr std::array<double, tier_count> tier_weights{0.15, 0.25, 0.3, 0.3};
+
+struct task {
+    std::string_view instruction;
+    double notes_share; ///< its output against that of beta notes
+};
+constexpr std::array<task, 3> tasks{task{"Summarise the chapter for its page.", 0.25},
+                                    task{"Suggest tags for the chapter.", 0.1},
+                                    task{"Write beta-reading notes for the author.", 1.0}};
+
+class plan_maker {
+public:
+    explicit plan_maker(const load_options& options) : m_options(options), m_random(options.seed) {}
+
+    load_plan make() {
+        load_plan plan;
+        double now = 0;
+        while (true) {
+            now += next_gap(now);
+            if (now >= m_options.seconds) {
+                return plan;
+            }
+            add_request(plan, now);
+        }
+    }
+
+private:
+    struct chapter {
+        std::string text;
+        std::size_t used = 0;
+    };
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    unsigned pick(std::span<const double> weights) {
+        return static_cast<unsigned>(
+            std::discrete_distribution<int>(weights.begin(), weights.end())(m_random));
+    }
+
+    /// Between the bounds, long values rare and large.
+    double pareto(double least, double most, double exponent) {
+        const double low = std::pow(least, -exponent);
+        const double high = std::pow(most, -exponent);
+        return std::pow(low - uniform() * (low - high), -1 / exponent);
+    }
+
+    double next_gap(double now) {
+        const auto& burst = m_options.burst;
+        const bool in_burst = now >= burst.begins && now < burst.begins + burst.lasts;
+        const double rate = m_options.requests_per_second * (in_burst ? burst.factor : 1);
+        return std::exponential_distribution<double>(rate)(m_random);
+    }
+
+    /// Text that nothing else in the plan shares a block with.
+    std::string make_text(std::string_view name, std::size_t bytes) {
+        std::string text(name);
+        text += ' ';
+        std::uint64_t state = hash_bytes(name, m_options.seed);
+        while (text.size() < bytes) {
+            state = hash_bytes(std::string_view(reinterpret_cast<const char*>(&state), sizeof state));
+            text += to_hex(state).substr(0, 4 + state % 8);
+            text += ' ';
+        }
+        text.resize(bytes);
+        return text;
+    }
+
+    chapter& choose_chapter(unsigned workspace) {
+        auto& open = m_chapters.at(workspace);
+        if (open.empty() || uniform() < m_options.new_chapter_share) {
+            const double tokens =
+                pareto(m_options.shortest_chapter, m_options.longest_chapter, m_options.chapter_tail);
+            const auto name = "Chapter " + std::to_string(++m_chapter_count);
+            open.push_back({make_text(name, static_cast<std::size_t>(tokens * bytes_per_token))});
+            if (open.size() > open_chapters) {
+                open.pop_front();
+            }
+            return open.back();
+        }
+        return open.at(static_cast<std::size_t>(uniform() * static_cast<double>(open.size())));
+    }
+
+    void add_request(load_plan& plan, double now) {
+        planned_request request;
+        request.at = now;
+        request.workspace = pick(workspace_weights);
+        request.tier = pick(tier_weights);
+        request.entry = static_cast<unsigned>(m_random());
+        auto& about = choose_chapter(request.workspace);
+        const auto& chosen = tasks.at(static_cast<std::size_t>(uniform() * tasks.size()));
+        const double notes = pareto(m_options.shortest_notes, m_options.longest_notes, m_options.notes_tail);
+        request.output_tokens = std::max(8U, static_cast<unsigned>(notes * chosen.notes_share));
+        request.loses_connection = uniform() < m_options.lost_connection_share;
+
+        const auto preamble =
+            make_text("Instructions of workspace " + std::to_string(request.workspace), preamble_bytes);
+        const auto last_words =
+            std::string(chosen.instruction) + " Request " + std::to_string(plan.requests.size()) + ".";
+        request.prompt_bytes = preamble.size() + about.text.size() + last_words.size() + role_bytes;
+        request.body = R"({"model":"pluma","stream":true,"max_tokens":)" +
+                       std::to_string(request.output_tokens) +
+                       R"(,"messages":[{"role":"system","content":")" + preamble +
+                       R"("},{"role":"user","content":")" + about.text + "\\n" + last_words + R"("}]})";
+
+        auto& summary = plan.summary;
+        const double prompt_tokens = static_cast<double>(request.prompt_bytes) / bytes_per_token;
+        summary.prompt_tokens += prompt_tokens;
+        summary.fresh_prompt_tokens += about.used > 0
+                                           ? static_cast<double>(last_words.size()) / bytes_per_token
+                                           : prompt_tokens - preamble_bytes / bytes_per_token;
+        summary.output_tokens += request.output_tokens;
+        ++summary.requests;
+        ++about.used;
+        plan.requests.push_back(std::move(request));
+    }
+
+    /// "system", "user" and the line ends around the messages.
+    static constexpr std::size_t role_bytes = 15;
+
+    load_options m_options;
+    std::mt19937_64 m_random;
+    std::array<std::deque<chapter>, workspace_count> m_chapters;
+    std::size_t m_chapter_count = 0;
+};
+
+} // namespace
+
+load_plan make_load_plan(const load_options& options) {
+    return plan_maker(options).make();
+}
+
+} // namespace borageford::test
