Let entries learn cached prefixes from starts and from sidecars' replies

A reply to an offer names the last block of the offered prompt that the engine has cached, so that the engines' cache events reach every entry that asks, with no message more. The second home is now asked 60 ms after the first: asked at once, both grant about equally often and each prefix is prefilled twice.

--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -6,6 +6,7 @@
 #include "entry/claim_store.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/entry_settings.hpp"
+#include "entry/prefix_book.hpp"
 #include "entry/server_directory.hpp"
 
 #include <atomic>
@@ -22,6 +23,7 @@
     entry_metrics& metrics;
     audit::recorder& audit;
     std::atomic<std::uint64_t> placements = 0; ///< made by this entry so far
+    prefix_book prefixes{};
 };
 
 } // namespace borageford::entry
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -1,10 +1,12 @@
 // Waves of offers.
 #include "entry/offer_round.hpp"
 
+#include "base/hash.hpp"
 #include "base/request_error.hpp"
 #include "entry/request_run.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace borageford::entry {
@@ -17,7 +19,6 @@
 
 /// The block whose hash names a prompt's home: far enough in to tell chapters apart that begin with the same
 /// instructions, early enough for short prompts.
-constexpr std::size_t home_block = 3;
 constexpr milliseconds default_retry{1000};
 
 std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
@@ -31,7 +32,7 @@
 }
 
 std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers,
-                                                  const call& request) {
+                                                  std::span<const policy::prefix_holder> holders) {
     const auto now = steady_clock::now();
     std::vector<policy::placement_candidate> described;
     described.reserve(servers.size());
@@ -42,7 +43,8 @@
         entry.region = server.region;
         entry.load = load_for_policy(*server.link, now);
         entry.own_requests_since = server.link->sent_since_report();
-        entry.own_prompt_tokens_since = std::uint64_t{entry.own_requests_since} * request.prompt_tokens;
+        const auto holder = std::ranges::find(holders, server.name_hash, &policy::prefix_holder::server);
+        entry.cached_tokens = holder == holders.end() ? 0 : holder->tokens;
         described.push_back(entry);
     }
     return described;
@@ -80,9 +82,7 @@
     const auto& hashes = m_call.prefix_hashes;
     const auto& common = m_context.settings.common;
     policy::placement_request request;
-    if (!hashes.empty()) {
-        request.home_key = hashes.at(std::min(home_block, hashes.size() - 1));
-    }
+    request.home_key = m_context.prefixes.home_key(hashes);
     request.prompt_tokens = m_call.prompt_tokens;
     request.tier = m_call.tier->rank;
     request.first_token_target = m_call.tier->first_token_target;
@@ -90,7 +90,7 @@
     request.region = common.region;
     request.sequence = m_context.placements++;
     request.seed = m_call.id.low;
-    m_plan = policy::plan_placement(m_context.settings.placement, request, describe(m_candidates, m_call));
+    m_plan = policy::plan_placement(m_context.settings.placement, request, describe(m_candidates, m_context.prefixes.find_holders(hashes)));
 }
 
 asio::awaitable<place> offer_round::find_place() {
@@ -195,6 +195,12 @@
 std::optional<place> offer_round::take_reply(const wire::offer_reply_message& reply) {
     const auto dispatch = wire::from_wire(reply.dispatch);
     const auto found = m_open_offers.find(dispatch);
+    if (found != m_open_offers.end() && reply.load != nullptr) {
+        const auto& cached = reply.load->cached_prefixes;
+        m_context.prefixes.record_reply(m_call.prefix_hashes,
+                                        cached.empty() ? std::nullopt : std::optional(cached.back()),
+                                        hash_bytes(found->second.backend_server));
+    }
     if (found == m_open_offers.end() || reply.verdict == wire::offer_verdict::queued) {
         return std::nullopt;
     }
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,6 +1,8 @@
 // One request from its offers to the end of its answer.
 #include "entry/request_run.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -155,6 +157,7 @@
     start.content_type = m_call.content_type;
     start.body.assign(m_call.body.begin(), m_call.body.end());
     start.streamed = m_call.is_streamed;
+    m_context.prefixes.record_start(m_call.prefix_hashes, hash_bytes(place.backend_server));
     m_context.metrics.started();
     m_context.metrics.queue_wait(m_call, steady_clock::now() - m_call.received);
     record(audit::event::started, *m_started);
--- a/src/policy/late_binding.cpp
+++ b/src/policy/late_binding.cpp
@@ -49,12 +49,11 @@
     return is_measured ? candidate.load->prefill_tokens_per_second : mean;
 }
 
-double wait_of(const placement_candidate& candidate, double prefill_rate) {
-    double wait = unknown_wait_seconds;
+double wait_of(const placement_candidate& candidate) {
     if (candidate.load && candidate.load->age < oldest_report) {
-        wait = to_seconds(candidate.load->expected_wait);
+        return to_seconds(candidate.load->expected_wait);
     }
-    return wait + static_cast<double>(candidate.own_prompt_tokens_since) / prefill_rate;
+    return unknown_wait_seconds;
 }
 
 std::vector<assessed_candidate> assess(const placement_request& request,
@@ -73,7 +72,7 @@
         result.index = index;
         result.is_own_region = candidate.region == request.region;
         result.fits_target = prefill_seconds <= prefill_share * to_seconds(request.first_token_target);
-        result.wait_seconds = wait_of(candidate, rate);
+        result.wait_seconds = wait_of(candidate);
         result.first_token_seconds =
             result.wait_seconds + prefill_seconds + (is_own_domain ? 0 : other_domain_seconds);
         if (request.home_key) {
@@ -143,10 +142,8 @@
     }
     auto assessed = assess(request, candidates, m_settings.prefill_share);
     const std::size_t homes = request.home_key ? choose_homes(assessed, m_settings) : 0;
-    const bool is_held = homes > 0 && assessed.front().holds_prefix;
     for (std::size_t place = 0; place < homes; ++place) {
-        const bool waits = is_held && !assessed[place].holds_prefix;
-        plan.offers.push_back({assessed[place].index, waits ? m_settings.second_home_delay : duration{}});
+        plan.offers.push_back({assessed[place].index, place * m_settings.next_home_delay});
     }
     const auto others = std::span(assessed).subspan(homes);
     order_others(others, m_settings.sampled, request.seed);
--- a/src/policy/late_binding.hpp
+++ b/src/policy/late_binding.hpp
@@ -7,9 +7,9 @@
 
 struct late_binding_settings {
     std::size_t homes = 2;
-    /// A home that isn't believed to hold the prefix is asked this much after one that is: it would have
-    /// to prefill again what the other has cached.
-    duration second_home_delay = std::chrono::milliseconds(60);
+    /// Each further home is asked this much after the one before it: asked at once, both would grant about
+    /// equally often, and every prefix would be prefilled twice.
+    duration next_home_delay = std::chrono::milliseconds(60);
     /// Others are asked this long after the homes, in groups that double.
     duration others_delay = std::chrono::milliseconds(150);
     std::size_t first_group = 2;
--- a/src/policy/placement_values.hpp
+++ b/src/policy/placement_values.hpp
@@ -31,7 +31,6 @@
     std::optional<reported_load> load; ///< nothing until a first report came
     /// This entry's own offers there that were granted or still wait, made since that report.
     std::uint32_t own_requests_since = 0;
-    std::uint64_t own_prompt_tokens_since = 0;
     /// Tokens at the start of this prompt that are believed cached there (prefix_index); a hint.
     std::uint32_t cached_tokens = 0;
 };
--- a/src/policy/prefix_index.cpp
+++ b/src/policy/prefix_index.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+void prefix_index::record_cached(std::span<const std::uint64_t> hashes, std::size_t blocks,
+                                 std::uint64_t server, time_point now) {
+    const auto held = hashes.first(std::min(blocks, hashes.size()));
+    record_stored(held, server, now);
+    // The first block that isn't held ends the prefix, whatever is believed of those after it.
+    record_evicted(hashes.subspan(held.size()).first(held.size() < hashes.size() ? 1 : 0), server);
+}
+
 void prefix_index::record_gap(std::uint64_t server, time_point now) {
     m_doubts[server].gap = now;
 }
--- a/src/policy/prefix_index.hpp
+++ b/src/policy/prefix_index.hpp
@@ -56,6 +56,10 @@
     void record_stored(std::span<const std::uint64_t> hashes, std::uint64_t server, time_point now);
     void record_evicted(std::span<const std::uint64_t> hashes, std::uint64_t server);
 
+    /// The server's sidecar says how many of the prompt's first blocks are cached there, no more and no less.
+    void record_cached(std::span<const std::uint64_t> hashes, std::size_t blocks, std::uint64_t server,
+                       time_point now);
+
     /// Some of the server's events were missed.
     void record_gap(std::uint64_t server, time_point now);
 
--- a/tests/load/caller.cpp
+++ b/tests/load/caller.cpp
@@ -47,7 +47,7 @@
 }
 
 std::string kind_in(std::string_view body) {
-    constexpr std::string_view key = R"("kind":")";
+    constexpr std::string_view key = R"("code":")";
     const auto found = body.find(key);
     if (found == std::string_view::npos) {
         return "none";
--- a/tests/unit/test_policy_placement.cpp
+++ b/tests/unit/test_policy_placement.cpp
@@ -78,7 +78,7 @@
     }
 }
 
-TEST_CASE("late binding asks the same two homes for one prefix, then all others", "[policy][placement]") {
+TEST_CASE("late binding asks the same two homes for one prefix, one after the other, then all others", "[policy][placement]") {
     const auto candidates = make_candidates(12);
     auto request = make_request(42);
     const auto first = plan_placement(late_binding{}, request, candidates);
@@ -86,8 +86,9 @@
     const auto second = plan_placement(late_binding{}, request, candidates);
     CHECK(first.offers[0].candidate == second.offers[0].candidate);
     CHECK(first.offers[1].candidate == second.offers[1].candidate);
-    CHECK(first.offers[1].after == duration{});
-    CHECK(first.offers[2].after > duration{});
+    CHECK(first.offers[0].after == duration{});
+    CHECK(first.offers[1].after > duration{});
+    CHECK(first.offers[2].after > first.offers[1].after);
     std::set<std::size_t> named;
     for (const auto& offer : first.offers) {
         named.insert(offer.candidate);
@@ -151,8 +152,8 @@
     candidates[4].load->prefill_tokens_per_second = 8000;
     for (std::uint64_t key = 0; key < 50; ++key) {
         const auto plan = plan_placement(late_binding{}, make_request(key, 4000), candidates);
-        CHECK(is_asked_at_once(plan, 3));
-        CHECK(is_asked_at_once(plan, 4));
+        CHECK(plan.offers[0].candidate + plan.offers[1].candidate == 3 + 4);
+        CHECK(plan.offers[1].after < plan.offers[2].after);
     }
 }
 
--- a/tests/unit/test_policy_prefix_index.cpp
+++ b/tests/unit/test_policy_prefix_index.cpp
@@ -58,6 +58,18 @@
     CHECK(index.find_holders(hashes, start_time)[1].tokens == 6 * prefix_block_tokens);
 }
 
+TEST_CASE("what a sidecar says of a prompt replaces what was believed", "[policy][prefix_index]") {
+    prefix_index index;
+    const auto hashes = hash_prompt('p', 1, 's');
+    index.record_start(hashes, server_a, start_time);
+    index.record_cached(hashes, 2, server_a, start_time);
+    CHECK(index.find_holders(hashes, start_time).front().tokens == 2 * prefix_block_tokens);
+    index.record_cached(hashes, 0, server_a, start_time);
+    CHECK(index.find_holders(hashes, start_time).empty());
+    index.record_cached(hashes, 6, server_b, start_time);
+    CHECK(index.find_holders(hashes, start_time).front().tokens == 6 * prefix_block_tokens);
+}
+
 TEST_CASE("after a gap in the events old beliefs fade sooner", "[policy][prefix_index]") {
     // The engine evicted a prefix and the event was lost. Without doubt the prompt would be sent to the
     // wrong home for minutes, to be prefilled again there.
