--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -86,7 +86,6 @@
     server_directory m_servers;
     claim_store m_claims;
     admission m_admissions;
-    placement_memory m_placements;
     crash_watch m_crashes;
     audit::recorder m_audit;
     entry_context m_context;
@@ -229,7 +228,7 @@
                                       wire::peer_connection& connection) {
     if (const auto* mark = std::get_if<wire::crash_mark_message>(&received.content)) {
         m_crashes.take(*mark);
-        m_placements.forget_server(hash_bytes(backend_server));
+        m_context.prefixes.forget_server(hash_bytes(backend_server));
         return;
     }
     admin::exchange_configuration(m_configuration, received, connection);
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -1,6 +1,7 @@
 // Waves of offers.
 #include "entry/offer_round.hpp"
 
+#include "base/hash.hpp"
 #include "base/request_error.hpp"
 #include "entry/request_run.hpp"
 
@@ -29,7 +30,7 @@
                                  now - load->reported};
 }
 
-std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers, const call& request,
+std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers,
                                                   std::span<const policy::prefix_holder> holders) {
     const auto now = steady_clock::now();
     std::vector<policy::placement_candidate> described;
@@ -41,7 +42,6 @@
         entry.region = server.region;
         entry.load = load_for_policy(*server.link, now);
         entry.own_requests_since = server.link->sent_since_report();
-        entry.own_prompt_tokens_since = std::uint64_t{entry.own_requests_since} * request.prompt_tokens;
         const auto holder = std::ranges::find(holders, server.name_hash, &policy::prefix_holder::server);
         entry.cached_tokens = holder == holders.end() ? 0 : holder->tokens;
         described.push_back(entry);
@@ -80,7 +80,7 @@
     });
     const auto& common = m_context.settings.common;
     policy::placement_request request;
-    request.home_key = m_context.placements.home_key(m_call.prefix_hashes);
+    request.home_key = m_context.prefixes.home_key(m_call.prefix_hashes);
     request.prompt_tokens = m_call.prompt_tokens;
     request.tier = m_call.tier->rank;
     request.first_token_target = m_call.tier->first_token_target;
@@ -88,8 +88,8 @@
     request.region = common.region;
     request.sequence = m_context.placement_count++;
     request.seed = m_call.id.low;
-    const auto holders = m_context.placements.find_holders(m_call.prefix_hashes);
-    const auto described = describe(m_candidates, m_call, holders);
+    const auto holders = m_context.prefixes.find_holders(m_call.prefix_hashes);
+    const auto described = describe(m_candidates, holders);
     m_plan = policy::plan_placement(m_context.settings.placement, request, described);
     if (m_context.crashes.marks(m_call.fingerprint) > 0) {
         plan_for_marked();
@@ -213,6 +213,12 @@
 std::optional<place> offer_round::take_reply(const wire::offer_reply_message& reply) {
     const auto dispatch = wire::from_wire(reply.dispatch);
     const auto found = m_open_offers.find(dispatch);
+    if (found != m_open_offers.end() && reply.load != nullptr) {
+        const auto& cached = reply.load->cached_prefixes;
+        m_context.prefixes.record_reply(m_call.prefix_hashes,
+                                        cached.empty() ? std::nullopt : std::optional(cached.back()),
+                                        hash_bytes(found->second.backend_server));
+    }
     if (found == m_open_offers.end() || reply.verdict == wire::offer_verdict::queued) {
         return std::nullopt;
     }
--- a/tests/unit/test_sidecar_parts.cpp
+++ b/tests/unit/test_sidecar_parts.cpp
@@ -177,15 +177,15 @@
 }
 
 TEST_CASE("rows of crash marks survive their coding, and rubbish is refused", "[sidecar]") {
-    CHECK(mark_key(0x2a) == "mark/000000000000002a");
-    const std::vector<crash_mark> marks{{{1, 2}, "pluma-1", 1700000000000}};
-    const auto decoded = decode_marks(encode_marks(marks));
+    CHECK(marks::key_for(0x2a) == "mark/000000000000002a");
+    const std::vector<crash_mark> written{{{1, 2}, "pluma-1", 1700000000000}};
+    const auto decoded = marks::decode_row(marks::encode_row(written));
     REQUIRE(decoded.size() == 1);
-    CHECK(decoded.front().mark == marks.front().mark);
+    CHECK(decoded.front().mark == written.front().mark);
     CHECK(decoded.front().backend_server == "pluma-1");
     CHECK(decoded.front().time == 1700000000000);
     for (const auto* text :
          {"", "{}", R"({"marks":[{}]})", R"({"marks":[{"mark":"x","backend_server":"a","time":1}]})"}) {
-        CHECK_THROWS_AS(decode_marks(text), std::invalid_argument);
+        CHECK_THROWS_AS(marks::decode_row(text), std::invalid_argument);
     }
 }
