--- a/src/base/sha256.cpp
+++ b/src/base/sha256.cpp
@@ -1,9 +1,8 @@
 // SHA-256 by OpenSSL.
 #include "base/sha256.hpp"
 
-#include <openssl/evp.h>
-
 #include <array>
+#include <openssl/evp.h>
 #include <stdexcept>
 
 namespace borageford {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -33,9 +33,9 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output_tokens = 0;
     std::vector<std::uint64_t> prefix_hashes;
-    std::uint64_t fingerprint = 0;  ///< of workspace, path and body
-    std::string idempotency_key;    ///< empty when the caller gave none
-    std::uint64_t resend_key = 0;   ///< of workspace and idempotency key; 0 without a key
+    std::uint64_t fingerprint = 0; ///< of workspace, path and body
+    std::string idempotency_key;   ///< empty when the caller gave none
+    std::uint64_t resend_key = 0;  ///< of workspace and idempotency key; 0 without a key
     std::chrono::steady_clock::time_point received = std::chrono::steady_clock::now();
     std::chrono::steady_clock::time_point deadline; ///< by which it must have started
 };
--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -57,7 +57,8 @@
 std::string chat_prompt(const json::object& body) {
     const auto* messages = body.if_contains("messages");
     if (messages == nullptr || !messages->is_array() || messages->as_array().empty()) {
-        throw request_error(error_kind::bad_request, "\"messages\" must be an array with at least one message.");
+        throw request_error(error_kind::bad_request,
+                            "\"messages\" must be an array with at least one message.");
     }
     std::string prompt;
     for (const auto& message : messages->as_array()) {
@@ -101,7 +102,8 @@
             continue;
         }
         if (!value->is_number() || value->to_number<double>() < 1) {
-            throw request_error(error_kind::bad_request, "\"" + std::string(name) + "\" must be a positive number.");
+            throw request_error(error_kind::bad_request,
+                                "\"" + std::string(name) + "\" must be a positive number.");
         }
         const auto asked = value->to_number<double>();
         return static_cast<std::uint32_t>(std::min<double>(asked, model.expected_output_tokens));
@@ -229,7 +231,8 @@
     parsed.workspace = &find_workspace(*parsed.configuration, received);
     parsed.method = received.method;
     parsed.path = received.target;
-    parsed.content_type = std::string(http::find_header(received.headers, "Content-Type").value_or("application/json"));
+    parsed.content_type =
+        std::string(http::find_header(received.headers, "Content-Type").value_or("application/json"));
 
     const auto path = http::path_of(received.target);
     if (path == chat_path || path == completion_path) {
--- a/src/entry/call_parser.hpp
+++ b/src/entry/call_parser.hpp
@@ -17,8 +17,8 @@
 
 /// The workspace whose key the request carries ("Authorization: Bearer KEY").
 /// Throws request_error: no_configuration, unauthorized.
-[[nodiscard]] const configuration::workspace&
-find_workspace(const configuration::configuration& current, const http::request& received);
+[[nodiscard]] const configuration::workspace& find_workspace(const configuration::configuration& current,
+                                                             const http::request& received);
 
 /// Throws request_error for everything that is wrong with the request; nothing has run then.
 [[nodiscard]] call parse_call(std::shared_ptr<const configuration::configuration> current,
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -67,7 +67,8 @@
         if (http::path_of(received.target) == "/v1/models") {
             models = list_models(received);
         } else {
-            request = parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
+            request =
+                parse_call(m_context.configuration.current(), received, m_context.settings.default_deadline);
         }
     } catch (const request_error& error) {
         refusal = error;
@@ -101,8 +102,9 @@
         writer.cut();
     }
     if (failure) {
-        record(request, answer_for(failure->kind()).ran == run_state::no ? audit::event::refused
-                                                                         : audit::event::failed,
+        record(request,
+               answer_for(failure->kind()).ran == run_state::no ? audit::event::refused
+                                                                : audit::event::failed,
                &*failure);
         co_await answer_error(request, answer, *failure, writer);
     }
@@ -126,11 +128,13 @@
     json::array models;
     for (const auto& model : current->models) {
         if (current->find_route(workspace.name, workspace.tier, model.name, false) != nullptr) {
-            models.push_back(json::object{{"id", model.name}, {"object", "model"}, {"owned_by", "borageford"}});
+            models.push_back(
+                json::object{{"id", model.name}, {"object", "model"}, {"owned_by", "borageford"}});
         }
     }
-    return http::make_response(200, "application/json",
-                               json::serialize(json::object{{"object", "list"}, {"data", std::move(models)}}));
+    return http::make_response(
+        200, "application/json",
+        json::serialize(json::object{{"object", "list"}, {"data", std::move(models)}}));
 }
 
 void caller_api::record(const call& request, audit::event what, const request_error* error) {
--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -48,7 +48,9 @@
 /// Throws for a row that no version of this program wrote.
 claim from_row(const platform::row& row) {
     const auto fields = json::parse(row.value).as_object();
-    const auto text = [&fields](std::string_view name) { return std::string(fields.at(name).as_string()); };
+    const auto text = [&fields](std::string_view name) {
+        return std::string(fields.at(name).as_string());
+    };
     claim value;
     value.dispatch = identifier::parse(text("dispatch")).value();
     value.request = identifier::parse(text("request")).value();
@@ -68,7 +70,9 @@
 struct row_change {
     row_change(const asio::any_io_executor& executor, std::string row, std::uint64_t expected,
                std::optional<std::string> text)
-        : key(std::move(row)), expected_version(expected), value(std::move(text)),
+        : key(std::move(row)),
+          expected_version(expected),
+          value(std::move(text)),
           done(executor, asio::steady_timer::time_point::max()) {}
 
     std::string key;
--- a/src/entry/dispatch_event.hpp
+++ b/src/entry/dispatch_event.hpp
@@ -18,10 +18,9 @@
 /// The caller has closed its connection.
 struct caller_gone {};
 
-using dispatch_event =
-    std::variant<wire::offer_reply_message, wire::grant_message, wire::not_begun_message,
-                 wire::answer_head_message, wire::chunk_message, wire::answer_end_message, wire::fate_message,
-                 connection_lost, caller_gone>;
+using dispatch_event = std::variant<wire::offer_reply_message, wire::grant_message, wire::not_begun_message,
+                                    wire::answer_head_message, wire::chunk_message, wire::answer_end_message,
+                                    wire::fate_message, connection_lost, caller_gone>;
 
 using event_mailbox = mailbox<dispatch_event>;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -82,16 +82,20 @@
 };
 
 entry_process::entry_process(entry_settings settings)
-    : m_settings(std::move(settings)), m_runtime(m_settings.common.threads), m_metrics(m_registry),
+    : m_settings(std::move(settings)),
+      m_runtime(m_settings.common.threads),
+      m_metrics(m_registry),
       m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_objects(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout),
       m_vms(m_runtime.executor(), m_runtime.timers(), m_settings.common.platform,
             m_settings.common.platform_timeout, m_settings.common.poll_period),
       m_configuration(m_runtime.executor(), m_runtime.timers(), m_table, m_settings.common.poll_period),
-      m_link_context(make_link_context()), m_servers(m_link_context),
+      m_link_context(make_link_context()),
+      m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "entry"}),
-      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit}, m_callers(m_context),
+      m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit},
+      m_callers(m_context),
       m_caller_server(
           m_runtime.executor(), m_settings.callers,
           [this](const http::request& received, http::response_writer& writer) {
@@ -126,8 +130,8 @@
     const auto admin = m_admin_server.listen(m_settings.admin_listen);
     const std::array listeners{process::listener_address{"callers", callers},
                                process::listener_address{"admin", admin}};
-    log::info("entry_started", {{"vm", m_settings.common.vm},
-                                {"incarnation", m_runtime.incarnation().to_string()}});
+    log::info("entry_started",
+              {{"vm", m_settings.common.vm}, {"incarnation", m_runtime.incarnation().to_string()}});
     process::print_ready(listeners);
     return m_runtime.run([this] { stop_gracefully(); });
 }
@@ -162,7 +166,8 @@
     connection.send(request);
 }
 
-asio::awaitable<void> entry_process::handle_admin(const http::request& received, http::response_writer& writer) {
+asio::awaitable<void> entry_process::handle_admin(const http::request& received,
+                                                  http::response_writer& writer) {
     const auto path = http::path_of(received.target);
     if (path == "/metrics") {
         co_await writer.write(http::make_response(200, "text/plain; version=0.0.4", m_registry.exposition()));
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -21,7 +21,7 @@
     boost::asio::ip::tcp::endpoint admin_listen;
     std::string admin_token_hash; ///< SHA-256 of the operators' token, hexadecimal
     http::server_limits callers;
-    std::string placement;               ///< round_robin, power_of_two or late_binding
+    std::string placement;                ///< round_robin, power_of_two or late_binding
     milliseconds default_deadline{60000}; ///< to the start of the request, when its caller names none
     milliseconds fate_limit{10000};       ///< how long the fate of a started request is asked for
     milliseconds connect_limit{1000};     ///< to a sidecar
--- a/src/entry/mailbox.hpp
+++ b/src/entry/mailbox.hpp
@@ -22,7 +22,8 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    explicit mailbox(const boost::asio::any_io_executor& executor) : m_executor(executor), m_timer(executor) {}
+    explicit mailbox(const boost::asio::any_io_executor& executor)
+        : m_executor(executor), m_timer(executor) {}
 
     /// From any thread; events of one sender arrive in its order.
     void push(Event event) {
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -166,7 +166,8 @@
         return std::nullopt;
     }
     if (reply.verdict == wire::offer_verdict::refused) {
-        take_refusal(dispatch, wire::error_kind_from_wire(reply.error_kind), milliseconds(reply.retry_after_ms));
+        take_refusal(dispatch, wire::error_kind_from_wire(reply.error_kind),
+                     milliseconds(reply.retry_after_ms));
         return std::nullopt;
     }
     attachable_place where{found->second.link, found->second.backend_server,
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -75,7 +75,7 @@
     std::size_t m_next_wave = 0;
     std::chrono::steady_clock::time_point m_next_wave_at;
     std::unordered_map<dispatch_id, open_offer> m_open_offers;
-    std::optional<error_kind> m_refusal; ///< the one that says most, of those that came
+    std::optional<error_kind> m_refusal;                    ///< the one that says most, of those that came
     std::optional<std::chrono::milliseconds> m_retry_after; ///< the soonest that any sidecar named
 };
 
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -127,7 +127,8 @@
     }
     m_claim = current;
     m_joined = true;
-    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
+    m_started =
+        started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
     m_context.metrics.attached();
     attach();
     co_return false;
@@ -291,7 +292,8 @@
     throw request_error(error_kind::outcome_unknown);
 }
 
-std::optional<request_run::follow_result> request_run::take_not_begun(const wire::not_begun_message& refusal) {
+std::optional<request_run::follow_result>
+request_run::take_not_begun(const wire::not_begun_message& refusal) {
     if (m_answer.has_head()) {
         throw request_error(error_kind::outcome_unknown);
     }
--- a/src/entry/sidecar_link.cpp
+++ b/src/entry/sidecar_link.cpp
@@ -22,30 +22,32 @@
 
 /// Messages about one dispatch, which go to the request that listens for it.
 template <typename Message>
-constexpr bool is_dispatch_event = std::is_constructible_v<dispatch_event, Message> &&
-                                   !std::is_same_v<Message, connection_lost> &&
-                                   !std::is_same_v<Message, caller_gone>;
+constexpr bool is_dispatch_event =
+    std::is_constructible_v<dispatch_event, Message> && !std::is_same_v<Message, connection_lost> &&
+    !std::is_same_v<Message, caller_gone>;
 
 } // namespace
 
 sidecar_link::sidecar_link(const link_context& context, platform::vm vm)
-    : m_context(context), m_vm(std::move(vm)), m_strand(asio::make_strand(context.executor)),
+    : m_context(context),
+      m_vm(std::move(vm)),
+      m_strand(asio::make_strand(context.executor)),
       m_last_work(steady_clock::now()) {}
 
 void sidecar_link::send_for(const dispatch_id& dispatch, const std::shared_ptr<event_mailbox>& listener,
                             wire::message content) {
     ++m_sent_since_report;
-    asio::dispatch(m_strand, [self = shared_from_this(), dispatch, listener,
-                              held = std::move(content)]() mutable {
-        self->m_listeners[dispatch] = listener;
-        self->m_last_work = steady_clock::now();
-        if (self->m_open) {
-            self->m_connection->send(std::move(held));
-            return;
-        }
-        self->m_waiting.push_back(std::move(held));
-        self->connect();
-    });
+    asio::dispatch(m_strand,
+                   [self = shared_from_this(), dispatch, listener, held = std::move(content)]() mutable {
+                       self->m_listeners[dispatch] = listener;
+                       self->m_last_work = steady_clock::now();
+                       if (self->m_open) {
+                           self->m_connection->send(std::move(held));
+                           return;
+                       }
+                       self->m_waiting.push_back(std::move(held));
+                       self->connect();
+                   });
 }
 
 void sidecar_link::send_if_connected(wire::message content) {
@@ -78,8 +80,9 @@
         boost::system::error_code ignored;
         socket->close(ignored);
     });
-    socket->async_connect(m_vm.address, asio::bind_executor(m_strand, [self = shared_from_this(), socket](
-                                                                          const boost::system::error_code& error) {
+    socket->async_connect(m_vm.address,
+                          asio::bind_executor(m_strand, [self = shared_from_this(),
+                                                         socket](const boost::system::error_code& error) {
                               self->m_connecting = false;
                               self->m_connect_timer.cancel();
                               if (error) {
@@ -100,7 +103,8 @@
             }
         };
     };
-    calls.opened = with_link([](sidecar_link& self, const wire::hello_message& hello) { self.opened(hello); });
+    calls.opened =
+        with_link([](sidecar_link& self, const wire::hello_message& hello) { self.opened(hello); });
     calls.received = with_link([](sidecar_link& self, wire::envelope got) { self.deliver(std::move(got)); });
     calls.closed = with_link([](sidecar_link& self, const std::string& reason) { self.lost(reason); });
     calls.load_received =
@@ -193,10 +197,14 @@
 void sidecar_link::note_load(const wire::load_report_message& report) {
     m_sent_since_report.store(0);
     const std::scoped_lock lock(m_report_mutex);
-    m_load = server_load{steady_clock::now(),       report.queued_requests,
-                         report.queued_tokens,      report.running_sequences,
-                         report.prefill_tokens_in_progress, report.sequence_limit,
-                         report.prefill_tokens_per_second,  report.output_tokens_per_second,
+    m_load = server_load{steady_clock::now(),
+                         report.queued_requests,
+                         report.queued_tokens,
+                         report.running_sequences,
+                         report.prefill_tokens_in_progress,
+                         report.sequence_limit,
+                         report.prefill_tokens_per_second,
+                         report.output_tokens_per_second,
                          report.expected_wait_ms};
 }
 
@@ -213,7 +221,8 @@
 bool sidecar_link::is_unreachable() const noexcept {
     const auto failed_at = m_failed_at.load();
     return failed_at != 0 &&
-           steady_clock::now() - steady_clock::time_point(steady_clock::duration(failed_at)) < unreachable_time;
+           steady_clock::now() - steady_clock::time_point(steady_clock::duration(failed_at)) <
+               unreachable_time;
 }
 
 } // namespace borageford::entry
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -61,7 +61,9 @@
 
 int main(int argument_count, char** argument_values) {
     absl::FlagsUsageConfig configuration;
-    configuration.version_string = [] { return std::string("borageford 0.1.0\n"); };
+    configuration.version_string = [] {
+        return std::string("borageford 0.1.0\n");
+    };
     absl::SetFlagsUsageConfig(configuration);
     absl::SetProgramUsageMessage(usage.data());
     const auto parsed = absl::ParseCommandLine(argument_count, argument_values);
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -142,6 +142,9 @@
     if (const auto* heartbeat = std::get_if<heartbeat_message>(&received.content)) {
         handle_heartbeat(*heartbeat);
     }
+    if (m_finished) {
+        return; // the reply to the heartbeat found that the peer doesn't read
+    }
     // Heartbeats are passed on too: they carry the peer's revision.
     m_calls.received(std::move(received));
 }
@@ -200,8 +203,11 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
     m_outgoing.clear();
-    auto calls = std::move(m_calls);
-    calls.closed(reason);
+    // A callback may be what closes the connection: destroyed here, it would go on with captures that are
+    // gone, and the process would crash. So the callbacks live until the strand is free again.
+    const auto calls = std::make_shared<callbacks>(std::move(m_calls));
+    asio::post(m_strand, [calls] {});
+    calls->closed(reason);
 }
 
 } // namespace borageford::wire
--- /dev/null
+++ b/tests/unit/test_configuration_follower.cpp
@@ -0,0 +1,148 @@
+// A process's configuration only goes forward, whatever the table and its peers say.
+#include "configuration/configuration_follower.hpp"
+#include "configuration/revision_store.hpp"
+#include "in_process_platform.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace borageford;
+using configuration::revision_number;
+using test::platform_timeout;
+
+namespace {
+
+std::string intent(int version) {
+    return "[tier high]\nrank = 0\n[model m]\nversion = " + std::to_string(version) + "\n";
+}
+
+/// Remembers what the follower announced, and waits for a revision.
+class change_log {
+public:
+    void add(revision_number revision) {
+        const std::scoped_lock lock(m_mutex);
+        m_seen.push_back(revision);
+        m_changed.notify_all();
+    }
+    void wait_for(revision_number revision) {
+        std::unique_lock lock(m_mutex);
+        const bool has_come = m_changed.wait_for(
+            lock, std::chrono::seconds(30), [&] { return !m_seen.empty() && m_seen.back() >= revision; });
+        REQUIRE(has_come);
+    }
+    std::vector<revision_number> seen() {
+        const std::scoped_lock lock(m_mutex);
+        return m_seen;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<revision_number> m_seen;
+};
+
+struct fixture {
+    test::in_process_platform service;
+    test::test_runtime runtime;
+    timer_service timers;
+    platform::table table{runtime.executor(), service.address(), platform_timeout};
+    platform::object_store objects{runtime.executor(), service.address(), platform_timeout};
+    configuration::revision_store store{table, objects};
+    change_log changes;
+    configuration::configuration_follower follower{runtime.executor(), timers, table,
+                                                   std::chrono::milliseconds(10)};
+
+    fixture() = default;
+    ~fixture() { runtime.stop(); }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+    fixture(fixture&&) = delete;
+    fixture& operator=(fixture&&) = delete;
+
+    void start() {
+        follower.start([this](const auto& next) { changes.add(next->revision); });
+    }
+    void commit(revision_number on) {
+        configuration::plan what;
+        what.id = "plan-" + std::to_string(on);
+        what.base = on;
+        what.text = intent(static_cast<int>(on) + 1);
+        runtime.wait_for(store.commit(what, "ana"));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a follower finds each new head", "[configuration]") {
+    fixture system;
+    CHECK(system.follower.current()->is_empty());
+    system.start();
+    for (revision_number revision = 1; revision <= 3; ++revision) {
+        system.commit(revision - 1);
+        system.changes.wait_for(revision);
+    }
+    CHECK(system.follower.current()->find_model("m")->version == "3");
+    CHECK(system.changes.seen() == std::vector<revision_number>{1, 2, 3});
+}
+
+TEST_CASE("a stale head never takes a follower back", "[configuration]") {
+    // A replica of the table lags and shows an old head. Going back would undo what an operator was told is
+    // in force.
+    fixture system;
+    system.commit(0);
+    system.service.set_stale_reads(true);
+    system.commit(1);
+    REQUIRE(system.follower.take_from_peer(2, intent(2)));
+    system.start();
+    system.changes.wait_for(2);
+    system.follower.poll_soon();
+    system.service.set_stale_reads(false);
+    system.commit(2);
+    system.changes.wait_for(3);
+    CHECK(system.changes.seen() == std::vector<revision_number>{2, 3});
+}
+
+TEST_CASE("a peer's text is taken only when it is newer and valid", "[configuration]") {
+    // A peer is behind, or a frame's text was damaged. Neither may replace what is in force.
+    fixture system;
+    CHECK(system.follower.take_from_peer(5, intent(5)));
+    CHECK_FALSE(system.follower.take_from_peer(5, intent(6)));
+    CHECK_FALSE(system.follower.take_from_peer(4, intent(4)));
+    CHECK_FALSE(system.follower.take_from_peer(6, "[tier high\nrank = zero\n"));
+    CHECK(system.follower.revision() == 5);
+    CHECK(system.follower.current()->find_model("m")->version == "5");
+}
+
+TEST_CASE("in an outage a follower learns from peers", "[configuration]") {
+    fixture system;
+    system.service.answer_with(503);
+    system.start();
+    REQUIRE(system.follower.take_from_peer(7, intent(7)));
+    system.changes.wait_for(7);
+    CHECK(system.follower.revision() == 7);
+}
+
+TEST_CASE("threads that race leave the highest revision in force", "[configuration]") {
+    fixture system;
+    system.start();
+    {
+        constexpr revision_number peer_count = 4;
+        std::vector<std::jthread> peers;
+        peers.reserve(peer_count);
+        for (revision_number peer = 1; peer <= peer_count; ++peer) {
+            peers.emplace_back([&system, peer] {
+                for (revision_number step = 0; step < 50; ++step) {
+                    static_cast<void>(system.follower.take_from_peer(step * peer_count + peer, intent(1)));
+                }
+            });
+        }
+    }
+    CHECK(system.follower.revision() == 200);
+    system.changes.wait_for(200);
+    const auto seen = system.changes.seen();
+    CHECK(std::ranges::is_sorted(seen));
+}
