--- a/src/entry/call_parser.hpp
+++ b/src/entry/call_parser.hpp
@@ -21,7 +21,8 @@
                                                              const http::request& received);
 
 /// Throws request_error for everything that is wrong with the request; nothing has run then.
-[[nodiscard]] call parse_call(std::shared_ptr<const configuration::configuration> current,
+[[nodiscard]] call parse_call(const request_id& id,
+                              std::shared_ptr<const configuration::configuration> current,
                               const http::request& received, std::chrono::milliseconds default_deadline);
 
 } // namespace borageford::entry
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -143,7 +143,7 @@
         handle_heartbeat(*heartbeat);
     }
     if (m_finished) {
-        return; // the reply to the heartbeat found that the peer doesn't read
+        return;
     }
     // Heartbeats are passed on too: they carry the peer's revision.
     m_calls.received(std::move(received));
@@ -203,11 +203,10 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
     m_outgoing.clear();
-    // A callback may be what closes the connection: destroyed here, it would go on with captures that are
-    // gone, and the process would crash. So the callbacks live until the strand is free again.
-    const auto calls = std::make_shared<callbacks>(std::move(m_calls));
-    asio::post(m_strand, [calls] {});
-    calls->closed(reason);
+    m_calls.closed(reason);
+    // Dropped later: one of the callbacks may be running now, with the close called from inside it, and its
+    // captures must outlive it.
+    asio::post(m_strand, [self = shared_from_this()] { self->m_calls = {}; });
 }
 
 } // namespace borageford::wire
