Add the operators' commands and the example settings

plan, confirm, revisions, show, revert, status, servers, drain, undrain, quarantine, release, limits, explain and check: one table, one file that makes the calls, one that prints the answers. Exit codes tell a conflict (3), an accepted change that isn't everywhere (4) and an unknown outcome (5) apart, since scripts act on them. Help is printed by the program itself: Abseil's lists flags without subcommands and ends with exit code 1. Flags are taken with dashes as well as with underscores.

The failure tests' cluster lists entries by their peer address, which the survey of revisions connects to.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,5 +1,9 @@
-// The one program: picks the subcommand. Abseil's flags stay here, at the edge.
+// The one program: picks the subcommand. Abseil's flags stay in this folder, at the edge.
 #include "entry/entry_process.hpp"
+#include "program/command.hpp"
+#include "program/command_flags.hpp"
+#include "program/entry_client.hpp"
+#include "program/operator_commands.hpp"
 #include "sidecar/sidecar_process.hpp"
 
 #include <absl/flags/flag.h>
@@ -7,8 +11,11 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <iostream>
+#include <iterator>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,61 +25,139 @@
 
 namespace {
 
-constexpr int wrong_usage_exit_code = 2;
+using namespace borageford::program;
 
-constexpr std::string_view usage = R"(borageford: a request scheduler for unlike engines
+constexpr std::string_view exit_codes =
+    "Exit codes: 0 done, 1 failed, 2 wrong usage, settings or intent, 3 another revision came between,\n"
+    "4 accepted but not seen in force everywhere, 5 may have been accepted (repeat it), 130 stopped at "
+    "once.\n";
 
-  borageford entry --settings FILE      takes callers' requests
-  borageford sidecar --settings FILE    stands beside one backend server
+constexpr std::string_view operator_flags =
+    "  --entry=IP:PORT        the administration address of an entry (or BORAGEFORD_ENTRY)\n"
+    "  --token-file=FILE      the operators' token (or BORAGEFORD_TOKEN)\n"
+    "  --operator-name=NAME   recorded with each revision (or USER)\n"
+    "  --json                 print the API's answer as it came\n"
+    "  --wait                 wait until the change is in force everywhere\n"
+    "  --wait-limit=30s       how long --wait waits at most\n";
 
-Exit codes: 0 done, 1 failed, 2 wrong usage or settings, 130 stopped at once.
-)";
-
-using arguments = std::span<const std::string>;
-
-struct subcommand {
-    std::string_view name;
-    int (*run)(arguments words);
-};
-
-int with_settings(int (*run)(const std::string&)) {
+exit_code with_settings(int (*run)(const std::string&)) {
     const auto file = absl::GetFlag(FLAGS_settings);
     if (file.empty()) {
-        std::cerr << "borageford: --settings FILE is required\n";
-        return wrong_usage_exit_code;
+        throw usage_error("--settings FILE is required");
     }
-    return run(file);
+    return static_cast<exit_code>(run(file));
 }
 
-int entry_command(arguments) {
+exit_code entry_command(arguments) {
     return with_settings(borageford::entry::run_entry);
 }
 
-int sidecar_command(arguments) {
+exit_code sidecar_command(arguments) {
     return with_settings(borageford::sidecar::run_sidecar);
 }
 
-constexpr std::array subcommands{
-    subcommand{"entry", entry_command},
-    subcommand{"sidecar", sidecar_command},
+constexpr std::array process_commands{
+    command{"entry", "--settings FILE", "takes callers' requests", "", entry_command},
+    command{"sidecar", "--settings FILE", "stands beside one backend server", "", sidecar_command},
 };
 
+const command* find_command(std::string_view name) {
+    for (const auto& table : {std::span<const command>(process_commands), operator_commands()}) {
+        const auto found = std::ranges::find(table, name, &command::name);
+        if (found != table.end()) {
+            return &*found;
+        }
+    }
+    return nullptr;
+}
+
+void print_table(std::ostream& out, std::span<const command> table) {
+    for (const auto& entry : table) {
+        out << "  " << entry.name << ' ' << entry.words << "\n      " << entry.summary << '\n';
+    }
+}
+
+void print_usage(std::ostream& out) {
+    out << "borageford: a request scheduler for unlike engines\n\nProcesses:\n";
+    print_table(out, process_commands);
+    out << "\nFor operators:\n";
+    print_table(out, operator_commands());
+    out << '\n' << operator_flags << '\n' << exit_codes;
+}
+
+void print_help(const command& entry) {
+    std::cout << "borageford " << entry.name << ' ' << entry.words << "\n\n"
+              << entry.summary << '\n'
+              << entry.details << '\n';
+    if (std::ranges::find(process_commands, entry.name, &command::name) == process_commands.end()) {
+        std::cout << operator_flags << '\n';
+    }
+    std::cout << exit_codes;
+}
+
+bool asks_for_help(std::span<char*> words) {
+    return std::ranges::any_of(words, [](std::string_view word) { return word == "--help" || word == "-h"; });
+}
+
+/// Abseil's flags have underscores; on a command line dashes are usual, so both are taken.
+std::string with_underscores(std::string word) {
+    if (word.starts_with("--")) {
+        const auto name_end = std::min(word.find('='), word.size());
+        std::replace(word.begin() + 2, word.begin() + static_cast<std::ptrdiff_t>(name_end), '-', '_');
+    }
+    return word;
+}
+
+/// Abseil's own help lists flags but no subcommands, and ends with exit code 1.
+int help(std::span<char*> words) {
+    const auto* entry = words.empty() ? nullptr : find_command(words.front());
+    if (entry != nullptr) {
+        print_help(*entry);
+    } else {
+        print_usage(std::cout);
+    }
+    return static_cast<int>(exit_code::done);
+}
+
+exit_code run_command(arguments words) {
+    const auto* entry = words.empty() ? nullptr : find_command(words.front());
+    if (entry == nullptr) {
+        print_usage(std::cerr);
+        return exit_code::wrong_input;
+    }
+    try {
+        return entry->run(words.subspan(1));
+    } catch (const usage_error& error) {
+        std::cerr << "borageford " << entry->name << ": " << error.what() << "\n  Usage: borageford "
+                  << entry->name << ' ' << entry->words << '\n';
+        return exit_code::wrong_input;
+    } catch (const entry_error& error) {
+        std::cerr << "borageford " << entry->name << ": " << error.what() << '\n'
+                  << (error.may_have_acted() ? "  It may have been done; calling again is safe.\n"
+                                             : "  Nothing was sent. Try another entry.\n");
+        return error.may_have_acted() ? exit_code::outcome_unknown : exit_code::failed;
+    }
+}
+
 } // namespace
 
 int main(int argument_count, char** argument_values) {
+    const std::span given(argument_values, static_cast<std::size_t>(argument_count));
+    if (asks_for_help(given.subspan(1))) {
+        return help(given.subspan(1));
+    }
     absl::FlagsUsageConfig configuration;
     configuration.version_string = [] {
         return std::string("borageford 0.1.0\n");
     };
     absl::SetFlagsUsageConfig(configuration);
-    absl::SetProgramUsageMessage(usage.data());
-    const auto parsed = absl::ParseCommandLine(argument_count, argument_values);
+    absl::SetProgramUsageMessage("borageford --help lists the subcommands");
+    std::vector<std::string> spelled;
+    std::ranges::transform(given, std::back_inserter(spelled), with_underscores);
+    std::vector<char*> values;
+    std::ranges::transform(spelled, std::back_inserter(values),
+                           [](std::string& word) { return word.data(); });
+    const auto parsed = absl::ParseCommandLine(argument_count, values.data());
     const std::vector<std::string> words(parsed.begin() + 1, parsed.end());
-    for (const auto& command : subcommands) {
-        if (!words.empty() && words.front() == command.name) {
-            return command.run(std::span(words).subspan(1));
-        }
-    }
-    std::cerr << usage;
-    return wrong_usage_exit_code;
+    return static_cast<int>(run_command(words));
 }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -182,6 +182,7 @@
     const auto addresses = read_ready_line(unit.process->wait_for_line("ready"));
     unit.callers = addresses.at("callers");
     unit.admin = addresses.at("admin");
+    unit.peers = addresses.at("peers");
 }
 
 std::string cluster::common_settings(const std::string& vm, const std::string& domain) const {
@@ -242,7 +243,7 @@
             unit.options.name);
     }
     for (const auto& unit : m_entries) {
-        add(unit.vm, unit.callers, "entry", "sala-a", "");
+        add(unit.vm, unit.peers, "entry", "sala-a", "");
     }
     control_platform(json::serialize(json::object{{"vms", machines}}));
 }
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -51,6 +51,7 @@
     std::unique_ptr<child_process> process;
     http::endpoint callers;
     http::endpoint admin;
+    http::endpoint peers;
 };
 
 /// Invariant: all processes are ended and the temporary folder is removed by the destructor; when a test has
--- a/tests/unit/test_intent_parser.cpp
+++ b/tests/unit/test_intent_parser.cpp
@@ -1,6 +1,8 @@
 // The intent file: what the examples say is read, and everything wrong with a file is said at once.
 #include "configuration/intent_parser.hpp"
+#include "entry/entry_settings.hpp"
 #include "settings/ini_document.hpp"
+#include "sidecar/sidecar_settings.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -73,6 +75,20 @@
     CHECK_FALSE(read.find_route("lectores", "interactive", "marcadores", true)->idempotent);
 }
 
+TEST_CASE("the example settings have no faults", "[settings][examples]") {
+    std::vector<problem> problems;
+    const std::string path = EXAMPLES_FOLDER "/entry.ini";
+    const auto text = settings::read_file(path, problems);
+    const auto entry = entry::read_entry_settings(settings::parse_ini(text, path, problems), problems);
+    const auto sidecar = sidecar::read_sidecar_settings(EXAMPLES_FOLDER "/sidecar.ini", problems);
+    for (const auto& found : problems) {
+        UNSCOPED_INFO(found.to_string());
+    }
+    REQUIRE(problems.empty());
+    CHECK(entry.common.vm == "entry-1");
+    CHECK(sidecar.backend_server == "pluma-1");
+}
+
 TEST_CASE("each kind of fault names its key and what was expected", "[configuration]") {
     // An operator mistypes one thing in a long file. Taken silently, it would route or limit callers wrongly
     // until someone complains; so each fault must be named where it stands.
