--- /dev/null
+++ b/tests/support/checks.hpp
@@ -0,0 +1,28 @@
+// What several failure tests check about answers.
+#pragma once
+
+#include "support/completion.hpp"
+#include "support/http_caller.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace borageford::test {
+
+/// The caller has the whole answer to its own streamed call.
+inline void check_whole_answer(const caller_result& answer, const http::request& call, std::uint32_t tokens) {
+    INFO(answer.error << ' ' << answer.body);
+    CHECK(answer.status == 200);
+    CHECK(answer.is_whole);
+    CHECK(has_done_mark(answer.body));
+    CHECK(text_of_stream(answer.body) == expected_text(call, tokens));
+}
+
+/// The caller was refused, truthfully: the request didn't run, and it's told so.
+inline void check_not_run(const caller_result& answer, std::uint64_t runs) {
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.status >= 400);
+    CHECK(answer.header("X-Ran") == "no");
+    CHECK(runs == 0);
+}
+
+} // namespace borageford::test
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -152,10 +152,11 @@
     auto& unit = m_backends.at(index);
     const auto& name = unit.options.name;
     const auto settings = write_file(
-        name + ".ini",
-        common_settings("vm-" + name, unit.options.failure_domain) + "[sidecar]\nbackend_server = " + name +
-            "\nbackend_address = " + http::to_string(unit.server_link->address()) +
-            "\npeers_listen = 127.0.0.1:0\nstatus_listen = 127.0.0.1:0\n" + m_options.sidecar_settings);
+        name + ".ini", common_settings("vm-" + name, unit.options.failure_domain, m_options.sidecar_silence) +
+                           "[sidecar]\nbackend_server = " + name +
+                           "\nbackend_address = " + http::to_string(unit.server_link->address()) +
+                           "\npeers_listen = 127.0.0.1:0\nstatus_listen = 127.0.0.1:0\n" +
+                           m_options.sidecar_settings);
     unit.sidecar = std::make_unique<child_process>(
         program_folder / "borageford", std::vector<std::string>{"sidecar", "--settings", settings.string()},
         m_folder / (name + "-sidecar.log"));
@@ -172,7 +173,7 @@
     auto& unit = m_entries.at(index);
     const auto settings =
         write_file(unit.vm + ".ini",
-                   common_settings(unit.vm, "sala-a") +
+                   common_settings(unit.vm, "sala-a", m_options.entry_silence) +
                        "[entry]\ncallers_listen = 127.0.0.1:0\npeers_listen = 127.0.0.1:0\nadmin_listen = "
                        "127.0.0.1:0\nadmin_token_sha256 = " +
                        sha256_hex("operator-token") + "\n" + m_options.entry_settings);
@@ -184,9 +185,10 @@
     unit.admin = addresses.at("admin");
 }
 
-std::string cluster::common_settings(const std::string& vm, const std::string& domain) const {
+std::string cluster::common_settings(const std::string& vm, const std::string& domain,
+                                     const std::string& silence) const {
     return "[process]\nvm = " + vm + "\nfailure_domain = " + domain +
-           "\nregion = occidente\nthreads = 2\nheartbeat_period = 200ms\nsilence_limit = 2s\n" +
+           "\nregion = occidente\nthreads = 2\nheartbeat_period = 200ms\nsilence_limit = " + silence + "\n" +
            m_options.process_settings + "[platform]\naddress = " + http::to_string(m_platform_address) +
            "\npoll_period = 100ms\ntimeout = 1s\n";
 }
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -31,7 +31,10 @@
     std::string entry_settings = {};   ///< further lines of [entry]
     std::string sidecar_settings = {}; ///< further lines of [sidecar]
     std::string process_settings = {}; ///< further lines of [process]
-    std::string intent = {};           ///< further sections of the intent
+    /// After how long each side abandons a silent connection.
+    std::string entry_silence = "2s";
+    std::string sidecar_silence = "2s";
+    std::string intent = {}; ///< further sections of the intent
     std::vector<std::string> platform_arguments = {};
 };
 
@@ -102,7 +105,8 @@
 
 private:
     [[nodiscard]] std::string intent(const std::string& further, const std::string& drained) const;
-    [[nodiscard]] std::string common_settings(const std::string& vm, const std::string& domain) const;
+    [[nodiscard]] std::string common_settings(const std::string& vm, const std::string& domain,
+                                              const std::string& silence) const;
     void show_logs() const;
 
     cluster_options m_options;
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -18,7 +18,9 @@
 #include <future>
 #include <list>
 #include <map>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -70,6 +72,7 @@
 };
 
 struct armed_fault {
+    std::size_t number;
     direction way;
     unit_matcher matches;
     fault what;
@@ -176,18 +179,16 @@
             }
             auto unit = co_await read_unit(link, way);
             const auto action = find_fault(unit, way);
-            if (action == fault::hold) {
+            const auto back = way == direction::up ? direction::down : direction::up;
+            if (action == fault::hold || action == fault::isolate) {
                 link.at(way).state = lane_state::holding;
             } else if (action == fault::drop || action == fault::drop_both) {
                 link.at(way).state = lane_state::dropping;
-                if (action == fault::drop_both) {
-                    link.at(way == direction::up ? direction::down : direction::up).state =
-                        lane_state::dropping;
-                }
             }
-            if (action) {
-                note_fired();
+            if (action == fault::drop_both || action == fault::isolate) {
+                link.at(back).state = lane_state::dropping;
             }
+            note_fired();
             while (link.at(way).state == lane_state::holding) {
                 co_await wait_for_change(link);
             }
@@ -250,12 +251,20 @@
         return what;
     }
 
+    /// Called when the fault's state is in force, so that whoever waited for it finds it so.
     void note_fired() {
-        if (armed.empty()) {
-            all_fired.store(true);
+        const std::scoped_lock lock(waiting_mutex);
+        waiting.clear();
+        for (const auto& item : armed) {
+            waiting.insert(item.number);
         }
     }
 
+    bool has_fired(std::optional<std::size_t> number) {
+        const std::scoped_lock lock(waiting_mutex);
+        return number ? !waiting.contains(*number) : waiting.empty();
+    }
+
     static asio::awaitable<void> wait_for_change(relay& link) {
         boost::system::error_code ignored;
         co_await link.changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -291,7 +300,9 @@
     std::map<relay*, unsigned> half_closed;
     std::vector<armed_fault> armed;
     std::size_t accepted = 0;
-    std::atomic<bool> all_fired = true;
+    std::size_t next_number = 0;
+    std::mutex waiting_mutex;
+    std::set<std::size_t> waiting; ///< armed faults that haven't fired; guarded by `waiting_mutex`
     std::thread thread;
 };
 
@@ -336,15 +347,21 @@
     m_state->on_thread([&] { m_state->release_lanes(); });
 }
 
-void fault_proxy::arm(direction way, unit_matcher matches, fault what) {
-    m_state->on_thread([&] {
-        m_state->all_fired.store(false);
-        m_state->armed.push_back({way, std::move(matches), what});
+std::size_t fault_proxy::arm(direction way, unit_matcher matches, fault what) {
+    return m_state->on_thread([&] {
+        const auto number = m_state->next_number++;
+        m_state->armed.push_back({number, way, std::move(matches), what});
+        m_state->note_fired();
+        return number;
     });
 }
 
+void fault_proxy::wait_for_fault(std::size_t number) {
+    wait_until("the armed fault", [&] { return m_state->has_fired(number); });
+}
+
 void fault_proxy::wait_for_fault() {
-    wait_until("the armed fault", [this] { return m_state->all_fired.load(); });
+    wait_until("the armed faults", [this] { return m_state->has_fired(std::nullopt); });
 }
 
 std::size_t fault_proxy::open_connections() const {
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -23,6 +23,7 @@
 enum class fault : std::uint8_t {
     pass,      ///< nothing; the trigger is just waited for
     hold,      ///< keep it and all that follows in this direction until release()
+    isolate,   ///< hold, and swallow silently what comes in the other direction
     drop,      ///< swallow it and all that follows in this direction, silently
     drop_both, ///< swallow it and all that follows in both directions, silently
     lose,      ///< swallow it and reset the connection
@@ -77,8 +78,9 @@
     /// Lets go on what was held, in order.
     void release();
 
-    /// Arms a fault for the next unit that matches; it fires once.
-    void arm(direction way, unit_matcher matches, fault what);
+    /// Arms a fault for the next unit that matches; it fires once. Returns its number, for waiting.
+    std::size_t arm(direction way, unit_matcher matches, fault what);
+    void wait_for_fault(std::size_t number);
     /// Returns once every armed fault has fired.
     void wait_for_fault();
     [[nodiscard]] std::size_t open_connections() const;
