Offer again once when the connection to a sidecar is reset

One reset refused every request that waited on that connection as no_backend_server: 8 of 24 callers in the test of crossed answers.

--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -136,7 +136,8 @@
 void offer_round::send_next_group() {
     const auto after = m_plan.offers.at(m_next_offer).after;
     while (m_next_offer < m_plan.offers.size() && m_plan.offers.at(m_next_offer).after == after) {
-        send_offer(m_candidates.at(m_plan.offers.at(m_next_offer).candidate));
+        const auto& server = m_candidates.at(m_plan.offers.at(m_next_offer).candidate);
+        send_offer({server.link, server.name});
         ++m_next_offer;
     }
 }
@@ -150,7 +151,7 @@
                         m_retry_after.value_or(default_retry));
 }
 
-void offer_round::send_offer(const candidate& server) {
+void offer_round::send_offer(open_offer place) {
     const auto dispatch = identifier::random();
     wire::offer_message offer;
     offer.dispatch = wire::to_wire(dispatch);
@@ -167,10 +168,11 @@
     offer.resend_key = m_call.resend_key;
     const auto left = std::chrono::duration_cast<milliseconds>(m_call.deadline - steady_clock::now()).count();
     offer.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
-    m_open_offers.emplace(dispatch, open_offer{server.link, server.name});
     m_context.metrics.offered();
-    record(audit::event::offered, dispatch, server.name);
-    server.link->send_for(dispatch, m_events, std::move(offer));
+    record(audit::event::offered, dispatch, place.backend_server);
+    const auto link = place.link;
+    m_open_offers.emplace(dispatch, std::move(place));
+    link->send_for(dispatch, m_events, std::move(offer));
 }
 
 std::optional<place> offer_round::handle(const dispatch_event& event) {
@@ -184,7 +186,7 @@
         take_refusal(wire::from_wire(refusal->dispatch), wire::error_kind_from_wire(refusal->error_kind),
                      milliseconds(refusal->retry_after_ms));
     } else if (const auto* lost = std::get_if<connection_lost>(&event)) {
-        take_refusal(lost->dispatch, error_kind::no_backend_server, milliseconds(0));
+        take_lost_connection(lost->dispatch);
     } else if (std::holds_alternative<caller_gone>(event)) {
         withdraw_all();
         throw caller_left();
@@ -244,6 +246,21 @@
     }
 }
 
+/// A connection that was reset says nothing about its server: the offer, which can't have run, is made once
+/// more on a new one. Without this, one reset would refuse every request that waited on it.
+void offer_round::take_lost_connection(const dispatch_id& dispatch) {
+    const auto found = m_open_offers.find(dispatch);
+    if (found == m_open_offers.end()) {
+        return;
+    }
+    auto place = found->second;
+    take_refusal(dispatch, error_kind::no_backend_server, milliseconds(0));
+    if (!place.is_repeated && !place.link->is_unreachable()) {
+        place.is_repeated = true;
+        send_offer(std::move(place));
+    }
+}
+
 void offer_round::withdraw_all(const std::string& started_at, const dispatch_id& running) {
     for (const auto& [dispatch, offer] : std::exchange(m_open_offers, {})) {
         wire::withdraw_message withdrawal;
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -53,13 +53,15 @@
     struct open_offer {
         std::shared_ptr<sidecar_link> link;
         std::string backend_server;
+        bool is_repeated = false; ///< the connection of the first offer to this server was lost
     };
 
     void plan();
     void send_due_offers();
     void send_next_group();
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
-    void send_offer(const candidate& server);
+    void send_offer(open_offer place);
+    void take_lost_connection(const dispatch_id& dispatch);
     [[nodiscard]] std::optional<place> handle(const dispatch_event& event);
     [[nodiscard]] std::optional<place> take_reply(const wire::offer_reply_message& reply);
     [[nodiscard]] std::optional<place> take_grant(const wire::grant_message& grant);
--- /dev/null
+++ b/tests/failure/test_2_whole_answers.cpp
@@ -0,0 +1,135 @@
+// Point 2: a caller gets the whole answer to its own request, and never a part as if it were whole.
+#include "support/checks.hpp"
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+cluster_options one_engine() {
+    return {.backend_servers = {{.name = "pluma-1"}}};
+}
+
+/// Strikes the answer's frames between sidecar and entry once and expects the caller not to notice.
+void check_survives(cluster& system, const unit_matcher& where, fault what, const std::string& prompt) {
+    INFO(prompt);
+    auto& link = *system.backend(0).link;
+    link.arm(direction::down, where, what);
+    const auto call = make_completion(prompt, {.tokens = 60});
+    pending_call pending(system.entry(0).callers, call);
+    link.wait_for_fault();
+    check_whole_answer(pending.wait(), call, 60);
+    CHECK(system.runs_of(call) == 1);
+}
+
+} // namespace
+
+// Pieces of the answer are lost, doubled, damaged or cut in half between sidecar and entry. The caller must see
+// every byte once and in order.
+TEST_CASE("2 whole answers: pieces lost, doubled, damaged and cut between sidecar and entry") {
+    cluster system(one_engine());
+    const auto chunk = is_message<wire::chunk_message>();
+    check_survives(system, chunk, fault::lose, "lost");
+    check_survives(system, chunk, fault::duplicate, "doubled");
+    check_survives(system, chunk, fault::corrupt, "damaged");
+    check_survives(system, chunk, fault::truncate, "cut in half");
+    check_survives(system, is_message<wire::answer_head_message>(), fault::duplicate, "head doubled");
+    check_survives(system, is_message<wire::answer_end_message>(), fault::duplicate, "end doubled");
+    check_survives(system, is_message<wire::answer_end_message>(), fault::truncate, "end cut in half");
+}
+
+// The engine's connection breaks in the middle of a piece. The sidecar must go on from the exact byte; a byte
+// more or less would damage the event that was cut.
+TEST_CASE("2 whole answers: attach resumes at the exact byte") {
+    cluster system(one_engine());
+    auto& link = *system.backend(0).server_link;
+    for (const auto* prompt : {"corte uno", "corte dos", "corte tres"}) {
+        link.arm(direction::down, contains("delta"), fault::truncate);
+        const auto call = make_completion(prompt, {.tokens = 60});
+        pending_call pending(system.entry(0).callers, call);
+        link.wait_for_fault();
+        check_whole_answer(pending.wait(), call, 60);
+        CHECK(system.runs_of(call) == 1);
+    }
+}
+
+// Many answers come at once over few connections, slowly, and all connections are reset in the middle. Nobody
+// may be given another's answer.
+TEST_CASE("2 whole answers: crossed answers of many callers under resets") {
+    cluster system;
+    std::vector<http::request> calls;
+    std::vector<std::unique_ptr<pending_call>> pending;
+    for (std::size_t index = 0; index < 24; ++index) {
+        const auto tokens = static_cast<std::uint32_t>(20 + index * 3);
+        calls.push_back(make_completion("cruzada " + std::to_string(index), {.tokens = tokens}));
+        pending.push_back(std::make_unique<pending_call>(system.entry(index % 2).callers, calls.back()));
+    }
+    pending.front()->wait_for_bytes(300);
+    for (std::size_t index = 0; index < system.backend_count(); ++index) {
+        system.backend(index).link->set_delay(std::chrono::milliseconds(5));
+        system.backend(index).link->cut(cut_kind::reset);
+        system.backend(index).server_link->cut(cut_kind::reset);
+    }
+    for (std::size_t index = 0; index < calls.size(); ++index) {
+        check_whole_answer(pending[index]->wait(), calls[index], static_cast<std::uint32_t>(20 + index * 3));
+        CHECK(system.runs_of(calls[index]) == 1);
+    }
+}
+
+// The engine dies for good in the middle of an answer. What the caller has is a part: its stream must not end
+// as a whole one does.
+TEST_CASE("2 whole answers: a cut stream is never ended as if whole") {
+    cluster system(one_engine());
+    const auto streamed = make_completion("muerte", {.tokens = 400});
+    const auto whole = make_completion("muerte entera", {.tokens = 400, .streamed = false});
+    pending_call stream(system.entry(0).callers, streamed);
+    pending_call plain(system.entry(0).callers, whole);
+    stream.wait_for_bytes(500);
+    static_cast<void>(system.wait_for_run(whole));
+    system.backend(0).server->kill();
+    const auto cut = stream.wait();
+    CHECK(cut.status == 200);
+    CHECK_FALSE(cut.is_whole);
+    CHECK_FALSE(has_done_mark(cut.body));
+    CHECK(cut.body.find("backend_failed") != std::string::npos);
+    const auto refused = plain.wait();
+    INFO(refused.body);
+    CHECK(refused.status == 502);
+    CHECK(refused.header("X-Ran") == "unknown");
+}
+
+// A caller loses its connection and sends the same request again to another entry. It must get the whole
+// answer, without the engine being paid twice.
+TEST_CASE("2 whole answers: a resend at another entry attaches to the running answer") {
+    cluster system;
+    const auto call =
+        with_header(make_completion("notas del capitulo", {.tokens = 150}), "Idempotency-Key", "notas-7");
+    {
+        pending_call first(system.entry(0).callers, call);
+        first.wait_for_bytes(500);
+    } // hangs up
+    check_whole_answer(system.send(1, call), call, 150);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The entry itself dies in the middle of the stream; its caller sends again to another entry.
+TEST_CASE("2 whole answers: a resend after the entry died attaches to the running answer") {
+    cluster system;
+    const auto call =
+        with_header(make_completion("borrador", {.tokens = 150}), "Idempotency-Key", "borrador-3");
+    pending_call first(system.entry(0).callers, call);
+    first.wait_for_bytes(500);
+    system.entry(0).process->kill();
+    const auto cut = first.wait();
+    CHECK_FALSE(cut.is_whole);
+    check_whole_answer(system.send(1, call), call, 150);
+    CHECK(system.runs_of(call) == 1);
+}
--- /dev/null
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -0,0 +1,190 @@
+// Point 4: a call that may not be repeated runs at most once, whichever entry it is sent to again.
+#include "support/checks.hpp"
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+cluster_options one_service(const std::string& delay_ms = "0") {
+    return {.backend_servers = {
+                {.name = "estante-1", .is_service = true, .arguments = {"--delay-ms", delay_ms}}}};
+}
+
+} // namespace
+
+// An author's kudos is sent twice because its first sender lost patience; the first is still running.
+TEST_CASE("4 non-idempotent: same key at another entry while the first runs") {
+    cluster system(one_service("1500"));
+    const auto call = make_kudos("capitulo 1", "k1");
+    pending_call first(system.entry(0).callers, call);
+    static_cast<void>(system.wait_for_run(call));
+    check_service_answer(system.send(1, call), call);
+    check_service_answer(first.wait(), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The same, after the first has finished: the resend is told what came of it.
+TEST_CASE("4 non-idempotent: same key at another entry after it finished") {
+    cluster system(one_service());
+    const auto call = make_kudos("capitulo 2", "k2");
+    check_service_answer(system.send(0, call), call);
+    const auto again = system.send(1, call);
+    INFO(again.status << ' ' << again.body);
+    CHECK((again.status == 200 || again.header("X-Error-Kind") == "already_ran"));
+    CHECK(again.header("X-Ran") != "no");
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The entry dies while the call runs; its caller asks another entry.
+TEST_CASE("4 non-idempotent: same key after its entry died") {
+    cluster system(one_service("1500"));
+    const auto call = make_kudos("capitulo 3", "k3");
+    pending_call first(system.entry(0).callers, call);
+    static_cast<void>(system.wait_for_run(call));
+    system.entry(0).process->kill();
+    check_service_answer(system.send(1, call), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The sidecar dies while the call runs; a plain service can't be asked what came of it, so nobody can know. The
+// caller is told just that, and the call isn't run again however often it's sent.
+TEST_CASE("4 non-idempotent: same key after its sidecar died") {
+    auto options = one_service("1500");
+    options.entry_settings = "fate_limit = 3s\n";
+    cluster system(options);
+    const auto call = make_kudos("capitulo 4", "k4");
+    pending_call first(system.entry(0).callers, call);
+    static_cast<void>(system.wait_for_run(call));
+    system.backend(0).sidecar->kill();
+    system.start_sidecar(0);
+    const auto told = first.wait();
+    INFO(told.status << ' ' << told.body);
+    CHECK(told.header("X-Ran") == "unknown");
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        const auto again = system.send(entry, call);
+        INFO(again.status << ' ' << again.body);
+        CHECK(again.header("X-Ran") == "unknown");
+    }
+    CHECK(system.runs_of(call) == 1);
+}
+
+// While the table is out, nobody can know whether the key was used: the call is refused, not run. When the
+// table is back, the same key runs once.
+TEST_CASE("4 non-idempotent: table outage") {
+    cluster system(one_service());
+    const auto call = make_kudos("capitulo 5", "k5");
+    system.control_platform(R"({"outage":true})");
+    const auto refused = system.send(0, call);
+    check_not_run(refused, system.runs_of(call));
+    CHECK(refused.header("X-Error-Kind") == "platform_unavailable");
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    system.control_platform(R"({"outage":false})");
+    check_service_answer(system.send(1, call), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The claim took effect and its answer was lost: the entry must see by reading back that the claim is its own.
+TEST_CASE("4 non-idempotent: the claim's answer lost after it took effect") {
+    cluster system(one_service());
+    const auto call = make_kudos("capitulo 6", "k6");
+    system.control_platform(R"({"lose_answers":1})");
+    check_service_answer(system.send(0, call), call);
+    CHECK(system.runs_of(call) == 1);
+    check_service_answer(system.send(1, call), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// Two failures together: the claim's answer is lost and the table goes out at that moment, so that the claim
+// can't be read back. The call is refused as not run although its row stands; when the table is back, the same
+// key runs once.
+TEST_CASE("4 non-idempotent: the claim's answer lost and a table outage together") {
+    cluster system(one_service());
+    const auto call = make_kudos("capitulo 7", "k7");
+    system.control_platform(R"({"outage_after_loss":true,"lose_answers":1})");
+    check_not_run(system.send(0, call), system.runs_of(call));
+    system.control_platform(R"({"outage":false,"outage_after_loss":false})");
+    check_service_answer(system.send(1, call), call);
+    check_service_answer(system.send(0, call), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// A sidecar's memory is limited: by the time of the resend it has forgotten the dispatch. That it knows nothing
+// must not be taken for "it never began".
+TEST_CASE("4 non-idempotent: same key after the sidecar forgot the dispatch") {
+    auto options = one_service();
+    options.sidecar_settings = "ledger_entries = 1\nanswer_count = 1\n";
+    cluster system(options);
+    const auto call = make_kudos("capitulo 8", "k8");
+    check_service_answer(system.send(0, call), call);
+    for (int other = 0; other < 5; ++other) {
+        const auto name = "otro " + std::to_string(other);
+        check_service_answer(system.send(0, make_kudos(name, name)), make_kudos(name, name));
+    }
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        const auto again = system.send(entry, call);
+        INFO(again.status << ' ' << again.body);
+        CHECK(again.header("X-Ran") != "no");
+    }
+    CHECK(system.runs_of(call) == 1);
+}
+
+// The same key with another body is a caller's mistake; neither call may be taken for the other.
+TEST_CASE("4 non-idempotent: key used for another request") {
+    cluster system(one_service());
+    const auto call = make_kudos("capitulo 9", "k9");
+    check_service_answer(system.send(0, call), call);
+    const auto other = make_kudos("capitulo 10", "k9");
+    const auto refused = system.send(1, other);
+    check_not_run(refused, system.runs_of(other));
+    CHECK(refused.header("X-Error-Kind") == "idempotency_key_reused");
+}
+
+// The start of a claimed call is lost with its connection: the sidecar says that it never began, and only then
+// it's placed again, once.
+TEST_CASE("4 non-idempotent: start lost after the claim") {
+    cluster system(one_service());
+    auto& link = *system.backend(0).link;
+    link.arm(direction::up, is_message<wire::start_message>(), fault::lose);
+    const auto call = make_kudos("capitulo 11", "k11");
+    pending_call first(system.entry(0).callers, call);
+    link.wait_for_fault();
+    check_service_answer(first.wait(), call);
+    CHECK(system.runs_of(call) == 1);
+}
+
+// Hundreds of kudos arrive together, while the table takes only 200 writes a second: claims of the same moment
+// must share a transaction, or callers would wait or be refused for their rate.
+TEST_CASE("4 non-idempotent: several hundred claims fit the table's write rate") {
+    auto options = one_service();
+    options.backend_servers.front().slots = "400";
+    options.sidecar_settings = "queue_requests = 1000\n";
+    options.platform_arguments = {"--writes-per-second", "200"};
+    cluster system(options);
+    constexpr std::size_t calls_at_once = 400;
+    const auto runs_before = system.server_count(0, "total");
+    const auto transactions_before = system.platform_count("transactions");
+    std::vector<http::request> calls;
+    std::vector<std::unique_ptr<pending_call>> pending;
+    for (std::size_t index = 0; index < calls_at_once; ++index) {
+        const auto name = "kudo " + std::to_string(index);
+        calls.push_back(make_kudos(name, name));
+        pending.push_back(std::make_unique<pending_call>(system.entry(index % 2).callers, calls.back()));
+    }
+    for (std::size_t index = 0; index < calls_at_once; ++index) {
+        check_service_answer(pending[index]->wait(), calls[index]);
+    }
+    const auto transactions = system.platform_count("transactions") - transactions_before;
+    const auto rows = system.platform_count("rows_written");
+    WARN(rows << " rows in " << transactions << " transactions for " << calls_at_once << " claims");
+    CHECK(system.server_count(0, "total") - runs_before == calls_at_once);
+    CHECK(transactions * 4 < calls_at_once);
+}
--- a/tests/fakes/fake_platform.cpp
+++ b/tests/fakes/fake_platform.cpp
@@ -87,6 +87,7 @@
         m_counts.rows_written += outcome.rows_written;
         if (m_lose_answers > 0) {
             --m_lose_answers;
+            m_outage = m_outage || m_outage_after_loss;
             writer.cut();
             co_return;
         }
@@ -177,6 +178,8 @@
                 m_table.set_stale_reads(value.as_bool());
             } else if (name == "lose_answers") {
                 m_lose_answers = value.to_number<std::uint64_t>();
+            } else if (name == "outage_after_loss") {
+                m_outage_after_loss = value.as_bool();
             } else if (name == "vms") {
                 replace_machines(value.as_array());
             } else if (name != "vm_lag_ms") {
@@ -219,6 +222,7 @@
     double m_latency_ms;
     double m_vm_lag_ms = 0;
     bool m_outage = false;
+    bool m_outage_after_loss = false; ///< a lost answer begins an outage
     std::uint64_t m_lose_answers = 0;
 };
 
--- a/tests/support/checks.hpp
+++ b/tests/support/checks.hpp
@@ -1,6 +1,7 @@
 // What several failure tests check about answers.
 #pragma once
 
+#include "support/answer_text.hpp"
 #include "support/completion.hpp"
 #include "support/http_caller.hpp"
 
@@ -17,6 +18,13 @@
     CHECK(text_of_stream(answer.body) == expected_text(call, tokens));
 }
 
+/// The caller has the service's answer to its own call.
+inline void check_service_answer(const caller_result& answer, const http::request& call) {
+    INFO(answer.status << ' ' << answer.error << ' ' << answer.body);
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find(to_hex(fingerprint_of(call.body))) != std::string::npos);
+}
+
 /// The caller was refused, truthfully: the request didn't run, and it's told so.
 inline void check_not_run(const caller_result& answer, std::uint64_t runs) {
     INFO(answer.status << ' ' << answer.body);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -291,13 +291,11 @@
 }
 
 void cluster::wait_for_entry(std::size_t index) {
-    const auto probe = make_completion("probe " + std::to_string(++m_starts), {.tokens = 1});
+    const auto name = "probe " + std::to_string(++m_starts);
     const bool has_engine =
         std::ranges::any_of(m_backends, [](const auto& unit) { return !unit.options.is_service; });
+    const auto probe = has_engine ? make_completion(name, {.tokens = 1}) : make_kudos(name, name);
     wait_until("an answer by entry " + std::to_string(index), [&] {
-        if (!has_engine) {
-            return call(m_entries[index].callers, {"GET", "/readyz", {}, {}}).status == 200;
-        }
         const auto answer = send(index, probe);
         if (answer.status != 200) {
             throw std::runtime_error(std::to_string(answer.status) + " " + answer.body + answer.error);
--- a/tests/support/completion.cpp
+++ b/tests/support/completion.cpp
@@ -48,6 +48,17 @@
     return call;
 }
 
+http::request make_kudos(std::string_view chapter, std::string_view idempotency_key) {
+    http::request call;
+    call.method = "POST";
+    call.target = "/services/kudos/give";
+    call.headers = {{"Authorization", "Bearer tinta-key"},
+                    {"Content-Type", "application/json"},
+                    {"Idempotency-Key", std::string(idempotency_key)}};
+    call.body = json::serialize(json::object{{"chapter", json::string_view(chapter.data(), chapter.size())}});
+    return call;
+}
+
 http::request with_header(http::request call, std::string name, std::string value) {
     call.headers.push_back({std::move(name), std::move(value)});
     return call;
--- a/tests/support/completion.hpp
+++ b/tests/support/completion.hpp
@@ -19,6 +19,9 @@
 /// A chat call whose prompt is this text.
 [[nodiscard]] http::request make_completion(std::string_view prompt, const completion_options& options = {});
 
+/// A call to the plain service "kudos", which may not be repeated.
+[[nodiscard]] http::request make_kudos(std::string_view chapter, std::string_view idempotency_key);
+
 /// The same call with one more header.
 [[nodiscard]] http::request with_header(http::request call, std::string name, std::string value);
 
