--- a/src/process/common_settings.cpp
+++ b/src/process/common_settings.cpp
@@ -32,6 +32,8 @@
     if (common.silence_limit <= common.heartbeat_period) {
         reader.complain("silence_limit", "a duration longer than heartbeat_period");
     }
+    common.audit_period =
+        reader.duration("audit_period", common.audit_period, shortest_period, longest_period);
     reader.finish();
 }
 
--- a/src/process/common_settings.hpp
+++ b/src/process/common_settings.hpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds heartbeat_period{1000}; ///< on every connection between our processes
     std::chrono::milliseconds silence_limit{3000};    ///< a connection silent for longer is abandoned
     std::chrono::milliseconds platform_timeout{2000}; ///< one call to the table or the object store
+    std::chrono::milliseconds audit_period{30000};    ///< between batches of audit records
 };
 
 /// Reads the sections [process] and [platform]. Complaints go to `problems`.
--- /dev/null
+++ b/tests/unit/test_settings_page.cpp
@@ -0,0 +1,183 @@
+// docs/SETTINGS.md and the code that reads settings and intent know the same keys, with the same bounds.
+#include "base/identifier.hpp"
+#include "configuration/intent_parser.hpp"
+#include "entry/entry_settings.hpp"
+#include "settings/section_reader.hpp"
+#include "sidecar/sidecar_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using problems = std::vector<settings::problem>;
+
+namespace {
+
+/// Reads one file of its kind and returns the complaints.
+using file_reader = std::function<problems(const std::string& text)>;
+
+problems read_entry(const std::string& text) {
+    problems found;
+    std::ignore = entry::read_entry_settings(settings::parse_ini(text, "page", found), found);
+    return found;
+}
+
+problems read_sidecar(const std::string& text) {
+    const auto file = std::filesystem::temp_directory_path() / identifier::random().to_string();
+    std::ofstream(file) << text;
+    problems found;
+    std::ignore = sidecar::read_sidecar_settings(file.string(), found);
+    std::filesystem::remove(file);
+    return found;
+}
+
+problems read_intent(const std::string& text) {
+    problems found;
+    std::ignore = configuration::parse_intent(text, "page", found);
+    return found;
+}
+
+struct documented_section {
+    std::string page_title;
+    std::string title; ///< as it stands in a file
+    file_reader read;
+};
+
+const std::vector<documented_section>& documented_sections() {
+    static const std::vector<documented_section> sections{
+        {"[process]", "process", read_entry},
+        {"[platform]", "platform", read_entry},
+        {"[entry]", "entry", read_entry},
+        {"[sidecar]", "sidecar", read_sidecar},
+        {"[tier NAME]", "tier a", read_intent},
+        {"[model NAME]", "model a", read_intent},
+        {"[service NAME]", "service a", read_intent},
+        {"[workspace NAME]", "workspace a", read_intent},
+        {"[backend_server NAME]", "backend_server a", read_intent},
+        {"[route NAME]", "route a", read_intent}};
+    return sections;
+}
+
+/// What the reader says about one key of a file; empty when it has no complaint.
+std::string complaint(const documented_section& section, const std::string& key, const std::string& body) {
+    for (const auto& problem : section.read("[" + section.title + "]\n" + body)) {
+        if (problem.key == section.title + "." + key) {
+            return problem.expected;
+        }
+    }
+    return {};
+}
+
+/// The keys that the code reads, from its own complaint about an unknown one.
+std::set<std::string> keys_of_code(const documented_section& section) {
+    constexpr std::string_view lead = "this section has";
+    const std::string text = complaint(section, "no_such_key", "no_such_key = 1\n");
+    std::set<std::string> keys;
+    std::string word;
+    for (const char letter : text.substr(text.find(lead) + lead.size()) + " ") {
+        if (letter != ' ' && letter != ',') {
+            word += letter;
+            continue;
+        }
+        if (!word.empty()) {
+            keys.insert(std::exchange(word, {}));
+        }
+        if (letter == ',') {
+            break; // what was found follows
+        }
+    }
+    return keys;
+}
+
+struct documented_key {
+    std::string initial; ///< "required", "none" or the default
+    std::string accepted;
+};
+
+using page_sections = std::map<std::string, std::map<std::string, documented_key>>;
+
+std::vector<std::string> cells_of(const std::string& line) {
+    std::vector<std::string> cells;
+    std::size_t from = 2;
+    for (auto end = line.find(" |", from); end != std::string::npos; end = line.find(" |", from)) {
+        cells.push_back(line.substr(from, end - from));
+        from = end + 3;
+    }
+    return cells;
+}
+
+/// `text` without its code marks.
+std::string plain(std::string text) {
+    std::erase(text, '`');
+    return text;
+}
+
+page_sections read_page() {
+    std::ifstream page(DOCS_FOLDER "/SETTINGS.md");
+    REQUIRE(page);
+    page_sections sections;
+    std::string title;
+    for (std::string line; std::getline(page, line);) {
+        if (line.starts_with("### ")) {
+            title = plain(line.substr(4));
+        } else if (line.starts_with("| `")) {
+            const auto cells = cells_of(line);
+            REQUIRE(cells.size() == 4);
+            sections[title][plain(cells[0])] = {plain(cells[1]), cells[2]};
+        }
+    }
+    return sections;
+}
+
+} // namespace
+
+TEST_CASE("the page of settings knows the keys that the code reads", "[settings]") {
+    const auto page = read_page();
+    for (const auto& section : documented_sections()) {
+        INFO(section.page_title);
+        const auto found = page.find(section.page_title);
+        std::set<std::string> documented;
+        if (found != page.end()) {
+            for (const auto& [key, row] : found->second) {
+                documented.insert(key);
+            }
+        }
+        CHECK(documented == keys_of_code(section));
+    }
+    CHECK(page.size() < documented_sections().size()); // [service NAME] has no keys
+}
+
+TEST_CASE("the page of settings says which keys are required", "[settings]") {
+    for (const auto& section : documented_sections()) {
+        const auto page = read_page()[section.page_title];
+        for (const auto& [key, row] : page) {
+            INFO(section.page_title << " " << key);
+            const auto without = complaint(section, key, "");
+            // Whether a server needs models or services, and a route which of the two, depends on other keys.
+            const bool depends = key == "models" || key == "model";
+            CHECK((depends || without.empty() == (row.initial != "required")));
+        }
+    }
+}
+
+TEST_CASE("the page of settings says what is accepted", "[settings]") {
+    for (const auto& section : documented_sections()) {
+        const auto page = read_page()[section.page_title];
+        for (const auto& [key, row] : page) {
+            INFO(section.page_title << " " << key);
+            REQUIRE_FALSE(row.accepted.empty());
+            const auto wrong = complaint(section, key, key + " = ?\n");
+            CHECK((wrong.empty() ? row.accepted.starts_with("any ") : wrong.starts_with(row.accepted)));
+            if (row.initial != "required" && row.initial != "none") {
+                CHECK(complaint(section, key, key + " = " + row.initial + "\n").empty());
+            }
+        }
+    }
+}
