Answer auditors' questions through the administration API

An entry now gives the administration what it needs for "explain" and for the list of a workspace's requests: lines for people and the same as one JSON object. A request without records is "not found" only when nothing is missing either; otherwise the answer says what is missing, since silence is no proof. Touches the entry's wiring and one field of the administration's view.

--- a/src/admin/answers.cpp
+++ b/src/admin/answers.cpp
@@ -247,6 +247,9 @@
 http::response explanation_answer(const explanation& what) {
     json::object object;
     object["lines"] = json::value_from(what.lines);
+    if (!what.document.empty()) {
+        object["request"] = json::parse(what.document);
+    }
     return json_answer(status_ok, object);
 }
 
--- a/src/admin/node_view.hpp
+++ b/src/admin/node_view.hpp
@@ -33,6 +33,7 @@
 /// What an auditor reads about one request.
 struct explanation {
     std::vector<std::string> lines; ///< plain words, in order of time
+    std::string document;           ///< the same for programs, one JSON object; empty: there is none
 };
 
 /// Which requests an auditor asks about.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -4,6 +4,8 @@
 #include "admin/administration.hpp"
 #include "admin/configuration_exchange.hpp"
 #include "admin/revision_listener.hpp"
+#include "audit/explainer.hpp"
+#include "audit/narrative.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
 #include "entry/entry_context.hpp"
@@ -60,6 +62,8 @@
     admin::administration_context make_administration_context();
     admin::node_view make_node_view();
     std::vector<admin::backend_server_state> show_servers();
+    boost::asio::awaitable<std::optional<admin::explanation>> explain(request_id request);
+    boost::asio::awaitable<admin::explanation> find_requests(admin::request_query query);
     void rebuild_servers();
     boost::asio::awaitable<void> handle_admin(const http::request& received, http::response_writer& writer);
     void stop_gracefully();
@@ -78,6 +82,7 @@
     server_directory m_servers;
     claim_store m_claims;
     audit::recorder m_audit;
+    audit::explainer m_explainer;
     entry_context m_context;
     caller_api m_callers;
     admin::revision_listener m_peer_listener;
@@ -105,6 +110,7 @@
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects,
               {.vm = m_settings.common.vm, .role = "entry", .flush_period = m_settings.common.audit_period}),
+      m_explainer(m_objects, {}),
       m_context{m_settings, m_configuration, m_servers, m_claims, m_metrics, m_audit},
       m_callers(m_context),
       m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
@@ -145,9 +151,29 @@
     view.backend_servers = [this] {
         return show_servers();
     };
+    view.explain = [this](request_id request) {
+        return explain(request);
+    };
+    view.find_requests = [this](admin::request_query query) {
+        return find_requests(std::move(query));
+    };
     return view;
 }
 
+asio::awaitable<std::optional<admin::explanation>> entry_process::explain(request_id request) {
+    const auto found = co_await m_explainer.find_request(request);
+    if (found.records.empty() && found.remarks.empty()) {
+        co_return std::nullopt;
+    }
+    co_return admin::explanation{audit::describe_request(request, found),
+                                 audit::describe_request_as_json(request, found)};
+}
+
+asio::awaitable<admin::explanation> entry_process::find_requests(admin::request_query query) {
+    const auto found = co_await m_explainer.find_workspace(query.workspace, query.from, query.to);
+    co_return admin::explanation{audit::list_requests(query.workspace, found, query.limit), {}};
+}
+
 std::vector<admin::backend_server_state> entry_process::show_servers() {
     const auto now = steady_clock::now();
     std::vector<admin::backend_server_state> states;
