--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -88,6 +88,7 @@
     admission m_admissions;
     crash_watch m_crashes;
     audit::recorder m_audit;
+    audit::explainer m_explainer;
     entry_context m_context;
     caller_api m_callers;
     admin::revision_listener m_peer_listener;
@@ -114,9 +115,11 @@
       m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
       m_crashes(m_runtime.executor(), m_runtime.timers(), m_table),
-      m_audit(m_runtime.executor(), m_runtime.timers(), m_objects, {m_settings.common.vm, "entry"}),
-      m_context{m_settings,   m_configuration, m_servers, m_claims, m_admissions,
-                m_placements, m_crashes,       m_metrics, m_audit},
+      m_audit(m_runtime.executor(), m_runtime.timers(), m_objects,
+              {.vm = m_settings.common.vm, .role = "entry", .flush_period = m_settings.common.audit_period}),
+      m_explainer(m_objects, {}),
+      m_context{m_settings, m_configuration, m_servers, m_claims, m_admissions,
+                m_crashes,  m_metrics,       m_audit},
       m_callers(m_context),
       m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
       m_administration(make_administration_context(), make_node_view()),
