--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -4,6 +4,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -26,6 +27,19 @@
     return std::chrono::duration_cast<std::chrono::seconds>(since).count();
 }
 
+/// By how much the clocks of two entries may differ: a claim is taken to be older by this.
+constexpr std::chrono::minutes clock_difference{1};
+
+milliseconds age_of(steady_clock::time_point started) {
+    constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
+    return std::min(std::chrono::duration_cast<milliseconds>(steady_clock::now() - started), longest);
+}
+
+steady_clock::time_point start_of(const claim& held) {
+    const std::chrono::seconds age(std::max<std::int64_t>(0, now_seconds() - held.time));
+    return steady_clock::now() - age - clock_difference;
+}
+
 /// Refusals after a grant that another backend server may answer differently.
 bool is_worth_another_place(error_kind kind) {
     return kind == error_kind::stale_revision || kind == error_kind::draining ||
@@ -113,7 +127,7 @@
         co_await m_context.claims.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
     if (const auto* taken = std::get_if<claim_taken>(&result)) {
         m_claim.version = taken->version;
-        record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}});
+        record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}, {}});
         co_return true;
     }
     co_return co_await join_claimed(std::get<claim_held>(result).current);
@@ -132,8 +146,8 @@
     }
     m_claim = current;
     m_joined = true;
-    m_started =
-        started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
+    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation,
+                                 start_of(current)};
     m_context.metrics.attached();
     attach();
     co_return false;
@@ -141,7 +155,8 @@
 
 void request_run::join(const attachable_place& place) {
     m_joined = true;
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation()};
+    m_started = started_dispatch{
+        place.link, place.backend_server, place.dispatch, place.link->incarnation(), {}};
     m_context.metrics.attached();
     record(audit::event::attached, *m_started);
     attach();
@@ -151,7 +166,8 @@
     m_joined = false;
     m_lost_since.reset();
     m_ask_at.reset();
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation};
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation,
+                                 steady_clock::now()};
     wire::start_message start;
     start.dispatch = wire::to_wire(place.dispatch);
     start.revision = m_call.configuration->revision;
@@ -172,6 +188,7 @@
     attach.dispatch = wire::to_wire(m_started->dispatch);
     attach.incarnation = wire::to_wire(m_started->incarnation);
     attach.offset = m_answer.received();
+    attach.started_ms_ago = static_cast<std::uint32_t>(age_of(m_started->started).count());
     m_started->link->send_for(m_started->dispatch, m_events, attach);
 }
 
@@ -282,6 +299,9 @@
         m_lost_since.reset();
         return std::nullopt;
     case wire::dispatch_fate::not_begun:
+        if (m_joined && m_claim.state == claim_state::finished) {
+            break; // its row says that it has run
+        }
         if (!m_answer.has_head()) {
             m_not_begun.reset();
             m_started->link->forget(m_started->dispatch);
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -28,6 +28,9 @@
     std::string backend_server;
     dispatch_id dispatch;
     identifier incarnation; ///< of the sidecar that got the start
+    /// When the start was sent, at the latest; long ago where that isn't known. A ledger that has forgotten so
+    /// old an id must not take it for one that never came.
+    std::chrono::steady_clock::time_point started;
 };
 
 /// Runs on its caller's strand. Invariant: between the start and a `not_begun` for it, no second start of
--- a/src/ledger/dispatch_ledger.cpp
+++ b/src/ledger/dispatch_ledger.cpp
@@ -97,6 +97,10 @@
     m_entries.insert_or_assign(dispatch, entry{dispatch_state::started, {}});
 }
 
+void dispatch_ledger::forget_adopted(dispatch_id dispatch) {
+    m_entries.erase(dispatch);
+}
+
 std::vector<dispatch_id> dispatch_ledger::lapse_grants(time_point now) {
     std::vector<dispatch_id> lapsed;
     while (!m_grants.empty() && m_grants.front().time <= now) {
--- a/src/ledger/dispatch_ledger.hpp
+++ b/src/ledger/dispatch_ledger.hpp
@@ -85,6 +85,10 @@
     /// A dispatch of a former incarnation, found running at the backend server.
     void adopt(dispatch_id dispatch);
 
+    /// An adopted dispatch that the backend server doesn't know: whoever asks again is to ask it again, since
+    /// "finished" would claim that it has run.
+    void forget_adopted(dispatch_id dispatch);
+
     /// Turns the grants whose time is over into tombstones and names them.
     [[nodiscard]] std::vector<dispatch_id> lapse_grants(time_point now);
 
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -236,7 +236,7 @@
     for (const auto& reader : dispatch->readers) {
         send_fate(reader.connection, wire::to_wire(dispatch->request.dispatch), wire::dispatch_fate::unknown);
     }
-    m_context.ledger.finish(dispatch->request.dispatch, steady_clock::now());
+    m_context.ledger.forget_adopted(dispatch->request.dispatch);
     m_context.store.remove(dispatch->request.dispatch);
     m_room_freed();
 }
--- /dev/null
+++ b/tests/failure/test_10_engine_faults.cpp
@@ -0,0 +1,112 @@
+// Point 10: an engine that is slow, stuck or answers rubbish gives its caller a clear error at once.
+#include "support/checks.hpp"
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+/// The deadline is hours away: an error that came only near it would never be seen by these tests.
+http::request with_far_deadline(http::request call) {
+    return with_header(std::move(call), "X-Deadline", "1h");
+}
+
+cluster_options one_engine() {
+    return {.entries = 1,
+            .backend_servers = {{.name = "pluma-1"}},
+            .sidecar_settings = "stall_limit = 1s\nfirst_token_limit = 1s\nwhole_answer_limit = 2s\n"};
+}
+
+} // namespace
+
+// The engine stops in the middle of a stream and keeps its connection open. The caller's stream ends with an
+// event that says why, and is not taken for whole.
+TEST_CASE("10 engine faults: stuck in the middle of a stream") {
+    cluster system(one_engine());
+    system.control_server(0, R"({"stall_after":5})");
+    const auto call = with_far_deadline(make_completion("atascado", {.tokens = 50}));
+    const auto answer = system.send(0, call);
+    INFO(answer.body);
+    CHECK_FALSE(answer.is_whole);
+    CHECK_FALSE(has_done_mark(answer.body));
+    CHECK(answer.body.find("backend_stalled") != std::string::npos);
+    CHECK(system.runs_of(call) == 1);
+    system.control_server(0, R"({"stall_after":null})");
+    const auto next = make_completion("despues del atasco", {.tokens = 5});
+    check_whole_answer(system.send(0, next), next, 5);
+}
+
+// The engine takes the request and says nothing.
+TEST_CASE("10 engine faults: no first token") {
+    cluster system(one_engine());
+    system.control_server(0, R"({"stall_after":0})");
+    const auto call = with_far_deadline(make_completion("mudo", {.tokens = 50}));
+    const auto answer = system.send(0, call);
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.status == 504);
+    CHECK(answer.header("X-Error-Kind") == "backend_stalled");
+    CHECK(answer.header("X-Ran") == "yes");
+}
+
+// The engine has become a hundred times slower; an answer that isn't streamed would take minutes.
+TEST_CASE("10 engine faults: far too slow") {
+    cluster system(one_engine());
+    system.control_server(0, R"({"slowdown":1000})");
+    const auto call =
+        with_far_deadline(make_completion("lento", {.tokens = 50, .streamed = false}));
+    const auto answer = system.send(0, call);
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.status == 504);
+    CHECK(answer.header("X-Ran") != "no");
+}
+
+// The engine's answer isn't one.
+TEST_CASE("10 engine faults: rubbish") {
+    cluster system(one_engine());
+    system.control_server(0, R"({"garble":true})");
+    const auto streamed = with_far_deadline(make_completion("basura", {.tokens = 50}));
+    const auto answer = system.send(0, streamed);
+    INFO(answer.status << ' ' << answer.body);
+    CHECK_FALSE((answer.status == 200 && answer.is_whole));
+    CHECK_FALSE(has_done_mark(answer.body));
+    CHECK(answer.body.find("backend_garbled") != std::string::npos);
+    CHECK(answer.body.find("not an answer") == std::string::npos);
+    const auto whole =
+        with_far_deadline(make_completion("basura entera", {.tokens = 50, .streamed = false}));
+    const auto refused = system.send(0, whole);
+    INFO(refused.body);
+    CHECK(refused.status == 502);
+    CHECK(refused.header("X-Error-Kind") == "backend_garbled");
+}
+
+// The engine refuses everything.
+TEST_CASE("10 engine faults: refuses") {
+    cluster system(one_engine());
+    system.control_server(0, R"({"refuse":true})");
+    const auto call = with_far_deadline(make_completion("negado", {.tokens = 50}));
+    const auto answer = system.send(0, call);
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.status >= 500);
+    CHECK_FALSE(answer.header("X-Error-Kind").empty());
+    CHECK(system.runs_of(call) == 0);
+}
+
+// The engine is dead: callers are told at once, truthfully, and when to come back; when it is back, they are
+// served.
+TEST_CASE("10 engine faults: gone and back") {
+    cluster system(one_engine());
+    system.backend(0).server->kill();
+    const auto call = with_far_deadline(make_completion("ausente", {.tokens = 5}));
+    const auto answer = system.send(0, call);
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.status == 503);
+    CHECK(answer.header("X-Ran") == "no");
+    CHECK_FALSE(answer.header("Retry-After").empty());
+    system.start_server(0);
+    wait_until("an answer by the engine that is back", [&] { return system.send(0, call).status == 200; });
+}
--- a/tests/failure/test_4_non_idempotent.cpp
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -37,10 +37,7 @@
     cluster system(one_service());
     const auto call = make_kudos("capitulo 2", "k2");
     check_service_answer(system.send(0, call), call);
-    const auto again = system.send(1, call);
-    INFO(again.status << ' ' << again.body);
-    CHECK((again.status == 200 || again.header("X-Error-Kind") == "already_ran"));
-    CHECK(again.header("X-Ran") != "no");
+    check_has_run(system.send(1, call), call);
     CHECK(system.runs_of(call) == 1);
 }
 
@@ -99,7 +96,7 @@
     system.control_platform(R"({"lose_answers":1})");
     check_service_answer(system.send(0, call), call);
     CHECK(system.runs_of(call) == 1);
-    check_service_answer(system.send(1, call), call);
+    check_has_run(system.send(1, call), call);
     CHECK(system.runs_of(call) == 1);
 }
 
@@ -113,7 +110,7 @@
     check_not_run(system.send(0, call), system.runs_of(call));
     system.control_platform(R"({"outage":false,"outage_after_loss":false})");
     check_service_answer(system.send(1, call), call);
-    check_service_answer(system.send(0, call), call);
+    check_has_run(system.send(0, call), call);
     CHECK(system.runs_of(call) == 1);
 }
 
@@ -130,9 +127,7 @@
         check_service_answer(system.send(0, make_kudos(name, name)), make_kudos(name, name));
     }
     for (std::size_t entry = 0; entry < 2; ++entry) {
-        const auto again = system.send(entry, call);
-        INFO(again.status << ' ' << again.body);
-        CHECK(again.header("X-Ran") != "no");
+        check_has_run(system.send(entry, call), call);
     }
     CHECK(system.runs_of(call) == 1);
 }
--- /dev/null
+++ b/tests/failure/test_5_leaving_gets_no_new_work.cpp
@@ -0,0 +1,110 @@
+// Point 5: a backend server that is leaving gets no new work after a few seconds, however the entries learn of it.
+#include "support/checks.hpp"
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+constexpr std::size_t leaving = 0;
+constexpr int batch_size = 8;
+
+/// Sends some requests with prompts of their own over both entries; all must be answered.
+void send_batch(cluster& system, const std::string& name) {
+    for (int index = 0; index < batch_size; ++index) {
+        const auto call = make_completion(name + std::to_string(index), {.tokens = 3});
+        check_whole_answer(system.send(index % 2, call), call, 3);
+    }
+}
+
+/// Returns once a whole batch went elsewhere, and then holds the system to it.
+void check_gets_no_new_work(cluster& system) {
+    int round = 0;
+    wait_until("a batch that goes elsewhere", [&] {
+        const auto before = system.server_count(leaving, "total");
+        send_batch(system, "ronda " + std::to_string(round++) + " ");
+        return system.server_count(leaving, "total") == before;
+    });
+    const auto before = system.server_count(leaving, "total");
+    for (int index = 0; index < 3; ++index) {
+        send_batch(system, "despues " + std::to_string(index) + " ");
+    }
+    CHECK(system.server_count(leaving, "total") == before);
+}
+
+/// Shows first that the server does get work, so that its absence means something.
+void check_gets_work(cluster& system) {
+    const auto before = system.server_count(leaving, "total");
+    int round = 0;
+    wait_until("work at the server", [&] {
+        send_batch(system, "antes " + std::to_string(round++) + " ");
+        return system.server_count(leaving, "total") > before;
+    });
+}
+
+} // namespace
+
+// The sidecar is told to stop. It tells its entries at once; a request that is offered to it is given back.
+TEST_CASE("5 leaving: by SIGTERM") {
+    cluster system;
+    check_gets_work(system);
+    auto& link = *system.backend(leaving).link;
+    link.arm(direction::down, is_message<wire::leaving_message>(), fault::pass);
+    system.backend(leaving).sidecar->terminate();
+    link.wait_for_fault();
+    check_gets_no_new_work(system);
+    CHECK(system.backend(leaving).sidecar->wait_for_exit() == 0);
+}
+
+// The platform's list shows the VM as leaving, some time after it was decided.
+TEST_CASE("5 leaving: by the platform's lagging list") {
+    cluster system;
+    check_gets_work(system);
+    system.control_platform(R"({"vm_lag_ms":1000})");
+    system.publish_vms("vm-pluma-1", "leaving");
+    check_gets_no_new_work(system);
+}
+
+// An operator drains the backend server by the configuration.
+TEST_CASE("5 leaving: by an operator's drain") {
+    cluster system;
+    check_gets_work(system);
+    system.commit("", "pluma-1");
+    check_gets_no_new_work(system);
+}
+
+// The VM is gone without a word: its connections stay open and silent, new ones aren't answered. Requests must
+// not wait for it.
+TEST_CASE("5 leaving: by silence") {
+    cluster system;
+    check_gets_work(system);
+    auto& link = *system.backend(leaving).link;
+    link.set_refusing(true);
+    link.drop(direction::up);
+    link.drop(direction::down);
+    check_gets_no_new_work(system);
+}
+
+// Two failures together: the sidecar's word that it leaves is lost with its connection, and the platform, whose
+// list would say so, is out. The new connection's handshake must say it.
+TEST_CASE("5 leaving: word of it lost and platform out together") {
+    cluster system;
+    check_gets_work(system);
+    const auto running = make_completion("largo", {.tokens = 400});
+    pending_call stream(system.entry(0).callers, running);
+    stream.wait_for_bytes(300);
+    auto& link = *system.backend(leaving).link;
+    link.arm(direction::down, is_message<wire::leaving_message>(), fault::lose);
+    system.control_platform(R"({"outage":true})");
+    system.backend(leaving).sidecar->terminate();
+    link.wait_for_fault();
+    check_gets_no_new_work(system);
+    check_whole_answer(stream.wait(), running, 400);
+}
--- a/tests/support/checks.hpp
+++ b/tests/support/checks.hpp
@@ -25,6 +25,17 @@
     CHECK(answer.body.find(to_hex(fingerprint_of(call.body))) != std::string::npos);
 }
 
+/// A resend of a call that has run: its answer, or that it has run and its answer is no longer held.
+inline void check_has_run(const caller_result& answer, const http::request& call) {
+    if (answer.status == 200) {
+        check_service_answer(answer, call);
+        return;
+    }
+    INFO(answer.status << ' ' << answer.body);
+    CHECK(answer.header("X-Error-Kind") == "already_ran");
+    CHECK(answer.header("X-Ran") == "yes");
+}
+
 /// The caller was refused, truthfully: the request didn't run, and it's told so.
 inline void check_not_run(const caller_result& answer, std::uint64_t runs) {
     INFO(answer.status << ' ' << answer.body);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -162,6 +162,7 @@
         m_folder / (name + "-sidecar.log"));
     const auto addresses = read_ready_line(unit.sidecar->wait_for_line("ready"));
     unit.status_address = addresses.at("status");
+    unit.peers_address = addresses.at("peers");
     if (unit.link == nullptr) {
         unit.link = std::make_unique<fault_proxy>(addresses.at("peers"), proxy_units::frames);
     } else {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -46,6 +46,7 @@
     std::unique_ptr<fault_proxy> server_link; ///< between sidecar and server; raw bytes
     std::unique_ptr<child_process> sidecar;
     http::endpoint status_address;
+    http::endpoint peers_address;
     std::unique_ptr<fault_proxy> link; ///< between entries and sidecar; frames
 };
 
