--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -75,7 +75,7 @@
             }
             // All else is a heartbeat, or something that only a sidecar says.
         },
-        std::move(content));
+        content);
 }
 
 /// Whoever is behind asks the one that is ahead, so a revision spreads while the platform is out.
