Count whole answers and services in the limits; follow cache events

An answer that isn't streamed shows no first token, so its whole run counted as prefill and kept other prompts out; a plain service gives no samples at all, so its adaptive limit stayed at its first value. The prefill of such an answer now counts as done after its estimated time (adaptive_limit gets a public end_prefill), its mean time a token is a sample at its end, and a service is limited by its configured slots.

Failures of started dispatches name the queue's measured time to come back instead of the time since the backend server last came up.

--- a/src/policy/adaptive_limit.hpp
+++ b/src/policy/adaptive_limit.hpp
@@ -48,6 +48,10 @@
     /// Time between two of its later tokens.
     void record_between_tokens(duration elapsed, time_point now);
 
+    /// Its prefill counts as done without a sample: an answer that isn't streamed shows no first token.
+    /// Harmless when repeated.
+    void end_prefill(admission& admitted) noexcept;
+
     /// Counts it as gone. Harmless when repeated.
     void release(admission& admitted) noexcept;
 
@@ -60,8 +64,6 @@
     [[nodiscard]] std::uint64_t prefill_token_limit() const noexcept;
 
 private:
-    void end_prefill(admission& admitted) noexcept;
-
     limit_controller m_sequences;
     limit_controller m_prefill;
     unsigned m_running = 0;
--- /dev/null
+++ b/src/sidecar/cache_follower.cpp
@@ -0,0 +1,57 @@
+// Polling cache events.
+#include "sidecar/cache_follower.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace borageford::sidecar {
+
+namespace asio = boost::asio;
+
+cache_follower::cache_follower(sidecar_context& context, backend::backend_server& server)
+    : m_context(context), m_server(server) {}
+
+void cache_follower::start() {
+    m_timer =
+        m_context.timers.every(m_context.strand, m_context.settings.cache_period, [this] { poll_soon(); });
+}
+
+void cache_follower::reset() {
+    m_next = 0;
+    ++m_life;
+    m_context.prefixes.clear();
+}
+
+void cache_follower::poll_soon() {
+    if (m_is_polling || !m_server.is_engine() || !m_context.monitor.is_up()) {
+        return;
+    }
+    m_is_polling = true;
+    asio::co_spawn(m_context.strand, poll(), asio::detached);
+}
+
+asio::awaitable<void> cache_follower::poll() {
+    const auto life = m_life;
+    try {
+        const auto batch = co_await m_server.as_engine()->cache_events(m_next);
+        if (life == m_life) {
+            take(batch);
+        }
+    } catch (const std::exception&) {
+        // Without events, what was learned from own starts stays.
+    }
+    m_is_polling = false;
+}
+
+void cache_follower::take(const backend::cache_event_batch& batch) {
+    for (const auto& event : batch.events) {
+        if (event.is_stored) {
+            m_context.prefixes.add(event.hashes);
+        } else {
+            m_context.prefixes.remove(event.hashes);
+        }
+    }
+    m_next = batch.next;
+}
+
+} // namespace borageford::sidecar
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -13,10 +13,10 @@
 using std::chrono::steady_clock;
 
 dispatch_manager::dispatch_manager(sidecar_context& context, backend::backend_server& server,
-                                   const identifier& own_incarnation, std::function<void()> room_freed)
+                                   const identifier& own_incarnation, callbacks calls)
     : m_context(context),
       m_own_incarnation(own_incarnation),
-      m_room_freed(std::move(room_freed)),
+      m_calls(std::move(calls)),
       m_delivery(context.peers),
       m_runner(context.strand, server, context.monitor, context.settings, make_callbacks()) {}
 
@@ -51,9 +51,31 @@
     m_context.store.add(dispatch);
     m_context.metrics.started(dispatch->request, dispatch->started - dispatch->request.received);
     m_context.record(audit::event::started, dispatch->request);
+    watch_prefill(dispatch);
     m_runner.start(dispatch);
 }
 
+/// An answer that isn't streamed shows no first token, and a plain service prefills nothing. Counted as
+/// prefilling to its end, it would keep others out all that time.
+void dispatch_manager::watch_prefill(const record_pointer& dispatch) {
+    if (dispatch->call.streamed && !dispatch->request.is_service) {
+        return;
+    }
+    const auto rate = m_context.costs.prefill_rate();
+    if (dispatch->request.is_service || rate <= 0) {
+        m_context.limit.end_prefill(dispatch->admission);
+        return;
+    }
+    const auto expected = policy::from_seconds(dispatch->request.prefill_tokens / rate);
+    dispatch->prefill_end =
+        m_context.timers.after(m_context.strand, expected, [this, weak = std::weak_ptr(dispatch)] {
+            if (const auto held = weak.lock()) {
+                m_context.limit.end_prefill(held->admission);
+                m_calls.room_freed();
+            }
+        });
+}
+
 void dispatch_manager::attach(connection_id connection, const wire::attach_message& request) {
     const auto id = wire::from_wire(request.dispatch);
     m_context.metrics.attached();
@@ -177,7 +199,7 @@
             m_context.limit.record_first_token(dispatch.admission, elapsed, now);
             m_context.metrics.first_token(dispatch.request, elapsed);
         }
-        m_room_freed();
+        m_calls.room_freed();
         return;
     }
     // Tokens that came in one piece: each is taken to have taken its share of the time.
@@ -191,13 +213,10 @@
     const auto now = steady_clock::now();
     const auto& request = dispatch->request;
     if (ending.failure) {
-        if (ending.retry_after.count() == 0) {
-            ending.retry_after = m_context.monitor.retry_after(now);
-        }
+        ending.retry_after = m_calls.retry_after(request.tier);
         m_context.metrics.failed(*ending.failure);
     } else {
-        m_context.prefixes.add(request.prefix_hashes);
-        m_context.costs.record_output(request.workspace, request.target, ending.usage.output_tokens);
+        learn(*dispatch, ending.usage, now);
     }
     m_context.metrics.ended(*dispatch, now - dispatch->started, ending.usage);
     m_context.record(audit::event::ended, request, ending.failure);
@@ -209,7 +228,22 @@
     release_room(*dispatch);
     m_context.store.keep(dispatch, now);
     m_delivery.deliver(*dispatch);
-    m_room_freed();
+    m_calls.room_freed();
+}
+
+void dispatch_manager::learn(const dispatch_record& dispatch, const backend::usage& usage, time_point now) {
+    const auto& request = dispatch.request;
+    m_context.prefixes.add(request.prefix_hashes);
+    if (dispatch.is_adopted || request.is_service) {
+        return;
+    }
+    m_context.costs.record_output(request.workspace, request.target, usage.output_tokens);
+    if (dispatch.tokens > 0 || usage.output_tokens == 0) {
+        return;
+    }
+    // Not streamed: its tokens are known only now, and the time of each only as their mean.
+    m_context.costs.record_output_tokens(usage.output_tokens, true, now);
+    m_context.limit.record_between_tokens((now - dispatch.started) / std::int64_t{usage.output_tokens}, now);
 }
 
 /// The backend server can't have got it: the entry may place it elsewhere.
@@ -224,11 +258,11 @@
     wire::not_begun_message refusal;
     refusal.dispatch = wire::to_wire(request.dispatch);
     refusal.error_kind = wire::to_wire(error_kind::no_backend_server);
-    refusal.retry_after_ms = static_cast<std::uint32_t>(m_context.monitor.retry_after(now).count());
+    refusal.retry_after_ms = static_cast<std::uint32_t>(m_calls.retry_after(request.tier).count());
     for (const auto& reader : dispatch->readers) {
         m_context.peers.send(reader.connection, refusal);
     }
-    m_room_freed();
+    m_calls.room_freed();
 }
 
 void dispatch_manager::forget_unknown(const record_pointer& dispatch) {
@@ -238,7 +272,7 @@
     }
     m_context.ledger.finish(dispatch->request.dispatch, steady_clock::now());
     m_context.store.remove(dispatch->request.dispatch);
-    m_room_freed();
+    m_calls.room_freed();
 }
 
 void dispatch_manager::release_room(dispatch_record& dispatch) {
--- a/src/sidecar/dispatch_manager.hpp
+++ b/src/sidecar/dispatch_manager.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -19,9 +20,15 @@
 public:
     using record_pointer = dispatch_store::record_pointer;
 
-    /// `room_freed` is called after a dispatch has given its room back.
+    struct callbacks {
+        /// A dispatch has given room back, or has ended its prefill.
+        std::function<void()> room_freed;
+        /// When a caller of this tier should come back.
+        std::function<std::chrono::milliseconds(unsigned tier)> retry_after;
+    };
+
     dispatch_manager(sidecar_context& context, backend::backend_server& server,
-                     const identifier& own_incarnation, std::function<void()> room_freed);
+                     const identifier& own_incarnation, callbacks calls);
 
     /// Runs a dispatch that the ledger has just begun, for its first reader.
     void begin(const record_pointer& dispatch, connection_id reader);
@@ -46,13 +53,15 @@
     void end(const record_pointer& dispatch, answer_ending ending);
     void take_back(const record_pointer& dispatch);
     void forget_unknown(const record_pointer& dispatch);
+    void watch_prefill(const record_pointer& dispatch);
+    void learn(const dispatch_record& dispatch, const backend::usage& usage, time_point now);
     void release_room(dispatch_record& dispatch);
     void start_grace(const record_pointer& dispatch);
     boost::asio::awaitable<void> report_lost(record_pointer dispatch);
 
     sidecar_context& m_context;
     identifier m_own_incarnation;
-    std::function<void()> m_room_freed;
+    callbacks m_calls;
     answer_delivery m_delivery;
     dispatch_runner m_runner;
 };
--- a/src/sidecar/dispatch_record.hpp
+++ b/src/sidecar/dispatch_record.hpp
@@ -61,11 +61,12 @@
     time_point last_token{};
     std::optional<time_point> ended;
     std::uint64_t tokens = 0;
-    bool is_adopted = false;   ///< started by a former incarnation: resumed, never run
-    bool is_announced = false; ///< its readers know that it was found again
-    bool is_cancelled = false; ///< nobody waited for it
-    bool is_suspect = false;   ///< may be what its backend server died of
-    timer_subscription grace;  ///< running out while nobody reads
+    bool is_adopted = false;        ///< started by a former incarnation: resumed, never run
+    bool is_announced = false;      ///< its readers know that it was found again
+    bool is_cancelled = false;      ///< nobody waited for it
+    bool is_suspect = false;        ///< may be what its backend server died of
+    timer_subscription grace;       ///< running out while nobody reads
+    timer_subscription prefill_end; ///< of an answer that isn't streamed, by the measured rate
 };
 
 } // namespace borageford::sidecar
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -205,13 +205,23 @@
             return;
         }
         const auto& request = m_offers.at(next->dispatch).request;
-        if (!m_context.limit.has_room(request.prefill_tokens) || must_wait_alone(request)) {
+        if (!has_room_for(request) || must_wait_alone(request)) {
             return;
         }
         grant_next();
     }
 }
 
+/// A plain service has no tokens by which a limit could be found: there the configured slots are the limit.
+bool offer_scheduler::has_room_for(const offered_request& request) const {
+    if (!request.is_service) {
+        return m_context.limit.has_room(request.prefill_tokens);
+    }
+    const auto current = m_context.configuration.current();
+    const auto* server = current->find_backend_server(m_context.settings.backend_server);
+    return server != nullptr && m_context.limit.running() < server->slots;
+}
+
 /// At most one request that a backend server has died of before runs at a time: were two of them running
 /// when this one dies too, there would be no telling which it was, and an innocent one would be refused from
 /// then on.
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -48,6 +48,10 @@
     /// The backend server or the configuration has changed: what can't be served any more is refused.
     void review();
 
+    /// When a refused caller should come back: from the measured drain rate, or from how long the backend
+    /// server has been away.
+    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+
     [[nodiscard]] std::unique_ptr<wire::load_report_message> make_load_report() const;
     [[nodiscard]] std::size_t waiting() const noexcept { return m_offers.size(); }
 
@@ -68,7 +72,7 @@
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
     [[nodiscard]] duration expected_service(const offered_request& request) const;
     [[nodiscard]] bool misses_deadline(const policy::queued_offer& queued) const;
-    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+    [[nodiscard]] bool has_room_for(const offered_request& request) const;
     [[nodiscard]] bool must_wait_alone(const offered_request& request) const;
 
     void refuse(connection_id connection, const offered_request& request, error_kind kind);
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -31,12 +31,19 @@
 sidecar_core::sidecar_core(sidecar_context& context, backend::backend_server& server,
                            const identifier& own_incarnation)
     : m_context(context),
-      m_dispatches(context, server, own_incarnation, [this] { m_offers.grant_room(); }),
+      m_dispatches(context, server, own_incarnation,
+                   {.room_freed = [this] { m_offers.grant_room(); },
+                    .retry_after =
+                        [this](unsigned tier) {
+                            return m_offers.retry_after(tier);
+                        }}),
       m_offers(context, m_dispatches),
-      m_orders(context, server, own_incarnation, [this] { m_offers.review(); }) {}
+      m_orders(context, server, own_incarnation, [this] { m_offers.review(); }),
+      m_cache(context, server) {}
 
 void sidecar_core::start() {
     m_orders.start();
+    m_cache.start();
     m_tick = m_context.timers.every(m_context.strand, tick_period, [this] { tick(); });
 }
 
@@ -117,7 +124,7 @@
 }
 
 void sidecar_core::backend_went_down() {
-    m_context.prefixes.clear();
+    m_cache.reset();
     m_context.models.forget();
     m_dispatches.choose_suspects();
     m_offers.review();
--- a/src/sidecar/sidecar_core.hpp
+++ b/src/sidecar/sidecar_core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "backend/backend_server.hpp"
+#include "sidecar/cache_follower.hpp"
 #include "sidecar/dispatch_manager.hpp"
 #include "sidecar/offer_scheduler.hpp"
 #include "sidecar/order_controller.hpp"
@@ -52,6 +53,7 @@
     dispatch_manager m_dispatches;
     offer_scheduler m_offers;
     order_controller m_orders;
+    cache_follower m_cache;
     timer_subscription m_tick;
     time_point m_last_seen = std::chrono::steady_clock::now();
     std::uint64_t m_verification = 0; ///< counts the freezes
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -47,6 +47,7 @@
     out.whole_answer_limit = reader.duration("whole_answer_limit", out.whole_answer_limit, shortest, longest);
     out.stall_limit = reader.duration("stall_limit", out.stall_limit, shortest, longest);
     out.health_period = reader.duration("health_period", out.health_period, shortest, longest);
+    out.cache_period = reader.duration("cache_period", out.cache_period, shortest, longest);
     out.control_timeout = reader.duration("control_timeout", out.control_timeout, shortest, longest);
     out.order_period = reader.duration("order_period", out.order_period, shortest, longest);
     out.order_timeout = reader.duration("order_timeout", out.order_timeout, shortest, longest);
--- a/src/sidecar/sidecar_settings.hpp
+++ b/src/sidecar/sidecar_settings.hpp
@@ -37,6 +37,7 @@
     std::chrono::milliseconds whole_answer_limit{600'000}; ///< until an answer that isn't streamed is there
     std::chrono::milliseconds stall_limit{10'000};         ///< between two pieces of an answer
     std::chrono::milliseconds health_period{500};
+    std::chrono::milliseconds cache_period{500};     ///< between polls of the engine's cache events
     std::chrono::milliseconds control_timeout{1000}; ///< health, load, cancel and state calls
 
     std::chrono::milliseconds order_period{1000};  ///< between comparisons of what is wanted with what is
