--- a/src/sidecar/crash_marks.cpp
+++ b/src/sidecar/crash_marks.cpp
@@ -163,41 +163,6 @@
 
 asio::awaitable<void> crash_marks::read_all() {
     try {
-<<<<<<< HEAD
-        std::string after;
-        for (;;) {
-            const auto rows = co_await m_table.scan(marks::key_prefix, after, scan_limit);
-            for (const auto& row : rows) {
-                std::uint64_t fingerprint = 0;
-                if (!marks::parse_key(row.key, fingerprint)) {
-                    continue;
-                }
-                standing.insert(fingerprint);
-                for (const auto& mark : marks::decode_row(row.value)) {
-                    take(fingerprint, mark);
-                }
-            }
-            if (rows.size() < scan_limit) {
-                break;
-            }
-            after = rows.back().key;
-        }
-        is_complete = true;
-    } catch (const std::exception&) {
-        // An outage, or a row that another version wrote: what is known stays.
-    }
-    if (is_complete) {
-        // A row that is gone was released by an operator or has expired; one not yet written stays.
-        std::erase_if(m_order, [&](std::uint64_t fingerprint) {
-            const auto found = m_entries.find(fingerprint);
-            const auto is_released =
-                found != m_entries.end() && found->second.is_written && !standing.contains(fingerprint);
-            if (is_released) {
-                m_entries.erase(found);
-            }
-            return is_released;
-        });
-=======
         forget_released(co_await read_rows());
     } catch (const platform::platform_error&) {
         // What is known stays while the platform is out.
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -60,7 +60,7 @@
             if constexpr (std::is_same_v<type, wire::offer_message>) {
                 m_offers.take(connection, message);
             } else if constexpr (std::is_same_v<type, wire::start_message>) {
-                m_offers.start(connection, std::forward<decltype(message)>(message));
+                m_offers.start(connection, std::move(message));
             } else if constexpr (std::is_same_v<type, wire::withdraw_message>) {
                 m_offers.withdraw(message);
             } else if constexpr (std::is_same_v<type, wire::attach_message>) {
@@ -82,7 +82,7 @@
             }
             // All else is a heartbeat, or something that only a sidecar says.
         },
-        std::move(content));
+        content);
 }
 
 /// Whoever is behind asks the one that is ahead, so a revision spreads while the platform is out.
