Keep acknowledged answers that can't be run again; never cross resend keys

A non-idempotent call's resend got already_ran although its answer had been here a moment before: the acknowledgement dropped it. Such answers now stay within the bounds of what is kept. That showed an older fault: a key used again with another body was led to the first body's answer, running or kept. Resends now match the fingerprint too.

--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -150,6 +150,8 @@
     m_context.peers.send(connection, std::move(fate));
 }
 
+/// An answer that isn't idempotent stays for a resend with the same key, as long as there's room: it can't be
+/// had by running the call again.
 void dispatch_manager::acknowledge(const wire::acknowledge_message& request) {
     m_context.store.acknowledge(wire::from_wire(request.dispatch));
 }
--- a/src/sidecar/dispatch_record.hpp
+++ b/src/sidecar/dispatch_record.hpp
@@ -61,8 +61,9 @@
     time_point last_token{};
     std::optional<time_point> ended;
     std::uint64_t tokens = 0;
-    bool is_adopted = false;        ///< started by a former incarnation: resumed, never run
-    bool is_announced = false;      ///< its readers know that it was found again
+    bool is_adopted = false;   ///< started by a former incarnation: resumed, never run
+    bool is_announced = false; ///< its readers know that it was found again
+    bool is_acknowledged = false;
     bool is_cancelled = false;      ///< nobody waited for it
     bool is_suspect = false;        ///< may be what its backend server died of
     timer_subscription grace;       ///< running out while nobody reads
--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -28,7 +28,11 @@
 
 void dispatch_store::acknowledge(dispatch_id dispatch) {
     const auto found = find(dispatch);
-    if (found != nullptr && found->answer.ending()) {
+    if (found == nullptr || !found->answer.ending()) {
+        return;
+    }
+    found->is_acknowledged = true;
+    if (found->request.is_idempotent) {
         remove(dispatch);
     }
 }
@@ -109,7 +113,8 @@
 bool dispatch_store::has_undelivered(duration grace, time_point now) const {
     return std::ranges::any_of(m_records, [grace, now](const auto& held) {
         const auto& record = *held.second;
-        return record.ended && !record.answer.ending()->failure && now - *record.ended < grace;
+        return record.ended && !record.is_acknowledged && !record.answer.ending()->failure &&
+               now - *record.ended < grace;
     });
 }
 
--- a/src/sidecar/dispatch_store.hpp
+++ b/src/sidecar/dispatch_store.hpp
@@ -40,7 +40,7 @@
     /// Its answer has ended and is kept from now on, within the limits. A failed one is kept for those who
     /// ask after it, yet no resend is led to it.
     void keep(const record_pointer& dispatch, time_point now);
-    /// The entry has the whole answer.
+    /// The entry has the whole answer. One that is idempotent is forgotten at once.
     void acknowledge(dispatch_id dispatch);
     /// As if it had never been started here.
     void remove(dispatch_id dispatch);
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -70,11 +70,13 @@
     grant_room();
 }
 
-/// A resend finds the run of its first copy here, or learns where it is.
+/// A resend finds the run of its first copy here, or learns where it is. A key used again with another body
+/// is no resend: its caller must not get the answer to the other call.
 bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
     wire::offer_reply_message answer;
     const auto request = read_offer(offer);
-    if (const auto running = m_context.store.find_resend(offer.resend_key)) {
+    const auto running = m_context.store.find_resend(offer.resend_key);
+    if (running != nullptr && running->request.fingerprint == offer.fingerprint) {
         answer.verdict = wire::offer_verdict::attachable;
         answer.running_dispatch = wire::to_wire(running->request.dispatch);
         reply(connection, request, std::move(answer));
--- a/tests/failure/test_sidecar_dispatch.cpp
+++ b/tests/failure/test_sidecar_dispatch.cpp
@@ -144,6 +144,18 @@
     CHECK(system.runs_of(work) == 1);
 }
 
+// A caller uses its key again for another request. It must never be given the answer to the first.
+TEST_CASE("sidecar: a resend key with another body finds nothing", "[sidecar]") {
+    cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    const auto work = make_completion("una cosa", {.tokens = 40});
+    const auto first = driver.offer(entry, work, {.resend_key = 79});
+    driver.grant_and_start(entry, first, work);
+    const auto other = driver.offer(entry, make_completion("otra cosa", {.tokens = 5}), {.resend_key = 79});
+    CHECK(entry.wait_for<wire::offer_reply_message>(other).verdict == wire::offer_verdict::queued);
+}
+
 // The same, but the first copy was started at another backend server: this one was only offered it.
 TEST_CASE("sidecar: a resend learns where its first copy was started", "[sidecar]") {
     cluster system({.entries = 0, .backend_servers = {{.name = "pluma-1"}}});
--- a/tests/unit/test_dispatch_ledger.cpp
+++ b/tests/unit/test_dispatch_ledger.cpp
@@ -98,3 +98,13 @@
     CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::running);
     CHECK(ledger.attach(dispatch_id{100, 0}, 2s, begin + 2s) == attach_result::unknown);
 }
+
+TEST_CASE("an adopted dispatch that the backend server didn't know is as unknown as before", "[ledger]") {
+    // A plain service can't be asked. The second question about a dispatch of a former sidecar must not be
+    // answered "finished" because of the first.
+    dispatch_ledger ledger({});
+    ledger.adopt(some_dispatch);
+    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::running);
+    ledger.forget_adopted(some_dispatch);
+    CHECK(ledger.find(some_dispatch) == nullptr);
+}
--- a/tests/unit/test_sidecar_parts.cpp
+++ b/tests/unit/test_sidecar_parts.cpp
@@ -67,6 +67,7 @@
     dispatch_store store({});
     const auto good = make_record(1, 11);
     const auto bad = make_record(2, 22);
+    good->request.is_idempotent = true;
     store.add(good);
     store.add(bad);
     CHECK(store.find_resend(11) == good);
@@ -80,6 +81,14 @@
     store.acknowledge({1, 1});
     CHECK(store.find_resend(11) == nullptr);
     CHECK_FALSE(store.has_undelivered(10s, begin));
+    // A kudos was counted and its answer delivered; a resend with its key gets that answer.
+    const auto once = make_record(3);
+    store.add(once);
+    finish(store, once, 1, begin);
+    CHECK(store.has_undelivered(10s, begin));
+    store.acknowledge({1, 3});
+    CHECK_FALSE(store.has_undelivered(10s, begin));
+    CHECK(store.find({1, 3}) == once);
 }
 
 TEST_CASE("where a request was started elsewhere is remembered for a while, within a bound", "[sidecar]") {
