Look resends up by key, and serve offers that can be in time first

A request with a resend key now asks the one backend server that the key hashes to, unweighted, so that every entry asks the same; a grant is held until it has answered or 100 ms have passed, and the withdraw after a start tells it where the request went. This also serves the push policies, which have no homes.

Of one workspace and tier, offers that can still meet the target now go before those that can't. The order between tiers and workspaces is as before.

--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -4,6 +4,7 @@
 #include "base/hash.hpp"
 #include "base/request_error.hpp"
 #include "entry/request_run.hpp"
+#include "policy/rendezvous.hpp"
 
 #include <algorithm>
 #include <span>
@@ -20,6 +21,8 @@
 /// The block whose hash names a prompt's home: far enough in to tell chapters apart that begin with the same
 /// instructions, early enough for short prompts.
 constexpr milliseconds default_retry{1000};
+/// A lookup that takes longer is given up: its sidecar may be gone, and the caller waits.
+constexpr milliseconds lookup_limit{100};
 
 std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
     const auto load = link.load();
@@ -90,7 +93,8 @@
     request.region = common.region;
     request.sequence = m_context.placements++;
     request.seed = m_call.id.low;
-    m_plan = policy::plan_placement(m_context.settings.placement, request, describe(m_candidates, m_context.prefixes.find_holders(hashes)));
+    m_plan = policy::plan_placement(m_context.settings.placement, request,
+                                    describe(m_candidates, m_context.prefixes.find_holders(hashes)));
 }
 
 asio::awaitable<place> offer_round::find_place() {
@@ -98,14 +102,20 @@
     if (m_plan.offers.empty()) {
         throw request_error(error_kind::no_backend_server, {}, m_context.settings.common.poll_period);
     }
+    send_lookup();
     send_due_offers();
     for (;;) {
-        const auto event = co_await m_events->receive(
-            std::min(m_call.deadline, next_offer_time().value_or(m_call.deadline)));
+        const auto event = co_await m_events->receive(next_wake_time());
         if (event) {
             if (auto found = handle(*event)) {
                 co_return *found;
             }
+        }
+        if (auto held = take_held_grant()) {
+            co_return *held;
+        }
+        if (event) {
+            // A deadline that has passed meanwhile is noticed once there are no more events.
         } else if (steady_clock::now() >= m_call.deadline) {
             withdraw_all();
             throw request_error(error_kind::deadline_unreachable, {}, m_retry_after.value_or(default_retry));
@@ -142,7 +152,47 @@
 }
 
 bool offer_round::is_exhausted() const noexcept {
-    return m_open_offers.empty() && m_next_offer == m_plan.offers.size();
+    return m_open_offers.empty() && m_next_offer == m_plan.offers.size() && !must_wait_for_lookup();
+}
+
+steady_clock::time_point offer_round::next_wake_time() const {
+    auto wake = std::min(m_call.deadline, next_offer_time().value_or(m_call.deadline));
+    if (must_wait_for_lookup()) {
+        wake = std::min(wake, m_began + lookup_limit);
+    }
+    return wake;
+}
+
+/// Whichever entry a resend comes to, it asks the same backend server as its first copy did.
+void offer_round::send_lookup() {
+    if (m_call.resend_key == 0) {
+        return;
+    }
+    const auto score = [this](const candidate& server) {
+        return policy::rendezvous_score(m_call.resend_key, server.name_hash, 1);
+    };
+    const auto chosen = std::ranges::max_element(m_candidates, {}, score);
+    m_lookup = resend_lookup{chosen->link, identifier::random()};
+    auto question = make_offer(m_lookup->dispatch);
+    question.lookup_only = true;
+    question.prefix_hashes.clear();
+    chosen->link->send_for(m_lookup->dispatch, m_events, std::move(question));
+}
+
+bool offer_round::is_lookup(const dispatch_id& dispatch) const noexcept {
+    return m_lookup && m_lookup->dispatch == dispatch;
+}
+
+bool offer_round::must_wait_for_lookup() const noexcept {
+    return m_lookup && m_lookup->is_pending && steady_clock::now() < m_began + lookup_limit;
+}
+
+std::optional<place> offer_round::take_held_grant() {
+    if (!m_held_grant || must_wait_for_lookup()) {
+        return std::nullopt;
+    }
+    m_open_offers.erase(m_held_grant->dispatch);
+    return std::exchange(m_held_grant, std::nullopt);
 }
 
 void offer_round::refuse() const {
@@ -150,8 +200,7 @@
                         m_retry_after.value_or(default_retry));
 }
 
-void offer_round::send_offer(const candidate& server) {
-    const auto dispatch = identifier::random();
+wire::offer_message offer_round::make_offer(const dispatch_id& dispatch) const {
     wire::offer_message offer;
     offer.dispatch = wire::to_wire(dispatch);
     offer.request = wire::to_wire(m_call.id);
@@ -165,12 +214,21 @@
     offer.prefix_hashes = m_call.prefix_hashes;
     offer.fingerprint = m_call.fingerprint;
     offer.resend_key = m_call.resend_key;
-    const auto left = std::chrono::duration_cast<milliseconds>(m_call.deadline - steady_clock::now()).count();
+    const auto now = steady_clock::now();
+    const auto target = m_call.received + m_call.tier->first_token_target;
+    const auto target_left = std::chrono::duration_cast<milliseconds>(target - now).count();
+    offer.target_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, target_left));
+    const auto left = std::chrono::duration_cast<milliseconds>(m_call.deadline - now).count();
     offer.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
+    return offer;
+}
+
+void offer_round::send_offer(const candidate& server) {
+    const auto dispatch = identifier::random();
     m_open_offers.emplace(dispatch, open_offer{server.link, server.name});
     m_context.metrics.offered();
     record(audit::event::offered, dispatch, server.name);
-    server.link->send_for(dispatch, m_events, std::move(offer));
+    server.link->send_for(dispatch, m_events, make_offer(dispatch));
 }
 
 std::optional<place> offer_round::handle(const dispatch_event& event) {
@@ -201,7 +259,11 @@
                                         cached.empty() ? std::nullopt : std::optional(cached.back()),
                                         hash_bytes(found->second.backend_server));
     }
-    if (found == m_open_offers.end() || reply.verdict == wire::offer_verdict::queued) {
+    if (is_lookup(dispatch)) {
+        m_lookup->is_pending = false;
+        return find_running(reply, m_lookup->link, m_lookup->link->vm().backend_server);
+    }
+    if (found == m_open_offers.end()) {
         return std::nullopt;
     }
     if (reply.verdict == wire::offer_verdict::refused) {
@@ -209,17 +271,25 @@
                      milliseconds(reply.retry_after_ms));
         return std::nullopt;
     }
-    attachable_place where{found->second.link, found->second.backend_server,
-                           wire::from_wire(reply.running_dispatch)};
-    if (reply.verdict == wire::offer_verdict::known_elsewhere) {
-        const auto other = m_table->by_server.find(reply.backend_server);
-        if (other == m_table->by_server.end()) {
-            return std::nullopt; // the server it ran at is gone; this offer stands as it is
-        }
-        where.link = other->second;
-        where.backend_server = reply.backend_server;
+    return find_running(reply, found->second.link, found->second.backend_server);
+}
+
+/// Where this very request runs already or has run, if the reply says so.
+std::optional<place> offer_round::find_running(const wire::offer_reply_message& reply,
+                                               const std::shared_ptr<sidecar_link>& link,
+                                               const std::string& backend_server) const {
+    const auto running = wire::from_wire(reply.running_dispatch);
+    if (reply.verdict == wire::offer_verdict::attachable) {
+        return attachable_place{link, backend_server, running};
     }
-    return where;
+    if (reply.verdict != wire::offer_verdict::known_elsewhere) {
+        return std::nullopt;
+    }
+    const auto other = m_table->by_server.find(reply.backend_server);
+    if (other == m_table->by_server.end()) {
+        return std::nullopt; // the server it ran at is gone; the offers stand as they are
+    }
+    return attachable_place{other->second, reply.backend_server, running};
 }
 
 std::optional<place> offer_round::take_grant(const wire::grant_message& grant) {
@@ -230,15 +300,28 @@
     }
     granted_place where{found->second.link, found->second.backend_server, dispatch,
                         found->second.link->incarnation(), grant.revision};
+    if (must_wait_for_lookup()) {
+        if (!m_held_grant) {
+            m_held_grant = where;
+        }
+        return std::nullopt;
+    }
     m_open_offers.erase(found);
     return where;
 }
 
 void offer_round::take_refusal(const dispatch_id& dispatch, error_kind kind, milliseconds retry_after) {
+    if (is_lookup(dispatch)) {
+        m_lookup->is_pending = false; // its sidecar can't be reached
+        return;
+    }
     const auto found = m_open_offers.find(dispatch);
     if (found == m_open_offers.end()) {
         return;
     }
+    if (m_held_grant && m_held_grant->dispatch == dispatch) {
+        m_held_grant.reset();
+    }
     record(audit::event::refused, dispatch, found->second.backend_server, kind);
     found->second.link->forget(dispatch);
     m_open_offers.erase(found);
@@ -260,6 +343,14 @@
         offer.link->send_if_connected(withdrawal);
         m_context.metrics.withdrawn();
     }
+    if (const auto asked = std::exchange(m_lookup, std::nullopt)) {
+        wire::withdraw_message withdrawal;
+        withdrawal.dispatch = wire::to_wire(asked->dispatch);
+        withdrawal.started_at = started_at;
+        withdrawal.running_dispatch = wire::to_wire(running);
+        asked->link->forget(asked->dispatch);
+        asked->link->send_if_connected(withdrawal);
+    }
 }
 
 void offer_round::record(audit::event what, const dispatch_id& dispatch, const std::string& backend_server,
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -55,7 +55,23 @@
         std::string backend_server;
     };
 
+    /// The question to the one backend server that the resend key hashes to: is this request known there?
+    struct resend_lookup {
+        std::shared_ptr<sidecar_link> link;
+        dispatch_id dispatch;
+        bool is_pending = true;
+    };
+
     void plan();
+    void send_lookup();
+    [[nodiscard]] wire::offer_message make_offer(const dispatch_id& dispatch) const;
+    [[nodiscard]] bool is_lookup(const dispatch_id& dispatch) const noexcept;
+    [[nodiscard]] bool must_wait_for_lookup() const noexcept;
+    [[nodiscard]] std::chrono::steady_clock::time_point next_wake_time() const;
+    [[nodiscard]] std::optional<place> take_held_grant();
+    [[nodiscard]] std::optional<place> find_running(const wire::offer_reply_message& reply,
+                                                    const std::shared_ptr<sidecar_link>& link,
+                                                    const std::string& backend_server) const;
     void send_due_offers();
     void send_next_group();
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
@@ -79,6 +95,10 @@
     std::size_t m_next_offer = 0;  ///< in m_plan
     std::chrono::steady_clock::time_point m_began = std::chrono::steady_clock::now();
     std::unordered_map<dispatch_id, open_offer> m_open_offers;
+    std::optional<resend_lookup> m_lookup;
+    /// The first grant, while the lookup is pending: a request that runs already mustn't run again. Its offer
+    /// is in m_open_offers.
+    std::optional<granted_place> m_held_grant;
     std::optional<error_kind> m_refusal;                    ///< the one that says most, of those that came
     std::optional<std::chrono::milliseconds> m_retry_after; ///< the soonest that any sidecar named
 };
--- a/src/policy/offer_queue.cpp
+++ b/src/policy/offer_queue.cpp
@@ -41,17 +41,17 @@
     return verdict;
 }
 
-const queued_offer* offer_queue::next() const {
+const queued_offer* offer_queue::next(time_point now) const {
     for (const auto& [rank, lines] : m_tiers) {
         if (lines.requests > 0) {
-            return &due_line(lines)->second.offers.front();
+            return &choose(due_line(lines)->second, now);
         }
     }
     return nullptr;
 }
 
 std::optional<queued_offer> offer_queue::take_next(time_point now) {
-    const auto* due = next();
+    const auto* due = next(now);
     if (due == nullptr) {
         return std::nullopt;
     }
@@ -145,6 +145,13 @@
     return chosen;
 }
 
+const queued_offer& offer_queue::choose(const workspace_line& line, time_point now) {
+    const auto in_time = std::ranges::find_if(line.offers, [now](const queued_offer& offer) {
+        return !offer.target_start || *offer.target_start >= now;
+    });
+    return in_time == line.offers.end() ? line.offers.front() : *in_time;
+}
+
 std::uint64_t offer_queue::waiting_tokens(unsigned tier, std::string_view workspace) const {
     const auto lines = m_tiers.find(tier);
     if (lines == m_tiers.end()) {
--- a/src/policy/offer_queue.hpp
+++ b/src/policy/offer_queue.hpp
@@ -30,6 +30,10 @@
     /// The latest moment at which a start can still meet the caller's deadline: the deadline less the
     /// expected time to serve the request. Nothing when the caller set no deadline.
     std::optional<time_point> latest_start;
+    /// Until then a start can still meet its tier's first-token target. Of one workspace and tier, offers
+    /// that can go before offers that can't any more: served in the order of arrival, a queue that is once
+    /// longer than the target would make every later request miss it too.
+    std::optional<time_point> target_start;
 };
 
 /// What became of an offer that was put to the queue.
@@ -57,7 +61,7 @@
     [[nodiscard]] queue_verdict put(queued_offer offer, time_point now);
 
     /// The offer whose turn it is; null when none waits. Valid until the queue changes.
-    [[nodiscard]] const queued_offer* next() const;
+    [[nodiscard]] const queued_offer* next(time_point now) const;
 
     /// Takes that offer out and charges its workspace for it.
     std::optional<queued_offer> take_next(time_point now);
@@ -115,6 +119,7 @@
     using line_map = std::map<std::string, workspace_line, std::less<>>;
 
     [[nodiscard]] static line_map::const_iterator due_line(const tier_lines& lines);
+    [[nodiscard]] static const queued_offer& choose(const workspace_line& line, time_point now);
     [[nodiscard]] std::uint64_t waiting_tokens(unsigned tier, std::string_view workspace) const;
     [[nodiscard]] std::vector<dispatch_id> choose_displaced(const queued_offer& offer) const;
     [[nodiscard]] bool has_room_for(std::uint64_t tokens, std::size_t freed_requests,
--- a/src/sidecar/dispatch_record.hpp
+++ b/src/sidecar/dispatch_record.hpp
@@ -38,6 +38,7 @@
     std::vector<std::uint64_t> prefix_hashes;
     time_point received{};
     std::optional<time_point> deadline;
+    time_point first_token_target{};
 };
 
 /// A connection that is sent an answer.
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t most_lookups = 10'000;
+
 std::uint32_t to_wire_milliseconds(milliseconds time) {
     constexpr std::int64_t most = UINT32_MAX;
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
@@ -30,6 +32,10 @@
     if (reply_to_resend(connection, offer)) {
         return;
     }
+    if (offer.lookup_only) {
+        answer_lookup(connection, offer);
+        return;
+    }
     if (const auto obstacle = find_obstacle(offer.target, offer.is_service)) {
         refuse(connection, request, *obstacle);
         return;
@@ -67,6 +73,15 @@
     grant_room();
 }
 
+void offer_scheduler::answer_lookup(connection_id connection, const wire::offer_message& offer) {
+    if (m_lookups.size() < most_lookups) {
+        m_lookups.emplace(wire::from_wire(offer.dispatch), lookup{connection, offer.resend_key});
+    }
+    wire::offer_reply_message answer;
+    answer.verdict = wire::offer_verdict::not_known;
+    reply(connection, read_offer(offer), std::move(answer));
+}
+
 /// A resend finds the run of its first copy here, or learns where it is.
 bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
     wire::offer_reply_message answer;
@@ -127,6 +142,7 @@
     request.resend_key = offer.resend_key;
     request.prefix_hashes = offer.prefix_hashes;
     request.received = steady_clock::now();
+    request.first_token_target = request.received + milliseconds(offer.target_ms);
     if (offer.deadline_ms > 0) {
         request.deadline = request.received + milliseconds(offer.deadline_ms);
     }
@@ -141,6 +157,7 @@
     queued.tokens = std::max<std::uint64_t>(1, request.prefill_tokens + request.expected_output_tokens);
     queued.prompt_tokens = request.prompt_tokens;
     queued.queued_at = request.received;
+    queued.target_start = request.first_token_target - expected_service(request);
     if (request.deadline) {
         queued.latest_start = *request.deadline - expected_service(request);
     }
@@ -198,7 +215,8 @@
 
 void offer_scheduler::grant_room() {
     while (!m_is_held && m_context.monitor.is_up() && !m_context.store.is_full()) {
-        const auto* next = m_queue.next();
+        const auto now = steady_clock::now();
+        const auto* next = m_queue.next(now);
         if (next == nullptr) {
             return;
         }
@@ -206,7 +224,7 @@
         if (!m_context.limit.has_room(request.prefill_tokens) || must_wait_alone(request)) {
             return;
         }
-        grant_next();
+        grant_next(now);
     }
 }
 
@@ -223,8 +241,7 @@
     return m_dispatches.is_running_marked() || std::ranges::any_of(m_offers, is_granted_marked);
 }
 
-void offer_scheduler::grant_next() {
-    const auto now = steady_clock::now();
+void offer_scheduler::grant_next(time_point now) {
     const auto queued = m_queue.take_next(now);
     auto& offer = m_offers.at(queued->dispatch);
     const auto lease = m_context.settings.grant_lease;
@@ -278,6 +295,15 @@
 void offer_scheduler::withdraw(const wire::withdraw_message& request) {
     const auto id = wire::from_wire(request.dispatch);
     const auto now = steady_clock::now();
+    if (const auto asked = m_lookups.find(id); asked != m_lookups.end()) {
+        if (!request.started_at.empty()) {
+            m_context.store.remember_elsewhere(
+                asked->second.resend_key, {wire::from_wire(request.running_dispatch), request.started_at},
+                now);
+        }
+        m_lookups.erase(asked);
+        return;
+    }
     if (m_context.ledger.withdraw(id, now) == ledger::withdraw_result::already_started) {
         return;
     }
@@ -308,6 +334,8 @@
 }
 
 void offer_scheduler::drop_connection(connection_id connection) {
+    std::erase_if(m_lookups,
+                  [connection](const auto& asked) { return asked.second.connection == connection; });
     std::vector<dispatch_id> gone;
     for (const auto& [id, offer] : m_offers) {
         if (offer.connection == connection) {
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -61,6 +61,14 @@
     };
     using offer_map = std::unordered_map<dispatch_id, pending_offer>;
 
+    /// An entry asked whether a resend key is known here and hasn't said yet where its request went.
+    struct lookup {
+        connection_id connection = 0;
+        std::uint64_t resend_key = 0;
+    };
+
+    void answer_lookup(connection_id connection, const wire::offer_message& offer);
+
     /// Why this can't be served here now; nothing when it can.
     [[nodiscard]] std::optional<error_kind> find_obstacle(const std::string& target, bool is_service) const;
     bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
@@ -73,7 +81,7 @@
 
     void refuse(connection_id connection, const offered_request& request, error_kind kind);
     void reply(connection_id connection, const offered_request& request, wire::offer_reply_message answer);
-    void grant_next();
+    void grant_next(time_point now);
     void not_begun(connection_id connection, const wire::id& dispatch, error_kind kind,
                    std::chrono::milliseconds retry_after);
     /// Ends an offer that hasn't started: tombstone first, then the message.
@@ -85,6 +93,7 @@
     dispatch_manager& m_dispatches;
     policy::offer_queue m_queue;
     offer_map m_offers;
+    std::unordered_map<dispatch_id, lookup> m_lookups; ///< bounded; a lookup too many isn't remembered
     bool m_is_draining = false;
     bool m_is_held = false;
 };
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -137,33 +137,36 @@
   refused = 1,
   attachable = 2,
   known_elsewhere = 3,
+  not_known = 4,
   MIN = queued,
-  MAX = known_elsewhere
+  MAX = not_known
 };
 
-inline const offer_verdict (&EnumValuesoffer_verdict())[4] {
+inline const offer_verdict (&EnumValuesoffer_verdict())[5] {
   static const offer_verdict values[] = {
     offer_verdict::queued,
     offer_verdict::refused,
     offer_verdict::attachable,
-    offer_verdict::known_elsewhere
+    offer_verdict::known_elsewhere,
+    offer_verdict::not_known
   };
   return values;
 }
 
 inline const char * const *EnumNamesoffer_verdict() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "queued",
     "refused",
     "attachable",
     "known_elsewhere",
+    "not_known",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameoffer_verdict(offer_verdict e) {
-  if (flatbuffers::IsOutRange(e, offer_verdict::queued, offer_verdict::known_elsewhere)) return "";
+  if (flatbuffers::IsOutRange(e, offer_verdict::queued, offer_verdict::not_known)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesoffer_verdict()[index];
 }
@@ -1126,6 +1129,8 @@
   uint64_t fingerprint = 0;
   uint64_t resend_key = 0;
   uint32_t deadline_ms = 0;
+  uint32_t target_ms = 0;
+  bool lookup_only = false;
 };
 
 struct offer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1145,7 +1150,9 @@
     VT_PREFIX_HASHES = 22,
     VT_FINGERPRINT = 24,
     VT_RESEND_KEY = 26,
-    VT_DEADLINE_MS = 28
+    VT_DEADLINE_MS = 28,
+    VT_TARGET_MS = 30,
+    VT_LOOKUP_ONLY = 32
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
@@ -1186,6 +1193,12 @@
   uint32_t deadline_ms() const {
     return GetField<uint32_t>(VT_DEADLINE_MS, 0);
   }
+  uint32_t target_ms() const {
+    return GetField<uint32_t>(VT_TARGET_MS, 0);
+  }
+  bool lookup_only() const {
+    return GetField<uint8_t>(VT_LOOKUP_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
@@ -1204,6 +1217,8 @@
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint64_t>(verifier, VT_RESEND_KEY, 8) &&
            VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TARGET_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LOOKUP_ONLY, 1) &&
            verifier.EndTable();
   }
   offer_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1254,6 +1269,12 @@
   void add_deadline_ms(uint32_t deadline_ms) {
     fbb_.AddElement<uint32_t>(offer::VT_DEADLINE_MS, deadline_ms, 0);
   }
+  void add_target_ms(uint32_t target_ms) {
+    fbb_.AddElement<uint32_t>(offer::VT_TARGET_MS, target_ms, 0);
+  }
+  void add_lookup_only(bool lookup_only) {
+    fbb_.AddElement<uint8_t>(offer::VT_LOOKUP_ONLY, static_cast<uint8_t>(lookup_only), 0);
+  }
   explicit offerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1279,10 +1300,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix_hashes = 0,
     uint64_t fingerprint = 0,
     uint64_t resend_key = 0,
-    uint32_t deadline_ms = 0) {
+    uint32_t deadline_ms = 0,
+    uint32_t target_ms = 0,
+    bool lookup_only = false) {
   offerBuilder builder_(_fbb);
   builder_.add_resend_key(resend_key);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_target_ms(target_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_prefix_hashes(prefix_hashes);
   builder_.add_expected_output_tokens(expected_output_tokens);
@@ -1291,6 +1315,7 @@
   builder_.add_workspace(workspace);
   builder_.add_request(request);
   builder_.add_dispatch(dispatch);
+  builder_.add_lookup_only(lookup_only);
   builder_.add_idempotent(idempotent);
   builder_.add_is_service(is_service);
   builder_.add_tier(tier);
@@ -1316,7 +1341,9 @@
     const std::vector<uint64_t> *prefix_hashes = nullptr,
     uint64_t fingerprint = 0,
     uint64_t resend_key = 0,
-    uint32_t deadline_ms = 0) {
+    uint32_t deadline_ms = 0,
+    uint32_t target_ms = 0,
+    bool lookup_only = false) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto prefix_hashes__ = prefix_hashes ? _fbb.CreateVector<uint64_t>(*prefix_hashes) : 0;
@@ -1334,7 +1361,9 @@
       prefix_hashes__,
       fingerprint,
       resend_key,
-      deadline_ms);
+      deadline_ms,
+      target_ms,
+      lookup_only);
 }
 
 flatbuffers::Offset<offer> Createoffer(flatbuffers::FlatBufferBuilder &_fbb, const offer_message *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3193,6 +3222,8 @@
   { auto _e = fingerprint(); _o->fingerprint = _e; }
   { auto _e = resend_key(); _o->resend_key = _e; }
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = target_ms(); _o->target_ms = _e; }
+  { auto _e = lookup_only(); _o->lookup_only = _e; }
 }
 
 inline flatbuffers::Offset<offer> offer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const offer_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3216,6 +3247,8 @@
   auto _fingerprint = _o->fingerprint;
   auto _resend_key = _o->resend_key;
   auto _deadline_ms = _o->deadline_ms;
+  auto _target_ms = _o->target_ms;
+  auto _lookup_only = _o->lookup_only;
   return borageford::wire::Createoffer(
       _fbb,
       _dispatch,
@@ -3230,7 +3263,9 @@
       _prefix_hashes,
       _fingerprint,
       _resend_key,
-      _deadline_ms);
+      _deadline_ms,
+      _target_ms,
+      _lookup_only);
 }
 
 inline offer_reply_message::offer_reply_message(const offer_reply_message &o)
--- a/tests/unit/test_policy_offer_queue.cpp
+++ b/tests/unit/test_policy_offer_queue.cpp
@@ -68,6 +68,25 @@
     CHECK(queue.take_next(start_time)->workspace == "a");
 }
 
+TEST_CASE("offers that can still meet their target go before those that can't", "[policy][offer_queue]") {
+    // A burst makes the queue longer than the first-token target. In the order of arrival every request
+    // after the burst would be late as well, for as long as the load stays near the capacity.
+    offer_queue queue({});
+    auto late = make_offer(1, 1, "a");
+    late.target_start = start_time + 100ms;
+    auto in_time = make_offer(2, 1, "a");
+    in_time.target_start = start_time + 900ms;
+    auto other = make_offer(3, 2, "a");
+    other.target_start = start_time + 900ms;
+    CHECK(queue.put(late, start_time).is_queued);
+    CHECK(queue.put(in_time, start_time).is_queued);
+    CHECK(queue.put(other, start_time).is_queued);
+    CHECK(queue.next(start_time)->dispatch == dispatch_id{1, 1});
+    CHECK(queue.take_next(start_time + 500ms)->dispatch == dispatch_id{1, 2});
+    CHECK(queue.take_next(start_time + 500ms)->dispatch == dispatch_id{1, 1});
+    CHECK(queue.take_next(start_time + 500ms)->dispatch == dispatch_id{1, 3});
+}
+
 TEST_CASE("an offer that was taken but not started gives its turn back", "[policy][offer_queue]") {
     offer_queue queue({});
     CHECK(queue.put(make_offer(1, 0, "a", 1000), start_time).is_queued);
@@ -76,7 +95,7 @@
     const auto taken = queue.take_next(start_time);
     REQUIRE(taken->workspace == "a");
     queue.refund(*taken);
-    CHECK(queue.next()->workspace == "a");
+    CHECK(queue.next(start_time)->workspace == "a");
 }
 
 TEST_CASE("a full queue lets a higher tier push out the lowest", "[policy][offer_queue]") {
@@ -133,7 +152,7 @@
     CHECK(queue.put(make_offer(1, 0, "a"), start_time).is_queued);
     CHECK(queue.remove({1, 1}, start_time));
     CHECK_FALSE(queue.remove({1, 1}, start_time));
-    CHECK(queue.next() == nullptr);
+    CHECK(queue.next(start_time) == nullptr);
     CHECK(queue.tokens() == 0);
 }
 
