--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -5,11 +5,13 @@
 #include "base/timer_service.hpp"
 #include "configuration/configuration_follower.hpp"
 #include "ledger/dispatch_ledger.hpp"
+#include "platform/table.hpp"
 #include "policy/adaptive_limit.hpp"
 #include "policy/cost_estimator.hpp"
 #include "sidecar/backend_monitor.hpp"
 #include "sidecar/crash_marks.hpp"
 #include "sidecar/dispatch_store.hpp"
+#include "sidecar/loaded_models.hpp"
 #include "sidecar/peer_registry.hpp"
 #include "sidecar/prefix_memory.hpp"
 #include "sidecar/sidecar_metrics.hpp"
@@ -28,6 +30,7 @@
     boost::asio::strand<boost::asio::any_io_executor> strand;
     timer_service& timers;
     const sidecar_settings& settings;
+    platform::table& table;
     configuration::configuration_follower& configuration;
     audit::recorder& audit;
     sidecar_metrics& metrics;
@@ -37,6 +40,7 @@
     policy::adaptive_limit& limit;
     policy::cost_estimator& costs;
     prefix_memory& prefixes;
+    loaded_models& models;
     crash_marks& marks;
     backend_monitor& monitor;
 
