--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -88,7 +88,6 @@
     admission m_admissions;
     crash_watch m_crashes;
     audit::recorder m_audit;
-    audit::explainer m_explainer;
     entry_context m_context;
     caller_api m_callers;
     admin::revision_listener m_peer_listener;
@@ -197,8 +196,13 @@
 asio::awaitable<std::optional<admin::explanation>> entry_process::explain(request_id request) {
     audit::explainer explainer(m_objects, {});
     const auto found = co_await explainer.find_request(request);
+    // Where something is missing, "not found" would pass for "didn't happen".
+    if (found.records.empty() && found.remarks.empty()) {
+        co_return std::nullopt;
+    }
     admin::explanation result;
     result.lines = audit::describe_request(request, found);
+    result.document = audit::describe_request_as_json(request, found);
     co_return result;
 }
 
