--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -116,7 +116,6 @@
       m_crashes(m_runtime.executor(), m_runtime.timers(), m_table),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects,
               {.vm = m_settings.common.vm, .role = "entry", .flush_period = m_settings.common.audit_period}),
-      m_explainer(m_objects, {}),
       m_context{m_settings, m_configuration, m_servers, m_claims, m_admissions,
                 m_crashes,  m_metrics,       m_audit},
       m_callers(m_context),
