Decide anew under a newer revision; let claims end with their retention

A request that waited while a revision came into force went on with the old one: its starts were refused as stale until its attempts ran out. Its workspace, tier and route are looked up again before each place and before the start, also after the claim, which takes a while. Refusals for the revision don't use up the retry budget; one of the two sides is fetching.

Rows of claims were never removed. Weighed and left: each entry remembering its own claims, which leaks those of entries that died; and an index by the hour, which needs objects of its own.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -23,6 +23,7 @@
     std::string target; ///< model or service
     bool is_service = false;
     bool is_idempotent = true;
+    bool caller_says_idempotent = true; ///< the stricter of caller and route counts
     bool is_streamed = false;
 
     std::string method;
--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -169,7 +169,7 @@
     }
 }
 
-void choose_route(call& parsed, const http::request& received) {
+void choose_route(call& parsed) {
     parsed.route = parsed.configuration->find_route(parsed.workspace->name, parsed.tier->name, parsed.target,
                                                     parsed.is_service);
     if (parsed.route == nullptr) {
@@ -177,22 +177,23 @@
                                                        "\" use \"" + parsed.target + "\" in tier \"" +
                                                        parsed.tier->name + "\".");
     }
-    // The stricter of route and caller counts.
-    const auto asked = http::find_header(received.headers, "X-Idempotent");
-    parsed.is_idempotent = parsed.route->idempotent && asked != "no";
+    parsed.is_idempotent = parsed.route->idempotent && parsed.caller_says_idempotent;
+    if (!parsed.is_idempotent && parsed.idempotency_key.empty()) {
+        throw request_error(error_kind::idempotency_key_required);
+    }
 }
 
 void read_key(call& parsed, const http::request& received) {
+    parsed.caller_says_idempotent = http::find_header(received.headers, idempotent_header) != "no";
     const auto key = http::find_header(received.headers, idempotency_key_header);
-    if (key) {
-        if (key->empty() || key->size() > longest_key) {
-            throw request_error(error_kind::bad_request, "Idempotency-Key must have 1 to 256 characters.");
-        }
-        parsed.idempotency_key = *key;
-        parsed.resend_key = std::max<std::uint64_t>(1, hash_bytes(*key, hash_bytes(parsed.workspace->name)));
-    } else if (!parsed.is_idempotent) {
-        throw request_error(error_kind::idempotency_key_required);
+    if (!key) {
+        return;
+    }
+    if (key->empty() || key->size() > longest_key) {
+        throw request_error(error_kind::bad_request, "Idempotency-Key must have 1 to 256 characters.");
     }
+    parsed.idempotency_key = *key;
+    parsed.resend_key = std::max<std::uint64_t>(1, hash_bytes(*key, hash_bytes(parsed.workspace->name)));
 }
 
 void read_deadline(call& parsed, const http::request& received, std::chrono::milliseconds fallback) {
@@ -249,12 +250,34 @@
         throw request_error(error_kind::not_found);
     }
     choose_tier(parsed, received);
-    choose_route(parsed, received);
     read_key(parsed, received);
+    choose_route(parsed);
     read_deadline(parsed, received, default_deadline);
     parsed.body = received.body;
     parsed.fingerprint = hash_bytes(parsed.body, hash_bytes(parsed.path, hash_bytes(parsed.workspace->name)));
     return parsed;
 }
 
+void renew_call(call& request, std::shared_ptr<const configuration::configuration> current) {
+    const auto* workspace = current->find_workspace(request.workspace->name);
+    if (workspace == nullptr) {
+        throw request_error(error_kind::unauthorized, "The workspace is no longer in the configuration.");
+    }
+    const auto* tier = current->find_tier(request.tier->name);
+    const auto* highest = current->find_tier(workspace->tier);
+    if (tier == nullptr || (highest != nullptr && tier->rank < highest->rank)) {
+        tier = highest;
+    }
+    if (!request.is_service && current->find_model(request.target) == nullptr) {
+        throw request_error(error_kind::unknown_model);
+    }
+    if (request.is_service && current->find_service(request.target) == nullptr) {
+        throw request_error(error_kind::unknown_service);
+    }
+    request.workspace = workspace;
+    request.tier = tier;
+    request.configuration = std::move(current);
+    choose_route(request);
+}
+
 } // namespace borageford::entry
--- a/src/entry/call_parser.hpp
+++ b/src/entry/call_parser.hpp
@@ -12,6 +12,7 @@
 /// Names of the headers that callers may send and that answers carry.
 inline constexpr std::string_view tier_header = "X-Tier";
 inline constexpr std::string_view deadline_header = "X-Deadline";
+inline constexpr std::string_view idempotent_header = "X-Idempotent";
 inline constexpr std::string_view idempotency_key_header = "Idempotency-Key";
 inline constexpr std::string_view request_id_header = "X-Request-Id";
 
@@ -25,4 +26,8 @@
                               std::shared_ptr<const configuration::configuration> current,
                               const http::request& received, std::chrono::milliseconds default_deadline);
 
+/// Decides anew under a newer configuration which workspace, tier and route the call has.
+/// Throws request_error when it may not run any more.
+void renew_call(call& request, std::shared_ptr<const configuration::configuration> current);
+
 } // namespace borageford::entry
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-asio::awaitable<void> caller_api::run(const call& request, http::response_writer& writer) {
+asio::awaitable<void> caller_api::run(call& request, http::response_writer& writer) {
     const auto executor = co_await asio::this_coro::executor;
     const auto events = std::make_shared<event_mailbox>(executor);
     asio::co_spawn(executor, watch_caller(writer, events), asio::detached);
--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -2,6 +2,7 @@
 #include "entry/claim_store.hpp"
 
 #include "base/request_error.hpp"
+#include "entry/claim_row.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -24,46 +24,11 @@
 namespace borageford::entry {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
 constexpr std::size_t most_in_transaction = 100;
 
-std::string row_key(std::string_view workspace, std::string_view key) {
-    return std::string("claim/").append(workspace).append("/").append(key);
-}
-
-std::string to_text(const claim& value) {
-    return json::serialize(json::object{
-        {"dispatch", value.dispatch.to_string()},
-        {"request", value.request.to_string()},
-        {"fingerprint", std::to_string(value.fingerprint)},
-        {"backend_server", value.backend_server},
-        {"incarnation", value.incarnation.to_string()},
-        {"state", value.state == claim_state::finished ? "finished" : "claimed"},
-        {"time", value.time},
-    });
-}
-
-/// Throws for a row that no version of this program wrote.
-claim from_row(const platform::row& row) {
-    const auto fields = json::parse(row.value).as_object();
-    const auto text = [&fields](std::string_view name) {
-        return std::string(fields.at(name).as_string());
-    };
-    claim value;
-    value.dispatch = identifier::parse(text("dispatch")).value();
-    value.request = identifier::parse(text("request")).value();
-    value.fingerprint = std::stoull(text("fingerprint"));
-    value.backend_server = text("backend_server");
-    value.incarnation = identifier::parse(text("incarnation")).value();
-    value.state = text("state") == "finished" ? claim_state::finished : claim_state::claimed;
-    value.time = fields.at("time").to_number<std::int64_t>();
-    value.version = row.version;
-    return value;
-}
-
 /// How one change of a row ended.
 enum class change_outcome : std::uint8_t { waiting, committed, conflict, refused, unknown };
 
@@ -242,7 +207,7 @@
         throw request_error(error_kind::platform_unavailable,
                             "The claim of the idempotency key could not be confirmed.", limit);
     }
-    auto current = from_row(*row);
+    auto current = decode_claim(*row);
     if (current.dispatch == wanted.dispatch && effect_unknown) {
         co_return claim_taken{current.version};
     }
@@ -257,8 +222,8 @@
 
 asio::awaitable<claim_result> claim_store::take(std::string workspace, std::string key, claim wanted) {
     const auto shared = m_state;
-    const auto name = row_key(workspace, key);
-    const auto change = co_await shared->submit(name, wanted.version, to_text(wanted));
+    const auto name = claim_key(workspace, key);
+    const auto change = co_await shared->submit(name, wanted.version, encode_claim(wanted));
     switch (change->outcome) {
     case change_outcome::committed:
         co_return claim_taken{change->version};
@@ -275,11 +240,11 @@
 
 void claim_store::note_finished(std::string workspace, std::string key, claim finished) {
     finished.state = claim_state::finished;
-    m_state->submit_in_background(row_key(workspace, key), finished.version, to_text(finished));
+    m_state->submit_in_background(claim_key(workspace, key), finished.version, encode_claim(finished));
 }
 
 void claim_store::release(std::string workspace, std::string key, claim unused) {
-    m_state->submit_in_background(row_key(workspace, key), unused.version, std::nullopt);
+    m_state->submit_in_background(claim_key(workspace, key), unused.version, std::nullopt);
 }
 
 std::uint64_t claim_store::transactions() const noexcept {
--- a/src/entry/claim_store.hpp
+++ b/src/entry/claim_store.hpp
@@ -2,7 +2,7 @@
 // whichever entry its caller sends it to.
 #pragma once
 
-#include "base/identifier.hpp"
+#include "entry/claim_row.hpp"
 #include "platform/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,23 +17,6 @@
 
 namespace borageford::entry {
 
-enum class claim_state : std::uint8_t {
-    claimed,  ///< may be running: ask the sidecar
-    finished, ///< has run to its end
-};
-
-/// What the row of a claim says.
-struct claim {
-    dispatch_id dispatch;
-    request_id request;
-    std::uint64_t fingerprint = 0;
-    std::string backend_server;
-    identifier incarnation; ///< of the sidecar that is to run it
-    claim_state state = claim_state::claimed;
-    std::int64_t time = 0;     ///< seconds since 1970, by the clock of the entry that wrote it
-    std::uint64_t version = 0; ///< of the row; 0: no row yet
-};
-
 /// The row carries the claim that was asked for.
 struct claim_taken {
     std::uint64_t version = 0;
--- /dev/null
+++ b/src/entry/claim_sweeper.cpp
@@ -0,0 +1,96 @@
+// Reading pages of claims and removing the old ones.
+#include "entry/claim_sweeper.hpp"
+
+#include "entry/claim_row.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <atomic>
+#include <utility>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::int64_t now_seconds() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
+} // namespace
+
+struct claim_sweeper::state : std::enable_shared_from_this<claim_sweeper::state> {
+    state(asio::any_io_executor given, timer_service& service, platform::table& rows,
+          claim_sweeper_settings chosen)
+        : executor(std::move(given)), timers(service), table(rows), settings(chosen) {}
+
+    asio::awaitable<void> sweep();
+    [[nodiscard]] bool is_over(const platform::row& row) const;
+
+    asio::any_io_executor executor;
+    timer_service& timers;
+    platform::table& table;
+    claim_sweeper_settings settings;
+    timer_subscription timer;
+    std::atomic<std::uint64_t> removed = 0;
+};
+
+bool claim_sweeper::state::is_over(const platform::row& row) const {
+    try {
+        const auto retention = std::chrono::duration_cast<std::chrono::seconds>(settings.retention);
+        return now_seconds() - decode_claim(row).time > retention.count();
+    } catch (const std::exception&) {
+        return false; // another version's row: not ours to judge
+    }
+}
+
+/// Random places need no memory of where one was, and no agreement between entries on who reads what.
+asio::awaitable<void> claim_sweeper::state::sweep() {
+    const auto self = shared_from_this();
+    try {
+        const auto rows = co_await table.scan(claim_prefix, random_claim_position(), settings.page);
+        platform::transaction changes;
+        for (const auto& row : rows) {
+            if (is_over(row)) {
+                // A row that was renewed meanwhile has another version, and nothing is removed.
+                changes.conditions.push_back({row.key, row.version});
+                changes.deletes.push_back(row.key);
+            }
+        }
+        if (changes.deletes.empty()) {
+            co_return;
+        }
+        const auto result = co_await table.transact(changes);
+        if (result.committed) {
+            removed += changes.deletes.size();
+        }
+    } catch (const platform::platform_error&) {
+        // The next sweep finds them again.
+    }
+}
+
+claim_sweeper::claim_sweeper(asio::any_io_executor executor, timer_service& timers, platform::table& table,
+                             claim_sweeper_settings settings)
+    : m_state(std::make_shared<state>(std::move(executor), timers, table, settings)) {}
+
+claim_sweeper::~claim_sweeper() {
+    m_state->timer.cancel();
+}
+
+void claim_sweeper::start() {
+    m_state->timer =
+        m_state->timers.every(m_state->executor, m_state->settings.period, [weak = std::weak_ptr(m_state)] {
+            if (const auto shared = weak.lock()) {
+                asio::co_spawn(shared->executor, shared->sweep(), asio::detached);
+            }
+        });
+}
+
+std::uint64_t claim_sweeper::removed_rows() const noexcept {
+    return m_state->removed.load();
+}
+
+} // namespace borageford::entry
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -9,6 +9,7 @@
 #include "base/hash.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
+#include "entry/claim_sweeper.hpp"
 #include "entry/entry_context.hpp"
 #include "entry/entry_settings.hpp"
 #include "platform/object_store.hpp"
@@ -85,6 +86,7 @@
     link_context m_link_context;
     server_directory m_servers;
     claim_store m_claims;
+    claim_sweeper m_claim_sweeper;
     admission m_admissions;
     crash_watch m_crashes;
     audit::recorder m_audit;
@@ -113,11 +115,13 @@
       m_link_context(make_link_context()),
       m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
+      m_claim_sweeper(m_runtime.executor(), m_runtime.timers(), m_table,
+                      {m_settings.claim_retention, m_settings.claim_sweep_period}),
       m_crashes(m_runtime.executor(), m_runtime.timers(), m_table),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects,
               {.vm = m_settings.common.vm, .role = "entry", .flush_period = m_settings.common.audit_period}),
-      m_context{m_settings, m_configuration, m_servers, m_claims, m_admissions,
-                m_crashes,  m_metrics,       m_audit},
+      m_context{m_settings,   m_configuration, m_servers, m_claims,
+                m_admissions, m_crashes,       m_metrics, m_audit},
       m_callers(m_context),
       m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
       m_administration(make_administration_context(), make_node_view()),
@@ -217,6 +221,7 @@
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
+    m_claim_sweeper.start();
     m_crashes.start(m_settings.common.poll_period);
     const auto callers = m_caller_server.listen(m_settings.callers_listen);
     const auto admin = m_admin_server.listen(m_settings.admin_listen);
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::array<std::string_view, 3> sections{"process", "platform", "entry"};
 constexpr milliseconds shortest{1};
 constexpr milliseconds longest{3'600'000};
+constexpr milliseconds longest_retention{std::chrono::hours(24 * 30)};
 constexpr std::uint64_t smallest_size = 1024;
 constexpr std::uint64_t largest_size = 64ULL * 1024 * 1024;
 constexpr std::int64_t most_connections = 1'000'000;
@@ -59,6 +60,10 @@
     result.idle_connection = reader.duration("idle_connection", result.idle_connection, shortest, longest);
     result.claim_window = reader.duration("claim_window", result.claim_window, milliseconds(0), longest);
     result.claim_limit = reader.duration("claim_limit", result.claim_limit, shortest, longest);
+    result.claim_retention = reader.duration("claim_retention", result.claim_retention,
+                                             std::chrono::seconds(1), longest_retention);
+    result.claim_sweep_period =
+        reader.duration("claim_sweep_period", result.claim_sweep_period, shortest, longest);
     result.stop_limit = reader.duration("stop_limit", result.stop_limit, shortest, longest);
     result.answer_limit = reader.size("answer_limit", result.answer_limit, smallest_size, largest_size);
     reader.finish();
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -30,8 +30,10 @@
     milliseconds idle_connection{30000};  ///< a connection to a sidecar without work is closed after this
     milliseconds claim_window{3};         ///< claims of idempotency keys within it share a transaction
     milliseconds claim_limit{2000};       ///< a claim that takes longer is given up: not run
-    milliseconds stop_limit{600000};      ///< a graceful stop ends what still runs after this
-    std::size_t answer_limit = 16U * 1024 * 1024; ///< bytes of one answer held for a caller
+    milliseconds claim_retention{std::chrono::hours(24)}; ///< a key counts as taken for at least this long
+    milliseconds claim_sweep_period{60000};               ///< between two pages of claims read for old ones
+    milliseconds stop_limit{600000};                      ///< a graceful stop ends what still runs after this
+    std::size_t answer_limit = 16U * 1024 * 1024;         ///< bytes of one answer held for a caller
 };
 
 /// Reads and checks the whole file; complaints go to `problems`.
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -2,6 +2,7 @@
 #include "entry/request_run.hpp"
 
 #include "base/hash.hpp"
+#include "entry/call_parser.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr int most_attempts = 4;
+constexpr int most_stale_attempts = 50;
+constexpr milliseconds revision_pause{20};
 constexpr milliseconds first_ask_delay{20};
 constexpr milliseconds longest_ask_delay{1000};
 /// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
@@ -48,7 +51,7 @@
 
 } // namespace
 
-request_run::request_run(entry_context& context, const call& request, caller_answer& answer,
+request_run::request_run(entry_context& context, call& request, caller_answer& answer,
                          std::shared_ptr<event_mailbox> events)
     : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
 
@@ -56,17 +59,36 @@
     if (const auto left = m_context.crashes.quarantine_left(m_call.fingerprint)) {
         throw request_error(error_kind::quarantined, {}, left);
     }
-    for (int attempt = 1;; ++attempt) {
-        offer_round round(m_context, m_call, m_events);
+    for (;;) {
+        co_await place();
+        if (co_await follow() == follow_result::whole) {
+            co_return;
+        }
+        m_context.metrics.placed_again();
+        if (!may_place_again()) {
+            settle_claim(false);
+            throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
+        }
+        if (m_not_begun && m_not_begun->kind() == error_kind::stale_revision) {
+            co_await pause(revision_pause); // one of the two is fetching the newer revision now
+        }
+    }
+}
+
+/// Brings the request to a start, or to an answer that runs already.
+asio::awaitable<void> request_run::place() {
+    bool is_placed = false;
+    while (!is_placed) {
         std::optional<request_error> refusal;
+        offer_round round(m_context, m_call, m_events);
         try {
+            follow_configuration();
             const auto found = co_await round.find_place();
             if (const auto* running = std::get_if<attachable_place>(&found)) {
-                round.withdraw_all(running->backend_server, running->dispatch);
                 join(*running);
+                is_placed = true;
             } else {
-                co_await take_grant(std::get<granted_place>(found));
-                round.withdraw_all(m_started->backend_server, m_started->dispatch);
+                is_placed = co_await take_grant(std::get<granted_place>(found));
             }
         } catch (const request_error& error) {
             refusal = error;
@@ -76,25 +98,58 @@
             settle_claim(false);
             throw *refusal;
         }
-        if (co_await follow() == follow_result::whole) {
-            co_return;
+        if (is_placed) {
+            round.withdraw_all(m_started->backend_server, m_started->dispatch);
+        } else {
+            round.withdraw_all();
         }
-        m_context.metrics.placed_again();
-        const bool is_worth_it = !m_not_begun || is_worth_another_place(m_not_begun->kind());
-        if (!is_worth_it || attempt == most_attempts || !m_context.admissions.try_retry()) {
-            settle_claim(false);
-            throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
+    }
+}
+
+/// A decision taken under a revision that is no longer in force is taken again. Returns whether it changed.
+bool request_run::follow_configuration() {
+    if (m_context.configuration.revision() == m_call.configuration->revision) {
+        return false;
+    }
+    renew_call(m_call, m_context.configuration.current());
+    return true;
+}
+
+bool request_run::may_place_again() {
+    if (!m_not_begun) {
+        return ++m_attempts < most_attempts && m_context.admissions.try_retry();
+    }
+    if (m_not_begun->kind() == error_kind::stale_revision) {
+        return ++m_stale_attempts < most_stale_attempts && steady_clock::now() < m_call.deadline;
+    }
+    return is_worth_another_place(m_not_begun->kind()) && ++m_attempts < most_attempts &&
+           m_context.admissions.try_retry();
+}
+
+/// Late messages of offers that are settled may come meanwhile; only the caller's going counts.
+asio::awaitable<void> request_run::pause(milliseconds time) {
+    const auto until = steady_clock::now() + time;
+    while (const auto event = co_await m_events->receive(until)) {
+        if (std::holds_alternative<caller_gone>(*event)) {
+            throw caller_left();
         }
     }
 }
 
-/// Starts the request, or gives the grant back when the start isn't ours to send.
-asio::awaitable<void> request_run::take_grant(granted_place place) {
+/// Starts the request and returns true; or gives the grant back, because another run of the request has
+/// been joined (true), or because the grant was for a decision under an older revision (false).
+asio::awaitable<bool> request_run::take_grant(granted_place place) {
     std::optional<request_error> refusal;
+    bool is_placed = false;
     try {
-        if (co_await claim_before_start(place)) {
-            start(place);
-            co_return;
+        if (!follow_configuration()) {
+            const bool is_ours = co_await claim_before_start(place);
+            // The claim takes a while: what came meanwhile counts too.
+            if (is_ours && !follow_configuration()) {
+                start(place);
+                co_return true;
+            }
+            is_placed = !is_ours;
         }
     } catch (const request_error& error) {
         refusal = error;
@@ -106,6 +161,7 @@
     if (refusal) {
         throw *refusal;
     }
+    co_return is_placed;
 }
 
 /// Returns whether the start is ours to send; otherwise another run of this request has been joined.
@@ -155,8 +211,8 @@
 
 void request_run::join(const attachable_place& place) {
     m_joined = true;
-    m_started = started_dispatch{
-        place.link, place.backend_server, place.dispatch, place.link->incarnation(), {}};
+    m_started =
+        started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation(), {}};
     m_context.metrics.attached();
     record(audit::event::attached, *m_started);
     attach();
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -28,8 +28,8 @@
     std::string backend_server;
     dispatch_id dispatch;
     identifier incarnation; ///< of the sidecar that got the start
-    /// When the start was sent, at the latest; long ago where that isn't known. A ledger that has forgotten so
-    /// old an id must not take it for one that never came.
+    /// When the start was sent, at the latest; long ago where that isn't known. A ledger that has forgotten
+    /// so old an id must not take it for one that never came.
     std::chrono::steady_clock::time_point started;
 };
 
@@ -37,7 +37,7 @@
 /// this request is sent by anyone who holds its claim, and never by this entry.
 class request_run {
 public:
-    request_run(entry_context& context, const call& request, caller_answer& answer,
+    request_run(entry_context& context, call& request, caller_answer& answer,
                 std::shared_ptr<event_mailbox> events);
 
     /// Returns when the caller has its whole answer. Throws request_error with the kind to answer, and
@@ -47,7 +47,11 @@
 private:
     enum class follow_result : std::uint8_t { whole, not_begun };
 
-    boost::asio::awaitable<void> take_grant(granted_place place);
+    boost::asio::awaitable<void> place();
+    bool follow_configuration();
+    [[nodiscard]] bool may_place_again();
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    boost::asio::awaitable<bool> take_grant(granted_place place);
     boost::asio::awaitable<bool> claim_before_start(const granted_place& place);
     boost::asio::awaitable<bool> claim(const granted_place& place);
     boost::asio::awaitable<bool> join_claimed(const entry::claim& current);
@@ -67,7 +71,7 @@
     void record(audit::event what, const started_dispatch& place, std::string detail = {});
 
     entry_context& m_context;
-    const call& m_call;
+    call& m_call; ///< renewed when a newer configuration is in force before its start
     caller_answer& m_answer;
     std::shared_ptr<event_mailbox> m_events;
 
@@ -76,7 +80,9 @@
     std::optional<request_error> m_not_begun;
     /// Our claim's row, when the call isn't idempotent. Version 0: none written.
     entry::claim m_claim;
-    bool m_joined = false; ///< the dispatch belongs to another run of this request
+    int m_attempts = 0;       ///< places tried after the first
+    int m_stale_attempts = 0; ///< of which the revision was the reason
+    bool m_joined = false;    ///< the dispatch belongs to another run of this request
 
     std::optional<std::chrono::steady_clock::time_point> m_lost_since;
     std::optional<std::chrono::steady_clock::time_point> m_ask_at;
--- a/tests/failure/test_10_engine_faults.cpp
+++ b/tests/failure/test_10_engine_faults.cpp
@@ -57,8 +57,7 @@
 TEST_CASE("10 engine faults: far too slow") {
     cluster system(one_engine());
     system.control_server(0, R"({"slowdown":1000})");
-    const auto call =
-        with_far_deadline(make_completion("lento", {.tokens = 50, .streamed = false}));
+    const auto call = with_far_deadline(make_completion("lento", {.tokens = 50, .streamed = false}));
     const auto answer = system.send(0, call);
     INFO(answer.status << ' ' << answer.body);
     CHECK(answer.status == 504);
@@ -76,8 +75,7 @@
     CHECK_FALSE(has_done_mark(answer.body));
     CHECK(answer.body.find("backend_garbled") != std::string::npos);
     CHECK(answer.body.find("not an answer") == std::string::npos);
-    const auto whole =
-        with_far_deadline(make_completion("basura entera", {.tokens = 50, .streamed = false}));
+    const auto whole = with_far_deadline(make_completion("basura entera", {.tokens = 50, .streamed = false}));
     const auto refused = system.send(0, whole);
     INFO(refused.body);
     CHECK(refused.status == 502);
--- a/tests/failure/test_11_bad_input.cpp
+++ b/tests/failure/test_11_bad_input.cpp
@@ -54,14 +54,14 @@
     const auto hello = frame_of(valid_hello());
     const auto offer = frame_of(wire::offer_message{});
     const std::array<std::string, 8> inputs{
-        std::string("\xff\xff\xff\xff rubbish"),                  // far over the limit
-        std::string("\x00\x00\x00\x00", 4),                       // an empty frame
-        std::string("\x00\x00\x00\x08 rubbish"),                  // no message
-        std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),         // another protocol
-        hello.substr(0, hello.size() / 2),                        // truncated
-        offer,                                                    // no hello first
+        std::string("\xff\xff\xff\xff rubbish"),                    // far over the limit
+        std::string("\x00\x00\x00\x00", 4),                         // an empty frame
+        std::string("\x00\x00\x00\x08 rubbish"),                    // no message
+        std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),           // another protocol
+        hello.substr(0, hello.size() / 2),                          // truncated
+        offer,                                                      // no hello first
         hello + offer.substr(0, offer.size() - 3) + "\x01\x02\x03", // damaged after a true hello
-        hello + hello,                                            // hello twice
+        hello + hello,                                              // hello twice
     };
     for (std::size_t index = 0; index < inputs.size(); ++index) {
         const auto before = exchange_raw(door, inputs[index], raw_limit);
@@ -70,7 +70,8 @@
     CHECK(system.backend(0).sidecar->is_running());
 }
 
-// A true frame with single bytes changed, over and over: whatever the decoder takes it for, the sidecar stays.
+// A true frame with single bytes changed, over and over: whatever the decoder takes it for, the sidecar
+// stays.
 TEST_CASE("11 bad input: frames with changed bytes") {
     cluster system(small());
     const auto door = system.backend(0).peers_address;
@@ -118,8 +119,8 @@
 // don't wait for it.
 TEST_CASE("11 bad input: slow senders") {
     cluster system(small());
-    const auto answer = exchange_raw(system.entry(0).callers,
-                                     "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Le", raw_limit);
+    const auto answer = exchange_raw(
+        system.entry(0).callers, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Le", raw_limit);
     CHECK(answer.substr(0, 12) == "HTTP/1.1 408");
     check_still_serves(system, "a slow sender");
 }
--- a/tests/failure/test_2_whole_answers.cpp
+++ b/tests/failure/test_2_whole_answers.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-// Pieces of the answer are lost, doubled, damaged or cut in half between sidecar and entry. The caller must see
-// every byte once and in order.
+// Pieces of the answer are lost, doubled, damaged or cut in half between sidecar and entry. The caller must
+// see every byte once and in order.
 TEST_CASE("2 whole answers: pieces lost, doubled, damaged and cut between sidecar and entry") {
     cluster system(one_engine());
     const auto chunk = is_message<wire::chunk_message>();
--- a/tests/failure/test_3_not_run_is_true.cpp
+++ b/tests/failure/test_3_not_run_is_true.cpp
@@ -125,8 +125,8 @@
     check_refusal(system, system.send(0, fourth), fourth, "rate_limited");
 }
 
-// The connection is reset with the grant on it: the sidecar has set room aside for a request whose entry never
-// hears of it.
+// The connection is reset with the grant on it: the sidecar has set room aside for a request whose entry
+// never hears of it.
 TEST_CASE("3 not run is true: grant lost with its connection") {
     cluster system({.entries = 1, .backend_servers = {{.name = "pluma-1"}}});
     auto& link = *system.backend(0).link;
--- a/tests/failure/test_4_non_idempotent.cpp
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -52,8 +52,8 @@
     CHECK(system.runs_of(call) == 1);
 }
 
-// The sidecar dies while the call runs; a plain service can't be asked what came of it, so nobody can know. The
-// caller is told just that, and the call isn't run again however often it's sent.
+// The sidecar dies while the call runs; a plain service can't be asked what came of it, so nobody can know.
+// The caller is told just that, and the call isn't run again however often it's sent.
 TEST_CASE("4 non-idempotent: same key after its sidecar died") {
     auto options = one_service("1500");
     options.entry_settings = "fate_limit = 3s\n";
@@ -89,7 +89,8 @@
     CHECK(system.runs_of(call) == 1);
 }
 
-// The claim took effect and its answer was lost: the entry must see by reading back that the claim is its own.
+// The claim took effect and its answer was lost: the entry must see by reading back that the claim is its
+// own.
 TEST_CASE("4 non-idempotent: the claim's answer lost after it took effect") {
     cluster system(one_service());
     const auto call = make_kudos("capitulo 6", "k6");
@@ -101,8 +102,8 @@
 }
 
 // Two failures together: the claim's answer is lost and the table goes out at that moment, so that the claim
-// can't be read back. The call is refused as not run although its row stands; when the table is back, the same
-// key runs once.
+// can't be read back. The call is refused as not run although its row stands; when the table is back, the
+// same key runs once.
 TEST_CASE("4 non-idempotent: the claim's answer lost and a table outage together") {
     cluster system(one_service());
     const auto call = make_kudos("capitulo 7", "k7");
@@ -114,8 +115,8 @@
     CHECK(system.runs_of(call) == 1);
 }
 
-// A sidecar's memory is limited: by the time of the resend it has forgotten the dispatch. That it knows nothing
-// must not be taken for "it never began".
+// A sidecar's memory is limited: by the time of the resend it has forgotten the dispatch. That it knows
+// nothing must not be taken for "it never began".
 TEST_CASE("4 non-idempotent: same key after the sidecar forgot the dispatch") {
     auto options = one_service();
     options.sidecar_settings = "ledger_entries = 1\nanswer_count = 1\n";
@@ -143,8 +144,8 @@
     CHECK(refused.header("X-Error-Kind") == "idempotency_key_reused");
 }
 
-// The start of a claimed call is lost with its connection: the sidecar says that it never began, and only then
-// it's placed again, once.
+// The start of a claimed call is lost with its connection: the sidecar says that it never began, and only
+// then it's placed again, once.
 TEST_CASE("4 non-idempotent: start lost after the claim") {
     cluster system(one_service());
     auto& link = *system.backend(0).link;
@@ -156,8 +157,8 @@
     CHECK(system.runs_of(call) == 1);
 }
 
-// Hundreds of kudos arrive together, while the table takes only 200 writes a second: claims of the same moment
-// must share a transaction, or callers would wait or be refused for their rate.
+// Hundreds of kudos arrive together, while the table takes only 200 writes a second: claims of the same
+// moment must share a transaction, or callers would wait or be refused for their rate.
 TEST_CASE("4 non-idempotent: several hundred claims fit the table's write rate") {
     auto options = one_service();
     options.backend_servers.front().slots = "400";
--- a/tests/failure/test_5_leaving_gets_no_new_work.cpp
+++ b/tests/failure/test_5_leaving_gets_no_new_work.cpp
@@ -1,4 +1,5 @@
-// Point 5: a backend server that is leaving gets no new work after a few seconds, however the entries learn of it.
+// Point 5: a backend server that is leaving gets no new work after a few seconds, however the entries learn
+// of it.
 #include "support/checks.hpp"
 #include "support/cluster.hpp"
 #include "support/completion.hpp"
@@ -80,8 +81,8 @@
     check_gets_no_new_work(system);
 }
 
-// The VM is gone without a word: its connections stay open and silent, new ones aren't answered. Requests must
-// not wait for it.
+// The VM is gone without a word: its connections stay open and silent, new ones aren't answered. Requests
+// must not wait for it.
 TEST_CASE("5 leaving: by silence") {
     cluster system;
     check_gets_work(system);
@@ -92,8 +93,8 @@
     check_gets_no_new_work(system);
 }
 
-// Two failures together: the sidecar's word that it leaves is lost with its connection, and the platform, whose
-// list would say so, is out. The new connection's handshake must say it.
+// Two failures together: the sidecar's word that it leaves is lost with its connection, and the platform,
+// whose list would say so, is out. The new connection's handshake must say it.
 TEST_CASE("5 leaving: word of it lost and platform out together") {
     cluster system;
     check_gets_work(system);
--- a/tests/failure/test_6_graceful_stop.cpp
+++ b/tests/failure/test_6_graceful_stop.cpp
@@ -23,8 +23,8 @@
     std::uint32_t tokens = 0;
 };
 
-/// Callers that send again, with the same key, whatever wasn't answered whole; each behind the balancer of one
-/// entry or the other.
+/// Callers that send again, with the same key, whatever wasn't answered whole; each behind the balancer of
+/// one entry or the other.
 class steady_load {
 public:
     steady_load(const http::endpoint& first, const http::endpoint& second, int callers) {
@@ -111,7 +111,9 @@
 // A request waits in the sidecar's queue when the sidecar is told to stop. It has not begun, so it is given
 // back and served elsewhere; its caller sees nothing of it.
 TEST_CASE("6 graceful stop: what waits at a leaving sidecar is served elsewhere") {
-    cluster system({.entries = 1, .backend_servers = {{.name = "pluma-1", .slots = "1"}, {.name = "pluma-2", .slots = "1"}}});
+    cluster system(
+        {.entries = 1,
+         .backend_servers = {{.name = "pluma-1", .slots = "1"}, {.name = "pluma-2", .slots = "1"}}});
     std::vector<http::request> calls;
     std::vector<std::unique_ptr<pending_call>> pending;
     for (int index = 0; index < 6; ++index) {
@@ -141,8 +143,8 @@
     CHECK(system.runs_of(call) == 1);
 }
 
-// Everything is restarted in turn while callers go on. Each request must be answered whole, to its own caller,
-// and have run once.
+// Everything is restarted in turn while callers go on. Each request must be answered whole, to its own
+// caller, and have run once.
 TEST_CASE("6 graceful stop: rolling restart of all entries and sidecars under load") {
     cluster system({.backend_servers = {{.name = "pluma-1"}, {.name = "pluma-2"}, {.name = "pluma-3"}}});
     fault_proxy first(system.entry(0).callers, proxy_units::raw);
--- a/tests/failure/test_9_crashing_request.cpp
+++ b/tests/failure/test_9_crashing_request.cpp
@@ -96,8 +96,8 @@
     }
 }
 
-// Two failures together: the table, which shares the marks, is out while engines die. The entries must hear of
-// the marks from the sidecars.
+// Two failures together: the table, which shares the marks, is out while engines die. The entries must hear
+// of the marks from the sidecars.
 TEST_CASE("9 crashing request: quarantined although the table is out") {
     cluster system(four_engines());
     arm_engines(system);
--- a/tests/unit/test_policy_placement.cpp
+++ b/tests/unit/test_policy_placement.cpp
@@ -78,7 +78,8 @@
     }
 }
 
-TEST_CASE("late binding asks the same two homes for one prefix, one after the other, then all others", "[policy][placement]") {
+TEST_CASE("late binding asks the same two homes for one prefix, one after the other, then all others",
+          "[policy][placement]") {
     const auto candidates = make_candidates(12);
     auto request = make_request(42);
     const auto first = plan_placement(late_binding{}, request, candidates);
