Decide again when a revision comes while a request waits; prove configuration changes

A request kept the revision under which it came in; when another came before its start, every further attempt carried the old one and the caller was refused with stale_revision although a server could run it. The entry now takes the call apart again under the newer revision, within the same deadline and as the same request, and waits up to 100 ms for a revision that it knows to be behind. A refusal for want of a configuration also says now when to come back.

--- a/src/configuration/configuration_follower.cpp
+++ b/src/configuration/configuration_follower.cpp
@@ -5,13 +5,18 @@
 #include "configuration/intent_parser.hpp"
 #include "configuration/revision_rows.hpp"
 
+#include <boost/asio/async_result.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -28,10 +33,17 @@
 /// A tick that comes this much late means that the process stood still, not that it was busy.
 constexpr std::chrono::milliseconds freeze_threshold{750};
 
+/// Somebody who waits for a revision. Woken at most once, by the revision or by the wait's limit.
+struct revision_waiter {
+    revision_number above = 0;
+    std::shared_ptr<std::atomic<bool>> is_woken;
+    std::function<void()> wake;
+};
+
 } // namespace
 
-/// Invariants: `current` is replaced only under `mutex`, and only by a higher revision; `changed`, `polling`
-/// and `last_tick` are touched only on the strand; one poll runs at a time.
+/// Invariants: `current` is replaced only under `mutex`, and only by a higher revision; `changed`, `polling`,
+/// `waiters` and `last_tick` are touched only on the strand; one poll runs at a time.
 struct configuration_follower::state : std::enable_shared_from_this<configuration_follower::state> {
     state(const asio::any_io_executor& executor, timer_service& given_timers, platform::table& given_table,
           std::chrono::milliseconds given_period)
@@ -124,6 +136,7 @@
 
     /// Posts of two threads may arrive crossed; an older revision isn't announced after a newer one.
     void announce(const std::shared_ptr<const configuration>& next) {
+        wake_waiters();
         if (stopped || !changed || next->revision <= announced) {
             return;
         }
@@ -131,6 +144,21 @@
         changed(next);
     }
 
+    void add_waiter(revision_waiter waiter) {
+        std::erase_if(waiters, [](const revision_waiter& other) { return other.is_woken->load(); });
+        waiters.push_back(std::move(waiter));
+        wake_waiters();
+    }
+
+    void wake_waiters() {
+        const auto held = current.load()->revision;
+        for (const auto& waiter : waiters) {
+            if (held > waiter.above) {
+                waiter.wake();
+            }
+        }
+    }
+
     /// A process that was frozen wakes with what it knew before; the configuration may have moved on.
     /// Steady time goes on while a process is stopped, so a tick that comes very late shows it.
     void check_freeze() {
@@ -174,6 +202,7 @@
     std::mutex mutex;
     std::atomic<std::shared_ptr<const configuration>> current;
     std::atomic<revision_number> unusable = 0;
+    std::vector<revision_waiter> waiters;
     revision_number announced = 0;
     bool polling = false;
     bool poll_again = false;
@@ -223,6 +252,28 @@
     return m_state->take(revision, text, "peer");
 }
 
+asio::awaitable<bool> configuration_follower::wait_past(revision_number revision,
+                                                        std::chrono::milliseconds limit) {
+    const auto shared = m_state;
+    const auto executor = co_await asio::this_coro::executor;
+    timer_subscription timeout;
+    auto initiate = [&](auto handler) {
+        auto held = std::make_shared<decltype(handler)>(std::move(handler));
+        auto is_woken = std::make_shared<std::atomic<bool>>(false);
+        auto wake = [held, is_woken, executor] {
+            if (!is_woken->exchange(true)) {
+                asio::post(executor, [held] { std::move (*held)(); });
+            }
+        };
+        timeout = shared->timers.after(shared->strand, limit, wake);
+        asio::post(shared->strand, [shared, waiter = revision_waiter{revision, is_woken, wake}] {
+            shared->add_waiter(waiter);
+        });
+    };
+    co_await asio::async_initiate<const asio::use_awaitable_t<>, void()>(initiate, asio::use_awaitable);
+    co_return shared->current.load()->revision > revision;
+}
+
 void configuration_follower::poll_soon() {
     asio::post(m_state->strand, [self = m_state] { self->begin_poll(); });
 }
--- a/src/configuration/configuration_follower.hpp
+++ b/src/configuration/configuration_follower.hpp
@@ -6,6 +6,7 @@
 #include "platform/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <chrono>
 #include <functional>
@@ -38,6 +39,10 @@
     /// Takes what a peer sent; ignored unless it is newer and valid. Returns whether it was taken.
     bool take_from_peer(revision_number revision, std::string_view text);
 
+    /// Waits until a revision above this one is in force here, or the limit has passed; returns whether one
+    /// is. For a decision that was taken under a revision that a peer has left behind.
+    boost::asio::awaitable<bool> wait_past(revision_number revision, std::chrono::milliseconds limit);
+
     /// Polls now: after a freeze, or when a peer is known to be ahead and can't be asked.
     void poll_soon();
 
--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -23,6 +23,8 @@
 constexpr std::string_view services_path = "/services/";
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t longest_key = 256;
+/// A process that has just started asks the platform and its peers at once.
+constexpr std::chrono::milliseconds no_configuration_retry{2000};
 constexpr std::size_t most_blocks = 64; ///< of a prompt, hashed; longer ones are told apart by these
 
 json::object parse_body(const std::string& body) {
@@ -213,7 +215,7 @@
 const configuration::workspace& find_workspace(const configuration::configuration& current,
                                                const http::request& received) {
     if (current.is_empty()) {
-        throw request_error(error_kind::no_configuration);
+        throw request_error(error_kind::no_configuration, {}, no_configuration_retry);
     }
     const auto header = http::find_header(received.headers, "Authorization");
     if (!header || !header->starts_with(bearer)) {
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -24,6 +24,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_elsewhere{1000};
+/// How long a newer revision is waited for before the request is decided again.
+constexpr std::chrono::milliseconds newer_revision_limit{100};
+/// Revisions may follow each other quickly; a request isn't passed on for ever.
+constexpr int most_decisions = 20;
 
 http::response plain(unsigned status, std::string text) {
     return http::make_response(status, "text/plain", std::move(text));
@@ -84,21 +88,22 @@
         co_await writer.write(*models);
     } else {
         record(*request, audit::event::received, nullptr);
-        co_await run(*request, writer);
+        co_await run(*request, received, writer);
     }
 }
 
-asio::awaitable<void> caller_api::run(const call& request, http::response_writer& writer) {
+asio::awaitable<void> caller_api::run(const call& request, const http::request& received,
+                                      http::response_writer& writer) {
     const auto executor = co_await asio::this_coro::executor;
     const auto events = std::make_shared<event_mailbox>(executor);
     asio::co_spawn(executor, watch_caller(writer, events), asio::detached);
 
-    caller_answer answer(request, writer, m_context.settings.answer_limit);
-    request_run serving(m_context, request, answer, events);
+    call current = request;
+    caller_answer answer(current, writer, m_context.settings.answer_limit);
     std::optional<request_error> failure;
     try {
         const auto permit = m_context.admissions.admit(request);
-        co_await serving.serve();
+        co_await serve(current, received, answer, events);
     } catch (const request_error& error) {
         failure = error;
     } catch (const caller_left&) {
@@ -115,6 +120,44 @@
     }
 }
 
+/// A revision that comes while a request waits for its place would have it refused although another server
+/// may run it. Nothing has run, so it is taken apart and placed anew, as if it had come now.
+asio::awaitable<void> caller_api::serve(call& current, const http::request& received, caller_answer& answer,
+                                        std::shared_ptr<event_mailbox> events) {
+    for (int decision = 1;; ++decision) {
+        const auto stale = co_await serve_under_revision(current, answer, events);
+        if (!stale) {
+            co_return;
+        }
+        if (decision == most_decisions || std::chrono::steady_clock::now() >= current.deadline) {
+            throw *stale;
+        }
+        // Either this entry is behind and the newer revision is on its way, or the sidecar was.
+        co_await m_context.configuration.wait_past(current.configuration->revision, newer_revision_limit);
+        auto again = parse_call(current.id, m_context.configuration.current(), received,
+                                m_context.settings.default_deadline);
+        again.received = current.received;
+        again.deadline = current.deadline;
+        current = std::move(again);
+    }
+}
+
+asio::awaitable<std::optional<request_error>>
+caller_api::serve_under_revision(const call& current, caller_answer& answer,
+                                 std::shared_ptr<event_mailbox> events) {
+    std::optional<request_error> stale;
+    try {
+        request_run serving(m_context, current, answer, std::move(events));
+        co_await serving.serve();
+    } catch (const request_error& error) {
+        if (error.kind() != error_kind::stale_revision) {
+            throw;
+        }
+        stale = error;
+    }
+    co_return stale;
+}
+
 asio::awaitable<void> caller_api::answer_error(const call& request, const caller_answer& answer,
                                                const request_error& error, http::response_writer& writer) {
     m_context.metrics.failed(error.kind());
--- a/src/entry/caller_api.hpp
+++ b/src/entry/caller_api.hpp
@@ -3,6 +3,7 @@
 
 #include "base/request_error.hpp"
 #include "entry/caller_answer.hpp"
+#include "entry/dispatch_event.hpp"
 #include "entry/entry_context.hpp"
 #include "http/server.hpp"
 
@@ -10,6 +11,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <atomic>
+#include <memory>
+#include <optional>
 
 namespace borageford::entry {
 
@@ -28,7 +31,14 @@
 
 private:
     boost::asio::awaitable<void> handle_call(const http::request& received, http::response_writer& writer);
-    boost::asio::awaitable<void> run(const call& request, http::response_writer& writer);
+    boost::asio::awaitable<void> run(const call& request, const http::request& received,
+                                     http::response_writer& writer);
+    /// Serves the call as it stands under the revision in force, and decides again when that has moved on.
+    boost::asio::awaitable<void> serve(call& current, const http::request& received, caller_answer& answer,
+                                       std::shared_ptr<event_mailbox> events);
+    /// Returns the refusal when the call was decided under a revision that is no longer in force.
+    boost::asio::awaitable<std::optional<request_error>>
+    serve_under_revision(const call& current, caller_answer& answer, std::shared_ptr<event_mailbox> events);
     boost::asio::awaitable<void> answer_error(const call& request, const caller_answer& answer,
                                               const request_error& error, http::response_writer& writer);
     [[nodiscard]] http::response list_models(const http::request& received) const;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -28,8 +28,8 @@
 
 /// Refusals after a grant that another backend server may answer differently.
 bool is_worth_another_place(error_kind kind) {
-    return kind == error_kind::stale_revision || kind == error_kind::draining ||
-           kind == error_kind::no_backend_server || kind == error_kind::overloaded;
+    return kind == error_kind::draining || kind == error_kind::no_backend_server ||
+           kind == error_kind::overloaded;
 }
 
 } // namespace
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -191,7 +191,7 @@
     return "[process]\nvm = " + vm + "\nfailure_domain = " + domain +
            "\nregion = occidente\nthreads = 2\nheartbeat_period = 200ms\nsilence_limit = " + silence + "\n" +
            m_options.process_settings + "[platform]\naddress = " + http::to_string(m_platform_address) +
-           "\npoll_period = 100ms\ntimeout = 1s\n";
+           "\npoll_period = " + m_options.poll_period + "\ntimeout = 1s\n";
 }
 
 std::string cluster::intent(const std::string& further, const std::string& drained) const {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -34,7 +34,8 @@
     /// After how long each side abandons a silent connection.
     std::string entry_silence = "2s";
     std::string sidecar_silence = "2s";
-    std::string intent = {}; ///< further sections of the intent
+    std::string intent = {};           ///< further sections of the intent
+    std::string poll_period = "100ms"; ///< of the configuration's head and the list of VMs
     std::vector<std::string> platform_arguments = {};
 };
 
