--- a/tests/unit/test_snapshot.cpp
+++ b/tests/unit/test_snapshot.cpp
@@ -35,6 +35,7 @@
 
 TEST_CASE("more snapshots than cache slots keep their values apart", "[snapshot]") {
     std::vector<std::unique_ptr<snapshot<int>>> all;
+    all.reserve(40);
     for (int index = 0; index < 40; ++index) {
         all.push_back(std::make_unique<snapshot<int>>(index));
     }
