--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -19,7 +19,7 @@
 
 constexpr int most_attempts = 4;
 constexpr int most_stale_attempts = 50;
-constexpr milliseconds revision_pause{20};
+constexpr milliseconds revision_wait{50};
 constexpr milliseconds first_ask_delay{20};
 constexpr milliseconds longest_ask_delay{1000};
 /// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
@@ -45,8 +45,8 @@
 
 /// Refusals after a grant that another backend server may answer differently.
 bool is_worth_another_place(error_kind kind) {
-    return kind == error_kind::stale_revision || kind == error_kind::draining ||
-           kind == error_kind::no_backend_server || kind == error_kind::overloaded;
+    return kind == error_kind::draining || kind == error_kind::no_backend_server ||
+           kind == error_kind::overloaded;
 }
 
 } // namespace
@@ -70,7 +70,8 @@
             throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
         }
         if (m_not_begun && m_not_begun->kind() == error_kind::stale_revision) {
-            co_await pause(revision_pause); // one of the two is fetching the newer revision now
+            // One of the two is fetching the newer revision now.
+            co_await m_context.configuration.wait_past(m_call.configuration->revision, revision_wait);
         }
     }
 }
@@ -126,16 +127,6 @@
            m_context.admissions.try_retry();
 }
 
-/// Late messages of offers that are settled may come meanwhile; only the caller's going counts.
-asio::awaitable<void> request_run::pause(milliseconds time) {
-    const auto until = steady_clock::now() + time;
-    while (const auto event = co_await m_events->receive(until)) {
-        if (std::holds_alternative<caller_gone>(*event)) {
-            throw caller_left();
-        }
-    }
-}
-
 /// Starts the request and returns true; or gives the grant back, because another run of the request has
 /// been joined (true), or because the grant was for a decision under an older revision (false).
 asio::awaitable<bool> request_run::take_grant(granted_place place) {
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -50,7 +50,6 @@
     boost::asio::awaitable<void> place();
     bool follow_configuration();
     [[nodiscard]] bool may_place_again();
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     boost::asio::awaitable<bool> take_grant(granted_place place);
     boost::asio::awaitable<bool> claim_before_start(const granted_place& place);
     boost::asio::awaitable<bool> claim(const granted_place& place);
