Match resends by fingerprint wherever they are known

What a home remembers of a request started elsewhere was keyed by the resend key alone, so a key used for another body would have been led to the first one's dispatch there.

--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -56,12 +56,17 @@
     return found == m_records.end() ? nullptr : found->second;
 }
 
-dispatch_store::record_pointer dispatch_store::find_resend(std::uint64_t resend_key) const {
+dispatch_store::record_pointer dispatch_store::find_resend(std::uint64_t resend_key,
+                                                           std::uint64_t fingerprint) const {
     if (resend_key == 0) {
         return nullptr;
     }
     const auto found = m_resends.find(resend_key);
-    return found == m_resends.end() ? nullptr : find(found->second);
+    if (found == m_resends.end()) {
+        return nullptr;
+    }
+    const auto record = find(found->second);
+    return record != nullptr && record->request.fingerprint == fingerprint ? record : nullptr;
 }
 
 void dispatch_store::remember_elsewhere(std::uint64_t resend_key, started_elsewhere where, time_point now) {
@@ -75,11 +80,15 @@
     }
 }
 
-std::optional<started_elsewhere> dispatch_store::find_elsewhere(std::uint64_t resend_key, time_point now) {
+std::optional<started_elsewhere>
+dispatch_store::find_elsewhere(std::uint64_t resend_key, std::uint64_t fingerprint, time_point now) const {
     const auto found = m_elsewhere.find(resend_key);
     if (found == m_elsewhere.end() || now - found->second.since >= m_limits.known_elsewhere_time) {
         return std::nullopt;
     }
+    if (found->second.where.fingerprint != fingerprint) {
+        return std::nullopt;
+    }
     return found->second.where;
 }
 
--- a/src/sidecar/dispatch_store.hpp
+++ b/src/sidecar/dispatch_store.hpp
@@ -18,6 +18,7 @@
 struct started_elsewhere {
     dispatch_id dispatch;
     std::string backend_server;
+    std::uint64_t fingerprint = 0; ///< of the request that was started
 };
 
 struct store_limits {
@@ -47,11 +48,13 @@
 
     /// Null when there is none.
     [[nodiscard]] record_pointer find(dispatch_id dispatch) const;
-    /// The dispatch that a resend with this key can be attached to; null when there is none.
-    [[nodiscard]] record_pointer find_resend(std::uint64_t resend_key) const;
+    /// The dispatch that a resend with this key can be attached to; null when there is none. A key that was
+    /// used again for another request finds nothing: its caller must not get the first one's answer.
+    [[nodiscard]] record_pointer find_resend(std::uint64_t resend_key, std::uint64_t fingerprint) const;
 
     void remember_elsewhere(std::uint64_t resend_key, started_elsewhere where, time_point now);
-    [[nodiscard]] std::optional<started_elsewhere> find_elsewhere(std::uint64_t resend_key, time_point now);
+    [[nodiscard]] std::optional<started_elsewhere>
+    find_elsewhere(std::uint64_t resend_key, std::uint64_t fingerprint, time_point now) const;
 
     /// Forgets what is over its time.
     void forget_old(time_point now);
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -77,26 +77,26 @@
 
 void offer_scheduler::answer_lookup(connection_id connection, const wire::offer_message& offer) {
     if (m_lookups.size() < most_lookups) {
-        m_lookups.emplace(wire::from_wire(offer.dispatch), lookup{connection, offer.resend_key});
+        m_lookups.emplace(wire::from_wire(offer.dispatch),
+                          lookup{connection, offer.resend_key, offer.fingerprint});
     }
     wire::offer_reply_message answer;
     answer.verdict = wire::offer_verdict::not_known;
     reply(connection, read_offer(offer), std::move(answer));
 }
 
-/// A resend finds the run of its first copy here, or learns where it is. A key used again with another body
-/// is no resend: its caller must not get the answer to the other call.
+/// A resend finds the run of its first copy here, or learns where it is.
 bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
     wire::offer_reply_message answer;
     const auto request = read_offer(offer);
-    const auto running = m_context.store.find_resend(offer.resend_key);
-    if (running != nullptr && running->request.fingerprint == offer.fingerprint) {
+    if (const auto running = m_context.store.find_resend(offer.resend_key, offer.fingerprint)) {
         answer.verdict = wire::offer_verdict::attachable;
         answer.running_dispatch = wire::to_wire(running->request.dispatch);
         reply(connection, request, std::move(answer));
         return true;
     }
-    const auto elsewhere = m_context.store.find_elsewhere(offer.resend_key, steady_clock::now());
+    const auto elsewhere =
+        m_context.store.find_elsewhere(offer.resend_key, offer.fingerprint, steady_clock::now());
     if (!elsewhere) {
         return false;
     }
@@ -314,11 +314,7 @@
     const auto id = wire::from_wire(request.dispatch);
     const auto now = steady_clock::now();
     if (const auto asked = m_lookups.find(id); asked != m_lookups.end()) {
-        if (!request.started_at.empty()) {
-            m_context.store.remember_elsewhere(
-                asked->second.resend_key, {wire::from_wire(request.running_dispatch), request.started_at},
-                now);
-        }
+        remember_elsewhere(request, asked->second.resend_key, asked->second.fingerprint);
         m_lookups.erase(asked);
         return;
     }
@@ -331,17 +327,23 @@
     }
     m_context.metrics.withdrawn();
     m_context.record(audit::event::withdrawn, found->second.request);
-    if (!request.started_at.empty()) {
-        m_context.store.remember_elsewhere(found->second.request.resend_key,
-                                           {wire::from_wire(request.running_dispatch), request.started_at},
-                                           now);
-    }
+    const auto& offered = found->second.request;
+    remember_elsewhere(request, offered.resend_key, offered.fingerprint);
     m_queue.remove(id, now);
     release(found->second);
     m_offers.erase(found);
     grant_room();
 }
 
+void offer_scheduler::remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                                         std::uint64_t fingerprint) {
+    if (!request.started_at.empty()) {
+        m_context.store.remember_elsewhere(
+            resend_key, {wire::from_wire(request.running_dispatch), request.started_at, fingerprint},
+            steady_clock::now());
+    }
+}
+
 void offer_scheduler::give_up(dispatch_id dispatch) {
     if (!m_offers.contains(dispatch)) {
         return;
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -69,12 +69,15 @@
     struct lookup {
         connection_id connection = 0;
         std::uint64_t resend_key = 0;
+        std::uint64_t fingerprint = 0;
     };
 
     void answer_lookup(connection_id connection, const wire::offer_message& offer);
 
     /// Why this can't be served here now; nothing when it can.
     [[nodiscard]] std::optional<error_kind> find_obstacle(const offered_request& request) const;
+    void remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                            std::uint64_t fingerprint);
     bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
     [[nodiscard]] offered_request read_offer(const wire::offer_message& offer) const;
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
--- a/tests/unit/test_sidecar_parts.cpp
+++ b/tests/unit/test_sidecar_parts.cpp
@@ -21,6 +21,7 @@
     auto record = std::make_shared<dispatch_record>();
     record->request.dispatch = {1, number};
     record->request.resend_key = resend_key;
+    record->request.fingerprint = 5;
     return record;
 }
 
@@ -70,16 +71,17 @@
     good->request.is_idempotent = true;
     store.add(good);
     store.add(bad);
-    CHECK(store.find_resend(11) == good);
-    CHECK(store.find_resend(0) == nullptr);
+    CHECK(store.find_resend(11, 5) == good);
+    CHECK(store.find_resend(0, 5) == nullptr);
+    CHECK(store.find_resend(11, 6) == nullptr);
     finish(store, good, 1, begin);
     finish(store, bad, 1, begin, error_kind::backend_failed);
-    CHECK(store.find_resend(11) == good);
-    CHECK(store.find_resend(22) == nullptr);
+    CHECK(store.find_resend(11, 5) == good);
+    CHECK(store.find_resend(22, 5) == nullptr);
     CHECK(store.has_undelivered(10s, begin + 9s));
     CHECK_FALSE(store.has_undelivered(10s, begin + 10s));
     store.acknowledge({1, 1});
-    CHECK(store.find_resend(11) == nullptr);
+    CHECK(store.find_resend(11, 5) == nullptr);
     CHECK_FALSE(store.has_undelivered(10s, begin));
     // A kudos was counted and its answer delivered; a resend with its key gets that answer.
     const auto once = make_record(3);
@@ -93,14 +95,15 @@
 
 TEST_CASE("where a request was started elsewhere is remembered for a while, within a bound", "[sidecar]") {
     dispatch_store store({.known_elsewhere = 2, .known_elsewhere_time = 1min});
-    store.remember_elsewhere(1, {{1, 1}, "pluma-1"}, begin);
-    store.remember_elsewhere(2, {{1, 2}, "pluma-2"}, begin + 1s);
-    store.remember_elsewhere(3, {{1, 3}, "pluma-3"}, begin + 2s);
-    CHECK_FALSE(store.find_elsewhere(1, begin + 2s).has_value());
-    CHECK(store.find_elsewhere(2, begin + 2s)->backend_server == "pluma-2");
-    CHECK_FALSE(store.find_elsewhere(2, begin + 61s).has_value());
+    store.remember_elsewhere(1, {{1, 1}, "pluma-1", 5}, begin);
+    store.remember_elsewhere(2, {{1, 2}, "pluma-2", 5}, begin + 1s);
+    store.remember_elsewhere(3, {{1, 3}, "pluma-3", 5}, begin + 2s);
+    CHECK_FALSE(store.find_elsewhere(1, 5, begin + 2s).has_value());
+    CHECK_FALSE(store.find_elsewhere(2, 6, begin + 2s).has_value());
+    CHECK(store.find_elsewhere(2, 5, begin + 2s)->backend_server == "pluma-2");
+    CHECK_FALSE(store.find_elsewhere(2, 5, begin + 61s).has_value());
     store.forget_old(begin + 63s);
-    CHECK_FALSE(store.find_elsewhere(3, begin + 3s).has_value());
+    CHECK_FALSE(store.find_elsewhere(3, 5, begin + 3s).has_value());
 }
 
 TEST_CASE("a streamed answer is whole only with its closing event, however it is cut into pieces",
