--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -18,11 +18,10 @@
 
 namespace {
 
-/// The block whose hash names a prompt's home: far enough in to tell chapters apart that begin with the same
-/// instructions, early enough for short prompts.
 constexpr milliseconds default_retry{1000};
 /// A lookup that takes longer is given up: its sidecar may be gone, and the caller waits.
 constexpr milliseconds lookup_limit{100};
+constexpr milliseconds marked_offer_delay{500};
 
 std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
     const auto load = link.load();
@@ -82,19 +81,37 @@
     std::erase_if(m_candidates, [](const candidate& server) {
         return server.link->is_leaving() || server.link->is_unreachable();
     });
-    const auto& hashes = m_call.prefix_hashes;
     const auto& common = m_context.settings.common;
     policy::placement_request request;
-    request.home_key = m_context.prefixes.home_key(hashes);
+    request.home_key = m_context.prefixes.home_key(m_call.prefix_hashes);
     request.prompt_tokens = m_call.prompt_tokens;
     request.tier = m_call.tier->rank;
     request.first_token_target = m_call.tier->first_token_target;
     request.failure_domain = common.failure_domain;
     request.region = common.region;
-    request.sequence = m_context.placements++;
+    request.sequence = m_context.placement_count++;
     request.seed = m_call.id.low;
-    m_plan = policy::plan_placement(m_context.settings.placement, request,
-                                    describe(m_candidates, m_context.prefixes.find_holders(hashes)));
+    const auto holders = m_context.prefixes.find_holders(m_call.prefix_hashes);
+    const auto described = describe(m_candidates, holders);
+    m_plan = policy::plan_placement(m_context.settings.placement, request, described);
+    if (m_context.crashes.marks(m_call.fingerprint) > 0) {
+        plan_for_marked();
+    }
+}
+
+/// A request that was running when a backend server died may be what killed it: it goes where the fewest
+/// others run, one place after the other, so that it can take little with it.
+void offer_round::plan_for_marked() {
+    const auto running = [this](const policy::planned_offer& offer) {
+        const auto load = m_candidates.at(offer.candidate).link->load();
+        return load ? load->running_sequences : 0;
+    };
+    std::ranges::sort(m_plan.offers, {}, running);
+    policy::duration after{};
+    for (auto& offer : m_plan.offers) {
+        offer.after = after;
+        after += marked_offer_delay;
+    }
 }
 
 asio::awaitable<place> offer_round::find_place() {
@@ -146,7 +163,8 @@
 void offer_round::send_next_group() {
     const auto after = m_plan.offers.at(m_next_offer).after;
     while (m_next_offer < m_plan.offers.size() && m_plan.offers.at(m_next_offer).after == after) {
-        send_offer(m_candidates.at(m_plan.offers.at(m_next_offer).candidate));
+        const auto& server = m_candidates.at(m_plan.offers.at(m_next_offer).candidate);
+        send_offer({server.link, server.name});
         ++m_next_offer;
     }
 }
@@ -223,12 +241,13 @@
     return offer;
 }
 
-void offer_round::send_offer(const candidate& server) {
+void offer_round::send_offer(open_offer place) {
     const auto dispatch = identifier::random();
-    m_open_offers.emplace(dispatch, open_offer{server.link, server.name});
     m_context.metrics.offered();
-    record(audit::event::offered, dispatch, server.name);
-    server.link->send_for(dispatch, m_events, make_offer(dispatch));
+    record(audit::event::offered, dispatch, place.backend_server);
+    const auto link = place.link;
+    m_open_offers.emplace(dispatch, std::move(place));
+    link->send_for(dispatch, m_events, make_offer(dispatch));
 }
 
 std::optional<place> offer_round::handle(const dispatch_event& event) {
@@ -242,7 +261,7 @@
         take_refusal(wire::from_wire(refusal->dispatch), wire::error_kind_from_wire(refusal->error_kind),
                      milliseconds(refusal->retry_after_ms));
     } else if (const auto* lost = std::get_if<connection_lost>(&event)) {
-        take_refusal(lost->dispatch, error_kind::no_backend_server, milliseconds(0));
+        take_lost_connection(lost->dispatch);
     } else if (std::holds_alternative<caller_gone>(event)) {
         withdraw_all();
         throw caller_left();
@@ -311,10 +330,6 @@
 }
 
 void offer_round::take_refusal(const dispatch_id& dispatch, error_kind kind, milliseconds retry_after) {
-    if (is_lookup(dispatch)) {
-        m_lookup->is_pending = false; // its sidecar can't be reached
-        return;
-    }
     const auto found = m_open_offers.find(dispatch);
     if (found == m_open_offers.end()) {
         return;
@@ -323,6 +338,10 @@
         m_held_grant.reset();
     }
     record(audit::event::refused, dispatch, found->second.backend_server, kind);
+    if (kind == error_kind::quarantined) {
+        withdraw_all(); // final, wherever it was said
+        throw request_error(kind, {}, retry_after);
+    }
     found->second.link->forget(dispatch);
     m_open_offers.erase(found);
     if (!m_refusal || says_more(kind, *m_refusal)) {
@@ -333,6 +352,25 @@
     }
 }
 
+/// A connection that was reset says nothing about its server: the offer, which can't have run, is made once
+/// more on a new one. Without this, one reset would refuse every request that waited on it.
+void offer_round::take_lost_connection(const dispatch_id& dispatch) {
+    if (is_lookup(dispatch)) {
+        m_lookup->is_pending = false; // given up: the caller waits
+        return;
+    }
+    const auto found = m_open_offers.find(dispatch);
+    if (found == m_open_offers.end()) {
+        return;
+    }
+    auto place = found->second;
+    take_refusal(dispatch, error_kind::no_backend_server, milliseconds(0));
+    if (!place.is_repeated && !place.link->is_unreachable()) {
+        place.is_repeated = true;
+        send_offer(std::move(place));
+    }
+}
+
 void offer_round::withdraw_all(const std::string& started_at, const dispatch_id& running) {
     for (const auto& [dispatch, offer] : std::exchange(m_open_offers, {})) {
         wire::withdraw_message withdrawal;
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -53,6 +53,7 @@
     struct open_offer {
         std::shared_ptr<sidecar_link> link;
         std::string backend_server;
+        bool is_repeated = false; ///< the connection of the first offer to this server was lost
     };
 
     /// The question to the one backend server that the resend key hashes to: is this request known there?
@@ -72,10 +73,12 @@
     [[nodiscard]] std::optional<place> find_running(const wire::offer_reply_message& reply,
                                                     const std::shared_ptr<sidecar_link>& link,
                                                     const std::string& backend_server) const;
+    void plan_for_marked();
     void send_due_offers();
     void send_next_group();
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
-    void send_offer(const candidate& server);
+    void send_offer(open_offer place);
+    void take_lost_connection(const dispatch_id& dispatch);
     [[nodiscard]] std::optional<place> handle(const dispatch_event& event);
     [[nodiscard]] std::optional<place> take_reply(const wire::offer_reply_message& reply);
     [[nodiscard]] std::optional<place> take_grant(const wire::grant_message& grant);
--- a/src/entry/prefix_book.cpp
+++ b/src/entry/prefix_book.cpp
@@ -33,4 +33,9 @@
     m_index.record_cached(prompt, blocks, server, steady_clock::now());
 }
 
+void prefix_book::forget_server(std::uint64_t server) {
+    const std::lock_guard lock(m_mutex);
+    m_index.forget_server(server, steady_clock::now());
+}
+
 } // namespace borageford::entry
--- a/src/entry/prefix_book.hpp
+++ b/src/entry/prefix_book.hpp
@@ -25,6 +25,9 @@
     /// A sidecar's reply named the last block of the prompt that its engine has cached; nothing: none is.
     void record_reply(hashes prompt, std::optional<std::uint64_t> last_cached, std::uint64_t server);
 
+    /// The server's engine died: it holds nothing any more.
+    void forget_server(std::uint64_t server);
+
 private:
     mutable std::mutex m_mutex;
     policy::prefix_index m_index; ///< guarded by m_mutex
--- a/src/policy/adaptive_limit.cpp
+++ b/src/policy/adaptive_limit.cpp
@@ -17,7 +17,7 @@
     return {.initial = initial_sequences,
             .minimum = 1,
             .maximum = static_cast<double>(std::max(1U, settings.slots)),
-            .target_seconds = to_seconds(settings.between_tokens_target)};
+            .target_seconds = settings.between_tokens_share * to_seconds(settings.between_tokens_target)};
 }
 
 limit_controller_settings prefill_settings(const adaptive_limit_settings& settings) {
--- a/src/policy/cost_estimator.hpp
+++ b/src/policy/cost_estimator.hpp
@@ -37,13 +37,17 @@
     [[nodiscard]] std::uint32_t expected_output(std::string_view workspace, std::string_view route,
                                                 std::uint32_t unmeasured) const;
 
-    /// Prefill that took place between the request's start and its first token.
-    void record_prefill(std::uint64_t tokens, duration elapsed);
+    /// Prefill of a request whose first token came now, `elapsed` after its start. Times that several
+    /// requests spent being prefilled together count once: each alone would look slower than the engine is.
+    void record_prefill(std::uint64_t tokens, duration elapsed, time_point now);
     /// Output tokens since the last call. `was_busy`: some sequence was running in between.
     void record_output_tokens(std::uint64_t tokens, bool was_busy, time_point now);
 
     /// Tokens a second; 0 until measured.
     [[nodiscard]] double prefill_rate() const noexcept;
+    /// The same, but changed only when the measured rate has moved well away: for placement, where every
+    /// small change of a weight moves some prefixes to another home.
+    [[nodiscard]] double steady_prefill_rate() const noexcept { return m_steady_prefill_rate; }
     [[nodiscard]] double output_rate() const noexcept { return m_output.rate(); }
 
 private:
@@ -59,6 +63,8 @@
     // Sums that decay with each sample by the same factor; their quotient is the prefill rate.
     double m_prefill_tokens = 0;
     double m_prefill_seconds = 0;
+    time_point m_prefill_counted_to{}; ///< time before it is in m_prefill_seconds already
+    double m_steady_prefill_rate = 0;
     rate_meter m_output;
 };
 
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -173,7 +173,7 @@
         dispatch.first_token = now;
         dispatch.last_token = now;
         if (!dispatch.is_adopted) {
-            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed);
+            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed, now);
             m_context.limit.record_first_token(dispatch.admission, elapsed, now);
             m_context.metrics.first_token(dispatch.request, elapsed);
         }
@@ -236,7 +236,7 @@
     for (const auto& reader : dispatch->readers) {
         send_fate(reader.connection, wire::to_wire(dispatch->request.dispatch), wire::dispatch_fate::unknown);
     }
-    m_context.ledger.finish(dispatch->request.dispatch, steady_clock::now());
+    m_context.ledger.forget_adopted(dispatch->request.dispatch);
     m_context.store.remove(dispatch->request.dispatch);
     m_room_freed();
 }
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t most_lookups = 10'000;
+/// A request under which so many backend servers have died isn't run any more.
+constexpr std::size_t quarantine_marks = 2;
 
 std::uint32_t to_wire_milliseconds(milliseconds time) {
     constexpr std::int64_t most = UINT32_MAX;
@@ -36,7 +38,7 @@
         answer_lookup(connection, offer);
         return;
     }
-    if (const auto obstacle = find_obstacle(offer.target, offer.is_service)) {
+    if (const auto obstacle = find_obstacle(request)) {
         refuse(connection, request, *obstacle);
         return;
     }
@@ -103,7 +105,7 @@
     return true;
 }
 
-std::optional<error_kind> offer_scheduler::find_obstacle(const std::string& target, bool is_service) const {
+std::optional<error_kind> offer_scheduler::find_obstacle(const offered_request& request) const {
     if (m_is_draining) {
         return error_kind::draining;
     }
@@ -112,15 +114,19 @@
         return error_kind::no_configuration;
     }
     const auto* server = current->find_backend_server(m_context.settings.backend_server);
-    if (server == nullptr || !configuration::configuration::serves(*server, target, is_service)) {
+    if (server == nullptr ||
+        !configuration::configuration::serves(*server, request.target, request.is_service)) {
         return error_kind::no_backend_server;
     }
     if (server->drained) {
         return error_kind::draining;
     }
-    if (!m_context.monitor.is_up()) {
+    if (!m_context.monitor.is_up() || (!request.is_service && !m_context.models.has(request.target))) {
         return error_kind::no_backend_server;
     }
+    if (m_context.marks.count(request.fingerprint) >= quarantine_marks) {
+        return error_kind::quarantined;
+    }
     return std::nullopt;
 }
 
@@ -384,7 +390,7 @@
     }
     for (const auto& id : waiting) {
         const auto& request = m_offers.at(id).request;
-        if (const auto obstacle = find_obstacle(request.target, request.is_service)) {
+        if (const auto obstacle = find_obstacle(request)) {
             end_offer(id, *obstacle);
         }
     }
@@ -432,7 +438,7 @@
     report->prefill_tokens_in_progress = m_context.limit.prefilling_tokens();
     report->sequence_limit = m_context.limit.sequence_limit();
     report->prefill_token_limit = m_context.limit.prefill_token_limit();
-    report->prefill_tokens_per_second = m_context.costs.prefill_rate();
+    report->prefill_tokens_per_second = m_context.costs.steady_prefill_rate();
     report->output_tokens_per_second = m_context.costs.output_rate();
     constexpr unsigned lowest_tier = UINT8_MAX;
     const auto wait = m_queue.expected_wait(lowest_tier).value_or(duration::zero());
