Name homes by a block that all entries agree on

Entries learned by themselves which preambles are shared, so in their first dozens of chapters they named other homes than each other: at load 0.4 in 25 s, 54 of 67 chapters used several times were prefilled at several engines. The reported prefill rate waits for six samples.

--- a/src/policy/cost_estimator.cpp
+++ b/src/policy/cost_estimator.cpp
@@ -15,6 +15,8 @@
 constexpr double shortest_prefill_seconds = 0.001;
 /// The steady rate follows when the measured one is more than this factor away.
 constexpr double steady_band = 1.5;
+/// None is reported before so many samples: the first few are noise.
+constexpr std::uint64_t steady_samples = 6;
 constexpr std::string_view shared_key = "\n";
 constexpr auto soonest_return = std::chrono::milliseconds(500);
 constexpr auto latest_return = std::chrono::milliseconds(60000);
@@ -64,6 +66,9 @@
     m_prefill_counted_to = std::max(m_prefill_counted_to, now);
     m_prefill_tokens = kept_per_prefill * m_prefill_tokens + static_cast<double>(tokens);
     m_prefill_seconds = kept_per_prefill * m_prefill_seconds + to_seconds(now - begun);
+    if (++m_prefill_samples < steady_samples) {
+        return;
+    }
     const double rate = prefill_rate();
     const bool has_moved =
         rate > steady_band * m_steady_prefill_rate || rate * steady_band < m_steady_prefill_rate;
--- a/src/policy/cost_estimator.hpp
+++ b/src/policy/cost_estimator.hpp
@@ -64,6 +64,7 @@
     double m_prefill_tokens = 0;
     double m_prefill_seconds = 0;
     time_point m_prefill_counted_to{}; ///< time before it is in m_prefill_seconds already
+    std::uint64_t m_prefill_samples = 0;
     double m_steady_prefill_rate = 0;
     rate_meter m_output;
 };
--- a/src/policy/prefix_index.cpp
+++ b/src/policy/prefix_index.cpp
@@ -99,8 +99,8 @@
     if (hashes.empty()) {
         return std::nullopt;
     }
-    std::size_t own_part = 0;
-    for (std::size_t depth = 0; depth + 1 < hashes.size(); ++depth) {
+    std::size_t own_part = std::min(m_settings.home_block, hashes.size() - 1);
+    for (std::size_t depth = own_part; depth + 1 < hashes.size(); ++depth) {
         const auto found = m_blocks.find(hashes[depth]);
         if (found == m_blocks.end()) {
             break;
--- a/src/policy/prefix_index.hpp
+++ b/src/policy/prefix_index.hpp
@@ -32,6 +32,9 @@
     duration holder_lifetime = std::chrono::minutes(10);
     /// The same after a gap in the server's cache events, which may have hidden an eviction.
     duration lifetime_after_gap = std::chrono::seconds(60);
+    /// Far enough into a prompt to tell chapters apart that begin with the same instructions, near enough to
+    /// its beginning for short prompts.
+    std::size_t home_block = 3;
     /// A block followed by so many different ones ends a preamble that many prompts share. More than the
     /// tasks that follow one chapter, fewer than the chapters of one workspace.
     std::uint32_t shared_by = 24;
@@ -70,9 +73,11 @@
     [[nodiscard]] std::vector<prefix_holder> find_holders(std::span<const std::uint64_t> hashes,
                                                           time_point now) const;
 
-    /// The hash that names this prompt's homes: the first block after its shared preamble. Prompts of
-    /// one chapter agree on it whatever task follows the chapter; prompts that have only their preamble in
-    /// common don't crowd at one home. Nothing for a prompt without a whole block.
+    /// The hash that names this prompt's homes: that of the block at `home_block`, or of the first one after
+    /// a shared preamble that is longer. Prompts of one chapter agree on it whatever task follows the
+    /// chapter; prompts that have only their preamble in common don't crowd at one home. All entries must
+    /// agree on it, so only long preambles, which each entry learns by itself, are left to learning. Nothing
+    /// for a prompt without a whole block.
     [[nodiscard]] std::optional<std::uint64_t> home_key(std::span<const std::uint64_t> hashes) const;
 
     [[nodiscard]] std::size_t blocks() const noexcept { return m_blocks.size(); }
--- a/tests/load/load_plan.hpp
+++ b/tests/load/load_plan.hpp
@@ -38,6 +38,7 @@
     double at = 0; ///< seconds after the run's begin
     unsigned workspace = 0;
     unsigned tier = 0;
+    std::size_t chapter = 0;
     unsigned entry = 0; ///< a random number; the caller takes it modulo the entries
     std::string body;   ///< no two are alike
     std::uint64_t prompt_bytes = 0;
--- a/tests/unit/test_policy_cost_estimator.cpp
+++ b/tests/unit/test_policy_cost_estimator.cpp
@@ -89,7 +89,9 @@
         now += 2s;
         estimator.record_prefill(1000, elapsed, now);
     };
-    prefill(250ms);
+    for (int index = 0; index < 10; ++index) {
+        prefill(250ms);
+    }
     const double first = estimator.steady_prefill_rate();
     for (int index = 0; index < 50; ++index) {
         prefill(index % 2 == 0 ? 200ms : 300ms);
