--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -330,10 +330,6 @@
 }
 
 void offer_round::take_refusal(const dispatch_id& dispatch, error_kind kind, milliseconds retry_after) {
-    if (is_lookup(dispatch)) {
-        m_lookup->is_pending = false; // its sidecar can't be reached
-        return;
-    }
     const auto found = m_open_offers.find(dispatch);
     if (found == m_open_offers.end()) {
         return;
@@ -359,6 +355,10 @@
 /// A connection that was reset says nothing about its server: the offer, which can't have run, is made once
 /// more on a new one. Without this, one reset would refuse every request that waited on it.
 void offer_round::take_lost_connection(const dispatch_id& dispatch) {
+    if (is_lookup(dispatch)) {
+        m_lookup->is_pending = false; // given up: the caller waits
+        return;
+    }
     const auto found = m_open_offers.find(dispatch);
     if (found == m_open_offers.end()) {
         return;
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -197,7 +197,7 @@
         dispatch.first_token = now;
         dispatch.last_token = now;
         if (!dispatch.is_adopted) {
-            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed);
+            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed, now);
             m_context.limit.record_first_token(dispatch.admission, elapsed, now);
             m_context.metrics.first_token(dispatch.request, elapsed);
         }
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -452,7 +452,7 @@
     report->prefill_tokens_in_progress = m_context.limit.prefilling_tokens();
     report->sequence_limit = m_context.limit.sequence_limit();
     report->prefill_token_limit = m_context.limit.prefill_token_limit();
-    report->prefill_tokens_per_second = m_context.costs.prefill_rate();
+    report->prefill_tokens_per_second = m_context.costs.steady_prefill_rate();
     report->output_tokens_per_second = m_context.costs.output_rate();
     constexpr unsigned lowest_tier = UINT8_MAX;
     const auto wait = m_queue.expected_wait(lowest_tier).value_or(duration::zero());
