Tell what a drain takes away; read marks through their own library

From a run of every command against real processes: a drain was accepted without a word even when it left a model without a backend server, since only plans showed warnings; its answer carries them now. A token with a line break in it was sent and drew the HTTP server's own 'bad value'; the command now refuses it. The quarantine reads marks with the library that writes them in place of a second decoder, and the first column of tables holds a whole time stamp.

--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -211,7 +211,7 @@
 asio::awaitable<http::response> administration::confirm_plan(const admin_call& call) {
     const auto result =
         co_await m_planner.confirm(call.arguments.front(), call.operator_name, wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::list_revisions(const admin_call& call) {
@@ -261,13 +261,13 @@
 asio::awaitable<http::response> administration::drain_server(const admin_call& call) {
     const auto result = co_await m_planner.set_drained(call.arguments.front(), true, call.operator_name,
                                                        wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::undrain_server(const admin_call& call) {
     const auto result = co_await m_planner.set_drained(call.arguments.front(), false, call.operator_name,
                                                        wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::list_quarantine(const admin_call& /*call*/) {
--- a/src/admin/answers.cpp
+++ b/src/admin/answers.cpp
@@ -145,10 +145,9 @@
     return json_answer(status_ok, object);
 }
 
-http::response commit_answer(const configuration::commit_result& result,
-                             const std::optional<configuration::spread_row>& spread) {
-    const auto& revision = result.revision;
-    if (result.verdict == configuration::commit_verdict::conflict) {
+http::response commit_answer(const confirm_result& result) {
+    const auto& revision = result.commit.revision;
+    if (result.commit.verdict == configuration::commit_verdict::conflict) {
         auto fields = error_fields(error_kind::plan_conflict,
                                    "revision " + std::to_string(revision.revision) + " by " +
                                        revision.operator_name + " at " + revision.time + " came between");
@@ -157,10 +156,11 @@
                            json::object{{"error", std::move(fields)}});
     }
     auto object = describe(revision);
-    object["state"] =
-        result.verdict == configuration::commit_verdict::accepted ? "accepted" : "already_accepted";
-    if (spread) {
-        object["in_force"] = describe(*spread);
+    const bool is_new = result.commit.verdict == configuration::commit_verdict::accepted;
+    object["state"] = is_new ? "accepted" : "already_accepted";
+    object["warnings"] = json::value_from(result.warnings);
+    if (result.spread) {
+        object["in_force"] = describe(*result.spread);
     }
     return json_answer(status_ok, object);
 }
--- a/src/admin/answers.hpp
+++ b/src/admin/answers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admin/node_view.hpp"
+#include "admin/planner.hpp"
 #include "admin/quarantine.hpp"
 #include "admin/revision_survey.hpp"
 #include "base/request_error.hpp"
@@ -22,9 +23,8 @@
 [[nodiscard]] http::response error_answer(const request_error& error);
 [[nodiscard]] http::response problems_answer(const std::vector<settings::problem>& problems);
 [[nodiscard]] http::response plan_answer(const configuration::plan& what);
-/// `spread` is there when the caller asked to wait. A conflict is an error that names what came between.
-[[nodiscard]] http::response commit_answer(const configuration::commit_result& result,
-                                           const std::optional<configuration::spread_row>& spread);
+/// A conflict is an error that names what came between.
+[[nodiscard]] http::response commit_answer(const confirm_result& result);
 /// Without texts.
 [[nodiscard]] http::response revisions_answer(const std::vector<configuration::revision_row>& revisions);
 [[nodiscard]] http::response revision_answer(const configuration::revision_row& revision);
--- a/src/admin/planner.cpp
+++ b/src/admin/planner.cpp
@@ -116,6 +116,7 @@
 asio::awaitable<confirm_result> planner::commit(configuration::plan what, std::string operator_name,
                                                 std::optional<milliseconds> wait) {
     confirm_result result;
+    result.warnings = what.warnings;
     result.commit = co_await m_store.commit(what, std::move(operator_name));
     const auto accepted = steady_clock::now();
     const auto& revision = result.commit.revision;
--- a/src/admin/planner.hpp
+++ b/src/admin/planner.hpp
@@ -25,6 +25,7 @@
 
 struct confirm_result {
     configuration::commit_result commit;
+    std::vector<std::string> warnings;               ///< of the plan that was committed
     std::optional<configuration::spread_row> spread; ///< when the caller waited
 };
 
--- a/src/admin/quarantine.cpp
+++ b/src/admin/quarantine.cpp
@@ -1,33 +1,30 @@
 // Rows of marks, read and removed.
 #include "admin/quarantine.hpp"
 
-#include <boost/json.hpp>
+#include "marks/crash_mark.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 #include <string_view>
 #include <utility>
 
 namespace borageford::admin {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
-
 namespace {
 
-constexpr std::string_view mark_prefix = "mark/";
 constexpr std::size_t page = 500;
 constexpr unsigned release_attempts = 5;
 
 marked_request decode(const platform::row& row) {
     marked_request request;
-    request.fingerprint = row.key.substr(mark_prefix.size());
+    request.fingerprint = row.key.substr(marks::key_prefix.size());
     try {
-        const auto value = json::parse(row.value);
-        for (const auto& mark : value.at("marks").as_array()) {
-            request.backend_servers.push_back(json::value_to<std::string>(mark.at("backend_server")));
-            request.last_time = std::max(request.last_time, mark.at("time").to_number<std::int64_t>());
+        for (const auto& mark : marks::decode_row(row.value)) {
+            request.backend_servers.push_back(mark.backend_server);
+            request.last_time = std::max(request.last_time, mark.time);
         }
-    } catch (const std::exception&) {
+    } catch (const std::invalid_argument&) {
         // A row that can't be read is shown without its servers, so that an operator can still release it.
         request.backend_servers.clear();
     }
@@ -40,7 +37,7 @@
     std::vector<marked_request> requests;
     std::string after;
     while (true) {
-        const auto rows = co_await table.scan(mark_prefix, after, page);
+        const auto rows = co_await table.scan(marks::key_prefix, after, page);
         for (const auto& row : rows) {
             requests.push_back(decode(row));
         }
@@ -52,7 +49,7 @@
 }
 
 asio::awaitable<bool> release_request(platform::table& table, std::string fingerprint) {
-    const auto key = std::string(mark_prefix) + fingerprint;
+    const auto key = std::string(marks::key_prefix) + fingerprint;
     for (unsigned attempt = 0; attempt < release_attempts; ++attempt) {
         const auto row = co_await table.read(key);
         if (!row) {
--- a/src/program/command_output.cpp
+++ b/src/program/command_output.cpp
@@ -17,7 +17,7 @@
 namespace json = boost::json;
 
 constexpr unsigned first_error_status = 300;
-constexpr int wide_column = 22;
+constexpr int wide_column = 24;
 constexpr int narrow_column = 12;
 
 std::string text_of(const json::value& from, std::string_view key) {
@@ -152,6 +152,9 @@
     std::cout << "revision " << text_of(commit, "revision") << ' '
               << (text_of(commit, "state") == "accepted" ? "accepted" : "had been accepted already, at ")
               << (text_of(commit, "state") == "accepted" ? "" : text_of(commit, "time")) << '\n';
+    for (const auto& line : commit.at("warnings").as_array()) {
+        std::cout << "  WARNING: " << json::value_to<std::string>(line) << '\n';
+    }
     if (const auto* spread = commit.as_object().if_contains("in_force")) {
         print_spread(*spread);
     }
--- a/src/program/entry_client.cpp
+++ b/src/program/entry_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -20,6 +21,7 @@
 
 /// Beside the time that the call itself asks the entry to wait.
 constexpr milliseconds answer_limit{30'000};
+constexpr unsigned char first_non_ascii = 0x7f;
 
 http::endpoint entry_address(const command_flags& flags) {
     if (flags.entry.empty()) {
@@ -43,6 +45,11 @@
     if (flags.token.empty()) {
         throw usage_error("--token-file FILE (or BORAGEFORD_TOKEN) is required");
     }
+    const bool is_usable =
+        std::ranges::all_of(flags.token, [](unsigned char c) { return c >= ' ' && c < first_non_ascii; });
+    if (!is_usable) {
+        throw usage_error("the token must be one line of printable characters");
+    }
     const auto address = entry_address(flags);
     http::request call{method, target, {{"Authorization", "Bearer " + flags.token}}, body};
     if (!flags.operator_name.empty()) {
--- a/tests/unit/test_administration.cpp
+++ b/tests/unit/test_administration.cpp
@@ -4,6 +4,7 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "in_process_platform.hpp"
+#include "marks/crash_mark.hpp"
 #include "settings/ini_document.hpp"
 
 #include <boost/json.hpp>
@@ -221,7 +222,9 @@
 TEST_CASE("a drain is recorded as a revision and shown", "[admin]") {
     fixture system;
     system.first.put_in_force(intent("1"));
-    CHECK(system.first.call_json("POST", "/admin/backend_servers/b/drain").at("revision") == 2);
+    const auto drained = system.first.call_json("POST", "/admin/backend_servers/b/drain");
+    CHECK(drained.at("revision") == 2);
+    CHECK(drained.at("warnings").as_array().size() == 1);
     const auto servers = system.first.call_json("GET", "/admin/backend_servers");
     CHECK(servers.at("backend_servers").at(0).at("drained") == true);
     CHECK(system.first.call_json("POST", "/admin/backend_servers/b/undrain").at("revision") == 3);
@@ -230,8 +233,7 @@
 
 TEST_CASE("a quarantined request is listed and released", "[admin]") {
     fixture system;
-    const std::string marks =
-        R"({"marks":[{"mark":"1","backend_server":"a","time":5},{"mark":"2","backend_server":"b","time":9}]})";
+    const std::string marks = marks::encode_row({{identifier{1, 1}, "a", 5}, {identifier{1, 2}, "b", 9}});
     system.runtime.wait_for(system.first.table().transact({{}, {{"mark/00000000000000ff", marks}}, {}}));
     const auto listed = system.first.call_json("GET", "/admin/quarantine").at("requests");
     REQUIRE(listed.as_array().size() == 1);
--- a/tests/unit/test_configuration_follower.cpp
+++ b/tests/unit/test_configuration_follower.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -126,6 +127,19 @@
     CHECK(system.follower.revision() == 7);
 }
 
+TEST_CASE("a wait for a newer revision ends with it, or with its limit", "[configuration]") {
+    fixture system;
+    system.start();
+    REQUIRE(system.follower.take_from_peer(1, intent(1)));
+    CHECK(system.runtime.wait_for(system.follower.wait_past(0, std::chrono::hours(1))));
+    CHECK_FALSE(system.runtime.wait_for(system.follower.wait_past(1, std::chrono::milliseconds(1))));
+    auto waiting = std::async(std::launch::async, [&system] {
+        return system.runtime.wait_for(system.follower.wait_past(1, std::chrono::hours(1)));
+    });
+    REQUIRE(system.follower.take_from_peer(2, intent(2)));
+    CHECK(waiting.get());
+}
+
 TEST_CASE("threads that race leave the highest revision in force", "[configuration]") {
     fixture system;
     system.start();
