Call a write with a lost answer unknown, not unchanged

The administration answered every failure of the platform with platform_unavailable, whose remedy says that nothing was changed. For a release whose answer was lost that was false.

--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -155,7 +155,10 @@
     } catch (const request_error& error) {
         response = error_answer(error);
     } catch (const platform::platform_error& error) {
-        response = error_answer(request_error(error_kind::platform_unavailable, error.what()));
+        // Only a write that was refused or never sent may be called unchanged.
+        const auto kind = error.possible_effect() == platform::effect::none ? error_kind::platform_unavailable
+                                                                            : error_kind::outcome_unknown;
+        response = error_answer(request_error(kind, error.what()));
     } catch (const std::exception& error) {
         log::error("admin_call_failed", {{"target", call.target}, {"error", error.what()}});
         response = error_answer(request_error(error_kind::internal, error.what()));
--- a/src/admin/answers.cpp
+++ b/src/admin/answers.cpp
@@ -109,7 +109,7 @@
     case error_kind::platform_unavailable:
         return "Nothing was changed. Try again once the platform answers; `status` shows when it does.";
     case error_kind::outcome_unknown:
-        return "Confirm the same plan again: it is accepted once, however often it is confirmed.";
+        return "Send the same call again: a plan is accepted once, however often it is confirmed.";
     case error_kind::no_configuration:
         return "Plan and confirm a first intent.";
     default:
--- a/tests/unit/test_administration.cpp
+++ b/tests/unit/test_administration.cpp
@@ -243,6 +243,18 @@
     CHECK(system.first.call("POST", "/admin/quarantine/00000000000000ff/release").head.status == 404);
 }
 
+TEST_CASE("a release whose answer is lost is not called unchanged", "[admin]") {
+    // The table takes the release and the connection breaks. Told that nothing was changed, the operator
+    // would believe the request still quarantined while it runs again.
+    fixture system;
+    const auto marks = marks::encode_row({{identifier{1, 1}, "a", 5}});
+    system.runtime.wait_for(system.first.table().transact({{}, {{"mark/00000000000000ff", marks}}, {}}));
+    system.service.lose_answers(1);
+    CHECK(kind_of(system.first.call("POST", "/admin/quarantine/00000000000000ff/release")) ==
+          "outcome_unknown");
+    CHECK(system.first.call("POST", "/admin/quarantine/00000000000000ff/release").head.status == 404);
+}
+
 TEST_CASE("wrong calls are refused with a kind and a remedy", "[admin]") {
     fixture system;
     CHECK(kind_of(system.first.call("GET", "/admin/status", "", "guess")) == "unauthorized");
