--- a/src/policy/late_binding.cpp
+++ b/src/policy/late_binding.cpp
@@ -109,7 +109,8 @@
 /// Moves the homes to the front; returns how many there are.
 std::size_t choose_homes(std::vector<assessed_candidate>& assessed, const late_binding_settings& settings) {
     const auto least = std::ranges::min_element(assessed, {}, &assessed_candidate::wait_seconds);
-    const double busy_wait = std::max(to_seconds(settings.busy_wait), 2 * least->wait_seconds);
+    const double busy_wait =
+        std::max(to_seconds(settings.busy_wait), settings.busy_factor * least->wait_seconds);
     for (auto& candidate : assessed) {
         candidate.can_be_home = candidate.is_own_region && candidate.wait_seconds <= busy_wait;
     }
@@ -148,12 +149,15 @@
     const auto others = std::span(assessed).subspan(homes);
     order_others(others, m_settings.sampled, request.seed);
     duration after = homes > 0 ? m_settings.others_delay : duration{};
+    duration pause = 2 * m_settings.others_delay;
     std::size_t group = m_settings.first_group;
     std::size_t left_in_group = group;
+    std::size_t groups = 1;
     for (const auto& other : others) {
         if (left_in_group == 0) {
-            after += m_settings.others_delay;
-            group *= 2;
+            after += pause;
+            pause *= 2;
+            group *= ++groups > 2 ? 2 : 1;
             left_in_group = group;
         }
         plan.offers.push_back({other.index, after});
