--- a/src/settings/ini_document.cpp
+++ b/src/settings/ini_document.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <system_error>
 #include <utility>
 
@@ -68,20 +69,15 @@
         if (space != std::string_view::npos) {
             section.name = trim(title.substr(space));
         }
-        if (has_section(section)) {
+        if (!m_titles.insert(section.title()).second) {
             complain(section.title(), "each section once");
             return;
         }
+        m_keys.clear();
         m_document.sections.push_back(std::move(section));
         m_section_is_usable = true;
     }
 
-    [[nodiscard]] bool has_section(const ini_section& section) const {
-        return std::ranges::any_of(m_document.sections, [&section](const ini_section& other) {
-            return other.kind == section.kind && other.name == section.name;
-        });
-    }
-
     void read_entry(std::string_view line) {
         const auto equals = line.find('=');
         const auto key = trim(line.substr(0, equals));
@@ -97,7 +93,7 @@
             return; // its header has been complained about
         }
         auto& section = m_document.sections.back();
-        if (section.find(key) != nullptr) {
+        if (!m_keys.emplace(key).second) {
             complain(section.title() + "." + std::string(key), "each key once in its section");
             return;
         }
@@ -107,6 +103,9 @@
     ini_document& m_document;
     std::vector<problem>& m_problems;
     unsigned m_line = 0;
+    // Looked up in these: comparing each title and key with all before it takes minutes for a large file.
+    std::set<std::string> m_titles;
+    std::set<std::string> m_keys; ///< of the last section
     bool m_section_is_usable = false;
 };
 
