Show the configuration in the metrics; don't spin when accepting fails

Metrics said nothing of the configuration. Each process shows its revision, failed polls and noticed freezes now. The entries' listener for other entries asked at once again when accepting failed: out of file descriptors, that would have kept a thread busy for as long as it lasted; it pauses 100 ms, through a wait on the timer service that spread_watch had for itself and that base has now. The log line for polls that fail no longer claims that the table is unreachable, as a row may be unreadable instead.

--- a/src/admin/revision_listener.cpp
+++ b/src/admin/revision_listener.cpp
@@ -2,7 +2,7 @@
 #include "admin/revision_listener.hpp"
 
 #include "admin/configuration_exchange.hpp"
-#include "base/log.hpp"
+#include "base/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +19,12 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
 /// Invariant: everything but `acceptor`'s construction happens on the strand, which all connections share;
 /// `connections` holds exactly those that haven't called `closed`.
 struct revision_listener::state : std::enable_shared_from_this<revision_listener::state> {
@@ -38,7 +44,11 @@
             if (error == asio::error::operation_aborted) {
                 co_return;
             }
-            if (!error && self->connections.size() < connection_limit) {
+            if (error) {
+                // Out of file descriptors, most likely: asked again at once, it would fail again and keep a
+                // thread busy that the open connections need to finish.
+                co_await pause(self->timers, accept_pause);
+            } else if (self->connections.size() < connection_limit) {
                 self->adopt(std::move(socket));
             }
         }
--- a/src/admin/spread_watch.cpp
+++ b/src/admin/spread_watch.cpp
@@ -1,13 +1,9 @@
 // Surveys, repeated while a node is behind.
 #include "admin/spread_watch.hpp"
 
-#include <boost/asio/async_result.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "base/pause.hpp"
 
 #include <algorithm>
-#include <memory>
-#include <utility>
 
 namespace borageford::admin {
 
@@ -21,17 +17,6 @@
 constexpr milliseconds survey_limit{2000};
 constexpr milliseconds pause_between_surveys{250};
 
-/// Returns after the delay.
-asio::awaitable<void> pause(timer_service& timers, milliseconds delay) {
-    const auto executor = co_await asio::this_coro::executor;
-    timer_subscription subscription;
-    auto initiate = [&](auto handler) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        subscription = timers.after(executor, delay, [shared] { std::move (*shared)(); });
-    };
-    co_await asio::async_initiate<const asio::use_awaitable_t<>, void()>(initiate, asio::use_awaitable);
-}
-
 } // namespace
 
 std::vector<std::string> nodes_behind(const std::vector<node_revision>& nodes,
--- a/src/configuration/configuration_follower.cpp
+++ b/src/configuration/configuration_follower.cpp
@@ -75,9 +75,10 @@
     static asio::awaitable<void> poll(std::shared_ptr<state> self) {
         try {
             co_await read_newer(*self);
-            self->note_reachable(true, "");
+            self->note_poll(true, "");
         } catch (const std::exception& error) {
-            self->note_reachable(false, error.what());
+            ++self->failed_polls;
+            self->note_poll(false, error.what());
         }
         self->polling = false;
         if (std::exchange(self->poll_again, false)) {
@@ -168,6 +169,7 @@
         if (late < freeze_threshold) {
             return;
         }
+        ++freezes;
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(late);
         log::warning("process_was_frozen", {{"milliseconds", std::to_string(milliseconds.count())}});
         begin_poll();
@@ -182,15 +184,15 @@
             {{"revision", std::to_string(revision)}, {"source", std::string(source)}, {"error", error}});
     }
 
-    void note_reachable(bool now, const std::string& error) {
-        if (now == reachable) {
+    void note_poll(bool works, const std::string& error) {
+        if (works == polls_work) {
             return;
         }
-        reachable = now;
-        if (now) {
-            log::info("configuration_table_reachable");
+        polls_work = works;
+        if (works) {
+            log::info("configuration_polls_work");
         } else {
-            log::warning("configuration_table_unreachable", {{"error", error}});
+            log::warning("configuration_polls_fail", {{"error", error}});
         }
     }
 
@@ -206,7 +208,9 @@
     revision_number announced = 0;
     bool polling = false;
     bool poll_again = false;
-    bool reachable = true;
+    bool polls_work = true;
+    std::atomic<std::uint64_t> failed_polls = 0;
+    std::atomic<std::uint64_t> freezes = 0;
     std::atomic<bool> stopped = false;
     timer_service::clock::time_point last_tick;
     timer_subscription poll_timer;
@@ -248,6 +252,14 @@
     return current()->revision;
 }
 
+std::uint64_t configuration_follower::failed_polls() const noexcept {
+    return m_state->failed_polls;
+}
+
+std::uint64_t configuration_follower::freezes() const noexcept {
+    return m_state->freezes;
+}
+
 bool configuration_follower::take_from_peer(revision_number revision, std::string_view text) {
     return m_state->take(revision, text, "peer");
 }
--- a/src/configuration/configuration_follower.hpp
+++ b/src/configuration/configuration_follower.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -36,6 +37,10 @@
     [[nodiscard]] std::shared_ptr<const configuration> current() const noexcept;
     [[nodiscard]] revision_number revision() const noexcept;
 
+    /// Polls of the head that failed, and freezes of the process that were noticed, since the start.
+    [[nodiscard]] std::uint64_t failed_polls() const noexcept;
+    [[nodiscard]] std::uint64_t freezes() const noexcept;
+
     /// Takes what a peer sent; ignored unless it is newer and valid. Returns whether it was taken.
     bool take_from_peer(revision_number revision, std::string_view text);
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 #include "audit/explainer.hpp"
 #include "audit/narrative.hpp"
 #include "base/hash.hpp"
+#include "configuration/configuration_metrics.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
 #include "entry/claim_sweeper.hpp"
@@ -219,6 +220,7 @@
 }
 
 int entry_process::run() {
+    configuration::add_configuration_metrics(m_registry, m_configuration);
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/sidecar_process.hpp"
 
 #include "base/log.hpp"
+#include "configuration/configuration_metrics.hpp"
 #include "http/server.hpp"
 #include "platform/object_store.hpp"
 #include "platform/table.hpp"
@@ -168,6 +169,7 @@
 }
 
 int sidecar_process::run() {
+    configuration::add_configuration_metrics(m_registry, m_configuration);
     m_configuration.start([this](const auto&) {
         asio::post(m_strand, [this] {
             choose_backend_kind();
--- a/tests/failure/test_configuration_changes.cpp
+++ b/tests/failure/test_configuration_changes.cpp
@@ -222,6 +222,10 @@
     }
     CHECK(system.server_count(0, "total") == runs_before);
     wait_until("the revision at every node", [&] { return all_hold(bruno, drained.revision); });
+    const auto metrics = fetch_text(system.entry(0).admin, "/metrics");
+    CHECK(metrics.find("borageford_configuration_freezes 0\n") == std::string::npos);
+    CHECK(metrics.find("borageford_configuration_freezes ") != std::string::npos);
+    CHECK(metrics.find("borageford_configuration_revision 2\n") != std::string::npos);
 }
 
 // A sidecar stands still while its backend server is drained, with offers in its socket. Thawed, it must not
