--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -294,6 +295,7 @@
     }
 
     asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
     endpoint target;
     proxy_units units;
     tcp::acceptor acceptor;
