--- a/src/policy/adaptive_limit.hpp
+++ b/src/policy/adaptive_limit.hpp
@@ -16,6 +16,9 @@
     /// because an engine prefills no faster with more prompts waiting inside it, and what waits inside
     /// it can't be overtaken by a higher tier.
     double engine_share = 0.45;
+    /// The part of the between-tokens target that the controller steers for: it holds the 95th percentile
+    /// over all sequences, and single requests lie on both sides of it.
+    double between_tokens_share = 0.85;
     /// Requests at once at most, as configured for the backend server.
     unsigned slots = 64;
 };
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -150,6 +150,8 @@
     m_context.peers.send(connection, std::move(fate));
 }
 
+/// An answer that isn't idempotent stays for a resend with the same key, as long as there's room: it can't be
+/// had by running the call again.
 void dispatch_manager::acknowledge(const wire::acknowledge_message& request) {
     m_context.store.acknowledge(wire::from_wire(request.dispatch));
 }
@@ -195,7 +197,7 @@
         dispatch.first_token = now;
         dispatch.last_token = now;
         if (!dispatch.is_adopted) {
-            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed);
+            m_context.costs.record_prefill(dispatch.request.prefill_tokens, elapsed, now);
             m_context.limit.record_first_token(dispatch.admission, elapsed, now);
             m_context.metrics.first_token(dispatch.request, elapsed);
         }
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -77,7 +77,8 @@
 
 void offer_scheduler::answer_lookup(connection_id connection, const wire::offer_message& offer) {
     if (m_lookups.size() < most_lookups) {
-        m_lookups.emplace(wire::from_wire(offer.dispatch), lookup{connection, offer.resend_key});
+        m_lookups.emplace(wire::from_wire(offer.dispatch),
+                          lookup{connection, offer.resend_key, offer.fingerprint});
     }
     wire::offer_reply_message answer;
     answer.verdict = wire::offer_verdict::not_known;
@@ -88,13 +89,14 @@
 bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
     wire::offer_reply_message answer;
     const auto request = read_offer(offer);
-    if (const auto running = m_context.store.find_resend(offer.resend_key)) {
+    if (const auto running = m_context.store.find_resend(offer.resend_key, offer.fingerprint)) {
         answer.verdict = wire::offer_verdict::attachable;
         answer.running_dispatch = wire::to_wire(running->request.dispatch);
         reply(connection, request, std::move(answer));
         return true;
     }
-    const auto elsewhere = m_context.store.find_elsewhere(offer.resend_key, steady_clock::now());
+    const auto elsewhere =
+        m_context.store.find_elsewhere(offer.resend_key, offer.fingerprint, steady_clock::now());
     if (!elsewhere) {
         return false;
     }
@@ -312,11 +314,7 @@
     const auto id = wire::from_wire(request.dispatch);
     const auto now = steady_clock::now();
     if (const auto asked = m_lookups.find(id); asked != m_lookups.end()) {
-        if (!request.started_at.empty()) {
-            m_context.store.remember_elsewhere(
-                asked->second.resend_key, {wire::from_wire(request.running_dispatch), request.started_at},
-                now);
-        }
+        remember_elsewhere(request, asked->second.resend_key, asked->second.fingerprint);
         m_lookups.erase(asked);
         return;
     }
@@ -329,17 +327,23 @@
     }
     m_context.metrics.withdrawn();
     m_context.record(audit::event::withdrawn, found->second.request);
-    if (!request.started_at.empty()) {
-        m_context.store.remember_elsewhere(found->second.request.resend_key,
-                                           {wire::from_wire(request.running_dispatch), request.started_at},
-                                           now);
-    }
+    const auto& offered = found->second.request;
+    remember_elsewhere(request, offered.resend_key, offered.fingerprint);
     m_queue.remove(id, now);
     release(found->second);
     m_offers.erase(found);
     grant_room();
 }
 
+void offer_scheduler::remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                                         std::uint64_t fingerprint) {
+    if (!request.started_at.empty()) {
+        m_context.store.remember_elsewhere(
+            resend_key, {wire::from_wire(request.running_dispatch), request.started_at, fingerprint},
+            steady_clock::now());
+    }
+}
+
 void offer_scheduler::give_up(dispatch_id dispatch) {
     if (!m_offers.contains(dispatch)) {
         return;
@@ -448,7 +452,7 @@
     report->prefill_tokens_in_progress = m_context.limit.prefilling_tokens();
     report->sequence_limit = m_context.limit.sequence_limit();
     report->prefill_token_limit = m_context.limit.prefill_token_limit();
-    report->prefill_tokens_per_second = m_context.costs.prefill_rate();
+    report->prefill_tokens_per_second = m_context.costs.steady_prefill_rate();
     report->output_tokens_per_second = m_context.costs.output_rate();
     constexpr unsigned lowest_tier = UINT8_MAX;
     const auto wait = m_queue.expected_wait(lowest_tier).value_or(duration::zero());
