Prove that quick revisions neither double nor lose a non-idempotent call

A call decided again under a newer revision claims its key anew while the former claim is being released; a mistake there would double a kudos or tell its author that it ran elsewhere.

--- a/tests/failure/test_configuration_changes.cpp
+++ b/tests/failure/test_configuration_changes.cpp
@@ -299,6 +299,32 @@
     CHECK(all_hold(ana, 51));
 }
 
+// Revisions come between the claim of a kudos' key and its start. Decided again, the call must neither run
+// twice nor be told that its own claim is somebody else's: the author would see a doubled kudos, or none.
+TEST_CASE("configuration: quick revisions neither double nor lose a non-idempotent call") {
+    cluster system({.backend_servers = {{.name = "estante-1", .is_service = true},
+                                        {.name = "estante-2", .is_service = true}}});
+    const operator_client ana(system.entry(0).admin, "ana");
+    std::atomic<bool> is_changing = true;
+    std::vector<http::request> calls;
+    std::vector<caller_result> answers;
+    std::jthread author([&] {
+        for (int number = 0; is_changing; ++number) {
+            calls.push_back(make_kudos("cambio " + std::to_string(number), "c" + std::to_string(number)));
+            answers.push_back(system.send(static_cast<std::size_t>(number % 2), calls.back()));
+        }
+    });
+    show_times("with non-idempotent calls", change_often(ana, 50));
+    is_changing = false;
+    author.join();
+    REQUIRE_FALSE(calls.empty());
+    for (std::size_t index = 0; index < calls.size(); ++index) {
+        INFO(answers[index].status << ' ' << answers[index].error << ' ' << answers[index].body);
+        CHECK(answers[index].status == 200);
+        CHECK(system.runs_of(calls[index]) == 1);
+    }
+}
+
 // The same with the poll period that processes have by default, so that polling alone can't hide that peers
 // pass nothing on.
 TEST_CASE("configuration: changes don't wait for a poll to be in force everywhere") {
