Ask the row of a key before refusing its call as not run

A resend that found no place was refused as not run although its first copy had run: the refusal now reads the key's row first, and joins the earlier copy where one stands. A fate that no sidecar knows any more is judged by the row, which says finished for a call that ran to its end. And a dispatch known by hearsay was asked for under the newest incarnation of a sidecar restarted since, whose empty ledger then vouched that it never began; it is asked for without an incarnation now. An idempotent call whose answer is gone is run anew instead.

Found on the way: a throw of a co_awaited value crashed the entry at its first refusal (g++ 12); the value is named first.

--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -238,6 +238,19 @@
     throw request_error(error_kind::platform_unavailable, {}, shared->limit);
 }
 
+asio::awaitable<std::optional<claim>> claim_store::read(std::string workspace, std::string key) {
+    std::optional<claim> standing;
+    try {
+        const auto row = co_await m_state->table.read(claim_key(workspace, key));
+        if (row) {
+            standing = decode_claim(*row);
+        }
+    } catch (const platform::platform_error&) {
+        // Unknown is all that can be said.
+    }
+    co_return standing;
+}
+
 void claim_store::note_finished(std::string workspace, std::string key, claim finished) {
     finished.state = claim_state::finished;
     m_state->submit_in_background(claim_key(workspace, key), finished.version, encode_claim(finished));
--- a/src/entry/claim_store.hpp
+++ b/src/entry/claim_store.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -46,6 +47,9 @@
     /// reached in time; nothing may be started then.
     boost::asio::awaitable<claim_result> take(std::string workspace, std::string key, claim wanted);
 
+    /// The claim that stands for this key; nothing when there is none, or the table can't be read.
+    boost::asio::awaitable<std::optional<claim>> read(std::string workspace, std::string key);
+
     /// Notes that the claimed call has run to its end. In the background; a failure only means that a
     /// resend asks the sidecar instead of the row.
     void note_finished(std::string workspace, std::string key, claim finished);
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -299,7 +299,7 @@
                                                const std::string& backend_server) const {
     const auto running = wire::from_wire(reply.running_dispatch);
     if (reply.verdict == wire::offer_verdict::attachable) {
-        return attachable_place{link, backend_server, running};
+        return attachable_place{link, backend_server, running, link->incarnation()};
     }
     if (reply.verdict != wire::offer_verdict::known_elsewhere) {
         return std::nullopt;
@@ -308,7 +308,7 @@
     if (other == m_table->by_server.end()) {
         return std::nullopt; // the server it ran at is gone; the offers stand as they are
     }
-    return attachable_place{other->second, reply.backend_server, running};
+    return attachable_place{other->second, reply.backend_server, running, {}};
 }
 
 std::optional<place> offer_round::take_grant(const wire::grant_message& grant) {
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -32,6 +32,9 @@
     std::shared_ptr<sidecar_link> link;
     std::string backend_server;
     dispatch_id dispatch;
+    /// Of the sidecar that got the start; none when only hearsay names the dispatch. A sidecar that was
+    /// restarted since must not judge by its empty ledger that the dispatch never began.
+    identifier incarnation;
 };
 
 using place = std::variant<granted_place, attachable_place>;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -56,6 +56,19 @@
     : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
 
 asio::awaitable<void> request_run::serve() {
+    std::optional<request_error> failure;
+    try {
+        co_await serve_to_end();
+    } catch (const request_error& error) {
+        failure = error;
+    }
+    if (failure) {
+        const auto judged = co_await judge_unknown(*failure);
+        throw judged;
+    }
+}
+
+asio::awaitable<void> request_run::serve_to_end() {
     if (const auto left = m_context.crashes.quarantine_left(m_call.fingerprint)) {
         throw request_error(error_kind::quarantined, {}, left);
     }
@@ -96,6 +109,9 @@
         }
         if (refusal) {
             round.withdraw_all();
+            if (co_await join_earlier_copy()) {
+                co_return;
+            }
             settle_claim(false);
             throw *refusal;
         }
@@ -107,6 +123,32 @@
     }
 }
 
+/// This copy of a non-idempotent call is about to be refused as not run. An earlier one, sent through another
+/// entry perhaps, may have run or be running: its caller would believe that it may send a new key, and the
+/// call would run twice. The row of the key says so.
+asio::awaitable<bool> request_run::join_earlier_copy() {
+    if (m_call.is_idempotent || m_claim.version != 0) {
+        co_return false;
+    }
+    const auto standing = co_await m_context.claims.read(m_call.workspace->name, m_call.idempotency_key);
+    if (standing) {
+        co_await join_claimed(*standing);
+    }
+    co_return standing.has_value();
+}
+
+/// What can't be learned from a sidecar may stand in the row: a call that ran to its end is marked there.
+asio::awaitable<request_error> request_run::judge_unknown(request_error failure) {
+    if (m_call.is_idempotent || failure.kind() != error_kind::outcome_unknown) {
+        co_return failure;
+    }
+    const auto standing = co_await m_context.claims.read(m_call.workspace->name, m_call.idempotency_key);
+    if (standing && standing->state == claim_state::finished) {
+        co_return request_error(error_kind::already_ran);
+    }
+    co_return failure;
+}
+
 /// A decision taken under a revision that is no longer in force is taken again. Returns whether it changed.
 bool request_run::follow_configuration() {
     if (m_context.configuration.revision() == m_call.configuration->revision) {
@@ -202,8 +244,7 @@
 
 void request_run::join(const attachable_place& place) {
     m_joined = true;
-    m_started =
-        started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation(), {}};
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation, {}};
     m_context.metrics.attached();
     record(audit::event::attached, *m_started);
     attach();
@@ -356,6 +397,12 @@
         }
         break; // it had begun: a sidecar that says otherwise knows nothing
     case wire::dispatch_fate::unknown:
+        if (m_joined && m_call.is_idempotent && !m_answer.has_head()) {
+            m_call.resend_key = 0; // what was to be joined is gone: run it anew, which an idempotent call may
+            m_not_begun.reset();
+            m_started->link->forget(m_started->dispatch);
+            return follow_result::not_begun;
+        }
         break;
     }
     m_started->link->forget(m_started->dispatch);
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -47,7 +47,10 @@
 private:
     enum class follow_result : std::uint8_t { whole, not_begun };
 
+    boost::asio::awaitable<void> serve_to_end();
     boost::asio::awaitable<void> place();
+    boost::asio::awaitable<bool> join_earlier_copy();
+    boost::asio::awaitable<request_error> judge_unknown(request_error failure);
     bool follow_configuration();
     [[nodiscard]] bool may_place_again();
     boost::asio::awaitable<bool> take_grant(granted_place place);
