--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -14,7 +14,6 @@
 
 /// A request under which so many backend servers have died isn't run any more.
 constexpr std::size_t quarantine_marks = 2;
-constexpr std::size_t most_lookups = 10'000;
 
 std::uint32_t to_wire_milliseconds(milliseconds time) {
     constexpr std::int64_t most = UINT32_MAX;
@@ -26,16 +25,21 @@
 offer_scheduler::offer_scheduler(sidecar_context& context, dispatch_manager& dispatches)
     : m_context(context),
       m_dispatches(dispatches),
+      m_resends(context.store),
       m_queue({.requests = context.settings.queue_requests, .tokens = context.settings.queue_tokens}) {}
 
 void offer_scheduler::take(connection_id connection, const wire::offer_message& offer) {
     m_context.metrics.offered();
     auto request = read_offer(offer);
-    if (reply_to_resend(connection, offer)) {
+    if (auto found = m_resends.find(offer, request.received)) {
+        reply(connection, request, std::move(*found));
         return;
     }
     if (offer.lookup_only) {
-        answer_lookup(connection, offer);
+        m_resends.remember_lookup(connection, offer);
+        wire::offer_reply_message answer;
+        answer.verdict = wire::offer_verdict::not_known;
+        reply(connection, request, std::move(answer));
         return;
     }
     if (const auto obstacle = find_obstacle(request)) {
@@ -75,38 +79,6 @@
     grant_room();
 }
 
-void offer_scheduler::answer_lookup(connection_id connection, const wire::offer_message& offer) {
-    if (m_lookups.size() < most_lookups) {
-        m_lookups.emplace(wire::from_wire(offer.dispatch),
-                          lookup{connection, offer.resend_key, offer.fingerprint});
-    }
-    wire::offer_reply_message answer;
-    answer.verdict = wire::offer_verdict::not_known;
-    reply(connection, read_offer(offer), std::move(answer));
-}
-
-/// A resend finds the run of its first copy here, or learns where it is.
-bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
-    wire::offer_reply_message answer;
-    const auto request = read_offer(offer);
-    if (const auto running = m_context.store.find_resend(offer.resend_key, offer.fingerprint)) {
-        answer.verdict = wire::offer_verdict::attachable;
-        answer.running_dispatch = wire::to_wire(running->request.dispatch);
-        reply(connection, request, std::move(answer));
-        return true;
-    }
-    const auto elsewhere =
-        m_context.store.find_elsewhere(offer.resend_key, offer.fingerprint, steady_clock::now());
-    if (!elsewhere) {
-        return false;
-    }
-    answer.verdict = wire::offer_verdict::known_elsewhere;
-    answer.running_dispatch = wire::to_wire(elsewhere->dispatch);
-    answer.backend_server = elsewhere->backend_server;
-    reply(connection, request, std::move(answer));
-    return true;
-}
-
 std::optional<error_kind> offer_scheduler::find_obstacle(const offered_request& request) const {
     if (m_is_draining) {
         return error_kind::draining;
@@ -313,9 +285,7 @@
 void offer_scheduler::withdraw(const wire::withdraw_message& request) {
     const auto id = wire::from_wire(request.dispatch);
     const auto now = steady_clock::now();
-    if (const auto asked = m_lookups.find(id); asked != m_lookups.end()) {
-        remember_elsewhere(request, asked->second.resend_key, asked->second.fingerprint);
-        m_lookups.erase(asked);
+    if (m_resends.end_lookup(request, now)) {
         return;
     }
     if (m_context.ledger.withdraw(id, now) == ledger::withdraw_result::already_started) {
@@ -328,22 +298,13 @@
     m_context.metrics.withdrawn();
     m_context.record(audit::event::withdrawn, found->second.request);
     const auto& offered = found->second.request;
-    remember_elsewhere(request, offered.resend_key, offered.fingerprint);
+    m_resends.learn(request, offered.resend_key, offered.fingerprint, now);
     m_queue.remove(id, now);
     release(found->second);
     m_offers.erase(found);
     grant_room();
 }
 
-void offer_scheduler::remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
-                                         std::uint64_t fingerprint) {
-    if (!request.started_at.empty()) {
-        m_context.store.remember_elsewhere(
-            resend_key, {wire::from_wire(request.running_dispatch), request.started_at, fingerprint},
-            steady_clock::now());
-    }
-}
-
 void offer_scheduler::give_up(dispatch_id dispatch) {
     if (!m_offers.contains(dispatch)) {
         return;
@@ -354,8 +315,7 @@
 }
 
 void offer_scheduler::drop_connection(connection_id connection) {
-    std::erase_if(m_lookups,
-                  [connection](const auto& asked) { return asked.second.connection == connection; });
+    m_resends.drop_connection(connection);
     std::vector<dispatch_id> gone;
     for (const auto& [id, offer] : m_offers) {
         if (offer.connection == connection) {
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -3,6 +3,7 @@
 
 #include "policy/offer_queue.hpp"
 #include "sidecar/dispatch_manager.hpp"
+#include "sidecar/resend_finder.hpp"
 #include "sidecar/sidecar_context.hpp"
 #include "wire/message.hpp"
 
@@ -65,20 +66,8 @@
     };
     using offer_map = std::unordered_map<dispatch_id, pending_offer>;
 
-    /// An entry asked whether a resend key is known here and hasn't said yet where its request went.
-    struct lookup {
-        connection_id connection = 0;
-        std::uint64_t resend_key = 0;
-        std::uint64_t fingerprint = 0;
-    };
-
-    void answer_lookup(connection_id connection, const wire::offer_message& offer);
-
     /// Why this can't be served here now; nothing when it can.
     [[nodiscard]] std::optional<error_kind> find_obstacle(const offered_request& request) const;
-    void remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
-                            std::uint64_t fingerprint);
-    bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
     [[nodiscard]] offered_request read_offer(const wire::offer_message& offer) const;
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
     [[nodiscard]] duration expected_service(const offered_request& request) const;
@@ -98,9 +87,9 @@
 
     sidecar_context& m_context;
     dispatch_manager& m_dispatches;
+    resend_finder m_resends;
     policy::offer_queue m_queue;
     offer_map m_offers;
-    std::unordered_map<dispatch_id, lookup> m_lookups; ///< bounded; a lookup too many isn't remembered
     bool m_is_draining = false;
     bool m_is_held = false;
 };
--- a/tests/failure/test_sidecar_engine.cpp
+++ b/tests/failure/test_sidecar_engine.cpp
@@ -218,8 +218,8 @@
     CHECK(entry.wait_for<wire::fate_message>(never_heard_of).state == wire::dispatch_fate::unknown);
 }
 
-// An engine says in the middle of an answer's HTTP body that this was all, without the closing event.
-TEST_CASE("sidecar: an answer cut short at the engine is never whole", "[sidecar]") {
+// The engine's connection ends in the middle of the HTTP body. The part must not be taken for the whole.
+TEST_CASE("sidecar: an answer whose body is cut is read on from there", "[sidecar]") {
     cluster system(one_engine());
     sidecar_driver driver(system);
     auto entry = driver.connect();
