Report the expected wait by tier

A home was left for the wait of its lowest tier, which under load is seconds, also by requests of the highest.

--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -23,18 +23,21 @@
 constexpr milliseconds lookup_limit{100};
 constexpr milliseconds marked_offer_delay{500};
 
-std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, steady_clock::time_point now) {
+std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, unsigned tier,
+                                                     steady_clock::time_point now) {
     const auto load = link.load();
     if (!load) {
         return std::nullopt;
     }
+    const auto& waits = load->tier_wait_ms;
+    const milliseconds wait(tier < waits.size() ? waits[tier] : load->expected_wait_ms);
     return policy::reported_load{load->queued_requests, load->running_sequences,
-                                 load->prefill_tokens_per_second, milliseconds(load->expected_wait_ms),
-                                 now - load->reported};
+                                 load->prefill_tokens_per_second, wait, now - load->reported};
 }
 
 std::vector<policy::placement_candidate> describe(const std::vector<candidate>& servers,
-                                                  std::span<const policy::prefix_holder> holders) {
+                                                  std::span<const policy::prefix_holder> holders,
+                                                  unsigned tier) {
     const auto now = steady_clock::now();
     std::vector<policy::placement_candidate> described;
     described.reserve(servers.size());
@@ -43,7 +46,7 @@
         entry.name_hash = server.name_hash;
         entry.failure_domain = server.failure_domain;
         entry.region = server.region;
-        entry.load = load_for_policy(*server.link, now);
+        entry.load = load_for_policy(*server.link, tier, now);
         entry.own_requests_since = server.link->sent_since_report();
         const auto holder = std::ranges::find(holders, server.name_hash, &policy::prefix_holder::server);
         entry.cached_tokens = holder == holders.end() ? 0 : holder->tokens;
@@ -92,7 +95,7 @@
     request.sequence = m_context.placement_count++;
     request.seed = m_call.id.low;
     const auto holders = m_context.prefixes.find_holders(m_call.prefix_hashes);
-    const auto described = describe(m_candidates, holders);
+    const auto described = describe(m_candidates, holders, m_call.tier->rank);
     m_plan = policy::plan_placement(m_context.settings.placement, request, described);
     if (m_context.crashes.marks(m_call.fingerprint) > 0) {
         plan_for_marked();
--- a/src/entry/sidecar_link.cpp
+++ b/src/entry/sidecar_link.cpp
@@ -205,7 +205,8 @@
                          report.sequence_limit,
                          report.prefill_tokens_per_second,
                          report.output_tokens_per_second,
-                         report.expected_wait_ms};
+                         report.expected_wait_ms,
+                         report.tier_wait_ms};
 }
 
 identifier sidecar_link::incarnation() const {
--- a/src/entry/sidecar_link.hpp
+++ b/src/entry/sidecar_link.hpp
@@ -32,7 +32,8 @@
     std::uint32_t sequence_limit = 0;
     double prefill_tokens_per_second = 0;
     double output_tokens_per_second = 0;
-    std::uint32_t expected_wait_ms = 0;
+    std::uint32_t expected_wait_ms = 0;      ///< of a new offer of the lowest tier
+    std::vector<std::uint32_t> tier_wait_ms; ///< of a new offer of each tier, by rank
 };
 
 /// What every link of an entry shares. Outlives the links.
--- a/src/policy/late_binding.cpp
+++ b/src/policy/late_binding.cpp
@@ -17,8 +17,8 @@
 constexpr double unmeasured_prefill_rate = 4000;
 /// What crossing to another failure domain of the region costs; decides between equals.
 constexpr double other_domain_seconds = 0.005;
-/// A prefix counts as held from this share of the prompt on.
-constexpr double held_share = 0.3;
+/// A prefix counts as held from this share of the prompt on: less may be a preamble that all share.
+constexpr double held_share = 0.7;
 
 /// A candidate with what the decision needs to know of it.
 struct assessed_candidate {
--- a/src/policy/late_binding.hpp
+++ b/src/policy/late_binding.hpp
@@ -19,7 +19,7 @@
     /// all would run to the same one as every other entry.
     std::size_t sampled = 6;
     /// A home whose expected wait is longer than this and than `busy_factor` times the least of all is left
-    /// (bounded load). Generous, since the wait is that of the lowest tier.
+    /// (bounded load).
     duration busy_wait = std::chrono::milliseconds(1000);
     double busy_factor = 4;
     /// Homes are chosen among those that can prefill the whole prompt within this part of the first-token
--- a/src/policy/placement_values.hpp
+++ b/src/policy/placement_values.hpp
@@ -17,7 +17,7 @@
     std::uint32_t queued_requests = 0;
     std::uint32_t running_sequences = 0;
     double prefill_tokens_per_second = 0; ///< 0: not measured yet
-    duration expected_wait{};             ///< of a new offer until its grant
+    duration expected_wait{};             ///< of a new offer of the request's tier until its grant
     duration age{};                       ///< since the report was received
 };
 
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -443,6 +443,11 @@
     constexpr unsigned lowest_tier = UINT8_MAX;
     const auto wait = m_queue.expected_wait(lowest_tier).value_or(duration::zero());
     report->expected_wait_ms = to_wire_milliseconds(std::chrono::duration_cast<milliseconds>(wait));
+    for (unsigned rank = 0; rank < m_context.configuration.current()->tiers.size(); ++rank) {
+        const auto of_tier = m_queue.expected_wait(rank).value_or(duration::zero());
+        report->tier_wait_ms.push_back(
+            to_wire_milliseconds(std::chrono::duration_cast<milliseconds>(of_tier)));
+    }
     return report;
 }
 
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -677,6 +677,7 @@
   double prefill_tokens_per_second = 0.0;
   double output_tokens_per_second = 0.0;
   uint32_t expected_wait_ms = 0;
+  std::vector<uint32_t> tier_wait_ms{};
   std::vector<uint64_t> cached_prefixes{};
 };
 
@@ -694,7 +695,8 @@
     VT_PREFILL_TOKENS_PER_SECOND = 16,
     VT_OUTPUT_TOKENS_PER_SECOND = 18,
     VT_EXPECTED_WAIT_MS = 20,
-    VT_CACHED_PREFIXES = 22
+    VT_TIER_WAIT_MS = 22,
+    VT_CACHED_PREFIXES = 24
   };
   uint32_t queued_requests() const {
     return GetField<uint32_t>(VT_QUEUED_REQUESTS, 0);
@@ -723,6 +725,9 @@
   uint32_t expected_wait_ms() const {
     return GetField<uint32_t>(VT_EXPECTED_WAIT_MS, 0);
   }
+  const flatbuffers::Vector<uint32_t> *tier_wait_ms() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_TIER_WAIT_MS);
+  }
   const flatbuffers::Vector<uint64_t> *cached_prefixes() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CACHED_PREFIXES);
   }
@@ -737,6 +742,8 @@
            VerifyField<double>(verifier, VT_PREFILL_TOKENS_PER_SECOND, 8) &&
            VerifyField<double>(verifier, VT_OUTPUT_TOKENS_PER_SECOND, 8) &&
            VerifyField<uint32_t>(verifier, VT_EXPECTED_WAIT_MS, 4) &&
+           VerifyOffset(verifier, VT_TIER_WAIT_MS) &&
+           verifier.VerifyVector(tier_wait_ms()) &&
            VerifyOffset(verifier, VT_CACHED_PREFIXES) &&
            verifier.VerifyVector(cached_prefixes()) &&
            verifier.EndTable();
@@ -777,6 +784,9 @@
   void add_expected_wait_ms(uint32_t expected_wait_ms) {
     fbb_.AddElement<uint32_t>(load_report::VT_EXPECTED_WAIT_MS, expected_wait_ms, 0);
   }
+  void add_tier_wait_ms(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> tier_wait_ms) {
+    fbb_.AddOffset(load_report::VT_TIER_WAIT_MS, tier_wait_ms);
+  }
   void add_cached_prefixes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_prefixes) {
     fbb_.AddOffset(load_report::VT_CACHED_PREFIXES, cached_prefixes);
   }
@@ -802,6 +812,7 @@
     double prefill_tokens_per_second = 0.0,
     double output_tokens_per_second = 0.0,
     uint32_t expected_wait_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> tier_wait_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_prefixes = 0) {
   load_reportBuilder builder_(_fbb);
   builder_.add_output_tokens_per_second(output_tokens_per_second);
@@ -810,6 +821,7 @@
   builder_.add_prefill_tokens_in_progress(prefill_tokens_in_progress);
   builder_.add_queued_tokens(queued_tokens);
   builder_.add_cached_prefixes(cached_prefixes);
+  builder_.add_tier_wait_ms(tier_wait_ms);
   builder_.add_expected_wait_ms(expected_wait_ms);
   builder_.add_sequence_limit(sequence_limit);
   builder_.add_running_sequences(running_sequences);
@@ -833,7 +845,9 @@
     double prefill_tokens_per_second = 0.0,
     double output_tokens_per_second = 0.0,
     uint32_t expected_wait_ms = 0,
+    const std::vector<uint32_t> *tier_wait_ms = nullptr,
     const std::vector<uint64_t> *cached_prefixes = nullptr) {
+  auto tier_wait_ms__ = tier_wait_ms ? _fbb.CreateVector<uint32_t>(*tier_wait_ms) : 0;
   auto cached_prefixes__ = cached_prefixes ? _fbb.CreateVector<uint64_t>(*cached_prefixes) : 0;
   return borageford::wire::Createload_report(
       _fbb,
@@ -846,6 +860,7 @@
       prefill_tokens_per_second,
       output_tokens_per_second,
       expected_wait_ms,
+      tier_wait_ms__,
       cached_prefixes__);
 }
 
@@ -3070,6 +3085,7 @@
   { auto _e = prefill_tokens_per_second(); _o->prefill_tokens_per_second = _e; }
   { auto _e = output_tokens_per_second(); _o->output_tokens_per_second = _e; }
   { auto _e = expected_wait_ms(); _o->expected_wait_ms = _e; }
+  { auto _e = tier_wait_ms(); if (_e) { _o->tier_wait_ms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tier_wait_ms[_i] = _e->Get(_i); } } }
   { auto _e = cached_prefixes(); if (_e) { _o->cached_prefixes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cached_prefixes[_i] = _e->Get(_i); } } }
 }
 
@@ -3090,6 +3106,7 @@
   auto _prefill_tokens_per_second = _o->prefill_tokens_per_second;
   auto _output_tokens_per_second = _o->output_tokens_per_second;
   auto _expected_wait_ms = _o->expected_wait_ms;
+  auto _tier_wait_ms = _o->tier_wait_ms.size() ? _fbb.CreateVector(_o->tier_wait_ms) : 0;
   auto _cached_prefixes = _o->cached_prefixes.size() ? _fbb.CreateVector(_o->cached_prefixes) : 0;
   return borageford::wire::Createload_report(
       _fbb,
@@ -3102,6 +3119,7 @@
       _prefill_tokens_per_second,
       _output_tokens_per_second,
       _expected_wait_ms,
+      _tier_wait_ms,
       _cached_prefixes);
 }
 
