--- a/tests/load/borageford_load.cpp
+++ b/tests/load/borageford_load.cpp
@@ -84,6 +84,8 @@
     load.burst.begins = reader.number("burst-begins", 0);
     load.burst.lasts = reader.number("burst-lasts", 0);
     load.burst.factor = reader.number("burst-factor", 1);
+    load.shortest_chapter = reader.number("shortest-chapter", load.shortest_chapter);
+    load.shortest_notes = reader.number("shortest-notes", load.shortest_notes);
     load.longest_chapter = reader.number("longest-chapter", load.longest_chapter);
     load.longest_notes = reader.number("longest-notes", load.longest_notes);
     load.lost_connection_share = reader.number("lost-connections", load.lost_connection_share);
