--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -9,6 +9,7 @@
 #include "base/hash.hpp"
 #include "entry/answers.hpp"
 #include "entry/caller_api.hpp"
+#include "entry/claim_sweeper.hpp"
 #include "entry/entry_context.hpp"
 #include "entry/entry_settings.hpp"
 #include "platform/object_store.hpp"
@@ -68,6 +69,7 @@
     asio::awaitable<admin::explanation> find_requests(admin::request_query query);
     void take_peer_message(const std::string& backend_server, wire::envelope& received,
                            wire::peer_connection& connection);
+    void pass_mark_on(const wire::crash_mark_message& mark);
     void rebuild_servers();
     boost::asio::awaitable<void> handle_admin(const http::request& received, http::response_writer& writer);
     void stop_gracefully();
@@ -85,10 +87,10 @@
     link_context m_link_context;
     server_directory m_servers;
     claim_store m_claims;
+    claim_sweeper m_claim_sweeper;
     admission m_admissions;
     crash_watch m_crashes;
     audit::recorder m_audit;
-    audit::explainer m_explainer;
     entry_context m_context;
     caller_api m_callers;
     admin::revision_listener m_peer_listener;
@@ -114,12 +116,13 @@
       m_link_context(make_link_context()),
       m_servers(m_link_context),
       m_claims(m_runtime.executor(), m_table, m_settings.claim_window, m_settings.claim_limit),
+      m_claim_sweeper(m_runtime.executor(), m_runtime.timers(), m_table,
+                      {m_settings.claim_retention, m_settings.claim_sweep_period}),
       m_crashes(m_runtime.executor(), m_runtime.timers(), m_table),
       m_audit(m_runtime.executor(), m_runtime.timers(), m_objects,
               {.vm = m_settings.common.vm, .role = "entry", .flush_period = m_settings.common.audit_period}),
-      m_explainer(m_objects, {}),
-      m_context{m_settings, m_configuration, m_servers, m_claims, m_admissions,
-                m_crashes,  m_metrics,       m_audit},
+      m_context{m_settings,   m_configuration, m_servers, m_claims,
+                m_admissions, m_crashes,       m_metrics, m_audit},
       m_callers(m_context),
       m_peer_listener(m_runtime.executor(), m_runtime.timers(), m_configuration, m_peer_identity),
       m_administration(make_administration_context(), make_node_view()),
@@ -197,8 +200,13 @@
 asio::awaitable<std::optional<admin::explanation>> entry_process::explain(request_id request) {
     audit::explainer explainer(m_objects, {});
     const auto found = co_await explainer.find_request(request);
+    // Where something is missing, "not found" would pass for "didn't happen".
+    if (found.records.empty() && found.remarks.empty()) {
+        co_return std::nullopt;
+    }
     admin::explanation result;
     result.lines = audit::describe_request(request, found);
+    result.document = audit::describe_request_as_json(request, found);
     co_return result;
 }
 
@@ -214,6 +222,7 @@
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
+    m_claim_sweeper.start();
     m_crashes.start(m_settings.common.poll_period);
     const auto callers = m_caller_server.listen(m_settings.callers_listen);
     const auto admin = m_admin_server.listen(m_settings.admin_listen);
@@ -230,13 +239,26 @@
 void entry_process::take_peer_message(const std::string& backend_server, wire::envelope& received,
                                       wire::peer_connection& connection) {
     if (const auto* mark = std::get_if<wire::crash_mark_message>(&received.content)) {
-        m_crashes.take(*mark);
+        if (m_crashes.take(*mark)) {
+            pass_mark_on(*mark);
+        }
         m_context.prefixes.forget_server(hash_bytes(backend_server));
         return;
     }
     admin::exchange_configuration(m_configuration, received, connection);
 }
 
+/// While the table is out, a mark is known only to the entries that its sidecar was connected to; another one
+/// would lose a third backend server to the request. So it goes to every sidecar, connected or not, and each
+/// tells its entries. Marks are rare enough for that.
+void entry_process::pass_mark_on(const wire::crash_mark_message& mark) {
+    for (const auto& [name, link] : m_servers.current()->by_server) {
+        if (name != mark.backend_server) {
+            link->send(mark);
+        }
+    }
+}
+
 void entry_process::rebuild_servers() {
     const auto current = m_configuration.current();
     const auto vms = m_vms.current();
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -19,9 +19,9 @@
 namespace {
 
 constexpr milliseconds default_retry{1000};
+constexpr milliseconds marked_offer_delay{500};
 /// A lookup that takes longer is given up: its sidecar may be gone, and the caller waits.
 constexpr milliseconds lookup_limit{100};
-constexpr milliseconds marked_offer_delay{500};
 
 std::optional<policy::reported_load> load_for_policy(const sidecar_link& link, unsigned tier,
                                                      steady_clock::time_point now) {
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -64,6 +64,7 @@
     };
 
     void plan();
+    void plan_for_marked();
     void send_lookup();
     [[nodiscard]] wire::offer_message make_offer(const dispatch_id& dispatch) const;
     [[nodiscard]] bool is_lookup(const dispatch_id& dispatch) const noexcept;
@@ -73,7 +74,6 @@
     [[nodiscard]] std::optional<place> find_running(const wire::offer_reply_message& reply,
                                                     const std::shared_ptr<sidecar_link>& link,
                                                     const std::string& backend_server) const;
-    void plan_for_marked();
     void send_due_offers();
     void send_next_group();
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> next_offer_time() const;
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr std::size_t most_lookups = 10'000;
 /// A request under which so many backend servers have died isn't run any more.
 constexpr std::size_t quarantine_marks = 2;
+constexpr std::size_t most_lookups = 10'000;
 
 std::uint32_t to_wire_milliseconds(milliseconds time) {
     constexpr std::int64_t most = UINT32_MAX;
@@ -77,7 +77,8 @@
 
 void offer_scheduler::answer_lookup(connection_id connection, const wire::offer_message& offer) {
     if (m_lookups.size() < most_lookups) {
-        m_lookups.emplace(wire::from_wire(offer.dispatch), lookup{connection, offer.resend_key});
+        m_lookups.emplace(wire::from_wire(offer.dispatch),
+                          lookup{connection, offer.resend_key, offer.fingerprint});
     }
     wire::offer_reply_message answer;
     answer.verdict = wire::offer_verdict::not_known;
@@ -88,13 +89,14 @@
 bool offer_scheduler::reply_to_resend(connection_id connection, const wire::offer_message& offer) {
     wire::offer_reply_message answer;
     const auto request = read_offer(offer);
-    if (const auto running = m_context.store.find_resend(offer.resend_key)) {
+    if (const auto running = m_context.store.find_resend(offer.resend_key, offer.fingerprint)) {
         answer.verdict = wire::offer_verdict::attachable;
         answer.running_dispatch = wire::to_wire(running->request.dispatch);
         reply(connection, request, std::move(answer));
         return true;
     }
-    const auto elsewhere = m_context.store.find_elsewhere(offer.resend_key, steady_clock::now());
+    const auto elsewhere =
+        m_context.store.find_elsewhere(offer.resend_key, offer.fingerprint, steady_clock::now());
     if (!elsewhere) {
         return false;
     }
@@ -227,13 +229,23 @@
             return;
         }
         const auto& request = m_offers.at(next->dispatch).request;
-        if (!m_context.limit.has_room(request.prefill_tokens) || must_wait_alone(request)) {
+        if (!has_room_for(request) || must_wait_alone(request)) {
             return;
         }
         grant_next(now);
     }
 }
 
+/// A plain service has no tokens by which a limit could be found: there the configured slots are the limit.
+bool offer_scheduler::has_room_for(const offered_request& request) const {
+    if (!request.is_service) {
+        return m_context.limit.has_room(request.prefill_tokens);
+    }
+    const auto current = m_context.configuration.current();
+    const auto* server = current->find_backend_server(m_context.settings.backend_server);
+    return server != nullptr && m_context.limit.running() < server->slots;
+}
+
 /// At most one request that a backend server has died of before runs at a time: were two of them running
 /// when this one dies too, there would be no telling which it was, and an innocent one would be refused from
 /// then on.
@@ -302,11 +314,7 @@
     const auto id = wire::from_wire(request.dispatch);
     const auto now = steady_clock::now();
     if (const auto asked = m_lookups.find(id); asked != m_lookups.end()) {
-        if (!request.started_at.empty()) {
-            m_context.store.remember_elsewhere(
-                asked->second.resend_key, {wire::from_wire(request.running_dispatch), request.started_at},
-                now);
-        }
+        remember_elsewhere(request, asked->second.resend_key, asked->second.fingerprint);
         m_lookups.erase(asked);
         return;
     }
@@ -319,17 +327,23 @@
     }
     m_context.metrics.withdrawn();
     m_context.record(audit::event::withdrawn, found->second.request);
-    if (!request.started_at.empty()) {
-        m_context.store.remember_elsewhere(found->second.request.resend_key,
-                                           {wire::from_wire(request.running_dispatch), request.started_at},
-                                           now);
-    }
+    const auto& offered = found->second.request;
+    remember_elsewhere(request, offered.resend_key, offered.fingerprint);
     m_queue.remove(id, now);
     release(found->second);
     m_offers.erase(found);
     grant_room();
 }
 
+void offer_scheduler::remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                                         std::uint64_t fingerprint) {
+    if (!request.started_at.empty()) {
+        m_context.store.remember_elsewhere(
+            resend_key, {wire::from_wire(request.running_dispatch), request.started_at, fingerprint},
+            steady_clock::now());
+    }
+}
+
 void offer_scheduler::give_up(dispatch_id dispatch) {
     if (!m_offers.contains(dispatch)) {
         return;
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -48,6 +48,10 @@
     /// The backend server or the configuration has changed: what can't be served any more is refused.
     void review();
 
+    /// When a refused caller should come back: from the measured drain rate, or from how long the backend
+    /// server has been away.
+    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+
     [[nodiscard]] std::unique_ptr<wire::load_report_message> make_load_report() const;
     [[nodiscard]] std::size_t waiting() const noexcept { return m_offers.size(); }
 
@@ -65,18 +69,21 @@
     struct lookup {
         connection_id connection = 0;
         std::uint64_t resend_key = 0;
+        std::uint64_t fingerprint = 0;
     };
 
     void answer_lookup(connection_id connection, const wire::offer_message& offer);
 
     /// Why this can't be served here now; nothing when it can.
     [[nodiscard]] std::optional<error_kind> find_obstacle(const offered_request& request) const;
+    void remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                            std::uint64_t fingerprint);
     bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
     [[nodiscard]] offered_request read_offer(const wire::offer_message& offer) const;
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
     [[nodiscard]] duration expected_service(const offered_request& request) const;
     [[nodiscard]] bool misses_deadline(const policy::queued_offer& queued) const;
-    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+    [[nodiscard]] bool has_room_for(const offered_request& request) const;
     [[nodiscard]] bool must_wait_alone(const offered_request& request) const;
 
     void refuse(connection_id connection, const offered_request& request, error_kind kind);
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -31,12 +31,19 @@
 sidecar_core::sidecar_core(sidecar_context& context, backend::backend_server& server,
                            const identifier& own_incarnation)
     : m_context(context),
-      m_dispatches(context, server, own_incarnation, [this] { m_offers.grant_room(); }),
+      m_dispatches(context, server, own_incarnation,
+                   {.room_freed = [this] { m_offers.grant_room(); },
+                    .retry_after =
+                        [this](unsigned tier) {
+                            return m_offers.retry_after(tier);
+                        }}),
       m_offers(context, m_dispatches),
-      m_orders(context, server, own_incarnation, [this] { m_offers.review(); }) {}
+      m_orders(context, server, own_incarnation, [this] { m_offers.review(); }),
+      m_cache(context, server) {}
 
 void sidecar_core::start() {
     m_orders.start();
+    m_cache.start();
     m_tick = m_context.timers.every(m_context.strand, tick_period, [this] { tick(); });
 }
 
@@ -53,7 +60,7 @@
             if constexpr (std::is_same_v<type, wire::offer_message>) {
                 m_offers.take(connection, message);
             } else if constexpr (std::is_same_v<type, wire::start_message>) {
-                m_offers.start(connection, std::forward<decltype(message)>(message));
+                m_offers.start(connection, std::move(message));
             } else if constexpr (std::is_same_v<type, wire::withdraw_message>) {
                 m_offers.withdraw(message);
             } else if constexpr (std::is_same_v<type, wire::attach_message>) {
@@ -117,7 +124,7 @@
 }
 
 void sidecar_core::backend_went_down() {
-    m_context.prefixes.clear();
+    m_cache.reset();
     m_context.models.forget();
     m_dispatches.choose_suspects();
     m_offers.review();
--- a/tests/failure/test_10_engine_faults.cpp
+++ b/tests/failure/test_10_engine_faults.cpp
@@ -57,8 +57,7 @@
 TEST_CASE("10 engine faults: far too slow") {
     cluster system(one_engine());
     system.control_server(0, R"({"slowdown":1000})");
-    const auto call =
-        with_far_deadline(make_completion("lento", {.tokens = 50, .streamed = false}));
+    const auto call = with_far_deadline(make_completion("lento", {.tokens = 50, .streamed = false}));
     const auto answer = system.send(0, call);
     INFO(answer.status << ' ' << answer.body);
     CHECK(answer.status == 504);
@@ -76,8 +75,7 @@
     CHECK_FALSE(has_done_mark(answer.body));
     CHECK(answer.body.find("backend_garbled") != std::string::npos);
     CHECK(answer.body.find("not an answer") == std::string::npos);
-    const auto whole =
-        with_far_deadline(make_completion("basura entera", {.tokens = 50, .streamed = false}));
+    const auto whole = with_far_deadline(make_completion("basura entera", {.tokens = 50, .streamed = false}));
     const auto refused = system.send(0, whole);
     INFO(refused.body);
     CHECK(refused.status == 502);
@@ -100,6 +98,7 @@
 // served.
 TEST_CASE("10 engine faults: gone and back") {
     cluster system(one_engine());
+    system.backend(0).server_link->set_listening(false);
     system.backend(0).server->kill();
     const auto call = with_far_deadline(make_completion("ausente", {.tokens = 5}));
     const auto answer = system.send(0, call);
@@ -108,5 +107,6 @@
     CHECK(answer.header("X-Ran") == "no");
     CHECK_FALSE(answer.header("Retry-After").empty());
     system.start_server(0);
+    system.backend(0).server_link->set_listening(true);
     wait_until("an answer by the engine that is back", [&] { return system.send(0, call).status == 200; });
 }
