--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -8,7 +8,7 @@
 #include "entry/crash_watch.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/entry_settings.hpp"
-#include "entry/placement_memory.hpp"
+#include "entry/prefix_book.hpp"
 #include "entry/server_directory.hpp"
 
 #include <atomic>
@@ -23,11 +23,11 @@
     server_directory& servers;
     claim_store& claims;
     admission& admissions;
-    placement_memory& placements;
     crash_watch& crashes;
     entry_metrics& metrics;
     audit::recorder& audit;
     std::atomic<std::uint64_t> placement_count = 0; ///< made by this entry so far
+    prefix_book prefixes{};
 };
 
 } // namespace borageford::entry
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -2,8 +2,10 @@
 #include "entry/request_run.hpp"
 
 #include "base/hash.hpp"
+#include "entry/call_parser.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -16,6 +18,8 @@
 namespace {
 
 constexpr int most_attempts = 4;
+constexpr int most_stale_attempts = 50;
+constexpr milliseconds revision_wait{50};
 constexpr milliseconds first_ask_delay{20};
 constexpr milliseconds longest_ask_delay{1000};
 /// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
@@ -26,15 +30,28 @@
     return std::chrono::duration_cast<std::chrono::seconds>(since).count();
 }
 
+/// By how much the clocks of two entries may differ: a claim is taken to be older by this.
+constexpr std::chrono::minutes clock_difference{1};
+
+milliseconds age_of(steady_clock::time_point started) {
+    constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
+    return std::min(std::chrono::duration_cast<milliseconds>(steady_clock::now() - started), longest);
+}
+
+steady_clock::time_point start_of(const claim& held) {
+    const std::chrono::seconds age(std::max<std::int64_t>(0, now_seconds() - held.time));
+    return steady_clock::now() - age - clock_difference;
+}
+
 /// Refusals after a grant that another backend server may answer differently.
 bool is_worth_another_place(error_kind kind) {
-    return kind == error_kind::stale_revision || kind == error_kind::draining ||
-           kind == error_kind::no_backend_server || kind == error_kind::overloaded;
+    return kind == error_kind::draining || kind == error_kind::no_backend_server ||
+           kind == error_kind::overloaded;
 }
 
 } // namespace
 
-request_run::request_run(entry_context& context, const call& request, caller_answer& answer,
+request_run::request_run(entry_context& context, call& request, caller_answer& answer,
                          std::shared_ptr<event_mailbox> events)
     : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
 
@@ -42,17 +59,37 @@
     if (const auto left = m_context.crashes.quarantine_left(m_call.fingerprint)) {
         throw request_error(error_kind::quarantined, {}, left);
     }
-    for (int attempt = 1;; ++attempt) {
-        offer_round round(m_context, m_call, m_events);
+    for (;;) {
+        co_await place();
+        if (co_await follow() == follow_result::whole) {
+            co_return;
+        }
+        m_context.metrics.placed_again();
+        if (!may_place_again()) {
+            settle_claim(false);
+            throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
+        }
+        if (m_not_begun && m_not_begun->kind() == error_kind::stale_revision) {
+            // One of the two is fetching the newer revision now.
+            co_await m_context.configuration.wait_past(m_call.configuration->revision, revision_wait);
+        }
+    }
+}
+
+/// Brings the request to a start, or to an answer that runs already.
+asio::awaitable<void> request_run::place() {
+    bool is_placed = false;
+    while (!is_placed) {
         std::optional<request_error> refusal;
+        offer_round round(m_context, m_call, m_events);
         try {
+            follow_configuration();
             const auto found = co_await round.find_place();
             if (const auto* running = std::get_if<attachable_place>(&found)) {
-                round.withdraw_all(running->backend_server, running->dispatch);
                 join(*running);
+                is_placed = true;
             } else {
-                co_await take_grant(std::get<granted_place>(found));
-                round.withdraw_all(m_started->backend_server, m_started->dispatch);
+                is_placed = co_await take_grant(std::get<granted_place>(found));
             }
         } catch (const request_error& error) {
             refusal = error;
@@ -62,25 +99,48 @@
             settle_claim(false);
             throw *refusal;
         }
-        if (co_await follow() == follow_result::whole) {
-            co_return;
-        }
-        m_context.metrics.placed_again();
-        const bool is_worth_it = !m_not_begun || is_worth_another_place(m_not_begun->kind());
-        if (!is_worth_it || attempt == most_attempts || !m_context.admissions.try_retry()) {
-            settle_claim(false);
-            throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
+        if (is_placed) {
+            round.withdraw_all(m_started->backend_server, m_started->dispatch);
+        } else {
+            round.withdraw_all();
         }
     }
 }
 
-/// Starts the request, or gives the grant back when the start isn't ours to send.
-asio::awaitable<void> request_run::take_grant(granted_place place) {
+/// A decision taken under a revision that is no longer in force is taken again. Returns whether it changed.
+bool request_run::follow_configuration() {
+    if (m_context.configuration.revision() == m_call.configuration->revision) {
+        return false;
+    }
+    renew_call(m_call, m_context.configuration.current());
+    return true;
+}
+
+bool request_run::may_place_again() {
+    if (!m_not_begun) {
+        return ++m_attempts < most_attempts && m_context.admissions.try_retry();
+    }
+    if (m_not_begun->kind() == error_kind::stale_revision) {
+        return ++m_stale_attempts < most_stale_attempts && steady_clock::now() < m_call.deadline;
+    }
+    return is_worth_another_place(m_not_begun->kind()) && ++m_attempts < most_attempts &&
+           m_context.admissions.try_retry();
+}
+
+/// Starts the request and returns true; or gives the grant back, because another run of the request has
+/// been joined (true), or because the grant was for a decision under an older revision (false).
+asio::awaitable<bool> request_run::take_grant(granted_place place) {
     std::optional<request_error> refusal;
+    bool is_placed = false;
     try {
-        if (co_await claim_before_start(place)) {
-            start(place);
-            co_return;
+        if (!follow_configuration()) {
+            const bool is_ours = co_await claim_before_start(place);
+            // The claim takes a while: what came meanwhile counts too.
+            if (is_ours && !follow_configuration()) {
+                start(place);
+                co_return true;
+            }
+            is_placed = !is_ours;
         }
     } catch (const request_error& error) {
         refusal = error;
@@ -92,6 +152,7 @@
     if (refusal) {
         throw *refusal;
     }
+    co_return is_placed;
 }
 
 /// Returns whether the start is ours to send; otherwise another run of this request has been joined.
@@ -113,7 +174,7 @@
         co_await m_context.claims.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
     if (const auto* taken = std::get_if<claim_taken>(&result)) {
         m_claim.version = taken->version;
-        record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}});
+        record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}, {}});
         co_return true;
     }
     co_return co_await join_claimed(std::get<claim_held>(result).current);
@@ -132,8 +193,8 @@
     }
     m_claim = current;
     m_joined = true;
-    m_started =
-        started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation};
+    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation,
+                                 start_of(current)};
     m_context.metrics.attached();
     attach();
     co_return false;
@@ -141,7 +202,8 @@
 
 void request_run::join(const attachable_place& place) {
     m_joined = true;
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation()};
+    m_started =
+        started_dispatch{place.link, place.backend_server, place.dispatch, place.link->incarnation(), {}};
     m_context.metrics.attached();
     record(audit::event::attached, *m_started);
     attach();
@@ -151,7 +213,8 @@
     m_joined = false;
     m_lost_since.reset();
     m_ask_at.reset();
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation};
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation,
+                                 steady_clock::now()};
     wire::start_message start;
     start.dispatch = wire::to_wire(place.dispatch);
     start.revision = m_call.configuration->revision;
@@ -160,10 +223,10 @@
     start.content_type = m_call.content_type;
     start.body.assign(m_call.body.begin(), m_call.body.end());
     start.streamed = m_call.is_streamed;
+    m_context.prefixes.record_start(m_call.prefix_hashes, hash_bytes(place.backend_server));
     m_context.metrics.started();
     m_context.metrics.queue_wait(m_call, steady_clock::now() - m_call.received);
     record(audit::event::started, *m_started);
-    m_context.placements.record_start(m_call.prefix_hashes, hash_bytes(place.backend_server));
     place.link->send_for(place.dispatch, m_events, std::move(start));
 }
 
@@ -172,6 +235,7 @@
     attach.dispatch = wire::to_wire(m_started->dispatch);
     attach.incarnation = wire::to_wire(m_started->incarnation);
     attach.offset = m_answer.received();
+    attach.started_ms_ago = static_cast<std::uint32_t>(age_of(m_started->started).count());
     m_started->link->send_for(m_started->dispatch, m_events, attach);
 }
 
@@ -282,6 +346,9 @@
         m_lost_since.reset();
         return std::nullopt;
     case wire::dispatch_fate::not_begun:
+        if (m_joined && m_claim.state == claim_state::finished) {
+            break; // its row says that it has run
+        }
         if (!m_answer.has_head()) {
             m_not_begun.reset();
             m_started->link->forget(m_started->dispatch);
--- a/src/policy/adaptive_limit.hpp
+++ b/src/policy/adaptive_limit.hpp
@@ -16,6 +16,9 @@
     /// because an engine prefills no faster with more prompts waiting inside it, and what waits inside
     /// it can't be overtaken by a higher tier.
     double engine_share = 0.45;
+    /// The part of the between-tokens target that the controller steers for: it holds the 95th percentile
+    /// over all sequences, and single requests lie on both sides of it.
+    double between_tokens_share = 0.85;
     /// Requests at once at most, as configured for the backend server.
     unsigned slots = 64;
 };
@@ -48,6 +51,10 @@
     /// Time between two of its later tokens.
     void record_between_tokens(duration elapsed, time_point now);
 
+    /// Its prefill counts as done without a sample: an answer that isn't streamed shows no first token.
+    /// Harmless when repeated.
+    void end_prefill(admission& admitted) noexcept;
+
     /// Counts it as gone. Harmless when repeated.
     void release(admission& admitted) noexcept;
 
@@ -60,8 +67,6 @@
     [[nodiscard]] std::uint64_t prefill_token_limit() const noexcept;
 
 private:
-    void end_prefill(admission& admitted) noexcept;
-
     limit_controller m_sequences;
     limit_controller m_prefill;
     unsigned m_running = 0;
--- a/src/policy/cost_estimator.cpp
+++ b/src/policy/cost_estimator.cpp
@@ -10,8 +10,13 @@
 constexpr std::size_t bytes_per_token = 4;
 constexpr std::uint32_t samples_needed = 5;
 constexpr double smallest_weight = 0.05;
-constexpr double kept_per_prefill = 0.95;
+constexpr std::uint64_t fewest_prefill_tokens = 64;
+constexpr double kept_per_prefill = 0.98;
 constexpr double shortest_prefill_seconds = 0.001;
+/// The steady rate follows when the measured one is more than this factor away.
+constexpr double steady_band = 1.5;
+/// None is reported before so many samples: the first few are noise.
+constexpr std::uint64_t steady_samples = 6;
 constexpr std::string_view shared_key = "\n";
 constexpr auto soonest_return = std::chrono::milliseconds(500);
 constexpr auto latest_return = std::chrono::milliseconds(60000);
@@ -53,10 +58,23 @@
     return std::max(1U, static_cast<std::uint32_t>(std::lround(found->second.mean)));
 }
 
-void cost_estimator::record_prefill(std::uint64_t tokens, duration elapsed) {
+void cost_estimator::record_prefill(std::uint64_t tokens, duration elapsed, time_point now) {
+    if (tokens < fewest_prefill_tokens) {
+        return; // mostly the way to the engine and back
+    }
+    const auto begun = std::max(now - elapsed, std::min(m_prefill_counted_to, now));
+    m_prefill_counted_to = std::max(m_prefill_counted_to, now);
     m_prefill_tokens = kept_per_prefill * m_prefill_tokens + static_cast<double>(tokens);
-    m_prefill_seconds =
-        kept_per_prefill * m_prefill_seconds + std::max(to_seconds(elapsed), shortest_prefill_seconds);
+    m_prefill_seconds = kept_per_prefill * m_prefill_seconds + to_seconds(now - begun);
+    if (++m_prefill_samples < steady_samples) {
+        return;
+    }
+    const double rate = prefill_rate();
+    const bool has_moved =
+        rate > steady_band * m_steady_prefill_rate || rate * steady_band < m_steady_prefill_rate;
+    if (has_moved) {
+        m_steady_prefill_rate = rate;
+    }
 }
 
 void cost_estimator::record_output_tokens(std::uint64_t tokens, bool was_busy, time_point now) {
@@ -64,7 +82,7 @@
 }
 
 double cost_estimator::prefill_rate() const noexcept {
-    return m_prefill_seconds > 0 ? m_prefill_tokens / m_prefill_seconds : 0;
+    return m_prefill_tokens / std::max(m_prefill_seconds, shortest_prefill_seconds);
 }
 
 std::string cost_estimator::make_key(std::string_view workspace, std::string_view route) {
--- a/src/policy/late_binding.hpp
+++ b/src/policy/late_binding.hpp
@@ -7,11 +7,11 @@
 
 struct late_binding_settings {
     std::size_t homes = 2;
-    /// A home that isn't believed to hold the prefix is asked this much after one that is: it would have
-    /// to prefill again what the other has cached.
-    duration second_home_delay = std::chrono::milliseconds(60);
+    /// Each further home is asked this much after the one before it: asked at once, both would grant about
+    /// equally often, and every prefix would be prefilled twice.
+    duration next_home_delay = std::chrono::milliseconds(80);
     /// Others are asked this long after the homes, in groups that double.
-    duration others_delay = std::chrono::milliseconds(150);
+    duration others_delay = std::chrono::milliseconds(250);
     std::size_t first_group = 2;
     /// Of how many random candidates the first group is the best: an entry that always took the best of
     /// all would run to the same one as every other entry.
--- a/src/policy/prefix_index.cpp
+++ b/src/policy/prefix_index.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+void prefix_index::record_cached(std::span<const std::uint64_t> hashes, std::size_t blocks,
+                                 std::uint64_t server, time_point now) {
+    const auto held = hashes.first(std::min(blocks, hashes.size()));
+    record_stored(held, server, now);
+    // The first block that isn't held ends the prefix, whatever is believed of those after it.
+    record_evicted(hashes.subspan(held.size()).first(held.size() < hashes.size() ? 1 : 0), server);
+}
+
 void prefix_index::record_gap(std::uint64_t server, time_point now) {
     m_doubts[server].gap = now;
 }
@@ -91,8 +99,8 @@
     if (hashes.empty()) {
         return std::nullopt;
     }
-    std::size_t own_part = 0;
-    for (std::size_t depth = 0; depth + 1 < hashes.size(); ++depth) {
+    std::size_t own_part = std::min(m_settings.home_block, hashes.size() - 1);
+    for (std::size_t depth = own_part; depth + 1 < hashes.size(); ++depth) {
         const auto found = m_blocks.find(hashes[depth]);
         if (found == m_blocks.end()) {
             break;
--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -28,7 +28,11 @@
 
 void dispatch_store::acknowledge(dispatch_id dispatch) {
     const auto found = find(dispatch);
-    if (found != nullptr && found->answer.ending()) {
+    if (found == nullptr || !found->answer.ending()) {
+        return;
+    }
+    found->is_acknowledged = true;
+    if (found->request.is_idempotent) {
         remove(dispatch);
     }
 }
@@ -52,12 +56,17 @@
     return found == m_records.end() ? nullptr : found->second;
 }
 
-dispatch_store::record_pointer dispatch_store::find_resend(std::uint64_t resend_key) const {
+dispatch_store::record_pointer dispatch_store::find_resend(std::uint64_t resend_key,
+                                                           std::uint64_t fingerprint) const {
     if (resend_key == 0) {
         return nullptr;
     }
     const auto found = m_resends.find(resend_key);
-    return found == m_resends.end() ? nullptr : find(found->second);
+    if (found == m_resends.end()) {
+        return nullptr;
+    }
+    const auto record = find(found->second);
+    return record != nullptr && record->request.fingerprint == fingerprint ? record : nullptr;
 }
 
 void dispatch_store::remember_elsewhere(std::uint64_t resend_key, started_elsewhere where, time_point now) {
@@ -71,11 +80,15 @@
     }
 }
 
-std::optional<started_elsewhere> dispatch_store::find_elsewhere(std::uint64_t resend_key, time_point now) {
+std::optional<started_elsewhere>
+dispatch_store::find_elsewhere(std::uint64_t resend_key, std::uint64_t fingerprint, time_point now) const {
     const auto found = m_elsewhere.find(resend_key);
     if (found == m_elsewhere.end() || now - found->second.since >= m_limits.known_elsewhere_time) {
         return std::nullopt;
     }
+    if (found->second.where.fingerprint != fingerprint) {
+        return std::nullopt;
+    }
     return found->second.where;
 }
 
@@ -109,7 +122,8 @@
 bool dispatch_store::has_undelivered(duration grace, time_point now) const {
     return std::ranges::any_of(m_records, [grace, now](const auto& held) {
         const auto& record = *held.second;
-        return record.ended && !record.answer.ending()->failure && now - *record.ended < grace;
+        return record.ended && !record.is_acknowledged && !record.answer.ending()->failure &&
+               now - *record.ended < grace;
     });
 }
 
--- a/src/sidecar/offer_scheduler.hpp
+++ b/src/sidecar/offer_scheduler.hpp
@@ -48,6 +48,10 @@
     /// The backend server or the configuration has changed: what can't be served any more is refused.
     void review();
 
+    /// When a refused caller should come back: from the measured drain rate, or from how long the backend
+    /// server has been away.
+    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+
     [[nodiscard]] std::unique_ptr<wire::load_report_message> make_load_report() const;
     [[nodiscard]] std::size_t waiting() const noexcept { return m_offers.size(); }
 
@@ -61,19 +65,30 @@
     };
     using offer_map = std::unordered_map<dispatch_id, pending_offer>;
 
+    /// An entry asked whether a resend key is known here and hasn't said yet where its request went.
+    struct lookup {
+        connection_id connection = 0;
+        std::uint64_t resend_key = 0;
+        std::uint64_t fingerprint = 0;
+    };
+
+    void answer_lookup(connection_id connection, const wire::offer_message& offer);
+
     /// Why this can't be served here now; nothing when it can.
     [[nodiscard]] std::optional<error_kind> find_obstacle(const offered_request& request) const;
+    void remember_elsewhere(const wire::withdraw_message& request, std::uint64_t resend_key,
+                            std::uint64_t fingerprint);
     bool reply_to_resend(connection_id connection, const wire::offer_message& offer);
     [[nodiscard]] offered_request read_offer(const wire::offer_message& offer) const;
     [[nodiscard]] policy::queued_offer to_queued(const offered_request& request) const;
     [[nodiscard]] duration expected_service(const offered_request& request) const;
     [[nodiscard]] bool misses_deadline(const policy::queued_offer& queued) const;
-    [[nodiscard]] std::chrono::milliseconds retry_after(unsigned tier) const;
+    [[nodiscard]] bool has_room_for(const offered_request& request) const;
     [[nodiscard]] bool must_wait_alone(const offered_request& request) const;
 
     void refuse(connection_id connection, const offered_request& request, error_kind kind);
     void reply(connection_id connection, const offered_request& request, wire::offer_reply_message answer);
-    void grant_next();
+    void grant_next(time_point now);
     void not_begun(connection_id connection, const wire::id& dispatch, error_kind kind,
                    std::chrono::milliseconds retry_after);
     /// Ends an offer that hasn't started: tombstone first, then the message.
@@ -85,6 +100,7 @@
     dispatch_manager& m_dispatches;
     policy::offer_queue m_queue;
     offer_map m_offers;
+    std::unordered_map<dispatch_id, lookup> m_lookups; ///< bounded; a lookup too many isn't remembered
     bool m_is_draining = false;
     bool m_is_held = false;
 };
--- a/src/sidecar/order_controller.cpp
+++ b/src/sidecar/order_controller.cpp
@@ -88,12 +88,14 @@
     if (!m_server.is_engine()) {
         co_return;
     }
-    const auto now = co_await read_state();
     const auto current = m_context.configuration.current();
     const auto* server = current->find_backend_server(m_context.settings.backend_server);
+    // Only the configuration says whether this is an engine: asked before it is known, a plain service would
+    // take the question for a call and run it.
     if (server == nullptr || server->kind != configuration::backend_kind::engine) {
         co_return;
     }
+    const auto now = co_await read_state();
     auto orders = plan_orders(*current, *server, now);
     if (!orders.empty()) {
         m_is_settled = false;
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -31,7 +31,11 @@
     std::string entry_settings = {};   ///< further lines of [entry]
     std::string sidecar_settings = {}; ///< further lines of [sidecar]
     std::string process_settings = {}; ///< further lines of [process]
+    /// After how long each side abandons a silent connection.
+    std::string entry_silence = "2s";
+    std::string sidecar_silence = "2s";
     std::string intent = {};           ///< further sections of the intent
+    std::string poll_period = "100ms"; ///< of the configuration's head and the list of VMs
     std::vector<std::string> platform_arguments = {};
 };
 
@@ -43,6 +47,7 @@
     std::unique_ptr<fault_proxy> server_link; ///< between sidecar and server; raw bytes
     std::unique_ptr<child_process> sidecar;
     http::endpoint status_address;
+    http::endpoint peers_address;
     std::unique_ptr<fault_proxy> link; ///< between entries and sidecar; frames
 };
 
@@ -51,6 +56,7 @@
     std::unique_ptr<child_process> process;
     http::endpoint callers;
     http::endpoint admin;
+    http::endpoint peers;
 };
 
 /// Invariant: all processes are ended and the temporary folder is removed by the destructor; when a test has
@@ -102,7 +108,8 @@
 
 private:
     [[nodiscard]] std::string intent(const std::string& further, const std::string& drained) const;
-    [[nodiscard]] std::string common_settings(const std::string& vm, const std::string& domain) const;
+    [[nodiscard]] std::string common_settings(const std::string& vm, const std::string& domain,
+                                              const std::string& silence) const;
     void show_logs() const;
 
     cluster_options m_options;
--- a/tests/unit/test_policy_prefix_index.cpp
+++ b/tests/unit/test_policy_prefix_index.cpp
@@ -58,6 +58,18 @@
     CHECK(index.find_holders(hashes, start_time)[1].tokens == 6 * prefix_block_tokens);
 }
 
+TEST_CASE("what a sidecar says of a prompt replaces what was believed", "[policy][prefix_index]") {
+    prefix_index index;
+    const auto hashes = hash_prompt('p', 1, 's');
+    index.record_start(hashes, server_a, start_time);
+    index.record_cached(hashes, 2, server_a, start_time);
+    CHECK(index.find_holders(hashes, start_time).front().tokens == 2 * prefix_block_tokens);
+    index.record_cached(hashes, 0, server_a, start_time);
+    CHECK(index.find_holders(hashes, start_time).empty());
+    index.record_cached(hashes, 6, server_b, start_time);
+    CHECK(index.find_holders(hashes, start_time).front().tokens == 6 * prefix_block_tokens);
+}
+
 TEST_CASE("after a gap in the events old beliefs fade sooner", "[policy][prefix_index]") {
     // The engine evicted a prefix and the event was lost. Without doubt the prompt would be sent to the
     // wrong home for minutes, to be prefilled again there.
@@ -96,7 +108,7 @@
 TEST_CASE("homes are named by the first block after a shared preamble", "[policy][prefix_index]") {
     // All requests of a workspace begin with the same instructions. Were homes named by these, one pair of
     // backend servers would get all of its work.
-    prefix_index index;
+    prefix_index index({.home_block = 1});
     for (int chapter = 0; chapter < 30; ++chapter) {
         index.record_start(hash_prompt('p', chapter, 's'), server_a, start_time);
     }
@@ -108,3 +120,14 @@
     CHECK(index.home_key(summary) != index.home_key(other));
     CHECK_FALSE(index.home_key({}).has_value());
 }
+
+TEST_CASE("entries that have learned nothing agree on homes", "[policy][prefix_index]") {
+    const prefix_index fresh;
+    prefix_index used;
+    for (int chapter = 0; chapter < 30; ++chapter) {
+        used.record_start(hash_prompt('p', chapter, 's'), server_a, start_time);
+    }
+    for (const char task : {'s', 't', 'b'}) {
+        CHECK(fresh.home_key(hash_prompt('p', 7, task)) == used.home_key(hash_prompt('p', 7, 's')));
+    }
+}
