--- a/src/entry/sidecar_link.cpp
+++ b/src/entry/sidecar_link.cpp
@@ -119,6 +119,10 @@
     calls.closed = with_link([](sidecar_link& self, const std::string& reason) { self.lost(reason); });
     calls.load_received =
         with_link([](sidecar_link& self, const wire::load_report_message& load) { self.note_load(load); });
+    calls.has_work = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self != nullptr && !self->m_listeners.empty();
+    };
     auto hello = m_context.own_hello;
     hello.revision = m_context.revision();
     m_connection = std::make_shared<wire::peer_connection>(std::move(socket), m_strand, m_context.timers,
--- a/src/entry/sidecar_link.hpp
+++ b/src/entry/sidecar_link.hpp
@@ -75,8 +75,8 @@
     /// Of the process at the other end; none before the first hello.
     [[nodiscard]] identifier incarnation() const;
     [[nodiscard]] std::optional<server_load> load() const;
-    /// True from the sidecar's `leaving` to the end of that connection. A new one's hello says it anew: a link
-    /// that remembered it would never be offered to, and so never learn that the sidecar is back.
+    /// True from the sidecar's `leaving` to the end of that connection. A new one's hello says it anew: a
+    /// link that remembered it would never be offered to, and so never learn that the sidecar is back.
     [[nodiscard]] bool is_leaving() const noexcept { return m_leaving.load(); }
     /// True while the last attempt to connect failed, for a short while.
     [[nodiscard]] bool is_unreachable() const noexcept;
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -7,6 +7,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace borageford::wire {
@@ -23,15 +27,16 @@
       m_own_hello(std::move(own_hello)),
       m_revision(std::move(revision)),
       m_calls(std::move(calls)),
-      m_last_received(std::chrono::steady_clock::now()) {}
+      m_last_received(std::chrono::steady_clock::now()),
+      m_last_written(m_last_received),
+      m_last_message(m_last_received) {}
 
 void peer_connection::start() {
     asio::dispatch(m_strand, [self = shared_from_this()] { self->start_on_strand(); });
 }
 
 void peer_connection::start_on_strand() {
-    boost::system::error_code ignored;
-    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_socket_options();
     enqueue(encode(m_revision(), m_own_hello));
     m_heartbeat_timer = m_timers.every(m_strand, m_heartbeat.period, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -41,9 +46,19 @@
     read_header();
 }
 
+void peer_connection::set_socket_options() {
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // A peer that is only sent to, as an entry by a streaming sidecar, is not asked for heartbeats. Should
+    // the path to it be lost, the kernel sees that nothing is acknowledged any more and ends the connection.
+    const auto limit = static_cast<int>(m_heartbeat.silence_limit.count());
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
 void peer_connection::send(message content) {
     auto bytes = encode(m_revision(), content);
     asio::dispatch(m_strand, [self = shared_from_this(), bytes = std::move(bytes)]() mutable {
+        self->m_last_message = std::chrono::steady_clock::now();
         self->enqueue(std::move(bytes));
     });
 }
@@ -78,6 +93,7 @@
             self->finish("write: " + error.message());
             return;
         }
+        self->m_last_written = std::chrono::steady_clock::now();
         self->m_outgoing_bytes -= self->m_outgoing.front().size();
         self->m_outgoing.pop_front();
         if (!self->m_outgoing.empty()) {
@@ -131,6 +147,7 @@
 
 void peer_connection::handle(envelope received) {
     m_last_received = std::chrono::steady_clock::now();
+    m_asked.reset();
     if (const auto* hello = std::get_if<hello_message>(&received.content)) {
         handle_hello(*hello);
         return;
@@ -141,6 +158,8 @@
     }
     if (const auto* heartbeat = std::get_if<heartbeat_message>(&received.content)) {
         handle_heartbeat(*heartbeat);
+    } else {
+        m_last_message = m_last_received;
     }
     if (m_finished) {
         return;
@@ -181,14 +200,36 @@
     enqueue(encode(m_revision(), std::move(heartbeat)));
 }
 
+bool peer_connection::has_work(std::chrono::steady_clock::time_point now) const {
+    if (m_calls.has_work) {
+        return m_calls.has_work();
+    }
+    return now - m_last_message < m_heartbeat.idle_periods * m_heartbeat.period;
+}
+
 void peer_connection::check_silence() {
-    const auto silence = std::chrono::steady_clock::now() - m_last_received;
-    const auto limit = m_opened ? m_heartbeat.silence_limit : m_heartbeat.handshake_limit;
-    if (silence > limit) {
-        finish(m_opened ? "silent" : "no handshake");
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_opened) {
+        if (now - m_last_received > m_heartbeat.handshake_limit) {
+            finish("no handshake");
+        }
         return;
     }
-    if (m_opened) {
+    // The peer had its chance to answer: silence counts from a period before the heartbeat on, which for a
+    // connection with work is when something was received last.
+    if (m_asked &&
+        now - std::max(m_last_received, *m_asked - m_heartbeat.period) > m_heartbeat.silence_limit) {
+        finish("silent");
+        return;
+    }
+    // Who waits for answers must hear something; what it sends itself proves nothing. Who only sends leaves
+    // a lost path to the kernel (set_socket_options).
+    const auto last_sign = m_calls.has_work ? m_last_received : std::max(m_last_received, m_last_written);
+    const auto quiet_limit =
+        has_work(now) ? m_heartbeat.period : m_heartbeat.idle_periods * m_heartbeat.period;
+    // A period is measured from the end of the last one and so never quite reached.
+    if (m_asked || now - last_sign > quiet_limit - m_heartbeat.period / 2) {
+        m_asked = m_asked.value_or(now);
         send_heartbeat(false);
     }
 }
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -18,13 +18,17 @@
 
 namespace borageford::wire {
 
-/// When a connection counts as silent.
+/// When a connection counts as silent. Heartbeats are sent only where nothing has come for a while: with
+/// hundreds of peers a process would otherwise send little else (docs/CAPACITY.md).
 struct heartbeat_settings {
+    /// A connection with work that was quiet for this long is sent a heartbeat, and one without work when it
+    /// was quiet for `idle_periods` of it.
     std::chrono::milliseconds period{1000};
-    /// Nothing received for this long: the connection is abandoned, since something between the two ends
-    /// may have lost track of it while new ones work.
+    /// Nothing received for this long, heartbeats notwithstanding: the connection is abandoned, since
+    /// something between the two ends may have lost track of it while new ones work.
     std::chrono::milliseconds silence_limit{3000};
     std::chrono::milliseconds handshake_limit{2000};
+    unsigned idle_periods = 10;
 };
 
 /// Invariants: `m_outgoing` and the callbacks are touched only on the strand; after `closed` was called
@@ -41,6 +45,9 @@
         std::function<void(envelope)> received;
         /// The connection has ended; called once, last. The reason is for logs.
         std::function<void(const std::string& reason)> closed;
+        /// Whether somebody waits for what comes on this connection. Empty: for as long as messages came or
+        /// went within `idle_periods`.
+        std::function<bool()> has_work;
         /// The load to send with each heartbeat; may be empty.
         std::function<std::unique_ptr<load_report_message>()> current_load;
         /// A heartbeat's load has come; may be empty.
@@ -79,6 +86,8 @@
     void handle_heartbeat(const heartbeat_message& heartbeat);
     void send_heartbeat(bool is_reply);
     void check_silence();
+    [[nodiscard]] bool has_work(std::chrono::steady_clock::time_point now) const;
+    void set_socket_options();
     void finish(const std::string& reason);
 
     using socket_type = boost::asio::ip::tcp::socket;
@@ -101,6 +110,10 @@
     std::array<std::byte, frame_header_size> m_header{};
     std::vector<std::byte> m_body;
     std::chrono::steady_clock::time_point m_last_received;
+    std::chrono::steady_clock::time_point m_last_written;
+    std::chrono::steady_clock::time_point m_last_message; ///< either way, heartbeats left out
+    /// The first heartbeat since something was received; nothing while none is unanswered.
+    std::optional<std::chrono::steady_clock::time_point> m_asked;
     timer_subscription m_heartbeat_timer;
 };
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -39,7 +39,8 @@
         check(posix_spawn_file_actions_addopen(&m_actions, STDERR_FILENO, log.c_str(),
                                                O_WRONLY | O_CREAT | O_APPEND, 0644),
               "addopen");
-        // The tests' own sockets must not live on in the child: a proxy's port would stay open after it closed.
+        // The tests' own sockets must not live on in the child: a proxy's port would stay open after it
+        // closed.
         check(posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1), "addclosefrom");
     }
     ~spawn_actions() { posix_spawn_file_actions_destroy(&m_actions); }
--- /dev/null
+++ b/tests/unit/test_peer_connection.cpp
@@ -0,0 +1,128 @@
+// When a connection between two of our processes is asked for a sign of life, and when it is given up.
+#include "wire/peer_connection.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+using namespace borageford;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto guard = 20s; ///< only against a test that hangs
+
+wire::hello_message make_hello() {
+    wire::hello_message hello;
+    hello.protocol_version = wire::protocol_version;
+    return hello;
+}
+
+/// A connection of ours whose other end is a bare socket in the test's hands.
+struct fixture {
+    boost::asio::io_context context;
+    timer_service timers;
+    tcp::socket other{context};
+    std::shared_ptr<wire::peer_connection> connection;
+    std::string end_reason;
+
+    void connect(std::function<bool()> has_work, wire::heartbeat_settings heartbeat) {
+        tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+        other.connect(acceptor.local_endpoint());
+        wire::peer_connection::callbacks calls;
+        calls.opened = [](const wire::hello_message&) {
+        };
+        calls.received = [](const wire::envelope&) {
+        };
+        calls.closed = [this](const std::string& reason) {
+            end_reason = reason;
+            context.stop();
+        };
+        calls.has_work = std::move(has_work);
+        connection = std::make_shared<wire::peer_connection>(
+            acceptor.accept(), boost::asio::make_strand(context.get_executor()), timers, heartbeat,
+            make_hello(), [] { return 1; }, std::move(calls));
+        connection->start();
+        boost::asio::write(other, boost::asio::buffer(wire::encode(1, make_hello())));
+    }
+
+    void run() {
+        context.run_for(guard);
+        REQUIRE(context.stopped());
+    }
+
+    /// The next message that our side sent; nothing once it has closed.
+    std::optional<wire::message> read_next() {
+        boost::system::error_code error;
+        std::array<std::byte, wire::frame_header_size> header{};
+        if (boost::asio::read(other, boost::asio::buffer(header), error) != header.size()) {
+            return std::nullopt;
+        }
+        std::vector<std::byte> body(wire::decode_length(header));
+        boost::asio::read(other, boost::asio::buffer(body), error);
+        return wire::decode(body).content;
+    }
+
+    std::vector<wire::message> read_all() {
+        std::vector<wire::message> messages;
+        while (auto next = read_next()) {
+            messages.push_back(std::move(*next));
+        }
+        return messages;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a silent connection that somebody waits on is asked and then given up", "[wire]") {
+    // Something between the two ends loses track of the connection: it stays open and nothing comes. Whoever
+    // waits for an answer on it must be told, or its caller waits to the deadline.
+    fixture parts;
+    parts.connect([] { return true; }, {.period = 10ms, .silence_limit = 60ms});
+    parts.run();
+    CHECK(parts.end_reason == "silent");
+    const auto sent = parts.read_all();
+    REQUIRE(sent.size() >= 2);
+    CHECK(std::holds_alternative<wire::hello_message>(sent.front()));
+    CHECK(std::holds_alternative<wire::heartbeat_message>(sent.back()));
+}
+
+TEST_CASE("a silent connection that nobody waits on is given up later", "[wire]") {
+    // Idle connections are asked seldom, since most of an entry's connections are idle. One that is dead must
+    // still go before it is used again for long.
+    fixture parts;
+    parts.connect([] { return false; }, {.period = 10ms, .silence_limit = 60ms, .idle_periods = 3});
+    parts.run();
+    CHECK(parts.end_reason == "silent");
+}
+
+TEST_CASE("a heartbeat is answered", "[wire]") {
+    fixture parts;
+    parts.connect({}, {.period = 1h});
+    wire::heartbeat_message question;
+    question.sequence = 1;
+    boost::asio::write(parts.other, boost::asio::buffer(wire::encode(1, question)));
+    bool has_answer = false;
+    const std::jthread peer([&parts, &has_answer] {
+        std::ignore = parts.read_next(); // the hello
+        const auto answer = parts.read_next();
+        const auto* heartbeat = answer ? std::get_if<wire::heartbeat_message>(&*answer) : nullptr;
+        has_answer = heartbeat != nullptr && heartbeat->is_reply;
+        parts.connection->close("test");
+    });
+    parts.run();
+    CHECK(has_answer);
+}
