--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -44,7 +44,9 @@
         [&builder](const auto& held) {
             using held_type = std::decay_t<decltype(held)>;
             using table = typename held_type::TableType;
-            return std::pair(payloadTraits<table>::enum_value, table::Pack(builder, &held).Union());
+            // A copy: the generated constant has no definition that a reference could bind to.
+            const auto type = payloadTraits<table>::enum_value;
+            return std::pair(type, table::Pack(builder, &held).Union());
         },
         content);
     builder.Finish(Createframe(builder, revision, type, offset));
