Place a joined request anew without following the same hint again

A call whose claim's answer was lost in an outage was refused at its resend: the sidecars went on naming the dispatch that never began, the entry joined it again and again, and its attempts ran out. The next round leaves the resend key out; the claim still stands before a second run.

--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -391,17 +391,12 @@
             break; // its row says that it has run
         }
         if (!m_answer.has_head()) {
-            m_not_begun.reset();
-            m_started->link->forget(m_started->dispatch);
-            return follow_result::not_begun;
+            return place_anew();
         }
         break; // it had begun: a sidecar that says otherwise knows nothing
     case wire::dispatch_fate::unknown:
         if (m_joined && m_call.is_idempotent && !m_answer.has_head()) {
-            m_call.resend_key = 0; // what was to be joined is gone: run it anew, which an idempotent call may
-            m_not_begun.reset();
-            m_started->link->forget(m_started->dispatch);
-            return follow_result::not_begun;
+            return place_anew(); // which an idempotent call may be
         }
         break;
     }
@@ -412,6 +407,17 @@
     throw request_error(error_kind::outcome_unknown);
 }
 
+/// Sidecars may go on naming what was to be joined: without its key the next round doesn't ask for it, and
+/// the claim of a call that isn't idempotent still stands before a second run.
+request_run::follow_result request_run::place_anew() {
+    if (m_joined) {
+        m_call.resend_key = 0;
+    }
+    m_not_begun.reset();
+    m_started->link->forget(m_started->dispatch);
+    return follow_result::not_begun;
+}
+
 std::optional<request_run::follow_result>
 request_run::take_not_begun(const wire::not_begun_message& refusal) {
     if (m_answer.has_head()) {
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -66,6 +66,7 @@
     boost::asio::awaitable<void> take_chunk(const wire::chunk_message& chunk);
     std::optional<follow_result> take_fate(const wire::fate_message& fate);
     std::optional<follow_result> take_not_begun(const wire::not_begun_message& refusal);
+    follow_result place_anew();
     void note_lost_connection();
     void ask_fate_again();
     void settle_claim(bool has_run);
