Stop an entry from corrupting its heap when a request's watcher outlives it

The wait for a caller's disconnect read the state of a request whose frame was gone; the state is shared now and the connection isn't touched after the request. And the process took its waiting coroutines apart after the services that their strands and timers live in; it now ends at once after its graceful end, when all that must last has been written. Ruled out: the proxy and the stand-ins.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -58,7 +58,7 @@
 public:
     explicit entry_process(entry_settings settings);
 
-    int run();
+    [[noreturn]] void run();
 
 private:
     link_context make_link_context();
@@ -218,7 +218,7 @@
     co_return result;
 }
 
-int entry_process::run() {
+void entry_process::run() {
     m_configuration.start([this](const auto&) { rebuild_servers(); });
     m_vms.start([this](const auto&) { rebuild_servers(); });
     m_audit.start();
@@ -233,7 +233,7 @@
     log::info("entry_started",
               {{"vm", m_settings.common.vm}, {"incarnation", m_runtime.incarnation().to_string()}});
     process::print_ready(listeners);
-    return m_runtime.run([this] { stop_gracefully(); });
+    m_runtime.run([this] { stop_gracefully(); });
 }
 
 void entry_process::take_peer_message(const std::string& backend_server, wire::envelope& received,
@@ -315,7 +315,7 @@
     log::start(settings.common.log_format, settings.common.log_level, "entry");
     try {
         entry_process process(std::move(settings));
-        return process.run();
+        process.run();
     } catch (const std::exception& error) {
         log::error("entry_failed", {{"why", error.what()}});
         return EXIT_FAILURE;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -34,6 +34,7 @@
     bool begun = false;
     bool chunked = false;
     bool ended = false;
+    bool is_over = false; ///< the request is done with, and `stream` may be gone
 };
 
 namespace {
@@ -97,60 +98,66 @@
 } // namespace
 
 asio::awaitable<void> response_writer::write(const response& answer) {
-    m_state.begun = true;
-    m_state.ended = true;
+    m_state->begun = true;
+    m_state->ended = true;
     beast::http::response<beast::http::string_body> out(
         beast::http::response_header<>(to_library(answer.head.headers)));
     out.version(11);
     out.result(answer.head.status);
     out.body() = answer.body;
-    out.keep_alive(m_state.keep_alive);
+    out.keep_alive(m_state->keep_alive);
     out.prepare_payload();
-    m_state.stream.expires_after(m_state.write_time);
-    co_await beast::http::async_write(m_state.stream, out, asio::use_awaitable);
+    m_state->stream.expires_after(m_state->write_time);
+    co_await beast::http::async_write(m_state->stream, out, asio::use_awaitable);
 }
 
 asio::awaitable<void> response_writer::begin(const response_head& head) {
-    m_state.begun = true;
-    m_state.chunked = true;
+    m_state->begun = true;
+    m_state->chunked = true;
     beast::http::response<beast::http::empty_body> out(
         beast::http::response_header<>(to_library(head.headers)));
     out.version(11);
     out.result(head.status);
-    out.keep_alive(m_state.keep_alive);
+    out.keep_alive(m_state->keep_alive);
     out.chunked(true);
     beast::http::response_serializer<beast::http::empty_body> serializer(out);
-    m_state.stream.expires_after(m_state.write_time);
-    co_await beast::http::async_write_header(m_state.stream, serializer, asio::use_awaitable);
+    m_state->stream.expires_after(m_state->write_time);
+    co_await beast::http::async_write_header(m_state->stream, serializer, asio::use_awaitable);
 }
 
 asio::awaitable<void> response_writer::write_piece(std::string_view piece) {
     if (piece.empty()) {
         co_return; // an empty chunk would mark the end
     }
-    m_state.stream.expires_after(m_state.write_time);
-    co_await asio::async_write(m_state.stream, beast::http::make_chunk(asio::buffer(piece)),
+    m_state->stream.expires_after(m_state->write_time);
+    co_await asio::async_write(m_state->stream, beast::http::make_chunk(asio::buffer(piece)),
                                asio::use_awaitable);
 }
 
 asio::awaitable<void> response_writer::finish() {
-    m_state.ended = true;
-    m_state.stream.expires_after(m_state.write_time);
-    co_await asio::async_write(m_state.stream, beast::http::make_chunk_last(), asio::use_awaitable);
+    m_state->ended = true;
+    m_state->stream.expires_after(m_state->write_time);
+    co_await asio::async_write(m_state->stream, beast::http::make_chunk_last(), asio::use_awaitable);
 }
 
 void response_writer::cut() noexcept {
-    m_state.keep_alive = false;
-    m_state.ended = true;
-    m_state.stream.close();
+    m_state->keep_alive = false;
+    m_state->ended = true;
+    m_state->stream.close();
 }
 
 asio::awaitable<void> response_writer::wait_for_disconnect() {
-    auto& socket = m_state.stream.socket();
-    while (!m_state.ended) {
+    const auto shared = m_state;
+    if (shared->is_over) {
+        co_return;
+    }
+    auto& socket = shared->stream.socket();
+    while (!shared->ended && !shared->is_over) {
         beast::error_code error;
         co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        if (error || m_state.ended) {
+        // Bytes that come after the answer wake this wait when the connection may be gone: it is touched only
+        // while the request lasts.
+        if (error || shared->ended || shared->is_over) {
             co_return;
         }
         char next = 0;
@@ -165,7 +172,7 @@
 }
 
 bool response_writer::has_begun() const noexcept {
-    return m_state.begun;
+    return m_state->begun;
 }
 
 struct server::state : std::enable_shared_from_this<server::state> {
@@ -299,12 +306,14 @@
         }
         co_return false;
     }
-    response_writer::state shared(stream, limits.write_time);
-    shared.keep_alive = parser.get().keep_alive() && !draining.load();
+    const auto shared = std::make_shared<response_writer::state>(stream, limits.write_time);
+    shared->keep_alive = parser.get().keep_alive() && !draining.load();
     const auto call = from_library(parser.release());
     response_writer writer(shared);
     co_await answer(call, writer);
-    co_return shared.keep_alive&& shared.ended;
+    shared->is_over = true;
+    const bool can_go_on = shared->keep_alive && shared->ended;
+    co_return can_go_on;
 }
 
 asio::awaitable<void> server::state::answer(const request& call, response_writer& writer) {
@@ -332,8 +341,8 @@
 
 asio::awaitable<void> server::state::refuse_and_close(beast::tcp_stream& stream, error_kind kind,
                                                       std::string_view why) {
-    response_writer::state shared(stream, limits.write_time);
-    shared.keep_alive = false;
+    const auto shared = std::make_shared<response_writer::state>(stream, limits.write_time);
+    shared->keep_alive = false;
     response_writer writer(shared);
     co_await writer.write(refuse(kind, why));
     co_await linger(stream);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <utility>
 
 namespace borageford::http {
 
@@ -34,7 +35,7 @@
 class response_writer {
 public:
     struct state;
-    explicit response_writer(state& shared) noexcept : m_state(shared) {}
+    explicit response_writer(std::shared_ptr<state> shared) noexcept : m_state(std::move(shared)) {}
 
     /// The whole answer at once.
     boost::asio::awaitable<void> write(const response& answer);
@@ -56,7 +57,8 @@
     [[nodiscard]] bool has_begun() const noexcept;
 
 private:
-    state& m_state;
+    /// Shared, since the wait for a disconnect may end after the request does.
+    std::shared_ptr<state> m_state;
 };
 
 /// Produces the answer to one request. An exception that leaves it is answered with the kind `internal`,
--- a/src/process/runtime.cpp
+++ b/src/process/runtime.cpp
@@ -41,7 +41,7 @@
 
 runtime::runtime(unsigned threads) : m_thread_count(threads), m_context(static_cast<int>(threads)) {}
 
-int runtime::run(std::function<void()> stop_requested) {
+void runtime::run(std::function<void()> stop_requested) {
     const auto work = boost::asio::make_work_guard(m_context);
     const auto signals = std::make_shared<boost::asio::signal_set>(m_context, SIGINT, SIGTERM);
     watch_signals(signals, std::move(stop_requested));
@@ -50,7 +50,12 @@
         threads.emplace_back([this] { m_context.run(); });
     }
     m_context.run();
-    return EXIT_SUCCESS;
+    threads.clear();
+    // What still waits is not taken apart: coroutines that end with the context hold timers and strands whose
+    // services may go first, which corrupted the heap and turned a graceful stop into an abort (exit code 134).
+    // Everything that must last was written before finish().
+    std::cout.flush();
+    std::_Exit(EXIT_SUCCESS);
 }
 
 void runtime::finish() {
--- a/src/process/runtime.hpp
+++ b/src/process/runtime.hpp
@@ -31,9 +31,9 @@
 
     /// Runs until finish(). The first SIGTERM or SIGINT calls `stop_requested` (the graceful stop); a
     /// second one ends the process at once with exit code 130.
-    int run(std::function<void()> stop_requested);
+    [[noreturn]] void run(std::function<void()> stop_requested);
 
-    /// Lets run() return 0.
+    /// Lets run() end the process with exit code 0.
     void finish();
 
 private:
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -47,7 +47,7 @@
 public:
     explicit sidecar_process(sidecar_settings settings);
 
-    int run();
+    [[noreturn]] void run();
 
 private:
     peer_registry::callbacks make_peer_callbacks();
@@ -167,7 +167,7 @@
     return hello;
 }
 
-int sidecar_process::run() {
+void sidecar_process::run() {
     m_configuration.start([this](const auto&) {
         asio::post(m_strand, [this] {
             choose_backend_kind();
@@ -188,7 +188,7 @@
                                   {"backend_server", m_settings.backend_server},
                                   {"incarnation", m_runtime.incarnation().to_string()}});
     process::print_ready(listeners);
-    return m_runtime.run([this] { asio::post(m_strand, [this] { stop_gracefully(); }); });
+    m_runtime.run([this] { asio::post(m_strand, [this] { stop_gracefully(); }); });
 }
 
 /// The configuration says which kind of backend server stands here. Until it's known it's taken for an
@@ -265,7 +265,7 @@
     log::start(settings.common.log_format, settings.common.log_level, settings.common.vm);
     try {
         sidecar_process process(std::move(settings));
-        return process.run();
+        process.run();
     } catch (const std::exception& error) {
         std::cerr << "borageford: the sidecar can't start: " << error.what() << '\n';
         return EXIT_FAILURE;
