Lead a resend to its claim when the run it was led to isn't to be had

Homes were told that a request was started at a dispatch that its entry had merely joined and that never began. An entry now tells homes only of starts of its own, offers without the resend key after a dispatch that wasn't to be had, and asks the claim where a home led nowhere.

--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -65,6 +65,9 @@
             co_return;
         }
         m_context.metrics.placed_again();
+        // Homes may have been told of the dispatch that isn't to be had: they would lead every further offer
+        // back to it, and the request would be refused in the end instead of run.
+        m_call.resend_key = 0;
         if (!may_place_again()) {
             settle_claim(false);
             throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
@@ -99,9 +102,9 @@
             settle_claim(false);
             throw *refusal;
         }
-        if (is_placed) {
+        if (is_placed && !m_joined) {
             round.withdraw_all(m_started->backend_server, m_started->dispatch);
-        } else {
+        } else { // of a joined run it isn't known yet whether it ever began
             round.withdraw_all();
         }
     }
@@ -359,6 +362,10 @@
         break;
     }
     m_started->link->forget(m_started->dispatch);
+    if (m_joined && !m_call.is_idempotent && m_claim.version == 0) {
+        m_not_begun.reset();
+        return follow_result::not_begun; // a home led here; what became of the call is said by its claim
+    }
     if (m_joined && m_claim.state == claim_state::finished) {
         throw request_error(error_kind::already_ran);
     }
