--- /dev/null
+++ b/tests/load/decision_cost.cpp
@@ -0,0 +1,133 @@
+// Makes one kind of decision many times, for counting instructions: run it under valgrind --tool=callgrind
+// with two counts and divide the difference (scripts/count-instructions).
+#include "policy/adaptive_limit.hpp"
+#include "policy/offer_queue.hpp"
+#include "policy/placement.hpp"
+#include "policy/prefix_index.hpp"
+#include "policy/random_sequence.hpp"
+#include "policy/workspace_limits.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace borageford::test {
+namespace {
+
+using namespace policy;
+using namespace std::chrono_literals;
+
+const time_point start_time = time_point{} + 1h;
+
+/// Keeps the compiler from leaving decisions out.
+std::size_t checksum = 0;
+
+void place(std::size_t servers, std::size_t count) {
+    std::vector<placement_candidate> candidates(servers);
+    random_sequence random(1);
+    for (auto& candidate : candidates) {
+        candidate.name_hash = random.next();
+        candidate.failure_domain = "sala-a";
+        candidate.region = "occidente";
+        candidate.load = reported_load{.prefill_tokens_per_second = 500.0 + random.below(3000)};
+    }
+    placement_request request;
+    request.region = "occidente";
+    request.prompt_tokens = 500;
+    const placement_policy chosen = late_binding{};
+    for (std::size_t index = 0; index < count; ++index) {
+        request.home_key = random.next();
+        request.seed = random.next();
+        checksum += plan_placement(chosen, request, candidates).offers.front().candidate;
+    }
+}
+
+void queue(std::size_t count) {
+    offer_queue waiting({});
+    auto now = start_time;
+    for (std::uint64_t number = 0; number < 100 + count; ++number) {
+        now += 1ms;
+        queued_offer offer;
+        offer.dispatch = {1, number};
+        offer.workspace = "workspace-" + std::to_string(number % 5);
+        offer.tier = static_cast<unsigned>(number % 4);
+        offer.tokens = 100 + number % 400;
+        checksum += waiting.put(offer, now).is_queued ? 1 : 0;
+        if (number >= 100) {
+            checksum += waiting.take_next(now)->tokens;
+        }
+    }
+}
+
+void limit(std::size_t count) {
+    adaptive_limit limits({});
+    auto now = start_time;
+    for (std::size_t index = 0; index < count; ++index) {
+        now += 1ms;
+        checksum += limits.has_room(100) ? 1 : 0;
+        auto admitted = limits.admit(100);
+        limits.record_first_token(admitted, 100ms, now);
+        limits.record_between_tokens(20ms, now);
+        limits.release(admitted);
+    }
+}
+
+/// A prompt of 2,000 tokens: hashed, looked up and recorded.
+void find_prefix(std::size_t count) {
+    prefix_index index;
+    std::string prompt(8000, 'x');
+    for (std::size_t number = 0; number < count; ++number) {
+        prompt.replace(0, 8, std::to_string(10000000 + number % 100));
+        const auto hashes = hash_prefix_blocks(prompt);
+        checksum += index.home_key(hashes).value_or(0) + index.find_holders(hashes, start_time).size();
+        index.record_start(hashes, number % 12, start_time);
+    }
+}
+
+void admit_workspace(std::size_t count) {
+    workspace_limits limits;
+    limits.set_limit("workspace-1",
+                     {.requests_per_second = 1e6, .tokens_per_second = 1e9, .concurrent_requests = 10},
+                     start_time);
+    auto now = start_time;
+    for (std::size_t index = 0; index < count; ++index) {
+        now += 1ms;
+        checksum += limits.try_begin("workspace-1", 100, now) ? 1 : 0;
+        limits.finish("workspace-1", 100, 120, 50ms, now);
+    }
+}
+
+bool run(std::string_view name, std::size_t count) {
+    if (name == "place_12") {
+        place(12, count);
+    } else if (name == "place_75") {
+        place(75, count);
+    } else if (name == "queue") {
+        queue(count);
+    } else if (name == "limit") {
+        limit(count);
+    } else if (name == "prefix") {
+        find_prefix(count);
+    } else if (name == "workspace") {
+        admit_workspace(count);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+} // namespace borageford::test
+
+int main(int count, char** arguments) {
+    const bool has_run =
+        count == 3 && borageford::test::run(arguments[1], std::strtoull(arguments[2], nullptr, 10));
+    if (!has_run) {
+        std::fputs("borageford_decision_cost place_12|place_75|queue|limit|prefix|workspace COUNT\n", stderr);
+        return 2;
+    }
+    std::printf("%zu\n", borageford::test::checksum);
+    return 0;
+}
