Don't block a thread on the watch for a caller's disconnect

"explain" showed the entry's coroutine asleep from its first offer until the caller left, past grants and its own timers. The wait for readability can end with nothing to read; the peek after it was a blocking read, which held the strand and one of two threads until the caller sent or closed something. The mailbox and the offers' timers were looked at first and are right.

The peek no longer blocks.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -153,8 +153,14 @@
         if (error || m_state.ended) {
             co_return;
         }
+        // The wait can end although nothing has come (readiness left over from the request's own bytes). A
+        // read that blocks then would hold this thread, and every request on it, until the caller leaves.
+        socket.non_blocking(true, error);
         char next = 0;
         socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            continue;
+        }
         if (error) {
             co_return;
         }
