--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -155,7 +155,10 @@
     } catch (const request_error& error) {
         response = error_answer(error);
     } catch (const platform::platform_error& error) {
-        response = error_answer(request_error(error_kind::platform_unavailable, error.what()));
+        // Only a write that was refused or never sent may be called unchanged.
+        const auto kind = error.possible_effect() == platform::effect::none ? error_kind::platform_unavailable
+                                                                            : error_kind::outcome_unknown;
+        response = error_answer(request_error(kind, error.what()));
     } catch (const std::exception& error) {
         log::error("admin_call_failed", {{"target", call.target}, {"error", error.what()}});
         response = error_answer(request_error(error_kind::internal, error.what()));
@@ -211,7 +214,7 @@
 asio::awaitable<http::response> administration::confirm_plan(const admin_call& call) {
     const auto result =
         co_await m_planner.confirm(call.arguments.front(), call.operator_name, wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::list_revisions(const admin_call& call) {
@@ -261,13 +264,13 @@
 asio::awaitable<http::response> administration::drain_server(const admin_call& call) {
     const auto result = co_await m_planner.set_drained(call.arguments.front(), true, call.operator_name,
                                                        wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::undrain_server(const admin_call& call) {
     const auto result = co_await m_planner.set_drained(call.arguments.front(), false, call.operator_name,
                                                        wait_of(call.request));
-    co_return commit_answer(result.commit, result.spread);
+    co_return commit_answer(result);
 }
 
 asio::awaitable<http::response> administration::list_quarantine(const admin_call& /*call*/) {
