--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -48,7 +48,7 @@
 public:
     explicit sidecar_process(sidecar_settings settings);
 
-    int run();
+    [[noreturn]] void run();
 
 private:
     peer_registry::callbacks make_peer_callbacks();
@@ -168,7 +168,7 @@
     return hello;
 }
 
-int sidecar_process::run() {
+void sidecar_process::run() {
     configuration::add_configuration_metrics(m_registry, m_configuration);
     m_configuration.start([this](const auto&) {
         asio::post(m_strand, [this] {
@@ -190,7 +190,7 @@
                                   {"backend_server", m_settings.backend_server},
                                   {"incarnation", m_runtime.incarnation().to_string()}});
     process::print_ready(listeners);
-    return m_runtime.run([this] { asio::post(m_strand, [this] { stop_gracefully(); }); });
+    m_runtime.run([this] { asio::post(m_strand, [this] { stop_gracefully(); }); });
 }
 
 /// The configuration says which kind of backend server stands here. Until it's known it's taken for an
@@ -267,7 +267,7 @@
     log::start(settings.common.log_format, settings.common.log_level, settings.common.vm);
     try {
         sidecar_process process(std::move(settings));
-        return process.run();
+        process.run();
     } catch (const std::exception& error) {
         std::cerr << "borageford: the sidecar can't start: " << error.what() << '\n';
         return EXIT_FAILURE;
