--- a/tests/load/decision_cost.cpp
+++ b/tests/load/decision_cost.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,10 +22,10 @@
 
 const time_point start_time = time_point{} + 1h;
 
-/// Keeps the compiler from leaving decisions out.
-std::size_t checksum = 0;
+// Each returns a sum over its decisions, so that the compiler can't leave them out.
 
-void place(std::size_t servers, std::size_t count) {
+std::size_t place(std::size_t servers, std::size_t count) {
+    std::size_t checksum = 0;
     std::vector<placement_candidate> candidates(servers);
     random_sequence random(1);
     for (auto& candidate : candidates) {
@@ -42,9 +43,11 @@
         request.seed = random.next();
         checksum += plan_placement(chosen, request, candidates).offers.front().candidate;
     }
+    return checksum;
 }
 
-void queue(std::size_t count) {
+std::size_t queue(std::size_t count) {
+    std::size_t checksum = 0;
     offer_queue waiting({});
     auto now = start_time;
     for (std::uint64_t number = 0; number < 100 + count; ++number) {
@@ -59,9 +62,11 @@
             checksum += waiting.take_next(now)->tokens;
         }
     }
+    return checksum;
 }
 
-void limit(std::size_t count) {
+std::size_t limit(std::size_t count) {
+    std::size_t checksum = 0;
     adaptive_limit limits({});
     auto now = start_time;
     for (std::size_t index = 0; index < count; ++index) {
@@ -72,10 +77,12 @@
         limits.record_between_tokens(20ms, now);
         limits.release(admitted);
     }
+    return checksum;
 }
 
 /// A prompt of 2,000 tokens: hashed, looked up and recorded.
-void find_prefix(std::size_t count) {
+std::size_t find_prefix(std::size_t count) {
+    std::size_t checksum = 0;
     prefix_index index;
     std::string prompt(8000, 'x');
     for (std::size_t number = 0; number < count; ++number) {
@@ -84,9 +91,11 @@
         checksum += index.home_key(hashes).value_or(0) + index.find_holders(hashes, start_time).size();
         index.record_start(hashes, number % 12, start_time);
     }
+    return checksum;
 }
 
-void admit_workspace(std::size_t count) {
+std::size_t admit_workspace(std::size_t count) {
+    std::size_t checksum = 0;
     workspace_limits limits;
     limits.set_limit("workspace-1",
                      {.requests_per_second = 1e6, .tokens_per_second = 1e9, .concurrent_requests = 10},
@@ -97,37 +106,42 @@
         checksum += limits.try_begin("workspace-1", 100, now) ? 1 : 0;
         limits.finish("workspace-1", 100, 120, 50ms, now);
     }
+    return checksum;
 }
 
-bool run(std::string_view name, std::size_t count) {
+std::optional<std::size_t> run(std::string_view name, std::size_t count) {
     if (name == "place_12") {
-        place(12, count);
-    } else if (name == "place_75") {
-        place(75, count);
-    } else if (name == "queue") {
-        queue(count);
-    } else if (name == "limit") {
-        limit(count);
-    } else if (name == "prefix") {
-        find_prefix(count);
-    } else if (name == "workspace") {
-        admit_workspace(count);
-    } else {
-        return false;
+        return place(12, count);
     }
-    return true;
+    if (name == "place_75") {
+        return place(75, count);
+    }
+    if (name == "queue") {
+        return queue(count);
+    }
+    if (name == "limit") {
+        return limit(count);
+    }
+    if (name == "prefix") {
+        return find_prefix(count);
+    }
+    if (name == "workspace") {
+        return admit_workspace(count);
+    }
+    return std::nullopt;
 }
 
 } // namespace
 } // namespace borageford::test
 
 int main(int count, char** arguments) {
-    const bool has_run =
-        count == 3 && borageford::test::run(arguments[1], std::strtoull(arguments[2], nullptr, 10));
-    if (!has_run) {
+    const auto result = count == 3
+                            ? borageford::test::run(arguments[1], std::strtoull(arguments[2], nullptr, 10))
+                            : std::nullopt;
+    if (!result) {
         std::fputs("borageford_decision_cost place_12|place_75|queue|limit|prefix|workspace COUNT\n", stderr);
         return 2;
     }
-    std::printf("%zu\n", borageford::test::checksum);
+    std::printf("%zu\n", *result);
     return 0;
 }
