--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -47,7 +47,10 @@
 private:
     enum class follow_result : std::uint8_t { whole, not_begun };
 
+    boost::asio::awaitable<void> serve_to_end();
     boost::asio::awaitable<void> place();
+    boost::asio::awaitable<bool> join_earlier_copy();
+    boost::asio::awaitable<request_error> judge_unknown(request_error failure);
     bool follow_configuration();
     [[nodiscard]] bool may_place_again();
     boost::asio::awaitable<bool> take_grant(granted_place place);
@@ -63,6 +66,7 @@
     boost::asio::awaitable<void> take_chunk(const wire::chunk_message& chunk);
     std::optional<follow_result> take_fate(const wire::fate_message& fate);
     std::optional<follow_result> take_not_begun(const wire::not_begun_message& refusal);
+    follow_result place_anew();
     void note_lost_connection();
     void ask_fate_again();
     void settle_claim(bool has_run);
--- a/src/entry/sidecar_link.hpp
+++ b/src/entry/sidecar_link.hpp
@@ -32,7 +32,8 @@
     std::uint32_t sequence_limit = 0;
     double prefill_tokens_per_second = 0;
     double output_tokens_per_second = 0;
-    std::uint32_t expected_wait_ms = 0;
+    std::uint32_t expected_wait_ms = 0;      ///< of a new offer of the lowest tier
+    std::vector<std::uint32_t> tier_wait_ms; ///< of a new offer of each tier, by rank
 };
 
 /// What every link of an entry shares. Outlives the links.
@@ -75,8 +76,8 @@
     /// Of the process at the other end; none before the first hello.
     [[nodiscard]] identifier incarnation() const;
     [[nodiscard]] std::optional<server_load> load() const;
-    /// True from the sidecar's `leaving` to the end of that connection. A new one's hello says it anew: a link
-    /// that remembered it would never be offered to, and so never learn that the sidecar is back.
+    /// True from the sidecar's `leaving` to the end of that connection. A new one's hello says it anew: a
+    /// link that remembered it would never be offered to, and so never learn that the sidecar is back.
     [[nodiscard]] bool is_leaving() const noexcept { return m_leaving.load(); }
     /// True while the last attempt to connect failed, for a short while.
     [[nodiscard]] bool is_unreachable() const noexcept;
