--- a/src/backend/backend_server.hpp
+++ b/src/backend/backend_server.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <deque>
 #include <optional>
 #include <variant>
 
@@ -18,6 +19,14 @@
     using server = std::variant<model_engine, plain_service>;
 
     explicit backend_server(server kind);
+    backend_server(const backend_server&) = delete;
+    backend_server& operator=(const backend_server&) = delete;
+    backend_server(backend_server&&) = delete;
+    backend_server& operator=(backend_server&&) = delete;
+    ~backend_server() = default;
+
+    /// The configuration says that another kind stands here.
+    void replace(server kind);
 
     [[nodiscard]] bool is_engine() const noexcept;
     /// Null for a plain service.
@@ -30,7 +39,9 @@
     boost::asio::awaitable<bool> is_healthy();
 
 private:
-    server m_server;
+    /// The last one is in force. Those before it stay: a call in progress, such as the health check at the
+    /// start, still uses the kind that it began with, and destroying that one under it let requests hang.
+    std::deque<server> m_kinds;
 };
 
 } // namespace borageford::backend
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -111,8 +111,13 @@
         start_entry(index);
     }
     publish_vms();
-    for (std::size_t index = 0; index < m_entries.size(); ++index) {
-        wait_for_entry(index);
+    try {
+        for (std::size_t index = 0; index < m_entries.size(); ++index) {
+            wait_for_entry(index);
+        }
+    } catch (const std::exception&) {
+        show_logs(); // the destructor doesn't run
+        throw;
     }
 }
 
