Let changes that nobody waits for go with the next claim

The proof that several hundred claims fit the table's write rate had its bound moved from calls to rows, because each claim's end was written in a transaction of its own time: 806 rows in 103 transactions for 400 calls. The ends of calls and released claims wait up to 200 ms for a claim to go with now. The first, stricter bound stands again. A resend within those 200 ms finds the row still claimed and asks the sidecar, as it does after an outage. A graceful stop waits until all changes are written.

--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -28,6 +28,8 @@
 namespace {
 
 constexpr std::size_t most_in_transaction = 100;
+/// Changes that nobody waits for go with the next claim, or after this.
+constexpr std::chrono::milliseconds background_window{200};
 
 /// How one change of a row ended.
 enum class change_outcome : std::uint8_t { waiting, committed, conflict, refused, unknown };
@@ -35,15 +37,17 @@
 /// One row to change, and the coroutine that waits for it.
 struct row_change {
     row_change(const asio::any_io_executor& executor, std::string row, std::uint64_t expected,
-               std::optional<std::string> text)
+               std::optional<std::string> text, bool urgent)
         : key(std::move(row)),
           expected_version(expected),
           value(std::move(text)),
+          is_urgent(urgent),
           done(executor, asio::steady_timer::time_point::max()) {}
 
     std::string key;
     std::uint64_t expected_version;
     std::optional<std::string> value; ///< nothing: the row is removed
+    bool is_urgent;                   ///< a request waits for it
     change_outcome outcome = change_outcome::waiting;
     std::uint64_t version = 0;
     asio::steady_timer done; ///< cancelled when the outcome is known
@@ -58,13 +62,15 @@
 struct claim_store::state : std::enable_shared_from_this<claim_store::state> {
     state(const asio::any_io_executor& executor, platform::table& given, std::chrono::milliseconds wait,
           std::chrono::milliseconds most)
-        : strand(asio::make_strand(executor)), table(given), window(wait), limit(most) {}
+        : strand(asio::make_strand(executor)), table(given), window(wait), limit(most), pause(strand) {}
 
     asio::awaitable<change_pointer> submit(std::string key, std::uint64_t expected,
                                            std::optional<std::string> value);
     void submit_in_background(std::string key, std::uint64_t expected, std::optional<std::string> value);
     void enqueue(change_pointer change);
     asio::awaitable<void> flush();
+    asio::awaitable<void> gather();
+    [[nodiscard]] bool has_urgent() const;
     std::vector<change_pointer> take_batch();
     asio::awaitable<void> commit(const std::vector<change_pointer>& batch);
     void settle(const std::vector<change_pointer>& batch, const platform::transaction_result& result);
@@ -76,7 +82,9 @@
     std::chrono::milliseconds window;
     std::chrono::milliseconds limit;
     std::deque<change_pointer> waiting;
-    bool flushing = false;
+    asio::steady_timer pause;
+    bool can_be_hurried = false; ///< `pause` runs for changes that nobody waits for
+    std::atomic<bool> flushing = false;
     std::atomic<std::uint64_t> transactions = 0;
     std::atomic<std::uint64_t> rows = 0;
 };
@@ -87,23 +95,42 @@
 }
 
 void claim_store::state::enqueue(change_pointer change) {
+    const bool is_urgent = change->is_urgent;
     waiting.push_back(std::move(change));
-    if (!std::exchange(flushing, true)) {
+    if (!flushing.exchange(true)) {
         asio::co_spawn(strand, flush(), asio::detached);
+    } else if (is_urgent && can_be_hurried) {
+        pause.cancel();
+    }
+}
+
+bool claim_store::state::has_urgent() const {
+    return std::ranges::any_of(waiting, [](const change_pointer& change) { return change->is_urgent; });
+}
+
+/// Lets changes come together before they share a transaction: a few milliseconds where a request waits.
+asio::awaitable<void> claim_store::state::gather() {
+    boost::system::error_code ignored;
+    if (!has_urgent()) {
+        can_be_hurried = true;
+        pause.expires_after(background_window);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        can_be_hurried = false;
+    }
+    if (has_urgent()) {
+        pause.expires_after(window);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
 
 /// Runs on the strand until nothing waits.
 asio::awaitable<void> claim_store::state::flush() {
     const auto self = shared_from_this();
-    asio::steady_timer pause(strand);
     while (!waiting.empty()) {
-        boost::system::error_code ignored;
-        pause.expires_after(window);
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await gather();
         co_await commit(take_batch());
     }
-    flushing = false;
+    flushing.store(false);
 }
 
 /// Two changes of one row can't share a transaction; the later one waits for the next.
@@ -111,6 +138,7 @@
     std::vector<change_pointer> batch;
     std::deque<change_pointer> later;
     std::set<std::string_view> keys;
+    std::ranges::partition(waiting, [](const change_pointer& change) { return change->is_urgent; });
     for (auto& change : waiting) {
         const bool fits = batch.size() < most_in_transaction && keys.insert(change->key).second;
         if (fits) {
@@ -170,7 +198,8 @@
 asio::awaitable<change_pointer> claim_store::state::submit(std::string key, std::uint64_t expected,
                                                            std::optional<std::string> value) {
     co_await asio::dispatch(strand, asio::use_awaitable);
-    const auto change = std::make_shared<row_change>(strand, std::move(key), expected, std::move(value));
+    const auto change =
+        std::make_shared<row_change>(strand, std::move(key), expected, std::move(value), true);
     enqueue(change);
     boost::system::error_code ignored;
     change->done.expires_after(limit);
@@ -184,7 +213,8 @@
                                               std::optional<std::string> value) {
     asio::dispatch(strand, [self = shared_from_this(), row = std::move(key), expected,
                             text = std::move(value)]() mutable {
-        self->enqueue(std::make_shared<row_change>(self->strand, std::move(row), expected, std::move(text)));
+        self->enqueue(
+            std::make_shared<row_change>(self->strand, std::move(row), expected, std::move(text), false));
     });
 }
 
@@ -260,6 +290,10 @@
     m_state->submit_in_background(claim_key(workspace, key), unused.version, std::nullopt);
 }
 
+bool claim_store::is_idle() const noexcept {
+    return !m_state->flushing.load();
+}
+
 std::uint64_t claim_store::transactions() const noexcept {
     return m_state->transactions.load();
 }
--- a/src/entry/claim_store.hpp
+++ b/src/entry/claim_store.hpp
@@ -58,6 +58,8 @@
     /// resend learns from the sidecar that it never began.
     void release(std::string workspace, std::string key, claim unused);
 
+    /// No change waits or is under way.
+    [[nodiscard]] bool is_idle() const noexcept;
     [[nodiscard]] std::uint64_t transactions() const noexcept;
     [[nodiscard]] std::uint64_t rows_written() const noexcept;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -293,7 +293,7 @@
 }
 
 void entry_process::finish_when_idle() {
-    const bool is_idle = m_caller_server.requests_in_progress() == 0;
+    const bool is_idle = m_caller_server.requests_in_progress() == 0 && m_claims.is_idle();
     if (!is_idle && steady_clock::now() < *m_stop_by) {
         return;
     }
--- a/tests/failure/test_4_non_idempotent.cpp
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -183,6 +183,5 @@
     const auto rows = system.platform_count("rows_written") - rows_before;
     WARN(rows << " rows in " << transactions << " transactions for " << calls_at_once << " claims");
     CHECK(system.server_count(0, "total") - runs_before == calls_at_once);
-    // A claim and the note of its end are a row each.
-    CHECK(transactions * 4 < rows);
+    CHECK(transactions * 4 < calls_at_once);
 }
