Poll the platform each 5 s by default

At the size to design for, 1,650 processes that poll each 2 s read 1,955 times a second (docs/CAPACITY.md), of about 2,000 that the platform gives. Peers pass revisions on with every frame, and confirm tells the nodes itself, so polling is what catches up nodes that nobody talks to.

--- a/src/configuration/revision_store.cpp
+++ b/src/configuration/revision_store.cpp
@@ -54,6 +54,7 @@
     const auto after = first == 0 ? std::string() : revision_key(first - 1);
     const auto rows = co_await m_table.scan(revision_prefix, after, limit);
     std::vector<revision_row> revisions;
+    revisions.reserve(rows.size());
     for (const auto& row : rows) {
         revisions.push_back(decode_revision(row.value));
     }
--- a/src/process/common_settings.hpp
+++ b/src/process/common_settings.hpp
@@ -22,7 +22,7 @@
     log::format log_format = log::format::text;
     log::level log_level = log::level::info;
     boost::asio::ip::tcp::endpoint platform;
-    std::chrono::milliseconds poll_period{2000};      ///< head of the configuration, list of VMs, marks
+    std::chrono::milliseconds poll_period{5000};      ///< head of the configuration, list of VMs, marks
     std::chrono::milliseconds heartbeat_period{1000}; ///< on every connection between our processes
     std::chrono::milliseconds silence_limit{3000};    ///< a connection silent for longer is abandoned
     std::chrono::milliseconds platform_timeout{2000}; ///< one call to the table or the object store
