Split the claim and the asking for a lost fate out of the request's run

A request_claim has the key from its claim to its settlement, a fate_inquiry the pacing of questions; the run reads as place, start, follow.

--- /dev/null
+++ b/src/entry/request_claim.cpp
@@ -0,0 +1,83 @@
+// Taking, adopting and settling the claim of a call.
+#include "entry/request_claim.hpp"
+
+#include "base/request_error.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace borageford::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::int64_t now_seconds() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
+} // namespace
+
+asio::awaitable<std::optional<claim>> request_claim::take(const granted_place& place) {
+    if (m_call.is_idempotent) {
+        co_return std::nullopt;
+    }
+    m_claim.dispatch = place.dispatch;
+    m_claim.request = m_call.id;
+    m_claim.fingerprint = m_call.fingerprint;
+    m_claim.backend_server = place.backend_server;
+    m_claim.incarnation = place.incarnation;
+    m_claim.state = claim_state::claimed;
+    m_claim.time = now_seconds();
+    auto result = co_await m_store.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    if (const auto* taken = std::get_if<claim_taken>(&result)) {
+        m_claim.version = taken->version;
+        m_is_adopted = false;
+        co_return std::nullopt;
+    }
+    co_return std::move(std::get<claim_held>(result).current);
+}
+
+asio::awaitable<std::optional<claim>> request_claim::find_earlier() {
+    if (m_call.is_idempotent || m_claim.version != 0) {
+        co_return std::nullopt;
+    }
+    co_return co_await m_store.read(m_call.workspace->name, m_call.idempotency_key);
+}
+
+asio::awaitable<bool> request_claim::is_finished() {
+    if (m_call.is_idempotent) {
+        co_return false;
+    }
+    const auto standing = co_await m_store.read(m_call.workspace->name, m_call.idempotency_key);
+    co_return standing && standing->state == claim_state::finished;
+}
+
+void request_claim::adopt(const claim& standing) {
+    if (standing.fingerprint != m_call.fingerprint) {
+        throw request_error(error_kind::idempotency_key_reused);
+    }
+    m_claim = standing;
+    m_is_adopted = true;
+}
+
+void request_claim::finish() {
+    if (m_claim.version != 0 && m_claim.state != claim_state::finished) {
+        m_store.note_finished(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    }
+    m_claim.version = 0;
+}
+
+void request_claim::release() {
+    if (m_claim.version != 0 && !m_is_adopted) {
+        m_store.release(m_call.workspace->name, m_call.idempotency_key, m_claim);
+    }
+    m_claim.version = 0;
+}
+
+bool request_claim::is_known_finished() const noexcept {
+    return m_is_adopted && m_claim.state == claim_state::finished;
+}
+
+} // namespace borageford::entry
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -20,8 +20,6 @@
 constexpr int most_attempts = 4;
 constexpr int most_stale_attempts = 50;
 constexpr milliseconds revision_wait{50};
-constexpr milliseconds first_ask_delay{20};
-constexpr milliseconds longest_ask_delay{1000};
 /// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
 constexpr std::chrono::hours longest_wait{24};
 
@@ -53,7 +51,12 @@
 
 request_run::request_run(entry_context& context, call& request, caller_answer& answer,
                          std::shared_ptr<event_mailbox> events)
-    : m_context(context), m_call(request), m_answer(answer), m_events(std::move(events)) {}
+    : m_context(context),
+      m_call(request),
+      m_answer(answer),
+      m_events(std::move(events)),
+      m_claim(context.claims, request),
+      m_inquiry(context.settings.fate_limit) {}
 
 asio::awaitable<void> request_run::serve() {
     std::optional<request_error> failure;
@@ -82,7 +85,7 @@
         // back to it, and the request would be refused in the end instead of run.
         m_call.resend_key = 0;
         if (!may_place_again()) {
-            settle_claim(false);
+            m_claim.release();
             throw m_not_begun.value_or(request_error(error_kind::no_backend_server));
         }
         if (m_not_begun && m_not_begun->kind() == error_kind::stale_revision) {
@@ -115,7 +118,7 @@
             if (co_await join_earlier_copy()) {
                 co_return;
             }
-            settle_claim(false);
+            m_claim.release();
             throw *refusal;
         }
         if (is_placed && !m_joined) {
@@ -130,23 +133,20 @@
 /// entry perhaps, may have run or be running: its caller would believe that it may send a new key, and the
 /// call would run twice. The row of the key says so.
 asio::awaitable<bool> request_run::join_earlier_copy() {
-    if (m_call.is_idempotent || m_claim.version != 0) {
-        co_return false;
-    }
-    const auto standing = co_await m_context.claims.read(m_call.workspace->name, m_call.idempotency_key);
+    const auto standing = co_await m_claim.find_earlier();
     if (standing) {
-        co_await join_claimed(*standing);
+        join_claimed(*standing);
     }
     co_return standing.has_value();
 }
 
 /// What can't be learned from a sidecar may stand in the row: a call that ran to its end is marked there.
 asio::awaitable<request_error> request_run::judge_unknown(request_error failure) {
-    if (m_call.is_idempotent || failure.kind() != error_kind::outcome_unknown) {
+    if (failure.kind() != error_kind::outcome_unknown) {
         co_return failure;
     }
-    const auto standing = co_await m_context.claims.read(m_call.workspace->name, m_call.idempotency_key);
-    if (standing && standing->state == claim_state::finished) {
+    const bool has_run = co_await m_claim.is_finished();
+    if (has_run) {
         co_return request_error(error_kind::already_ran);
     }
     co_return failure;
@@ -202,47 +202,31 @@
 
 /// Returns whether the start is ours to send; otherwise another run of this request has been joined.
 asio::awaitable<bool> request_run::claim_before_start(const granted_place& place) {
-    if (m_call.is_idempotent) {
-        co_return true;
+    const auto standing = co_await m_claim.take(place);
+    if (standing) {
+        join_claimed(*standing);
+        co_return false;
     }
-    m_claim.dispatch = place.dispatch;
-    m_claim.request = m_call.id;
-    m_claim.fingerprint = m_call.fingerprint;
-    m_claim.backend_server = place.backend_server;
-    m_claim.incarnation = place.incarnation;
-    m_claim.time = now_seconds();
-    co_return co_await claim(place);
-}
-
-asio::awaitable<bool> request_run::claim(const granted_place& place) {
-    const auto result =
-        co_await m_context.claims.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
-    if (const auto* taken = std::get_if<claim_taken>(&result)) {
-        m_claim.version = taken->version;
+    if (!m_call.is_idempotent) {
         record(audit::event::claimed, {place.link, place.backend_server, place.dispatch, {}, {}});
-        co_return true;
     }
-    co_return co_await join_claimed(std::get<claim_held>(result).current);
+    co_return true;
 }
 
 /// Another run holds the key: its answer is this caller's answer, if it is still to be had.
-asio::awaitable<bool> request_run::join_claimed(const entry::claim& current) {
-    if (current.fingerprint != m_call.fingerprint) {
-        throw request_error(error_kind::idempotency_key_reused);
-    }
+void request_run::join_claimed(const claim& standing) {
+    m_claim.adopt(standing);
     const auto table = m_context.servers.current();
-    const auto found = table->by_server.find(current.backend_server);
+    const auto found = table->by_server.find(standing.backend_server);
     if (found == table->by_server.end()) {
-        throw request_error(current.state == claim_state::finished ? error_kind::already_ran
-                                                                   : error_kind::outcome_unknown);
+        throw request_error(m_claim.is_known_finished() ? error_kind::already_ran
+                                                        : error_kind::outcome_unknown);
     }
-    m_claim = current;
     m_joined = true;
-    m_started = started_dispatch{found->second, current.backend_server, current.dispatch, current.incarnation,
-                                 start_of(current)};
+    m_started = started_dispatch{found->second, standing.backend_server, standing.dispatch,
+                                 standing.incarnation, start_of(standing)};
     m_context.metrics.attached();
     attach();
-    co_return false;
 }
 
 void request_run::join(const attachable_place& place) {
@@ -255,8 +239,7 @@
 
 void request_run::start(const granted_place& place) {
     m_joined = false;
-    m_lost_since.reset();
-    m_ask_at.reset();
+    m_inquiry.settle();
     m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation,
                                  steady_clock::now()};
     wire::start_message start;
@@ -285,7 +268,7 @@
 
 asio::awaitable<request_run::follow_result> request_run::follow() {
     for (;;) {
-        const auto until = m_ask_at.value_or(steady_clock::now() + longest_wait);
+        const auto until = m_inquiry.next_question().value_or(steady_clock::now() + longest_wait);
         auto event = co_await m_events->receive(until);
         if (!event) {
             ask_fate_again();
@@ -375,7 +358,7 @@
     acknowledge.dispatch = wire::to_wire(m_started->dispatch);
     m_started->link->send_if_connected(acknowledge);
     m_started->link->forget(m_started->dispatch);
-    settle_claim(true);
+    m_claim.finish();
     m_context.metrics.answered();
     m_context.metrics.total(m_call, steady_clock::now() - m_call.received);
     record(audit::event::answered, *m_started);
@@ -383,14 +366,13 @@
 }
 
 std::optional<request_run::follow_result> request_run::take_fate(const wire::fate_message& fate) {
-    m_ask_at.reset();
     switch (fate.state) {
     case wire::dispatch_fate::running:
     case wire::dispatch_fate::finished:
-        m_lost_since.reset();
+        m_inquiry.settle();
         return std::nullopt;
     case wire::dispatch_fate::not_begun:
-        if (m_joined && m_claim.state == claim_state::finished) {
+        if (m_claim.is_known_finished()) {
             break; // its row says that it has run
         }
         if (!m_answer.has_head()) {
@@ -404,11 +386,10 @@
         break;
     }
     m_started->link->forget(m_started->dispatch);
-    if (m_joined && !m_call.is_idempotent && m_claim.version == 0) {
-        m_not_begun.reset();
-        return follow_result::not_begun; // a home led here; what became of the call is said by its claim
+    if (m_joined && !m_call.is_idempotent && !m_claim.is_known()) {
+        return place_anew(); // a home led here; what became of the call is said by its claim
     }
-    if (m_joined && m_claim.state == claim_state::finished) {
+    if (m_claim.is_known_finished()) {
         throw request_error(error_kind::already_ran);
     }
     throw request_error(error_kind::outcome_unknown);
@@ -437,25 +418,17 @@
 }
 
 void request_run::note_lost_connection() {
-    const auto now = steady_clock::now();
-    if (!m_lost_since) {
-        m_lost_since = now;
-        m_ask_delay = first_ask_delay;
-    } else {
-        m_ask_delay = std::min<steady_clock::duration>(m_ask_delay * 2, longest_ask_delay);
-    }
-    if (now - *m_lost_since > m_context.settings.fate_limit) {
+    if (!m_inquiry.note_loss(steady_clock::now())) {
         throw request_error(error_kind::outcome_unknown);
     }
-    m_ask_at = now + m_ask_delay;
 }
 
 /// The sidecar may have come back at another address: the newest one known is asked.
 void request_run::ask_fate_again() {
-    if (!m_ask_at) {
+    if (!m_inquiry.next_question()) {
         return;
     }
-    m_ask_at.reset();
+    m_inquiry.note_question();
     const auto table = m_context.servers.current();
     const auto found = table->by_server.find(m_started->backend_server);
     if (found != table->by_server.end()) {
@@ -464,18 +437,6 @@
     attach();
 }
 
-void request_run::settle_claim(bool has_run) {
-    if (m_claim.version == 0) {
-        return;
-    }
-    if (has_run) {
-        m_context.claims.note_finished(m_call.workspace->name, m_call.idempotency_key, m_claim);
-    } else if (!m_joined) {
-        m_context.claims.release(m_call.workspace->name, m_call.idempotency_key, m_claim);
-    }
-    m_claim.version = 0;
-}
-
 void request_run::record(audit::event what, const started_dispatch& place, std::string detail) {
     audit::record entry;
     entry.what = what;
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -7,7 +7,9 @@
 #include "entry/caller_answer.hpp"
 #include "entry/dispatch_event.hpp"
 #include "entry/entry_context.hpp"
+#include "entry/fate_inquiry.hpp"
 #include "entry/offer_round.hpp"
+#include "entry/request_claim.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -55,8 +57,7 @@
     [[nodiscard]] bool may_place_again();
     boost::asio::awaitable<bool> take_grant(granted_place place);
     boost::asio::awaitable<bool> claim_before_start(const granted_place& place);
-    boost::asio::awaitable<bool> claim(const granted_place& place);
-    boost::asio::awaitable<bool> join_claimed(const entry::claim& current);
+    void join_claimed(const claim& standing);
     void start(const granted_place& place);
     void attach();
     void join(const attachable_place& place);
@@ -69,7 +70,6 @@
     follow_result place_anew();
     void note_lost_connection();
     void ask_fate_again();
-    void settle_claim(bool has_run);
     [[nodiscard]] bool concerns_current(const dispatch_event& event) const;
     void record(audit::event what, const started_dispatch& place, std::string detail = {});
 
@@ -81,15 +81,12 @@
     std::optional<started_dispatch> m_started;
     /// What the sidecar said with its last `not_begun`.
     std::optional<request_error> m_not_begun;
-    /// Our claim's row, when the call isn't idempotent. Version 0: none written.
-    entry::claim m_claim;
+    request_claim m_claim;
+    fate_inquiry m_inquiry;
     int m_attempts = 0;       ///< places tried after the first
     int m_stale_attempts = 0; ///< of which the revision was the reason
     bool m_joined = false;    ///< the dispatch belongs to another run of this request
 
-    std::optional<std::chrono::steady_clock::time_point> m_lost_since;
-    std::optional<std::chrono::steady_clock::time_point> m_ask_at;
-    std::chrono::steady_clock::duration m_ask_delay{};
     std::optional<std::chrono::steady_clock::time_point> m_last_piece;
 };
 
