Keep a replaced backend kind alive; ask for a revision once; skip cancelled runs

A sidecar of a plain service begins as an engine's until its configuration comes; the first health check was then still using the object that was overwritten. A peer that is ahead was asked for its configuration once for every frame it sent. A resend could be attached to a dispatch that was just being cancelled and got its failure.

--- a/src/backend/backend_server.hpp
+++ b/src/backend/backend_server.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <deque>
 #include <optional>
 #include <variant>
 
@@ -19,6 +20,10 @@
 
     explicit backend_server(server kind);
 
+    /// The configuration says that it's of another kind. Calls under way go on with the former one, which is
+    /// kept: freed under them, they would read what isn't theirs.
+    void replace(server kind);
+
     [[nodiscard]] bool is_engine() const noexcept;
     /// Null for a plain service.
     [[nodiscard]] model_engine* as_engine() noexcept;
@@ -30,7 +35,7 @@
     boost::asio::awaitable<bool> is_healthy();
 
 private:
-    server m_server;
+    std::deque<server> m_servers; ///< the last one is in use; never empty
 };
 
 } // namespace borageford::backend
--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -66,7 +66,9 @@
         return nullptr;
     }
     const auto record = find(found->second);
-    return record != nullptr && record->request.fingerprint == fingerprint ? record : nullptr;
+    const auto is_usable =
+        record != nullptr && record->request.fingerprint == fingerprint && !record->is_cancelled;
+    return is_usable ? record : nullptr;
 }
 
 void dispatch_store::remember_elsewhere(std::uint64_t resend_key, started_elsewhere where, time_point now) {
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -25,6 +25,7 @@
 /// A tick that is this late means that the process stood still, not that it was busy.
 constexpr std::chrono::milliseconds freeze_threshold{1000};
 constexpr std::chrono::milliseconds verification_pause{100};
+constexpr std::chrono::milliseconds ask_again_after{500};
 
 } // namespace
 
@@ -88,9 +89,14 @@
 /// Whoever is behind asks the one that is ahead, so a revision spreads while the platform is out.
 void sidecar_core::follow_revision(connection_id connection, std::uint64_t peer_revision) {
     const auto own = m_context.configuration.revision();
-    if (peer_revision <= own) {
+    const auto now = steady_clock::now();
+    // Each frame of a peer says its revision, and each answer is a whole configuration: asked once, not for
+    // every frame that comes meanwhile.
+    if (peer_revision <= own || (peer_revision <= m_asked_revision && now - m_asked_at < ask_again_after)) {
         return;
     }
+    m_asked_revision = peer_revision;
+    m_asked_at = now;
     wire::configuration_request_message request;
     request.known_revision = own;
     m_context.peers.send(connection, request);
--- a/src/sidecar/sidecar_core.hpp
+++ b/src/sidecar/sidecar_core.hpp
@@ -56,8 +56,10 @@
     cache_follower m_cache;
     timer_subscription m_tick;
     time_point m_last_seen = std::chrono::steady_clock::now();
-    std::uint64_t m_verification = 0; ///< counts the freezes
-    std::uint64_t m_verified = 0;     ///< the last of them after which the revision was verified
+    std::uint64_t m_verification = 0;   ///< counts the freezes
+    std::uint64_t m_verified = 0;       ///< the last of them after which the revision was verified
+    std::uint64_t m_asked_revision = 0; ///< the newest that a peer was asked for
+    time_point m_asked_at{};
     bool m_is_leaving = false;
     std::function<void()> m_left;
 };
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -207,10 +207,10 @@
         return;
     }
     if (is_engine) {
-        m_server = backend::backend_server(
+        m_server.replace(
             backend::model_engine(m_strand, m_settings.backend_address, m_settings.control_timeout));
     } else {
-        m_server = backend::backend_server(
+        m_server.replace(
             backend::plain_service(m_strand, m_settings.backend_address, m_settings.control_timeout));
     }
 }
--- a/tests/unit/test_sidecar_parts.cpp
+++ b/tests/unit/test_sidecar_parts.cpp
@@ -74,6 +74,8 @@
     CHECK(store.find_resend(11, 5) == good);
     CHECK(store.find_resend(0, 5) == nullptr);
     CHECK(store.find_resend(11, 6) == nullptr);
+    bad->is_cancelled = true; // its end is on the way; a resend must not be led to it
+    CHECK(store.find_resend(22, 5) == nullptr);
     finish(store, good, 1, begin);
     finish(store, bad, 1, begin, error_kind::backend_failed);
     CHECK(store.find_resend(11, 5) == good);
