--- a/tests/load/borageford_load.cpp
+++ b/tests/load/borageford_load.cpp
@@ -103,6 +103,7 @@
     const auto load = read_load(reader);
     caller_options options;
     options.entries = read_entries(reader.text("entries", ""));
+    options.key_seed = load.seed;
     options.key_prefix = reader.text("key-prefix", "measure-");
     options.deadline = reader.text("deadline", options.deadline);
     options.is_direct = reader.is_set("direct");
--- a/tests/load/caller.cpp
+++ b/tests/load/caller.cpp
@@ -42,7 +42,8 @@
     call.headers.push_back({"Authorization", "Bearer " + options.key_prefix + workspace});
     call.headers.push_back({"X-Tier", "tier-" + std::to_string(planned.tier)});
     call.headers.push_back({"X-Deadline", options.deadline});
-    call.headers.push_back({"Idempotency-Key", "request-" + std::to_string(number)});
+    call.headers.push_back(
+        {"Idempotency-Key", "request-" + std::to_string(options.key_seed) + "-" + std::to_string(number)});
     return call;
 }
 
--- a/tests/load/caller.hpp
+++ b/tests/load/caller.hpp
@@ -38,6 +38,7 @@
     std::vector<http::endpoint> entries;
     /// The workspace's API key is its name's; see scripts/measure.
     std::string key_prefix;
+    std::uint64_t key_seed = 0; ///< part of every idempotency key: no two runs at one system share keys
     std::string deadline = "10s";
     bool is_direct = false; ///< talks to an engine, without keys or tiers
 };
