--- a/tests/bench/bench_snapshot.cpp
+++ b/tests/bench/bench_snapshot.cpp
@@ -68,6 +68,11 @@
 /// What both uses of liburcu share: a pointer to a handle, freed after a grace period.
 class urcu_base {
 public:
+    urcu_base() = default;
+    urcu_base(const urcu_base&) = delete;
+    urcu_base& operator=(const urcu_base&) = delete;
+    urcu_base(urcu_base&&) = delete;
+    urcu_base& operator=(urcu_base&&) = delete;
     ~urcu_base() { delete m_current; }
     void enter() { urcu_memb_register_thread(); }
     void leave() { urcu_memb_unregister_thread(); }
