--- a/src/backend/backend_server.hpp
+++ b/src/backend/backend_server.hpp
@@ -19,9 +19,13 @@
     using server = std::variant<model_engine, plain_service>;
 
     explicit backend_server(server kind);
+    backend_server(const backend_server&) = delete;
+    backend_server& operator=(const backend_server&) = delete;
+    backend_server(backend_server&&) = delete;
+    backend_server& operator=(backend_server&&) = delete;
+    ~backend_server() = default;
 
-    /// The configuration says that it's of another kind. Calls under way go on with the former one, which is
-    /// kept: freed under them, they would read what isn't theirs.
+    /// The configuration says that another kind stands here.
     void replace(server kind);
 
     [[nodiscard]] bool is_engine() const noexcept;
@@ -35,7 +39,9 @@
     boost::asio::awaitable<bool> is_healthy();
 
 private:
-    std::deque<server> m_servers; ///< the last one is in use; never empty
+    /// The last one is in force. Those before it stay: a call in progress, such as the health check at the
+    /// start, still uses the kind that it began with, and destroying that one under it let requests hang.
+    std::deque<server> m_kinds;
 };
 
 } // namespace borageford::backend
