Send and keep revisions deflated

The configuration was two thirds and more of what a node spends on control: the whole intent went to every node at every change, 8 KB a second at the size to design for against a budget of 5 KB for everything. Weighed: sending only the lines that changed, which is some hundred bytes but needs every node to hold the very base, and a second way for those that don't; deflating, which is one step at each end. Inflating stops at the limit of an intent's size, whatever a peer sends. Rows of earlier versions are still read.

--- a/src/admin/configuration_exchange.cpp
+++ b/src/admin/configuration_exchange.cpp
@@ -20,14 +20,14 @@
 void exchange_configuration(configuration::configuration_follower& follower, const wire::envelope& received,
                             wire::peer_connection& connection) {
     if (const auto* reply = std::get_if<wire::configuration_reply_message>(&received.content)) {
-        follower.take_from_peer(reply->revision, reply->text);
+        follower.take_from_peer(reply->revision, reply->deflated_text);
         return;
     }
     if (std::holds_alternative<wire::configuration_request_message>(received.content)) {
         const auto current = follower.current();
         wire::configuration_reply_message reply;
         reply.revision = current->revision;
-        reply.text = current->text;
+        reply.deflated_text = current->deflated_text;
         connection.send(std::move(reply));
         // Its answer shows at once whether the peer took the revision.
         connection.send(wire::heartbeat_message());
--- a/src/admin/planner.cpp
+++ b/src/admin/planner.cpp
@@ -53,7 +53,7 @@
     if (head > m_follower.revision()) {
         const auto row = co_await m_store.read_revision(head);
         if (row) {
-            m_follower.take_from_peer(row->revision, row->text);
+            m_follower.take_committed(row->revision, row->text);
         }
     }
     co_return m_follower.current();
@@ -108,7 +108,7 @@
             break;
         }
         // What came between may say something else about this server; the order applies on top of it.
-        m_follower.take_from_peer(result.commit.revision.revision, result.commit.revision.text);
+        m_follower.take_committed(result.commit.revision.revision, result.commit.revision.text);
     }
     co_return result;
 }
@@ -121,7 +121,7 @@
     const auto accepted = steady_clock::now();
     const auto& revision = result.commit.revision;
     // From here on peers learn of it even if the platform goes out at this moment.
-    m_follower.take_from_peer(revision.revision, revision.text);
+    m_follower.take_committed(revision.revision, revision.text);
     if (result.commit.verdict == commit_verdict::conflict) {
         co_return result;
     }
--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -74,7 +74,8 @@
 /// mentions exists.
 struct configuration {
     revision_number revision = 0;
-    std::string text; ///< the intent as it was confirmed
+    std::string text;                        ///< the intent as it was confirmed
+    std::vector<std::uint8_t> deflated_text; ///< the same, for peers that ask
     std::vector<tier> tiers;
     std::vector<workspace> workspaces;
     std::vector<model> models;
--- a/src/configuration/configuration_follower.cpp
+++ b/src/configuration/configuration_follower.cpp
@@ -1,6 +1,7 @@
 // Polling the head, taking revisions from peers, and noticing that the process was frozen.
 #include "configuration/configuration_follower.hpp"
 
+#include "base/compression.hpp"
 #include "base/log.hpp"
 #include "configuration/intent_parser.hpp"
 #include "configuration/revision_rows.hpp"
@@ -118,6 +119,7 @@
             return false;
         }
         parsed.revision = revision;
+        parsed.deflated_text = deflate_text(text);
         return replace(std::make_shared<const configuration>(std::move(parsed)), source);
     }
 
@@ -260,8 +262,21 @@
     return m_state->freezes;
 }
 
-bool configuration_follower::take_from_peer(revision_number revision, std::string_view text) {
-    return m_state->take(revision, text, "peer");
+bool configuration_follower::take_committed(revision_number revision, std::string_view text) {
+    return m_state->take(revision, text, "operator");
+}
+
+bool configuration_follower::take_from_peer(revision_number revision,
+                                            std::span<const std::uint8_t> deflated_text) {
+    if (revision <= m_state->current.load()->revision) {
+        return false;
+    }
+    try {
+        return m_state->take(revision, inflate_text(deflated_text, settings::text_limit), "peer");
+    } catch (const compression_error& error) {
+        m_state->note_unusable(revision, error.what(), "peer");
+        return false;
+    }
 }
 
 asio::awaitable<bool> configuration_follower::wait_past(revision_number revision,
--- a/src/configuration/configuration_follower.hpp
+++ b/src/configuration/configuration_follower.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string_view>
 
 namespace borageford::configuration {
@@ -41,8 +42,11 @@
     [[nodiscard]] std::uint64_t failed_polls() const noexcept;
     [[nodiscard]] std::uint64_t freezes() const noexcept;
 
+    /// Takes a revision that this process has committed or read at the table itself.
+    bool take_committed(revision_number revision, std::string_view text);
+
     /// Takes what a peer sent; ignored unless it is newer and valid. Returns whether it was taken.
-    bool take_from_peer(revision_number revision, std::string_view text);
+    bool take_from_peer(revision_number revision, std::span<const std::uint8_t> deflated_text);
 
     /// Waits until a revision above this one is in force here, or the limit has passed; returns whether one
     /// is. For a decision that was taken under a revision that a peer has left behind.
--- a/src/configuration/revision_rows.cpp
+++ b/src/configuration/revision_rows.cpp
@@ -1,6 +1,9 @@
 // Revisions as JSON values of the table.
 #include "configuration/revision_rows.hpp"
 
+#include "base/compression.hpp"
+#include "settings/ini_document.hpp"
+
 #include <boost/json.hpp>
 
 #include <cstddef>
@@ -18,6 +21,14 @@
     return json::value_to<std::string>(from.at(key));
 }
 
+/// Rows of earlier versions have the text as it is.
+std::string intent_of(const json::value& from) {
+    if (from.as_object().contains("text")) {
+        return text_of(from, "text");
+    }
+    return inflate_text(decode_base64(text_of(from, "deflated_text")), settings::text_limit);
+}
+
 template <typename Decode>
 auto decode_row(std::string_view value, Decode decode) {
     try {
@@ -45,7 +56,7 @@
                                         {"plan", revision.plan},
                                         {"operator", revision.operator_name},
                                         {"time", revision.time},
-                                        {"text", revision.text}});
+                                        {"deflated_text", encode_base64(deflate_text(revision.text))}});
 }
 
 head_row decode_head(std::string_view value) {
@@ -58,7 +69,7 @@
 revision_row decode_revision(std::string_view value) {
     return decode_row(value, [](const json::value& from) {
         return revision_row{from.at("revision").to_number<revision_number>(), text_of(from, "plan"),
-                            text_of(from, "operator"), text_of(from, "time"), text_of(from, "text")};
+                            text_of(from, "operator"), text_of(from, "time"), intent_of(from)};
     });
 }
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -74,7 +74,7 @@
             } else if constexpr (std::is_same_v<type, wire::configuration_request_message>) {
                 send_configuration(connection);
             } else if constexpr (std::is_same_v<type, wire::configuration_reply_message>) {
-                m_context.configuration.take_from_peer(message.revision, message.text);
+                m_context.configuration.take_from_peer(message.revision, message.deflated_text);
                 finish_verification(m_verification);
             } else if constexpr (std::is_same_v<type, wire::crash_mark_message>) {
                 m_context.marks.take(message.fingerprint,
@@ -106,7 +106,7 @@
     const auto current = m_context.configuration.current();
     wire::configuration_reply_message reply;
     reply.revision = current->revision;
-    reply.text = current->text;
+    reply.deflated_text = current->deflated_text;
     m_context.peers.send(connection, std::move(reply));
 }
 
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -2681,7 +2681,7 @@
 struct configuration_reply_message : public flatbuffers::NativeTable {
   typedef configuration_reply TableType;
   uint64_t revision = 0;
-  std::string text{};
+  std::vector<uint8_t> deflated_text{};
 };
 
 struct configuration_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2690,19 +2690,19 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISION = 4,
-    VT_TEXT = 6
+    VT_DEFLATED_TEXT = 6
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
-  const flatbuffers::String *text() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  const flatbuffers::Vector<uint8_t> *deflated_text() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DEFLATED_TEXT);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyOffset(verifier, VT_TEXT) &&
-           verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_DEFLATED_TEXT) &&
+           verifier.VerifyVector(deflated_text()) &&
            verifier.EndTable();
   }
   configuration_reply_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2717,8 +2717,8 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(configuration_reply::VT_REVISION, revision, 0);
   }
-  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
-    fbb_.AddOffset(configuration_reply::VT_TEXT, text);
+  void add_deflated_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated_text) {
+    fbb_.AddOffset(configuration_reply::VT_DEFLATED_TEXT, deflated_text);
   }
   explicit configuration_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2734,10 +2734,10 @@
 inline flatbuffers::Offset<configuration_reply> Createconfiguration_reply(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated_text = 0) {
   configuration_replyBuilder builder_(_fbb);
   builder_.add_revision(revision);
-  builder_.add_text(text);
+  builder_.add_deflated_text(deflated_text);
   return builder_.Finish();
 }
 
@@ -2749,12 +2749,12 @@
 inline flatbuffers::Offset<configuration_reply> Createconfiguration_replyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t revision = 0,
-    const char *text = nullptr) {
-  auto text__ = text ? _fbb.CreateString(text) : 0;
+    const std::vector<uint8_t> *deflated_text = nullptr) {
+  auto deflated_text__ = deflated_text ? _fbb.CreateVector<uint8_t>(*deflated_text) : 0;
   return borageford::wire::Createconfiguration_reply(
       _fbb,
       revision,
-      text__);
+      deflated_text__);
 }
 
 flatbuffers::Offset<configuration_reply> Createconfiguration_reply(flatbuffers::FlatBufferBuilder &_fbb, const configuration_reply_message *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3785,7 +3785,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = revision(); _o->revision = _e; }
-  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = deflated_text(); if (_e) { _o->deflated_text.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->deflated_text.begin()); } }
 }
 
 inline flatbuffers::Offset<configuration_reply> configuration_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const configuration_reply_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3797,11 +3797,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const configuration_reply_message* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _revision = _o->revision;
-  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _deflated_text = _o->deflated_text.size() ? _fbb.CreateVector(_o->deflated_text) : 0;
   return borageford::wire::Createconfiguration_reply(
       _fbb,
       _revision,
-      _text);
+      _deflated_text);
 }
 
 inline crash_mark_message *crash_mark::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/fuzz/test_frame_decoder.cpp
+++ b/tests/fuzz/test_frame_decoder.cpp
@@ -51,7 +51,7 @@
     chunk.data.assign(500, 'c');
     samples.push_back(frame_of(std::move(chunk)));
     wire::configuration_reply_message configuration;
-    configuration.text.assign(400, 't');
+    configuration.deflated_text.assign(400, 't');
     samples.push_back(frame_of(std::move(configuration)));
     return samples;
 }
--- a/tests/unit/test_configuration_follower.cpp
+++ b/tests/unit/test_configuration_follower.cpp
@@ -1,4 +1,5 @@
 // A process's configuration only goes forward, whatever the table and its peers say.
+#include "base/compression.hpp"
 #include "configuration/configuration_follower.hpp"
 #include "configuration/revision_store.hpp"
 #include "in_process_platform.hpp"
@@ -97,7 +98,7 @@
     system.commit(0);
     system.service.set_stale_reads(true);
     system.commit(1);
-    REQUIRE(system.follower.take_from_peer(2, intent(2)));
+    REQUIRE(system.follower.take_from_peer(2, deflate_text(intent(2))));
     system.start();
     system.changes.wait_for(2);
     system.follower.poll_soon();
@@ -110,10 +111,10 @@
 TEST_CASE("a peer's text is taken only when it is newer and valid", "[configuration]") {
     // A peer is behind, or a frame's text was damaged. Neither may replace what is in force.
     fixture system;
-    CHECK(system.follower.take_from_peer(5, intent(5)));
-    CHECK_FALSE(system.follower.take_from_peer(5, intent(6)));
-    CHECK_FALSE(system.follower.take_from_peer(4, intent(4)));
-    CHECK_FALSE(system.follower.take_from_peer(6, "[tier high\nrank = zero\n"));
+    CHECK(system.follower.take_from_peer(5, deflate_text(intent(5))));
+    CHECK_FALSE(system.follower.take_from_peer(5, deflate_text(intent(6))));
+    CHECK_FALSE(system.follower.take_from_peer(4, deflate_text(intent(4))));
+    CHECK_FALSE(system.follower.take_from_peer(6, deflate_text("[tier high\nrank = zero\n")));
     CHECK(system.follower.revision() == 5);
     CHECK(system.follower.current()->find_model("m")->version == "5");
 }
@@ -122,7 +123,7 @@
     fixture system;
     system.service.answer_with(503);
     system.start();
-    REQUIRE(system.follower.take_from_peer(7, intent(7)));
+    REQUIRE(system.follower.take_from_peer(7, deflate_text(intent(7))));
     system.changes.wait_for(7);
     CHECK(system.follower.revision() == 7);
 }
@@ -130,13 +131,13 @@
 TEST_CASE("a wait for a newer revision ends with it, or with its limit", "[configuration]") {
     fixture system;
     system.start();
-    REQUIRE(system.follower.take_from_peer(1, intent(1)));
+    REQUIRE(system.follower.take_from_peer(1, deflate_text(intent(1))));
     CHECK(system.runtime.wait_for(system.follower.wait_past(0, std::chrono::hours(1))));
     CHECK_FALSE(system.runtime.wait_for(system.follower.wait_past(1, std::chrono::milliseconds(1))));
     auto waiting = std::async(std::launch::async, [&system] {
         return system.runtime.wait_for(system.follower.wait_past(1, std::chrono::hours(1)));
     });
-    REQUIRE(system.follower.take_from_peer(2, intent(2)));
+    REQUIRE(system.follower.take_from_peer(2, deflate_text(intent(2))));
     CHECK(waiting.get());
 }
 
@@ -150,7 +151,8 @@
         for (revision_number peer = 1; peer <= peer_count; ++peer) {
             peers.emplace_back([&system, peer] {
                 for (revision_number step = 0; step < 50; ++step) {
-                    static_cast<void>(system.follower.take_from_peer(step * peer_count + peer, intent(1)));
+                    static_cast<void>(
+                        system.follower.take_from_peer(step * peer_count + peer, deflate_text(intent(1))));
                 }
             });
         }
