--- a/src/process/runtime.cpp
+++ b/src/process/runtime.cpp
@@ -52,8 +52,8 @@
     m_context.run();
     threads.clear();
     // What still waits is not taken apart: coroutines that end with the context hold timers and strands whose
-    // services may go first, which corrupted the heap and turned a graceful stop into an abort (exit code 134).
-    // Everything that must last was written before finish().
+    // services may go first, which corrupted the heap and turned a graceful stop into an abort (exit code
+    // 134). Everything that must last was written before finish().
     std::cout.flush();
     std::_Exit(EXIT_SUCCESS);
 }
