--- a/tests/failure/test_11_bad_input.cpp
+++ b/tests/failure/test_11_bad_input.cpp
@@ -55,8 +55,8 @@
     const auto offer = frame_of(wire::offer_message{});
     const std::array<std::string, 8> inputs{
         std::string("\xff\xff\xff\xff rubbish"),                    // far over the limit
-        std::string(4, '\0'),                                       // an empty frame
-        std::string(3, '\0') + "\x08 rubbish",                      // no message
+        std::string("\x00\x00\x00\x00", 4),                         // an empty frame
+        std::string("\x00\x00\x00\x08 rubbish", 12),                // no message
         std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),           // another protocol
         hello.substr(0, hello.size() / 2),                          // truncated
         offer,                                                      // no hello first
