--- a/src/base/compression.cpp
+++ b/src/base/compression.cpp
@@ -4,6 +4,9 @@
 #include <algorithm>
 #include <array>
 #include <openssl/evp.h>
+
+// Lets the library's input be bytes that it doesn't change.
+#define ZLIB_CONST
 #include <zlib.h>
 
 namespace borageford {
@@ -28,8 +31,7 @@
     inflater& operator=(inflater&&) = delete;
 
     void set_input(std::span<const std::uint8_t> packed) {
-        // The library takes a pointer to bytes that it doesn't change.
-        m_stream.next_in = const_cast<Bytef*>(packed.data());
+        m_stream.next_in = packed.data();
         m_stream.avail_in = static_cast<uInt>(packed.size());
     }
 
