--- a/src/sidecar/sidecar_settings.hpp
+++ b/src/sidecar/sidecar_settings.hpp
@@ -18,7 +18,7 @@
     boost::asio::ip::tcp::endpoint backend_address; ///< where it is served
     boost::asio::ip::tcp::endpoint peers_listen;    ///< for entries
     boost::asio::ip::tcp::endpoint status_listen;   ///< health and metrics
-    std::size_t peer_connections = 256;
+    std::size_t peer_connections = 1024;
 
     std::size_t queue_requests = 256;
     std::uint64_t queue_tokens = 1U << 20U;
