Read frames in one place, and let go of a large frame's memory

Reading the header and the body of a frame stood twice. Looking at them side by side showed that a connection kept the buffer of the largest frame it ever had, up to 8 MB, for as long as it lived; it keeps 64 KB now.

--- a/src/entry/claim_row.cpp
+++ b/src/entry/claim_row.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
+
 namespace borageford::entry {
 
 namespace json = boost::json;
@@ -19,6 +21,11 @@
 
 } // namespace
 
+std::int64_t claim_time_now() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
 std::string claim_key(std::string_view workspace, std::string_view key) {
     const auto hash = hash_bytes(key, hash_bytes(workspace));
     return std::string(claim_prefix)
--- a/src/entry/claim_row.hpp
+++ b/src/entry/claim_row.hpp
@@ -30,6 +30,9 @@
     std::uint64_t version = 0; ///< of the row; 0: no row yet
 };
 
+/// Seconds since 1970 by this machine's clock, as claims have them.
+[[nodiscard]] std::int64_t claim_time_now();
+
 /// "claim/HASH/WORKSPACE/KEY". The hash spreads rows evenly over the order of keys, so that the sweeper
 /// finds its share of them from any place it starts at, however callers name their keys.
 [[nodiscard]] std::string claim_key(std::string_view workspace, std::string_view key);
--- a/src/entry/claim_sweeper.cpp
+++ b/src/entry/claim_sweeper.cpp
@@ -13,15 +13,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-std::int64_t now_seconds() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
-}
-
-} // namespace
-
 struct claim_sweeper::state : std::enable_shared_from_this<claim_sweeper::state> {
     state(asio::any_io_executor given, timer_service& service, platform::table& rows,
           claim_sweeper_settings chosen)
@@ -41,7 +32,7 @@
 bool claim_sweeper::state::is_over(const platform::row& row) const {
     try {
         const auto retention = std::chrono::duration_cast<std::chrono::seconds>(settings.retention);
-        return now_seconds() - decode_claim(row).time > retention.count();
+        return claim_time_now() - decode_claim(row).time > retention.count();
     } catch (const std::exception&) {
         return false; // another version's row: not ours to judge
     }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -309,12 +309,10 @@
     const auto text = settings::read_file(settings_file, problems);
     auto settings = read_entry_settings(settings::parse_ini(text, settings_file, problems), problems);
     if (!problems.empty()) {
-        for (const auto& problem : problems) {
-            std::cerr << problem.to_string() << '\n';
-        }
+        settings::print_problems(problems, std::cerr);
         return wrong_settings_exit_code;
     }
-    log::start(settings.common.log_format, settings.common.log_level, "entry");
+    log::start(settings.common.log_format, settings.common.log_level, settings.common.vm);
     try {
         entry_process process(std::move(settings));
         process.run();
--- a/src/entry/request_claim.cpp
+++ b/src/entry/request_claim.cpp
@@ -10,15 +10,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-std::int64_t now_seconds() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
-}
-
-} // namespace
-
 asio::awaitable<std::optional<claim>> request_claim::take(const granted_place& place) {
     if (m_call.is_idempotent) {
         co_return std::nullopt;
@@ -29,7 +20,7 @@
     m_claim.backend_server = place.backend_server;
     m_claim.incarnation = place.incarnation;
     m_claim.state = claim_state::claimed;
-    m_claim.time = now_seconds();
+    m_claim.time = claim_time_now();
     auto result = co_await m_store.take(m_call.workspace->name, m_call.idempotency_key, m_claim);
     if (const auto* taken = std::get_if<claim_taken>(&result)) {
         m_claim.version = taken->version;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -23,11 +23,6 @@
 /// Wakes a run that waits for its answer, so that the fate of a lost connection is asked in time.
 constexpr std::chrono::hours longest_wait{24};
 
-std::int64_t now_seconds() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
-}
-
 /// By how much the clocks of two entries may differ: a claim is taken to be older by this.
 constexpr std::chrono::minutes clock_difference{1};
 
@@ -37,7 +32,7 @@
 }
 
 steady_clock::time_point start_of(const claim& held) {
-    const std::chrono::seconds age(std::max<std::int64_t>(0, now_seconds() - held.time));
+    const std::chrono::seconds age(std::max<std::int64_t>(0, claim_time_now() - held.time));
     return steady_clock::now() - age - clock_difference;
 }
 
--- a/src/program/check_command.cpp
+++ b/src/program/check_command.cpp
@@ -46,9 +46,7 @@
     for (const auto& file : words) {
         std::vector<settings::problem> problems;
         const auto kind = check_file(file, problems);
-        for (const auto& problem : problems) {
-            std::cerr << problem.to_string() << '\n';
-        }
+        settings::print_problems(problems, std::cerr);
         if (problems.empty()) {
             std::cout << file << ": " << kind << ", without faults\n";
         } else {
--- a/src/settings/ini_document.cpp
+++ b/src/settings/ini_document.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <fstream>
 #include <iterator>
+#include <ostream>
 #include <set>
 #include <system_error>
 #include <utility>
@@ -122,6 +123,12 @@
     return text + ": expected " + expected;
 }
 
+void print_problems(const std::vector<problem>& problems, std::ostream& out) {
+    for (const auto& problem : problems) {
+        out << problem.to_string() << '\n';
+    }
+}
+
 std::string ini_section::title() const {
     return name.empty() ? kind : kind + " " + name;
 }
--- a/src/settings/ini_document.hpp
+++ b/src/settings/ini_document.hpp
@@ -1,6 +1,7 @@
 // Reads INI text into sections and keys, keeping the line of each so that every complaint can name it.
 #pragma once
 
+#include <iosfwd>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,9 @@
     [[nodiscard]] std::string to_string() const;
 };
 
+/// One line each.
+void print_problems(const std::vector<problem>& problems, std::ostream& out);
+
 struct ini_entry {
     std::string key;
     std::string value;
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -259,9 +259,7 @@
     std::vector<settings::problem> problems;
     auto settings = read_sidecar_settings(settings_file, problems);
     if (!problems.empty()) {
-        for (const auto& problem : problems) {
-            std::cerr << problem.to_string() << '\n';
-        }
+        settings::print_problems(problems, std::cerr);
         return wrong_settings_exit_code;
     }
     log::start(settings.common.log_format, settings.common.log_level, settings.common.vm);
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -17,6 +17,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Bytes of a frame's buffer that a connection keeps for the next frame.
+constexpr std::size_t kept_body_capacity = 64U * 1024;
+
+} // namespace
+
 peer_connection::peer_connection(asio::ip::tcp::socket socket, strand_type strand, timer_service& timers,
                                  heartbeat_settings heartbeat, hello_message own_hello,
                                  std::function<std::uint64_t()> revision, callbacks calls)
@@ -104,8 +111,9 @@
                       asio::bind_executor(m_strand, std::move(done)));
 }
 
-void peer_connection::read_header() {
-    auto done = [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+/// Fills the buffer, then takes the next step, which throws frame_error for what no peer would send.
+void peer_connection::read_into(asio::mutable_buffer target, void (peer_connection::*next_step)()) {
+    auto done = [self = shared_from_this(), next_step](const boost::system::error_code& error, std::size_t) {
         if (self->m_finished) {
             return;
         }
@@ -114,35 +122,31 @@
             return;
         }
         try {
-            self->read_body(decode_length(self->m_header));
+            (self.get()->*next_step)();
         } catch (const frame_error& failure) {
             self->finish(failure.what());
         }
     };
-    asio::async_read(m_socket, asio::buffer(m_header), asio::bind_executor(m_strand, std::move(done)));
+    asio::async_read(m_socket, target, asio::bind_executor(m_strand, std::move(done)));
 }
 
-void peer_connection::read_body(std::uint32_t length) {
-    m_body.resize(length);
-    auto done = [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-        if (self->m_finished) {
-            return;
-        }
-        if (error) {
-            self->finish("read: " + error.message());
-            return;
-        }
-        try {
-            self->handle(decode(self->m_body));
-        } catch (const frame_error& failure) {
-            self->finish(failure.what());
-            return;
-        }
-        if (!self->m_finished) {
-            self->read_header();
-        }
-    };
-    asio::async_read(m_socket, asio::buffer(m_body), asio::bind_executor(m_strand, std::move(done)));
+void peer_connection::read_header() {
+    read_into(asio::buffer(m_header), &peer_connection::read_body);
+}
+
+void peer_connection::read_body() {
+    m_body.resize(decode_length(m_header));
+    read_into(asio::buffer(m_body), &peer_connection::take_body);
+}
+
+void peer_connection::take_body() {
+    handle(decode(m_body));
+    if (m_body.capacity() > kept_body_capacity) {
+        m_body = {}; // one large frame must not hold its memory for as long as the connection lives
+    }
+    if (!m_finished) {
+        read_header();
+    }
 }
 
 void peer_connection::handle(envelope received) {
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "wire/message.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -82,7 +83,9 @@
     void enqueue(std::vector<std::byte> bytes);
     void write_next();
     void read_header();
-    void read_body(std::uint32_t length);
+    void read_body();
+    void take_body();
+    void read_into(boost::asio::mutable_buffer target, void (peer_connection::*next_step)());
     void handle(envelope received);
     void handle_hello(const hello_message& hello);
     void handle_heartbeat(const heartbeat_message& heartbeat);
