Don't ask what stands behind a sidecar for streams before it is known

A sidecar that had just been restarted didn't have the configuration yet, took its plain service for an engine, and asked it for the stream of its former incarnation's dispatch. A service answers anything, and the answer was believed. Such questions wait now until the configuration says what stands there, and cache events aren't asked for before that either.

Ruled out: the entry, which asked rightly; the claim, which stood.

--- a/src/sidecar/cache_follower.cpp
+++ b/src/sidecar/cache_follower.cpp
@@ -12,6 +12,9 @@
     : m_context(context), m_server(server) {}
 
 void cache_follower::start() {
+    if (m_timer.is_active()) {
+        return;
+    }
     m_timer =
         m_context.timers.every(m_context.strand, m_context.settings.cache_period, [this] { poll_soon(); });
 }
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -12,6 +12,12 @@
 namespace asio = boost::asio;
 using std::chrono::steady_clock;
 
+namespace {
+
+constexpr std::size_t most_early_attaches = 10'000;
+
+} // namespace
+
 dispatch_manager::dispatch_manager(sidecar_context& context, backend::backend_server& server,
                                    const identifier& own_incarnation, callbacks calls)
     : m_context(context),
@@ -91,7 +97,13 @@
         return;
     }
     if (wire::from_wire(request.incarnation) != m_own_incarnation && m_context.ledger.find(id) == nullptr) {
-        adopt(connection, request);
+        if (m_is_backend_known) {
+            adopt(connection, request);
+        } else if (m_early_attaches.size() < most_early_attaches) {
+            // A plain service that is asked for a stream as if it were an engine answers something, and its
+            // answer would be taken for that of the call.
+            m_early_attaches.push_back({connection, request});
+        }
         return;
     }
     const auto age = std::chrono::milliseconds(request.started_ms_ago);
@@ -116,6 +128,13 @@
     send_fate(connection, request.dispatch, wire::dispatch_fate::unknown);
 }
 
+void dispatch_manager::note_backend_known() {
+    m_is_backend_known = true;
+    for (const auto& early : std::exchange(m_early_attaches, {})) {
+        attach(early.connection, early.request);
+    }
+}
+
 /// A former incarnation of this sidecar got the start: only the backend server can know what became of it.
 void dispatch_manager::adopt(connection_id connection, const wire::attach_message& request) {
     const auto dispatch = std::make_shared<dispatch_record>();
--- a/src/sidecar/dispatch_manager.hpp
+++ b/src/sidecar/dispatch_manager.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace borageford::sidecar {
 
@@ -34,6 +35,9 @@
     void begin(const record_pointer& dispatch, connection_id reader);
 
     void attach(connection_id connection, const wire::attach_message& request);
+
+    /// The configuration says what stands behind this sidecar: questions that waited for it are answered.
+    void note_backend_known();
     void acknowledge(const wire::acknowledge_message& request);
     void abandon(connection_id connection, const wire::abandon_message& request);
     void drop_connection(connection_id connection);
@@ -59,8 +63,16 @@
     void start_grace(const record_pointer& dispatch);
     boost::asio::awaitable<void> report_lost(record_pointer dispatch);
 
+    /// A question for the fate of a former incarnation's dispatch that came too early to be answered.
+    struct early_attach {
+        connection_id connection{};
+        wire::attach_message request;
+    };
+
     sidecar_context& m_context;
     identifier m_own_incarnation;
+    bool m_is_backend_known = false;
+    std::vector<early_attach> m_early_attaches; ///< empty once the backend is known; bounded
     callbacks m_calls;
     answer_delivery m_delivery;
     dispatch_runner m_runner;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -44,7 +44,6 @@
 
 void sidecar_core::start() {
     m_orders.start();
-    m_cache.start();
     m_tick = m_context.timers.every(m_context.strand, tick_period, [this] { tick(); });
 }
 
@@ -119,6 +118,8 @@
     const auto current = m_context.configuration.current();
     if (const auto* server = current->find_backend_server(m_context.settings.backend_server)) {
         m_context.limit.set_slots(server->slots);
+        m_dispatches.note_backend_known();
+        m_cache.start();
     }
     m_offers.review();
     m_orders.compare_soon();
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -193,8 +193,8 @@
     m_runtime.run([this] { asio::post(m_strand, [this] { stop_gracefully(); }); });
 }
 
-/// The configuration says which kind of backend server stands here. Until it's known it's taken for an
-/// engine, which can be asked for its streams.
+/// The configuration says which kind of backend server stands here. Until it's known, nothing but its health
+/// is asked.
 void sidecar_process::choose_backend_kind() {
     const auto current = m_configuration.current();
     const auto* server = current->find_backend_server(m_settings.backend_server);
--- a/tests/failure/test_4_non_idempotent.cpp
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -74,6 +74,31 @@
     CHECK(system.runs_of(call) == 1);
 }
 
+// The sidecar of a plain service dies while a call runs and comes back while the platform is out, so it
+// doesn't know yet what stands behind it. Asked for the fate, it must not ask the service as if it were an
+// engine: the service would run the question, and its answer would reach the caller as the answer to the
+// kudos.
+TEST_CASE("4 non-idempotent: a restarted sidecar doesn't ask a service for streams before it knows it") {
+    auto options = one_service("3000");
+    options.entry_settings = "fate_limit = 1s\n";
+    cluster system(options);
+    const auto call = make_kudos("capitulo 4b", "k4b");
+    pending_call first(system.entry(0).callers, call);
+    static_cast<void>(system.wait_for_run(call));
+    const auto runs = system.server_count(0, "total");
+    system.control_platform(R"({"outage":true})");
+    system.entry(0).process->freeze();
+    system.entry(1).process->freeze();
+    system.backend(0).sidecar->kill();
+    system.start_sidecar(0);
+    system.entry(0).process->thaw();
+    system.entry(1).process->thaw();
+    const auto told = first.wait();
+    INFO(told.status << ' ' << told.body);
+    CHECK(told.header("X-Ran") == "unknown");
+    CHECK(system.server_count(0, "total") == runs);
+}
+
 // While the table is out, nobody can know whether the key was used: the call is refused, not run. When the
 // table is back, the same key runs once.
 TEST_CASE("4 non-idempotent: table outage") {
