Give an HTTP exchange its executor by value

One fault: an operator's command passed a temporary executor by reference into a coroutine that runs later (stack-use-after-scope). In plain builds the stack happened to hold it still. With it by value the reference can't dangle, whoever calls.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -127,8 +127,8 @@
     m_state->cancel();
 }
 
-asio::awaitable<response> fetch(const asio::any_io_executor& executor, const endpoint& server,
-                                const request& call, exchange_limits limits) {
+asio::awaitable<response> fetch(asio::any_io_executor executor, const endpoint& server, const request& call,
+                                exchange_limits limits) {
     client_exchange exchange(executor, limits);
     response answer;
     answer.head = co_await exchange.send(server, call);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -72,8 +72,9 @@
     std::unique_ptr<state> m_state;
 };
 
-/// A whole exchange. Throws exchange_error.
-boost::asio::awaitable<response> fetch(const boost::asio::any_io_executor& executor, const endpoint& server,
+/// A whole exchange. Throws exchange_error. The executor is a value: a reference to a converted temporary
+/// would be gone when the coroutine first runs. `server` and `call` must outlive it.
+boost::asio::awaitable<response> fetch(boost::asio::any_io_executor executor, const endpoint& server,
                                        const request& call, exchange_limits limits);
 
 /// Reads "address:port", an IP number and a port. Throws std::invalid_argument.
