Fill audit records of a call in one place; drop what nothing reads

Three parts of the entry filled the same six fields of an audit record; make_record does it for them. The entry counted a prompt's tokens with a function of its own, bytes and rounding as in policy::count_prompt_tokens, which it calls now. The claim store and the sweeper counted transactions and rows that no metric and no test asked for; the counters are gone.

--- a/src/entry/call_parser.cpp
+++ b/src/entry/call_parser.cpp
@@ -4,7 +4,7 @@
 #include "base/hash.hpp"
 #include "base/request_error.hpp"
 #include "base/sha256.hpp"
-#include "entry/prompt.hpp"
+#include "policy/cost_estimator.hpp"
 #include "policy/prefix_index.hpp"
 #include "settings/section_reader.hpp"
 
@@ -128,7 +128,7 @@
                             "There is no model \"" + parsed.target + "\" in the configuration.");
     }
     const auto prompt = path == chat_path ? chat_prompt(body) : completion_prompt(body);
-    parsed.prompt_tokens = count_tokens(prompt);
+    parsed.prompt_tokens = policy::count_prompt_tokens(prompt.size());
     if (parsed.prompt_tokens > model->context_tokens) {
         throw request_error(error_kind::bad_request,
                             "The prompt has about " + std::to_string(parsed.prompt_tokens) +
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -5,6 +5,7 @@
 #include "base/request_error.hpp"
 #include "entry/answers.hpp"
 #include "entry/call_parser.hpp"
+#include "entry/call_record.hpp"
 #include "entry/request_run.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -143,13 +144,7 @@
 }
 
 void caller_api::record(const call& request, audit::event what, const request_error* error) {
-    audit::record entry;
-    entry.what = what;
-    entry.request = request.id;
-    entry.workspace = request.workspace->name;
-    entry.tier = request.tier->rank;
-    entry.target = request.target;
-    entry.revision = request.configuration->revision;
+    auto entry = make_record(request, what);
     if (error != nullptr) {
         entry.reason = error->kind();
         entry.detail = error->what();
--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -85,8 +85,6 @@
     asio::steady_timer pause;
     bool can_be_hurried = false; ///< `pause` runs for changes that nobody waits for
     std::atomic<bool> flushing = false;
-    std::atomic<std::uint64_t> transactions = 0;
-    std::atomic<std::uint64_t> rows = 0;
 };
 
 void claim_store::state::finish(row_change& change, change_outcome outcome) {
@@ -161,7 +159,6 @@
             changes.deletes.push_back(change->key);
         }
     }
-    ++transactions;
     std::optional<change_outcome> failure;
     platform::transaction_result result;
     try {
@@ -184,7 +181,6 @@
                                 const platform::transaction_result& result) {
     for (const auto& change : batch | std::views::reverse) {
         if (result.committed) {
-            ++rows;
             change->version = result.version;
             finish(*change, change_outcome::committed);
         } else if (std::ranges::find(result.failed_keys, change->key) != result.failed_keys.end()) {
@@ -294,12 +290,4 @@
     return !m_state->flushing.load();
 }
 
-std::uint64_t claim_store::transactions() const noexcept {
-    return m_state->transactions.load();
-}
-
-std::uint64_t claim_store::rows_written() const noexcept {
-    return m_state->rows.load();
-}
-
 } // namespace borageford::entry
--- a/src/entry/claim_store.hpp
+++ b/src/entry/claim_store.hpp
@@ -60,8 +60,6 @@
 
     /// No change waits or is under way.
     [[nodiscard]] bool is_idle() const noexcept;
-    [[nodiscard]] std::uint64_t transactions() const noexcept;
-    [[nodiscard]] std::uint64_t rows_written() const noexcept;
 
 private:
     struct state;
--- a/src/entry/claim_sweeper.cpp
+++ b/src/entry/claim_sweeper.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <atomic>
 #include <utility>
 
 namespace borageford::entry {
@@ -26,7 +25,6 @@
     platform::table& table;
     claim_sweeper_settings settings;
     timer_subscription timer;
-    std::atomic<std::uint64_t> removed = 0;
 };
 
 bool claim_sweeper::state::is_over(const platform::row& row) const {
@@ -54,10 +52,7 @@
         if (changes.deletes.empty()) {
             co_return;
         }
-        const auto result = co_await table.transact(changes);
-        if (result.committed) {
-            removed += changes.deletes.size();
-        }
+        co_await table.transact(changes);
     } catch (const platform::platform_error&) {
         // The next sweep finds them again.
     }
@@ -80,8 +75,4 @@
         });
 }
 
-std::uint64_t claim_sweeper::removed_rows() const noexcept {
-    return m_state->removed.load();
-}
-
 } // namespace borageford::entry
--- a/src/entry/claim_sweeper.hpp
+++ b/src/entry/claim_sweeper.hpp
@@ -32,8 +32,6 @@
 
     void start();
 
-    [[nodiscard]] std::uint64_t removed_rows() const noexcept;
-
 private:
     struct state;
     std::shared_ptr<state> m_state;
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -3,6 +3,7 @@
 
 #include "base/hash.hpp"
 #include "base/request_error.hpp"
+#include "entry/call_record.hpp"
 #include "entry/request_run.hpp"
 #include "policy/rendezvous.hpp"
 
@@ -396,15 +397,9 @@
 
 void offer_round::record(audit::event what, const dispatch_id& dispatch, const std::string& backend_server,
                          std::optional<error_kind> reason) {
-    audit::record entry;
-    entry.what = what;
-    entry.request = m_call.id;
+    auto entry = make_record(m_call, what);
     entry.dispatch = dispatch;
-    entry.workspace = m_call.workspace->name;
-    entry.tier = m_call.tier->rank;
-    entry.target = m_call.target;
     entry.backend_server = backend_server;
-    entry.revision = m_call.configuration->revision;
     entry.reason = reason;
     m_context.audit.record(std::move(entry));
 }
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -3,6 +3,7 @@
 
 #include "base/hash.hpp"
 #include "entry/call_parser.hpp"
+#include "entry/call_record.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -433,15 +434,9 @@
 }
 
 void request_run::record(audit::event what, const started_dispatch& place, std::string detail) {
-    audit::record entry;
-    entry.what = what;
-    entry.request = m_call.id;
+    auto entry = make_record(m_call, what);
     entry.dispatch = place.dispatch;
-    entry.workspace = m_call.workspace->name;
-    entry.tier = m_call.tier->rank;
-    entry.target = m_call.target;
     entry.backend_server = place.backend_server;
-    entry.revision = m_call.configuration->revision;
     entry.detail = std::move(detail);
     m_context.audit.record(std::move(entry));
 }
