--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -6,8 +6,8 @@
 #include "base/log.hpp"
 #include "base/request_error.hpp"
 #include "base/sha256.hpp"
-#include "platform/platform_error.hpp"
 #include "settings/section_reader.hpp"
+#include "store/store_error.hpp"
 
 #include <algorithm>
 #include <array>
@@ -154,10 +154,10 @@
         response = co_await answer(call);
     } catch (const request_error& error) {
         response = error_answer(error);
-    } catch (const platform::platform_error& error) {
+    } catch (const store::store_error& error) {
         // Only a write that was refused or never sent may be called unchanged.
-        const auto kind = error.possible_effect() == platform::effect::none ? error_kind::platform_unavailable
-                                                                            : error_kind::outcome_unknown;
+        const auto kind = error.possible_effect() == store::effect::none ? error_kind::platform_unavailable
+                                                                         : error_kind::outcome_unknown;
         response = error_answer(request_error(kind, error.what()));
     } catch (const std::exception& error) {
         log::error("admin_call_failed", {{"target", call.target}, {"error", error.what()}});
@@ -331,7 +331,7 @@
 asio::awaitable<std::optional<revision_number>> administration::read_head() {
     try {
         co_return co_await m_store.read_head();
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         co_return std::nullopt;
     }
 }
@@ -340,7 +340,7 @@
 administration::read_spread(revision_number revision) {
     try {
         co_return co_await m_store.read_spread(revision);
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         co_return std::nullopt;
     }
 }
--- a/src/admin/administration.hpp
+++ b/src/admin/administration.hpp
@@ -10,9 +10,9 @@
 #include "configuration/revision_store.hpp"
 #include "http/message.hpp"
 #include "http/server.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table.hpp"
-#include "platform/vm_directory.hpp"
+#include "store/object_store.hpp"
+#include "store/table.hpp"
+#include "store/vm_directory.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,9 +30,9 @@
     boost::asio::any_io_executor executor;
     timer_service& timers;
     configuration::configuration_follower& follower;
-    platform::vm_directory& vms;
-    platform::table& table;
-    platform::object_store& objects;
+    store::vm_directory& vms;
+    store::table& table;
+    store::object_store& objects;
     peer_identity identity;
     std::string token_hash; ///< SHA-256 of the operators' token, lower-case hexadecimal
 };
--- a/src/admin/planner.cpp
+++ b/src/admin/planner.cpp
@@ -146,7 +146,7 @@
                                        {"milliseconds", std::to_string(spread.milliseconds)}});
     try {
         co_await m_store.keep_spread(spread);
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         // Only `status` at other entries misses the figure.
         log::warning("configuration_spread_not_kept", {{"revision", std::to_string(revision)}});
     }
--- a/src/admin/planner.hpp
+++ b/src/admin/planner.hpp
@@ -29,7 +29,7 @@
     std::optional<configuration::spread_row> spread; ///< when the caller waited
 };
 
-/// Calls throw request_error and platform::platform_error.
+/// Calls throw request_error and store::store_error.
 class planner {
 public:
     planner(configuration::configuration_follower& follower, configuration::revision_store& store,
--- a/src/admin/quarantine.cpp
+++ b/src/admin/quarantine.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t page = 500;
 constexpr unsigned release_attempts = 5;
 
-marked_request decode(const platform::row& row) {
+marked_request decode(const store::row& row) {
     marked_request request;
     request.fingerprint = row.key.substr(marks::key_prefix.size());
     try {
@@ -33,7 +33,7 @@
 
 } // namespace
 
-asio::awaitable<std::vector<marked_request>> list_marked_requests(platform::table& table) {
+asio::awaitable<std::vector<marked_request>> list_marked_requests(store::table& table) {
     std::vector<marked_request> requests;
     std::string after;
     while (true) {
@@ -48,7 +48,7 @@
     }
 }
 
-asio::awaitable<bool> release_request(platform::table& table, std::string fingerprint) {
+asio::awaitable<bool> release_request(store::table& table, std::string fingerprint) {
     const auto key = std::string(marks::key_prefix) + fingerprint;
     for (unsigned attempt = 0; attempt < release_attempts; ++attempt) {
         const auto row = co_await table.read(key);
@@ -56,7 +56,7 @@
             co_return false;
         }
         // A mark that comes between the read and the release isn't one that the operator has seen.
-        platform::transaction changes;
+        store::transaction changes;
         changes.conditions.push_back({key, row->version});
         changes.deletes.push_back(key);
         const auto result = co_await table.transact(changes);
@@ -64,8 +64,8 @@
             co_return true;
         }
     }
-    throw platform::platform_error(platform::effect::none,
-                                   "the marks of " + fingerprint + " kept changing; try again");
+    throw store::store_error(store::effect::none,
+                             "the marks of " + fingerprint + " kept changing; try again");
 }
 
 } // namespace borageford::admin
--- a/src/admin/quarantine.hpp
+++ b/src/admin/quarantine.hpp
@@ -2,7 +2,7 @@
 // release by an operator.
 #pragma once
 
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -19,10 +19,10 @@
     std::int64_t last_time = 0; ///< milliseconds since 1970
 };
 
-/// Every marked request. Throws platform::platform_error.
-boost::asio::awaitable<std::vector<marked_request>> list_marked_requests(platform::table& table);
+/// Every marked request. Throws store::store_error.
+boost::asio::awaitable<std::vector<marked_request>> list_marked_requests(store::table& table);
 
 /// Removes its marks, so that it may run again. False when there were none.
-boost::asio::awaitable<bool> release_request(platform::table& table, std::string fingerprint);
+boost::asio::awaitable<bool> release_request(store::table& table, std::string fingerprint);
 
 } // namespace borageford::admin
--- a/src/admin/revision_survey.cpp
+++ b/src/admin/revision_survey.cpp
@@ -145,14 +145,14 @@
     co_return inquiry->seen();
 }
 
-std::string to_text(platform::vm_role role) {
-    return role == platform::vm_role::entry ? "entry" : "sidecar";
+std::string to_text(store::vm_role role) {
+    return role == store::vm_role::entry ? "entry" : "sidecar";
 }
 
 } // namespace
 
 revision_survey::revision_survey(asio::any_io_executor executor, timer_service& timers,
-                                 configuration_follower& follower, platform::vm_directory& vms,
+                                 configuration_follower& follower, store::vm_directory& vms,
                                  peer_identity identity)
     : m_executor(std::move(executor)),
       m_timers(timers),
@@ -162,12 +162,12 @@
 
 asio::awaitable<std::vector<node_revision>> revision_survey::ask_all(revision_number wanted,
                                                                      std::chrono::milliseconds limit) {
-    std::vector<platform::vm> vms;
+    std::vector<store::vm> vms;
     std::vector<node_revision> nodes;
     for (const auto& [name, vm] : *m_vms.current()) {
         vms.push_back(vm);
         nodes.push_back({name, to_text(vm.role), vm.failure_domain, vm.backend_server,
-                         vm.state == platform::vm_state::leaving, std::nullopt});
+                         vm.state == store::vm_state::leaving, std::nullopt});
     }
     // All askers share one strand, which guards `next`; each connection has a strand of its own.
     const asio::any_io_executor strand = asio::make_strand(m_executor);
@@ -187,7 +187,7 @@
 }
 
 asio::awaitable<void> revision_survey::ask_some(std::vector<node_revision>& nodes,
-                                                const std::vector<platform::vm>& vms, std::size_t& next,
+                                                const std::vector<store::vm>& vms, std::size_t& next,
                                                 revision_number wanted, std::chrono::milliseconds limit) {
     while (next < vms.size()) {
         const auto index = next++;
@@ -200,7 +200,7 @@
 }
 
 asio::awaitable<std::optional<revision_number>>
-revision_survey::ask(const platform::vm& vm, revision_number wanted, std::chrono::milliseconds limit) {
+revision_survey::ask(const store::vm& vm, revision_number wanted, std::chrono::milliseconds limit) {
     const auto strand = asio::make_strand(m_executor);
     inquiry_context context{strand, m_timers, m_follower, m_identity, vm.address, wanted, limit};
     co_return co_await asio::co_spawn(strand, inquire(std::move(context)), asio::use_awaitable);
--- a/src/admin/revision_survey.hpp
+++ b/src/admin/revision_survey.hpp
@@ -4,7 +4,7 @@
 #include "admin/revision_listener.hpp"
 #include "base/timer_service.hpp"
 #include "configuration/configuration_follower.hpp"
-#include "platform/vm_directory.hpp"
+#include "store/vm_directory.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -33,7 +33,7 @@
     static constexpr std::size_t concurrency = 64;
 
     revision_survey(boost::asio::any_io_executor executor, timer_service& timers,
-                    configuration::configuration_follower& follower, platform::vm_directory& vms,
+                    configuration::configuration_follower& follower, store::vm_directory& vms,
                     peer_identity identity);
 
     /// Asks every VM of the platform's list at once. A node below `wanted` is given what this process holds
@@ -43,16 +43,16 @@
 
 private:
     boost::asio::awaitable<void> ask_some(std::vector<node_revision>& nodes,
-                                          const std::vector<platform::vm>& vms, std::size_t& next,
+                                          const std::vector<store::vm>& vms, std::size_t& next,
                                           configuration::revision_number wanted,
                                           std::chrono::milliseconds limit);
     boost::asio::awaitable<std::optional<configuration::revision_number>>
-    ask(const platform::vm& vm, configuration::revision_number wanted, std::chrono::milliseconds limit);
+    ask(const store::vm& vm, configuration::revision_number wanted, std::chrono::milliseconds limit);
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
     configuration::configuration_follower& m_follower;
-    platform::vm_directory& m_vms;
+    store::vm_directory& m_vms;
     peer_identity m_identity;
 };
 
--- a/src/audit/recorder.cpp
+++ b/src/audit/recorder.cpp
@@ -40,7 +40,7 @@
 
 /// Invariants: all but `records` is touched on the strand only; one write is under way at most.
 struct recorder::state : std::enable_shared_from_this<recorder::state> {
-    state(const asio::any_io_executor& executor, timer_service& timer_source, platform::object_store& target,
+    state(const asio::any_io_executor& executor, timer_service& timer_source, store::object_store& target,
           recorder_settings chosen)
         : strand(asio::make_strand(executor)),
           timers(timer_source),
@@ -140,7 +140,7 @@
         try {
             co_await store.put(object.key, std::move(object.text));
             is_written = true;
-        } catch (const platform::platform_error& error) {
+        } catch (const store::store_error& error) {
             // The batch stays and is written again under its key, also when the answer was lost after the
             // write took effect: the same bytes under the same key are no second batch.
             note_outage(error.what());
@@ -166,7 +166,7 @@
 
     asio::strand<asio::any_io_executor> strand;
     timer_service& timers;
-    platform::object_store& store;
+    store::object_store& store;
     const recorder_settings settings;
     backlog records;
     timer_subscription phase_timer;
@@ -179,7 +179,7 @@
     bool is_store_out = false;
 };
 
-recorder::recorder(asio::any_io_executor executor, timer_service& timers, platform::object_store& store,
+recorder::recorder(asio::any_io_executor executor, timer_service& timers, store::object_store& store,
                    recorder_settings settings)
     : m_state(std::make_shared<state>(executor, timers, store, std::move(settings))) {}
 
--- a/src/audit/recorder.hpp
+++ b/src/audit/recorder.hpp
@@ -3,7 +3,7 @@
 
 #include "audit/record.hpp"
 #include "base/timer_service.hpp"
-#include "platform/object_store.hpp"
+#include "store/object_store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -31,7 +31,7 @@
 /// work.
 class recorder {
 public:
-    recorder(boost::asio::any_io_executor executor, timer_service& timers, platform::object_store& store,
+    recorder(boost::asio::any_io_executor executor, timer_service& timers, store::object_store& store,
              recorder_settings settings);
     ~recorder();
     recorder(const recorder&) = delete;
--- a/src/configuration/configuration_follower.cpp
+++ b/src/configuration/configuration_follower.cpp
@@ -46,7 +46,7 @@
 /// Invariants: `current` is replaced only under `mutex`, and only by a higher revision; `changed`, `polling`,
 /// `waiters` and `last_tick` are touched only on the strand; one poll runs at a time.
 struct configuration_follower::state : std::enable_shared_from_this<configuration_follower::state> {
-    state(const asio::any_io_executor& executor, timer_service& given_timers, platform::table& given_table,
+    state(const asio::any_io_executor& executor, timer_service& given_timers, store::table& given_table,
           std::chrono::milliseconds given_period)
         : strand(asio::make_strand(executor)),
           timers(given_timers),
@@ -200,7 +200,7 @@
 
     asio::strand<asio::any_io_executor> strand;
     timer_service& timers;
-    platform::table& table;
+    store::table& table;
     std::chrono::milliseconds period;
     change_listener changed;
     std::mutex mutex;
@@ -220,7 +220,7 @@
 };
 
 configuration_follower::configuration_follower(asio::any_io_executor executor, timer_service& timers,
-                                               platform::table& table, std::chrono::milliseconds poll_period)
+                                               store::table& table, std::chrono::milliseconds poll_period)
     : m_state(std::make_shared<state>(executor, timers, table, poll_period)) {}
 
 configuration_follower::~configuration_follower() {
--- a/src/configuration/configuration_follower.hpp
+++ b/src/configuration/configuration_follower.hpp
@@ -3,7 +3,7 @@
 
 #include "base/timer_service.hpp"
 #include "configuration/configuration.hpp"
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -23,8 +23,8 @@
 public:
     using change_listener = std::function<void(const std::shared_ptr<const configuration>&)>;
 
-    configuration_follower(boost::asio::any_io_executor executor, timer_service& timers,
-                           platform::table& table, std::chrono::milliseconds poll_period);
+    configuration_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
+                           std::chrono::milliseconds poll_period);
     ~configuration_follower();
     configuration_follower(const configuration_follower&) = delete;
     configuration_follower& operator=(const configuration_follower&) = delete;
--- a/src/configuration/revision_store.cpp
+++ b/src/configuration/revision_store.cpp
@@ -19,8 +19,8 @@
 constexpr std::string_view plan_prefix = "configuration/plan/";
 constexpr std::string_view spread_prefix = "configuration/spread/";
 
-platform::transaction commit_transaction(const plan& what, const revision_row& row) {
-    platform::transaction changes;
+store::transaction commit_transaction(const plan& what, const revision_row& row) {
+    store::transaction changes;
     // Revision numbers have no gaps and their rows are never deleted, so "the next one doesn't exist" is the
     // same as "the base is still the head", and unlike the head's version it needs no read before.
     changes.conditions.push_back({revision_key(row.revision), 0});
@@ -78,12 +78,12 @@
     const auto changes = commit_transaction(what, row);
     bool may_have_taken_effect = false;
     for (unsigned attempt = 0; attempt < commit_attempts; ++attempt) {
-        std::optional<platform::transaction_result> result;
+        std::optional<store::transaction_result> result;
         try {
             result = co_await m_table.transact(changes);
-        } catch (const platform::platform_error& error) {
+        } catch (const store::store_error& error) {
             // A refusal changed nothing; what an earlier attempt did stays open all the same.
-            if (error.possible_effect() == platform::effect::none && !may_have_taken_effect) {
+            if (error.possible_effect() == store::effect::none && !may_have_taken_effect) {
                 throw;
             }
             may_have_taken_effect = true;
@@ -107,7 +107,7 @@
     std::optional<revision_row> row;
     try {
         row = co_await read_revision(what.base + 1);
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         co_return std::nullopt;
     }
     // A stale read shows no row where there is one; the next attempt to commit then tells.
@@ -127,7 +127,7 @@
     json::object value{
         {"revision", spread.revision}, {"nodes", spread.nodes}, {"milliseconds", spread.milliseconds}};
     value["behind"] = json::value_from(spread.behind);
-    platform::transaction changes;
+    store::transaction changes;
     changes.puts.push_back({spread_key(spread.revision), json::serialize(value)});
     co_await m_table.transact(changes);
 }
--- a/src/configuration/revision_store.hpp
+++ b/src/configuration/revision_store.hpp
@@ -4,8 +4,8 @@
 
 #include "configuration/plan.hpp"
 #include "configuration/revision_rows.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table.hpp"
+#include "store/object_store.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -36,12 +36,11 @@
     std::vector<std::string> behind; ///< those that weren't seen to hold it
 };
 
-/// Every call throws platform::platform_error when the platform doesn't answer, and std::runtime_error when
+/// Every call throws store::store_error when the platform doesn't answer, and std::runtime_error when
 /// a row can't be read.
 class revision_store {
 public:
-    revision_store(platform::table& table, platform::object_store& objects)
-        : m_table(table), m_objects(objects) {}
+    revision_store(store::table& table, store::object_store& objects) : m_table(table), m_objects(objects) {}
 
     /// The newest revision that a read shows; 0 when there is none. A stale read may show an older one.
     boost::asio::awaitable<revision_number> read_head();
@@ -67,8 +66,8 @@
 private:
     boost::asio::awaitable<std::optional<commit_result>> read_back(const plan& what, bool is_repeat);
 
-    platform::table& m_table;
-    platform::object_store& m_objects;
+    store::table& m_table;
+    store::object_store& m_objects;
 };
 
 } // namespace borageford::configuration
--- a/src/entry/claim_row.cpp
+++ b/src/entry/claim_row.cpp
@@ -52,7 +52,7 @@
     });
 }
 
-claim decode_claim(const platform::row& row) {
+claim decode_claim(const store::row& row) {
     const auto fields = json::parse(row.value).as_object();
     const auto text = [&fields](std::string_view name) {
         return std::string(fields.at(name).as_string());
--- a/src/entry/claim_row.hpp
+++ b/src/entry/claim_row.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/identifier.hpp"
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
 #include <cstdint>
 #include <string>
@@ -41,6 +41,6 @@
 
 [[nodiscard]] std::string encode_claim(const claim& value);
 /// Throws std::exception for a row that no version of this program wrote.
-[[nodiscard]] claim decode_claim(const platform::row& row);
+[[nodiscard]] claim decode_claim(const store::row& row);
 
 } // namespace borageford::entry
--- a/src/entry/claim_store.cpp
+++ b/src/entry/claim_store.cpp
@@ -60,7 +60,7 @@
 /// Invariant: `waiting` and the changes in it are touched only on the strand; one transaction is under way
 /// at a time, so that what comes meanwhile shares the next.
 struct claim_store::state : std::enable_shared_from_this<claim_store::state> {
-    state(const asio::any_io_executor& executor, platform::table& given, std::chrono::milliseconds wait,
+    state(const asio::any_io_executor& executor, store::table& given, std::chrono::milliseconds wait,
           std::chrono::milliseconds most)
         : strand(asio::make_strand(executor)), table(given), window(wait), limit(most), pause(strand) {}
 
@@ -73,12 +73,12 @@
     [[nodiscard]] bool has_urgent() const;
     std::vector<change_pointer> take_batch();
     asio::awaitable<void> commit(const std::vector<change_pointer>& batch);
-    void settle(const std::vector<change_pointer>& batch, const platform::transaction_result& result);
+    void settle(const std::vector<change_pointer>& batch, const store::transaction_result& result);
     asio::awaitable<claim_result> resolve(std::string key, const claim& wanted, bool effect_unknown);
     static void finish(row_change& change, change_outcome outcome);
 
     asio::strand<asio::any_io_executor> strand;
-    platform::table& table;
+    store::table& table;
     std::chrono::milliseconds window;
     std::chrono::milliseconds limit;
     std::deque<change_pointer> waiting;
@@ -150,7 +150,7 @@
 }
 
 asio::awaitable<void> claim_store::state::commit(const std::vector<change_pointer>& batch) {
-    platform::transaction changes;
+    store::transaction changes;
     for (const auto& change : batch) {
         changes.conditions.push_back({change->key, change->expected_version});
         if (change->value) {
@@ -160,12 +160,12 @@
         }
     }
     std::optional<change_outcome> failure;
-    platform::transaction_result result;
+    store::transaction_result result;
     try {
         result = co_await table.transact(changes);
-    } catch (const platform::platform_error& error) {
-        failure = error.possible_effect() == platform::effect::none ? change_outcome::refused
-                                                                    : change_outcome::unknown;
+    } catch (const store::store_error& error) {
+        failure = error.possible_effect() == store::effect::none ? change_outcome::refused
+                                                                 : change_outcome::unknown;
     }
     if (!failure) {
         settle(batch, result);
@@ -178,7 +178,7 @@
 
 /// A transaction is all or nothing: when one claim is held already, the others go again without it.
 void claim_store::state::settle(const std::vector<change_pointer>& batch,
-                                const platform::transaction_result& result) {
+                                const store::transaction_result& result) {
     for (const auto& change : batch | std::views::reverse) {
         if (result.committed) {
             change->version = result.version;
@@ -222,11 +222,11 @@
 /// asks the sidecar, learns that it never began, and takes it over.
 asio::awaitable<claim_result> claim_store::state::resolve(std::string key, const claim& wanted,
                                                           bool effect_unknown) {
-    std::optional<platform::row> row;
+    std::optional<store::row> row;
     bool can_read = true;
     try {
         row = co_await table.read(key);
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         can_read = false;
     }
     if (!can_read || !row) {
@@ -240,7 +240,7 @@
     co_return claim_held{std::move(current)};
 }
 
-claim_store::claim_store(asio::any_io_executor executor, platform::table& table,
+claim_store::claim_store(asio::any_io_executor executor, store::table& table,
                          std::chrono::milliseconds window, std::chrono::milliseconds limit)
     : m_state(std::make_shared<state>(executor, table, window, limit)) {}
 
@@ -271,7 +271,7 @@
         if (row) {
             standing = decode_claim(*row);
         }
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         // Unknown is all that can be said.
     }
     co_return standing;
--- a/src/entry/claim_store.hpp
+++ b/src/entry/claim_store.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "entry/claim_row.hpp"
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -34,8 +34,8 @@
 /// writes a second. Safe from any thread.
 class claim_store {
 public:
-    claim_store(boost::asio::any_io_executor executor, platform::table& table,
-                std::chrono::milliseconds window, std::chrono::milliseconds limit);
+    claim_store(boost::asio::any_io_executor executor, store::table& table, std::chrono::milliseconds window,
+                std::chrono::milliseconds limit);
     ~claim_store();
     claim_store(const claim_store&) = delete;
     claim_store& operator=(const claim_store&) = delete;
--- a/src/entry/claim_sweeper.cpp
+++ b/src/entry/claim_sweeper.cpp
@@ -13,21 +13,21 @@
 namespace asio = boost::asio;
 
 struct claim_sweeper::state : std::enable_shared_from_this<claim_sweeper::state> {
-    state(asio::any_io_executor given, timer_service& service, platform::table& rows,
+    state(asio::any_io_executor given, timer_service& service, store::table& rows,
           claim_sweeper_settings chosen)
         : executor(std::move(given)), timers(service), table(rows), settings(chosen) {}
 
     asio::awaitable<void> sweep();
-    [[nodiscard]] bool is_over(const platform::row& row) const;
+    [[nodiscard]] bool is_over(const store::row& row) const;
 
     asio::any_io_executor executor;
     timer_service& timers;
-    platform::table& table;
+    store::table& table;
     claim_sweeper_settings settings;
     timer_subscription timer;
 };
 
-bool claim_sweeper::state::is_over(const platform::row& row) const {
+bool claim_sweeper::state::is_over(const store::row& row) const {
     try {
         const auto retention = std::chrono::duration_cast<std::chrono::seconds>(settings.retention);
         return claim_time_now() - decode_claim(row).time > retention.count();
@@ -41,7 +41,7 @@
     const auto self = shared_from_this();
     try {
         const auto rows = co_await table.scan(claim_prefix, random_claim_position(), settings.page);
-        platform::transaction changes;
+        store::transaction changes;
         for (const auto& row : rows) {
             if (is_over(row)) {
                 // A row that was renewed meanwhile has another version, and nothing is removed.
@@ -53,12 +53,12 @@
             co_return;
         }
         co_await table.transact(changes);
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         // The next sweep finds them again.
     }
 }
 
-claim_sweeper::claim_sweeper(asio::any_io_executor executor, timer_service& timers, platform::table& table,
+claim_sweeper::claim_sweeper(asio::any_io_executor executor, timer_service& timers, store::table& table,
                              claim_sweeper_settings settings)
     : m_state(std::make_shared<state>(std::move(executor), timers, table, settings)) {}
 
--- a/src/entry/claim_sweeper.hpp
+++ b/src/entry/claim_sweeper.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/timer_service.hpp"
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -22,7 +22,7 @@
 /// that it wrote, so those of entries that died are removed as well. Safe from any thread.
 class claim_sweeper {
 public:
-    claim_sweeper(boost::asio::any_io_executor executor, timer_service& timers, platform::table& table,
+    claim_sweeper(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
                   claim_sweeper_settings settings);
     ~claim_sweeper();
     claim_sweeper(const claim_sweeper&) = delete;
--- a/src/entry/crash_watch.cpp
+++ b/src/entry/crash_watch.cpp
@@ -23,16 +23,16 @@
 } // namespace
 
 struct crash_watch::state : std::enable_shared_from_this<crash_watch::state> {
-    state(asio::any_io_executor given, timer_service& service, platform::table& rows)
+    state(asio::any_io_executor given, timer_service& service, store::table& rows)
         : executor(std::move(given)), timers(service), table(rows) {}
 
     asio::awaitable<void> read_all();
-    void take_row(const platform::row& row, std::set<std::uint64_t>& standing);
+    void take_row(const store::row& row, std::set<std::uint64_t>& standing);
     void drop_released(const std::set<std::uint64_t>& standing);
 
     asio::any_io_executor executor;
     timer_service& timers;
-    platform::table& table;
+    store::table& table;
     timer_subscription timer;
     std::atomic<bool> is_reading = false;
 
@@ -41,7 +41,7 @@
     std::set<std::uint64_t> at_table; ///< fingerprints whose row was there at the last reading; by mutex
 };
 
-void crash_watch::state::take_row(const platform::row& row, std::set<std::uint64_t>& standing) {
+void crash_watch::state::take_row(const store::row& row, std::set<std::uint64_t>& standing) {
     std::uint64_t fingerprint = 0;
     if (!marks::parse_key(row.key, fingerprint)) {
         return;
@@ -85,7 +85,7 @@
     is_reading.store(false);
 }
 
-crash_watch::crash_watch(asio::any_io_executor executor, timer_service& timers, platform::table& table)
+crash_watch::crash_watch(asio::any_io_executor executor, timer_service& timers, store::table& table)
     : m_state(std::make_shared<state>(std::move(executor), timers, table)) {}
 
 crash_watch::~crash_watch() {
--- a/src/entry/crash_watch.hpp
+++ b/src/entry/crash_watch.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "base/timer_service.hpp"
-#include "platform/table.hpp"
 #include "policy/quarantine.hpp"
+#include "store/table.hpp"
 #include "wire/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -20,7 +20,7 @@
 /// Thread-safe.
 class crash_watch {
 public:
-    crash_watch(boost::asio::any_io_executor executor, timer_service& timers, platform::table& table);
+    crash_watch(boost::asio::any_io_executor executor, timer_service& timers, store::table& table);
     ~crash_watch();
     crash_watch(const crash_watch&) = delete;
     crash_watch& operator=(const crash_watch&) = delete;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -13,10 +13,10 @@
 #include "entry/claim_sweeper.hpp"
 #include "entry/entry_context.hpp"
 #include "entry/entry_settings.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table.hpp"
-#include "platform/vm_directory.hpp"
 #include "process/runtime.hpp"
+#include "store/object_store.hpp"
+#include "store/table.hpp"
+#include "store/vm_directory.hpp"
 
 #include <algorithm>
 #include <array>
@@ -80,9 +80,9 @@
     process::runtime m_runtime;
     metrics::registry m_registry;
     entry_metrics m_metrics;
-    platform::table m_table;
-    platform::object_store m_objects;
-    platform::vm_directory m_vms;
+    store::table m_table;
+    store::object_store m_objects;
+    store::vm_directory m_vms;
     configuration::configuration_follower m_configuration;
     admin::peer_identity m_peer_identity;
     link_context m_link_context;
@@ -266,7 +266,7 @@
     const auto vms = m_vms.current();
     m_servers.update(*current, *vms);
     const auto entries = std::ranges::count_if(*vms, [](const auto& item) {
-        return item.second.role == platform::vm_role::entry && item.second.state == platform::vm_state::live;
+        return item.second.role == store::vm_role::entry && item.second.state == store::vm_state::live;
     });
     m_admissions.update(*current, static_cast<unsigned>(entries));
 }
--- a/src/entry/server_directory.cpp
+++ b/src/entry/server_directory.cpp
@@ -17,7 +17,7 @@
     return std::string(prefix).append(name);
 }
 
-std::string link_key(const platform::vm& vm) {
+std::string link_key(const store::vm& vm) {
     return vm.name + "@" + http::to_string(vm.address) + "/" + vm.backend_server;
 }
 
@@ -25,7 +25,7 @@
 
 server_directory::server_directory(const link_context& context) : m_context(context) {}
 
-std::shared_ptr<sidecar_link> server_directory::link_to(const platform::vm& vm) {
+std::shared_ptr<sidecar_link> server_directory::link_to(const store::vm& vm) {
     auto& link = m_links[link_key(vm)];
     if (link == nullptr) {
         link = std::make_shared<sidecar_link>(m_context, vm);
@@ -33,12 +33,12 @@
     return link;
 }
 
-void server_directory::update(const configuration::configuration& current, const platform::vm_map& vms) {
+void server_directory::update(const configuration::configuration& current, const store::vm_map& vms) {
     const std::scoped_lock lock(m_mutex);
     candidate_table table;
     std::set<std::string> in_use;
     for (const auto& [name, vm] : vms) {
-        if (vm.role != platform::vm_role::sidecar) {
+        if (vm.role != store::vm_role::sidecar) {
             continue;
         }
         const auto link = link_to(vm);
@@ -46,7 +46,7 @@
         // Kept for the fates of what runs there, even when no new work may go to it.
         table.by_server[vm.backend_server] = link;
         const auto* server = current.find_backend_server(vm.backend_server);
-        if (server == nullptr || server->drained || vm.state == platform::vm_state::leaving) {
+        if (server == nullptr || server->drained || vm.state == store::vm_state::leaving) {
             continue;
         }
         const candidate entry{link, server->name, hash_bytes(server->name), vm.failure_domain, vm.region};
--- a/src/entry/server_directory.hpp
+++ b/src/entry/server_directory.hpp
@@ -5,7 +5,7 @@
 #include "base/snapshot.hpp"
 #include "configuration/configuration.hpp"
 #include "entry/sidecar_link.hpp"
-#include "platform/vm_directory.hpp"
+#include "store/vm_directory.hpp"
 
 #include <map>
 #include <memory>
@@ -36,7 +36,7 @@
     explicit server_directory(const link_context& context);
 
     /// Joins anew; links of VMs that stay are kept, those of VMs that are gone are closed.
-    void update(const configuration::configuration& current, const platform::vm_map& vms);
+    void update(const configuration::configuration& current, const store::vm_map& vms);
 
     [[nodiscard]] std::shared_ptr<const candidate_table> current() const noexcept { return m_table.read(); }
 
@@ -45,7 +45,7 @@
                                                             std::string_view target, bool is_service);
 
 private:
-    std::shared_ptr<sidecar_link> link_to(const platform::vm& vm);
+    std::shared_ptr<sidecar_link> link_to(const store::vm& vm);
 
     const link_context& m_context;
     std::mutex m_mutex; ///< one update at a time
--- a/src/entry/sidecar_link.cpp
+++ b/src/entry/sidecar_link.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-sidecar_link::sidecar_link(const link_context& context, platform::vm vm)
+sidecar_link::sidecar_link(const link_context& context, store::vm vm)
     : m_context(context),
       m_vm(std::move(vm)),
       m_strand(asio::make_strand(context.executor)),
--- a/src/entry/sidecar_link.hpp
+++ b/src/entry/sidecar_link.hpp
@@ -4,7 +4,7 @@
 #include "base/identifier.hpp"
 #include "base/timer_service.hpp"
 #include "entry/dispatch_event.hpp"
-#include "platform/vm_directory.hpp"
+#include "store/vm_directory.hpp"
 #include "wire/peer_connection.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -53,9 +53,9 @@
 /// every listener is told connection_lost at most once for each connection its messages went to.
 class sidecar_link : public std::enable_shared_from_this<sidecar_link> {
 public:
-    sidecar_link(const link_context& context, platform::vm vm);
+    sidecar_link(const link_context& context, store::vm vm);
 
-    [[nodiscard]] const platform::vm& vm() const noexcept { return m_vm; }
+    [[nodiscard]] const store::vm& vm() const noexcept { return m_vm; }
 
     /// Delivers what comes for this dispatch to the mailbox until forget().
     /// Then sends the message, connecting first when there is no connection.
@@ -99,7 +99,7 @@
     void pass_to_listener(const dispatch_id& dispatch, dispatch_event event);
 
     const link_context& m_context;
-    platform::vm m_vm;
+    store::vm m_vm;
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     std::shared_ptr<wire::peer_connection> m_connection;
     bool m_open = false;
--- a/src/sidecar/crash_marks.cpp
+++ b/src/sidecar/crash_marks.cpp
@@ -30,7 +30,7 @@
 }
 
 /// The marks of a row; none when another version wrote it in a way that this one can't read.
-std::vector<crash_mark> read_marks(const platform::row& row) {
+std::vector<crash_mark> read_marks(const store::row& row) {
     try {
         return marks::decode_row(row.value);
     } catch (const std::invalid_argument& error) {
@@ -46,8 +46,7 @@
 } // namespace
 
 crash_marks::crash_marks(asio::strand<asio::any_io_executor> strand, timer_service& timers,
-                         platform::table& table, std::string backend_server,
-                         std::chrono::milliseconds lifetime)
+                         store::table& table, std::string backend_server, std::chrono::milliseconds lifetime)
     : m_strand(std::move(strand)),
       m_timers(timers),
       m_table(table),
@@ -148,12 +147,12 @@
             co_return true;
         }
         marks.push_back(mark);
-        platform::transaction changes;
+        store::transaction changes;
         changes.conditions.push_back({key, row ? row->version : 0});
         changes.puts.push_back({key, marks::encode_row(marks)});
         const auto result = co_await m_table.transact(changes);
         co_return result.committed;
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         co_return false;
     } catch (const std::invalid_argument& error) {
         log::error("crash_mark_row_unreadable", {{"row", key}, {"error", error.what()}});
@@ -164,7 +163,7 @@
 asio::awaitable<void> crash_marks::read_all() {
     try {
         forget_released(co_await read_rows());
-    } catch (const platform::platform_error&) {
+    } catch (const store::store_error&) {
         // What is known stays while the platform is out.
     }
     m_is_reading = false;
@@ -200,8 +199,8 @@
     }
 }
 
-asio::awaitable<void> crash_marks::remove_row(platform::row row) {
-    platform::transaction changes;
+asio::awaitable<void> crash_marks::remove_row(store::row row) {
+    store::transaction changes;
     changes.conditions.push_back({row.key, row.version});
     changes.deletes.push_back(row.key);
     co_await m_table.transact(changes);
--- a/src/sidecar/crash_marks.hpp
+++ b/src/sidecar/crash_marks.hpp
@@ -5,8 +5,8 @@
 #include "base/identifier.hpp"
 #include "base/timer_service.hpp"
 #include "marks/crash_mark.hpp"
-#include "platform/table.hpp"
 #include "policy/time.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -37,7 +37,7 @@
 
     /// `lifetime`: how long a mark counts.
     crash_marks(boost::asio::strand<boost::asio::any_io_executor> strand, timer_service& timers,
-                platform::table& table, std::string backend_server, std::chrono::milliseconds lifetime);
+                store::table& table, std::string backend_server, std::chrono::milliseconds lifetime);
 
     /// Starts to read the marks at the table at this period: those of others, and those that were released.
     void start(std::chrono::milliseconds period);
@@ -68,13 +68,13 @@
                                                   std::function<void()> done);
     boost::asio::awaitable<void> read_all();
     boost::asio::awaitable<std::set<std::uint64_t>> read_rows();
-    boost::asio::awaitable<void> remove_row(platform::row row);
+    boost::asio::awaitable<void> remove_row(store::row row);
     void forget_released(const std::set<std::uint64_t>& standing);
     [[nodiscard]] bool is_expired(const crash_mark& mark) const;
 
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     timer_service& m_timers;
-    platform::table& m_table;
+    store::table& m_table;
     std::string m_backend_server;
     std::chrono::milliseconds m_lifetime;
     std::unordered_map<std::uint64_t, entry> m_entries;
--- a/src/sidecar/fencing_lease.cpp
+++ b/src/sidecar/fencing_lease.cpp
@@ -40,7 +40,7 @@
     }
 }
 
-fencing_lease::fencing_lease(platform::table& table, std::string_view backend_server, identifier incarnation,
+fencing_lease::fencing_lease(store::table& table, std::string_view backend_server, identifier incarnation,
                              std::chrono::milliseconds lease)
     : m_table(table),
       m_key("fencing/" + std::string(backend_server)),
@@ -91,15 +91,15 @@
 
 asio::awaitable<bool> fencing_lease::write(const fencing_row& next, std::uint64_t version) {
     const auto value = encode_fencing(next);
-    platform::transaction changes;
+    store::transaction changes;
     changes.conditions.push_back({m_key, version});
     changes.puts.push_back({m_key, value});
     bool is_lost = false;
     try {
         const auto result = co_await m_table.transact(changes);
         co_return result.committed;
-    } catch (const platform::platform_error& error) {
-        if (error.possible_effect() == platform::effect::none) {
+    } catch (const store::store_error& error) {
+        if (error.possible_effect() == store::effect::none) {
             throw;
         }
         is_lost = true;
--- a/src/sidecar/fencing_lease.hpp
+++ b/src/sidecar/fencing_lease.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/identifier.hpp"
-#include "platform/table.hpp"
 #include "policy/time.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -36,12 +36,12 @@
 /// it, so that by our first order its holder knows from its own clock that its lease is over.
 class fencing_lease {
 public:
-    fencing_lease(platform::table& table, std::string_view backend_server, identifier incarnation,
+    fencing_lease(store::table& table, std::string_view backend_server, identifier incarnation,
                   std::chrono::milliseconds lease);
 
     /// Takes or renews it. `is_waited_out`: the engine doesn't check numbers, so a former holder's lease must
     /// be waited out. Returns how long to wait before the first order; nothing when another holds it, or the
-    /// write was lost to another's. Throws platform::platform_error.
+    /// write was lost to another's. Throws store::store_error.
     boost::asio::awaitable<std::optional<policy::duration>> take(bool is_waited_out);
 
     /// Gives it up, so that no one has to wait it out. Never throws; a failed write only costs others time.
@@ -56,7 +56,7 @@
     [[nodiscard]] bool must_respect(const fencing_row& held, std::uint64_t version, policy::time_point now);
     boost::asio::awaitable<bool> write(const fencing_row& next, std::uint64_t version);
 
-    platform::table& m_table;
+    store::table& m_table;
     std::string m_key;
     identifier m_incarnation;
     std::chrono::milliseconds m_lease;
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -5,7 +5,6 @@
 #include "base/timer_service.hpp"
 #include "configuration/configuration_follower.hpp"
 #include "ledger/dispatch_ledger.hpp"
-#include "platform/table.hpp"
 #include "policy/adaptive_limit.hpp"
 #include "policy/cost_estimator.hpp"
 #include "sidecar/backend_monitor.hpp"
@@ -16,6 +15,7 @@
 #include "sidecar/prefix_memory.hpp"
 #include "sidecar/sidecar_metrics.hpp"
 #include "sidecar/sidecar_settings.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/strand.hpp>
@@ -30,7 +30,7 @@
     boost::asio::strand<boost::asio::any_io_executor> strand;
     timer_service& timers;
     const sidecar_settings& settings;
-    platform::table& table;
+    store::table& table;
     configuration::configuration_follower& configuration;
     audit::recorder& audit;
     sidecar_metrics& metrics;
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -4,10 +4,10 @@
 #include "base/log.hpp"
 #include "configuration/configuration_metrics.hpp"
 #include "http/server.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table.hpp"
 #include "process/runtime.hpp"
 #include "sidecar/sidecar_core.hpp"
+#include "store/object_store.hpp"
+#include "store/table.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -65,8 +65,8 @@
     asio::strand<asio::any_io_executor> m_strand;
     metrics::registry m_registry;
     sidecar_metrics m_metrics;
-    platform::table m_table;
-    platform::object_store m_objects;
+    store::table m_table;
+    store::object_store m_objects;
     configuration::configuration_follower m_configuration;
     audit::recorder m_audit;
     backend::backend_server m_server;
--- a/src/platform/object_store.cpp
+++ b/src/store/object_store.cpp
@@ -1,13 +1,13 @@
 // The object store's calls over HTTP.
-#include "platform/object_store.hpp"
+#include "store/object_store.hpp"
 
-#include "platform/platform_call.hpp"
+#include "store/store_call.hpp"
 
 #include <boost/json.hpp>
 
 #include <utility>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -22,7 +22,7 @@
                                std::chrono::milliseconds timeout, std::string target, std::string bytes) {
     http::request call{
         "PUT", std::move(target), {{"Content-Type", "application/octet-stream"}}, std::move(bytes)};
-    const auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::write);
+    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::write);
     if (answer.head.status >= first_error_status) {
         refuse_answer("put of an object", answer.head.status, call_kind::write);
     }
@@ -32,7 +32,7 @@
                                                      asio::ip::tcp::endpoint address,
                                                      std::chrono::milliseconds timeout, std::string target) {
     http::request call{"GET", std::move(target), {}, ""};
-    auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::read);
+    auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
     if (answer.head.status == status_not_found) {
         co_return std::nullopt;
     }
@@ -56,15 +56,14 @@
                                                      asio::ip::tcp::endpoint address,
                                                      std::chrono::milliseconds timeout, std::string target) {
     http::request call{"GET", std::move(target), {}, ""};
-    const auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::read);
+    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
     if (answer.head.status != status_ok) {
         refuse_answer("list of objects", answer.head.status, call_kind::read);
     }
     try {
         co_return decode_entries(answer.body);
     } catch (const std::exception& error) {
-        throw platform_error(effect::none,
-                             std::string("platform: a list that can't be read: ") + error.what());
+        throw store_error(effect::none, std::string("platform: a list that can't be read: ") + error.what());
     }
 }
 
@@ -91,4 +90,4 @@
                          "&limit=" + std::to_string(limit));
 }
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -1,7 +1,7 @@
 // The platform's object store.
 #pragma once
 
-#include "platform/platform_error.hpp"
+#include "store/store_error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,14 +14,14 @@
 #include <string_view>
 #include <vector>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 struct object_entry {
     std::string key;
     std::uint64_t size = 0; ///< bytes
 };
 
-/// One HTTP exchange a call. Every call throws platform_error when the platform doesn't answer it.
+/// One HTTP exchange a call. Every call throws store_error when the platform doesn't answer it.
 class object_store {
 public:
     object_store(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint address,
@@ -39,4 +39,4 @@
     std::chrono::milliseconds m_timeout;
 };
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/platform_call.cpp
+++ b/src/store/store_call.cpp
@@ -1,5 +1,5 @@
-// The exchange itself, and the mapping from its failures to platform_error.
-#include "platform/platform_call.hpp"
+// The exchange itself, and the mapping from its failures to store_error.
+#include "store/store_call.hpp"
 
 #include "http/client.hpp"
 
@@ -12,7 +12,7 @@
 
 #include <utility>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 namespace asio = boost::asio;
 
@@ -39,9 +39,9 @@
 
 } // namespace
 
-asio::awaitable<http::response> call_platform(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
-                                              std::chrono::milliseconds timeout, http::request call,
-                                              call_kind kind) {
+asio::awaitable<http::response> call_store(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
+                                           std::chrono::milliseconds timeout, http::request call,
+                                           call_kind kind) {
     http::exchange_limits limits;
     limits.connect = timeout;
     limits.head = timeout;
@@ -53,14 +53,14 @@
         answer =
             co_await asio::co_spawn(strand, http::fetch(strand, address, call, limits), asio::use_awaitable);
     } catch (const http::exchange_error& error) {
-        throw platform_error(effect_of_failure(error.stage(), kind), describe(call, error.what()));
+        throw store_error(effect_of_failure(error.stage(), kind), describe(call, error.what()));
     }
     const auto status = answer.head.status;
     if (status == too_many_requests) {
-        throw platform_error(effect::none, describe(call, "over the platform's rate"));
+        throw store_error(effect::none, describe(call, "over the platform's rate"));
     }
     if (status == service_unavailable) {
-        throw platform_error(effect::none, describe(call, "out of service"));
+        throw store_error(effect::none, describe(call, "out of service"));
     }
     if (status >= first_server_error) {
         refuse_answer(call.method + " " + call.target, status, kind);
@@ -71,8 +71,7 @@
 void refuse_answer(std::string_view call, unsigned status, call_kind kind) {
     const auto possible =
         kind == call_kind::write && status >= first_server_error ? effect::unknown : effect::none;
-    throw platform_error(possible,
-                         "platform: " + std::string(call) + " was answered " + std::to_string(status));
+    throw store_error(possible, "platform: " + std::string(call) + " was answered " + std::to_string(status));
 }
 
 std::string encode_for_target(std::string_view text) {
@@ -80,4 +79,4 @@
     return boost::urls::encode(text, kept);
 }
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/platform_call.hpp
+++ b/src/store/store_call.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "http/message.hpp"
-#include "platform/platform_error.hpp"
+#include "store/store_error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -13,17 +13,17 @@
 #include <string>
 #include <string_view>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 /// Whether a call can change what the platform holds.
 enum class call_kind : std::uint8_t { read, write };
 
 /// Sends the request and returns the platform's answer, whatever its status but 429 and 5xx.
-/// Throws platform_error; for a write that may have reached the platform its effect is unknown.
-boost::asio::awaitable<http::response> call_platform(boost::asio::any_io_executor executor,
-                                                     boost::asio::ip::tcp::endpoint address,
-                                                     std::chrono::milliseconds timeout, http::request call,
-                                                     call_kind kind);
+/// Throws store_error; for a write that may have reached the platform its effect is unknown.
+boost::asio::awaitable<http::response> call_store(boost::asio::any_io_executor executor,
+                                                  boost::asio::ip::tcp::endpoint address,
+                                                  std::chrono::milliseconds timeout, http::request call,
+                                                  call_kind kind);
 
 /// Fails with what the platform answered, for a status that the call doesn't expect.
 [[noreturn]] void refuse_answer(std::string_view call, unsigned status, call_kind kind);
@@ -31,4 +31,4 @@
 /// Encodes a value for a query or a path segment; "/" stays as it is.
 [[nodiscard]] std::string encode_for_target(std::string_view text);
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/platform_error.hpp
+++ b/src/store/store_error.hpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 /// Whether a failed write can have taken effect.
 enum class effect : std::uint8_t {
@@ -14,9 +14,9 @@
 };
 
 /// An outage, a refusal for its rate, a timeout or a lost answer.
-class platform_error : public std::runtime_error {
+class store_error : public std::runtime_error {
 public:
-    platform_error(effect possible_effect, const std::string& text)
+    store_error(effect possible_effect, const std::string& text)
         : std::runtime_error(text), m_effect(possible_effect) {}
     [[nodiscard]] effect possible_effect() const noexcept { return m_effect; }
 
@@ -24,4 +24,4 @@
     effect m_effect;
 };
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/table.cpp
+++ b/src/store/table.cpp
@@ -1,13 +1,13 @@
 // The table's calls as JSON over HTTP.
-#include "platform/table.hpp"
+#include "store/table.hpp"
 
-#include "platform/platform_call.hpp"
+#include "store/store_call.hpp"
 
 #include <boost/json.hpp>
 
 #include <utility>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -55,8 +55,8 @@
     try {
         return decode(answer);
     } catch (const std::exception& error) {
-        throw platform_error(kind == call_kind::write ? effect::unknown : effect::none,
-                             std::string("platform: an answer that can't be read: ") + error.what());
+        throw store_error(kind == call_kind::write ? effect::unknown : effect::none,
+                          std::string("platform: an answer that can't be read: ") + error.what());
     }
 }
 
@@ -64,7 +64,7 @@
                                                      asio::ip::tcp::endpoint address,
                                                      std::chrono::milliseconds timeout, std::string body) {
     http::request call{"POST", "/table/transact", {{"Content-Type", "application/json"}}, std::move(body)};
-    const auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::write);
+    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::write);
     if (answer.head.status != status_ok && answer.head.status != status_conflict) {
         refuse_answer("transact", answer.head.status, call_kind::write);
     }
@@ -74,7 +74,7 @@
 asio::awaitable<std::optional<row>> send_read(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
                                               std::chrono::milliseconds timeout, std::string target) {
     http::request call{"GET", std::move(target), {}, ""};
-    const auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::read);
+    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
     if (answer.head.status == status_not_found) {
         co_return std::nullopt;
     }
@@ -98,7 +98,7 @@
 asio::awaitable<std::vector<row>> send_scan(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
                                             std::chrono::milliseconds timeout, std::string target) {
     http::request call{"GET", std::move(target), {}, ""};
-    const auto answer = co_await call_platform(executor, address, timeout, std::move(call), call_kind::read);
+    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
     if (answer.head.status != status_ok) {
         refuse_answer("scan", answer.head.status, call_kind::read);
     }
@@ -128,4 +128,4 @@
                          "&after=" + encode_for_target(after) + "&limit=" + std::to_string(limit));
 }
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/table.hpp
+++ b/src/store/table.hpp
@@ -1,7 +1,7 @@
 // The platform's transactional table, as docs/INTERFACES.md describes it.
 #pragma once
 
-#include "platform/platform_error.hpp"
+#include "store/store_error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 struct row {
     std::string key;
@@ -46,7 +46,7 @@
     std::vector<std::string> failed_keys; ///< whose conditions didn't hold, otherwise
 };
 
-/// One HTTP exchange a call. Every call throws platform_error when the platform doesn't answer it.
+/// One HTTP exchange a call. Every call throws store_error when the platform doesn't answer it.
 class table {
 public:
     table(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint address,
@@ -65,4 +65,4 @@
     std::chrono::milliseconds m_timeout;
 };
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/vm_directory.cpp
+++ b/src/store/vm_directory.cpp
@@ -1,9 +1,9 @@
 // Polling the list of VMs.
-#include "platform/vm_directory.hpp"
+#include "store/vm_directory.hpp"
 
 #include "base/log.hpp"
 #include "http/client.hpp"
-#include "platform/platform_call.hpp"
+#include "store/store_call.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,7 +13,7 @@
 #include <atomic>
 #include <utility>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -78,8 +78,8 @@
     static asio::awaitable<void> poll(std::shared_ptr<state> self) {
         try {
             http::request call{"GET", "/vms?since=" + std::to_string(self->version), {}, ""};
-            const auto answer = co_await call_platform(self->strand, self->platform, self->timeout,
-                                                       std::move(call), call_kind::read);
+            const auto answer = co_await call_store(self->strand, self->platform, self->timeout,
+                                                    std::move(call), call_kind::read);
             if (answer.head.status != status_ok) {
                 refuse_answer("list of VMs", answer.head.status, call_kind::read);
             }
@@ -161,4 +161,4 @@
     return m_state->vms.read();
 }
 
-} // namespace borageford::platform
+} // namespace borageford::store
--- a/src/platform/vm_directory.hpp
+++ b/src/store/vm_directory.hpp
@@ -15,7 +15,7 @@
 #include <memory>
 #include <string>
 
-namespace borageford::platform {
+namespace borageford::store {
 
 enum class vm_role : std::uint8_t { entry, sidecar };
 enum class vm_state : std::uint8_t { live, leaving };
@@ -57,4 +57,4 @@
     std::shared_ptr<state> m_state;
 };
 
-} // namespace borageford::platform
+} // namespace borageford::store
