--- /dev/null
+++ b/src/gateway/backend_call.cpp
@@ -0,0 +1,220 @@
+// Connect or reuse, send, read.
+#include "gateway/backend_call.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <array>
+#include <utility>
+
+namespace borageford::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A new connection inside a region takes some milliseconds; a server that doesn't answer for this long is
+/// silent or has a full queue, and another one is the better choice.
+constexpr milliseconds connect_limit{300};
+/// A connection that was idle for longer may be about to be closed by the server, which would leave the fate
+/// of a request that can't be repeated unknown.
+constexpr milliseconds longest_idle_for_unrepeatable{1000};
+constexpr milliseconds longest_idle{30000};
+/// How long an idle connection is kept when the server doesn't tell.
+constexpr milliseconds default_keep{4000};
+/// Kept back from the time that the server tells, so that its close doesn't cross a request.
+constexpr milliseconds keep_margin{500};
+constexpr unsigned first_final_status = 200;
+
+milliseconds keep_time(const http::response_reader& response) {
+    const auto told = http::idle_time(response.fields());
+    if (!told.has_value()) {
+        return default_keep;
+    }
+    return std::chrono::duration_cast<milliseconds>(*told) - keep_margin;
+}
+
+} // namespace
+
+backend_call::backend_call(asio::any_io_executor executor, std::shared_ptr<backend> server,
+                           backend_request request, handlers to_call)
+    : m_executor(std::move(executor)),
+      m_server(std::move(server)),
+      m_request(std::move(request)),
+      m_handlers(std::make_shared<const handlers>(std::move(to_call))),
+      m_connect_timer(m_executor) {}
+
+void backend_call::start() {
+    const auto idle = m_request.is_repeatable ? longest_idle : longest_idle_for_unrepeatable;
+    auto connection = m_server->take_idle(idle);
+    if (connection != nullptr) {
+        send_on(std::move(connection));
+    } else {
+        connect();
+    }
+}
+
+void backend_call::connect() {
+    m_connecting = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    m_connecting->async_connect(
+        m_server->record().address,
+        [self = shared_from_this(), socket = m_connecting](const boost::system::error_code& error) {
+            if (self->m_is_over) {
+                return;
+            }
+            self->m_connect_timer.cancel();
+            self->m_connecting.reset();
+            if (error) {
+                self->fail(call_failure::not_sent, "connecting failed");
+                return;
+            }
+            self->send_on(std::make_shared<net::connection>(std::move(*socket)));
+        });
+    m_connect_timer.expires_after(connect_limit);
+    m_connect_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->m_is_over && self->m_connecting != nullptr) {
+            self->fail(call_failure::not_sent, "connecting took too long");
+        }
+    });
+}
+
+void backend_call::send_on(std::shared_ptr<net::connection> connection) {
+    m_connection = std::move(connection);
+    m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
+                                              : http::response_reader::body_rule::expected);
+    m_sent_before = m_connection->sent_bytes();
+    m_connection->set_handlers(
+        {[self = shared_from_this()] { self->take_input(); },
+         [self = shared_from_this()](net::connection_end how) { self->take_end(how); },
+         {}});
+    const std::array<std::string_view, 2> pieces{m_request.head, m_request.body};
+    m_connection->send(pieces);
+    m_connection->read();
+}
+
+void backend_call::pause() {
+    if (m_connection != nullptr) {
+        m_connection->pause_reading();
+    }
+}
+
+void backend_call::resume() {
+    if (m_connection != nullptr) {
+        m_connection->read();
+    }
+}
+
+void backend_call::take_input() {
+    const auto self = shared_from_this();
+    try {
+        while (!m_is_over && read_response()) {
+        }
+    } catch (const http::response_error& error) {
+        fail(call_failure::unknown, error.what());
+    }
+}
+
+/// Reads what there is; true when another response may follow in the same bytes.
+bool backend_call::read_response() {
+    m_body.clear();
+    m_connection->consume(m_reader->read(m_connection->input(), m_body));
+    if (!m_reader->has_head()) {
+        return false;
+    }
+    if (!m_has_told_head && !m_is_surplus) {
+        const bool is_interim = m_reader->status() < first_final_status;
+        m_is_surplus = is_interim || !belongs_to_this_call();
+        m_is_poisoned = m_is_poisoned || (m_is_surplus && !is_interim);
+        if (!m_is_surplus) {
+            m_has_told_head = true;
+            const auto told = m_handlers;
+            told->on_head();
+        }
+    }
+    if (m_is_surplus) {
+        if (!m_reader->is_complete()) {
+            return false;
+        }
+        m_is_surplus = false;
+        m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
+                                                  : http::response_reader::body_rule::expected);
+        return !m_connection->input().empty();
+    }
+    if (!m_is_over && !m_body.empty()) {
+        const auto told = m_handlers;
+        told->on_body(m_body);
+    }
+    if (!m_is_over && m_reader->is_complete()) {
+        complete();
+    }
+    return false;
+}
+
+bool backend_call::belongs_to_this_call() const {
+    const auto echoed = m_reader->fields().find(m_request.request_id_name);
+    return !echoed.has_value() || *echoed == m_request.request_id;
+}
+
+void backend_call::take_end(net::connection_end how) {
+    if (m_is_over) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const bool has_left = m_connection->sent_bytes() > m_sent_before;
+    const auto failure = has_left ? call_failure::unknown : call_failure::not_sent;
+    if (how == net::connection_end::failed || !m_has_told_head) {
+        fail(failure, how == net::connection_end::failed ? "the connection failed" : "closed without an answer");
+        return;
+    }
+    try {
+        m_reader->read_end();
+        m_is_poisoned = true;
+        complete();
+    } catch (const http::response_error& error) {
+        fail(call_failure::unknown, error.what());
+    }
+}
+
+void backend_call::complete() {
+    m_is_over = true;
+    release_connection();
+    const auto told = std::exchange(m_handlers, nullptr);
+    told->on_complete();
+}
+
+void backend_call::release_connection() {
+    const auto connection = std::exchange(m_connection, nullptr);
+    const bool is_clean = !m_is_poisoned && connection->input().empty() && m_reader->keeps_connection() &&
+                          connection->is_open();
+    const auto keep = keep_time(*m_reader);
+    if (is_clean && keep > milliseconds::zero()) {
+        m_server->give_back(connection, keep);
+    } else {
+        connection->close();
+    }
+}
+
+void backend_call::fail(call_failure what, std::string_view reason) {
+    const auto told = std::exchange(m_handlers, nullptr);
+    cancel();
+    if (told != nullptr) {
+        told->on_failure(what, reason);
+    }
+}
+
+void backend_call::cancel() {
+    m_is_over = true;
+    m_handlers.reset();
+    m_connect_timer.cancel();
+    if (m_connecting != nullptr) {
+        boost::system::error_code ignored;
+        m_connecting->close(ignored);
+        m_connecting.reset();
+    }
+    if (m_connection != nullptr) {
+        m_connection->close();
+        m_connection.reset();
+    }
+}
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/gateway_context.hpp
@@ -0,0 +1,35 @@
+// What the parts of a gateway share. All of them live on one thread's executor.
+#pragma once
+
+#include "base/snapshot.hpp"
+#include "base/timer_service.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "routing/call_fields.hpp"
+#include "routing/routing_table.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <memory>
+
+namespace borageford::gateway {
+
+class backend_directory;
+class slot_broker;
+
+/// The configuration in force; null until the first one is known.
+using routing_snapshot = snapshot<std::shared_ptr<const routing::routing_table>>;
+
+struct gateway_context {
+    boost::asio::any_io_executor executor;
+    timer_service& timers;
+    const gateway_settings& settings;
+    const routing::call_fields& fields;
+    routing_snapshot& configuration;
+    backend_directory& backends;
+    slot_broker& slots;
+    bool is_stopping = false;
+    std::size_t requests_in_progress = 0;
+};
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/gateway_process.cpp
@@ -0,0 +1,215 @@
+// Putting a gateway together, and its graceful stop.
+#include "gateway/gateway_process.hpp"
+
+#include "base/log.hpp"
+#include "gateway/backend_directory.hpp"
+#include "gateway/client_session.hpp"
+#include "gateway/gateway_context.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/slot_broker.hpp"
+#include "gateway/store_follower.hpp"
+#include "http/server.hpp"
+#include "process/runtime.hpp"
+#include "store/table.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <iostream>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace borageford::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int wrong_settings_exit_code = 2;
+/// Callers come in bursts; a full queue would drop their opening packets for seconds.
+constexpr int listen_backlog = 4096;
+
+class gateway_process {
+public:
+    gateway_process(gateway_settings settings, const deployment& speech)
+        : m_settings(std::move(settings)),
+          m_speech(speech),
+          m_runtime(1),
+          m_configuration(nullptr),
+          m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout,
+                  speech.format),
+          m_slots(make_limits()),
+          m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
+                    m_configuration,      m_backends,         m_slots},
+          m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
+                                   speech.configuration_table, make_configuration_handlers()),
+          m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table, speech.backend_table,
+                             make_backend_handlers()),
+          m_acceptor(m_runtime.executor()),
+          m_readiness(
+              m_runtime.executor(), {},
+              [this](const http::request& received, http::response_writer& writer) {
+                  return answer_readiness(received, writer);
+              },
+              [](error_kind kind, std::string_view detail) {
+                  return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
+              }) {}
+
+    [[noreturn]] void run() {
+        m_configuration_follower.start();
+        m_backend_follower.start();
+        listen();
+        m_readiness.listen(m_settings.readiness_listen);
+        log::info("started", {{"vm", m_settings.common.vm}});
+        m_runtime.run([this] { stop(); });
+    }
+
+private:
+    policy::slot_scheduler_limits make_limits() const {
+        policy::slot_scheduler_limits limits;
+        limits.share = 0.25;
+        return limits;
+    }
+
+    store_follower::handlers make_configuration_handlers() {
+        return {[this](const store::row_page& page) {
+                    for (const auto& row : page.rows) {
+                        take_configuration(row);
+                    }
+                },
+                [this](const store::row_change& change) { take_configuration(change.now); },
+                [](const std::string& reason) { log::warning("store_away", {{"reason", reason}}); }};
+    }
+
+    store_follower::handlers make_backend_handlers() {
+        return {[this](const store::row_page& page) { take_all_backends(page); },
+                [this](const store::row_change& change) { take_backend_change(change); },
+                [](const std::string& reason) { log::warning("store_away", {{"reason", reason}}); }};
+    }
+
+    void take_configuration(const store::row& row) {
+        if (row.key != m_speech.configuration_key || row.value.empty()) {
+            return;
+        }
+        try {
+            auto table =
+                std::make_shared<const routing::routing_table>(m_speech.decode_configuration(row.value));
+            const auto current = *m_configuration.read();
+            if (current != nullptr && current->version() >= table->version()) {
+                return;
+            }
+            log::info("configuration", {{"version", std::to_string(table->version())}});
+            m_configuration.replace(std::move(table));
+        } catch (const std::exception& error) {
+            log::error("configuration_unreadable", {{"reason", error.what()}});
+        }
+    }
+
+    std::string id_of(const store::row& row) const { return row.key.substr(m_speech.backend_table.size() + 1); }
+
+    void take_all_backends(const store::row_page& page) {
+        std::set<std::string, std::less<>> present;
+        for (const auto& row : page.rows) {
+            present.insert(id_of(row));
+            take_backend_change({row, false});
+        }
+        std::vector<std::string> missing;
+        for (const auto& [id, server] : m_backends.all()) {
+            if (!present.contains(id)) {
+                missing.push_back(id);
+            }
+        }
+        for (const auto& id : missing) {
+            remove_backend(id);
+        }
+    }
+
+    void take_backend_change(const store::row_change& change) {
+        const auto id = id_of(change.now);
+        if (change.is_removed) {
+            remove_backend(id);
+            return;
+        }
+        try {
+            auto record = m_speech.decode_backend(id, change.now.value);
+            m_backends.set(record);
+            m_slots.set_server(record);
+        } catch (const std::exception& error) {
+            log::error("backend_unreadable", {{"id", id}, {"reason", error.what()}});
+        }
+    }
+
+    void remove_backend(const std::string& id) {
+        m_slots.remove_server(id);
+        m_backends.remove(id);
+    }
+
+    void listen() {
+        m_acceptor.open(m_settings.callers_listen.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(m_settings.callers_listen);
+        m_acceptor.listen(listen_backlog);
+        accept();
+    }
+
+    void accept() {
+        m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (!error) {
+                std::make_shared<client_session>(m_context, std::move(socket))->start();
+            }
+            if (m_acceptor.is_open()) {
+                accept();
+            }
+        });
+    }
+
+    asio::awaitable<void> answer_readiness(const http::request&, http::response_writer& writer) {
+        const bool is_ready =
+            *m_configuration.read() != nullptr && m_backends.has_ready() && !m_context.is_stopping;
+        co_await writer.write(http::make_response(is_ready ? 200 : 503, "text/plain", ""));
+    }
+
+    void stop() {
+        m_context.is_stopping = true;
+        m_stop_timer = m_runtime.timers().every(m_runtime.executor(), milliseconds(100), [this] {
+            m_stopped_for += milliseconds(100);
+            if (m_context.requests_in_progress == 0 && m_stopped_for > milliseconds(3000)) {
+                m_runtime.finish();
+            }
+        });
+    }
+
+    gateway_settings m_settings;
+    const deployment& m_speech;
+    process::runtime m_runtime;
+    routing_snapshot m_configuration;
+    store::table m_table;
+    backend_directory m_backends;
+    slot_broker m_slots;
+    gateway_context m_context;
+    store_follower m_configuration_follower;
+    store_follower m_backend_follower;
+    tcp::acceptor m_acceptor;
+    http::server m_readiness;
+    timer_subscription m_stop_timer;
+    milliseconds m_stopped_for{0};
+};
+
+} // namespace
+
+int run_gateway(const std::string& settings_file, const deployment& speech) {
+    std::vector<settings::problem> problems;
+    const auto text = settings::read_file(settings_file, problems);
+    const auto document = settings::parse_ini(text, settings_file, problems);
+    auto read = read_gateway_settings(document, problems);
+    if (!problems.empty()) {
+        settings::print_problems(problems, std::cerr);
+        return wrong_settings_exit_code;
+    }
+    log::start(read.common.log_format, read.common.log_level, "gateway");
+    gateway_process(std::move(read), speech).run();
+}
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,62 @@
+// Reading a gateway's settings file.
+#include "gateway/gateway_settings.hpp"
+
+#include "settings/section_reader.hpp"
+
+#include <array>
+#include <string_view>
+
+namespace borageford::gateway {
+namespace {
+
+constexpr std::array<std::string_view, 3> sections{"process", "platform", "gateway"};
+constexpr milliseconds shortest{1};
+constexpr milliseconds longest{3'600'000};
+constexpr double most_units = 1e12;
+
+void read_seeds(settings::section_reader& reader, gateway_settings& result) {
+    for (const auto& text : reader.list("seeds")) {
+        boost::system::error_code error;
+        const auto address = boost::asio::ip::make_address(text.substr(0, text.rfind(':')), error);
+        if (error) {
+            reader.complain("seeds", "IP numbers, with or without a port, separated by commas");
+            return;
+        }
+        result.seeds.push_back(address);
+    }
+}
+
+void read_bounds(settings::section_reader& reader, gateway_settings& result) {
+    result.retry_ratio = reader.real("retry_ratio", result.retry_ratio, 0, 1);
+    result.retry_reserve = reader.real("retry_reserve", result.retry_reserve, 0, most_units);
+    result.retry_window = reader.duration("retry_window", result.retry_window, shortest, longest);
+    result.allowance_window = reader.duration("allowance_window", result.allowance_window, shortest, longest);
+    result.allowance_slack = reader.real("allowance_slack", result.allowance_slack, 0, most_units);
+    result.configuration_limit =
+        reader.duration("configuration_limit", result.configuration_limit, shortest, longest);
+    result.drain_limit = reader.duration("drain_limit", result.drain_limit, shortest, longest);
+}
+
+} // namespace
+
+gateway_settings read_gateway_settings(const settings::ini_document& document,
+                                       std::vector<settings::problem>& problems) {
+    gateway_settings result;
+    result.common = process::read_common_settings(document, problems);
+    process::refuse_unknown_sections(document, sections, problems);
+
+    settings::section_reader reader(document, process::find_section(document, "gateway"), "gateway",
+                                    problems);
+    result.callers_listen = reader.address("callers_listen");
+    result.readiness_listen = reader.address("readiness_listen");
+    result.peers_listen = reader.address("peers_listen");
+    result.metrics_listen = reader.optional_address("metrics_listen");
+    read_seeds(reader, result);
+    result.processor_share = reader.real("processor_share", result.processor_share, 0.001, 1024);
+    result.stop_limit = reader.duration("stop_limit", result.stop_limit, shortest, longest);
+    read_bounds(reader, result);
+    reader.finish();
+    return result;
+}
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/store_follower.cpp
@@ -0,0 +1,69 @@
+// Read all, follow, and begin again after every gap.
+#include "gateway/store_follower.hpp"
+
+#include "base/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace borageford::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One question stays open this long when nothing changes; each costs a call.
+constexpr milliseconds longest_wait{10000};
+/// After a failed call: short enough that an outage's end is seen well within the time in which a new
+/// configuration must be in force, long enough that a store in trouble isn't pressed.
+constexpr milliseconds retry_delay{250};
+
+} // namespace
+
+store_follower::store_follower(asio::any_io_executor executor, timer_service& timers, store::table& table,
+                               std::string table_name, handlers to_call)
+    : m_executor(std::move(executor)),
+      m_timers(timers),
+      m_table(table),
+      m_table_name(std::move(table_name)),
+      m_handlers(std::move(to_call)) {}
+
+void store_follower::start() {
+    asio::co_spawn(m_executor, run(), asio::detached);
+}
+
+asio::awaitable<void> store_follower::run() {
+    for (;;) {
+        std::string failure;
+        try {
+            const auto all = co_await m_table.read_all(m_table_name + "/");
+            m_handlers.on_all(all);
+            co_await follow(all.version);
+        } catch (const store::store_error& error) {
+            failure = error.what();
+        }
+        if (!failure.empty()) {
+            m_handlers.on_outage(failure);
+            co_await pause(m_timers, retry_delay);
+        }
+    }
+}
+
+/// Returns when history was lost; throws store_error when the store is away.
+asio::awaitable<void> store_follower::follow(std::uint64_t version) {
+    for (;;) {
+        const auto page = co_await m_table.changes(m_table_name, version, longest_wait);
+        if (!page.has_value()) {
+            co_return;
+        }
+        for (const auto& change : page->changes) {
+            m_handlers.on_change(change);
+        }
+        version = page->version;
+    }
+}
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/store_follower.hpp
@@ -0,0 +1,43 @@
+// Follows one table of the store: everything once, then its changes as they happen.
+#pragma once
+
+#include "base/timer_service.hpp"
+#include "store/table.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace borageford::gateway {
+
+class store_follower {
+public:
+    struct handlers {
+        /// All rows as of one moment: at the start, and after history was lost or the store was away.
+        std::function<void(const store::row_page&)> on_all;
+        std::function<void(const store::row_change&)> on_change;
+        /// The store couldn't be reached or refused.
+        std::function<void(const std::string& reason)> on_outage;
+    };
+
+    store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
+                   std::string table_name, handlers to_call);
+
+    void start();
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> follow(std::uint64_t version);
+
+    boost::asio::any_io_executor m_executor;
+    timer_service& m_timers;
+    store::table& m_table;
+    std::string m_table_name;
+    handlers m_handlers;
+};
+
+} // namespace borageford::gateway
--- /dev/null
+++ b/src/http/response_reader.cpp
@@ -0,0 +1,144 @@
+// Beast's parser does the work.
+#include "http/response_reader.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <charconv>
+#include <cstdint>
+
+namespace borageford::http {
+
+namespace beast = boost::beast;
+
+namespace {
+
+/// Far over what servers send; a head without end must not fill the memory.
+constexpr std::uint32_t head_limit = 64U * 1024;
+
+class library_parser : public beast::http::basic_parser<false> {
+public:
+    unsigned status_code = 0;
+    std::string reason_text;
+    field_list fields;
+    std::string* body = nullptr; ///< where put() appends
+
+private:
+    using string_view = beast::string_view;
+    using error_code = beast::error_code;
+
+    void on_request_impl(beast::http::verb, string_view, string_view, int, error_code&) override {}
+    void on_response_impl(int code, string_view reason, int, error_code&) override {
+        status_code = static_cast<unsigned>(code);
+        reason_text.assign(reason.data(), reason.size());
+    }
+    void on_field_impl(beast::http::field, string_view name, string_view value, error_code&) override {
+        fields.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    void on_header_impl(error_code&) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+    std::size_t on_body_impl(string_view bytes, error_code&) override { return append(bytes); }
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override {
+        return append(bytes);
+    }
+    void on_finish_impl(error_code&) override {}
+
+    std::size_t append(string_view bytes) {
+        body->append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+};
+
+} // namespace
+
+struct response_reader::state {
+    library_parser parser;
+};
+
+response_reader::response_reader(body_rule rule) : m_state(std::make_unique<state>()) {
+    m_state->parser.header_limit(head_limit);
+    m_state->parser.body_limit(boost::none);
+    m_state->parser.eager(true);
+    m_state->parser.skip(rule == body_rule::none);
+}
+
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader&&) noexcept = default;
+response_reader& response_reader::operator=(response_reader&&) noexcept = default;
+
+std::size_t response_reader::read(std::string_view bytes, std::string& body) {
+    std::size_t used = 0;
+    m_state->parser.body = &body;
+    while (!is_complete() && used < bytes.size()) {
+        const auto rest = bytes.substr(used);
+        beast::error_code error;
+        const auto taken = m_state->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
+        used += taken;
+        if (error == beast::http::error::need_more || taken == 0) {
+            break;
+        }
+        if (error) {
+            throw response_error(error.message());
+        }
+    }
+    return used;
+}
+
+void response_reader::read_end() {
+    beast::error_code error;
+    m_state->parser.put_eof(error);
+    if (error || !is_complete()) {
+        throw response_error("the response ended early");
+    }
+}
+
+bool response_reader::has_head() const noexcept {
+    return m_state->parser.is_header_done();
+}
+
+bool response_reader::is_complete() const noexcept {
+    return m_state->parser.is_done();
+}
+
+bool response_reader::ends_with_connection() const noexcept {
+    return m_state->parser.need_eof();
+}
+
+bool response_reader::keeps_connection() const noexcept {
+    return m_state->parser.keep_alive();
+}
+
+std::optional<std::size_t> response_reader::content_length() const noexcept {
+    const auto length = m_state->parser.content_length();
+    return length.has_value() ? std::optional<std::size_t>(*length) : std::nullopt;
+}
+
+unsigned response_reader::status() const noexcept {
+    return m_state->parser.status_code;
+}
+
+std::string_view response_reader::reason() const noexcept {
+    return m_state->parser.reason_text;
+}
+
+const field_list& response_reader::fields() const noexcept {
+    return m_state->parser.fields;
+}
+
+std::optional<std::chrono::seconds> idle_time(const field_list& fields) {
+    constexpr std::string_view key = "timeout=";
+    const auto value = fields.find("Keep-Alive");
+    const auto begin = value ? value->find(key) : std::string_view::npos;
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value->substr(begin + key.size());
+    unsigned seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace borageford::http
--- /dev/null
+++ b/src/net/byte_buffer.cpp
@@ -0,0 +1,42 @@
+// Moving the rest to the front is cheaper than growing, as long as the rest is small.
+#include "net/byte_buffer.hpp"
+
+#include <algorithm>
+
+namespace borageford::net {
+
+std::span<char> byte_buffer::prepare(std::size_t wanted) {
+    if (is_empty()) {
+        m_begin = 0;
+        m_end = 0;
+    }
+    if (m_bytes.size() - m_end < wanted && m_begin > 0) {
+        std::copy(m_bytes.data() + m_begin, m_bytes.data() + m_end, m_bytes.data());
+        m_end -= m_begin;
+        m_begin = 0;
+    }
+    if (m_bytes.size() - m_end < wanted) {
+        m_bytes.resize(m_end + wanted);
+    }
+    return {m_bytes.data() + m_end, m_bytes.size() - m_end};
+}
+
+void byte_buffer::consume(std::size_t count) noexcept {
+    m_begin += std::min(count, size());
+}
+
+void byte_buffer::append(std::string_view bytes) {
+    const auto room = prepare(bytes.size());
+    std::ranges::copy(bytes, room.begin());
+    commit(bytes.size());
+}
+
+void byte_buffer::shrink(std::size_t kept) {
+    if (is_empty() && m_bytes.size() > kept) {
+        m_bytes = std::vector<char>();
+        m_begin = 0;
+        m_end = 0;
+    }
+}
+
+} // namespace borageford::net
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,212 @@
+// Reads are asynchronous; writes are tried at once, since the kernel nearly always takes them.
+#include "net/connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace borageford::net {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Room for a usual request head; an idle connection holds this much.
+constexpr std::size_t usual_read_size = 4096;
+/// Pieces of one gathered write; more are queued.
+constexpr std::size_t gathered_pieces = 8;
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket)), m_read_size(usual_read_size) {
+    prepare_socket(m_socket);
+}
+
+connection::~connection() = default;
+
+void connection::set_handlers(handlers to_call) {
+    m_handlers = std::make_shared<const handlers>(std::move(to_call));
+}
+
+template <typename Member, typename... Arguments>
+void connection::call(Member member, Arguments... arguments) {
+    const auto current = m_handlers;
+    if (current != nullptr && (*current).*member) {
+        ((*current).*member)(arguments...);
+    }
+}
+
+void connection::read() {
+    m_wants_input = true;
+    if (m_reads || m_has_ended || !m_socket.is_open()) {
+        return;
+    }
+    m_reads = true;
+    const auto room = m_input.prepare(m_read_size);
+    m_socket.async_read_some(
+        asio::buffer(room.data(), room.size()),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+            self->take_read(error, count);
+        });
+}
+
+void connection::take_read(const boost::system::error_code& error, std::size_t count) {
+    m_reads = false;
+    if (!m_socket.is_open()) {
+        return;
+    }
+    m_input.commit(count);
+    if (m_shuts_down) {
+        m_input.consume(m_input.size());
+        if (error) {
+            close();
+        } else {
+            read();
+        }
+        return;
+    }
+    if (count > 0) {
+        call(&handlers::on_input);
+    }
+    if (error) {
+        report_end(error == asio::error::eof ? connection_end::closed_by_peer : connection_end::failed);
+    } else if (m_wants_input) {
+        read();
+    }
+}
+
+void connection::consume(std::size_t count) {
+    m_input.consume(count);
+    if (!m_reads) {
+        m_input.shrink(usual_read_size);
+    }
+}
+
+void connection::report_end(connection_end how) {
+    if (m_has_ended) {
+        return;
+    }
+    m_has_ended = true;
+    call(&handlers::on_end, how);
+}
+
+std::size_t connection::write_now(std::span<const std::string_view> pieces,
+                                  boost::system::error_code& error) {
+    std::array<asio::const_buffer, gathered_pieces> buffers;
+    const auto gathered = std::min(pieces.size(), buffers.size());
+    for (std::size_t index = 0; index < gathered; ++index) {
+        buffers.at(index) = asio::buffer(pieces[index].data(), pieces[index].size());
+    }
+    const auto written = m_socket.write_some(buffers, error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        error = {};
+    }
+    return written;
+}
+
+void connection::send(std::span<const std::string_view> pieces) {
+    if (!m_socket.is_open() || m_has_ended) {
+        return;
+    }
+    std::size_t written = 0;
+    if (!m_writes && m_output.is_empty()) {
+        boost::system::error_code error;
+        written = write_now(pieces, error);
+        m_sent_bytes += written;
+        if (error) {
+            // Reported later: the caller is in the middle of its own step.
+            asio::post(m_socket.get_executor(),
+                       [self = shared_from_this()] { self->report_end(connection_end::failed); });
+            return;
+        }
+    }
+    for (const auto piece : pieces) {
+        const auto skipped = std::min(written, piece.size());
+        written -= skipped;
+        m_output.append(piece.substr(skipped));
+    }
+    if (!m_output.is_empty()) {
+        write_queued();
+    }
+}
+
+void connection::write_queued() {
+    if (m_writes) {
+        return;
+    }
+    m_writes = true;
+    std::swap(m_writing, m_output);
+    const auto bytes = m_writing.readable();
+    m_socket.async_write_some(
+        asio::buffer(bytes.data(), bytes.size()),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+            self->take_written(error, count);
+        });
+}
+
+void connection::take_written(const boost::system::error_code& error, std::size_t count) {
+    m_writes = false;
+    if (!m_socket.is_open()) {
+        return;
+    }
+    m_sent_bytes += count;
+    m_writing.consume(count);
+    if (error) {
+        report_end(connection_end::failed);
+        return;
+    }
+    if (!m_writing.is_empty()) {
+        m_writing.append(m_output.readable());
+        m_output.consume(m_output.size());
+        std::swap(m_writing, m_output);
+    }
+    if (!m_output.is_empty()) {
+        write_queued();
+        return;
+    }
+    m_writing.shrink(usual_read_size);
+    m_output.shrink(usual_read_size);
+    if (m_shuts_down) {
+        shut_down_when_sent();
+    } else {
+        call(&handlers::on_drained);
+    }
+}
+
+void connection::close() noexcept {
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_handlers.reset();
+}
+
+void connection::shut_down_when_sent() {
+    if (m_writes || !m_output.is_empty()) {
+        return;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_input.consume(m_input.size());
+    read();
+}
+
+void connection::close_gently(std::chrono::milliseconds linger) {
+    if (!m_socket.is_open() || m_shuts_down) {
+        return;
+    }
+    if (m_has_ended) {
+        close();
+        return;
+    }
+    m_handlers.reset();
+    m_shuts_down = true;
+    const auto timer = std::make_shared<asio::steady_timer>(m_socket.get_executor(), linger);
+    timer->async_wait([self = shared_from_this(), timer](const boost::system::error_code&) { self->close(); });
+    shut_down_when_sent();
+}
+
+} // namespace borageford::net
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,5 +1,7 @@
 // The one program: picks the subcommand. Abseil's flags stay in this folder, at the edge.
 #include "entry/entry_process.hpp"
+#include "gateway/gateway_process.hpp"
+#include "platform/users_platform.hpp"
 #include "program/command.hpp"
 #include "program/command_flags.hpp"
 #include "program/entry_client.hpp"
@@ -56,8 +58,14 @@
     return with_settings(borageford::sidecar::run_sidecar);
 }
 
+exit_code gateway_command(arguments) {
+    static const auto speech = borageford::platform::users_platform();
+    return with_settings([](const std::string& file) { return borageford::gateway::run_gateway(file, speech); });
+}
+
 constexpr std::array process_commands{
     command{"entry", "--settings FILE", "takes callers' requests", "", entry_command},
+    command{"gateway", "--settings FILE", "carries requests straight to backend servers", "", gateway_command},
     command{"sidecar", "--settings FILE", "stands beside one backend server", "", sidecar_command},
 };
 
--- /dev/null
+++ b/src/store/row.hpp
@@ -0,0 +1,60 @@
+// What the transactional table holds and answers, whichever format it is spoken to in.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace borageford::store {
+
+struct row {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+/// The row must have this version when the transaction commits; 0: there must be no such row.
+struct condition {
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+struct put {
+    std::string key;
+    std::string value;
+};
+
+/// All or nothing.
+struct transaction {
+    std::vector<condition> conditions;
+    std::vector<put> puts;
+    std::vector<std::string> deletes;
+};
+
+struct transaction_result {
+    bool committed = false;
+    std::uint64_t version = 0;            ///< of every row put, when committed
+    std::vector<std::string> failed_keys; ///< whose conditions didn't hold, otherwise
+};
+
+/// Rows as of one moment.
+struct row_page {
+    std::vector<row> rows;
+    std::uint64_t version = 0; ///< of the whole store at that moment, where the format tells it
+    bool has_more = false;
+};
+
+/// What happened to one row.
+struct row_change {
+    row now;
+    bool is_removed = false;
+};
+
+/// Changes in their order; the next ones are asked for after `version`.
+struct change_page {
+    std::vector<row_change> changes;
+    std::uint64_t version = 0;
+};
+
+} // namespace borageford::store
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -1,131 +1,145 @@
-// The table's calls as JSON over HTTP.
+// Each call: encode, exchange, decode, in the format given.
 #include "store/table.hpp"
 
 #include "store/store_call.hpp"
 
-#include <boost/json.hpp>
-
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace borageford::store {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_conflict = 409;
-
-std::string encode(const transaction& changes) {
-    json::array conditions;
-    for (const auto& entry : changes.conditions) {
-        conditions.push_back({{"key", entry.key}, {"version", entry.version}});
-    }
-    json::array puts;
-    for (const auto& entry : changes.puts) {
-        puts.push_back({{"key", entry.key}, {"value", entry.value}});
-    }
-    json::object body{{"conditions", std::move(conditions)}, {"puts", std::move(puts)}};
-    body["deletes"] = json::value_from(changes.deletes);
-    return json::serialize(body);
-}
-
-row decode_row(const json::value& from) {
-    return {json::value_to<std::string>(from.at("key")), json::value_to<std::string>(from.at("value")),
-            from.at("version").to_number<std::uint64_t>()};
-}
+constexpr std::size_t page_rows = 500;
 
-transaction_result decode_result(const http::response& answer) {
-    const auto body = json::parse(answer.body);
-    transaction_result result;
-    result.committed = answer.head.status == status_ok;
-    if (result.committed) {
-        result.version = body.at("version").to_number<std::uint64_t>();
-    } else {
-        result.failed_keys = json::value_to<std::vector<std::string>>(body.at("failed"));
-    }
-    return result;
-}
+/// What a call needs besides its arguments; copied into its coroutine.
+struct call_target {
+    asio::any_io_executor executor;
+    asio::ip::tcp::endpoint address;
+    std::chrono::milliseconds timeout;
+};
 
 /// Decodes an answer; one that isn't what the protocol promises is as good as lost.
 template <typename Decode>
-auto decode_or_refuse(const http::response& answer, call_kind kind, Decode decode) {
+auto decode_or_refuse(call_kind kind, Decode decode) {
     try {
-        return decode(answer);
+        return decode();
     } catch (const std::exception& error) {
         throw store_error(kind == call_kind::write ? effect::unknown : effect::none,
                           std::string("platform: an answer that can't be read: ") + error.what());
     }
 }
 
-asio::awaitable<transaction_result> send_transaction(asio::any_io_executor executor,
-                                                     asio::ip::tcp::endpoint address,
-                                                     std::chrono::milliseconds timeout, std::string body) {
-    http::request call{"POST", "/table/transact", {{"Content-Type", "application/json"}}, std::move(body)};
-    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::write);
-    if (answer.head.status != status_ok && answer.head.status != status_conflict) {
+asio::awaitable<http::response> exchange(call_target target, http::request call, call_kind kind) {
+    return call_store(target.executor, target.address, target.timeout, std::move(call), kind);
+}
+
+asio::awaitable<transaction_result> send_transaction(call_target target, table_format format,
+                                                     transaction changes, http::request call) {
+    const auto answer = co_await exchange(target, std::move(call), call_kind::write);
+    auto result = decode_or_refuse(call_kind::write, [&] {
+        return std::visit([&](const auto& spoken) { return spoken.decode_transaction(changes, answer); },
+                          format);
+    });
+    if (!result.has_value()) {
         refuse_answer("transact", answer.head.status, call_kind::write);
     }
-    co_return decode_or_refuse(answer, call_kind::write, decode_result);
+    co_return *std::move(result);
 }
 
-asio::awaitable<std::optional<row>> send_read(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
-                                              std::chrono::milliseconds timeout, std::string target) {
-    http::request call{"GET", std::move(target), {}, ""};
-    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
-    if (answer.head.status == status_not_found) {
-        co_return std::nullopt;
-    }
-    if (answer.head.status != status_ok) {
+asio::awaitable<std::optional<row>> send_read(call_target target, table_format format, http::request call) {
+    const auto answer = co_await exchange(target, std::move(call), call_kind::read);
+    std::optional<row> found;
+    const bool is_expected = decode_or_refuse(call_kind::read, [&] {
+        return std::visit([&](const auto& spoken) { return spoken.decode_read(answer, found); }, format);
+    });
+    if (!is_expected) {
         refuse_answer("row", answer.head.status, call_kind::read);
     }
-    co_return decode_or_refuse(answer, call_kind::read, [](const http::response& received) {
-        return decode_row(json::parse(received.body));
-    });
+    co_return found;
 }
 
-std::vector<row> decode_rows(const http::response& answer) {
-    std::vector<row> rows;
-    const auto body = json::parse(answer.body);
-    for (const auto& entry : body.at("rows").as_array()) {
-        rows.push_back(decode_row(entry));
+asio::awaitable<row_page> send_scan(call_target target, table_format format, std::string prefix,
+                                    http::request call) {
+    const auto answer = co_await exchange(target, std::move(call), call_kind::read);
+    auto page = decode_or_refuse(call_kind::read, [&] {
+        return std::visit([&](const auto& spoken) { return spoken.decode_scan(prefix, answer); }, format);
+    });
+    if (!page.has_value()) {
+        refuse_answer("scan", answer.head.status, call_kind::read);
     }
-    return rows;
+    co_return *std::move(page);
 }
 
-asio::awaitable<std::vector<row>> send_scan(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
-                                            std::chrono::milliseconds timeout, std::string target) {
-    http::request call{"GET", std::move(target), {}, ""};
-    const auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
-    if (answer.head.status != status_ok) {
-        refuse_answer("scan", answer.head.status, call_kind::read);
-    }
-    co_return decode_or_refuse(answer, call_kind::read, decode_rows);
+http::request encode_scan(const table_format& format, std::string_view prefix, std::string_view after,
+                          std::size_t limit) {
+    return std::visit([&](const auto& spoken) { return spoken.encode_scan(prefix, after, limit); }, format);
+}
+
+asio::awaitable<std::vector<row>> scan_rows(call_target target, table_format format, std::string prefix,
+                                            http::request call) {
+    auto page = co_await send_scan(target, format, std::move(prefix), std::move(call));
+    co_return std::move(page.rows);
 }
 
 } // namespace
 
 table::table(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
-             std::chrono::milliseconds timeout)
-    : m_executor(std::move(executor)), m_address(std::move(address)), m_timeout(timeout) {}
+             std::chrono::milliseconds timeout, table_format format)
+    : m_executor(std::move(executor)), m_address(std::move(address)), m_timeout(timeout), m_format(format) {}
 
 // The calls below encode their arguments before they return, so a caller's views needn't outlive the call.
 
 asio::awaitable<transaction_result> table::transact(const transaction& changes) {
-    return send_transaction(m_executor, m_address, m_timeout, encode(changes));
+    auto call = std::visit([&](const auto& spoken) { return spoken.encode_transaction(changes); }, m_format);
+    return send_transaction({m_executor, m_address, m_timeout}, m_format, changes, std::move(call));
 }
 
 asio::awaitable<std::optional<row>> table::read(std::string_view key) {
-    return send_read(m_executor, m_address, m_timeout, "/table/row?key=" + encode_for_target(key));
+    auto call = std::visit([&](const auto& spoken) { return spoken.encode_read(key); }, m_format);
+    return send_read({m_executor, m_address, m_timeout}, m_format, std::move(call));
 }
 
 asio::awaitable<std::vector<row>> table::scan(std::string_view prefix, std::string_view after,
                                               std::size_t limit) {
-    return send_scan(m_executor, m_address, m_timeout,
-                     "/table/scan?prefix=" + encode_for_target(prefix) +
-                         "&after=" + encode_for_target(after) + "&limit=" + std::to_string(limit));
+    return scan_rows({m_executor, m_address, m_timeout}, m_format, std::string(prefix),
+                     encode_scan(m_format, prefix, after, limit));
+}
+
+asio::awaitable<row_page> table::read_all(std::string prefix) {
+    row_page all;
+    bool has_more = true;
+    while (has_more) {
+        const auto after = all.rows.empty() ? std::string() : all.rows.back().key;
+        auto page = co_await send_scan({m_executor, m_address, m_timeout}, m_format, prefix,
+                                       encode_scan(m_format, prefix, after, page_rows));
+        // Later pages may be newer; following from the first page's version tells their changes again.
+        all.version = after.empty() ? page.version : all.version;
+        has_more = page.has_more && !page.rows.empty();
+        std::ranges::move(page.rows, std::back_inserter(all.rows));
+    }
+    co_return all;
+}
+
+asio::awaitable<std::optional<change_page>> table::changes(std::string table_name, std::uint64_t after,
+                                                           std::chrono::milliseconds wait) {
+    const auto* format = std::get_if<platform::store_format>(&m_format);
+    if (format == nullptr) {
+        throw store_error(effect::none, "platform: this format can't tell changes");
+    }
+    const auto answer = co_await exchange({m_executor, m_address, m_timeout + wait},
+                                          format->encode_changes(table_name, after, wait), call_kind::read);
+    if (format->has_lost_history(answer)) {
+        co_return std::nullopt;
+    }
+    auto page = decode_or_refuse(call_kind::read, [&] { return format->decode_changes(table_name, answer); });
+    if (!page.has_value()) {
+        refuse_answer("changes", answer.head.status, call_kind::read);
+    }
+    co_return page;
 }
 
 } // namespace borageford::store
--- a/src/store/table.hpp
+++ b/src/store/table.hpp
@@ -1,6 +1,9 @@
-// The platform's transactional table, as docs/INTERFACES.md describes it.
+// The platform's transactional table, in the format that the deployment speaks.
 #pragma once
 
+#include "platform/store_format.hpp"
+#include "store/native_format.hpp"
+#include "store/row.hpp"
 #include "store/store_error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -8,49 +11,23 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace borageford::store {
 
-struct row {
-    std::string key;
-    std::string value;
-    std::uint64_t version = 0;
-};
-
-/// The row must have this version when the transaction commits; 0: there must be no such row.
-struct condition {
-    std::string key;
-    std::uint64_t version = 0;
-};
+using table_format = std::variant<native_format, platform::store_format>;
 
-struct put {
-    std::string key;
-    std::string value;
-};
-
-/// All or nothing.
-struct transaction {
-    std::vector<condition> conditions;
-    std::vector<put> puts;
-    std::vector<std::string> deletes;
-};
-
-struct transaction_result {
-    bool committed = false;
-    std::uint64_t version = 0;            ///< of every row put, when committed
-    std::vector<std::string> failed_keys; ///< whose conditions didn't hold, otherwise
-};
-
-/// One HTTP exchange a call. Every call throws store_error when the platform doesn't answer it.
+/// One HTTP exchange a call. Every call throws store_error when the store doesn't answer it.
 class table {
 public:
     table(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint address,
-          std::chrono::milliseconds timeout);
+          std::chrono::milliseconds timeout, table_format format = native_format());
 
     boost::asio::awaitable<transaction_result> transact(const transaction& changes);
     /// Nothing when there is no such row. May be stale.
@@ -59,10 +36,20 @@
     boost::asio::awaitable<std::vector<row>> scan(std::string_view prefix, std::string_view after,
                                                   std::size_t limit);
 
+    /// All rows whose keys start with `prefix`, page after page, and the version of the first page.
+    boost::asio::awaitable<row_page> read_all(std::string prefix);
+
+    /// What changed in the rows "TABLE/..." after a version; waits up to `wait` for a first change. Nothing
+    /// when that history is gone and everything has to be read again. Throws store_error for a format that
+    /// can't tell changes.
+    boost::asio::awaitable<std::optional<change_page>> changes(std::string table_name, std::uint64_t after,
+                                                               std::chrono::milliseconds wait);
+
 private:
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::endpoint m_address;
     std::chrono::milliseconds m_timeout;
+    table_format m_format;
 };
 
 } // namespace borageford::store
