--- /dev/null
+++ b/src/coordination/batch_channel.cpp
@@ -0,0 +1,81 @@
+// Go-back-N with batches as units.
+#include "coordination/batch_channel.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace borageford::coordination {
+
+namespace {
+
+/// Some round trips inside a region, at 2 ms each and with a busy peer; then a datagram counts as lost.
+constexpr std::chrono::milliseconds retransmit_delay{12};
+/// Kept under an Ethernet frame, so that one lost fragment doesn't lose a whole datagram.
+constexpr std::size_t most_bytes = 1300;
+
+/// Moves items from one list to another until the room is used up; true when all have moved.
+template <typename Item>
+bool move_some(std::vector<Item>& from, std::vector<Item>& to, const batch_items& filled) {
+    auto next = from.begin();
+    while (next != from.end() && filled.encoded_size() < most_bytes) {
+        to.push_back(std::move(*next));
+        ++next;
+    }
+    from.erase(from.begin(), next);
+    return from.empty();
+}
+
+} // namespace
+
+void batch_channel::seal_pending() {
+    while (!m_pending.is_empty()) {
+        batch_items items;
+        // In the order in which they are taken: what comes later may speak of what came before.
+        [[maybe_unused]] const bool all = move_some(m_pending.holds, items.holds, items) &&
+                                          move_some(m_pending.asks, items.asks, items) &&
+                                          move_some(m_pending.withdrawals, items.withdrawals, items) &&
+                                          move_some(m_pending.releases, items.releases, items) &&
+                                          move_some(m_pending.grants, items.grants, items) &&
+                                          move_some(m_pending.refusals, items.refusals, items);
+        m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}});
+    }
+}
+
+std::vector<datagram> batch_channel::take_due(policy::time_point now) {
+    seal_pending();
+    std::vector<datagram> due;
+    for (auto& batch : m_unacknowledged) {
+        const bool is_new = batch.sent == policy::time_point{};
+        if (!is_new && now - batch.sent < retransmit_delay) {
+            continue;
+        }
+        batch.sent = now;
+        datagram message;
+        message.batch = batch.number;
+        message.items = batch.items;
+        due.push_back(std::move(message));
+    }
+    return due;
+}
+
+void batch_channel::stamp(datagram& message) const noexcept {
+    message.session = m_session;
+    message.acknowledged = m_last_taken;
+}
+
+void batch_channel::take_acknowledgement(std::uint32_t batch) {
+    while (!m_unacknowledged.empty() && m_unacknowledged.front().number <= batch) {
+        m_unacknowledged.pop_front();
+    }
+}
+
+bool batch_channel::accept(std::uint32_t batch) noexcept {
+    if (batch != m_last_taken + 1) {
+        return false;
+    }
+    ++m_last_taken;
+    return true;
+}
+
+} // namespace borageford::coordination
--- /dev/null
+++ b/src/coordination/batch_channel.hpp
@@ -0,0 +1,59 @@
+// Delivers batches of items between two processes over datagrams that may be lost, doubled or reordered: each
+// batch is taken once and in order.
+#pragma once
+
+#include "coordination/message.hpp"
+#include "policy/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace borageford::coordination {
+
+/// One direction out and one in of a session. Knows no socket and no clock.
+///
+/// A batch that isn't acknowledged is sent again with the same number and items; the receiver takes only the
+/// number that follows the last one it took. TCP would do the same, but a lost segment would hold up
+/// everything behind it for a retransmission timeout of 200 ms, a third of a short latency target.
+class batch_channel {
+public:
+    explicit batch_channel(std::uint64_t session) : m_session(session) {}
+
+    [[nodiscard]] std::uint64_t session() const noexcept { return m_session; }
+
+    /// Items to be sent with the next flush.
+    [[nodiscard]] batch_items& pending() noexcept { return m_pending; }
+
+    /// What has to be sent now: new batches, and old ones that weren't acknowledged in time. Status and
+    /// acknowledgement are for the caller to fill in with stamp().
+    [[nodiscard]] std::vector<datagram> take_due(policy::time_point now);
+
+    /// Fills in what every datagram of the session carries.
+    void stamp(datagram& message) const noexcept;
+
+    /// Takes note of what the other side has acknowledged.
+    void take_acknowledgement(std::uint32_t batch);
+
+    /// Whether a received batch is the next one; false for one that was taken before or came too early.
+    [[nodiscard]] bool accept(std::uint32_t batch) noexcept;
+
+    [[nodiscard]] bool has_unacknowledged() const noexcept { return !m_unacknowledged.empty(); }
+
+private:
+    struct sent_batch {
+        std::uint32_t number;
+        batch_items items;
+        policy::time_point sent;
+    };
+
+    void seal_pending();
+
+    std::uint64_t m_session;
+    batch_items m_pending;
+    std::deque<sent_batch> m_unacknowledged; ///< in the order of their numbers
+    std::uint32_t m_last_sealed = 0;
+    std::uint32_t m_last_taken = 0;
+};
+
+} // namespace borageford::coordination
--- /dev/null
+++ b/src/coordination/message.cpp
@@ -0,0 +1,211 @@
+// Between plain values and FlatBuffers.
+#include "coordination/message.hpp"
+
+#include "coordination/messages_generated.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <limits>
+
+namespace borageford::coordination {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t usual_size = 512;
+constexpr std::size_t status_size = 128;
+
+std::uint32_t to_wire(policy::duration span) {
+    const auto count = std::chrono::duration_cast<milliseconds>(span).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t to_wire(double amount) {
+    return static_cast<std::uint32_t>(
+        std::clamp(amount, 0.0, static_cast<double>(std::numeric_limits<std::uint32_t>::max())));
+}
+
+wire::ask to_wire(const policy::slot_request& from, policy::time_point now) {
+    return {from.ticket,
+            from.service,
+            from.workspace,
+            from.avoided[0],
+            from.avoided[1],
+            to_wire(from.units),
+            to_wire(from.cost.prompt),
+            to_wire(from.cost.output),
+            to_wire(now - from.arrived),
+            to_wire(from.deadline - now),
+            to_wire(from.target),
+            static_cast<std::int8_t>(from.tier),
+            static_cast<std::uint8_t>(from.sends),
+            from.is_charged};
+}
+
+policy::slot_request from_wire(const wire::ask& from, policy::time_point now) {
+    policy::slot_request result;
+    result.ticket = from.ticket();
+    result.service = from.service();
+    result.workspace = from.workspace();
+    result.avoided = {from.first_avoided(), from.second_avoided()};
+    result.units = from.units();
+    result.cost = {static_cast<double>(from.prompt_tokens()), static_cast<double>(from.output_tokens())};
+    result.arrived = now - milliseconds(from.age_ms());
+    result.deadline = now + milliseconds(from.left_ms());
+    result.target = milliseconds(from.target_ms());
+    result.tier = from.tier();
+    result.sends = from.sends();
+    result.is_charged = from.is_charged();
+    return result;
+}
+
+wire::hold to_wire(const slot_hold& from) {
+    return {from.ticket,
+            from.server,
+            from.service,
+            to_wire(from.cost.prompt),
+            to_wire(from.cost.output),
+            static_cast<std::int8_t>(from.tier)};
+}
+
+slot_hold from_wire(const wire::hold& from) {
+    return {from.ticket(),
+            from.server(),
+            from.service(),
+            from.tier(),
+            {static_cast<double>(from.prompt_tokens()), static_cast<double>(from.output_tokens())}};
+}
+
+wire::release to_wire(const policy::slot_release& from) {
+    return {from.ticket, from.server, to_wire(from.busy), to_wire(from.first_event),
+            static_cast<std::uint8_t>(from.outcome)};
+}
+
+policy::slot_release from_wire(const wire::release& from) {
+    const auto outcome =
+        std::min(from.outcome(), static_cast<std::uint8_t>(policy::slot_outcome::abandoned));
+    return {from.ticket(), from.server(), static_cast<policy::slot_outcome>(outcome),
+            milliseconds(from.busy_ms()), milliseconds(from.first_ms())};
+}
+
+wire::grant to_wire(const policy::slot_grant& from) {
+    return {from.ticket, from.server};
+}
+
+policy::slot_grant from_wire(const wire::grant& from) {
+    return {from.ticket(), from.server()};
+}
+
+wire::refusal to_wire(const policy::slot_refusal& from) {
+    return {from.ticket, to_wire(from.retry_after), static_cast<std::uint8_t>(from.reason)};
+}
+
+policy::slot_refusal from_wire(const wire::refusal& from) {
+    const auto reason =
+        std::min(from.reason(), static_cast<std::uint8_t>(policy::refusal_reason::over_retry_budget));
+    return {from.ticket(), static_cast<policy::refusal_reason>(reason), milliseconds(from.retry_after_ms())};
+}
+
+template <typename Wire, typename Items, typename... Arguments>
+flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
+encode_items(flatbuffers::FlatBufferBuilder& builder, const Items& items, Arguments... arguments) {
+    if (items.empty()) {
+        return 0;
+    }
+    std::vector<Wire> encoded;
+    encoded.reserve(items.size());
+    for (const auto& item : items) {
+        encoded.push_back(to_wire(item, arguments...));
+    }
+    return builder.CreateVectorOfStructs(encoded);
+}
+
+template <typename Wire, typename Items, typename... Arguments>
+void decode_items(const flatbuffers::Vector<const Wire*>* from, Items& items, Arguments... arguments) {
+    if (from == nullptr) {
+        return;
+    }
+    items.reserve(from->size());
+    for (const auto* item : *from) {
+        items.push_back(from_wire(*item, arguments...));
+    }
+}
+
+} // namespace
+
+bool batch_items::is_empty() const noexcept {
+    return holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() && grants.empty() &&
+           refusals.empty();
+}
+
+std::size_t batch_items::encoded_size() const noexcept {
+    return status_size + holds.size() * sizeof(wire::hold) + asks.size() * sizeof(wire::ask) +
+           withdrawals.size() * sizeof(std::uint64_t) + releases.size() * sizeof(wire::release) +
+           grants.size() * sizeof(wire::grant) + refusals.size() * sizeof(wire::refusal);
+}
+
+std::vector<std::byte> encode(const datagram& message, policy::time_point now) {
+    flatbuffers::FlatBufferBuilder builder(usual_size);
+    const auto& items = message.items;
+    const auto asks = encode_items<wire::ask>(builder, items.asks, now);
+    const auto holds = encode_items<wire::hold>(builder, items.holds);
+    const auto releases = encode_items<wire::release>(builder, items.releases);
+    const auto grants = encode_items<wire::grant>(builder, items.grants);
+    const auto refusals = encode_items<wire::refusal>(builder, items.refusals);
+    const auto withdrawals = items.withdrawals.empty()
+                                 ? flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>>()
+                                 : builder.CreateVector(items.withdrawals);
+    wire::datagramBuilder table(builder);
+    table.add_incarnation(message.sender.incarnation);
+    table.add_is_acting(message.sender.is_acting);
+    table.add_is_eligible(message.sender.is_eligible);
+    table.add_is_leaving(message.sender.is_leaving);
+    table.add_wants_reply(message.wants_reply);
+    table.add_processor_share(static_cast<float>(message.sender.processor_share));
+    table.add_members(static_cast<std::uint16_t>(message.sender.members));
+    table.add_configuration_version(message.sender.configuration_version);
+    table.add_backend_version(message.sender.backend_version);
+    table.add_session(message.session);
+    table.add_batch(message.batch);
+    table.add_acknowledged(message.acknowledged);
+    table.add_asks(asks);
+    table.add_holds(holds);
+    table.add_withdrawals(withdrawals);
+    table.add_releases(releases);
+    table.add_grants(grants);
+    table.add_refusals(refusals);
+    builder.Finish(table.Finish());
+    const auto bytes = std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<datagram> decode(std::span<const std::byte> bytes, policy::time_point now) {
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!wire::VerifydatagramBuffer(verifier)) {
+        return std::nullopt;
+    }
+    const auto* table = wire::Getdatagram(data);
+    datagram result;
+    result.sender = {table->incarnation(), table->is_acting(),       table->is_eligible(),
+                     table->is_leaving(),  table->processor_share(), table->members(),
+                     table->configuration_version(), table->backend_version()};
+    result.wants_reply = table->wants_reply();
+    result.session = table->session();
+    result.batch = table->batch();
+    result.acknowledged = table->acknowledged();
+    decode_items(table->asks(), result.items.asks, now);
+    decode_items(table->holds(), result.items.holds);
+    decode_items(table->releases(), result.items.releases);
+    decode_items(table->grants(), result.items.grants);
+    decode_items(table->refusals(), result.items.refusals);
+    if (const auto* withdrawals = table->withdrawals()) {
+        result.items.withdrawals.assign(withdrawals->begin(), withdrawals->end());
+    }
+    return result;
+}
+
+} // namespace borageford::coordination
--- /dev/null
+++ b/src/coordination/slot_broker.cpp
@@ -0,0 +1,458 @@
+// Roles change with what is heard; the requests that wait or run are told to whoever decides next.
+#include "coordination/slot_broker.hpp"
+
+#include "base/identifier.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::coordination {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds tick_period{50};
+/// Other candidates than the coordinator hear from this process at every so many ticks.
+constexpr unsigned candidate_ticks = 4;
+/// Absent candidates are asked this rarely.
+constexpr unsigned absent_ticks = 20;
+/// Unacknowledged batches are looked at this often.
+constexpr milliseconds retransmit_check{6};
+/// A member that is silent for this long has its slots given to others.
+constexpr milliseconds member_silence{600};
+/// A silent member's part of the limits stays reserved this long: it may be cut off and giving its part out.
+constexpr milliseconds member_reservation{12000};
+/// Without ever having heard of another, a process assumes so many members.
+constexpr std::size_t assumed_members = 4;
+constexpr unsigned ticket_shift = 32;
+
+policy::member_key key_of(const asio::ip::address& address) {
+    return address.is_v4() ? address.to_v4().to_uint() : 0;
+}
+
+} // namespace
+
+slot_broker::slot_broker(asio::any_io_executor executor, timer_service& timers, broker_settings settings,
+                         observers to_call)
+    : m_executor(std::move(executor)),
+      m_timers(timers),
+      m_settings(settings),
+      m_observers(std::move(to_call)),
+      m_incarnation(identifier::random().low),
+      m_self(key_of(settings.local.address())),
+      m_election(m_self, settings.processor_share, settings.election, clock::now()),
+      m_coordinator(settings.slots, settings.allowances, settings.repeats) {}
+
+void slot_broker::start() {
+    m_socket.emplace(m_executor, m_settings.local,
+                     [this](const asio::ip::udp::endpoint& from, std::span<const std::byte> bytes) {
+                         receive(from, bytes);
+                     });
+    update_shares(clock::now());
+    m_tick_timer = m_timers.every(m_executor, tick_period, [this] { tick(); });
+}
+
+void slot_broker::leave() {
+    m_election.leave();
+    choose_source(clock::now());
+    send_heartbeats(clock::now());
+}
+
+void slot_broker::add_member(const asio::ip::address& address, double processor_share) {
+    if (key_of(address) != 0) {
+        m_election.add(key_of(address), processor_share);
+    }
+}
+
+void slot_broker::forget_member(const asio::ip::address& address) {
+    m_election.forget(key_of(address));
+}
+
+void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots) {
+    m_coordinator.scheduler().set_server(server, service, slots);
+    schedule_flush();
+}
+
+void slot_broker::remove_server(policy::server_key server) {
+    m_coordinator.scheduler().remove_server(server);
+}
+
+void slot_broker::set_allowance(policy::workspace_key workspace, policy::allowance limit) {
+    m_coordinator.allowances().set_limit(workspace, limit, clock::now());
+}
+
+void slot_broker::remove_allowance(policy::workspace_key workspace) {
+    m_coordinator.allowances().remove(workspace);
+}
+
+policy::slot_ticket slot_broker::next_ticket() noexcept {
+    return (m_incarnation << ticket_shift) | ++m_last_ticket;
+}
+
+void slot_broker::request(const policy::slot_request& wanted, answer to_call) {
+    m_waiting.emplace(wanted.ticket, waiting_request{wanted, std::move(to_call)});
+    batch_items items;
+    items.asks.push_back(wanted);
+    pass_on(std::move(items));
+}
+
+void slot_broker::withdraw(policy::slot_ticket ticket) {
+    if (m_waiting.erase(ticket) == 0) {
+        return;
+    }
+    batch_items items;
+    items.withdrawals.push_back(ticket);
+    pass_on(std::move(items));
+}
+
+void slot_broker::release(const policy::slot_release& ended) {
+    m_running.erase(ended.ticket);
+    batch_items items;
+    items.releases.push_back(ended);
+    pass_on(std::move(items));
+}
+
+void slot_broker::pass_on(batch_items items) {
+    if (m_source == slot_source::coordinator) {
+        auto& pending = m_upstream->pending();
+        std::ranges::move(items.holds, std::back_inserter(pending.holds));
+        std::ranges::move(items.asks, std::back_inserter(pending.asks));
+        std::ranges::move(items.withdrawals, std::back_inserter(pending.withdrawals));
+        std::ranges::move(items.releases, std::back_inserter(pending.releases));
+    } else {
+        m_coordinator.take(m_self, items, clock::now());
+    }
+    schedule_flush();
+}
+
+void slot_broker::schedule_flush() {
+    if (std::exchange(m_flush_is_scheduled, true)) {
+        return;
+    }
+    asio::post(m_executor, [this] {
+        m_flush_is_scheduled = false;
+        flush();
+    });
+}
+
+void slot_broker::flush() {
+    const auto now = clock::now();
+    if (m_source == slot_source::coordinator) {
+        flush_channel(m_coordinating_member, *m_upstream, now);
+        watch_retransmission();
+        return;
+    }
+    for (auto& [member, items] : m_coordinator.decide(now)) {
+        if (member == m_self) {
+            deliver(items);
+            continue;
+        }
+        const auto served = m_served.find(member);
+        if (served == m_served.end()) {
+            continue;
+        }
+        auto& pending = served->second.channel.pending();
+        std::ranges::move(items.grants, std::back_inserter(pending.grants));
+        std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
+    }
+    for (auto& [member, served] : m_served) {
+        flush_channel(member, served.channel, now);
+    }
+    watch_retransmission();
+}
+
+void slot_broker::flush_channel(policy::member_key member, batch_channel& channel, policy::time_point now) {
+    for (auto& message : channel.take_due(now)) {
+        channel.stamp(message);
+        send(member, std::move(message));
+    }
+}
+
+void slot_broker::watch_retransmission() {
+    const bool is_needed =
+        (m_upstream.has_value() && m_upstream->has_unacknowledged()) ||
+        std::ranges::any_of(m_served, [](const auto& entry) { return entry.second.channel.has_unacknowledged(); });
+    if (!is_needed || m_retransmit_timer.is_active()) {
+        return;
+    }
+    m_retransmit_timer = m_timers.after(m_executor, retransmit_check, [this] { schedule_flush(); });
+}
+
+member_status slot_broker::status() const {
+    const auto now = clock::now();
+    member_status result;
+    result.incarnation = m_incarnation;
+    result.is_acting = m_source == slot_source::own_coordination;
+    result.is_eligible = m_election.is_eligible(now);
+    result.is_leaving = !m_tick_timer.is_active();
+    result.processor_share = m_settings.processor_share;
+    result.members = static_cast<unsigned>(std::max(m_last_served.size() + 1, m_counted_members));
+    const auto held = m_observers.read_versions();
+    result.configuration_version = held.configuration;
+    result.backend_version = held.backends;
+    return result;
+}
+
+asio::ip::udp::endpoint slot_broker::endpoint_of(policy::member_key member) const {
+    return {asio::ip::address_v4(static_cast<std::uint32_t>(member)), m_settings.local.port()};
+}
+
+void slot_broker::send(policy::member_key member, datagram message) {
+    message.sender = status();
+    if (m_socket.has_value()) {
+        m_socket->send(endpoint_of(member), encode(message, clock::now()));
+    }
+}
+
+void slot_broker::send_heartbeat(policy::member_key member) {
+    datagram message;
+    message.wants_reply = true;
+    if (m_source == slot_source::coordinator && member == m_coordinating_member) {
+        m_upstream->stamp(message);
+    }
+    send(member, std::move(message));
+}
+
+void slot_broker::send_heartbeats(policy::time_point now) {
+    ++m_ticks;
+    const auto candidates = m_election.candidates(now);
+    for (const auto member : candidates) {
+        const bool coordinates = m_source == slot_source::coordinator && member == m_coordinating_member;
+        // Without a coordinator the next one is looked for at every tick.
+        if (coordinates || m_source == slot_source::own_part || m_ticks % candidate_ticks == 0) {
+            send_heartbeat(member);
+        }
+    }
+    const bool is_early = m_ticks < absent_ticks;
+    if (is_early || m_ticks % absent_ticks == 0) {
+        for (const auto member : m_election.absent(now)) {
+            send_heartbeat(member);
+        }
+    }
+}
+
+void slot_broker::tick() {
+    const auto now = clock::now();
+    m_election.tick(now);
+    expire_members(now);
+    choose_source(now);
+    send_heartbeats(now);
+    schedule_flush();
+}
+
+void slot_broker::receive(const asio::ip::udp::endpoint& from, std::span<const std::byte> bytes) {
+    const auto now = clock::now();
+    const auto message = decode(bytes, now);
+    if (!message.has_value() || message->sender.incarnation == m_incarnation) {
+        return;
+    }
+    const auto member = key_of(from.address());
+    const auto& sender = message->sender;
+    m_election.hear(member,
+                    {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
+    m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backend_version});
+    if (m_source == slot_source::coordinator && member == m_coordinating_member &&
+        message->session == m_upstream->session()) {
+        take_from_coordinator(*message);
+    } else if (message->session != 0 && m_source == slot_source::own_coordination) {
+        take_from_member(member, *message);
+    }
+    if (message->wants_reply) {
+        datagram reply;
+        const auto served = m_served.find(member);
+        if (served != m_served.end()) {
+            served->second.channel.stamp(reply);
+        }
+        send(member, std::move(reply));
+    }
+}
+
+void slot_broker::take_from_coordinator(const datagram& message) {
+    if (message.sender.members > 0) {
+        m_counted_members = message.sender.members;
+        m_counted_at = clock::now();
+    }
+    m_upstream->take_acknowledgement(message.acknowledged);
+    if (message.batch == 0 || !m_upstream->accept(message.batch)) {
+        return;
+    }
+    deliver(message.items);
+    datagram reply;
+    m_upstream->stamp(reply);
+    send(m_coordinating_member, std::move(reply));
+}
+
+void slot_broker::take_from_member(policy::member_key member, const datagram& message) {
+    const auto now = clock::now();
+    auto served = m_served.find(member);
+    if (served == m_served.end() || served->second.channel.session() != message.session) {
+        // A new session begins with its first batch; anything else belongs to one that is over here.
+        if (message.batch > 1) {
+            return;
+        }
+        m_coordinator.detach(member, now);
+        served = m_served.insert_or_assign(member, served_member{batch_channel(message.session), now}).first;
+    }
+    served->second.heard = now;
+    m_last_served[member] = now;
+    served->second.channel.take_acknowledgement(message.acknowledged);
+    if (message.batch == 0 || !served->second.channel.accept(message.batch)) {
+        return;
+    }
+    m_coordinator.take(member, message.items, now);
+    for (auto& [to, items] : m_coordinator.decide(now)) {
+        if (to == m_self) {
+            deliver(items);
+        } else if (const auto other = m_served.find(to); other != m_served.end()) {
+            auto& pending = other->second.channel.pending();
+            std::ranges::move(items.grants, std::back_inserter(pending.grants));
+            std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
+        }
+    }
+    datagram reply;
+    if (served->second.channel.pending().is_empty()) {
+        served->second.channel.stamp(reply);
+        send(member, std::move(reply));
+    }
+    schedule_flush();
+}
+
+void slot_broker::choose_source(policy::time_point now) {
+    const auto choice = m_election.choose(now);
+    using role = policy::coordinator_election::role;
+    if (choice.who == role::self) {
+        if (m_source != slot_source::own_coordination) {
+            use_own(slot_source::own_coordination);
+        }
+    } else if (choice.who == role::other && m_election.is_acting_member(choice.member)) {
+        if (m_source != slot_source::coordinator || m_coordinating_member != choice.member) {
+            attach_to(choice.member);
+        }
+    } else if (m_source != slot_source::own_part) {
+        use_own(slot_source::own_part);
+    }
+    update_shares(now);
+}
+
+void slot_broker::attach_to(policy::member_key coordinator) {
+    const auto before = std::exchange(m_source, slot_source::coordinator);
+    for (const auto& [member, served] : m_served) {
+        m_coordinator.detach(member, clock::now());
+    }
+    m_served.clear();
+    m_coordinator.detach(m_self, clock::now());
+    m_coordinating_member = coordinator;
+    m_upstream.emplace(identifier::random().low);
+    auto& pending = m_upstream->pending();
+    for (const auto& [ticket, hold] : m_running) {
+        pending.holds.push_back(hold);
+    }
+    for (const auto& [ticket, waiting] : m_waiting) {
+        pending.asks.push_back(waiting.request);
+    }
+    schedule_flush();
+    m_observers.on_source_change(before, m_source);
+}
+
+void slot_broker::use_own(slot_source source) {
+    const auto now = clock::now();
+    const auto before = std::exchange(m_source, source);
+    update_shares(now);
+    if (source == slot_source::own_part) {
+        for (const auto& [member, served] : m_served) {
+            m_coordinator.detach(member, now);
+        }
+        m_served.clear();
+    }
+    if (before == slot_source::coordinator) {
+        m_upstream.reset();
+        batch_items items;
+        for (const auto& [ticket, hold] : m_running) {
+            items.holds.push_back(hold);
+        }
+        for (const auto& [ticket, waiting] : m_waiting) {
+            items.asks.push_back(waiting.request);
+        }
+        m_coordinator.take(m_self, items, now);
+    }
+    schedule_flush();
+    m_observers.on_source_change(before, source);
+}
+
+void slot_broker::update_shares(policy::time_point now) {
+    if (m_source == slot_source::own_coordination) {
+        const auto attached = m_served.size() + 1;
+        const auto limits = static_cast<double>(attached) / static_cast<double>(count_members(attached, now));
+        m_coordinator.set_shares(1, std::min(1.0, limits), now);
+        return;
+    }
+    const auto told = m_counted_members > 0 ? m_counted_members : assumed_members;
+    const double part = 1.0 / static_cast<double>(std::max(told, m_election.member_count()));
+    m_coordinator.set_shares(part, part, now);
+}
+
+/// The members among which the limits are divided. One that fell silent is counted for a while longer, since
+/// it may be cut off and giving out its part; and as long as most are silent it may well be this process that
+/// is cut off.
+std::size_t slot_broker::count_members(std::size_t attached, policy::time_point now) {
+    const auto counted = std::max(m_last_served.size() + 1, m_counted_members);
+    if (attached * 2 <= counted) {
+        return counted;
+    }
+    std::erase_if(m_last_served,
+                  [now](const auto& entry) { return now - entry.second > member_reservation; });
+    if (now - m_counted_at > member_reservation) {
+        m_counted_members = 0;
+    }
+    return std::max(m_last_served.size() + 1, m_counted_members);
+}
+
+void slot_broker::expire_members(policy::time_point now) {
+    for (auto served = m_served.begin(); served != m_served.end();) {
+        if (now - served->second.heard > member_silence) {
+            m_coordinator.detach(served->first, now);
+            served = m_served.erase(served);
+        } else {
+            ++served;
+        }
+    }
+}
+
+void slot_broker::deliver(const batch_items& items) {
+    for (const auto& grant : items.grants) {
+        take_grant(grant);
+    }
+    for (const auto& refusal : items.refusals) {
+        take_refusal(refusal);
+    }
+}
+
+void slot_broker::take_grant(const policy::slot_grant& grant) {
+    auto waiting = m_waiting.extract(grant.ticket);
+    if (waiting.empty()) {
+        // Withdrawn, or granted by a former coordinator, while this was on its way.
+        if (!m_running.contains(grant.ticket)) {
+            batch_items items;
+            items.releases.push_back({grant.ticket, grant.server, policy::slot_outcome::refused, {}, {}});
+            pass_on(std::move(items));
+        }
+        return;
+    }
+    const auto& request = waiting.mapped().request;
+    m_running[grant.ticket] = {grant.ticket, grant.server, request.service, request.tier, request.cost};
+    waiting.mapped().to_call.on_grant(grant);
+}
+
+void slot_broker::take_refusal(const policy::slot_refusal& refusal) {
+    auto waiting = m_waiting.extract(refusal.ticket);
+    if (!waiting.empty()) {
+        waiting.mapped().to_call.on_refusal(refusal);
+    }
+}
+
+} // namespace borageford::coordination
--- /dev/null
+++ b/src/coordination/slot_broker.hpp
@@ -0,0 +1,154 @@
+// Gets slots at backend servers for the requests of this process: from the coordinator, from this process when
+// it coordinates, or, when no coordinator is heard, from this process's own part of everything.
+#pragma once
+
+#include "base/timer_service.hpp"
+#include "coordination/batch_channel.hpp"
+#include "coordination/message.hpp"
+#include "coordination/peer_socket.hpp"
+#include "coordination/slot_coordinator.hpp"
+#include "policy/coordinator_election.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace borageford::coordination {
+
+struct broker_settings {
+    boost::asio::ip::udp::endpoint local; ///< all members use the same port
+    double processor_share = 1;
+    policy::election_limits election;
+    policy::slot_scheduler_limits slots;
+    policy::allowance_limits allowances;
+    policy::repeat_limits repeats;
+};
+
+/// Where slots come from at the moment.
+enum class slot_source : std::uint8_t { coordinator, own_coordination, own_part };
+
+/// Belongs to one thread's executor.
+class slot_broker {
+public:
+    struct answer {
+        std::function<void(const policy::slot_grant&)> on_grant;
+        std::function<void(const policy::slot_refusal&)> on_refusal;
+    };
+    /// What this process holds, for the status that it sends.
+    struct versions {
+        std::uint64_t configuration = 0;
+        std::uint64_t backends = 0;
+    };
+    struct observers {
+        std::function<versions()> read_versions;
+        /// A member was heard: it may know more than this process.
+        std::function<void(const boost::asio::ip::address&, const versions&)> on_member_versions;
+        std::function<void(slot_source from, slot_source to)> on_source_change;
+    };
+
+    slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
+                observers to_call);
+
+    /// Begins to talk to the others.
+    void start();
+    /// This process is about to stop: it no longer coordinates, and says so.
+    void leave();
+
+    /// Another process that may be a member.
+    void add_member(const boost::asio::ip::address& address, double processor_share);
+    void forget_member(const boost::asio::ip::address& address);
+
+    void set_server(policy::server_key server, policy::service_key service, unsigned slots);
+    void remove_server(policy::server_key server);
+    void set_allowance(policy::workspace_key workspace, policy::allowance limit);
+    void remove_allowance(policy::workspace_key workspace);
+
+    /// A ticket that no other process draws.
+    [[nodiscard]] policy::slot_ticket next_ticket() noexcept;
+
+    /// One of the answers is called once, not before this returns, unless the request is withdrawn.
+    void request(const policy::slot_request& wanted, answer to_call);
+    /// The request no longer wants a slot. A grant on its way is returned.
+    void withdraw(policy::slot_ticket ticket);
+    /// A granted request has left its slot.
+    void release(const policy::slot_release& ended);
+
+    [[nodiscard]] slot_source source() const noexcept { return m_source; }
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    struct waiting_request {
+        policy::slot_request request;
+        answer to_call;
+    };
+
+    /// A member whose requests this process coordinates.
+    struct served_member {
+        batch_channel channel;
+        policy::time_point heard;
+    };
+
+    void tick();
+    void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
+    void take_from_coordinator(const datagram& message);
+    void take_from_member(policy::member_key member, const datagram& message);
+    void send_heartbeats(policy::time_point now);
+    void send_heartbeat(policy::member_key member);
+    void send(policy::member_key member, datagram message);
+    [[nodiscard]] member_status status() const;
+    [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(policy::member_key member) const;
+
+    void choose_source(policy::time_point now);
+    void attach_to(policy::member_key coordinator);
+    void use_own(slot_source source);
+    void update_shares(policy::time_point now);
+    [[nodiscard]] std::size_t count_members(std::size_t attached, policy::time_point now);
+    void expire_members(policy::time_point now);
+
+    void deliver(const batch_items& items);
+    void take_grant(const policy::slot_grant& grant);
+    void take_refusal(const policy::slot_refusal& refusal);
+    void pass_on(batch_items items);
+    void schedule_flush();
+    void flush();
+    void flush_channel(policy::member_key member, batch_channel& channel, policy::time_point now);
+    void watch_retransmission();
+
+    boost::asio::any_io_executor m_executor;
+    timer_service& m_timers;
+    broker_settings m_settings;
+    observers m_observers;
+    std::uint64_t m_incarnation;
+    std::uint32_t m_last_ticket = 0;
+    policy::member_key m_self;
+    policy::coordinator_election m_election;
+    slot_coordinator m_coordinator;
+    std::optional<peer_socket> m_socket;
+
+    slot_source m_source = slot_source::own_part;
+    policy::member_key m_coordinating_member = 0; ///< while m_source is coordinator
+    std::optional<batch_channel> m_upstream;      ///< while m_source is coordinator
+    std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
+    std::map<policy::member_key, policy::time_point> m_last_served; ///< members served lately
+    std::size_t m_counted_members = 0; ///< as a coordinator told last; 0: never told, or long ago
+    policy::time_point m_counted_at;
+
+    std::unordered_map<policy::slot_ticket, waiting_request> m_waiting;
+    std::unordered_map<policy::slot_ticket, slot_hold> m_running;
+
+    timer_subscription m_tick_timer;
+    timer_subscription m_retransmit_timer;
+    bool m_flush_is_scheduled = false;
+    unsigned m_ticks = 0;
+};
+
+} // namespace borageford::coordination
--- /dev/null
+++ b/src/coordination/slot_coordinator.cpp
@@ -0,0 +1,123 @@
+// Limits first, then the scheduler.
+#include "coordination/slot_coordinator.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace borageford::coordination {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Told to callers whose workspace has used up its allowance: not before the units are there, and not so soon
+/// that the same refusal is certain to follow.
+constexpr milliseconds least_allowance_wait{200};
+constexpr milliseconds most_allowance_wait{5000};
+constexpr milliseconds repeat_wait{500};
+
+} // namespace
+
+slot_coordinator::slot_coordinator(policy::slot_scheduler_limits slots, policy::allowance_limits allowances,
+                                   policy::repeat_limits repeats)
+    : m_scheduler(slots), m_allowances(allowances), m_repeats(repeats) {}
+
+void slot_coordinator::set_shares(double slots, double limits, policy::time_point now) {
+    m_scheduler.set_share(slots);
+    m_allowances.set_share(limits, now);
+    m_repeats.set_share(limits);
+}
+
+void slot_coordinator::take(policy::member_key member, const batch_items& items, policy::time_point now) {
+    for (const auto& hold : items.holds) {
+        m_scheduler.add_running(hold.ticket, hold.server);
+        m_requests[hold.ticket] = {member, 0, 0, true};
+    }
+    for (const auto& ask : items.asks) {
+        take_ask(member, ask, now);
+    }
+    for (const auto ticket : items.withdrawals) {
+        take_withdrawal(ticket, now);
+    }
+    for (const auto& ended : items.releases) {
+        take_release(ended, now);
+    }
+}
+
+void slot_coordinator::take_ask(policy::member_key member, const policy::slot_request& ask,
+                                policy::time_point now) {
+    if (ask.sends == 0) {
+        m_repeats.count_request(ask.service, now);
+    } else if (!m_repeats.try_repeat(ask.service, now)) {
+        refuse(member, ask.ticket, policy::refusal_reason::over_retry_budget, repeat_wait);
+        return;
+    }
+    const double units = ask.is_charged ? 0 : ask.units;
+    if (!m_allowances.try_take(ask.workspace, units, now)) {
+        const auto wait = std::clamp<policy::duration>(m_allowances.time_until(ask.workspace, units, now),
+                                                       least_allowance_wait, most_allowance_wait);
+        refuse(member, ask.ticket, policy::refusal_reason::over_allowance, wait);
+        return;
+    }
+    m_requests[ask.ticket] = {member, ask.workspace, units, false};
+    m_scheduler.add(ask);
+}
+
+void slot_coordinator::take_withdrawal(policy::slot_ticket ticket, policy::time_point now) {
+    if (!m_scheduler.withdraw(ticket)) {
+        return; // granted meanwhile: a release follows
+    }
+    const auto found = m_requests.find(ticket);
+    if (found != m_requests.end()) {
+        m_allowances.give_back(found->second.workspace, found->second.charged_units, now);
+        m_requests.erase(found);
+    }
+}
+
+void slot_coordinator::take_release(const policy::slot_release& ended, policy::time_point now) {
+    m_scheduler.release(ended);
+    const auto found = m_requests.find(ended.ticket);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const bool has_not_run =
+        ended.outcome == policy::slot_outcome::refused || ended.outcome == policy::slot_outcome::unreachable;
+    if (has_not_run) {
+        m_allowances.give_back(found->second.workspace, found->second.charged_units, now);
+    }
+    m_requests.erase(found);
+}
+
+void slot_coordinator::refuse(policy::member_key member, policy::slot_ticket ticket,
+                              policy::refusal_reason reason, policy::duration retry_after) {
+    m_output[member].refusals.push_back({ticket, reason, retry_after});
+}
+
+void slot_coordinator::detach(policy::member_key member, policy::time_point now) {
+    std::vector<policy::slot_ticket> tickets;
+    for (const auto& [ticket, request] : m_requests) {
+        if (request.member == member) {
+            tickets.push_back(ticket);
+        }
+    }
+    for (const auto ticket : tickets) {
+        take_withdrawal(ticket, now);
+        if (m_requests.contains(ticket)) {
+            m_scheduler.release({ticket, 0, policy::slot_outcome::abandoned, {}, {}});
+            m_requests.erase(ticket);
+        }
+    }
+    m_output.erase(member);
+}
+
+std::map<policy::member_key, batch_items> slot_coordinator::decide(policy::time_point now) {
+    for (const auto& grant : m_scheduler.grant(now)) {
+        auto& request = m_requests[grant.ticket];
+        request.is_running = true;
+        m_output[request.member].grants.push_back(grant);
+    }
+    return std::exchange(m_output, {});
+}
+
+} // namespace borageford::coordination
--- a/src/gateway/backend_directory.hpp
+++ b/src/gateway/backend_directory.hpp
@@ -2,18 +2,20 @@
 #pragma once
 
 #include "gateway/backend.hpp"
+#include "policy/slot_request.hpp"
 
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace borageford::gateway {
 
 class backend_directory {
 public:
-    /// The server of this id; null when it is not known.
-    [[nodiscard]] std::shared_ptr<backend> find(std::string_view id) const;
+    /// The server whose id has this hash; null when it is not known.
+    [[nodiscard]] std::shared_ptr<backend> find(policy::server_key key) const;
 
     /// Adds the server or takes its changed record.
     void set(routing::backend_record record);
@@ -26,6 +28,7 @@
 
 private:
     std::map<std::string, std::shared_ptr<backend>, std::less<>> m_backends;
+    std::unordered_map<policy::server_key, std::shared_ptr<backend>> m_by_key;
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -3,6 +3,7 @@
 
 #include "base/snapshot.hpp"
 #include "base/timer_service.hpp"
+#include "coordination/slot_broker.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "routing/call_fields.hpp"
 #include "routing/routing_table.hpp"
@@ -15,7 +16,6 @@
 namespace borageford::gateway {
 
 class backend_directory;
-class slot_broker;
 
 /// The configuration in force; null until the first one is known.
 using routing_snapshot = snapshot<std::shared_ptr<const routing::routing_table>>;
@@ -27,7 +27,7 @@
     const routing::call_fields& fields;
     routing_snapshot& configuration;
     backend_directory& backends;
-    slot_broker& slots;
+    coordination::slot_broker& slots;
     bool is_stopping = false;
     std::size_t requests_in_progress = 0;
 };
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,12 +1,13 @@
 // Putting a gateway together, and its graceful stop.
 #include "gateway/gateway_process.hpp"
 
+#include "base/hash.hpp"
 #include "base/log.hpp"
+#include "coordination/slot_broker.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/client_session.hpp"
 #include "gateway/gateway_context.hpp"
 #include "gateway/gateway_settings.hpp"
-#include "gateway/slot_broker.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
 #include "process/runtime.hpp"
@@ -40,7 +41,7 @@
           m_configuration(nullptr),
           m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout,
                   speech.format),
-          m_slots(make_limits()),
+          m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
                     m_configuration,      m_backends,         m_slots},
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
@@ -60,6 +61,10 @@
     [[noreturn]] void run() {
         m_configuration_follower.start();
         m_backend_follower.start();
+        for (const auto& seed : m_settings.seeds) {
+            m_slots.add_member(seed, m_settings.processor_share);
+        }
+        m_slots.start();
         listen();
         m_readiness.listen(m_settings.readiness_listen);
         log::info("started", {{"vm", m_settings.common.vm}});
@@ -67,10 +72,24 @@
     }
 
 private:
-    policy::slot_scheduler_limits make_limits() const {
-        policy::slot_scheduler_limits limits;
-        limits.share = 0.25;
-        return limits;
+    coordination::broker_settings make_broker_settings() const {
+        coordination::broker_settings result;
+        result.local = {m_settings.peers_listen.address(), m_settings.peers_listen.port()};
+        result.processor_share = m_settings.processor_share;
+        result.allowances.window = m_settings.allowance_window;
+        result.allowances.slack = m_settings.allowance_slack;
+        result.repeats = {m_settings.retry_ratio, m_settings.retry_reserve, m_settings.retry_window};
+        return result;
+    }
+
+    coordination::slot_broker::observers make_observers() {
+        using coordination::slot_source;
+        return {[] { return coordination::slot_broker::versions{}; },
+                [](const asio::ip::address&, const coordination::slot_broker::versions&) {},
+                [](slot_source from, slot_source to) {
+                    log::info("slot_source", {{"from", std::to_string(static_cast<int>(from))},
+                                              {"to", std::to_string(static_cast<int>(to))}});
+                }};
     }
 
     store_follower::handlers make_configuration_handlers() {
@@ -101,12 +120,19 @@
                 return;
             }
             log::info("configuration", {{"version", std::to_string(table->version())}});
+            take_allowances(*table);
             m_configuration.replace(std::move(table));
         } catch (const std::exception& error) {
             log::error("configuration_unreadable", {{"reason", error.what()}});
         }
     }
 
+    void take_allowances(const routing::routing_table& table) {
+        for (const auto& workspace : table.document().workspaces) {
+            m_slots.set_allowance(hash_bytes(workspace.name), {workspace.rate, workspace.burst});
+        }
+    }
+
     std::string id_of(const store::row& row) const { return row.key.substr(m_speech.backend_table.size() + 1); }
 
     void take_all_backends(const store::row_page& page) {
@@ -135,14 +161,18 @@
         try {
             auto record = m_speech.decode_backend(id, change.now.value);
             m_backends.set(record);
-            m_slots.set_server(record);
+            if (record.state == routing::backend_state::ready) {
+                m_slots.set_server(hash_bytes(id), hash_bytes(record.service), record.slots);
+            } else {
+                m_slots.remove_server(hash_bytes(id));
+            }
         } catch (const std::exception& error) {
             log::error("backend_unreadable", {{"id", id}, {"reason", error.what()}});
         }
     }
 
     void remove_backend(const std::string& id) {
-        m_slots.remove_server(id);
+        m_slots.remove_server(hash_bytes(id));
         m_backends.remove(id);
     }
 
@@ -173,6 +203,7 @@
 
     void stop() {
         m_context.is_stopping = true;
+        m_slots.leave();
         m_stop_timer = m_runtime.timers().every(m_runtime.executor(), milliseconds(100), [this] {
             m_stopped_for += milliseconds(100);
             if (m_context.requests_in_progress == 0 && m_stopped_for > milliseconds(3000)) {
@@ -187,7 +218,7 @@
     routing_snapshot m_configuration;
     store::table m_table;
     backend_directory m_backends;
-    slot_broker m_slots;
+    coordination::slot_broker m_slots;
     gateway_context m_context;
     store_follower m_configuration_follower;
     store_follower m_backend_follower;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -1,10 +1,8 @@
 // The steps of an exchange, in their order.
 #include "gateway/request_exchange.hpp"
 
-#include "base/identifier.hpp"
+#include "base/hash.hpp"
 #include "gateway/backend_directory.hpp"
-#include "gateway/slot_broker.hpp"
-#include "policy/random_sequence.hpp"
 
 #include <algorithm>
 #include <array>
@@ -109,6 +107,7 @@
             throw request_error(error_kind::unauthorized);
         }
     }
+    read_cost();
     m_service = &m_configuration->choose_service(*m_route, draw());
     auto limit = m_route->timeout;
     if (const auto told = parse_number(fields.find(m_context.fields.deadline))) {
@@ -121,14 +120,51 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - clock::now());
 }
 
-void request_exchange::ask_for_slot() {
-    m_stage = stage::waiting;
+policy::slot_request request_exchange::make_slot_request() const {
     policy::slot_request wanted;
     wanted.ticket = m_context.slots.next_ticket();
-    wanted.service = m_service->name;
+    wanted.service = hash_bytes(m_service->name);
+    wanted.workspace = m_workspace != nullptr ? hash_bytes(m_workspace->name) : 0;
     wanted.tier = m_workspace != nullptr ? m_workspace->tier.value_or(m_route->tier) : m_route->tier;
     wanted.arrived = m_arrived;
+    wanted.deadline = m_deadline;
+    wanted.target = m_route->latency_target;
+    wanted.cost = m_cost;
+    wanted.units = count_units();
+    wanted.is_charged = m_is_charged;
+    wanted.sends = m_sends;
     wanted.avoided = m_avoided;
+    return wanted;
+}
+
+double request_exchange::count_units() const {
+    if (m_workspace == nullptr) {
+        return 0;
+    }
+    if (m_workspace->unit == routing::allowance_unit::requests) {
+        return 1;
+    }
+    const double told = m_cost.prompt + m_most_output;
+    return told > 0 ? told : m_workspace->plain_tokens;
+}
+
+void request_exchange::read_cost() {
+    const auto told = m_request.fields.find(m_context.fields.tokens);
+    if (!told.has_value()) {
+        return;
+    }
+    const auto comma = told->find(',');
+    m_cost.prompt = static_cast<double>(parse_number(told->substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos) {
+        m_most_output = static_cast<double>(parse_number(told->substr(comma + 1)).value_or(0));
+    }
+    const auto hint = parse_number(m_request.fields.find(m_context.fields.expected_length));
+    m_cost.output = hint.has_value() ? static_cast<double>(*hint) : m_most_output;
+}
+
+void request_exchange::ask_for_slot() {
+    m_stage = stage::waiting;
+    const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_waits_for_slot = true;
     m_patience_timer = m_context.timers.after(m_context.executor, m_route->latency_target * 2,
@@ -137,29 +173,49 @@
                                                       self->give_up();
                                                   }
                                               });
-    m_context.slots.request(std::move(wanted), [weak = weak_from_this(), this](const std::string& server) {
-        if (const auto self = weak.lock()) {
-            self->begin_call(server);
-        } else {
-            m_context.slots.release(server);
-        }
-    });
+    const auto self = shared_from_this();
+    m_context.slots.request(wanted,
+                            {[self](const policy::slot_grant& grant) { self->take_grant(grant); },
+                             [self](const policy::slot_refusal& refusal) { self->take_refusal(refusal); }});
 }
 
-void request_exchange::begin_call(const std::string& server) {
+void request_exchange::take_grant(const policy::slot_grant& grant) {
     m_waits_for_slot = false;
     m_patience_timer.cancel();
-    m_slot = server;
-    auto found = m_context.backends.find(server);
+    m_slot = grant.server;
+    m_slot_begin = clock::now();
+    m_first_event = {};
+    auto found = m_context.backends.find(grant.server);
     if (found == nullptr) {
-        m_avoided.push_back(server);
-        release_slot();
+        avoid(grant.server);
+        release_slot(policy::slot_outcome::unreachable);
         ask_for_slot();
         return;
     }
+    m_is_charged = true;
     send_to(std::move(found));
 }
 
+void request_exchange::take_refusal(const policy::slot_refusal& refusal) {
+    m_waits_for_slot = false;
+    m_patience_timer.cancel();
+    const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
+    switch (refusal.reason) {
+    case policy::refusal_reason::over_allowance:
+        answer_error(error_kind::rate_limited, wait);
+        return;
+    case policy::refusal_reason::over_retry_budget:
+    case policy::refusal_reason::overloaded:
+        break;
+    }
+    answer_error(error_kind::overloaded, wait);
+}
+
+void request_exchange::avoid(policy::server_key server) {
+    std::ranges::rotate(m_avoided, m_avoided.end() - 1);
+    m_avoided.front() = server;
+}
+
 void request_exchange::send_to(std::shared_ptr<backend> server) {
     m_stage = stage::running;
     ++m_sends;
@@ -229,6 +285,7 @@
     }
     if (m_stage != stage::streaming) {
         const auto& response = m_call->response();
+        m_first_event = clock::now() - m_slot_begin;
         m_session->begin_stream(response.status(), response.reason(), passed_fields(response));
         m_stage = stage::streaming;
     }
@@ -246,30 +303,35 @@
 
 void request_exchange::take_complete() {
     if (m_is_stream) {
-        release_slot();
-        if (m_stage != stage::streaming || m_events.has_part()) {
-            take_failure(call_failure::unknown, "a stream without its last event");
-            return;
-        }
-        m_session->finish_stream();
-        end();
+        take_stream_end();
         return;
     }
     const auto& response = m_call->response();
     const bool not_executed =
         response.fields().find(m_context.fields.not_executed).has_value() || response.status() == misdirected;
-    release_slot();
     if (not_executed) {
         take_failure(call_failure::not_sent, "the server refused it");
         return;
     }
-    if (response.status() >= first_server_error && may_try_again(call_failure::unknown)) {
+    const bool has_failed = response.status() >= first_server_error;
+    release_slot(has_failed ? policy::slot_outcome::failed : policy::slot_outcome::served);
+    if (has_failed && may_try_again(call_failure::unknown)) {
         try_again();
         return;
     }
     pass_whole_answer();
 }
 
+void request_exchange::take_stream_end() {
+    if (m_stage != stage::streaming || m_events.has_part()) {
+        take_failure(call_failure::unknown, "a stream without its last event");
+        return;
+    }
+    release_slot(policy::slot_outcome::served);
+    m_session->finish_stream();
+    end();
+}
+
 void request_exchange::pass_whole_answer() {
     const auto& response = m_call->response();
     m_session->answer(response.status(), response.reason(), passed_fields(response), m_answer);
@@ -294,13 +356,17 @@
 }
 
 void request_exchange::try_again() {
-    m_avoided.push_back(m_call->server()->record().id);
+    avoid(hash_bytes(m_call->server()->record().id));
     m_call.reset();
     ask_for_slot();
 }
 
 void request_exchange::take_failure(call_failure what, std::string_view) {
-    release_slot();
+    if (what == call_failure::not_sent) {
+        // The allowance is given back with the slot.
+        m_is_charged = false;
+    }
+    release_slot(what == call_failure::not_sent ? policy::slot_outcome::refused : policy::slot_outcome::failed);
     if (m_stage == stage::streaming) {
         m_session->cut();
         end();
@@ -348,13 +414,14 @@
     end();
 }
 
-void request_exchange::release_slot() {
+void request_exchange::release_slot(policy::slot_outcome outcome) {
     if (m_waits_for_slot) {
         m_context.slots.withdraw(m_ticket);
         m_waits_for_slot = false;
     }
-    if (!m_slot.empty()) {
-        m_context.slots.release(std::exchange(m_slot, {}));
+    if (m_slot != 0) {
+        m_context.slots.release({m_ticket, std::exchange(m_slot, 0), outcome, clock::now() - m_slot_begin,
+                                 m_first_event});
     }
 }
 
@@ -370,7 +437,7 @@
     m_stage = stage::over;
     m_deadline_timer.cancel();
     m_patience_timer.cancel();
-    release_slot();
+    release_slot(policy::slot_outcome::abandoned);
     m_call.reset();
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -10,15 +10,15 @@
 #include "gateway/gateway_context.hpp"
 #include "http/event_splitter.hpp"
 #include "http/request_reader.hpp"
-#include "policy/slot_scheduler.hpp"
+#include "policy/slot_request.hpp"
 #include "routing/routing_table.hpp"
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace borageford::gateway {
 
@@ -49,19 +49,25 @@
 
     void admit();
     void ask_for_slot();
-    void begin_call(const std::string& server);
+    [[nodiscard]] policy::slot_request make_slot_request() const;
+    [[nodiscard]] double count_units() const;
+    void read_cost();
+    void avoid(policy::server_key server);
+    void take_grant(const policy::slot_grant& grant);
+    void take_refusal(const policy::slot_refusal& refusal);
     void send_to(std::shared_ptr<backend> server);
     [[nodiscard]] std::string compose_head(const backend& server) const;
     void take_head();
     void take_body(std::string_view bytes);
     void take_events(std::string_view bytes);
     void take_complete();
+    void take_stream_end();
     void take_failure(call_failure what, std::string_view reason);
     [[nodiscard]] bool may_try_again(call_failure what) const;
     void try_again();
     void pass_whole_answer();
     [[nodiscard]] std::string passed_fields(const http::response_reader& response) const;
-    void release_slot();
+    void release_slot(policy::slot_outcome outcome);
     void take_timeout();
     void give_up();
     void answer_error(error_kind kind, std::optional<milliseconds> retry_after = std::nullopt);
@@ -81,10 +87,15 @@
     stage m_stage = stage::waiting;
     policy::slot_ticket m_ticket = 0;
     bool m_waits_for_slot = false;
-    std::string m_slot; ///< the server whose slot is held; empty: none
+    policy::server_key m_slot = 0; ///< the server whose slot is held; 0: none
+    clock::time_point m_slot_begin;
+    policy::duration m_first_event{};
+    policy::token_cost m_cost;
+    double m_most_output = 0; ///< tokens that the caller takes at most
+    bool m_is_charged = false; ///< the workspace's allowance was charged for it
     std::shared_ptr<backend_call> m_call;
     unsigned m_sends = 0; ///< backend servers that the request was sent to
-    std::vector<std::string> m_avoided;
+    std::array<policy::server_key, policy::slot_request::most_avoided> m_avoided{};
     http::event_splitter m_events;
     std::string m_answer; ///< body of an answer that is passed on whole
     bool m_is_stream = false; ///< the current response is passed on event by event
--- /dev/null
+++ b/src/policy/coordinator_election.cpp
@@ -0,0 +1,137 @@
+// The strongest eligible member that is heard; among equals the lowest key.
+#include "policy/coordinator_election.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace borageford::policy {
+
+namespace {
+
+/// Without a tick for this long the process stood still, whatever the reason: its picture of the others is
+/// old. Ticks come every 50 ms.
+constexpr std::chrono::milliseconds longest_tick_gap{200};
+
+long to_thousandths(double share) {
+    return std::lround(share * 1000);
+}
+
+} // namespace
+
+coordinator_election::coordinator_election(member_key self, double processor_share, election_limits limits,
+                                           time_point now)
+    : m_self(self),
+      m_processor_share(processor_share),
+      m_limits(limits),
+      m_probation_begin(now),
+      m_last_tick(now) {}
+
+void coordinator_election::add(member_key member, double processor_share) {
+    if (member != m_self) {
+        m_members[member].processor_share = processor_share;
+    }
+}
+
+void coordinator_election::forget(member_key member) {
+    m_members.erase(member);
+}
+
+void coordinator_election::hear(member_key member, const member_claim& claim, time_point now) {
+    if (member == m_self) {
+        return;
+    }
+    auto& entry = m_members[member];
+    entry.processor_share = claim.processor_share;
+    entry.claim = claim;
+    entry.heard = now;
+    entry.was_heard = true;
+}
+
+void coordinator_election::tick(time_point now) {
+    if (now - m_last_tick > longest_tick_gap) {
+        m_probation_begin = now;
+    }
+    m_last_tick = now;
+}
+
+bool coordinator_election::is_eligible(time_point now) const {
+    return !m_is_leaving && now - m_probation_begin >= m_limits.probation;
+}
+
+bool coordinator_election::is_heard(member_key member, time_point now) const {
+    const auto found = m_members.find(member);
+    return found != m_members.end() && found->second.was_heard &&
+           now - found->second.heard <= m_limits.silence;
+}
+
+bool coordinator_election::is_acting_member(member_key member) const {
+    const auto found = m_members.find(member);
+    return found != m_members.end() && found->second.claim.is_acting;
+}
+
+bool coordinator_election::is_absent(const member& entry, time_point now) const {
+    return !entry.was_heard || now - entry.heard > m_limits.absence;
+}
+
+std::vector<coordinator_election::ranked> coordinator_election::rank() const {
+    std::vector<ranked> order{{-to_thousandths(m_processor_share), m_self}};
+    for (const auto& [key, entry] : m_members) {
+        order.push_back({-to_thousandths(entry.processor_share), key});
+    }
+    std::ranges::sort(order);
+    return order;
+}
+
+coordinator_election::choice coordinator_election::choose(time_point now) const {
+    choice any;
+    for (const auto& [share, key] : rank()) {
+        const bool is_self = key == m_self;
+        const bool is_usable = is_self ? !m_is_leaving : is_heard(key, now) && !m_members.at(key).claim.is_leaving;
+        if (!is_usable) {
+            continue;
+        }
+        const bool is_ready = is_self ? is_eligible(now) : m_members.at(key).claim.is_eligible;
+        const choice found{is_self ? role::self : role::other, key};
+        if (is_ready) {
+            return found;
+        }
+        // When all have just started, the first in order will do.
+        any = any.who == role::nobody ? found : any;
+    }
+    return any;
+}
+
+std::vector<member_key> coordinator_election::candidates(time_point now) const {
+    std::vector<member_key> result;
+    std::size_t seen = 0;
+    for (const auto& [share, key] : rank()) {
+        if (seen == m_limits.candidates) {
+            break;
+        }
+        if (key == m_self) {
+            ++seen;
+        } else if (!is_absent(m_members.at(key), now)) {
+            result.push_back(key);
+            ++seen;
+        }
+    }
+    return result;
+}
+
+std::vector<member_key> coordinator_election::absent(time_point now) const {
+    std::vector<member_key> result;
+    std::size_t present = 0;
+    for (const auto& [share, key] : rank()) {
+        if (present == m_limits.candidates) {
+            break;
+        }
+        if (key == m_self || !is_absent(m_members.at(key), now)) {
+            ++present;
+        } else {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/repeat_budget.cpp
@@ -0,0 +1,53 @@
+// Slices of time instead of single events keep the cost of a decision bounded.
+#include "policy/repeat_budget.hpp"
+
+namespace borageford::policy {
+
+namespace {
+
+constexpr int slices_per_window = 20;
+/// Requests and repeats are judged where they arrive, and counted here when they leave; and a coordinator
+/// that took over doesn't know its predecessor's repeats.
+constexpr double used_part = 0.6;
+
+} // namespace
+
+void repeat_budget::forget_old(history& of, time_point now) const {
+    const auto slice_length = m_limits.window / slices_per_window;
+    while (!of.empty() && now - of.front().begin > m_limits.window + slice_length) {
+        of.pop_front();
+    }
+}
+
+repeat_budget::slice& repeat_budget::current(history& of, time_point now) const {
+    const auto slice_length = m_limits.window / slices_per_window;
+    if (of.empty() || now - of.back().begin >= slice_length) {
+        of.push_back({now, 0, 0});
+    }
+    return of.back();
+}
+
+void repeat_budget::count_request(service_key service, time_point now) {
+    auto& of = m_services[service];
+    forget_old(of, now);
+    ++current(of, now).requests;
+}
+
+bool repeat_budget::try_repeat(service_key service, time_point now) {
+    auto& of = m_services[service];
+    forget_old(of, now);
+    double requests = 0;
+    double repeats = 0;
+    for (const auto& part : of) {
+        requests += part.requests;
+        repeats += part.repeats;
+    }
+    const double allowed = (m_limits.ratio * requests + m_limits.reserve * m_share) * used_part;
+    if (repeats + 1 > allowed) {
+        return false;
+    }
+    ++current(of, now).repeats;
+    return true;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/slot_request.hpp
@@ -0,0 +1,79 @@
+// What a decision about a slot knows of a request, a server, and how a slot was left.
+#pragma once
+
+#include "policy/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace borageford::policy {
+
+/// Hashes of names: decisions compare them, and they travel in a fixed size. 0 stands for none.
+using server_key = std::uint64_t;
+using service_key = std::uint64_t;
+using workspace_key = std::uint64_t;
+
+/// Names a request that waits for a slot; unique where it is decided about.
+using slot_ticket = std::uint64_t;
+
+/// What a request is expected to cost a model engine; both 0 for a call to a plain service.
+struct token_cost {
+    double prompt = 0;
+    double output = 0;
+};
+
+struct slot_request {
+    static constexpr std::size_t most_avoided = 2;
+
+    slot_ticket ticket = 0;
+    service_key service = 0;
+    workspace_key workspace = 0;
+    int tier = 0; ///< 0 is the highest
+    time_point arrived;
+    time_point deadline;     ///< its caller's time is over
+    duration target{};       ///< to the first event, or to the whole answer
+    token_cost cost;
+    double units = 0;        ///< of its workspace's allowance
+    bool is_charged = false; ///< its units were taken before
+    unsigned sends = 0;      ///< servers that it was sent to before
+    /// Servers that have failed this request.
+    std::array<server_key, most_avoided> avoided{};
+};
+
+struct slot_grant {
+    slot_ticket ticket = 0;
+    server_key server = 0;
+};
+
+/// Why a request gets no slot.
+enum class refusal_reason : std::uint8_t {
+    overloaded,       ///< it can't be served in time
+    over_allowance,   ///< its workspace has used up its allowance
+    over_retry_budget ///< too many requests are being sent again
+};
+
+struct slot_refusal {
+    slot_ticket ticket = 0;
+    refusal_reason reason = refusal_reason::overloaded;
+    duration retry_after{};
+};
+
+/// How a request left its slot.
+enum class slot_outcome : std::uint8_t {
+    served,
+    failed,       ///< broke off, or its answer was no answer
+    refused,      ///< the server didn't run it
+    unreachable,  ///< no connection
+    abandoned,    ///< its caller left, or its time was over
+};
+
+struct slot_release {
+    slot_ticket ticket = 0;
+    server_key server = 0;
+    slot_outcome outcome = slot_outcome::served;
+    duration busy{};        ///< from its start to its end
+    duration first_event{}; ///< from its start to its first event; 0: none came
+};
+
+} // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -2,47 +2,64 @@
 #include "policy/slot_scheduler.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace borageford::policy {
 
-void slot_scheduler::set_server(std::string_view server, std::string_view service, unsigned slots) {
-    auto& state = m_servers[std::string(server)];
+void slot_scheduler::set_server(server_key server, service_key service, unsigned slots) {
+    auto& state = m_servers[server];
     state.service = service;
     state.slots = slots;
     state.is_usable = true;
 }
 
-void slot_scheduler::remove_server(std::string_view server) {
+void slot_scheduler::remove_server(server_key server) {
     const auto found = m_servers.find(server);
-    if (found == m_servers.end()) {
-        return;
+    if (found != m_servers.end()) {
+        found->second.is_usable = false;
+        drop_unused(server);
     }
-    found->second.is_usable = false;
-    if (found->second.outstanding == 0) {
+}
+
+void slot_scheduler::drop_unused(server_key server) {
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end() && !found->second.is_usable && found->second.outstanding == 0) {
         m_servers.erase(found);
     }
 }
 
-void slot_scheduler::add(slot_request request) {
+void slot_scheduler::add(const slot_request& request) {
     m_queues[request.service][request.tier].push_back(request.ticket);
-    const auto ticket = request.ticket;
-    m_waiting.emplace(ticket, std::move(request));
+    m_waiting.emplace(request.ticket, request);
 }
 
 bool slot_scheduler::withdraw(slot_ticket ticket) {
     return m_waiting.erase(ticket) > 0;
 }
 
-void slot_scheduler::release(std::string_view server) {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end()) {
+void slot_scheduler::add_running(slot_ticket ticket, server_key server) {
+    if (m_running.emplace(ticket, server).second) {
+        ++m_servers[server].outstanding;
+    }
+}
+
+void slot_scheduler::release(const slot_release& ended) {
+    const auto running = m_running.find(ended.ticket);
+    if (running == m_running.end()) {
         return;
     }
-    auto& state = found->second;
-    state.outstanding -= state.outstanding > 0 ? 1 : 0;
-    if (!state.is_usable && state.outstanding == 0) {
-        m_servers.erase(found);
+    const auto server = running->second;
+    m_running.erase(running);
+    --m_servers[server].outstanding;
+    drop_unused(server);
+}
+
+void slot_scheduler::clear_requests() {
+    m_queues.clear();
+    m_waiting.clear();
+    m_running.clear();
+    std::erase_if(m_servers, [](const auto& entry) { return !entry.second.is_usable; });
+    for (auto& [key, server] : m_servers) {
+        server.outstanding = 0;
     }
 }
 
@@ -52,21 +69,21 @@
         slots = std::max(1.0, slots - m_limits.reserved_slots);
     }
     const double allowed = std::max(1.0, slots * m_limits.outstanding_per_slot * m_limits.share);
-    return (allowed - server.outstanding) / server.slots;
+    return allowed - server.outstanding;
 }
 
-std::string slot_scheduler::choose(const slot_request& request, bool is_lowest) const {
-    std::string best;
+server_key slot_scheduler::choose(const slot_request& request, bool is_lowest) const {
+    server_key best = 0;
     double most_room = 0;
-    for (const auto& [id, server] : m_servers) {
-        if (!server.is_usable || server.service != request.service) {
+    for (const auto& [key, server] : m_servers) {
+        if (!server.is_usable || server.service != request.service ||
+            std::ranges::find(request.avoided, key) != request.avoided.end()) {
             continue;
         }
         const double free = room(server, is_lowest);
-        const bool has_room = free * server.slots >= 1;
-        if (has_room && free > most_room && std::ranges::find(request.avoided, id) == request.avoided.end()) {
-            best = id;
-            most_room = free;
+        if (free >= 1 && free / server.slots > most_room) {
+            best = key;
+            most_room = free / server.slots;
         }
     }
     return best;
@@ -79,18 +96,18 @@
             queue.pop_front();
             continue;
         }
-        auto server = choose(waiting->second, is_lowest);
-        if (server.empty()) {
+        const auto server = choose(waiting->second, is_lowest);
+        if (server == 0) {
             return;
         }
-        ++m_servers.find(server)->second.outstanding;
-        grants.push_back({waiting->first, std::move(server)});
+        add_running(waiting->first, server);
+        grants.push_back({waiting->first, server});
         m_waiting.erase(waiting);
         queue.pop_front();
     }
 }
 
-std::vector<slot_grant> slot_scheduler::grant() {
+std::vector<slot_grant> slot_scheduler::grant(time_point) {
     std::vector<slot_grant> grants;
     for (auto& [service, tiers] : m_queues) {
         for (auto& [tier, queue] : tiers) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -2,36 +2,16 @@
 // is decided is returned.
 #pragma once
 
-#include "policy/time.hpp"
+#include "policy/slot_request.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace borageford::policy {
 
-/// Names a request that waits for a slot; drawn by whoever asks.
-using slot_ticket = std::uint64_t;
-
-struct slot_request {
-    slot_ticket ticket = 0;
-    std::string service;
-    int tier = 0; ///< 0 is the highest
-    time_point arrived;
-    std::vector<std::string> avoided; ///< backend servers that have failed this request
-};
-
-struct slot_grant {
-    slot_ticket ticket = 0;
-    std::string server;
-};
-
 struct slot_scheduler_limits {
     /// Requests handed to a server for each of its slots. A little over one keeps a slot from idling for the
     /// round trip between one answer and the next request; what waits in the server can't be overtaken.
@@ -42,6 +22,7 @@
     double share = 1;
 };
 
+/// Invariant: a server's outstanding requests are those in m_running that name it.
 class slot_scheduler {
 public:
     explicit slot_scheduler(slot_scheduler_limits limits) : m_limits(limits) {}
@@ -49,40 +30,48 @@
     void set_share(double share) noexcept { m_limits.share = share; }
 
     /// Adds a server or changes its slots.
-    void set_server(std::string_view server, std::string_view service, unsigned slots);
+    void set_server(server_key server, service_key service, unsigned slots);
     /// No more grants for it; what it works on goes on.
-    void remove_server(std::string_view server);
+    void remove_server(server_key server);
 
-    void add(slot_request request);
-    /// False when it no longer waits: it was granted before.
+    void add(const slot_request& request);
+    /// False when it doesn't wait.
     bool withdraw(slot_ticket ticket);
-    /// A granted request has ended.
-    void release(std::string_view server);
+    /// A request that occupies a slot already.
+    void add_running(slot_ticket ticket, server_key server);
+    /// A running request has left its slot; unknown ones are passed over.
+    void release(const slot_release& ended);
 
     /// All grants that are possible now.
-    [[nodiscard]] std::vector<slot_grant> grant();
+    [[nodiscard]] std::vector<slot_grant> grant(time_point now);
+
+    /// Forgets every request, waiting or running; servers stay.
+    void clear_requests();
 
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
+    [[nodiscard]] std::size_t running() const noexcept { return m_running.size(); }
 
 private:
     struct server_state {
-        std::string service;
+        service_key service = 0;
         unsigned slots = 1;
         unsigned outstanding = 0;
-        bool is_usable = true;
+        bool is_usable = false;
     };
     using tier_queue = std::deque<slot_ticket>;
     using service_queue = std::map<int, tier_queue>;
 
-    [[nodiscard]] std::string choose(const slot_request& request, bool is_lowest) const;
+    [[nodiscard]] server_key choose(const slot_request& request, bool is_lowest) const;
     [[nodiscard]] double room(const server_state& server, bool is_lowest) const;
     void grant_tier(tier_queue& queue, bool is_lowest, std::vector<slot_grant>& grants);
+    void drop_unused(server_key server);
 
     slot_scheduler_limits m_limits;
-    std::map<std::string, server_state, std::less<>> m_servers;
-    std::map<std::string, service_queue, std::less<>> m_queues;
+    std::unordered_map<server_key, server_state> m_servers;
+    std::unordered_map<service_key, service_queue> m_queues;
     /// Tickets in a queue that aren't here were withdrawn.
     std::unordered_map<slot_ticket, slot_request> m_waiting;
+    std::unordered_map<slot_ticket, server_key> m_running;
 };
 
 } // namespace borageford::policy
