Hold batches that overtake others; stop gracefully, reload on SIGHUP

Cause: datagrams between failure domains arrive out of order; a receiver that took only the next number dropped the rest, so under load a session never caught up and was begun anew every 400 ms (seen as slot_source lines from one coordinator to the same, and as 64 unacknowledged batches behind one). A process that is told to stop serves what comes for 2.6 s, then refuses as not run, then ends.

--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -1,4 +1,4 @@
-// Go-back-N with batches as units.
+// Cumulative acknowledgement, with a buffer for batches that overtook others.
 #include "coordination/batch_channel.hpp"
 
 #include <algorithm>
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds retransmit_delay{12};
 /// Kept under an Ethernet frame, so that one lost fragment doesn't lose a whole datagram.
 constexpr std::size_t most_bytes = 1300;
+/// Batches held for one that is missing; a sender that is further ahead sends them again.
+constexpr std::uint32_t most_early = 256;
 
 /// Moves items from one list to another until the room is used up; true when all have moved.
 template <typename Item>
@@ -38,7 +40,7 @@
                                           move_some(m_pending.releases, items.releases, items) &&
                                           move_some(m_pending.grants, items.grants, items) &&
                                           move_some(m_pending.refusals, items.refusals, items);
-        m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}});
+        m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}, {}});
     }
 }
 
@@ -51,6 +53,7 @@
             continue;
         }
         batch.sent = now;
+        batch.first_sent = is_new ? now : batch.first_sent;
         datagram message;
         message.batch = batch.number;
         message.items = batch.items;
@@ -70,12 +73,25 @@
     }
 }
 
-bool batch_channel::accept(std::uint32_t batch) noexcept {
-    if (batch != m_last_taken + 1) {
-        return false;
+std::optional<policy::time_point> batch_channel::oldest_unacknowledged() const {
+    if (m_unacknowledged.empty() || m_unacknowledged.front().sent == policy::time_point{}) {
+        return std::nullopt;
     }
-    ++m_last_taken;
-    return true;
+    return m_unacknowledged.front().first_sent;
+}
+
+std::vector<batch_items> batch_channel::take_batch(std::uint32_t number, batch_items items) {
+    std::vector<batch_items> next;
+    if (number <= m_last_taken || number > m_last_taken + most_early) {
+        return next;
+    }
+    m_early.try_emplace(number, std::move(items));
+    while (!m_early.empty() && m_early.begin()->first == m_last_taken + 1) {
+        next.push_back(std::move(m_early.begin()->second));
+        m_early.erase(m_early.begin());
+        ++m_last_taken;
+    }
+    return next;
 }
 
 } // namespace borageford::coordination
--- a/src/coordination/batch_channel.hpp
+++ b/src/coordination/batch_channel.hpp
@@ -7,14 +7,16 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <optional>
 #include <vector>
 
 namespace borageford::coordination {
 
 /// One direction out and one in of a session. Knows no socket and no clock.
 ///
-/// A batch that isn't acknowledged is sent again with the same number and items; the receiver takes only the
-/// number that follows the last one it took. TCP would do the same, but a lost segment would hold up
+/// A batch that isn't acknowledged is sent again with the same number and items; the receiver holds back those
+/// that came too early. TCP would do the same, but a lost segment would hold up
 /// everything behind it for a retransmission timeout of 200 ms, a third of a short latency target.
 class batch_channel {
 public:
@@ -35,16 +37,20 @@
     /// Takes note of what the other side has acknowledged.
     void take_acknowledgement(std::uint32_t batch);
 
-    /// Whether a received batch is the next one; false for one that was taken before or came too early.
-    [[nodiscard]] bool accept(std::uint32_t batch) noexcept;
+    /// Takes a received batch and returns all that are next in order: none when one before it is missing, this
+    /// and held ones when it fills the gap. One that was taken before is passed over.
+    [[nodiscard]] std::vector<batch_items> take_batch(std::uint32_t number, batch_items items);
 
     [[nodiscard]] bool has_unacknowledged() const noexcept { return !m_unacknowledged.empty(); }
+    /// When the oldest unacknowledged batch was sent first; nothing when there is none.
+    [[nodiscard]] std::optional<policy::time_point> oldest_unacknowledged() const;
 
 private:
     struct sent_batch {
         std::uint32_t number;
         batch_items items;
         policy::time_point sent;
+        policy::time_point first_sent;
     };
 
     void seal_pending();
@@ -54,6 +60,7 @@
     std::deque<sent_batch> m_unacknowledged; ///< in the order of their numbers
     std::uint32_t m_last_sealed = 0;
     std::uint32_t m_last_taken = 0;
+    std::map<std::uint32_t, batch_items> m_early; ///< numbers over m_last_taken + 1
 };
 
 } // namespace borageford::coordination
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds member_reservation{12000};
 /// Without ever having heard of another, a process assumes so many members.
 constexpr std::size_t assumed_members = 4;
+/// Without an acknowledgement for this long a session is begun anew; some retransmissions fit into it.
+constexpr milliseconds stuck_session_limit{250};
 constexpr unsigned ticket_shift = 32;
 
 policy::member_key key_of(const asio::ip::address& address) {
@@ -59,8 +61,15 @@
 
 void slot_broker::leave() {
     m_election.leave();
+    std::vector<policy::member_key> told = m_election.candidates(clock::now());
+    for (const auto& [member, served] : m_served) {
+        told.push_back(member);
+    }
     choose_source(clock::now());
-    send_heartbeats(clock::now());
+    // At once: until they know, their requests would wait here for nothing.
+    for (const auto member : told) {
+        send(member, {});
+    }
 }
 
 void slot_broker::add_member(const asio::ip::address& address, double processor_share) {
@@ -189,7 +198,7 @@
     result.incarnation = m_incarnation;
     result.is_acting = m_source == slot_source::own_coordination;
     result.is_eligible = m_election.is_eligible(now);
-    result.is_leaving = !m_tick_timer.is_active();
+    result.is_leaving = m_election.is_leaving();
     result.processor_share = m_settings.processor_share;
     result.members = static_cast<unsigned>(std::max(m_last_served.size() + 1, m_counted_members));
     const auto held = m_observers.read_versions();
@@ -247,22 +256,23 @@
 
 void slot_broker::receive(const asio::ip::udp::endpoint& from, std::span<const std::byte> bytes) {
     const auto now = clock::now();
-    const auto message = decode(bytes, now);
+    auto message = decode(bytes, now);
     if (!message.has_value() || message->sender.incarnation == m_incarnation) {
         return;
     }
     const auto member = key_of(from.address());
-    const auto& sender = message->sender;
+    const auto sender = message->sender;
+    const bool wants_reply = message->wants_reply;
     m_election.hear(member,
                     {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backend_version});
     if (m_source == slot_source::coordinator && member == m_coordinating_member &&
         message->session == m_upstream->session()) {
-        take_from_coordinator(*message);
+        take_from_coordinator(std::move(*message));
     } else if (message->session != 0 && m_source == slot_source::own_coordination) {
-        take_from_member(member, *message);
+        take_from_member(member, std::move(*message));
     }
-    if (message->wants_reply) {
+    if (wants_reply) {
         datagram reply;
         const auto served = m_served.find(member);
         if (served != m_served.end()) {
@@ -272,27 +282,34 @@
     }
 }
 
-void slot_broker::take_from_coordinator(const datagram& message) {
+void slot_broker::take_from_coordinator(datagram message) {
     if (message.sender.members > 0) {
         m_counted_members = message.sender.members;
         m_counted_at = clock::now();
     }
     m_upstream->take_acknowledgement(message.acknowledged);
-    if (message.batch == 0 || !m_upstream->accept(message.batch)) {
+    if (message.batch == 0) {
+        return;
+    }
+    const auto session = m_upstream->session();
+    for (const auto& items : m_upstream->take_batch(message.batch, std::move(message.items))) {
+        deliver(items);
+    }
+    if (!m_upstream.has_value() || m_upstream->session() != session) {
         return;
     }
-    deliver(message.items);
     datagram reply;
     m_upstream->stamp(reply);
     send(m_coordinating_member, std::move(reply));
 }
 
-void slot_broker::take_from_member(policy::member_key member, const datagram& message) {
+void slot_broker::take_from_member(policy::member_key member, datagram message) {
     const auto now = clock::now();
     auto served = m_served.find(member);
     if (served == m_served.end() || served->second.channel.session() != message.session) {
-        // A new session begins with its first batch; anything else belongs to one that is over here.
-        if (message.batch > 1) {
+        // A new session begins with its first batch; anything else belongs to one that is over here, and the
+        // member begins another when nothing is acknowledged.
+        if (message.batch != 1) {
             return;
         }
         m_coordinator.detach(member, now);
@@ -301,10 +318,12 @@
     served->second.heard = now;
     m_last_served[member] = now;
     served->second.channel.take_acknowledgement(message.acknowledged);
-    if (message.batch == 0 || !served->second.channel.accept(message.batch)) {
+    if (message.batch == 0) {
         return;
     }
-    m_coordinator.take(member, message.items, now);
+    for (const auto& items : served->second.channel.take_batch(message.batch, std::move(message.items))) {
+        m_coordinator.take(member, items, now);
+    }
     for (auto& [to, items] : m_coordinator.decide(now)) {
         if (to == m_self) {
             deliver(items);
@@ -330,7 +349,9 @@
             use_own(slot_source::own_coordination);
         }
     } else if (choice.who == role::other && m_election.is_acting_member(choice.member)) {
-        if (m_source != slot_source::coordinator || m_coordinating_member != choice.member) {
+        const bool is_attached = m_source == slot_source::coordinator &&
+                                 m_coordinating_member == choice.member && !is_session_stuck(now);
+        if (!is_attached) {
             attach_to(choice.member);
         }
     } else if (m_source != slot_source::own_part) {
@@ -339,6 +360,13 @@
     update_shares(now);
 }
 
+/// The coordinator is heard but takes nothing: it has given this process up meanwhile, for instance because
+/// only this direction was cut, and knows nothing of the session any more.
+bool slot_broker::is_session_stuck(policy::time_point now) const {
+    const auto oldest = m_upstream->oldest_unacknowledged();
+    return oldest.has_value() && now - *oldest > stuck_session_limit;
+}
+
 void slot_broker::attach_to(policy::member_key coordinator) {
     const auto before = std::exchange(m_source, slot_source::coordinator);
     for (const auto& [member, served] : m_served) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -99,8 +99,8 @@
 
     void tick();
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
-    void take_from_coordinator(const datagram& message);
-    void take_from_member(policy::member_key member, const datagram& message);
+    void take_from_coordinator(datagram message);
+    void take_from_member(policy::member_key member, datagram message);
     void send_heartbeats(policy::time_point now);
     void send_heartbeat(policy::member_key member);
     void send(policy::member_key member, datagram message);
@@ -108,6 +108,7 @@
     [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(policy::member_key member) const;
 
     void choose_source(policy::time_point now);
+    [[nodiscard]] bool is_session_stuck(policy::time_point now) const;
     void attach_to(policy::member_key coordinator);
     void use_own(slot_source source);
     void update_shares(policy::time_point now);
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -113,7 +113,7 @@
 
 std::map<policy::member_key, batch_items> slot_coordinator::decide(policy::time_point now) {
     for (const auto& grant : m_scheduler.grant(now)) {
-        auto& request = m_requests[grant.ticket];
+        auto& request = m_requests.at(grant.ticket);
         request.is_running = true;
         m_output[request.member].grants.push_back(grant);
     }
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -3,6 +3,7 @@
 
 #include "base/request_error.hpp"
 #include "gateway/request_exchange.hpp"
+#include "http/message.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -25,6 +26,9 @@
 constexpr milliseconds time_check_period{500};
 constexpr std::size_t most_read_size = 64U * 1024;
 
+/// Other gateways take the request at once.
+constexpr milliseconds stopping_retry{100};
+
 http::request_limits reader_limits(const gateway_context& context) {
     const auto configuration = *context.configuration.read();
     if (configuration == nullptr) {
@@ -45,9 +49,13 @@
       m_connection(std::make_shared<net::connection>(std::move(socket))),
       m_reader(reader_limits(context)),
       m_request_begin(clock::now()),
-      m_idle_since(m_request_begin) {}
+      m_idle_since(m_request_begin) {
+    m_context.sessions.insert(this);
+}
 
-client_session::~client_session() = default;
+client_session::~client_session() {
+    m_context.sessions.erase(this);
+}
 
 void client_session::start() {
     const auto self = shared_from_this();
@@ -125,6 +133,10 @@
 void client_session::begin_exchange() {
     m_reads_request = false;
     m_connection->set_read_size(4096);
+    if (!m_context.takes_requests) {
+        refuse(error_kind::draining, "this process is stopping", stopping_retry);
+        return;
+    }
     auto& message = m_reader.message();
     m_keeps_connection = message.keeps_connection && !m_context.is_stopping;
     m_exchange = std::make_shared<request_exchange>(m_context, shared_from_this(), std::move(message),
@@ -219,12 +231,17 @@
     }
 }
 
-void client_session::refuse(error_kind kind, std::string_view detail) {
+void client_session::refuse(error_kind kind, std::string_view detail,
+                            std::optional<milliseconds> retry_after) {
     const auto& row = answer_for(kind);
     m_keeps_connection = false;
     const std::string body =
         R"({"error":")" + std::string(row.name) + R"(","detail":")" + std::string(detail) + R"("})";
-    answer(row.http_status, row.name, "Content-Type: application/json\r\n", body);
+    std::string fields = "Content-Type: application/json\r\n";
+    if (retry_after.has_value()) {
+        fields.append("Retry-After: ").append(http::to_seconds_text(*retry_after)).append("\r\n");
+    }
+    answer(row.http_status, row.name, fields, body);
 }
 
 void client_session::cut() {
@@ -236,8 +253,10 @@
 }
 
 void client_session::close_if_idle() {
-    if (is_idle()) {
-        close();
+    if (is_idle() && !m_is_closed) {
+        m_is_closed = true;
+        m_timer.cancel();
+        m_connection->close_gently(linger);
     }
 }
 
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -59,7 +59,8 @@
     void take_drained();
     void read_requests();
     void begin_exchange();
-    void refuse(error_kind kind, std::string_view detail);
+    void refuse(error_kind kind, std::string_view detail,
+                std::optional<milliseconds> retry_after = std::nullopt);
     void end_answer();
     void send_head(unsigned status, std::string_view reason, std::string_view fields,
                    std::string_view framing);
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -12,10 +12,12 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 
 namespace borageford::gateway {
 
 class backend_directory;
+class client_session;
 
 /// The configuration in force; null until the first one is known.
 using routing_snapshot = snapshot<std::shared_ptr<const routing::routing_table>>;
@@ -28,8 +30,10 @@
     routing_snapshot& configuration;
     backend_directory& backends;
     coordination::slot_broker& slots;
-    bool is_stopping = false;
+    std::set<client_session*> sessions{}; ///< all open connections of callers
     std::size_t requests_in_progress = 0;
+    bool is_stopping = false;     ///< each answer ends its connection
+    bool takes_requests = true;   ///< else new requests are refused as not run
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -32,10 +32,17 @@
 /// Callers come in bursts; a full queue would drop their opening packets for seconds.
 constexpr int listen_backlog = 4096;
 
+constexpr milliseconds stop_check_period{50};
+/// The balancer asks once a second and takes a process out after two misses.
+constexpr milliseconds serving_while_stopping{2600};
+/// Kept from the time until the process is killed, for the last bytes to leave.
+constexpr milliseconds last_moment{300};
+
 class gateway_process {
 public:
-    gateway_process(gateway_settings settings, const deployment& speech)
-        : m_settings(std::move(settings)),
+    gateway_process(std::string settings_file, gateway_settings settings, const deployment& speech)
+        : m_settings_file(std::move(settings_file)),
+          m_settings(std::move(settings)),
           m_speech(speech),
           m_runtime(1),
           m_configuration(nullptr),
@@ -68,7 +75,7 @@
         listen();
         m_readiness.listen(m_settings.readiness_listen);
         log::info("started", {{"vm", m_settings.common.vm}});
-        m_runtime.run([this] { stop(); });
+        m_runtime.run([this] { stop(); }, [this] { reload(); });
     }
 
 private:
@@ -201,17 +208,61 @@
         co_await writer.write(http::make_response(is_ready ? 200 : 503, "text/plain", ""));
     }
 
+    /// Not ready at once; then what comes on open connections is still answered, since the balancer and
+    /// callers need a while to go elsewhere; then nothing new is taken, and what runs ends.
     void stop() {
         m_context.is_stopping = true;
         m_slots.leave();
-        m_stop_timer = m_runtime.timers().every(m_runtime.executor(), milliseconds(100), [this] {
-            m_stopped_for += milliseconds(100);
-            if (m_context.requests_in_progress == 0 && m_stopped_for > milliseconds(3000)) {
-                m_runtime.finish();
-            }
-        });
+        m_stop_begin = std::chrono::steady_clock::now();
+        m_stop_timer =
+            m_runtime.timers().every(m_runtime.executor(), stop_check_period, [this] { go_on_stopping(); });
+    }
+
+    void go_on_stopping() {
+        const auto passed = std::chrono::steady_clock::now() - m_stop_begin;
+        if (passed < serving_while_stopping) {
+            return;
+        }
+        m_context.takes_requests = false;
+        const bool is_last_moment = passed > m_settings.stop_limit - last_moment;
+        if (m_context.requests_in_progress > 0 && !is_last_moment) {
+            close_idle_sessions();
+            return;
+        }
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        close_idle_sessions();
+        if (is_last_moment || m_context.sessions.empty()) {
+            log::info("stopped", {{"cut", std::to_string(m_context.requests_in_progress)}});
+            m_runtime.finish();
+        }
+    }
+
+    void close_idle_sessions() {
+        const auto open = m_context.sessions;
+        for (auto* session : open) {
+            session->close_if_idle();
+        }
+    }
+
+    /// Reads the settings file again. What can change while running is taken; a faulty file changes nothing.
+    void reload() {
+        std::vector<settings::problem> problems;
+        const auto text = settings::read_file(m_settings_file, problems);
+        const auto document = settings::parse_ini(text, m_settings_file, problems);
+        const auto read = read_gateway_settings(document, problems);
+        if (!problems.empty()) {
+            log::error("settings_refused", {{"reason", problems.front().to_string()}});
+            return;
+        }
+        m_settings.stop_limit = read.stop_limit;
+        for (const auto& seed : read.seeds) {
+            m_slots.add_member(seed, m_settings.processor_share);
+        }
+        log::info("settings_reloaded");
     }
 
+    std::string m_settings_file;
     gateway_settings m_settings;
     const deployment& m_speech;
     process::runtime m_runtime;
@@ -225,7 +276,7 @@
     tcp::acceptor m_acceptor;
     http::server m_readiness;
     timer_subscription m_stop_timer;
-    milliseconds m_stopped_for{0};
+    std::chrono::steady_clock::time_point m_stop_begin;
 };
 
 } // namespace
@@ -240,7 +291,7 @@
         return wrong_settings_exit_code;
     }
     log::start(read.common.log_format, read.common.log_level, "gateway");
-    gateway_process(std::move(read), speech).run();
+    gateway_process(settings_file, std::move(read), speech).run();
 }
 
 } // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "base/hash.hpp"
 #include "gateway/backend_directory.hpp"
+#include "http/message.hpp"
 
 #include <algorithm>
 #include <array>
@@ -406,8 +407,7 @@
     }
     append_field(fields, "Content-Type", "application/json");
     if (retry_after.has_value()) {
-        append_field(fields, "Retry-After",
-                     std::to_string(static_cast<double>(retry_after->count()) / 1000.0));
+        append_field(fields, "Retry-After", http::to_seconds_text(*retry_after));
     }
     const std::string body = R"({"error":")" + std::string(row.name) + R"("})";
     m_session->answer(row.http_status, row.name, fields, body);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -22,6 +22,13 @@
     return {{status, {{"Content-Type", std::string(content_type)}}}, std::move(body)};
 }
 
+std::string to_seconds_text(std::chrono::milliseconds span) {
+    constexpr std::int64_t per_second = 1000;
+    auto fraction = std::to_string(span.count() % per_second);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(span.count() / per_second) + "." + fraction;
+}
+
 std::string_view path_of(std::string_view target) {
     return target.substr(0, target.find('?'));
 }
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -1,6 +1,7 @@
 // HTTP requests and responses as plain values, so that no other part sees the library behind them.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,6 +41,9 @@
 /// A response with a body of this type.
 [[nodiscard]] response make_response(unsigned status, std::string_view content_type, std::string body);
 
+/// A duration as Retry-After has it, in seconds with a fraction.
+[[nodiscard]] std::string to_seconds_text(std::chrono::milliseconds span);
+
 /// The part of a target before "?".
 [[nodiscard]] std::string_view path_of(std::string_view target);
 
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -58,6 +58,7 @@
 
     /// This process is about to stop.
     void leave() noexcept { m_is_leaving = true; }
+    [[nodiscard]] bool is_leaving() const noexcept { return m_is_leaving; }
 
     [[nodiscard]] choice choose(time_point now) const;
     [[nodiscard]] bool is_acting(time_point now) const { return choose(now).who == role::self; }
--- a/src/process/runtime.cpp
+++ b/src/process/runtime.cpp
@@ -37,14 +37,30 @@
         });
 }
 
+void watch_reloads(const std::shared_ptr<boost::asio::signal_set>& signals,
+                   std::function<void()> reload_requested) {
+    signals->async_wait(
+        [signals, reload = std::move(reload_requested)](const boost::system::error_code& error, int) {
+            if (error) {
+                return;
+            }
+            reload();
+            watch_reloads(signals, reload);
+        });
+}
+
 } // namespace
 
 runtime::runtime(unsigned threads) : m_thread_count(threads), m_context(static_cast<int>(threads)) {}
 
-void runtime::run(std::function<void()> stop_requested) {
+void runtime::run(std::function<void()> stop_requested, std::function<void()> reload_requested) {
     const auto work = boost::asio::make_work_guard(m_context);
     const auto signals = std::make_shared<boost::asio::signal_set>(m_context, SIGINT, SIGTERM);
     watch_signals(signals, std::move(stop_requested));
+    if (reload_requested) {
+        watch_reloads(std::make_shared<boost::asio::signal_set>(m_context, SIGHUP),
+                      std::move(reload_requested));
+    }
     std::vector<std::jthread> threads;
     for (unsigned index = 1; index < m_thread_count; ++index) {
         threads.emplace_back([this] { m_context.run(); });
--- a/src/process/runtime.hpp
+++ b/src/process/runtime.hpp
@@ -30,8 +30,9 @@
     [[nodiscard]] const identifier& incarnation() const noexcept { return m_incarnation; }
 
     /// Runs until finish(). The first SIGTERM or SIGINT calls `stop_requested` (the graceful stop); a
-    /// second one ends the process at once with exit code 130.
-    [[noreturn]] void run(std::function<void()> stop_requested);
+    /// second one ends the process at once with exit code 130. Each SIGHUP calls `reload_requested`; without
+    /// one, the signal does what the system does with it.
+    [[noreturn]] void run(std::function<void()> stop_requested, std::function<void()> reload_requested = {});
 
     /// Lets run() end the process with exit code 0.
     void finish();
