Pass configuration and registrations between gateways; send nothing to a server known to leave

Gateways now refuse such a grant and fetch what a peer knows and they don't. Registrations that vanish around an outage are missed for 2.3 s before they count as gone.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -5,9 +5,12 @@
 #include "base/log.hpp"
 #include "coordination/slot_broker.hpp"
 #include "gateway/backend_directory.hpp"
+#include "gateway/backend_roster.hpp"
 #include "gateway/client_session.hpp"
+#include "gateway/configuration_keeper.hpp"
 #include "gateway/gateway_context.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/peer_exchange.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
 #include "process/runtime.hpp"
@@ -51,6 +54,9 @@
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
                     m_configuration,      m_backends,         m_slots},
+          m_configuration_keeper(speech, m_configuration, m_slots),
+          m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots),
+          m_exchange(m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
                                    speech.configuration_table, make_configuration_handlers()),
           m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table, speech.backend_table,
@@ -66,6 +72,8 @@
               }) {}
 
     [[noreturn]] void run() {
+        m_roster.start();
+        m_exchange.start();
         m_configuration_follower.start();
         m_backend_follower.start();
         for (const auto& seed : m_settings.seeds) {
@@ -91,8 +99,13 @@
 
     coordination::slot_broker::observers make_observers() {
         using coordination::slot_source;
-        return {[] { return coordination::slot_broker::versions{}; },
-                [](const asio::ip::address&, const coordination::slot_broker::versions&) {},
+        using coordination::slot_broker;
+        return {[this] {
+                    return slot_broker::versions{m_configuration_keeper.version(), m_roster.version()};
+                },
+                [this](const asio::ip::address& peer, const slot_broker::versions& held) {
+                    m_exchange.hear(peer, held.configuration, held.backends);
+                },
                 [](slot_source from, slot_source to) {
                     log::info("slot_source", {{"from", std::to_string(static_cast<int>(from))},
                                               {"to", std::to_string(static_cast<int>(to))}});
@@ -109,78 +122,19 @@
                 [](const std::string& reason) { log::warning("store_away", {{"reason", reason}}); }};
     }
 
-    store_follower::handlers make_backend_handlers() {
-        return {[this](const store::row_page& page) { take_all_backends(page); },
-                [this](const store::row_change& change) { take_backend_change(change); },
-                [](const std::string& reason) { log::warning("store_away", {{"reason", reason}}); }};
-    }
-
     void take_configuration(const store::row& row) {
-        if (row.key != m_speech.configuration_key || row.value.empty()) {
-            return;
-        }
-        try {
-            auto table =
-                std::make_shared<const routing::routing_table>(m_speech.decode_configuration(row.value));
-            const auto current = *m_configuration.read();
-            if (current != nullptr && current->version() >= table->version()) {
-                return;
-            }
-            log::info("configuration", {{"version", std::to_string(table->version())}});
-            take_allowances(*table);
-            m_configuration.replace(std::move(table));
-        } catch (const std::exception& error) {
-            log::error("configuration_unreadable", {{"reason", error.what()}});
+        if (row.key == m_speech.configuration_key && !row.value.empty()) {
+            m_configuration_keeper.take(row.value, "store");
         }
     }
 
-    void take_allowances(const routing::routing_table& table) {
-        for (const auto& workspace : table.document().workspaces) {
-            m_slots.set_allowance(hash_bytes(workspace.name), {workspace.rate, workspace.burst});
-        }
-    }
-
-    std::string id_of(const store::row& row) const { return row.key.substr(m_speech.backend_table.size() + 1); }
-
-    void take_all_backends(const store::row_page& page) {
-        std::set<std::string, std::less<>> present;
-        for (const auto& row : page.rows) {
-            present.insert(id_of(row));
-            take_backend_change({row, false});
-        }
-        std::vector<std::string> missing;
-        for (const auto& [id, server] : m_backends.all()) {
-            if (!present.contains(id)) {
-                missing.push_back(id);
-            }
-        }
-        for (const auto& id : missing) {
-            remove_backend(id);
-        }
-    }
-
-    void take_backend_change(const store::row_change& change) {
-        const auto id = id_of(change.now);
-        if (change.is_removed) {
-            remove_backend(id);
-            return;
-        }
-        try {
-            auto record = m_speech.decode_backend(id, change.now.value);
-            m_backends.set(record);
-            if (record.state == routing::backend_state::ready) {
-                m_slots.set_server(hash_bytes(id), hash_bytes(record.service), record.slots);
-            } else {
-                m_slots.remove_server(hash_bytes(id));
-            }
-        } catch (const std::exception& error) {
-            log::error("backend_unreadable", {{"id", id}, {"reason", error.what()}});
-        }
-    }
-
-    void remove_backend(const std::string& id) {
-        m_slots.remove_server(hash_bytes(id));
-        m_backends.remove(id);
+    store_follower::handlers make_backend_handlers() {
+        return {[this](const store::row_page& page) { m_roster.take_all(page); },
+                [this](const store::row_change& change) { m_roster.take_change(change); },
+                [this](const std::string& reason) {
+                    m_roster.take_outage();
+                    log::warning("store_away", {{"reason", reason}});
+                }};
     }
 
     void listen() {
@@ -205,7 +159,8 @@
     asio::awaitable<void> answer_readiness(const http::request&, http::response_writer& writer) {
         const bool is_ready =
             *m_configuration.read() != nullptr && m_backends.has_ready() && !m_context.is_stopping;
-        co_await writer.write(http::make_response(is_ready ? 200 : 503, "text/plain", ""));
+        const auto answer = http::make_response(is_ready ? 200 : 503, "text/plain", "");
+        co_await writer.write(answer);
     }
 
     /// Not ready at once; then what comes on open connections is still answered, since the balancer and
@@ -271,6 +226,9 @@
     backend_directory m_backends;
     coordination::slot_broker m_slots;
     gateway_context m_context;
+    configuration_keeper m_configuration_keeper;
+    backend_roster m_roster;
+    peer_exchange m_exchange;
     store_follower m_configuration_follower;
     store_follower m_backend_follower;
     tcp::acceptor m_acceptor;
--- /dev/null
+++ b/src/gateway/peer_exchange.hpp
@@ -0,0 +1,54 @@
+// Passes the newest configuration and registrations between gateways, for those that the store turns away.
+#pragma once
+
+#include "gateway/backend_roster.hpp"
+#include "gateway/configuration_keeper.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace borageford::gateway {
+
+/// A gateway hears in every datagram which versions its peers hold. What it lacks for longer than the store
+/// usually takes to tell it, it asks the peer for.
+class peer_exchange {
+public:
+    peer_exchange(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& local,
+                  configuration_keeper& configuration, backend_roster& backends);
+
+    void start();
+
+    /// A peer holds these versions.
+    void hear(const boost::asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends);
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    [[nodiscard]] http::response answer(const http::request& received) const;
+    boost::asio::awaitable<void> ask_for_configuration(boost::asio::ip::tcp::endpoint peer);
+    boost::asio::awaitable<void> ask_for_backends(boost::asio::ip::tcp::endpoint peer);
+
+    /// Since when something has been behind, and whether it is being asked for.
+    struct lag {
+        clock::time_point since = clock::time_point::max();
+        bool is_asking = false;
+
+        /// Whether it is time to ask, with what is held and what a peer holds.
+        [[nodiscard]] bool is_due(std::uint64_t held, std::uint64_t offered, clock::time_point now);
+    };
+
+    boost::asio::any_io_executor m_executor;
+    boost::asio::ip::tcp::endpoint m_local;
+    configuration_keeper& m_configuration;
+    backend_roster& m_backends;
+    http::server m_server;
+    lag m_configuration_lag;
+    lag m_backend_lag;
+};
+
+} // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -187,7 +187,10 @@
     m_slot_begin = clock::now();
     m_first_event = {};
     auto found = m_context.backends.find(grant.server);
-    if (found == nullptr) {
+    // The coordinator may not know yet that the server is leaving, for instance while the store turns it away.
+    const bool takes_work =
+        found != nullptr && found->record().state == routing::backend_state::ready;
+    if (!takes_work) {
         avoid(grant.server);
         release_slot(policy::slot_outcome::unreachable);
         ask_for_slot();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,8 @@
 // The client over Beast.
 #include "http/client.hpp"
 
+#include "net/tcp_options.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -74,7 +76,7 @@
     if (error) {
         m_state->fail(exchange_stage::connecting, error);
     }
-    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    net::prepare_socket(stream.socket());
 
     const auto out = to_library(server, call);
     stream.expires_after(m_state->limits.head);
--- /dev/null
+++ b/src/policy/registration_watch.cpp
@@ -0,0 +1,38 @@
+// One moment for each missed server.
+#include "policy/registration_watch.hpp"
+
+namespace borageford::policy {
+
+bool registration_watch::is_around_outage(time_point now) const noexcept {
+    return m_last_outage != time_point::min() && now - m_last_outage < grace;
+}
+
+bool registration_watch::is_gone(std::string_view server, time_point now) {
+    if (!is_around_outage(now)) {
+        return true;
+    }
+    m_missed.try_emplace(std::string(server), now + grace);
+    return false;
+}
+
+void registration_watch::note_present(std::string_view server) {
+    const auto found = m_missed.find(server);
+    if (found != m_missed.end()) {
+        m_missed.erase(found);
+    }
+}
+
+std::vector<std::string> registration_watch::take_expired(time_point now) {
+    std::vector<std::string> expired;
+    for (auto entry = m_missed.begin(); entry != m_missed.end();) {
+        if (entry->second <= now) {
+            expired.push_back(entry->first);
+            entry = m_missed.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return expired;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/registration_watch.hpp
@@ -0,0 +1,39 @@
+// Tells a backend server that has left from one whose registration vanished because the store was away.
+#pragma once
+
+#include "policy/time.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace borageford::policy {
+
+/// Registrations expire in the store without their servers' heartbeats, also while the store itself takes
+/// none. Taking all servers for gone after an outage would refuse every request until they are back. So a
+/// registration that vanishes around an outage is missed for a while, and only then taken as gone.
+class registration_watch {
+public:
+    /// How long after an outage servers have to register anew. The store's users promise about two seconds.
+    static constexpr duration grace = std::chrono::milliseconds(2300);
+
+    /// The store couldn't be reached.
+    void note_outage(time_point now) noexcept { m_last_outage = now; }
+
+    /// A registration vanished: true when the server is to be taken as gone now; false when it is missed.
+    [[nodiscard]] bool is_gone(std::string_view server, time_point now);
+    /// A registration is there.
+    void note_present(std::string_view server);
+
+    /// Missed servers whose time is over; they are to be taken as gone.
+    [[nodiscard]] std::vector<std::string> take_expired(time_point now);
+
+private:
+    [[nodiscard]] bool is_around_outage(time_point now) const noexcept;
+
+    time_point m_last_outage = time_point::min();
+    std::map<std::string, time_point, std::less<>> m_missed; ///< until when each is missed
+};
+
+} // namespace borageford::policy
