Order waiting requests by the workspace's tier, then by the route's

Cause: nearly all workspaces have the same tier and it replaced the route's, so everything was first come first served and under a burst everything was late (median wait at the patience limit of 1 s). Slot figures are settings now, to be measured.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -37,6 +37,13 @@
     result.drain_limit = reader.duration("drain_limit", result.drain_limit, shortest, longest);
 }
 
+void read_slots(settings::section_reader& reader, policy::slot_scheduler_limits& slots) {
+    slots.outstanding_per_slot = reader.real("outstanding_per_slot", slots.outstanding_per_slot, 0.1, 100);
+    slots.reserved_slots =
+        static_cast<unsigned>(reader.number("reserved_slots", slots.reserved_slots, 0, 1000));
+    slots.patience = reader.real("patience", slots.patience, 0.1, 100);
+}
+
 } // namespace
 
 gateway_settings read_gateway_settings(const settings::ini_document& document,
@@ -55,6 +62,7 @@
     result.processor_share = reader.real("processor_share", result.processor_share, 0.001, 1024);
     result.stop_limit = reader.duration("stop_limit", result.stop_limit, shortest, longest);
     read_bounds(reader, result);
+    read_slots(reader, result.slots);
     reader.finish();
     return result;
 }
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds answer_margin{30};
 /// A caller that doesn't read slows its backend server down instead of filling this process.
 constexpr std::size_t most_unsent = 256U * 1024;
+/// Tiers of workspaces, and of routes, that are told apart.
+constexpr int most_tiers = 8;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
@@ -126,7 +128,7 @@
     wanted.ticket = m_context.slots.next_ticket();
     wanted.service = hash_bytes(m_service->name);
     wanted.workspace = m_workspace != nullptr ? hash_bytes(m_workspace->name) : 0;
-    wanted.tier = m_workspace != nullptr ? m_workspace->tier.value_or(m_route->tier) : m_route->tier;
+    wanted.tier = tier();
     wanted.arrived = m_arrived;
     wanted.deadline = m_deadline;
     wanted.target = m_route->latency_target;
@@ -138,6 +140,12 @@
     return wanted;
 }
 
+/// A workspace's own tier goes first; among workspaces of one tier the route's decides.
+int request_exchange::tier() const {
+    const int of_workspace = m_workspace != nullptr ? m_workspace->tier.value_or(0) : 0;
+    return std::clamp(of_workspace, 0, most_tiers - 1) * most_tiers + std::clamp(m_route->tier, 0, most_tiers - 1);
+}
+
 double request_exchange::count_units() const {
     if (m_workspace == nullptr) {
         return 0;
@@ -163,12 +171,18 @@
     m_cost.output = hint.has_value() ? static_cast<double>(*hint) : m_most_output;
 }
 
+request_exchange::clock::duration request_exchange::patience() const {
+    const auto whole = std::chrono::duration_cast<clock::duration>(m_route->latency_target *
+                                                                   m_context.settings.slots.patience);
+    return std::max<clock::duration>(m_arrived + whole - clock::now(), milliseconds(1));
+}
+
 void request_exchange::ask_for_slot() {
     m_stage = stage::waiting;
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_waits_for_slot = true;
-    m_patience_timer = m_context.timers.after(m_context.executor, m_route->latency_target * 2,
+    m_patience_timer = m_context.timers.after(m_context.executor, patience(),
                                               [weak = weak_from_this()] {
                                                   if (const auto self = weak.lock()) {
                                                       self->give_up();
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -50,6 +50,8 @@
     void admit();
     void ask_for_slot();
     [[nodiscard]] policy::slot_request make_slot_request() const;
+    [[nodiscard]] int tier() const;
+    [[nodiscard]] clock::duration patience() const;
     [[nodiscard]] double count_units() const;
     void read_cost();
     void avoid(policy::server_key server);
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -18,6 +18,8 @@
     double outstanding_per_slot = 1.25;
     /// Slots of each server that the lowest tier leaves free, so that a higher one finds room at once.
     unsigned reserved_slots = 2;
+    /// A request is refused after it has waited for so many times its latency target.
+    double patience = 1.5;
     /// Share of all slots that this process may give out; less than 1 where others give out the rest.
     double share = 1;
 };
