Let a backend server that fails rest, and count only tries that reached a server

And a refused connection used up a request's only attempt. Ruled out: lost slots (releases were all there).

--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -76,7 +76,7 @@
 }
 
 void slot_coordinator::take_release(const policy::slot_release& ended, policy::time_point now) {
-    m_scheduler.release(ended);
+    m_scheduler.release(ended, now);
     const auto found = m_requests.find(ended.ticket);
     if (found == m_requests.end()) {
         return;
@@ -104,7 +104,7 @@
     for (const auto ticket : tickets) {
         take_withdrawal(ticket, now);
         if (m_requests.contains(ticket)) {
-            m_scheduler.release({ticket, 0, policy::slot_outcome::abandoned, {}, {}});
+            m_scheduler.release({ticket, 0, policy::slot_outcome::abandoned, {}, {}}, now);
             m_requests.erase(ticket);
         }
     }
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -65,7 +65,7 @@
             self->m_connect_timer.cancel();
             self->m_connecting.reset();
             if (error) {
-                self->fail(call_failure::not_sent, "connecting failed");
+                self->fail(call_failure::unreachable, "connecting failed");
                 return;
             }
             self->send_on(std::make_shared<net::connection>(std::move(*socket)));
@@ -73,7 +73,7 @@
     m_connect_timer.expires_after(connect_limit);
     m_connect_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error && !self->m_is_over && self->m_connecting != nullptr) {
-            self->fail(call_failure::not_sent, "connecting took too long");
+            self->fail(call_failure::unreachable, "connecting took too long");
         }
     });
 }
@@ -161,7 +161,7 @@
     }
     const auto self = shared_from_this();
     const bool has_left = m_connection->sent_bytes() > m_sent_before;
-    const auto failure = has_left ? call_failure::unknown : call_failure::not_sent;
+    const auto failure = has_left ? call_failure::unknown : call_failure::unreachable;
     if (how == net::connection_end::failed || !m_has_told_head) {
         fail(failure, how == net::connection_end::failed ? "the connection failed" : "closed without an answer");
         return;
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -20,7 +20,8 @@
 
 /// What is known about a call that failed.
 enum class call_failure : std::uint8_t {
-    not_sent, ///< nothing left this process: the server has not run it
+    unreachable, ///< no connection: nothing left this process
+    not_executed, ///< the server said that it didn't run it
     unknown,  ///< the server may have run it
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t most_unsent = 256U * 1024;
 /// Tiers of workspaces, and of routes, that are told apart.
 constexpr int most_tiers = 8;
+/// Backend servers that a request is offered to while none has run it; more would only add to its wait.
+constexpr unsigned most_tries = 5;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
@@ -54,6 +56,18 @@
     return std::uniform_real_distribution<double>(0, 1)(engine);
 }
 
+policy::slot_outcome outcome_of(call_failure what) {
+    switch (what) {
+    case call_failure::unreachable:
+        return policy::slot_outcome::unreachable;
+    case call_failure::not_executed:
+        return policy::slot_outcome::refused;
+    case call_failure::unknown:
+        break;
+    }
+    return policy::slot_outcome::failed;
+}
+
 void append_field(std::string& head, std::string_view name, std::string_view value) {
     head.append(name).append(": ").append(value).append("\r\n");
 }
@@ -236,7 +250,7 @@
 
 void request_exchange::send_to(std::shared_ptr<backend> server) {
     m_stage = stage::running;
-    ++m_sends;
+    ++m_tries;
     backend_request request;
     request.head = compose_head(*server);
     request.body = m_request.body;
@@ -328,10 +342,12 @@
     const bool not_executed =
         response.fields().find(m_context.fields.not_executed).has_value() || response.status() == misdirected;
     if (not_executed) {
-        take_failure(call_failure::not_sent, "the server refused it");
+        take_failure(call_failure::not_executed, "the server refused it");
         return;
     }
     const bool has_failed = response.status() >= first_server_error;
+    ++m_sends;
+    ++m_runs;
     release_slot(has_failed ? policy::slot_outcome::failed : policy::slot_outcome::served);
     if (has_failed && may_try_again(call_failure::unknown)) {
         try_again();
@@ -369,8 +385,13 @@
 }
 
 bool request_exchange::may_try_again(call_failure what) const {
-    const bool is_safe = what == call_failure::not_sent || m_route->may_repeat();
-    return is_safe && m_stage != stage::streaming && m_sends < m_route->attempts && time_left() > answer_margin;
+    if (m_stage == stage::streaming || time_left() <= answer_margin) {
+        return false;
+    }
+    if (what != call_failure::unknown) {
+        return m_tries < most_tries;
+    }
+    return m_route->may_repeat() && m_runs < m_route->attempts;
 }
 
 void request_exchange::try_again() {
@@ -380,11 +401,11 @@
 }
 
 void request_exchange::take_failure(call_failure what, std::string_view) {
-    if (what == call_failure::not_sent) {
-        // The allowance is given back with the slot.
-        m_is_charged = false;
-    }
-    release_slot(what == call_failure::not_sent ? policy::slot_outcome::refused : policy::slot_outcome::failed);
+    m_sends += what == call_failure::unreachable ? 0 : 1;
+    m_runs += what == call_failure::unknown ? 1 : 0;
+    // What didn't run has its allowance given back with its slot.
+    m_is_charged = what == call_failure::unknown;
+    release_slot(outcome_of(what));
     if (m_stage == stage::streaming) {
         m_session->cut();
         end();
@@ -394,8 +415,11 @@
         try_again();
         return;
     }
-    answer_error(what == call_failure::not_sent ? error_kind::overloaded : error_kind::outcome_unknown,
-                 what == call_failure::not_sent ? std::optional<milliseconds>(300) : std::nullopt);
+    if (what == call_failure::unknown || m_runs > 0) {
+        answer_error(error_kind::outcome_unknown);
+    } else {
+        answer_error(error_kind::overloaded, milliseconds(300));
+    }
 }
 
 void request_exchange::take_timeout() {
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -96,7 +96,9 @@
     double m_most_output = 0; ///< tokens that the caller takes at most
     bool m_is_charged = false; ///< the workspace's allowance was charged for it
     std::shared_ptr<backend_call> m_call;
-    unsigned m_sends = 0; ///< backend servers that the request was sent to
+    unsigned m_tries = 0; ///< backend servers that were tried, reached or not
+    unsigned m_sends = 0; ///< backend servers that the request reached, as far as is known
+    unsigned m_runs = 0;  ///< backend servers that may have run it
     std::array<policy::server_key, policy::slot_request::most_avoided> m_avoided{};
     http::event_splitter m_events;
     std::string m_answer; ///< body of an answer that is passed on whole
--- /dev/null
+++ b/src/policy/server_health.cpp
@@ -0,0 +1,66 @@
+// Rests that grow, and one request to end them.
+#include "policy/server_health.hpp"
+
+#include <algorithm>
+
+namespace borageford::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Failures in a row after which a server rests; one alone may be the request's own fault.
+constexpr unsigned tolerated_failures = 3;
+/// A refused or silent connection says more than a failed request: the server isn't there.
+constexpr unsigned tolerated_unreachable = 1;
+constexpr milliseconds first_rest{150};
+constexpr unsigned most_doublings = 4;
+/// Weight of the newest request in the share of failures: about the last twenty count.
+constexpr double newest_weight = 0.05;
+
+} // namespace
+
+server_health::trust server_health::look(time_point now) const {
+    if (now < m_rests_until) {
+        return trust::none;
+    }
+    return m_is_probing ? trust::probe : trust::full;
+}
+
+void server_health::record(slot_outcome outcome, time_point now) {
+    switch (outcome) {
+    case slot_outcome::served:
+        record_success();
+        break;
+    case slot_outcome::failed:
+        record_failure(false, now);
+        break;
+    case slot_outcome::unreachable:
+        record_failure(true, now);
+        break;
+    case slot_outcome::refused:   // full, or another server at the address: says nothing of failures
+    case slot_outcome::abandoned: // the caller's doing
+        break;
+    }
+}
+
+void server_health::record_success() {
+    m_failure_share *= 1 - newest_weight;
+    m_failures_in_row = 0;
+    m_rests = 0;
+    m_is_probing = false;
+}
+
+void server_health::record_failure(bool is_unreachable, time_point now) {
+    m_failure_share += (1 - m_failure_share) * newest_weight;
+    ++m_failures_in_row;
+    const auto tolerated = is_unreachable ? tolerated_unreachable : tolerated_failures;
+    if (m_failures_in_row < tolerated || now < m_rests_until) {
+        return;
+    }
+    m_rests_until = now + first_rest * (1U << std::min(m_rests, most_doublings));
+    ++m_rests;
+    m_is_probing = true;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/server_health.hpp
@@ -0,0 +1,43 @@
+// How far a backend server can be trusted with work, judged by what requests met there.
+#pragma once
+
+#include "policy/slot_request.hpp"
+
+#include <chrono>
+
+namespace borageford::policy {
+
+/// A server that fails answers fast, so a scheduler that looks at free slots alone gives it ever more requests:
+/// a quarter of the servers crashed used to cost nearly all requests of a service. After failures a server is
+/// left alone for a while, that doubles with each further one, and comes back with one request at a time.
+///
+/// Health checks aren't asked: they cost a slot, and a server can pass them and fail requests, or the reverse.
+class server_health {
+public:
+    /// How much may be sent to the server now.
+    enum class trust {
+        full,
+        probe, ///< one request at a time
+        none
+    };
+
+    [[nodiscard]] trust look(time_point now) const;
+
+    /// A request ended.
+    void record(slot_outcome outcome, time_point now);
+
+    /// Share of failures among the latest requests, 0 to 1.
+    [[nodiscard]] double failure_share() const noexcept { return m_failure_share; }
+
+private:
+    void record_success();
+    void record_failure(bool is_unreachable, time_point now);
+
+    double m_failure_share = 0;
+    unsigned m_failures_in_row = 0;
+    unsigned m_rests = 0; ///< taken since the last success
+    time_point m_rests_until = time_point::min();
+    bool m_is_probing = false;
+};
+
+} // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -42,14 +42,16 @@
     }
 }
 
-void slot_scheduler::release(const slot_release& ended) {
+void slot_scheduler::release(const slot_release& ended, time_point now) {
     const auto running = m_running.find(ended.ticket);
     if (running == m_running.end()) {
         return;
     }
     const auto server = running->second;
     m_running.erase(running);
-    --m_servers[server].outstanding;
+    auto& state = m_servers[server];
+    --state.outstanding;
+    state.health.record(ended.outcome, now);
     drop_unused(server);
 }
 
@@ -63,7 +65,11 @@
     }
 }
 
-double slot_scheduler::room(const server_state& server, bool is_lowest) const {
+double slot_scheduler::room(const server_state& server, bool is_lowest, time_point now) const {
+    const auto trust = server.health.look(now);
+    if (trust != server_health::trust::full) {
+        return trust == server_health::trust::probe && server.outstanding == 0 ? 1 : 0;
+    }
     double slots = server.slots;
     if (is_lowest) {
         slots = std::max(1.0, slots - m_limits.reserved_slots);
@@ -72,7 +78,7 @@
     return allowed - server.outstanding;
 }
 
-server_key slot_scheduler::choose(const slot_request& request, bool is_lowest) const {
+server_key slot_scheduler::choose(const slot_request& request, bool is_lowest, time_point now) const {
     server_key best = 0;
     double most_room = 0;
     for (const auto& [key, server] : m_servers) {
@@ -80,7 +86,7 @@
             std::ranges::find(request.avoided, key) != request.avoided.end()) {
             continue;
         }
-        const double free = room(server, is_lowest);
+        const double free = room(server, is_lowest, now);
         if (free >= 1 && free / server.slots > most_room) {
             best = key;
             most_room = free / server.slots;
@@ -89,14 +95,15 @@
     return best;
 }
 
-void slot_scheduler::grant_tier(tier_queue& queue, bool is_lowest, std::vector<slot_grant>& grants) {
+void slot_scheduler::grant_tier(tier_queue& queue, bool is_lowest, time_point now,
+                                std::vector<slot_grant>& grants) {
     while (!queue.empty()) {
         const auto waiting = m_waiting.find(queue.front());
         if (waiting == m_waiting.end()) {
             queue.pop_front();
             continue;
         }
-        const auto server = choose(waiting->second, is_lowest);
+        const auto server = choose(waiting->second, is_lowest, now);
         if (server == 0) {
             return;
         }
@@ -107,12 +114,12 @@
     }
 }
 
-std::vector<slot_grant> slot_scheduler::grant(time_point) {
+std::vector<slot_grant> slot_scheduler::grant(time_point now) {
     std::vector<slot_grant> grants;
     for (auto& [service, tiers] : m_queues) {
         for (auto& [tier, queue] : tiers) {
             const bool is_lowest = tiers.size() > 1 && tier == tiers.rbegin()->first;
-            grant_tier(queue, is_lowest, grants);
+            grant_tier(queue, is_lowest, now, grants);
         }
     }
     return grants;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -2,6 +2,7 @@
 // is decided is returned.
 #pragma once
 
+#include "policy/server_health.hpp"
 #include "policy/slot_request.hpp"
 
 #include <cstddef>
@@ -42,7 +43,7 @@
     /// A request that occupies a slot already.
     void add_running(slot_ticket ticket, server_key server);
     /// A running request has left its slot; unknown ones are passed over.
-    void release(const slot_release& ended);
+    void release(const slot_release& ended, time_point now);
 
     /// All grants that are possible now.
     [[nodiscard]] std::vector<slot_grant> grant(time_point now);
@@ -59,13 +60,14 @@
         unsigned slots = 1;
         unsigned outstanding = 0;
         bool is_usable = false;
+        server_health health;
     };
     using tier_queue = std::deque<slot_ticket>;
     using service_queue = std::map<int, tier_queue>;
 
-    [[nodiscard]] server_key choose(const slot_request& request, bool is_lowest) const;
-    [[nodiscard]] double room(const server_state& server, bool is_lowest) const;
-    void grant_tier(tier_queue& queue, bool is_lowest, std::vector<slot_grant>& grants);
+    [[nodiscard]] server_key choose(const slot_request& request, bool is_lowest, time_point now) const;
+    [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
+    void grant_tier(tier_queue& queue, bool is_lowest, time_point now, std::vector<slot_grant>& grants);
     void drop_unused(server_key server);
 
     slot_scheduler_limits m_limits;
