--- a/src/coordination/batch_channel.hpp
+++ b/src/coordination/batch_channel.hpp
@@ -15,9 +15,9 @@
 
 /// One direction out and one in of a session. Knows no socket and no clock.
 ///
-/// A batch that isn't acknowledged is sent again with the same number and items; the receiver holds back those
-/// that came too early. TCP would do the same, but a lost segment would hold up
-/// everything behind it for a retransmission timeout of 200 ms, a third of a short latency target.
+/// A batch that isn't acknowledged is sent again with the same number and items; the receiver holds back
+/// those that came too early. TCP would do the same, but a lost segment would hold up everything behind it
+/// for a retransmission timeout of 200 ms, a third of a short latency target.
 class batch_channel {
 public:
     explicit batch_channel(std::uint64_t session) : m_session(session) {}
@@ -37,8 +37,8 @@
     /// Takes note of what the other side has acknowledged.
     void take_acknowledgement(std::uint32_t batch);
 
-    /// Takes a received batch and returns all that are next in order: none when one before it is missing, this
-    /// and held ones when it fills the gap. One that was taken before is passed over.
+    /// Takes a received batch and returns all that are next in order: none when one before it is missing,
+    /// this and held ones when it fills the gap. One that was taken before is passed over.
     [[nodiscard]] std::vector<batch_items> take_batch(std::uint32_t number, batch_items items);
 
     [[nodiscard]] bool has_unacknowledged() const noexcept { return !m_unacknowledged.empty(); }
@@ -47,7 +47,7 @@
 
 private:
     struct sent_batch {
-        std::uint32_t number;
+        std::uint32_t number = 0;
         batch_items items;
         policy::time_point sent;
         policy::time_point first_sent;
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -40,7 +40,7 @@
             to_wire(now - from.arrived),
             to_wire(from.deadline - now),
             to_wire(from.target),
-            static_cast<std::int8_t>(from.tier),
+            static_cast<std::uint8_t>(from.tier),
             static_cast<std::uint8_t>(from.sends),
             from.is_charged};
 }
@@ -68,7 +68,7 @@
             from.service,
             to_wire(from.cost.prompt),
             to_wire(from.cost.output),
-            static_cast<std::int8_t>(from.tier)};
+            static_cast<std::uint8_t>(from.tier)};
 }
 
 slot_hold from_wire(const wire::hold& from) {
@@ -85,8 +85,7 @@
 }
 
 policy::slot_release from_wire(const wire::release& from) {
-    const auto outcome =
-        std::min(from.outcome(), static_cast<std::uint8_t>(policy::slot_outcome::abandoned));
+    const auto outcome = std::min(from.outcome(), static_cast<std::uint8_t>(policy::slot_outcome::abandoned));
     return {from.ticket(), from.server(), static_cast<policy::slot_outcome>(outcome),
             milliseconds(from.busy_ms()), milliseconds(from.first_ms())};
 }
@@ -190,8 +189,9 @@
     }
     const auto* table = wire::Getdatagram(data);
     datagram result;
-    result.sender = {table->incarnation(), table->is_acting(),       table->is_eligible(),
-                     table->is_leaving(),  table->processor_share(), table->members(),
+    result.sender = {table->incarnation(),           table->is_acting(),
+                     table->is_eligible(),           table->is_leaving(),
+                     table->processor_share(),       table->members(),
                      table->configuration_version(), table->backend_version()};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -43,7 +43,7 @@
   uint32_t age_ms_;
   uint32_t left_ms_;
   uint32_t target_ms_;
-  int8_t tier_;
+  uint8_t tier_;
   uint8_t sends_;
   uint8_t is_charged_;
   int8_t padding0__;  int32_t padding1__;
@@ -70,7 +70,7 @@
     (void)padding0__;
     (void)padding1__;
   }
-  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, int8_t _tier, uint8_t _sends, bool _is_charged)
+  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         workspace_(flatbuffers::EndianScalar(_workspace)),
@@ -123,7 +123,7 @@
   uint32_t target_ms() const {
     return flatbuffers::EndianScalar(target_ms_);
   }
-  int8_t tier() const {
+  uint8_t tier() const {
     return flatbuffers::EndianScalar(tier_);
   }
   uint8_t sends() const {
@@ -146,7 +146,7 @@
   uint64_t service_;
   uint32_t prompt_tokens_;
   uint32_t output_tokens_;
-  int8_t tier_;
+  uint8_t tier_;
   int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
  public:
@@ -165,7 +165,7 @@
     (void)padding1__;
     (void)padding2__;
   }
-  hold(uint64_t _ticket, uint64_t _server, uint64_t _service, uint32_t _prompt_tokens, uint32_t _output_tokens, int8_t _tier)
+  hold(uint64_t _ticket, uint64_t _server, uint64_t _service, uint32_t _prompt_tokens, uint32_t _output_tokens, uint8_t _tier)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         server_(flatbuffers::EndianScalar(_server)),
         service_(flatbuffers::EndianScalar(_service)),
@@ -194,7 +194,7 @@
   uint32_t output_tokens() const {
     return flatbuffers::EndianScalar(output_tokens_);
   }
-  int8_t tier() const {
+  uint8_t tier() const {
     return flatbuffers::EndianScalar(tier_);
   }
 };
--- a/src/coordination/peer_socket.cpp
+++ b/src/coordination/peer_socket.cpp
@@ -9,9 +9,9 @@
 
 namespace asio = boost::asio;
 
-peer_socket::peer_socket(asio::any_io_executor executor, const asio::ip::udp::endpoint& local,
+peer_socket::peer_socket(const asio::any_io_executor& executor, const asio::ip::udp::endpoint& local,
                          receiver receive)
-    : m_socket(std::move(executor), local.protocol()), m_receive(std::move(receive)) {
+    : m_socket(executor, local.protocol()), m_receive(std::move(receive)) {
     m_socket.non_blocking(true);
     m_socket.bind(local);
     receive_next();
--- a/src/coordination/peer_socket.hpp
+++ b/src/coordination/peer_socket.hpp
@@ -15,7 +15,7 @@
 public:
     using receiver = std::function<void(const boost::asio::ip::udp::endpoint&, std::span<const std::byte>)>;
 
-    peer_socket(boost::asio::any_io_executor executor, const boost::asio::ip::udp::endpoint& local,
+    peer_socket(const boost::asio::any_io_executor& executor, const boost::asio::ip::udp::endpoint& local,
                 receiver receive);
 
     /// Lost without a word when the kernel takes no more: whoever needs an answer asks again.
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -183,9 +183,10 @@
 }
 
 void slot_broker::watch_retransmission() {
-    const bool is_needed =
-        (m_upstream.has_value() && m_upstream->has_unacknowledged()) ||
-        std::ranges::any_of(m_served, [](const auto& entry) { return entry.second.channel.has_unacknowledged(); });
+    const bool is_needed = (m_upstream.has_value() && m_upstream->has_unacknowledged()) ||
+                           std::ranges::any_of(m_served, [](const auto& entry) {
+                               return entry.second.channel.has_unacknowledged();
+                           });
     if (!is_needed || m_retransmit_timer.is_active()) {
         return;
     }
@@ -263,8 +264,8 @@
     const auto member = key_of(from.address());
     const auto sender = message->sender;
     const bool wants_reply = message->wants_reply;
-    m_election.hear(member,
-                    {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
+    m_election.hear(member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving},
+                    now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backend_version});
     if (m_source == slot_source::coordinator && member == m_coordinating_member &&
         message->session == m_upstream->session()) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -1,5 +1,5 @@
-// Gets slots at backend servers for the requests of this process: from the coordinator, from this process when
-// it coordinates, or, when no coordinator is heard, from this process's own part of everything.
+// Gets slots at backend servers for the requests of this process: from the coordinator, from this process
+// when it coordinates, or, when no coordinator is heard, from this process's own part of everything.
 #pragma once
 
 #include "base/timer_service.hpp"
@@ -136,9 +136,9 @@
     std::optional<peer_socket> m_socket;
 
     slot_source m_source = slot_source::own_part;
-    policy::member_key m_coordinating_member = 0; ///< while m_source is coordinator
-    std::optional<batch_channel> m_upstream;      ///< while m_source is coordinator
-    std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
+    policy::member_key m_coordinating_member = 0;                   ///< while m_source is coordinator
+    std::optional<batch_channel> m_upstream;                        ///< while m_source is coordinator
+    std::map<policy::member_key, served_member> m_served;           ///< while m_source is own_coordination
     std::map<policy::member_key, policy::time_point> m_last_served; ///< members served lately
     std::size_t m_counted_members = 0; ///< as a coordinator told last; 0: never told, or long ago
     policy::time_point m_counted_at;
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -20,7 +20,8 @@
     [[nodiscard]] const routing::backend_record& record() const noexcept { return m_record; }
     void set_record(routing::backend_record record) { m_record = std::move(record); }
 
-    /// The connection that was used last, if it is idle for less than `longest_idle`; null when there is none.
+    /// The connection that was used last, if it is idle for less than `longest_idle`; null when there is
+    /// none.
     [[nodiscard]] std::shared_ptr<net::connection> take_idle(clock::duration longest_idle);
 
     /// Keeps a connection for the next request, at most for `keep`.
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -83,10 +83,9 @@
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
                                               : http::response_reader::body_rule::expected);
     m_sent_before = m_connection->sent_bytes();
-    m_connection->set_handlers(
-        {[self = shared_from_this()] { self->take_input(); },
-         [self = shared_from_this()](net::connection_end how) { self->take_end(how); },
-         {}});
+    m_connection->set_handlers({[self = shared_from_this()] { self->take_input(); },
+                                [self = shared_from_this()](net::connection_end how) { self->take_end(how); },
+                                {}});
     const std::array<std::string_view, 2> pieces{m_request.head, m_request.body};
     m_connection->send(pieces);
     m_connection->read();
@@ -163,7 +162,8 @@
     const bool has_left = m_connection->sent_bytes() > m_sent_before;
     const auto failure = has_left ? call_failure::unknown : call_failure::unreachable;
     if (how == net::connection_end::failed || !m_has_told_head) {
-        fail(failure, how == net::connection_end::failed ? "the connection failed" : "closed without an answer");
+        fail(failure,
+             how == net::connection_end::failed ? "the connection failed" : "closed without an answer");
         return;
     }
     try {
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -20,14 +20,14 @@
 
 /// What is known about a call that failed.
 enum class call_failure : std::uint8_t {
-    unreachable, ///< no connection: nothing left this process
+    unreachable,  ///< no connection: nothing left this process
     not_executed, ///< the server said that it didn't run it
-    unknown,  ///< the server may have run it
+    unknown,      ///< the server may have run it
 };
 
 /// What a backend call is asked to send.
 struct backend_request {
-    std::string head; ///< with its empty line
+    std::string head;      ///< with its empty line
     std::string_view body; ///< outlives the call
     std::string request_id;
     std::string request_id_name; ///< the field that the server echoes
@@ -77,12 +77,12 @@
     std::shared_ptr<const handlers> m_handlers;
     std::shared_ptr<net::connection> m_connection;
     std::optional<http::response_reader> m_reader;
-    std::string m_body;          ///< bytes of the body that the last read gave
+    std::string m_body; ///< bytes of the body that the last read gave
     boost::asio::steady_timer m_connect_timer;
     std::shared_ptr<boost::asio::ip::tcp::socket> m_connecting;
     std::uint64_t m_sent_before = 0; ///< of the connection, when this call began
     bool m_has_told_head = false;
-    bool m_is_surplus = false; ///< the response being read answers another request
+    bool m_is_surplus = false;  ///< the response being read answers another request
     bool m_is_poisoned = false; ///< the connection has shown bytes that belong to no request of ours
     bool m_is_over = false;
 };
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-backend_roster::backend_roster(asio::any_io_executor executor, timer_service& timers, const deployment& speech,
-                               backend_directory& backends, coordination::slot_broker& slots)
+backend_roster::backend_roster(asio::any_io_executor executor, timer_service& timers,
+                               const deployment& speech, backend_directory& backends,
+                               coordination::slot_broker& slots)
     : m_executor(std::move(executor)),
       m_timers(timers),
       m_speech(speech),
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-
 #include <array>
 #include <charconv>
 #include <utility>
@@ -61,7 +60,9 @@
     const auto self = shared_from_this();
     m_connection->set_handlers({[self] { self->take_input(); },
                                 [self](net::connection_end how) { self->take_end(how); },
-                                [self] { self->take_drained(); }});
+                                [self] {
+                                    self->take_drained();
+                                }});
     m_connection->read();
     watch_time();
 }
@@ -122,7 +123,8 @@
         }
     }
     if (m_reads_request && m_reader.has_head() && !m_reader.is_complete()) {
-        m_connection->set_read_size(std::min(most_read_size, std::max<std::size_t>(4096, m_reader.missing_bytes())));
+        m_connection->set_read_size(
+            std::min(most_read_size, std::max<std::size_t>(4096, m_reader.missing_bytes())));
         if (!m_has_continued && m_reader.expects_continue()) {
             m_has_continued = true;
             m_connection->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -139,8 +141,8 @@
     }
     auto& message = m_reader.message();
     m_keeps_connection = message.keeps_connection && !m_context.is_stopping;
-    m_exchange = std::make_shared<request_exchange>(m_context, shared_from_this(), std::move(message),
-                                                    clock::now());
+    m_exchange =
+        std::make_shared<request_exchange>(m_context, shared_from_this(), std::move(message), clock::now());
     const auto exchange = m_exchange;
     exchange->start();
 }
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -32,8 +32,8 @@
     coordination::slot_broker& slots;
     std::set<client_session*> sessions{}; ///< all open connections of callers
     std::size_t requests_in_progress = 0;
-    bool is_stopping = false;     ///< each answer ends its connection
-    bool takes_requests = true;   ///< else new requests are refused as not run
+    bool is_stopping = false;   ///< each answer ends its connection
+    bool takes_requests = true; ///< else new requests are refused as not run
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -99,18 +99,17 @@
     }
 
     coordination::slot_broker::observers make_observers() {
-        using coordination::slot_source;
         using coordination::slot_broker;
-        return {[this] {
-                    return slot_broker::versions{m_configuration_keeper.version(), m_roster.version()};
-                },
-                [this](const asio::ip::address& peer, const slot_broker::versions& held) {
-                    m_exchange.hear(peer, held.configuration, held.backends);
-                },
-                [](slot_source from, slot_source to) {
-                    log::info("slot_source", {{"from", std::to_string(static_cast<int>(from))},
-                                              {"to", std::to_string(static_cast<int>(to))}});
-                }};
+        using coordination::slot_source;
+        return {
+            [this] { return slot_broker::versions{m_configuration_keeper.version(), m_roster.version()}; },
+            [this](const asio::ip::address& peer, const slot_broker::versions& held) {
+                m_exchange.hear(peer, held.configuration, held.backends);
+            },
+            [](slot_source from, slot_source to) {
+                log::info("slot_source", {{"from", std::to_string(static_cast<int>(from))},
+                                          {"to", std::to_string(static_cast<int>(to))}});
+            }};
     }
 
     store_follower::handlers make_configuration_handlers() {
@@ -120,7 +119,9 @@
                     }
                 },
                 [this](const store::row_change& change) { take_configuration(change.now); },
-                [](const std::string& reason) { log::warning("store_away", {{"reason", reason}}); }};
+                [](const std::string& reason) {
+                    log::warning("store_away", {{"reason", reason}});
+                }};
     }
 
     void take_configuration(const store::row& row) {
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -32,11 +32,11 @@
     milliseconds stop_limit{8000}; ///< from SIGTERM until the process is ended from outside
 
     // Bounds that all gateways keep together.
-    double retry_ratio = 0.1;      ///< repeated sends to a service, as a share of its requests
-    double retry_reserve = 10;     ///< repeated sends allowed beyond that in one window
+    double retry_ratio = 0.1;  ///< repeated sends to a service, as a share of its requests
+    double retry_reserve = 10; ///< repeated sends allowed beyond that in one window
     milliseconds retry_window{10000};
-    milliseconds allowance_window{8000}; ///< over which a workspace's allowance is judged
-    double allowance_slack = 0;          ///< units by which a window may go over it
+    milliseconds allowance_window{8000};    ///< over which a workspace's allowance is judged
+    double allowance_slack = 0;             ///< units by which a window may go over it
     milliseconds configuration_limit{2000}; ///< within which a new configuration must be in force
     milliseconds drain_limit{2000};         ///< within which a leaving backend server gets no new work
 };
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -31,8 +31,8 @@
 
 /// Fields that concern one connection only.
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",     "TE",
-    "Trailer",    "Upgrade",    "Expect",            "Proxy-Authorization"};
+    "Connection", "Keep-Alive", "Transfer-Encoding",  "Content-Length", "TE", "Trailer",
+    "Upgrade",    "Expect",     "Proxy-Authorization"};
 
 bool is_connection_field(std::string_view name) {
     return std::ranges::any_of(connection_fields,
@@ -95,12 +95,11 @@
         answer_error(error.kind(), error.retry_after());
         return;
     }
-    m_deadline_timer = m_context.timers.after(m_context.executor, time_left(),
-                                              [weak = weak_from_this()] {
-                                                  if (const auto self = weak.lock()) {
-                                                      self->take_timeout();
-                                                  }
-                                              });
+    m_deadline_timer = m_context.timers.after(m_context.executor, time_left(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->take_timeout();
+        }
+    });
     ask_for_slot();
 }
 
@@ -117,9 +116,8 @@
     }
     if (!m_route->is_public && !m_configuration->document().workspaces.empty()) {
         const auto given = fields.find("Authorization").value_or("");
-        m_workspace = given.starts_with(bearer)
-                          ? m_configuration->find_workspace(given.substr(bearer.size()))
-                          : nullptr;
+        m_workspace = given.starts_with(bearer) ? m_configuration->find_workspace(given.substr(bearer.size()))
+                                                : nullptr;
         if (m_workspace == nullptr) {
             throw request_error(error_kind::unauthorized);
         }
@@ -157,7 +155,8 @@
 /// A workspace's own tier goes first; among workspaces of one tier the route's decides.
 int request_exchange::tier() const {
     const int of_workspace = m_workspace != nullptr ? m_workspace->tier.value_or(0) : 0;
-    return std::clamp(of_workspace, 0, most_tiers - 1) * most_tiers + std::clamp(m_route->tier, 0, most_tiers - 1);
+    return std::clamp(of_workspace, 0, most_tiers - 1) * most_tiers +
+           std::clamp(m_route->tier, 0, most_tiers - 1);
 }
 
 double request_exchange::count_units() const {
@@ -196,16 +195,16 @@
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_waits_for_slot = true;
-    m_patience_timer = m_context.timers.after(m_context.executor, patience(),
-                                              [weak = weak_from_this()] {
-                                                  if (const auto self = weak.lock()) {
-                                                      self->give_up();
-                                                  }
-                                              });
+    m_patience_timer = m_context.timers.after(m_context.executor, patience(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->give_up();
+        }
+    });
     const auto self = shared_from_this();
-    m_context.slots.request(wanted,
-                            {[self](const policy::slot_grant& grant) { self->take_grant(grant); },
-                             [self](const policy::slot_refusal& refusal) { self->take_refusal(refusal); }});
+    m_context.slots.request(wanted, {[self](const policy::slot_grant& grant) { self->take_grant(grant); },
+                                     [self](const policy::slot_refusal& refusal) {
+                                         self->take_refusal(refusal);
+                                     }});
 }
 
 void request_exchange::take_grant(const policy::slot_grant& grant) {
@@ -215,9 +214,9 @@
     m_slot_begin = clock::now();
     m_first_event = {};
     auto found = m_context.backends.find(grant.server);
-    // The coordinator may not know yet that the server is leaving, for instance while the store turns it away.
-    const bool takes_work =
-        found != nullptr && found->record().state == routing::backend_state::ready;
+    // The coordinator may not know yet that the server is leaving, for instance while the store turns it
+    // away.
+    const bool takes_work = found != nullptr && found->record().state == routing::backend_state::ready;
     if (!takes_work) {
         avoid(grant.server);
         release_slot(policy::slot_outcome::unreachable);
@@ -261,17 +260,19 @@
     const auto self = shared_from_this();
     m_call = std::make_shared<backend_call>(
         m_context.executor, std::move(server), std::move(request),
-        backend_call::handlers{
-            [self] { self->take_head(); }, [self](std::string_view bytes) { self->take_body(bytes); },
-            [self] { self->take_complete(); },
-            [self](call_failure what, std::string_view reason) { self->take_failure(what, reason); }});
+        backend_call::handlers{[self] { self->take_head(); },
+                               [self](std::string_view bytes) { self->take_body(bytes); },
+                               [self] { self->take_complete(); },
+                               [self](call_failure what, std::string_view reason) {
+                                   self->take_failure(what, reason);
+                               }});
     m_call->start();
 }
 
 std::string request_exchange::compose_head(const backend& server) const {
     const auto& names = m_context.fields;
     const std::array<std::string_view, 9> replaced{
-        names.deadline, names.workspace,     names.expected_server, names.hold,    names.pin_time,
+        names.deadline,      names.workspace,     names.expected_server, names.hold,     names.pin_time,
         names.memory_backup, names.memory_source, names.memory_fetch,    "Authorization"};
     std::string head;
     head.reserve(512);
@@ -461,8 +462,8 @@
         m_waits_for_slot = false;
     }
     if (m_slot != 0) {
-        m_context.slots.release({m_ticket, std::exchange(m_slot, 0), outcome, clock::now() - m_slot_begin,
-                                 m_first_event});
+        m_context.slots.release(
+            {m_ticket, std::exchange(m_slot, 0), outcome, clock::now() - m_slot_begin, m_first_event});
     }
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -93,7 +93,7 @@
     clock::time_point m_slot_begin;
     policy::duration m_first_event{};
     policy::token_cost m_cost;
-    double m_most_output = 0; ///< tokens that the caller takes at most
+    double m_most_output = 0;  ///< tokens that the caller takes at most
     bool m_is_charged = false; ///< the workspace's allowance was charged for it
     std::shared_ptr<backend_call> m_call;
     unsigned m_tries = 0; ///< backend servers that were tried, reached or not
@@ -101,7 +101,7 @@
     unsigned m_runs = 0;  ///< backend servers that may have run it
     std::array<policy::server_key, policy::slot_request::most_avoided> m_avoided{};
     http::event_splitter m_events;
-    std::string m_answer; ///< body of an answer that is passed on whole
+    std::string m_answer;     ///< body of an answer that is passed on whole
     bool m_is_stream = false; ///< the current response is passed on event by event
     timer_subscription m_deadline_timer;
     timer_subscription m_patience_timer;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -205,7 +205,8 @@
     m_handlers.reset();
     m_shuts_down = true;
     const auto timer = std::make_shared<asio::steady_timer>(m_socket.get_executor(), linger);
-    timer->async_wait([self = shared_from_this(), timer](const boost::system::error_code&) { self->close(); });
+    timer->async_wait(
+        [self = shared_from_this(), timer](const boost::system::error_code&) { self->close(); });
     shut_down_when_sent();
 }
 
--- a/src/policy/allowance_book.hpp
+++ b/src/policy/allowance_book.hpp
@@ -17,8 +17,8 @@
 
 struct allowance_limits {
     duration window = std::chrono::seconds(8); ///< over which the limit is judged
-    double tolerance = 0.1; ///< share by which a window may go over it
-    double slack = 0;       ///< units by which a window may go over it besides
+    double tolerance = 0.1;                    ///< share by which a window may go over it
+    double slack = 0;                          ///< units by which a window may go over it besides
 };
 
 /// A bucket for each workspace. Limits hold over all processes together, although a bucket is lost with the
@@ -28,7 +28,8 @@
 public:
     explicit allowance_book(allowance_limits limits) : m_limits(limits) {}
 
-    /// The part of every limit that this process may give out; less than 1 while others may give out the rest.
+    /// The part of every limit that this process may give out; less than 1 while others may give out the
+    /// rest.
     void set_share(double share, time_point now);
 
     /// Adds a workspace or changes its limit.
--- a/src/policy/coordinator_election.cpp
+++ b/src/policy/coordinator_election.cpp
@@ -86,7 +86,8 @@
     choice any;
     for (const auto& [share, key] : rank()) {
         const bool is_self = key == m_self;
-        const bool is_usable = is_self ? !m_is_leaving : is_heard(key, now) && !m_members.at(key).claim.is_leaving;
+        const bool is_usable =
+            is_self ? !m_is_leaving : is_heard(key, now) && !m_members.at(key).claim.is_leaving;
         if (!is_usable) {
             continue;
         }
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -7,11 +7,13 @@
 
 namespace borageford::policy {
 
-/// A server that fails answers fast, so a scheduler that looks at free slots alone gives it ever more requests:
-/// a quarter of the servers crashed used to cost nearly all requests of a service. After failures a server is
-/// left alone for a while, that doubles with each further one, and comes back with one request at a time.
+/// A server that fails answers fast, so a scheduler that looks at free slots alone gives it ever more
+/// requests: a quarter of the servers crashed used to cost nearly all requests of a service. After failures a
+/// server is left alone for a while, that doubles with each further one, and comes back with one request at a
+/// time.
 ///
-/// Health checks aren't asked: they cost a slot, and a server can pass them and fail requests, or the reverse.
+/// Health checks aren't asked: they cost a slot, and a server can pass them and fail requests, or the
+/// reverse.
 class server_health {
 public:
     /// How much may be sent to the server now.
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -31,8 +31,8 @@
     workspace_key workspace = 0;
     int tier = 0; ///< 0 is the highest
     time_point arrived;
-    time_point deadline;     ///< its caller's time is over
-    duration target{};       ///< to the first event, or to the whole answer
+    time_point deadline; ///< its caller's time is over
+    duration target{};   ///< to the first event, or to the whole answer
     token_cost cost;
     double units = 0;        ///< of its workspace's allowance
     bool is_charged = false; ///< its units were taken before
@@ -62,10 +62,10 @@
 /// How a request left its slot.
 enum class slot_outcome : std::uint8_t {
     served,
-    failed,       ///< broke off, or its answer was no answer
-    refused,      ///< the server didn't run it
-    unreachable,  ///< no connection
-    abandoned,    ///< its caller left, or its time was over
+    failed,      ///< broke off, or its answer was no answer
+    refused,     ///< the server didn't run it
+    unreachable, ///< no connection
+    abandoned,   ///< its caller left, or its time was over
 };
 
 struct slot_release {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -60,12 +60,14 @@
 
 exit_code gateway_command(arguments) {
     static const auto speech = borageford::platform::users_platform();
-    return with_settings([](const std::string& file) { return borageford::gateway::run_gateway(file, speech); });
+    return with_settings(
+        [](const std::string& file) { return borageford::gateway::run_gateway(file, speech); });
 }
 
 constexpr std::array process_commands{
     command{"entry", "--settings FILE", "takes callers' requests", "", entry_command},
-    command{"gateway", "--settings FILE", "carries requests straight to backend servers", "", gateway_command},
+    command{"gateway", "--settings FILE", "carries requests straight to backend servers", "",
+            gateway_command},
     command{"sidecar", "--settings FILE", "stands beside one backend server", "", sidecar_command},
 };
 
--- a/src/routing/call_fields.hpp
+++ b/src/routing/call_fields.hpp
@@ -10,10 +10,10 @@
     // From the caller, passed on unchanged.
     std::string request_id;
     std::string model;
-    std::string tokens;        ///< prompt tokens and most output tokens: "1460,80"
-    std::string prompt_parts;  ///< "ID:TOKENS,ID:TOKENS", the request's own part last
+    std::string tokens;          ///< prompt tokens and most output tokens: "1460,80"
+    std::string prompt_parts;    ///< "ID:TOKENS,ID:TOKENS", the request's own part last
     std::string expected_length; ///< the caller's guess at the output tokens
-    std::string last_event;    ///< the last event of a stream that the caller has
+    std::string last_event;      ///< the last event of a stream that the caller has
 
     // From the caller, read and replaced.
     std::string deadline; ///< milliseconds that are left
--- a/src/routing/routing_types.hpp
+++ b/src/routing/routing_types.hpp
@@ -49,7 +49,7 @@
 
 /// What the model engines behind a service can do.
 struct engine_profile {
-    unsigned slots = 1;            ///< requests that run together in one batch
+    unsigned slots = 1;             ///< requests that run together in one batch
     std::uint64_t cache_tokens = 0; ///< of prompts and answers that fit into memory
     unsigned tokens_per_event = 1;
 };
