--- a/src/base/error_kind.cpp
+++ b/src/base/error_kind.cpp
@@ -57,6 +57,8 @@
                  "The platform's table did not answer in time."},
     error_answer{error_kind::quarantined, "quarantined", 422, no, ask_an_operator,
                  "This request was running when several backend servers failed."},
+    error_answer{error_kind::held_back, "held_back", 503, no, retry_later,
+                 "Backend servers failed while they ran this request; it is held back for a while."},
     error_answer{error_kind::outcome_unknown, "outcome_unknown", 502, unknown, retry_with_key,
                  "The request was started and its fate cannot be learned; it may have run."},
     error_answer{error_kind::backend_failed, "backend_failed", 502, unknown, retry_with_key,
--- a/src/base/error_kind.hpp
+++ b/src/base/error_kind.hpp
@@ -35,6 +35,7 @@
     stale_revision,
     platform_unavailable,
     quarantined,
+    held_back,
     outcome_unknown,
     backend_failed,
     backend_stalled,
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -34,6 +34,7 @@
             from.workspace,
             from.avoided[0],
             from.avoided[1],
+            from.fingerprint,
             to_wire(from.units),
             to_wire(from.cost.prompt),
             to_wire(from.cost.output),
@@ -51,6 +52,7 @@
     result.service = from.service();
     result.workspace = from.workspace();
     result.avoided = {from.first_avoided(), from.second_avoided()};
+    result.fingerprint = from.fingerprint();
     result.units = from.units();
     result.cost = {static_cast<double>(from.prompt_tokens()), static_cast<double>(from.output_tokens())};
     result.arrived = now - milliseconds(from.age_ms());
@@ -103,8 +105,7 @@
 }
 
 policy::slot_refusal from_wire(const wire::refusal& from) {
-    const auto reason =
-        std::min(from.reason(), static_cast<std::uint8_t>(policy::refusal_reason::over_retry_budget));
+    const auto reason = std::min(from.reason(), static_cast<std::uint8_t>(policy::refusal_reason::held_back));
     return {from.ticket(), static_cast<policy::refusal_reason>(reason), milliseconds(from.retry_after_ms())};
 }
 
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -37,6 +37,7 @@
   uint64_t workspace_;
   uint64_t first_avoided_;
   uint64_t second_avoided_;
+  uint64_t fingerprint_;
   uint32_t units_;
   uint32_t prompt_tokens_;
   uint32_t output_tokens_;
@@ -56,6 +57,7 @@
         workspace_(0),
         first_avoided_(0),
         second_avoided_(0),
+        fingerprint_(0),
         units_(0),
         prompt_tokens_(0),
         output_tokens_(0),
@@ -70,12 +72,13 @@
     (void)padding0__;
     (void)padding1__;
   }
-  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged)
+  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint64_t _fingerprint, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         workspace_(flatbuffers::EndianScalar(_workspace)),
         first_avoided_(flatbuffers::EndianScalar(_first_avoided)),
         second_avoided_(flatbuffers::EndianScalar(_second_avoided)),
+        fingerprint_(flatbuffers::EndianScalar(_fingerprint)),
         units_(flatbuffers::EndianScalar(_units)),
         prompt_tokens_(flatbuffers::EndianScalar(_prompt_tokens)),
         output_tokens_(flatbuffers::EndianScalar(_output_tokens)),
@@ -105,6 +108,9 @@
   uint64_t second_avoided() const {
     return flatbuffers::EndianScalar(second_avoided_);
   }
+  uint64_t fingerprint() const {
+    return flatbuffers::EndianScalar(fingerprint_);
+  }
   uint32_t units() const {
     return flatbuffers::EndianScalar(units_);
   }
@@ -133,7 +139,7 @@
     return flatbuffers::EndianScalar(is_charged_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(ask, 72);
+FLATBUFFERS_STRUCT_END(ask, 80);
 
 struct ask::Traits {
   using type = ask;
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -32,7 +32,7 @@
 void slot_coordinator::take(policy::member_key member, const batch_items& items, policy::time_point now) {
     for (const auto& hold : items.holds) {
         m_scheduler.add_running(hold.ticket, hold.server);
-        m_requests[hold.ticket] = {member, 0, 0, true};
+        m_requests[hold.ticket] = {member, 0, 0, 0, true};
     }
     for (const auto& ask : items.asks) {
         take_ask(member, ask, now);
@@ -47,6 +47,10 @@
 
 void slot_coordinator::take_ask(policy::member_key member, const policy::slot_request& ask,
                                 policy::time_point now) {
+    if (const auto held = m_suspects.held_for(ask.fingerprint, now)) {
+        refuse(member, ask.ticket, policy::refusal_reason::held_back, *held);
+        return;
+    }
     if (ask.sends == 0) {
         m_repeats.count_request(ask.service, now);
     } else if (!m_repeats.try_repeat(ask.service, now)) {
@@ -60,7 +64,7 @@
         refuse(member, ask.ticket, policy::refusal_reason::over_allowance, wait);
         return;
     }
-    m_requests[ask.ticket] = {member, ask.workspace, units, false};
+    m_requests[ask.ticket] = {member, ask.workspace, units, ask.fingerprint, false};
     m_scheduler.add(ask);
 }
 
@@ -81,6 +85,11 @@
     if (found == m_requests.end()) {
         return;
     }
+    if (ended.outcome == policy::slot_outcome::broken) {
+        m_suspects.note_cut(found->second.fingerprint, ended.server, now);
+    } else if (ended.outcome == policy::slot_outcome::unreachable) {
+        m_suspects.note_unreachable(ended.server, now);
+    }
     const bool has_not_run =
         ended.outcome == policy::slot_outcome::refused || ended.outcome == policy::slot_outcome::unreachable;
     if (has_not_run) {
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -5,6 +5,7 @@
 #include "coordination/message.hpp"
 #include "policy/allowance_book.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/crash_suspects.hpp"
 #include "policy/repeat_budget.hpp"
 #include "policy/slot_scheduler.hpp"
 
@@ -39,6 +40,7 @@
         policy::member_key member = 0;
         policy::workspace_key workspace = 0;
         double charged_units = 0;
+        std::uint64_t fingerprint = 0;
         bool is_running = false;
     };
 
@@ -51,6 +53,7 @@
     policy::slot_scheduler m_scheduler;
     policy::allowance_book m_allowances;
     policy::repeat_budget m_repeats;
+    policy::crash_suspects m_suspects;
     std::unordered_map<policy::slot_ticket, known_request> m_requests;
     std::map<policy::member_key, batch_items> m_output;
 };
--- /dev/null
+++ b/src/emulator/emulated_backend.cpp
@@ -0,0 +1,256 @@
+// An engine's model driven by real time, and a plain service's work as a pause.
+#include "emulator/emulated_backend.hpp"
+
+#include "base/pause.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <utility>
+
+namespace borageford::emulator {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_error = 500;
+constexpr unsigned status_unavailable = 503;
+/// How often a stream looks for events of its engine.
+constexpr milliseconds look_period{2};
+
+std::string header_of(const http::request& call, const std::string& name) {
+    return std::string(http::find_header(call.headers, name).value_or(""));
+}
+
+double number_of(std::string_view text) {
+    unsigned value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http::response refuse_unread(error_kind kind, std::string_view detail) {
+    return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
+}
+
+std::string describe_event(std::uint64_t number) {
+    const auto text = std::to_string(number);
+    return "id: " + text + "\ndata: token " + text + "\n\n";
+}
+
+} // namespace
+
+/// The model, and what it has made that its streams haven't taken yet.
+struct emulated_backend::engine_driver {
+    explicit engine_driver(engine_model model) : engine(model, steady_clock::now()) {}
+
+    void advance() {
+        for (const auto& event : engine.advance(steady_clock::now())) {
+            made[event.request].push_back(event);
+        }
+    }
+
+    batching_engine engine;
+    std::map<std::uint64_t, std::deque<engine_event>> made;
+    std::uint64_t last_number = 0;
+};
+
+emulated_backend::emulated_backend(asio::any_io_executor executor, timer_service& timers,
+                                   routing::call_fields fields, backend_options options)
+    : m_executor(std::move(executor)),
+      m_timers(timers),
+      m_fields(std::move(fields)),
+      m_options(std::move(options)),
+      m_server(
+          m_executor, {},
+          [this](const http::request& call, http::response_writer& writer) { return handle(call, writer); },
+          refuse_unread) {
+    if (m_options.engine.has_value()) {
+        m_engine = std::make_unique<engine_driver>(*m_options.engine);
+    }
+}
+
+emulated_backend::~emulated_backend() = default;
+
+asio::ip::tcp::endpoint emulated_backend::listen(const asio::ip::tcp::endpoint& address) {
+    return m_server.listen(address);
+}
+
+void emulated_backend::set_fault(backend_fault fault, unsigned count) noexcept {
+    m_fault = fault;
+    m_fault_count = count;
+}
+
+void emulated_backend::set_slowness(double factor) {
+    m_slowness = factor;
+    if (m_engine != nullptr) {
+        m_engine->engine.set_speed(m_options.engine->speed / factor);
+    }
+}
+
+backend_fault emulated_backend::take_fault() noexcept {
+    const auto fault = m_fault;
+    if (m_fault_count > 0 && --m_fault_count == 0) {
+        m_fault = backend_fault::none;
+    }
+    return fault;
+}
+
+http::response emulated_backend::refusal(unsigned status) const {
+    auto answer = http::make_response(status, "text/plain", "");
+    if (status != status_misdirected) {
+        answer.head.headers.push_back({m_fields.not_executed, "1"});
+    }
+    return answer;
+}
+
+http::header_fields emulated_backend::answer_fields(const http::request& call, std::size_t number) const {
+    return {{m_fields.request_id, header_of(call, m_fields.request_id)},
+            {m_fields.signature, m_options.id + "." + std::to_string(number)}};
+}
+
+asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
+    ++m_arrivals;
+    const auto expected = header_of(call, m_fields.expected_server);
+    const bool is_full = m_in_progress >= m_options.slots + m_options.queue;
+    unsigned refused = 0;
+    if (!expected.empty() && expected != m_options.id) {
+        refused = status_misdirected;
+    } else if (is_full || m_fault == backend_fault::refuse) {
+        static_cast<void>(take_fault());
+        refused = status_unavailable;
+    }
+    if (refused != 0) {
+        const auto answer = refusal(refused);
+        co_await writer.write(answer);
+        co_return;
+    }
+    ++m_in_progress;
+    try {
+        co_await run(call, writer);
+    } catch (...) {
+        --m_in_progress;
+        throw;
+    }
+    --m_in_progress;
+}
+
+asio::awaitable<void> emulated_backend::run(const http::request& call, http::response_writer& writer) {
+    const auto number = m_runs.size();
+    m_runs.push_back({header_of(call, m_fields.request_id), call.target, call.body,
+                      header_of(call, m_fields.workspace), false});
+    const auto fault = take_fault();
+    if (fault == backend_fault::hang) {
+        co_await writer.wait_for_disconnect();
+        writer.cut();
+    } else if (fault == backend_fault::garble) {
+        co_await writer.write_raw("not a response at all\r\n\r\n", false);
+    } else if (m_engine != nullptr && fault != backend_fault::error) {
+        co_await run_stream(call, writer, fault, number);
+    } else {
+        co_await run_plain(call, writer, fault, number);
+    }
+    m_runs[number].is_finished = true;
+}
+
+asio::awaitable<void> emulated_backend::run_plain(const http::request& call, http::response_writer& writer,
+                                                  backend_fault fault, std::size_t number) {
+    co_await pause(m_timers, std::chrono::duration_cast<steady_clock::duration>(m_options.work * m_slowness));
+    if (fault == backend_fault::cut_unanswered) {
+        writer.cut();
+        co_return;
+    }
+    const auto status = fault == backend_fault::error ? status_error : status_ok;
+    auto answer =
+        http::make_response(status, "application/json", R"({"run":)" + std::to_string(number) + "}");
+    std::ranges::move(answer_fields(call, number), std::back_inserter(answer.head.headers));
+    if (fault == backend_fault::none || fault == backend_fault::error) {
+        co_await writer.write(answer);
+        co_return;
+    }
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto& field : answer.head.headers) {
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    const auto length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    if (fault == backend_fault::cut_midway) {
+        co_await writer.write_raw(head + length + answer.body.substr(0, 3), false);
+    } else if (fault == backend_fault::unframed) {
+        co_await writer.write_raw(head + "Connection: close\r\n\r\n" + answer.body, false);
+    } else {
+        co_await writer.write_raw(head + length + answer.body + "HTTP/1.1 200 OK\r\n" + m_fields.request_id +
+                                      ": somebody-else\r\nContent-Length: 2\r\n\r\nno",
+                                  true);
+    }
+}
+
+engine_request emulated_backend::make_engine_request(const http::request& call) const {
+    engine_request request;
+    request.id = ++m_engine->last_number;
+    const auto tokens = header_of(call, m_fields.tokens);
+    const auto comma = tokens.find(',');
+    const double prompt = number_of(tokens);
+    request.output_tokens = static_cast<unsigned>(std::max(
+        1.0, comma == std::string::npos ? 1.0 : number_of(std::string_view(tokens).substr(comma + 1))));
+    request.prompt.push_back({request.id, std::max(1.0, prompt)});
+    return request;
+}
+
+asio::awaitable<void> emulated_backend::run_stream(const http::request& call, http::response_writer& writer,
+                                                   backend_fault fault, std::size_t number) {
+    const auto request = make_engine_request(call);
+    const auto id = request.id;
+    if (!m_engine->engine.add(request, steady_clock::now())) {
+        const auto answer = refusal(status_unavailable);
+        co_await writer.write(answer);
+        co_return;
+    }
+    const auto begin_after = number_of(header_of(call, m_fields.last_event));
+    http::response_head head{status_ok, answer_fields(call, number)};
+    head.headers.push_back({"Content-Type", "text/event-stream"});
+    std::uint64_t event_number = 0;
+    bool is_finished = false;
+    try {
+        while (!is_finished) {
+            co_await pause(m_timers, look_period);
+            m_engine->advance();
+            auto& made = m_engine->made[id];
+            while (!made.empty() && !is_finished) {
+                is_finished = made.front().what == engine_event::kind::finished;
+                made.pop_front();
+                if (is_finished || ++event_number <= begin_after) {
+                    continue;
+                }
+                if (!writer.has_begun()) {
+                    co_await writer.begin(head);
+                }
+                const auto text = describe_event(event_number);
+                const bool breaks_off = fault == backend_fault::cut_midway && event_number == begin_after + 2;
+                co_await writer.write_piece(breaks_off ? text.substr(0, text.size() / 2) : text);
+                if (breaks_off) {
+                    writer.cut();
+                    is_finished = true;
+                }
+            }
+            // A caller that is gone is noticed by a failing write at the latest.
+        }
+    } catch (...) {
+        m_engine->engine.cancel(id, steady_clock::now());
+        m_engine->made.erase(id);
+        throw;
+    }
+    m_engine->made.erase(id);
+    if (fault == backend_fault::cut_unanswered) {
+        writer.cut();
+    } else if (fault != backend_fault::cut_midway) {
+        co_await writer.finish();
+    }
+}
+
+} // namespace borageford::emulator
--- /dev/null
+++ b/src/emulator/emulated_store.cpp
@@ -0,0 +1,111 @@
+// Decode, look, answer.
+#include "emulator/emulated_store.hpp"
+
+#include "base/pause.hpp"
+#include "platform/store_service_codec.hpp"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace borageford::emulator {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often an open question for changes looks for them.
+constexpr milliseconds look_period{5};
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+http::response refuse(unsigned status) {
+    return http::make_response(status, "application/json", "{}");
+}
+
+http::response refuse_unread(error_kind kind, std::string_view detail) {
+    return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
+}
+
+} // namespace
+
+emulated_store::emulated_store(asio::any_io_executor executor, timer_service& timers)
+    : m_timers(timers),
+      m_server(
+          executor, {},
+          [this](const http::request& call, http::response_writer& writer) { return handle(call, writer); },
+          refuse_unread) {}
+
+asio::ip::tcp::endpoint emulated_store::listen(const asio::ip::tcp::endpoint& address) {
+    return m_server.listen(address);
+}
+
+asio::awaitable<void> emulated_store::handle(const http::request& call, http::response_writer& writer) {
+    ++m_calls;
+    if (m_delay > milliseconds::zero()) {
+        co_await pause(m_timers, m_delay);
+    }
+    if (m_state == store_state::reset) {
+        writer.cut();
+        co_return;
+    }
+    if (m_state == store_state::silent) {
+        co_await writer.wait_for_disconnect();
+        writer.cut();
+        co_return;
+    }
+    const auto whole = co_await answer(call);
+    co_await writer.write(whole);
+}
+
+asio::awaitable<http::response> emulated_store::answer(const http::request& call) {
+    if (m_state == store_state::busy) {
+        co_return refuse(status_unavailable);
+    }
+    if (m_state == store_state::many) {
+        co_return refuse(status_too_many);
+    }
+    const auto decoded = platform::decode_store_call(call);
+    if (const auto* scan = std::get_if<platform::scan_call>(&decoded)) {
+        co_return platform::encode_rows(m_rows.scan(scan->prefix, scan->after, scan->limit));
+    }
+    if (const auto* changes = std::get_if<platform::changes_call>(&decoded)) {
+        auto answered = co_await wait_for_changes(changes->table, changes->after, changes->wait);
+        co_return answered;
+    }
+    if (const auto* transaction = std::get_if<store::transaction>(&decoded)) {
+        const auto result = m_rows.transact(*transaction);
+        if (result.committed) {
+            co_return platform::encode_committed(result);
+        }
+        store::row_page current;
+        current.version = m_rows.version();
+        for (const auto& key : result.failed_keys) {
+            if (auto row = m_rows.read(key)) {
+                current.rows.push_back(*std::move(row));
+            }
+        }
+        co_return platform::encode_conflict(current);
+    }
+    co_return refuse(status_not_found);
+}
+
+asio::awaitable<http::response> emulated_store::wait_for_changes(std::string table, std::uint64_t after,
+                                                                 milliseconds wait) {
+    const auto end = std::chrono::steady_clock::now() + wait;
+    for (;;) {
+        const auto page = m_rows.changes(table, after);
+        if (!page.has_value()) {
+            co_return platform::encode_history_gone();
+        }
+        const bool is_over = std::chrono::steady_clock::now() >= end || m_state != store_state::well;
+        if (!page->changes.empty() || is_over) {
+            co_return platform::encode_changes(*page);
+        }
+        co_await pause(m_timers, look_period);
+    }
+}
+
+} // namespace borageford::emulator
--- /dev/null
+++ b/src/emulator/emulated_store.hpp
@@ -0,0 +1,54 @@
+// The users' metadata store on loopback, with the outages that a store can have.
+#pragma once
+
+#include "base/timer_service.hpp"
+#include "emulator/row_store.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace borageford::emulator {
+
+/// How the store meets its callers.
+enum class store_state : std::uint8_t {
+    well,
+    busy,   ///< refuses every call; nothing is done
+    many,   ///< refuses every call as over its rate
+    reset,  ///< ends every connection without an answer
+    silent, ///< takes calls and never answers
+};
+
+/// Belongs to one thread's executor.
+class emulated_store {
+public:
+    emulated_store(boost::asio::any_io_executor executor, timer_service& timers);
+
+    /// Port 0 lets the kernel choose; returns the address in use.
+    boost::asio::ip::tcp::endpoint listen(const boost::asio::ip::tcp::endpoint& address);
+
+    [[nodiscard]] row_store& rows() noexcept { return m_rows; }
+    void set_state(store_state state) noexcept { m_state = state; }
+    /// Every answer takes this long.
+    void set_delay(std::chrono::milliseconds delay) noexcept { m_delay = delay; }
+    [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
+
+private:
+    boost::asio::awaitable<void> handle(const http::request& call, http::response_writer& writer);
+    boost::asio::awaitable<http::response> answer(const http::request& call);
+    boost::asio::awaitable<http::response> wait_for_changes(std::string table, std::uint64_t after,
+                                                            std::chrono::milliseconds wait);
+
+    timer_service& m_timers;
+    row_store m_rows;
+    store_state m_state = store_state::well;
+    std::chrono::milliseconds m_delay{0};
+    std::uint64_t m_calls = 0;
+    http::server m_server;
+};
+
+} // namespace borageford::emulator
--- /dev/null
+++ b/src/emulator/row_store.hpp
@@ -0,0 +1,41 @@
+// A transactional table with a history of its changes, in memory.
+#pragma once
+
+#include "store/row.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace borageford::emulator {
+
+/// Keys are "TABLE/NAME". Invariant: the version grows by one with each transaction that commits.
+class row_store {
+public:
+    /// All or nothing. When a condition fails, the result names the keys.
+    store::transaction_result transact(const store::transaction& changes);
+
+    [[nodiscard]] std::optional<store::row> read(std::string_view key) const;
+    /// Rows whose keys start with the prefix, from after `after` on.
+    [[nodiscard]] store::row_page scan(std::string_view prefix, std::string_view after,
+                                       std::size_t limit) const;
+
+    /// What changed in a table after a version; nothing when that history is gone.
+    [[nodiscard]] std::optional<store::change_page> changes(std::string_view table,
+                                                            std::uint64_t after) const;
+    /// Drops the history: whoever follows has to read everything again.
+    void forget_history();
+
+    [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
+
+private:
+    std::map<std::string, store::row, std::less<>> m_rows;
+    std::deque<store::row_change> m_history;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_history_begin = 0; ///< changes after this version are known
+};
+
+} // namespace borageford::emulator
--- /dev/null
+++ b/src/gateway/admitted_request.cpp
@@ -0,0 +1,123 @@
+// Route, workspace, time and cost, in this order.
+#include "gateway/admitted_request.hpp"
+
+#include "base/hash.hpp"
+#include "base/request_error.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <random>
+#include <string_view>
+
+namespace borageford::gateway {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+/// Tiers of workspaces, and of routes, that are told apart.
+constexpr int most_tiers = 8;
+/// A process that has just started learns its configuration within this time when the store is well.
+constexpr milliseconds first_configuration_wait{300};
+
+std::optional<std::int64_t> parse_number(std::optional<std::string_view> text) {
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+    return parsed.ec == std::errc{} ? std::optional(value) : std::nullopt;
+}
+
+double draw() {
+    thread_local std::mt19937_64 engine{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(engine);
+}
+
+const routing::workspace* find_workspace(const admitted_request& result, const http::field_list& fields) {
+    const bool needs_key = !result.route->is_public && !result.configuration->document().workspaces.empty();
+    if (!needs_key) {
+        return nullptr;
+    }
+    const auto given = fields.find("Authorization").value_or("");
+    const auto* found = given.starts_with(bearer)
+                            ? result.configuration->find_workspace(given.substr(bearer.size()))
+                            : nullptr;
+    if (found == nullptr) {
+        throw request_error(error_kind::unauthorized);
+    }
+    return found;
+}
+
+/// A workspace's own tier goes first; among workspaces of one tier the route's decides.
+int combine_tiers(const routing::workspace* workspace, const routing::route& route) {
+    const int of_workspace = workspace != nullptr ? workspace->tier.value_or(0) : 0;
+    return std::clamp(of_workspace, 0, most_tiers - 1) * most_tiers +
+           std::clamp(route.tier, 0, most_tiers - 1);
+}
+
+/// The tokens that a caller tells: those of its prompt, and how many it takes at most.
+struct told_tokens {
+    double prompt = 0;
+    double most_output = 0;
+};
+
+told_tokens read_tokens(const gateway_context& context, const http::field_list& fields) {
+    told_tokens result;
+    const auto told = fields.find(context.fields.tokens);
+    if (!told.has_value()) {
+        return result;
+    }
+    const auto comma = told->find(',');
+    result.prompt = static_cast<double>(parse_number(told->substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos) {
+        result.most_output = static_cast<double>(parse_number(told->substr(comma + 1)).value_or(0));
+    }
+    return result;
+}
+
+double count_units(const routing::workspace* workspace, const told_tokens& tokens) {
+    if (workspace == nullptr) {
+        return 0;
+    }
+    if (workspace->unit == routing::allowance_unit::requests) {
+        return 1;
+    }
+    const double told = tokens.prompt + tokens.most_output;
+    return told > 0 ? told : workspace->plain_tokens;
+}
+
+} // namespace
+
+admitted_request admit(const gateway_context& context, const http::received_request& request,
+                       admitted_request::clock::time_point arrived) {
+    const auto& fields = request.fields;
+    admitted_request result;
+    result.arrived = arrived;
+    result.configuration = *context.configuration.read();
+    if (result.configuration == nullptr) {
+        throw request_error(error_kind::no_configuration, {}, first_configuration_wait);
+    }
+    result.route = result.configuration->find_route(fields.find("Host").value_or(""), request.target);
+    if (result.route == nullptr) {
+        throw request_error(error_kind::not_found);
+    }
+    result.workspace = find_workspace(result, fields);
+    result.service = &result.configuration->choose_service(*result.route, draw());
+    result.id = fields.find(context.fields.request_id).value_or("");
+    auto limit = result.route->timeout;
+    if (const auto told = parse_number(fields.find(context.fields.deadline))) {
+        limit = std::min(limit, milliseconds(*told));
+    }
+    result.deadline = arrived + limit;
+    const auto tokens = read_tokens(context, fields);
+    const auto expected = parse_number(fields.find(context.fields.expected_length));
+    result.cost = {tokens.prompt, expected ? static_cast<double>(*expected) : tokens.most_output};
+    result.units = count_units(result.workspace, tokens);
+    result.tier = combine_tiers(result.workspace, *result.route);
+    const auto caller = hash_bytes(result.workspace != nullptr ? result.workspace->name : "");
+    result.fingerprint = hash_bytes(request.body, hash_bytes(request.target, caller));
+    return result;
+}
+
+} // namespace borageford::gateway
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -20,9 +20,8 @@
 
 /// What is known about a call that failed.
 enum class call_failure : std::uint8_t {
-    unreachable,  ///< no connection: nothing left this process
-    not_executed, ///< the server said that it didn't run it
-    unknown,      ///< the server may have run it
+    unreachable, ///< no connection: nothing left this process
+    unknown,     ///< the server may have run it
 };
 
 /// What a backend call is asked to send.
--- /dev/null
+++ b/src/gateway/event_relay.cpp
@@ -0,0 +1,52 @@
+// The splitter finds the events; the relay watches that they follow each other.
+#include "gateway/event_relay.hpp"
+
+#include "http/response_reader.hpp"
+
+#include <charconv>
+
+namespace borageford::gateway {
+
+namespace {
+
+std::optional<std::uint64_t> parse_id(const std::optional<std::string>& text) {
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    const auto* end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+std::string_view event_relay::add(std::string_view bytes) {
+    const auto before = m_splitter.count();
+    const auto whole = m_splitter.add(bytes);
+    if (whole.empty()) {
+        return whole;
+    }
+    if (m_continues) {
+        check_continuation();
+        m_continues = false;
+    }
+    m_count += m_splitter.count() - before;
+    m_last_id = m_splitter.last_id().has_value() ? m_splitter.last_id() : m_last_id;
+    return whole;
+}
+
+void event_relay::check_continuation() const {
+    const auto last = parse_id(m_last_id);
+    const auto next = parse_id(m_splitter.first_id());
+    if (!last.has_value() || !next.has_value() || *next != *last + 1) {
+        throw http::response_error("the stream doesn't go on where it broke off");
+    }
+}
+
+void event_relay::break_off() {
+    m_splitter = {};
+    m_continues = m_count > 0;
+}
+
+} // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -2,85 +2,44 @@
 #include "gateway/request_exchange.hpp"
 
 #include "base/hash.hpp"
+#include "base/request_error.hpp"
 #include "gateway/backend_directory.hpp"
+#include "gateway/heads.hpp"
 #include "http/message.hpp"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <random>
 #include <utility>
 
 namespace borageford::gateway {
 
 namespace {
 
-constexpr std::string_view bearer = "Bearer ";
 /// Kept back from a request's time, so that the last answer reaches the caller before its time is over.
 constexpr milliseconds answer_margin{30};
 /// A caller that doesn't read slows its backend server down instead of filling this process.
 constexpr std::size_t most_unsent = 256U * 1024;
-/// Tiers of workspaces, and of routes, that are told apart.
-constexpr int most_tiers = 8;
-/// Backend servers that a request is offered to while none has run it; more would only add to its wait.
-constexpr unsigned most_tries = 5;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
 constexpr unsigned first_server_error = 500;
+/// Refused requests come back after a time in this range, spread so that they don't come back together.
+constexpr milliseconds least_retry_wait{300};
+constexpr milliseconds most_retry_wait{1000};
 
-/// Fields that concern one connection only.
-constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive", "Transfer-Encoding",  "Content-Length", "TE", "Trailer",
-    "Upgrade",    "Expect",     "Proxy-Authorization"};
-
-bool is_connection_field(std::string_view name) {
-    return std::ranges::any_of(connection_fields,
-                               [name](std::string_view known) { return http::is_same_name(known, name); });
-}
-
-std::optional<std::int64_t> parse_number(std::optional<std::string_view> text) {
-    if (!text.has_value()) {
-        return std::nullopt;
-    }
-    std::int64_t value = 0;
-    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (parsed.ec != std::errc{}) {
-        return std::nullopt;
-    }
-    return value;
+milliseconds spread_retry(std::uint64_t fingerprint) {
+    const auto range = static_cast<std::uint64_t>((most_retry_wait - least_retry_wait).count());
+    return least_retry_wait + milliseconds(fingerprint % range);
 }
 
-double draw() {
-    thread_local std::mt19937_64 engine{std::random_device{}()};
-    return std::uniform_real_distribution<double>(0, 1)(engine);
-}
-
-policy::slot_outcome outcome_of(call_failure what) {
-    switch (what) {
-    case call_failure::unreachable:
-        return policy::slot_outcome::unreachable;
-    case call_failure::not_executed:
-        return policy::slot_outcome::refused;
-    case call_failure::unknown:
-        break;
-    }
-    return policy::slot_outcome::failed;
-}
-
-void append_field(std::string& head, std::string_view name, std::string_view value) {
-    head.append(name).append(": ").append(value).append("\r\n");
+bool is_success(unsigned status) {
+    return status >= first_success && status < first_redirect;
 }
 
 } // namespace
 
 request_exchange::request_exchange(gateway_context& context, std::shared_ptr<client_session> session,
                                    http::received_request request, clock::time_point arrived)
-    : m_context(context),
-      m_session(std::move(session)),
-      m_request(std::move(request)),
-      m_arrived(arrived),
-      m_deadline(arrived) {
+    : m_context(context), m_session(std::move(session)), m_request(std::move(request)), m_arrived(arrived) {
     ++m_context.requests_in_progress;
 }
 
@@ -90,12 +49,14 @@
 
 void request_exchange::start() {
     try {
-        admit();
+        m_admitted = admit(m_context, m_request, m_arrived);
     } catch (const request_error& error) {
         answer_error(error.kind(), error.retry_after());
         return;
     }
-    m_deadline_timer = m_context.timers.after(m_context.executor, time_left(), [weak = weak_from_this()] {
+    m_attempts = policy::attempt_rule(m_admitted.route->may_repeat(), m_admitted.route->attempts);
+    const std::weak_ptr<request_exchange> weak = weak_from_this();
+    m_deadline_timer = m_context.timers.after(m_context.executor, m_admitted.time_left(), [weak] {
         if (const auto self = weak.lock()) {
             self->take_timeout();
         }
@@ -103,99 +64,40 @@
     ask_for_slot();
 }
 
-void request_exchange::admit() {
-    const auto& fields = m_request.fields;
-    m_request_id = fields.find(m_context.fields.request_id).value_or("");
-    m_configuration = *m_context.configuration.read();
-    if (m_configuration == nullptr) {
-        throw request_error(error_kind::no_configuration, {}, milliseconds(300));
-    }
-    m_route = m_configuration->find_route(fields.find("Host").value_or(""), m_request.target);
-    if (m_route == nullptr) {
-        throw request_error(error_kind::not_found);
-    }
-    if (!m_route->is_public && !m_configuration->document().workspaces.empty()) {
-        const auto given = fields.find("Authorization").value_or("");
-        m_workspace = given.starts_with(bearer) ? m_configuration->find_workspace(given.substr(bearer.size()))
-                                                : nullptr;
-        if (m_workspace == nullptr) {
-            throw request_error(error_kind::unauthorized);
-        }
-    }
-    read_cost();
-    m_service = &m_configuration->choose_service(*m_route, draw());
-    auto limit = m_route->timeout;
-    if (const auto told = parse_number(fields.find(m_context.fields.deadline))) {
-        limit = std::min(limit, milliseconds(*told));
-    }
-    m_deadline = m_arrived + limit;
-}
-
-milliseconds request_exchange::time_left() const {
-    return std::chrono::duration_cast<milliseconds>(m_deadline - clock::now());
-}
+// The slot.
 
 policy::slot_request request_exchange::make_slot_request() const {
     policy::slot_request wanted;
     wanted.ticket = m_context.slots.next_ticket();
-    wanted.service = hash_bytes(m_service->name);
-    wanted.workspace = m_workspace != nullptr ? hash_bytes(m_workspace->name) : 0;
-    wanted.tier = tier();
-    wanted.arrived = m_arrived;
-    wanted.deadline = m_deadline;
-    wanted.target = m_route->latency_target;
-    wanted.cost = m_cost;
-    wanted.units = count_units();
+    wanted.service = hash_bytes(m_admitted.service->name);
+    wanted.workspace = m_admitted.workspace != nullptr ? hash_bytes(m_admitted.workspace->name) : 0;
+    wanted.tier = m_admitted.tier;
+    wanted.arrived = m_admitted.arrived;
+    wanted.deadline = m_admitted.deadline;
+    wanted.target = m_admitted.route->latency_target;
+    wanted.cost = m_admitted.cost;
+    wanted.fingerprint = m_admitted.fingerprint;
+    wanted.units = m_admitted.units;
     wanted.is_charged = m_is_charged;
-    wanted.sends = m_sends;
-    wanted.avoided = m_avoided;
+    wanted.sends = m_attempts.arrivals();
+    wanted.avoided = m_attempts.avoided();
     return wanted;
 }
 
-/// A workspace's own tier goes first; among workspaces of one tier the route's decides.
-int request_exchange::tier() const {
-    const int of_workspace = m_workspace != nullptr ? m_workspace->tier.value_or(0) : 0;
-    return std::clamp(of_workspace, 0, most_tiers - 1) * most_tiers +
-           std::clamp(m_route->tier, 0, most_tiers - 1);
-}
-
-double request_exchange::count_units() const {
-    if (m_workspace == nullptr) {
-        return 0;
-    }
-    if (m_workspace->unit == routing::allowance_unit::requests) {
-        return 1;
-    }
-    const double told = m_cost.prompt + m_most_output;
-    return told > 0 ? told : m_workspace->plain_tokens;
-}
-
-void request_exchange::read_cost() {
-    const auto told = m_request.fields.find(m_context.fields.tokens);
-    if (!told.has_value()) {
-        return;
-    }
-    const auto comma = told->find(',');
-    m_cost.prompt = static_cast<double>(parse_number(told->substr(0, comma)).value_or(0));
-    if (comma != std::string_view::npos) {
-        m_most_output = static_cast<double>(parse_number(told->substr(comma + 1)).value_or(0));
-    }
-    const auto hint = parse_number(m_request.fields.find(m_context.fields.expected_length));
-    m_cost.output = hint.has_value() ? static_cast<double>(*hint) : m_most_output;
-}
-
 request_exchange::clock::duration request_exchange::patience() const {
-    const auto whole = std::chrono::duration_cast<clock::duration>(m_route->latency_target *
+    const auto whole = std::chrono::duration_cast<clock::duration>(m_admitted.route->latency_target *
                                                                    m_context.settings.slots.patience);
-    return std::max<clock::duration>(m_arrived + whole - clock::now(), milliseconds(1));
+    const auto left = std::max<clock::duration>(m_admitted.arrived + whole - clock::now(), milliseconds(1));
+    // A request that a server has failed has used up its time through no fault of its caller's.
+    return m_attempts.tries() == 0 ? left : std::max<clock::duration>(left, m_admitted.route->latency_target);
 }
 
 void request_exchange::ask_for_slot() {
-    m_stage = stage::waiting;
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_waits_for_slot = true;
-    m_patience_timer = m_context.timers.after(m_context.executor, patience(), [weak = weak_from_this()] {
+    const std::weak_ptr<request_exchange> weak = weak_from_this();
+    m_patience_timer = m_context.timers.after(m_context.executor, patience(), [weak] {
         if (const auto self = weak.lock()) {
             self->give_up();
         }
@@ -213,18 +115,16 @@
     m_slot = grant.server;
     m_slot_begin = clock::now();
     m_first_event = {};
-    auto found = m_context.backends.find(grant.server);
+    m_is_charged = true;
+    auto server = m_context.backends.find(grant.server);
     // The coordinator may not know yet that the server is leaving, for instance while the store turns it
     // away.
-    const bool takes_work = found != nullptr && found->record().state == routing::backend_state::ready;
-    if (!takes_work) {
-        avoid(grant.server);
-        release_slot(policy::slot_outcome::unreachable);
-        ask_for_slot();
-        return;
+    const bool takes_work = server != nullptr && server->record().state == routing::backend_state::ready;
+    if (takes_work) {
+        send_to(std::move(server));
+    } else {
+        fail_try(policy::try_outcome::unreachable, policy::slot_outcome::refused, "the server is leaving");
     }
-    m_is_charged = true;
-    send_to(std::move(found));
 }
 
 void request_exchange::take_refusal(const policy::slot_refusal& refusal) {
@@ -233,30 +133,46 @@
     const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
     switch (refusal.reason) {
     case policy::refusal_reason::over_allowance:
-        answer_error(error_kind::rate_limited, wait);
+        end_unserved(error_kind::rate_limited, wait);
+        return;
+    case policy::refusal_reason::held_back:
+        end_unserved(error_kind::held_back, wait);
         return;
     case policy::refusal_reason::over_retry_budget:
     case policy::refusal_reason::overloaded:
         break;
     }
-    answer_error(error_kind::overloaded, wait);
+    end_unserved(error_kind::overloaded, wait);
 }
 
-void request_exchange::avoid(policy::server_key server) {
-    std::ranges::rotate(m_avoided, m_avoided.end() - 1);
-    m_avoided.front() = server;
+void request_exchange::give_up() {
+    if (m_waits_for_slot) {
+        end_unserved(error_kind::overloaded, spread_retry(m_admitted.fingerprint));
+    }
+}
+
+void request_exchange::leave_slot(policy::slot_outcome outcome) {
+    if (m_waits_for_slot) {
+        m_context.slots.withdraw(m_ticket);
+        m_waits_for_slot = false;
+    }
+    if (m_slot != 0) {
+        m_context.slots.release(
+            {m_ticket, std::exchange(m_slot, 0), outcome, clock::now() - m_slot_begin, m_first_event});
+    }
 }
 
+// The call to a backend server.
+
 void request_exchange::send_to(std::shared_ptr<backend> server) {
-    m_stage = stage::running;
-    ++m_tries;
     backend_request request;
-    request.head = compose_head(*server);
+    request.head = compose_request_head(m_request, m_admitted, m_context.fields, server->record().id,
+                                        m_has_begun_answer ? m_events.last_id() : std::nullopt);
     request.body = m_request.body;
-    request.request_id = m_request_id;
+    request.request_id = m_admitted.id;
     request.request_id_name = m_context.fields.request_id;
     request.is_head_method = m_request.method == "HEAD";
-    request.is_repeatable = m_route->may_repeat();
+    request.is_repeatable = m_admitted.route->may_repeat();
     const auto self = shared_from_this();
     m_call = std::make_shared<backend_call>(
         m_context.executor, std::move(server), std::move(request),
@@ -269,42 +185,14 @@
     m_call->start();
 }
 
-std::string request_exchange::compose_head(const backend& server) const {
-    const auto& names = m_context.fields;
-    const std::array<std::string_view, 9> replaced{
-        names.deadline,      names.workspace,     names.expected_server, names.hold,     names.pin_time,
-        names.memory_backup, names.memory_source, names.memory_fetch,    "Authorization"};
-    std::string head;
-    head.reserve(512);
-    head.append(m_request.method).append(" ").append(m_request.target).append(" HTTP/1.1\r\n");
-    for (std::size_t index = 0; index < m_request.fields.size(); ++index) {
-        const auto [name, value] = m_request.fields.at(index);
-        const bool is_replaced = std::ranges::any_of(
-            replaced, [name](std::string_view known) { return http::is_same_name(known, name); });
-        if (!is_replaced && !is_connection_field(name)) {
-            append_field(head, name, value);
-        }
-    }
-    append_field(head, names.deadline, std::to_string(std::max<std::int64_t>(1, time_left().count())));
-    append_field(head, names.expected_server, server.record().id);
-    if (m_workspace != nullptr) {
-        append_field(head, names.workspace, m_workspace->name);
-    }
-    if (!m_request.body.empty() || (m_request.method != "GET" && m_request.method != "HEAD")) {
-        append_field(head, "Content-Length", std::to_string(m_request.body.size()));
-    }
-    return head.append("\r\n");
-}
-
 void request_exchange::take_head() {
-    const auto& response = m_call->response();
-    const bool is_success = response.status() >= first_success && response.status() < first_redirect;
-    m_is_stream = m_route->kind == routing::route_kind::stream && is_success;
+    m_passes_events =
+        m_admitted.route->kind == routing::route_kind::stream && is_success(m_call->response().status());
     m_answer.clear();
 }
 
 void request_exchange::take_body(std::string_view bytes) {
-    if (m_is_stream) {
+    if (m_passes_events) {
         take_events(bytes);
     } else {
         m_answer.append(bytes);
@@ -312,22 +200,36 @@
 }
 
 void request_exchange::take_events(std::string_view bytes) {
-    const auto whole = m_events.add(bytes);
+    std::string_view whole;
+    try {
+        whole = m_events.add(bytes);
+    } catch (const http::response_error& error) {
+        m_call->cancel();
+        fail_try(policy::try_outcome::may_have_run, policy::slot_outcome::broken, error.what());
+        return;
+    }
     if (whole.empty()) {
         return;
     }
-    if (m_stage != stage::streaming) {
-        const auto& response = m_call->response();
+    if (m_first_event == policy::duration{}) {
         m_first_event = clock::now() - m_slot_begin;
-        m_session->begin_stream(response.status(), response.reason(), passed_fields(response));
-        m_stage = stage::streaming;
     }
+    begin_stream();
     m_session->send_piece(whole);
     if (m_session->unsent() > most_unsent) {
         m_call->pause();
     }
 }
 
+void request_exchange::begin_stream() {
+    if (m_has_begun_answer) {
+        return;
+    }
+    m_has_begun_answer = true;
+    const auto& response = m_call->response();
+    m_session->begin_stream(response.status(), response.reason(), compose_passed_fields(response.fields()));
+}
+
 void request_exchange::take_drained() {
     if (m_call != nullptr) {
         m_call->resume();
@@ -335,117 +237,111 @@
 }
 
 void request_exchange::take_complete() {
-    if (m_is_stream) {
-        take_stream_end();
+    if (!m_passes_events) {
+        take_whole_answer();
+        return;
+    }
+    if (!m_events.is_whole()) {
+        fail_try(policy::try_outcome::may_have_run, policy::slot_outcome::broken,
+                 "a stream without its last event");
         return;
     }
+    leave_slot(policy::slot_outcome::served);
+    m_session->finish_stream();
+    end();
+}
+
+void request_exchange::take_whole_answer() {
     const auto& response = m_call->response();
     const bool not_executed =
         response.fields().find(m_context.fields.not_executed).has_value() || response.status() == misdirected;
     if (not_executed) {
-        take_failure(call_failure::not_executed, "the server refused it");
+        fail_try(policy::try_outcome::not_executed, policy::slot_outcome::refused, "the server refused it");
         return;
     }
-    const bool has_failed = response.status() >= first_server_error;
-    ++m_sends;
-    ++m_runs;
-    release_slot(has_failed ? policy::slot_outcome::failed : policy::slot_outcome::served);
-    if (has_failed && may_try_again(call_failure::unknown)) {
-        try_again();
+    if (m_has_begun_answer) {
+        fail_try(policy::try_outcome::may_have_run, policy::slot_outcome::failed,
+                 "the stream can't go on there");
         return;
     }
-    pass_whole_answer();
-}
-
-void request_exchange::take_stream_end() {
-    if (m_stage != stage::streaming || m_events.has_part()) {
-        take_failure(call_failure::unknown, "a stream without its last event");
-        return;
+    if (response.status() >= first_server_error) {
+        leave_slot(policy::slot_outcome::failed);
+        m_attempts.record(hash_bytes(m_call->server()->record().id), policy::try_outcome::may_have_run);
+        if (may_try_again()) {
+            ask_for_slot();
+            return;
+        }
     }
-    release_slot(policy::slot_outcome::served);
-    m_session->finish_stream();
-    end();
-}
-
-void request_exchange::pass_whole_answer() {
-    const auto& response = m_call->response();
-    m_session->answer(response.status(), response.reason(), passed_fields(response), m_answer);
+    leave_slot(policy::slot_outcome::served);
+    m_session->answer(response.status(), response.reason(), compose_passed_fields(response.fields()),
+                      m_answer);
     end();
 }
 
-std::string request_exchange::passed_fields(const http::response_reader& response) const {
-    std::string passed;
-    const auto& fields = response.fields();
-    for (std::size_t index = 0; index < fields.size(); ++index) {
-        const auto [name, value] = fields.at(index);
-        if (!is_connection_field(name)) {
-            append_field(passed, name, value);
-        }
+void request_exchange::take_failure(call_failure what, std::string_view reason) {
+    if (what == call_failure::unreachable) {
+        fail_try(policy::try_outcome::unreachable, policy::slot_outcome::unreachable, reason);
+    } else {
+        fail_try(policy::try_outcome::may_have_run, policy::slot_outcome::broken, reason);
     }
-    return passed;
 }
 
-bool request_exchange::may_try_again(call_failure what) const {
-    if (m_stage == stage::streaming || time_left() <= answer_margin) {
-        return false;
+void request_exchange::fail_try(policy::try_outcome outcome, policy::slot_outcome slot, std::string_view) {
+    // What didn't run has its allowance given back with its slot.
+    m_is_charged = outcome == policy::try_outcome::may_have_run;
+    m_attempts.record(m_slot, outcome);
+    leave_slot(slot);
+    m_call.reset();
+    if (m_has_begun_answer) {
+        m_events.break_off();
     }
-    if (what != call_failure::unknown) {
-        return m_tries < most_tries;
+    if (may_try_again()) {
+        ask_for_slot();
+    } else {
+        end_unserved(error_kind::overloaded, spread_retry(m_admitted.fingerprint));
     }
-    return m_route->may_repeat() && m_runs < m_route->attempts;
 }
 
-void request_exchange::try_again() {
-    avoid(hash_bytes(m_call->server()->record().id));
-    m_call.reset();
-    ask_for_slot();
+/// A stream that its caller has a part of can only go on where the last event has an id.
+bool request_exchange::may_try_again() const {
+    const bool can_go_on = !m_has_begun_answer || m_events.last_id().has_value();
+    return can_go_on && m_attempts.may_try_again() && m_admitted.time_left() > answer_margin;
 }
 
-void request_exchange::take_failure(call_failure what, std::string_view) {
-    m_sends += what == call_failure::unreachable ? 0 : 1;
-    m_runs += what == call_failure::unknown ? 1 : 0;
-    // What didn't run has its allowance given back with its slot.
-    m_is_charged = what == call_failure::unknown;
-    release_slot(outcome_of(what));
-    if (m_stage == stage::streaming) {
-        m_session->cut();
-        end();
-        return;
-    }
-    if (may_try_again(what)) {
-        try_again();
-        return;
-    }
-    if (what == call_failure::unknown || m_runs > 0) {
-        answer_error(error_kind::outcome_unknown);
-    } else {
-        answer_error(error_kind::overloaded, milliseconds(300));
-    }
-}
+// The answer.
 
 void request_exchange::take_timeout() {
-    if (m_stage == stage::streaming) {
-        m_session->cut();
-        cancel();
-        return;
+    const bool is_running = m_call != nullptr;
+    if (is_running) {
+        m_call->cancel();
+        m_attempts.record(m_slot, policy::try_outcome::may_have_run);
     }
-    const bool has_run = m_stage == stage::running;
-    cancel();
-    answer_error(has_run ? error_kind::backend_stalled : error_kind::deadline_unreachable);
+    leave_slot(policy::slot_outcome::abandoned);
+    end_unserved(is_running ? error_kind::backend_stalled : error_kind::deadline_unreachable);
 }
 
-void request_exchange::give_up() {
-    if (m_stage != stage::waiting) {
+/// The request gets no answer from a backend server. A refusal that says "not run" is only given when that is
+/// certain; a stream that has begun is cut, so that its part can't be taken for the whole.
+void request_exchange::end_unserved(error_kind kind, std::optional<milliseconds> retry_after) {
+    leave_slot(policy::slot_outcome::abandoned);
+    if (m_has_begun_answer) {
+        m_session->cut();
+        end();
         return;
     }
-    answer_error(error_kind::overloaded, milliseconds(300 + static_cast<int>(700 * draw())));
+    const bool is_refusal = answer_for(kind).ran == run_state::no;
+    if (is_refusal && m_attempts.may_have_run()) {
+        answer_error(error_kind::outcome_unknown, std::nullopt);
+    } else {
+        answer_error(kind, retry_after);
+    }
 }
 
 void request_exchange::answer_error(error_kind kind, std::optional<milliseconds> retry_after) {
     const auto& row = answer_for(kind);
     std::string fields;
-    if (!m_request_id.empty()) {
-        append_field(fields, m_context.fields.request_id, m_request_id);
+    if (const auto id = m_request.fields.find(m_context.fields.request_id)) {
+        append_field(fields, m_context.fields.request_id, *id);
     }
     append_field(fields, "Content-Type", "application/json");
     if (retry_after.has_value()) {
@@ -456,17 +352,6 @@
     end();
 }
 
-void request_exchange::release_slot(policy::slot_outcome outcome) {
-    if (m_waits_for_slot) {
-        m_context.slots.withdraw(m_ticket);
-        m_waits_for_slot = false;
-    }
-    if (m_slot != 0) {
-        m_context.slots.release(
-            {m_ticket, std::exchange(m_slot, 0), outcome, clock::now() - m_slot_begin, m_first_event});
-    }
-}
-
 void request_exchange::cancel() {
     const auto self = shared_from_this();
     if (m_call != nullptr) {
@@ -476,10 +361,12 @@
 }
 
 void request_exchange::end() {
-    m_stage = stage::over;
+    if (std::exchange(m_is_over, true)) {
+        return;
+    }
     m_deadline_timer.cancel();
     m_patience_timer.cancel();
-    release_slot(policy::slot_outcome::abandoned);
+    leave_slot(policy::slot_outcome::abandoned);
     m_call.reset();
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -3,17 +3,16 @@
 #pragma once
 
 #include "base/error_kind.hpp"
-#include "base/request_error.hpp"
 #include "base/timer_service.hpp"
+#include "gateway/admitted_request.hpp"
 #include "gateway/backend_call.hpp"
 #include "gateway/client_session.hpp"
+#include "gateway/event_relay.hpp"
 #include "gateway/gateway_context.hpp"
-#include "http/event_splitter.hpp"
 #include "http/request_reader.hpp"
+#include "policy/attempt_rule.hpp"
 #include "policy/slot_request.hpp"
-#include "routing/routing_table.hpp"
 
-#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -44,65 +43,53 @@
     void take_drained();
 
 private:
-    /// How far the request has come.
-    enum class stage { waiting, running, streaming, over };
-
-    void admit();
+    // The slot.
     void ask_for_slot();
     [[nodiscard]] policy::slot_request make_slot_request() const;
-    [[nodiscard]] int tier() const;
     [[nodiscard]] clock::duration patience() const;
-    [[nodiscard]] double count_units() const;
-    void read_cost();
-    void avoid(policy::server_key server);
     void take_grant(const policy::slot_grant& grant);
     void take_refusal(const policy::slot_refusal& refusal);
+    void give_up();
+    void leave_slot(policy::slot_outcome outcome);
+
+    // The call to a backend server.
     void send_to(std::shared_ptr<backend> server);
-    [[nodiscard]] std::string compose_head(const backend& server) const;
     void take_head();
     void take_body(std::string_view bytes);
     void take_events(std::string_view bytes);
     void take_complete();
-    void take_stream_end();
+    void take_whole_answer();
     void take_failure(call_failure what, std::string_view reason);
-    [[nodiscard]] bool may_try_again(call_failure what) const;
-    void try_again();
-    void pass_whole_answer();
-    [[nodiscard]] std::string passed_fields(const http::response_reader& response) const;
-    void release_slot(policy::slot_outcome outcome);
+    void fail_try(policy::try_outcome outcome, policy::slot_outcome slot, std::string_view reason);
+    [[nodiscard]] bool may_try_again() const;
+
+    // The answer.
+    void begin_stream();
     void take_timeout();
-    void give_up();
-    void answer_error(error_kind kind, std::optional<milliseconds> retry_after = std::nullopt);
+    void end_unserved(error_kind kind, std::optional<milliseconds> retry_after = std::nullopt);
+    void answer_error(error_kind kind, std::optional<milliseconds> retry_after);
     void end();
-    [[nodiscard]] milliseconds time_left() const;
 
     gateway_context& m_context;
     std::shared_ptr<client_session> m_session;
     http::received_request m_request;
     clock::time_point m_arrived;
-    clock::time_point m_deadline;
-    std::shared_ptr<const routing::routing_table> m_configuration;
-    const routing::route* m_route = nullptr;
-    const routing::service* m_service = nullptr;
-    const routing::workspace* m_workspace = nullptr;
-    std::string m_request_id;
-    stage m_stage = stage::waiting;
+    admitted_request m_admitted;
+    policy::attempt_rule m_attempts{false, 1};
+
     policy::slot_ticket m_ticket = 0;
     bool m_waits_for_slot = false;
     policy::server_key m_slot = 0; ///< the server whose slot is held; 0: none
     clock::time_point m_slot_begin;
-    policy::duration m_first_event{};
-    policy::token_cost m_cost;
-    double m_most_output = 0;  ///< tokens that the caller takes at most
-    bool m_is_charged = false; ///< the workspace's allowance was charged for it
+    policy::duration m_first_event{}; ///< from the slot's begin; 0: none came
+    bool m_is_charged = false;        ///< the workspace's allowance was charged for it
+
     std::shared_ptr<backend_call> m_call;
-    unsigned m_tries = 0; ///< backend servers that were tried, reached or not
-    unsigned m_sends = 0; ///< backend servers that the request reached, as far as is known
-    unsigned m_runs = 0;  ///< backend servers that may have run it
-    std::array<policy::server_key, policy::slot_request::most_avoided> m_avoided{};
-    http::event_splitter m_events;
-    std::string m_answer;     ///< body of an answer that is passed on whole
-    bool m_is_stream = false; ///< the current response is passed on event by event
+    bool m_passes_events = false; ///< the current response is passed on event by event
+    std::string m_answer;         ///< body of an answer that is passed on whole
+    event_relay m_events;
+    bool m_has_begun_answer = false; ///< the caller has the head of a stream
+    bool m_is_over = false;
     timer_subscription m_deadline_timer;
     timer_subscription m_patience_timer;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -140,6 +140,18 @@
     co_await asio::async_write(m_state->stream, beast::http::make_chunk_last(), asio::use_awaitable);
 }
 
+asio::awaitable<void> response_writer::write_raw(std::string bytes, bool keeps_connection) {
+    m_state->begun = true;
+    m_state->ended = true;
+    m_state->keep_alive = m_state->keep_alive && keeps_connection;
+    m_state->stream.expires_after(m_state->write_time);
+    co_await asio::async_write(m_state->stream, asio::buffer(bytes), asio::use_awaitable);
+    if (!keeps_connection) {
+        beast::error_code ignored;
+        m_state->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
+}
+
 void response_writer::cut() noexcept {
     m_state->keep_alive = false;
     m_state->ended = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -46,6 +46,10 @@
     boost::asio::awaitable<void> write_piece(std::string_view piece);
     boost::asio::awaitable<void> finish();
 
+    /// Bytes as they are, for emulators of servers that misbehave; the connection ends with them unless
+    /// `keeps_connection`.
+    boost::asio::awaitable<void> write_raw(std::string bytes, bool keeps_connection);
+
     /// Ends the connection without the end marker: the caller sees a cut answer.
     void cut() noexcept;
 
--- /dev/null
+++ b/src/policy/crash_suspects.cpp
@@ -0,0 +1,55 @@
+// Cuts become marks when their server is found gone.
+#include "policy/crash_suspects.hpp"
+
+#include <string>
+
+namespace borageford::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A crash is noticed by the next request to that server, which comes within this time under any load that
+/// matters.
+constexpr milliseconds cut_lifetime{3000};
+constexpr std::size_t most_cuts = 4096;
+constexpr std::size_t servers_before_hold = 2;
+/// Long enough for a person to look, short enough that an innocent request isn't lost for good.
+constexpr seconds hold_time{60};
+constexpr seconds mark_lifetime{300};
+
+} // namespace
+
+crash_suspects::crash_suspects() : m_quarantine({servers_before_hold, hold_time, mark_lifetime, most_cuts}) {}
+
+void crash_suspects::forget_old(time_point now) {
+    while (!m_cuts.empty() && (now - m_cuts.front().at > cut_lifetime || m_cuts.size() > most_cuts)) {
+        m_cuts.pop_front();
+    }
+}
+
+void crash_suspects::note_cut(std::uint64_t fingerprint, server_key server, time_point now) {
+    if (fingerprint == 0) {
+        return;
+    }
+    m_cuts.push_back({fingerprint, server, now});
+    forget_old(now);
+}
+
+void crash_suspects::note_unreachable(server_key server, time_point now) {
+    forget_old(now);
+    for (const auto& entry : m_cuts) {
+        if (entry.server == server) {
+            const identifier mark{server, entry.fingerprint};
+            m_quarantine.record_mark(entry.fingerprint, std::to_string(server), mark, now);
+        }
+    }
+    std::erase_if(m_cuts, [server](const cut& entry) { return entry.server == server; });
+}
+
+std::optional<duration> crash_suspects::held_for(std::uint64_t fingerprint, time_point now) const {
+    return fingerprint == 0 ? std::nullopt : m_quarantine.time_left(fingerprint, now);
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/crash_suspects.hpp
@@ -0,0 +1,42 @@
+// Finds requests that crash the backend servers that run them, and holds them back.
+#pragma once
+
+#include "policy/quarantine.hpp"
+#include "policy/slot_request.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace borageford::policy {
+
+/// A single request that crashes every server that runs it comes again and again, since its caller sees only
+/// broken connections; each time it takes the other requests of that server with it. All requests that were
+/// cut when a server turned out to be gone are marked; one that is marked at two servers is held back.
+class crash_suspects {
+public:
+    crash_suspects();
+
+    /// A request's connection broke while this server ran it.
+    void note_cut(std::uint64_t fingerprint, server_key server, time_point now);
+    /// The server doesn't take connections: what was cut there lately was cut by a crash.
+    void note_unreachable(server_key server, time_point now);
+
+    /// How much longer the request is held back; nothing when it isn't.
+    [[nodiscard]] std::optional<duration> held_for(std::uint64_t fingerprint, time_point now) const;
+
+private:
+    struct cut {
+        std::uint64_t fingerprint = 0;
+        server_key server = 0;
+        time_point at;
+    };
+
+    void forget_old(time_point now);
+
+    quarantine m_quarantine;
+    std::deque<cut> m_cuts; ///< oldest first
+};
+
+} // namespace borageford::policy
--- a/src/policy/server_health.cpp
+++ b/src/policy/server_health.cpp
@@ -33,6 +33,7 @@
         record_success();
         break;
     case slot_outcome::failed:
+    case slot_outcome::broken:
         record_failure(false, now);
         break;
     case slot_outcome::unreachable:
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -34,9 +34,10 @@
     time_point deadline; ///< its caller's time is over
     duration target{};   ///< to the first event, or to the whole answer
     token_cost cost;
-    double units = 0;        ///< of its workspace's allowance
-    bool is_charged = false; ///< its units were taken before
-    unsigned sends = 0;      ///< servers that it was sent to before
+    std::uint64_t fingerprint = 0; ///< of caller, target and body; 0: none
+    double units = 0;              ///< of its workspace's allowance
+    bool is_charged = false;       ///< its units were taken before
+    unsigned sends = 0;            ///< servers that it was sent to before
     /// Servers that have failed this request.
     std::array<server_key, most_avoided> avoided{};
 };
@@ -48,9 +49,10 @@
 
 /// Why a request gets no slot.
 enum class refusal_reason : std::uint8_t {
-    overloaded,       ///< it can't be served in time
-    over_allowance,   ///< its workspace has used up its allowance
-    over_retry_budget ///< too many requests are being sent again
+    overloaded,        ///< it can't be served in time
+    over_allowance,    ///< its workspace has used up its allowance
+    over_retry_budget, ///< too many requests are being sent again
+    held_back          ///< servers crashed while they ran it
 };
 
 struct slot_refusal {
@@ -62,7 +64,8 @@
 /// How a request left its slot.
 enum class slot_outcome : std::uint8_t {
     served,
-    failed,      ///< broke off, or its answer was no answer
+    failed,      ///< an answer came that is no success
+    broken,      ///< its connection ended, or what came was no answer
     refused,     ///< the server didn't run it
     unreachable, ///< no connection
     abandoned,   ///< its caller left, or its time was over
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -135,7 +135,7 @@
     if (format->has_lost_history(answer)) {
         co_return std::nullopt;
     }
-    auto page = decode_or_refuse(call_kind::read, [&] { return format->decode_changes(table_name, answer); });
+    auto page = decode_or_refuse(call_kind::read, [&] { return format->decode_changes(answer); });
     if (!page.has_value()) {
         refuse_answer("changes", answer.head.status, call_kind::read);
     }
