--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -2,11 +2,13 @@
 #include "coordination/slot_broker.hpp"
 
 #include "base/identifier.hpp"
+#include "events/event_log.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace borageford::coordination {
@@ -37,8 +39,24 @@
     return address.is_v4() ? address.to_v4().to_uint() : 0;
 }
 
+std::string describe_member(policy::member_key member) {
+    return asio::ip::address_v4(static_cast<std::uint32_t>(member)).to_string();
+}
+
 } // namespace
 
+std::string_view to_string(slot_source source) noexcept {
+    switch (source) {
+    case slot_source::coordinator:
+        return "coordinator";
+    case slot_source::own_coordination:
+        return "own_coordination";
+    case slot_source::own_part:
+        break;
+    }
+    return "own_part";
+}
+
 slot_broker::slot_broker(asio::any_io_executor executor, timer_service& timers, broker_settings settings,
                          observers to_call)
     : m_executor(std::move(executor)),
@@ -156,7 +174,17 @@
         watch_retransmission();
         return;
     }
+    hand_out(now);
+    for (auto& [member, served] : m_served) {
+        flush_channel(member, served.channel, now);
+    }
+    watch_retransmission();
+}
+
+/// Decides, and queues what each member is to be told.
+void slot_broker::hand_out(policy::time_point now) {
     for (auto& [member, items] : m_coordinator.decide(now)) {
+        report_refusals(member, items);
         if (member == m_self) {
             deliver(items);
             continue;
@@ -169,10 +197,32 @@
         std::ranges::move(items.grants, std::back_inserter(pending.grants));
         std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
     }
-    for (auto& [member, served] : m_served) {
-        flush_channel(member, served.channel, now);
+    for (const auto& change : m_coordinator.scheduler().take_health_changes()) {
+        m_observers.on_health_change(change);
+    }
+}
+
+void slot_broker::report_refusals(policy::member_key member, const batch_items& items) {
+    for (const auto& refusal : items.refusals) {
+        const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
+        events::write(events::event_kind::slot_refused,
+                      {{"ticket", refusal.ticket},
+                       {"member", describe_member(member)},
+                       {"reason", policy::to_string(refusal.reason)},
+                       {"waiting", std::uint64_t(m_coordinator.scheduler().waiting())},
+                       {"running", std::uint64_t(m_coordinator.scheduler().running())},
+                       {"retry_after_ms", std::int64_t(wait.count())}});
     }
-    watch_retransmission();
+}
+
+void slot_broker::report_source(slot_source before) const {
+    events::write(events::event_kind::slot_source_changed,
+                  {{"from", to_string(before)},
+                   {"to", to_string(m_source)},
+                   {"coordinator", describe_member(m_source == slot_source::coordinator ? m_coordinating_member
+                                                                                        : m_self)},
+                   {"waiting", std::uint64_t(m_waiting.size())},
+                   {"running", std::uint64_t(m_running.size())}});
 }
 
 void slot_broker::flush_channel(policy::member_key member, batch_channel& channel, policy::time_point now) {
@@ -315,6 +365,8 @@
         }
         m_coordinator.detach(member, now);
         served = m_served.insert_or_assign(member, served_member{batch_channel(message.session), now}).first;
+        events::write(events::event_kind::member_attached,
+                      {{"member", describe_member(member)}, {"members", std::uint64_t(m_served.size() + 1)}});
     }
     served->second.heard = now;
     m_last_served[member] = now;
@@ -325,15 +377,7 @@
     for (const auto& items : served->second.channel.take_batch(message.batch, std::move(message.items))) {
         m_coordinator.take(member, items, now);
     }
-    for (auto& [to, items] : m_coordinator.decide(now)) {
-        if (to == m_self) {
-            deliver(items);
-        } else if (const auto other = m_served.find(to); other != m_served.end()) {
-            auto& pending = other->second.channel.pending();
-            std::ranges::move(items.grants, std::back_inserter(pending.grants));
-            std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
-        }
-    }
+    hand_out(now);
     datagram reply;
     if (served->second.channel.pending().is_empty()) {
         served->second.channel.stamp(reply);
@@ -385,7 +429,7 @@
         pending.asks.push_back(waiting.request);
     }
     schedule_flush();
-    m_observers.on_source_change(before, m_source);
+    report_source(before);
 }
 
 void slot_broker::use_own(slot_source source) {
@@ -410,7 +454,7 @@
         m_coordinator.take(m_self, items, now);
     }
     schedule_flush();
-    m_observers.on_source_change(before, source);
+    report_source(before);
 }
 
 void slot_broker::update_shares(policy::time_point now) {
@@ -444,6 +488,9 @@
 void slot_broker::expire_members(policy::time_point now) {
     for (auto served = m_served.begin(); served != m_served.end();) {
         if (now - served->second.heard > member_silence) {
+            const auto silent = std::chrono::duration_cast<milliseconds>(now - served->second.heard);
+            events::write(events::event_kind::member_lost, {{"member", describe_member(served->first)},
+                                                            {"silent_ms", std::int64_t(silent.count())}});
             m_coordinator.detach(served->first, now);
             served = m_served.erase(served);
         } else {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,8 @@
 /// Where slots come from at the moment.
 enum class slot_source : std::uint8_t { coordinator, own_coordination, own_part };
 
+[[nodiscard]] std::string_view to_string(slot_source source) noexcept;
+
 /// Belongs to one thread's executor.
 class slot_broker {
 public:
@@ -51,7 +54,8 @@
         std::function<versions()> read_versions;
         /// A member was heard: it may know more than this process.
         std::function<void(const boost::asio::ip::address&, const versions&)> on_member_versions;
-        std::function<void(slot_source from, slot_source to)> on_source_change;
+        /// This process gives out slots, and a server has begun to rest, or has recovered.
+        std::function<void(const policy::slot_scheduler::health_change&)> on_health_change;
     };
 
     slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
@@ -99,6 +103,9 @@
 
     void tick();
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
+    void report_source(slot_source before) const;
+    void report_refusals(policy::member_key member, const batch_items& items);
+    void hand_out(policy::time_point now);
     void take_from_coordinator(datagram message);
     void take_from_member(policy::member_key member, datagram message);
     void send_heartbeats(policy::time_point now);
--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -3,7 +3,8 @@
 
 #include "base/pause.hpp"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -82,6 +83,20 @@
     return m_server.listen(address);
 }
 
+void emulated_backend::stop() {
+    m_is_stopped = true;
+    m_server.drain();
+}
+
+/// Sets the flag when the caller has closed its connection.
+void emulated_backend::watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone) {
+    const auto watch = [](http::response_writer watched, std::shared_ptr<bool> flag) -> asio::awaitable<void> {
+        co_await watched.wait_for_disconnect();
+        *flag = true;
+    };
+    asio::co_spawn(m_executor, watch(writer, is_gone), asio::detached);
+}
+
 void emulated_backend::set_fault(backend_fault fault, unsigned count) noexcept {
     m_fault = fault;
     m_fault_count = count;
@@ -162,6 +177,10 @@
 asio::awaitable<void> emulated_backend::run_plain(const http::request& call, http::response_writer& writer,
                                                   backend_fault fault, std::size_t number) {
     co_await pause(m_timers, std::chrono::duration_cast<steady_clock::duration>(m_options.work * m_slowness));
+    if (m_is_stopped) {
+        writer.cut();
+        co_return;
+    }
     if (fault == backend_fault::cut_unanswered) {
         writer.cut();
         co_return;
@@ -216,9 +235,16 @@
     head.headers.push_back({"Content-Type", "text/event-stream"});
     std::uint64_t event_number = 0;
     bool is_finished = false;
+    const auto is_gone = std::make_shared<bool>(false);
+    watch_caller(writer, is_gone);
     try {
         while (!is_finished) {
             co_await pause(m_timers, look_period);
+            if (*is_gone || m_is_stopped) {
+                m_engine->engine.cancel(id, steady_clock::now());
+                writer.cut();
+                break;
+            }
             m_engine->advance();
             auto& made = m_engine->made[id];
             while (!made.empty() && !is_finished) {
@@ -238,7 +264,6 @@
                     is_finished = true;
                 }
             }
-            // A caller that is gone is noticed by a failing write at the latest.
         }
     } catch (...) {
         m_engine->engine.cancel(id, steady_clock::now());
@@ -248,7 +273,7 @@
     m_engine->made.erase(id);
     if (fault == backend_fault::cut_unanswered) {
         writer.cut();
-    } else if (fault != backend_fault::cut_midway) {
+    } else if (is_finished && fault != backend_fault::cut_midway) {
         co_await writer.finish();
     }
 }
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -66,6 +66,9 @@
 
     boost::asio::ip::tcp::endpoint listen(const boost::asio::ip::tcp::endpoint& address);
 
+    /// Takes no more connections, as a server that has crashed; open ones are ended.
+    void stop();
+
     /// The next `count` requests meet this fault; all of them when 0.
     void set_fault(backend_fault fault, unsigned count = 0) noexcept;
     /// Times as long as usual.
@@ -86,6 +89,7 @@
                                            backend_fault fault, std::size_t number);
     boost::asio::awaitable<void> run_stream(const http::request& call, http::response_writer& writer,
                                             backend_fault fault, std::size_t number);
+    void watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone);
     [[nodiscard]] backend_fault take_fault() noexcept;
     [[nodiscard]] http::response refusal(unsigned status) const;
     [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number) const;
@@ -98,6 +102,7 @@
     std::unique_ptr<engine_driver> m_engine;
     backend_fault m_fault = backend_fault::none;
     unsigned m_fault_count = 0;
+    bool m_is_stopped = false;
     double m_slowness = 1;
     std::vector<recorded_run> m_runs;
     std::size_t m_in_progress = 0;
--- /dev/null
+++ b/src/events/event_log.cpp
@@ -0,0 +1,225 @@
+// Rendering, the bound, and the way out through log4cplus into a buffer that never waits.
+#include "events/event_log.hpp"
+
+#include "events/line_buffer.hpp"
+#include "events/rate_bound.hpp"
+
+#include <log4cplus/appender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <ctime>
+#include <memory>
+#include <mutex>
+#include <unistd.h>
+
+namespace borageford::events {
+namespace {
+
+/// Some thousand lines: what a burst writes between two flushes, many times over.
+constexpr std::size_t buffer_capacity = 512U * 1024;
+
+/// Hands the rendered line on as it is.
+class buffer_appender : public log4cplus::Appender {
+public:
+    explicit buffer_appender(line_buffer& buffer) : m_buffer(buffer) {}
+    ~buffer_appender() override { destructorImpl(); }
+    buffer_appender(const buffer_appender&) = delete;
+    buffer_appender& operator=(const buffer_appender&) = delete;
+    buffer_appender(buffer_appender&&) = delete;
+    buffer_appender& operator=(buffer_appender&&) = delete;
+
+    void close() override { m_buffer.flush(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override { m_buffer.add(event.getMessage()); }
+
+private:
+    line_buffer& m_buffer;
+};
+
+struct log_state {
+    log4cplus::Initializer initializer;
+    line_buffer buffer{STDOUT_FILENO, buffer_capacity};
+    std::mutex mutex;
+    rate_bound bound{std::chrono::steady_clock::now()}; ///< guarded by `mutex`
+    std::string process = "borageford";
+    std::string vm;
+    std::atomic<std::uint64_t> told_lost = 0;
+    bool is_started = false;
+};
+
+log_state& shared_state() {
+    static log_state state;
+    return state;
+}
+
+log4cplus::LogLevel to_library(log::level severity) {
+    switch (severity) {
+    case log::level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log::level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log::level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log::level::error:
+        break;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+std::string_view level_name(log::level severity) {
+    switch (severity) {
+    case log::level::debug:
+        return "debug";
+    case log::level::info:
+        return "info";
+    case log::level::warning:
+        return "warning";
+    case log::level::error:
+        break;
+    }
+    return "error";
+}
+
+void append_escaped(std::string& line, std::string_view text) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned nibble = 4;
+    for (const char c : text) {
+        const auto code = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            line.push_back('\\');
+            line.push_back(c);
+        } else if (code < ' ' || code > '~') {
+            line.append("\\u00").push_back(digits[code >> nibble]);
+            line.push_back(digits[code & 0xfU]);
+        } else {
+            line.push_back(c);
+        }
+    }
+}
+
+template <typename Number>
+void append_number(std::string& line, Number value) {
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
+    line.append(text.data(), end);
+}
+
+/// Appends a value as JSON.
+struct value_writer {
+    std::string& line;
+
+    void operator()(std::string_view text) const {
+        line.push_back('"');
+        append_escaped(line, text);
+        line.push_back('"');
+    }
+    void operator()(std::int64_t value) const { append_number(line, value); }
+    void operator()(std::uint64_t value) const { append_number(line, value); }
+    void operator()(double value) const {
+        constexpr double precision = 1000;
+        append_number(line, std::isfinite(value) ? std::round(value * precision) / precision : 0.0);
+    }
+    void operator()(bool value) const { line.append(value ? "true" : "false"); }
+};
+
+std::string current_time() {
+    const auto now = std::chrono::system_clock::now();
+    const auto since_epoch = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    std::tm parts{};
+    ::gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S.", &parts);
+    auto micros = std::to_string(since_epoch.count() % 1'000'000);
+    micros.insert(0, 6 - micros.size(), '0');
+    return std::string(text.data(), length) + micros + "Z";
+}
+
+/// Says in the next line that is written how many were lost by then.
+void tell_lost_lines(std::string& line) {
+    auto& state = shared_state();
+    const auto lost = state.buffer.lost();
+    if (lost != state.told_lost.exchange(lost)) {
+        line.pop_back();
+        line.append(R"(,"lost_lines":)");
+        append_number(line, lost);
+        line.push_back('}');
+    }
+}
+
+} // namespace
+
+void start(std::string_view process, std::string_view vm, log::level lowest) {
+    auto& state = shared_state();
+    state.process = process;
+    state.vm = vm;
+    state.is_started = true;
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(log4cplus::SharedAppenderPtr(new buffer_appender(state.buffer)));
+    root.setLogLevel(to_library(lowest));
+}
+
+std::string render(event_kind kind, std::initializer_list<field> fields, std::uint64_t left_out,
+                   std::string_view time) {
+    const auto& description = describe(kind);
+    const auto& state = shared_state();
+    std::string line;
+    line.reserve(320);
+    line.append(R"({"event":")").append(description.name);
+    line.append(R"(","level":")").append(level_name(description.level));
+    line.append(R"(","time":")").append(time);
+    line.append(R"(","process":")").append(state.process);
+    line.append(R"(","vm":")");
+    append_escaped(line, state.vm);
+    line.push_back('"');
+    for (const auto& [name, value] : fields) {
+        line.append(",\"").append(name).append("\":");
+        std::visit(value_writer{line}, value);
+    }
+    if (left_out > 0) {
+        line.append(R"(,"left_out":)");
+        append_number(line, left_out);
+    }
+    line.push_back('}');
+    return line;
+}
+
+void write(event_kind kind, std::initializer_list<field> fields) {
+    auto& state = shared_state();
+    auto root = log4cplus::Logger::getRoot();
+    const auto level = to_library(describe(kind).level);
+    if (!state.is_started || !root.isEnabledFor(level)) {
+        return;
+    }
+    std::optional<std::uint64_t> left_out;
+    {
+        const std::scoped_lock lock(state.mutex);
+        left_out = state.bound.admit(kind, std::chrono::steady_clock::now());
+    }
+    if (!left_out.has_value()) {
+        return;
+    }
+    auto line = render(kind, fields, *left_out, current_time());
+    tell_lost_lines(line);
+    root.log(level, line);
+}
+
+void flush() noexcept {
+    shared_state().buffer.flush();
+}
+
+std::uint64_t lost_lines() noexcept {
+    return shared_state().buffer.lost();
+}
+
+} // namespace borageford::events
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -2,7 +2,8 @@
 #include "gateway/backend_roster.hpp"
 
 #include "base/hash.hpp"
-#include "base/log.hpp"
+#include "events/event_log.hpp"
+#include "http/client.hpp"
 
 #include <algorithm>
 #include <set>
@@ -92,7 +93,7 @@
 void backend_roster::take_present(const std::string& id, const std::string& value, std::uint64_t version) {
     m_watch.note_present(id);
     auto& known = m_all[id];
-    if (version < known.version) {
+    if (version <= known.version) {
         return;
     }
     known = {value, version};
@@ -101,14 +102,19 @@
         auto record = m_speech.decode_backend(id, value);
         const bool is_ready = record.state == routing::backend_state::ready;
         if (is_ready) {
+            events::write(events::event_kind::backend_ready, {{"backend", id},
+                                                              {"service", record.service},
+                                                              {"address", http::to_string(record.address)},
+                                                              {"slots", std::uint64_t(record.slots)},
+                                                              {"version", version}});
             m_slots.set_server(hash_bytes(id), hash_bytes(record.service), record.slots);
         } else {
             m_slots.remove_server(hash_bytes(id));
-            log::info("backend_draining", {{"backend_server", id}, {"version", std::to_string(version)}});
+            events::write(events::event_kind::backend_draining, {{"backend", id}, {"version", version}});
         }
         m_backends.set(std::move(record));
     } catch (const std::exception& error) {
-        log::error("backend_unreadable", {{"backend_server", id}, {"reason", error.what()}});
+        events::write(events::event_kind::backend_unreadable, {{"backend", id}, {"reason", error.what()}});
     }
 }
 
@@ -119,7 +125,7 @@
     if (m_watch.is_gone(id, steady_clock::now())) {
         remove(id, "no longer registered");
     } else {
-        log::info("backend_missed", {{"backend_server", id}});
+        events::write(events::event_kind::backend_missed, {{"backend", id}});
     }
 }
 
@@ -127,7 +133,7 @@
     m_all.erase(id);
     m_slots.remove_server(hash_bytes(id));
     m_backends.remove(id);
-    log::info("backend_gone", {{"backend_server", id}, {"reason", std::string(reason)}});
+    events::write(events::event_kind::backend_gone, {{"backend", id}, {"reason", reason}});
 }
 
 void backend_roster::check_missed() {
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -2,6 +2,8 @@
 #include "gateway/client_session.hpp"
 
 #include "base/request_error.hpp"
+#include "events/event_log.hpp"
+#include "gateway/gateway_metrics.hpp"
 #include "gateway/request_exchange.hpp"
 #include "http/message.hpp"
 
@@ -235,6 +237,11 @@
 
 void client_session::refuse(error_kind kind, std::string_view detail,
                             std::optional<milliseconds> retry_after) {
+    m_context.metrics.count_refused(nullptr, kind);
+    events::write(events::event_kind::request_malformed,
+                  {{"error", to_string(kind)},
+                   {"detail", detail},
+                   {"bytes", std::uint64_t(m_connection->input().size())}});
     const auto& row = answer_for(kind);
     m_keeps_connection = false;
     const std::string body =
--- a/src/gateway/configuration_keeper.cpp
+++ b/src/gateway/configuration_keeper.cpp
@@ -2,7 +2,7 @@
 #include "gateway/configuration_keeper.hpp"
 
 #include "base/hash.hpp"
-#include "base/log.hpp"
+#include "events/event_log.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -16,18 +16,22 @@
     try {
         table = std::make_shared<const routing::routing_table>(m_speech.decode_configuration(document));
     } catch (const std::exception& error) {
-        log::error("configuration_unreadable", {{"source", std::string(source)}, {"reason", error.what()}});
+        events::write(events::event_kind::configuration_unreadable,
+                      {{"source", source}, {"reason", error.what()}});
         return;
     }
     if (table->version() <= m_version) {
         return;
     }
-    m_version = table->version();
+    const auto former = std::exchange(m_version, table->version());
     m_document = document;
     take_allowances(*table);
-    log::info("configuration_in_force", {{"version", std::to_string(m_version)},
-                                         {"source", std::string(source)},
-                                         {"routes", std::to_string(table->document().routes.size())}});
+    events::write(events::event_kind::configuration_in_force,
+                  {{"version", m_version},
+                   {"former", former},
+                   {"source", source},
+                   {"routes", std::uint64_t(table->document().routes.size())},
+                   {"workspaces", std::uint64_t(table->document().workspaces.size())}});
     m_configuration.replace(std::move(table));
 }
 
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -17,6 +17,7 @@
 namespace borageford::gateway {
 
 class backend_directory;
+class gateway_metrics;
 class client_session;
 
 /// The configuration in force; null until the first one is known.
@@ -30,6 +31,7 @@
     routing_snapshot& configuration;
     backend_directory& backends;
     coordination::slot_broker& slots;
+    gateway_metrics& metrics;
     std::set<client_session*> sessions{}; ///< all open connections of callers
     std::size_t requests_in_progress = 0;
     bool is_stopping = false;   ///< each answer ends its connection
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -9,7 +9,10 @@
 #include "gateway/client_session.hpp"
 #include "gateway/configuration_keeper.hpp"
 #include "gateway/gateway_context.hpp"
+#include "events/event_log.hpp"
+#include "gateway/gateway_metrics.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/metrics_endpoint.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
@@ -35,6 +38,8 @@
 /// Callers come in bursts; a full queue would drop their opening packets for seconds.
 constexpr int listen_backlog = 4096;
 
+/// Lines wait this long for the one system call that writes them all.
+constexpr milliseconds log_flush_period{50};
 constexpr milliseconds stop_check_period{50};
 /// The balancer asks once a second and takes a process out after two misses.
 constexpr milliseconds serving_while_stopping{2600};
@@ -53,7 +58,7 @@
                   speech.format),
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
-                    m_configuration,      m_backends,         m_slots},
+                    m_configuration,      m_backends,         m_slots,    m_metrics},
           m_configuration_keeper(speech, m_configuration, m_slots),
           m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots),
           m_exchange(m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster),
@@ -69,9 +74,11 @@
               },
               [](error_kind kind, std::string_view detail) {
                   return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
-              }) {}
+              }),
+          m_metrics_server(m_runtime.executor(), m_registry) {}
 
     [[noreturn]] void run() {
+        add_gauges();
         m_roster.start();
         m_exchange.start();
         m_configuration_follower.start();
@@ -82,11 +89,30 @@
         m_slots.start();
         listen();
         m_readiness.listen(m_settings.readiness_listen);
-        log::info("started", {{"vm", m_settings.common.vm}});
+        m_metrics_server.listen(m_settings.metrics_listen);
+        events::write(events::event_kind::started, {{"settings", m_settings_file}});
+        events::flush();
+        m_flush_timer = m_runtime.timers().every(m_runtime.executor(), log_flush_period, [] { events::flush(); });
         m_runtime.run([this] { stop(); }, [this] { reload(); });
     }
 
 private:
+    void add_gauges() {
+        m_registry.add_gauge("borageford_gateway_requests_in_progress", "Requests without their final answer.", {},
+                             [this] { return static_cast<double>(m_context.requests_in_progress); });
+        m_registry.add_gauge("borageford_gateway_connections", "Open connections of callers.", {},
+                             [this] { return static_cast<double>(m_context.sessions.size()); });
+        m_registry.add_gauge("borageford_gateway_configuration_version", "The configuration in force; 0: none.",
+                             {}, [this] { return static_cast<double>(m_configuration_keeper.version()); });
+        m_registry.add_gauge("borageford_gateway_backend_servers", "Backend servers that are known.", {},
+                             [this] { return static_cast<double>(m_backends.all().size()); });
+        m_registry.add_gauge("borageford_gateway_slot_source",
+                             "0: a coordinator, 1: this process for all, 2: its own part.", {},
+                             [this] { return static_cast<double>(m_slots.source()); });
+        m_registry.add_gauge("borageford_gateway_lost_log_lines", "Log lines dropped because nobody read them.",
+                             {}, [] { return static_cast<double>(events::lost_lines()); });
+    }
+
     coordination::broker_settings make_broker_settings() const {
         coordination::broker_settings result;
         result.local = {m_settings.peers_listen.address(), m_settings.peers_listen.port()};
@@ -100,16 +126,12 @@
 
     coordination::slot_broker::observers make_observers() {
         using coordination::slot_broker;
-        using coordination::slot_source;
         return {
             [this] { return slot_broker::versions{m_configuration_keeper.version(), m_roster.version()}; },
             [this](const asio::ip::address& peer, const slot_broker::versions& held) {
                 m_exchange.hear(peer, held.configuration, held.backends);
             },
-            [](slot_source from, slot_source to) {
-                log::info("slot_source", {{"from", std::to_string(static_cast<int>(from))},
-                                          {"to", std::to_string(static_cast<int>(to))}});
-            }};
+            [this](const policy::slot_scheduler::health_change& change) { report_health(change); }};
     }
 
     store_follower::handlers make_configuration_handlers() {
@@ -119,9 +141,22 @@
                     }
                 },
                 [this](const store::row_change& change) { take_configuration(change.now); },
-                [](const std::string& reason) {
-                    log::warning("store_away", {{"reason", reason}});
-                }};
+                [] {}};
+    }
+
+    void report_health(const policy::slot_scheduler::health_change& change) {
+        const auto server = m_backends.find(change.server);
+        const auto id = server != nullptr ? server->record().id : std::string("unknown");
+        if (!change.rests) {
+            events::write(events::event_kind::backend_recovered, {{"backend", id}});
+            return;
+        }
+        const auto rest = std::chrono::duration_cast<milliseconds>(change.rest);
+        events::write(events::event_kind::backend_resting,
+                      {{"backend", id},
+                       {"rest_ms", std::int64_t(rest.count())},
+                       {"failures", std::uint64_t(change.failures_in_row)},
+                       {"failure_share", change.failure_share}});
     }
 
     void take_configuration(const store::row& row) {
@@ -133,10 +168,7 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this](const std::string& reason) {
-                    m_roster.take_outage();
-                    log::warning("store_away", {{"reason", reason}});
-                }};
+                [this] { m_roster.take_outage(); }};
     }
 
     void listen() {
@@ -169,6 +201,9 @@
     /// callers need a while to go elsewhere; then nothing new is taken, and what runs ends.
     void stop() {
         m_context.is_stopping = true;
+        events::write(events::event_kind::stop_requested,
+                      {{"requests", std::uint64_t(m_context.requests_in_progress)},
+                       {"connections", std::uint64_t(m_context.sessions.size())}});
         m_slots.leave();
         m_stop_begin = std::chrono::steady_clock::now();
         m_stop_timer =
@@ -190,7 +225,11 @@
         m_acceptor.close(ignored);
         close_idle_sessions();
         if (is_last_moment || m_context.sessions.empty()) {
-            log::info("stopped", {{"cut", std::to_string(m_context.requests_in_progress)}});
+            events::write(events::event_kind::stopped,
+                          {{"requests_cut", std::uint64_t(m_context.requests_in_progress)},
+                           {"connections_cut", std::uint64_t(m_context.sessions.size())},
+                           {"stopping_ms", std::chrono::duration_cast<milliseconds>(passed).count()}});
+            events::flush();
             m_runtime.finish();
         }
     }
@@ -209,20 +248,23 @@
         const auto document = settings::parse_ini(text, m_settings_file, problems);
         const auto read = read_gateway_settings(document, problems);
         if (!problems.empty()) {
-            log::error("settings_refused", {{"reason", problems.front().to_string()}});
+            events::write(events::event_kind::settings_refused,
+                          {{"settings", m_settings_file}, {"reason", problems.front().to_string()}});
             return;
         }
         m_settings.stop_limit = read.stop_limit;
         for (const auto& seed : read.seeds) {
             m_slots.add_member(seed, m_settings.processor_share);
         }
-        log::info("settings_reloaded");
+        events::write(events::event_kind::settings_reloaded, {{"settings", m_settings_file}});
     }
 
     std::string m_settings_file;
     gateway_settings m_settings;
     const deployment& m_speech;
     process::runtime m_runtime;
+    metrics::registry m_registry;
+    gateway_metrics m_metrics{m_registry};
     routing_snapshot m_configuration;
     store::table m_table;
     backend_directory m_backends;
@@ -235,6 +277,8 @@
     store_follower m_backend_follower;
     tcp::acceptor m_acceptor;
     http::server m_readiness;
+    metrics_endpoint m_metrics_server;
+    timer_subscription m_flush_timer;
     timer_subscription m_stop_timer;
     std::chrono::steady_clock::time_point m_stop_begin;
 };
@@ -250,7 +294,8 @@
         settings::print_problems(problems, std::cerr);
         return wrong_settings_exit_code;
     }
-    log::start(read.common.log_format, read.common.log_level, "gateway");
+    log::start(log::format::json, read.common.log_level, "gateway");
+    events::start("gateway", read.common.vm, read.common.log_level);
     gateway_process(settings_file, std::move(read), speech).run();
 }
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,7 +1,7 @@
 // Two questions over HTTP, and their answers.
 #include "gateway/peer_exchange.hpp"
 
-#include "base/log.hpp"
+#include "events/event_log.hpp"
 #include "http/client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -57,6 +57,17 @@
     return result;
 }
 
+void report_question(const asio::ip::tcp::endpoint& peer, std::string_view what, std::uint64_t held,
+                     std::uint64_t offered) {
+    events::write(events::event_kind::peer_asked,
+                  {{"peer", http::to_string(peer)}, {"what", what}, {"held", held}, {"offered", offered}});
+}
+
+void report_failure(const asio::ip::tcp::endpoint& peer, std::string_view what, std::string_view reason) {
+    events::write(events::event_kind::peer_failed,
+                  {{"peer", http::to_string(peer)}, {"what", what}, {"reason", reason}});
+}
+
 } // namespace
 
 bool peer_exchange::lag::is_due(std::uint64_t held, std::uint64_t offered, clock::time_point now) {
@@ -108,9 +119,11 @@
     const auto now = clock::now();
     const asio::ip::tcp::endpoint address(peer, m_local.port());
     if (m_configuration_lag.is_due(m_configuration.version(), configuration, now)) {
+        report_question(address, "configuration", m_configuration.version(), configuration);
         asio::co_spawn(m_executor, ask_for_configuration(address), asio::detached);
     }
     if (m_backend_lag.is_due(m_backends.version(), backends, now)) {
+        report_question(address, "backends", m_backends.version(), backends);
         asio::co_spawn(m_executor, ask_for_backends(address), asio::detached);
     }
 }
@@ -123,7 +136,7 @@
             m_configuration.take(received.body, "peer");
         }
     } catch (const std::exception& error) {
-        log::warning("peer_exchange_failed", {{"what", "configuration"}, {"reason", error.what()}});
+        report_failure(peer, "configuration", error.what());
     }
     m_configuration_lag.is_asking = false;
 }
@@ -138,7 +151,7 @@
                                   body.at("version").to_number<std::uint64_t>());
         }
     } catch (const std::exception& error) {
-        log::warning("peer_exchange_failed", {{"what", "backends"}, {"reason", error.what()}});
+        report_failure(peer, "backends", error.what());
     }
     m_backend_lag.is_asking = false;
 }
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -39,7 +39,11 @@
 
 request_exchange::request_exchange(gateway_context& context, std::shared_ptr<client_session> session,
                                    http::received_request request, clock::time_point arrived)
-    : m_context(context), m_session(std::move(session)), m_request(std::move(request)), m_arrived(arrived) {
+    : m_context(context),
+      m_session(std::move(session)),
+      m_journal(context),
+      m_request(std::move(request)),
+      m_arrived(arrived) {
     ++m_context.requests_in_progress;
 }
 
@@ -51,9 +55,10 @@
     try {
         m_admitted = admit(m_context, m_request, m_arrived);
     } catch (const request_error& error) {
-        answer_error(error.kind(), error.retry_after());
+        answer_error(error.kind(), error.what(), error.retry_after());
         return;
     }
+    m_is_admitted = true;
     m_attempts = policy::attempt_rule(m_admitted.route->may_repeat(), m_admitted.route->attempts);
     const std::weak_ptr<request_exchange> weak = weak_from_this();
     m_deadline_timer = m_context.timers.after(m_context.executor, m_admitted.time_left(), [weak] {
@@ -120,6 +125,8 @@
     // The coordinator may not know yet that the server is leaving, for instance while the store turns it
     // away.
     const bool takes_work = server != nullptr && server->record().state == routing::backend_state::ready;
+    m_journal.placed(m_admitted, grant, server != nullptr ? std::string_view(server->record().id) : "unknown",
+                     m_attempts.tries());
     if (takes_work) {
         send_to(std::move(server));
     } else {
@@ -133,21 +140,21 @@
     const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
     switch (refusal.reason) {
     case policy::refusal_reason::over_allowance:
-        end_unserved(error_kind::rate_limited, wait);
+        end_unserved(error_kind::rate_limited, "over the workspace's allowance", wait);
         return;
     case policy::refusal_reason::held_back:
-        end_unserved(error_kind::held_back, wait);
+        end_unserved(error_kind::held_back, "servers crashed while they ran it", wait);
         return;
     case policy::refusal_reason::over_retry_budget:
     case policy::refusal_reason::overloaded:
         break;
     }
-    end_unserved(error_kind::overloaded, wait);
+    end_unserved(error_kind::overloaded, to_string(refusal.reason), wait);
 }
 
 void request_exchange::give_up() {
     if (m_waits_for_slot) {
-        end_unserved(error_kind::overloaded, spread_retry(m_admitted.fingerprint));
+        end_unserved(error_kind::overloaded, "no slot in time", spread_retry(m_admitted.fingerprint));
     }
 }
 
@@ -213,6 +220,7 @@
     }
     if (m_first_event == policy::duration{}) {
         m_first_event = clock::now() - m_slot_begin;
+        m_journal.first_event(m_admitted);
     }
     begin_stream();
     m_session->send_piece(whole);
@@ -247,6 +255,8 @@
         return;
     }
     leave_slot(policy::slot_outcome::served);
+    m_journal.answered(m_admitted, server_id(), m_call->response().status(), m_attempts.tries() + 1,
+                       m_first_event, m_events.count());
     m_session->finish_stream();
     end();
 }
@@ -264,15 +274,23 @@
                  "the stream can't go on there");
         return;
     }
-    if (response.status() >= first_server_error) {
+    const bool has_failed = response.status() >= first_server_error;
+    const auto tries = m_attempts.tries() + 1;
+    if (has_failed) {
+        const auto busy = clock::now() - m_slot_begin;
+        m_attempts.record(m_slot, policy::try_outcome::may_have_run);
         leave_slot(policy::slot_outcome::failed);
-        m_attempts.record(hash_bytes(m_call->server()->record().id), policy::try_outcome::may_have_run);
-        if (may_try_again()) {
+        const bool goes_on = may_try_again();
+        m_journal.try_failed(m_admitted, server_id(), policy::slot_outcome::failed,
+                             "status " + std::to_string(response.status()), m_attempts, goes_on, busy);
+        if (goes_on) {
+            m_call.reset();
             ask_for_slot();
             return;
         }
     }
     leave_slot(policy::slot_outcome::served);
+    m_journal.answered(m_admitted, server_id(), response.status(), tries, clock::duration{}, 0);
     m_session->answer(response.status(), response.reason(), compose_passed_fields(response.fields()),
                       m_answer);
     end();
@@ -286,7 +304,10 @@
     }
 }
 
-void request_exchange::fail_try(policy::try_outcome outcome, policy::slot_outcome slot, std::string_view) {
+void request_exchange::fail_try(policy::try_outcome outcome, policy::slot_outcome slot,
+                                std::string_view reason) {
+    const auto busy = clock::now() - m_slot_begin;
+    const std::string server(server_id());
     // What didn't run has its allowance given back with its slot.
     m_is_charged = outcome == policy::try_outcome::may_have_run;
     m_attempts.record(m_slot, outcome);
@@ -295,13 +316,19 @@
     if (m_has_begun_answer) {
         m_events.break_off();
     }
-    if (may_try_again()) {
+    const bool goes_on = may_try_again();
+    m_journal.try_failed(m_admitted, server, slot, reason, m_attempts, goes_on, busy);
+    if (goes_on) {
         ask_for_slot();
     } else {
-        end_unserved(error_kind::overloaded, spread_retry(m_admitted.fingerprint));
+        end_unserved(error_kind::overloaded, reason, spread_retry(m_admitted.fingerprint));
     }
 }
 
+std::string_view request_exchange::server_id() const {
+    return m_call != nullptr ? std::string_view(m_call->server()->record().id) : std::string_view();
+}
+
 /// A stream that its caller has a part of can only go on where the last event has an id.
 bool request_exchange::may_try_again() const {
     const bool can_go_on = !m_has_begun_answer || m_events.last_id().has_value();
@@ -317,31 +344,39 @@
         m_attempts.record(m_slot, policy::try_outcome::may_have_run);
     }
     leave_slot(policy::slot_outcome::abandoned);
-    end_unserved(is_running ? error_kind::backend_stalled : error_kind::deadline_unreachable);
+    end_unserved(is_running ? error_kind::backend_stalled : error_kind::deadline_unreachable,
+                 is_running ? "its time is over while a server works on it" : "its time is over");
 }
 
 /// The request gets no answer from a backend server. A refusal that says "not run" is only given when that is
 /// certain; a stream that has begun is cut, so that its part can't be taken for the whole.
-void request_exchange::end_unserved(error_kind kind, std::optional<milliseconds> retry_after) {
+void request_exchange::end_unserved(error_kind kind, std::string_view reason,
+                                    std::optional<milliseconds> retry_after) {
     leave_slot(policy::slot_outcome::abandoned);
     if (m_has_begun_answer) {
+        m_journal.cut(m_admitted, reason, m_attempts.tries(), m_events.count());
+        m_is_over = true; // told already
         m_session->cut();
         end();
         return;
     }
     const bool is_refusal = answer_for(kind).ran == run_state::no;
     if (is_refusal && m_attempts.may_have_run()) {
-        answer_error(error_kind::outcome_unknown, std::nullopt);
+        answer_error(error_kind::outcome_unknown, reason, std::nullopt);
     } else {
-        answer_error(kind, retry_after);
+        answer_error(kind, reason, retry_after);
     }
 }
 
-void request_exchange::answer_error(error_kind kind, std::optional<milliseconds> retry_after) {
+void request_exchange::answer_error(error_kind kind, std::string_view reason,
+                                    std::optional<milliseconds> retry_after) {
     const auto& row = answer_for(kind);
+    const auto id = m_request.fields.find(m_context.fields.request_id).value_or("");
+    m_journal.refused(m_is_admitted ? &m_admitted : nullptr,
+                      {kind, id, reason, m_ticket, m_attempts.tries(), m_arrived, retry_after});
     std::string fields;
-    if (const auto id = m_request.fields.find(m_context.fields.request_id)) {
-        append_field(fields, m_context.fields.request_id, *id);
+    if (!id.empty()) {
+        append_field(fields, m_context.fields.request_id, id);
     }
     append_field(fields, "Content-Type", "application/json");
     if (retry_after.has_value()) {
@@ -354,6 +389,10 @@
 
 void request_exchange::cancel() {
     const auto self = shared_from_this();
+    if (!m_is_over && m_is_admitted) {
+        m_journal.abandoned(m_admitted, m_call != nullptr ? "running" : "waiting", server_id(),
+                            m_events.count());
+    }
     if (m_call != nullptr) {
         m_call->cancel();
     }
@@ -361,9 +400,7 @@
 }
 
 void request_exchange::end() {
-    if (std::exchange(m_is_over, true)) {
-        return;
-    }
+    m_is_over = true;
     m_deadline_timer.cancel();
     m_patience_timer.cancel();
     leave_slot(policy::slot_outcome::abandoned);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/client_session.hpp"
 #include "gateway/event_relay.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/request_journal.hpp"
 #include "http/request_reader.hpp"
 #include "policy/attempt_rule.hpp"
 #include "policy/slot_request.hpp"
@@ -66,17 +67,21 @@
     // The answer.
     void begin_stream();
     void take_timeout();
-    void end_unserved(error_kind kind, std::optional<milliseconds> retry_after = std::nullopt);
-    void answer_error(error_kind kind, std::optional<milliseconds> retry_after);
+    void end_unserved(error_kind kind, std::string_view reason,
+                      std::optional<milliseconds> retry_after = std::nullopt);
+    void answer_error(error_kind kind, std::string_view reason, std::optional<milliseconds> retry_after);
+    [[nodiscard]] std::string_view server_id() const;
     void end();
 
     gateway_context& m_context;
     std::shared_ptr<client_session> m_session;
+    request_journal m_journal;
     http::received_request m_request;
     clock::time_point m_arrived;
     admitted_request m_admitted;
     policy::attempt_rule m_attempts{false, 1};
 
+    bool m_is_admitted = false;
     policy::slot_ticket m_ticket = 0;
     bool m_waits_for_slot = false;
     policy::server_key m_slot = 0; ///< the server whose slot is held; 0: none
--- /dev/null
+++ b/src/gateway/request_journal.cpp
@@ -0,0 +1,126 @@
+// Each method is one line and its metrics.
+#include "gateway/request_journal.hpp"
+
+#include "events/event_log.hpp"
+#include "gateway/gateway_metrics.hpp"
+
+#include <string>
+
+namespace borageford::gateway {
+
+using events::event_kind;
+
+namespace {
+
+std::int64_t to_ms(std::chrono::steady_clock::duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::int64_t age_ms(const admitted_request& request) {
+    return to_ms(std::chrono::steady_clock::now() - request.arrived);
+}
+
+std::string_view workspace_of(const admitted_request* request) {
+    const bool is_known = request != nullptr && request->workspace != nullptr;
+    return is_known ? std::string_view(request->workspace->name) : std::string_view();
+}
+
+std::string_view route_of(const admitted_request* request) {
+    return request != nullptr && request->route != nullptr ? std::string_view(request->route->name)
+                                                           : std::string_view();
+}
+
+std::uint64_t version_of(const admitted_request* request) {
+    return request != nullptr && request->configuration != nullptr ? request->configuration->version() : 0;
+}
+
+} // namespace
+
+void request_journal::placed(const admitted_request& request, const policy::slot_grant& grant,
+                             std::string_view backend, unsigned tries_before) {
+    m_context.metrics.record_wait(request, clock::now() - request.arrived);
+    events::write(event_kind::request_placed, {{"request", request.id},
+                                               {"ticket", grant.ticket},
+                                               {"backend", backend},
+                                               {"route", route_of(&request)},
+                                               {"workspace", workspace_of(&request)},
+                                               {"tier", std::int64_t(request.tier)},
+                                               {"configuration", version_of(&request)},
+                                               {"decided_by", to_string(m_context.slots.source())},
+                                               {"waited_ms", age_ms(request)},
+                                               {"try", std::uint64_t(tries_before + 1)}});
+}
+
+void request_journal::try_failed(const admitted_request& request, std::string_view backend,
+                                 policy::slot_outcome outcome, std::string_view reason,
+                                 const policy::attempt_rule& attempts, bool goes_on, clock::duration busy) {
+    m_context.metrics.count_try(request, outcome);
+    events::write(event_kind::request_try_failed, {{"request", request.id},
+                                                   {"backend", backend},
+                                                   {"outcome", to_string(outcome)},
+                                                   {"reason", reason},
+                                                   {"try", std::uint64_t(attempts.tries())},
+                                                   {"runs", std::uint64_t(attempts.runs())},
+                                                   {"next", goes_on ? "again" : "end"},
+                                                   {"busy_ms", to_ms(busy)}});
+}
+
+void request_journal::first_event(const admitted_request& request) {
+    m_context.metrics.record_first_event(request, clock::now() - request.arrived);
+}
+
+void request_journal::answered(const admitted_request& request, std::string_view backend, unsigned status,
+                               unsigned tries, clock::duration first_event, std::uint64_t count) {
+    m_context.metrics.count_try(request, policy::slot_outcome::served);
+    m_context.metrics.count_answered(request, status, clock::now() - request.arrived);
+    events::write(event_kind::request_answered, {{"request", request.id},
+                                                 {"status", std::uint64_t(status)},
+                                                 {"backend", backend},
+                                                 {"tries", std::uint64_t(tries)},
+                                                 {"first_ms", to_ms(first_event)},
+                                                 {"total_ms", age_ms(request)},
+                                                 {"events", count}});
+}
+
+void request_journal::refused(const admitted_request* request, const refusal& what) {
+    m_context.metrics.count_refused(request, what.kind);
+    const auto& row = answer_for(what.kind);
+    events::write(event_kind::request_refused,
+                  {{"request", what.request_id},
+                   {"ticket", what.ticket},
+                   {"error", row.name},
+                   {"status", std::uint64_t(row.http_status)},
+                   {"reason", what.reason},
+                   {"route", route_of(request)},
+                   {"workspace", workspace_of(request)},
+                   {"tier", std::int64_t(request != nullptr ? request->tier : -1)},
+                   {"configuration", version_of(request)},
+                   {"decided_by", to_string(m_context.slots.source())},
+                   {"held_ms", to_ms(clock::now() - what.arrived)},
+                   {"tries", std::uint64_t(what.tries)},
+                   {"retry_after_ms", std::int64_t(what.retry_after.value_or(milliseconds(0)).count())}});
+}
+
+void request_journal::cut(const admitted_request& request, std::string_view reason, unsigned tries,
+                          std::uint64_t count) {
+    m_context.metrics.count_cut(request);
+    events::write(event_kind::request_cut, {{"request", request.id},
+                                            {"reason", reason},
+                                            {"route", route_of(&request)},
+                                            {"workspace", workspace_of(&request)},
+                                            {"tries", std::uint64_t(tries)},
+                                            {"events", count},
+                                            {"total_ms", age_ms(request)}});
+}
+
+void request_journal::abandoned(const admitted_request& request, std::string_view stage,
+                                std::string_view backend, std::uint64_t count) {
+    m_context.metrics.count_abandoned(request);
+    events::write(event_kind::request_abandoned, {{"request", request.id},
+                                                  {"stage", stage},
+                                                  {"backend", backend},
+                                                  {"total_ms", age_ms(request)},
+                                                  {"events", count}});
+}
+
+} // namespace borageford::gateway
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -2,6 +2,7 @@
 #include "gateway/store_follower.hpp"
 
 #include "base/pause.hpp"
+#include "events/event_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,18 +41,38 @@
         std::string failure;
         try {
             const auto all = co_await m_table.read_all(m_table_name + "/");
+            note_regained(all.version);
             m_handlers.on_all(all);
             co_await follow(all.version);
         } catch (const store::store_error& error) {
             failure = error.what();
         }
         if (!failure.empty()) {
-            m_handlers.on_outage(failure);
+            note_lost(failure);
+            m_handlers.on_outage();
             co_await pause(m_timers, retry_delay);
         }
     }
 }
 
+void store_follower::note_lost(std::string_view reason) {
+    if (!m_lost_since.has_value()) {
+        m_lost_since = std::chrono::steady_clock::now();
+        events::write(events::event_kind::store_lost, {{"table", m_table_name}, {"reason", reason}});
+    }
+}
+
+void store_follower::note_regained(std::uint64_t version) {
+    if (m_lost_since.has_value()) {
+        const auto lost = std::chrono::steady_clock::now() - *m_lost_since;
+        m_lost_since.reset();
+        events::write(events::event_kind::store_regained,
+                      {{"table", m_table_name},
+                       {"lost_ms", std::chrono::duration_cast<milliseconds>(lost).count()},
+                       {"version", version}});
+    }
+}
+
 /// Returns when history was lost; throws store_error when the store is away.
 asio::awaitable<void> store_follower::follow(std::uint64_t version) {
     for (;;) {
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -9,8 +9,9 @@
 
 #include <chrono>
 #include <functional>
-#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace borageford::gateway {
 
@@ -20,8 +21,8 @@
         /// All rows as of one moment: at the start, and after history was lost or the store was away.
         std::function<void(const store::row_page&)> on_all;
         std::function<void(const store::row_change&)> on_change;
-        /// The store couldn't be reached or refused.
-        std::function<void(const std::string& reason)> on_outage;
+        /// The store couldn't be reached or refused; called for every failed call.
+        std::function<void()> on_outage;
     };
 
     store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
@@ -31,12 +32,15 @@
 
 private:
     boost::asio::awaitable<void> run();
+    void note_lost(std::string_view reason);
+    void note_regained(std::uint64_t version);
     boost::asio::awaitable<void> follow(std::uint64_t version);
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
     store::table& m_table;
     std::string m_table_name;
+    std::optional<std::chrono::steady_clock::time_point> m_lost_since;
     handlers m_handlers;
 };
 
--- a/src/policy/attempt_rule.hpp
+++ b/src/policy/attempt_rule.hpp
@@ -43,6 +43,7 @@
     /// Servers that it has reached; each but the first counts against the retry budget.
     [[nodiscard]] unsigned arrivals() const noexcept { return m_arrivals; }
     [[nodiscard]] unsigned tries() const noexcept { return m_tries; }
+    [[nodiscard]] unsigned runs() const noexcept { return m_runs; }
     /// The servers that have failed it last.
     [[nodiscard]] const std::array<server_key, slot_request::most_avoided>& avoided() const noexcept {
         return m_avoided;
--- a/src/policy/server_health.cpp
+++ b/src/policy/server_health.cpp
@@ -2,6 +2,7 @@
 #include "policy/server_health.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace borageford::policy {
 
@@ -27,41 +28,40 @@
     return m_is_probing ? trust::probe : trust::full;
 }
 
-void server_health::record(slot_outcome outcome, time_point now) {
+server_health::change server_health::record(slot_outcome outcome, time_point now) {
     switch (outcome) {
     case slot_outcome::served:
-        record_success();
-        break;
+        return record_success();
     case slot_outcome::failed:
     case slot_outcome::broken:
-        record_failure(false, now);
-        break;
+        return record_failure(false, now);
     case slot_outcome::unreachable:
-        record_failure(true, now);
-        break;
+        return record_failure(true, now);
     case slot_outcome::refused:   // full, or another server at the address: says nothing of failures
     case slot_outcome::abandoned: // the caller's doing
         break;
     }
+    return change::none;
 }
 
-void server_health::record_success() {
+server_health::change server_health::record_success() {
     m_failure_share *= 1 - newest_weight;
     m_failures_in_row = 0;
     m_rests = 0;
-    m_is_probing = false;
+    return std::exchange(m_is_probing, false) ? change::recovered : change::none;
 }
 
-void server_health::record_failure(bool is_unreachable, time_point now) {
+server_health::change server_health::record_failure(bool is_unreachable, time_point now) {
     m_failure_share += (1 - m_failure_share) * newest_weight;
     ++m_failures_in_row;
     const auto tolerated = is_unreachable ? tolerated_unreachable : tolerated_failures;
     if (m_failures_in_row < tolerated || now < m_rests_until) {
-        return;
+        return change::none;
     }
     m_rests_until = now + first_rest * (1U << std::min(m_rests, most_doublings));
     ++m_rests;
     m_is_probing = true;
+    return change::rests;
 }
 
 } // namespace borageford::policy
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -25,15 +25,22 @@
 
     [[nodiscard]] trust look(time_point now) const;
 
+    /// What a request's end has changed.
+    enum class change { none, rests, recovered };
+
     /// A request ended.
-    void record(slot_outcome outcome, time_point now);
+    change record(slot_outcome outcome, time_point now);
+
+    /// When its rest ends.
+    [[nodiscard]] time_point rests_until() const noexcept { return m_rests_until; }
+    [[nodiscard]] unsigned failures_in_row() const noexcept { return m_failures_in_row; }
 
     /// Share of failures among the latest requests, 0 to 1.
     [[nodiscard]] double failure_share() const noexcept { return m_failure_share; }
 
 private:
-    void record_success();
-    void record_failure(bool is_unreachable, time_point now);
+    change record_success();
+    change record_failure(bool is_unreachable, time_point now);
 
     double m_failure_share = 0;
     unsigned m_failures_in_row = 0;
--- /dev/null
+++ b/src/policy/slot_request.cpp
@@ -0,0 +1,38 @@
+// Names of reasons and outcomes, as logs and metrics show them.
+#include "policy/slot_request.hpp"
+
+namespace borageford::policy {
+
+std::string_view to_string(refusal_reason reason) noexcept {
+    switch (reason) {
+    case refusal_reason::overloaded:
+        return "overloaded";
+    case refusal_reason::over_allowance:
+        return "over_allowance";
+    case refusal_reason::over_retry_budget:
+        return "over_retry_budget";
+    case refusal_reason::held_back:
+        break;
+    }
+    return "held_back";
+}
+
+std::string_view to_string(slot_outcome outcome) noexcept {
+    switch (outcome) {
+    case slot_outcome::served:
+        return "served";
+    case slot_outcome::failed:
+        return "failed";
+    case slot_outcome::broken:
+        return "broken";
+    case slot_outcome::refused:
+        return "refused";
+    case slot_outcome::unreachable:
+        return "unreachable";
+    case slot_outcome::abandoned:
+        break;
+    }
+    return "abandoned";
+}
+
+} // namespace borageford::policy
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace borageford::policy {
 
@@ -55,6 +56,8 @@
     held_back          ///< servers crashed while they ran it
 };
 
+[[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
+
 struct slot_refusal {
     slot_ticket ticket = 0;
     refusal_reason reason = refusal_reason::overloaded;
@@ -71,6 +74,8 @@
     abandoned,   ///< its caller left, or its time was over
 };
 
+[[nodiscard]] std::string_view to_string(slot_outcome outcome) noexcept;
+
 struct slot_release {
     slot_ticket ticket = 0;
     server_key server = 0;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -2,6 +2,7 @@
 #include "policy/slot_scheduler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace borageford::policy {
 
@@ -49,12 +50,24 @@
     }
     const auto server = running->second;
     m_running.erase(running);
-    auto& state = m_servers[server];
-    --state.outstanding;
-    state.health.record(ended.outcome, now);
+    --m_servers[server].outstanding;
+    record_outcome(server, ended.outcome, now);
     drop_unused(server);
 }
 
+void slot_scheduler::record_outcome(server_key server, slot_outcome outcome, time_point now) {
+    auto& health = m_servers[server].health;
+    const auto change = health.record(outcome, now);
+    if (change != server_health::change::none) {
+        m_health_changes.push_back({server, change == server_health::change::rests, health.rests_until() - now,
+                                    health.failures_in_row(), health.failure_share()});
+    }
+}
+
+std::vector<slot_scheduler::health_change> slot_scheduler::take_health_changes() {
+    return std::exchange(m_health_changes, {});
+}
+
 void slot_scheduler::clear_requests() {
     m_queues.clear();
     m_waiting.clear();
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -48,6 +48,17 @@
     /// All grants that are possible now.
     [[nodiscard]] std::vector<slot_grant> grant(time_point now);
 
+    /// A server has begun to rest, or has recovered.
+    struct health_change {
+        server_key server = 0;
+        bool rests = false;
+        duration rest{};
+        unsigned failures_in_row = 0;
+        double failure_share = 0;
+    };
+    /// What has changed since the last call.
+    [[nodiscard]] std::vector<health_change> take_health_changes();
+
     /// Forgets every request, waiting or running; servers stay.
     void clear_requests();
 
@@ -69,6 +80,7 @@
     [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
     void grant_tier(tier_queue& queue, bool is_lowest, time_point now, std::vector<slot_grant>& grants);
     void drop_unused(server_key server);
+    void record_outcome(server_key server, slot_outcome outcome, time_point now);
 
     slot_scheduler_limits m_limits;
     std::unordered_map<server_key, server_state> m_servers;
@@ -76,6 +88,7 @@
     /// Tickets in a queue that aren't here were withdrawn.
     std::unordered_map<slot_ticket, slot_request> m_waiting;
     std::unordered_map<slot_ticket, server_key> m_running;
+    std::vector<health_change> m_health_changes;
 };
 
 } // namespace borageford::policy
--- /dev/null
+++ b/tests/support/gateway_site.cpp
@@ -0,0 +1,300 @@
+// Starting, stopping and asking the parts of a site.
+#include "support/gateway_site.hpp"
+
+#include "base/identifier.hpp"
+#include "platform/backend_codec.hpp"
+#include "platform/call_names.hpp"
+#include "platform/configuration_codec.hpp"
+#include "support/wait_until.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <limits>
+
+namespace borageford::test {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+constexpr unsigned ports_of_a_gateway = 4;
+constexpr std::string_view host = "site.example";
+constexpr unsigned status_ok = 200;
+
+std::string address_of(std::size_t gateway) {
+    return "127.0.0." + std::to_string(2 + gateway);
+}
+
+/// Whether these ports are free at all addresses, for TCP and UDP.
+bool are_free(std::uint16_t first, std::size_t gateways) {
+    asio::io_context context;
+    try {
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+            const auto address = asio::ip::make_address(address_of(gateway));
+            for (unsigned offset = 0; offset < ports_of_a_gateway; ++offset) {
+                const auto port = static_cast<std::uint16_t>(first + offset);
+                tcp::acceptor listener(context, tcp::endpoint(address, port), true);
+                udp::socket socket(context, udp::endpoint(address, port));
+            }
+        }
+    } catch (const boost::system::system_error&) {
+        return false; // taken by another test
+    }
+    return true;
+}
+
+/// Lets the kernel propose ports until one and its successors are free everywhere.
+std::uint16_t find_ports(std::size_t gateways) {
+    asio::io_context context;
+    for (;;) {
+        tcp::acceptor proposal(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        const auto port = proposal.local_endpoint().port();
+        const bool has_successors = port < std::numeric_limits<std::uint16_t>::max() - ports_of_a_gateway;
+        if (has_successors && are_free(port, gateways)) {
+            return port;
+        }
+    }
+}
+
+routing::routing_document configuration_with(routing::route route, const std::string& service) {
+    routing::routing_document result;
+    result.version = 1;
+    result.services.push_back({service, "/healthz", 96, std::nullopt});
+    route.name = "r-" + service;
+    route.host = host;
+    route.services.push_back({0, 1});
+    result.routes.push_back(std::move(route));
+    return result;
+}
+
+} // namespace
+
+routing::routing_document plain_configuration(routing::route_kind kind) {
+    routing::route route;
+    route.prefix = "/plain/";
+    route.kind = kind;
+    route.attempts = 3;
+    route.timeout = routing::milliseconds(5000);
+    return configuration_with(route, "plain");
+}
+
+routing::routing_document stream_configuration(bool is_resumable) {
+    routing::route route;
+    route.prefix = "/stream/";
+    route.kind = routing::route_kind::stream;
+    route.is_resumable = is_resumable;
+    route.attempts = 3;
+    route.timeout = routing::milliseconds(10000);
+    return configuration_with(route, "engines");
+}
+
+emulator::backend_options plain_backend(const std::string& id) {
+    emulator::backend_options options;
+    options.id = id;
+    options.service = "plain";
+    return options;
+}
+
+emulator::backend_options engine_backend(const std::string& id) {
+    auto options = plain_backend(id);
+    options.service = "engines";
+    options.engine.emplace();
+    options.engine->setup_ms = 5;
+    return options;
+}
+
+http::request make_call(const std::string& target, const std::string& id, std::string body) {
+    const auto names = platform::call_names();
+    return {"POST",
+            target,
+            {{"Host", std::string(host)}, {names.request_id, id}, {names.deadline, "5000"}},
+            std::move(body)};
+}
+
+gateway_site::gateway_site(site_options options)
+    : m_options(std::move(options)),
+      m_folder(std::filesystem::temp_directory_path() / ("site-" + identifier::random().to_string())),
+      m_gateways(m_options.gateways),
+      m_port(find_ports(m_options.gateways)) {
+    std::filesystem::create_directories(m_folder);
+    m_thread = std::jthread([this] { m_context.run(); });
+    on_emulator([this] {
+        m_store = std::make_unique<emulator::emulated_store>(m_context.get_executor(), m_timers);
+        m_store_address = m_store->listen({asio::ip::make_address("127.0.0.1"), 0});
+    });
+    if (m_options.is_configured) {
+        configure(m_options.configuration);
+    }
+    for (std::size_t index = 0; index < m_options.backends.size(); ++index) {
+        start_backend(index, m_options.backends[index]);
+    }
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        write_settings(index, m_options.gateway_settings);
+        start_gateway(index);
+    }
+    if (m_options.is_configured && !m_options.backends.empty()) {
+        for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+            wait_until_ready(index);
+        }
+    }
+}
+
+gateway_site::~gateway_site() {
+    if (std::uncaught_exceptions() > 0) {
+        show_logs();
+    }
+    m_gateways.clear();
+    m_work.reset();
+    m_context.stop();
+    m_thread.join();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+void gateway_site::show_logs() const {
+    for (const auto& unit : m_gateways) {
+        if (unit.process != nullptr) {
+            const auto text = unit.process->log_text();
+            constexpr std::size_t shown = 4000;
+            std::cerr << "--- gateway " << unit.address << "\n"
+                      << (text.size() > shown ? text.substr(text.size() - shown) : text) << '\n';
+        }
+    }
+}
+
+http::endpoint gateway_site::callers(std::size_t gateway) const {
+    return {asio::ip::make_address(address_of(gateway)), m_port};
+}
+
+http::endpoint gateway_site::readiness(std::size_t gateway) const {
+    return {asio::ip::make_address(address_of(gateway)), static_cast<std::uint16_t>(m_port + 1)};
+}
+
+http::endpoint gateway_site::metrics(std::size_t gateway) const {
+    return {asio::ip::make_address(address_of(gateway)), static_cast<std::uint16_t>(m_port + 3)};
+}
+
+std::string gateway_site::settings_text(std::size_t index, const std::string& further) const {
+    const auto address = address_of(index);
+    const auto at = [&](unsigned offset) { return address + ":" + std::to_string(m_port + offset); };
+    std::string seeds;
+    for (std::size_t other = 0; other < m_gateways.size(); ++other) {
+        seeds += (other > 0 ? ", " : "") + address_of(other);
+    }
+    return "[process]\nvm = gateway-" + std::to_string(index) +
+           "\nfailure_domain = a\nregion = r\nlog_format = json\n[platform]\naddress = " +
+           http::to_string(m_store_address) + "\ntimeout = 500ms\n[gateway]\ncallers_listen = " + at(0) +
+           "\nreadiness_listen = " + at(1) + "\npeers_listen = " + at(2) + "\nmetrics_listen = " + at(3) +
+           "\nseeds = " + seeds + "\n" + further;
+}
+
+void gateway_site::write_settings(std::size_t index, const std::string& further) {
+    auto& unit = m_gateways.at(index);
+    unit.settings = m_folder / ("gateway-" + std::to_string(index) + ".ini");
+    std::ofstream(unit.settings) << settings_text(index, further);
+}
+
+void gateway_site::start_gateway(std::size_t index) {
+    auto& unit = m_gateways.at(index);
+    unit.address = address_of(index);
+    const auto log =
+        m_folder / ("gateway-" + std::to_string(index) + "-" + std::to_string(++unit.starts) + ".log");
+    const std::filesystem::path program = std::string(BORAGEFORD_PROGRAM_FOLDER) + "/borageford";
+    unit.process = std::make_unique<child_process>(
+        program, std::vector<std::string>{"gateway", "--settings=" + unit.settings.string()}, log);
+    unit.process->wait_for_line(R"({"event":"started")");
+}
+
+bool gateway_site::is_ready(std::size_t gateway) const {
+    http::request question{"GET", "/borageford/readyz", {}, ""};
+    return call(readiness(gateway), question).status == status_ok;
+}
+
+void gateway_site::wait_until_ready(std::size_t gateway) const {
+    wait_until("gateway " + std::to_string(gateway) + " is ready", [&] { return is_ready(gateway); });
+}
+
+void gateway_site::configure(const routing::routing_document& document) {
+    store::transaction change;
+    change.puts.push_back({std::string(platform::configuration_key), platform::encode_configuration(document)});
+    on_emulator([&] { static_cast<void>(m_store->rows().transact(change)); });
+}
+
+void gateway_site::start_backend(std::size_t index, const emulator::backend_options& options) {
+    on_emulator([&] {
+        auto server = std::make_unique<emulator::emulated_backend>(m_context.get_executor(), m_timers,
+                                                                   platform::call_names(), options);
+        const auto address = server->listen({asio::ip::make_address("127.0.0.1"), 0});
+        if (const auto former = m_backends.find(index); former != m_backends.end()) {
+            m_former_backends.push_back(std::move(former->second.server));
+        }
+        m_backends[index] = {std::move(server), address};
+    });
+    register_backend(index, "ready");
+}
+
+void gateway_site::register_backend(std::size_t index, const std::string& state) {
+    on_emulator([&] {
+        const auto& unit = m_backends.at(index);
+        routing::backend_record record;
+        record.id = unit.server->options().id;
+        record.service = unit.server->options().service;
+        record.address = unit.address;
+        record.failure_domain = "a";
+        record.slots = unit.server->options().slots;
+        record.state = state == "ready" ? routing::backend_state::ready : routing::backend_state::draining;
+        store::transaction change;
+        change.puts.push_back({std::string(platform::backend_table) + "/" + record.id,
+                               platform::encode_backend(record)});
+        static_cast<void>(m_store->rows().transact(change));
+    });
+}
+
+void gateway_site::unregister_backend(std::size_t index) {
+    on_emulator([&] {
+        store::transaction change;
+        change.deletes.push_back(std::string(platform::backend_table) + "/" +
+                                 m_backends.at(index).server->options().id);
+        static_cast<void>(m_store->rows().transact(change));
+    });
+}
+
+void gateway_site::stop_backend(std::size_t index) {
+    on_emulator([&] { m_backends.at(index).server->stop(); });
+}
+
+std::size_t gateway_site::runs_of(const std::string& request_id, std::size_t index) {
+    return on_emulator([&] {
+        const auto& runs = m_backends.at(index).server->runs();
+        return static_cast<std::size_t>(
+            std::ranges::count(runs, request_id, &emulator::recorded_run::request_id));
+    });
+}
+
+std::size_t gateway_site::runs_of(const std::string& request_id) {
+    std::size_t total = 0;
+    for (const auto& [index, unit] : m_backends) {
+        total += runs_of(request_id, index);
+    }
+    return total + on_emulator([&] {
+        std::size_t former = 0;
+        for (const auto& server : m_former_backends) {
+            former += static_cast<std::size_t>(
+                std::ranges::count(server->runs(), request_id, &emulator::recorded_run::request_id));
+        }
+        return former;
+    });
+}
+
+caller_result gateway_site::send(std::size_t gateway, const http::request& request) const {
+    return call(callers(gateway), request);
+}
+
+} // namespace borageford::test
