Test ingress and carriage of gateways against emulated servers

Found by the tests: a request that two servers had failed waited for a third that doesn't exist and was then given up; servers that have failed a request are now avoided only while another takes work. Ties between equally free servers always went to the same one; now to the one that was granted longest ago.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -256,9 +256,10 @@
                 if (!writer.has_begun()) {
                     co_await writer.begin(head);
                 }
-                const auto text = describe_event(event_number);
+                auto text = describe_event(event_number);
                 const bool breaks_off = fault == backend_fault::cut_midway && event_number == begin_after + 2;
-                co_await writer.write_piece(breaks_off ? text.substr(0, text.size() / 2) : text);
+                text.resize(breaks_off ? text.size() / 2 : text.size());
+                co_await writer.write_piece(text);
                 if (breaks_off) {
                     writer.cut();
                     is_finished = true;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -6,6 +6,14 @@
 
 namespace borageford::policy {
 
+namespace {
+
+bool has_failed(const slot_request& request, server_key server) {
+    return std::ranges::find(request.avoided, server) != request.avoided.end();
+}
+
+} // namespace
+
 void slot_scheduler::set_server(server_key server, service_key service, unsigned slots) {
     auto& state = m_servers[server];
     state.service = service;
@@ -91,18 +99,33 @@
     return allowed - server.outstanding;
 }
 
+/// Whether a server that hasn't failed the request takes work, busy or not. Where there is none, one that has
+/// failed it is better than no answer.
+bool slot_scheduler::has_fresh_server(const slot_request& request, time_point now) const {
+    return std::ranges::any_of(m_servers, [&](const auto& entry) {
+        const auto& [key, server] = entry;
+        return server.is_usable && server.service == request.service && !has_failed(request, key) &&
+               server.health.look(now) != server_health::trust::none;
+    });
+}
+
 server_key slot_scheduler::choose(const slot_request& request, bool is_lowest, time_point now) const {
+    const bool avoids = request.avoided.front() != 0 && has_fresh_server(request, now);
     server_key best = 0;
     double most_room = 0;
+    std::uint64_t longest_ago = 0;
     for (const auto& [key, server] : m_servers) {
         if (!server.is_usable || server.service != request.service ||
-            std::ranges::find(request.avoided, key) != request.avoided.end()) {
+            (avoids && has_failed(request, key))) {
             continue;
         }
         const double free = room(server, is_lowest, now);
-        if (free >= 1 && free / server.slots > most_room) {
+        const double share = free / server.slots;
+        const bool is_better = share > most_room || (share == most_room && server.last_grant < longest_ago);
+        if (free >= 1 && is_better) {
             best = key;
-            most_room = free / server.slots;
+            most_room = share;
+            longest_ago = server.last_grant;
         }
     }
     return best;
@@ -121,6 +144,7 @@
             return;
         }
         add_running(waiting->first, server);
+        m_servers[server].last_grant = ++m_grants;
         grants.push_back({waiting->first, server});
         m_waiting.erase(waiting);
         queue.pop_front();
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -70,12 +70,14 @@
         service_key service = 0;
         unsigned slots = 1;
         unsigned outstanding = 0;
+        std::uint64_t last_grant = 0; ///< number of the last grant; among equals the one that rested longest goes
         bool is_usable = false;
         server_health health;
     };
     using tier_queue = std::deque<slot_ticket>;
     using service_queue = std::map<int, tier_queue>;
 
+    [[nodiscard]] bool has_fresh_server(const slot_request& request, time_point now) const;
     [[nodiscard]] server_key choose(const slot_request& request, bool is_lowest, time_point now) const;
     [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
     void grant_tier(tier_queue& queue, bool is_lowest, time_point now, std::vector<slot_grant>& grants);
@@ -89,6 +91,7 @@
     std::unordered_map<slot_ticket, slot_request> m_waiting;
     std::unordered_map<slot_ticket, server_key> m_running;
     std::vector<health_change> m_health_changes;
+    std::uint64_t m_grants = 0;
 };
 
 } // namespace borageford::policy
--- /dev/null
+++ b/tests/failure/test_gateway_carriage.cpp
@@ -0,0 +1,198 @@
+// Answers on their way from backend servers that misbehave: whole, the right caller's, or visibly broken.
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+
+using namespace borageford;
+using namespace borageford::test;
+using namespace std::chrono_literals;
+using emulator::backend_fault;
+
+namespace {
+
+site_options plain_site(routing::route_kind kind, std::size_t servers) {
+    site_options options;
+    options.configuration = plain_configuration(kind);
+    for (std::size_t index = 0; index < servers; ++index) {
+        options.backends.push_back(plain_backend("server-" + std::to_string(index)));
+    }
+    return options;
+}
+
+site_options stream_site(bool is_resumable, std::size_t servers) {
+    site_options options;
+    options.configuration = stream_configuration(is_resumable);
+    for (std::size_t index = 0; index < servers; ++index) {
+        options.backends.push_back(engine_backend("engine-" + std::to_string(index)));
+    }
+    return options;
+}
+
+http::request stream_call(const std::string& id, unsigned output_tokens) {
+    auto call = make_call("/stream/x", id);
+    call.headers.push_back({"Token-Usage", "100," + std::to_string(output_tokens)});
+    return call;
+}
+
+void set_fault(gateway_site& site, std::size_t server, backend_fault fault, unsigned count = 0) {
+    site.on_emulator([&] { site.backend(server).set_fault(fault, count); });
+}
+
+void set_fault_everywhere(gateway_site& site, std::size_t servers, backend_fault fault, unsigned count = 0) {
+    for (std::size_t server = 0; server < servers; ++server) {
+        set_fault(site, server, fault, count);
+    }
+}
+
+/// The numbers of the events in a stream's body.
+std::vector<int> event_numbers(const std::string& body) {
+    std::vector<int> numbers;
+    for (auto at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1)) {
+        numbers.push_back(std::stoi(body.substr(at + 4)));
+    }
+    return numbers;
+}
+
+std::vector<int> numbers_up_to(int last) {
+    std::vector<int> numbers;
+    for (int number = 1; number <= last; ++number) {
+        numbers.push_back(number);
+    }
+    return numbers;
+}
+
+} // namespace
+
+TEST_CASE("gateway: a call that isn't idempotent and loses its answer runs once and isn't called not run",
+          "[gateway][carriage]") {
+    // The server does the work and its connection breaks before the answer. Sent again, a kudos would count
+    // twice; answered as "not run", the caller would send it again itself.
+    gateway_site site(plain_site(routing::route_kind::non_idempotent, 2));
+    set_fault_everywhere(site, 2, backend_fault::cut_unanswered, 1);
+    const auto answer = site.send(0, make_call("/plain/x", "once"));
+    CHECK(answer.status == 502);
+    CHECK(site.runs_of("once") == 1);
+}
+
+TEST_CASE("gateway: an idempotent call that loses its answer is sent to another server", "[gateway][carriage]") {
+    // One server's answers are lost; the caller of a call that may be repeated needn't notice.
+    gateway_site site(plain_site(routing::route_kind::idempotent, 2));
+    set_fault(site, 0, backend_fault::cut_unanswered);
+    for (int index = 0; index < 4; ++index) {
+        CHECK(site.send(0, make_call("/plain/x", "call-" + std::to_string(index))).status == 200);
+    }
+}
+
+TEST_CASE("gateway: a request that a server refuses goes to another, whatever its kind", "[gateway][carriage]") {
+    // A full server says that it didn't run the request, so sending it elsewhere doubles nothing.
+    gateway_site site(plain_site(routing::route_kind::non_idempotent, 2));
+    set_fault(site, 0, backend_fault::refuse);
+    for (int index = 0; index < 4; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        CHECK(site.runs_of(id) == 1);
+    }
+}
+
+TEST_CASE("gateway: refused by every server, a request is refused as not run", "[gateway][carriage]") {
+    // All servers are full. The caller may come back, and is told when.
+    gateway_site site(plain_site(routing::route_kind::non_idempotent, 2));
+    set_fault_everywhere(site, 2, backend_fault::refuse);
+    const auto answer = site.send(0, make_call("/plain/x", "nowhere"));
+    CHECK(answer.status == 503);
+    CHECK_FALSE(answer.header("Retry-After").empty());
+    CHECK(site.runs_of("nowhere") == 0);
+}
+
+TEST_CASE("gateway: bytes that are no answer reach no caller", "[gateway][carriage]") {
+    // A faulty server sends rubbish, half an answer, or a second answer that belongs to nobody. A caller that
+    // got any of it as its own would store it.
+    const auto fault = GENERATE(backend_fault::garble, backend_fault::cut_midway, backend_fault::second_answer);
+    gateway_site site(plain_site(routing::route_kind::idempotent, 2));
+    set_fault_everywhere(site, 2, fault, 1);
+    for (int index = 0; index < 6; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        const auto answer = site.send(0, make_call("/plain/x", id));
+        CHECK(answer.status == 200);
+        CHECK(answer.header("Request-Id") == id);
+        CHECK(answer.body.starts_with(R"({"run":)"));
+        CHECK(answer.is_whole);
+    }
+}
+
+TEST_CASE("gateway: an answer without a length is whole when its connection ends in order",
+          "[gateway][carriage]") {
+    // An old server ends its answers by closing the connection; the caller's connection stays open, so its
+    // answer needs a length.
+    gateway_site site(plain_site(routing::route_kind::idempotent, 1));
+    set_fault(site, 0, backend_fault::unframed);
+    const auto answer = site.send(0, make_call("/plain/x", "a"));
+    CHECK(answer.status == 200);
+    CHECK(answer.header("Content-Length") == std::to_string(answer.body.size()));
+}
+
+TEST_CASE("gateway: the events of a stream arrive whole, in order, with the server's proof",
+          "[gateway][carriage]") {
+    gateway_site site(stream_site(false, 1));
+    const auto answer = site.send(0, stream_call("s", 40));
+    CHECK(answer.status == 200);
+    CHECK(answer.is_whole);
+    CHECK(answer.header("Response-Signature") == "engine-0.0");
+    CHECK(event_numbers(answer.body) == numbers_up_to(11));
+}
+
+TEST_CASE("gateway: a broken stream that may not be resumed is visibly broken and runs once",
+          "[gateway][carriage]") {
+    // The engine dies in the middle of an event. The caller must not take the part for the whole, nor get half
+    // an event, and the chapter must not be read by a second engine at the caller's expense.
+    gateway_site site(stream_site(false, 2));
+    set_fault_everywhere(site, 2, backend_fault::cut_midway, 1);
+    const auto answer = site.send(0, stream_call("s", 40));
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.is_whole);
+    CHECK(answer.body.ends_with("\n\n"));
+    CHECK(event_numbers(answer.body) == std::vector<int>{1});
+    CHECK(site.runs_of("s") == 1);
+}
+
+TEST_CASE("gateway: a broken stream that may be resumed goes on at another engine without a gap",
+          "[gateway][carriage]") {
+    // The engine dies in the middle of an event, and another one can go on after the last whole event. The
+    // caller gets each event once, under the first engine's head.
+    gateway_site site(stream_site(true, 2));
+    set_fault_everywhere(site, 2, backend_fault::cut_midway, 1);
+    const auto answer = site.send(0, stream_call("s", 40));
+    CHECK(answer.status == 200);
+    CHECK(answer.is_whole);
+    CHECK(event_numbers(answer.body) == numbers_up_to(11));
+    CHECK(site.runs_of("s") == 3);
+}
+
+TEST_CASE("gateway: a caller that leaves takes its request with it", "[gateway][carriage]") {
+    // The caller of a long stream closes its tab. The engine would work on for nobody and keep a slot from
+    // somebody else.
+    gateway_site site(stream_site(false, 1));
+    pending_call pending(site.callers(0), stream_call("long", 100000));
+    pending.wait_for_bytes(10);
+    CHECK(site.on_emulator([&] { return site.backend(0).in_progress(); }) == 1);
+    pending.hang_up();
+    wait_until("the engine is free", [&] {
+        return site.on_emulator([&] { return site.backend(0).in_progress(); }) == 0;
+    });
+}
+
+TEST_CASE("gateway: a server that hangs is given up when the request's time is over", "[gateway][carriage]") {
+    // A server takes the request and says nothing more. It may have run, so the caller gets an answer that
+    // promises nothing, and gets it while it still waits.
+    auto options = plain_site(routing::route_kind::idempotent, 1);
+    options.configuration.routes.front().timeout = routing::milliseconds(400);
+    gateway_site site(options);
+    set_fault(site, 0, backend_fault::hang);
+    const auto answer = site.send(0, make_call("/plain/x", "hung"));
+    CHECK(answer.status == 504);
+    CHECK(site.runs_of("hung") == 1);
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -136,6 +136,12 @@
     return !m_exit_code;
 }
 
+std::string child_process::output_text() {
+    while (read_more(std::chrono::milliseconds(0))) {
+    }
+    return m_text;
+}
+
 std::string child_process::log_text() const {
     std::ifstream file(m_log);
     std::stringstream text;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -40,6 +40,8 @@
     int wait_for_exit();
     [[nodiscard]] bool is_running();
     [[nodiscard]] std::string log_text() const;
+    /// What it has written to standard output and no line was taken from yet.
+    [[nodiscard]] std::string output_text();
     [[nodiscard]] pid_t id() const noexcept { return m_id; }
 
 private:
