--- /dev/null
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -0,0 +1,189 @@
+// Configuration and backend servers as the store tells them, also while it is away.
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace borageford;
+using namespace borageford::test;
+using emulator::store_state;
+
+namespace {
+
+site_options plain_site(std::size_t servers, std::size_t gateways = 1) {
+    site_options options;
+    options.gateways = gateways;
+    options.configuration = plain_configuration(routing::route_kind::idempotent);
+    for (std::size_t index = 0; index < servers; ++index) {
+        options.backends.push_back(plain_backend("server-" + std::to_string(index)));
+    }
+    return options;
+}
+
+routing::routing_document with_key(routing::routing_document document, std::uint64_t version,
+                                   const std::string& key) {
+    document.version = version;
+    document.workspaces.clear();
+    document.workspaces.push_back({"archive", {key}, std::nullopt});
+    return document;
+}
+
+http::request keyed_call(const std::string& id, const std::string& key) {
+    auto call = make_call("/plain/x", id);
+    call.headers.push_back({"Authorization", "Bearer " + key});
+    return call;
+}
+
+void set_store(gateway_site& site, store_state state) {
+    site.on_emulator([&] { site.store().set_state(state); });
+}
+
+void wait_for_status(gateway_site& site, std::size_t gateway, const http::request& call, unsigned status) {
+    wait_until("status " + std::to_string(status),
+               [&] { return site.send(gateway, call).status == status; });
+}
+
+} // namespace
+
+TEST_CASE("gateway: a key that is taken away stops to work, and the former version never comes back",
+          "[gateway][configuration]") {
+    // A key leaked and was taken away. A gateway that went back to an older version, for instance from a stale
+    // read after an outage, would let the thief in again.
+    auto options = plain_site(1);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    CHECK(site.send(0, keyed_call("a", "old-key")).status == 200);
+    site.configure(with_key(base, 9, "new-key"));
+    wait_for_status(site, 0, keyed_call("b", "new-key"), 200);
+    CHECK(site.send(0, keyed_call("c", "old-key")).status == 401);
+    site.configure(with_key(base, 5, "old-key"));
+    site.configure(with_key(base, 10, "newest-key"));
+    wait_for_status(site, 0, keyed_call("d", "newest-key"), 200);
+    CHECK(site.send(0, keyed_call("e", "old-key")).status == 401);
+}
+
+TEST_CASE("gateway: a configuration that can't be read changes nothing", "[gateway][configuration]") {
+    // A faulty tool writes half a document. Serving by the last good one beats refusing everybody.
+    gateway_site site(plain_site(1));
+    site.on_emulator([&] {
+        store::transaction change;
+        change.puts.push_back({"op/config", R"({"version": 7, "routes": [{"name")"});
+        static_cast<void>(site.store().rows().transact(change));
+    });
+    for (int index = 0; index < 5; ++index) {
+        CHECK(site.send(0, make_call("/plain/x", "call-" + std::to_string(index))).status == 200);
+    }
+}
+
+TEST_CASE("gateway: history that the store has dropped is read anew", "[gateway][configuration]") {
+    // The store forgets its history, for instance to save space. A gateway that only followed changes would
+    // miss those in between for good.
+    auto options = plain_site(1);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    set_store(site, store_state::busy);
+    site.configure(with_key(base, 6, "new-key"));
+    site.on_emulator([&] { site.store().rows().forget_history(); });
+    set_store(site, store_state::well);
+    wait_for_status(site, 0, keyed_call("a", "new-key"), 200);
+}
+
+TEST_CASE("gateway: requests go on while the store is away, and its return is noticed",
+          "[gateway][configuration]") {
+    // The store is down, refuses, resets or says nothing. Callers must not notice; what was written meanwhile
+    // must be in force soon after.
+    const auto outage =
+        GENERATE(store_state::busy, store_state::many, store_state::reset, store_state::silent);
+    auto options = plain_site(1);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    set_store(site, outage);
+    for (int index = 0; index < 5; ++index) {
+        CHECK(site.send(0, keyed_call("call-" + std::to_string(index), "old-key")).status == 200);
+    }
+    site.configure(with_key(base, 6, "new-key"));
+    set_store(site, store_state::well);
+    wait_for_status(site, 0, keyed_call("after", "new-key"), 200);
+}
+
+TEST_CASE("gateway: one that never reached the store learns everything from its peer",
+          "[gateway][configuration]") {
+    // The store turns one machine away, for hours perhaps. Its callers would be refused, or served by servers
+    // that are gone, although the gateway next to it knows better.
+    gateway_site site(plain_site(2, 2));
+    site.process(1).kill();
+    set_store(site, store_state::busy);
+    site.start_gateway(1);
+    site.wait_until_ready(1);
+    CHECK(site.send(1, make_call("/plain/x", "by-peer")).status == 200);
+}
+
+TEST_CASE("gateway: a server that drains gets no new work and finishes what it has", "[gateway][membership]") {
+    // A server announces that it leaves. A request sent to it afterwards would be lost with it.
+    gateway_site site(plain_site(2));
+    site.register_backend(0, "draining");
+    site.start_backend(2, plain_backend("marker"));
+    wait_until("the change has arrived", [&] {
+        static_cast<void>(site.send(0, make_call("/plain/x", "probe")));
+        return site.runs_of("probe", 2) > 0;
+    });
+    for (int index = 0; index < 10; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        CHECK(site.runs_of(id, 0) == 0);
+    }
+}
+
+TEST_CASE("gateway: an address that serves another service now isn't taken for the former server",
+          "[gateway][membership]") {
+    // A server is gone and its address was given to a server of another service before the gateways know. A
+    // request that ran there would have run at the wrong service.
+    gateway_site site(plain_site(1));
+    site.on_emulator([&] {
+        // The registration of a server that is gone, at the address of one that lives.
+        const auto row = site.store().rows().read("servers/server-0");
+        store::transaction change;
+        change.puts.push_back({"servers/gone", row->value});
+        static_cast<void>(site.store().rows().transact(change));
+    });
+    for (int index = 0; index < 10; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        CHECK(site.runs_of(id) == 1);
+    }
+}
+
+TEST_CASE("gateway: a server that crashed costs its callers nothing while another lives",
+          "[gateway][membership]") {
+    // A crashed server refuses connections at once, so it always looks free: every request would go there.
+    gateway_site site(plain_site(2));
+    site.stop_backend(0);
+    for (int index = 0; index < 30; ++index) {
+        CHECK(site.send(0, make_call("/plain/x", "call-" + std::to_string(index))).status == 200);
+    }
+}
+
+TEST_CASE("gateway: registrations that expired with the store's outage don't empty the service",
+          "[gateway][membership]") {
+    // The store is away and counts the missing heartbeats against the servers; when it is back their rows are
+    // gone, until they register again a moment later. Refusing everybody in between would help nobody.
+    gateway_site site(plain_site(1));
+    set_store(site, store_state::reset);
+    static_cast<void>(site.send(0, make_call("/plain/x", "during")));
+    wait_until("the outage is noticed", [&] {
+        return site.process(0).output_text().find(R"("event":"store_lost")") != std::string::npos;
+    });
+    site.unregister_backend(0);
+    set_store(site, store_state::well);
+    wait_until("the missing row is noticed", [&] {
+        return site.process(0).output_text().find(R"("event":"backend_missed")") != std::string::npos;
+    });
+    CHECK(site.send(0, make_call("/plain/x", "missed")).status == 200);
+    wait_until("a server that stays away is gone",
+               [&] { return site.send(0, make_call("/plain/x", "gone")).status == 503; });
+}
--- /dev/null
+++ b/tests/failure/test_gateway_coordination.cpp
@@ -0,0 +1,137 @@
+// Several gateways that share slots, allowances and the retry budget, and lose each other.
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+/// A workspace that may use 100 tokens a second with a burst of 1,000, and calls that cost 100.
+site_options limited_site(std::size_t gateways) {
+    site_options options;
+    options.gateways = gateways;
+    options.configuration = plain_configuration(routing::route_kind::idempotent);
+    routing::workspace workspace{"archive", {"key"}, std::nullopt};
+    workspace.unit = routing::allowance_unit::tokens;
+    workspace.rate = 100;
+    workspace.burst = 1000;
+    workspace.plain_tokens = 100;
+    options.configuration.workspaces.push_back(workspace);
+    options.backends = {plain_backend("server-0"), plain_backend("server-1")};
+    return options;
+}
+
+http::request keyed_call(const std::string& id) {
+    auto call = make_call("/plain/x", id);
+    call.headers.push_back({"Authorization", "Bearer key"});
+    return call;
+}
+
+bool has_said(child_process& process, const std::string& text) {
+    return process.output_text().find(text) != std::string::npos;
+}
+
+/// Waits until one gateway coordinates and the others ask it; returns the coordinator.
+std::size_t wait_for_coordinator(gateway_site& site, std::size_t gateways) {
+    std::size_t coordinator = 0;
+    wait_until("all gateways ask one coordinator", [&] {
+        std::size_t asking = 0;
+        for (std::size_t index = 0; index < gateways; ++index) {
+            const auto text = site.process(index).output_text();
+            const auto last = text.rfind(R"("event":"slot_source_changed")");
+            const auto line = last == std::string::npos ? "" : text.substr(last, text.find('\n', last) - last);
+            asking += line.find(R"("to":"coordinator")") != std::string::npos ? 1 : 0;
+            coordinator = line.find(R"("to":"own_coordination")") != std::string::npos ? index : coordinator;
+        }
+        return asking == gateways - 1;
+    });
+    return coordinator;
+}
+
+std::size_t count_served(gateway_site& site, const std::vector<std::size_t>& gateways, int calls,
+                         const std::string& name) {
+    std::size_t served = 0;
+    for (int index = 0; index < calls; ++index) {
+        const auto gateway = gateways[static_cast<std::size_t>(index) % gateways.size()];
+        const auto id = name + std::to_string(index);
+        served += site.send(gateway, keyed_call(id)).status == 200 ? 1 : 0;
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("gateway: an allowance binds over all gateways together", "[gateway][coordination]") {
+    // A workspace sends through every gateway at once. If each counted for itself, it would get its limit as
+    // many times as there are gateways, at the expense of the others.
+    gateway_site site(limited_site(2));
+    static_cast<void>(wait_for_coordinator(site, 2));
+    const auto served = count_served(site, {0, 1}, 60, "call-");
+    // The burst of ten calls, and what comes in while sixty are sent; twice the burst would be twenty.
+    CHECK(served >= 1);
+    CHECK(served <= 16);
+}
+
+TEST_CASE("gateway: a coordinator that is killed is replaced, and allowances don't start anew",
+          "[gateway][coordination]") {
+    // The process that counts dies. With fresh, full buckets in the next one a workspace would get its burst
+    // again at every such death.
+    gateway_site site(limited_site(3));
+    const auto coordinator = wait_for_coordinator(site, 3);
+    std::vector<std::size_t> others;
+    for (std::size_t index = 0; index < 3; ++index) {
+        if (index != coordinator) {
+            others.push_back(index);
+        }
+    }
+    const auto before = count_served(site, others, 40, "before-");
+    site.process(coordinator).kill();
+    wait_until("another coordinates", [&] {
+        return has_said(site.process(others[0]), R"("to":"own_coordination")") ||
+               has_said(site.process(others[1]), R"("to":"own_coordination")");
+    });
+    const auto after = count_served(site, others, 40, "after-");
+    CHECK(before >= 1);
+    CHECK(before + after <= 24);
+}
+
+TEST_CASE("gateway: a frozen coordinator holds up its members' requests for a moment only",
+          "[gateway][coordination]") {
+    // The machine that gives out slots stands still without dying. Requests at the others wait for a grant
+    // that doesn't come; they must go on by themselves well within a usual latency target.
+    auto options = limited_site(2);
+    options.configuration.workspaces.clear();
+    gateway_site site(options);
+    const auto coordinator = wait_for_coordinator(site, 2);
+    const auto other = 1 - coordinator;
+    site.process(coordinator).freeze();
+    for (int index = 0; index < 10; ++index) {
+        CHECK(site.send(other, make_call("/plain/x", "call-" + std::to_string(index))).status == 200);
+    }
+    site.process(coordinator).thaw();
+    CHECK(site.send(coordinator, make_call("/plain/x", "thawed")).status == 200);
+    static_cast<void>(wait_for_coordinator(site, 2));
+}
+
+TEST_CASE("gateway: all killed at once serve again without anybody's help", "[gateway][coordination]") {
+    // A power cut takes every gateway; none has kept anything.
+    auto options = limited_site(3);
+    options.configuration.workspaces.clear();
+    gateway_site site(options);
+    for (std::size_t index = 0; index < 3; ++index) {
+        site.process(index).kill();
+    }
+    for (std::size_t index = 0; index < 3; ++index) {
+        site.start_gateway(index);
+    }
+    for (std::size_t index = 0; index < 3; ++index) {
+        site.wait_until_ready(index);
+        CHECK(site.send(index, make_call("/plain/x", "back-" + std::to_string(index))).status == 200);
+    }
+}
--- /dev/null
+++ b/tests/failure/test_gateway_stop.cpp
@@ -0,0 +1,107 @@
+// Signals: stopping without a cut, reloading, and a log that nobody reads.
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <string>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+site_options slow_site(std::chrono::milliseconds work) {
+    site_options options;
+    options.configuration = plain_configuration(routing::route_kind::non_idempotent);
+    options.backends = {plain_backend("server-0")};
+    options.backends.front().work = work;
+    return options;
+}
+
+std::size_t count_lines(const std::string& text, const std::string& word) {
+    std::size_t lines = 0;
+    for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) {
+        ++lines;
+    }
+    return lines;
+}
+
+} // namespace
+
+TEST_CASE("gateway: told to stop, it finishes what runs and answers what still comes", "[gateway][stop]") {
+    // A rolling restart. The balancer needs a while to notice; a kudos that was cut or refused as run could
+    // count twice or never.
+    gateway_site site(slow_site(std::chrono::milliseconds(1500)));
+    pending_call running(site.callers(0), make_call("/plain/x", "running"));
+    wait_until("the request runs", [&] { return site.runs_of("running") == 1; });
+    site.process(0).terminate();
+    wait_until("it isn't ready any more", [&] { return !site.is_ready(0); });
+    const auto late = site.send(0, make_call("/plain/x", "late"));
+    CHECK(late.status == 200);
+    CHECK(late.header("Connection") == "close");
+    const auto answer = running.wait();
+    CHECK(answer.status == 200);
+    CHECK(answer.is_whole);
+    CHECK(site.process(0).wait_for_exit() == 0);
+}
+
+TEST_CASE("gateway: SIGHUP takes new settings, and a faulty file changes nothing", "[gateway][stop]") {
+    // An operator changes the settings of a running gateway. A typing error must not end it, nor cut a request.
+    gateway_site site(slow_site(std::chrono::milliseconds(300)));
+    pending_call running(site.callers(0), make_call("/plain/x", "running"));
+    wait_until("the request runs", [&] { return site.runs_of("running") == 1; });
+    site.write_settings(0, "stop_limit = 5s\n");
+    ::kill(site.process(0).id(), SIGHUP);
+    wait_until("the settings are read", [&] {
+        return site.process(0).output_text().find("settings_reloaded") != std::string::npos;
+    });
+    site.write_settings(0, "stop_limit = soon\n");
+    ::kill(site.process(0).id(), SIGHUP);
+    wait_until("the faulty settings are refused", [&] {
+        const auto text = site.process(0).output_text();
+        return text.find("settings_refused") != std::string::npos && text.find("stop_limit") != std::string::npos;
+    });
+    CHECK(running.wait().status == 200);
+    CHECK(site.send(0, make_call("/plain/x", "after")).status == 200);
+}
+
+TEST_CASE("gateway: a log that nobody reads costs lines, not requests", "[gateway][logs]") {
+    // The collector of the logs hangs and the pipe is full. A process that waited for it would stand still
+    // with all its callers.
+    gateway_site site(slow_site(std::chrono::milliseconds(0)));
+    // A pipe holds 64 KiB; each request writes two lines of some 300 bytes, and each refusal one.
+    std::uint64_t lost = 0;
+    for (int round = 0; lost == 0 && round < 200; ++round) {
+        for (int index = 0; index < 100; ++index) {
+            static_cast<void>(site.send(0, make_call("/elsewhere", std::string(2000, 'x'))));
+        }
+        const auto text = fetch_text(site.metrics(0), "/metrics");
+        const std::string name = "\nborageford_gateway_lost_log_lines ";
+        lost = std::stoull(text.substr(text.find(name) + name.size()));
+    }
+    CHECK(lost > 0);
+    CHECK(site.send(0, make_call("/plain/x", "served")).status == 200);
+}
+
+TEST_CASE("gateway: the volume of its log is bounded while requests are refused", "[gateway][logs]") {
+    // A caller hammers a path that doesn't exist. A line for each would cost more than the refusals.
+    gateway_site site(slow_site(std::chrono::milliseconds(0)));
+    std::string many;
+    for (int index = 0; index < 3000; ++index) {
+        many += "GET /elsewhere HTTP/1.1\r\nHost: site.example\r\nRequest-Id: r\r\n";
+        many += index == 2999 ? "Connection: close\r\n\r\n" : "\r\n";
+    }
+    const auto answers = exchange_raw(site.callers(0), many, hang_guard);
+    CHECK(count_lines(answers, "HTTP/1.1 404") == 3000);
+    // Each refusal has its line, or is counted in a later one.
+    wait_until("every refusal is told or counted", [&] {
+        const auto text = site.process(0).output_text();
+        const bool tells_left_out = text.find("\"left_out\":") != std::string::npos;
+        // A line that is left out is only told with the next one, so one more request draws it out.
+        static_cast<void>(site.send(0, make_call("/elsewhere", "one more")));
+        return count_lines(text, "request_refused") == 3000 || tells_left_out;
+    });
+    CHECK(count_lines(site.process(0).output_text(), "request_refused") >= 100);
+}
