--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -112,8 +112,9 @@
 
 backend_fault emulated_backend::take_fault() noexcept {
     const auto fault = m_fault;
-    if (m_fault_count > 0 && --m_fault_count == 0) {
-        m_fault = backend_fault::none;
+    if (m_fault_count > 0) {
+        --m_fault_count;
+        m_fault = m_fault_count == 0 ? backend_fault::none : m_fault;
     }
     return fault;
 }
