--- a/src/policy/allowance_book.cpp
+++ b/src/policy/allowance_book.cpp
@@ -7,22 +7,29 @@
 
 namespace {
 
-/// Changes of process within one window that the tolerance has to cover.
+/// Changes of process within one window that the rest of the tolerance has to cover.
 constexpr double covered_changes = 3;
-/// Part of the slack by which a bucket is larger than the limit says: callers' bursts are judged when they
-/// were sent, and here they are counted when they arrive, which some network jitter compresses.
-constexpr double slack_in_bucket = 0.25;
+/// Part of the tolerance that buckets give out. A workspace's requests are counted here by the most tokens that
+/// they may take, when they arrive; judged by the bare limit, callers who keep it would be refused at each
+/// burst. The rest is for what a coordinator doesn't know of its predecessor.
+constexpr double used_tolerance = 0.5;
 
 } // namespace
 
+double allowance_book::shared_rate(const allowance& limit) const {
+    return limit.rate * (1 + m_limits.tolerance * used_tolerance) * m_share;
+}
+
 double allowance_book::shared_burst(const allowance& limit) const {
-    return limit.burst * m_share + m_limits.slack * slack_in_bucket;
+    return limit.burst * (1 + m_limits.tolerance * used_tolerance) * m_share +
+           m_limits.slack * used_tolerance * m_share;
 }
 
 double allowance_book::first_level(const allowance& limit) const {
     const double window = to_seconds(m_limits.window);
     const double tolerated = m_limits.tolerance * (limit.rate * window + limit.burst) + m_limits.slack;
-    return std::min(shared_burst(limit), tolerated / covered_changes);
+    const double unused = tolerated * (1 - used_tolerance);
+    return std::min(shared_burst(limit), unused / covered_changes);
 }
 
 void allowance_book::set_share(double share, time_point now) {
@@ -31,7 +38,7 @@
     }
     m_share = share;
     for (auto& [workspace, held] : m_entries) {
-        held.bucket.set_rate(held.limit.rate * share, shared_burst(held.limit), now);
+        held.bucket.set_rate(shared_rate(held.limit), shared_burst(held.limit), now);
     }
 }
 
@@ -39,10 +46,10 @@
     const auto found = m_entries.find(workspace);
     if (found != m_entries.end()) {
         found->second.limit = limit;
-        found->second.bucket.set_rate(limit.rate * m_share, shared_burst(limit), now);
+        found->second.bucket.set_rate(shared_rate(limit), shared_burst(limit), now);
         return;
     }
-    token_bucket bucket(limit.rate * m_share, shared_burst(limit), now);
+    token_bucket bucket(shared_rate(limit), shared_burst(limit), now);
     bucket.charge(shared_burst(limit) - first_level(limit), now);
     m_entries.emplace(workspace, entry{limit, bucket});
 }
--- a/src/policy/allowance_book.hpp
+++ b/src/policy/allowance_book.hpp
@@ -50,6 +50,7 @@
     };
 
     [[nodiscard]] double first_level(const allowance& limit) const;
+    [[nodiscard]] double shared_rate(const allowance& limit) const;
     [[nodiscard]] double shared_burst(const allowance& limit) const;
 
     allowance_limits m_limits;
