Tell refused callers when to come back by the age of the overload; know them when they do

They are told as long as the overload has lasted, spread; the coordinator knows a request that comes back by caller, target and body and keeps it for longer; what can't be in time behind those before it is refused on arrival. The coordinator alone gives up; gateways no longer time their own patience.

--- a/measure/policy/policy_trials.cpp
+++ b/measure/policy/policy_trials.cpp
@@ -77,6 +77,8 @@
             sum[index].in_time += result.classes[index].in_time;
             sum[index].late += result.classes[index].late;
             sum[index].refused += result.classes[index].refused;
+            sum[index].refused_again += result.classes[index].refused_again;
+            sum[index].mean_refusal_ms += result.classes[index].mean_refusal_ms / seeds;
             sum[index].lost += result.classes[index].lost;
             sum[index].worth += result.classes[index].worth / seeds;
             sum[index].mean_first_ms += result.classes[index].mean_first_ms / seeds;
@@ -85,9 +87,10 @@
     std::printf("%-28s %.3f |", name.c_str(), worth);
     for (const auto& of : sum) {
         const double asked = static_cast<double>(of.asked) / 100;
-        std::printf(" %.3f (in time %2.0f late %2.0f refused %2.0f lost %2.0f, first %3.0f ms) |", of.worth,
-                    of.in_time / asked, of.late / asked, of.refused / asked, of.lost / asked,
-                    of.mean_first_ms);
+        std::printf(" %.3f (in time %2.0f late %2.0f refused %2.0f again %2.0f lost %2.0f, first %3.0f, "
+                    "refusal %4.0f ms) |",
+                    of.worth, of.in_time / asked, of.late / asked, of.refused / asked,
+                    of.refused_again / asked, of.lost / asked, of.mean_first_ms, of.mean_refusal_ms);
     }
     std::printf("\n");
 }
@@ -105,6 +108,10 @@
             limits.reserved_slots = static_cast<unsigned>(value);
         if (name == "patience")
             limits.patience = value;
+        if (name == "hopeless")
+            limits.hopeless_wait = value;
+        if (name == "returned")
+            limits.patience_of_returned = value;
     }
     const std::vector<engine_outage> crash{{1, 10500ms, 2s}, {4, 10500ms, 2s}, {9, 10500ms, 2s}};
     show("tinta 1.0", tinta, 1.0, limits, {});
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -67,7 +67,9 @@
         return;
     }
     m_requests[ask.ticket] = {member, ask.workspace, units, ask.fingerprint, false};
-    m_scheduler.add(ask);
+    auto known = ask;
+    known.returns = m_returns.refusals(ask.fingerprint, now);
+    m_scheduler.add(known, now);
 }
 
 void slot_coordinator::take_withdrawal(policy::slot_ticket ticket, policy::time_point now) {
@@ -126,11 +128,13 @@
     for (const auto& grant : m_scheduler.grant(now)) {
         auto& request = m_requests.at(grant.ticket);
         request.is_running = true;
+        m_returns.forget(request.fingerprint);
         m_output[request.member].grants.push_back(grant);
     }
     for (const auto& refusal : m_scheduler.take_refusals()) {
         const auto found = m_requests.find(refusal.ticket);
         m_allowances.give_back(found->second.workspace, found->second.charged_units, now);
+        m_returns.note_refused(found->second.fingerprint, now);
         m_output[found->second.member].refusals.push_back(refusal);
         m_requests.erase(found);
     }
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -7,6 +7,7 @@
 #include "policy/coordinator_election.hpp"
 #include "policy/crash_suspects.hpp"
 #include "policy/repeat_budget.hpp"
+#include "policy/return_memory.hpp"
 #include "policy/slot_scheduler.hpp"
 
 #include <map>
@@ -54,6 +55,7 @@
     policy::allowance_book m_allowances;
     policy::repeat_budget m_repeats;
     policy::crash_suspects m_suspects;
+    policy::return_memory m_returns;
     std::unordered_map<policy::slot_ticket, known_request> m_requests;
     std::map<policy::member_key, batch_items> m_output;
 };
--- a/src/emulator/policy_trial.cpp
+++ b/src/emulator/policy_trial.cpp
@@ -116,7 +116,7 @@
         request.ticket = wanted.ticket;
         request.is_waiting = true;
         m_by_ticket[wanted.ticket] = index;
-        m_scheduler.add(wanted);
+        m_scheduler.add(wanted, m_now);
         m_live.push_back(index);
     }
 
@@ -179,7 +179,11 @@
         auto& request = m_requests[index];
         request.is_waiting = false;
         const auto& of = class_of(request);
-        const auto back = m_now + retry_after;
+        const auto left = request.first_sent + of.deadline - m_now;
+        const auto back = m_now + std::min(retry_after, left / 3);
+        if (request.refusals > 0) {
+            ++m_result.classes[request.offered.request_class].refused_again;
+        }
         if (request.refusals++ < m_options.caller_retries && back < request.first_sent + of.deadline) {
             m_arrivals.push({back, index});
             return;
--- a/src/emulator/policy_trial.hpp
+++ b/src/emulator/policy_trial.hpp
@@ -37,8 +37,9 @@
     std::uint64_t in_time = 0;
     std::uint64_t late = 0; ///< whole, but a target was missed
     std::uint64_t refused = 0;
-    std::uint64_t lost = 0; ///< broken off, or without an answer at the deadline
-    double worth = 0;       ///< earned, as a share of what was asked
+    std::uint64_t refused_again = 0; ///< refusals of callers that had come back
+    std::uint64_t lost = 0;          ///< broken off, or without an answer at the deadline
+    double worth = 0;                ///< earned, as a share of what was asked
     double mean_first_ms = 0;
     double mean_refusal_ms = 0; ///< how long those that were refused waited
 };
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -41,6 +41,8 @@
     slots.outstanding_per_slot = reader.real("outstanding_per_slot", slots.outstanding_per_slot, 0.1, 100);
     slots.reserved_slots =
         static_cast<unsigned>(reader.number("reserved_slots", slots.reserved_slots, 0, 1000));
+    slots.patience_of_returned = reader.real("patience_of_returned", slots.patience_of_returned, 0.1, 100);
+    slots.hopeless_wait = reader.real("hopeless_wait", slots.hopeless_wait, 0.1, 100);
     slots.patience = reader.real("patience", slots.patience, 0.1, 100);
 }
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -89,24 +89,10 @@
     return wanted;
 }
 
-request_exchange::clock::duration request_exchange::patience() const {
-    const auto whole = std::chrono::duration_cast<clock::duration>(m_admitted.route->latency_target *
-                                                                   m_context.settings.slots.patience);
-    const auto left = std::max<clock::duration>(m_admitted.arrived + whole - clock::now(), milliseconds(1));
-    // A request that a server has failed has used up its time through no fault of its caller's.
-    return m_attempts.tries() == 0 ? left : std::max<clock::duration>(left, m_admitted.route->latency_target);
-}
-
 void request_exchange::ask_for_slot() {
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_waits_for_slot = true;
-    const std::weak_ptr<request_exchange> weak = weak_from_this();
-    m_patience_timer = m_context.timers.after(m_context.executor, patience(), [weak] {
-        if (const auto self = weak.lock()) {
-            self->give_up();
-        }
-    });
     const auto self = shared_from_this();
     m_context.slots.request(wanted, {[self](const policy::slot_grant& grant) { self->take_grant(grant); },
                                      [self](const policy::slot_refusal& refusal) {
@@ -116,7 +102,6 @@
 
 void request_exchange::take_grant(const policy::slot_grant& grant) {
     m_waits_for_slot = false;
-    m_patience_timer.cancel();
     m_slot = grant.server;
     m_slot_begin = clock::now();
     m_first_event = {};
@@ -136,7 +121,6 @@
 
 void request_exchange::take_refusal(const policy::slot_refusal& refusal) {
     m_waits_for_slot = false;
-    m_patience_timer.cancel();
     const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
     switch (refusal.reason) {
     case policy::refusal_reason::over_allowance:
@@ -152,12 +136,6 @@
     end_unserved(error_kind::overloaded, to_string(refusal.reason), wait);
 }
 
-void request_exchange::give_up() {
-    if (m_waits_for_slot) {
-        end_unserved(error_kind::overloaded, "no slot in time", spread_retry(m_admitted.fingerprint));
-    }
-}
-
 void request_exchange::leave_slot(policy::slot_outcome outcome) {
     if (m_waits_for_slot) {
         m_context.slots.withdraw(m_ticket);
@@ -402,7 +380,6 @@
 void request_exchange::end() {
     m_is_over = true;
     m_deadline_timer.cancel();
-    m_patience_timer.cancel();
     leave_slot(policy::slot_outcome::abandoned);
     m_call.reset();
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -47,10 +47,8 @@
     // The slot.
     void ask_for_slot();
     [[nodiscard]] policy::slot_request make_slot_request() const;
-    [[nodiscard]] clock::duration patience() const;
     void take_grant(const policy::slot_grant& grant);
     void take_refusal(const policy::slot_refusal& refusal);
-    void give_up();
     void leave_slot(policy::slot_outcome outcome);
 
     // The call to a backend server.
@@ -96,7 +94,6 @@
     bool m_has_begun_answer = false; ///< the caller has the head of a stream
     bool m_is_over = false;
     timer_subscription m_deadline_timer;
-    timer_subscription m_patience_timer;
 };
 
 } // namespace borageford::gateway
--- /dev/null
+++ b/src/policy/flow_meter.cpp
@@ -0,0 +1,31 @@
+// An exponentially decaying count.
+#include "policy/flow_meter.hpp"
+
+#include <cmath>
+
+namespace borageford::policy {
+
+namespace {
+
+/// Bursts begin and end within about a second.
+constexpr double memory_seconds = 1;
+
+} // namespace
+
+double flow_meter::decayed(time_point now) const noexcept {
+    if (m_updated == time_point::min()) {
+        return 0;
+    }
+    return m_level * std::exp(-to_seconds(now - m_updated) / memory_seconds);
+}
+
+void flow_meter::count(time_point now) noexcept {
+    m_level = decayed(now) + 1;
+    m_updated = now;
+}
+
+double flow_meter::per_second(time_point now) const noexcept {
+    return decayed(now) / memory_seconds;
+}
+
+} // namespace borageford::policy
--- /dev/null
+++ b/src/policy/return_memory.cpp
@@ -0,0 +1,43 @@
+// A map, and the order in which its entries are forgotten.
+#include "policy/return_memory.hpp"
+
+#include <chrono>
+
+namespace borageford::policy {
+
+namespace {
+
+/// Callers are told to come back within five seconds at most, and have some time to do so.
+constexpr std::chrono::seconds lifetime{10};
+constexpr std::size_t most_entries = 20000;
+
+} // namespace
+
+void return_memory::forget_old(time_point now) {
+    while (!m_order.empty() && (now - m_order.front().at > lifetime || m_order.size() > most_entries)) {
+        const auto found = m_refusals.find(m_order.front().fingerprint);
+        if (found != m_refusals.end() && found->second.last == m_order.front().at) {
+            m_refusals.erase(found);
+        }
+        m_order.pop_front();
+    }
+}
+
+void return_memory::note_refused(std::uint64_t fingerprint, time_point now) {
+    if (fingerprint == 0) {
+        return;
+    }
+    auto& entry = m_refusals[fingerprint];
+    ++entry.refusals;
+    entry.last = now;
+    m_order.push_back({fingerprint, now});
+    forget_old(now);
+}
+
+unsigned return_memory::refusals(std::uint64_t fingerprint, time_point now) {
+    forget_old(now);
+    const auto found = m_refusals.find(fingerprint);
+    return fingerprint == 0 || found == m_refusals.end() ? 0 : found->second.refusals;
+}
+
+} // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -1,6 +1,8 @@
 // Tiers in order; within one, what can still be in time goes first.
 #include "policy/slot_scheduler.hpp"
 
+#include "policy/random_sequence.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -12,6 +14,12 @@
 /// Part of its target that a request waits for a server that is fast enough for it.
 constexpr double wait_for_fast_server = 0.4;
 
+/// Shorter queues say little about the wait in them.
+constexpr std::size_t least_hopeless_queue = 8;
+/// A tier that got nothing lately may get something soon.
+constexpr double least_grant_rate = 2;
+constexpr std::size_t draw_steps = 1000;
+
 bool has_failed(const slot_request& request, server_key server) {
     return std::ranges::find(request.avoided, server) != request.avoided.end();
 }
@@ -40,10 +48,47 @@
     }
 }
 
-void slot_scheduler::add(const slot_request& request) {
+duration slot_scheduler::patience_of(const slot_request& request) const {
+    const double times = request.returns > 0 ? m_limits.patience_of_returned : m_limits.patience;
+    return from_seconds(to_seconds(request.target) * times);
+}
+
+/// Whether so many that can be in time wait before it that it can't be. Told at once, its caller can use its
+/// time; told later, it would hear the same.
+bool slot_scheduler::is_hopeless(const tier_state& tier, const slot_request& request, time_point now) const {
+    if (request.returns > 0 || tier.queue.size() < least_hopeless_queue) {
+        return false;
+    }
+    std::size_t before = 0;
+    for (auto waiting = tier.queue.rbegin(); waiting != tier.queue.rend(); ++waiting) {
+        const auto& other = waiting->second;
+        if (now - other.arrived > other.target) {
+            break;
+        }
+        before += other.returns == 0 ? 1 : 0;
+    }
+    const double rate = std::max(tier.grants.per_second(now), least_grant_rate);
+    return static_cast<double>(before) / rate > to_seconds(request.target) * m_limits.hopeless_wait;
+}
+
+void slot_scheduler::refuse(tier_state& tier, const slot_request& request, time_point now) {
+    tier.overload.note_refusal(now);
+    // The ticket's lowest bits are as good as random, and the same at every replay.
+    const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
+    const auto wait = tier.overload.retry_after(request.deadline - now, draw, now);
+    m_refusals.push_back({request.ticket, refusal_reason::overloaded, wait});
+}
+
+void slot_scheduler::add(const slot_request& request, time_point now) {
+    auto& tier = m_queues[request.service][request.tier];
+    if (is_hopeless(tier, request, now)) {
+        refuse(tier, request, now);
+        return;
+    }
     const queue_place place{request.arrived, request.ticket};
-    m_queues[request.service][request.tier].emplace(place, request);
+    tier.queue.emplace(place, request);
     m_waiting[request.ticket] = {request.service, request.tier, place};
+    m_give_up.emplace(request.arrived + patience_of(request), request.ticket);
 }
 
 bool slot_scheduler::withdraw(slot_ticket ticket) {
@@ -51,7 +96,7 @@
     if (found == m_waiting.end()) {
         return false;
     }
-    m_queues[found->second.service][found->second.tier].erase(found->second.place);
+    m_queues[found->second.service][found->second.tier].queue.erase(found->second.place);
     m_waiting.erase(found);
     return true;
 }
@@ -132,7 +177,8 @@
 /// for a fast server isn't, for a while: under lasting load the fast ones may never be free for it.
 slot_scheduler::punctuality slot_scheduler::judge(const slot_request& request, time_point now) const {
     const auto left = request.arrived + request.target - now;
-    if (now - request.arrived > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
+    if (request.returns > 0 ||
+        now - request.arrived > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
         return punctuality::late;
     }
     const bool can_be_in_time = std::ranges::any_of(m_servers, [&](const auto& entry) {
@@ -171,7 +217,7 @@
     return best;
 }
 
-void slot_scheduler::start(tier_queue& queue, tier_queue::iterator waiting, server_key server, time_point now,
+void slot_scheduler::start(tier_state& tier, tier_queue::iterator waiting, server_key server, time_point now,
                            std::vector<slot_grant>& grants) {
     const auto& request = waiting->second;
     auto& state = m_servers[server];
@@ -180,14 +226,15 @@
     state.last_grant = ++m_grants;
     state.reads_until =
         std::max(state.reads_until, now) + state.first_event.expect_reading(request.cost.prompt);
+    tier.grants.count(now);
     grants.push_back({request.ticket, server});
     m_waiting.erase(request.ticket);
-    queue.erase(waiting);
+    tier.queue.erase(waiting);
 }
 
-void slot_scheduler::grant_tier(tier_queue& queue, bool is_lowest, punctuality wanted, time_point now,
+void slot_scheduler::grant_tier(tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
                                 std::vector<slot_grant>& grants) {
-    for (auto waiting = queue.begin(); waiting != queue.end();) {
+    for (auto waiting = tier.queue.begin(); waiting != tier.queue.end();) {
         const auto next = std::next(waiting);
         const auto& request = waiting->second;
         if (!has_room(request.service, is_lowest, now)) {
@@ -195,27 +242,24 @@
         }
         const auto server = judge(request, now) == wanted ? choose(request, is_lowest, wanted, now) : 0;
         if (server != 0) {
-            start(queue, waiting, server, now, grants);
+            start(tier, waiting, server, now, grants);
         }
         waiting = next;
     }
 }
 
 void slot_scheduler::give_up_late(time_point now) {
-    for (auto& [service, tiers] : m_queues) {
-        for (auto& [tier, queue] : tiers) {
-            while (!queue.empty()) {
-                const auto& request = queue.begin()->second;
-                const auto patience = from_seconds(to_seconds(request.target) * m_limits.patience);
-                if (now - request.arrived < patience) {
-                    break;
-                }
-                const auto spread = std::chrono::milliseconds(300 + request.ticket * 7919 % 700);
-                m_refusals.push_back({request.ticket, refusal_reason::overloaded, spread});
-                m_waiting.erase(request.ticket);
-                queue.erase(queue.begin());
-            }
+    while (!m_give_up.empty() && m_give_up.begin()->first <= now) {
+        const auto found = m_waiting.find(m_give_up.begin()->second);
+        m_give_up.erase(m_give_up.begin());
+        if (found == m_waiting.end()) {
+            continue;
         }
+        auto& tier = m_queues[found->second.service][found->second.tier];
+        const auto waiting = tier.queue.find(found->second.place);
+        refuse(tier, waiting->second, now);
+        tier.queue.erase(waiting);
+        m_waiting.erase(found);
     }
 }
 
@@ -227,10 +271,10 @@
     std::vector<slot_grant> grants;
     give_up_late(now);
     for (auto& [service, tiers] : m_queues) {
-        for (auto& [tier, queue] : tiers) {
-            const bool is_lowest = tiers.size() > 1 && tier == tiers.rbegin()->first;
-            grant_tier(queue, is_lowest, punctuality::in_time, now, grants);
-            grant_tier(queue, is_lowest, punctuality::late, now, grants);
+        for (auto& [rank, tier] : tiers) {
+            const bool is_lowest = tiers.size() > 1 && rank == tiers.rbegin()->first;
+            grant_tier(tier, is_lowest, punctuality::in_time, now, grants);
+            grant_tier(tier, is_lowest, punctuality::late, now, grants);
         }
     }
     return grants;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "policy/first_event_model.hpp"
+#include "policy/flow_meter.hpp"
+#include "policy/overload_watch.hpp"
 #include "policy/server_health.hpp"
 #include "policy/slot_request.hpp"
 
@@ -22,6 +24,11 @@
     unsigned reserved_slots = 2;
     /// A request is refused after it has waited for so many times its latency target.
     double patience = 1.5;
+    /// One whose caller was refused before and came back is late in any case. It is refused again only after
+    /// it has waited for so many times its target. Held for longer, callers of streams give up by themselves.
+    double patience_of_returned = 2;
+    /// A request is refused on arrival when those before it would take so many times its target.
+    double hopeless_wait = 1.2;
     /// Share of all slots that this process may give out; less than 1 where others give out the rest.
     double share = 1;
 };
@@ -38,7 +45,8 @@
     /// No more grants for it; what it works on goes on.
     void remove_server(server_key server);
 
-    void add(const slot_request& request);
+    /// May refuse it at once; see take_refusals().
+    void add(const slot_request& request, time_point now);
     /// False when it doesn't wait.
     bool withdraw(slot_ticket ticket);
     /// A request that occupies a slot already.
@@ -84,7 +92,12 @@
         auto operator<=>(const queue_place&) const = default;
     };
     using tier_queue = std::map<queue_place, slot_request>;
-    using service_queue = std::map<int, tier_queue>;
+    struct tier_state {
+        tier_queue queue;
+        flow_meter grants;
+        overload_watch overload;
+    };
+    using service_queue = std::map<int, tier_state>;
     struct waiting_place {
         service_key service = 0;
         int tier = 0;
@@ -105,10 +118,13 @@
                                     time_point now) const;
     [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
     [[nodiscard]] bool has_room(service_key service, bool is_lowest, time_point now) const;
-    void start(tier_queue& queue, tier_queue::iterator waiting, server_key server, time_point now,
+    void start(tier_state& tier, tier_queue::iterator waiting, server_key server, time_point now,
                std::vector<slot_grant>& grants);
-    void grant_tier(tier_queue& queue, bool is_lowest, punctuality wanted, time_point now,
+    void grant_tier(tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
                     std::vector<slot_grant>& grants);
+    [[nodiscard]] duration patience_of(const slot_request& request) const;
+    [[nodiscard]] bool is_hopeless(const tier_state& tier, const slot_request& request, time_point now) const;
+    void refuse(tier_state& tier, const slot_request& request, time_point now);
     void give_up_late(time_point now);
     void drop_unused(server_key server);
     void record_outcome(server_key server, slot_outcome outcome, time_point now);
@@ -117,6 +133,8 @@
     std::unordered_map<server_key, server_state> m_servers;
     std::unordered_map<service_key, service_queue> m_queues;
     std::unordered_map<slot_ticket, waiting_place> m_waiting;
+    /// When each waiting request is given up; tickets that don't wait any more are passed over.
+    std::multimap<time_point, slot_ticket> m_give_up;
     std::unordered_map<slot_ticket, running_request> m_running;
     std::vector<health_change> m_health_changes;
     std::uint64_t m_grants = 0;
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -2,8 +2,10 @@
 #include "policy/allowance_book.hpp"
 #include "policy/attempt_rule.hpp"
 #include "policy/crash_suspects.hpp"
+#include "policy/overload_watch.hpp"
 #include "policy/registration_watch.hpp"
 #include "policy/repeat_budget.hpp"
+#include "policy/return_memory.hpp"
 #include "policy/server_health.hpp"
 
 #include <catch2/catch.hpp>
@@ -188,3 +190,40 @@
     }
     CHECK_FALSE(suspects.held_for(42, start_time + 10s));
 }
+
+TEST_CASE("callers are told to come back after as long as the overload has lasted",
+          "[policy][overload_watch]") {
+    // A burst of unknown length. Told to come back in half a second, callers press in again and again; told
+    // to come back in five, they wait for nothing after a short one.
+    overload_watch watch;
+    watch.note_refusal(start_time);
+    const auto early = watch.retry_after(15s, 0.5, start_time);
+    for (int step = 1; step <= 30; ++step) {
+        watch.note_refusal(start_time + step * 100ms);
+    }
+    const auto later = watch.retry_after(15s, 0.5, start_time + 3s);
+    CHECK(early < 500ms);
+    CHECK(later == 3s);
+    CHECK(watch.retry_after(15s, 0.0, start_time + 3s) < later);
+    CHECK(watch.retry_after(15s, 0.99, start_time + 3s) > later);
+    // Not so late that the caller has no time left for its answer.
+    CHECK(watch.retry_after(3s, 0.5, start_time + 3s) <= 1s);
+    // A new burst begins anew.
+    watch.note_refusal(start_time + 10s);
+    CHECK(watch.retry_after(15s, 0.5, start_time + 10s) < 500ms);
+}
+
+TEST_CASE("a request that comes back is known until it is served or long ago", "[policy][return_memory]") {
+    return_memory memory;
+    memory.note_refused(7, start_time);
+    CHECK(memory.refusals(7, start_time + 2s) == 1);
+    memory.note_refused(7, start_time + 2s);
+    CHECK(memory.refusals(7, start_time + 3s) == 2);
+    CHECK(memory.refusals(8, start_time) == 0);
+    memory.forget(7);
+    CHECK(memory.refusals(7, start_time + 3s) == 0);
+    memory.note_refused(9, start_time + 3s);
+    CHECK(memory.refusals(9, start_time + 30s) == 0);
+    memory.note_refused(0, start_time);
+    CHECK(memory.refusals(0, start_time) == 0);
+}
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -40,24 +40,24 @@
 
 TEST_CASE("no server gets more than its slots and the lookahead", "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(2, 4, {.outstanding_per_slot = 1.25, .reserved_slots = 0});
-    for (slot_ticket ticket = 1; ticket <= 20; ++ticket) {
-        scheduler.add(make_request(ticket, 0));
+    for (slot_ticket ticket = 1; ticket <= 16; ++ticket) {
+        scheduler.add(make_request(ticket, 0), start_time);
+        scheduler.add(make_request(100 + ticket, 1), start_time);
     }
     const auto grants = scheduler.grant(start_time);
     CHECK(grants.size() == 10);
-    CHECK(scheduler.waiting() == 10);
     scheduler.release(release_of(grants.front()), start_time);
     CHECK(scheduler.grant(start_time).size() == 1);
 }
 
 TEST_CASE("a higher tier goes first, however long a lower one has waited", "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(1, 1, {.outstanding_per_slot = 1, .reserved_slots = 0});
-    scheduler.add(make_request(1, 0));
+    scheduler.add(make_request(1, 0), start_time);
     const auto first = scheduler.grant(start_time);
     REQUIRE(first.size() == 1);
-    scheduler.add(make_request(2, 2));
-    scheduler.add(make_request(3, 1));
-    scheduler.add(make_request(4, 0));
+    scheduler.add(make_request(2, 2), start_time);
+    scheduler.add(make_request(3, 1), start_time);
+    scheduler.add(make_request(4, 0), start_time);
     std::vector<slot_ticket> order;
     auto last = first.front();
     for (int round = 0; round < 3; ++round) {
@@ -72,17 +72,37 @@
 
 TEST_CASE("requests that were withdrawn are never granted", "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(1, 2, {});
-    scheduler.add(make_request(1, 0));
+    scheduler.add(make_request(1, 0), start_time);
     CHECK(scheduler.withdraw(1));
     CHECK_FALSE(scheduler.withdraw(1));
     CHECK(scheduler.grant(start_time).empty());
 }
 
+TEST_CASE("what can't be served in time is refused at once, what comes back is not",
+          "[policy][slot_scheduler]") {
+    // A burst has filled the queue for seconds. Held until its patience is over, a request hears the same as
+    // at once, and its caller has lost that time; one that was refused before and came back has waited
+    // already.
+    auto scheduler = make_scheduler(1, 1, {.outstanding_per_slot = 1, .reserved_slots = 0});
+    for (slot_ticket ticket = 1; ticket <= 20; ++ticket) {
+        scheduler.add(make_request(ticket, 0), start_time);
+    }
+    static_cast<void>(scheduler.grant(start_time));
+    const auto refused = scheduler.take_refusals();
+    CHECK(refused.size() > 5);
+    CHECK(refused.front().retry_after >= 100ms);
+    auto back = make_request(100, 0);
+    back.returns = 1;
+    scheduler.add(back, start_time);
+    CHECK(scheduler.take_refusals().empty());
+    CHECK(scheduler.withdraw(100));
+}
+
 TEST_CASE("a server that left gets nothing new, and its requests leave no trace",
           "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(2, 2, {.outstanding_per_slot = 1, .reserved_slots = 0});
     for (slot_ticket ticket = 1; ticket <= 4; ++ticket) {
-        scheduler.add(make_request(ticket, 0));
+        scheduler.add(make_request(ticket, 0), start_time);
     }
     const auto grants = scheduler.grant(start_time);
     REQUIRE(grants.size() == 4);
@@ -91,7 +111,7 @@
         scheduler.release(release_of(grant), start_time);
     }
     for (slot_ticket ticket = 11; ticket <= 14; ++ticket) {
-        scheduler.add(make_request(ticket, 0));
+        scheduler.add(make_request(ticket, 0), start_time);
     }
     for (const auto& grant : scheduler.grant(start_time)) {
         CHECK(grant.server == 2);
@@ -108,7 +128,7 @@
         const auto now = start_time + round * 10ms;
         auto request = make_request(++ticket, 0);
         request.arrived = now;
-        scheduler.add(request);
+        scheduler.add(request, start_time);
         for (const auto& grant : scheduler.grant(now)) {
             const bool is_crashed = grant.server == 1;
             failed += is_crashed ? 1 : 0;
@@ -124,13 +144,13 @@
     auto scheduler = make_scheduler(2, 4, {});
     auto request = make_request(1, 0);
     request.avoided = {1, 0};
-    scheduler.add(request);
+    scheduler.add(request, start_time);
     const auto first = scheduler.grant(start_time);
     REQUIRE(first.size() == 1);
     CHECK(first.front().server == 2);
     auto failed_everywhere = make_request(2, 0);
     failed_everywhere.avoided = {1, 2};
-    scheduler.add(failed_everywhere);
+    scheduler.add(failed_everywhere, start_time);
     CHECK(scheduler.grant(start_time).size() == 1);
 }
 
@@ -138,7 +158,7 @@
     auto scheduler = make_scheduler(3, 4, {});
     std::set<server_key> used;
     for (slot_ticket ticket = 1; ticket <= 3; ++ticket) {
-        scheduler.add(make_request(ticket, 0));
+        scheduler.add(make_request(ticket, 0), start_time);
         const auto grants = scheduler.grant(start_time);
         REQUIRE(grants.size() == 1);
         used.insert(grants.front().server);
@@ -161,7 +181,7 @@
             auto request = make_request(++ticket, 0);
             request.arrived = now;
             request.cost.prompt = prompt;
-            scheduler.add(request);
+            scheduler.add(request, start_time);
         }
         for (const auto& grant : scheduler.grant(now)) {
             const double ms_per_token = grant.server == 1 ? 0.01 : 0.05;
@@ -173,14 +193,14 @@
     auto holder = make_request(++ticket, 0);
     holder.arrived = now;
     holder.cost.prompt = 3000;
-    scheduler.add(holder);
+    scheduler.add(holder, start_time);
     const auto held = scheduler.grant(now);
     REQUIRE(held.size() == 1);
     REQUIRE(held.front().server == 1);
     auto chapter = make_request(++ticket, 0);
     chapter.arrived = now;
     chapter.cost.prompt = 20000;
-    scheduler.add(chapter);
+    scheduler.add(chapter, start_time);
     CHECK(scheduler.grant(now + 10ms).empty());
     scheduler.release(release_of(held.front()), now + 20ms);
     const auto granted = scheduler.grant(now + 20ms);
@@ -195,8 +215,8 @@
     auto late = make_request(1, 0);
     late.arrived = start_time - 2s;
     auto fresh = make_request(2, 0);
-    scheduler.add(late);
-    scheduler.add(fresh);
+    scheduler.add(late, start_time);
+    scheduler.add(fresh, start_time);
     const auto first = scheduler.grant(start_time);
     REQUIRE(first.size() == 1);
     CHECK(first.front().ticket == 2);
@@ -209,9 +229,9 @@
 TEST_CASE("a request that has waited too long is given up and told when to come back",
           "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(1, 1, {.outstanding_per_slot = 1, .reserved_slots = 0, .patience = 1.5});
-    scheduler.add(make_request(1, 0));
+    scheduler.add(make_request(1, 0), start_time);
     REQUIRE(scheduler.grant(start_time).size() == 1);
-    scheduler.add(make_request(2, 0));
+    scheduler.add(make_request(2, 0), start_time);
     CHECK(scheduler.grant(start_time + 700ms).empty());
     CHECK(scheduler.take_refusals().empty());
     CHECK(scheduler.grant(start_time + 750ms).empty());
