--- a/measure/policy/policy_trials.cpp
+++ b/measure/policy/policy_trials.cpp
@@ -62,7 +62,8 @@
 }
 
 void show(const std::string& name, trial_options (*make)(double, std::uint64_t), double scale,
-          const policy::slot_scheduler_limits& limits, const std::vector<engine_outage>& outages) {
+          const policy::slot_scheduler_limits& limits, const std::vector<engine_outage>& outages,
+          slot_layout layout = slot_layout::one_coordinator, std::size_t gateways = 4) {
     constexpr std::uint64_t seeds = 4;
     double worth = 0;
     std::vector<class_result> sum(3);
@@ -70,6 +71,8 @@
         auto options = make(scale, seed);
         options.limits = limits;
         options.outages = outages;
+        options.layout = layout;
+        options.gateways = gateways;
         const auto result = play(options);
         worth += result.worth / seeds;
         for (std::size_t index = 0; index < sum.size(); ++index) {
@@ -119,4 +122,17 @@
     show("tinta 1.3", tinta, 1.3, limits, {});
     show("haian 1.0", haian, 1.0, limits, {});
     show("haian 1.3", haian, 1.3, limits, {});
+
+    const std::vector<std::pair<std::string, slot_layout>> layouts{
+        {"one coordinator", slot_layout::one_coordinator},
+        {"divided", slot_layout::divided},
+        {"told after 50 ms", slot_layout::told},
+        {"owned", slot_layout::owned},
+        {"offered to two", slot_layout::offered}};
+    for (const auto& [name, layout] : layouts) {
+        show("tinta, " + name, tinta, 1.0, limits, {}, layout);
+        show("haian, " + name, haian, 1.0, limits, {}, layout);
+    }
+    show("tinta, divided by 12", tinta, 1.0, limits, {}, slot_layout::divided, 12);
+    show("tinta, told, 12 gateways", tinta, 1.0, limits, {}, slot_layout::told, 12);
 }
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -387,6 +387,10 @@
 }
 
 void slot_broker::choose_source(policy::time_point now) {
+    if (!m_settings.coordinates) {
+        update_shares(now);
+        return;
+    }
     const auto choice = m_election.choose(now);
     using role = policy::coordinator_election::role;
     if (choice.who == role::self) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -27,6 +27,7 @@
 struct broker_settings {
     boost::asio::ip::udp::endpoint local; ///< all members use the same port
     double processor_share = 1;
+    bool coordinates = true; ///< else this process always uses its own part
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::allowance_limits allowances;
--- a/src/emulator/policy_trial.cpp
+++ b/src/emulator/policy_trial.cpp
@@ -1,6 +1,8 @@
 // One slice of time after the other: arrivals, decisions, engines, callers.
 #include "emulator/policy_trial.hpp"
 
+#include "emulator/slot_deciders.hpp"
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -12,7 +14,6 @@
 
 namespace {
 
-constexpr policy::service_key engines_service = 1;
 /// Time after the last arrival in which what is left comes to its end.
 constexpr std::chrono::seconds drain_time{16};
 constexpr double ms_per_second = 1000;
@@ -35,10 +36,9 @@
 class trial {
 public:
     explicit trial(const trial_options& options)
-        : m_options(options), m_scheduler(options.limits), m_start(time_point{} + std::chrono::hours(1)) {
-        for (std::size_t index = 0; index < options.engines.size(); ++index) {
-            m_engines.emplace_back(options.engines[index], m_start);
-            m_scheduler.set_server(key_of(index), engines_service, options.engines[index].slots);
+        : m_options(options), m_deciders(options), m_start(time_point{} + std::chrono::hours(1)) {
+        for (const auto& engine : options.engines) {
+            m_engines.emplace_back(engine, m_start);
         }
         m_result.classes.resize(options.load.classes.size());
         m_earned.resize(options.load.classes.size());
@@ -65,8 +65,6 @@
 private:
     using arrival = std::pair<time_point, std::size_t>;
 
-    static policy::server_key key_of(std::size_t engine) { return engine + 1; }
-
     const request_class& class_of(const live_request& request) const {
         return m_options.load.classes[request.offered.request_class];
     }
@@ -89,13 +87,13 @@
             take_events(engine);
         }
         while (!m_releases.empty() && m_releases.front().first <= m_now) {
-            m_scheduler.release(m_releases.front().second, m_now);
+            m_deciders.release(m_releases.front().second, m_now);
             m_releases.pop();
         }
-        for (const auto& grant : m_scheduler.grant(m_now)) {
+        for (const auto& grant : m_deciders.grant(m_now)) {
             begin(m_by_ticket.at(grant.ticket), grant);
         }
-        for (const auto& refusal : m_scheduler.take_refusals()) {
+        for (const auto& refusal : m_deciders.take_refusals()) {
             refuse(m_by_ticket.at(refusal.ticket), refusal.retry_after);
         }
         check_deadlines();
@@ -106,7 +104,7 @@
         const auto& of = class_of(request);
         policy::slot_request wanted;
         wanted.ticket = ++m_last_ticket;
-        wanted.service = engines_service;
+        wanted.service = slot_deciders::service;
         wanted.tier = of.tier;
         wanted.arrived = m_now;
         wanted.deadline = request.first_sent + of.deadline;
@@ -116,7 +114,7 @@
         request.ticket = wanted.ticket;
         request.is_waiting = true;
         m_by_ticket[wanted.ticket] = index;
-        m_scheduler.add(wanted, m_now);
+        m_deciders.add(wanted, m_now);
         m_live.push_back(index);
     }
 
@@ -144,8 +142,9 @@
 
     void release(live_request& request, std::size_t engine, policy::slot_outcome outcome) {
         const auto first = request.first_event ? *request.first_event - request.granted : duration{};
-        m_releases.push({m_now + m_options.control_delay,
-                         {request.ticket, key_of(engine), outcome, m_now - request.granted, first}});
+        m_releases.push(
+            {m_now + m_options.control_delay,
+             {request.ticket, slot_deciders::key_of(engine), outcome, m_now - request.granted, first}});
         request.engine.reset();
     }
 
@@ -218,7 +217,7 @@
                 continue;
             }
             if (request.is_waiting) {
-                m_scheduler.withdraw(request.ticket);
+                m_deciders.withdraw(request.ticket);
             } else if (request.engine) {
                 m_engines[*request.engine].cancel(request.ticket, m_now);
                 release(request, *request.engine, policy::slot_outcome::abandoned);
@@ -279,7 +278,7 @@
     }
 
     const trial_options& m_options;
-    policy::slot_scheduler m_scheduler;
+    slot_deciders m_deciders;
     time_point m_start;
     time_point m_now;
     std::vector<batching_engine> m_engines;
--- a/src/emulator/policy_trial.hpp
+++ b/src/emulator/policy_trial.hpp
@@ -19,7 +19,20 @@
     duration length{};
 };
 
+/// Who decides about slots.
+enum class slot_layout : std::uint8_t {
+    one_coordinator, ///< one process for all requests
+    divided,         ///< each gateway has its part of every engine's slots
+    told,            ///< each gateway uses all slots and hears with a delay what the others have done
+    owned,           ///< each gateway gives out the slots of some engines, to the requests that reach it
+    offered,         ///< each engine's own process gives out its slots; a request is offered to two engines
+};
+
 struct trial_options {
+    slot_layout layout = slot_layout::one_coordinator;
+    std::size_t gateways = 4;
+    /// How old what one gateway knows of another is, where they tell each other.
+    duration told_after = std::chrono::milliseconds(50);
     load_model load;
     std::vector<engine_model> engines;
     policy::slot_scheduler_limits limits;
--- /dev/null
+++ b/src/emulator/slot_deciders.cpp
@@ -0,0 +1,161 @@
+// One scheduler, or several that know less.
+#include "emulator/slot_deciders.hpp"
+
+#include <algorithm>
+
+namespace borageford::emulator {
+
+namespace {
+
+/// Engines to which a request is offered at once, where each engine decides for itself.
+constexpr std::size_t offers = 2;
+
+std::size_t count_deciders(const trial_options& options) {
+    switch (options.layout) {
+    case slot_layout::one_coordinator:
+        return 1;
+    case slot_layout::divided:
+    case slot_layout::told:
+    case slot_layout::owned:
+        return options.gateways;
+    case slot_layout::offered:
+        break;
+    }
+    return options.engines.size();
+}
+
+/// Whether this decider gives out slots of this engine.
+bool decides_about(const trial_options& options, std::size_t decider, std::size_t engine) {
+    switch (options.layout) {
+    case slot_layout::one_coordinator:
+    case slot_layout::divided:
+    case slot_layout::told:
+        return true;
+    case slot_layout::owned:
+        return engine % options.gateways == decider;
+    case slot_layout::offered:
+        break;
+    }
+    return engine == decider;
+}
+
+} // namespace
+
+slot_deciders::slot_deciders(const trial_options& options)
+    : m_layout(options.layout), m_told_after(options.told_after) {
+    auto limits = options.limits;
+    if (options.layout == slot_layout::divided) {
+        limits.share = 1 / static_cast<double>(options.gateways);
+    }
+    for (std::size_t decider = 0; decider < count_deciders(options); ++decider) {
+        auto& scheduler = m_schedulers.emplace_back(limits);
+        for (std::size_t engine = 0; engine < options.engines.size(); ++engine) {
+            if (decides_about(options, decider, engine)) {
+                scheduler.set_server(key_of(engine), service, options.engines[engine].slots);
+            }
+        }
+    }
+}
+
+std::vector<std::size_t> slot_deciders::choose_deciders() {
+    const auto first = m_random.below(m_schedulers.size());
+    if (m_layout != slot_layout::offered) {
+        return {first};
+    }
+    std::vector<std::size_t> chosen{first};
+    while (chosen.size() < std::min(offers, m_schedulers.size())) {
+        const auto next = m_random.below(m_schedulers.size());
+        if (std::ranges::find(chosen, next) == chosen.end()) {
+            chosen.push_back(next);
+        }
+    }
+    return chosen;
+}
+
+void slot_deciders::add(const policy::slot_request& request, time_point now) {
+    auto chosen = choose_deciders();
+    m_places[request.ticket] = chosen;
+    for (const auto decider : chosen) {
+        m_schedulers[decider].add(request, now);
+    }
+}
+
+void slot_deciders::withdraw(policy::slot_ticket ticket) {
+    for (const auto decider : m_places[ticket]) {
+        m_schedulers[decider].withdraw(ticket);
+    }
+    m_places.erase(ticket);
+}
+
+void slot_deciders::release(const policy::slot_release& ended, time_point now) {
+    const auto found = m_places.find(ended.ticket);
+    if (found == m_places.end()) {
+        return;
+    }
+    const auto decider = found->second.front();
+    m_schedulers[decider].release(ended, now);
+    tell_others(decider, ended.ticket, ended.server, true, now);
+    m_places.erase(found);
+}
+
+void slot_deciders::tell_others(std::size_t from, policy::slot_ticket ticket, policy::server_key server,
+                                bool has_ended, time_point now) {
+    if (m_layout == slot_layout::told) {
+        m_news.push({now + m_told_after, from, ticket, server, has_ended});
+    }
+}
+
+void slot_deciders::hear_news(time_point now) {
+    while (!m_news.empty() && m_news.front().at <= now) {
+        const auto heard = m_news.front();
+        m_news.pop();
+        for (std::size_t decider = 0; decider < m_schedulers.size(); ++decider) {
+            if (decider == heard.from) {
+                continue;
+            }
+            if (heard.has_ended) {
+                m_schedulers[decider].release(
+                    {heard.ticket, heard.server, policy::slot_outcome::abandoned, {}, {}}, now);
+            } else {
+                m_schedulers[decider].add_running(heard.ticket, heard.server);
+            }
+        }
+    }
+}
+
+std::vector<policy::slot_grant> slot_deciders::grant(time_point now) {
+    hear_news(now);
+    std::vector<policy::slot_grant> grants;
+    for (std::size_t decider = 0; decider < m_schedulers.size(); ++decider) {
+        for (const auto& grant : m_schedulers[decider].grant(now)) {
+            auto& places = m_places[grant.ticket];
+            for (const auto other : places) {
+                if (other != decider) {
+                    m_schedulers[other].withdraw(grant.ticket);
+                }
+            }
+            places = {decider};
+            tell_others(decider, grant.ticket, grant.server, false, now);
+            grants.push_back(grant);
+        }
+    }
+    return grants;
+}
+
+std::vector<policy::slot_refusal> slot_deciders::take_refusals() {
+    std::vector<policy::slot_refusal> refusals;
+    for (std::size_t decider = 0; decider < m_schedulers.size(); ++decider) {
+        for (const auto& refusal : m_schedulers[decider].take_refusals()) {
+            auto& places = m_places[refusal.ticket];
+            std::erase(places, decider);
+            // Refused by one engine's process, a request may still wait at another's.
+            if (places.empty()) {
+                m_places.erase(refusal.ticket);
+                refusals.push_back(refusal);
+            }
+        }
+    }
+    return refusals;
+}
+
+} // namespace borageford::emulator
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     std::vector<boost::asio::ip::address> seeds;
     /// Share of a core that this process may use; peers prefer the strongest for common work.
     double processor_share = 1;
+    /// Whether gateways choose one of them to give out all slots; without, each gives out its own part.
+    bool coordinates = true;
     /// How slots are given out; see policy/slot_scheduler.hpp for what each figure answers.
     policy::slot_scheduler_limits slots;
     milliseconds stop_limit{8000}; ///< from SIGTERM until the process is ended from outside
--- a/tests/failure/test_gateway_coordination.cpp
+++ b/tests/failure/test_gateway_coordination.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// A workspace whose bucket holds at most ten calls at its start and gets next to nothing more, however long a test takes.
+/// A workspace whose bucket holds at most ten calls at its start and gets next to nothing more, however long
+/// a test takes.
 site_options limited_site(std::size_t gateways) {
     site_options options;
     options.gateways = gateways;
