--- a/src/program/check_command.cpp
+++ b/src/program/check_command.cpp
@@ -3,6 +3,7 @@
 
 #include "configuration/intent_parser.hpp"
 #include "entry/entry_settings.hpp"
+#include "gateway/gateway_settings.hpp"
 #include "process/common_settings.hpp"
 #include "program/command_flags.hpp"
 #include "settings/ini_document.hpp"
@@ -25,6 +26,11 @@
         static_cast<void>(sidecar::read_sidecar_settings(file, problems));
         return "settings of a sidecar";
     }
+    if (process::find_section(document, "gateway") != nullptr) {
+        static_cast<void>(settings::parse_ini(text, file, problems));
+        static_cast<void>(gateway::read_gateway_settings(document, problems));
+        return "settings of a gateway";
+    }
     const bool is_entry = process::find_section(document, "entry") != nullptr ||
                           process::find_section(document, "process") != nullptr;
     if (is_entry) {
--- a/tests/unit/test_settings_page.cpp
+++ b/tests/unit/test_settings_page.cpp
@@ -2,6 +2,7 @@
 #include "base/identifier.hpp"
 #include "configuration/intent_parser.hpp"
 #include "entry/entry_settings.hpp"
+#include "gateway/gateway_settings.hpp"
 #include "settings/section_reader.hpp"
 #include "sidecar/sidecar_settings.hpp"
 
@@ -38,6 +39,12 @@
     return found;
 }
 
+problems read_gateway(const std::string& text) {
+    problems found;
+    std::ignore = gateway::read_gateway_settings(settings::parse_ini(text, "page", found), found);
+    return found;
+}
+
 problems read_intent(const std::string& text) {
     problems found;
     std::ignore = configuration::parse_intent(text, "page", found);
@@ -56,6 +63,7 @@
         {"[platform]", "platform", read_entry},
         {"[entry]", "entry", read_entry},
         {"[sidecar]", "sidecar", read_sidecar},
+        {"[gateway]", "gateway", read_gateway},
         {"[tier NAME]", "tier a", read_intent},
         {"[model NAME]", "model a", read_intent},
         {"[service NAME]", "service a", read_intent},
