--- a/src/program/operator_commands.cpp
+++ b/src/program/operator_commands.cpp
@@ -5,6 +5,7 @@
 #include "program/command_flags.hpp"
 #include "program/command_output.hpp"
 #include "program/entry_client.hpp"
+#include "program/logs_command.hpp"
 #include "settings/ini_document.hpp"
 #include "settings/section_reader.hpp"
 
@@ -133,7 +134,7 @@
 
 constexpr std::array commands{
     command{"check", "FILE...", "reports every error of settings files and intents",
-            "Needs no entry. The file's sections tell what it is: [entry], [sidecar], or an intent.\n",
+            "Needs no entry. The file's sections tell what it is: [entry], [sidecar], [gateway],\nor an intent.\n",
             run_check},
     command{"plan", "FILE", "shows what an intent would change; changes nothing",
             "The plan is kept, and confirm puts exactly it in force.\n", run_plan},
@@ -158,6 +159,11 @@
     command{"explain", "[REQUEST_ID] [--workspace=W] [--since=1h]",
             "says what happened to a request, and why",
             "Without an id it lists the requests of a workspace and time.\n", run_explain},
+    command{"logs", "REQUEST_ID [FILE...]", "tells one request's lines from gateways' logs",
+            "Needs no entry. Reads standard input when no file is named; give it the logs of all gateways,\n"
+            "since the one that coordinates decides about the requests of the others. Exit code 1: no line\n"
+            "tells of this request.\n",
+            run_logs},
 };
 
 } // namespace
