--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -209,6 +209,8 @@
                       {{"ticket", refusal.ticket},
                        {"member", describe_member(member)},
                        {"reason", policy::to_string(refusal.reason)},
+                       {"needed", refusal.needed},
+                       {"available", refusal.available},
                        {"waiting", std::uint64_t(m_coordinator.scheduler().waiting())},
                        {"running", std::uint64_t(m_coordinator.scheduler().running())},
                        {"retry_after_ms", std::int64_t(wait.count())}});
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -48,13 +48,15 @@
 void slot_coordinator::take_ask(policy::member_key member, const policy::slot_request& ask,
                                 policy::time_point now) {
     if (const auto held = m_suspects.held_for(ask.fingerprint, now)) {
-        refuse(member, ask.ticket, policy::refusal_reason::held_back, *held);
+        refuse(member, {ask.ticket, policy::refusal_reason::held_back, *held});
         return;
     }
     if (ask.sends == 0) {
         m_repeats.count_request(ask.service, now);
     } else if (!m_repeats.try_repeat(ask.service, now)) {
-        refuse(member, ask.ticket, policy::refusal_reason::over_retry_budget, repeat_wait);
+        const auto used = m_repeats.look(ask.service, now);
+        refuse(member, {ask.ticket, policy::refusal_reason::over_retry_budget, repeat_wait, used.repeats + 1,
+                        used.allowed});
         return;
     }
     const double units = ask.is_charged ? 0 : ask.units;
@@ -63,7 +65,8 @@
         const auto wait =
             std::clamp<policy::duration>(m_allowances.time_until(ask.workspace, units, rank, now),
                                          least_allowance_wait, most_allowance_wait);
-        refuse(member, ask.ticket, policy::refusal_reason::over_allowance, wait);
+        refuse(member, {ask.ticket, policy::refusal_reason::over_allowance, wait, units,
+                        m_allowances.available(ask.workspace, units, rank, now)});
         return;
     }
     m_requests[ask.ticket] = {member, ask.workspace, units, ask.fingerprint, false};
@@ -102,9 +105,8 @@
     m_requests.erase(found);
 }
 
-void slot_coordinator::refuse(policy::member_key member, policy::slot_ticket ticket,
-                              policy::refusal_reason reason, policy::duration retry_after) {
-    m_output[member].refusals.push_back({ticket, reason, retry_after});
+void slot_coordinator::refuse(policy::member_key member, const policy::slot_refusal& refusal) {
+    m_output[member].refusals.push_back(refusal);
 }
 
 void slot_coordinator::detach(policy::member_key member, policy::time_point now) {
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -48,8 +48,7 @@
     void take_ask(policy::member_key member, const policy::slot_request& ask, policy::time_point now);
     void take_withdrawal(policy::slot_ticket ticket, policy::time_point now);
     void take_release(const policy::slot_release& ended, policy::time_point now);
-    void refuse(policy::member_key member, policy::slot_ticket ticket, policy::refusal_reason reason,
-                policy::duration retry_after);
+    void refuse(policy::member_key member, const policy::slot_refusal& refusal);
 
     policy::slot_scheduler m_scheduler;
     policy::allowance_book m_allowances;
--- a/src/diagnosis/log_record.cpp
+++ b/src/diagnosis/log_record.cpp
@@ -5,7 +5,9 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <array>
 #include <charconv>
+#include <cstddef>
 #include <utility>
 
 namespace borageford::diagnosis {
@@ -56,6 +58,14 @@
     return error ? 0 : result;
 }
 
+/// As people write it; the library's own form is 2.1E0.
+std::string plain_number(double value) {
+    constexpr std::size_t longest = 32;
+    std::array<char, longest> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
+    return {text.data(), end};
+}
+
 /// erase() of a json::object moves the last field into the gap; rebuilding keeps the line's order.
 json::object without_common_fields(const json::object& object) {
     json::object result;
@@ -77,7 +87,10 @@
     if (value == nullptr) {
         return {};
     }
-    return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
+    if (value->is_string()) {
+        return std::string(value->as_string());
+    }
+    return value->is_double() ? plain_number(value->as_double()) : json::serialize(*value);
 }
 
 std::int64_t log_record::number(std::string_view field) const {
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -88,8 +88,9 @@
                       "The caller closed its connection before its answer was whole.",
                       "request stage backend total_ms events"},
     event_description{event_kind::slot_refused, "slot_refused", warning, failure_rate,
-                      "The coordinator refused a request a slot.",
-                      "ticket member reason waiting running retry_after_ms"},
+                      "The coordinator refused a request a slot: it needed more than was available of what the "
+                      "reason names (seconds of waiting, units of an allowance, repeats).",
+                      "ticket member reason needed available waiting running retry_after_ms"},
 };
 
 constexpr bool rows_follow_enumeration() {
--- a/src/policy/allowance_book.cpp
+++ b/src/policy/allowance_book.cpp
@@ -80,6 +80,14 @@
     return leaves_enough && held.bucket.try_take(units, now);
 }
 
+double allowance_book::available(workspace_key workspace, double units, int rank, time_point now) const {
+    const auto found = m_entries.find(workspace);
+    if (found == m_entries.end()) {
+        return 0;
+    }
+    return found->second.bucket.level_at(now) - left_to_higher(found->second, units, rank);
+}
+
 void allowance_book::give_back(workspace_key workspace, double units, time_point now) {
     const auto found = m_entries.find(workspace);
     if (found != m_entries.end() && units > 0) {
--- a/src/policy/allowance_book.hpp
+++ b/src/policy/allowance_book.hpp
@@ -41,6 +41,8 @@
     /// first served, a workspace that sends more than it may had its long, cheap requests served and its
     /// urgent ones refused.
     [[nodiscard]] bool try_take(workspace_key workspace, double units, int rank, time_point now);
+    /// Units that a request of this rank could take now; negative while the workspace is in debt.
+    [[nodiscard]] double available(workspace_key workspace, double units, int rank, time_point now) const;
     /// Gives back what was taken for a request that didn't run.
     void give_back(workspace_key workspace, double units, time_point now);
     /// When the units will be there.
--- a/src/policy/repeat_budget.cpp
+++ b/src/policy/repeat_budget.cpp
@@ -33,7 +33,7 @@
     ++current(of, now).requests;
 }
 
-bool repeat_budget::try_repeat(service_key service, time_point now) {
+repeat_budget::use repeat_budget::look(service_key service, time_point now) {
     auto& of = m_services[service];
     forget_old(of, now);
     double requests = 0;
@@ -42,11 +42,15 @@
         requests += part.requests;
         repeats += part.repeats;
     }
-    const double allowed = (m_limits.ratio * requests + m_limits.reserve * m_share) * used_part;
-    if (repeats + 1 > allowed) {
+    return {repeats, (m_limits.ratio * requests + m_limits.reserve * m_share) * used_part};
+}
+
+bool repeat_budget::try_repeat(service_key service, time_point now) {
+    const auto used = look(service, now);
+    if (used.repeats + 1 > used.allowed) {
         return false;
     }
-    ++current(of, now).repeats;
+    ++current(m_services[service], now).repeats;
     return true;
 }
 
--- a/src/policy/repeat_budget.hpp
+++ b/src/policy/repeat_budget.hpp
@@ -24,6 +24,12 @@
     void set_share(double share) noexcept { m_share = share; }
 
     void count_request(service_key service, time_point now);
+    struct use {
+        double repeats = 0;
+        double allowed = 0;
+    };
+    /// The repeats of the window that ends now.
+    [[nodiscard]] use look(service_key service, time_point now);
     /// Counts a repeat if there is room for it.
     [[nodiscard]] bool try_repeat(service_key service, time_point now);
 
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -77,6 +77,10 @@
     slot_ticket ticket = 0;
     refusal_reason reason = refusal_reason::overloaded;
     duration retry_after{};
+    /// What decided, for the log of the process that decided: seconds of waiting (overloaded), units
+    /// (over_allowance), repeats in a window (over_retry_budget). Doesn't travel.
+    double needed = 0;
+    double available = 0;
 };
 
 /// How a request left its slot.
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -53,11 +53,11 @@
     return from_seconds(to_seconds(request.target) * times);
 }
 
-/// Whether so many that can be in time wait before it that it can't be. Told at once, its caller can use its
-/// time; told later, it would hear the same.
-bool slot_scheduler::is_hopeless(const tier_state& tier, const slot_request& request, time_point now) const {
+/// How long those that wait before it and can be in time will take. Told at once that it can't be, its caller
+/// can use its time; told later, it would hear the same.
+double slot_scheduler::expect_wait(const tier_state& tier, const slot_request& request, time_point now) const {
     if (request.returns > 0 || tier.queue.size() < least_hopeless_queue) {
-        return false;
+        return 0;
     }
     std::size_t before = 0;
     for (auto waiting = tier.queue.rbegin(); waiting != tier.queue.rend(); ++waiting) {
@@ -68,21 +68,25 @@
         before += other.returns == 0 ? 1 : 0;
     }
     const double rate = std::max(tier.grants.per_second(now), least_grant_rate);
-    return static_cast<double>(before) / rate > to_seconds(request.target) * m_limits.hopeless_wait;
+    return static_cast<double>(before) / rate;
 }
 
-void slot_scheduler::refuse(tier_state& tier, const slot_request& request, time_point now) {
+void slot_scheduler::refuse(tier_state& tier, const slot_request& request, wait_comparison why,
+                            time_point now) {
     tier.overload.note_refusal(now);
     // The ticket's lowest bits are as good as random, and the same at every replay.
     const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
     const auto wait = tier.overload.retry_after(request.deadline - now, draw, now);
-    m_refusals.push_back({request.ticket, refusal_reason::overloaded, wait});
+    m_refusals.push_back({request.ticket, refusal_reason::overloaded, wait, why.needed_seconds,
+                           why.available_seconds});
 }
 
 void slot_scheduler::add(const slot_request& request, time_point now) {
     auto& tier = m_queues[request.service][request.tier];
-    if (is_hopeless(tier, request, now)) {
-        refuse(tier, request, now);
+    const double bearable = to_seconds(request.target) * m_limits.hopeless_wait;
+    const double expected = expect_wait(tier, request, now);
+    if (expected > bearable) {
+        refuse(tier, request, {expected, bearable}, now);
         return;
     }
     const queue_place place{request.arrived, request.ticket};
@@ -257,7 +261,8 @@
         }
         auto& tier = m_queues[found->second.service][found->second.tier];
         const auto waiting = tier.queue.find(found->second.place);
-        refuse(tier, waiting->second, now);
+        const auto& request = waiting->second;
+        refuse(tier, request, {to_seconds(now - request.arrived), to_seconds(patience_of(request))}, now);
         tier.queue.erase(waiting);
         m_waiting.erase(found);
     }
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -123,8 +123,14 @@
     void grant_tier(tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
                     std::vector<slot_grant>& grants);
     [[nodiscard]] duration patience_of(const slot_request& request) const;
-    [[nodiscard]] bool is_hopeless(const tier_state& tier, const slot_request& request, time_point now) const;
-    void refuse(tier_state& tier, const slot_request& request, time_point now);
+    [[nodiscard]] double expect_wait(const tier_state& tier, const slot_request& request,
+                                     time_point now) const;
+    /// A wait that is over what a request may wait.
+    struct wait_comparison {
+        double needed_seconds = 0;
+        double available_seconds = 0;
+    };
+    void refuse(tier_state& tier, const slot_request& request, wait_comparison why, time_point now);
     void give_up_late(time_point now);
     void drop_unused(server_key server);
     void record_outcome(server_key server, slot_outcome outcome, time_point now);
--- a/src/policy/token_bucket.hpp
+++ b/src/policy/token_bucket.hpp
@@ -22,9 +22,10 @@
     /// When the amount will be there, from now on; `duration::max()` when it never will.
     [[nodiscard]] duration time_until(double amount, time_point now) const noexcept;
 
-private:
+    /// What is there now; negative while in debt.
     [[nodiscard]] double level_at(time_point now) const noexcept;
 
+private:
     double m_rate;
     double m_burst;
     double m_level;
