Members name the candidates they hear to each other

Heartbeats now name the candidates that the sender hears; what is only named is forgotten after 30 s. A simulation of elections with partial knowledge fails without it and passes now.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -158,6 +158,8 @@
     const auto withdrawals = items.withdrawals.empty()
                                  ? flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>>()
                                  : builder.CreateVector(items.withdrawals);
+    const auto known = message.known.empty() ? flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>>()
+                                             : builder.CreateVector(message.known);
     wire::datagramBuilder table(builder);
     table.add_incarnation(message.sender.incarnation);
     table.add_is_acting(message.sender.is_acting);
@@ -168,6 +170,7 @@
     table.add_members(static_cast<std::uint16_t>(message.sender.members));
     table.add_configuration_version(message.sender.configuration_version);
     table.add_backend_version(message.sender.backend_version);
+    table.add_known(known);
     table.add_session(message.session);
     table.add_batch(message.batch);
     table.add_acknowledged(message.acknowledged);
@@ -203,6 +206,9 @@
     decode_items(table->releases(), result.items.releases);
     decode_items(table->grants(), result.items.grants);
     decode_items(table->refusals(), result.items.refusals);
+    if (const auto* known = table->known()) {
+        result.known.assign(known->begin(), known->end());
+    }
     if (const auto* withdrawals = table->withdrawals()) {
         result.items.withdrawals.assign(withdrawals->begin(), withdrawals->end());
     }
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -1,6 +1,7 @@
 // One datagram between gateways, as a plain value.
 #pragma once
 
+#include "policy/coordinator_election.hpp"
 #include "policy/slot_request.hpp"
 
 #include <cstddef>
@@ -49,6 +50,8 @@
 struct datagram {
     member_status sender;
     bool wants_reply = false;
+    /// Members that the sender hears and that may coordinate; told with heartbeats only.
+    std::vector<policy::member_key> known;
     std::uint64_t session = 0; ///< drawn by the member; 0: none
     std::uint32_t batch = 0;   ///< number of the items; 0: there are none
     std::uint32_t acknowledged = 0;
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -353,15 +353,16 @@
     VT_MEMBERS = 16,
     VT_CONFIGURATION_VERSION = 18,
     VT_BACKEND_VERSION = 20,
-    VT_SESSION = 22,
-    VT_BATCH = 24,
-    VT_ACKNOWLEDGED = 26,
-    VT_ASKS = 28,
-    VT_HOLDS = 30,
-    VT_WITHDRAWALS = 32,
-    VT_RELEASES = 34,
-    VT_GRANTS = 36,
-    VT_REFUSALS = 38
+    VT_KNOWN = 22,
+    VT_SESSION = 24,
+    VT_BATCH = 26,
+    VT_ACKNOWLEDGED = 28,
+    VT_ASKS = 30,
+    VT_HOLDS = 32,
+    VT_WITHDRAWALS = 34,
+    VT_RELEASES = 36,
+    VT_GRANTS = 38,
+    VT_REFUSALS = 40
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -390,6 +391,9 @@
   uint64_t backend_version() const {
     return GetField<uint64_t>(VT_BACKEND_VERSION, 0);
   }
+  const flatbuffers::Vector<uint64_t> *known() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_KNOWN);
+  }
   uint64_t session() const {
     return GetField<uint64_t>(VT_SESSION, 0);
   }
@@ -428,6 +432,8 @@
            VerifyField<uint16_t>(verifier, VT_MEMBERS, 2) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_BACKEND_VERSION, 8) &&
+           VerifyOffset(verifier, VT_KNOWN) &&
+           verifier.VerifyVector(known()) &&
            VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_BATCH, 4) &&
            VerifyField<uint32_t>(verifier, VT_ACKNOWLEDGED, 4) &&
@@ -478,6 +484,9 @@
   void add_backend_version(uint64_t backend_version) {
     fbb_.AddElement<uint64_t>(datagram::VT_BACKEND_VERSION, backend_version, 0);
   }
+  void add_known(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> known) {
+    fbb_.AddOffset(datagram::VT_KNOWN, known);
+  }
   void add_session(uint64_t session) {
     fbb_.AddElement<uint64_t>(datagram::VT_SESSION, session, 0);
   }
@@ -527,6 +536,7 @@
     uint16_t members = 0,
     uint64_t configuration_version = 0,
     uint64_t backend_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> known = 0,
     uint64_t session = 0,
     uint32_t batch = 0,
     uint32_t acknowledged = 0,
@@ -549,6 +559,7 @@
   builder_.add_asks(asks);
   builder_.add_acknowledged(acknowledged);
   builder_.add_batch(batch);
+  builder_.add_known(known);
   builder_.add_processor_share(processor_share);
   builder_.add_members(members);
   builder_.add_wants_reply(wants_reply);
@@ -574,6 +585,7 @@
     uint16_t members = 0,
     uint64_t configuration_version = 0,
     uint64_t backend_version = 0,
+    const std::vector<uint64_t> *known = nullptr,
     uint64_t session = 0,
     uint32_t batch = 0,
     uint32_t acknowledged = 0,
@@ -583,6 +595,7 @@
     const std::vector<borageford::coordination::wire::release> *releases = nullptr,
     const std::vector<borageford::coordination::wire::grant> *grants = nullptr,
     const std::vector<borageford::coordination::wire::refusal> *refusals = nullptr) {
+  auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
   auto withdrawals__ = withdrawals ? _fbb.CreateVector<uint64_t>(*withdrawals) : 0;
@@ -600,6 +613,7 @@
       members,
       configuration_version,
       backend_version,
+      known__,
       session,
       batch,
       acknowledged,
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -274,6 +274,7 @@
 void slot_broker::send_heartbeat(policy::member_key member) {
     datagram message;
     message.wants_reply = true;
+    message.known = m_election.known(clock::now());
     if (m_source == slot_source::coordinator && member == m_coordinating_member) {
         m_upstream->stamp(message);
     }
@@ -316,6 +317,7 @@
     const auto member = key_of(from.address());
     const auto sender = message->sender;
     const bool wants_reply = message->wants_reply;
+    const auto known = std::move(message->known);
     m_election.hear(member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving},
                     now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backend_version});
@@ -325,8 +327,14 @@
     } else if (message->session != 0 && m_source == slot_source::own_coordination) {
         take_from_member(member, std::move(*message));
     }
+    for (const auto named : known) {
+        if (m_election.learn(named, now)) {
+            send_heartbeat(named);
+        }
+    }
     if (wants_reply) {
         datagram reply;
+        reply.known = m_election.known(now);
         const auto served = m_served.find(member);
         if (served != m_served.end()) {
             served->second.channel.stamp(reply);
--- a/src/policy/coordinator_election.cpp
+++ b/src/policy/coordinator_election.cpp
@@ -12,6 +12,8 @@
 /// old. Ticks come every 50 ms.
 constexpr std::chrono::milliseconds longest_tick_gap{200};
 
+constexpr double share_before_all = 1e6;
+
 long to_thousandths(double share) {
     return std::lround(share * 1000);
 }
@@ -33,6 +35,17 @@
     }
 }
 
+bool coordinator_election::learn(member_key member, time_point now) {
+    if (member == m_self || m_members.contains(member)) {
+        return false;
+    }
+    // First in the order until it tells its share itself, so that it is asked soon.
+    auto& entry = m_members[member];
+    entry.processor_share = share_before_all;
+    entry.learned = now;
+    return true;
+}
+
 void coordinator_election::forget(member_key member) {
     m_members.erase(member);
 }
@@ -53,6 +66,11 @@
         m_probation_begin = now;
     }
     m_last_tick = now;
+    std::erase_if(m_members, [&](const auto& entry) {
+        const auto& [key, known] = entry;
+        const auto last_sign = known.was_heard ? known.heard : known.learned.value_or(now);
+        return known.learned.has_value() && now - last_sign > m_limits.rumour_life;
+    });
 }
 
 bool coordinator_election::is_eligible(time_point now) const {
@@ -148,6 +166,15 @@
     return result;
 }
 
+std::vector<member_key> coordinator_election::known(time_point now) const {
+    auto result = candidates(now);
+    const auto chosen = choose(now);
+    if (chosen.who == role::other && std::ranges::find(result, chosen.member) == result.end()) {
+        result.push_back(chosen.member);
+    }
+    return result;
+}
+
 std::vector<member_key> coordinator_election::absent(time_point now) const {
     std::vector<member_key> result;
     std::size_t present = 0;
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace borageford::policy {
@@ -34,6 +35,9 @@
     /// A process that has just started listens for so long before it coordinates without having heard anybody:
     /// else each restarted process took over for a moment from one that was known to all others.
     duration listening = std::chrono::milliseconds(250);
+    /// A member that was named by others and isn't heard for so long is forgotten. Rumours of dead members end
+    /// with the last that heard them, well within it.
+    duration rumour_life = std::chrono::seconds(30);
     /// Candidates are few, so that heartbeats grow with the members and not with their square.
     std::size_t candidates = 3;
 };
@@ -53,6 +57,9 @@
 
     /// A member exists, whether or not it has been heard.
     void add(member_key member, double processor_share);
+    /// Another member names this one, which may be unknown here: a process is told three others at its start,
+    /// and those may have been replaced long ago. Returns whether it is new.
+    bool learn(member_key member, time_point now);
     void forget(member_key member);
     void hear(member_key member, const member_claim& claim, time_point now);
 
@@ -74,6 +81,9 @@
     /// Absent members that would be candidates, to be asked rarely whether they are back.
     [[nodiscard]] std::vector<member_key> absent(time_point now) const;
 
+    /// Members to name to others: the one that is chosen, and the candidates that are heard.
+    [[nodiscard]] std::vector<member_key> known(time_point now) const;
+
     /// All known members, this process included.
     [[nodiscard]] std::size_t member_count() const noexcept { return m_members.size() + 1; }
     [[nodiscard]] bool is_heard(member_key member, time_point now) const;
@@ -86,6 +96,8 @@
         member_claim claim;
         time_point heard;
         bool was_heard = false;
+        /// Set for one that was only named by others: it is forgotten when it isn't heard for a while.
+        std::optional<time_point> learned;
     };
 
     /// A member with its place in the order of candidates; lower is better.
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -6,6 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <set>
 #include <random>
 
 using namespace borageford;
@@ -45,6 +48,69 @@
     return {self, share, {}, start_time};
 }
 
+/// Members that send heartbeats as slot_broker does, over a network without delay or loss.
+class member_network {
+public:
+    void add(member_key key, const std::vector<member_key>& told) {
+        auto election = make_election(key, 0.19);
+        for (const auto other : told) {
+            election.add(other, 0.19);
+        }
+        m_members.emplace(key, std::move(election));
+    }
+
+    void run(duration span) {
+        constexpr auto tick = 50ms;
+        for (const auto end = m_now + span; m_now < end; m_now += tick) {
+            for (auto& [key, election] : m_members) {
+                election.tick(m_now);
+                election.act(election.is_acting(m_now));
+            }
+            for (auto& [key, election] : m_members) {
+                for (const auto other : election.candidates(m_now)) {
+                    exchange(key, other);
+                }
+                for (const auto other : election.absent(m_now)) {
+                    exchange(key, other);
+                }
+            }
+        }
+    }
+
+    /// Whom the members follow.
+    [[nodiscard]] std::set<member_key> chosen() const {
+        std::set<member_key> result;
+        for (const auto& [key, election] : m_members) {
+            result.insert(election.choose(m_now).member);
+        }
+        return result;
+    }
+    [[nodiscard]] long coordinators() const {
+        return std::ranges::count_if(m_members,
+                                     [this](const auto& entry) { return entry.second.is_acting(m_now); });
+    }
+
+private:
+    void exchange(member_key from, member_key to) {
+        const auto found = m_members.find(to);
+        if (found == m_members.end()) {
+            return;
+        }
+        tell(m_members.at(from), from, found->second);
+        tell(found->second, to, m_members.at(from));
+    }
+
+    void tell(const coordinator_election& from, member_key key, coordinator_election& to) const {
+        to.hear(key, {0.19, from.is_acting(m_now), from.is_eligible(m_now), from.is_leaving()}, m_now);
+        for (const auto named : from.known(m_now)) {
+            to.learn(named, m_now);
+        }
+    }
+
+    time_point m_now = start_time;
+    std::map<member_key, coordinator_election> m_members;
+};
+
 } // namespace
 
 TEST_CASE("a datagram means the same to its receiver, on the receiver's clock", "[coordination]") {
@@ -225,6 +291,34 @@
     CHECK(alone.choose(start_time).who == coordinator_election::role::self);
 }
 
+TEST_CASE("members that were told different others still agree on one", "[policy][election]") {
+    // Machines were added, and then all were killed at once. Each is told three others at its start, not the
+    // same; those that were added are told to nobody. Two groups that never heard of each other would each
+    // give out all slots.
+    member_network network;
+    network.add(37, {37, 13, 29});
+    network.add(38, {37, 13, 29});
+    network.add(13, {37, 13, 29});
+    network.add(29, {37, 13, 29});
+    network.add(39, {39, 14});
+    network.add(14, {14, 38});
+    network.run(6s);
+    const auto chosen = network.chosen();
+    CHECK(chosen.size() == 1);
+    CHECK(network.coordinators() == 1);
+}
+
+TEST_CASE("dead members that others name are forgotten", "[policy][election]") {
+    auto election = make_election(5);
+    CHECK(election.learn(1, start_time));
+    CHECK_FALSE(election.learn(1, start_time));
+    CHECK(election.absent(start_time) == std::vector<member_key>{1});
+    for (auto now = start_time; now < start_time + 31s; now += 50ms) {
+        election.tick(now);
+    }
+    CHECK(election.absent(start_time + 31s).empty());
+}
+
 TEST_CASE("a process that stood still is fresh again", "[policy][election]") {
     auto election = make_election(1);
     for (auto now = start_time; now <= start_time + 3s; now += 50ms) {
