--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -79,8 +79,8 @@
     event_description{
         event_kind::request_refused, "request_refused", warning, failure_rate,
         "A request got an error of the gateway's own.",
-        "request ticket error status reason route workspace tier configuration decided_by held_ms tries "
-        "retry_after_ms"},
+        "request ticket error status reason target route workspace tier configuration decided_by held_ms "
+        "tries retry_after_ms"},
     event_description{event_kind::request_cut, "request_cut", warning, failure_rate,
                       "A stream was ended in the middle; its caller can see that it isn't whole.",
                       "request reason route workspace tries events total_ms"},
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -30,12 +30,22 @@
                                                            : std::string_view();
 }
 
-std::uint64_t version_of(const admitted_request* request) {
-    return request != nullptr && request->configuration != nullptr ? request->configuration->version() : 0;
+/// Callers choose them, so they may be long.
+std::string shorten(std::string_view text) {
+    constexpr std::size_t longest = 120;
+    return std::string(text.substr(0, longest));
 }
 
 } // namespace
 
+std::uint64_t request_journal::version_for(const admitted_request* request) const {
+    if (request != nullptr && request->configuration != nullptr) {
+        return request->configuration->version();
+    }
+    const auto in_force = *m_context.configuration.read();
+    return in_force != nullptr ? in_force->version() : 0;
+}
+
 void request_journal::placed(const admitted_request& request, const policy::slot_grant& grant,
                              std::string_view backend, unsigned tries_before) {
     m_context.metrics.record_wait(request, clock::now() - request.arrived);
@@ -45,7 +55,7 @@
                                                {"route", route_of(&request)},
                                                {"workspace", workspace_of(&request)},
                                                {"tier", std::int64_t(request.tier)},
-                                               {"configuration", version_of(&request)},
+                                               {"configuration", version_for(&request)},
                                                {"decided_by", to_string(m_context.slots.source())},
                                                {"waited_ms", age_ms(request)},
                                                {"try", std::uint64_t(tries_before + 1)}});
@@ -85,16 +95,18 @@
 void request_journal::refused(const admitted_request* request, const refusal& what) {
     m_context.metrics.count_refused(request, what.kind);
     const auto& row = answer_for(what.kind);
+    const auto target = shorten(std::string(what.host) + std::string(what.target));
     events::write(event_kind::request_refused,
                   {{"request", what.request_id},
                    {"ticket", what.ticket},
                    {"error", row.name},
                    {"status", std::uint64_t(row.http_status)},
                    {"reason", what.reason},
+                   {"target", target},
                    {"route", route_of(request)},
                    {"workspace", workspace_of(request)},
                    {"tier", std::int64_t(request != nullptr ? request->tier : -1)},
-                   {"configuration", version_of(request)},
+                   {"configuration", version_for(request)},
                    {"decided_by", to_string(m_context.slots.source())},
                    {"held_ms", to_ms(clock::now() - what.arrived)},
                    {"tries", std::uint64_t(what.tries)},
--- a/src/gateway/request_journal.hpp
+++ b/src/gateway/request_journal.hpp
@@ -34,6 +34,8 @@
         error_kind kind = error_kind::internal;
         std::string_view request_id;
         std::string_view reason;
+        std::string_view host;
+        std::string_view target;
         policy::slot_ticket ticket = 0; ///< 0: it never asked for a slot
         unsigned tries = 0;
         clock::time_point arrived;
@@ -46,6 +48,9 @@
                    std::uint64_t events);
 
 private:
+    /// The version that it was admitted under, else the one in force.
+    [[nodiscard]] std::uint64_t version_for(const admitted_request* request) const;
+
     gateway_context& m_context;
 };
 
