--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -46,7 +46,7 @@
     event_description{event_kind::member_lost, "member_lost", warning, state_rate,
                       "A gateway that asked for slots fell silent; its slots are free.", "member silent_ms"},
     event_description{event_kind::configuration_in_force, "configuration_in_force", info, state_rate,
-                      "A newer configuration is in force here.", "version former source routes workspaces"},
+                      "A newer configuration is in force here.", "version former source routes workspaces keys"},
     event_description{event_kind::configuration_unreadable, "configuration_unreadable", error, state_rate,
                       "A configuration can't be read; the former one stays in force.", "source reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
--- a/src/gateway/configuration_keeper.cpp
+++ b/src/gateway/configuration_keeper.cpp
@@ -11,6 +11,18 @@
 
 namespace borageford::gateway {
 
+namespace {
+
+std::uint64_t count_keys(const routing::routing_document& document) {
+    std::uint64_t result = 0;
+    for (const auto& workspace : document.workspaces) {
+        result += workspace.keys.size();
+    }
+    return result;
+}
+
+} // namespace
+
 void configuration_keeper::take(std::string_view document, std::string_view source) {
     std::shared_ptr<const routing::routing_table> table;
     try {
@@ -31,7 +43,8 @@
                    {"former", former},
                    {"source", source},
                    {"routes", std::uint64_t(table->document().routes.size())},
-                   {"workspaces", std::uint64_t(table->document().workspaces.size())}});
+                   {"workspaces", std::uint64_t(table->document().workspaces.size())},
+                   {"keys", count_keys(table->document())}});
     m_configuration.replace(std::move(table));
 }
 
