Follow the store from the last known version; spread and lengthen retries; keep a whole update encoded

Where 300 gateways restart at once each read all pages of 3,000 registrations again at every retry, over the store's rate. They begin with what a peer gave them, and after an outage with what they held.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -31,7 +31,7 @@
                       "The store doesn't answer, or refuses; what is known of the table stays in force.",
                       "table reason"},
     event_description{event_kind::store_regained, "store_regained", info, state_rate,
-                      "The store answers again; the table was read anew.", "table lost_ms version"},
+                      "The store answers again; what changed meanwhile follows.", "table lost_ms version"},
     event_description{event_kind::peer_asked, "peer_asked", info, state_rate,
                       "Another gateway holds a newer version and was asked for it.",
                       "peer what held offered"},
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -148,7 +148,8 @@
                 },
                 [this](const store::row_change& change) { take_configuration(change.now); },
                 [] {
-                }};
+                },
+                [] { return std::uint64_t(0); }}; // a document's version isn't the store's
     }
 
     void report_health(const policy::slot_scheduler::health_change& change) {
@@ -175,9 +176,7 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this] {
-                    m_roster.take_outage();
-                }};
+                [this] { m_roster.take_outage(); }, [this] { return m_roster.version(); }};
     }
 
     void listen() {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -131,13 +131,25 @@
     m_server.listen(m_local);
 }
 
-http::response peer_exchange::answer(const http::request& received) const {
+std::string peer_exchange::encode_changes_after(std::uint64_t version) {
+    if (version == 0 && !m_whole_update.empty() && m_whole_update_version == m_backends.version()) {
+        return m_whole_update;
+    }
+    const auto update = m_backends.changes_after(version);
+    auto text = json::serialize(encode(update));
+    if (update.is_whole) {
+        m_whole_update = text;
+        m_whole_update_version = update.version;
+    }
+    return text;
+}
+
+http::response peer_exchange::answer(const http::request& received) {
     if (received.target == configuration_target && m_configuration.version() > 0) {
         return http::make_response(status_ok, "application/json", m_configuration.document());
     }
     if (const auto held = held_version(received.target)) {
-        return http::make_response(status_ok, "application/json",
-                                   json::serialize(encode(m_backends.changes_after(*held))));
+        return http::make_response(status_ok, "application/json", encode_changes_after(*held));
     }
     return http::make_response(status_not_found, "text/plain", "");
 }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace borageford::gateway {
 
@@ -31,7 +32,8 @@
 private:
     using clock = std::chrono::steady_clock;
 
-    [[nodiscard]] http::response answer(const http::request& received) const;
+    [[nodiscard]] http::response answer(const http::request& received);
+    [[nodiscard]] std::string encode_changes_after(std::uint64_t version);
     boost::asio::awaitable<void> ask_for_configuration(boost::asio::ip::tcp::endpoint peer);
     boost::asio::awaitable<void> ask_for_backends(boost::asio::ip::tcp::endpoint peer);
 
@@ -50,6 +52,10 @@
     configuration_keeper& m_configuration;
     backend_roster& m_backends;
     std::function<bool()> m_is_store_well;
+    /// The last whole update as it is sent. After all gateways were killed each asks for it, and encoding
+    /// thousands of registrations anew for each would take seconds.
+    std::string m_whole_update;
+    std::uint64_t m_whole_update_version = 0;
     http::server m_server;
     lag m_configuration_lag;
     lag m_backend_lag;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -1,12 +1,14 @@
-// Read all, follow, and begin again after every gap.
+// Read all once, then follow, from the last known version on after every gap.
 #include "gateway/store_follower.hpp"
 
+#include "base/identifier.hpp"
 #include "base/pause.hpp"
 #include "events/event_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace borageford::gateway {
@@ -24,7 +26,8 @@
 constexpr milliseconds gathering_time{400};
 /// After a failed call: short enough that an outage's end is seen well within the time in which a new
 /// configuration must be in force, long enough that a store in trouble isn't pressed.
-constexpr milliseconds retry_delay{250};
+constexpr milliseconds first_retry_delay{250};
+constexpr milliseconds longest_retry_delay{800};
 
 } // namespace
 
@@ -34,7 +37,8 @@
       m_timers(timers),
       m_table(table),
       m_table_name(std::move(table_name)),
-      m_handlers(std::move(to_call)) {}
+      m_handlers(std::move(to_call)),
+      m_random(static_cast<unsigned>(identifier::random().low)) {}
 
 void store_follower::start() {
     asio::co_spawn(m_executor, run(), asio::detached);
@@ -44,23 +48,41 @@
     for (;;) {
         std::string failure;
         try {
-            const auto all = co_await m_table.read_all(m_table_name + "/");
-            m_has_read = true;
-            note_regained(all.version);
-            m_handlers.on_all(all);
-            co_await follow(all.version);
+            m_version = std::max(m_version, m_handlers.known_version());
+            if (m_version == 0) {
+                co_await read_all();
+            }
+            co_await follow();
         } catch (const store::store_error& error) {
             failure = error.what();
         }
         if (!failure.empty()) {
             note_lost(failure);
             m_handlers.on_outage();
-            co_await pause(m_timers, retry_delay);
+            const auto delay = next_delay();
+            co_await pause(m_timers, delay);
         }
     }
 }
 
+asio::awaitable<void> store_follower::read_all() {
+    const auto all = co_await m_table.read_all(m_table_name + "/");
+    m_version = all.version;
+    note_regained(all.version);
+    m_handlers.on_all(all);
+}
+
+/// Spread, since all gateways meet the same outage at the same time; and longer while it lasts, since where
+/// hundreds of gateways are over the store's rate each early question is one more refusal.
+milliseconds store_follower::next_delay() {
+    const auto longest = std::min(first_retry_delay * (1U << std::min(m_failures, 4U)), longest_retry_delay);
+    ++m_failures;
+    std::uniform_int_distribution<long> spread(longest.count() / 2, longest.count());
+    return milliseconds(spread(m_random));
+}
+
 void store_follower::note_lost(std::string_view reason) {
+    m_is_in_touch = false;
     if (!m_lost_since.has_value()) {
         m_lost_since = std::chrono::steady_clock::now();
         events::write(events::event_kind::store_lost, {{"table", m_table_name}, {"reason", reason}});
@@ -68,6 +90,8 @@
 }
 
 void store_follower::note_regained(std::uint64_t version) {
+    m_is_in_touch = true;
+    m_failures = 0;
     if (m_lost_since.has_value()) {
         const auto lost = std::chrono::steady_clock::now() - *m_lost_since;
         m_lost_since.reset();
@@ -79,16 +103,20 @@
 }
 
 /// Returns when history was lost; throws store_error when the store is away.
-asio::awaitable<void> store_follower::follow(std::uint64_t version) {
+asio::awaitable<void> store_follower::follow() {
     for (;;) {
-        const auto page = co_await m_table.changes(m_table_name, version, longest_wait);
+        // At first without waiting, to learn soon whether the store is back.
+        const auto wait = m_is_in_touch ? longest_wait : milliseconds(0);
+        const auto page = co_await m_table.changes(m_table_name, m_version, wait);
         if (!page.has_value()) {
+            m_version = 0;
             co_return;
         }
+        note_regained(page->version);
         for (const auto& change : page->changes) {
             m_handlers.on_change(change);
         }
-        version = page->version;
+        m_version = page->version;
         if (!page->changes.empty()) {
             co_await pause(m_timers, gathering_time);
         }
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -9,7 +9,9 @@
 
 #include <chrono>
 #include <functional>
+#include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 
@@ -23,6 +25,9 @@
         std::function<void(const store::row_change&)> on_change;
         /// The store couldn't be reached or refused; called for every failed call.
         std::function<void()> on_outage;
+        /// The store's version up to which all changes are known from elsewhere, for instance from another
+        /// gateway; 0: none.
+        std::function<std::uint64_t()> known_version;
     };
 
     store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
@@ -31,21 +36,26 @@
     void start();
 
     /// Whether the store answered the last call.
-    [[nodiscard]] bool is_in_touch() const noexcept { return m_has_read && !m_lost_since.has_value(); }
+    [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch; }
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> read_all();
     void note_lost(std::string_view reason);
     void note_regained(std::uint64_t version);
-    boost::asio::awaitable<void> follow(std::uint64_t version);
+    boost::asio::awaitable<void> follow();
+    [[nodiscard]] std::chrono::milliseconds next_delay();
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
     store::table& m_table;
     std::string m_table_name;
-    bool m_has_read = false;
+    std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
+    bool m_is_in_touch = false;
+    unsigned m_failures = 0; ///< since the last answer
     std::optional<std::chrono::steady_clock::time_point> m_lost_since;
     handlers m_handlers;
+    std::minstd_rand m_random;
 };
 
 } // namespace borageford::gateway
