--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -48,7 +48,9 @@
     for (;;) {
         std::string failure;
         try {
-            m_version = std::max(m_version, m_handlers.known_version());
+            if (const auto known = m_handlers.known_version(); known > m_forgotten_version) {
+                m_version = std::max(m_version, known);
+            }
             if (m_version == 0) {
                 co_await read_all();
             }
@@ -109,7 +111,7 @@
         const auto wait = m_is_in_touch ? longest_wait : milliseconds(0);
         const auto page = co_await m_table.changes(m_table_name, m_version, wait);
         if (!page.has_value()) {
-            m_version = 0;
+            m_forgotten_version = std::exchange(m_version, 0);
             co_return;
         }
         note_regained(page->version);
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -51,6 +51,7 @@
     store::table& m_table;
     std::string m_table_name;
     std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
+    std::uint64_t m_forgotten_version = 0; ///< the store has dropped the history after it
     bool m_is_in_touch = false;
     unsigned m_failures = 0; ///< since the last answer
     std::optional<std::chrono::steady_clock::time_point> m_lost_since;
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -91,6 +91,29 @@
     wait_for_status(site, 0, keyed_call("a", "new-key"), 200);
 }
 
+TEST_CASE("gateway: dropped history is read anew once, not over and over", "[gateway][configuration]") {
+    // The store drops its history while backend servers register. A gateway that went on asking from a version
+    // that is gone would ask thousands of times a second, and be refused with everybody else.
+    gateway_site site(plain_site(3));
+    const auto knows = [&](const std::string& id) {
+        return site.process(0).output_text().find("\"backend\":\"" + id + "\"") != std::string::npos;
+    };
+    set_store(site, store_state::busy);
+    wait_until("the outage is seen", [&] {
+        return site.process(0).output_text().find(R"("store_lost")") != std::string::npos;
+    });
+    site.start_backend(3, plain_backend("server-3"));
+    const auto former = site.on_emulator([&] {
+        site.store().rows().forget_history();
+        site.store().set_state(store_state::well);
+        return site.store().calls();
+    });
+    wait_until("the server that registered meanwhile is known", [&] { return knows("server-3"); });
+    site.start_backend(4, plain_backend("server-4"));
+    wait_until("the next one is known", [&] { return knows("server-4"); });
+    CHECK(site.on_emulator([&] { return site.store().calls(); }) - former < 40);
+}
+
 TEST_CASE("gateway: requests go on while the store is away, and its return is noticed",
           "[gateway][configuration]") {
     // The store is down, refuses, resets or says nothing. Callers must not notice; what was written meanwhile
