Don't take a store that turns one gateway away for an outage; emulate experiments

Gateways tell each other whether the store answers them; while it answers another, a registration that vanishes has left. The unit test fails without it.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -165,6 +165,7 @@
     table.add_is_acting(message.sender.is_acting);
     table.add_is_eligible(message.sender.is_eligible);
     table.add_is_leaving(message.sender.is_leaving);
+    table.add_is_in_touch(message.sender.is_in_touch);
     table.add_wants_reply(message.wants_reply);
     table.add_processor_share(static_cast<float>(message.sender.processor_share));
     table.add_members(static_cast<std::uint16_t>(message.sender.members));
@@ -196,7 +197,8 @@
     result.sender = {table->incarnation(),           table->is_acting(),
                      table->is_eligible(),           table->is_leaving(),
                      table->processor_share(),       table->members(),
-                     table->configuration_version(), table->backend_version()};
+                     table->configuration_version(), table->backend_version(),
+                     table->is_in_touch()};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
     result.batch = table->batch();
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -22,6 +22,7 @@
     unsigned members = 0; ///< that it counts, as coordinator
     std::uint64_t configuration_version = 0;
     std::uint64_t backend_version = 0;
+    bool is_in_touch = false; ///< the store answers it
 };
 
 /// A request that already occupies a slot, told to a new coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -348,21 +348,22 @@
     VT_IS_ACTING = 6,
     VT_IS_ELIGIBLE = 8,
     VT_IS_LEAVING = 10,
-    VT_WANTS_REPLY = 12,
-    VT_PROCESSOR_SHARE = 14,
-    VT_MEMBERS = 16,
-    VT_CONFIGURATION_VERSION = 18,
-    VT_BACKEND_VERSION = 20,
-    VT_KNOWN = 22,
-    VT_SESSION = 24,
-    VT_BATCH = 26,
-    VT_ACKNOWLEDGED = 28,
-    VT_ASKS = 30,
-    VT_HOLDS = 32,
-    VT_WITHDRAWALS = 34,
-    VT_RELEASES = 36,
-    VT_GRANTS = 38,
-    VT_REFUSALS = 40
+    VT_IS_IN_TOUCH = 12,
+    VT_WANTS_REPLY = 14,
+    VT_PROCESSOR_SHARE = 16,
+    VT_MEMBERS = 18,
+    VT_CONFIGURATION_VERSION = 20,
+    VT_BACKEND_VERSION = 22,
+    VT_KNOWN = 24,
+    VT_SESSION = 26,
+    VT_BATCH = 28,
+    VT_ACKNOWLEDGED = 30,
+    VT_ASKS = 32,
+    VT_HOLDS = 34,
+    VT_WITHDRAWALS = 36,
+    VT_RELEASES = 38,
+    VT_GRANTS = 40,
+    VT_REFUSALS = 42
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -376,6 +377,9 @@
   bool is_leaving() const {
     return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
   }
+  bool is_in_touch() const {
+    return GetField<uint8_t>(VT_IS_IN_TOUCH, 0) != 0;
+  }
   bool wants_reply() const {
     return GetField<uint8_t>(VT_WANTS_REPLY, 0) != 0;
   }
@@ -427,6 +431,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_ACTING, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_ELIGIBLE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_IN_TOUCH, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
            VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
            VerifyField<uint16_t>(verifier, VT_MEMBERS, 2) &&
@@ -469,6 +474,9 @@
   void add_is_leaving(bool is_leaving) {
     fbb_.AddElement<uint8_t>(datagram::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
   }
+  void add_is_in_touch(bool is_in_touch) {
+    fbb_.AddElement<uint8_t>(datagram::VT_IS_IN_TOUCH, static_cast<uint8_t>(is_in_touch), 0);
+  }
   void add_wants_reply(bool wants_reply) {
     fbb_.AddElement<uint8_t>(datagram::VT_WANTS_REPLY, static_cast<uint8_t>(wants_reply), 0);
   }
@@ -531,6 +539,7 @@
     bool is_acting = false,
     bool is_eligible = false,
     bool is_leaving = false,
+    bool is_in_touch = false,
     bool wants_reply = false,
     float processor_share = 0.0f,
     uint16_t members = 0,
@@ -563,6 +572,7 @@
   builder_.add_processor_share(processor_share);
   builder_.add_members(members);
   builder_.add_wants_reply(wants_reply);
+  builder_.add_is_in_touch(is_in_touch);
   builder_.add_is_leaving(is_leaving);
   builder_.add_is_eligible(is_eligible);
   builder_.add_is_acting(is_acting);
@@ -580,6 +590,7 @@
     bool is_acting = false,
     bool is_eligible = false,
     bool is_leaving = false,
+    bool is_in_touch = false,
     bool wants_reply = false,
     float processor_share = 0.0f,
     uint16_t members = 0,
@@ -608,6 +619,7 @@
       is_acting,
       is_eligible,
       is_leaving,
+      is_in_touch,
       wants_reply,
       processor_share,
       members,
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -50,6 +50,7 @@
     struct versions {
         std::uint64_t configuration = 0;
         std::uint64_t backends = 0;
+        bool is_in_touch = false; ///< the store answers
     };
     struct observers {
         std::function<versions()> read_versions;
--- /dev/null
+++ b/src/experiment/experiment_reader.cpp
@@ -0,0 +1,295 @@
+// Sections in the order in which later ones name earlier ones.
+#include "experiment/experiment_reader.hpp"
+
+#include "settings/section_reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace borageford::experiment {
+namespace {
+
+using settings::ini_section;
+using settings::problem;
+using settings::section_reader;
+
+constexpr milliseconds none{0};
+constexpr milliseconds shortest{1};
+constexpr milliseconds longest{3'600'000};
+constexpr double most = 1e9;
+constexpr std::int64_t most_servers = 1000;
+constexpr std::int64_t most_tier = 7;
+/// Caller, readiness, peers and metrics of a gateway.
+constexpr std::uint16_t ports_of_a_gateway = 4;
+
+constexpr std::array<std::string_view, 7> section_kinds{"experiment", "service", "workspace", "route",
+                                                        "callers",    "burst",   "fault"};
+constexpr std::array<std::string_view, 2> service_kinds{"engine", "plain"};
+constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
+constexpr std::array<std::string_view, 9> fault_kinds{
+    "crash", "hang", "fail", "cut", "slow", "drain", "store_refuses", "store_silent", "store_slow"};
+
+template <typename Item>
+std::optional<std::size_t> find_named(const std::vector<Item>& items, std::string_view name) {
+    const auto found = std::ranges::find(items, name, &Item::name);
+    return found == items.end() ? std::nullopt : std::optional<std::size_t>(found - items.begin());
+}
+
+class experiment_reader {
+public:
+    experiment_reader(const settings::ini_document& document, std::vector<problem>& problems)
+        : m_document(document), m_problems(problems) {}
+
+    experiment_plan read() {
+        check_kinds();
+        read_general();
+        read_each("service", [this](const ini_section& section) { read_service(section); });
+        read_each("workspace", [this](const ini_section& section) { read_workspace(section); });
+        read_each("route", [this](const ini_section& section) { read_route(section); });
+        read_each("callers", [this](const ini_section& section) { read_callers(section); });
+        read_each("burst", [this](const ini_section& section) { read_burst(section); });
+        read_each("fault", [this](const ini_section& section) { read_fault(section); });
+        m_plan.configuration.version = 1;
+        return std::move(m_plan);
+    }
+
+private:
+    void check_kinds() {
+        for (const auto& section : m_document.sections) {
+            if (std::ranges::find(section_kinds, section.kind) == section_kinds.end()) {
+                m_problems.push_back({m_document.file, section.line, section.title(),
+                                      "one of the sections [experiment], [service NAME], [workspace NAME], "
+                                      "[route NAME], [callers NAME], [burst NAME], [fault NAME]"});
+            }
+        }
+    }
+
+    void read_each(std::string_view kind, const std::function<void(const ini_section&)>& read_section) {
+        for (const auto& section : m_document.sections) {
+            if (section.kind != kind) {
+                continue;
+            }
+            if (section.name.empty()) {
+                m_problems.push_back({m_document.file, section.line, section.title(), "a name after the kind"});
+            } else {
+                read_section(section);
+            }
+        }
+    }
+
+    section_reader reader_for(const ini_section& section) {
+        return {m_document, &section, section.title(), m_problems};
+    }
+
+    void read_general() {
+        const auto found = std::ranges::find(m_document.sections, "experiment", &ini_section::kind);
+        const auto* section = found != m_document.sections.end() ? &*found : nullptr;
+        section_reader reader(m_document, section, "experiment", m_problems);
+        m_plan.name = reader.text("name", "experiment");
+        m_plan.load.length = reader.duration("length", milliseconds(30000), milliseconds(100), longest);
+        m_plan.load.seed = static_cast<std::uint64_t>(reader.number("seed", 1, 0, 1'000'000'000));
+        m_plan.load.clump = reader.real("clump", 1, 1, 1000);
+        m_plan.store = reader.address("store");
+        m_plan.gateway_settings = read_gateway_settings(reader);
+        read_gateways(reader);
+        reader.finish();
+    }
+
+    /// "key = value" pairs for the gateways' files, separated by commas.
+    static std::string read_gateway_settings(section_reader& reader) {
+        std::string lines;
+        for (const auto& pair : reader.list("gateway_settings")) {
+            lines += pair + "\n";
+        }
+        return lines;
+    }
+
+    void read_gateways(section_reader& reader) {
+        constexpr std::string_view expected = "addresses of gateways, IP:PORT, separated by commas";
+        const auto texts = reader.list("gateways");
+        for (const auto& text : texts) {
+            const auto colon = text.rfind(':');
+            boost::system::error_code error;
+            const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+            const int port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+            if (error || port <= 0 || port > UINT16_MAX - ports_of_a_gateway) {
+                reader.complain("gateways", std::string(expected));
+                return;
+            }
+            m_plan.gateways.push_back({address, static_cast<std::uint16_t>(port)});
+        }
+        if (texts.empty()) {
+            reader.complain("gateways", std::string(expected) + " (the key is required)");
+        }
+    }
+
+    void read_service(const ini_section& section) {
+        auto reader = reader_for(section);
+        server_group group;
+        group.service = section.name;
+        const bool is_engine = reader.choice("kind", service_kinds, 0) == 0;
+        group.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        group.first_address = reader.address("address");
+        group.slots = static_cast<unsigned>(reader.number("slots", group.slots, 1, 4096));
+        group.work = reader.duration("work", group.work, none, longest);
+        group.speeds = read_speeds(reader);
+        routing::service service;
+        service.name = section.name;
+        service.health_path = "/healthz";
+        service.connections = static_cast<unsigned>(reader.number("connections", 0, 0, 100'000));
+        if (is_engine) {
+            auto& engine = group.engine.emplace();
+            engine.slots = group.slots;
+            engine.step_ms = reader.real("step_ms", engine.step_ms, 0.001, most);
+            engine.prompt_tokens_per_ms =
+                reader.real("prompt_tokens_per_ms", engine.prompt_tokens_per_ms, 0.001, most);
+            engine.setup_ms = reader.real("setup_ms", engine.setup_ms, 0, most);
+            engine.tokens_per_event = static_cast<unsigned>(reader.number("tokens_per_event", 4, 1, 10'000));
+            service.engine = routing::engine_profile{group.slots, 0, engine.tokens_per_event};
+        }
+        reader.finish();
+        m_plan.configuration.services.push_back(std::move(service));
+        m_plan.servers.push_back(std::move(group));
+    }
+
+    static std::vector<double> read_speeds(section_reader& reader) {
+        std::vector<double> result;
+        for (const auto& text : reader.list("speeds")) {
+            const double speed = std::atof(text.c_str());
+            if (speed <= 0) {
+                reader.complain("speeds", "time factors over 0, separated by commas");
+                return {1};
+            }
+            result.push_back(speed);
+        }
+        return result.empty() ? std::vector<double>{1} : result;
+    }
+
+    void read_workspace(const ini_section& section) {
+        auto reader = reader_for(section);
+        routing::workspace workspace;
+        workspace.name = section.name;
+        workspace.keys = {reader.text("key")};
+        workspace.tier = static_cast<int>(reader.number("tier", 0, 0, most_tier));
+        workspace.rate = reader.real("tokens_per_second", 0, 0, most);
+        workspace.burst = reader.real("token_burst", 0, 0, most);
+        workspace.unit = routing::allowance_unit::tokens;
+        reader.finish();
+        m_plan.configuration.workspaces.push_back(std::move(workspace));
+    }
+
+    void read_route(const ini_section& section) {
+        auto reader = reader_for(section);
+        routing::route route;
+        route.name = section.name;
+        route.host = reader.text("host", "site.example");
+        route.prefix = "/" + section.name + "/";
+        route.kind = static_cast<routing::route_kind>(reader.choice("kind", route_kinds, 2));
+        route.is_resumable = reader.flag("resumable", false);
+        route.is_public = reader.flag("public", false);
+        route.attempts = static_cast<unsigned>(reader.number("attempts", 2, 1, 100));
+        route.timeout = reader.duration("timeout", route.timeout, shortest, longest);
+        route.latency_target = reader.duration("target", route.latency_target, shortest, longest);
+        route.pause_target = reader.duration("pause_target", route.pause_target, none, longest);
+        route.tier = static_cast<int>(reader.number("tier", 0, 0, most_tier));
+        const auto service = reader.text("service");
+        const auto index = find_named(m_plan.configuration.services, service);
+        if (index) {
+            route.services.push_back({*index, 1});
+        } else {
+            reader.complain("service", "the name of a [service] section");
+        }
+        reader.finish();
+        m_plan.configuration.routes.push_back(std::move(route));
+    }
+
+    void read_callers(const ini_section& section) {
+        auto reader = reader_for(section);
+        caller_group group;
+        group.name = section.name;
+        group.route = reader.text("route");
+        group.returns = static_cast<unsigned>(reader.number("returns", group.returns, 0, 100));
+        group.gives_up = reader.real("gives_up", group.gives_up, 0, 1);
+        group.key = read_key(reader);
+        emulator::request_class sizes;
+        sizes.name = section.name;
+        sizes.per_second = reader.real("per_second", sizes.per_second, 0, most);
+        sizes.prompt_tokens = reader.real("prompt_tokens", sizes.prompt_tokens, 0, most);
+        sizes.prompt_spread = reader.real("prompt_spread", 0.5, 0, 10);
+        sizes.output_tokens = reader.real("output_tokens", sizes.output_tokens, 1, most);
+        sizes.output_spread = reader.real("output_spread", 0.5, 0, 10);
+        sizes.deadline = reader.duration("deadline", milliseconds(10000), shortest, longest);
+        const auto route = find_named(m_plan.configuration.routes, group.route);
+        if (route) {
+            sizes.target = m_plan.configuration.routes[*route].latency_target;
+        } else {
+            reader.complain("route", "the name of a [route] section");
+        }
+        reader.finish();
+        m_plan.callers.push_back(std::move(group));
+        m_plan.load.classes.push_back(std::move(sizes));
+    }
+
+    std::string read_key(section_reader& reader) {
+        const auto name = reader.text("workspace", "");
+        if (name.empty()) {
+            return {};
+        }
+        const auto index = find_named(m_plan.configuration.workspaces, name);
+        if (!index) {
+            reader.complain("workspace", "the name of a [workspace] section");
+            return {};
+        }
+        return m_plan.configuration.workspaces[*index].keys.front();
+    }
+
+    void read_burst(const ini_section& section) {
+        auto reader = reader_for(section);
+        emulator::load_burst burst;
+        burst.begin = reader.duration("at", none, none, longest);
+        burst.length = reader.duration("for", milliseconds(1000), shortest, longest);
+        burst.factor = reader.real("factor", 2, 0, 1000);
+        burst.request_class = reader.text("callers", "");
+        if (!burst.request_class.empty() && !find_named(m_plan.callers, burst.request_class)) {
+            reader.complain("callers", "the name of a [callers] section, or left out for all");
+        }
+        reader.finish();
+        m_plan.load.bursts.push_back(std::move(burst));
+    }
+
+    void read_fault(const ini_section& section) {
+        auto reader = reader_for(section);
+        planned_fault fault;
+        fault.name = section.name;
+        fault.kind = static_cast<fault_kind>(reader.choice("kind", fault_kinds, 0));
+        fault.at = reader.duration("at", none, none, longest);
+        fault.length = reader.duration("for", fault.length, shortest, longest);
+        fault.factor = reader.real("factor", fault.factor, 0.01, 1000);
+        fault.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        fault.service = reader.text("service", "");
+        const bool needs_service = fault.kind < fault_kind::store_refuses;
+        const bool knows_service = find_named(m_plan.configuration.services, fault.service).has_value();
+        if (needs_service && !knows_service) {
+            reader.complain("service", "the name of a [service] section");
+        }
+        reader.finish();
+        m_plan.faults.push_back(std::move(fault));
+    }
+
+    const settings::ini_document& m_document;
+    std::vector<problem>& m_problems;
+    experiment_plan m_plan;
+};
+
+} // namespace
+
+experiment_plan read_experiment(std::string_view text, std::string_view file,
+                                std::vector<problem>& problems) {
+    const auto document = settings::parse_ini(text, file, problems);
+    return experiment_reader(document, problems).read();
+}
+
+} // namespace borageford::experiment
--- /dev/null
+++ b/src/experiment/experiment_site.cpp
@@ -0,0 +1,230 @@
+// Servers register as the platform's do; faults are calls at planned times.
+#include "experiment/experiment_site.hpp"
+
+#include "platform/backend_codec.hpp"
+#include "platform/call_names.hpp"
+#include "platform/configuration_codec.hpp"
+#include "store/row.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::experiment {
+
+namespace {
+
+/// A registration whose server is gone is removed after some missed heartbeats.
+constexpr milliseconds registration_life{1500};
+constexpr double slow_store_unit_ms = 100;
+constexpr std::uint64_t id_base = 1000;
+
+std::string row_key(std::string_view id) {
+    return std::string(platform::backend_table) + "/" + std::string(id);
+}
+
+} // namespace
+
+experiment_site::experiment_site(boost::asio::any_io_executor executor, timer_service& timers,
+                                 const experiment_plan& plan)
+    : m_executor(std::move(executor)), m_timers(timers), m_plan(plan), m_store(m_executor, timers) {}
+
+void experiment_site::start() {
+    m_store.listen(m_plan.store);
+    store::transaction change;
+    change.puts.push_back({std::string(platform::configuration_key),
+                           platform::encode_configuration(m_plan.configuration)});
+    static_cast<void>(m_store.rows().transact(change));
+    for (std::size_t group = 0; group < m_plan.servers.size(); ++group) {
+        add_servers(group);
+    }
+}
+
+void experiment_site::add_servers(std::size_t group) {
+    const auto& of = m_plan.servers[group];
+    for (std::size_t index = 0; index < of.count; ++index) {
+        auto address = of.first_address;
+        if (address.port() != 0) {
+            address.port(static_cast<std::uint16_t>(address.port() + index));
+        }
+        m_servers.push_back({group, address, of.speeds[index % of.speeds.size()], 0, nullptr});
+        start_server(m_servers.back());
+    }
+}
+
+void experiment_site::start_server(server_unit& unit) {
+    const auto& group = m_plan.servers[unit.group];
+    emulator::backend_options options;
+    const auto number = static_cast<std::uint64_t>(&unit - m_servers.data());
+    options.id = group.service + "-" + std::to_string(id_base * ++unit.starts + number);
+    options.service = group.service;
+    options.slots = group.slots;
+    options.work = group.work;
+    options.engine = group.engine;
+    if (options.engine) {
+        options.engine->speed = unit.speed;
+    }
+    unit.server = std::make_unique<emulator::emulated_backend>(m_executor, m_timers, platform::call_names(),
+                                                               options);
+    unit.address = unit.server->listen(unit.address);
+    write_registration(unit, routing::backend_state::ready);
+}
+
+void experiment_site::write_registration(const server_unit& unit, routing::backend_state state) {
+    routing::backend_record record;
+    record.id = unit.server->options().id;
+    record.service = unit.server->options().service;
+    record.address = unit.address;
+    record.failure_domain = "a";
+    record.slots = unit.server->options().slots;
+    record.state = state;
+    store::transaction change;
+    change.puts.push_back({row_key(record.id), platform::encode_backend(record)});
+    static_cast<void>(m_store.rows().transact(change));
+}
+
+void experiment_site::remove_registration(std::string id) {
+    store::transaction change;
+    change.deletes.push_back(row_key(id));
+    static_cast<void>(m_store.rows().transact(change));
+}
+
+void experiment_site::set_fault(std::size_t server, emulator::backend_fault fault) {
+    if (auto& unit = m_servers.at(server); unit.server != nullptr) {
+        unit.server->set_fault(fault);
+    }
+}
+
+void experiment_site::set_slowness(std::size_t server, double factor) {
+    if (auto& unit = m_servers.at(server); unit.server != nullptr) {
+        unit.server->set_slowness(factor);
+    }
+}
+
+void experiment_site::crash(std::size_t server) {
+    auto& unit = m_servers.at(server);
+    if (unit.server == nullptr) {
+        return;
+    }
+    const auto id = unit.server->options().id;
+    unit.server->stop();
+    m_former.push_back(std::move(unit.server));
+    after(registration_life, [this, id] { remove_registration(id); });
+}
+
+void experiment_site::restart(std::size_t server) {
+    auto& unit = m_servers.at(server);
+    if (unit.server == nullptr) {
+        start_server(unit);
+    }
+}
+
+void experiment_site::drain(std::size_t server) {
+    auto& unit = m_servers.at(server);
+    if (unit.server != nullptr) {
+        write_registration(unit, routing::backend_state::draining);
+    }
+}
+
+std::map<std::string, std::size_t> experiment_site::count_runs() const {
+    std::map<std::string, std::size_t> result;
+    const auto add = [&result](const emulator::emulated_backend& server) {
+        for (const auto& run : server.runs()) {
+            ++result[run.request_id];
+        }
+    };
+    for (const auto& unit : m_servers) {
+        if (unit.server != nullptr) {
+            add(*unit.server);
+        }
+    }
+    for (const auto& server : m_former) {
+        add(*server);
+    }
+    return result;
+}
+
+void experiment_site::after(milliseconds delay, std::function<void()> call) {
+    m_planned.push_back(m_timers.after(m_executor, delay, std::move(call)));
+}
+
+void experiment_site::begin_faults(std::function<void(std::string_view)> on_fault) {
+    for (const auto& fault : m_plan.faults) {
+        after(fault.at, [this, &fault, on_fault] {
+            on_fault(fault.name + " begins");
+            begin_fault(fault);
+        });
+        after(fault.at + fault.length, [this, &fault, on_fault] {
+            on_fault(fault.name + " ends");
+            end_fault(fault);
+        });
+    }
+}
+
+std::vector<std::size_t> experiment_site::servers_of(const planned_fault& fault) const {
+    std::vector<std::size_t> result;
+    for (std::size_t index = 0; index < m_servers.size() && result.size() < fault.count; ++index) {
+        if (m_plan.servers[m_servers[index].group].service == fault.service) {
+            result.push_back(index);
+        }
+    }
+    return result;
+}
+
+void experiment_site::begin_fault(const planned_fault& fault) {
+    using emulator::backend_fault;
+    using emulator::store_state;
+    const auto servers = servers_of(fault);
+    const auto set_all = [&](backend_fault what) {
+        std::ranges::for_each(servers, [&](std::size_t server) { set_fault(server, what); });
+    };
+    switch (fault.kind) {
+    case fault_kind::crash:
+        std::ranges::for_each(servers, [&](std::size_t server) { crash(server); });
+        break;
+    case fault_kind::hang:
+        set_all(backend_fault::hang);
+        break;
+    case fault_kind::fail:
+        set_all(backend_fault::error);
+        break;
+    case fault_kind::cut:
+        set_all(backend_fault::cut_midway);
+        break;
+    case fault_kind::slow:
+        std::ranges::for_each(servers, [&](std::size_t server) { set_slowness(server, fault.factor); });
+        break;
+    case fault_kind::drain:
+        std::ranges::for_each(servers, [&](std::size_t server) { drain(server); });
+        break;
+    case fault_kind::store_refuses:
+        m_store.set_state(store_state::busy);
+        break;
+    case fault_kind::store_silent:
+        m_store.set_state(store_state::silent);
+        break;
+    case fault_kind::store_slow:
+        m_store.set_delay(milliseconds(static_cast<long>(fault.factor * slow_store_unit_ms)));
+        break;
+    }
+}
+
+void experiment_site::end_fault(const planned_fault& fault) {
+    if (fault.kind == fault_kind::store_slow) {
+        m_store.set_delay(milliseconds(0));
+        return;
+    }
+    if (fault.kind >= fault_kind::store_refuses) {
+        m_store.set_state(emulator::store_state::well);
+        return;
+    }
+    for (const auto server : servers_of(fault)) {
+        if (fault.kind == fault_kind::drain) {
+            crash(server);
+        }
+        restart(server);
+        set_fault(server, emulator::backend_fault::none);
+        set_slowness(server, m_servers[server].speed);
+    }
+}
+
+} // namespace borageford::experiment
--- /dev/null
+++ b/src/experiment/gateway_files.cpp
@@ -0,0 +1,46 @@
+// One file a gateway, with the ports after its first.
+#include "experiment/gateway_files.hpp"
+
+#include "http/client.hpp"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace borageford::experiment {
+
+std::string gateway_file_text(const experiment_plan& plan, std::size_t gateway) {
+    const auto& place = plan.gateways.at(gateway);
+    const auto at = [&](unsigned offset) {
+        return place.address.to_string() + ":" + std::to_string(place.first_port + offset);
+    };
+    std::ostringstream text;
+    text << "[process]\nvm = gateway-" << gateway << "\nfailure_domain = a\nregion = r\nlog_format = json\n\n"
+         << "[platform]\naddress = " << http::to_string(plan.store) << "\ntimeout = 500ms\n\n"
+         << "[gateway]\ncallers_listen = " << at(0) << "\nreadiness_listen = " << at(1)
+         << "\npeers_listen = " << at(2) << "\nmetrics_listen = " << at(3) << "\nseeds = ";
+    for (std::size_t other = 0; other < plan.gateways.size(); ++other) {
+        text << (other > 0 ? ", " : "") << plan.gateways[other].address.to_string();
+    }
+    text << '\n' << plan.gateway_settings;
+    return text.str();
+}
+
+std::vector<std::filesystem::path> write_gateway_files(const experiment_plan& plan,
+                                                       const std::filesystem::path& folder) {
+    std::filesystem::create_directories(folder);
+    std::vector<std::filesystem::path> result;
+    for (std::size_t index = 0; index < plan.gateways.size(); ++index) {
+        const auto path = folder / ("gateway-" + std::to_string(index) + ".ini");
+        std::ofstream file(path);
+        file << gateway_file_text(plan, index);
+        file.close();
+        if (!file) {
+            throw std::runtime_error("can't write " + path.string());
+        }
+        result.push_back(path);
+    }
+    return result;
+}
+
+} // namespace borageford::experiment
--- /dev/null
+++ b/src/experiment/load_runner.cpp
@@ -0,0 +1,221 @@
+// Open loop: a caller doesn't wait for others.
+#include "experiment/load_runner.hpp"
+
+#include "base/identifier.hpp"
+#include "platform/call_names.hpp"
+#include "platform/users_platform.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::experiment {
+
+namespace {
+
+constexpr milliseconds readiness_period{500};
+/// A caller whose connection failed tries again after this, as many clients do.
+constexpr milliseconds reconnect_wait{100};
+constexpr milliseconds assumed_retry_wait{500};
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned too_many_requests = 429;
+constexpr unsigned unavailable = 503;
+constexpr double bytes_per_token = 1;
+constexpr std::size_t most_body = 64U * 1024;
+
+std::vector<std::string> names_of(const std::vector<caller_group>& groups) {
+    std::vector<std::string> result;
+    std::ranges::transform(groups, std::back_inserter(result), &caller_group::name);
+    return result;
+}
+
+milliseconds since(clock::time_point begin, clock::time_point at) {
+    return std::chrono::duration_cast<milliseconds>(at - begin);
+}
+
+} // namespace
+
+struct load_runner::caller {
+    std::size_t group = 0;
+    emulator::offered_request sizes;
+    clock::time_point begun;
+    unsigned tries = 0;
+    bool leaves = false;
+    std::string id;
+    call_result last;
+    std::shared_ptr<load_call> call;
+    timer_subscription timer;
+    timer_subscription deadline;
+    bool is_over = false;
+};
+
+load_runner::load_runner(boost::asio::any_io_executor executor, timer_service& timers,
+                         const experiment_plan& plan)
+    : m_executor(std::move(executor)),
+      m_timers(timers),
+      m_plan(plan),
+      m_outcomes(names_of(plan.callers)),
+      m_run(identifier::random().low),
+      m_is_ready(plan.gateways.size(), false),
+      m_random(plan.load.seed) {}
+
+load_runner::~load_runner() = default;
+
+void load_runner::ask_readiness(std::function<void(std::size_t)> answer) {
+    const auto open = std::make_shared<std::size_t>(m_plan.gateways.size());
+    const auto told = std::make_shared<std::function<void(std::size_t)>>(std::move(answer));
+    for (std::size_t index = 0; index < m_plan.gateways.size(); ++index) {
+        const auto& place = m_plan.gateways[index];
+        const boost::asio::ip::tcp::endpoint address(place.address,
+                                                     static_cast<std::uint16_t>(place.first_port + 1));
+        const auto question = "GET " + platform::users_platform().readiness_path +
+                              " HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n";
+        std::make_shared<load_call>(m_executor, m_kept, address, question, "",
+                                    [this, index, open, told](const call_result& result) {
+                                        m_is_ready[index] = result.status == first_success;
+                                        if (--*open == 0) {
+                                            (*told)(static_cast<std::size_t>(
+                                                std::ranges::count(m_is_ready, true)));
+                                        }
+                                    })
+            ->start();
+    }
+}
+
+void load_runner::start(std::function<void()> on_done) {
+    m_on_done = std::move(on_done);
+    m_begin = clock::now();
+    m_offered = emulator::draw_requests(m_plan.load, m_begin);
+    m_readiness_timer = m_timers.every(m_executor, readiness_period, [this] {
+        ask_readiness([](std::size_t) {});
+    });
+    send_due();
+}
+
+void load_runner::send_due() {
+    const auto now = clock::now();
+    while (m_next < m_offered.size() && m_offered[m_next].at <= now) {
+        const auto& sizes = m_offered[m_next++];
+        auto by = std::make_shared<caller>();
+        by->group = sizes.request_class;
+        by->sizes = sizes;
+        by->begun = now;
+        by->leaves = std::bernoulli_distribution(m_plan.callers[by->group].gives_up)(m_random);
+        ++m_open;
+        send(by);
+    }
+    if (m_next < m_offered.size()) {
+        m_timer = m_timers.after(m_executor, m_offered[m_next].at - now, [this] { send_due(); });
+    } else if (m_open == 0) {
+        m_on_done();
+    }
+}
+
+boost::asio::ip::tcp::endpoint load_runner::pick_gateway() {
+    std::vector<std::size_t> ready;
+    for (std::size_t index = 0; index < m_is_ready.size(); ++index) {
+        if (m_is_ready[index]) {
+            ready.push_back(index);
+        }
+    }
+    const auto draw = m_random();
+    const auto index = ready.empty() ? draw % m_plan.gateways.size() : ready[draw % ready.size()];
+    const auto& place = m_plan.gateways[index];
+    return {place.address, place.first_port};
+}
+
+std::string load_runner::compose(const caller& by, const std::string& id) const {
+    const auto& group = m_plan.callers[by.group];
+    const auto& sizes = m_plan.load.classes[by.group];
+    const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
+    const auto names = platform::call_names();
+    const auto left = sizes.deadline - (clock::now() - by.begun);
+    const auto prompt = static_cast<std::size_t>(by.sizes.prompt_tokens);
+    const std::string body(
+        std::min(most_body, static_cast<std::size_t>(by.sizes.prompt_tokens * bytes_per_token)), 'x');
+    std::string head = "POST " + route->prefix + "x HTTP/1.1\r\nHost: " + route->host + "\r\n";
+    head += names.request_id + ": " + id + "\r\n";
+    head += names.deadline + ": " +
+            std::to_string(std::max<long>(1, std::chrono::duration_cast<milliseconds>(left).count())) + "\r\n";
+    if (route->kind == routing::route_kind::stream) {
+        head += names.tokens + ": " + std::to_string(prompt) + "," + std::to_string(by.sizes.output_tokens) +
+                "\r\n";
+        head += names.expected_length + ": " +
+                std::to_string(static_cast<std::size_t>(by.sizes.hinted_output)) + "\r\n";
+    }
+    if (!group.key.empty()) {
+        head += "Authorization: Bearer " + group.key + "\r\n";
+    }
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void load_runner::send(const std::shared_ptr<caller>& by) {
+    const auto& sizes = m_plan.load.classes[by->group];
+    ++by->tries;
+    by->id = std::to_string(m_run) + "-" + std::to_string(++m_last_id);
+    const auto& group = m_plan.callers[by->group];
+    const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
+    if (!route->may_repeat()) {
+        m_unrepeatable_ids.push_back(by->id);
+    }
+    by->call = std::make_shared<load_call>(m_executor, m_kept, pick_gateway(), compose(*by, by->id),
+                                           platform::call_names().signature,
+                                           [this, by](const call_result& result) { take_result(by, result); });
+    const auto left = sizes.deadline - (clock::now() - by->begun);
+    const auto patience = by->leaves ? left / 4 : left;
+    by->deadline = m_timers.after(m_executor, patience, [this, by] {
+        by->call->give_up();
+        end(by, by->leaves ? outcome::left : outcome::failed);
+    });
+    by->call->start();
+}
+
+void load_runner::take_result(const std::shared_ptr<caller>& by, const call_result& result) {
+    by->deadline.cancel();
+    by->last = result;
+    const bool is_success = result.status >= first_success && result.status < first_redirect;
+    const bool is_refused = result.status == too_many_requests || result.status == unavailable;
+    const auto& group = m_plan.callers[by->group];
+    const auto& sizes = m_plan.load.classes[by->group];
+    if (result.is_whole && is_success) {
+        const bool is_in_time = result.first_event - by->begun <= sizes.target;
+        end(by, is_in_time ? outcome::in_time : outcome::late);
+        return;
+    }
+    const bool may_return = by->tries <= group.returns;
+    if (may_return && is_refused) {
+        come_back(by, result.retry_after.value_or(assumed_retry_wait));
+        return;
+    }
+    if (may_return && !result.has_connected) {
+        come_back(by, reconnect_wait);
+        return;
+    }
+    end(by, is_refused ? outcome::refused : outcome::failed);
+}
+
+void load_runner::come_back(const std::shared_ptr<caller>& by, milliseconds wait) {
+    const auto& sizes = m_plan.load.classes[by->group];
+    if (clock::now() + wait - by->begun >= sizes.deadline) {
+        end(by, outcome::refused);
+        return;
+    }
+    by->timer = m_timers.after(m_executor, wait, [this, by] { send(by); });
+}
+
+void load_runner::end(const std::shared_ptr<caller>& by, outcome what) {
+    if (std::exchange(by->is_over, true)) {
+        return;
+    }
+    by->deadline.cancel();
+    by->timer.cancel();
+    by->call.reset();
+    const auto now = clock::now();
+    m_outcomes.add({by->group, what, since(m_begin, by->begun), since(by->begun, by->last.first_event),
+                    since(by->begun, now), by->tries, by->last.status, by->id});
+    if (--m_open == 0 && m_next == m_offered.size()) {
+        m_on_done();
+    }
+}
+
+} // namespace borageford::experiment
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -69,6 +69,10 @@
     }
 }
 
+void backend_roster::note_other_in_touch() {
+    m_watch.note_other_in_touch(steady_clock::now());
+}
+
 void backend_roster::take_outage() {
     m_watch.note_outage(steady_clock::now());
 }
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -37,6 +37,8 @@
     void take_all(const store::row_page& page);
     void take_change(const store::row_change& change);
     void take_outage();
+    /// The store answers another gateway.
+    void note_other_in_touch();
 
     /// What has changed after a version, for a gateway that holds just that version.
     struct update {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -58,7 +58,7 @@
           m_configuration_keeper(speech, m_configuration, m_slots),
           m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots),
           m_exchange(m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster,
-                     [this] { return m_configuration_follower.is_in_touch() && m_backend_follower.is_in_touch(); }),
+                     [this] { return is_store_well(); }),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
                                    speech.configuration_table, make_configuration_handlers()),
           m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table, speech.backend_table,
@@ -131,15 +131,26 @@
     coordination::slot_broker::observers make_observers() {
         using coordination::slot_broker;
         return {
-            [this] { return slot_broker::versions{m_configuration_keeper.version(), m_roster.version()}; },
+            [this] { return held_versions(); },
             [this](const asio::ip::address& peer, const slot_broker::versions& held) {
                 m_exchange.hear(peer, held.configuration, held.backends);
+                if (held.is_in_touch) {
+                    m_roster.note_other_in_touch();
+                }
             },
             [this](const policy::slot_scheduler::health_change& change) {
                 report_health(change);
             }};
     }
 
+    [[nodiscard]] bool is_store_well() const {
+        return m_configuration_follower.is_in_touch() && m_backend_follower.is_in_touch();
+    }
+
+    [[nodiscard]] coordination::slot_broker::versions held_versions() const {
+        return {m_configuration_keeper.version(), m_roster.version(), is_store_well()};
+    }
+
     store_follower::handlers make_configuration_handlers() {
         return {[this](const store::row_page& page) {
                     for (const auto& row : page.rows) {
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -7,6 +7,13 @@
     return m_last_outage != time_point::min() && now - m_last_outage < grace;
 }
 
+void registration_watch::note_outage(time_point now) noexcept {
+    const bool answers_others = m_other_in_touch != time_point::min() && now - m_other_in_touch < word_life;
+    if (!answers_others) {
+        m_last_outage = now;
+    }
+}
+
 bool registration_watch::is_gone(std::string_view server, time_point now) {
     if (!is_around_outage(now)) {
         return true;
--- a/src/policy/registration_watch.hpp
+++ b/src/policy/registration_watch.hpp
@@ -18,8 +18,16 @@
     /// How long after an outage servers have to register anew. The store's users promise about two seconds.
     static constexpr duration grace = std::chrono::milliseconds(2300);
 
-    /// The store couldn't be reached.
-    void note_outage(time_point now) noexcept { m_last_outage = now; }
+    /// How long the word of another process counts, that the store answers it. They tell it several times a
+    /// second.
+    static constexpr duration word_life = std::chrono::milliseconds(600);
+
+    /// The store couldn't be reached from here. Where it answers another process, only this one is turned
+    /// away: servers renew their registrations, and one that vanishes has left. Missing such a server for a
+    /// while sent requests to it for 2.3 s after it had said that it leaves.
+    void note_outage(time_point now) noexcept;
+    /// Another process says that the store answers it.
+    void note_other_in_touch(time_point now) noexcept { m_other_in_touch = now; }
 
     /// A registration vanished: true when the server is to be taken as gone now; false when it is missed.
     [[nodiscard]] bool is_gone(std::string_view server, time_point now);
@@ -33,6 +41,7 @@
     [[nodiscard]] bool is_around_outage(time_point now) const noexcept;
 
     time_point m_last_outage = time_point::min();
+    time_point m_other_in_touch = time_point::min();
     std::map<std::string, time_point, std::less<>> m_missed; ///< until when each is missed
 };
 
--- a/src/program/check_command.cpp
+++ b/src/program/check_command.cpp
@@ -3,6 +3,7 @@
 
 #include "configuration/intent_parser.hpp"
 #include "entry/entry_settings.hpp"
+#include "experiment/experiment_reader.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "process/common_settings.hpp"
 #include "program/command_flags.hpp"
@@ -31,6 +32,10 @@
         static_cast<void>(gateway::read_gateway_settings(document, problems));
         return "settings of a gateway";
     }
+    if (process::find_section(document, "experiment") != nullptr) {
+        static_cast<void>(experiment::read_experiment(text, file, problems));
+        return "an experiment";
+    }
     const bool is_entry = process::find_section(document, "entry") != nullptr ||
                           process::find_section(document, "process") != nullptr;
     if (is_entry) {
--- /dev/null
+++ b/src/program/emulate_command.cpp
@@ -0,0 +1,156 @@
+// Writes the gateways' files, waits until they are ready, plays the load and writes the report.
+#include "program/emulate_command.hpp"
+
+#include "experiment/experiment_reader.hpp"
+#include "experiment/experiment_report.hpp"
+#include "experiment/experiment_site.hpp"
+#include "experiment/gateway_files.hpp"
+#include "experiment/load_runner.hpp"
+#include "program/command_flags.hpp"
+#include "settings/ini_document.hpp"
+#include "settings/section_reader.hpp"
+
+#include <absl/flags/flag.h>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::string, report, "report", "the folder for the gateways' files and the report");
+ABSL_FLAG(std::string, ready_limit, "60s", "how long emulate waits for the gateways");
+
+namespace borageford::program {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds readiness_check_period{200};
+
+/// One run, on one thread.
+class experiment_run {
+public:
+    experiment_run(const experiment::experiment_plan& plan, std::filesystem::path folder, milliseconds limit)
+        : m_plan(plan),
+          m_folder(std::move(folder)),
+          m_ready_limit(limit),
+          m_site(m_context.get_executor(), m_timers, m_plan),
+          m_runner(m_context.get_executor(), m_timers, m_plan) {}
+
+    exit_code play() {
+        m_site.start();
+        show_gateways();
+        m_waiting_since = std::chrono::steady_clock::now();
+        ask_readiness();
+        m_context.run();
+        return m_result;
+    }
+
+private:
+    void show_gateways() const {
+        for (const auto& file : experiment::write_gateway_files(m_plan, m_folder)) {
+            std::cout << "borageford gateway --settings " << file.string() << '\n';
+        }
+        std::cout << "waiting until these are ready" << std::endl;
+    }
+
+    void ask_readiness() {
+        m_timer = m_timers.after(m_context.get_executor(), readiness_check_period, [this] {
+            m_runner.ask_readiness([this](std::size_t ready) { take_readiness(ready); });
+        });
+    }
+
+    void take_readiness(std::size_t ready) {
+        if (ready == m_plan.gateways.size()) {
+            begin();
+        } else if (std::chrono::steady_clock::now() - m_waiting_since > m_ready_limit) {
+            std::cerr << "only " << ready << " of " << m_plan.gateways.size() << " gateways are ready\n";
+            finish(exit_code::failed);
+        } else {
+            ask_readiness();
+        }
+    }
+
+    void begin() {
+        std::cout << "playing " << m_plan.name << std::endl;
+        m_begin = std::chrono::steady_clock::now();
+        m_site.begin_faults([this](std::string_view what) {
+            const auto at =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_begin);
+            m_marks.emplace_back(at, what);
+        });
+        m_runner.start([this] { report(); });
+    }
+
+    void report() {
+        experiment::write_summary(std::cout, m_runner.outcomes(), m_marks);
+        experiment::write_report(m_folder, m_plan.name, m_runner.outcomes(), m_marks);
+        const auto doubled = count_doubled();
+        std::cout << "requests that may run once and ran more often: " << doubled << "\nreport in "
+                  << m_folder.string() << '\n';
+        finish(doubled == 0 ? exit_code::done : exit_code::failed);
+    }
+
+    [[nodiscard]] std::size_t count_doubled() const {
+        const auto runs = m_site.count_runs();
+        std::size_t result = 0;
+        for (const auto& id : m_runner.unrepeatable_ids()) {
+            const auto found = runs.find(id);
+            result += found != runs.end() && found->second > 1 ? 1 : 0;
+        }
+        return result;
+    }
+
+    void finish(exit_code result) {
+        m_result = result;
+        m_context.stop();
+    }
+
+    const experiment::experiment_plan& m_plan;
+    std::filesystem::path m_folder;
+    milliseconds m_ready_limit;
+    timer_service m_timers;
+    boost::asio::io_context m_context{1};
+    experiment::experiment_site m_site;
+    experiment::load_runner m_runner;
+    experiment::fault_marks m_marks;
+    std::chrono::steady_clock::time_point m_waiting_since;
+    std::chrono::steady_clock::time_point m_begin;
+    timer_subscription m_timer;
+    exit_code m_result = exit_code::done;
+};
+
+milliseconds read_ready_limit() {
+    const auto limit = settings::parse_duration(absl::GetFlag(FLAGS_ready_limit));
+    if (!limit) {
+        throw usage_error("--ready-limit needs a duration with its unit, for example 60s");
+    }
+    return *limit;
+}
+
+} // namespace
+
+exit_code run_emulate(arguments words) {
+    if (words.size() != 1) {
+        throw usage_error("emulate needs the FILE of one experiment");
+    }
+    std::vector<settings::problem> problems;
+    const auto text = settings::read_file(words.front(), problems);
+    const auto plan = experiment::read_experiment(text, words.front(), problems);
+    settings::print_problems(problems, std::cerr);
+    if (!problems.empty()) {
+        return exit_code::wrong_input;
+    }
+    const auto limit = read_ready_limit();
+    try {
+        return experiment_run(plan, absl::GetFlag(FLAGS_report), limit).play();
+    } catch (const std::exception& error) {
+        std::cerr << "emulate: " << error.what() << '\n';
+        return exit_code::failed;
+    }
+}
+
+} // namespace borageford::program
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -115,8 +115,9 @@
 
 TEST_CASE("a datagram means the same to its receiver, on the receiver's clock", "[coordination]") {
     datagram sent;
-    sent.sender = {5, true, true, false, 0.19, 4, 17, 23};
+    sent.sender = {5, true, true, false, 0.19, 4, 17, 23, true};
     sent.wants_reply = true;
+    sent.known = {11, 12};
     sent.session = 3;
     sent.batch = 2;
     sent.acknowledged = 1;
@@ -132,6 +133,8 @@
     CHECK(taken->sender.incarnation == 5);
     CHECK(taken->sender.processor_share == Approx(0.19));
     CHECK(taken->sender.configuration_version == 17);
+    CHECK(taken->sender.is_in_touch);
+    CHECK(taken->known == sent.known);
     CHECK(taken->batch == 2);
     REQUIRE(taken->items.asks.size() == 1);
     const auto& ask = taken->items.asks.front();
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -150,6 +150,19 @@
     CHECK(book.try_take(1, 10, 0, now));
 }
 
+TEST_CASE("a registration that vanishes while only this process is turned away has left",
+          "[policy][registration_watch]") {
+    // The store turns one gateway away and serves the others. A server that leaves meanwhile was missed here for
+    // 2.3 s, and got requests after it had said that it leaves.
+    registration_watch watch;
+    watch.note_other_in_touch(start_time);
+    watch.note_outage(start_time + 200ms);
+    CHECK(watch.is_gone("server", start_time + 300ms));
+    // The others' word is old: the store may be away for all.
+    watch.note_outage(start_time + 700ms);
+    CHECK_FALSE(watch.is_gone("server", start_time + 800ms));
+}
+
 TEST_CASE("registrations that vanish around an outage are missed before they count as gone",
           "[policy][registration_watch]") {
     registration_watch watch;
