--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -194,10 +194,14 @@
     }
     const auto* table = wire::Getdatagram(data);
     datagram result;
-    result.sender = {table->incarnation(),           table->is_acting(),
-                     table->is_eligible(),           table->is_leaving(),
-                     table->processor_share(),       table->members(),
-                     table->configuration_version(), table->backend_version(),
+    result.sender = {table->incarnation(),
+                     table->is_acting(),
+                     table->is_eligible(),
+                     table->is_leaving(),
+                     table->processor_share(),
+                     table->members(),
+                     table->configuration_version(),
+                     table->backend_version(),
                      table->is_in_touch()};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
--- a/src/diagnosis/log_record.hpp
+++ b/src/diagnosis/log_record.hpp
@@ -16,10 +16,10 @@
 struct log_record {
     log_time time;
     std::string vm;
-    std::string event;           ///< the name in docs/LOGS.md
-    std::uint64_t left_out = 0;  ///< lines of this kind that weren't written before this one
+    std::string event;            ///< the name in docs/LOGS.md
+    std::uint64_t left_out = 0;   ///< lines of this kind that weren't written before this one
     std::uint64_t lost_lines = 0; ///< lines of the process that nobody read, since its start
-    boost::json::object fields;  ///< those of the event alone, in the order of the line
+    boost::json::object fields;   ///< those of the event alone, in the order of the line
 
     /// The field as text; empty when the line has none of this name.
     [[nodiscard]] std::string text(std::string_view field) const;
--- a/src/diagnosis/request_story.cpp
+++ b/src/diagnosis/request_story.cpp
@@ -77,7 +77,8 @@
         return {"store " + record.text("table"), event == "store_regained"};
     }
     if (event.starts_with("backend_")) {
-        const bool is_usual = event == "backend_ready" || event == "backend_recovered" || event == "backend_gone";
+        const bool is_usual =
+            event == "backend_ready" || event == "backend_recovered" || event == "backend_gone";
         return {"backend " + record.text("backend"), is_usual};
     }
     if (event == "stop_requested" || event == "started" || event == "stopped") {
@@ -111,8 +112,8 @@
                (retry > 0 ? "; told to come back after " + std::to_string(retry) + " ms" : "");
     }
     if (end.event == "request_cut") {
-        return "its stream was ended after " + end.text("events") + " events (" + end.text("reason") +
-               "), " + end.text("total_ms") + " ms after it came";
+        return "its stream was ended after " + end.text("events") + " events (" + end.text("reason") + "), " +
+               end.text("total_ms") + " ms after it came";
     }
     return "its caller left after " + end.text("total_ms") + " ms, while it was " + end.text("stage");
 }
--- a/src/diagnosis/request_story.hpp
+++ b/src/diagnosis/request_story.hpp
@@ -1,5 +1,5 @@
-// What a log tells of one request: its own lines, the coordinator's about it, and what the processes concerned
-// believed at the time.
+// What a log tells of one request: its own lines, the coordinator's about it, and what the processes
+// concerned believed at the time.
 #pragma once
 
 #include "diagnosis/log_record.hpp"
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -46,7 +46,8 @@
     event_description{event_kind::member_lost, "member_lost", warning, state_rate,
                       "A gateway that asked for slots fell silent; its slots are free.", "member silent_ms"},
     event_description{event_kind::configuration_in_force, "configuration_in_force", info, state_rate,
-                      "A newer configuration is in force here.", "version former source routes workspaces keys"},
+                      "A newer configuration is in force here.",
+                      "version former source routes workspaces keys"},
     event_description{event_kind::configuration_unreadable, "configuration_unreadable", error, state_rate,
                       "A configuration can't be read; the former one stays in force.", "source reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
@@ -87,10 +88,11 @@
     event_description{event_kind::request_abandoned, "request_abandoned", info, usual_rate,
                       "The caller closed its connection before its answer was whole.",
                       "request stage backend total_ms events"},
-    event_description{event_kind::slot_refused, "slot_refused", warning, failure_rate,
-                      "The coordinator refused a request a slot: it needed more than was available of what the "
-                      "reason names (seconds of waiting, units of an allowance, repeats).",
-                      "ticket member reason needed available waiting running retry_after_ms"},
+    event_description{
+        event_kind::slot_refused, "slot_refused", warning, failure_rate,
+        "The coordinator refused a request a slot: it needed more than was available of what the "
+        "reason names (seconds of waiting, units of an allowance, repeats).",
+        "ticket member reason needed available waiting running retry_after_ms"},
 };
 
 constexpr bool rows_follow_enumeration() {
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -1,4 +1,5 @@
-// An experiment as its file describes it: what is emulated, the load, what goes wrong, and where gateways are.
+// An experiment as its file describes it: what is emulated, the load, what goes wrong, and where gateways
+// are.
 #pragma once
 
 #include "emulator/batching_engine.hpp"
@@ -33,18 +34,18 @@
 struct caller_group {
     std::string name;
     std::string route;
-    std::string key;        ///< of a workspace; empty on public routes
-    unsigned returns = 1;   ///< times that a refused caller comes back
-    double gives_up = 0;    ///< share of the callers that leave before their answer is whole
+    std::string key;      ///< of a workspace; empty on public routes
+    unsigned returns = 1; ///< times that a refused caller comes back
+    double gives_up = 0;  ///< share of the callers that leave before their answer is whole
 };
 
 enum class fault_kind : std::uint8_t {
-    crash,        ///< servers vanish and come back under a new id afterwards
-    hang,         ///< servers take requests and say nothing
-    fail,         ///< servers answer 500
-    cut,          ///< servers end connections in the middle of answers
-    slow,         ///< servers take `factor` times as long
-    drain,        ///< servers announce that they leave, finish, and come back afterwards
+    crash, ///< servers vanish and come back under a new id afterwards
+    hang,  ///< servers take requests and say nothing
+    fail,  ///< servers answer 500
+    cut,   ///< servers end connections in the middle of answers
+    slow,  ///< servers take `factor` times as long
+    drain, ///< servers announce that they leave, finish, and come back afterwards
     store_refuses,
     store_silent,
     store_slow, ///< each answer takes `factor` times 100 ms
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -73,7 +73,8 @@
                 continue;
             }
             if (section.name.empty()) {
-                m_problems.push_back({m_document.file, section.line, section.title(), "a name after the kind"});
+                m_problems.push_back(
+                    {m_document.file, section.line, section.title(), "a name after the kind"});
             } else {
                 read_section(section);
             }
--- a/src/experiment/experiment_report.cpp
+++ b/src/experiment/experiment_report.cpp
@@ -72,7 +72,8 @@
 } // namespace
 
 void write_summary(std::ostream& out, const outcome_table& outcomes, const fault_marks& faults) {
-    out << std::left << std::setw(name_width) << "callers" << std::right << std::setw(cell_width) << "requests";
+    out << std::left << std::setw(name_width) << "callers" << std::right << std::setw(cell_width)
+        << "requests";
     for (std::size_t index = 0; index < outcome_count; ++index) {
         out << std::setw(cell_width) << to_string(static_cast<outcome>(index));
     }
@@ -82,21 +83,25 @@
         write_row(out, outcomes.groups()[group], outcomes.of_group(group));
     }
     write_row(out, "all", outcomes.of_all());
-    out << "Shares of requests; times to the first event, or to the whole answer, of those that were served.\n";
+    out << "Shares of requests; times to the first event, or to the whole answer, of those that were "
+           "served.\n";
     for (const auto& [at, what] : faults) {
         out << std::setw(8) << std::fixed << std::setprecision(2)
             << static_cast<double>(at.count()) / milliseconds_a_second << " s  " << what << '\n';
     }
 }
 
-std::string draw_outcomes(const std::string& title, const outcome_table& outcomes, const fault_marks& faults) {
+std::string draw_outcomes(const std::string& title, const outcome_table& outcomes,
+                          const fault_marks& faults) {
     const auto seconds = outcomes.by_second();
-    plot shares{title + ": how requests ended, by the second in which they began", "requests", {}, {},
+    plot shares{title + ": how requests ended, by the second in which they began",
+                "requests",
+                {},
+                {},
                 marks_of(faults)};
     for (std::size_t index = 0; index < outcome_count; ++index) {
         shares.stacked.push_back({std::string(to_string(static_cast<outcome>(index))),
-                                  std::string(colours.at(index)),
-                                  values_of(seconds, [index](const auto& of) {
+                                  std::string(colours.at(index)), values_of(seconds, [index](const auto& of) {
                                       return static_cast<double>(of.by_outcome.at(index));
                                   })});
     }
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -31,8 +31,8 @@
 void experiment_site::start() {
     m_store.listen(m_plan.store);
     store::transaction change;
-    change.puts.push_back({std::string(platform::configuration_key),
-                           platform::encode_configuration(m_plan.configuration)});
+    change.puts.push_back(
+        {std::string(platform::configuration_key), platform::encode_configuration(m_plan.configuration)});
     static_cast<void>(m_store.rows().transact(change));
     for (std::size_t group = 0; group < m_plan.servers.size(); ++group) {
         add_servers(group);
@@ -63,8 +63,8 @@
     if (options.engine) {
         options.engine->speed = unit.speed;
     }
-    unit.server = std::make_unique<emulator::emulated_backend>(m_executor, m_timers, platform::call_names(),
-                                                               options);
+    unit.server =
+        std::make_unique<emulator::emulated_backend>(m_executor, m_timers, platform::call_names(), options);
     unit.address = unit.server->listen(unit.address);
     write_registration(unit, routing::backend_state::ready);
 }
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -21,7 +21,8 @@
 /// Belongs to one executor. Servers that are replaced stay until the end, for what they recorded.
 class experiment_site {
 public:
-    experiment_site(boost::asio::any_io_executor executor, timer_service& timers, const experiment_plan& plan);
+    experiment_site(boost::asio::any_io_executor executor, timer_service& timers,
+                    const experiment_plan& plan);
 
     /// Listens, writes the configuration and registers the servers.
     void start();
--- a/src/experiment/load_call.cpp
+++ b/src/experiment/load_call.cpp
@@ -44,7 +44,8 @@
         }
     };
     // Bytes that nobody asked for, or the server's end: neither can be used any more.
-    connection->set_handlers({drop, [drop](net::connection_end) { drop(); }, [] {
+    connection->set_handlers({drop, [drop](net::connection_end) { drop(); },
+                              [] {
                               }});
     connection->read();
     auto& idle = m_idle[server];
@@ -92,9 +93,10 @@
     m_result.has_connected = true;
     m_connection = std::move(connection);
     const auto self = shared_from_this();
-    m_connection->set_handlers(
-        {[self] { self->take_input(); }, [self](net::connection_end) { self->take_end(); }, [] {
-         }});
+    m_connection->set_handlers({[self] { self->take_input(); },
+                                [self](net::connection_end) { self->take_end(); },
+                                [] {
+                                }});
     m_connection->send(m_request);
     m_connection->read();
 }
--- a/src/experiment/load_call.hpp
+++ b/src/experiment/load_call.hpp
@@ -38,8 +38,8 @@
     bool is_whole = false;
     bool was_kept = false; ///< it went out on a connection that had been used before
     std::uint64_t events = 0;
-    std::string body;           ///< of an answer that is no stream
-    std::string answer_fields;  ///< the value of the field that was asked for
+    std::string body;          ///< of an answer that is no stream
+    std::string answer_fields; ///< the value of the field that was asked for
     std::optional<std::chrono::milliseconds> retry_after;
     clock::time_point sent;
     clock::time_point first_event; ///< or the whole answer; not set when nothing came
@@ -52,7 +52,8 @@
     using done = std::function<void(const call_result&)>;
 
     load_call(boost::asio::any_io_executor executor, kept_connections& kept,
-              boost::asio::ip::tcp::endpoint server, std::string request, std::string wanted_field, done on_done);
+              boost::asio::ip::tcp::endpoint server, std::string request, std::string wanted_field,
+              done on_done);
 
     void start();
     /// The caller leaves: its connection is closed and nobody is called.
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -70,14 +70,14 @@
                                                      static_cast<std::uint16_t>(place.first_port + 1));
         const auto question = "GET " + platform::users_platform().readiness_path +
                               " HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n";
-        std::make_shared<load_call>(m_executor, m_kept, address, question, "",
-                                    [this, index, open, told](const call_result& result) {
-                                        m_is_ready[index] = result.status == first_success;
-                                        if (--*open == 0) {
-                                            (*told)(static_cast<std::size_t>(
-                                                std::ranges::count(m_is_ready, true)));
-                                        }
-                                    })
+        std::make_shared<load_call>(
+            m_executor, m_kept, address, question, "",
+            [this, index, open, told](const call_result& result) {
+                m_is_ready[index] = result.status == first_success;
+                if (--*open == 0) {
+                    (*told)(static_cast<std::size_t>(std::ranges::count(m_is_ready, true)));
+                }
+            })
             ->start();
     }
 }
@@ -86,9 +86,8 @@
     m_on_done = std::move(on_done);
     m_begin = clock::now();
     m_offered = emulator::draw_requests(m_plan.load, m_begin);
-    m_readiness_timer = m_timers.every(m_executor, readiness_period, [this] {
-        ask_readiness([](std::size_t) {});
-    });
+    m_readiness_timer =
+        m_timers.every(m_executor, readiness_period, [this] { ask_readiness([](std::size_t) {}); });
     send_due();
 }
 
@@ -136,7 +135,8 @@
     std::string head = "POST " + route->prefix + "x HTTP/1.1\r\nHost: " + route->host + "\r\n";
     head += names.request_id + ": " + id + "\r\n";
     head += names.deadline + ": " +
-            std::to_string(std::max<long>(1, std::chrono::duration_cast<milliseconds>(left).count())) + "\r\n";
+            std::to_string(std::max<long>(1, std::chrono::duration_cast<milliseconds>(left).count())) +
+            "\r\n";
     if (route->kind == routing::route_kind::stream) {
         head += names.tokens + ": " + std::to_string(prompt) + "," + std::to_string(by.sizes.output_tokens) +
                 "\r\n";
@@ -158,9 +158,9 @@
     if (!route->may_repeat()) {
         m_unrepeatable_ids.push_back(by->id);
     }
-    by->call = std::make_shared<load_call>(m_executor, m_kept, pick_gateway(), compose(*by, by->id),
-                                           platform::call_names().signature,
-                                           [this, by](const call_result& result) { take_result(by, result); });
+    by->call = std::make_shared<load_call>(
+        m_executor, m_kept, pick_gateway(), compose(*by, by->id), platform::call_names().signature,
+        [this, by](const call_result& result) { take_result(by, result); });
     const auto left = sizes.deadline - (clock::now() - by->begun);
     const auto patience = by->leaves ? left / 4 : left;
     by->deadline = m_timers.after(m_executor, patience, [this, by] {
--- a/src/experiment/svg_plot.cpp
+++ b/src/experiment/svg_plot.cpp
@@ -45,7 +45,8 @@
 /// Draws one plot at its place in the document.
 class plot_writer {
 public:
-    plot_writer(std::ostringstream& out, const plot& what, double top) : m_out(out), m_plot(what), m_top(top) {
+    plot_writer(std::ostringstream& out, const plot& what, double top)
+        : m_out(out), m_plot(what), m_top(top) {
         for (const auto& series : m_plot.lines) {
             count_steps(series);
             for (const double value : series.values) {
@@ -144,8 +145,8 @@
     void write_legend() {
         double y = m_top + top_margin + legend_step;
         const auto write_entry = [&](const plot_series& series) {
-            m_out << "<rect width=\"10\" height=\"10\" x=\"" << width - right_margin + 10 << "\" y=\"" << y - 9
-                  << "\" fill=\"" << series.colour << "\"/>\n";
+            m_out << "<rect width=\"10\" height=\"10\" x=\"" << width - right_margin + 10 << "\" y=\""
+                  << y - 9 << "\" fill=\"" << series.colour << "\"/>\n";
             text(width - right_margin + 26, y, series.name, "start", 11);
             y += legend_step;
         };
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -42,8 +42,8 @@
 
     /// What has changed after a version, for a gateway that holds just that version.
     struct update {
-        std::uint64_t version = 0;     ///< held after it
-        bool is_whole = false;         ///< everything that is known: what isn't listed is gone
+        std::uint64_t version = 0; ///< held after it
+        bool is_whole = false;     ///< everything that is known: what isn't listed is gone
         registrations present;
         std::vector<std::string> gone; ///< only in one that isn't whole
     };
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -130,17 +130,16 @@
 
     coordination::slot_broker::observers make_observers() {
         using coordination::slot_broker;
-        return {
-            [this] { return held_versions(); },
-            [this](const asio::ip::address& peer, const slot_broker::versions& held) {
-                m_exchange.hear(peer, held.configuration, held.backends);
-                if (held.is_in_touch) {
-                    m_roster.note_other_in_touch();
-                }
-            },
-            [this](const policy::slot_scheduler::health_change& change) {
-                report_health(change);
-            }};
+        return {[this] { return held_versions(); },
+                [this](const asio::ip::address& peer, const slot_broker::versions& held) {
+                    m_exchange.hear(peer, held.configuration, held.backends);
+                    if (held.is_in_touch) {
+                        m_roster.note_other_in_touch();
+                    }
+                },
+                [this](const policy::slot_scheduler::health_change& change) {
+                    report_health(change);
+                }};
     }
 
     [[nodiscard]] bool is_store_well() const {
@@ -157,10 +156,10 @@
                         take_configuration(row);
                     }
                 },
-                [this](const store::row_change& change) { take_configuration(change.now); },
+                [this](const store::row_change& change) { take_configuration(change.now); }, [] {},
                 [] {
-                },
-                [] { return std::uint64_t(0); }}; // a document's version isn't the store's
+                    return std::uint64_t(0);
+                }}; // a document's version isn't the store's
     }
 
     void report_health(const policy::slot_scheduler::health_change& change) {
@@ -187,7 +186,10 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this] { m_roster.take_outage(); }, [this] { return m_roster.version(); }};
+                [this] { m_roster.take_outage(); },
+                [this] {
+                    return m_roster.version();
+                }};
     }
 
     void listen() {
--- a/src/gateway/graceful_stop.hpp
+++ b/src/gateway/graceful_stop.hpp
@@ -13,7 +13,8 @@
 
 class graceful_stop {
 public:
-    /// `acceptor` is closed at the end; `on_stopped` is called once, when nothing is left or the time is over.
+    /// `acceptor` is closed at the end; `on_stopped` is called once, when nothing is left or the time is
+    /// over.
     graceful_stop(gateway_context& context, boost::asio::ip::tcp::acceptor& acceptor,
                   std::function<void()> on_stopped);
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -43,8 +43,8 @@
         bool is_asking = false;
 
         /// Whether it is time to ask, with what is held and what a peer holds.
-        [[nodiscard]] bool is_due(std::uint64_t held, std::uint64_t offered, std::chrono::milliseconds patience,
-                                  clock::time_point now);
+        [[nodiscard]] bool is_due(std::uint64_t held, std::uint64_t offered,
+                                  std::chrono::milliseconds patience, clock::time_point now);
     };
 
     boost::asio::any_io_executor m_executor;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -384,8 +384,8 @@
     const auto& row = answer_for(kind);
     const auto id = m_request.fields.find(m_context.fields.request_id).value_or("");
     m_journal.refused(m_is_admitted ? &m_admitted : nullptr,
-                      {kind, id, reason, m_request.fields.find("Host").value_or(""), m_request.target, m_ticket,
-                       m_attempts.tries(), m_arrived, retry_after});
+                      {kind, id, reason, m_request.fields.find("Host").value_or(""), m_request.target,
+                       m_ticket, m_attempts.tries(), m_arrived, retry_after});
     std::string fields;
     if (!id.empty()) {
         append_field(fields, m_context.fields.request_id, id);
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -8,8 +8,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
-#include <functional>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
--- a/src/policy/coordinator_election.cpp
+++ b/src/policy/coordinator_election.cpp
@@ -113,7 +113,8 @@
 }
 
 coordinator_election::choice coordinator_election::choose(time_point now) const {
-    const bool is_listening = !has_heard_anybody() && !m_members.empty() && now - m_started < m_limits.listening;
+    const bool is_listening =
+        !has_heard_anybody() && !m_members.empty() && now - m_started < m_limits.listening;
     if (is_listening) {
         return {};
     }
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -32,11 +32,11 @@
     duration probation = std::chrono::milliseconds(2000);
     /// A member that was silent for this long is asked rarely, and its place as a candidate goes to another.
     duration absence = std::chrono::milliseconds(1000);
-    /// A process that has just started listens for so long before it coordinates without having heard anybody:
-    /// else each restarted process took over for a moment from one that was known to all others.
+    /// A process that has just started listens for so long before it coordinates without having heard
+    /// anybody: else each restarted process took over for a moment from one that was known to all others.
     duration listening = std::chrono::milliseconds(250);
-    /// A member that was named by others and isn't heard for so long is forgotten. Rumours of dead members end
-    /// with the last that heard them, well within it.
+    /// A member that was named by others and isn't heard for so long is forgotten. Rumours of dead members
+    /// end with the last that heard them, well within it.
     duration rumour_life = std::chrono::seconds(30);
     /// Candidates are few, so that heartbeats grow with the members and not with their square.
     std::size_t candidates = 3;
@@ -106,11 +106,11 @@
         member_key key;
         auto operator<=>(const ranked&) const = default;
     };
-    /// How fit a member is to coordinate, best first. One that leaves is still better than nobody: when all are
-    /// restarted in turn, each may still be finishing a long stream when the last one is told to stop.
+    /// How fit a member is to coordinate, best first. One that leaves is still better than nobody: when all
+    /// are restarted in turn, each may still be finishing a long stream when the last one is told to stop.
     enum class fitness : std::uint8_t { ready, fresh, leaving };
-    /// A candidate's place in the choice; lower is better. Among equals who coordinates already goes on, since
-    /// each change costs the requests that wait a moment.
+    /// A candidate's place in the choice; lower is better. Among equals who coordinates already goes on,
+    /// since each change costs the requests that wait a moment.
     struct preference {
         fitness fit;
         long negative_share;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -55,7 +55,8 @@
 
 /// How long those that wait before it and can be in time will take. Told at once that it can't be, its caller
 /// can use its time; told later, it would hear the same.
-double slot_scheduler::expect_wait(const tier_state& tier, const slot_request& request, time_point now) const {
+double slot_scheduler::expect_wait(const tier_state& tier, const slot_request& request,
+                                   time_point now) const {
     if (request.returns > 0 || tier.queue.size() < least_hopeless_queue) {
         return 0;
     }
@@ -77,8 +78,8 @@
     // The ticket's lowest bits are as good as random, and the same at every replay.
     const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
     const auto wait = tier.overload.retry_after(request.deadline - now, draw, now);
-    m_refusals.push_back({request.ticket, refusal_reason::overloaded, wait, why.needed_seconds,
-                           why.available_seconds});
+    m_refusals.push_back(
+        {request.ticket, refusal_reason::overloaded, wait, why.needed_seconds, why.available_seconds});
 }
 
 void slot_scheduler::add(const slot_request& request, time_point now) {
--- a/src/process/runtime.cpp
+++ b/src/process/runtime.cpp
@@ -26,15 +26,15 @@
       m_reload_signals(m_context, SIGHUP) {}
 
 void runtime::watch_stops(std::function<void()> stop_requested, repeated_stop repeated) {
-    m_stop_signals.async_wait([this, repeated, stop = std::move(stop_requested)](
-                                  const boost::system::error_code& error, int) {
-        if (error) {
-            return;
-        }
-        log::info("stop_requested");
-        watch_repeated_stops(repeated);
-        stop();
-    });
+    m_stop_signals.async_wait(
+        [this, repeated, stop = std::move(stop_requested)](const boost::system::error_code& error, int) {
+            if (error) {
+                return;
+            }
+            log::info("stop_requested");
+            watch_repeated_stops(repeated);
+            stop();
+        });
 }
 
 void runtime::watch_repeated_stops(repeated_stop repeated) {
--- a/src/program/operator_commands.cpp
+++ b/src/program/operator_commands.cpp
@@ -135,7 +135,8 @@
 
 constexpr std::array commands{
     command{"check", "FILE...", "reports every error of settings files and intents",
-            "Needs no entry. The file's sections tell what it is: [entry], [sidecar], [gateway],\nor an intent.\n",
+            "Needs no entry. The file's sections tell what it is: [entry], [sidecar], [gateway],\nor an "
+            "intent.\n",
             run_check},
     command{"plan", "FILE", "shows what an intent would change; changes nothing",
             "The plan is kept, and confirm puts exactly it in force.\n", run_plan},
@@ -160,13 +161,15 @@
     command{"explain", "[REQUEST_ID] [--workspace=W] [--since=1h]",
             "says what happened to a request, and why",
             "Without an id it lists the requests of a workspace and time.\n", run_explain},
-    command{"emulate", "FILE [--report=FOLDER] [--ready-limit=60s]",
-            "plays an experiment against gateways: emulated servers, store and callers",
-            "Needs no entry. Writes a settings file for each gateway that the FILE names into FOLDER, and waits\n"
-            "until all are ready; then it plays the load and the faults, and writes summary.txt, plot.svg and\n"
-            "requests.csv. examples/experiment.ini shows what a FILE has. Exit code 1: a gateway wasn't ready, or\n"
-            "a request that may run once ran more often.\n",
-            run_emulate},
+    command{
+        "emulate", "FILE [--report=FOLDER] [--ready-limit=60s]",
+        "plays an experiment against gateways: emulated servers, store and callers",
+        "Needs no entry. Writes a settings file for each gateway that the FILE names into FOLDER, and waits\n"
+        "until all are ready; then it plays the load and the faults, and writes summary.txt, plot.svg and\n"
+        "requests.csv. examples/experiment.ini shows what a FILE has. Exit code 1: a gateway wasn't ready, "
+        "or\n"
+        "a request that may run once ran more often.\n",
+        run_emulate},
     command{"logs", "REQUEST_ID [FILE...]", "tells one request's lines from gateways' logs",
             "Needs no entry. Reads standard input when no file is named; give it the logs of all gateways,\n"
             "since the one that coordinates decides about the requests of the others. Exit code 1: no line\n"
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -92,16 +92,15 @@
 }
 
 TEST_CASE("gateway: dropped history is read anew once, not over and over", "[gateway][configuration]") {
-    // The store drops its history while backend servers register. A gateway that went on asking from a version
-    // that is gone would ask thousands of times a second, and be refused with everybody else.
+    // The store drops its history while backend servers register. A gateway that went on asking from a
+    // version that is gone would ask thousands of times a second, and be refused with everybody else.
     gateway_site site(plain_site(3));
     const auto knows = [&](const std::string& id) {
         return site.process(0).output_text().find("\"backend\":\"" + id + "\"") != std::string::npos;
     };
     set_store(site, store_state::busy);
-    wait_until("the outage is seen", [&] {
-        return site.process(0).output_text().find(R"("store_lost")") != std::string::npos;
-    });
+    wait_until("the outage is seen",
+               [&] { return site.process(0).output_text().find(R"("store_lost")") != std::string::npos; });
     site.start_backend(3, plain_backend("server-3"));
     const auto former = site.on_emulator([&] {
         site.store().rows().forget_history();
--- a/tests/failure/test_gateway_ingress.cpp
+++ b/tests/failure/test_gateway_ingress.cpp
@@ -137,7 +137,8 @@
     CHECK(site.send(0, make_call("/plain/x", "later")).status == 200);
 }
 
-TEST_CASE("gateway: a request that comes right after a start waits for the configuration", "[gateway][ingress]") {
+TEST_CASE("gateway: a request that comes right after a start waits for the configuration",
+          "[gateway][ingress]") {
     // All gateways were killed at once and come back. Callers have nowhere else to go, and the configuration
     // is known a moment later: refusing them would send them away for nothing.
     auto options = plain_site();
--- a/tests/failure/test_gateway_stop.cpp
+++ b/tests/failure/test_gateway_stop.cpp
@@ -48,9 +48,9 @@
 }
 
 TEST_CASE("gateway: told to stop, it serves what can be whole in time, also late", "[gateway][stop]") {
-    // All gateways of a small deployment are restarted in turn, and each still finishes a long stream when the
-    // next is told to stop. One that refused everything as soon as the balancer must know would leave callers
-    // with nobody, though it has seconds left.
+    // All gateways of a small deployment are restarted in turn, and each still finishes a long stream when
+    // the next is told to stop. One that refused everything as soon as the balancer must know would leave
+    // callers with nobody, though it has seconds left.
     auto options = slow_site(std::chrono::milliseconds(20));
     options.gateway_settings = "stop_limit = 30s\n";
     gateway_site site(options);
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -8,8 +8,8 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <random>
+#include <set>
 
 using namespace borageford;
 using namespace borageford::coordination;
--- a/tests/unit/test_diagnosis.cpp
+++ b/tests/unit/test_diagnosis.cpp
@@ -39,8 +39,8 @@
 
 TEST_CASE("a line that was written is read back", "[diagnosis]") {
     const auto line = events::render(events::event_kind::request_refused,
-                                     {{"request", "a\"b"}, {"status", std::uint64_t(503)}, {"held_ms", 1.5}}, 7,
-                                     "2026-03-01T10:00:00.250000Z");
+                                     {{"request", "a\"b"}, {"status", std::uint64_t(503)}, {"held_ms", 1.5}},
+                                     7, "2026-03-01T10:00:00.250000Z");
     const auto record = read_log_record("edge-1 stdout: " + line);
     REQUIRE(record);
     CHECK(record->event == "request_refused");
@@ -66,16 +66,18 @@
     take(story, line_of("edge-1", 300, "request_refused",
                         R"("request":"r1","ticket":77,"error":"overloaded","status":503,)"
                         R"("reason":"no slot in time","held_ms":180,"tries":0,"retry_after_ms":900)"));
-    take(story, line_of("edge-2", 299, "slot_refused",
-                        R"("ticket":77,"member":"10.0.0.1","reason":"overloaded","needed":2.1,"available":0.7)"));
+    take(story,
+         line_of("edge-2", 299, "slot_refused",
+                 R"("ticket":77,"member":"10.0.0.1","reason":"overloaded","needed":2.1,"available":0.7)"));
     take(story, line_of("edge-2", 290, "slot_refused", R"("ticket":78,"reason":"over_allowance")"));
     take(story, line_of("edge-2", 100, "backend_resting", R"("backend":"engine-4","rest_ms":800)"));
     take(story, line_of("edge-2", 110, "backend_resting", R"("backend":"engine-5","rest_ms":800)"));
     take(story, line_of("edge-2", 120, "backend_recovered", R"("backend":"engine-5")"));
     take(story, line_of("edge-3", 100, "backend_resting", R"("backend":"engine-9","rest_ms":800)"));
     const auto text = told(story);
-    CHECK(story.outcome() == "refused with 503 overloaded (no slot in time) after 180 ms; it was never sent to "
-                             "a backend server; told to come back after 900 ms");
+    CHECK(story.outcome() ==
+          "refused with 503 overloaded (no slot in time) after 180 ms; it was never sent to "
+          "a backend server; told to come back after 900 ms");
     CHECK(text.find("needed=2.1 available=0.7") != std::string::npos);
     CHECK(text.find("edge-2: backend_resting backend=engine-4 rest_ms=800 (since 0.199 s)") !=
           std::string::npos);
@@ -101,8 +103,9 @@
     CHECK(changed < cut);
     CHECK(cut < gone);
     CHECK(gone != std::string::npos);
-    CHECK(story.outcome() == "its stream was ended after 12 events (the response ended early), 390 ms after it "
-                             "came");
+    CHECK(story.outcome() ==
+          "its stream was ended after 12 events (the response ended early), 390 ms after it "
+          "came");
 }
 
 TEST_CASE("a request without lines: the story says what may be missing", "[diagnosis]") {
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -152,8 +152,8 @@
 
 TEST_CASE("a registration that vanishes while only this process is turned away has left",
           "[policy][registration_watch]") {
-    // The store turns one gateway away and serves the others. A server that leaves meanwhile was missed here for
-    // 2.3 s, and got requests after it had said that it leaves.
+    // The store turns one gateway away and serves the others. A server that leaves meanwhile was missed here
+    // for 2.3 s, and got requests after it had said that it leaves.
     registration_watch watch;
     watch.note_other_in_touch(start_time);
     watch.note_outage(start_time + 200ms);
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -95,7 +95,8 @@
     CHECK(update.present.contains("a"));
 }
 
-TEST_CASE("a gateway that is far behind gets the whole list, not a part of the removals", "[gateway][roster]") {
+TEST_CASE("a gateway that is far behind gets the whole list, not a part of the removals",
+          "[gateway][roster]") {
     // The removals that it missed are forgotten; a difference without them would leave dead servers in place.
     known_servers ahead;
     known_servers behind;
