--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -161,7 +161,7 @@
 asio::awaitable<void> emulated_backend::run(const http::request& call, http::response_writer& writer) {
     const auto number = m_runs.size();
     m_runs.push_back({header_of(call, m_fields.request_id), call.target, call.body,
-                      header_of(call, m_fields.workspace), false});
+                      header_of(call, m_fields.workspace), steady_clock::now(), false});
     const auto fault = take_fault();
     if (fault == backend_fault::hang) {
         co_await writer.wait_for_disconnect();
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -50,6 +50,7 @@
     std::string target;
     std::string body;
     std::string workspace;
+    std::chrono::steady_clock::time_point begun;
     bool is_finished = false;
 };
 
--- a/src/emulator/load_model.cpp
+++ b/src/emulator/load_model.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <map>
 
 namespace borageford::emulator {
 
@@ -32,7 +34,7 @@
 
 std::vector<offered_request> draw_requests(const load_model& load, time_point start) {
     std::mt19937_64 random(load.seed);
-    std::vector<offered_request> requests;
+    std::map<time_point, std::vector<offered_request>> by_time;
     for (std::size_t index = 0; index < load.classes.size(); ++index) {
         const auto& of = load.classes[index];
         for (duration at{}; at < load.length; at += slice) {
@@ -50,12 +52,15 @@
                         draw_size(random, of.output_tokens, of.output_spread, of.most_output_tokens));
                     request.hinted_output =
                         draw_size(random, request.output_tokens, hint_spread, of.most_output_tokens);
-                    requests.push_back(request);
+                    by_time[request.at].push_back(request);
                 }
             }
         }
     }
-    std::ranges::stable_sort(requests, {}, &offered_request::at);
+    std::vector<offered_request> requests;
+    for (const auto& [at, together] : by_time) {
+        std::ranges::copy(together, std::back_inserter(requests));
+    }
     return requests;
 }
 
--- /dev/null
+++ b/src/experiment/call_text.cpp
@@ -0,0 +1,31 @@
+// One head, one body.
+#include "experiment/call_text.hpp"
+
+#include "platform/call_names.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace borageford::experiment {
+
+std::string compose_call(const call_description& call) {
+    const auto names = platform::call_names();
+    std::string text = "POST " + call.target + " HTTP/1.1\r\n";
+    const auto add = [&text](std::string_view name, const std::string& value) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    };
+    add("Host", call.host);
+    add(names.request_id, call.id);
+    add(names.deadline, std::to_string(std::max<std::int64_t>(1, call.time_left.count())));
+    if (call.sizes.has_value()) {
+        add(names.tokens, std::to_string(call.sizes->prompt) + "," + std::to_string(call.sizes->most_output));
+        add(names.expected_length, std::to_string(call.sizes->hinted_output));
+    }
+    if (!call.key.empty()) {
+        add("Authorization", "Bearer " + call.key);
+    }
+    add("Content-Length", std::to_string(call.body.size()));
+    return text + "\r\n" + call.body;
+}
+
+} // namespace borageford::experiment
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -29,7 +29,7 @@
     : m_executor(std::move(executor)), m_timers(timers), m_plan(plan), m_store(m_executor, timers) {}
 
 void experiment_site::start() {
-    m_store.listen(m_plan.store);
+    m_store_address = m_store.listen(m_plan.store);
     store::transaction change;
     change.puts.push_back(
         {std::string(platform::configuration_key), platform::encode_configuration(m_plan.configuration)});
@@ -65,7 +65,9 @@
     }
     unit.server =
         std::make_unique<emulator::emulated_backend>(m_executor, m_timers, platform::call_names(), options);
-    unit.address = unit.server->listen(unit.address);
+    // A port that the kernel chose may have been given to somebody else meanwhile.
+    const bool is_chosen = group.first_address.port() == 0;
+    unit.address = unit.server->listen(is_chosen ? group.first_address : unit.address);
     write_registration(unit, routing::backend_state::ready);
 }
 
@@ -73,7 +75,8 @@
     routing::backend_record record;
     record.id = unit.server->options().id;
     record.service = unit.server->options().service;
-    record.address = unit.address;
+    const auto number = static_cast<std::size_t>(&unit - m_servers.data());
+    record.address = m_publish ? m_publish(number, unit.address) : unit.address;
     record.failure_domain = "a";
     record.slots = unit.server->options().slots;
     record.state = state;
@@ -125,24 +128,33 @@
     }
 }
 
-std::map<std::string, std::size_t> experiment_site::count_runs() const {
-    std::map<std::string, std::size_t> result;
-    const auto add = [&result](const emulator::emulated_backend& server) {
-        for (const auto& run : server.runs()) {
-            ++result[run.request_id];
-        }
-    };
+void experiment_site::visit_servers(
+    const std::function<void(const emulator::emulated_backend&)>& visit) const {
     for (const auto& unit : m_servers) {
         if (unit.server != nullptr) {
-            add(*unit.server);
+            visit(*unit.server);
         }
     }
     for (const auto& server : m_former) {
-        add(*server);
+        visit(*server);
     }
+}
+
+std::map<std::string, std::size_t> experiment_site::count_runs() const {
+    std::map<std::string, std::size_t> result;
+    visit_servers([&result](const emulator::emulated_backend& server) {
+        for (const auto& run : server.runs()) {
+            ++result[run.request_id];
+        }
+    });
     return result;
 }
 
+std::string experiment_site::server_id(std::size_t server) const {
+    const auto& unit = m_servers.at(server);
+    return unit.server != nullptr ? unit.server->options().id : std::string();
+}
+
 void experiment_site::after(milliseconds delay, std::function<void()> call) {
     m_planned.push_back(m_timers.after(m_executor, delay, std::move(call)));
 }
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -11,9 +11,11 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace borageford::experiment {
@@ -24,12 +26,21 @@
     experiment_site(boost::asio::any_io_executor executor, timer_service& timers,
                     const experiment_plan& plan);
 
+    /// The address that a server is registered under, given its number and where it listens. Without one,
+    /// servers register where they listen.
+    using publisher = std::function<boost::asio::ip::tcp::endpoint(
+        std::size_t server, const boost::asio::ip::tcp::endpoint& listening)>;
+    void publish_with(publisher publish) { m_publish = std::move(publish); }
+
     /// Listens, writes the configuration and registers the servers.
     void start();
     /// Plans the faults from now on; `on_fault` is told of each begin and end.
     void begin_faults(std::function<void(std::string_view)> on_fault);
 
     [[nodiscard]] emulator::emulated_store& store() noexcept { return m_store; }
+    [[nodiscard]] const boost::asio::ip::tcp::endpoint& store_address() const noexcept {
+        return m_store_address;
+    }
     [[nodiscard]] std::size_t server_count() const noexcept { return m_servers.size(); }
 
     // One server by its number, in the order of the file; its id changes with each start.
@@ -37,15 +48,17 @@
     void set_slowness(std::size_t server, double factor);
     /// Gone without a word; its registration expires a moment later.
     void crash(std::size_t server);
-    /// Back at its address, under a new id; nothing when it is there.
+    /// Back under a new id, at its address if the plan gives one; nothing when it is there.
     void restart(std::size_t server);
     /// Announces that it leaves. It goes on serving what it has.
     void drain(std::size_t server);
 
-    /// Runs of one request, over all servers there ever were.
-    [[nodiscard]] std::size_t runs_of(std::string_view request_id) const;
-    /// Every run of every request, by its id.
+    /// The servers that are there, and those that were.
+    void visit_servers(const std::function<void(const emulator::emulated_backend&)>& visit) const;
+    /// How many runs each request had, by its id.
     [[nodiscard]] std::map<std::string, std::size_t> count_runs() const;
+    /// The id of a server; empty while it is gone.
+    [[nodiscard]] std::string server_id(std::size_t server) const;
 
 private:
     struct server_unit {
@@ -69,6 +82,8 @@
     timer_service& m_timers;
     const experiment_plan& m_plan;
     emulator::emulated_store m_store;
+    boost::asio::ip::tcp::endpoint m_store_address;
+    publisher m_publish;
     std::vector<server_unit> m_servers;
     std::vector<std::unique_ptr<emulator::emulated_backend>> m_former;
     std::vector<timer_subscription> m_planned;
--- a/src/experiment/gateway_files.cpp
+++ b/src/experiment/gateway_files.cpp
@@ -9,20 +9,22 @@
 
 namespace borageford::experiment {
 
-std::string gateway_file_text(const experiment_plan& plan, std::size_t gateway) {
-    const auto& place = plan.gateways.at(gateway);
+std::string gateway_file_text(const boost::asio::ip::tcp::endpoint& store,
+                              std::span<const gateway_place> gateways, std::size_t index,
+                              std::string_view further) {
+    const auto& place = gateways[index];
     const auto at = [&](unsigned offset) {
         return place.address.to_string() + ":" + std::to_string(place.first_port + offset);
     };
     std::ostringstream text;
-    text << "[process]\nvm = gateway-" << gateway << "\nfailure_domain = a\nregion = r\nlog_format = json\n\n"
-         << "[platform]\naddress = " << http::to_string(plan.store) << "\ntimeout = 500ms\n\n"
+    text << "[process]\nvm = gateway-" << index << "\nfailure_domain = a\nregion = r\nlog_format = json\n\n"
+         << "[platform]\naddress = " << http::to_string(store) << "\ntimeout = 500ms\n\n"
          << "[gateway]\ncallers_listen = " << at(0) << "\nreadiness_listen = " << at(1)
          << "\npeers_listen = " << at(2) << "\nmetrics_listen = " << at(3) << "\nseeds = ";
-    for (std::size_t other = 0; other < plan.gateways.size(); ++other) {
-        text << (other > 0 ? ", " : "") << plan.gateways[other].address.to_string();
+    for (std::size_t other = 0; other < gateways.size(); ++other) {
+        text << (other > 0 ? ", " : "") << gateways[other].address.to_string();
     }
-    text << '\n' << plan.gateway_settings;
+    text << '\n' << further;
     return text.str();
 }
 
@@ -33,7 +35,7 @@
     for (std::size_t index = 0; index < plan.gateways.size(); ++index) {
         const auto path = folder / ("gateway-" + std::to_string(index) + ".ini");
         std::ofstream file(path);
-        file << gateway_file_text(plan, index);
+        file << gateway_file_text(plan.store, plan.gateways, index, plan.gateway_settings);
         file.close();
         if (!file) {
             throw std::runtime_error("can't write " + path.string());
--- a/src/experiment/gateway_files.hpp
+++ b/src/experiment/gateway_files.hpp
@@ -5,13 +5,17 @@
 
 #include <cstddef>
 #include <filesystem>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace borageford::experiment {
 
-/// The text of one gateway's file.
-[[nodiscard]] std::string gateway_file_text(const experiment_plan& plan, std::size_t gateway);
+/// The text of one gateway's file; `further` are more lines of its section.
+[[nodiscard]] std::string gateway_file_text(const boost::asio::ip::tcp::endpoint& store,
+                                            std::span<const gateway_place> gateways, std::size_t index,
+                                            std::string_view further);
 
 /// Writes one file for each gateway and returns their paths. Throws std::runtime_error when one can't be
 /// written.
--- a/src/experiment/load_call.cpp
+++ b/src/experiment/load_call.cpp
@@ -54,12 +54,11 @@
 }
 
 load_call::load_call(asio::any_io_executor executor, kept_connections& kept, asio::ip::tcp::endpoint server,
-                     std::string request, std::string wanted_field, done on_done)
+                     std::string request, done on_done)
     : m_executor(std::move(executor)),
       m_kept(kept),
       m_server(std::move(server)),
       m_request(std::move(request)),
-      m_wanted_field(std::move(wanted_field)),
       m_on_done(std::move(on_done)) {}
 
 void load_call::start() {
@@ -118,13 +117,13 @@
     if (m_reader.has_head() && m_result.status == 0) {
         m_result.status = m_reader.status();
         m_result.retry_after = read_retry_after(m_reader.fields());
-        m_result.answer_fields = m_reader.fields().find(m_wanted_field).value_or("");
+        m_result.fields = m_reader.fields();
     }
     const bool is_stream =
         m_reader.has_head() && m_reader.fields().find("Content-Type").value_or("") == "text/event-stream";
     const auto piece = std::exchange(m_piece, {});
     if (is_stream) {
-        static_cast<void>(m_events.add(piece));
+        m_result.event_text += m_events.add(piece);
         if (m_result.events == 0 && m_events.count() > 0) {
             m_result.first_event = clock::now();
         }
--- a/src/experiment/load_call.hpp
+++ b/src/experiment/load_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/event_splitter.hpp"
+#include "http/field_list.hpp"
 #include "http/response_reader.hpp"
 #include "net/connection.hpp"
 
@@ -38,8 +39,9 @@
     bool is_whole = false;
     bool was_kept = false; ///< it went out on a connection that had been used before
     std::uint64_t events = 0;
-    std::string body;          ///< of an answer that is no stream
-    std::string answer_fields; ///< the value of the field that was asked for
+    std::string body;        ///< of an answer that is no stream
+    std::string event_text;  ///< all whole events of a stream, as they came
+    http::field_list fields; ///< of the answer's head
     std::optional<std::chrono::milliseconds> retry_after;
     clock::time_point sent;
     clock::time_point first_event; ///< or the whole answer; not set when nothing came
@@ -52,8 +54,7 @@
     using done = std::function<void(const call_result&)>;
 
     load_call(boost::asio::any_io_executor executor, kept_connections& kept,
-              boost::asio::ip::tcp::endpoint server, std::string request, std::string wanted_field,
-              done on_done);
+              boost::asio::ip::tcp::endpoint server, std::string request, done on_done);
 
     void start();
     /// The caller leaves: its connection is closed and nobody is called.
@@ -71,7 +72,6 @@
     kept_connections& m_kept;
     boost::asio::ip::tcp::endpoint m_server;
     std::string m_request;
-    std::string m_wanted_field;
     done m_on_done;
     std::shared_ptr<boost::asio::ip::tcp::socket> m_connecting;
     std::shared_ptr<net::connection> m_connection;
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -2,7 +2,7 @@
 #include "experiment/load_runner.hpp"
 
 #include "base/identifier.hpp"
-#include "platform/call_names.hpp"
+#include "experiment/call_text.hpp"
 #include "platform/users_platform.hpp"
 
 #include <algorithm>
@@ -71,7 +71,7 @@
         const auto question = "GET " + platform::users_platform().readiness_path +
                               " HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n";
         std::make_shared<load_call>(
-            m_executor, m_kept, address, question, "",
+            m_executor, m_kept, address, question,
             [this, index, open, told](const call_result& result) {
                 m_is_ready[index] = result.status == first_success;
                 if (--*open == 0) {
@@ -127,26 +127,19 @@
     const auto& group = m_plan.callers[by.group];
     const auto& sizes = m_plan.load.classes[by.group];
     const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
-    const auto names = platform::call_names();
-    const auto left = sizes.deadline - (clock::now() - by.begun);
-    const auto prompt = static_cast<std::size_t>(by.sizes.prompt_tokens);
-    const std::string body(
-        std::min(most_body, static_cast<std::size_t>(by.sizes.prompt_tokens * bytes_per_token)), 'x');
-    std::string head = "POST " + route->prefix + "x HTTP/1.1\r\nHost: " + route->host + "\r\n";
-    head += names.request_id + ": " + id + "\r\n";
-    head += names.deadline + ": " +
-            std::to_string(std::max<long>(1, std::chrono::duration_cast<milliseconds>(left).count())) +
-            "\r\n";
+    call_description call;
+    call.host = route->host;
+    call.target = route->prefix + "x";
+    call.id = id;
+    call.time_left = std::chrono::duration_cast<milliseconds>(sizes.deadline - (clock::now() - by.begun));
     if (route->kind == routing::route_kind::stream) {
-        head += names.tokens + ": " + std::to_string(prompt) + "," + std::to_string(by.sizes.output_tokens) +
-                "\r\n";
-        head += names.expected_length + ": " +
-                std::to_string(static_cast<std::size_t>(by.sizes.hinted_output)) + "\r\n";
+        call.sizes = told_sizes{static_cast<std::size_t>(by.sizes.prompt_tokens), by.sizes.output_tokens,
+                                static_cast<std::size_t>(by.sizes.hinted_output)};
     }
-    if (!group.key.empty()) {
-        head += "Authorization: Bearer " + group.key + "\r\n";
-    }
-    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    call.key = group.key;
+    const auto size = static_cast<std::size_t>(by.sizes.prompt_tokens * bytes_per_token);
+    call.body.assign(std::min(most_body, size), 'x');
+    return compose_call(call);
 }
 
 void load_runner::send(const std::shared_ptr<caller>& by) {
@@ -158,9 +151,9 @@
     if (!route->may_repeat()) {
         m_unrepeatable_ids.push_back(by->id);
     }
-    by->call = std::make_shared<load_call>(
-        m_executor, m_kept, pick_gateway(), compose(*by, by->id), platform::call_names().signature,
-        [this, by](const call_result& result) { take_result(by, result); });
+    by->call =
+        std::make_shared<load_call>(m_executor, m_kept, pick_gateway(), compose(*by, by->id),
+                                    [this, by](const call_result& result) { take_result(by, result); });
     const auto left = sizes.deadline - (clock::now() - by->begun);
     const auto patience = by->leaves ? left / 4 : left;
     by->deadline = m_timers.after(m_executor, patience, [this, by] {
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -85,6 +85,9 @@
 }
 
 void response_reader::read_end() {
+    if (!m_state->parser.got_some()) {
+        throw response_error("the connection ended before the response");
+    }
     beast::error_code error;
     m_state->parser.put_eof(error);
     if (error || !is_complete()) {
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ranges>
 #include <utility>
 
 namespace borageford::policy {
@@ -61,8 +62,7 @@
         return 0;
     }
     std::size_t before = 0;
-    for (auto waiting = tier.queue.rbegin(); waiting != tier.queue.rend(); ++waiting) {
-        const auto& other = waiting->second;
+    for (const auto& [place, other] : tier.queue | std::views::reverse) {
         if (now - other.arrived > other.target) {
             break;
         }
--- /dev/null
+++ b/tests/soak/fault_schedule.cpp
@@ -0,0 +1,119 @@
+// Kinds are drawn evenly; some faults come twice in short order, as series do.
+#include "soak/fault_schedule.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <stdexcept>
+
+namespace borageford::soak {
+
+namespace {
+
+struct kind_row {
+    fault_kind kind;
+    std::string_view name;
+};
+
+constexpr std::array kind_names{
+    kind_row{fault_kind::gateway_killed, "gateway_killed"},
+    kind_row{fault_kind::gateway_frozen, "gateway_frozen"},
+    kind_row{fault_kind::gateway_stopped, "gateway_stopped"},
+    kind_row{fault_kind::gateway_reloaded, "gateway_reloaded"},
+    kind_row{fault_kind::all_gateways_killed, "all_gateways_killed"},
+    kind_row{fault_kind::store_busy, "store_busy"},
+    kind_row{fault_kind::store_over_rate, "store_over_rate"},
+    kind_row{fault_kind::store_resetting, "store_resetting"},
+    kind_row{fault_kind::store_silent, "store_silent"},
+    kind_row{fault_kind::store_slow, "store_slow"},
+    kind_row{fault_kind::store_forgets, "store_forgets"},
+    kind_row{fault_kind::store_path_cut, "store_path_cut"},
+    kind_row{fault_kind::store_path_silenced, "store_path_silenced"},
+    kind_row{fault_kind::server_crashed, "server_crashed"},
+    kind_row{fault_kind::server_hangs, "server_hangs"},
+    kind_row{fault_kind::server_fails, "server_fails"},
+    kind_row{fault_kind::server_refuses, "server_refuses"},
+    kind_row{fault_kind::server_cuts_unanswered, "server_cuts_unanswered"},
+    kind_row{fault_kind::server_cuts_midway, "server_cuts_midway"},
+    kind_row{fault_kind::server_garbles, "server_garbles"},
+    kind_row{fault_kind::server_answers_twice, "server_answers_twice"},
+    kind_row{fault_kind::server_unframed, "server_unframed"},
+    kind_row{fault_kind::server_slow, "server_slow"},
+    kind_row{fault_kind::server_drains, "server_drains"},
+    kind_row{fault_kind::server_path_reset, "server_path_reset"},
+    kind_row{fault_kind::server_path_silenced, "server_path_silenced"},
+    kind_row{fault_kind::server_path_held, "server_path_held"},
+    kind_row{fault_kind::server_path_delayed, "server_path_delayed"},
+    kind_row{fault_kind::configuration_grows, "configuration_grows"},
+    kind_row{fault_kind::configuration_moves_route, "configuration_moves_route"},
+};
+static_assert(kind_names.size() == static_cast<std::size_t>(fault_kind::last_kind) + 1);
+
+/// A fault begins each so often on average, so that two or three are in force at most times.
+constexpr milliseconds mean_gap{500};
+constexpr milliseconds least_length{300};
+constexpr milliseconds most_length{3000};
+/// Left at the end without new faults, so that the last ones end inside the soak.
+constexpr milliseconds calm_end{1000};
+/// Share of the faults that come again, somewhere else, while they are in force.
+constexpr double series_share = 0.3;
+
+template <typename Value>
+Value draw(std::mt19937_64& random, Value least, Value most) {
+    return std::uniform_int_distribution<Value>(least, most)(random);
+}
+
+planned_fault draw_fault(std::mt19937_64& random, const schedule_size& size,
+                         const std::vector<fault_kind>& kinds, milliseconds at) {
+    planned_fault fault;
+    fault.kind = kinds[draw<std::size_t>(random, 0, kinds.size() - 1)];
+    fault.at = at;
+    const auto left = size.length - calm_end - at;
+    fault.length = milliseconds(draw<std::int64_t>(random, least_length.count(), most_length.count()));
+    fault.length = std::min(fault.length, std::max(left, least_length));
+    const bool is_of_gateway = fault.kind <= fault_kind::gateway_reloaded ||
+                               fault.kind == fault_kind::store_path_cut ||
+                               fault.kind == fault_kind::store_path_silenced;
+    fault.target = draw<std::size_t>(random, 0, (is_of_gateway ? size.gateways : size.servers) - 1);
+    return fault;
+}
+
+} // namespace
+
+std::string_view to_string(fault_kind kind) noexcept {
+    const auto found = std::ranges::find(kind_names, kind, &kind_row::kind);
+    return found != kind_names.end() ? found->name : "unknown";
+}
+
+fault_kind parse_fault_kind(std::string_view name) {
+    const auto found = std::ranges::find(kind_names, name, &kind_row::name);
+    if (found == kind_names.end()) {
+        throw std::invalid_argument("no such fault: " + std::string(name));
+    }
+    return found->kind;
+}
+
+std::vector<planned_fault> draw_faults(const schedule_size& size) {
+    std::mt19937_64 random(size.seed);
+    auto kinds = size.kinds;
+    if (kinds.empty()) {
+        std::ranges::transform(kind_names, std::back_inserter(kinds), &kind_row::kind);
+    }
+    std::vector<planned_fault> result;
+    auto at = mean_gap;
+    while (at < size.length - calm_end) {
+        result.push_back(draw_fault(random, size, kinds, at));
+        if (std::bernoulli_distribution(series_share)(random)) {
+            auto again = result.back();
+            again.target += 1;
+            again.at += again.length / 2;
+            again.length -= again.length / 2;
+            result.push_back(again);
+        }
+        at += milliseconds(draw<std::int64_t>(random, 1, 2 * mean_gap.count()));
+    }
+    std::ranges::sort(result, {}, &planned_fault::at);
+    return result;
+}
+
+} // namespace borageford::soak
--- /dev/null
+++ b/tests/soak/promise_checks.cpp
@@ -0,0 +1,228 @@
+// One function a promise.
+#include "soak/promise_checks.hpp"
+
+#include <algorithm>
+
+namespace borageford::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr unsigned bad_request = 400;
+constexpr unsigned unauthorized = 401;
+constexpr unsigned forbidden = 403;
+constexpr unsigned not_found = 404;
+constexpr unsigned request_timeout = 408;
+constexpr unsigned misdirected = 421;
+constexpr unsigned too_many_requests = 429;
+constexpr unsigned unavailable = 503;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+
+/// A grant or a send may be under way when its caller leaves. One that begins later than this wasn't.
+constexpr milliseconds leave_limit{2000};
+/// The bound of gateways' settings is two seconds; the rest is for a busy machine.
+constexpr milliseconds drain_limit{4000};
+/// A gateway that was frozen or cut off needs this long to hear what it missed.
+constexpr milliseconds catch_up{4000};
+/// Answers of one process that were made side by side may arrive in another order.
+constexpr milliseconds order_slack{250};
+
+bool is_success(unsigned status) {
+    return status >= first_success && status < first_redirect;
+}
+
+bool says_not_run(unsigned status) {
+    return status == request_timeout || status == misdirected || status == too_many_requests ||
+           status == unavailable;
+}
+
+std::string expected_events(std::uint64_t count) {
+    std::string text;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        const auto digits = std::to_string(number);
+        text += "id: " + digits + "\ndata: token " + digits + "\n\n";
+    }
+    return text;
+}
+
+std::string describe(const sent_request& request) {
+    return "request " + request.id + " (" + request.target + ", gateway " + std::to_string(request.gateway) +
+           ", status " + std::to_string(request.result.status) + ")";
+}
+
+} // namespace
+
+run_counts count_runs(std::span<const server_run> runs) {
+    run_counts result;
+    for (const auto& run : runs) {
+        ++result[run.request_id];
+    }
+    return result;
+}
+
+broken_promises check_answer(const sent_request& request, answer_maker made_by) {
+    broken_promises broken;
+    const auto& result = request.result;
+    if (request.is_stream && result.event_text != expected_events(result.events)) {
+        broken.push_back(describe(request) + ": events are missing, doubled or changed");
+    }
+    if (!is_success(result.status)) {
+        return broken;
+    }
+    if (made_by == nullptr) {
+        broken.push_back(describe(request) + ": a success that no backend server made");
+    } else if (made_by->request_id != request.id) {
+        broken.push_back(describe(request) + ": has the answer to " + made_by->request_id);
+    }
+    if (request.is_stream && result.is_whole && result.events != request.output_tokens) {
+        broken.push_back(describe(request) + ": ends as complete after " + std::to_string(result.events) +
+                         " events of " + std::to_string(request.output_tokens));
+    }
+    return broken;
+}
+
+broken_promises check_runs(const sent_request& request, std::size_t runs) {
+    broken_promises broken;
+    if (!request.may_repeat && runs > 1) {
+        broken.push_back(describe(request) + ": may run once and ran " + std::to_string(runs) + " times");
+    }
+    if (says_not_run(request.result.status) && runs > 0) {
+        broken.push_back(describe(request) + ": was told that it had not run, and ran");
+    }
+    return broken;
+}
+
+broken_promises check_final_answer(const sent_request& request, std::size_t runs,
+                                   const disturbance_log& disturbances) {
+    const bool was_down = disturbances.has(disturbance_kind::gateway_down, request.gateway, request.sent,
+                                           request.ended + catch_up);
+    const bool was_stopping =
+        disturbances.has(disturbance_kind::gateway_stopping, request.gateway, request.sent, request.ended);
+    if (was_down || request.end == caller_end::left) {
+        return {};
+    }
+    if (request.end == caller_end::unanswered) {
+        return was_stopping ? broken_promises{}
+                            : broken_promises{describe(request) + ": no final answer in its time"};
+    }
+    const bool is_answered = request.result.status != 0 || !request.result.has_connected;
+    const bool may_have_crossed = runs == 0 && (request.result.was_kept || was_stopping);
+    if (is_answered || may_have_crossed) {
+        return {};
+    }
+    return {describe(request) + ": its connection ended without an answer after " + std::to_string(runs) +
+            " runs"};
+}
+
+broken_promises check_allowed(const sent_request& request) {
+    const auto status = request.result.status;
+    const bool is_denied =
+        status == bad_request || status == unauthorized || status == forbidden || status == not_found;
+    if (!is_denied || !request.is_always_there) {
+        return {};
+    }
+    return {describe(request) + ": denied though every configuration allows it"};
+}
+
+broken_promises check_configuration_order(std::span<const sent_request> requests) {
+    struct place {
+        std::size_t gateway;
+        unsigned life;
+        std::string target;
+        auto operator<=>(const place&) const = default;
+    };
+    std::map<place, clock::time_point> served;
+    for (const auto& request : requests) {
+        if (is_success(request.result.status) && request.is_of_one_life) {
+            auto& since =
+                served.try_emplace({request.gateway, request.gateway_life, request.target}, request.ended)
+                    .first->second;
+            since = std::min(since, request.ended);
+        }
+    }
+    broken_promises broken;
+    for (const auto& request : requests) {
+        const auto found = served.find({request.gateway, request.gateway_life, request.target});
+        const bool is_later = found != served.end() && request.sent > found->second + order_slack;
+        if (is_later && request.is_of_one_life && request.result.status == not_found) {
+            broken.push_back(describe(request) + ": unknown to a process that had served it before");
+        }
+    }
+    return broken;
+}
+
+broken_promises check_origin(const server_run& run, const std::map<std::string, const sent_request*>& sent) {
+    const auto found = sent.find(run.request_id);
+    if (found == sent.end()) {
+        return {"server " + run.server + " ran " + run.request_id + ", which no caller sent"};
+    }
+    const auto& request = *found->second;
+    if (request.target != run.target || request.body != run.body) {
+        return {"server " + run.server + " ran " + run.request_id + " with another target or body"};
+    }
+    if (!request.service.empty() && request.service != run.service) {
+        return {"server " + run.server + " of " + run.service + " ran " + run.request_id +
+                ", which goes to " + request.service};
+    }
+    if (request.key != "key-" + run.workspace) {
+        return {"server " + run.server + " ran " + run.request_id + " for the workspace " + run.workspace};
+    }
+    return {};
+}
+
+broken_promises check_left(const sent_request& request, std::span<const server_run> runs,
+                           const disturbance_log& disturbances) {
+    if (request.end == caller_end::answered) {
+        return {};
+    }
+    broken_promises broken;
+    for (const auto& run : runs) {
+        const bool is_late = run.request_id == request.id && run.begun > request.ended + leave_limit;
+        if (is_late &&
+            !disturbances.has(disturbance_kind::gateway_down, request.gateway, request.ended, run.begun)) {
+            broken.push_back(describe(request) + ": reached " + run.server + " after its caller had left");
+        }
+    }
+    return broken;
+}
+
+broken_promises check_leaving(const leaving_server& leaving, std::span<const server_run> runs,
+                              const disturbance_log& disturbances) {
+    broken_promises broken;
+    for (const auto& run : runs) {
+        if (run.server != leaving.id || run.begun <= leaving.announced + drain_limit) {
+            continue;
+        }
+        const auto from = leaving.announced - catch_up;
+        const bool is_excused =
+            disturbances.has(disturbance_kind::store, std::nullopt, from, run.begun) ||
+            disturbances.has(disturbance_kind::gateway_down, std::nullopt, from, run.begun) ||
+            disturbances.has(disturbance_kind::server_path, std::nullopt, from, run.begun);
+        if (!is_excused) {
+            broken.push_back("server " + run.server + " ran " + run.request_id +
+                             " long after it had announced that it leaves");
+        }
+    }
+    return broken;
+}
+
+broken_promises check_window(const std::string& what, std::vector<clock::time_point> events,
+                             const window_limit& limit) {
+    std::ranges::sort(events);
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < events.size(); ++last) {
+        while (events[last] - events[first] > limit.window) {
+            ++first;
+        }
+        const auto count = last - first + 1;
+        if (static_cast<double>(count) > limit.most) {
+            return {what + ": " + std::to_string(count) + " in one window, at most " +
+                    std::to_string(limit.most) + " were promised"};
+        }
+    }
+    return {};
+}
+
+} // namespace borageford::soak
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,215 @@
+// Kinds of requests are drawn evenly, gateways too: also those that are gone.
+#include "soak/soak_callers.hpp"
+
+#include "platform/call_names.hpp"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace borageford::soak {
+
+namespace {
+
+constexpr milliseconds time_limit{4000};
+/// A gateway has answered long before this, or never will.
+constexpr milliseconds unanswered_after{9000};
+constexpr milliseconds least_pause{10};
+constexpr milliseconds most_pause{60};
+constexpr unsigned most_output_tokens = 60;
+constexpr std::size_t prompt_tokens = 200;
+constexpr double leaving_share = 0.04;
+constexpr milliseconds most_leaving_time{300};
+constexpr double limited_share = 0.2;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+
+struct route_row {
+    std::string_view name;
+    std::string_view service; ///< empty where it changes
+    bool may_repeat;
+    bool is_stream;
+};
+
+constexpr std::array routes{
+    route_row{"plain", "plain", true, false},    route_row{"once", "plain", false, false},
+    route_row{"single", "engines", false, true}, route_row{"stream", "engines", true, true},
+    route_row{"moving", "", true, false},
+};
+
+/// Where a signature says that the answer was made.
+struct maker {
+    std::string server;
+    std::size_t run = 0;
+};
+
+std::optional<maker> read_signature(const http::field_list& fields) {
+    const auto text = fields.find(platform::call_names().signature);
+    const auto dot = text.has_value() ? text->rfind('.') : std::string_view::npos;
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return maker{std::string(text->substr(0, dot)), std::stoul(std::string(text->substr(dot + 1)))};
+}
+
+} // namespace
+
+struct soak_callers::caller {
+    sent_request request;
+    bool is_probe = false;
+    std::shared_ptr<experiment::load_call> call;
+    timer_subscription limit;
+    timer_subscription pause;
+};
+
+soak_callers::soak_callers(soak_deployment& deployment, std::uint64_t seed)
+    : m_deployment(deployment), m_random(seed) {}
+
+soak_callers::~soak_callers() = default;
+
+void soak_callers::start(std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+        m_callers.push_back(std::make_shared<caller>());
+        send_next(m_callers.back());
+    }
+}
+
+sent_request soak_callers::make_request(const std::string& route, std::size_t gateway) {
+    sent_request request;
+    request.id = "soak-" + std::to_string(++m_last_number);
+    request.target = "/" + route + "/" + request.id;
+    request.body = "body of " + request.id;
+    request.key = "key-" + std::string(open_workspace);
+    request.gateway = gateway;
+    const auto known = std::ranges::find(routes, route, &route_row::name);
+    if (known == routes.end()) {
+        request.target = "/" + route + "/x";
+        request.service = "plain";
+        request.may_repeat = true;
+        request.is_always_there = false;
+        return request;
+    }
+    request.service = known->service;
+    request.may_repeat = known->may_repeat;
+    request.is_stream = known->is_stream;
+    request.output_tokens =
+        std::uniform_int_distribution<unsigned>(1, request.is_stream ? most_output_tokens : 1)(m_random);
+    return request;
+}
+
+sent_request soak_callers::draw_request() {
+    const auto gateway =
+        std::uniform_int_distribution<std::size_t>(0, m_deployment.gateway_count() - 1)(m_random);
+    const auto added = m_deployment.added_routes();
+    const auto choice = std::uniform_int_distribution<std::size_t>(
+        0, added > 0 ? routes.size() : routes.size() - 1)(m_random);
+    std::string route;
+    if (choice < routes.size()) {
+        route = routes[choice].name;
+    } else {
+        route = "added-" + std::to_string(std::uniform_int_distribution<unsigned>(0, added - 1)(m_random));
+    }
+    auto request = make_request(route, gateway);
+    if (std::bernoulli_distribution(limited_share)(m_random)) {
+        request.key = "key-" + std::string(limited_workspace);
+    }
+    return request;
+}
+
+void soak_callers::send_next(const std::shared_ptr<caller>& by) {
+    if (!m_is_stopping) {
+        send(by, draw_request());
+    }
+}
+
+void soak_callers::send(const std::shared_ptr<caller>& by, sent_request request) {
+    ++m_under_way;
+    experiment::call_description call;
+    call.host = soak_host;
+    call.target = request.target;
+    call.id = request.id;
+    call.time_left = time_limit;
+    if (request.is_stream) {
+        call.sizes = experiment::told_sizes{prompt_tokens, request.output_tokens, request.output_tokens};
+    }
+    call.key = request.key;
+    call.body = request.body;
+    by->request = std::move(request);
+    by->request.sent = clock::now();
+    by->request.gateway_life = m_deployment.life(by->request.gateway);
+    const std::weak_ptr<caller> weak = by;
+    by->call = std::make_shared<experiment::load_call>(
+        m_deployment.executor(), m_kept, m_deployment.callers(by->request.gateway),
+        experiment::compose_call(call), [this, weak](const experiment::call_result& result) {
+            if (const auto self = weak.lock()) {
+                finish(self, caller_end::answered, result);
+            }
+        });
+    const bool leaves = !by->is_probe && std::bernoulli_distribution(leaving_share)(m_random);
+    const auto limit =
+        leaves ? milliseconds(std::uniform_int_distribution<long>(1, most_leaving_time.count())(m_random))
+               : unanswered_after;
+    by->limit = m_deployment.timers().after(m_deployment.executor(), limit, [this, weak, leaves] {
+        if (const auto self = weak.lock()) {
+            self->call->give_up();
+            finish(self, leaves ? caller_end::left : caller_end::unanswered, {});
+        }
+    });
+    by->call->start();
+}
+
+void soak_callers::finish(const std::shared_ptr<caller>& by, caller_end end,
+                          const experiment::call_result& result) {
+    --m_under_way;
+    by->limit.cancel();
+    by->call.reset();
+    auto& request = by->request;
+    request.ended = clock::now();
+    request.end = end;
+    request.result = result;
+    request.is_of_one_life = request.gateway_life == m_deployment.life(request.gateway);
+    check(request);
+    if (by->is_probe) {
+        const auto route = request.target.substr(1, request.target.find('/', 1) - 1);
+        m_probes[{request.gateway, route}] =
+            result.is_whole && result.status >= first_success && result.status < first_redirect;
+    }
+    m_requests.push_back(std::move(request));
+    m_requests.back().result.event_text.clear(); // checked, and large
+    if (by->is_probe) {
+        std::erase(m_callers, by);
+        return;
+    }
+    const milliseconds pause(
+        std::uniform_int_distribution<long>(least_pause.count(), most_pause.count())(m_random));
+    const std::weak_ptr<caller> weak = by;
+    by->pause = m_deployment.timers().after(m_deployment.executor(), pause, [this, weak] {
+        if (const auto self = weak.lock()) {
+            send_next(self);
+        }
+    });
+}
+
+void soak_callers::check(const sent_request& request) {
+    const auto made_by = read_signature(request.result.fields);
+    const auto run =
+        made_by.has_value() ? m_deployment.find_run(made_by->server, made_by->run) : std::nullopt;
+    for (auto& line : check_answer(request, run.has_value() ? &*run : nullptr)) {
+        m_broken.push_back(std::move(line));
+    }
+}
+
+void soak_callers::send_probe(std::size_t gateway, const std::string& route) {
+    auto by = std::make_shared<caller>();
+    by->is_probe = true;
+    m_probes[{gateway, route}] = false;
+    m_callers.push_back(by);
+    send(by, make_request(route, gateway));
+}
+
+bool soak_callers::has_served_probe(std::size_t gateway, const std::string& route) const {
+    const auto found = m_probes.find({gateway, route});
+    return found != m_probes.end() && found->second;
+}
+
+} // namespace borageford::soak
--- /dev/null
+++ b/tests/soak/soak_deployment.cpp
@@ -0,0 +1,528 @@
+// Each kind of fault is a few calls to a process, a proxy or an emulated part.
+#include "soak/soak_deployment.hpp"
+
+#include "experiment/gateway_files.hpp"
+#include "platform/call_names.hpp"
+#include "platform/configuration_codec.hpp"
+#include "store/row.hpp"
+#include "support/free_ports.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <utility>
+
+namespace borageford::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using emulator::backend_fault;
+using emulator::store_state;
+
+namespace {
+
+constexpr unsigned engine_slots = 4;
+constexpr unsigned plain_slots = 8;
+constexpr unsigned server_connections = 96;
+constexpr unsigned most_attempts = 3;
+constexpr milliseconds route_timeout{4000};
+constexpr milliseconds slow_store_answer{400};
+constexpr milliseconds path_delay{150};
+constexpr double slow_factor = 6;
+/// A process handles signals from then on.
+constexpr std::string_view started_event = R"("event":"started")";
+/// Services by their place in the configuration.
+enum service_index : std::size_t { plain_service, engine_service, other_service };
+
+routing::route make_route(std::string name, routing::route_kind kind, service_index service) {
+    routing::route route;
+    route.prefix = "/" + name + "/";
+    route.name = std::move(name);
+    route.host = soak_host;
+    route.kind = kind;
+    route.services.push_back({service, 1});
+    route.attempts = most_attempts;
+    route.timeout = route_timeout;
+    return route;
+}
+
+routing::workspace make_workspace(std::string_view name) {
+    routing::workspace workspace;
+    workspace.name = name;
+    workspace.keys = {"key-" + workspace.name};
+    return workspace;
+}
+
+routing::routing_document first_configuration() {
+    routing::routing_document result;
+    result.version = 1;
+    for (const auto* name : {"plain", "engines", "other"}) {
+        result.services.push_back({name, "/healthz", server_connections, std::nullopt});
+    }
+    result.routes.push_back(make_route("plain", routing::route_kind::idempotent, plain_service));
+    result.routes.push_back(make_route("once", routing::route_kind::non_idempotent, plain_service));
+    result.routes.push_back(make_route("single", routing::route_kind::stream, engine_service));
+    result.routes.push_back(make_route("stream", routing::route_kind::stream, engine_service));
+    result.routes.back().is_resumable = true;
+    result.routes.push_back(make_route("moving", routing::route_kind::idempotent, plain_service));
+    result.workspaces.push_back(make_workspace(open_workspace));
+    result.workspaces.push_back(make_workspace(limited_workspace));
+    result.workspaces.back().rate = limited_rate;
+    result.workspaces.back().burst = limited_burst;
+    return result;
+}
+
+experiment::server_group make_group(std::string service, std::size_t count, bool is_engine) {
+    experiment::server_group group;
+    group.service = std::move(service);
+    group.count = count;
+    group.first_address = {asio::ip::make_address("127.0.0.1"), 0};
+    group.slots = is_engine ? engine_slots : plain_slots;
+    group.speeds = {1};
+    if (is_engine) {
+        group.engine.emplace();
+        group.engine->slots = engine_slots;
+        group.engine->step_ms = 3;
+        group.engine->setup_ms = 5;
+        group.engine->tokens_per_event = 1;
+    }
+    return group;
+}
+
+std::string gateway_settings() {
+    std::ostringstream text;
+    text << "retry_ratio = " << retry_ratio << "\nretry_reserve = " << retry_reserve
+         << "\nretry_window = " << retry_window.count()
+         << "ms\nallowance_window = " << allowance_window.count()
+         << "ms\nallowance_slack = " << allowance_slack << '\n';
+    return text.str();
+}
+
+backend_fault fault_of(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::server_hangs:
+        return backend_fault::hang;
+    case fault_kind::server_fails:
+        return backend_fault::error;
+    case fault_kind::server_refuses:
+        return backend_fault::refuse;
+    case fault_kind::server_cuts_unanswered:
+        return backend_fault::cut_unanswered;
+    case fault_kind::server_cuts_midway:
+        return backend_fault::cut_midway;
+    case fault_kind::server_garbles:
+        return backend_fault::garble;
+    case fault_kind::server_answers_twice:
+        return backend_fault::second_answer;
+    case fault_kind::server_unframed:
+        return backend_fault::unframed;
+    default:
+        return backend_fault::none;
+    }
+}
+
+server_run describe_run(const emulator::emulated_backend& server, const emulator::recorded_run& run) {
+    return {server.options().id,
+            server.options().service,
+            run.request_id,
+            run.target,
+            run.body,
+            run.workspace,
+            run.begun};
+}
+
+bool is_store_fault(fault_kind kind) {
+    return kind >= fault_kind::store_busy && kind <= fault_kind::store_forgets;
+}
+
+bool is_server_path_fault(fault_kind kind) {
+    return kind >= fault_kind::server_path_reset && kind <= fault_kind::server_path_delayed;
+}
+
+bool is_configuration_change(fault_kind kind) {
+    return kind >= fault_kind::configuration_grows;
+}
+
+} // namespace
+
+soak_deployment::soak_deployment(deployment_size size, std::filesystem::path folder)
+    : m_folder(std::move(folder)),
+      m_gateways(size.gateways),
+      m_port(test::find_gateway_ports(size.gateways)),
+      m_moving_service("plain"),
+      m_lives(size.gateways) {
+    std::filesystem::create_directories(m_folder);
+    m_plan.configuration = first_configuration();
+    m_plan.store = {asio::ip::make_address("127.0.0.1"), 0};
+    m_plan.servers = {make_group("plain", size.plain_servers, false),
+                      make_group("engines", size.engines, true), make_group("other", 1, false)};
+    m_thread = std::jthread([this] { m_context.run(); });
+    on_emulator([this] {
+        m_site = std::make_unique<experiment::experiment_site>(m_context.get_executor(), m_timers, m_plan);
+        m_site->publish_with([this](auto server, const auto& address) { return publish(server, address); });
+        m_site->start();
+    });
+    std::vector<experiment::gateway_place> places;
+    for (std::size_t index = 0; index < size.gateways; ++index) {
+        places.push_back({asio::ip::make_address(test::gateway_address(index)), m_port});
+    }
+    for (std::size_t index = 0; index < size.gateways; ++index) {
+        auto& unit = m_gateways[index];
+        unit.store_path =
+            std::make_unique<test::fault_proxy>(m_site->store_address(), test::proxy_units::raw);
+        unit.settings = m_folder / ("gateway-" + std::to_string(index) + ".ini");
+        std::ofstream(unit.settings) << experiment::gateway_file_text(unit.store_path->address(), places,
+                                                                      index, gateway_settings());
+        start_gateway(index);
+    }
+}
+
+soak_deployment::~soak_deployment() {
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        kill_gateway(index);
+    }
+    m_work.reset();
+    m_context.stop();
+}
+
+tcp::endpoint soak_deployment::publish(std::size_t server, const tcp::endpoint& listening) {
+    auto& proxy = m_server_proxies[server];
+    if (proxy == nullptr) {
+        proxy = std::make_unique<test::fault_proxy>(listening, test::proxy_units::raw);
+    } else {
+        proxy->set_target(listening);
+    }
+    return proxy->address();
+}
+
+tcp::endpoint soak_deployment::callers(std::size_t gateway) const {
+    return {asio::ip::make_address(test::gateway_address(gateway)), m_port};
+}
+
+tcp::endpoint soak_deployment::readiness(std::size_t gateway) const {
+    return {asio::ip::make_address(test::gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 1)};
+}
+
+unsigned soak_deployment::life(std::size_t gateway) const {
+    const std::scoped_lock lock(m_lives_mutex);
+    return m_lives.at(gateway);
+}
+
+// Gateways.
+
+void soak_deployment::start_gateway(std::size_t index) {
+    auto& unit = m_gateways.at(index);
+    unsigned life = 0;
+    {
+        const std::scoped_lock lock(m_lives_mutex);
+        life = ++m_lives.at(index);
+    }
+    const auto log =
+        m_folder / ("gateway-" + std::to_string(index) + "-" + std::to_string(life) + "-errors.log");
+    const std::filesystem::path program = std::string(BORAGEFORD_PROGRAM_FOLDER) + "/borageford";
+    unit.process = std::make_unique<test::child_process>(
+        program, std::vector<std::string>{"gateway", "--settings=" + unit.settings.string()}, log);
+    unit.has_started = false;
+    unit.is_frozen = false;
+    unit.is_stopping = false;
+}
+
+void soak_deployment::keep_log(std::size_t index) {
+    auto& unit = m_gateways.at(index);
+    if (unit.process == nullptr) {
+        return;
+    }
+    const auto name = "gateway-" + std::to_string(index) + "-" + std::to_string(life(index)) + ".log";
+    const auto text = unit.process->take_output();
+    unit.has_started = unit.has_started || text.find(started_event) != std::string::npos;
+    std::ofstream(m_folder / name, std::ios::app) << text;
+}
+
+void soak_deployment::kill_gateway(std::size_t index) {
+    auto& unit = m_gateways.at(index);
+    if (unit.process != nullptr) {
+        unit.process->kill();
+        keep_log(index);
+        unit.process.reset();
+        unit.has_started = false;
+    }
+    if (std::exchange(unit.is_stopping, false)) {
+        m_disturbances.end(unit.stopping_disturbance, clock::now());
+    }
+}
+
+void soak_deployment::look_after() {
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        auto& unit = m_gateways[index];
+        if (unit.process == nullptr) {
+            continue;
+        }
+        keep_log(index);
+        if (unit.process->is_running()) {
+            continue;
+        }
+        const auto code = unit.process->wait_for_exit();
+        if (!unit.is_stopping || code != 0) {
+            m_own_ends.push_back("gateway " + std::to_string(index) + " ended by itself with code " +
+                                 std::to_string(code));
+        }
+        keep_log(index);
+        if (unit.is_stopping) {
+            m_disturbances.end(unit.stopping_disturbance, clock::now());
+        }
+        start_gateway(index);
+    }
+}
+
+void soak_deployment::note(const planned_fault& fault, disturbance_kind kind,
+                           std::optional<std::size_t> gateway) {
+    m_open_disturbances[&fault] = m_disturbances.begin(kind, gateway, clock::now());
+}
+
+void soak_deployment::begin_gateway_fault(const planned_fault& fault) {
+    const auto index = fault.target % m_gateways.size();
+    auto& unit = m_gateways[index];
+    switch (fault.kind) {
+    case fault_kind::gateway_killed:
+        note(fault, disturbance_kind::gateway_down, index);
+        kill_gateway(index);
+        break;
+    case fault_kind::all_gateways_killed:
+        note(fault, disturbance_kind::gateway_down, std::nullopt);
+        for (std::size_t each = 0; each < m_gateways.size(); ++each) {
+            kill_gateway(each);
+        }
+        break;
+    case fault_kind::gateway_frozen:
+        note(fault, disturbance_kind::gateway_down, index);
+        if (unit.process != nullptr) {
+            unit.process->freeze();
+            unit.is_frozen = true;
+        }
+        break;
+    case fault_kind::gateway_stopped:
+        if (unit.has_started && !unit.is_stopping) {
+            unit.is_stopping = true;
+            unit.stopping_disturbance =
+                m_disturbances.begin(disturbance_kind::gateway_stopping, index, clock::now());
+            unit.process->terminate();
+        }
+        break;
+    default: // a reload
+        if (unit.has_started) {
+            unit.process->reload();
+        }
+        break;
+    }
+}
+
+// The store.
+
+void soak_deployment::begin_store_fault(const planned_fault& fault) {
+    note(fault, disturbance_kind::store, std::nullopt);
+    on_emulator([&] {
+        auto& store = m_site->store();
+        switch (fault.kind) {
+        case fault_kind::store_busy:
+            store.set_state(store_state::busy);
+            break;
+        case fault_kind::store_over_rate:
+            store.set_state(store_state::many);
+            break;
+        case fault_kind::store_resetting:
+            store.set_state(store_state::reset);
+            break;
+        case fault_kind::store_silent:
+            store.set_state(store_state::silent);
+            break;
+        case fault_kind::store_slow:
+            store.set_delay(slow_store_answer);
+            break;
+        default:
+            store.rows().forget_history();
+            break;
+        }
+    });
+}
+
+void soak_deployment::change_configuration(fault_kind kind) {
+    on_emulator([&] {
+        auto& document = m_plan.configuration;
+        if (kind == fault_kind::configuration_grows) {
+            document.routes.push_back(make_route("added-" + std::to_string(m_added_routes++),
+                                                 routing::route_kind::idempotent, plain_service));
+        } else {
+            const bool is_plain = m_moving_service == "plain";
+            m_moving_service = is_plain ? "other" : "plain";
+            const auto moving = std::ranges::find(document.routes, "moving", &routing::route::name);
+            moving->services.front().service = is_plain ? other_service : plain_service;
+        }
+        ++document.version;
+        store::transaction change;
+        change.puts.push_back(
+            {std::string(platform::configuration_key), platform::encode_configuration(document)});
+        static_cast<void>(m_site->store().rows().transact(change));
+    });
+}
+
+// Backend servers.
+
+void soak_deployment::begin_server_fault(const planned_fault& fault) {
+    on_emulator([&] {
+        const auto server = fault.target % m_server_proxies.size();
+        if (fault.kind == fault_kind::server_crashed) {
+            m_site->crash(server);
+        } else if (fault.kind == fault_kind::server_slow) {
+            m_site->set_slowness(server, slow_factor);
+        } else if (fault.kind == fault_kind::server_drains) {
+            const auto id = m_site->server_id(server);
+            m_site->drain(server);
+            if (!id.empty()) {
+                m_leaving.push_back({id, clock::now()});
+            }
+        } else {
+            m_site->set_fault(server, fault_of(fault.kind));
+        }
+    });
+}
+
+void soak_deployment::end_server_fault(const planned_fault& fault) {
+    on_emulator([&] {
+        const auto server = fault.target % m_server_proxies.size();
+        if (fault.kind == fault_kind::server_drains) {
+            m_site->crash(server);
+        }
+        m_site->restart(server);
+        m_site->set_fault(server, backend_fault::none);
+        m_site->set_slowness(server, 1);
+    });
+}
+
+void soak_deployment::begin_server_path_fault(const planned_fault& fault) {
+    note(fault, disturbance_kind::server_path, std::nullopt);
+    auto& proxy = *m_server_proxies.at(fault.target % m_server_proxies.size());
+    switch (fault.kind) {
+    case fault_kind::server_path_reset:
+        proxy.cut(test::cut_kind::reset);
+        break;
+    case fault_kind::server_path_silenced:
+        proxy.drop(test::direction::down);
+        break;
+    case fault_kind::server_path_held:
+        proxy.hold(test::direction::up);
+        break;
+    default:
+        proxy.set_delay(path_delay);
+        break;
+    }
+}
+
+// The schedule's two calls.
+
+void soak_deployment::begin(const planned_fault& fault) {
+    if (fault.kind <= fault_kind::all_gateways_killed) {
+        begin_gateway_fault(fault);
+    } else if (is_store_fault(fault.kind)) {
+        begin_store_fault(fault);
+    } else if (is_server_path_fault(fault.kind)) {
+        begin_server_path_fault(fault);
+    } else if (is_configuration_change(fault.kind)) {
+        change_configuration(fault.kind);
+    } else if (fault.kind == fault_kind::store_path_cut || fault.kind == fault_kind::store_path_silenced) {
+        const auto index = fault.target % m_gateways.size();
+        note(fault, disturbance_kind::store, index);
+        auto& path = *m_gateways[index].store_path;
+        if (fault.kind == fault_kind::store_path_cut) {
+            path.set_refusing(true);
+            path.cut(test::cut_kind::reset);
+        } else {
+            path.drop(test::direction::down);
+        }
+    } else {
+        begin_server_fault(fault);
+    }
+}
+
+void soak_deployment::end(const planned_fault& fault) {
+    if (fault.kind == fault_kind::gateway_frozen) {
+        auto& unit = m_gateways[fault.target % m_gateways.size()];
+        if (unit.process != nullptr && unit.is_frozen) {
+            unit.process->thaw();
+        }
+        unit.is_frozen = false;
+    } else if (fault.kind <= fault_kind::all_gateways_killed) {
+        for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+            if (m_gateways[index].process == nullptr) {
+                start_gateway(index);
+            }
+        }
+    } else if (is_store_fault(fault.kind)) {
+        on_emulator([&] {
+            m_site->store().set_state(store_state::well);
+            m_site->store().set_delay(milliseconds(0));
+        });
+    } else if (is_server_path_fault(fault.kind)) {
+        auto& proxy = *m_server_proxies.at(fault.target % m_server_proxies.size());
+        proxy.set_delay(milliseconds(0));
+        proxy.release();
+    } else if (fault.kind == fault_kind::store_path_cut) {
+        m_gateways[fault.target % m_gateways.size()].store_path->set_refusing(false);
+    } else if (!is_configuration_change(fault.kind) && fault.kind != fault_kind::store_path_silenced) {
+        end_server_fault(fault);
+    }
+    if (const auto open = m_open_disturbances.find(&fault); open != m_open_disturbances.end()) {
+        m_disturbances.end(open->second, clock::now());
+        m_open_disturbances.erase(open);
+    }
+}
+
+void soak_deployment::restore() {
+    for (auto& unit : m_gateways) {
+        unit.store_path->set_refusing(false);
+        unit.store_path->release();
+        if (unit.process != nullptr && unit.is_frozen) {
+            unit.process->thaw();
+            unit.is_frozen = false;
+        }
+    }
+    for (auto& [server, proxy] : m_server_proxies) {
+        proxy->set_delay(milliseconds(0));
+        proxy->release();
+    }
+    on_emulator([this] {
+        m_site->store().set_state(store_state::well);
+        m_site->store().set_delay(milliseconds(0));
+        for (std::size_t server = 0; server < m_site->server_count(); ++server) {
+            m_site->restart(server);
+            m_site->set_fault(server, backend_fault::none);
+            m_site->set_slowness(server, 1);
+        }
+    });
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        if (m_gateways[index].process == nullptr) {
+            start_gateway(index);
+        }
+    }
+}
+
+std::vector<server_run> soak_deployment::collect_runs() const {
+    std::vector<server_run> result;
+    m_site->visit_servers([&result](const emulator::emulated_backend& server) {
+        for (const auto& run : server.runs()) {
+            result.push_back(describe_run(server, run));
+        }
+    });
+    return result;
+}
+
+std::optional<server_run> soak_deployment::find_run(const std::string& server, std::size_t number) const {
+    std::optional<server_run> result;
+    m_site->visit_servers([&](const emulator::emulated_backend& each) {
+        if (each.options().id == server && number < each.runs().size()) {
+            result = describe_run(each, each.runs()[number]);
+        }
+    });
+    return result;
+}
+
+} // namespace borageford::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,281 @@
+// Plays one soak: real gateways, emulated everything else, faults drawn from a seed, and the promises checked
+// against what callers and backend servers see. Exit code 0 when every promise held, 1 when one was broken.
+#include "soak/fault_schedule.hpp"
+#include "soak/promise_checks.hpp"
+#include "soak/soak_callers.hpp"
+#include "soak/soak_deployment.hpp"
+#include "support/argument_reader.hpp"
+#include "support/wait_until.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace borageford::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How often processes are looked after between two faults.
+constexpr milliseconds look_period{50};
+
+struct soak_options {
+    schedule_size schedule;
+    deployment_size deployment;
+    std::size_t callers = 24;
+    std::filesystem::path folder;
+};
+
+std::vector<fault_kind> read_kinds(const std::string& text) {
+    std::vector<fault_kind> result;
+    std::istringstream names(text);
+    for (std::string name; std::getline(names, name, ',');) {
+        result.push_back(parse_fault_kind(name));
+    }
+    return result;
+}
+
+soak_options read_options(int count, const char* const* arguments) {
+    test::argument_reader reader(count, arguments);
+    const auto read_size = [&reader](std::string_view name, std::size_t fallback) {
+        return static_cast<std::size_t>(reader.number(name, static_cast<double>(fallback)));
+    };
+    soak_options options;
+    options.schedule.seed = read_size("seed", 1);
+    options.schedule.length = std::chrono::seconds(read_size("seconds", 10));
+    options.deployment.gateways = read_size("gateways", options.deployment.gateways);
+    options.deployment.plain_servers = read_size("plain-servers", options.deployment.plain_servers);
+    options.deployment.engines = read_size("engines", options.deployment.engines);
+    options.callers = read_size("callers", options.callers);
+    options.schedule.kinds = read_kinds(reader.text("kinds", ""));
+    options.folder = reader.text("folder", (std::filesystem::temp_directory_path() / "soak").string() + "-" +
+                                               std::to_string(options.schedule.seed));
+    reader.finish();
+    options.schedule.gateways = options.deployment.gateways;
+    options.schedule.servers = options.deployment.plain_servers + options.deployment.engines + 1;
+    return options;
+}
+
+/// Waits on the schedule's own clock; processes are looked after meanwhile.
+void pass_time_until(soak_deployment& deployment, boost::asio::io_context& context, clock::time_point until) {
+    while (clock::now() < until) {
+        boost::asio::steady_timer timer(context, std::min(until, clock::now() + look_period));
+        timer.wait();
+        deployment.look_after();
+    }
+}
+
+/// A fault's begin or end.
+struct schedule_step {
+    clock::time_point at;
+    const planned_fault* fault = nullptr;
+    bool is_begin = false;
+};
+
+std::vector<schedule_step> plan_steps(const std::vector<planned_fault>& faults, clock::time_point begin) {
+    std::vector<schedule_step> steps;
+    for (const auto& fault : faults) {
+        steps.push_back({begin + fault.at, &fault, true});
+        steps.push_back({begin + fault.at + fault.length, &fault, false});
+    }
+    std::ranges::sort(steps, {}, &schedule_step::at);
+    return steps;
+}
+
+void play_faults(soak_deployment& deployment, const soak_options& options,
+                 const std::vector<planned_fault>& faults) {
+    boost::asio::io_context context;
+    const auto begin = clock::now();
+    std::ofstream journal(options.folder / "faults.txt");
+    for (const auto& step : plan_steps(faults, begin)) {
+        pass_time_until(deployment, context, step.at);
+        const auto at = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
+        journal << at.count() << " ms: " << to_string(step.fault->kind) << " " << step.fault->target
+                << (step.is_begin ? " begins" : " ends") << std::endl;
+        if (step.is_begin) {
+            deployment.begin(*step.fault);
+        } else {
+            deployment.end(*step.fault);
+        }
+    }
+    pass_time_until(deployment, context, begin + options.schedule.length);
+}
+
+std::vector<std::string> routes_at_end(soak_deployment& deployment) {
+    const auto added = deployment.on_emulator([&] { return deployment.added_routes(); });
+    std::vector<std::string> routes{"plain", "once", "single", "stream", "moving"};
+    if (added > 0) {
+        routes.push_back("added-" + std::to_string(added - 1));
+    }
+    return routes;
+}
+
+/// Once nothing is wrong any more, every gateway serves every route of the newest configuration.
+broken_promises check_recovery(soak_deployment& deployment, soak_callers& callers) {
+    broken_promises broken;
+    for (const auto& route : routes_at_end(deployment)) {
+        for (std::size_t gateway = 0; gateway < deployment.gateway_count(); ++gateway) {
+            const auto what = "gateway " + std::to_string(gateway) + " serves " + route;
+            try {
+                test::wait_until(what, [&] {
+                    deployment.look_after();
+                    deployment.on_emulator([&] { callers.send_probe(gateway, route); });
+                    test::wait_until("the probe's end", [&] {
+                        return deployment.on_emulator([&] { return callers.under_way(); }) == 0;
+                    });
+                    return deployment.on_emulator([&] { return callers.has_served_probe(gateway, route); });
+                });
+            } catch (const std::exception& problem) {
+                broken.push_back("after the last fault: " + std::string(problem.what()));
+            }
+        }
+    }
+    return broken;
+}
+
+void append(broken_promises& to, broken_promises from) {
+    std::ranges::move(from, std::back_inserter(to));
+}
+
+/// The runs of one kind over all gateways together.
+broken_promises check_limits(const std::vector<sent_request>& requests, const std::vector<server_run>& runs) {
+    std::vector<clock::time_point> of_limited;
+    std::map<std::string, std::vector<clock::time_point>> repeats;
+    std::map<std::string, std::size_t> seen;
+    for (const auto& run : runs) {
+        if (run.workspace == limited_workspace) {
+            of_limited.push_back(run.begun);
+        }
+        if (++seen[run.request_id] > 1) {
+            repeats[run.service].push_back(run.begun);
+        }
+    }
+    constexpr double tolerance = 1.1;
+    const double seconds = std::chrono::duration<double>(allowance_window).count();
+    auto broken = check_window(
+        "runs of the limited workspace", of_limited,
+        {allowance_window, (limited_rate * seconds + limited_burst) * tolerance + allowance_slack});
+    for (const auto& [service, times] : repeats) {
+        append(broken, check_window("repeats at " + service, times,
+                                    {retry_window,
+                                     retry_ratio * static_cast<double>(requests.size()) + retry_reserve}));
+    }
+    return broken;
+}
+
+broken_promises check_all(soak_deployment& deployment, const soak_callers& callers,
+                          const std::vector<server_run>& runs) {
+    broken_promises broken = callers.broken();
+    const auto& requests = callers.requests();
+    const auto& disturbances = deployment.disturbances();
+    std::map<std::string, const sent_request*> sent;
+    std::map<std::string, std::vector<server_run>> runs_of;
+    for (const auto& request : requests) {
+        sent[request.id] = &request;
+    }
+    for (const auto& run : runs) {
+        runs_of[run.request_id].push_back(run);
+        append(broken, check_origin(run, sent));
+    }
+    for (const auto& request : requests) {
+        const auto& own_runs = runs_of[request.id];
+        append(broken, check_runs(request, own_runs.size()));
+        append(broken, check_final_answer(request, own_runs.size(), disturbances));
+        append(broken, check_allowed(request));
+        append(broken, check_left(request, own_runs, disturbances));
+    }
+    append(broken, check_configuration_order(requests));
+    for (const auto& leaving : deployment.leaving()) {
+        append(broken, check_leaving(leaving, runs, disturbances));
+    }
+    append(broken, check_limits(requests, runs));
+    append(broken, deployment.own_ends());
+    return broken;
+}
+
+void report(const soak_options& options, const std::vector<sent_request>& requests, std::size_t faults,
+            std::size_t runs, const broken_promises& broken) {
+    std::map<unsigned, std::size_t> statuses;
+    for (const auto& request : requests) {
+        ++statuses[request.result.status];
+    }
+    std::cout << "soak: seed " << options.schedule.seed << ", " << faults << " faults, " << requests.size()
+              << " requests, " << runs << " runs; answers:";
+    for (const auto& [status, count] : statuses) {
+        std::cout << ' ' << (status == 0 ? std::string("none") : std::to_string(status)) << ' ' << count
+                  << ';';
+    }
+    std::cout << ' ' << broken.size() << " broken promises\n";
+    for (const auto& line : broken) {
+        std::cout << "  " << line << '\n';
+    }
+    if (!broken.empty()) {
+        std::cout << "logs and faults: " << options.folder.string() << '\n';
+    }
+}
+
+/// Callers live and end on the emulated parts' thread, also when the soak itself fails.
+class callers_owner {
+public:
+    callers_owner(soak_deployment& deployment, std::uint64_t seed)
+        : m_deployment(deployment), m_callers(std::make_unique<soak_callers>(deployment, seed)) {}
+    ~callers_owner() {
+        m_deployment.on_emulator([this] { m_callers.reset(); });
+    }
+    callers_owner(const callers_owner&) = delete;
+    callers_owner& operator=(const callers_owner&) = delete;
+    callers_owner(callers_owner&&) = delete;
+    callers_owner& operator=(callers_owner&&) = delete;
+
+    soak_callers* operator->() const noexcept { return m_callers.get(); }
+    soak_callers& operator*() const noexcept { return *m_callers; }
+
+private:
+    soak_deployment& m_deployment;
+    std::unique_ptr<soak_callers> m_callers;
+};
+
+int play(const soak_options& options) {
+    std::filesystem::remove_all(options.folder);
+    soak_deployment deployment(options.deployment, options.folder);
+    const auto faults = draw_faults(options.schedule);
+    const callers_owner callers(deployment, options.schedule.seed);
+    auto broken = check_recovery(deployment, *callers);
+    if (broken.empty()) {
+        deployment.on_emulator([&] { callers->start(options.callers); });
+        play_faults(deployment, options, faults);
+        deployment.restore();
+        deployment.on_emulator([&] { callers->stop(); });
+        test::wait_until("the last requests' ends", [&] {
+            deployment.look_after();
+            return deployment.on_emulator([&] { return callers->under_way(); }) == 0;
+        });
+        append(broken, check_recovery(deployment, *callers));
+    }
+    const auto runs = deployment.on_emulator([&] { return deployment.collect_runs(); });
+    append(broken, deployment.on_emulator([&] { return check_all(deployment, *callers, runs); }));
+    deployment.on_emulator([&] { report(options, callers->requests(), faults.size(), runs.size(), broken); });
+    if (broken.empty()) {
+        std::filesystem::remove_all(options.folder);
+    }
+    return broken.empty() ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace borageford::soak
+
+int main(int count, char** arguments) {
+    try {
+        return borageford::soak::play(borageford::soak::read_options(count, arguments));
+    } catch (const std::exception& problem) {
+        std::cerr << "soak: " << problem.what() << '\n';
+        return 2;
+    }
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -142,6 +142,11 @@
     return m_text;
 }
 
+std::string child_process::take_output() {
+    static_cast<void>(output_text());
+    return std::exchange(m_text, {});
+}
+
 std::string child_process::log_text() const {
     std::ifstream file(m_log);
     std::stringstream text;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -29,6 +29,8 @@
 
     /// SIGTERM: asks for the graceful stop.
     void terminate() { signal_child(15); }
+    /// SIGHUP: asks for its settings to be read again.
+    void reload() { signal_child(1); }
     /// SIGKILL, and waits for its end.
     void kill();
     /// SIGSTOP: the process keeps its connections and does nothing.
@@ -42,6 +44,8 @@
     [[nodiscard]] std::string log_text() const;
     /// What it has written to standard output and no line was taken from yet.
     [[nodiscard]] std::string output_text();
+    /// The same, and the next call begins after it.
+    [[nodiscard]] std::string take_output();
     [[nodiscard]] pid_t id() const noexcept { return m_id; }
 
 private:
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -2,68 +2,30 @@
 #include "support/gateway_site.hpp"
 
 #include "base/identifier.hpp"
+#include "experiment/gateway_files.hpp"
 #include "platform/backend_codec.hpp"
 #include "platform/call_names.hpp"
 #include "platform/configuration_codec.hpp"
+#include "support/free_ports.hpp"
 #include "support/wait_until.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 
 #include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
-#include <limits>
 
 namespace borageford::test {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
-using asio::ip::udp;
 
 namespace {
 
-constexpr unsigned ports_of_a_gateway = 4;
 constexpr std::string_view host = "site.example";
 constexpr unsigned status_ok = 200;
 
-std::string address_of(std::size_t gateway) {
-    return "127.0.0." + std::to_string(2 + gateway);
-}
-
-/// Whether these ports are free at all addresses, for TCP and UDP.
-bool are_free(std::uint16_t first, std::size_t gateways) {
-    asio::io_context context;
-    try {
-        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
-            const auto address = asio::ip::make_address(address_of(gateway));
-            for (unsigned offset = 0; offset < ports_of_a_gateway; ++offset) {
-                const auto port = static_cast<std::uint16_t>(first + offset);
-                tcp::acceptor listener(context, tcp::endpoint(address, port), true);
-                udp::socket socket(context, udp::endpoint(address, port));
-            }
-        }
-    } catch (const boost::system::system_error&) {
-        return false; // taken by another test
-    }
-    return true;
-}
-
-/// Lets the kernel propose ports until one and its successors are free everywhere.
-std::uint16_t find_ports(std::size_t gateways) {
-    asio::io_context context;
-    for (;;) {
-        tcp::acceptor proposal(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        const auto port = proposal.local_endpoint().port();
-        const bool has_successors = port < std::numeric_limits<std::uint16_t>::max() - ports_of_a_gateway;
-        if (has_successors && are_free(port, gateways)) {
-            return port;
-        }
-    }
-}
-
 routing::routing_document configuration_with(routing::route route, const std::string& service) {
     routing::routing_document result;
     result.version = 1;
@@ -123,7 +85,7 @@
     : m_options(std::move(options)),
       m_folder(std::filesystem::temp_directory_path() / ("site-" + identifier::random().to_string())),
       m_gateways(m_options.gateways),
-      m_port(find_ports(m_options.gateways)) {
+      m_port(find_gateway_ports(m_options.gateways)) {
     std::filesystem::create_directories(m_folder);
     m_thread = std::jthread([this] { m_context.run(); });
     on_emulator([this] {
@@ -171,31 +133,23 @@
 }
 
 http::endpoint gateway_site::callers(std::size_t gateway) const {
-    return {asio::ip::make_address(address_of(gateway)), m_port};
+    return {asio::ip::make_address(gateway_address(gateway)), m_port};
 }
 
 http::endpoint gateway_site::readiness(std::size_t gateway) const {
-    return {asio::ip::make_address(address_of(gateway)), static_cast<std::uint16_t>(m_port + 1)};
+    return {asio::ip::make_address(gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 1)};
 }
 
 http::endpoint gateway_site::metrics(std::size_t gateway) const {
-    return {asio::ip::make_address(address_of(gateway)), static_cast<std::uint16_t>(m_port + 3)};
+    return {asio::ip::make_address(gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 3)};
 }
 
 std::string gateway_site::settings_text(std::size_t index, const std::string& further) const {
-    const auto address = address_of(index);
-    const auto at = [&](unsigned offset) {
-        return address + ":" + std::to_string(m_port + offset);
-    };
-    std::string seeds;
-    for (std::size_t other = 0; other < m_gateways.size(); ++other) {
-        seeds += (other > 0 ? ", " : "") + address_of(other);
+    std::vector<experiment::gateway_place> places;
+    for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
+        places.push_back({asio::ip::make_address(gateway_address(gateway)), m_port});
     }
-    return "[process]\nvm = gateway-" + std::to_string(index) +
-           "\nfailure_domain = a\nregion = r\nlog_format = json\n[platform]\naddress = " +
-           http::to_string(m_store_address) + "\ntimeout = 500ms\n[gateway]\ncallers_listen = " + at(0) +
-           "\nreadiness_listen = " + at(1) + "\npeers_listen = " + at(2) + "\nmetrics_listen = " + at(3) +
-           "\nseeds = " + seeds + "\nretry_reserve = 1000\n" + further;
+    return experiment::gateway_file_text(m_store_address, places, index, "retry_reserve = 1000\n" + further);
 }
 
 void gateway_site::write_settings(std::size_t index, const std::string& further) {
@@ -206,7 +160,7 @@
 
 void gateway_site::start_gateway(std::size_t index) {
     auto& unit = m_gateways.at(index);
-    unit.address = address_of(index);
+    unit.address = gateway_address(index);
     const auto log =
         m_folder / ("gateway-" + std::to_string(index) + "-" + std::to_string(++unit.starts) + ".log");
     const std::filesystem::path program = std::string(BORAGEFORD_PROGRAM_FOLDER) + "/borageford";
--- a/tests/unit/test_http_readers.cpp
+++ b/tests/unit/test_http_readers.cpp
@@ -44,6 +44,14 @@
 
 } // namespace
 
+TEST_CASE("a connection that ends before its response is an error like any other",
+          "[http][response_reader]") {
+    // A server closes a kept connection just as a request is sent on it. The parser must not be told of an
+    // end that follows nothing: it takes that for a mistake of its caller and ends the process.
+    response_reader reader(response_reader::body_rule::expected);
+    CHECK_THROWS_AS(reader.read_end(), response_error);
+}
+
 TEST_CASE("a request is the same however it is cut into pieces", "[http][request_reader]") {
     for (const std::size_t piece : {std::size_t(1), std::size_t(3), std::size_t(7), post.size()}) {
         request_reader reader({});
