--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -70,7 +70,8 @@
                       "What a caller sent is no request, too large, or too slow.", "error detail bytes"},
     event_description{event_kind::request_placed, "request_placed", info, usual_rate,
                       "A request was given a slot of a backend server.",
-                      "request ticket backend route workspace tier configuration decided_by waited_ms try"},
+                      "request ticket backend route workspace tier prompt_tokens expected_tokens "
+                      "configuration decided_by waited_ms try"},
     event_description{event_kind::request_try_failed, "request_try_failed", warning, failure_rate,
                       "A backend server failed a request; whether it is sent elsewhere follows.",
                       "request backend outcome reason try runs next busy_ms"},
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -55,6 +55,8 @@
                                                {"route", route_of(&request)},
                                                {"workspace", workspace_of(&request)},
                                                {"tier", std::int64_t(request.tier)},
+                                               {"prompt_tokens", request.cost.prompt},
+                                               {"expected_tokens", request.cost.output},
                                                {"configuration", version_for(&request)},
                                                {"decided_by", to_string(m_context.slots.source())},
                                                {"waited_ms", age_ms(request)},
