Make a coordinator's work independent of how many members and servers there are

A deployment of 300 gateways and 3,000 servers of our own shows it each time: of 15,000 requests after the kill one in four was served, and even before it the coordinator used all of its 0.19 of a core.

Ruled out: the store's rate (no call was refused after the kill) and the length of a read.

--- a/measure/load/decision_cost.cpp
+++ b/measure/load/decision_cost.cpp
@@ -1,10 +1,12 @@
 // Makes one kind of decision many times, for counting instructions: run it under valgrind --tool=callgrind
 // with two counts and divide the difference (scripts/count-instructions).
 #include "policy/adaptive_limit.hpp"
+#include "policy/coordinator_election.hpp"
 #include "policy/offer_queue.hpp"
 #include "policy/placement.hpp"
 #include "policy/prefix_index.hpp"
 #include "policy/random_sequence.hpp"
+#include "policy/slot_scheduler.hpp"
 #include "policy/workspace_limits.hpp"
 
 #include <cstdio>
@@ -109,6 +111,50 @@
     return checksum;
 }
 
+/// One request asks and one is released, while some hundred wait: as a coordinator does under overload.
+std::size_t grant_slots(std::size_t servers, std::size_t count) {
+    constexpr service_key service = 1;
+    constexpr slot_ticket waiting = 300;
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 0, .hopeless_wait = 1e6});
+    for (server_key server = 1; server <= servers; ++server) {
+        scheduler.set_server(server, service, 1);
+    }
+    std::size_t checksum = 0;
+    std::vector<slot_grant> running;
+    for (slot_ticket ticket = 1; ticket <= servers + waiting + count; ++ticket) {
+        slot_request request;
+        request.ticket = ticket;
+        request.service = service;
+        request.arrived = start_time;
+        request.deadline = start_time + 10s;
+        request.target = 500ms;
+        request.cost.prompt = 500;
+        scheduler.add(request, start_time);
+        if (ticket > servers + waiting) {
+            const auto& ended = running.at(ticket - servers - waiting - 1);
+            scheduler.release({ended.ticket, ended.server, slot_outcome::served, 100ms, 40ms}, start_time);
+        }
+        for (const auto& grant : scheduler.grant(start_time)) {
+            running.push_back(grant);
+            checksum += grant.server;
+        }
+    }
+    return checksum;
+}
+
+/// A coordinator hears a heartbeat and names the candidates in its reply.
+std::size_t answer_heartbeats(std::size_t members, std::size_t count) {
+    coordinator_election election(1, 0.19, {}, start_time);
+    std::size_t checksum = 0;
+    for (std::size_t number = 0; number < members + count; ++number) {
+        election.hear(2 + number % members, {0.19, false, true, false}, start_time);
+        if (number >= members) {
+            checksum += election.known(start_time).size();
+        }
+    }
+    return checksum;
+}
+
 std::optional<std::size_t> run(std::string_view name, std::size_t count) {
     if (name == "place_12") {
         return place(12, count);
@@ -128,6 +174,15 @@
     if (name == "workspace") {
         return admit_workspace(count);
     }
+    if (name == "grant_50") {
+        return grant_slots(50, count);
+    }
+    if (name == "grant_3000") {
+        return grant_slots(3000, count);
+    }
+    if (name == "heartbeat_300") {
+        return answer_heartbeats(300, count);
+    }
     return std::nullopt;
 }
 
@@ -139,7 +194,10 @@
                             ? borageford::test::run(arguments[1], std::strtoull(arguments[2], nullptr, 10))
                             : std::nullopt;
     if (!result) {
-        std::fputs("borageford_decision_cost place_12|place_75|queue|limit|prefix|workspace COUNT\n", stderr);
+        std::fputs(
+            "borageford_decision_cost place_12|place_75|queue|limit|prefix|workspace|grant_50|grant_3000|"
+            "heartbeat_300 COUNT\n",
+            stderr);
         return 2;
     }
     std::printf("%zu\n", *result);
--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -11,6 +11,9 @@
 
 /// Some round trips inside a region, at 2 ms each and with a busy peer; then a datagram counts as lost.
 constexpr std::chrono::milliseconds retransmit_delay{12};
+/// Doubled at each retransmission, up to this many times. A coordinator that falls behind answers late; sent
+/// again every 12 ms by each of 300 members, the same batches kept it behind until it was given up.
+constexpr unsigned most_doublings = 3;
 /// Kept under an Ethernet frame, so that one lost fragment doesn't lose a whole datagram.
 constexpr std::size_t most_bytes = 1300;
 /// Batches held for one that is missing; a sender that is further ahead sends them again.
@@ -40,7 +43,7 @@
                                           move_some(m_pending.releases, items.releases, items) &&
                                           move_some(m_pending.grants, items.grants, items) &&
                                           move_some(m_pending.refusals, items.refusals, items);
-        m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}, {}});
+        m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}, {}, 0});
     }
 }
 
@@ -48,10 +51,12 @@
     seal_pending();
     std::vector<datagram> due;
     for (auto& batch : m_unacknowledged) {
-        const bool is_new = batch.sent == policy::time_point{};
-        if (!is_new && now - batch.sent < retransmit_delay) {
+        const bool is_new = batch.sends == 0;
+        const auto delay = retransmit_delay * (1U << std::min(batch.sends, most_doublings + 1) >> 1U);
+        if (!is_new && now - batch.sent < delay) {
             continue;
         }
+        ++batch.sends;
         batch.sent = now;
         batch.first_sent = is_new ? now : batch.first_sent;
         datagram message;
@@ -74,7 +79,7 @@
 }
 
 std::optional<policy::time_point> batch_channel::oldest_unacknowledged() const {
-    if (m_unacknowledged.empty() || m_unacknowledged.front().sent == policy::time_point{}) {
+    if (m_unacknowledged.empty() || m_unacknowledged.front().sends == 0) {
         return std::nullopt;
     }
     return m_unacknowledged.front().first_sent;
--- a/src/coordination/batch_channel.hpp
+++ b/src/coordination/batch_channel.hpp
@@ -51,6 +51,7 @@
         batch_items items;
         policy::time_point sent;
         policy::time_point first_sent;
+        unsigned sends = 0;
     };
 
     void seal_pending();
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds tick_period{50};
 /// Other candidates than the coordinator hear from this process at every so many ticks.
 constexpr unsigned candidate_ticks = 4;
+/// A heartbeat and its reply cost a coordinator some 30 us; at 20 a second from each of 300 members that was
+/// all of a processor share of 0.19. Two of every second tick fit into the silence after which a coordinator
+/// is passed over.
+constexpr std::size_t members_at_each_tick = 60;
+constexpr std::size_t most_heartbeat_ticks = 2;
 /// Absent candidates are asked this rarely.
 constexpr unsigned absent_ticks = 20;
 /// Unacknowledged batches are looked at this often.
@@ -175,8 +180,11 @@
         return;
     }
     hand_out(now);
-    for (auto& [member, served] : m_served) {
-        flush_channel(member, served.channel, now);
+    for (const auto member : std::exchange(m_told_members, {})) {
+        const auto served = m_served.find(member);
+        if (served != m_served.end()) {
+            flush_channel(member, served->second.channel, now);
+        }
     }
     watch_retransmission();
 }
@@ -196,6 +204,7 @@
         auto& pending = served->second.channel.pending();
         std::ranges::move(items.grants, std::back_inserter(pending.grants));
         std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
+        m_told_members.insert(member);
     }
     for (const auto& change : m_coordinator.scheduler().take_health_changes()) {
         m_observers.on_health_change(change);
@@ -242,7 +251,14 @@
     if (!is_needed || m_retransmit_timer.is_active()) {
         return;
     }
-    m_retransmit_timer = m_timers.after(m_executor, retransmit_check, [this] { schedule_flush(); });
+    m_retransmit_timer = m_timers.after(m_executor, retransmit_check, [this] {
+        for (const auto& [member, served] : m_served) {
+            if (served.channel.has_unacknowledged()) {
+                m_told_members.insert(member);
+            }
+        }
+        schedule_flush();
+    });
 }
 
 member_status slot_broker::status() const {
@@ -282,11 +298,18 @@
     send(member, std::move(message));
 }
 
+/// Members whose heartbeats a coordinator takes at every tick; with more of them each sends at fewer ticks.
+unsigned slot_broker::heartbeat_ticks() const {
+    const auto ticks = m_counted_members / members_at_each_tick;
+    return static_cast<unsigned>(std::clamp<std::size_t>(ticks, 1, most_heartbeat_ticks));
+}
+
 void slot_broker::send_heartbeats(policy::time_point now) {
     ++m_ticks;
     const auto candidates = m_election.candidates(now);
     for (const auto member : candidates) {
-        const bool coordinates = m_source == slot_source::coordinator && member == m_coordinating_member;
+        const bool coordinates = m_source == slot_source::coordinator && member == m_coordinating_member &&
+                                 m_ticks % heartbeat_ticks() == 0;
         // Without a coordinator the next one is looked for at every tick.
         if (coordinates || m_source == slot_source::own_part || m_ticks % candidate_ticks == 0) {
             send_heartbeat(member);
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -111,6 +112,7 @@
     void take_from_coordinator(datagram message);
     void take_from_member(policy::member_key member, datagram message);
     void send_heartbeats(policy::time_point now);
+    [[nodiscard]] unsigned heartbeat_ticks() const;
     void send_heartbeat(policy::member_key member);
     void send(policy::member_key member, datagram message);
     [[nodiscard]] member_status status() const;
@@ -145,9 +147,10 @@
     std::optional<peer_socket> m_socket;
 
     slot_source m_source = slot_source::own_part;
-    policy::member_key m_coordinating_member = 0;                   ///< while m_source is coordinator
-    std::optional<batch_channel> m_upstream;                        ///< while m_source is coordinator
-    std::map<policy::member_key, served_member> m_served;           ///< while m_source is own_coordination
+    policy::member_key m_coordinating_member = 0;         ///< while m_source is coordinator
+    std::optional<batch_channel> m_upstream;              ///< while m_source is coordinator
+    std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
+    std::set<policy::member_key> m_told_members;          ///< served ones for which something may be due
     std::map<policy::member_key, policy::time_point> m_last_served; ///< members served lately
     std::size_t m_counted_members = 0; ///< as a coordinator told last; 0: never told, or long ago
     policy::time_point m_counted_at;
--- a/src/policy/coordinator_election.cpp
+++ b/src/policy/coordinator_election.cpp
@@ -31,7 +31,22 @@
 
 void coordinator_election::add(member_key member, double processor_share) {
     if (member != m_self) {
-        m_members[member].processor_share = processor_share;
+        set_share(entry_of(member), processor_share);
+    }
+}
+
+coordinator_election::member& coordinator_election::entry_of(member_key key) {
+    const auto [found, is_new] = m_members.try_emplace(key);
+    if (is_new) {
+        m_order.clear();
+    }
+    return found->second;
+}
+
+void coordinator_election::set_share(member& entry, double processor_share) {
+    if (entry.processor_share != processor_share) {
+        entry.processor_share = processor_share;
+        m_order.clear();
     }
 }
 
@@ -40,22 +55,23 @@
         return false;
     }
     // First in the order until it tells its share itself, so that it is asked soon.
-    auto& entry = m_members[member];
-    entry.processor_share = share_before_all;
+    auto& entry = entry_of(member);
+    set_share(entry, share_before_all);
     entry.learned = now;
     return true;
 }
 
 void coordinator_election::forget(member_key member) {
     m_members.erase(member);
+    m_order.clear();
 }
 
 void coordinator_election::hear(member_key member, const member_claim& claim, time_point now) {
     if (member == m_self) {
         return;
     }
-    auto& entry = m_members[member];
-    entry.processor_share = claim.processor_share;
+    auto& entry = entry_of(member);
+    set_share(entry, claim.processor_share);
     entry.claim = claim;
     entry.heard = now;
     entry.was_heard = true;
@@ -66,11 +82,14 @@
         m_probation_begin = now;
     }
     m_last_tick = now;
-    std::erase_if(m_members, [&](const auto& entry) {
+    const auto forgotten = std::erase_if(m_members, [&](const auto& entry) {
         const auto& [key, known] = entry;
         const auto last_sign = known.was_heard ? known.heard : known.learned.value_or(now);
         return known.learned.has_value() && now - last_sign > m_limits.rumour_life;
     });
+    if (forgotten > 0) {
+        m_order.clear();
+    }
 }
 
 bool coordinator_election::is_eligible(time_point now) const {
@@ -92,13 +111,15 @@
     return !entry.was_heard || now - entry.heard > m_limits.absence;
 }
 
-std::vector<coordinator_election::ranked> coordinator_election::rank() const {
-    std::vector<ranked> order{{-to_thousandths(m_processor_share), m_self}};
-    for (const auto& [key, entry] : m_members) {
-        order.push_back({-to_thousandths(entry.processor_share), key});
+const std::vector<coordinator_election::ranked>& coordinator_election::rank() const {
+    if (m_order.empty()) {
+        m_order.push_back({-to_thousandths(m_processor_share), m_self});
+        for (const auto& [key, entry] : m_members) {
+            m_order.push_back({-to_thousandths(entry.processor_share), key});
+        }
+        std::ranges::sort(m_order);
     }
-    std::ranges::sort(order);
-    return order;
+    return m_order;
 }
 
 coordinator_election::fitness coordinator_election::own_fitness(time_point now) const {
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -119,7 +119,9 @@
         auto operator<=>(const preference&) const = default;
     };
 
-    [[nodiscard]] std::vector<ranked> rank() const;
+    [[nodiscard]] member& entry_of(member_key key);
+    void set_share(member& entry, double processor_share);
+    [[nodiscard]] const std::vector<ranked>& rank() const;
     [[nodiscard]] bool is_absent(const member& entry, time_point now) const;
     [[nodiscard]] fitness own_fitness(time_point now) const;
     [[nodiscard]] bool has_heard_anybody() const;
@@ -133,6 +135,10 @@
     bool m_is_acting = false;
     bool m_is_leaving = false;
     std::map<member_key, member> m_members; ///< without this process
+    /// All members in the order of candidates, or empty when that has changed. A coordinator is asked for it
+    /// at every heartbeat of every member; sorted anew each time, 300 members took all of a processor share
+    /// of 0.19.
+    mutable std::vector<ranked> m_order;
 };
 
 } // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -20,6 +20,10 @@
 /// A tier that got nothing lately may get something soon.
 constexpr double least_grant_rate = 2;
 constexpr std::size_t draw_steps = 1000;
+/// Servers with room that a choice is made among. The best of many is hardly better than the best of these;
+/// and looking at all 3,000 servers of a service for each waiting request took a process with a fifth of a
+/// core so long, after all gateways had been killed, that it never caught up.
+constexpr std::size_t most_considered = 64;
 
 bool has_failed(const slot_request& request, server_key server) {
     return std::ranges::find(request.avoided, server) != request.avoided.end();
@@ -29,15 +33,59 @@
 
 void slot_scheduler::set_server(server_key server, service_key service, unsigned slots) {
     auto& state = m_servers[server];
+    if (state.is_usable && state.service != service) {
+        leave_pool(state);
+    }
+    state.key = server;
     state.service = service;
     state.slots = slots;
-    state.is_usable = true;
+    if (!std::exchange(state.is_usable, true)) {
+        m_pools[service].servers.push_back(&state);
+    }
+    update_room(state);
+}
+
+void slot_scheduler::set_share(double share) {
+    if (share == m_limits.share) {
+        return;
+    }
+    m_limits.share = share;
+    for (auto& [key, server] : m_servers) {
+        update_room(server);
+    }
+}
+
+/// To be called whenever a server's slots, outstanding requests or use have changed.
+void slot_scheduler::update_room(server_state& server) {
+    const bool has_room = server.is_usable && slots_left(server, false) >= 1;
+    if (has_room == server.room_place.has_value()) {
+        return;
+    }
+    auto& list = m_pools[server.service].with_room;
+    if (has_room) {
+        server.room_place = list.size();
+        list.push_back(&server);
+        return;
+    }
+    const auto place = *std::exchange(server.room_place, std::nullopt);
+    if (list.back() != &server) {
+        list[place] = list.back();
+        list[place]->room_place = place;
+    }
+    list.pop_back();
+}
+
+void slot_scheduler::leave_pool(server_state& server) {
+    if (std::exchange(server.is_usable, false)) {
+        std::erase(m_pools[server.service].servers, &server);
+        update_room(server);
+    }
 }
 
 void slot_scheduler::remove_server(server_key server) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end()) {
-        found->second.is_usable = false;
+        leave_pool(found->second);
         drop_unused(server);
     }
 }
@@ -109,7 +157,9 @@
 
 void slot_scheduler::add_running(slot_ticket ticket, server_key server) {
     if (m_running.emplace(ticket, running_request{server, 0}).second) {
-        ++m_servers[server].outstanding;
+        auto& state = m_servers[server];
+        ++state.outstanding;
+        update_room(state);
     }
 }
 
@@ -122,6 +172,7 @@
     m_running.erase(running);
     auto& state = m_servers[server];
     --state.outstanding;
+    update_room(state);
     if (ended.first_event > duration::zero()) {
         state.first_event.learn(prompt, ended.first_event);
     }
@@ -143,11 +194,8 @@
     return std::exchange(m_health_changes, {});
 }
 
-double slot_scheduler::room(const server_state& server, bool is_lowest, time_point now) const {
-    const auto trust = server.health.look(now);
-    if (trust != server_health::trust::full) {
-        return trust == server_health::trust::probe && server.outstanding == 0 ? 1 : 0;
-    }
+/// Slots that a server has left, if it doesn't rest.
+double slot_scheduler::slots_left(const server_state& server, bool is_lowest) const {
     double slots = server.slots;
     if (is_lowest) {
         slots = std::max(1.0, slots - m_limits.reserved_slots);
@@ -156,21 +204,37 @@
     return allowed - server.outstanding;
 }
 
-bool slot_scheduler::has_room(service_key service, bool is_lowest, time_point now) const {
-    return std::ranges::any_of(m_servers, [&](const auto& entry) {
-        const auto& server = entry.second;
-        return server.is_usable && server.service == service && room(server, is_lowest, now) >= 1;
-    });
+double slot_scheduler::room(const server_state& server, bool is_lowest, time_point now) const {
+    const auto trust = server.health.look(now);
+    if (trust != server_health::trust::full) {
+        return trust == server_health::trust::probe && server.outstanding == 0 ? 1 : 0;
+    }
+    return slots_left(server, is_lowest);
+}
+
+/// Servers with room, some of them where there are many; each search goes on where the last one ended.
+slot_scheduler::open_servers slot_scheduler::find_open(service_key service, bool is_lowest, time_point now) {
+    open_servers result;
+    auto& pool = m_pools[service];
+    const auto count = pool.with_room.size();
+    for (std::size_t looked = 0; looked < count && result.size() < most_considered; ++looked) {
+        pool.next = (pool.next + 1) % count;
+        auto* server = pool.with_room[pool.next];
+        if (room(*server, is_lowest, now) >= 1) {
+            result.push_back(server);
+        }
+    }
+    return result;
 }
 
 /// Whether a server that hasn't failed the request takes work, busy or not. Where there is none, one that has
 /// failed it is better than no answer.
 bool slot_scheduler::has_fresh_server(const slot_request& request, time_point now) const {
-    return std::ranges::any_of(m_servers, [&](const auto& entry) {
-        const auto& [key, server] = entry;
-        return server.is_usable && server.service == request.service && !has_failed(request, key) &&
-               server.health.look(now) != server_health::trust::none;
-    });
+    const auto pool = m_pools.find(request.service);
+    return pool != m_pools.end() && std::ranges::any_of(pool->second.servers, [&](const auto* server) {
+               return !has_failed(request, server->key) &&
+                      server->health.look(now) != server_health::trust::none;
+           });
 }
 
 duration slot_scheduler::expect_first_event(const server_state& server, const slot_request& request,
@@ -187,68 +251,77 @@
         now - request.arrived > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
         return punctuality::late;
     }
-    const bool can_be_in_time = std::ranges::any_of(m_servers, [&](const auto& entry) {
-        const auto& server = entry.second;
-        return server.is_usable && server.service == request.service &&
-               server.first_event.expect(request.cost.prompt) <= left;
-    });
+    const auto pool = m_pools.find(request.service);
+    const bool can_be_in_time =
+        pool != m_pools.end() && std::ranges::any_of(pool->second.servers, [&](const auto* server) {
+            return server->first_event.expect(request.cost.prompt) <= left;
+        });
     return can_be_in_time ? punctuality::in_time : punctuality::late;
 }
 
 /// The server that is expected to bring the first event soonest, among those with room; for a request that
 /// can still be in time, only one that is fast enough. Long prompts thus wait for a fast server instead of
 /// holding up a slow one, where every stream beside them would pause.
-server_key slot_scheduler::choose(const slot_request& request, bool is_lowest, punctuality wanted,
-                                  time_point now) const {
+slot_scheduler::server_state* slot_scheduler::choose(const slot_request& request, const open_servers& open,
+                                                     punctuality wanted, time_point now) const {
     const bool avoids = request.avoided.front() != 0 && has_fresh_server(request, now);
     const auto left = request.arrived + request.target - now;
-    server_key best = 0;
+    server_state* best = nullptr;
     auto soonest = duration::max();
-    std::uint64_t longest_ago = 0;
-    for (const auto& [key, server] : m_servers) {
-        if (!server.is_usable || server.service != request.service || (avoids && has_failed(request, key)) ||
-            room(server, is_lowest, now) < 1) {
+    for (auto* server : open) {
+        if (avoids && has_failed(request, server->key)) {
             continue;
         }
-        const auto expected = expect_first_event(server, request, now);
+        const auto expected = expect_first_event(*server, request, now);
         if (wanted == punctuality::in_time && expected > left) {
             continue;
         }
-        if (expected < soonest || (expected == soonest && server.last_grant < longest_ago)) {
-            best = key;
+        const bool is_better = best == nullptr || expected < soonest ||
+                               (expected == soonest && server->last_grant < best->last_grant);
+        if (is_better) {
+            best = server;
             soonest = expected;
-            longest_ago = server.last_grant;
         }
     }
     return best;
 }
 
-void slot_scheduler::start(tier_state& tier, tier_queue::iterator waiting, server_key server, time_point now,
-                           std::vector<slot_grant>& grants) {
+void slot_scheduler::start(tier_state& tier, tier_queue::iterator waiting, server_state& server,
+                           time_point now, std::vector<slot_grant>& grants) {
     const auto& request = waiting->second;
-    auto& state = m_servers[server];
-    m_running[request.ticket] = {server, request.cost.prompt};
-    ++state.outstanding;
-    state.last_grant = ++m_grants;
-    state.reads_until =
-        std::max(state.reads_until, now) + state.first_event.expect_reading(request.cost.prompt);
+    m_running[request.ticket] = {server.key, request.cost.prompt};
+    ++server.outstanding;
+    update_room(server);
+    server.last_grant = ++m_grants;
+    server.reads_until =
+        std::max(server.reads_until, now) + server.first_event.expect_reading(request.cost.prompt);
     tier.grants.count(now);
-    grants.push_back({request.ticket, server});
+    grants.push_back({request.ticket, server.key});
     m_waiting.erase(request.ticket);
     tier.queue.erase(waiting);
 }
 
-void slot_scheduler::grant_tier(tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
-                                std::vector<slot_grant>& grants) {
+void slot_scheduler::grant_tier(service_key service, tier_state& tier, bool is_lowest, punctuality wanted,
+                                time_point now, std::vector<slot_grant>& grants) {
+    if (tier.queue.empty()) {
+        return;
+    }
+    auto open = find_open(service, is_lowest, now);
     for (auto waiting = tier.queue.begin(); waiting != tier.queue.end();) {
         const auto next = std::next(waiting);
         const auto& request = waiting->second;
-        if (!has_room(request.service, is_lowest, now)) {
+        if (open.empty()) {
             return;
         }
-        const auto server = judge(request, now) == wanted ? choose(request, is_lowest, wanted, now) : 0;
-        if (server != 0) {
-            start(tier, waiting, server, now, grants);
+        auto* server = judge(request, now) == wanted ? choose(request, open, wanted, now) : nullptr;
+        if (server != nullptr) {
+            start(tier, waiting, *server, now, grants);
+            if (room(*server, is_lowest, now) < 1) {
+                std::erase(open, server);
+            }
+            if (open.empty()) {
+                open = find_open(service, is_lowest, now);
+            }
         }
         waiting = next;
     }
@@ -280,8 +353,8 @@
     for (auto& [service, tiers] : m_queues) {
         for (auto& [rank, tier] : tiers) {
             const bool is_lowest = tiers.size() > 1 && rank == tiers.rbegin()->first;
-            grant_tier(tier, is_lowest, punctuality::in_time, now, grants);
-            grant_tier(tier, is_lowest, punctuality::late, now, grants);
+            grant_tier(service, tier, is_lowest, punctuality::in_time, now, grants);
+            grant_tier(service, tier, is_lowest, punctuality::late, now, grants);
         }
     }
     return grants;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -37,8 +38,13 @@
 class slot_scheduler {
 public:
     explicit slot_scheduler(slot_scheduler_limits limits) : m_limits(limits) {}
+    slot_scheduler(slot_scheduler&&) = default;
+    slot_scheduler& operator=(slot_scheduler&&) = default;
+    slot_scheduler(const slot_scheduler&) = delete; // pools point to its servers
+    slot_scheduler& operator=(const slot_scheduler&) = delete;
+    ~slot_scheduler() = default;
 
-    void set_share(double share) noexcept { m_limits.share = share; }
+    void set_share(double share);
 
     /// Adds a server or changes its slots.
     void set_server(server_key server, service_key service, unsigned slots);
@@ -75,12 +81,14 @@
 
 private:
     struct server_state {
+        server_key key = 0;
         service_key service = 0;
         unsigned slots = 1;
         unsigned outstanding = 0;
         std::uint64_t last_grant =
             0; ///< number of the last grant; among equals the one that rested longest goes
         bool is_usable = false;
+        std::optional<std::size_t> room_place; ///< in its pool's list of servers with room
         server_health health;
         first_event_model first_event;
         time_point reads_until; ///< when the prompts given to it will be read, as far as is known
@@ -98,6 +106,15 @@
         overload_watch overload;
     };
     using service_queue = std::map<int, tier_state>;
+    /// Servers of one service that take work, in no order.
+    struct server_pool {
+        std::vector<server_state*> servers;
+        /// Those that have slots left, resting or not: under load they are few, and a search through all
+        /// 3,000 servers of a service took 498,000 instructions for each request instead of 12,000.
+        std::vector<server_state*> with_room;
+        std::size_t next = 0; ///< where the search among those begins
+    };
+    using open_servers = std::vector<server_state*>;
     struct waiting_place {
         service_key service = 0;
         int tier = 0;
@@ -114,13 +131,16 @@
     [[nodiscard]] duration expect_first_event(const server_state& server, const slot_request& request,
                                               time_point now) const;
     [[nodiscard]] punctuality judge(const slot_request& request, time_point now) const;
-    [[nodiscard]] server_key choose(const slot_request& request, bool is_lowest, punctuality wanted,
-                                    time_point now) const;
+    [[nodiscard]] server_state* choose(const slot_request& request, const open_servers& open,
+                                       punctuality wanted, time_point now) const;
+    [[nodiscard]] double slots_left(const server_state& server, bool is_lowest) const;
     [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
-    [[nodiscard]] bool has_room(service_key service, bool is_lowest, time_point now) const;
-    void start(tier_state& tier, tier_queue::iterator waiting, server_key server, time_point now,
+    void update_room(server_state& server);
+    [[nodiscard]] open_servers find_open(service_key service, bool is_lowest, time_point now);
+    void leave_pool(server_state& server);
+    void start(tier_state& tier, tier_queue::iterator waiting, server_state& server, time_point now,
                std::vector<slot_grant>& grants);
-    void grant_tier(tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
+    void grant_tier(service_key service, tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
                     std::vector<slot_grant>& grants);
     [[nodiscard]] duration patience_of(const slot_request& request) const;
     [[nodiscard]] double expect_wait(const tier_state& tier, const slot_request& request,
@@ -137,6 +157,8 @@
 
     slot_scheduler_limits m_limits;
     std::unordered_map<server_key, server_state> m_servers;
+    /// Invariant: holds exactly the usable servers, each in the pool of its service.
+    std::unordered_map<service_key, server_pool> m_pools;
     std::unordered_map<service_key, service_queue> m_queues;
     std::unordered_map<slot_ticket, waiting_place> m_waiting;
     /// When each waiting request is given up; tickets that don't wait any more are passed over.
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -208,6 +208,33 @@
     }
 }
 
+TEST_CASE("a batch that isn't acknowledged is sent again ever more rarely", "[coordination]") {
+    // All gateways of a large deployment come back at once, and their coordinator falls behind. Members that
+    // repeated their batches every 12 ms kept it behind: of 300 members' callers, one in four was served.
+    batch_channel channel(1);
+    channel.pending().asks.push_back(make_ask(1));
+    std::size_t sends = 0;
+    for (auto passed = 0ms; passed < 240ms; passed += 1ms) {
+        sends += channel.take_due(start_time + passed).size();
+    }
+    CHECK(sends >= 4); // a lost datagram still costs little
+    CHECK(sends <= 6);
+}
+
+TEST_CASE("the order of candidates follows what members tell of themselves", "[policy][election]") {
+    auto election = make_election(1, 0.1);
+    const auto now = start_time + 3s;
+    const auto tell = [&](member_key member, double share) {
+        election.hear(member, {share, false, true, false}, now);
+        return election.candidates(now);
+    };
+    CHECK(tell(2, 0.2) == std::vector<member_key>{2});
+    CHECK(tell(3, 0.3) == std::vector<member_key>{3, 2});
+    CHECK(tell(2, 0.4) == std::vector<member_key>{2, 3});
+    election.forget(2);
+    CHECK(election.candidates(now) == std::vector<member_key>{3});
+}
+
 TEST_CASE("many items become several datagrams of bounded size", "[coordination]") {
     batch_channel channel(1);
     for (slot_ticket ticket = 1; ticket <= 100; ++ticket) {
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -3,7 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <random>
 #include <set>
+#include <vector>
 
 using namespace borageford::policy;
 using namespace std::chrono_literals;
@@ -70,6 +74,45 @@
     CHECK(order == std::vector<slot_ticket>{4, 3, 2});
 }
 
+TEST_CASE("room is found whatever happens to servers, and never given out twice",
+          "[policy][slot_scheduler]") {
+    // Servers come, leave, come back with other slots, and requests end at any time. A scheduler that lost
+    // track of a server's room would leave callers waiting beside free servers, or queue them inside busy
+    // ones.
+    std::mt19937 random(11);
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 0, .patience = 1e6});
+    std::map<server_key, unsigned> slots;
+    std::map<server_key, unsigned> outstanding;
+    std::vector<slot_grant> running;
+    slot_ticket last_ticket = 0;
+    for (int step = 0; step < 4000; ++step) {
+        const server_key server = 1 + random() % 100;
+        const auto what = random() % 10;
+        if (what == 0) {
+            slots[server] = 1 + static_cast<unsigned>(random() % 4);
+            scheduler.set_server(server, engines, slots[server]);
+        } else if (what == 1) {
+            slots.erase(server);
+            scheduler.remove_server(server);
+        } else if (what < 6) {
+            scheduler.add(make_request(++last_ticket, 0), start_time);
+        } else if (!running.empty()) {
+            std::swap(running[random() % running.size()], running.back());
+            --outstanding[running.back().server];
+            scheduler.release(release_of(running.back()), start_time);
+            running.pop_back();
+        }
+        for (const auto& grant : scheduler.grant(start_time)) {
+            REQUIRE(slots.contains(grant.server));
+            REQUIRE(++outstanding[grant.server] <= slots[grant.server]);
+            running.push_back(grant);
+        }
+        const bool has_room = std::ranges::any_of(
+            slots, [&](const auto& entry) { return outstanding[entry.first] < entry.second; });
+        REQUIRE((scheduler.waiting() == 0 || !has_room));
+    }
+}
+
 TEST_CASE("requests that were withdrawn are never granted", "[policy][slot_scheduler]") {
     auto scheduler = make_scheduler(1, 2, {});
     scheduler.add(make_request(1, 0), start_time);
