--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -53,6 +53,8 @@
 constexpr milliseconds mean_gap{500};
 constexpr milliseconds least_length{300};
 constexpr milliseconds most_length{3000};
+/// A server that leaves stays for long after its announcement, so that what it gets too late is seen.
+constexpr milliseconds leaving_length{6500};
 /// Left at the end without new faults, so that the last ones end inside the soak.
 constexpr milliseconds calm_end{1000};
 /// Share of the faults that come again, somewhere else, while they are in force.
@@ -70,6 +72,9 @@
     fault.at = at;
     const auto left = size.length - calm_end - at;
     fault.length = milliseconds(draw<std::int64_t>(random, least_length.count(), most_length.count()));
+    if (fault.kind == fault_kind::server_drains) {
+        fault.length = leaving_length;
+    }
     fault.length = std::min(fault.length, std::max(left, least_length));
     const bool is_of_gateway = fault.kind <= fault_kind::gateway_reloaded ||
                                fault.kind == fault_kind::store_path_cut ||
