Bound the whole updates that a gateway sends to others at a time

All gateways had been killed and asked the first that was back for all 10,000 registrations, 3.3 MB each. At the users' two-year size, 350 gateways and 1,300 servers, it would be 150 MB at once (arithmetic). Who is turned away asks again and reads from the store meanwhile. The unit test fails without the bound.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -30,6 +30,11 @@
 constexpr milliseconds exchange_limit{500};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+/// A small part of the memory of the smallest gateways, 88 MB; a whole update of 1,300 servers has 0.4 MB.
+constexpr std::size_t most_bytes_sending = 16U * 1024 * 1024;
+/// A configuration or some changes; they must spread while others ask for everything.
+constexpr std::size_t small_answer = 64U * 1024;
 
 http::exchange_limits limits() {
     http::exchange_limits result;
@@ -117,10 +122,15 @@
       m_configuration(configuration),
       m_backends(backends),
       m_is_store_well(std::move(is_store_well)),
+      m_sending(most_bytes_sending, small_answer),
       m_server(
           m_executor, {},
           [this](const http::request& received, http::response_writer& writer) -> asio::awaitable<void> {
-              const auto whole = answer(received); // outlives the write
+              auto whole = answer(received); // outlives the write
+              const auto sending = m_sending.try_take(whole.body.size());
+              if (!sending.has_value()) {
+                  whole = http::make_response(status_unavailable, "text/plain", "");
+              }
               co_await writer.write(whole);
           },
           [](error_kind kind, std::string_view detail) {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/backend_roster.hpp"
 #include "gateway/configuration_keeper.hpp"
+#include "gateway/send_budget.hpp"
 #include "http/server.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -56,6 +57,7 @@
     /// thousands of registrations anew for each would take seconds.
     std::string m_whole_update;
     std::uint64_t m_whole_update_version = 0;
+    send_budget m_sending; ///< outlives the server's answers
     http::server m_server;
     lag m_configuration_lag;
     lag m_backend_lag;
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -1,6 +1,7 @@
 // What gateways tell each other of backend servers.
 #include "gateway/backend_directory.hpp"
 #include "gateway/backend_roster.hpp"
+#include "gateway/send_budget.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -95,6 +96,28 @@
     CHECK(update.present.contains("a"));
 }
 
+TEST_CASE("large answers that are on their way at a time are bounded", "[gateway][send_budget]") {
+    // All gateways were killed and ask the first that is back for everything. One that answered all of them
+    // at once would hold so many copies that it is ended for the memory it uses, and its callers with it.
+    send_budget budget(100, 10);
+    auto first = budget.try_take(60);
+    REQUIRE(first.has_value());
+    CHECK_FALSE(budget.try_take(60).has_value());
+    {
+        const auto small = budget.try_take(40);
+        CHECK(small.has_value());
+        CHECK_FALSE(budget.try_take(11).has_value());
+        CHECK(budget.try_take(10).has_value()); // too small to count
+    }
+    const auto moved = std::move(*first);
+    first.reset();
+    CHECK_FALSE(budget.try_take(60).has_value()); // still on its way
+    {
+        send_budget fresh(100, 10);
+        CHECK(fresh.try_take(500).has_value()); // alone
+    }
+}
+
 TEST_CASE("a gateway that is far behind gets the whole list, not a part of the removals",
           "[gateway][roster]") {
     // The removals that it missed are forgotten; a difference without them would leave dead servers in place.
