--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -32,10 +32,6 @@
 constexpr milliseconds retransmit_check{6};
 /// A member that is silent for this long has its slots given to others.
 constexpr milliseconds member_silence{600};
-/// A silent member's part of the limits stays reserved this long: it may be cut off and giving its part out.
-constexpr milliseconds member_reservation{12000};
-/// Without ever having heard of another, a process assumes so many members.
-constexpr std::size_t assumed_members = 4;
 /// Without an acknowledgement for this long a session is begun anew; some retransmissions fit into it.
 constexpr milliseconds stuck_session_limit{250};
 constexpr unsigned ticket_shift = 32;
@@ -269,7 +265,7 @@
     result.is_eligible = m_election.is_eligible(now);
     result.is_leaving = m_election.is_leaving();
     result.processor_share = m_settings.processor_share;
-    result.members = static_cast<unsigned>(std::max(m_last_served.size() + 1, m_counted_members));
+    result.members = static_cast<unsigned>(m_census.count());
     const auto held = m_observers.read_versions();
     result.configuration_version = held.configuration;
     result.backend_version = held.backends;
@@ -300,7 +296,7 @@
 
 /// Members whose heartbeats a coordinator takes at every tick; with more of them each sends at fewer ticks.
 unsigned slot_broker::heartbeat_ticks() const {
-    const auto ticks = m_counted_members / members_at_each_tick;
+    const auto ticks = m_census.told() / members_at_each_tick;
     return static_cast<unsigned>(std::clamp<std::size_t>(ticks, 1, most_heartbeat_ticks));
 }
 
@@ -370,10 +366,7 @@
 }
 
 void slot_broker::take_from_coordinator(datagram message) {
-    if (message.sender.members > 0) {
-        m_counted_members = message.sender.members;
-        m_counted_at = clock::now();
-    }
+    m_census.note_told(message.sender.members, clock::now());
     m_upstream->take_acknowledgement(message.acknowledged);
     if (message.batch == 0) {
         return;
@@ -405,7 +398,7 @@
                       {{"member", describe_member(member)}, {"members", std::uint64_t(m_served.size() + 1)}});
     }
     served->second.heard = now;
-    m_last_served[member] = now;
+    m_census.note_served(member, now);
     served->second.channel.take_acknowledgement(message.acknowledged);
     if (message.batch == 0) {
         return;
@@ -500,32 +493,13 @@
 
 void slot_broker::update_shares(policy::time_point now) {
     if (m_source == slot_source::own_coordination) {
-        const auto attached = m_served.size() + 1;
-        const auto limits = static_cast<double>(attached) / static_cast<double>(count_members(attached, now));
-        m_coordinator.set_shares(1, std::min(1.0, limits), now);
+        m_coordinator.set_shares(1, m_census.coordinators_share(m_served.size() + 1, now), now);
         return;
     }
-    const auto told = m_counted_members > 0 ? m_counted_members : assumed_members;
-    const double part = 1.0 / static_cast<double>(std::max(told, m_election.member_count()));
+    const double part = m_census.own_share(m_election.member_count());
     m_coordinator.set_shares(part, part, now);
 }
 
-/// The members among which the limits are divided. One that fell silent is counted for a while longer, since
-/// it may be cut off and giving out its part; and as long as most are silent it may well be this process that
-/// is cut off.
-std::size_t slot_broker::count_members(std::size_t attached, policy::time_point now) {
-    const auto counted = std::max(m_last_served.size() + 1, m_counted_members);
-    if (attached * 2 <= counted) {
-        return counted;
-    }
-    std::erase_if(m_last_served,
-                  [now](const auto& entry) { return now - entry.second > member_reservation; });
-    if (now - m_counted_at > member_reservation) {
-        m_counted_members = 0;
-    }
-    return std::max(m_last_served.size() + 1, m_counted_members);
-}
-
 void slot_broker::expire_members(policy::time_point now) {
     for (auto served = m_served.begin(); served != m_served.end();) {
         if (now - served->second.heard > member_silence) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -8,6 +8,7 @@
 #include "coordination/peer_socket.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/member_census.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -123,7 +124,6 @@
     void attach_to(policy::member_key coordinator);
     void use_own(slot_source source);
     void update_shares(policy::time_point now);
-    [[nodiscard]] std::size_t count_members(std::size_t attached, policy::time_point now);
     void expire_members(policy::time_point now);
 
     void deliver(const batch_items& items);
@@ -151,9 +151,7 @@
     std::optional<batch_channel> m_upstream;              ///< while m_source is coordinator
     std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
     std::set<policy::member_key> m_told_members;          ///< served ones for which something may be due
-    std::map<policy::member_key, policy::time_point> m_last_served; ///< members served lately
-    std::size_t m_counted_members = 0; ///< as a coordinator told last; 0: never told, or long ago
-    policy::time_point m_counted_at;
+    policy::member_census m_census;
 
     std::unordered_map<policy::slot_ticket, waiting_request> m_waiting;
     std::unordered_map<policy::slot_ticket, slot_hold> m_running;
--- /dev/null
+++ b/src/policy/member_census.cpp
@@ -0,0 +1,44 @@
+// Counts are kept through silence, and forgotten after a while.
+#include "policy/member_census.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace borageford::policy {
+
+namespace {
+
+/// A silent member's part of the limits stays reserved this long: more than the windows over which limits are
+/// judged (8 and 10 s).
+constexpr std::chrono::milliseconds reservation{12000};
+/// Without ever having heard of another, a process assumes so many members.
+constexpr std::size_t assumed_members = 4;
+
+} // namespace
+
+void member_census::note_told(std::size_t members, time_point now) {
+    if (members > 0) {
+        m_told = members;
+        m_told_at = now;
+    }
+}
+
+std::size_t member_census::count() const noexcept {
+    return std::max(m_served.size() + 1, m_told);
+}
+
+double member_census::coordinators_share(std::size_t attached, time_point now) {
+    // As long as most are silent it may well be this process that is cut off: nobody is forgotten then.
+    if (attached * 2 > count()) {
+        std::erase_if(m_served, [now](const auto& entry) { return now - entry.second > reservation; });
+        m_told = now - m_told_at > reservation ? 0 : m_told;
+    }
+    return std::min(1.0, static_cast<double>(attached) / static_cast<double>(count()));
+}
+
+double member_census::own_share(std::size_t heard_of) const noexcept {
+    const auto told = m_told > 0 ? m_told : assumed_members;
+    return 1.0 / static_cast<double>(std::max(told, heard_of));
+}
+
+} // namespace borageford::policy
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -3,6 +3,7 @@
 #include "coordination/message.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/member_census.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -221,6 +222,30 @@
     CHECK(sends <= 6);
 }
 
+TEST_CASE("limits are divided among all who may be giving out their parts", "[policy][member_census]") {
+    // One of four gateways is cut off and goes on giving out a quarter of a workspace's allowance. If the
+    // others shared the whole among themselves at once, the workspace would get five quarters.
+    member_census census;
+    const auto serve_all = [&](time_point now) {
+        for (const member_key member : {1, 2, 3}) {
+            census.note_served(member, now);
+        }
+    };
+    CHECK(census.own_share(1) == Approx(0.25)); // nobody heard of: a few are assumed
+    serve_all(start_time);
+    CHECK(census.coordinators_share(4, start_time) == Approx(1));
+    CHECK(census.coordinators_share(3, start_time + 5s) == Approx(0.75));
+    census.note_served(1, start_time + 13s);
+    census.note_served(2, start_time + 13s);
+    CHECK(census.coordinators_share(3, start_time + 13s) == Approx(1));
+    // Alone, it may be this process that is cut off.
+    CHECK(census.coordinators_share(1, start_time + 60s) == Approx(1.0 / 3));
+    census.note_told(10, start_time + 60s);
+    CHECK(census.own_share(2) == Approx(0.1));
+    census.note_told(0, start_time + 60s); // told by one that doesn't know
+    CHECK(census.count() == 10);
+}
+
 TEST_CASE("the order of candidates follows what members tell of themselves", "[policy][election]") {
     auto election = make_election(1, 0.1);
     const auto now = start_time + 3s;
