--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -113,6 +113,17 @@
     CHECK(scheduler.grant(start_time + 300ms).front().server == slow);
 }
 
+TEST_CASE("an answer of absurd length is expected to take long, not to be over at once",
+          "[policy][output_pace]") {
+    // A caller tells that its answer has more tokens than any engine makes in a lifetime. Turned into a time,
+    // that wrapped round to the distant past, and every server seemed fast enough.
+    output_pace pace;
+    pace.learn(400, 4s);
+    CHECK(pace.expect(100) > 900ms);
+    CHECK(pace.expect(9e18) > std::chrono::hours(24 * 365));
+    CHECK(start_time + pace.expect(9e18) + pace.expect(9e18) > start_time);
+}
+
 TEST_CASE("room is found whatever happens to servers, and never given out twice",
           "[policy][slot_scheduler]") {
     // Servers come, leave, come back with other slots, and requests end at any time. A scheduler that lost
