--- a/tests/soak/disturbance_log.hpp
+++ b/tests/soak/disturbance_log.hpp
@@ -29,7 +29,7 @@
 
 private:
     struct entry {
-        disturbance_kind kind;
+        disturbance_kind kind = disturbance_kind::store;
         std::optional<std::size_t> gateway; ///< none: concerns all
         clock::time_point begin;
         clock::time_point end = clock::time_point::max();
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -42,7 +42,7 @@
     std::string text;
     for (std::uint64_t number = 1; number <= count; ++number) {
         const auto digits = std::to_string(number);
-        text += "id: " + digits + "\ndata: token " + digits + "\n\n";
+        text.append("id: ").append(digits).append("\ndata: token ").append(digits).append("\n\n");
     }
     return text;
 }
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -163,6 +163,7 @@
         m_site->start();
     });
     std::vector<experiment::gateway_place> places;
+    places.reserve(size.gateways);
     for (std::size_t index = 0; index < size.gateways; ++index) {
         places.push_back({asio::ip::make_address(test::gateway_address(index)), m_port});
     }
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -146,6 +146,7 @@
 
 std::string gateway_site::settings_text(std::size_t index, const std::string& further) const {
     std::vector<experiment::gateway_place> places;
+    places.reserve(m_gateways.size());
     for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
         places.push_back({asio::ip::make_address(gateway_address(gateway)), m_port});
     }
