Ask a silent store again while nothing is known yet

Cause: a gateway that starts while the store is silent sends its first two reads into the silence and waits for each until its timeout of 2 s.

Ruled out: the peers' exchange (it spreads a configuration within 150 ms once one gateway has it), the pause after a failed call (125 to 250 ms), start-up time (50 ms where the store is well).

A first read is asked again every 300 to 600 ms over a connection of its own; the first answer counts. Steady questions are as before.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "base/identifier.hpp"
 #include "base/pause.hpp"
 #include "events/event_log.hpp"
+#include "store/repeated_read.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,6 +29,10 @@
 /// configuration must be in force, long enough that a store in trouble isn't pressed.
 constexpr milliseconds first_retry_delay{250};
 constexpr milliseconds longest_retry_delay{800};
+/// While nothing is known an unanswered question is asked again after a time in this range, some hundred
+/// times the store's usual 4 ms; a store that is slow by a factor of 50 still answers the first one.
+constexpr milliseconds least_first_read_period{300};
+constexpr milliseconds most_first_read_period{600};
 
 } // namespace
 
@@ -68,7 +73,10 @@
 }
 
 asio::awaitable<void> store_follower::read_all() {
-    const auto all = co_await m_table.read_all(m_table_name + "/");
+    // Spread: one gateway's answer is enough for all, since they pass it on.
+    const auto period = draw_between(least_first_read_period, most_first_read_period);
+    const auto all =
+        co_await store::read_all_repeatedly(m_executor, m_timers, m_table, m_table_name + "/", period);
     m_version = all.version;
     note_regained(all.version);
     m_handlers.on_all(all);
@@ -79,7 +87,11 @@
 milliseconds store_follower::next_delay() {
     const auto longest = std::min(first_retry_delay * (1U << std::min(m_failures, 4U)), longest_retry_delay);
     ++m_failures;
-    std::uniform_int_distribution<long> spread(longest.count() / 2, longest.count());
+    return draw_between(longest / 2, longest);
+}
+
+milliseconds store_follower::draw_between(milliseconds least, milliseconds most) {
+    std::uniform_int_distribution<milliseconds::rep> spread(least.count(), most.count());
     return milliseconds(spread(m_random));
 }
 
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -45,6 +45,8 @@
     void note_regained(std::uint64_t version);
     boost::asio::awaitable<void> follow();
     [[nodiscard]] std::chrono::milliseconds next_delay();
+    [[nodiscard]] std::chrono::milliseconds draw_between(std::chrono::milliseconds least,
+                                                         std::chrono::milliseconds most);
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
--- /dev/null
+++ b/tests/unit/test_repeated_read.cpp
@@ -0,0 +1,103 @@
+// Reading a table from a store that may not answer, against the emulated store.
+#include "emulator/emulated_store.hpp"
+#include "store/repeated_read.hpp"
+#include "store/store_error.hpp"
+#include "store/table.hpp"
+#include "support/wait_until.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <exception>
+#include <optional>
+
+using namespace borageford;
+using emulator::store_state;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// So long that a test which waited for it would be ended as hanging.
+constexpr milliseconds endless{3'600'000};
+constexpr milliseconds short_period{10};
+
+/// The store and one read of it, on the test's own thread.
+class first_read {
+public:
+    first_read() {
+        store::transaction change;
+        change.puts.push_back({"op/config", "document"});
+        static_cast<void>(m_store.rows().transact(change));
+    }
+
+    emulator::emulated_store& store() { return m_store; }
+
+    void start(milliseconds period) {
+        boost::asio::co_spawn(
+            m_context, store::read_all_repeatedly(m_context.get_executor(), m_timers, m_table, "op/", period),
+            [this](const std::exception_ptr& error, store::row_page page) {
+                m_error = error;
+                m_page = std::move(page);
+            });
+    }
+
+    template <typename Condition>
+    void run_until(Condition condition) {
+        while (!condition()) {
+            // The guard decides nothing: it ends a test that would hang.
+            REQUIRE(m_context.run_one_for(test::hang_guard) > 0);
+        }
+    }
+
+    [[nodiscard]] bool is_over() const { return m_page.has_value(); }
+    [[nodiscard]] const store::row_page& page() const { return *m_page; }
+    [[nodiscard]] std::exception_ptr error() const { return m_error; }
+
+private:
+    boost::asio::io_context m_context{1};
+    timer_service m_timers;
+    emulator::emulated_store m_store{m_context.get_executor(), m_timers};
+    store::table m_table{m_context.get_executor(),
+                         m_store.listen({boost::asio::ip::address_v4::loopback(), 0}), endless,
+                         platform::store_format()};
+    std::optional<store::row_page> m_page;
+    std::exception_ptr m_error;
+};
+
+} // namespace
+
+TEST_CASE("a question that a silent store lost is asked again before it counts as lost", "[store]") {
+    // All gateways lose power while the store says nothing, and are back before it is. What they asked it
+    // meanwhile is never answered. A gateway that waited for that answer would refuse all its callers for
+    // seconds after the store's return.
+    first_read read;
+    read.store().set_state(store_state::silent);
+    read.start(short_period);
+    read.run_until([&] { return read.store().calls() >= 2; });
+    read.store().set_state(store_state::well);
+    read.run_until([&] { return read.is_over(); });
+    REQUIRE(read.error() == nullptr);
+    REQUIRE(read.page().rows.size() == 1);
+    CHECK(read.page().rows.front().value == "document");
+}
+
+TEST_CASE("an answered question is not asked again", "[store]") {
+    first_read read;
+    read.start(endless);
+    read.run_until([&] { return read.is_over(); });
+    CHECK(read.error() == nullptr);
+    CHECK(read.store().calls() == 1);
+}
+
+TEST_CASE("a store that refuses is told at once, not after further questions", "[store]") {
+    // The store refuses calls, for instance as over its rate. Asking on would press it further; the caller
+    // has its own pauses between questions.
+    first_read read;
+    read.store().set_state(store_state::many);
+    read.start(endless);
+    read.run_until([&] { return read.is_over(); });
+    REQUIRE(read.error() != nullptr);
+    CHECK_THROWS_AS(std::rethrow_exception(read.error()), store::store_error);
+    CHECK(read.store().calls() == 1);
+}
