--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <set>
 #include <sstream>
 
 namespace borageford::soak {
@@ -116,23 +117,39 @@
     return routes;
 }
 
+/// Sends a probe to each of the gateways at once and leaves those that didn't serve it.
+void probe_all(soak_deployment& deployment, soak_callers& callers, const std::string& route,
+               std::set<std::size_t>& waiting) {
+    deployment.look_after();
+    deployment.on_emulator([&] {
+        for (const auto gateway : waiting) {
+            callers.send_probe(gateway, route);
+        }
+    });
+    test::wait_until("the probes' end",
+                     [&] { return deployment.on_emulator([&] { return callers.under_way(); }) == 0; });
+    deployment.on_emulator([&] {
+        std::erase_if(waiting, [&](auto gateway) { return callers.has_served_probe(gateway, route); });
+    });
+}
+
 /// Once nothing is wrong any more, every gateway serves every route of the newest configuration.
 broken_promises check_recovery(soak_deployment& deployment, soak_callers& callers) {
     broken_promises broken;
     for (const auto& route : routes_at_end(deployment)) {
+        std::set<std::size_t> waiting;
         for (std::size_t gateway = 0; gateway < deployment.gateway_count(); ++gateway) {
-            const auto what = "gateway " + std::to_string(gateway) + " serves " + route;
-            try {
-                test::wait_until(what, [&] {
-                    deployment.look_after();
-                    deployment.on_emulator([&] { callers.send_probe(gateway, route); });
-                    test::wait_until("the probe's end", [&] {
-                        return deployment.on_emulator([&] { return callers.under_way(); }) == 0;
-                    });
-                    return deployment.on_emulator([&] { return callers.has_served_probe(gateway, route); });
-                });
-            } catch (const std::exception& problem) {
-                broken.push_back("after the last fault: " + std::string(problem.what()));
+            waiting.insert(gateway);
+        }
+        try {
+            test::wait_until("all gateways serve " + route, [&] {
+                probe_all(deployment, callers, route, waiting);
+                return waiting.empty();
+            });
+        } catch (const std::exception& problem) {
+            for (const auto gateway : waiting) {
+                broken.push_back("gateway " + std::to_string(gateway) + " doesn't serve " + route +
+                                 " after the last fault: " + problem.what());
             }
         }
     }
