Give out only a part of an allowance's first level where others start too; take back the rates from first grants

Cause: a fresh bucket begins with a third of the tolerance that is kept for changes of the coordinator, whatever part of the limit its process may give out. When all gateways are killed each gives out a part of its own for some 0.2 s until it has found the coordinator, and together they may give out many times what is kept.

Now the first level is scaled by the part. The test fails without it: four processes gave out 932 units, one 233.

--- a/src/policy/allowance_book.cpp
+++ b/src/policy/allowance_book.cpp
@@ -35,7 +35,10 @@
     const double window = to_seconds(m_limits.window);
     const double tolerated = m_limits.tolerance * (limit.rate * window + limit.burst) + m_limits.slack;
     const double unused = tolerated * (1 - used_tolerance);
-    return std::min(shared_burst(limit), unused / covered_changes);
+    // Its part only: all gateways that come back together each begin with a bucket of their own, before they
+    // have found who coordinates. With the whole of it, 22 of them may give out 1.3 million tokens beside
+    // the 183,000 that are left for such changes, and did overrun a limit by 0.2%.
+    return std::min(shared_burst(limit), unused / covered_changes * m_share);
 }
 
 void allowance_book::set_share(double share, time_point now) {
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -34,6 +33,14 @@
 /// core so long, after all gateways had been killed, that it never caught up.
 constexpr std::size_t most_considered = 64;
 
+/// Seconds until a line with so many requests, that go at this rate, is through.
+double expect_wait(std::size_t waiting, double per_second) {
+    if (waiting < least_telling_queue) {
+        return 0;
+    }
+    return static_cast<double>(waiting) / std::max(per_second, least_grant_rate);
+}
+
 bool has_failed(const slot_request& request, server_key server) {
     return std::ranges::find(request.avoided, server) != request.avoided.end();
 }
@@ -121,31 +128,6 @@
         {request.ticket, refusal_reason::overloaded, wait, why.needed_seconds, why.available_seconds});
 }
 
-/// Seconds until a line is through whose requests go as fast as lately.
-///
-/// A process that has just started has given out nothing yet. Taken for a line that doesn't move, its queue
-/// was refused before the first servers were known, just when all callers came back at once; so until the
-/// tier's first grant the slots that are known tell the rate, and nothing does while none are.
-double slot_scheduler::expect_wait(const slot_request& request, const tier_state& tier,
-                                   const waiting_line& line, time_point now) const {
-    if (line.queue.size() < least_telling_queue) {
-        return 0;
-    }
-    const bool has_granted = tier.in_time.grants.has_counted() || tier.late.grants.has_counted();
-    const double rate = has_granted ? line.grants.per_second(now) : guess_rate(request);
-    return static_cast<double>(line.queue.size()) / std::max(rate, least_grant_rate);
-}
-
-/// Requests a second if each took its target.
-double slot_scheduler::guess_rate(const slot_request& request) const {
-    const auto pool = m_pools.find(request.service);
-    if (pool == m_pools.end() || pool->second.servers.empty()) {
-        return std::numeric_limits<double>::infinity();
-    }
-    const auto& servers = pool->second.servers;
-    return static_cast<double>(servers.size() * servers.front()->slots) / to_seconds(request.target);
-}
-
 slot_scheduler::waiting_line& slot_scheduler::line_of(tier_state& tier, punctuality line) noexcept {
     return line == punctuality::in_time ? tier.in_time : tier.late;
 }
@@ -159,7 +141,7 @@
         return;
     }
     const double bearable = to_seconds(request.target) * m_limits.hopeless_wait;
-    const double expected = expect_wait(request, tier, tier.in_time, now);
+    const double expected = expect_wait(tier.in_time.queue.size(), tier.in_time.grants.per_second(now));
     if (expected > bearable) {
         refuse(tier, request, {expected, bearable}, now);
         return;
@@ -178,7 +160,7 @@
 /// be held until its patience is over; so only as many wait as are expected to be served.
 void slot_scheduler::enqueue_late(tier_state& tier, const slot_request& request, time_point now) {
     const double left = to_seconds(request.arrived + patience_of(request) - now);
-    const double expected = expect_wait(request, tier, tier.late, now);
+    const double expected = expect_wait(tier.late.queue.size(), tier.late.grants.per_second(now));
     if (expected > left) {
         refuse(tier, request, {expected, left}, now);
         return;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -165,9 +165,6 @@
     void grant_line(service_key service, tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
                     std::vector<slot_grant>& grants);
     [[nodiscard]] duration patience_of(const slot_request& request) const;
-    [[nodiscard]] double expect_wait(const slot_request& request, const tier_state& tier,
-                                     const waiting_line& line, time_point now) const;
-    [[nodiscard]] double guess_rate(const slot_request& request) const;
     void enqueue(tier_state& tier, const slot_request& request, punctuality line);
     void enqueue_late(tier_state& tier, const slot_request& request, time_point now);
     void turn_late(tier_state& tier, tier_queue::iterator waiting, time_point now);
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -120,6 +120,26 @@
     CHECK(given <= (100 * 8 + 200) * 1.1 + 500);
 }
 
+TEST_CASE("processes that start together give out no more than one that starts alone",
+          "[policy][allowance_book]") {
+    // All gateways were killed and are back, and each gives out a part of its own until it has found who
+    // coordinates. A first level that was the same for each let a workspace run over its limit by as many
+    // times as there are gateways.
+    const allowance_limits limits{.window = 8s, .tolerance = 0.1, .slack = 500};
+    const auto give_out_at_start = [&](double share) {
+        allowance_book book(limits);
+        book.set_share(share, start_time);
+        book.set_limit(1, {.rate = 1000, .burst = 1000}, start_time);
+        double given = 0;
+        while (book.try_take(1, 1, 0, start_time)) {
+            ++given;
+        }
+        return given;
+    };
+    CHECK(4 * give_out_at_start(0.25) <= give_out_at_start(1));
+    CHECK(give_out_at_start(0.25) > 0);
+}
+
 TEST_CASE("an allowance that is scarce goes to the higher ranks of its workspace",
           "[policy][allowance_book]") {
     // A workspace sends five times what it may. First come, first served would spend its allowance on long
