A gateway that comes to coordinate begins with the whole first level, once

Cause: scaled by its part alone, a fresh process kept the small first level when it became the coordinator.

Now the level that a bucket has been given is remembered, and a larger part than ever before adds what is missing, once.

--- a/src/policy/allowance_book.cpp
+++ b/src/policy/allowance_book.cpp
@@ -48,6 +48,17 @@
     m_share = share;
     for (auto& [workspace, held] : m_entries) {
         held.bucket.set_rate(shared_rate(held.limit), shared_burst(held.limit), now);
+        add_to_first_level(held, now);
+    }
+}
+
+/// A process that gives out a larger part than ever before, since it coordinates now, begins with that part's
+/// level, less what it had before.
+void allowance_book::add_to_first_level(entry& to, time_point now) const {
+    const double level = first_level(to.limit);
+    if (level > to.first_level) {
+        to.bucket.charge(to.first_level - level, now);
+        to.first_level = level;
     }
 }
 
@@ -59,8 +70,9 @@
         return;
     }
     token_bucket bucket(shared_rate(limit), shared_burst(limit), now);
-    bucket.charge(shared_burst(limit) - first_level(limit), now);
-    m_entries.emplace(workspace, entry{limit, bucket});
+    const double level = first_level(limit);
+    bucket.charge(shared_burst(limit) - level, now);
+    m_entries.emplace(workspace, entry{limit, bucket, level});
 }
 
 double allowance_book::left_to_higher(const entry& of, double units, int rank) const {
--- a/src/policy/allowance_book.hpp
+++ b/src/policy/allowance_book.hpp
@@ -52,9 +52,11 @@
     struct entry {
         allowance limit;
         token_bucket bucket;
+        double first_level = 0; ///< that the bucket was given at its start, for the largest part so far
     };
 
     [[nodiscard]] double first_level(const allowance& limit) const;
+    void add_to_first_level(entry& to, time_point now) const;
     [[nodiscard]] double left_to_higher(const entry& of, double units, int rank) const;
     [[nodiscard]] double shared_rate(const allowance& limit) const;
     [[nodiscard]] double shared_burst(const allowance& limit) const;
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -140,6 +140,34 @@
     CHECK(give_out_at_start(0.25) > 0);
 }
 
+TEST_CASE("a process that comes to coordinate gives out what one that begins so does",
+          "[policy][allowance_book]") {
+    // It gave out a part of its own before. Left with that part's first level, a workspace of few requests a
+    // second would be refused within its limit for seconds; given the whole again at each change of its part,
+    // it would run over it.
+    const allowance_limits limits{.window = 8s, .tolerance = 0.1, .slack = 500};
+    const auto take_all = [](allowance_book& book) {
+        double given = 0;
+        while (book.try_take(1, 1, 0, start_time)) {
+            ++given;
+        }
+        return given;
+    };
+    allowance_book alone(limits);
+    alone.set_limit(1, {.rate = 1000, .burst = 1000}, start_time);
+    allowance_book chosen(limits);
+    chosen.set_share(0.25, start_time);
+    chosen.set_limit(1, {.rate = 1000, .burst = 1000}, start_time);
+    const double as_part = take_all(chosen);
+    chosen.set_share(1, start_time);
+    const double whole = as_part + take_all(chosen);
+    CHECK(whole <= take_all(alone));
+    CHECK(whole >= 4 * as_part);
+    chosen.set_share(0.25, start_time);
+    chosen.set_share(1, start_time);
+    CHECK(take_all(chosen) == 0);
+}
+
 TEST_CASE("an allowance that is scarce goes to the higher ranks of its workspace",
           "[policy][allowance_book]") {
     // A workspace sends five times what it may. First come, first served would spend its allowance on long
