Soak: freezing a gateway that is frozen already no longer hangs it

Cause: child_process::freeze waited for the process to stop, and consumed that state; a process that has stopped tells it once.

Ruled out: a deadlock of the emulator's or a proxy's thread (all idle in epoll_wait).

The state is now left to be seen again; also the end of a process that is frozen after it ended is not lost any more.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -117,9 +117,10 @@
 
 void child_process::freeze() {
     signal_child(SIGSTOP);
-    // Returns only once the process has really stopped, so that what a test does next comes after.
-    int status = 0;
-    waitpid(m_id, &status, WUNTRACED);
+    // Returns only once the process has really stopped, or ended, so that what a test does next comes after.
+    // The state is left to be seen again: a process that is frozen twice stops only once.
+    siginfo_t state{};
+    waitid(P_PID, static_cast<id_t>(m_id), &state, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 void child_process::thaw() {
