A floor of slot time for tiers that go without

Cause: in strict order of tiers the lowest one gets what the higher ones leave. Change: policy/slot_floor measures the share of a service's slot time that each tier got lately (2 s); a tier whose oldest request has waited for a tenth of its target, and that got less than 0.08, goes first until it has caught up, also into reserved slots. All floors together take at most a quarter. Running requests that members name to a new coordinator count at once, and each process keeps it for its own part too. Ruled out: a floor in counts, which lets dear requests take as many slots.

--- a/src/emulator/slot_deciders.cpp
+++ b/src/emulator/slot_deciders.cpp
@@ -117,7 +117,7 @@
                 m_schedulers[decider].release(
                     {heard.ticket, heard.server, policy::slot_outcome::abandoned, {}, {}}, now);
             } else {
-                m_schedulers[decider].add_running(heard.ticket, heard.server);
+                m_schedulers[decider].add_running({heard.ticket, heard.server, 0, 0}, now);
             }
         }
     }
--- /dev/null
+++ b/src/policy/slot_floor.cpp
@@ -0,0 +1,70 @@
+// Running requests, averaged over the last seconds.
+#include "policy/slot_floor.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace borageford::policy {
+
+namespace {
+
+/// A request of the dearest kinds takes one to three seconds; over a shorter time each would look like a share
+/// of everything, over a longer one a tier that had its floor before a burst would go without for all of it.
+constexpr double memory_seconds = 2;
+/// What a tier may take at once, in times of its floor: enough to catch up within the memory, and not so much
+/// that the others are pushed out together.
+constexpr double most_at_once = 2;
+
+} // namespace
+
+void slot_floor::advance(time_point now) {
+    if (m_updated != time_point::min() && now > m_updated) {
+        const double kept = std::exp(-to_seconds(now - m_updated) / memory_seconds);
+        for (auto& [tier, use] : m_tiers) {
+            use.recent = use.recent * kept + static_cast<double>(use.running) * (1 - kept);
+        }
+    }
+    m_updated = std::max(m_updated, now);
+}
+
+void slot_floor::begin(int tier, time_point now) {
+    advance(now);
+    ++m_tiers[tier].running;
+}
+
+void slot_floor::end(int tier, time_point now) {
+    advance(now);
+    auto& use = m_tiers[tier];
+    use.running -= std::min<std::size_t>(use.running, 1);
+}
+
+std::size_t slot_floor::running() const {
+    std::size_t result = 0;
+    for (const auto& [tier, use] : m_tiers) {
+        result += use.running;
+    }
+    return result;
+}
+
+double slot_floor::share(int tier, time_point now) {
+    advance(now);
+    double all = 0;
+    for (const auto& [other, use] : m_tiers) {
+        all += use.recent;
+    }
+    const auto found = m_tiers.find(tier);
+    return found == m_tiers.end() || all <= 0 ? 0 : found->second.recent / all;
+}
+
+std::size_t slot_floor::owed(int tier, std::size_t floors, time_point now) {
+    const double floor =
+        std::min(m_limits.share, m_limits.share_of_all / static_cast<double>(std::max<std::size_t>(floors, 1)));
+    if (share(tier, now) >= floor) {
+        return 0;
+    }
+    const auto most = std::max(1.0, most_at_once * floor * static_cast<double>(running()));
+    const auto used = m_tiers[tier].running;
+    return static_cast<std::size_t>(most) > used ? static_cast<std::size_t>(most) - used : 0;
+}
+
+} // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -4,6 +4,7 @@
 #include "policy/random_sequence.hpp"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <ranges>
 #include <tuple>
@@ -16,6 +17,10 @@
 /// Part of its target that a request waits for a server that is fast enough for it.
 constexpr double wait_for_fast_server = 0.4;
 
+/// Part of its target that a request waits before its tier is taken to go without. When all goes well, none
+/// waits that long, and the order of tiers is strict.
+constexpr double wait_before_floor = 0.1;
+
 /// Callers' guesses at the length of an answer are right at the median only. A larger margin calls answers
 /// too long for every server that a fast one would have ended.
 constexpr double length_margin = 1.2;
@@ -199,21 +204,28 @@
     return true;
 }
 
-void slot_scheduler::add_running(slot_ticket ticket, server_key server) {
-    if (m_running.emplace(ticket, running_request{server, 0, {}}).second) {
-        auto& state = m_servers[server];
+void slot_scheduler::add_running(const running_slot& slot, time_point now) {
+    const running_request request{slot.server, slot.service, slot.tier, 0, {}};
+    if (m_running.emplace(slot.ticket, request).second) {
+        auto& state = m_servers[slot.server];
         ++state.outstanding;
         update_room(state);
+        floor_of(slot.service).begin(slot.tier, now);
     }
 }
 
+slot_floor& slot_scheduler::floor_of(service_key service) {
+    return m_floors.try_emplace(service, m_limits.floor).first->second;
+}
+
 void slot_scheduler::release(const slot_release& ended, time_point now) {
     const auto running = m_running.find(ended.ticket);
     if (running == m_running.end()) {
         return;
     }
-    const auto [server, prompt, read_mark] = running->second;
+    const auto [server, service, tier, prompt, read_mark] = running->second;
     m_running.erase(running);
+    floor_of(service).end(tier, now);
     auto& state = m_servers[server];
     --state.outstanding;
     update_room(state);
@@ -369,7 +381,8 @@
                            time_point now, std::vector<slot_grant>& grants) {
     const auto& request = waiting->second;
     const auto mark = server.reading.add(server.first_event.expect_reading(request.cost.prompt), now);
-    m_running[request.ticket] = {server.key, request.cost.prompt, mark};
+    m_running[request.ticket] = {server.key, request.service, request.tier, request.cost.prompt, mark};
+    floor_of(request.service).begin(request.tier, now);
     ++server.outstanding;
     update_room(server);
     server.last_grant = ++m_grants;
@@ -379,29 +392,62 @@
     line.queue.erase(waiting);
 }
 
-void slot_scheduler::grant_line(service_key service, tier_state& tier, bool is_lowest, punctuality wanted,
-                                time_point now, std::vector<slot_grant>& grants) {
-    auto& line = line_of(tier, wanted);
+void slot_scheduler::grant_line(service_key service, tier_state& tier, line_terms terms, time_point now,
+                                std::vector<slot_grant>& grants) {
+    auto& line = line_of(tier, terms.line);
     if (line.queue.empty()) {
         return;
     }
-    auto open = find_open(service, is_lowest, now);
-    for (auto waiting = line.queue.begin(); waiting != line.queue.end() && !open.empty();) {
+    const auto enough = grants.size() + std::min(terms.most, line.queue.size());
+    auto open = find_open(service, terms.is_lowest, now);
+    for (auto waiting = line.queue.begin();
+         waiting != line.queue.end() && !open.empty() && grants.size() < enough;) {
         const auto next = std::next(waiting);
-        auto* server = choose(waiting->second, open, wanted, now);
+        auto* server = choose(waiting->second, open, terms.line, now);
         if (server != nullptr) {
             start(line, waiting, *server, now, grants);
-            if (room(*server, is_lowest, now) < 1) {
+            if (room(*server, terms.is_lowest, now) < 1) {
                 std::erase(open, server);
             }
             if (open.empty()) {
-                open = find_open(service, is_lowest, now);
+                open = find_open(service, terms.is_lowest, now);
             }
         }
         waiting = next;
     }
 }
 
+bool slot_scheduler::goes_without(const tier_state& tier, time_point now) {
+    return std::ranges::any_of(std::array{&tier.in_time.queue, &tier.late.queue}, [now](const auto* queue) {
+        if (queue->empty()) {
+            return false;
+        }
+        const auto& oldest = queue->begin()->second;
+        return now - oldest.arrived >= from_seconds(to_seconds(oldest.target) * wait_before_floor);
+    });
+}
+
+/// Tiers that were given less than their floor lately go before all others, the lowest share first.
+void slot_scheduler::grant_floors(service_key service, service_queue& tiers, time_point now,
+                                  std::vector<slot_grant>& grants) {
+    auto& floor = floor_of(service);
+    std::vector<int> ranks;
+    for (const auto& [rank, tier] : tiers) {
+        if (rank != tiers.begin()->first && goes_without(tier, now)) {
+            ranks.push_back(rank);
+        }
+    }
+    std::ranges::sort(ranks, {}, [&](int rank) { return floor.share(rank, now); });
+    for (const auto rank : ranks) {
+        for (const auto line : {punctuality::in_time, punctuality::late}) {
+            const auto owed = floor.owed(rank, ranks.size(), now);
+            if (owed > 0) {
+                grant_line(service, tiers.at(rank), {line, false, owed}, now, grants);
+            }
+        }
+    }
+}
+
 void slot_scheduler::give_up_late(time_point now) {
     while (!m_give_up.empty() && m_give_up.begin()->first <= now) {
         const auto found = m_waiting.find(m_give_up.begin()->second);
@@ -428,10 +474,13 @@
     give_up_late(now);
     for (auto& [service, tiers] : m_queues) {
         for (auto& [rank, tier] : tiers) {
-            const bool is_lowest = tiers.size() > 1 && rank == tiers.rbegin()->first;
             turn_all_late(tier, now);
-            grant_line(service, tier, is_lowest, punctuality::in_time, now, grants);
-            grant_line(service, tier, is_lowest, punctuality::late, now, grants);
+        }
+        grant_floors(service, tiers, now, grants);
+        for (auto& [rank, tier] : tiers) {
+            const bool is_lowest = tiers.size() > 1 && rank == tiers.rbegin()->first;
+            grant_line(service, tier, {punctuality::in_time, is_lowest}, now, grants);
+            grant_line(service, tier, {punctuality::late, is_lowest}, now, grants);
         }
     }
     return grants;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -8,10 +8,12 @@
 #include "policy/overload_watch.hpp"
 #include "policy/reading_backlog.hpp"
 #include "policy/server_health.hpp"
+#include "policy/slot_floor.hpp"
 #include "policy/slot_request.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -35,6 +37,7 @@
     /// A request is refused on arrival when those before it would take so many times its target: the part of
     /// it in which a request is given to a server in time.
     double hopeless_wait = 0.4;
+    slot_floor_limits floor{};
     /// Share of all slots that this process may give out; less than 1 where others give out the rest.
     double share = 1;
 };
@@ -51,6 +54,14 @@
 
     void set_share(double share);
 
+    /// A request that occupies a slot.
+    struct running_slot {
+        slot_ticket ticket = 0;
+        server_key server = 0;
+        service_key service = 0;
+        int tier = 0;
+    };
+
     /// Adds a server or changes its slots.
     void set_server(server_key server, service_key service, unsigned slots);
     /// No more grants for it; what it works on goes on.
@@ -61,7 +72,7 @@
     /// False when it doesn't wait, nor for its refusal to be taken.
     bool withdraw(slot_ticket ticket);
     /// A request that occupies a slot already.
-    void add_running(slot_ticket ticket, server_key server);
+    void add_running(const running_slot& slot, time_point now);
     /// A running request has left its slot; unknown ones are passed over.
     void release(const slot_release& ended, time_point now);
 
@@ -141,6 +152,8 @@
     };
     struct running_request {
         server_key server = 0;
+        service_key service = 0;
+        int tier = 0;
         double prompt = 0;
         reading_backlog::mark read_mark{};
     };
@@ -162,8 +175,19 @@
     [[nodiscard]] static waiting_line& line_of(tier_state& tier, punctuality line) noexcept;
     void start(waiting_line& line, tier_queue::iterator waiting, server_state& server, time_point now,
                std::vector<slot_grant>& grants);
-    void grant_line(service_key service, tier_state& tier, bool is_lowest, punctuality wanted, time_point now,
+    /// What one line may be given.
+    struct line_terms {
+        punctuality line = punctuality::in_time;
+        bool is_lowest = false; ///< the lowest tier leaves some slots free
+        std::size_t most = std::numeric_limits<std::size_t>::max(); ///< grants
+    };
+    void grant_line(service_key service, tier_state& tier, line_terms terms, time_point now,
                     std::vector<slot_grant>& grants);
+    /// Whether a request of the tier has waited so long that others must have gone before it.
+    [[nodiscard]] static bool goes_without(const tier_state& tier, time_point now);
+    void grant_floors(service_key service, service_queue& tiers, time_point now,
+                      std::vector<slot_grant>& grants);
+    [[nodiscard]] slot_floor& floor_of(service_key service);
     [[nodiscard]] duration patience_of(const slot_request& request) const;
     void enqueue(tier_state& tier, const slot_request& request, punctuality line);
     void enqueue_late(tier_state& tier, const slot_request& request, time_point now);
@@ -184,6 +208,7 @@
     /// Invariant: holds exactly the usable servers, each in the pool of its service.
     std::unordered_map<service_key, server_pool> m_pools;
     std::unordered_map<service_key, service_queue> m_queues;
+    std::unordered_map<service_key, slot_floor> m_floors;
     std::unordered_map<slot_ticket, waiting_place> m_waiting;
     /// When each waiting request is given up; tickets that don't wait any more are passed over.
     std::multimap<time_point, slot_ticket> m_give_up;
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -85,7 +85,7 @@
                             std::chrono::milliseconds per_token) {
         constexpr double tokens = 400;
         const auto rest = static_cast<int>(tokens) * per_token;
-        scheduler.add_running(server, server);
+        scheduler.add_running({server, server, engines, 0}, start_time);
         scheduler.release({server, server, slot_outcome::served, first + rest, first, tokens}, start_time);
     };
     finish(slow, 10ms, 9ms);
