Floors: tests that starve without them; the soak restarts servers in place and writes foreign entries

Tests: loads in virtual time, without network (policy/slot_floor): strict order serves 0.1 of the lowest tier's requests or less, with the floor over half; also for a process with a part of all slots, right after changes of coordinator, and with eight tiers.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -119,6 +119,10 @@
     return fault;
 }
 
+std::string emulated_backend::name() const {
+    return m_options.start == 0 ? m_options.id : m_options.id + "@" + std::to_string(m_options.start);
+}
+
 http::response emulated_backend::refusal(unsigned status) const {
     auto answer = http::make_response(status, "text/plain", "");
     if (status != status_misdirected) {
@@ -129,7 +133,7 @@
 
 http::header_fields emulated_backend::answer_fields(const http::request& call, std::size_t number) const {
     return {{m_fields.request_id, header_of(call, m_fields.request_id)},
-            {m_fields.signature, m_options.id + "." + std::to_string(number)}};
+            {m_fields.signature, name() + "." + std::to_string(number)}};
 }
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -77,6 +77,8 @@
     void set_slowness(double factor);
 
     [[nodiscard]] const backend_options& options() const noexcept { return m_options; }
+    /// Of this start, among all that there were: the id, with the start where it tells one.
+    [[nodiscard]] std::string name() const;
     [[nodiscard]] const std::vector<recorded_run>& runs() const noexcept { return m_runs; }
     [[nodiscard]] std::size_t in_progress() const noexcept { return m_in_progress; }
     /// Requests that reached it, run or refused.
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -46,16 +46,25 @@
         if (address.port() != 0) {
             address.port(static_cast<std::uint16_t>(address.port() + index));
         }
-        m_servers.push_back({group, address, of.speeds[index % of.speeds.size()], 0, nullptr});
-        start_server(m_servers.back());
+        auto& unit = m_servers.emplace_back();
+        unit.group = group;
+        unit.address = address;
+        unit.speed = of.speeds[index % of.speeds.size()];
+        start_server(unit, draw_id(unit));
     }
 }
 
-void experiment_site::start_server(server_unit& unit) {
+std::string experiment_site::draw_id(server_unit& unit) const {
+    const auto number = static_cast<std::uint64_t>(&unit - m_servers.data());
+    return m_plan.servers[unit.group].service + "-" + std::to_string(id_base * (unit.starts + 1) + number);
+}
+
+void experiment_site::start_server(server_unit& unit, std::string id) {
     const auto& group = m_plan.servers[unit.group];
     emulator::backend_options options;
-    const auto number = static_cast<std::uint64_t>(&unit - m_servers.data());
-    options.id = group.service + "-" + std::to_string(id_base * ++unit.starts + number);
+    options.id = std::move(id);
+    options.start = ++unit.starts;
+    unit.id = options.id;
     options.service = group.service;
     options.slots = group.slots;
     options.work = group.work;
@@ -68,10 +77,11 @@
     // A port that the kernel chose may have been given to somebody else meanwhile.
     const bool is_chosen = group.first_address.port() == 0;
     unit.address = unit.server->listen(is_chosen ? group.first_address : unit.address);
-    write_registration(unit, routing::backend_state::ready);
+    unit.state = routing::backend_state::ready;
+    write_registration(unit);
 }
 
-void experiment_site::write_registration(const server_unit& unit, routing::backend_state state) {
+void experiment_site::write_registration(const server_unit& unit) {
     routing::backend_record record;
     record.id = unit.server->options().id;
     record.start = unit.server->options().start;
@@ -80,13 +90,19 @@
     record.address = m_publish ? m_publish(number, unit.address) : unit.address;
     record.failure_domain = "a";
     record.slots = unit.server->options().slots;
-    record.state = state;
+    record.state = unit.state;
     store::transaction change;
     change.puts.push_back({row_key(record.id), platform::encode_backend(record)});
     static_cast<void>(m_store.rows().transact(change));
 }
 
-void experiment_site::remove_registration(std::string id) {
+void experiment_site::write_entry(std::string_view id, std::string value) {
+    store::transaction change;
+    change.puts.push_back({row_key(id), std::move(value)});
+    static_cast<void>(m_store.rows().transact(change));
+}
+
+void experiment_site::remove_entry(std::string_view id) {
     store::transaction change;
     change.deletes.push_back(row_key(id));
     static_cast<void>(m_store.rows().transact(change));
@@ -112,20 +128,48 @@
     const auto id = unit.server->options().id;
     unit.server->stop();
     m_former.push_back(std::move(unit.server));
-    after(registration_life, [this, id] { remove_registration(id); });
+    const auto number = unit.starts;
+    after(registration_life, [this, id, server, number] {
+        const auto& now = m_servers.at(server);
+        if (now.id != id || now.starts == number) { // else a new start has the entry
+            remove_entry(id);
+        }
+    });
+}
+
+void experiment_site::overwrite_entry(std::size_t server, std::string value) {
+    if (m_servers.at(server).server != nullptr) {
+        write_entry(m_servers[server].id, std::move(value));
+    }
+}
+
+void experiment_site::renew_entry(std::size_t server) {
+    if (m_servers.at(server).server != nullptr) {
+        write_registration(m_servers[server]);
+    }
+}
+
+void experiment_site::restart_in_place(std::size_t server) {
+    auto& unit = m_servers.at(server);
+    if (unit.server != nullptr) {
+        unit.server->stop();
+        m_former.push_back(std::move(unit.server));
+        start_server(unit, unit.id);
+    }
 }
 
 void experiment_site::restart(std::size_t server) {
     auto& unit = m_servers.at(server);
     if (unit.server == nullptr) {
-        start_server(unit);
+        start_server(unit, draw_id(unit));
     }
 }
 
 void experiment_site::drain(std::size_t server) {
     auto& unit = m_servers.at(server);
     if (unit.server != nullptr) {
-        write_registration(unit, routing::backend_state::draining);
+        unit.state = routing::backend_state::draining;
+        write_registration(unit);
     }
 }
 
@@ -151,9 +195,9 @@
     return result;
 }
 
-std::string experiment_site::server_id(std::size_t server) const {
+std::string experiment_site::server_name(std::size_t server) const {
     const auto& unit = m_servers.at(server);
-    return unit.server != nullptr ? unit.server->options().id : std::string();
+    return unit.server != nullptr ? unit.server->name() : std::string();
 }
 
 void experiment_site::after(milliseconds delay, std::function<void()> call) {
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -43,13 +43,15 @@
     }
     [[nodiscard]] std::size_t server_count() const noexcept { return m_servers.size(); }
 
-    // One server by its number, in the order of the file; its id changes with each start.
+    // One server by its number, in the order of the file.
     void set_fault(std::size_t server, emulator::backend_fault fault);
     void set_slowness(std::size_t server, double factor);
     /// Gone without a word; its registration expires a moment later.
     void crash(std::size_t server);
     /// Back under a new id, at its address if the plan gives one; nothing when it is there.
     void restart(std::size_t server);
+    /// Crashes and is back at once under the id that it had, as another start.
+    void restart_in_place(std::size_t server);
     /// Announces that it leaves. It goes on serving what it has.
     void drain(std::size_t server);
 
@@ -57,8 +59,15 @@
     void visit_servers(const std::function<void(const emulator::emulated_backend&)>& visit) const;
     /// How many runs each request had, by its id.
     [[nodiscard]] std::map<std::string, std::size_t> count_runs() const;
-    /// The id of a server; empty while it is gone.
-    [[nodiscard]] std::string server_id(std::size_t server) const;
+    /// The name of a server's present start; empty while it is gone.
+    [[nodiscard]] std::string server_name(std::size_t server) const;
+
+    /// Writes an entry into the table of servers, as another program would.
+    void write_entry(std::string_view id, std::string value);
+    void remove_entry(std::string_view id);
+    /// The same under the id of a server that is there, until the server writes its own word again.
+    void overwrite_entry(std::size_t server, std::string value);
+    void renew_entry(std::size_t server);
 
 private:
     struct server_unit {
@@ -66,13 +75,15 @@
         boost::asio::ip::tcp::endpoint address;
         double speed = 1;
         unsigned starts = 0;
+        std::string id; ///< of its last start
+        routing::backend_state state = routing::backend_state::ready; ///< that it tells
         std::unique_ptr<emulator::emulated_backend> server; ///< null while it is gone
     };
 
     void add_servers(std::size_t group);
-    void start_server(server_unit& unit);
-    void write_registration(const server_unit& unit, routing::backend_state state);
-    void remove_registration(std::string id);
+    [[nodiscard]] std::string draw_id(server_unit& unit) const;
+    void start_server(server_unit& unit, std::string id);
+    void write_registration(const server_unit& unit);
     void begin_fault(const planned_fault& fault);
     void end_fault(const planned_fault& fault);
     [[nodiscard]] std::vector<std::size_t> servers_of(const planned_fault& fault) const;
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -46,6 +46,8 @@
     kind_row{fault_kind::server_path_delayed, "server_path_delayed"},
     kind_row{fault_kind::configuration_grows, "configuration_grows"},
     kind_row{fault_kind::configuration_moves_route, "configuration_moves_route"},
+    kind_row{fault_kind::server_restarts_in_place, "server_restarts_in_place"},
+    kind_row{fault_kind::foreign_entries, "foreign_entries"},
 };
 static_assert(kind_names.size() == static_cast<std::size_t>(fault_kind::last_kind) + 1);
 
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -49,7 +49,10 @@
     // The operator.
     configuration_grows,
     configuration_moves_route,
-    last_kind = configuration_moves_route
+    // Backend servers again, and other programs that write into their table.
+    server_restarts_in_place, ///< its connections silenced, back at once under the id that it had
+    foreign_entries,          ///< beside the servers' own, and over one of them
+    last_kind = foreign_entries
 };
 
 [[nodiscard]] std::string_view to_string(fault_kind kind) noexcept;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -7,6 +7,7 @@
 #include "store/row.hpp"
 #include "support/free_ports.hpp"
 
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -122,7 +123,7 @@
 }
 
 server_run describe_run(const emulator::emulated_backend& server, const emulator::recorded_run& run) {
-    return {server.options().id,
+    return {server.name(),
             server.options().service,
             run.request_id,
             run.target,
@@ -140,7 +141,19 @@
 }
 
 bool is_configuration_change(fault_kind kind) {
-    return kind >= fault_kind::configuration_grows;
+    return kind == fault_kind::configuration_grows || kind == fault_kind::configuration_moves_route;
+}
+
+/// Entries that look like servers, each wrong in another way; nobody listens at their addresses.
+constexpr std::array<std::string_view, 4> foreign_values{
+    std::string_view("\xff\xfe\x00\x01{", 5),
+    R"({"service":"plain","address":"127.0.0.1:9","zone":"a","slots":900,"state":"paused"})",
+    R"({"service":"engines","address":"127.0.0.1:9","zone":"a","slots":"900","state":"ready"})",
+    R"({"service":"plain","address":"127.0.0.1:9","zone":"a","slots":900,"state":"ready","born":1.5})",
+};
+
+std::string foreign_id(std::size_t number) {
+    return "foreign-" + std::to_string(number);
 }
 
 } // namespace
@@ -376,10 +389,10 @@
         } else if (fault.kind == fault_kind::server_slow) {
             m_site->set_slowness(server, slow_factor);
         } else if (fault.kind == fault_kind::server_drains) {
-            const auto id = m_site->server_id(server);
+            const auto name = m_site->server_name(server);
             m_site->drain(server);
-            if (!id.empty()) {
-                m_leaving.push_back({id, clock::now()});
+            if (!name.empty()) {
+                m_leaving.push_back({name, clock::now()});
             }
         } else {
             m_site->set_fault(server, fault_of(fault.kind));
@@ -399,6 +412,34 @@
     });
 }
 
+/// Behind a cut: what was open hangs, and only the registration tells of the new start.
+void soak_deployment::restart_in_place(const planned_fault& fault) {
+    note(fault, disturbance_kind::server_path, std::nullopt);
+    const auto server = fault.target % m_server_proxies.size();
+    m_server_proxies.at(server)->drop(test::direction::down);
+    on_emulator([&] { m_site->restart_in_place(server); });
+}
+
+/// One of them stands over a server's own entry, until the server writes anew.
+void soak_deployment::write_foreign_entries(const planned_fault& fault) {
+    on_emulator([&] {
+        for (std::size_t number = 0; number < foreign_values.size(); ++number) {
+            m_site->write_entry(foreign_id(number), std::string(foreign_values.at(number)));
+        }
+        m_site->overwrite_entry(fault.target % m_server_proxies.size(),
+                                std::string(foreign_values.at(fault.target % foreign_values.size())));
+    });
+}
+
+void soak_deployment::end_foreign_entries(const planned_fault& fault) {
+    on_emulator([&] {
+        for (std::size_t number = 0; number < foreign_values.size(); ++number) {
+            m_site->remove_entry(foreign_id(number));
+        }
+        m_site->renew_entry(fault.target % m_server_proxies.size());
+    });
+}
+
 void soak_deployment::begin_server_path_fault(const planned_fault& fault) {
     note(fault, disturbance_kind::server_path, std::nullopt);
     auto& proxy = *m_server_proxies.at(fault.target % m_server_proxies.size());
@@ -429,6 +470,10 @@
         begin_server_path_fault(fault);
     } else if (is_configuration_change(fault.kind)) {
         change_configuration(fault.kind);
+    } else if (fault.kind == fault_kind::server_restarts_in_place) {
+        restart_in_place(fault);
+    } else if (fault.kind == fault_kind::foreign_entries) {
+        write_foreign_entries(fault);
     } else if (fault.kind == fault_kind::store_path_cut || fault.kind == fault_kind::store_path_silenced) {
         const auto index = fault.target % m_gateways.size();
         note(fault, disturbance_kind::store, index);
@@ -468,7 +513,10 @@
         proxy.release();
     } else if (fault.kind == fault_kind::store_path_cut) {
         m_gateways[fault.target % m_gateways.size()].store_path->set_refusing(false);
-    } else if (!is_configuration_change(fault.kind) && fault.kind != fault_kind::store_path_silenced) {
+    } else if (fault.kind == fault_kind::foreign_entries) {
+        end_foreign_entries(fault);
+    } else if (!is_configuration_change(fault.kind) && fault.kind != fault_kind::store_path_silenced &&
+               fault.kind != fault_kind::server_restarts_in_place) {
         end_server_fault(fault);
     }
     if (const auto open = m_open_disturbances.find(&fault); open != m_open_disturbances.end()) {
@@ -519,7 +567,7 @@
 std::optional<server_run> soak_deployment::find_run(const std::string& server, std::size_t number) const {
     std::optional<server_run> result;
     m_site->visit_servers([&](const emulator::emulated_backend& each) {
-        if (each.options().id == server && number < each.runs().size()) {
+        if (each.name() == server && number < each.runs().size()) {
             result = describe_run(each, each.runs()[number]);
         }
     });
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -118,6 +118,9 @@
     void begin_server_fault(const planned_fault& fault);
     void begin_server_path_fault(const planned_fault& fault);
     void end_server_fault(const planned_fault& fault);
+    void restart_in_place(const planned_fault& fault);
+    void write_foreign_entries(const planned_fault& fault);
+    void end_foreign_entries(const planned_fault& fault);
     void begin_store_fault(const planned_fault& fault);
     void change_configuration(fault_kind kind);
     void write_configuration();
--- /dev/null
+++ b/tests/unit/test_policy_slot_floor.cpp
@@ -0,0 +1,227 @@
+// No tier goes without while others are served: loads that starve the lowest tiers in strict order.
+#include "policy/slot_floor.hpp"
+#include "policy/slot_scheduler.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <vector>
+
+using namespace borageford::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start_time = time_point{} + 1h;
+constexpr service_key engines = 77;
+constexpr auto step = 5ms;
+
+/// Requests of one tier: so many a second, each with its time in a slot.
+struct tier_load {
+    int tier = 0;
+    double per_second = 0;
+    duration slot_time{};
+    duration target = 500ms;
+};
+
+/// What became of a tier's requests.
+struct tier_result {
+    unsigned asked = 0;
+    unsigned served = 0;
+    [[nodiscard]] double share() const { return static_cast<double>(served) / asked; }
+};
+
+/// A scheduler under a steady load, in virtual time.
+class played_load {
+public:
+    played_load(slot_scheduler_limits limits, unsigned servers, unsigned slots)
+        : m_limits(limits), m_servers(servers), m_slots(slots), m_scheduler(make_scheduler()) {}
+
+    void play(const std::vector<tier_load>& load, duration length) {
+        const auto end = m_now + length;
+        for (; m_now < end; m_now += step) {
+            finish_due();
+            for (const auto& tier : load) {
+                arrive(tier);
+            }
+            start_granted();
+            static_cast<void>(m_scheduler.take_refusals());
+        }
+    }
+
+    /// Another process gives out the slots from now on: it is told what runs, and knows nothing else.
+    void change_coordinator() {
+        m_scheduler = make_scheduler();
+        for (const auto& [end, running] : m_running) {
+            m_scheduler.add_running({running.ticket, running.server, engines, m_asked.at(running.ticket).tier},
+                                    m_now);
+        }
+    }
+
+    [[nodiscard]] const tier_result& result(int tier) { return m_results[tier]; }
+    void forget_results() { m_results.clear(); }
+    /// Slot time that a tier was given, as a share of all.
+    [[nodiscard]] double slot_share(int tier) {
+        duration all{};
+        for (const auto& [other, given] : m_given) {
+            all += given;
+        }
+        return to_seconds(m_given[tier]) / to_seconds(all);
+    }
+
+private:
+    [[nodiscard]] slot_scheduler make_scheduler() const {
+        slot_scheduler result(m_limits);
+        for (unsigned server = 1; server <= m_servers; ++server) {
+            result.set_server(server, engines, m_slots);
+        }
+        return result;
+    }
+
+    void arrive(const tier_load& tier) {
+        auto& due = m_due[tier.tier];
+        for (due += tier.per_second * to_seconds(step); due >= 1; --due) {
+            slot_request request;
+            request.ticket = ++m_last_ticket;
+            request.service = engines;
+            request.tier = tier.tier;
+            request.arrived = m_now;
+            request.deadline = m_now + 10s;
+            request.target = tier.target;
+            m_asked[request.ticket] = tier;
+            ++m_results[tier.tier].asked;
+            m_scheduler.add(request, m_now);
+        }
+    }
+
+    void start_granted() {
+        for (const auto& grant : m_scheduler.grant(m_now)) {
+            const auto& tier = m_asked.at(grant.ticket);
+            ++m_results[tier.tier].served;
+            m_given[tier.tier] += tier.slot_time;
+            m_running.emplace(m_now + tier.slot_time, grant);
+        }
+    }
+
+    void finish_due() {
+        while (!m_running.empty() && m_running.begin()->first <= m_now) {
+            const auto [end, grant] = *m_running.begin();
+            m_running.erase(m_running.begin());
+            const auto busy = m_asked.at(grant.ticket).slot_time;
+            m_scheduler.release({grant.ticket, grant.server, slot_outcome::served, busy, 50ms}, m_now);
+        }
+    }
+
+    slot_scheduler_limits m_limits;
+    unsigned m_servers;
+    unsigned m_slots;
+    slot_scheduler m_scheduler;
+    time_point m_now = start_time;
+    slot_ticket m_last_ticket = 0;
+    std::map<int, double> m_due;
+    std::map<slot_ticket, tier_load> m_asked;
+    std::multimap<time_point, slot_grant> m_running;
+    std::map<int, tier_result> m_results;
+    std::map<int, duration> m_given;
+};
+
+/// Twice what four engines of nine slots can do, nearly all of it by dear requests of the highest tiers.
+const std::vector<tier_load> heavy_load{{0, 30, 1400ms}, {1, 40, 1100ms}, {2, 40, 120ms}};
+
+slot_scheduler_limits without_floor() {
+    slot_scheduler_limits limits;
+    limits.floor.share = 0;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("cheap requests of the lowest tier don't go without because dear ones wait",
+          "[policy][slot_floor]") {
+    // Under lasting load the higher tiers take every slot that comes free. The lowest one's callers hear
+    // refusals only, for half a minute, though all of their requests together need a tenth of the slots.
+    played_load strict(without_floor(), 4, 9);
+    strict.play(heavy_load, 20s);
+    CHECK(strict.result(2).share() < 0.1);
+    played_load floored({}, 4, 9);
+    floored.play(heavy_load, 20s);
+    CHECK(floored.result(2).share() > 0.5);
+    // What it gets is the floor, no more; the highest tier goes on before the others.
+    CHECK(floored.slot_share(2) < 0.1);
+    CHECK(floored.result(0).share() > floored.result(1).share());
+    // All floors together take a quarter of the slots at most.
+    CHECK(floored.result(0).share() >= 0.75 * strict.result(0).share());
+}
+
+TEST_CASE("a process with a part of all slots keeps the floors too", "[policy][slot_floor]") {
+    // No coordinator is heard, so each of five gateways gives out its part of every server.
+    slot_scheduler_limits limits;
+    limits.share = 0.2;
+    auto load = heavy_load;
+    for (auto& tier : load) {
+        tier.per_second /= 5;
+    }
+    played_load part(limits, 4, 9);
+    part.play(load, 20s);
+    CHECK(part.result(2).share() > 0.5);
+    CHECK(part.result(0).share() > part.result(1).share());
+}
+
+TEST_CASE("a new coordinator keeps the floors from its first decision on", "[policy][slot_floor]") {
+    // It knows what runs from what the members tell, and nothing of what was given before.
+    played_load load({}, 4, 9);
+    load.play(heavy_load, 5s);
+    for (int change = 0; change < 5; ++change) {
+        load.forget_results();
+        load.change_coordinator();
+        load.play(heavy_load, 2s);
+        CHECK(load.result(2).share() > 0.4);
+        CHECK(load.result(0).share() > 0.2);
+    }
+}
+
+TEST_CASE("with many tiers each one below the highest gets something, and all together a bounded part",
+          "[policy][slot_floor]") {
+    std::vector<tier_load> load{{0, 60, 1400ms}};
+    for (int tier = 1; tier < 8; ++tier) {
+        load.push_back({tier, 10, 200ms});
+    }
+    played_load many({}, 4, 9);
+    many.play(load, 20s);
+    double lower = 0;
+    for (int tier = 1; tier < 8; ++tier) {
+        CAPTURE(tier);
+        CHECK(many.result(tier).served > 0);
+        CHECK(many.slot_share(tier) > 0.01);
+        lower += many.slot_share(tier);
+    }
+    CHECK(lower < 0.35);
+}
+
+TEST_CASE("while nothing waits long, the order of tiers is strict", "[policy][slot_floor]") {
+    played_load calm({}, 4, 9);
+    calm.play({{0, 10, 1400ms}, {1, 5, 1100ms}, {2, 20, 120ms}}, 10s);
+    CHECK(calm.result(0).share() > 0.95);
+    CHECK(calm.result(1).share() > 0.95);
+    CHECK(calm.result(2).share() > 0.95);
+}
+
+TEST_CASE("a floor is owed until its share was given", "[policy][slot_floor]") {
+    slot_floor floor({0.1, 0.25});
+    for (int index = 0; index < 40; ++index) {
+        floor.begin(0, start_time);
+    }
+    const auto later = start_time + 4s;
+    CHECK(floor.share(0, later) == Approx(1));
+    CHECK(floor.owed(1, 1, later) == 8); // twice its part, to catch up
+    for (int index = 0; index < 8; ++index) {
+        floor.begin(1, later);
+    }
+    CHECK(floor.owed(1, 1, later) <= 1); // its slots count at once
+    CHECK(floor.owed(1, 1, later + 10s) == 0);
+    for (int index = 0; index < 8; ++index) {
+        floor.end(1, later + 10s);
+    }
+    CHECK(floor.owed(1, 1, later + 30s) > 0);
+    CHECK(floor.owed(1, 100, later + 30s) <= 1); // many share the part of all
+}
