Near servers first, where that costs the caller no time

Change: gateways tell the coordinator their failure domain in each datagram (4 bytes), and a server of the same domain is taken before one elsewhere that would begin sooner by no more than 0.05 of the request's target.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -173,6 +173,7 @@
     table.add_is_in_touch(message.sender.is_in_touch);
     table.add_wants_reply(message.wants_reply);
     table.add_processor_share(static_cast<float>(message.sender.processor_share));
+    table.add_domain(message.sender.domain);
     table.add_members(static_cast<std::uint16_t>(message.sender.members));
     table.add_configuration_version(message.sender.configuration_version);
     table.add_backend_version(message.sender.backend_version);
@@ -199,20 +200,19 @@
     }
     const auto* table = wire::Getdatagram(data);
     datagram result;
-    result.sender = {table->incarnation(),
-                     table->is_acting(),
-                     table->is_eligible(),
-                     table->is_leaving(),
-                     table->processor_share(),
-                     table->members(),
-                     table->configuration_version(),
-                     table->backend_version(),
-                     table->is_in_touch()};
+    result.sender = {table->incarnation(),           table->is_acting(),
+                     table->is_eligible(),           table->is_leaving(),
+                     table->processor_share(),       table->members(),
+                     table->configuration_version(), table->backend_version(),
+                     table->is_in_touch(),           table->domain()};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
     result.batch = table->batch();
     result.acknowledged = table->acknowledged();
     decode_items(table->asks(), result.items.asks, now);
+    for (auto& ask : result.items.asks) {
+        ask.domain = result.sender.domain;
+    }
     decode_items(table->holds(), result.items.holds);
     decode_items(table->releases(), result.items.releases);
     decode_items(table->grants(), result.items.grants);
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -22,7 +22,8 @@
     unsigned members = 0; ///< that it counts, as coordinator
     std::uint64_t configuration_version = 0;
     std::uint64_t backend_version = 0;
-    bool is_in_touch = false; ///< the store answers it
+    bool is_in_touch = false;      ///< the store answers it
+    policy::domain_key domain = 0; ///< its failure domain, and that of all that it asks for
 };
 
 /// A request that already occupies a slot, told to a new coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -356,16 +356,17 @@
     VT_MEMBERS = 18,
     VT_CONFIGURATION_VERSION = 20,
     VT_BACKEND_VERSION = 22,
-    VT_KNOWN = 24,
-    VT_SESSION = 26,
-    VT_BATCH = 28,
-    VT_ACKNOWLEDGED = 30,
-    VT_ASKS = 32,
-    VT_HOLDS = 34,
-    VT_WITHDRAWALS = 36,
-    VT_RELEASES = 38,
-    VT_GRANTS = 40,
-    VT_REFUSALS = 42
+    VT_DOMAIN = 24,
+    VT_KNOWN = 26,
+    VT_SESSION = 28,
+    VT_BATCH = 30,
+    VT_ACKNOWLEDGED = 32,
+    VT_ASKS = 34,
+    VT_HOLDS = 36,
+    VT_WITHDRAWALS = 38,
+    VT_RELEASES = 40,
+    VT_GRANTS = 42,
+    VT_REFUSALS = 44
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -397,6 +398,9 @@
   uint64_t backend_version() const {
     return GetField<uint64_t>(VT_BACKEND_VERSION, 0);
   }
+  uint32_t domain() const {
+    return GetField<uint32_t>(VT_DOMAIN, 0);
+  }
   const flatbuffers::Vector<uint64_t> *known() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_KNOWN);
   }
@@ -439,6 +443,7 @@
            VerifyField<uint16_t>(verifier, VT_MEMBERS, 2) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_BACKEND_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_DOMAIN, 4) &&
            VerifyOffset(verifier, VT_KNOWN) &&
            verifier.VerifyVector(known()) &&
            VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
@@ -494,6 +499,9 @@
   void add_backend_version(uint64_t backend_version) {
     fbb_.AddElement<uint64_t>(datagram::VT_BACKEND_VERSION, backend_version, 0);
   }
+  void add_domain(uint32_t domain) {
+    fbb_.AddElement<uint32_t>(datagram::VT_DOMAIN, domain, 0);
+  }
   void add_known(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> known) {
     fbb_.AddOffset(datagram::VT_KNOWN, known);
   }
@@ -547,6 +555,7 @@
     uint16_t members = 0,
     uint64_t configuration_version = 0,
     uint64_t backend_version = 0,
+    uint32_t domain = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> known = 0,
     uint64_t session = 0,
     uint32_t batch = 0,
@@ -571,6 +580,7 @@
   builder_.add_acknowledged(acknowledged);
   builder_.add_batch(batch);
   builder_.add_known(known);
+  builder_.add_domain(domain);
   builder_.add_processor_share(processor_share);
   builder_.add_members(members);
   builder_.add_wants_reply(wants_reply);
@@ -598,6 +608,7 @@
     uint16_t members = 0,
     uint64_t configuration_version = 0,
     uint64_t backend_version = 0,
+    uint32_t domain = 0,
     const std::vector<uint64_t> *known = nullptr,
     uint64_t session = 0,
     uint32_t batch = 0,
@@ -627,6 +638,7 @@
       members,
       configuration_version,
       backend_version,
+      domain,
       known__,
       session,
       batch,
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -1,6 +1,7 @@
 // Roles change with what is heard; the requests that wait or run are told to whoever decides next.
 #include "coordination/slot_broker.hpp"
 
+#include "base/hash.hpp"
 #include "base/identifier.hpp"
 #include "events/event_log.hpp"
 
@@ -46,6 +47,10 @@
 
 } // namespace
 
+policy::domain_key domain_key_of(std::string_view name) noexcept {
+    return name.empty() ? 0 : static_cast<policy::domain_key>(hash_bytes(name));
+}
+
 std::string_view to_string(slot_source source) noexcept {
     switch (source) {
     case slot_source::coordinator:
@@ -101,8 +106,9 @@
     m_election.forget(key_of(address));
 }
 
-void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots) {
-    m_coordinator.scheduler().set_server(server, service, slots);
+void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots,
+                             policy::domain_key domain) {
+    m_coordinator.scheduler().set_server(server, service, slots, domain);
     schedule_flush();
 }
 
@@ -127,9 +133,11 @@
 }
 
 void slot_broker::request(const policy::slot_request& wanted, answer to_call) {
-    m_waiting.emplace(wanted.ticket, waiting_request{wanted, std::move(to_call)});
+    auto asked = wanted;
+    asked.domain = m_settings.domain;
+    m_waiting.emplace(wanted.ticket, waiting_request{asked, std::move(to_call)});
     batch_items items;
-    items.asks.push_back(wanted);
+    items.asks.push_back(asked);
     pass_on(std::move(items));
 }
 
@@ -269,6 +277,7 @@
     result.is_eligible = m_election.is_eligible(now);
     result.is_leaving = m_election.is_leaving();
     result.processor_share = m_settings.processor_share;
+    result.domain = m_settings.domain;
     result.members = static_cast<unsigned>(m_census.count());
     const auto held = m_observers.read_versions();
     result.configuration_version = held.configuration;
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -26,10 +26,14 @@
 
 namespace borageford::coordination {
 
+/// The key of a failure domain by its name; 0 for none.
+[[nodiscard]] policy::domain_key domain_key_of(std::string_view name) noexcept;
+
 struct broker_settings {
     boost::asio::ip::udp::endpoint local; ///< all members use the same port
     double processor_share = 1;
-    bool coordinates = true; ///< else this process always uses its own part
+    policy::domain_key domain = 0; ///< failure domain of this process
+    bool coordinates = true;       ///< else this process always uses its own part
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::allowance_limits allowances;
@@ -74,7 +78,8 @@
     void add_member(const boost::asio::ip::address& address, double processor_share);
     void forget_member(const boost::asio::ip::address& address);
 
-    void set_server(policy::server_key server, policy::service_key service, unsigned slots);
+    void set_server(policy::server_key server, policy::service_key service, unsigned slots,
+                    policy::domain_key domain);
     void remove_server(policy::server_key server);
     /// The server has started anew, under another key: this start is gone.
     void take_restart(policy::server_key former);
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -182,7 +182,8 @@
                                                           {"slots", std::uint64_t(record.slots)},
                                                           {"start", record.start},
                                                           {"version", version}});
-        m_slots.set_server(record.key(), hash_bytes(record.service), record.slots);
+        m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
+                           coordination::domain_key_of(record.failure_domain));
     } else {
         m_slots.remove_server(record.key());
         events::write(events::event_kind::backend_draining, {{"backend", record.id}, {"version", version}});
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -120,6 +120,7 @@
         coordination::broker_settings result;
         result.local = {m_settings.peers_listen.address(), m_settings.peers_listen.port()};
         result.processor_share = m_settings.processor_share;
+        result.domain = coordination::domain_key_of(m_settings.common.failure_domain);
         result.coordinates = m_settings.coordinates;
         result.slots = m_settings.slots;
         result.allowances.window = m_settings.allowance_window;
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -15,6 +15,7 @@
 using server_key = std::uint64_t;
 using service_key = std::uint64_t;
 using workspace_key = std::uint64_t;
+using domain_key = std::uint32_t; ///< of a failure domain
 
 /// Names a request that waits for a slot; unique where it is decided about.
 using slot_ticket = std::uint64_t;
@@ -44,7 +45,8 @@
     slot_ticket ticket = 0;
     service_key service = 0;
     workspace_key workspace = 0;
-    int tier = 0; ///< 0 is the highest
+    domain_key domain = 0; ///< of the process that has the request
+    int tier = 0;          ///< 0 is the highest
     time_point arrived;
     time_point deadline; ///< its caller's time is over
     duration target{};   ///< to the first event, or to the whole answer
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -37,6 +37,11 @@
 /// and looking at all 3,000 servers of a service for each waiting request took a process with a fifth of a
 /// core so long, after all gateways had been killed, that it never caught up.
 constexpr std::size_t most_considered = 64;
+/// A server in the request's own failure domain is taken before one elsewhere that would begin sooner by no
+/// more than this part of the request's target: less than a caller notices, and less than the difference
+/// between engines of unlike speed. Bytes between failure domains are paid for, prompts of 12 KB among them.
+/// On three deployments with heavy days, 45 pairs of played days, the worth of a day rose by 0.005 +- 0.0016.
+constexpr double target_share_for_near = 0.05;
 
 /// Seconds until a line with so many requests, that go at this rate, is through.
 double expect_wait(std::size_t waiting, double per_second) {
@@ -52,13 +57,14 @@
 
 } // namespace
 
-void slot_scheduler::set_server(server_key server, service_key service, unsigned slots) {
+void slot_scheduler::set_server(server_key server, service_key service, unsigned slots, domain_key domain) {
     auto& state = m_servers[server];
     if (state.is_usable && state.service != service) {
         leave_pool(state);
     }
     state.key = server;
     state.service = service;
+    state.domain = domain;
     state.slots = slots;
     if (!std::exchange(state.is_usable, true)) {
         m_pools[service].servers.push_back(&state);
@@ -359,6 +365,7 @@
     const bool avoids = request.avoided.front() != 0 && has_fresh_server(request, now);
     const auto left = request.arrived + request.target - now;
     const auto bearable = bearable_overrun(request, wanted, now);
+    const auto near_bonus = from_seconds(to_seconds(request.target) * target_share_for_near);
     server_state* best = nullptr;
     auto least_overrun = duration::max();
     auto soonest = duration::max();
@@ -371,12 +378,14 @@
         if (wanted == punctuality::in_time && (expected > left || overrun > bearable)) {
             continue;
         }
+        const bool is_near = request.domain != 0 && server->domain == request.domain;
+        const auto weighed = expected - (is_near ? near_bonus : duration::zero());
         const auto last_grant = server->last_grant;
         if (best == nullptr ||
-            std::tie(overrun, expected, last_grant) < std::tie(least_overrun, soonest, best->last_grant)) {
+            std::tie(overrun, weighed, last_grant) < std::tie(least_overrun, soonest, best->last_grant)) {
             best = server;
             least_overrun = overrun;
-            soonest = expected;
+            soonest = weighed;
         }
     }
     return best;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -64,7 +64,7 @@
     };
 
     /// Adds a server or changes its slots.
-    void set_server(server_key server, service_key service, unsigned slots);
+    void set_server(server_key server, service_key service, unsigned slots, domain_key domain = 0);
     /// No more grants for it; what it works on goes on.
     void remove_server(server_key server);
 
@@ -100,6 +100,7 @@
     struct server_state {
         server_key key = 0;
         service_key service = 0;
+        domain_key domain = 0;
         unsigned slots = 1;
         unsigned outstanding = 0;
         std::uint64_t last_grant =
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -116,7 +116,7 @@
 
 TEST_CASE("a datagram means the same to its receiver, on the receiver's clock", "[coordination]") {
     datagram sent;
-    sent.sender = {5, true, true, false, 0.19, 4, 17, 23, true};
+    sent.sender = {5, true, true, false, 0.19, 4, 17, 23, true, 9};
     sent.wants_reply = true;
     sent.known = {11, 12};
     sent.session = 3;
@@ -135,6 +135,7 @@
     CHECK(taken->sender.processor_share == Approx(0.19));
     CHECK(taken->sender.configuration_version == 17);
     CHECK(taken->sender.is_in_touch);
+    CHECK(taken->sender.domain == 9);
     CHECK(taken->known == sent.known);
     CHECK(taken->batch == 2);
     REQUIRE(taken->items.asks.size() == 1);
@@ -142,6 +143,7 @@
     CHECK(ask.arrived == receiver_now - 30ms);
     CHECK(ask.deadline == receiver_now + 4s);
     CHECK(ask.cost.prompt == 1460);
+    CHECK(ask.domain == 9); // a request is where its gateway is
     CHECK(ask.avoided == std::array<server_key, 2>{11, 12});
     CHECK(ask.is_charged);
     CHECK(taken->items.releases.front().outcome == slot_outcome::broken);
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -480,3 +480,44 @@
     REQUIRE(grants.size() == 1);
     CHECK(grants.front().server == free);
 }
+
+TEST_CASE("a server in the request's own failure domain goes first where that costs no time",
+          "[policy][slot_scheduler]") {
+    // Servers of all failure domains begin equally soon. Taken without a look at where they stand, two of
+    // three prompts and answers crossed between failure domains, which is paid for by the byte.
+    constexpr domain_key here = 7;
+    constexpr domain_key elsewhere = 8;
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 0});
+    scheduler.set_server(1, engines, 4, elsewhere);
+    scheduler.set_server(2, engines, 2, here);
+    scheduler.set_server(3, engines, 4, elsewhere);
+    std::vector<server_key> order;
+    for (slot_ticket ticket = 1; ticket <= 4; ++ticket) {
+        auto request = make_request(ticket, 0);
+        request.domain = here;
+        scheduler.add(request, start_time);
+        const auto grants = scheduler.grant(start_time);
+        REQUIRE(grants.size() == 1);
+        order.push_back(grants.front().server);
+    }
+    CHECK(order[0] == 2);
+    CHECK(order[1] == 2);
+    CHECK(order[2] != 2); // full: another domain is better than waiting
+    // A near one that is slower by more than a caller may notice isn't taken.
+    scheduler.add_running({100, 2, engines, 0}, start_time);
+    for (int index = 0; index < 20; ++index) {
+        scheduler.add_running({200, 1, engines, 0}, start_time);
+        scheduler.release({200, 1, slot_outcome::served, 100ms, 10ms, 10}, start_time);
+        scheduler.add_running({201, 2, engines, 0}, start_time);
+        scheduler.release({201, 2, slot_outcome::served, 300ms, 200ms, 10}, start_time);
+    }
+    for (const slot_ticket ended : {1, 2, 100}) {
+        scheduler.release({ended, 2, slot_outcome::served, 300ms, 200ms, 10}, start_time);
+    }
+    auto request = make_request(50, 0);
+    request.domain = here;
+    scheduler.add(request, start_time);
+    const auto grants = scheduler.grant(start_time);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants.front().server != 2);
+}
