A test proxy that is out of descriptors goes on taking connections later

Traced with a debugger and the gateways' logs: after the last fault all plain servers and 32 of 40 engines answered nobody; their proxies' listening sockets had 180 to 286 connections waiting. fault_proxy::accept() ended for good at the first error, which at that size is the limit of descriptors; each route was then probed until the test's own limit. Ruled out: gateways that don't recover (they placed and sent), a stuck emulator (8 engines answered).

--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -34,6 +34,8 @@
 
 constexpr std::size_t piece_size = 16384;
 constexpr std::size_t corrupt_stride = 7;
+/// Until some descriptors may have been closed.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 enum class lane_state : std::uint8_t { passing, holding, dropping };
 
@@ -126,8 +128,15 @@
         while (true) {
             boost::system::error_code error;
             auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+                co_return; // closed
+            }
             if (error) {
-                co_return;
+                // Out of descriptors, most likely. A proxy that gave up here took no connection for the rest
+                // of a test, and the server behind it looked dead.
+                asio::steady_timer pause(context, accept_pause);
+                co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
             }
             if (refusing) {
                 socket.close();
