Late requests get free slots only; no slots kept free where they come free all the time

Cause: a server is given 1.3 requests a slot, and late requests filled the places over its slots as soon as one was free; what could still be in time then waited inside the server behind them. Now a late request gets a slot that is free, never a place in a server's queue. Cause: two of six slots of a plain service were kept from its lower tier, which stood empty while its calls were refused. Servers that end a request every 20 ms or sooner keep none.

--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -43,6 +43,13 @@
 /// On three deployments with heavy days, 45 pairs of played days, the worth of a day rose by 0.005 +- 0.0016.
 constexpr double target_share_for_near = 0.05;
 
+/// A server that ends requests more often than this has room for a higher tier soon enough without slots kept
+/// free for it. Kept there all the same, two of six slots of a plain service, whose calls take 60 ms, stood
+/// empty while a quarter of its calls were refused: on heavy days of 32 gateways 0.76 of the calls' worth was
+/// earned, and 0.87 without (0.10 +- 0.01, nine pairs of played days). Engines, whose answers take a second,
+/// are far above it; without slots kept free there, the heaviest days of two deployments lost 0.02.
+constexpr std::chrono::milliseconds fast_turnover{20};
+
 /// Seconds until a line with so many requests, that go at this rate, is through.
 double expect_wait(std::size_t waiting, double per_second) {
     if (waiting < least_telling_queue) {
@@ -261,10 +268,15 @@
     return std::exchange(m_health_changes, {});
 }
 
+bool slot_scheduler::has_fast_turnover(const server_state& server) {
+    const auto between = server.turnover.between_ends();
+    return between > duration::zero() && between <= fast_turnover;
+}
+
 /// Slots that a server has left, if it doesn't rest.
 double slot_scheduler::slots_left(const server_state& server, bool is_lowest) const {
     double slots = server.slots;
-    if (is_lowest) {
+    if (is_lowest && !has_fast_turnover(server)) {
         slots = std::max(1.0, slots - m_limits.reserved_slots);
     }
     const double allowed = std::max(1.0, slots * m_limits.outstanding_per_slot * m_limits.share);
@@ -279,15 +291,26 @@
     return slots_left(server, is_lowest);
 }
 
+/// What waits inside a server can't be overtaken. A late request is late there or here, but in a server's
+/// queue it stands before those that come next and could still be in time: so it gets a slot that is free,
+/// and never a place in that queue. On heavy days of 32 gateways before engines of unlike speed what callers
+/// got rose by 0.025 +- 0.004 of the day's worth (six pairs), on the same customer's five gateways by 0.013
+/// +- 0.004 (15).
+bool slot_scheduler::is_open(const server_state& server, const line_terms& terms, time_point now) const {
+    const bool has_free_slot = server.outstanding < std::max(1.0, server.slots * m_limits.share);
+    return room(server, terms.is_lowest, now) >= 1 && (has_free_slot || terms.line == punctuality::in_time);
+}
+
 /// Servers with room, some of them where there are many; each search goes on where the last one ended.
-slot_scheduler::open_servers slot_scheduler::find_open(service_key service, bool is_lowest, time_point now) {
+slot_scheduler::open_servers slot_scheduler::find_open(service_key service, const line_terms& terms,
+                                                       time_point now) {
     open_servers result;
     auto& pool = m_pools[service];
     const auto count = pool.with_room.size();
     for (std::size_t looked = 0; looked < count && result.size() < most_considered; ++looked) {
         pool.next = (pool.next + 1) % count;
         auto* server = pool.with_room[pool.next];
-        if (room(*server, is_lowest, now) >= 1) {
+        if (is_open(*server, terms, now)) {
             result.push_back(server);
         }
     }
@@ -413,18 +436,18 @@
         return;
     }
     const auto enough = grants.size() + std::min(terms.most, line.queue.size());
-    auto open = find_open(service, terms.is_lowest, now);
+    auto open = find_open(service, terms, now);
     for (auto waiting = line.queue.begin();
          waiting != line.queue.end() && !open.empty() && grants.size() < enough;) {
         const auto next = std::next(waiting);
         auto* server = choose(waiting->second, open, terms.line, now);
         if (server != nullptr) {
             start(line, waiting, *server, now, grants);
-            if (room(*server, terms.is_lowest, now) < 1) {
+            if (!is_open(*server, terms, now)) {
                 std::erase(open, server);
             }
             if (open.empty()) {
-                open = find_open(service, terms.is_lowest, now);
+                open = find_open(service, terms, now);
             }
         }
         waiting = next;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -170,20 +170,22 @@
     [[nodiscard]] punctuality judge(const slot_request& request, time_point now) const;
     [[nodiscard]] server_state* choose(const slot_request& request, const open_servers& open,
                                        punctuality wanted, time_point now) const;
+    [[nodiscard]] static bool has_fast_turnover(const server_state& server);
     [[nodiscard]] double slots_left(const server_state& server, bool is_lowest) const;
     [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
     void update_room(server_state& server);
-    [[nodiscard]] open_servers find_open(service_key service, bool is_lowest, time_point now);
-    void leave_pool(server_state& server);
-    [[nodiscard]] static waiting_line& line_of(tier_state& tier, punctuality line) noexcept;
-    void start(waiting_line& line, tier_queue::iterator waiting, server_state& server, time_point now,
-               std::vector<slot_grant>& grants);
     /// What one line may be given.
     struct line_terms {
         punctuality line = punctuality::in_time;
         bool is_lowest = false; ///< the lowest tier leaves some slots free
         std::size_t most = std::numeric_limits<std::size_t>::max(); ///< grants
     };
+    [[nodiscard]] bool is_open(const server_state& server, const line_terms& terms, time_point now) const;
+    [[nodiscard]] open_servers find_open(service_key service, const line_terms& terms, time_point now);
+    void leave_pool(server_state& server);
+    [[nodiscard]] static waiting_line& line_of(tier_state& tier, punctuality line) noexcept;
+    void start(waiting_line& line, tier_queue::iterator waiting, server_state& server, time_point now,
+               std::vector<slot_grant>& grants);
     void grant_line(service_key service, tier_state& tier, line_terms terms, time_point now,
                     std::vector<slot_grant>& grants);
     /// Whether a request of the tier has waited so long that others must have gone before it.
--- a/src/policy/slot_turnover.hpp
+++ b/src/policy/slot_turnover.hpp
@@ -15,6 +15,9 @@
     /// A request was there for so long, beside so many others.
     void learn(duration busy, unsigned outstanding) noexcept;
 
+    /// From the end of one request to that of the next; zero while nothing is known.
+    [[nodiscard]] duration between_ends() const noexcept { return from_seconds(m_seconds_between_ends); }
+
     /// How long one more request would wait for a slot.
     [[nodiscard]] duration wait(unsigned outstanding, unsigned slots) const noexcept;
 
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -521,3 +521,46 @@
     REQUIRE(grants.size() == 1);
     CHECK(grants.front().server != 2);
 }
+
+TEST_CASE("no slots stand empty for a higher tier where slots come free all the time",
+          "[policy][slot_scheduler]") {
+    // Calls to a plain service take 60 ms. Two of its six slots were kept from the lower of two tiers, whose
+    // callers were refused while they stood empty.
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 2});
+    scheduler.set_server(1, engines, 6);
+    const auto fill = [&](slot_ticket first) {
+        scheduler.add(make_request(first, 0), start_time);
+        for (slot_ticket ticket = first + 1; ticket < first + 7; ++ticket) {
+            scheduler.add(make_request(ticket, 1), start_time);
+        }
+        return scheduler.grant(start_time);
+    };
+    const auto before = fill(1); // nothing is known yet: two slots are kept
+    CHECK(before.size() == 4);
+    for (slot_ticket ticket = 101; ticket < 120; ++ticket) {
+        scheduler.add_running({ticket, 1, engines, 1}, start_time);
+        scheduler.release({ticket, 1, slot_outcome::served, 60ms, 60ms}, start_time);
+    }
+    CHECK(scheduler.grant(start_time).size() == 2);
+}
+
+TEST_CASE("a late request gets a free slot, but no place before those that can be in time",
+          "[policy][slot_scheduler]") {
+    // A server is given a little more than it has slots for, and what waits inside it can't be overtaken.
+    // Under lasting load late requests filled those places as soon as one was free, so that each request in
+    // time waited behind them and was late as well.
+    auto scheduler = make_scheduler(1, 4, {.outstanding_per_slot = 1.5, .reserved_slots = 0});
+    auto late = make_request(1, 0);
+    late.arrived = start_time - 400ms;
+    for (slot_ticket ticket = 1; ticket <= 6; ++ticket) {
+        late.ticket = ticket;
+        scheduler.add(late, start_time);
+    }
+    CHECK(scheduler.grant(start_time).size() == 4);
+    scheduler.add(make_request(11, 1), start_time);
+    scheduler.add(make_request(12, 1), start_time);
+    scheduler.add(make_request(13, 1), start_time);
+    const auto in_time = scheduler.grant(start_time);
+    REQUIRE(in_time.size() == 2);
+    CHECK(in_time.front().ticket == 11);
+}
