One server and the choice among servers in files of their own; a late request is entered once

A request that turns late is no longer entered a second time into the list of times to give up (listed by the last landing as left). Behaviour is meant to stay; unit tests unchanged.

--- a/src/policy/crash_suspects.hpp
+++ b/src/policy/crash_suspects.hpp
@@ -20,7 +20,8 @@
 
     /// A request's connection broke while this server ran it.
     void note_cut(std::uint64_t fingerprint, server_key server, time_point now);
-    /// The server doesn't take connections: what was cut there lately was cut by a crash.
+    /// The server doesn't take connections, or another one answers at its address: what was cut there lately
+    /// was cut by a crash.
     void note_gone(server_key server, time_point now);
     /// The server has ended and started anew. Cuts there may be noticed later than that: connections that
     /// went silent are ended only when the new start is known.
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <ranges>
-#include <tuple>
 #include <utility>
 
 namespace borageford::policy {
@@ -21,34 +19,11 @@
 /// waits that long, and the order of tiers is strict.
 constexpr double wait_before_floor = 0.1;
 
-/// Callers' guesses at the length of an answer are right at the median only. A larger margin calls answers
-/// too long for every server that a fast one would have ended.
-constexpr double length_margin = 1.2;
-/// A server that overruns by so much more than the best one isn't taken while there is time to wait for a
-/// better.
-constexpr std::chrono::milliseconds tolerated_overrun{1500};
-
 /// Shorter queues say little about the wait in them.
 constexpr std::size_t least_telling_queue = 8;
 /// A tier that got nothing lately may get something soon.
 constexpr double least_grant_rate = 2;
 constexpr std::size_t draw_steps = 1000;
-/// Servers with room that a choice is made among. The best of many is hardly better than the best of these;
-/// and looking at all 3,000 servers of a service for each waiting request took a process with a fifth of a
-/// core so long, after all gateways had been killed, that it never caught up.
-constexpr std::size_t most_considered = 64;
-/// A server in the request's own failure domain is taken before one elsewhere that would begin sooner by no
-/// more than this part of the request's target: less than a caller notices, and less than the difference
-/// between engines of unlike speed. Bytes between failure domains are paid for, prompts of 12 KB among them.
-/// On three deployments with heavy days, 45 pairs of played days, the worth of a day rose by 0.005 +- 0.0016.
-constexpr double target_share_for_near = 0.05;
-
-/// A server that ends requests more often than this has room for a higher tier soon enough without slots kept
-/// free for it. Kept there all the same, two of six slots of a plain service, whose calls take 60 ms, stood
-/// empty while a quarter of its calls were refused: on heavy days of 32 gateways 0.76 of the calls' worth was
-/// earned, and 0.87 without (0.10 +- 0.01, nine pairs of played days). Engines, whose answers take a second,
-/// are far above it; without slots kept free there, the heaviest days of two deployments lost 0.02.
-constexpr std::chrono::milliseconds fast_turnover{20};
 
 /// Seconds until a line with so many requests, that go at this rate, is through.
 double expect_wait(std::size_t waiting, double per_second) {
@@ -58,10 +33,6 @@
     return static_cast<double>(waiting) / std::max(per_second, least_grant_rate);
 }
 
-bool has_failed(const slot_request& request, server_key server) {
-    return std::ranges::find(request.avoided, server) != request.avoided.end();
-}
-
 } // namespace
 
 void slot_scheduler::set_server(server_key server, service_key service, unsigned slots, domain_key domain) {
@@ -90,7 +61,7 @@
 }
 
 /// To be called whenever a server's slots, outstanding requests or use have changed.
-void slot_scheduler::update_room(server_state& server) {
+void slot_scheduler::update_room(slot_server& server) {
     const bool has_room = server.is_usable && slots_left(server, false) >= 1;
     if (has_room == server.room_place.has_value()) {
         return;
@@ -109,7 +80,7 @@
     list.pop_back();
 }
 
-void slot_scheduler::leave_pool(server_state& server) {
+void slot_scheduler::leave_pool(slot_server& server) {
     if (std::exchange(server.is_usable, false)) {
         std::erase(m_pools[server.service].servers, &server);
         update_room(server);
@@ -150,14 +121,21 @@
     return line == punctuality::in_time ? tier.in_time : tier.late;
 }
 
-/// Told at once that it can't be served in time, a caller can use its time; told later, it would hear the
-/// same.
 void slot_scheduler::add(const slot_request& request, time_point now) {
     auto& tier = m_queues[request.service][request.tier];
     if (judge(request, now) == punctuality::late) {
         enqueue_late(tier, request, now);
-        return;
+    } else {
+        enqueue_in_time(tier, request, now);
     }
+    if (m_waiting.contains(request.ticket)) {
+        m_give_up.emplace(request.arrived + patience_of(request), request.ticket);
+    }
+}
+
+/// Told at once that it can't be served in time, a caller can use its time; told later, it would hear the
+/// same.
+void slot_scheduler::enqueue_in_time(tier_state& tier, const slot_request& request, time_point now) {
     const double bearable = to_seconds(request.target) * m_limits.hopeless_wait;
     const double expected = expect_wait(tier.in_time.queue.size(), tier.in_time.grants.per_second(now));
     if (expected > bearable) {
@@ -171,7 +149,6 @@
     const queue_place place{request.arrived, request.ticket};
     line_of(tier, line).queue.emplace(place, request);
     m_waiting[request.ticket] = {request.service, request.tier, line, place};
-    m_give_up.emplace(request.arrived + patience_of(request), request.ticket);
 }
 
 /// Late requests are served with what those in time leave. Under lasting load that is nothing, and each would
@@ -240,16 +217,9 @@
     m_running.erase(running);
     floor_of(service).end(tier, now);
     auto& state = m_servers[server];
-    if (ended.outcome == slot_outcome::served) {
-        state.turnover.learn(ended.busy, state.outstanding);
-    }
+    state.learn(ended, prompt, read_mark, now);
     --state.outstanding;
     update_room(state);
-    if (ended.first_event > duration::zero()) {
-        state.first_event.learn(prompt, ended.first_event);
-        state.reading.note_read(read_mark, now - (ended.busy - ended.first_event));
-        state.pace.learn(ended.output, ended.busy - ended.first_event);
-    }
     record_outcome(server, ended.outcome, now);
     drop_unused(server);
 }
@@ -268,22 +238,17 @@
     return std::exchange(m_health_changes, {});
 }
 
-bool slot_scheduler::has_fast_turnover(const server_state& server) {
-    const auto between = server.turnover.between_ends();
-    return between > duration::zero() && between <= fast_turnover;
-}
-
 /// Slots that a server has left, if it doesn't rest.
-double slot_scheduler::slots_left(const server_state& server, bool is_lowest) const {
+double slot_scheduler::slots_left(const slot_server& server, bool is_lowest) const {
     double slots = server.slots;
-    if (is_lowest && !has_fast_turnover(server)) {
+    if (is_lowest && !server.has_fast_turnover()) {
         slots = std::max(1.0, slots - m_limits.reserved_slots);
     }
     const double allowed = std::max(1.0, slots * m_limits.outstanding_per_slot * m_limits.share);
     return allowed - server.outstanding;
 }
 
-double slot_scheduler::room(const server_state& server, bool is_lowest, time_point now) const {
+double slot_scheduler::room(const slot_server& server, bool is_lowest, time_point now) const {
     const auto trust = server.health.look(now);
     if (trust != server_health::trust::full) {
         return trust == server_health::trust::probe && server.outstanding == 0 ? 1 : 0;
@@ -296,9 +261,9 @@
 /// and never a place in that queue. On heavy days of 32 gateways before engines of unlike speed what callers
 /// got rose by 0.025 +- 0.004 of the day's worth (six pairs), on the same customer's five gateways by 0.013
 /// +- 0.004 (15).
-bool slot_scheduler::is_open(const server_state& server, const line_terms& terms, time_point now) const {
-    const bool has_free_slot = server.outstanding < std::max(1.0, server.slots * m_limits.share);
-    return room(server, terms.is_lowest, now) >= 1 && (has_free_slot || terms.line == punctuality::in_time);
+bool slot_scheduler::is_open(const slot_server& server, const line_terms& terms, time_point now) const {
+    const bool takes_line = terms.line == punctuality::in_time || server.has_free_slot(m_limits.share);
+    return takes_line && room(server, terms.is_lowest, now) >= 1;
 }
 
 /// Servers with room, some of them where there are many; each search goes on where the last one ended.
@@ -317,104 +282,23 @@
     return result;
 }
 
-/// Whether a server that hasn't failed the request takes work, busy or not. Where there is none, one that has
-/// failed it is better than no answer.
-bool slot_scheduler::has_fresh_server(const slot_request& request, time_point now) const {
-    const auto pool = m_pools.find(request.service);
-    return pool != m_pools.end() && std::ranges::any_of(pool->second.servers, [&](const auto* server) {
-               return !has_failed(request, server->key) &&
-                      server->health.look(now) != server_health::trust::none;
-           });
-}
-
-duration slot_scheduler::expect_first_event(const server_state& server, const slot_request& request,
-                                            time_point now) const {
-    const auto before =
-        std::max(server.reading.wait(now), server.turnover.wait(server.outstanding, server.slots));
-    return before + server.first_event.expect(request.cost.prompt);
-}
-
 /// A request is late when no server could bring its first event in time any more, free or not. One that waits
 /// for a fast server isn't, for a while: under lasting load the fast ones may never be free for it.
 slot_scheduler::punctuality slot_scheduler::judge(const slot_request& request, time_point now) const {
-    const auto left = request.arrived + request.target - now;
-    if (request.returns > 0 ||
-        now - request.arrived > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
+    const auto waited = now - request.arrived;
+    if (request.returns > 0 || waited > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
         return punctuality::late;
     }
-    const auto pool = m_pools.find(request.service);
-    const bool can_be_in_time =
-        pool != m_pools.end() && std::ranges::any_of(pool->second.servers, [&](const auto* server) {
-            return server->first_event.expect(request.cost.prompt) <= left;
-        });
-    return can_be_in_time ? punctuality::in_time : punctuality::late;
-}
-
-/// How long after its caller's time the server is expected to end the answer.
-duration slot_scheduler::expect_overrun(const server_state& server, const slot_request& request,
-                                        duration first_event, time_point now) const {
-    const auto rest = server.pace.expect(request.cost.output * length_margin);
-    return std::max(duration::zero(), now + first_event + rest - request.deadline);
-}
-
-/// A little more than on the best of some servers of the service, free or not.
-duration slot_scheduler::bearable_overrun(const slot_request& request, punctuality wanted,
-                                          time_point now) const {
-    const auto pool = m_pools.find(request.service);
-    if (wanted == punctuality::late || pool == m_pools.end()) {
-        return duration::max();
-    }
-    auto least = duration::max() - tolerated_overrun;
-    for (const auto* server : pool->second.servers | std::views::take(most_considered)) {
-        least = std::min(least, expect_overrun(*server, request, duration::zero(), now));
-        if (least == duration::zero()) {
-            break;
-        }
-    }
-    return least + tolerated_overrun;
-}
-
-/// The server that is expected to bring the first event soonest, among those with room; for a request that
-/// can still be in time, only one that is fast enough. Long prompts thus wait for a fast server instead of
-/// holding up a slow one, where every stream beside them would pause.
-///
-/// An answer that would outlast its caller's time goes where it overruns least. Engines differ threefold in
-/// pace too; the longest answers were held by slow ones for all of their callers' 15 s and then thrown away,
-/// while a fast one would have ended half of them. On a calm day of 40 unlike engines 24 in 1,940 streams of
-/// the longest kind were lost so, and 12 with this; the share of that kind's longest tenth that callers get
-/// went from 0.76 to 0.86.
-slot_scheduler::server_state* slot_scheduler::choose(const slot_request& request, const open_servers& open,
-                                                     punctuality wanted, time_point now) const {
-    const bool avoids = request.avoided.front() != 0 && has_fresh_server(request, now);
-    const auto left = request.arrived + request.target - now;
-    const auto bearable = bearable_overrun(request, wanted, now);
-    const auto near_bonus = from_seconds(to_seconds(request.target) * target_share_for_near);
-    server_state* best = nullptr;
-    auto least_overrun = duration::max();
-    auto soonest = duration::max();
-    for (auto* server : open) {
-        if (avoids && has_failed(request, server->key)) {
-            continue;
-        }
-        const auto expected = expect_first_event(*server, request, now);
-        const auto overrun = expect_overrun(*server, request, expected, now);
-        if (wanted == punctuality::in_time && (expected > left || overrun > bearable)) {
-            continue;
-        }
-        const bool is_near = request.domain != 0 && server->domain == request.domain;
-        const auto weighed = expected - (is_near ? near_bonus : duration::zero());
-        const auto last_grant = server->last_grant;
-        if (best == nullptr ||
-            std::tie(overrun, weighed, last_grant) < std::tie(least_overrun, soonest, best->last_grant)) {
-            best = server;
-            least_overrun = overrun;
-            soonest = weighed;
-        }
-    }
-    return best;
+    return can_be_in_time(request, servers_of(request.service), now) ? punctuality::in_time
+                                                                     : punctuality::late;
+}
+
+slot_servers slot_scheduler::servers_of(service_key service) const {
+    const auto pool = m_pools.find(service);
+    return pool == m_pools.end() ? slot_servers() : slot_servers(pool->second.servers);
 }
 
-void slot_scheduler::start(waiting_line& line, tier_queue::iterator waiting, server_state& server,
+void slot_scheduler::start(waiting_line& line, tier_queue::iterator waiting, slot_server& server,
                            time_point now, std::vector<slot_grant>& grants) {
     const auto& request = waiting->second;
     const auto mark = server.reading.add(server.first_event.expect_reading(request.cost.prompt), now);
@@ -440,7 +324,8 @@
     for (auto waiting = line.queue.begin();
          waiting != line.queue.end() && !open.empty() && grants.size() < enough;) {
         const auto next = std::next(waiting);
-        auto* server = choose(waiting->second, open, terms.line, now);
+        const bool is_in_time = terms.line == punctuality::in_time;
+        auto* server = choose_server(waiting->second, {open, servers_of(service), is_in_time, now});
         if (server != nullptr) {
             start(line, waiting, *server, now, grants);
             if (!is_open(*server, terms, now)) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -2,15 +2,11 @@
 // is decided is returned.
 #pragma once
 
-#include "policy/first_event_model.hpp"
 #include "policy/flow_meter.hpp"
-#include "policy/output_pace.hpp"
 #include "policy/overload_watch.hpp"
-#include "policy/reading_backlog.hpp"
-#include "policy/server_health.hpp"
+#include "policy/slot_choice.hpp"
 #include "policy/slot_floor.hpp"
-#include "policy/slot_request.hpp"
-#include "policy/slot_turnover.hpp"
+#include "policy/slot_server.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -97,22 +93,6 @@
     [[nodiscard]] std::size_t running() const noexcept { return m_running.size(); }
 
 private:
-    struct server_state {
-        server_key key = 0;
-        service_key service = 0;
-        domain_key domain = 0;
-        unsigned slots = 1;
-        unsigned outstanding = 0;
-        std::uint64_t last_grant =
-            0; ///< number of the last grant; among equals the one that rested longest goes
-        bool is_usable = false;
-        std::optional<std::size_t> room_place; ///< in its pool's list of servers with room
-        server_health health;
-        first_event_model first_event;
-        output_pace pace;
-        reading_backlog reading;
-        slot_turnover turnover;
-    };
     /// Arrival first, so that a tier's requests lie in the order of their ages.
     struct queue_place {
         time_point arrived;
@@ -138,13 +118,13 @@
     using service_queue = std::map<int, tier_state>;
     /// Servers of one service that take work, in no order.
     struct server_pool {
-        std::vector<server_state*> servers;
+        std::vector<slot_server*> servers;
         /// Those that have slots left, resting or not: under load they are few, and a search through all
         /// 3,000 servers of a service took 498,000 instructions for each request instead of 12,000.
-        std::vector<server_state*> with_room;
+        std::vector<slot_server*> with_room;
         std::size_t next = 0; ///< where the search among those begins
     };
-    using open_servers = std::vector<server_state*>;
+    using open_servers = std::vector<slot_server*>;
     /// Which of a tier's two lines a request waits in.
     enum class punctuality { in_time, late };
     struct waiting_place {
@@ -160,31 +140,22 @@
         double prompt = 0;
         reading_backlog::mark read_mark{};
     };
-    [[nodiscard]] bool has_fresh_server(const slot_request& request, time_point now) const;
-    [[nodiscard]] duration expect_first_event(const server_state& server, const slot_request& request,
-                                              time_point now) const;
-    [[nodiscard]] duration expect_overrun(const server_state& server, const slot_request& request,
-                                          duration first_event, time_point now) const;
-    [[nodiscard]] duration bearable_overrun(const slot_request& request, punctuality wanted,
-                                            time_point now) const;
     [[nodiscard]] punctuality judge(const slot_request& request, time_point now) const;
-    [[nodiscard]] server_state* choose(const slot_request& request, const open_servers& open,
-                                       punctuality wanted, time_point now) const;
-    [[nodiscard]] static bool has_fast_turnover(const server_state& server);
-    [[nodiscard]] double slots_left(const server_state& server, bool is_lowest) const;
-    [[nodiscard]] double room(const server_state& server, bool is_lowest, time_point now) const;
-    void update_room(server_state& server);
+    [[nodiscard]] slot_servers servers_of(service_key service) const;
+    [[nodiscard]] double slots_left(const slot_server& server, bool is_lowest) const;
+    [[nodiscard]] double room(const slot_server& server, bool is_lowest, time_point now) const;
+    void update_room(slot_server& server);
     /// What one line may be given.
     struct line_terms {
         punctuality line = punctuality::in_time;
         bool is_lowest = false; ///< the lowest tier leaves some slots free
         std::size_t most = std::numeric_limits<std::size_t>::max(); ///< grants
     };
-    [[nodiscard]] bool is_open(const server_state& server, const line_terms& terms, time_point now) const;
+    [[nodiscard]] bool is_open(const slot_server& server, const line_terms& terms, time_point now) const;
     [[nodiscard]] open_servers find_open(service_key service, const line_terms& terms, time_point now);
-    void leave_pool(server_state& server);
+    void leave_pool(slot_server& server);
     [[nodiscard]] static waiting_line& line_of(tier_state& tier, punctuality line) noexcept;
-    void start(waiting_line& line, tier_queue::iterator waiting, server_state& server, time_point now,
+    void start(waiting_line& line, tier_queue::iterator waiting, slot_server& server, time_point now,
                std::vector<slot_grant>& grants);
     void grant_line(service_key service, tier_state& tier, line_terms terms, time_point now,
                     std::vector<slot_grant>& grants);
@@ -195,6 +166,7 @@
     [[nodiscard]] slot_floor& floor_of(service_key service);
     [[nodiscard]] duration patience_of(const slot_request& request) const;
     void enqueue(tier_state& tier, const slot_request& request, punctuality line);
+    void enqueue_in_time(tier_state& tier, const slot_request& request, time_point now);
     void enqueue_late(tier_state& tier, const slot_request& request, time_point now);
     void turn_late(tier_state& tier, tier_queue::iterator waiting, time_point now);
     void turn_all_late(tier_state& tier, time_point now);
@@ -209,7 +181,7 @@
     void record_outcome(server_key server, slot_outcome outcome, time_point now);
 
     slot_scheduler_limits m_limits;
-    std::unordered_map<server_key, server_state> m_servers;
+    std::unordered_map<server_key, slot_server> m_servers;
     /// Invariant: holds exactly the usable servers, each in the pool of its service.
     std::unordered_map<service_key, server_pool> m_pools;
     std::unordered_map<service_key, service_queue> m_queues;
