Names of services and failure domains may be of any language

Cause: read through at the end, the decoder of registrations held every name to what may travel in a header field; ids alone do. A service that its operators call by a name with an accent would have had no server (test: platform, registration; refused before).

--- a/tests/unit/test_platform_registrations.cpp
+++ b/tests/unit/test_platform_registrations.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+TEST_CASE("names of services and failure domains may be of any language", "[platform][registration]") {
+    // Ids alone travel in header fields. Held to the same letters, a service that its operators call by a
+    // name with an accent would have no server at all.
+    CHECK(platform::decode_backend("i-1", with("service", "redacción")).service == "redacción");
+    CHECK(platform::decode_backend("i-1", with("zone", "sala 1")).failure_domain == "sala 1");
+    CHECK(is_refused(with("service", json::string(201, 'x'))));
+}
+
 TEST_CASE("bytes that are no entry are refused", "[platform][registration]") {
     for (const auto& value : {std::string(), std::string("{"), std::string("[]"), std::string("7"),
                               std::string("\xff\xfe\x00\x01", 4), std::string(60000, '[')}) {
