Lines of a log keep their order when the machine's clock jumps; only the log reads the time of day

Cause: lines bore the machine's clock. On machines whose time of day steps by seconds a request was refused before it came, and `borageford logs`, which goes by time, told its story in the wrong order.

Ruled out: a sequence number a line, since lines of several processes are still to be laid beside each other; the steady clock alone, since nobody could compare it with other logs.

All uses of the time of day in base, policy, coordination, gateway, routing, http, net, store, events, process, metrics and platform were gone through: only the log reads it, and a test now refuses others. The two new cases fail without the change (the class and the check are new).

--- a/src/events/event_log.cpp
+++ b/src/events/event_log.cpp
@@ -2,6 +2,7 @@
 #include "events/event_log.hpp"
 
 #include "events/line_buffer.hpp"
+#include "events/log_clock.hpp"
 #include "events/rate_bound.hpp"
 
 #include <log4cplus/appender.h>
@@ -15,7 +16,6 @@
 #include <charconv>
 #include <chrono>
 #include <cmath>
-#include <ctime>
 #include <memory>
 #include <mutex>
 #include <unistd.h>
@@ -52,6 +52,7 @@
     line_buffer buffer{STDOUT_FILENO, buffer_capacity};
     std::mutex mutex;
     rate_bound bound{std::chrono::steady_clock::now()}; ///< guarded by `mutex`
+    log_clock clock{std::chrono::system_clock::now(), std::chrono::steady_clock::now()};
     std::string process = "borageford";
     std::string vm;
     std::atomic<std::uint64_t> told_lost = 0;
@@ -133,17 +134,9 @@
     void operator()(bool value) const { line.append(value ? "true" : "false"); }
 };
 
-std::string current_time() {
-    const auto now = std::chrono::system_clock::now();
-    const auto since_epoch = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-    std::tm parts{};
-    ::gmtime_r(&seconds, &parts);
-    std::array<char, 40> text{};
-    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S.", &parts);
-    auto micros = std::to_string(since_epoch.count() % 1'000'000);
-    micros.insert(0, 6 - micros.size(), '0');
-    return std::string(text.data(), length) + micros + "Z";
+line_time current_time(const log_clock& clock) {
+    const auto now = std::chrono::steady_clock::now();
+    return {format_log_time(clock.time(now)), clock.step(std::chrono::system_clock::now(), now)};
 }
 
 /// Says in the next line that is written how many were lost by then.
@@ -172,14 +165,14 @@
 }
 
 std::string render(event_kind kind, std::initializer_list<field> fields, std::uint64_t left_out,
-                   std::string_view time) {
+                   const line_time& time) {
     const auto& description = describe(kind);
     const auto& state = shared_state();
     std::string line;
     line.reserve(320);
     line.append(R"({"event":")").append(description.name);
     line.append(R"(","level":")").append(level_name(description.level));
-    line.append(R"(","time":")").append(time);
+    line.append(R"(","time":")").append(time.text);
     line.append(R"(","process":")").append(state.process);
     line.append(R"(","vm":")");
     append_escaped(line, state.vm);
@@ -192,6 +185,10 @@
         line.append(R"(,"left_out":)");
         append_number(line, left_out);
     }
+    if (time.clock_step != std::chrono::milliseconds(0)) {
+        line.append(R"(,"clock_step_ms":)");
+        append_number(line, time.clock_step.count());
+    }
     line.push_back('}');
     return line;
 }
@@ -211,7 +208,7 @@
     if (!left_out.has_value()) {
         return;
     }
-    auto line = render(kind, fields, *left_out, current_time());
+    auto line = render(kind, fields, *left_out, current_time(state.clock));
     tell_lost_lines(line);
     root.log(level, line);
 }
--- a/src/events/event_log.hpp
+++ b/src/events/event_log.hpp
@@ -3,10 +3,12 @@
 
 #include "events/event_kind.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 namespace borageford::events {
@@ -32,8 +34,18 @@
 /// Lines that were dropped since the start because nobody read them.
 [[nodiscard]] std::uint64_t lost_lines() noexcept;
 
+/// When a line was written.
+struct line_time {
+    line_time(std::string utc, std::chrono::milliseconds ahead = {})
+        : text(std::move(utc)), clock_step(ahead) {}
+    line_time(const char* utc) : text(utc) {}
+
+    std::string text;                       ///< in UTC
+    std::chrono::milliseconds clock_step{}; ///< how far the machine's clock is ahead of it; 0: hardly
+};
+
 /// One line as it is written, without its end: for tests, and for lines that are told elsewhere.
 [[nodiscard]] std::string render(event_kind kind, std::initializer_list<field> fields, std::uint64_t left_out,
-                                 std::string_view time);
+                                 const line_time& time);
 
 } // namespace borageford::events
--- /dev/null
+++ b/tests/unit/test_clock_use.cpp
@@ -0,0 +1,46 @@
+// Who may read the time of day.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+bool reads_time_of_day(const fs::path& source) {
+    std::ifstream file(source);
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto code = text.str();
+    constexpr std::string_view ways[] = {"system_clock", "high_resolution_clock", "utc_clock", "std::time(",
+                                         "gettimeofday", "CLOCK_REALTIME",        "file_clock"};
+    return std::ranges::any_of(ways,
+                               [&](std::string_view way) { return code.find(way) != std::string::npos; });
+}
+
+} // namespace
+
+TEST_CASE("no decision of a gateway reads the time of day", "[clock]") {
+    // The clock of a machine jumps by seconds or by an hour, forward and back. A lease, an allowance or a
+    // server's start that was judged by it would be over too soon, or never; callers would be refused, or
+    // requests sent where nobody is. Only the log may ask, and it asks for its lines alone.
+    const std::set<std::string> may_read{"events/event_log.cpp", "events/log_clock.cpp",
+                                         "events/log_clock.hpp"};
+    const fs::path root = fs::path(DOCS_FOLDER) / ".." / "src";
+    std::set<std::string> readers;
+    for (const auto* part : {"base", "policy", "coordination", "gateway", "routing", "http", "net", "store",
+                             "events", "process", "metrics", "../platform"}) {
+        for (const auto& entry : fs::recursive_directory_iterator(root / part)) {
+            if (entry.is_regular_file() && reads_time_of_day(entry.path())) {
+                readers.insert(std::string(part) + "/" + entry.path().filename().string());
+            }
+        }
+    }
+    CHECK(readers == may_read);
+}
--- a/tests/unit/test_events.cpp
+++ b/tests/unit/test_events.cpp
@@ -1,6 +1,7 @@
 // The log's lines, their bound, the buffer before the pipe, and the page that lists them.
 #include "events/event_log.hpp"
 #include "events/line_buffer.hpp"
+#include "events/log_clock.hpp"
 #include "events/rate_bound.hpp"
 
 #include <boost/json.hpp>
@@ -63,6 +64,23 @@
     CHECK(parsed.at("held_ms").to_number<double>() == Approx(1.235));
 }
 
+TEST_CASE("a machine's clock that jumps changes neither order nor distance of a process's lines",
+          "[events]") {
+    // The time of day leaps ahead by two seconds and back again, as it does on some machines. An engineer who
+    // follows a request through the log would see it refused before it came.
+    const auto started = std::chrono::system_clock::time_point{} + 1000h;
+    const auto at = std::chrono::steady_clock::time_point{} + 5h;
+    const log_clock clock(started, at);
+    CHECK(format_log_time(clock.time(at + 1s)) == "1970-02-11T16:00:01.000000Z");
+    CHECK(clock.step(started + 1s + 20ms, at + 1s) == 0ms); // drift
+    CHECK(clock.time(at + 2s) - clock.time(at + 1s) == 1s);
+    CHECK(clock.step(started + 4s, at + 2s) == 2s);
+    CHECK(clock.step(started + 3s - 1h, at + 3s) == -1h);
+    CHECK(clock.time(at + 3s) > clock.time(at + 2s));
+    const auto line = render(event_kind::backend_gone, {}, 0, {format_log_time(clock.time(at + 2s)), 2s});
+    CHECK(boost::json::parse(line).as_object().at("clock_step_ms").to_number<int>() == 2000);
+}
+
 TEST_CASE("a kind of event is bounded by itself and counts what it leaves out", "[events]") {
     const policy::time_point now = policy::time_point{} + 1h;
     rate_bound bound(now);
