Keep a slot for a server whose registration is on its way

Cause: the coordinator has read that a server started anew, the member that it grants a slot there hasn't. The member gave the slot back at once, as 'the server is leaving' with an empty server, and was granted it again just so, up to its five tries within milliseconds; then the caller was refused.

Now the member keeps the slot for up to 250 ms, asks a gateway that is ahead at once, and sends when it knows the server; a key that it knew and that is gone is given back as before. The line names the server, and says which of the two it was.

--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -3,9 +3,17 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace borageford::gateway {
 
+namespace {
+
+/// A grant names a server that its coordinator knew a moment ago; more than leave within that time.
+constexpr std::size_t most_former = 1024;
+
+} // namespace
+
 std::shared_ptr<backend> backend_directory::find(policy::server_key key) const {
     const auto found = m_by_key.find(key);
     return found == m_by_key.end() ? nullptr : found->second;
@@ -25,10 +33,33 @@
     }
     const auto former = std::exchange(entry, std::make_shared<backend>(std::move(record)));
     m_by_key[key] = entry;
+    m_former.erase(key);
     if (former != nullptr) {
         m_by_key.erase(former->record().key());
+        note_former(former->record().key());
         former->retire();
     }
+    tell_awaiting(key);
+}
+
+void backend_directory::when_known(policy::server_key key, std::weak_ptr<void> waiter,
+                                   std::function<void()> on_known) {
+    std::erase_if(m_awaited, [](const auto& entry) { return entry.second.waiter.expired(); });
+    m_awaited.emplace(key, awaiting{std::move(waiter), std::move(on_known)});
+}
+
+void backend_directory::tell_awaiting(policy::server_key key) {
+    const auto [first, last] = m_awaited.equal_range(key);
+    std::vector<awaiting> told;
+    for (auto entry = first; entry != last; ++entry) {
+        told.push_back(std::move(entry->second));
+    }
+    m_awaited.erase(first, last);
+    for (const auto& entry : told) {
+        if (const auto waiter = entry.waiter.lock()) {
+            entry.on_known();
+        }
+    }
 }
 
 void backend_directory::remove(std::string_view id) {
@@ -36,10 +67,21 @@
     if (found != m_backends.end()) {
         found->second->close_idle();
         m_by_key.erase(found->second->record().key());
+        note_former(found->second->record().key());
         m_backends.erase(found);
     }
 }
 
+void backend_directory::note_former(policy::server_key key) {
+    if (m_former.insert(key).second) {
+        m_former_order.push_back(key);
+    }
+    if (m_former_order.size() > most_former) {
+        m_former.erase(m_former_order.front());
+        m_former_order.pop_front();
+    }
+}
+
 void backend_directory::close_expired(backend::clock::time_point now) {
     for (const auto& [id, server] : m_backends) {
         server->close_expired(now);
--- a/src/gateway/backend_directory.hpp
+++ b/src/gateway/backend_directory.hpp
@@ -4,11 +4,14 @@
 #include "gateway/backend.hpp"
 #include "policy/slot_request.hpp"
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace borageford::gateway {
 
@@ -29,14 +32,33 @@
     }
     [[nodiscard]] bool has_ready() const;
 
+    /// Whether a server with this key was known, and is gone or has started anew since.
+    [[nodiscard]] bool is_former(policy::server_key key) const { return m_former.contains(key); }
+
+    /// Calls back once when a server with this key becomes known. Forgotten with `waiter`.
+    void when_known(policy::server_key key, std::weak_ptr<void> waiter, std::function<void()> on_known);
+
     /// Closes the idle connections whose time is over. Closed with the next request to their server alone,
-    /// they stayed where none came: of 250 gateways each held some at each of 60 servers, which take a
-    /// bounded number from all callers together.
+    /// they stayed where none came; with hundreds of gateways they fill a server, which takes a bounded
+    /// number from all callers together.
     void close_expired(backend::clock::time_point now);
 
 private:
+    struct awaiting {
+        std::weak_ptr<void> waiter;
+        std::function<void()> on_known;
+    };
+
+    void note_former(policy::server_key key);
+    void tell_awaiting(policy::server_key key);
+
     std::map<std::string, std::shared_ptr<backend>, std::less<>> m_backends;
     std::unordered_map<policy::server_key, std::shared_ptr<backend>> m_by_key;
+    /// Keys that were known lately; the oldest go first.
+    std::unordered_set<policy::server_key> m_former;
+    std::deque<policy::server_key> m_former_order;
+    /// By the key that is awaited; none of these is known.
+    std::unordered_multimap<policy::server_key, awaiting> m_awaited;
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -40,6 +41,8 @@
     backend_directory& backends;
     coordination::slot_broker& slots;
     gateway_metrics& metrics;
+    /// A slot was granted at a server that isn't known here.
+    std::function<void()> on_unknown_server{};
     std::set<client_session*> sessions{}; ///< all open connections of callers
     std::size_t requests_in_progress = 0;
     /// Set once this process was told to stop. From then on each answer ends its connection.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -172,7 +172,9 @@
         report_question(address, "configuration", m_configuration.version(), configuration);
         asio::co_spawn(m_executor, ask_for_configuration(address), asio::detached);
     }
-    if (m_backend_lag.is_due(m_backends.version(), backends, patience, now)) {
+    const auto backend_patience = m_wants_backends ? milliseconds(0) : patience;
+    if (m_backend_lag.is_due(m_backends.version(), backends, backend_patience, now)) {
+        m_wants_backends = false;
         report_question(address, "backends", m_backends.version(), backends);
         asio::co_spawn(m_executor, ask_for_backends(address), asio::detached);
     }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -30,6 +30,9 @@
     /// A peer holds these versions.
     void hear(const boost::asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends);
 
+    /// A server is named to this gateway that it doesn't know: the next peer that is ahead is asked at once.
+    void want_backends() noexcept { m_wants_backends = true; }
+
 private:
     using clock = std::chrono::steady_clock;
 
@@ -61,6 +64,7 @@
     http::server m_server;
     lag m_configuration_lag;
     lag m_backend_lag;
+    bool m_wants_backends = false;
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -25,6 +25,9 @@
 constexpr unsigned misdirected = 421;
 constexpr unsigned first_server_error = 500;
 constexpr milliseconds configuration_check_period{10};
+/// How long a slot is kept for a server whose registration isn't known here yet: the next word of a gateway
+/// that knows it and the exchange that follows, some times over.
+constexpr milliseconds registration_patience{250};
 /// Refused requests come back after a time in this range, spread so that they don't come back together.
 constexpr milliseconds least_retry_wait{300};
 constexpr milliseconds most_retry_wait{1000};
@@ -125,6 +128,7 @@
 void request_exchange::ask_for_slot() {
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
+    m_server_id.clear();
     m_waits_for_slot = true;
     const auto self = shared_from_this();
     m_context.slots.request(wanted, {[self](const policy::slot_grant& grant) { self->take_grant(grant); },
@@ -143,16 +147,47 @@
     m_first_event = {};
     m_events_before = m_events.count();
     m_is_charged = true;
-    auto server = m_context.backends.find(grant.server);
-    // The coordinator may not know yet that the server is leaving, for instance while the store turns it
-    // away.
-    const bool takes_work = server != nullptr && server->record().state == routing::backend_state::ready;
-    m_journal.placed(m_admitted, grant, server != nullptr ? std::string_view(server->record().id) : "unknown",
-                     m_attempts.tries());
-    if (takes_work) {
-        send_to(std::move(server));
+    const auto& backends = m_context.backends;
+    if (backends.find(grant.server) == nullptr && !backends.is_former(grant.server)) {
+        wait_for_registration(grant);
     } else {
+        use_slot(grant);
+    }
+}
+
+/// The coordinator has read the registration of a server that this process hasn't read yet, for instance of
+/// one that has just started anew. The news is on its way to here; given back at once, the slot would be
+/// granted again just so, until the request has had all its tries without being sent anywhere.
+void request_exchange::wait_for_registration(const policy::slot_grant& grant) {
+    const std::weak_ptr<request_exchange> weak = weak_from_this();
+    const auto go_on = [weak, grant] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->is_waiting_to_use(grant)) {
+            self->m_registration_timer.cancel();
+            self->use_slot(grant);
+        }
+    };
+    m_context.on_unknown_server();
+    m_context.backends.when_known(grant.server, weak, go_on);
+    m_registration_timer = m_context.timers.after(m_context.executor, registration_patience, go_on);
+}
+
+bool request_exchange::is_waiting_to_use(const policy::slot_grant& grant) const {
+    return m_slot == grant.server && m_ticket == grant.ticket && m_call == nullptr;
+}
+
+void request_exchange::use_slot(const policy::slot_grant& grant) {
+    auto server = m_context.backends.find(grant.server);
+    m_server_id = server != nullptr ? server->record().id : "unknown";
+    m_journal.placed(m_admitted, grant, m_server_id, m_attempts.tries());
+    if (server == nullptr) {
+        fail_try(policy::try_outcome::unreachable, policy::slot_outcome::refused,
+                 "the server isn't registered here");
+    } else if (server->record().state != routing::backend_state::ready) {
+        // The coordinator may not know yet, for instance while the store turns it away.
         fail_try(policy::try_outcome::unreachable, policy::slot_outcome::refused, "the server is leaving");
+    } else {
+        send_to(std::move(server));
     }
 }
 
@@ -293,7 +328,7 @@
         return;
     }
     leave_slot(policy::slot_outcome::served);
-    m_journal.answered(m_admitted, server_id(), m_call->response().status(), m_attempts.tries() + 1,
+    m_journal.answered(m_admitted, m_server_id, m_call->response().status(), m_attempts.tries() + 1,
                        answer_times());
     m_session->finish_stream();
     end();
@@ -322,7 +357,7 @@
         m_attempts.record(m_slot, policy::try_outcome::may_have_run);
         leave_slot(policy::slot_outcome::failed);
         const bool goes_on = may_try_again();
-        m_journal.try_failed(m_admitted, server_id(), policy::slot_outcome::failed,
+        m_journal.try_failed(m_admitted, m_server_id, policy::slot_outcome::failed,
                              "status " + std::to_string(response.status()), m_attempts, goes_on, busy);
         if (goes_on) {
             m_call.reset();
@@ -332,7 +367,7 @@
     }
     leave_slot(policy::slot_outcome::served);
     m_to_first = clock::now() - m_admitted.arrived;
-    m_journal.answered(m_admitted, server_id(), response.status(), tries, answer_times());
+    m_journal.answered(m_admitted, m_server_id, response.status(), tries, answer_times());
     m_session->answer(response.status(), response.reason(), compose_passed_fields(response.fields()),
                       m_answer);
     end();
@@ -349,7 +384,6 @@
 void request_exchange::fail_try(policy::try_outcome outcome, policy::slot_outcome slot,
                                 std::string_view reason) {
     const auto busy = clock::now() - m_slot_begin;
-    const std::string server(server_id());
     // What didn't run has its allowance given back with its slot.
     m_is_charged = outcome == policy::try_outcome::may_have_run;
     m_attempts.record(m_slot, outcome);
@@ -359,7 +393,7 @@
         m_events.break_off();
     }
     const bool goes_on = may_try_again();
-    m_journal.try_failed(m_admitted, server, slot, reason, m_attempts, goes_on, busy);
+    m_journal.try_failed(m_admitted, m_server_id, slot, reason, m_attempts, goes_on, busy);
     if (goes_on) {
         ask_for_slot();
     } else {
@@ -367,10 +401,6 @@
     }
 }
 
-std::string_view request_exchange::server_id() const {
-    return m_call != nullptr ? std::string_view(m_call->server()->record().id) : std::string_view();
-}
-
 /// A stream that its caller has a part of can only go on where the last event has an id.
 bool request_exchange::may_try_again() const {
     const bool can_go_on = !m_has_begun_answer || m_events.last_id().has_value();
@@ -433,7 +463,7 @@
 void request_exchange::cancel() {
     const auto self = shared_from_this();
     if (!m_is_over && m_is_admitted) {
-        m_journal.abandoned(m_admitted, m_call != nullptr ? "running" : "waiting", server_id(),
+        m_journal.abandoned(m_admitted, m_call != nullptr ? "running" : "waiting", m_server_id,
                             m_events.count());
     }
     if (m_call != nullptr) {
@@ -445,6 +475,7 @@
 void request_exchange::end() {
     m_is_over = true;
     m_timer.cancel();
+    m_registration_timer.cancel();
     leave_slot(policy::slot_outcome::abandoned);
     m_call.reset();
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -51,6 +51,9 @@
     void ask_for_slot();
     [[nodiscard]] policy::slot_request make_slot_request() const;
     void take_grant(const policy::slot_grant& grant);
+    void wait_for_registration(const policy::slot_grant& grant);
+    [[nodiscard]] bool is_waiting_to_use(const policy::slot_grant& grant) const;
+    void use_slot(const policy::slot_grant& grant);
     void take_refusal(const policy::slot_refusal& refusal);
     void leave_slot(policy::slot_outcome outcome);
     [[nodiscard]] double count_output() const;
@@ -74,7 +77,6 @@
     void end_unserved(error_kind kind, std::string_view reason,
                       std::optional<milliseconds> retry_after = std::nullopt);
     void answer_error(error_kind kind, std::string_view reason, std::optional<milliseconds> retry_after);
-    [[nodiscard]] std::string_view server_id() const;
     void end();
 
     gateway_context& m_context;
@@ -89,6 +91,7 @@
     policy::slot_ticket m_ticket = 0;
     bool m_waits_for_slot = false;
     policy::server_key m_slot = 0; ///< the server whose slot is held; 0: none
+    std::string m_server_id; ///< of the server that it was sent to last; empty while it waits for a slot
     clock::time_point m_slot_begin;
     policy::duration m_first_event{};  ///< from the slot's begin; 0: none came
     clock::duration m_waited{};        ///< from its arrival to its first slot
@@ -105,6 +108,7 @@
     bool m_has_begun_answer = false; ///< the caller has the head of a stream
     bool m_is_over = false;
     timer_subscription m_timer; ///< while it waits for a configuration, then for the end of its time
+    timer_subscription m_registration_timer; ///< while it holds a slot at a server that isn't known yet
 };
 
 } // namespace borageford::gateway
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <charconv>
+#include <memory>
 #include <stdexcept>
 #include <string>
 
@@ -46,7 +47,7 @@
         const bool is_usable = server != nullptr && server->record().state == routing::backend_state::ready;
         return is_usable ? server->record().key() : 0;
     }
-    [[nodiscard]] const backend_directory& backends() const { return m_backends; }
+    backend_directory& backends() { return m_backends; }
 
     void register_server(const std::string& id, std::uint64_t version) {
         m_roster.take_change({{"servers/" + id, "engines", version}, false});
@@ -116,6 +117,39 @@
     CHECK(update.present.contains("a"));
 }
 
+TEST_CASE("a request that holds a slot at a server that isn't known yet hears when it is",
+          "[gateway][roster]") {
+    // The coordinator has read of a server that has just started, this gateway hasn't. Its grants were given
+    // back one after the other, five in a few milliseconds, and then the caller was refused.
+    known_servers servers;
+    routing::backend_record record;
+    record.id = "a";
+    record.start = 2;
+    const auto awaited = record.key();
+    const auto request = std::make_shared<int>(0);
+    int told = 0;
+    servers.backends().when_known(awaited, request, [&] { ++told; });
+    servers.write("a", "engines@1", 5);
+    CHECK(told == 0); // another start
+    servers.write("a", "engines@2", 6);
+    CHECK(told == 1);
+    servers.write("a", "engines@2", 7);
+    CHECK(told == 1);
+    CHECK_FALSE(servers.backends().is_former(awaited));
+    servers.write("a", "engines@3", 8);
+    CHECK(servers.backends().is_former(awaited)); // no word of it is to be waited for
+}
+
+TEST_CASE("a request that has ended isn't told of the server that it waited for", "[gateway][roster]") {
+    known_servers servers;
+    routing::backend_record record;
+    record.id = "a";
+    int told = 0;
+    servers.backends().when_known(record.key(), std::make_shared<int>(0), [&] { ++told; });
+    servers.write("a", "engines", 5);
+    CHECK(told == 0);
+}
+
 TEST_CASE("large answers that are on their way at a time are bounded", "[gateway][send_budget]") {
     // All gateways were killed and ask the first that is back for everything. One that answered all of them
     // at once would hold so many copies that it is ended for the memory it uses, and its callers with it.
