--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -37,7 +37,8 @@
     while (!m_pending.is_empty()) {
         batch_items items;
         // In the order in which they are taken: what comes later may speak of what came before.
-        [[maybe_unused]] const bool all = move_some(m_pending.holds, items.holds, items) &&
+        [[maybe_unused]] const bool all = move_some(m_pending.reports, items.reports, items) &&
+                                          move_some(m_pending.holds, items.holds, items) &&
                                           move_some(m_pending.asks, items.asks, items) &&
                                           move_some(m_pending.withdrawals, items.withdrawals, items) &&
                                           move_some(m_pending.releases, items.releases, items) &&
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -114,6 +114,40 @@
     return {from.ticket(), static_cast<policy::refusal_reason>(reason), milliseconds(from.retry_after_ms())};
 }
 
+constexpr double us_per_second = 1e6;
+constexpr double us_per_ms = 1e3;
+constexpr double ns_per_ms = 1e6;
+
+std::uint16_t to_short(unsigned count) {
+    return static_cast<std::uint16_t>(std::min<unsigned>(count, std::numeric_limits<std::uint16_t>::max()));
+}
+
+wire::report to_wire(const policy::server_report& from) {
+    return {from.server,
+            to_wire(from.failed_ago),
+            to_wire(from.rest_left),
+            to_wire(from.first_event_ms * us_per_ms),
+            to_wire(from.first_event_ms_per_token * ns_per_ms),
+            to_wire(from.seconds_per_token * us_per_second),
+            to_wire(from.seconds_between_ends * us_per_second),
+            to_short(from.first_events),
+            to_short(from.rests)};
+}
+
+policy::server_report from_wire(const wire::report& from) {
+    policy::server_report result;
+    result.server = from.server();
+    result.failed_ago = milliseconds(from.failed_ago_ms());
+    result.rest_left = milliseconds(from.rest_left_ms());
+    result.first_event_ms = from.first_event_us() / us_per_ms;
+    result.first_event_ms_per_token = from.first_event_ns_per_token() / ns_per_ms;
+    result.seconds_per_token = from.token_us() / us_per_second;
+    result.seconds_between_ends = from.between_ends_us() / us_per_second;
+    result.first_events = from.first_events();
+    result.rests = from.rests();
+    return result;
+}
+
 template <typename Wire, typename Items, typename... Arguments>
 flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
 encode_items(flatbuffers::FlatBufferBuilder& builder, const Items& items, Arguments... arguments) {
@@ -142,20 +176,22 @@
 } // namespace
 
 bool batch_items::is_empty() const noexcept {
-    return holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() && grants.empty() &&
-           refusals.empty();
+    return reports.empty() && holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() &&
+           grants.empty() && refusals.empty();
 }
 
 std::size_t batch_items::encoded_size() const noexcept {
-    return status_size + holds.size() * sizeof(wire::hold) + asks.size() * sizeof(wire::ask) +
-           withdrawals.size() * sizeof(std::uint64_t) + releases.size() * sizeof(wire::release) +
-           grants.size() * sizeof(wire::grant) + refusals.size() * sizeof(wire::refusal);
+    return status_size + reports.size() * sizeof(wire::report) + holds.size() * sizeof(wire::hold) +
+           asks.size() * sizeof(wire::ask) + withdrawals.size() * sizeof(std::uint64_t) +
+           releases.size() * sizeof(wire::release) + grants.size() * sizeof(wire::grant) +
+           refusals.size() * sizeof(wire::refusal);
 }
 
 std::vector<std::byte> encode(const datagram& message, policy::time_point now) {
     flatbuffers::FlatBufferBuilder builder(usual_size);
     const auto& items = message.items;
     const auto asks = encode_items<wire::ask>(builder, items.asks, now);
+    const auto reports = encode_items<wire::report>(builder, items.reports);
     const auto holds = encode_items<wire::hold>(builder, items.holds);
     const auto releases = encode_items<wire::release>(builder, items.releases);
     const auto grants = encode_items<wire::grant>(builder, items.grants);
@@ -187,6 +223,7 @@
     table.add_releases(releases);
     table.add_grants(grants);
     table.add_refusals(refusals);
+    table.add_reports(reports);
     builder.Finish(table.Finish());
     const auto bytes = std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
     return {bytes.begin(), bytes.end()};
@@ -217,6 +254,7 @@
     decode_items(table->releases(), result.items.releases);
     decode_items(table->grants(), result.items.grants);
     decode_items(table->refusals(), result.items.refusals);
+    decode_items(table->reports(), result.items.reports);
     if (const auto* known = table->known()) {
         result.known.assign(known->begin(), known->end());
     }
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/coordinator_election.hpp"
+#include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 
 #include <cstddef>
@@ -37,6 +38,7 @@
 
 /// What one side of a session tells the other, taken as a whole and in this order.
 struct batch_items {
+    std::vector<policy::server_report> reports; ///< with the first batches of a session only
     std::vector<slot_hold> holds;
     std::vector<policy::slot_request> asks;
     std::vector<policy::slot_ticket> withdrawals;
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -27,6 +27,8 @@
 
 struct refusal;
 
+struct report;
+
 struct datagram;
 struct datagramBuilder;
 
@@ -342,6 +344,81 @@
   using type = refusal;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) report FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t failed_ago_ms_;
+  uint32_t rest_left_ms_;
+  uint32_t first_event_us_;
+  uint32_t first_event_ns_per_token_;
+  uint32_t token_us_;
+  uint32_t between_ends_us_;
+  uint16_t first_events_;
+  uint16_t rests_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  report()
+      : server_(0),
+        failed_ago_ms_(0),
+        rest_left_ms_(0),
+        first_event_us_(0),
+        first_event_ns_per_token_(0),
+        token_us_(0),
+        between_ends_us_(0),
+        first_events_(0),
+        rests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  report(uint64_t _server, uint32_t _failed_ago_ms, uint32_t _rest_left_ms, uint32_t _first_event_us, uint32_t _first_event_ns_per_token, uint32_t _token_us, uint32_t _between_ends_us, uint16_t _first_events, uint16_t _rests)
+      : server_(flatbuffers::EndianScalar(_server)),
+        failed_ago_ms_(flatbuffers::EndianScalar(_failed_ago_ms)),
+        rest_left_ms_(flatbuffers::EndianScalar(_rest_left_ms)),
+        first_event_us_(flatbuffers::EndianScalar(_first_event_us)),
+        first_event_ns_per_token_(flatbuffers::EndianScalar(_first_event_ns_per_token)),
+        token_us_(flatbuffers::EndianScalar(_token_us)),
+        between_ends_us_(flatbuffers::EndianScalar(_between_ends_us)),
+        first_events_(flatbuffers::EndianScalar(_first_events)),
+        rests_(flatbuffers::EndianScalar(_rests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t failed_ago_ms() const {
+    return flatbuffers::EndianScalar(failed_ago_ms_);
+  }
+  uint32_t rest_left_ms() const {
+    return flatbuffers::EndianScalar(rest_left_ms_);
+  }
+  uint32_t first_event_us() const {
+    return flatbuffers::EndianScalar(first_event_us_);
+  }
+  uint32_t first_event_ns_per_token() const {
+    return flatbuffers::EndianScalar(first_event_ns_per_token_);
+  }
+  uint32_t token_us() const {
+    return flatbuffers::EndianScalar(token_us_);
+  }
+  uint32_t between_ends_us() const {
+    return flatbuffers::EndianScalar(between_ends_us_);
+  }
+  uint16_t first_events() const {
+    return flatbuffers::EndianScalar(first_events_);
+  }
+  uint16_t rests() const {
+    return flatbuffers::EndianScalar(rests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(report, 40);
+
+struct report::Traits {
+  using type = report;
+};
+
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef datagramBuilder Builder;
   struct Traits;
@@ -366,7 +443,8 @@
     VT_WITHDRAWALS = 38,
     VT_RELEASES = 40,
     VT_GRANTS = 42,
-    VT_REFUSALS = 44
+    VT_REFUSALS = 44,
+    VT_REPORTS = 46
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -431,6 +509,9 @@
   const flatbuffers::Vector<const borageford::coordination::wire::refusal *> *refusals() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::refusal *> *>(VT_REFUSALS);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::report *> *reports() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::report *> *>(VT_REPORTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -461,6 +542,8 @@
            verifier.VerifyVector(grants()) &&
            VerifyOffset(verifier, VT_REFUSALS) &&
            verifier.VerifyVector(refusals()) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
            verifier.EndTable();
   }
 };
@@ -532,6 +615,9 @@
   void add_refusals(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::refusal *>> refusals) {
     fbb_.AddOffset(datagram::VT_REFUSALS, refusals);
   }
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports) {
+    fbb_.AddOffset(datagram::VT_REPORTS, reports);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -565,12 +651,14 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> withdrawals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::release *>> releases = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::grant *>> grants = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::refusal *>> refusals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::refusal *>> refusals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_session(session);
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_reports(reports);
   builder_.add_refusals(refusals);
   builder_.add_grants(grants);
   builder_.add_releases(releases);
@@ -618,7 +706,8 @@
     const std::vector<uint64_t> *withdrawals = nullptr,
     const std::vector<borageford::coordination::wire::release> *releases = nullptr,
     const std::vector<borageford::coordination::wire::grant> *grants = nullptr,
-    const std::vector<borageford::coordination::wire::refusal> *refusals = nullptr) {
+    const std::vector<borageford::coordination::wire::refusal> *refusals = nullptr,
+    const std::vector<borageford::coordination::wire::report> *reports = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -626,6 +715,7 @@
   auto releases__ = releases ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::release>(*releases) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::grant>(*grants) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::refusal>(*refusals) : 0;
+  auto reports__ = reports ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::report>(*reports) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -648,7 +738,8 @@
       withdrawals__,
       releases__,
       grants__,
-      refusals__);
+      refusals__,
+      reports__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- /dev/null
+++ b/src/coordination/own_requests.cpp
@@ -0,0 +1,64 @@
+// Two tables by ticket.
+#include "coordination/own_requests.hpp"
+
+#include <utility>
+
+namespace borageford::coordination {
+
+void own_requests::add(const policy::slot_request& wanted, slot_answer to_call) {
+    m_waiting.emplace(wanted.ticket, waiting_request{wanted, std::move(to_call)});
+}
+
+bool own_requests::withdraw(policy::slot_ticket ticket) {
+    return m_waiting.erase(ticket) > 0;
+}
+
+std::optional<slot_hold> own_requests::release(policy::slot_ticket ticket) {
+    const auto held = m_running.extract(ticket);
+    if (held.empty()) {
+        return std::nullopt;
+    }
+    return held.mapped();
+}
+
+bool own_requests::take_grant(const policy::slot_grant& grant) {
+    const auto waiting = m_waiting.extract(grant.ticket);
+    if (waiting.empty()) {
+        return false;
+    }
+    const auto& request = waiting.mapped().request;
+    m_running[grant.ticket] = {grant.ticket, grant.server, request.service, request.tier, request.cost};
+    waiting.mapped().to_call.on_grant(grant);
+    return true;
+}
+
+void own_requests::take_refusal(const policy::slot_refusal& refusal) {
+    const auto waiting = m_waiting.extract(refusal.ticket);
+    if (!waiting.empty()) {
+        waiting.mapped().to_call.on_refusal(refusal);
+    }
+}
+
+batch_items own_requests::tell_all() const {
+    batch_items items;
+    for (const auto& [ticket, hold] : m_running) {
+        items.holds.push_back(hold);
+    }
+    for (const auto& [ticket, waiting] : m_waiting) {
+        items.asks.push_back(waiting.request);
+    }
+    return items;
+}
+
+batch_items own_requests::ask_again(std::span<const policy::slot_ticket> tickets) const {
+    batch_items items;
+    for (const auto ticket : tickets) {
+        const auto found = m_waiting.find(ticket);
+        if (found != m_waiting.end()) {
+            items.asks.push_back(found->second.request);
+        }
+    }
+    return items;
+}
+
+} // namespace borageford::coordination
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -22,9 +22,9 @@
 constexpr milliseconds tick_period{50};
 /// Other candidates than the coordinator hear from this process at every so many ticks.
 constexpr unsigned candidate_ticks = 4;
-/// A heartbeat and its reply cost a coordinator some 30 us; at 20 a second from each of 300 members that was
-/// all of a processor share of 0.19. Two of every second tick fit into the silence after which a coordinator
-/// is passed over.
+/// With more members than this each sends at every second tick only: heartbeats of hundreds at every tick
+/// would take all of a small coordinator's processor. Two of every second tick fit into the silence after
+/// which a coordinator is passed over.
 constexpr std::size_t members_at_each_tick = 60;
 constexpr std::size_t most_heartbeat_ticks = 2;
 /// Absent candidates are asked this rarely.
@@ -35,6 +35,9 @@
 constexpr milliseconds member_silence{600};
 /// Without an acknowledgement for this long a session is begun anew; some retransmissions fit into it.
 constexpr milliseconds stuck_session_limit{250};
+/// Servers that a member tells a coordinator of at first: some four datagrams from each, and from 350 members
+/// 1 MB together, half a second of a link of 20 Mbit/s.
+constexpr std::size_t most_reports = 64;
 constexpr unsigned ticket_shift = 32;
 
 policy::member_key key_of(const asio::ip::address& address) {
@@ -132,17 +135,17 @@
     return (m_incarnation << ticket_shift) | ++m_last_ticket;
 }
 
-void slot_broker::request(const policy::slot_request& wanted, answer to_call) {
+void slot_broker::request(const policy::slot_request& wanted, slot_answer to_call) {
     auto asked = wanted;
     asked.domain = m_settings.domain;
-    m_waiting.emplace(wanted.ticket, waiting_request{asked, std::move(to_call)});
+    m_requests.add(asked, std::move(to_call));
     batch_items items;
     items.asks.push_back(asked);
     pass_on(std::move(items));
 }
 
 void slot_broker::withdraw(policy::slot_ticket ticket) {
-    if (m_waiting.erase(ticket) == 0) {
+    if (!m_requests.withdraw(ticket)) {
         return;
     }
     batch_items items;
@@ -151,7 +154,11 @@
 }
 
 void slot_broker::release(const policy::slot_release& ended) {
-    m_running.erase(ended.ticket);
+    const auto held = m_requests.release(ended.ticket);
+    if (m_source == slot_source::coordinator && held.has_value()) {
+        // To be known here too when the coordinator is lost.
+        m_coordinator.scheduler().observe(ended, held->cost.prompt, clock::now());
+    }
     batch_items items;
     items.releases.push_back(ended);
     pass_on(std::move(items));
@@ -200,6 +207,7 @@
 /// Decides, and queues what each member is to be told.
 void slot_broker::hand_out(policy::time_point now) {
     for (auto& [member, items] : m_coordinator.decide(now)) {
+        put_off(items.refusals, now);
         report_refusals(member, items);
         if (member == m_self) {
             deliver(items);
@@ -219,6 +227,33 @@
     }
 }
 
+bool slot_broker::expects_successor(policy::time_point now) const {
+    return m_source == slot_source::own_part && m_coordinator_lost.has_value() &&
+           now - *m_coordinator_lost < m_settings.successor_patience;
+}
+
+/// Between two coordinators each process has its part of every allowance and of the repeats only. One large
+/// request needs more than that, so callers who keep within their limits were refused whenever the gateway
+/// that decides was restarted. They wait for the next one instead.
+void slot_broker::put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now) {
+    if (!expects_successor(now)) {
+        return;
+    }
+    std::erase_if(refusals, [this](const policy::slot_refusal& refusal) {
+        const bool is_for_want_of_part = refusal.reason == policy::refusal_reason::over_allowance ||
+                                         refusal.reason == policy::refusal_reason::over_retry_budget;
+        if (is_for_want_of_part) {
+            m_put_off.push_back(refusal.ticket);
+        }
+        return is_for_want_of_part;
+    });
+}
+
+void slot_broker::ask_put_off_again(policy::time_point now) {
+    const auto tickets = std::exchange(m_put_off, {});
+    m_coordinator.take(m_self, m_requests.ask_again(tickets), now);
+}
+
 void slot_broker::report_refusals(policy::member_key member, const batch_items& items) {
     for (const auto& refusal : items.refusals) {
         const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
@@ -240,8 +275,8 @@
                    {"to", to_string(m_source)},
                    {"coordinator",
                     describe_member(m_source == slot_source::coordinator ? m_coordinating_member : m_self)},
-                   {"waiting", std::uint64_t(m_waiting.size())},
-                   {"running", std::uint64_t(m_running.size())}});
+                   {"waiting", std::uint64_t(m_requests.waiting())},
+                   {"running", std::uint64_t(m_requests.running())}});
 }
 
 void slot_broker::flush_channel(policy::member_key member, batch_channel& channel, policy::time_point now) {
@@ -338,6 +373,9 @@
     m_election.tick(now);
     expire_members(now);
     choose_source(now);
+    if (!m_put_off.empty() && !expects_successor(now)) {
+        ask_put_off_again(now);
+    }
     send_heartbeats(now);
     schedule_flush();
 }
@@ -407,6 +445,11 @@
         }
         m_coordinator.detach(member, now);
         served = m_served.insert_or_assign(member, served_member{batch_channel(message.session), now}).first;
+        if (message.items.reports.empty()) {
+            // It has just started; should it be on its own soon, it knows what this process knows.
+            served->second.channel.pending().reports =
+                m_coordinator.scheduler().report_servers(most_reports, now);
+        }
         events::write(events::event_kind::member_attached,
                       {{"member", describe_member(member)}, {"members", std::uint64_t(m_served.size() + 1)}});
     }
@@ -466,15 +509,12 @@
     }
     m_served.clear();
     m_coordinator.detach(m_self, clock::now());
+    m_coordinator_lost.reset();
+    m_put_off.clear(); // told below, like all that wait
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
-    auto& pending = m_upstream->pending();
-    for (const auto& [ticket, hold] : m_running) {
-        pending.holds.push_back(hold);
-    }
-    for (const auto& [ticket, waiting] : m_waiting) {
-        pending.asks.push_back(waiting.request);
-    }
+    m_upstream->pending() = m_requests.tell_all();
+    m_upstream->pending().reports = m_coordinator.scheduler().report_servers(most_reports, clock::now());
     schedule_flush();
     report_source(before);
 }
@@ -491,14 +531,13 @@
     }
     if (before == slot_source::coordinator) {
         m_upstream.reset();
-        batch_items items;
-        for (const auto& [ticket, hold] : m_running) {
-            items.holds.push_back(hold);
-        }
-        for (const auto& [ticket, waiting] : m_waiting) {
-            items.asks.push_back(waiting.request);
-        }
-        m_coordinator.take(m_self, items, now);
+        m_coordinator.take(m_self, m_requests.tell_all(), now);
+    }
+    if (source == slot_source::own_part) {
+        m_coordinator_lost = now;
+    } else {
+        m_coordinator_lost.reset();
+        ask_put_off_again(now);
     }
     schedule_flush();
     report_source(before);
@@ -528,35 +567,25 @@
 }
 
 void slot_broker::deliver(const batch_items& items) {
+    for (const auto& report : items.reports) {
+        m_coordinator.scheduler().adopt(report, clock::now());
+    }
     for (const auto& grant : items.grants) {
         take_grant(grant);
     }
     for (const auto& refusal : items.refusals) {
-        take_refusal(refusal);
+        m_requests.take_refusal(refusal);
     }
 }
 
 void slot_broker::take_grant(const policy::slot_grant& grant) {
-    auto waiting = m_waiting.extract(grant.ticket);
-    if (waiting.empty()) {
-        // Withdrawn, or granted by a former coordinator, while this was on its way.
-        if (!m_running.contains(grant.ticket)) {
-            batch_items items;
-            items.releases.push_back({grant.ticket, grant.server, policy::slot_outcome::refused, {}, {}});
-            pass_on(std::move(items));
-        }
+    if (m_requests.take_grant(grant) || m_requests.occupies_slot(grant.ticket)) {
         return;
     }
-    const auto& request = waiting.mapped().request;
-    m_running[grant.ticket] = {grant.ticket, grant.server, request.service, request.tier, request.cost};
-    waiting.mapped().to_call.on_grant(grant);
-}
-
-void slot_broker::take_refusal(const policy::slot_refusal& refusal) {
-    auto waiting = m_waiting.extract(refusal.ticket);
-    if (!waiting.empty()) {
-        waiting.mapped().to_call.on_refusal(refusal);
-    }
+    // Withdrawn, or granted by a former coordinator, while this was on its way.
+    batch_items items;
+    items.releases.push_back({grant.ticket, grant.server, policy::slot_outcome::refused, {}, {}});
+    pass_on(std::move(items));
 }
 
 } // namespace borageford::coordination
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "coordination/batch_channel.hpp"
 #include "coordination/message.hpp"
+#include "coordination/own_requests.hpp"
 #include "coordination/peer_socket.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/coordinator_election.hpp"
@@ -14,6 +15,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,7 +23,6 @@
 #include <optional>
 #include <set>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace borageford::coordination {
@@ -34,6 +35,9 @@
     double processor_share = 1;
     policy::domain_key domain = 0; ///< failure domain of this process
     bool coordinates = true;       ///< else this process always uses its own part
+    /// How long a request that the own part has no room for waits for a coordinator, after one was lost: one
+    /// is found within two or three heartbeats after the former counts as silent.
+    std::chrono::milliseconds successor_patience{400};
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::allowance_limits allowances;
@@ -48,10 +52,6 @@
 /// Belongs to one thread's executor.
 class slot_broker {
 public:
-    struct answer {
-        std::function<void(const policy::slot_grant&)> on_grant;
-        std::function<void(const policy::slot_refusal&)> on_refusal;
-    };
     /// What this process holds, for the status that it sends.
     struct versions {
         std::uint64_t configuration = 0;
@@ -90,7 +90,7 @@
     [[nodiscard]] policy::slot_ticket next_ticket() noexcept;
 
     /// One of the answers is called once, not before this returns, unless the request is withdrawn.
-    void request(const policy::slot_request& wanted, answer to_call);
+    void request(const policy::slot_request& wanted, slot_answer to_call);
     /// The request no longer wants a slot. A grant on its way is returned.
     void withdraw(policy::slot_ticket ticket);
     /// A granted request has left its slot.
@@ -101,11 +101,6 @@
 private:
     using clock = std::chrono::steady_clock;
 
-    struct waiting_request {
-        policy::slot_request request;
-        answer to_call;
-    };
-
     /// A member whose requests this process coordinates.
     struct served_member {
         batch_channel channel;
@@ -131,11 +126,13 @@
     void attach_to(policy::member_key coordinator);
     void use_own(slot_source source);
     void update_shares(policy::time_point now);
+    [[nodiscard]] bool expects_successor(policy::time_point now) const;
+    void put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now);
+    void ask_put_off_again(policy::time_point now);
     void expire_members(policy::time_point now);
 
     void deliver(const batch_items& items);
     void take_grant(const policy::slot_grant& grant);
-    void take_refusal(const policy::slot_refusal& refusal);
     void pass_on(batch_items items);
     void schedule_flush();
     void flush();
@@ -156,12 +153,14 @@
     slot_source m_source = slot_source::own_part;
     policy::member_key m_coordinating_member = 0;         ///< while m_source is coordinator
     std::optional<batch_channel> m_upstream;              ///< while m_source is coordinator
+    std::optional<policy::time_point> m_coordinator_lost; ///< while m_source is own_part and there was one
+    /// Requests that the own part has no room for, and that a successor may have.
+    std::vector<policy::slot_ticket> m_put_off;
     std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
     std::set<policy::member_key> m_told_members;          ///< served ones for which something may be due
     policy::member_census m_census;
 
-    std::unordered_map<policy::slot_ticket, waiting_request> m_waiting;
-    std::unordered_map<policy::slot_ticket, slot_hold> m_running;
+    own_requests m_requests;
 
     timer_subscription m_tick_timer;
     timer_subscription m_retransmit_timer;
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -35,6 +35,9 @@
 }
 
 void slot_coordinator::take(policy::member_key member, const batch_items& items, policy::time_point now) {
+    for (const auto& report : items.reports) {
+        m_scheduler.adopt(report, now);
+    }
     for (const auto& hold : items.holds) {
         m_scheduler.add_running({hold.ticket, hold.server, hold.service, hold.tier}, now);
         m_requests[hold.ticket] = {member, 0, 0, 0, true};
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -76,6 +76,9 @@
           m_metrics_server(m_runtime.executor(), m_registry) {}
 
     [[noreturn]] void run() {
+        m_context.on_unknown_server = [this] {
+            m_exchange.want_backends();
+        };
         add_gauges();
         m_roster.start();
         m_exchange.start();
@@ -122,6 +125,7 @@
         result.processor_share = m_settings.processor_share;
         result.domain = coordination::domain_key_of(m_settings.common.failure_domain);
         result.coordinates = m_settings.coordinates;
+        result.successor_patience = m_settings.successor_patience;
         result.slots = m_settings.slots;
         result.allowances.window = m_settings.allowance_window;
         result.allowances.slack = m_settings.allowance_slack;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -66,6 +66,8 @@
     result.coordinates = reader.flag("coordination", result.coordinates);
     result.configuration_patience =
         reader.duration("configuration_patience", result.configuration_patience, shortest, longest);
+    result.successor_patience =
+        reader.duration("successor_patience", result.successor_patience, shortest, longest);
     read_bounds(reader, result);
     read_slots(reader, result.slots);
     reader.finish();
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -33,11 +33,14 @@
     policy::slot_scheduler_limits slots;
     milliseconds stop_limit{8000}; ///< from SIGTERM until the process is ended from outside
 
-    /// How long a request waits for the first configuration. A process that has just started knows it within
-    /// some 60 ms, and where all were killed at once callers have nowhere else to go: refusing what came
-    /// meanwhile cost 125 requests of one such restart.
+    /// How long a request waits for the first configuration. A process that has just started knows it soon,
+    /// and where all were killed at once callers have nowhere else to go.
     milliseconds configuration_patience{400};
 
+    /// How long a request for which this process's own part of an allowance doesn't suffice waits for a
+    /// coordinator to be found, after one was lost.
+    milliseconds successor_patience{400};
+
     // Bounds that all gateways keep together.
     double retry_ratio = 0.1;  ///< repeated sends to a service, as a share of its requests
     double retry_reserve = 10; ///< repeated sends allowed beyond that in one window
--- a/src/gateway/send_budget.hpp
+++ b/src/gateway/send_budget.hpp
@@ -7,9 +7,8 @@
 namespace borageford::gateway {
 
 /// After all gateways of a deployment were killed, hundreds of them ask the same one for everything at once.
-/// Each answer stays in memory until the asker's link has taken it, so a process with 100 MB would be ended
-/// for the memory that it uses: seen with 1,000 gateways and 10,000 registrations, 112 MB. Who is turned away
-/// asks again, and reads from the store meanwhile.
+/// Each answer stays in memory until the asker's link has taken it, so a small process would be ended for the
+/// memory that it uses. Who is turned away asks again, and reads from the store meanwhile.
 class send_budget {
 public:
     /// Answers of up to `uncounted` bytes always go.
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -22,8 +22,8 @@
 /// One question stays open this long when nothing changes; each costs a call.
 constexpr milliseconds longest_wait{20000};
 /// After a change the next question waits a little, so that what changes meanwhile comes with one answer.
-/// Backend servers register and leave in groups: on a quiet day of 29 gateways and 53 servers the servers'
-/// start alone cost 1,500 of 2,028 calls. Bounded by the time in which a change must be in force, 2 s.
+/// Backend servers register and leave in groups, and each question is a call that is paid for. Bounded by the
+/// time in which a change must be in force.
 constexpr milliseconds gathering_time{400};
 /// After a failed call: short enough that an outage's end is seen well within the time in which a new
 /// configuration must be in force, long enough that a store in trouble isn't pressed.
--- a/src/policy/allowance_book.cpp
+++ b/src/policy/allowance_book.cpp
@@ -36,8 +36,7 @@
     const double tolerated = m_limits.tolerance * (limit.rate * window + limit.burst) + m_limits.slack;
     const double unused = tolerated * (1 - used_tolerance);
     // Its part only: all gateways that come back together each begin with a bucket of their own, before they
-    // have found who coordinates. With the whole of it, 22 of them may give out 1.3 million tokens beside
-    // the 183,000 that are left for such changes, and did overrun a limit by 0.2%.
+    // have found who coordinates, and together would give out many times what is left for such changes.
     return std::min(shared_burst(limit), unused / covered_changes * m_share);
 }
 
--- a/src/policy/first_event_model.cpp
+++ b/src/policy/first_event_model.cpp
@@ -48,4 +48,15 @@
     ++m_samples;
 }
 
+void first_event_model::adopt(double fixed_ms, double ms_per_token, unsigned samples) noexcept {
+    const auto told = std::min(samples, early_samples);
+    if (told == 0 || m_samples >= early_samples) {
+        return;
+    }
+    const double share = static_cast<double>(told) / (told + m_samples);
+    m_fixed_ms += share * (std::max(least_fixed_ms, fixed_ms) - m_fixed_ms);
+    m_ms_per_token += share * (std::clamp(ms_per_token, 0.0, most_ms_per_token) - m_ms_per_token);
+    m_samples = std::min(m_samples + told, early_samples);
+}
+
 } // namespace borageford::policy
--- a/src/policy/first_event_model.hpp
+++ b/src/policy/first_event_model.hpp
@@ -19,6 +19,11 @@
 
     void learn(double prompt_tokens, duration first_event) noexcept;
 
+    /// Takes another process's line, as long as little is known here.
+    void adopt(double fixed_ms, double ms_per_token, unsigned samples) noexcept;
+
+    [[nodiscard]] double fixed_ms() const noexcept { return m_fixed_ms; }
+    [[nodiscard]] double ms_per_token() const noexcept { return m_ms_per_token; }
     [[nodiscard]] unsigned samples() const noexcept { return m_samples; }
 
 private:
--- a/src/policy/output_pace.cpp
+++ b/src/policy/output_pace.cpp
@@ -26,6 +26,12 @@
         m_seconds_per_token > 0 ? m_seconds_per_token + weight * (measured - m_seconds_per_token) : measured;
 }
 
+void output_pace::adopt(double seconds_per_token) noexcept {
+    if (m_seconds_per_token == 0 && seconds_per_token > 0) {
+        m_seconds_per_token = seconds_per_token;
+    }
+}
+
 duration output_pace::expect(double tokens) const noexcept {
     return from_seconds(m_seconds_per_token * tokens);
 }
--- a/src/policy/output_pace.hpp
+++ b/src/policy/output_pace.hpp
@@ -12,6 +12,11 @@
     /// An answer of so many tokens took this long from its first event to its end.
     void learn(double tokens, duration took) noexcept;
 
+    /// Takes another process's word, as long as nothing is known here.
+    void adopt(double seconds_per_token) noexcept;
+
+    /// 0 while nothing is known.
+    [[nodiscard]] double seconds_per_token() const noexcept { return m_seconds_per_token; }
     /// Zero while nothing is known.
     [[nodiscard]] duration expect(double tokens) const noexcept;
 
--- a/src/policy/reading_backlog.hpp
+++ b/src/policy/reading_backlog.hpp
@@ -6,12 +6,10 @@
 namespace borageford::policy {
 
 /// A server reads prompts one after the other, so a prompt waits for those before it. What each will take is
-/// an estimate. Added up alone, its errors grow with every request: under lasting load the sum reached five
-/// seconds at servers that began new answers within 100 ms. Requests that could still be in time weren't sent
-/// there, slots stood empty until something late took them, and callers of the lowest tier got nothing but
-/// late answers. A first event tells that its prompt has been read, and all that were given before it, which
-/// ends the error. On a played day of 53 engines in bursts the lowest tier got 2,377 answers in time instead
-/// of 1,858, the highest 13,019 instead of 12,367.
+/// an estimate. Added up alone, its errors grow with every request, until servers that begin new answers at
+/// once seem to be seconds behind: requests that could still be in time aren't sent there, and slots stand
+/// empty until something late takes them. A first event tells that its prompt has been read, and all that
+/// were given before it, which ends the error.
 class reading_backlog {
 public:
     /// Tells one prompt from those given before and after it.
--- a/src/policy/server_health.cpp
+++ b/src/policy/server_health.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned tolerated_failures = 3;
 /// A refused or silent connection, or another server's answer, says more than a failed request: the server
 /// isn't there. One that crashes and starts anew at its address refuses at once whatever is sent to its
-/// former life, and so always had free slots: of 13 engines that came back together, each took some 70
-/// requests in the 1.4 s until their new registrations were known, and each of them counted as a repeat.
+/// former life, and so always has free slots: until its new registration is known it would take request after
+/// request, each of which counts as a repeat.
 constexpr unsigned tolerated_when_gone = 1;
 constexpr milliseconds first_rest{150};
 constexpr unsigned most_doublings = 4;
@@ -34,7 +34,7 @@
 server_health::change server_health::record(slot_outcome outcome, time_point now) {
     switch (outcome) {
     case slot_outcome::served:
-        return record_success();
+        return record_success(now);
     case slot_outcome::failed:
     case slot_outcome::broken:
         return record_failure(false, now);
@@ -48,7 +48,8 @@
     return change::none;
 }
 
-server_health::change server_health::record_success() {
+server_health::change server_health::record_success(time_point now) {
+    m_last_success = now;
     m_failure_share *= 1 - newest_weight;
     m_failures_in_row = 0;
     m_rests = 0;
@@ -56,6 +57,7 @@
 }
 
 server_health::change server_health::record_failure(bool is_gone, time_point now) {
+    m_last_failure = now;
     m_failure_share += (1 - m_failure_share) * newest_weight;
     ++m_failures_in_row;
     const auto tolerated = is_gone ? tolerated_when_gone : tolerated_failures;
@@ -68,4 +70,14 @@
     return change::rests;
 }
 
+void server_health::adopt(time_point failed, time_point rests_until, unsigned rests) noexcept {
+    if (rests == 0 || m_last_success > failed) {
+        return;
+    }
+    m_last_failure = std::max(m_last_failure, failed);
+    m_rests_until = std::max(m_rests_until, rests_until);
+    m_rests = std::max(m_rests, rests);
+    m_is_probing = true;
+}
+
 } // namespace borageford::policy
--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -15,8 +15,7 @@
 constexpr std::chrono::milliseconds tolerated_overrun{1500};
 /// A server in the request's own failure domain is taken before one elsewhere that would begin sooner by no
 /// more than this part of the request's target: less than a caller notices, and less than the difference
-/// between engines of unlike speed. Bytes between failure domains are paid for, prompts of 12 KB among them.
-/// On three deployments with heavy days, 45 pairs of played days, the worth of a day rose by 0.005 +- 0.0016.
+/// between engines of unlike speed. Bytes between failure domains are paid for, and prompts are long.
 constexpr double target_share_for_near = 0.05;
 
 /// Whether a server that hasn't failed the request takes work, busy or not. Where there is none, one that has
@@ -56,10 +55,8 @@
 /// holding up a slow one, where every stream beside them would pause.
 ///
 /// An answer that would outlast its caller's time goes where it overruns least. Engines differ threefold in
-/// pace too; the longest answers were held by slow ones for all of their callers' 15 s and then thrown away,
-/// while a fast one would have ended half of them. On a calm day of 40 unlike engines 24 in 1,940 streams of
-/// the longest kind were lost so, and 12 with this; the share of that kind's longest tenth that callers get
-/// went from 0.76 to 0.86.
+/// pace too: a slow one would hold the longest answers for all of their callers' time, and then they are
+/// thrown away, while a fast one would have ended many of them.
 slot_server* choose_server(const slot_request& request, const slot_choice_terms& terms) {
     const bool avoids = request.avoided.front() != 0 && has_fresh_server(request, terms);
     const auto left = request.arrived + request.target - terms.now;
--- a/src/policy/slot_choice.hpp
+++ b/src/policy/slot_choice.hpp
@@ -10,9 +10,8 @@
 
 using slot_servers = std::span<slot_server* const>;
 
-/// Servers that a choice is made among. The best of many is hardly better than the best of these; and looking
-/// at all 3,000 servers of a service for each waiting request took a process with a fifth of a core so long,
-/// after all gateways had been killed, that it never caught up.
+/// Servers that a choice is made among. The best of many is hardly better than the best of these; and a
+/// process that looks at thousands for each waiting request never catches up after all gateways were killed.
 inline constexpr std::size_t most_considered = 64;
 
 /// Whether some server could bring the request's first event in time, free or not.
--- a/src/policy/slot_floor.hpp
+++ b/src/policy/slot_floor.hpp
@@ -16,9 +16,9 @@
 };
 
 /// In strict order of tiers a lower one gets what the higher ones leave, and under lasting load that is
-/// nothing, although its requests may be cheap: tags that take 0.12 s of a slot waited for drafts that
-/// take 1.1 s, and 0.12 of them were served while half of all requests were. A floor in counts would let dear
-/// requests take as many slots; so it is one of slot time.
+/// nothing, although its requests may be cheap: tags wait for drafts that take ten times as long, and their
+/// callers are refused for hardly any gain to others. A floor in counts would let dear requests take as many
+/// slots; so it is one of slot time.
 ///
 /// Invariant: a tier's running requests are those begun and not ended.
 class slot_floor {
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 namespace borageford::policy {
@@ -224,6 +225,39 @@
     drop_unused(server);
 }
 
+void slot_scheduler::observe(const slot_release& ended, double prompt, time_point now) {
+    const auto found = m_servers.find(ended.server);
+    if (found != m_servers.end() && found->second.is_usable) {
+        found->second.observe(ended, prompt);
+        static_cast<void>(found->second.health.record(ended.outcome, now)); // whoever decides reports it
+    }
+}
+
+std::vector<server_report> slot_scheduler::report_servers(std::size_t most, time_point now) const {
+    std::vector<server_report> result;
+    for (const auto& [key, server] : m_servers) {
+        auto report = server.report(now);
+        if (server.is_usable && (report.first_events > 0 || report.rests > 0)) {
+            result.push_back(report);
+        }
+    }
+    const auto is_more_telling = [](const server_report& left, const server_report& right) {
+        return std::tuple(left.rests > 0, left.first_events) >
+               std::tuple(right.rests > 0, right.first_events);
+    };
+    const auto kept = std::min(most, result.size());
+    std::ranges::partial_sort(result, result.begin() + static_cast<std::ptrdiff_t>(kept), is_more_telling);
+    result.resize(kept);
+    return result;
+}
+
+void slot_scheduler::adopt(const server_report& told, time_point now) {
+    const auto found = m_servers.find(told.server);
+    if (found != m_servers.end()) {
+        found->second.adopt(told, now);
+    }
+}
+
 void slot_scheduler::record_outcome(server_key server, slot_outcome outcome, time_point now) {
     auto& health = m_servers[server].health;
     const auto change = health.record(outcome, now);
@@ -258,9 +292,7 @@
 
 /// What waits inside a server can't be overtaken. A late request is late there or here, but in a server's
 /// queue it stands before those that come next and could still be in time: so it gets a slot that is free,
-/// and never a place in that queue. On heavy days of 32 gateways before engines of unlike speed what callers
-/// got rose by 0.025 +- 0.004 of the day's worth (six pairs), on the same customer's five gateways by 0.013
-/// +- 0.004 (15).
+/// and never a place in that queue.
 bool slot_scheduler::is_open(const slot_server& server, const line_terms& terms, time_point now) const {
     const bool takes_line = terms.line == punctuality::in_time || server.has_free_slot(m_limits.share);
     return takes_line && room(server, terms.is_lowest, now) >= 1;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -20,9 +20,7 @@
 
 struct slot_scheduler_limits {
     /// Requests handed to a server for each of its slots. A little over one keeps a slot from idling for the
-    /// round trip between one answer and the next request; what waits in the server can't be overtaken. 1.0
-    /// and 1.1 lost 0.02 to 0.05 of the worth of heavy days on all four deployments measured; 1.3 gained 0.01
-    /// to 0.02 over 1.25 where servers have seven slots, which is one request more; 1.5 lost 0.04 with eight.
+    /// round trip between one answer and the next request; what waits in the server can't be overtaken.
     double outstanding_per_slot = 1.3;
     /// Slots of each server that the lowest tier leaves free, so that a higher one finds room at once.
     unsigned reserved_slots = 2;
@@ -73,6 +71,14 @@
     /// A running request has left its slot; unknown ones are passed over.
     void release(const slot_release& ended, time_point now);
 
+    /// A request of this process has left a slot that another process had given out.
+    void observe(const slot_release& ended, double prompt, time_point now);
+    /// What this process has seen of servers, for another one to go on from: those that failed lately first,
+    /// then those that are known best; so many at most.
+    [[nodiscard]] std::vector<server_report> report_servers(std::size_t most, time_point now) const;
+    /// Takes another process's word of a server; of one that isn't known here, nothing.
+    void adopt(const server_report& told, time_point now);
+
     /// All grants that are possible now.
     [[nodiscard]] std::vector<slot_grant> grant(time_point now);
     /// Requests that were given up since the last call: they wait no more.
@@ -105,11 +111,9 @@
         tier_queue queue;
         flow_meter grants;
     };
-    /// Two lines, since a late request only gets what those in time leave. In one line, which was as long as
-    /// requests had patience, nearly all that were served were late, and the others were held as long to hear
-    /// a refusal. With a forecast for each line, what the callers of four heavy days on two grown deployments
-    /// got rose by 0.01 to 0.04 of the day's worth; on one of them the worth refused after a wait fell to an
-    /// eighth.
+    /// Two lines, since a late request only gets what those in time leave. In one line, which is as long as
+    /// requests have patience, nearly all that are served are late, and the others are held as long to hear a
+    /// refusal.
     struct tier_state {
         waiting_line in_time; ///< fresh ones that some server could still begin in time
         waiting_line late;
@@ -119,8 +123,8 @@
     /// Servers of one service that take work, in no order.
     struct server_pool {
         std::vector<slot_server*> servers;
-        /// Those that have slots left, resting or not: under load they are few, and a search through all
-        /// 3,000 servers of a service took 498,000 instructions for each request instead of 12,000.
+        /// Those that have slots left, resting or not: under load they are few, where a search through all
+        /// servers of a service would grow with it.
         std::vector<slot_server*> with_room;
         std::size_t next = 0; ///< where the search among those begins
     };
--- a/src/policy/slot_server.cpp
+++ b/src/policy/slot_server.cpp
@@ -13,12 +13,13 @@
 constexpr double length_margin = 1.2;
 
 /// A server that ends requests more often than this has room for a higher tier soon enough without slots kept
-/// free for it. Kept there all the same, two of six slots of a plain service, whose calls take 60 ms, stood
-/// empty while a quarter of its calls were refused: on heavy days of 32 gateways 0.76 of the calls' worth was
-/// earned, and 0.87 without (0.10 +- 0.01, nine pairs of played days). Engines, whose answers take a second,
-/// are far above it; without slots kept free there, the heaviest days of two deployments lost 0.02.
+/// free for it: a plain service's would stand empty while its calls are refused. Engines, whose answers take
+/// a second, are far above it.
 constexpr std::chrono::milliseconds fast_turnover{20};
 
+/// A failure that was longer ago says nothing of the server as it is now: rests are shorter.
+constexpr std::chrono::seconds longest_told_failure{5};
+
 } // namespace
 
 duration slot_server::expect_first_event(const slot_request& request, time_point now) const {
@@ -53,6 +54,44 @@
     }
 }
 
+void slot_server::observe(const slot_release& ended, double prompt) {
+    if (ended.outcome == slot_outcome::served) {
+        // How many ran beside it isn't known here; what is asked of the turnover concerns a full server.
+        turnover.learn(ended.busy, slots);
+    }
+    if (ended.first_event > duration::zero()) {
+        first_event.learn(prompt, ended.first_event);
+        pace.learn(ended.output, ended.busy - ended.first_event);
+    }
+}
+
+server_report slot_server::report(time_point now) const {
+    server_report result;
+    result.server = key;
+    if (health.last_failure() != time_point::min()) {
+        result.failed_ago = now - health.last_failure();
+    }
+    result.rest_left =
+        std::max(duration::zero(),
+                 health.rests_until() == time_point::min() ? duration::zero() : health.rests_until() - now);
+    result.rests = health.rests();
+    result.first_event_ms = first_event.fixed_ms();
+    result.first_event_ms_per_token = first_event.ms_per_token();
+    result.first_events = first_event.samples();
+    result.seconds_per_token = pace.seconds_per_token();
+    result.seconds_between_ends = to_seconds(turnover.between_ends());
+    return result;
+}
+
+void slot_server::adopt(const server_report& told, time_point now) {
+    if (told.failed_ago <= longest_told_failure) {
+        health.adopt(now - told.failed_ago, now + told.rest_left, told.rests);
+    }
+    first_event.adopt(told.first_event_ms, told.first_event_ms_per_token, told.first_events);
+    pace.adopt(told.seconds_per_token);
+    turnover.adopt(told.seconds_between_ends);
+}
+
 bool has_failed(const slot_request& request, server_key server) {
     return std::ranges::find(request.avoided, server) != request.avoided.end();
 }
--- a/src/policy/slot_server.hpp
+++ b/src/policy/slot_server.hpp
@@ -5,6 +5,7 @@
 #include "policy/output_pace.hpp"
 #include "policy/reading_backlog.hpp"
 #include "policy/server_health.hpp"
+#include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 #include "policy/slot_turnover.hpp"
 
@@ -41,6 +42,13 @@
 
     /// A request with this prompt has left it; `read_mark` is what the backlog gave at its start.
     void learn(const slot_release& ended, double prompt, reading_backlog::mark read_mark, time_point now);
+    /// A request with this prompt has left it that another process had given it.
+    void observe(const slot_release& ended, double prompt);
+
+    /// What another process is told of it.
+    [[nodiscard]] server_report report(time_point now) const;
+    /// Takes another process's word where little is known here.
+    void adopt(const server_report& told, time_point now);
 };
 
 /// Whether the request was sent to this server before, in vain.
--- a/src/policy/slot_turnover.cpp
+++ b/src/policy/slot_turnover.cpp
@@ -18,6 +18,12 @@
     m_seconds_between_ends += (m_seconds_between_ends == 0 ? 1 : step) * (between - m_seconds_between_ends);
 }
 
+void slot_turnover::adopt(double seconds_between_ends) noexcept {
+    if (m_seconds_between_ends == 0 && seconds_between_ends > 0) {
+        m_seconds_between_ends = seconds_between_ends;
+    }
+}
+
 duration slot_turnover::wait(unsigned outstanding, unsigned slots) const noexcept {
     if (outstanding < slots) {
         return duration::zero();
--- a/src/policy/slot_turnover.hpp
+++ b/src/policy/slot_turnover.hpp
@@ -7,14 +7,15 @@
 
 /// A server works on as many requests as it has slots; what it is given beyond that waits inside it for one
 /// of them to end. Where a request takes two seconds on average, the second one over waits for half a second,
-/// and no first event of a short prompt is in time after that. On three deployments with heavy days, 45 pairs
-/// of played days, what callers got rose by 0.003 +- 0.0014 of the day's worth, by 0.007 +- 0.003 where
-/// engines differ fourfold in speed.
+/// and no first event of a short prompt is in time after that.
 class slot_turnover {
 public:
     /// A request was there for so long, beside so many others.
     void learn(duration busy, unsigned outstanding) noexcept;
 
+    /// Takes another process's word, as long as nothing is known here.
+    void adopt(double seconds_between_ends) noexcept;
+
     /// From the end of one request to that of the next; zero while nothing is known.
     [[nodiscard]] duration between_ends() const noexcept { return from_seconds(m_seconds_between_ends); }
 
--- a/src/store/repeated_read.hpp
+++ b/src/store/repeated_read.hpp
@@ -18,9 +18,7 @@
 ///
 /// A store that is silent loses the questions that reach it meanwhile, and a question waits seconds until it
 /// counts as lost. A process that had just started, and knew no configuration, thus went on refusing its
-/// callers for up to a whole timeout after the store was back. On a played day of 29 gateways, all of which
-/// lost power 1.6 s before the end of an outage, callers were without a server for 1.25 s longer than the
-/// store was.
+/// callers for up to a whole timeout after the store was back.
 ///
 /// `table` must outlive the timeout of its calls. Throws store_error.
 [[nodiscard]] boost::asio::awaitable<row_page> read_all_repeatedly(boost::asio::any_io_executor executor,
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -128,6 +128,7 @@
     sent.items.releases.push_back({5, 51, slot_outcome::broken, 1200ms, 70ms});
     sent.items.grants.push_back({6, 61});
     sent.items.refusals.push_back({7, refusal_reason::over_allowance, 250ms});
+    sent.items.reports.push_back({81, 40ms, 150ms, 2, 31.5, 0.02, 12, 0.011, 0.25});
     const auto receiver_now = start_time + 1000h;
     const auto taken = decode(encode(sent, start_time), receiver_now);
     REQUIRE(taken.has_value());
@@ -149,6 +150,17 @@
     CHECK(taken->items.releases.front().outcome == slot_outcome::broken);
     CHECK(taken->items.refusals.front().reason == refusal_reason::over_allowance);
     CHECK(taken->items.withdrawals == std::vector<slot_ticket>{4});
+    REQUIRE(taken->items.reports.size() == 1);
+    const auto& report = taken->items.reports.front();
+    CHECK(report.server == 81);
+    CHECK(report.failed_ago == 40ms);
+    CHECK(report.rest_left == 150ms);
+    CHECK(report.rests == 2);
+    CHECK(report.first_event_ms == Approx(31.5));
+    CHECK(report.first_event_ms_per_token == Approx(0.02));
+    CHECK(report.first_events == 12);
+    CHECK(report.seconds_per_token == Approx(0.011));
+    CHECK(report.seconds_between_ends == Approx(0.25));
 }
 
 TEST_CASE("bytes that are no datagram are dropped", "[coordination]") {
--- /dev/null
+++ b/tests/unit/test_policy_server_report.cpp
@@ -0,0 +1,154 @@
+// What a process that begins to decide about slots goes on from.
+#include "coordination/slot_coordinator.hpp"
+#include "policy/slot_scheduler.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace borageford;
+using namespace borageford::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start_time = time_point{} + 1h;
+constexpr service_key engines = 77;
+constexpr server_key dead = 1;
+constexpr server_key slow = 2;
+constexpr server_key fast = 3;
+constexpr std::size_t all = 100;
+
+slot_scheduler make_scheduler() {
+    slot_scheduler scheduler({});
+    for (const auto server : {dead, slow, fast}) {
+        scheduler.set_server(server, engines, 4);
+    }
+    return scheduler;
+}
+
+slot_request make_request(slot_ticket ticket, time_point now) {
+    slot_request request;
+    request.ticket = ticket;
+    request.service = engines;
+    request.arrived = now;
+    request.deadline = now + 10s;
+    request.target = 500ms;
+    request.cost = {1000, 40};
+    return request;
+}
+
+/// What a member's own requests met: one server doesn't take connections, one is slow, one is fast.
+void observe_all(slot_scheduler& member, time_point now) {
+    for (slot_ticket ticket = 1; ticket <= 12; ++ticket) {
+        member.observe({ticket, slow, slot_outcome::served, 2s, 900ms, 40}, 1000, now - 1s);
+        member.observe({ticket, fast, slot_outcome::served, 500ms, 60ms, 40}, 1000, now - 1s);
+    }
+    member.observe({100, dead, slot_outcome::unreachable, 300ms, {}, 0}, 1000, now);
+}
+
+std::map<server_key, int> count_grants(slot_scheduler& scheduler, int requests, time_point now) {
+    std::map<server_key, int> result;
+    for (int index = 0; index < requests; ++index) {
+        scheduler.add(make_request(1000 + index, now), now);
+    }
+    for (const auto& grant : scheduler.grant(now)) {
+        ++result[grant.server];
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a process that begins to decide knows what the members' requests met", "[policy][server_report]") {
+    // The gateway that gave out all slots was killed. It alone knew that one server takes no connections and
+    // that another is slow; its successor sent the next requests of all members to both, and their callers
+    // waited for connections that never came.
+    auto member = make_scheduler();
+    observe_all(member, start_time);
+    auto successor = make_scheduler();
+    for (const auto& report : member.report_servers(all, start_time)) {
+        successor.adopt(report, start_time);
+    }
+    const auto grants = count_grants(successor, 6, start_time);
+    CHECK_FALSE(grants.contains(dead));
+    CHECK_FALSE(grants.contains(slow)); // its first event would come too late
+    CHECK(grants.at(fast) >= 4);
+}
+
+TEST_CASE("a member that loses its coordinator goes on from what it saw itself", "[policy][server_report]") {
+    // For a moment nobody gives out slots for all, and each gateway uses its own part of them. While another
+    // decided, its own requests were told to that other alone.
+    auto member = make_scheduler();
+    observe_all(member, start_time);
+    CHECK_FALSE(count_grants(member, 6, start_time).contains(dead));
+}
+
+TEST_CASE("a server's own success counts for more than what others met before", "[policy][server_report]") {
+    // A member was cut off from a server for a moment, and tells of it later. The server has served others
+    // since then, and must not rest for that.
+    auto member = make_scheduler();
+    member.observe({100, dead, slot_outcome::unreachable, 300ms, {}, 0}, 1000, start_time);
+    auto successor = make_scheduler();
+    successor.observe({5, dead, slot_outcome::served, 100ms, 50ms, 4}, 1000, start_time + 10ms);
+    for (const auto& report : member.report_servers(all, start_time + 20ms)) {
+        successor.adopt(report, start_time + 20ms);
+    }
+    CHECK(count_grants(successor, 12, start_time + 20ms).contains(dead));
+}
+
+TEST_CASE("a server that was found failing long ago starts without a rest", "[policy][server_report]") {
+    auto member = make_scheduler();
+    member.observe({100, dead, slot_outcome::unreachable, 300ms, {}, 0}, 1000, start_time);
+    auto successor = make_scheduler();
+    for (const auto& report : member.report_servers(all, start_time + 20s)) {
+        successor.adopt(report, start_time + 20s);
+    }
+    CHECK(count_grants(successor, 12, start_time + 20s).contains(dead));
+}
+
+TEST_CASE("reports are bounded, and the worst news goes first", "[policy][server_report]") {
+    // With 1,300 servers and 350 members that all tell at once, a successor would be busy with nothing else.
+    slot_scheduler member({});
+    for (server_key server = 1; server <= 500; ++server) {
+        member.set_server(server, engines, 4);
+        member.observe({server, server, slot_outcome::served, 100ms, 50ms, 4}, 1000, start_time);
+    }
+    member.observe({600, 321, slot_outcome::unreachable, 100ms, {}, 0}, 1000, start_time);
+    const auto reports = member.report_servers(64, start_time);
+    REQUIRE(reports.size() == 64);
+    CHECK(reports.front().server == 321);
+    CHECK(reports.front().rests == 1);
+}
+
+TEST_CASE("a server that is reborn inherits nothing from a report", "[policy][server_report]") {
+    // Its new start has another key, which no report names yet.
+    auto member = make_scheduler();
+    member.observe({100, dead, slot_outcome::unreachable, 300ms, {}, 0}, 1000, start_time);
+    slot_scheduler successor({});
+    constexpr server_key reborn = 9;
+    successor.set_server(reborn, engines, 4);
+    for (const auto& report : member.report_servers(all, start_time)) {
+        successor.adopt(report, start_time);
+    }
+    CHECK(count_grants(successor, 2, start_time).at(reborn) == 2);
+}
+
+TEST_CASE("reports go ahead of the requests that they concern", "[coordination][server_report]") {
+    // They come in the same batch as what waits. Taken after it, they would be too late for it.
+    auto member = make_scheduler();
+    observe_all(member, start_time);
+    coordination::slot_coordinator successor({}, {}, {});
+    successor.scheduler().set_server(dead, engines, 4);
+    successor.scheduler().set_server(fast, engines, 4);
+    coordination::batch_items told;
+    told.reports = member.report_servers(all, start_time);
+    for (slot_ticket ticket = 1; ticket <= 4; ++ticket) {
+        told.asks.push_back(make_request(ticket, start_time));
+    }
+    successor.take(7, told, start_time);
+    const auto grants = successor.decide(start_time).at(7).grants;
+    REQUIRE(grants.size() == 4);
+    CHECK(std::ranges::all_of(grants, [](const auto& grant) { return grant.server == fast; }));
+}
--- /dev/null
+++ b/tests/unit/test_slot_broker.cpp
@@ -0,0 +1,176 @@
+// One gateway's broker beside a member that a test plays.
+#include "coordination/slot_broker.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <functional>
+#include <set>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::coordination;
+using namespace borageford::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr workspace_key workspace = 9;
+constexpr service_key engines = 7;
+
+/// A stronger member that says whether it coordinates, takes what it is told and decides nothing.
+class played_member {
+public:
+    explicit played_member(asio::io_context& context)
+        : m_socket(context, udp::endpoint(asio::ip::make_address("127.0.0.2"), 0)) {
+        receive();
+    }
+
+    [[nodiscard]] unsigned short port() const { return m_socket.local_endpoint().port(); }
+    void coordinate(bool is_acting) { m_is_acting = is_acting; }
+    [[nodiscard]] bool was_asked(slot_ticket ticket) const { return m_asked.contains(ticket); }
+    [[nodiscard]] const std::vector<server_report>& reports() const { return m_reports; }
+
+private:
+    void receive() {
+        m_socket.async_receive_from(asio::buffer(m_bytes), m_from,
+                                    [this](const boost::system::error_code& error, std::size_t size) {
+                                        if (error) {
+                                            return;
+                                        }
+                                        take(size);
+                                        receive();
+                                    });
+    }
+
+    void take(std::size_t size) {
+        const auto now = std::chrono::steady_clock::now();
+        const auto message = decode(std::as_bytes(std::span(m_bytes)).first(size), now);
+        REQUIRE(message.has_value());
+        for (const auto& ask : message->items.asks) {
+            m_asked.insert(ask.ticket);
+        }
+        m_reports.insert(m_reports.end(), message->items.reports.begin(), message->items.reports.end());
+        datagram reply;
+        reply.sender.incarnation = 1;
+        reply.sender.is_acting = m_is_acting;
+        reply.sender.is_eligible = true;
+        reply.sender.processor_share = 64;
+        reply.session = m_is_acting ? message->session : 0;
+        reply.acknowledged = message->batch;
+        const auto bytes = encode(reply, now);
+        m_socket.send_to(asio::buffer(bytes), m_from);
+    }
+
+    udp::socket m_socket;
+    std::array<unsigned char, 2048> m_bytes{};
+    udp::endpoint m_from;
+    bool m_is_acting = true;
+    std::set<slot_ticket> m_asked;
+    std::vector<server_report> m_reports;
+};
+
+/// A broker of its own, and what became of its requests.
+class played_site {
+public:
+    played_site() : m_broker(m_context.get_executor(), m_timers, make_settings(), make_observers()) {
+        m_broker.add_member(asio::ip::make_address("127.0.0.2"), 64);
+        m_broker.set_allowance(workspace, {.rate = 1, .burst = 3000});
+        m_broker.set_server(1, engines, 4, 0);
+        m_broker.start();
+    }
+
+    void run_until(const std::function<bool()>& is_so) {
+        while (!is_so()) {
+            m_context.run_one();
+        }
+    }
+    [[nodiscard]] bool has_source(slot_source source) const { return m_broker.source() == source; }
+
+    /// Asks for a slot for a request that takes so much of its workspace's allowance.
+    slot_ticket ask(double units) {
+        slot_request wanted;
+        wanted.ticket = m_broker.next_ticket();
+        wanted.service = engines;
+        wanted.workspace = workspace;
+        wanted.arrived = std::chrono::steady_clock::now();
+        wanted.deadline = wanted.arrived + 1h;
+        wanted.target = 1h;
+        wanted.units = units;
+        m_broker.request(wanted, {[this](const slot_grant& grant) { m_granted.insert(grant.ticket); },
+                                  [this](const slot_refusal& refusal) {
+                                      m_refused.insert(refusal.ticket);
+                                  }});
+        return wanted.ticket;
+    }
+    [[nodiscard]] bool was_granted(slot_ticket ticket) const { return m_granted.contains(ticket); }
+    [[nodiscard]] bool was_refused(slot_ticket ticket) const { return m_refused.contains(ticket); }
+    void release(slot_ticket ticket, slot_outcome outcome) {
+        m_broker.release({ticket, 1, outcome, 100ms, 50ms, 10});
+    }
+    played_member& other() { return m_other; }
+
+private:
+    broker_settings make_settings() const {
+        broker_settings settings;
+        settings.local = {asio::ip::make_address("127.0.0.1"), m_other.port()};
+        settings.successor_patience = 1h;
+        settings.allowances.slack = 60000;
+        return settings;
+    }
+    static slot_broker::observers make_observers() {
+        return {[] { return slot_broker::versions{}; },
+                [](const asio::ip::address&, const slot_broker::versions&) {},
+                [](const slot_scheduler::health_change&) {
+                }};
+    }
+
+    asio::io_context m_context;
+    timer_service m_timers;
+    played_member m_other{m_context};
+    std::set<slot_ticket> m_granted;
+    std::set<slot_ticket> m_refused;
+    slot_broker m_broker;
+};
+
+} // namespace
+
+TEST_CASE("a large request waits for the next coordinator where the own part doesn't suffice",
+          "[coordination][slot_broker]") {
+    // The gateway that counts for all is restarted. Until another does, each has its part of every allowance,
+    // and one large request needs more than that. Its caller was told to keep to a limit that it was far
+    // below, and came back for nothing.
+    played_site site;
+    site.run_until([&] { return site.has_source(slot_source::coordinator); });
+    site.other().coordinate(false);
+    site.run_until([&] { return site.has_source(slot_source::own_part); });
+    const auto large = site.ask(30000);
+    const auto small = site.ask(500);
+    site.run_until([&] { return site.was_granted(small); }); // decided after the large one
+    CHECK_FALSE(site.was_refused(large));
+    site.other().coordinate(true);
+    site.run_until([&] { return site.other().was_asked(large); });
+    CHECK_FALSE(site.was_refused(large));
+}
+
+TEST_CASE("a member tells the next coordinator what its requests met at servers",
+          "[coordination][slot_broker]") {
+    // A server took no connection from this gateway. Whoever decides next would send others' requests there.
+    played_site site;
+    site.run_until([&] { return site.has_source(slot_source::coordinator); });
+    site.other().coordinate(false);
+    site.run_until([&] { return site.has_source(slot_source::own_part); });
+    const auto first = site.ask(500);
+    site.run_until([&] { return site.was_granted(first); });
+    site.release(first, slot_outcome::unreachable);
+    site.other().coordinate(true);
+    site.run_until([&] { return !site.other().reports().empty(); });
+    const auto& report = site.other().reports().front();
+    CHECK(report.server == 1);
+    CHECK(report.rests == 1);
+}
