A few gateways ask the store for changes; the others hear of them

Now the first candidates to coordinate ask (all others send them heartbeats, so all hear which versions they hold); the others ask those for what changed in the table of servers, any that is ahead, and the store for a newer configuration, which may be large. Who has heard no candidate for a second whom the store answers asks for itself, and after failures more rarely than a candidate. Servers that a follower misses after an outage are told as missed: that they are given up changes no version, and whoever is told would have kept them for good.

Ruled out: the configuration from peers as well (64 documents of up to 4 MB through three links); fewer questions by longer gathering (a change would be in force later).

--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -97,6 +97,10 @@
     void release(const policy::slot_release& ended);
 
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
+    /// Whether all other members hear from this process; where nobody coordinates, nobody can be sure to.
+    [[nodiscard]] bool is_candidate() const {
+        return !m_settings.coordinates || m_election.is_candidate(clock::now());
+    }
 
 private:
     using clock = std::chrono::steady_clock;
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -86,6 +86,7 @@
     update result;
     result.version = m_version;
     result.is_whole = version < m_removals_known_after || version == 0;
+    result.missed = m_watch.missed();
     if (result.is_whole) {
         result.present = m_all;
         return result;
@@ -107,6 +108,9 @@
     for (const auto& [id, entry] : newer.present) {
         take_present(id, entry.value, entry.version);
     }
+    for (const auto& id : newer.missed) {
+        m_watch.note_missed(id, steady_clock::now());
+    }
     m_version = std::max(m_version, newer.version);
     auto gone = newer.gone;
     if (newer.is_whole) {
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -48,6 +48,9 @@
         bool is_whole = false;     ///< everything that is known: what isn't listed is gone
         registrations present;
         std::vector<std::string> gone; ///< only in one that isn't whole
+        /// Present ones that vanished around an outage: gone if they don't come back soon, which changes no
+        /// version.
+        std::vector<std::string> missed{};
     };
     /// A whole update where the removals since then are no longer known.
     [[nodiscard]] update changes_after(std::uint64_t version) const;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -57,8 +57,10 @@
                     m_configuration,      m_backends,         m_slots,    m_metrics},
           m_configuration_keeper(speech, m_configuration, m_slots),
           m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots),
-          m_exchange(m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster,
-                     [this] { return is_store_well(); }),
+          m_exchange(
+              m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster,
+              [this] { return is_store_well(); },
+              [this] { return follower_duty() == policy::follower_duty::rely; }),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
                                    speech.configuration_table, make_configuration_handlers()),
           m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table, speech.backend_table,
@@ -140,6 +142,7 @@
                     m_exchange.hear(peer, held.configuration, held.backends);
                     if (held.is_in_touch) {
                         m_roster.note_other_in_touch();
+                        m_follower_choice.hear_follower(std::chrono::steady_clock::now());
                     }
                 },
                 [this](const policy::slot_scheduler::health_change& change) {
@@ -162,9 +165,21 @@
                     }
                 },
                 [this](const store::row_change& change) { take_configuration(change.now); }, [] {},
-                [] {
-                    return std::uint64_t(0);
-                }}; // a document's version isn't the store's
+                [] { return std::uint64_t(0); }, // a document's version isn't the store's
+                [this] {
+                    return configuration_duty();
+                }};
+    }
+
+    /// Nothing has to be asked for until others speak of a newer version; then the store is asked for it.
+    [[nodiscard]] policy::follower_duty configuration_duty() const {
+        const auto duty = follower_duty();
+        const bool is_behind = duty == policy::follower_duty::rely && m_exchange.hears_newer_configuration();
+        return is_behind ? policy::follower_duty::stand_by : duty;
+    }
+
+    [[nodiscard]] policy::follower_duty follower_duty() const {
+        return m_follower_choice.choose(m_slots.is_candidate(), std::chrono::steady_clock::now());
     }
 
     void report_health(const policy::slot_scheduler::health_change& change) {
@@ -191,9 +206,9 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this] { m_roster.take_outage(); },
+                [this] { m_roster.take_outage(); }, [this] { return m_roster.version(); },
                 [this] {
-                    return m_roster.version();
+                    return follower_duty();
                 }};
     }
 
@@ -262,6 +277,7 @@
     http::server m_readiness;
     metrics_endpoint m_metrics_server;
     timer_subscription m_flush_timer;
+    policy::follower_choice m_follower_choice;
 };
 
 } // namespace
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
 constexpr milliseconds patience_with_store{700};
 constexpr milliseconds patience_without_store{100};
 constexpr milliseconds exchange_limit{500};
+/// A peer that was silent for longer may be gone.
+constexpr milliseconds heard_life{1000};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -56,7 +59,8 @@
     return {{"version", from.version},
             {"is_whole", from.is_whole},
             {"registrations", std::move(registrations)},
-            {"gone", json::value_from(from.gone)}};
+            {"gone", json::value_from(from.gone)},
+            {"missed", json::value_from(from.missed)}};
 }
 
 backend_roster::update decode(const json::object& from) {
@@ -64,6 +68,9 @@
     result.version = from.at("version").to_number<std::uint64_t>();
     result.is_whole = from.at("is_whole").as_bool();
     result.gone = json::value_to<std::vector<std::string>>(from.at("gone"));
+    if (const auto* missed = from.if_contains("missed")) {
+        result.missed = json::value_to<std::vector<std::string>>(*missed);
+    }
     for (const auto& [id, entry] : from.at("registrations").as_object()) {
         result.present[id] = {json::value_to<std::string>(entry.at("value")),
                               entry.at("version").to_number<std::uint64_t>()};
@@ -116,12 +123,13 @@
 
 peer_exchange::peer_exchange(asio::any_io_executor executor, const asio::ip::tcp::endpoint& local,
                              configuration_keeper& configuration, backend_roster& backends,
-                             std::function<bool()> is_store_well)
+                             std::function<bool()> is_store_well, std::function<bool()> relies_on_peers)
     : m_executor(std::move(executor)),
       m_local(local),
       m_configuration(configuration),
       m_backends(backends),
       m_is_store_well(std::move(is_store_well)),
+      m_relies_on_peers(std::move(relies_on_peers)),
       m_sending(most_bytes_sending, small_answer),
       m_server(
           m_executor, {},
@@ -164,22 +172,57 @@
     return http::make_response(status_not_found, "text/plain", "");
 }
 
+/// From the first word that a peer has a newer configuration until it is asked. A document may be large, and
+/// the store has a wider link than the few gateways that all others hear.
+milliseconds peer_exchange::configuration_patience() const {
+    return m_is_store_well() || m_relies_on_peers() ? patience_with_store : patience_without_store;
+}
+
+/// The same for backend servers, of which only what changed is sent.
+milliseconds peer_exchange::backend_patience() const {
+    if (m_wants_backends || m_relies_on_peers()) {
+        return milliseconds(0);
+    }
+    return m_is_store_well() ? patience_with_store : patience_without_store;
+}
+
+bool peer_exchange::hears_newer_configuration() const {
+    return std::ranges::any_of(m_heard, [held = m_configuration.version()](const auto& entry) {
+        return entry.second.configuration > held;
+    });
+}
+
 void peer_exchange::hear(const asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends) {
     const auto now = clock::now();
-    const auto patience = m_is_store_well() ? patience_with_store : patience_without_store;
-    const asio::ip::tcp::endpoint address(peer, m_local.port());
-    if (m_configuration_lag.is_due(m_configuration.version(), configuration, patience, now)) {
+    m_heard[peer] = {configuration, backends, now};
+    if (m_configuration_lag.is_due(m_configuration.version(), configuration, configuration_patience(), now)) {
+        const auto address = choose_peer(&heard_peer::configuration, m_configuration.version(), now);
         report_question(address, "configuration", m_configuration.version(), configuration);
         asio::co_spawn(m_executor, ask_for_configuration(address), asio::detached);
     }
-    const auto backend_patience = m_wants_backends ? milliseconds(0) : patience;
-    if (m_backend_lag.is_due(m_backends.version(), backends, backend_patience, now)) {
+    if (m_backend_lag.is_due(m_backends.version(), backends, backend_patience(), now)) {
         m_wants_backends = false;
+        const auto address = choose_peer(&heard_peer::backends, m_backends.version(), now);
         report_question(address, "backends", m_backends.version(), backends);
         asio::co_spawn(m_executor, ask_for_backends(address), asio::detached);
     }
 }
 
+/// Any of those that are ahead: all gateways hear of a change from the one that coordinates, and it would
+/// have to answer each of them.
+asio::ip::tcp::endpoint peer_exchange::choose_peer(std::uint64_t heard_peer::* version, std::uint64_t held,
+                                                   clock::time_point now) {
+    std::erase_if(m_heard, [now](const auto& entry) { return now - entry.second.at > heard_life; });
+    std::vector<asio::ip::address> ahead;
+    for (const auto& [peer, heard] : m_heard) {
+        if (heard.*version > held) {
+            ahead.push_back(peer);
+        }
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, ahead.size() - 1);
+    return {ahead.at(choice(m_random)), m_local.port()};
+}
+
 asio::awaitable<void> peer_exchange::ask_for_configuration(asio::ip::tcp::endpoint peer) {
     try {
         const auto call = ask(configuration_target);
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -29,6 +29,10 @@
 /// configuration must be in force, long enough that a store in trouble isn't pressed.
 constexpr milliseconds first_retry_delay{250};
 constexpr milliseconds longest_retry_delay{800};
+/// The same for a gateway that nobody relies on: when the store is back it hears so from those that do.
+constexpr milliseconds longest_delay_of_others{3000};
+/// How often a gateway that is told what changes looks whether it still is.
+constexpr milliseconds duty_check_period{100};
 /// While nothing is known an unanswered question is asked again after a time in this range, some hundred
 /// times the store's usual 4 ms; a store that is slow by a factor of 50 still answers the first one.
 constexpr milliseconds least_first_read_period{300};
@@ -53,9 +57,7 @@
     for (;;) {
         std::string failure;
         try {
-            if (const auto known = m_handlers.known_version(); known > m_forgotten_version) {
-                m_version = std::max(m_version, known);
-            }
+            take_known_version();
             if (m_version == 0) {
                 co_await read_all();
             }
@@ -72,6 +74,25 @@
     }
 }
 
+void store_follower::take_known_version() {
+    if (const auto known = m_handlers.known_version(); known > m_forgotten_version) {
+        m_version = std::max(m_version, known);
+    }
+}
+
+/// What was told meanwhile need not be asked for.
+asio::awaitable<void> store_follower::wait_while_told() {
+    m_relies = m_handlers.read_duty() == policy::follower_duty::rely;
+    if (!m_relies) {
+        co_return;
+    }
+    while (m_handlers.read_duty() == policy::follower_duty::rely) {
+        co_await pause(m_timers, duty_check_period);
+    }
+    m_relies = false;
+    take_known_version();
+}
+
 asio::awaitable<void> store_follower::read_all() {
     // Spread: one gateway's answer is enough for all, since they pass it on.
     const auto period = draw_between(least_first_read_period, most_first_read_period);
@@ -85,7 +106,9 @@
 /// Spread, since all gateways meet the same outage at the same time; and longer while it lasts, since where
 /// hundreds of gateways are over the store's rate each early question is one more refusal.
 milliseconds store_follower::next_delay() {
-    const auto longest = std::min(first_retry_delay * (1U << std::min(m_failures, 4U)), longest_retry_delay);
+    const bool is_followed = m_handlers.read_duty() == policy::follower_duty::follow;
+    const auto most = is_followed ? longest_retry_delay : longest_delay_of_others;
+    const auto longest = std::min(first_retry_delay * (1U << std::min(m_failures, 4U)), most);
     ++m_failures;
     return draw_between(longest / 2, longest);
 }
@@ -119,6 +142,7 @@
 /// Returns when history was lost; throws store_error when the store is away.
 asio::awaitable<void> store_follower::follow() {
     for (;;) {
+        co_await wait_while_told();
         // At first without waiting, to learn soon whether the store is back.
         const auto wait = m_is_in_touch ? longest_wait : milliseconds(0);
         const auto page = co_await m_table.changes(m_table_name, m_version, wait);
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/timer_service.hpp"
+#include "policy/follower_duty.hpp"
 #include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -28,6 +29,8 @@
         /// The store's version up to which all changes are known from elsewhere, for instance from another
         /// gateway; 0: none.
         std::function<std::uint64_t()> known_version;
+        /// Whether this gateway is to ask at all; see policy/follower_duty.hpp.
+        std::function<policy::follower_duty()> read_duty;
     };
 
     store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
@@ -35,8 +38,8 @@
 
     void start();
 
-    /// Whether the store answered the last call.
-    [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch; }
+    /// Whether the store is asked and answered the last call.
+    [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch && !m_relies; }
 
 private:
     boost::asio::awaitable<void> run();
@@ -44,6 +47,8 @@
     void note_lost(std::string_view reason);
     void note_regained(std::uint64_t version);
     boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> wait_while_told();
+    void take_known_version();
     [[nodiscard]] std::chrono::milliseconds next_delay();
     [[nodiscard]] std::chrono::milliseconds draw_between(std::chrono::milliseconds least,
                                                          std::chrono::milliseconds most);
@@ -55,6 +60,7 @@
     std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
     std::uint64_t m_forgotten_version = 0; ///< the store has dropped the history after it
     bool m_is_in_touch = false;
+    bool m_relies = false;   ///< others tell what changes, and the store isn't asked
     unsigned m_failures = 0; ///< since the last answer
     std::optional<std::chrono::steady_clock::time_point> m_lost_since;
     handlers m_handlers;
--- a/src/policy/coordinator_election.cpp
+++ b/src/policy/coordinator_election.cpp
@@ -171,6 +171,11 @@
     return {best.key == m_self ? role::self : role::other, best.key};
 }
 
+bool coordinator_election::is_candidate(time_point now) const {
+    // Itself left out, the candidates are so many others only if it isn't among the first.
+    return candidates(now).size() < m_limits.candidates;
+}
+
 std::vector<member_key> coordinator_election::candidates(time_point now) const {
     std::vector<member_key> result;
     std::size_t seen = 0;
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -76,6 +76,8 @@
     [[nodiscard]] bool is_acting(time_point now) const { return choose(now).who == role::self; }
     [[nodiscard]] bool is_eligible(time_point now) const;
 
+    /// Whether all others that know the same members send heartbeats to this process.
+    [[nodiscard]] bool is_candidate(time_point now) const;
     /// Members to send heartbeats to: the first candidates that aren't absent.
     [[nodiscard]] std::vector<member_key> candidates(time_point now) const;
     /// Absent members that would be candidates, to be asked rarely whether they are back.
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -18,10 +18,22 @@
     if (!is_around_outage(now)) {
         return true;
     }
-    m_missed.try_emplace(std::string(server), now + grace);
+    note_missed(server, now);
     return false;
 }
 
+void registration_watch::note_missed(std::string_view server, time_point now) {
+    m_missed.try_emplace(std::string(server), now + grace);
+}
+
+std::vector<std::string> registration_watch::missed() const {
+    std::vector<std::string> result;
+    for (const auto& [server, until] : m_missed) {
+        result.push_back(server);
+    }
+    return result;
+}
+
 void registration_watch::note_present(std::string_view server) {
     const auto found = m_missed.find(server);
     if (found != m_missed.end()) {
--- a/src/policy/registration_watch.hpp
+++ b/src/policy/registration_watch.hpp
@@ -31,6 +31,10 @@
 
     /// A registration vanished: true when the server is to be taken as gone now; false when it is missed.
     [[nodiscard]] bool is_gone(std::string_view server, time_point now);
+    /// A registration is missed by another process, whose word is relied on here.
+    void note_missed(std::string_view server, time_point now);
+    /// Servers that are missed.
+    [[nodiscard]] std::vector<std::string> missed() const;
     /// A registration is there.
     void note_present(std::string_view server);
 
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -64,6 +64,54 @@
     CHECK(site.send(0, keyed_call("e", "old-key")).status == 401);
 }
 
+TEST_CASE("gateway: a key that is taken away stops to work at every gateway, asked or told",
+          "[gateway][configuration]") {
+    // Most gateways don't ask the store for changes. Should one of them miss a version, whoever has the key
+    // goes on using it there, and callers with the new one are turned away.
+    constexpr std::size_t gateways = 8;
+    auto options = plain_site(1, gateways);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    for (std::uint64_t version = 6; version < 10; ++version) {
+        const auto key = "key-" + std::to_string(version);
+        site.configure(with_key(base, version, key));
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+            wait_for_status(site, gateway, keyed_call("a", key), 200);
+            CHECK(site.send(gateway, keyed_call("b", "old-key")).status == 401);
+        }
+    }
+}
+
+TEST_CASE("gateway: what a change costs at the store doesn't grow with the gateways",
+          "[gateway][configuration]") {
+    // Servers come and go all day, and each call to the store is paid for. Every gateway asked for each
+    // change itself; now a few do, and tell the others.
+    constexpr std::size_t gateways = 8;
+    gateway_site site(plain_site(1, gateways));
+    const auto change = [&](std::size_t index) {
+        const auto id = "server-" + std::to_string(index);
+        site.start_backend(index, plain_backend(id));
+        wait_until("all gateways know " + id, [&] {
+            for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+                const auto text = site.process(gateway).output_text();
+                if (text.find("\"backend\":\"" + id + "\"") == std::string::npos) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    };
+    change(1); // ends the questions that all have open since their start
+    change(2);
+    const auto before = site.on_emulator([&] { return site.store().calls(); });
+    constexpr std::size_t changes = 6;
+    for (std::size_t index = 3; index < 3 + changes; ++index) {
+        change(index);
+    }
+    CHECK(site.on_emulator([&] { return site.store().calls(); }) - before < gateways * changes);
+}
+
 TEST_CASE("gateway: a configuration that can't be read changes nothing", "[gateway][configuration]") {
     // A faulty tool writes half a document. Serving by the last good one beats refusing everybody.
     gateway_site site(plain_site(1));
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -117,6 +117,22 @@
     CHECK(update.present.contains("a"));
 }
 
+TEST_CASE("a server that is missed is told as missed", "[gateway][roster]") {
+    // Its registration vanished while the store was away. A gateway that is told by others would keep it for
+    // good: that it didn't come back in time changes no version.
+    known_servers ahead;
+    ahead.register_server("a", 5);
+    ahead.roster().take_outage();
+    ahead.unregister_server("a", 6);
+    const auto update = ahead.roster().changes_after(5);
+    CHECK(update.missed == std::vector<std::string>{"a"});
+    known_servers behind;
+    behind.register_server("a", 5);
+    behind.roster().take_update(update);
+    CHECK(behind.knows("a"));
+    CHECK(behind.roster().changes_after(5).missed == std::vector<std::string>{"a"});
+}
+
 TEST_CASE("a request that holds a slot at a server that isn't known yet hears when it is",
           "[gateway][roster]") {
     // The coordinator has read of a server that has just started, this gateway hasn't. Its grants were given
