Large requests wait for the coordinator after a start too; what earlier work left

As between two coordinators, they wait now. The new case of test_slot_broker fails without it.

Of a fresh coordinator's own caution (buckets that start with a part of the tolerance) nothing is changed.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -1,7 +1,6 @@
 // Roles change with what is heard; the requests that wait or run are told to whoever decides next.
 #include "coordination/slot_broker.hpp"
 
-#include "base/hash.hpp"
 #include "base/identifier.hpp"
 #include "events/event_log.hpp"
 
@@ -50,10 +49,6 @@
 
 } // namespace
 
-policy::domain_key domain_key_of(std::string_view name) noexcept {
-    return name.empty() ? 0 : static_cast<policy::domain_key>(hash_bytes(name));
-}
-
 std::string_view to_string(slot_source source) noexcept {
     switch (source) {
     case slot_source::coordinator:
@@ -82,7 +77,8 @@
                      [this](const asio::ip::udp::endpoint& from, std::span<const std::byte> bytes) {
                          receive(from, bytes);
                      });
-    update_shares(clock::now());
+    m_alone_since = clock::now();
+    update_shares(m_alone_since);
     m_tick_timer = m_timers.every(m_executor, tick_period, [this] { tick(); });
 }
 
@@ -227,16 +223,17 @@
     }
 }
 
-bool slot_broker::expects_successor(policy::time_point now) const {
-    return m_source == slot_source::own_part && m_coordinator_lost.has_value() &&
-           now - *m_coordinator_lost < m_settings.successor_patience;
+/// Also for one that takes itself for the coordinator, as long as nobody asks it.
+bool slot_broker::expects_coordinator(policy::time_point now) const {
+    const bool is_alone = m_source != slot_source::coordinator && m_served.empty();
+    return is_alone && m_election.member_count() > 1 && now - m_alone_since < m_settings.successor_patience;
 }
 
-/// Between two coordinators each process has its part of every allowance and of the repeats only. One large
-/// request needs more than that, so callers who keep within their limits were refused whenever the gateway
-/// that decides was restarted. They wait for the next one instead.
+/// Between two coordinators, and after all processes were started at once, each has its part of every
+/// allowance and of the repeats only. One large request needs more than that, so callers who keep within
+/// their limits were refused at each such moment. They wait for the coordinator instead.
 void slot_broker::put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now) {
-    if (!expects_successor(now)) {
+    if (!expects_coordinator(now)) {
         return;
     }
     std::erase_if(refusals, [this](const policy::slot_refusal& refusal) {
@@ -373,7 +370,7 @@
     m_election.tick(now);
     expire_members(now);
     choose_source(now);
-    if (!m_put_off.empty() && !expects_successor(now)) {
+    if (!m_put_off.empty() && !expects_coordinator(now)) {
         ask_put_off_again(now);
     }
     send_heartbeats(now);
@@ -509,7 +506,6 @@
     }
     m_served.clear();
     m_coordinator.detach(m_self, clock::now());
-    m_coordinator_lost.reset();
     m_put_off.clear(); // told below, like all that wait
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
@@ -530,15 +526,10 @@
         m_served.clear();
     }
     if (before == slot_source::coordinator) {
+        m_alone_since = now;
         m_upstream.reset();
         m_coordinator.take(m_self, m_requests.tell_all(), now);
     }
-    if (source == slot_source::own_part) {
-        m_coordinator_lost = now;
-    } else {
-        m_coordinator_lost.reset();
-        ask_put_off_again(now);
-    }
     schedule_flush();
     report_source(before);
 }
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -27,16 +27,13 @@
 
 namespace borageford::coordination {
 
-/// The key of a failure domain by its name; 0 for none.
-[[nodiscard]] policy::domain_key domain_key_of(std::string_view name) noexcept;
-
 struct broker_settings {
     boost::asio::ip::udp::endpoint local; ///< all members use the same port
     double processor_share = 1;
     policy::domain_key domain = 0; ///< failure domain of this process
     bool coordinates = true;       ///< else this process always uses its own part
-    /// How long a request that the own part has no room for waits for a coordinator, after one was lost: one
-    /// is found within two or three heartbeats after the former counts as silent.
+    /// How long a request that the own part has no room for waits for a coordinator, after one was lost and
+    /// after a start: one is found within some heartbeats.
     std::chrono::milliseconds successor_patience{400};
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
@@ -101,6 +98,8 @@
     [[nodiscard]] bool is_candidate() const {
         return !m_settings.coordinates || m_election.is_candidate(clock::now());
     }
+    /// Members that the coordinator counts; 0: none has told.
+    [[nodiscard]] std::size_t members_told() const noexcept { return m_census.told(); }
 
 private:
     using clock = std::chrono::steady_clock;
@@ -130,7 +129,7 @@
     void attach_to(policy::member_key coordinator);
     void use_own(slot_source source);
     void update_shares(policy::time_point now);
-    [[nodiscard]] bool expects_successor(policy::time_point now) const;
+    [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
     void put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now);
     void ask_put_off_again(policy::time_point now);
     void expire_members(policy::time_point now);
@@ -155,10 +154,10 @@
     std::optional<peer_socket> m_socket;
 
     slot_source m_source = slot_source::own_part;
-    policy::member_key m_coordinating_member = 0;         ///< while m_source is coordinator
-    std::optional<batch_channel> m_upstream;              ///< while m_source is coordinator
-    std::optional<policy::time_point> m_coordinator_lost; ///< while m_source is own_part and there was one
-    /// Requests that the own part has no room for, and that a successor may have.
+    policy::member_key m_coordinating_member = 0; ///< while m_source is coordinator
+    std::optional<batch_channel> m_upstream;      ///< while m_source is coordinator
+    policy::time_point m_alone_since; ///< when this process started, or lost its coordinator, last
+    /// Requests that the own part has no room for, and that a coordinator may have.
     std::vector<policy::slot_ticket> m_put_off;
     std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
     std::set<policy::member_key> m_told_members;          ///< served ones for which something may be due
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -134,24 +134,21 @@
         return;
     }
     m_version = std::max(m_version, version);
-    auto record = read(id, value, known);
+    const bool is_told = known.version > 0 && known.value.empty();
+    auto record = read(id, value, is_told);
     known.version = version;
     if (!record.has_value()) {
-        // Also where the id stood for a good server before. Whoever wrote it, it is no word of a server that
-        // takes work; one that lives writes anew with its next heartbeat, and is missed no longer than that.
-        // Going on by the former entry would send requests to a server that may have written, in words that
-        // aren't known here, that it takes none.
-        known.value.clear();
-        take_out_of_use(id);
+        refuse_entry(id, known);
         return;
     }
     switch (m_starts.take(id, record->start)) {
     case policy::server_starts::verdict::superseded:
         return; // the entry of the later start stays, for the others too
     case policy::server_starts::verdict::untold:
-        report_unreadable(id, "it names no start, though the server does");
-        known.value.clear();
-        take_out_of_use(id);
+        if (!is_told) {
+            report_unreadable(id, "it names no start, though the server does");
+        }
+        refuse_entry(id, known);
         return;
     case policy::server_starts::verdict::restarted:
         take_restart(*record);
@@ -164,11 +161,19 @@
     put_in_use(std::move(*record), version);
 }
 
+/// Also where the id stood for a good server before. Whoever wrote it, it is no word of a server that takes
+/// work; one that lives writes anew with its next heartbeat, and is missed no longer than that. Going on by
+/// the former entry would send requests to a server that may have written, in words that aren't known here,
+/// that it takes none.
+void backend_roster::refuse_entry(const std::string& id, registration& known) {
+    known.value.clear();
+    take_out_of_use(id);
+}
+
 /// Nothing for an entry that names no server to use. One line tells of it while it stays so, however often it
 /// is written.
 std::optional<routing::backend_record> backend_roster::read(const std::string& id, std::string_view value,
-                                                            registration& known) {
-    const bool is_told = known.version > 0 && known.value.empty();
+                                                            bool is_told) const {
     try {
         return m_speech.decode_backend(id, value);
     } catch (const std::exception& error) {
@@ -188,7 +193,7 @@
                                                           {"start", record.start},
                                                           {"version", version}});
         m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
-                           coordination::domain_key_of(record.failure_domain));
+                           policy::domain_key_of(record.failure_domain));
     } else {
         m_slots.remove_server(record.key());
         events::write(events::event_kind::backend_draining, {{"backend", record.id}, {"version", version}});
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -64,7 +64,8 @@
 private:
     void take_present(const std::string& id, const std::string& value, std::uint64_t version);
     [[nodiscard]] std::optional<routing::backend_record> read(const std::string& id, std::string_view value,
-                                                              registration& known);
+                                                              bool is_told) const;
+    void refuse_entry(const std::string& id, registration& known);
     void put_in_use(routing::backend_record record, std::uint64_t version);
     void take_out_of_use(const std::string& id);
     void take_restart(const routing::backend_record& record);
--- a/src/policy/slot_request.cpp
+++ b/src/policy/slot_request.cpp
@@ -1,8 +1,14 @@
 // Names of reasons and outcomes, as logs and metrics show them.
 #include "policy/slot_request.hpp"
 
+#include "base/hash.hpp"
+
 namespace borageford::policy {
 
+domain_key domain_key_of(std::string_view name) noexcept {
+    return name.empty() ? 0 : static_cast<domain_key>(hash_bytes(name));
+}
+
 std::string_view to_string(refusal_reason reason) noexcept {
     switch (reason) {
     case refusal_reason::overloaded:
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -17,6 +17,9 @@
 using workspace_key = std::uint64_t;
 using domain_key = std::uint32_t; ///< of a failure domain
 
+/// The key of a failure domain by its name; 0 for none.
+[[nodiscard]] domain_key domain_key_of(std::string_view name) noexcept;
+
 /// Names a request that waits for a slot; unique where it is decided about.
 using slot_ticket = std::uint64_t;
 
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -372,12 +372,13 @@
         return;
     }
     const auto enough = grants.size() + std::min(terms.most, line.queue.size());
+    const auto all = servers_of(service);
     auto open = find_open(service, terms, now);
     for (auto waiting = line.queue.begin();
          waiting != line.queue.end() && !open.empty() && grants.size() < enough;) {
         const auto next = std::next(waiting);
         const bool is_in_time = terms.line == punctuality::in_time;
-        auto* server = choose_server(waiting->second, {open, servers_of(service), is_in_time, now});
+        auto* server = choose_server(waiting->second, {open, all, is_in_time, now});
         if (server != nullptr) {
             start(line, waiting, *server, now, grants);
             if (!is_open(*server, terms, now)) {
--- a/tests/unit/test_slot_broker.cpp
+++ b/tests/unit/test_slot_broker.cpp
@@ -158,6 +158,21 @@
     CHECK_FALSE(site.was_refused(large));
 }
 
+TEST_CASE("a large request that comes right after a start waits for the coordinator",
+          "[coordination][slot_broker]") {
+    // All gateways were killed and are back. Each has its part of every allowance until it has found who
+    // coordinates, and the callers of large requests, who come back at once, were refused.
+    played_site site;
+    site.other().coordinate(false);
+    const auto large = site.ask(30000);
+    const auto small = site.ask(500);
+    site.run_until([&] { return site.was_granted(small); });
+    CHECK_FALSE(site.was_refused(large));
+    site.other().coordinate(true);
+    site.run_until([&] { return site.other().was_asked(large); });
+    CHECK_FALSE(site.was_refused(large));
+}
+
 TEST_CASE("a member tells the next coordinator what its requests met at servers",
           "[coordination][slot_broker]") {
     // A server took no connection from this gateway. Whoever decides next would send others' requests there.
