A dozen more gateways ask the store, so that its silence to a few can't blind all

The store turned a third of the gateways away without a word for nine seconds, all three candidates among them. Their questions stayed open as if nothing changed, so they said that the store answered them, and the 19 others relied on them.

Ruled out: short questions, so that silence shows (two a second and table at three gateways cost more than they save on small sites). Now each other gateway follows too, with a share that makes a dozen of them on average (store_followers); with up to 14 gateways all do, as before the change. That none of a dozen and of the candidates is answered when a third is turned away: 1 in 100,000 (arithmetic).

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -24,6 +24,7 @@
 
 #include <iostream>
 #include <memory>
+#include <random>
 #include <set>
 #include <utility>
 #include <vector>
@@ -42,6 +43,12 @@
 /// Lines wait this long for the one system call that writes them all.
 constexpr milliseconds log_flush_period{50};
 
+/// A number in [0, 1).
+double draw_share() {
+    std::random_device source;
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
 class gateway_process {
 public:
     gateway_process(std::string settings_file, gateway_settings settings, const deployment& speech)
@@ -125,7 +132,7 @@
         coordination::broker_settings result;
         result.local = {m_settings.peers_listen.address(), m_settings.peers_listen.port()};
         result.processor_share = m_settings.processor_share;
-        result.domain = coordination::domain_key_of(m_settings.common.failure_domain);
+        result.domain = policy::domain_key_of(m_settings.common.failure_domain);
         result.coordinates = m_settings.coordinates;
         result.successor_patience = m_settings.successor_patience;
         result.slots = m_settings.slots;
@@ -179,7 +186,8 @@
     }
 
     [[nodiscard]] policy::follower_duty follower_duty() const {
-        return m_follower_choice.choose(m_slots.is_candidate(), std::chrono::steady_clock::now());
+        return m_follower_choice.choose(m_slots.is_candidate(), m_slots.members_told(),
+                                        std::chrono::steady_clock::now());
     }
 
     void report_health(const policy::slot_scheduler::health_change& change) {
@@ -277,7 +285,7 @@
     http::server m_readiness;
     metrics_endpoint m_metrics_server;
     timer_subscription m_flush_timer;
-    policy::follower_choice m_follower_choice;
+    policy::follower_choice m_follower_choice{static_cast<double>(m_settings.store_followers), draw_share()};
 };
 
 } // namespace
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -70,6 +70,8 @@
         reader.duration("configuration_patience", result.configuration_patience, shortest, longest);
     result.successor_patience =
         reader.duration("successor_patience", result.successor_patience, shortest, longest);
+    result.store_followers =
+        static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
     read_slots(reader, result.slots);
     reader.finish();
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -38,9 +38,14 @@
     milliseconds configuration_patience{400};
 
     /// How long a request for which this process's own part of an allowance doesn't suffice waits for a
-    /// coordinator to be found, after one was lost.
+    /// coordinator to be found, after one was lost and after a start.
     milliseconds successor_patience{400};
 
+    /// Gateways that ask the store for changes besides the few that all others hear; the rest are told by
+    /// them. Enough of them that a store which turns a third of all away, without a word, answers some of
+    /// these.
+    unsigned store_followers = 12;
+
     // Bounds that all gateways keep together.
     double retry_ratio = 0.1;  ///< repeated sends to a service, as a share of its requests
     double retry_reserve = 10; ///< repeated sends allowed beyond that in one window
