--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -226,7 +226,7 @@
 /// Also for one that takes itself for the coordinator, as long as nobody asks it.
 bool slot_broker::expects_coordinator(policy::time_point now) const {
     const bool is_alone = m_source != slot_source::coordinator && m_served.empty();
-    return is_alone && m_election.member_count() > 1 && now - m_alone_since < m_settings.successor_patience;
+    return is_alone && m_election.member_count() > 1 && now - m_alone_since < m_settings.coordinator_patience;
 }
 
 /// Between two coordinators, and after all processes were started at once, each has its part of every
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -34,7 +34,7 @@
     bool coordinates = true;       ///< else this process always uses its own part
     /// How long a request that the own part has no room for waits for a coordinator, after one was lost and
     /// after a start: one is found within some heartbeats.
-    std::chrono::milliseconds successor_patience{400};
+    std::chrono::milliseconds coordinator_patience{400};
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::allowance_limits allowances;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -134,7 +134,7 @@
         result.processor_share = m_settings.processor_share;
         result.domain = policy::domain_key_of(m_settings.common.failure_domain);
         result.coordinates = m_settings.coordinates;
-        result.successor_patience = m_settings.successor_patience;
+        result.coordinator_patience = m_settings.coordinator_patience;
         result.slots = m_settings.slots;
         result.allowances.window = m_settings.allowance_window;
         result.allowances.slack = m_settings.allowance_slack;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -68,8 +68,8 @@
     result.coordinates = reader.flag("coordination", result.coordinates);
     result.configuration_patience =
         reader.duration("configuration_patience", result.configuration_patience, shortest, longest);
-    result.successor_patience =
-        reader.duration("successor_patience", result.successor_patience, shortest, longest);
+    result.coordinator_patience =
+        reader.duration("coordinator_patience", result.coordinator_patience, shortest, longest);
     result.store_followers =
         static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -39,7 +39,7 @@
 
     /// How long a request for which this process's own part of an allowance doesn't suffice waits for a
     /// coordinator to be found, after one was lost and after a start.
-    milliseconds successor_patience{400};
+    milliseconds coordinator_patience{400};
 
     /// Gateways that ask the store for changes besides the few that all others hear; the rest are told by
     /// them. Enough of them that a store which turns a third of all away, without a word, answers some of
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -192,9 +192,18 @@
     });
 }
 
+/// Gateways are replaced at other addresses all the time: those that are silent are forgotten.
+void peer_exchange::note_heard(const asio::ip::address& peer, const heard_peer& heard) {
+    m_heard[peer] = heard;
+    if (heard.at >= m_next_forgetting) {
+        std::erase_if(m_heard, [&](const auto& entry) { return heard.at - entry.second.at > heard_life; });
+        m_next_forgetting = heard.at + heard_life;
+    }
+}
+
 void peer_exchange::hear(const asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends) {
     const auto now = clock::now();
-    m_heard[peer] = {configuration, backends, now};
+    note_heard(peer, {configuration, backends, now});
     if (m_configuration_lag.is_due(m_configuration.version(), configuration, configuration_patience(), now)) {
         const auto address = choose_peer(&heard_peer::configuration, m_configuration.version(), now);
         report_question(address, "configuration", m_configuration.version(), configuration);
@@ -212,10 +221,9 @@
 /// have to answer each of them.
 asio::ip::tcp::endpoint peer_exchange::choose_peer(std::uint64_t heard_peer::* version, std::uint64_t held,
                                                    clock::time_point now) {
-    std::erase_if(m_heard, [now](const auto& entry) { return now - entry.second.at > heard_life; });
     std::vector<asio::ip::address> ahead;
     for (const auto& [peer, heard] : m_heard) {
-        if (heard.*version > held) {
+        if (heard.*version > held && now - heard.at <= heard_life) {
             ahead.push_back(peer);
         }
     }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -64,6 +64,7 @@
         std::uint64_t backends = 0;
         clock::time_point at;
     };
+    void note_heard(const boost::asio::ip::address& peer, const heard_peer& heard);
     /// One of the peers that hold more than `held`; at least one does.
     [[nodiscard]] boost::asio::ip::tcp::endpoint choose_peer(std::uint64_t heard_peer::* version,
                                                              std::uint64_t held, clock::time_point now);
@@ -82,6 +83,7 @@
     http::server m_server;
     std::minstd_rand m_random{std::random_device{}()};
     std::map<boost::asio::ip::address, heard_peer> m_heard;
+    clock::time_point m_next_forgetting; ///< of peers that are silent
     lag m_configuration_lag;
     lag m_backend_lag;
     bool m_wants_backends = false;
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -1,6 +1,8 @@
 // One moment for each missed server.
 #include "policy/registration_watch.hpp"
 
+#include <ranges>
+
 namespace borageford::policy {
 
 bool registration_watch::is_around_outage(time_point now) const noexcept {
@@ -27,11 +29,8 @@
 }
 
 std::vector<std::string> registration_watch::missed() const {
-    std::vector<std::string> result;
-    for (const auto& [server, until] : m_missed) {
-        result.push_back(server);
-    }
-    return result;
+    const auto ids = std::views::keys(m_missed);
+    return {ids.begin(), ids.end()};
 }
 
 void registration_watch::note_present(std::string_view server) {
--- a/tests/unit/test_clock_use.cpp
+++ b/tests/unit/test_clock_use.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -18,8 +19,9 @@
     std::stringstream text;
     text << file.rdbuf();
     const auto code = text.str();
-    constexpr std::string_view ways[] = {"system_clock", "high_resolution_clock", "utc_clock", "std::time(",
-                                         "gettimeofday", "CLOCK_REALTIME",        "file_clock"};
+    constexpr std::array<std::string_view, 7> ways{"system_clock", "high_resolution_clock", "utc_clock",
+                                                   "std::time(",   "gettimeofday",          "CLOCK_REALTIME",
+                                                   "file_clock"};
     return std::ranges::any_of(ways,
                                [&](std::string_view way) { return code.find(way) != std::string::npos; });
 }
--- a/tests/unit/test_slot_broker.cpp
+++ b/tests/unit/test_slot_broker.cpp
@@ -119,7 +119,7 @@
     broker_settings make_settings() const {
         broker_settings settings;
         settings.local = {asio::ip::make_address("127.0.0.1"), m_other.port()};
-        settings.successor_patience = 1h;
+        settings.coordinator_patience = 1h;
         settings.allowances.slack = 60000;
         return settings;
     }
