A soak whose size needs more descriptors than there are is refused with the figure

Every gateway comes to hold a connection to every server, three descriptors each: 57,550 for that size, of 20,000 (arithmetic; 10,800 at the start were counted before). Now the command says so before it starts anything, and ends with 2. The sizes that passed and failed before are the new test's cases, which fail without the check.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,5 +1,7 @@
 // Plays one soak: real gateways, emulated everything else, faults drawn from a seed, and the promises checked
-// against what callers and backend servers see. Exit code 0 when every promise held, 1 when one was broken.
+// against what callers and backend servers see. Exit code 0 when every promise held, 1 when one was broken,
+// 2 when the soak can't be played.
+#include "soak/descriptor_need.hpp"
 #include "soak/fault_schedule.hpp"
 #include "soak/promise_checks.hpp"
 #include "soak/soak_callers.hpp"
@@ -25,6 +27,7 @@
 
 /// How often processes are looked after between two faults.
 constexpr milliseconds look_period{50};
+constexpr int wrong_size_exit_code = 2;
 
 struct soak_options {
     schedule_size schedule;
@@ -259,6 +262,11 @@
 };
 
 int play(const soak_options& options) {
+    const soak_size size{options.schedule.gateways, options.schedule.servers, options.callers};
+    if (const auto reason = refuse_size(size, descriptor_limit())) {
+        std::cerr << "soak: " << *reason << '\n';
+        return wrong_size_exit_code;
+    }
     std::filesystem::remove_all(options.folder);
     soak_deployment deployment(options.deployment, options.folder);
     const auto faults = draw_faults(options.schedule);
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -1,4 +1,5 @@
 // The soak's own checks: each finds what breaks its promise, and lets pass what the promise allows.
+#include "soak/descriptor_need.hpp"
 #include "soak/disturbance_log.hpp"
 #include "soak/fault_schedule.hpp"
 #include "soak/promise_checks.hpp"
@@ -165,3 +166,16 @@
     }
     CHECK_THROWS_AS(parse_fault_kind("no_such_fault"), std::invalid_argument);
 }
+
+TEST_CASE("a soak that can't have the descriptors that it needs is refused with the figure", "[soak]") {
+    // Two hundred and fifty gateways before sixty servers: the program ended after two seconds with "Too many
+    // open files" and no verdict. A hundred before twenty passed, and a hundred before sixty did not.
+    constexpr std::size_t limit = 20000;
+    const auto refused = refuse_size({250, 61, 300}, limit);
+    REQUIRE(refused.has_value());
+    CHECK(refused->find(std::to_string(count_descriptors({250, 61, 300}))) != std::string::npos);
+    CHECK(refuse_size({100, 61, 120}, limit).has_value());
+    CHECK_FALSE(refuse_size({100, 21, 120}, limit).has_value());
+    CHECK_FALSE(refuse_size({40, 31, 120}, limit).has_value());
+    CHECK_FALSE(refuse_size({3, 7, 24}, limit).has_value());
+}
