--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -34,8 +34,8 @@
 constexpr milliseconds member_silence{600};
 /// Without an acknowledgement for this long a session is begun anew; some retransmissions fit into it.
 constexpr milliseconds stuck_session_limit{250};
-/// Servers that a member tells a coordinator of at first: some four datagrams from each, and from 350 members
-/// 1 MB together, half a second of a link of 20 Mbit/s.
+/// Servers that a member tells a coordinator of at first: a few datagrams from each, so that hundreds that
+/// attach together don't fill a small machine's link.
 constexpr std::size_t most_reports = 64;
 constexpr unsigned ticket_shift = 32;
 
