What a release teaches of a server's speed is learned in one place

slot_server::observe, for requests that another process decided about, repeated the two lines of learn(). Both call one function now; the rest that is left of a server is told without the detour over the clock's minimum. Behaviour is the same.

--- a/src/policy/slot_server.cpp
+++ b/src/policy/slot_server.cpp
@@ -20,6 +20,14 @@
 /// A failure that was longer ago says nothing of the server as it is now: rests are shorter.
 constexpr std::chrono::seconds longest_told_failure{5};
 
+/// How soon it began and how fast it went on, whoever had given it the request.
+void learn_speed(slot_server& server, const slot_release& ended, double prompt) {
+    if (ended.first_event > duration::zero()) {
+        server.first_event.learn(prompt, ended.first_event);
+        server.pace.learn(ended.output, ended.busy - ended.first_event);
+    }
+}
+
 } // namespace
 
 duration slot_server::expect_first_event(const slot_request& request, time_point now) const {
@@ -47,10 +55,9 @@
     if (ended.outcome == slot_outcome::served) {
         turnover.learn(ended.busy, outstanding);
     }
+    learn_speed(*this, ended, prompt);
     if (ended.first_event > duration::zero()) {
-        first_event.learn(prompt, ended.first_event);
         reading.note_read(read_mark, now - (ended.busy - ended.first_event));
-        pace.learn(ended.output, ended.busy - ended.first_event);
     }
 }
 
@@ -59,10 +66,7 @@
         // How many ran beside it isn't known here; what is asked of the turnover concerns a full server.
         turnover.learn(ended.busy, slots);
     }
-    if (ended.first_event > duration::zero()) {
-        first_event.learn(prompt, ended.first_event);
-        pace.learn(ended.output, ended.busy - ended.first_event);
-    }
+    learn_speed(*this, ended, prompt);
 }
 
 server_report slot_server::report(time_point now) const {
@@ -71,9 +75,9 @@
     if (health.last_failure() != time_point::min()) {
         result.failed_ago = now - health.last_failure();
     }
-    result.rest_left =
-        std::max(duration::zero(),
-                 health.rests_until() == time_point::min() ? duration::zero() : health.rests_until() - now);
+    if (health.rests_until() > now) {
+        result.rest_left = health.rests_until() - now;
+    }
     result.rests = health.rests();
     result.first_event_ms = first_event.fixed_ms();
     result.first_event_ms_per_token = first_event.ms_per_token();
