Gateway metrics: when the store last answered about a table, and since when a question is open

Hypothesis 1 (a lost question stays open) shows as both gauges growing together, hypothesis 2 (answers that tell nothing) as an age that stays small.

Test: 'gateway: its metrics tell a store that answers nothing from one without changes'; before, the metrics had no such line.

--- a/src/experiment/gateway_files.cpp
+++ b/src/experiment/gateway_files.cpp
@@ -11,14 +11,15 @@
 
 std::string gateway_file_text(const boost::asio::ip::tcp::endpoint& store,
                               std::span<const gateway_place> gateways, std::size_t index,
-                              std::string_view further) {
+                              std::string_view further, std::chrono::milliseconds store_timeout) {
     const auto& place = gateways[index];
     const auto at = [&](unsigned offset) {
         return place.address.to_string() + ":" + std::to_string(place.first_port + offset);
     };
     std::ostringstream text;
     text << "[process]\nvm = gateway-" << index << "\nfailure_domain = a\nregion = r\nlog_format = json\n\n"
-         << "[platform]\naddress = " << http::to_string(store) << "\ntimeout = 500ms\n\n"
+         << "[platform]\naddress = " << http::to_string(store) << "\ntimeout = " << store_timeout.count()
+         << "ms\n\n"
          << "[gateway]\ncallers_listen = " << at(0) << "\nreadiness_listen = " << at(1)
          << "\npeers_listen = " << at(2) << "\nmetrics_listen = " << at(3) << "\nseeds = ";
     for (std::size_t other = 0; other < gateways.size(); ++other) {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -126,6 +126,20 @@
         m_registry.add_gauge("borageford_gateway_lost_log_lines",
                              "Log lines dropped because nobody read them.", {},
                              [] { return static_cast<double>(events::lost_lines()); });
+        add_store_gauges(m_speech.configuration_table, m_configuration_follower);
+        add_store_gauges(m_speech.backend_table, m_backend_follower);
+    }
+
+    void add_store_gauges(const std::string& table, const store_follower& follower) {
+        using seconds = std::chrono::duration<double>;
+        m_registry.add_gauge("borageford_gateway_store_answer_age_seconds",
+                             "Time since the store last answered a question about the table.",
+                             {{"table", table}},
+                             [&follower] { return seconds(follower.answer_age()).count(); });
+        m_registry.add_gauge("borageford_gateway_store_question_age_seconds",
+                             "Time since the open question about the table was asked; 0: none is open.",
+                             {{"table", table}},
+                             [&follower] { return seconds(follower.question_age()).count(); });
     }
 
     coordination::broker_settings make_broker_settings() const {
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -94,6 +94,7 @@
 }
 
 asio::awaitable<void> store_follower::read_all() {
+    note_asked();
     // Spread: one gateway's answer is enough for all, since they pass it on.
     const auto period = draw_between(least_first_read_period, most_first_read_period);
     const auto all =
@@ -118,19 +119,30 @@
     return milliseconds(spread(m_random));
 }
 
+void store_follower::note_asked() {
+    m_asked_at = clock::now();
+}
+
+store_follower::clock::duration store_follower::question_age() const {
+    return m_asked_at.has_value() ? clock::now() - *m_asked_at : clock::duration::zero();
+}
+
 void store_follower::note_lost(std::string_view reason) {
+    m_asked_at.reset();
     m_is_in_touch = false;
     if (!m_lost_since.has_value()) {
-        m_lost_since = std::chrono::steady_clock::now();
+        m_lost_since = clock::now();
         events::write(events::event_kind::store_lost, {{"table", m_table_name}, {"reason", reason}});
     }
 }
 
 void store_follower::note_regained(std::uint64_t version) {
+    m_asked_at.reset();
+    m_answered_at = clock::now();
     m_is_in_touch = true;
     m_failures = 0;
     if (m_lost_since.has_value()) {
-        const auto lost = std::chrono::steady_clock::now() - *m_lost_since;
+        const auto lost = m_answered_at - *m_lost_since;
         m_lost_since.reset();
         events::write(events::event_kind::store_regained,
                       {{"table", m_table_name},
@@ -145,6 +157,7 @@
         co_await wait_while_told();
         // At first without waiting, to learn soon whether the store is back.
         const auto wait = m_is_in_touch ? longest_wait : milliseconds(0);
+        note_asked();
         const auto page = co_await m_table.changes(m_table_name, m_version, wait);
         if (!page.has_value()) {
             m_forgotten_version = std::exchange(m_version, 0);
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -20,6 +20,8 @@
 
 class store_follower {
 public:
+    using clock = std::chrono::steady_clock;
+
     struct handlers {
         /// All rows as of one moment: at the start, and after history was lost or the store was away.
         std::function<void(const store::row_page&)> on_all;
@@ -41,9 +43,15 @@
     /// Whether the store is asked and answered the last call.
     [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch && !m_relies; }
 
+    /// Time since the store answered a question about the table, or since the start while it hasn't.
+    [[nodiscard]] clock::duration answer_age() const { return clock::now() - m_answered_at; }
+    /// Time since the question was asked that is open now; zero: none is.
+    [[nodiscard]] clock::duration question_age() const;
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
+    void note_asked();
     void note_lost(std::string_view reason);
     void note_regained(std::uint64_t version);
     boost::asio::awaitable<void> follow();
@@ -62,7 +70,9 @@
     bool m_is_in_touch = false;
     bool m_relies = false;   ///< others tell what changes, and the store isn't asked
     unsigned m_failures = 0; ///< since the last answer
-    std::optional<std::chrono::steady_clock::time_point> m_lost_since;
+    std::optional<clock::time_point> m_lost_since;
+    clock::time_point m_answered_at = clock::now();
+    std::optional<clock::time_point> m_asked_at; ///< of the question that is open
     handlers m_handlers;
     std::minstd_rand m_random;
 };
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -40,6 +40,20 @@
     site.on_emulator([&] { site.store().set_state(state); });
 }
 
+/// A site whose calls to the store don't count as lost by their time alone before a test is over.
+site_options forgetful_site(std::size_t servers, std::size_t gateways) {
+    auto options = plain_site(servers, gateways);
+    options.store_timeout = std::chrono::minutes(1);
+    return options;
+}
+
+double store_gauge(const gateway_site& site, const std::string& name, const std::string& table) {
+    const auto text = fetch_text(site.metrics(0), "/metrics");
+    const auto line = "\nborageford_gateway_store_" + name + "{table=\"" + table + "\"} ";
+    const auto found = text.find(line);
+    return found == std::string::npos ? -1 : std::stod(text.substr(found + line.size()));
+}
+
 void wait_for_status(gateway_site& site, std::size_t gateway, const http::request& call, unsigned status) {
     wait_until("status " + std::to_string(status), [&] { return site.send(gateway, call).status == status; });
 }
@@ -183,6 +197,19 @@
     wait_for_status(site, 0, keyed_call("after", "new-key"), 200);
 }
 
+TEST_CASE("gateway: its metrics tell a store that answers nothing from one without changes",
+          "[gateway][metrics]") {
+    // On call, both looked the same: no line in the log and the former version in force.
+    gateway_site site(forgetful_site(1, 1));
+    set_store(site, store_state::silent);
+    for (const std::string table : {"op", "servers"}) {
+        wait_until("the last answer is old and a question is open", [&] {
+            return store_gauge(site, "answer_age_seconds", table) > 1 &&
+                   store_gauge(site, "question_age_seconds", table) > 1;
+        });
+    }
+}
+
 TEST_CASE("gateway: one that never reached the store learns everything from its peer",
           "[gateway][configuration]") {
     // The store turns one machine away, for hours perhaps. Its callers would be refused, or served by servers
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -150,7 +150,8 @@
     for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
         places.push_back({asio::ip::make_address(gateway_address(gateway)), m_port});
     }
-    return experiment::gateway_file_text(m_store_address, places, index, "retry_reserve = 1000\n" + further);
+    return experiment::gateway_file_text(m_store_address, places, index, "retry_reserve = 1000\n" + further,
+                                         m_options.store_timeout);
 }
 
 void gateway_site::write_settings(std::size_t index, const std::string& further) {
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <future>
 #include <map>
@@ -31,6 +32,8 @@
     bool is_configured = true;
     std::vector<emulator::backend_options> backends;
     std::string gateway_settings = {}; ///< further lines of [gateway]
+    /// After which a call to the store counts as lost.
+    std::chrono::milliseconds store_timeout{500};
 };
 
 /// One route to one plain service named "plain", host "site.example", prefix "/plain/".
