--- a/src/emulator/emulated_store.cpp
+++ b/src/emulator/emulated_store.cpp
@@ -52,14 +52,23 @@
         co_return;
     }
     if (m_state == store_state::silent) {
-        co_await writer.wait_for_disconnect();
-        writer.cut();
+        co_await leave_unanswered(writer);
         co_return;
     }
     const auto whole = co_await answer(call);
+    if (m_state == store_state::silent) {
+        co_await leave_unanswered(writer);
+        co_return;
+    }
     co_await writer.write(whole);
 }
 
+asio::awaitable<void> emulated_store::leave_unanswered(http::response_writer& writer) {
+    ++m_unanswered;
+    co_await writer.wait_for_disconnect();
+    writer.cut();
+}
+
 asio::awaitable<http::response> emulated_store::answer(const http::request& call) {
     if (m_state == store_state::busy) {
         co_return refuse(status_unavailable);
--- a/src/emulator/emulated_store.hpp
+++ b/src/emulator/emulated_store.hpp
@@ -20,7 +20,7 @@
     busy,   ///< refuses every call; nothing is done
     many,   ///< refuses every call as over its rate
     reset,  ///< ends every connection without an answer
-    silent, ///< takes calls and never answers
+    silent, ///< takes calls and never answers, nor those that are open when it falls silent
 };
 
 /// Belongs to one thread's executor.
@@ -36,9 +36,12 @@
     /// Every answer takes this long.
     void set_delay(std::chrono::milliseconds delay) noexcept { m_delay = delay; }
     [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
+    /// Calls that were taken and will never be answered.
+    [[nodiscard]] std::uint64_t unanswered() const noexcept { return m_unanswered; }
 
 private:
     boost::asio::awaitable<void> handle(const http::request& call, http::response_writer& writer);
+    boost::asio::awaitable<void> leave_unanswered(http::response_writer& writer);
     boost::asio::awaitable<http::response> answer(const http::request& call);
     boost::asio::awaitable<http::response> wait_for_changes(std::string table, std::uint64_t after,
                                                             std::chrono::milliseconds wait);
@@ -48,6 +51,7 @@
     store_state m_state = store_state::well;
     std::chrono::milliseconds m_delay{0};
     std::uint64_t m_calls = 0;
+    std::uint64_t m_unanswered = 0;
     http::server m_server;
 };
 
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -47,6 +47,14 @@
     return options;
 }
 
+/// The store falls silent until every gateway's two questions for changes are lost, and is well again.
+void lose_open_questions(gateway_site& site, std::size_t gateways) {
+    set_store(site, store_state::silent);
+    wait_until("all questions are lost",
+               [&] { return site.on_emulator([&] { return site.store().unanswered(); }) >= 2 * gateways; });
+    set_store(site, store_state::well);
+}
+
 double store_gauge(const gateway_site& site, const std::string& name, const std::string& table) {
     const auto text = fetch_text(site.metrics(0), "/metrics");
     const auto line = "\nborageford_gateway_store_" + name + "{table=\"" + table + "\"} ";
@@ -197,6 +205,38 @@
     wait_for_status(site, 0, keyed_call("after", "new-key"), 200);
 }
 
+TEST_CASE("gateway: a change is in force although the store lost the questions for it",
+          "[gateway][configuration]") {
+    // The store is silent for a moment and loses all that was asked of it; no gateway may wait for the
+    // answer.
+    constexpr std::size_t gateways = 3;
+    auto options = forgetful_site(1, gateways);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    lose_open_questions(site, gateways);
+    site.configure(with_key(base, 6, "new-key"));
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        wait_for_status(site, gateway, keyed_call("a", "new-key"), 200);
+        CHECK(site.send(gateway, keyed_call("b", "old-key")).status == 401);
+    }
+}
+
+TEST_CASE("gateway: a server that leaves is known to although the store lost the questions for it",
+          "[gateway][membership]") {
+    // The same of backend servers: requests would go to one that has left.
+    constexpr std::size_t gateways = 3;
+    gateway_site site(forgetful_site(2, gateways));
+    lose_open_questions(site, gateways);
+    site.register_backend(0, "draining");
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        wait_until("the server is known to leave", [&] {
+            const auto text = site.process(gateway).output_text();
+            return text.find(R"("event":"backend_draining")") != std::string::npos;
+        });
+    }
+}
+
 TEST_CASE("gateway: its metrics tell a store that answers nothing from one without changes",
           "[gateway][metrics]") {
     // On call, both looked the same: no line in the log and the former version in force.
