A question that the store may have lost is asked again before its time is over

Callers saw: a key that was taken away went on working, a new route was not found, for up to half a minute after the store had been silent for some seconds.

Cause: a question for changes stays open for 20 s while nothing changes, and a silent store loses questions: those that it takes meanwhile, and those that are open when a change would have to be told. After it is well again such a question looks like one to which the answer is still 'nothing has changed'. The follower knew no other sign, and asked no second time before 22 s were over.

Change: what is held counts as confirmed up to the last answer. One whose last answer is older than the time in which a change must be known asks once more, beside the open question, since a store that is only slow may still answer that; and so on until the first answer, which closes the others (store/repeated_question, also for the first read). An answer that is overdue counts as an outage, so that registrations which vanish because the store took no heartbeats are missed instead of given up. The times follow from configuration_limit and drain_limit (policy/follower_pace), which were read and used nowhere.

The same cause elsewhere: the table of servers, through the same code.

--- a/src/emulator/emulated_store.cpp
+++ b/src/emulator/emulated_store.cpp
@@ -21,6 +21,11 @@
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
+std::uint64_t clock_ms() {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
 http::response refuse(unsigned status) {
     return http::make_response(status, "application/json", "{}");
 }
@@ -66,6 +71,7 @@
 asio::awaitable<void> emulated_store::leave_unanswered(http::response_writer& writer) {
     ++m_unanswered;
     co_await writer.wait_for_disconnect();
+    --m_unanswered;
     writer.cut();
 }
 
@@ -78,7 +84,9 @@
     }
     const auto decoded = platform::decode_store_call(call);
     if (const auto* scan = std::get_if<platform::scan_call>(&decoded)) {
-        co_return platform::encode_rows(m_rows.scan(scan->prefix, scan->after, scan->limit));
+        auto page = m_rows.scan(scan->prefix, scan->after, scan->limit);
+        page.store_time = clock_ms();
+        co_return platform::encode_rows(page);
     }
     if (const auto* changes = std::get_if<platform::changes_call>(&decoded)) {
         auto answered = co_await wait_for_changes(changes->table, changes->after, changes->wait);
@@ -105,12 +113,13 @@
                                                                  milliseconds wait) {
     const auto end = std::chrono::steady_clock::now() + wait;
     for (;;) {
-        const auto page = m_rows.changes(table, after);
+        auto page = m_rows.changes(table, after);
         if (!page.has_value()) {
             co_return platform::encode_history_gone();
         }
         const bool is_over = std::chrono::steady_clock::now() >= end || m_state != store_state::well;
         if (!page->changes.empty() || is_over) {
+            page->store_time = clock_ms();
             co_return platform::encode_changes(*page);
         }
         co_await pause(m_timers, look_period);
--- a/src/emulator/emulated_store.hpp
+++ b/src/emulator/emulated_store.hpp
@@ -36,7 +36,7 @@
     /// Every answer takes this long.
     void set_delay(std::chrono::milliseconds delay) noexcept { m_delay = delay; }
     [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
-    /// Calls that were taken and will never be answered.
+    /// Calls whose callers wait for an answer that never comes.
     [[nodiscard]] std::uint64_t unanswered() const noexcept { return m_unanswered; }
 
 private:
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,6 +22,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -69,9 +70,9 @@
               [this] { return is_store_well(); },
               [this] { return follower_duty() == policy::follower_duty::rely; }),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
-                                   speech.configuration_table, make_configuration_handlers()),
+                                   speech.configuration_table, make_pace(), make_configuration_handlers()),
           m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table, speech.backend_table,
-                             make_backend_handlers()),
+                             make_pace(), make_backend_handlers()),
           m_acceptor(m_runtime.executor()),
           m_stop(m_context, m_acceptor, [this] { m_runtime.finish(); }),
           m_readiness(
@@ -199,7 +200,14 @@
         return is_behind ? policy::follower_duty::stand_by : duty;
     }
 
+    [[nodiscard]] policy::follower_pace make_pace() const {
+        return {std::min(m_settings.configuration_limit, m_settings.drain_limit), draw_share()};
+    }
+
     [[nodiscard]] policy::follower_duty follower_duty() const {
+        if (m_slots.source() == coordination::slot_source::own_coordination) {
+            return policy::follower_duty::confirm;
+        }
         return m_follower_choice.choose(m_slots.is_candidate(), m_slots.members_told(),
                                         std::chrono::steady_clock::now());
     }
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-/// One question stays open this long when nothing changes; each costs a call.
-constexpr milliseconds longest_wait{20000};
 /// After a change the next question waits a little, so that what changes meanwhile comes with one answer.
 /// Backend servers register and leave in groups, and each question is a call that is paid for. Bounded by the
 /// time in which a change must be in force.
@@ -33,6 +31,8 @@
 constexpr milliseconds longest_delay_of_others{3000};
 /// How often a gateway that is told what changes looks whether it still is.
 constexpr milliseconds duty_check_period{100};
+/// How often is looked whether an open question is to be asked once more.
+constexpr milliseconds repeat_check_period{100};
 /// While nothing is known an unanswered question is asked again after a time in this range, some hundred
 /// times the store's usual 4 ms; a store that is slow by a factor of 50 still answers the first one.
 constexpr milliseconds least_first_read_period{300};
@@ -41,11 +41,12 @@
 } // namespace
 
 store_follower::store_follower(asio::any_io_executor executor, timer_service& timers, store::table& table,
-                               std::string table_name, handlers to_call)
+                               std::string table_name, policy::follower_pace pace, handlers to_call)
     : m_executor(std::move(executor)),
       m_timers(timers),
       m_table(table),
       m_table_name(std::move(table_name)),
+      m_pace(pace),
       m_handlers(std::move(to_call)),
       m_random(static_cast<unsigned>(identifier::random().low)) {}
 
@@ -66,6 +67,7 @@
             failure = error.what();
         }
         if (!failure.empty()) {
+            m_asked_at.reset();
             note_lost(failure);
             m_handlers.on_outage();
             const auto delay = next_delay();
@@ -100,7 +102,7 @@
     const auto all =
         co_await store::read_all_repeatedly(m_executor, m_timers, m_table, m_table_name + "/", period);
     m_version = all.version;
-    note_regained(all.version);
+    note_answered(all.version, all.store_time);
     m_handlers.on_all(all);
 }
 
@@ -119,16 +121,11 @@
     return milliseconds(spread(m_random));
 }
 
-void store_follower::note_asked() {
-    m_asked_at = clock::now();
-}
-
 store_follower::clock::duration store_follower::question_age() const {
     return m_asked_at.has_value() ? clock::now() - *m_asked_at : clock::duration::zero();
 }
 
 void store_follower::note_lost(std::string_view reason) {
-    m_asked_at.reset();
     m_is_in_touch = false;
     if (!m_lost_since.has_value()) {
         m_lost_since = clock::now();
@@ -136,34 +133,37 @@
     }
 }
 
-void store_follower::note_regained(std::uint64_t version) {
+void store_follower::note_answered(std::uint64_t version, std::uint64_t store_time) {
     m_asked_at.reset();
     m_answered_at = clock::now();
+    m_confirmation.note_answer(store_time, m_answered_at);
+    note_regained(version);
+}
+
+void store_follower::note_regained(std::uint64_t version) {
     m_is_in_touch = true;
     m_failures = 0;
-    if (m_lost_since.has_value()) {
-        const auto lost = m_answered_at - *m_lost_since;
-        m_lost_since.reset();
-        events::write(events::event_kind::store_regained,
-                      {{"table", m_table_name},
-                       {"lost_ms", std::chrono::duration_cast<milliseconds>(lost).count()},
-                       {"version", version}});
+    if (!m_lost_since.has_value()) {
+        return;
     }
+    const auto lost = clock::now() - *m_lost_since;
+    m_lost_since.reset();
+    events::write(events::event_kind::store_regained,
+                  {{"table", m_table_name},
+                   {"lost_ms", std::chrono::duration_cast<milliseconds>(lost).count()},
+                   {"version", version}});
 }
 
 /// Returns when history was lost; throws store_error when the store is away.
 asio::awaitable<void> store_follower::follow() {
     for (;;) {
         co_await wait_while_told();
-        // At first without waiting, to learn soon whether the store is back.
-        const auto wait = m_is_in_touch ? longest_wait : milliseconds(0);
-        note_asked();
-        const auto page = co_await m_table.changes(m_table_name, m_version, wait);
+        const auto page = co_await ask_for_changes();
         if (!page.has_value()) {
             m_forgotten_version = std::exchange(m_version, 0);
             co_return;
         }
-        note_regained(page->version);
+        note_answered(page->version, page->store_time);
         for (const auto& change : page->changes) {
             m_handlers.on_change(change);
         }
@@ -174,4 +174,36 @@
     }
 }
 
+asio::awaitable<std::optional<store::change_page>> store_follower::ask_for_changes() {
+    change_question question(m_executor);
+    // After an outage at first without waiting, to learn soon whether the store is back.
+    const auto age = m_confirmation.age(clock::now());
+    ask(question, m_is_in_touch ? m_pace.wait(m_handlers.read_duty(), age) : clock::duration::zero());
+    note_asked();
+    const auto watch = m_timers.every(m_executor, repeat_check_period, [&] { repeat_if_due(question); });
+    co_return co_await question.first_answer();
+}
+
+void store_follower::ask(change_question& question, clock::duration wait) {
+    m_repeated_at = clock::now();
+    m_answer_due = m_repeated_at + m_pace.answer_limit(wait);
+    const auto open = std::chrono::duration_cast<milliseconds>(wait);
+    question.ask(m_table.changes(m_table_name, m_version, open));
+}
+
+void store_follower::repeat_if_due(change_question& question) {
+    const auto now = clock::now();
+    const auto duty = m_handlers.read_duty();
+    const bool is_told = duty == policy::follower_duty::rely;
+    const bool is_stale = m_pace.is_stale(duty, m_confirmation.age(now));
+    if (is_told || !is_stale || now - m_repeated_at < m_pace.repeat_delay(duty)) {
+        return;
+    }
+    if (now >= m_answer_due) {
+        note_lost("a question was left unanswered");
+        m_handlers.on_outage();
+    }
+    ask(question, clock::duration::zero());
+}
+
 } // namespace borageford::gateway
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -2,7 +2,10 @@
 #pragma once
 
 #include "base/timer_service.hpp"
+#include "policy/confirmation.hpp"
 #include "policy/follower_duty.hpp"
+#include "policy/follower_pace.hpp"
+#include "store/repeated_question.hpp"
 #include "store/table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -26,7 +29,7 @@
         /// All rows as of one moment: at the start, and after history was lost or the store was away.
         std::function<void(const store::row_page&)> on_all;
         std::function<void(const store::row_change&)> on_change;
-        /// The store couldn't be reached or refused; called for every failed call.
+        /// The store couldn't be reached, refused, or left a question unanswered; called each time.
         std::function<void()> on_outage;
         /// The store's version up to which all changes are known from elsewhere, for instance from another
         /// gateway; 0: none.
@@ -36,12 +39,19 @@
     };
 
     store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
-                   std::string table_name, handlers to_call);
+                   std::string table_name, policy::follower_pace pace, handlers to_call);
 
     void start();
 
+    /// Another gateway holds what is held here, and the store confirmed it at this time of its clock.
+    void hear_confirmation(std::uint64_t store_time) { m_confirmation.hear(store_time, clock::now()); }
+    /// Told to other gateways with the version that is held; see policy/confirmation.hpp.
+    [[nodiscard]] std::uint64_t confirmed_store_time() const noexcept { return m_confirmation.store_time(); }
+
     /// Whether the store is asked and answered the last call.
     [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch && !m_relies; }
+    /// Whether what is held was confirmed lately, to this gateway or to another.
+    [[nodiscard]] bool is_current() const { return m_pace.is_current(m_confirmation.age(clock::now())); }
 
     /// Time since the store answered a question about the table, or since the start while it hasn't.
     [[nodiscard]] clock::duration answer_age() const { return clock::now() - m_answered_at; }
@@ -49,13 +59,20 @@
     [[nodiscard]] clock::duration question_age() const;
 
 private:
+    /// Nothing when the store has dropped the history that was asked for.
+    using change_question = store::repeated_question<std::optional<store::change_page>>;
+
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
-    void note_asked();
+    void note_asked() { m_asked_at = clock::now(); }
+    void note_answered(std::uint64_t version, std::uint64_t store_time);
     void note_lost(std::string_view reason);
     void note_regained(std::uint64_t version);
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> wait_while_told();
+    boost::asio::awaitable<std::optional<store::change_page>> ask_for_changes();
+    void ask(change_question& question, clock::duration wait);
+    void repeat_if_due(change_question& question);
     void take_known_version();
     [[nodiscard]] std::chrono::milliseconds next_delay();
     [[nodiscard]] std::chrono::milliseconds draw_between(std::chrono::milliseconds least,
@@ -65,6 +82,8 @@
     timer_service& m_timers;
     store::table& m_table;
     std::string m_table_name;
+    policy::follower_pace m_pace;
+    policy::confirmation m_confirmation{clock::now()};
     std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
     std::uint64_t m_forgotten_version = 0; ///< the store has dropped the history after it
     bool m_is_in_touch = false;
@@ -73,6 +92,8 @@
     std::optional<clock::time_point> m_lost_since;
     clock::time_point m_answered_at = clock::now();
     std::optional<clock::time_point> m_asked_at; ///< of the question that is open
+    clock::time_point m_repeated_at;             ///< when it was asked last
+    clock::time_point m_answer_due;              ///< when that is answered by a store that isn't silent
     handlers m_handlers;
     std::minstd_rand m_random;
 };
--- /dev/null
+++ b/src/policy/confirmation.hpp
@@ -0,0 +1,42 @@
+// When the store last confirmed what a gateway holds of a table.
+#pragma once
+
+#include "policy/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace borageford::policy {
+
+/// Gateways that hold the same version tell each other of confirmations, so that one that asks spares the
+/// others the question. A confirmation is named by the store's own clock and counts once, however often it is
+/// heard. Told as an age instead, it would come out newer by each message's way, and gateways that nobody
+/// answers any more could keep each other believing for good.
+class confirmation {
+public:
+    explicit confirmation(time_point now) noexcept : m_noted(now) {}
+
+    /// The store answered a question of this gateway; `store_time`: milliseconds of its clock, 0: not told.
+    void note_answer(std::uint64_t store_time, time_point now) noexcept {
+        m_store_time = std::max(m_store_time, store_time);
+        m_noted = now;
+    }
+
+    /// Another gateway, which holds the same version, says that the store confirmed it then.
+    void hear(std::uint64_t store_time, time_point now) noexcept {
+        if (store_time > m_store_time) {
+            note_answer(store_time, now);
+        }
+    }
+
+    /// The store's clock at the last confirmation, in milliseconds; 0: not known.
+    [[nodiscard]] std::uint64_t store_time() const noexcept { return m_store_time; }
+    /// Since the last confirmation was noted here, or since the start.
+    [[nodiscard]] duration age(time_point now) const noexcept { return now - m_noted; }
+
+private:
+    std::uint64_t m_store_time = 0;
+    time_point m_noted;
+};
+
+} // namespace borageford::policy
--- a/src/policy/follower_duty.hpp
+++ b/src/policy/follower_duty.hpp
@@ -10,6 +10,7 @@
 
 /// What a gateway does about a table of the store.
 enum class follower_duty {
+    confirm,  ///< all others hear from this gateway: it has the store confirm often what is known
     follow,   ///< others rely on this gateway: it asks, and asks again soon
     rely,     ///< a gateway is heard that the store answers: what changes is told by others
     stand_by, ///< none is heard: it asks for itself, but not so often that hundreds press a store in trouble
--- /dev/null
+++ b/src/store/repeated_question.hpp
@@ -0,0 +1,103 @@
+// One question to the store, asked more than once, of which the first answer counts.
+#pragma once
+
+#include "store/store_error.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/experimental/channel.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace borageford::store {
+
+/// A silent store loses the questions that reach it, and the answers to those that are open, also after it is
+/// well again. So a question is asked once more beside the one that is open, which may yet be answered by a
+/// store that is only slow. A refusal is an answer as well.
+///
+/// Belongs to one coroutine and its executor. What is still open when this is destroyed is given up, and its
+/// connection closed.
+template <typename Answer>
+class repeated_question {
+public:
+    explicit repeated_question(boost::asio::any_io_executor executor)
+        : m_executor(std::move(executor)), m_first(std::make_shared<outcome_channel>(m_executor, 1)) {}
+    ~repeated_question();
+    repeated_question(const repeated_question&) = delete;
+    repeated_question& operator=(const repeated_question&) = delete;
+    repeated_question(repeated_question&&) = delete;
+    repeated_question& operator=(repeated_question&&) = delete;
+
+    /// Begins a call that puts the question, beside those that are open.
+    void ask(boost::asio::awaitable<Answer> call);
+
+    /// To be called once. Throws store_error when the first call to end had failed.
+    [[nodiscard]] boost::asio::awaitable<Answer> first_answer();
+
+private:
+    using outcome = std::variant<Answer, store_error>;
+    /// Has room for one: later outcomes don't fit and are dropped.
+    using outcome_channel =
+        boost::asio::experimental::channel<void(boost::system::error_code, std::shared_ptr<outcome>)>;
+
+    [[nodiscard]] static boost::asio::awaitable<void> run(std::shared_ptr<outcome_channel> first,
+                                                          boost::asio::awaitable<Answer> call);
+
+    boost::asio::any_io_executor m_executor;
+    std::shared_ptr<outcome_channel> m_first;
+    /// Each lives as long as its call.
+    std::vector<std::weak_ptr<boost::asio::cancellation_signal>> m_calls;
+};
+
+template <typename Answer>
+repeated_question<Answer>::~repeated_question() {
+    for (const auto& call : m_calls) {
+        if (const auto open = call.lock()) {
+            open->emit(boost::asio::cancellation_type::terminal);
+        }
+    }
+}
+
+template <typename Answer>
+void repeated_question<Answer>::ask(boost::asio::awaitable<Answer> call) {
+    auto cancellation = std::make_shared<boost::asio::cancellation_signal>();
+    const auto slot = cancellation->slot();
+    m_calls.push_back(cancellation);
+    auto keep_alive = [cancellation = std::move(cancellation)](const std::exception_ptr&) {
+    };
+    boost::asio::co_spawn(m_executor, run(m_first, std::move(call)),
+                          boost::asio::bind_cancellation_slot(slot, std::move(keep_alive)));
+}
+
+template <typename Answer>
+boost::asio::awaitable<void> repeated_question<Answer>::run(std::shared_ptr<outcome_channel> first,
+                                                            boost::asio::awaitable<Answer> call) {
+    std::shared_ptr<outcome> received;
+    try {
+        received = std::make_shared<outcome>(co_await std::move(call));
+    } catch (const store_error& error) {
+        received = std::make_shared<outcome>(error);
+    } catch (const std::exception& error) {
+        received = std::make_shared<outcome>(store_error(effect::none, error.what()));
+    }
+    first->try_send(boost::system::error_code{}, std::move(received));
+}
+
+template <typename Answer>
+boost::asio::awaitable<Answer> repeated_question<Answer>::first_answer() {
+    const auto received = co_await m_first->async_receive(boost::asio::use_awaitable);
+    if (const auto* error = std::get_if<store_error>(received.get())) {
+        throw store_error(*error);
+    }
+    co_return std::get<Answer>(std::move(*received));
+}
+
+} // namespace borageford::store
--- a/src/store/row.hpp
+++ b/src/store/row.hpp
@@ -41,7 +41,8 @@
 /// Rows as of one moment.
 struct row_page {
     std::vector<row> rows;
-    std::uint64_t version = 0; ///< of the whole store at that moment, where the format tells it
+    std::uint64_t version = 0;    ///< of the whole store at that moment, where the format tells it
+    std::uint64_t store_time = 0; ///< the store's steady clock at that moment, in ms; 0: not told
     bool has_more = false;
 };
 
@@ -55,6 +56,7 @@
 struct change_page {
     std::vector<row_change> changes;
     std::uint64_t version = 0;
+    std::uint64_t store_time = 0; ///< the store's steady clock when it answered, in ms; 0: not told
 };
 
 } // namespace borageford::store
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -118,6 +118,7 @@
                                        encode_scan(m_format, prefix, after, page_rows));
         // Later pages may be newer; following from the first page's version tells their changes again.
         all.version = after.empty() ? page.version : all.version;
+        all.store_time = after.empty() ? page.store_time : all.store_time;
         has_more = page.has_more && !page.rows.empty();
         std::ranges::move(page.rows, std::back_inserter(all.rows));
     }
--- /dev/null
+++ b/tests/unit/test_policy_follower_pace.cpp
@@ -0,0 +1,85 @@
+// When the store is asked again, and whose confirmation counts.
+#include "policy/confirmation.hpp"
+#include "policy/follower_pace.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace borageford::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start_time = time_point{} + 1h;
+constexpr duration limit = 2s;
+constexpr duration longest_way = 200ms; ///< of a confirmation to all others
+
+} // namespace
+
+TEST_CASE("one confirming gateway spares the others the question", "[policy][follower_pace]") {
+    const follower_pace pace(limit, 0);
+    const auto confirmed_every = pace.wait(follower_duty::confirm, 0s);
+    CHECK_FALSE(pace.is_stale(follower_duty::confirm, confirmed_every));
+    for (const double draw : {0.0, 0.5, 0.99}) {
+        const follower_pace other(limit, draw);
+        CHECK_FALSE(other.is_stale(follower_duty::follow, confirmed_every + longest_way));
+        CHECK(other.wait(follower_duty::follow, confirmed_every) >= 10 * limit);
+    }
+}
+
+TEST_CASE("a question for what was confirmed too long ago is answered at once", "[policy][follower_pace]") {
+    // Guards against asking with a long wait in an outage, when the question may be lost as well.
+    for (const auto duty : {follower_duty::confirm, follower_duty::follow, follower_duty::stand_by}) {
+        const follower_pace pace(limit, 0.5);
+        CHECK(pace.is_stale(duty, limit + limit / 4));
+        CHECK(pace.wait(duty, limit + limit / 4) == 0s);
+    }
+}
+
+TEST_CASE("a lost question is asked again within the limit and half of it", "[policy][follower_pace]") {
+    // Guards against a change that is known too late after a silence that was just missed.
+    for (const double draw : {0.0, 0.5, 0.99}) {
+        const follower_pace pace(limit, draw);
+        CHECK(pace.is_stale(follower_duty::follow, limit + limit / 2));
+        CHECK(pace.repeat_delay(follower_duty::follow) <= limit / 2);
+    }
+}
+
+TEST_CASE("gateways whose store is silent don't all ask again at the same moment",
+          "[policy][follower_pace]") {
+    const follower_pace first(limit, 0.1);
+    const follower_pace second(limit, 0.9);
+    const auto between = limit * 17 / 20 + limit / 8;
+    CHECK(first.is_stale(follower_duty::follow, between));
+    CHECK_FALSE(second.is_stale(follower_duty::follow, between));
+    CHECK(first.repeat_delay(follower_duty::follow) < second.repeat_delay(follower_duty::follow));
+}
+
+TEST_CASE("a confirmation that went round doesn't count again", "[policy][confirmation]") {
+    // Guards against gateways that keep each other believing in a store that answers none of them.
+    std::vector<confirmation> gateways(3, confirmation(start_time));
+    gateways.front().note_answer(1000, start_time);
+    auto now = start_time;
+    for (int round = 0; round < 1000; ++round) {
+        for (std::size_t teller = 0; teller < gateways.size(); ++teller) {
+            now += 5ms;
+            gateways[(teller + 1) % gateways.size()].hear(gateways[teller].store_time(), now);
+        }
+    }
+    for (const auto& gateway : gateways) {
+        CHECK(gateway.store_time() == 1000);
+        CHECK(gateway.age(now) > 10s);
+    }
+}
+
+TEST_CASE("an answer of the store itself counts whatever its clock says", "[policy][confirmation]") {
+    // Guards against a store that was replaced, and whose clock begins anew.
+    confirmation held(start_time);
+    held.note_answer(1000, start_time);
+    held.note_answer(5, start_time + 10s);
+    CHECK(held.age(start_time + 10s) == 0s);
+    CHECK(held.store_time() == 1000);
+    held.hear(900, start_time + 20s);
+    CHECK(held.age(start_time + 20s) == 10s);
+}
--- /dev/null
+++ b/tests/unit/test_store_follower.cpp
@@ -0,0 +1,141 @@
+// Following a table of a store that loses questions, against the emulated store.
+#include "emulator/emulated_store.hpp"
+#include "gateway/store_follower.hpp"
+#include "support/wait_until.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace borageford;
+using emulator::store_state;
+using policy::follower_duty;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// So long that a test which waited for it would be ended as hanging.
+constexpr std::chrono::milliseconds endless{3'600'000};
+/// Within which a change must be known.
+constexpr std::chrono::milliseconds change_limit{500};
+
+/// The store and one follower of it, on the test's own thread.
+class followed_table {
+public:
+    explicit followed_table(follower_duty duty) : m_duty(duty) {
+        write("first");
+        m_follower.start();
+        run_until([&] { return m_held == "first"; });
+        run_until([&] { return m_store.calls() == 2; }); // all rows, then what has changed
+    }
+
+    emulator::emulated_store& store() { return m_store; }
+    [[nodiscard]] const gateway::store_follower& follower() const { return m_follower; }
+    [[nodiscard]] const std::string& held() const { return m_held; }
+    [[nodiscard]] int outages() const { return m_outages; }
+
+    /// Another gateway, which holds the same, says that the store confirmed it then.
+    void hear(std::uint64_t store_time) { m_follower.hear_confirmation(store_time); }
+
+    void write(const std::string& value) {
+        store::transaction change;
+        change.puts.push_back({"op/config", value});
+        static_cast<void>(m_store.rows().transact(change));
+    }
+
+    /// The store falls silent until the follower's open question is lost.
+    void lose_question() {
+        m_store.set_state(store_state::silent);
+        run_until([&] { return m_store.unanswered() > 0; });
+    }
+
+    template <typename Condition>
+    void run_until(Condition condition) {
+        while (!condition()) {
+            // The guard decides nothing: it ends a test that would hang.
+            REQUIRE(m_context.run_one_for(test::hang_guard) > 0);
+        }
+    }
+
+private:
+    gateway::store_follower::handlers make_handlers() {
+        return {[this](const store::row_page& page) { m_held = page.rows.front().value; },
+                [this](const store::row_change& change) { m_held = change.now.value; },
+                [this] { ++m_outages; }, [] { return std::uint64_t(0); },
+                [this] {
+                    return m_duty;
+                }};
+    }
+
+    follower_duty m_duty;
+    std::string m_held;
+    int m_outages = 0;
+    boost::asio::io_context m_context{1};
+    timer_service m_timers;
+    emulator::emulated_store m_store{m_context.get_executor(), m_timers};
+    store::table m_table{m_context.get_executor(),
+                         m_store.listen({boost::asio::ip::address_v4::loopback(), 0}), endless,
+                         platform::store_format()};
+    gateway::store_follower m_follower{m_context.get_executor(), m_timers,       m_table, "op",
+                                       {change_limit, 0.5},      make_handlers()};
+};
+
+} // namespace
+
+TEST_CASE("a change is heard of although the store lost the open question", "[gateway][store_follower]") {
+    // Guards against going on with the former configuration until the lost question's own limit.
+    const auto duty = GENERATE(follower_duty::confirm, follower_duty::follow, follower_duty::stand_by);
+    followed_table table(duty);
+    table.lose_question();
+    table.store().set_state(store_state::well);
+    table.write("second");
+    table.run_until([&] { return table.held() == "second"; });
+}
+
+TEST_CASE("a change is heard of although the store took the question while it was silent",
+          "[gateway][store_follower]") {
+    // The same where the question itself is lost, after a change that came just before.
+    followed_table table(follower_duty::follow);
+    table.write("second");
+    table.run_until([&] { return table.held() == "second"; });
+    table.store().set_state(store_state::silent);
+    table.run_until([&] { return table.store().unanswered() > 0; });
+    table.store().set_state(store_state::well);
+    table.write("third");
+    table.run_until([&] { return table.held() == "third"; });
+}
+
+TEST_CASE("a store that stays silent is told as an outage", "[gateway][store_follower]") {
+    // Guards against registrations taken as gone that vanished because the store took no heartbeats.
+    followed_table table(follower_duty::follow);
+    table.lose_question();
+    table.run_until([&] { return table.outages() > 0; });
+    CHECK_FALSE(table.follower().is_in_touch());
+    CHECK_FALSE(table.follower().is_current());
+    table.store().set_state(store_state::well);
+    table.run_until([&] { return table.follower().is_in_touch(); });
+    CHECK(table.follower().is_current());
+}
+
+TEST_CASE("questions that were asked again are given up with the first answer", "[gateway][store_follower]") {
+    // Guards against connections to the store that pile up with each outage.
+    followed_table table(follower_duty::follow);
+    table.lose_question();
+    table.run_until([&] { return table.store().unanswered() > 2; });
+    table.store().set_state(store_state::well);
+    table.run_until([&] { return table.store().unanswered() == 0; });
+    CHECK(table.follower().is_in_touch());
+}
+
+TEST_CASE("what the store confirmed to another gateway counts here as well", "[gateway][store_follower]") {
+    // Guards against a call of each gateway for each confirmation.
+    followed_table table(follower_duty::follow);
+    table.lose_question();
+    table.run_until([&] { return !table.follower().is_current(); });
+    const auto held = table.follower().confirmed_store_time();
+    table.hear(held);
+    CHECK_FALSE(table.follower().is_current());
+    table.hear(held + 1);
+    CHECK(table.follower().is_current());
+}
