Gateways tell each other when the store confirmed what they hold

Who holds the same version takes that for a confirmation of its own; who holds another learns nothing from it, and is told the change as before.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -224,6 +224,8 @@
     table.add_grants(grants);
     table.add_refusals(refusals);
     table.add_reports(reports);
+    table.add_configuration_confirmed(message.sender.configuration_confirmed);
+    table.add_backends_confirmed(message.sender.backends_confirmed);
     builder.Finish(table.Finish());
     const auto bytes = std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
     return {bytes.begin(), bytes.end()};
@@ -237,11 +239,18 @@
     }
     const auto* table = wire::Getdatagram(data);
     datagram result;
-    result.sender = {table->incarnation(),           table->is_acting(),
-                     table->is_eligible(),           table->is_leaving(),
-                     table->processor_share(),       table->members(),
-                     table->configuration_version(), table->backend_version(),
-                     table->is_in_touch(),           table->domain()};
+    result.sender = {table->incarnation(),
+                     table->is_acting(),
+                     table->is_eligible(),
+                     table->is_leaving(),
+                     table->processor_share(),
+                     table->members(),
+                     table->configuration_version(),
+                     table->backend_version(),
+                     table->is_in_touch(),
+                     table->domain(),
+                     table->configuration_confirmed(),
+                     table->backends_confirmed()};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
     result.batch = table->batch();
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -25,6 +25,9 @@
     std::uint64_t backend_version = 0;
     bool is_in_touch = false;      ///< the store answers it
     policy::domain_key domain = 0; ///< its failure domain, and that of all that it asks for
+    /// When the store last confirmed each version, in ms of the store's clock; 0: not known.
+    std::uint64_t configuration_confirmed = 0;
+    std::uint64_t backends_confirmed = 0;
 };
 
 /// A request that already occupies a slot, told to a new coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -444,7 +444,9 @@
     VT_RELEASES = 40,
     VT_GRANTS = 42,
     VT_REFUSALS = 44,
-    VT_REPORTS = 46
+    VT_REPORTS = 46,
+    VT_CONFIGURATION_CONFIRMED = 48,
+    VT_BACKENDS_CONFIRMED = 50
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -512,6 +514,12 @@
   const flatbuffers::Vector<const borageford::coordination::wire::report *> *reports() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::report *> *>(VT_REPORTS);
   }
+  uint64_t configuration_confirmed() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_CONFIRMED, 0);
+  }
+  uint64_t backends_confirmed() const {
+    return GetField<uint64_t>(VT_BACKENDS_CONFIRMED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -544,6 +552,8 @@
            verifier.VerifyVector(refusals()) &&
            VerifyOffset(verifier, VT_REPORTS) &&
            verifier.VerifyVector(reports()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CONFIRMED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BACKENDS_CONFIRMED, 8) &&
            verifier.EndTable();
   }
 };
@@ -618,6 +628,12 @@
   void add_reports(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports) {
     fbb_.AddOffset(datagram::VT_REPORTS, reports);
   }
+  void add_configuration_confirmed(uint64_t configuration_confirmed) {
+    fbb_.AddElement<uint64_t>(datagram::VT_CONFIGURATION_CONFIRMED, configuration_confirmed, 0);
+  }
+  void add_backends_confirmed(uint64_t backends_confirmed) {
+    fbb_.AddElement<uint64_t>(datagram::VT_BACKENDS_CONFIRMED, backends_confirmed, 0);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -652,8 +668,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::release *>> releases = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::grant *>> grants = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::refusal *>> refusals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports = 0,
+    uint64_t configuration_confirmed = 0,
+    uint64_t backends_confirmed = 0) {
   datagramBuilder builder_(_fbb);
+  builder_.add_backends_confirmed(backends_confirmed);
+  builder_.add_configuration_confirmed(configuration_confirmed);
   builder_.add_session(session);
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
@@ -707,7 +727,9 @@
     const std::vector<borageford::coordination::wire::release> *releases = nullptr,
     const std::vector<borageford::coordination::wire::grant> *grants = nullptr,
     const std::vector<borageford::coordination::wire::refusal> *refusals = nullptr,
-    const std::vector<borageford::coordination::wire::report> *reports = nullptr) {
+    const std::vector<borageford::coordination::wire::report> *reports = nullptr,
+    uint64_t configuration_confirmed = 0,
+    uint64_t backends_confirmed = 0) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -739,7 +761,9 @@
       releases__,
       grants__,
       refusals__,
-      reports__);
+      reports__,
+      configuration_confirmed,
+      backends_confirmed);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -161,23 +161,40 @@
         using coordination::slot_broker;
         return {[this] { return held_versions(); },
                 [this](const asio::ip::address& peer, const slot_broker::versions& held) {
-                    m_exchange.hear(peer, held.configuration, held.backends);
-                    if (held.is_in_touch) {
-                        m_roster.note_other_in_touch();
-                        m_follower_choice.hear_follower(std::chrono::steady_clock::now());
-                    }
+                    hear_peer(peer, held);
                 },
                 [this](const policy::slot_scheduler::health_change& change) {
                     report_health(change);
                 }};
     }
 
+    void hear_peer(const asio::ip::address& peer, const coordination::slot_broker::versions& held) {
+        m_exchange.hear(peer, held.configuration, held.backends);
+        if (held.is_in_touch) {
+            m_roster.note_other_in_touch();
+            m_follower_choice.hear_follower(std::chrono::steady_clock::now());
+        }
+        // Of another version it says nothing: this gateway, or the peer, is behind.
+        if (held.configuration == m_configuration_keeper.version()) {
+            m_configuration_follower.hear_confirmation(held.configuration_confirmed);
+        }
+        if (held.backends == m_roster.version()) {
+            m_backend_follower.hear_confirmation(held.backends_confirmed);
+        }
+    }
+
     [[nodiscard]] bool is_store_well() const {
         return m_configuration_follower.is_in_touch() && m_backend_follower.is_in_touch();
     }
 
+    /// Whether others may go by it that the store answers this gateway: not by an answer that is overdue.
+    [[nodiscard]] bool is_in_touch() const {
+        return is_store_well() && m_configuration_follower.is_current() && m_backend_follower.is_current();
+    }
+
     [[nodiscard]] coordination::slot_broker::versions held_versions() const {
-        return {m_configuration_keeper.version(), m_roster.version(), is_store_well()};
+        return {m_configuration_keeper.version(), m_roster.version(), is_in_touch(),
+                m_configuration_follower.confirmed_store_time(), m_backend_follower.confirmed_store_time()};
     }
 
     store_follower::handlers make_configuration_handlers() {
--- a/tests/failure/test_gateway_configuration.cpp
+++ b/tests/failure/test_gateway_configuration.cpp
@@ -55,8 +55,9 @@
     set_store(site, store_state::well);
 }
 
-double store_gauge(const gateway_site& site, const std::string& name, const std::string& table) {
-    const auto text = fetch_text(site.metrics(0), "/metrics");
+double store_gauge(const gateway_site& site, std::size_t gateway, const std::string& name,
+                   const std::string& table) {
+    const auto text = fetch_text(site.metrics(gateway), "/metrics");
     const auto line = "\nborageford_gateway_store_" + name + "{table=\"" + table + "\"} ";
     const auto found = text.find(line);
     return found == std::string::npos ? -1 : std::stod(text.substr(found + line.size()));
@@ -244,8 +245,27 @@
     set_store(site, store_state::silent);
     for (const std::string table : {"op", "servers"}) {
         wait_until("the last answer is old and a question is open", [&] {
-            return store_gauge(site, "answer_age_seconds", table) > 1 &&
-                   store_gauge(site, "question_age_seconds", table) > 1;
+            return store_gauge(site, 0, "answer_age_seconds", table) > 1 &&
+                   store_gauge(site, 0, "question_age_seconds", table) > 1;
+        });
+    }
+}
+
+TEST_CASE("gateway: one has the store confirm what all hold, and the others don't ask for it",
+          "[gateway][configuration]") {
+    // Each question is a call that is paid for; asking for themselves, hundreds of gateways would press the
+    // store.
+    constexpr std::size_t gateways = 3;
+    constexpr double unasked_seconds = 5;
+    gateway_site site(plain_site(1, gateways));
+    for (const std::string table : {"op", "servers"}) {
+        wait_until("all but one haven't asked for some limits", [&] {
+            std::size_t unasked = 0;
+            for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+                const auto age = store_gauge(site, gateway, "answer_age_seconds", table);
+                unasked += age > unasked_seconds ? 1 : 0;
+            }
+            return unasked == gateways - 1;
         });
     }
 }
