No question stays open for longer than the store takes, whatever the limit

With a configuration_limit of minutes the coordinator would have asked with a wait of half of it, which the store refuses (30 s at most): every question of the one that all others go by.

Test: 'no question stays open for longer than the store takes', which failed with 1,800 s before.

--- a/src/policy/follower_pace.hpp
+++ b/src/policy/follower_pace.hpp
@@ -26,7 +26,10 @@
         if (is_stale(duty, age)) {
             return duration::zero();
         }
-        return duty == follower_duty::confirm ? std::max(m_limit / 2 - age, duration::zero()) : longest_wait;
+        if (duty != follower_duty::confirm) {
+            return longest_wait;
+        }
+        return std::clamp<duration>(m_limit / 2 - age, duration::zero(), longest_wait);
     }
 
     /// Whether what is held was confirmed too long ago to go on with it unasked.
@@ -48,7 +51,7 @@
 
 private:
     static constexpr std::chrono::milliseconds shortest_limit{500};
-    /// Each question costs a call.
+    /// Each question costs a call. The store takes no longer wait than 30 s.
     static constexpr std::chrono::seconds longest_wait{20};
 
     [[nodiscard]] duration patience_of_confirming() const noexcept { return m_limit * 7 / 10; }
--- a/tests/unit/test_policy_follower_pace.cpp
+++ b/tests/unit/test_policy_follower_pace.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+TEST_CASE("no question stays open for longer than the store takes", "[policy][follower_pace]") {
+    // Guards against a coordinator whose every question is refused, where the limit is set to minutes.
+    const follower_pace pace(1h, 0.5);
+    for (const auto duty : {follower_duty::confirm, follower_duty::follow, follower_duty::stand_by}) {
+        CHECK(pace.wait(duty, 0s) <= 30s);
+    }
+}
+
 TEST_CASE("a lost question is asked again within the limit and half of it", "[policy][follower_pace]") {
     // Guards against a change that is known too late after a silence that was just missed.
     for (const double draw : {0.0, 0.5, 0.99}) {
