What a gateway remembers of servers that left is one bounded list

It was a set and a queue beside it; a server that came back stayed in the queue, and when it left again the queue's older entry took it out of the set early: 'a server that came back and left again is remembered as long as others that left' failed before. A request whose grant names such a server would have waited for its registration instead of being placed anew.

The first two cases of test_gateway_restarts share their set-up now, with the same checks.

--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -33,7 +33,7 @@
     }
     const auto former = std::exchange(entry, std::make_shared<backend>(std::move(record)));
     m_by_key[key] = entry;
-    m_former.erase(key);
+    std::erase(m_former, key);
     if (former != nullptr) {
         m_by_key.erase(former->record().key());
         note_former(former->record().key());
@@ -73,15 +73,17 @@
 }
 
 void backend_directory::note_former(policy::server_key key) {
-    if (m_former.insert(key).second) {
-        m_former_order.push_back(key);
-    }
-    if (m_former_order.size() > most_former) {
-        m_former.erase(m_former_order.front());
-        m_former_order.pop_front();
+    std::erase(m_former, key);
+    m_former.push_back(key);
+    if (m_former.size() > most_former) {
+        m_former.pop_front();
     }
 }
 
+bool backend_directory::is_former(policy::server_key key) const {
+    return std::ranges::find(m_former, key) != m_former.end();
+}
+
 void backend_directory::close_expired(backend::clock::time_point now) {
     for (const auto& [id, server] : m_backends) {
         server->close_expired(now);
--- a/src/gateway/backend_directory.hpp
+++ b/src/gateway/backend_directory.hpp
@@ -11,7 +11,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace borageford::gateway {
 
@@ -33,7 +32,7 @@
     [[nodiscard]] bool has_ready() const;
 
     /// Whether a server with this key was known, and is gone or has started anew since.
-    [[nodiscard]] bool is_former(policy::server_key key) const { return m_former.contains(key); }
+    [[nodiscard]] bool is_former(policy::server_key key) const;
 
     /// Calls back once when a server with this key becomes known. Forgotten with `waiter`.
     void when_known(policy::server_key key, std::weak_ptr<void> waiter, std::function<void()> on_known);
@@ -54,9 +53,8 @@
 
     std::map<std::string, std::shared_ptr<backend>, std::less<>> m_backends;
     std::unordered_map<policy::server_key, std::shared_ptr<backend>> m_by_key;
-    /// Keys that were known lately; the oldest go first.
-    std::unordered_set<policy::server_key> m_former;
-    std::deque<policy::server_key> m_former_order;
+    /// Keys that were known lately, each once and none of them known now; the oldest go first.
+    std::deque<policy::server_key> m_former;
     /// By the key that is awaited; none of these is known.
     std::unordered_multimap<policy::server_key, awaiting> m_awaited;
 };
--- a/tests/failure/test_gateway_restarts.cpp
+++ b/tests/failure/test_gateway_restarts.cpp
@@ -31,6 +31,17 @@
     wait_until("the former start runs the request", [&] { return site.runs_of(request) == 1; });
 }
 
+/// The answer to a request at a server that falls silent with it and starts anew.
+caller_result answer_over_restart(gateway_site& site, const std::string& request) {
+    site.on_emulator([&] { site.backend(0).set_fault(backend_fault::hang, 1); });
+    caller_result answer;
+    std::jthread caller([&] { answer = site.send(0, make_call("/plain/x", request)); });
+    wait_for_run(site, request);
+    site.start_backend(0, start_of("server", 2));
+    caller.join();
+    return answer;
+}
+
 bool has_said(gateway_site& site, const std::string& text) {
     return site.process(0).output_text().find(text) != std::string::npos;
 }
@@ -41,13 +52,7 @@
     // A server crashed behind a cut: no connection was reset, and its new start knows nothing of the request.
     // The caller waited on the silent connection until its time was over.
     gateway_site site(one_server(routing::route_kind::idempotent));
-    site.on_emulator([&] { site.backend(0).set_fault(backend_fault::hang, 1); });
-    caller_result answer;
-    std::jthread caller([&] { answer = site.send(0, make_call("/plain/x", "lost")); });
-    wait_for_run(site, "lost");
-    site.start_backend(0, start_of("server", 2));
-    caller.join();
-    CHECK(answer.status == 200);
+    CHECK(answer_over_restart(site, "lost").status == 200);
     CHECK(site.runs_of("lost", 0) == 1); // at the new start
     CHECK(has_said(site, R"("event":"backend_restarted")"));
 }
@@ -55,13 +60,7 @@
 TEST_CASE("gateway: a call that may run once isn't sent to the new start", "[gateway][restart]") {
     // The former start may have done the work before it died. Its caller hears at once that nobody knows.
     gateway_site site(one_server(routing::route_kind::non_idempotent));
-    site.on_emulator([&] { site.backend(0).set_fault(backend_fault::hang, 1); });
-    caller_result answer;
-    std::jthread caller([&] { answer = site.send(0, make_call("/plain/x", "once")); });
-    wait_for_run(site, "once");
-    site.start_backend(0, start_of("server", 2));
-    caller.join();
-    CHECK(answer.status == 502);
+    CHECK(answer_over_restart(site, "once").status == 502);
     CHECK(site.runs_of("once") == 1);
     CHECK(site.send(0, make_call("/plain/x", "next")).status == 200);
 }
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -156,6 +156,26 @@
     CHECK(servers.backends().is_former(awaited)); // no word of it is to be waited for
 }
 
+TEST_CASE("a server that came back and left again is remembered as long as others that left",
+          "[gateway][roster]") {
+    // Guards against a request that waits for a server which is known to be gone.
+    backend_directory directory;
+    const auto come_and_go = [&](const std::string& id) {
+        routing::backend_record record;
+        record.id = id;
+        directory.set(record);
+        directory.remove(id);
+        return record.key();
+    };
+    come_and_go("back");
+    const auto key = come_and_go("back");
+    constexpr int others = 1023;
+    for (int index = 0; index < others; ++index) {
+        come_and_go("other-" + std::to_string(index));
+    }
+    CHECK(directory.is_former(key));
+}
+
 TEST_CASE("a request that has ended isn't told of the server that it waited for", "[gateway][roster]") {
     known_servers servers;
     routing::backend_record record;
