--- a/tests/unit/test_repeated_read.cpp
+++ b/tests/unit/test_repeated_read.cpp
@@ -3,7 +3,7 @@
 #include "store/repeated_read.hpp"
 #include "store/store_error.hpp"
 #include "store/table.hpp"
-#include "support/wait_until.hpp"
+#include "support/run_until.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -44,10 +44,7 @@
 
     template <typename Condition>
     void run_until(Condition condition) {
-        while (!condition()) {
-            // The guard decides nothing: it ends a test that would hang.
-            REQUIRE(m_context.run_one_for(test::hang_guard) > 0);
-        }
+        test::run_until(m_context, condition);
     }
 
     [[nodiscard]] bool is_over() const { return m_page.has_value(); }
--- a/tests/unit/test_store_follower.cpp
+++ b/tests/unit/test_store_follower.cpp
@@ -1,7 +1,7 @@
 // Following a table of a store that loses questions, against the emulated store.
 #include "emulator/emulated_store.hpp"
 #include "gateway/store_follower.hpp"
-#include "support/wait_until.hpp"
+#include "support/run_until.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -52,10 +52,7 @@
 
     template <typename Condition>
     void run_until(Condition condition) {
-        while (!condition()) {
-            // The guard decides nothing: it ends a test that would hang.
-            REQUIRE(m_context.run_one_for(test::hang_guard) > 0);
-        }
+        test::run_until(m_context, condition);
     }
 
 private:
