The soak checks that a route moves in time

It checked that no process goes back and that all is served in the end, within 40 s; so a gateway that went on with an older configuration for 20 s broke no promise of it. Now a run on the moving route must be where the route leads, or led at most 4 s before the request was sent, unless the store, this gateway's way to it, or a gateway was disturbed in the 4 s before (the settings' bound is 2 s; the rest is for a busy machine).

--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds drain_limit{4000};
 /// A gateway that was frozen or cut off needs this long to hear what it missed.
 constexpr milliseconds catch_up{4000};
+/// Within which a route has moved at every gateway, and as much again, since the machine may be busy.
+constexpr milliseconds configuration_limit{4000};
 /// Answers of one process that were made side by side may arrive in another order.
 constexpr milliseconds order_slack{250};
 
@@ -153,6 +155,25 @@
     return broken;
 }
 
+broken_promises check_moves_in_time(const sent_request& request, const server_run& run,
+                                    std::span<const route_move> moves, const disturbance_log& disturbances) {
+    const auto from = request.sent - configuration_limit;
+    for (std::size_t move = 0; move < moves.size(); ++move) {
+        const bool was_over = move + 1 < moves.size() && moves[move + 1].at < from;
+        const bool had_begun = moves[move].at <= run.begun;
+        if (had_begun && !was_over && moves[move].service == run.service) {
+            return {};
+        }
+    }
+    const auto since = request.sent - catch_up;
+    const bool is_excused = disturbances.has(disturbance_kind::store, request.gateway, since, run.begun) ||
+                            disturbances.has(disturbance_kind::gateway_down, std::nullopt, since, run.begun);
+    if (is_excused) {
+        return {};
+    }
+    return {describe(request) + ": ran at " + run.service + ", from where its route had moved long before"};
+}
+
 broken_promises check_origin(const server_run& run, const std::map<std::string, const sent_request*>& sent) {
     const auto found = sent.find(run.request_id);
     if (found == sent.end()) {
--- a/tests/soak/promise_checks.hpp
+++ b/tests/soak/promise_checks.hpp
@@ -41,6 +41,18 @@
 /// Within one process, a route that it has served once is there from then on.
 [[nodiscard]] broken_promises check_configuration_order(std::span<const sent_request> requests);
 
+/// The service that the moving route leads to from a time on.
+struct route_move {
+    clock::time_point at;
+    std::string service;
+};
+
+/// A request on the moving route runs where the route leads, or led shortly before it was sent, once a
+/// process that could hear of it had time. `moves` are in their order; the first is there from the start.
+[[nodiscard]] broken_promises check_moves_in_time(const sent_request& request, const server_run& run,
+                                                  std::span<const route_move> moves,
+                                                  const disturbance_log& disturbances);
+
 /// Every run is of a request that a caller sent, unchanged, at a service that its route leads to.
 [[nodiscard]] broken_promises check_origin(const server_run& run,
                                            const std::map<std::string, const sent_request*>& sent);
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -164,6 +164,7 @@
       m_gateways(size.gateways),
       m_port(test::find_gateway_ports(size.gateways)),
       m_moving_service("plain"),
+      m_moves{{clock::now(), m_moving_service}},
       m_lives(size.gateways) {
     std::filesystem::create_directories(m_folder);
     m_plan.configuration = first_configuration();
@@ -380,6 +381,7 @@
         change.puts.push_back(
             {std::string(platform::configuration_key), platform::encode_configuration(document)});
         static_cast<void>(m_site->store().rows().transact(change));
+        m_moves.push_back({clock::now(), m_moving_service});
     });
 }
 
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -91,6 +91,7 @@
     /// route leads to.
     [[nodiscard]] unsigned added_routes() const noexcept { return m_added_routes; }
     [[nodiscard]] const std::string& moving_service() const noexcept { return m_moving_service; }
+    [[nodiscard]] const std::vector<route_move>& moves() const noexcept { return m_moves; }
     [[nodiscard]] std::vector<server_run> collect_runs() const;
     /// The run of this number at a server, present or former; nothing when there is none.
     [[nodiscard]] std::optional<server_run> find_run(const std::string& server, std::size_t number) const;
@@ -139,6 +140,7 @@
     std::uint16_t m_port = 0;
     unsigned m_added_routes = 0;
     std::string m_moving_service;
+    std::vector<route_move> m_moves;
     std::vector<leaving_server> m_leaving;
     disturbance_log m_disturbances;
     std::map<const planned_fault*, std::size_t> m_open_disturbances;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -28,6 +28,7 @@
 /// How often processes are looked after between two faults.
 constexpr milliseconds look_period{50};
 constexpr int wrong_size_exit_code = 2;
+constexpr std::string_view moving_prefix = "/moving/";
 
 struct soak_options {
     schedule_size schedule;
@@ -189,6 +190,19 @@
     return broken;
 }
 
+broken_promises check_all_moves(const soak_deployment& deployment, const std::vector<server_run>& runs,
+                                const std::map<std::string, const sent_request*>& sent) {
+    broken_promises broken;
+    for (const auto& run : runs) {
+        const auto found = sent.find(run.request_id);
+        if (found != sent.end() && run.target.starts_with(moving_prefix)) {
+            append(broken,
+                   check_moves_in_time(*found->second, run, deployment.moves(), deployment.disturbances()));
+        }
+    }
+    return broken;
+}
+
 broken_promises check_all(soak_deployment& deployment, const soak_callers& callers,
                           const std::vector<server_run>& runs) {
     broken_promises broken = callers.broken();
@@ -211,6 +225,7 @@
         append(broken, check_left(request, own_runs, disturbances));
     }
     append(broken, check_configuration_order(requests));
+    append(broken, check_all_moves(deployment, runs, sent));
     for (const auto& leaving : deployment.leaving()) {
         append(broken, check_leaving(leaving, runs, disturbances));
     }
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -112,6 +112,24 @@
     CHECK(check_allowed(unknown).empty());
 }
 
+TEST_CASE("soak: a route that has moved leads elsewhere in time, unless nobody could hear of it", "[soak]") {
+    auto request = make_request(200);
+    request.service.clear();
+    request.sent = start + milliseconds(9000);
+    const auto run = make_run(request, milliseconds(9005)); // at "plain"
+    const std::vector<route_move> left_late{{start, "plain"}, {start + milliseconds(7000), "other"}};
+    const std::vector<route_move> left_early{{start, "plain"}, {start + milliseconds(1000), "other"}};
+    const disturbance_log calm;
+    CHECK(check_moves_in_time(request, run, left_late, calm).empty());
+    CHECK(check_moves_in_time(request, run, left_early, calm).size() == 1);
+    disturbance_log outage;
+    outage.begin(disturbance_kind::store, std::nullopt, start + milliseconds(1000));
+    outage.end(0, start + milliseconds(4000));
+    CHECK(check_moves_in_time(request, run, left_early, outage).size() == 1);
+    outage.begin(disturbance_kind::store, request.gateway, start + milliseconds(6000));
+    CHECK(check_moves_in_time(request, run, left_early, outage).empty());
+}
+
 TEST_CASE("soak: what runs is what a caller sent", "[soak]") {
     const auto request = make_request(200);
     const std::map<std::string, const sent_request*> sent{{request.id, &request}};
