--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -28,7 +28,8 @@
     event_description{event_kind::stopped, "stopped", info, state_rate, "The process ends.",
                       "requests_cut connections_cut stopping_ms"},
     event_description{event_kind::store_lost, "store_lost", warning, state_rate,
-                      "The store doesn't answer, or refuses; what is known of the table stays in force.",
+                      "The store doesn't answer, refuses, or left a question unanswered that was due; "
+                      "what is known of the table stays in force.",
                       "table reason"},
     event_description{event_kind::store_regained, "store_regained", info, state_rate,
                       "The store answers again; what changed meanwhile follows.", "table lost_ms version"},
