The parts of the limit for changes have names

Same times as before, to the nanosecond for limits of whole milliseconds: half, 7/10, 17/20 with a spread of a quarter, a quarter with a spread of a quarter, a fifth; and the factor of 3 for those that nobody goes by.

--- a/src/policy/follower_pace.hpp
+++ b/src/policy/follower_pace.hpp
@@ -29,35 +29,48 @@
         if (duty != follower_duty::confirm) {
             return longest_wait;
         }
-        return std::clamp<duration>(m_limit / 2 - age, duration::zero(), longest_wait);
+        return std::clamp<duration>(share(between_confirmations) - age, duration::zero(), longest_wait);
     }
 
     /// Whether what is held was confirmed too long ago to go on with it unasked.
     [[nodiscard]] bool is_stale(follower_duty duty, duration age) const noexcept {
-        return age > (duty == follower_duty::confirm ? patience_of_confirming() : patience_of_others());
+        const auto others_patience = share(others_least_patience) + drawn_share(others_patience_spread);
+        return age > (duty == follower_duty::confirm ? share(confirming_patience) : others_patience);
     }
 
     /// Whether it was confirmed so lately that others may go by it.
-    [[nodiscard]] bool is_current(duration age) const noexcept { return age <= patience_of_confirming(); }
+    [[nodiscard]] bool is_current(duration age) const noexcept { return age <= share(confirming_patience); }
 
     /// After a question that is to be answered at once, until it is asked once more.
     [[nodiscard]] duration repeat_delay(follower_duty duty) const noexcept {
-        const auto delay = m_limit / 4 + from_seconds(to_seconds(m_limit / 4) * m_draw);
-        return is_relied_on(duty) ? delay : 3 * delay;
+        const auto delay = share(least_repeat_delay) + drawn_share(repeat_delay_spread);
+        return is_relied_on(duty) ? delay : delay * repeat_factor_of_others;
     }
 
     /// By then a question is answered that may stay open for `wait`, by a store that isn't silent.
-    [[nodiscard]] duration answer_limit(duration wait) const noexcept { return wait + m_limit / 5; }
+    [[nodiscard]] duration answer_limit(duration wait) const noexcept { return wait + share(answer_slack); }
 
 private:
     static constexpr std::chrono::milliseconds shortest_limit{500};
     /// Each question costs a call. The store takes no longer wait than 30 s.
     static constexpr std::chrono::seconds longest_wait{20};
 
-    [[nodiscard]] duration patience_of_confirming() const noexcept { return m_limit * 7 / 10; }
-    /// Longer, so that the confirming gateway's answer is heard before they ask for themselves.
-    [[nodiscard]] duration patience_of_others() const noexcept {
-        return m_limit * 17 / 20 + from_seconds(to_seconds(m_limit / 4) * m_draw);
+    // Parts of the limit, in hundredths of it.
+    static constexpr int between_confirmations = 50;
+    static constexpr int confirming_patience = 70;
+    /// Longer than that of the confirming gateway, whose answer is to be heard before the others ask.
+    static constexpr int others_least_patience = 85;
+    static constexpr int others_patience_spread = 25;
+    static constexpr int least_repeat_delay = 25;
+    static constexpr int repeat_delay_spread = 25;
+    static constexpr int answer_slack = 20;
+
+    /// Those that nobody goes by may be hundreds, and press a store in trouble.
+    static constexpr int repeat_factor_of_others = 3;
+
+    [[nodiscard]] duration share(int hundredths) const noexcept { return m_limit * hundredths / 100; }
+    [[nodiscard]] duration drawn_share(int hundredths) const noexcept {
+        return from_seconds(to_seconds(share(hundredths)) * m_draw);
     }
 
     duration m_limit;
