An outage of one gateway isn't taken for the store's

Ruled out: a late answer (they had the removal within 10 ms of the others), a grant of the coordinator (the request went to a server that was still in their directory).

Change: gateways that the store answers tell for how long it has without a break; who hears of an unbroken view over all of its own outage disowns it, and gives up what it missed for it.

The new unit cases were seen failing with the two decisions switched off.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -226,6 +226,7 @@
     table.add_reports(reports);
     table.add_configuration_confirmed(message.sender.configuration_confirmed);
     table.add_backends_confirmed(message.sender.backends_confirmed);
+    table.add_unbroken_ms(to_wire(message.sender.unbroken));
     builder.Finish(table.Finish());
     const auto bytes = std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
     return {bytes.begin(), bytes.end()};
@@ -250,7 +251,8 @@
                      table->is_in_touch(),
                      table->domain(),
                      table->configuration_confirmed(),
-                     table->backends_confirmed()};
+                     table->backends_confirmed(),
+                     milliseconds(table->unbroken_ms())};
     result.wants_reply = table->wants_reply();
     result.session = table->session();
     result.batch = table->batch();
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -5,6 +5,7 @@
 #include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,8 @@
     /// When the store last confirmed each version, in ms of the store's clock; 0: not told.
     std::uint64_t configuration_confirmed = 0;
     std::uint64_t backends_confirmed = 0;
+    /// For how long the store has answered it without a break; zero: it isn't asked, or doesn't answer.
+    std::chrono::milliseconds unbroken{0};
 };
 
 /// A request that already occupies a slot, told to a new coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -446,7 +446,8 @@
     VT_REFUSALS = 44,
     VT_REPORTS = 46,
     VT_CONFIGURATION_CONFIRMED = 48,
-    VT_BACKENDS_CONFIRMED = 50
+    VT_BACKENDS_CONFIRMED = 50,
+    VT_UNBROKEN_MS = 52
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -520,6 +521,9 @@
   uint64_t backends_confirmed() const {
     return GetField<uint64_t>(VT_BACKENDS_CONFIRMED, 0);
   }
+  uint32_t unbroken_ms() const {
+    return GetField<uint32_t>(VT_UNBROKEN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -554,6 +558,7 @@
            verifier.VerifyVector(reports()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CONFIRMED, 8) &&
            VerifyField<uint64_t>(verifier, VT_BACKENDS_CONFIRMED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_UNBROKEN_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -634,6 +639,9 @@
   void add_backends_confirmed(uint64_t backends_confirmed) {
     fbb_.AddElement<uint64_t>(datagram::VT_BACKENDS_CONFIRMED, backends_confirmed, 0);
   }
+  void add_unbroken_ms(uint32_t unbroken_ms) {
+    fbb_.AddElement<uint32_t>(datagram::VT_UNBROKEN_MS, unbroken_ms, 0);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -670,7 +678,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::refusal *>> refusals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports = 0,
     uint64_t configuration_confirmed = 0,
-    uint64_t backends_confirmed = 0) {
+    uint64_t backends_confirmed = 0,
+    uint32_t unbroken_ms = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_backends_confirmed(backends_confirmed);
   builder_.add_configuration_confirmed(configuration_confirmed);
@@ -678,6 +687,7 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_unbroken_ms(unbroken_ms);
   builder_.add_reports(reports);
   builder_.add_refusals(refusals);
   builder_.add_grants(grants);
@@ -729,7 +739,8 @@
     const std::vector<borageford::coordination::wire::refusal> *refusals = nullptr,
     const std::vector<borageford::coordination::wire::report> *reports = nullptr,
     uint64_t configuration_confirmed = 0,
-    uint64_t backends_confirmed = 0) {
+    uint64_t backends_confirmed = 0,
+    uint32_t unbroken_ms = 0) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -763,7 +774,8 @@
       refusals__,
       reports__,
       configuration_confirmed,
-      backends_confirmed);
+      backends_confirmed,
+      unbroken_ms);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -317,6 +317,7 @@
     result.is_in_touch = held.is_in_touch;
     result.configuration_confirmed = held.configuration_confirmed;
     result.backends_confirmed = held.backends_confirmed;
+    result.unbroken = held.unbroken;
     return result;
 }
 
@@ -393,7 +394,8 @@
                     now);
     m_observers.on_member_versions(from.address(),
                                    {sender.configuration_version, sender.backend_version, sender.is_in_touch,
-                                    sender.configuration_confirmed, sender.backends_confirmed});
+                                    sender.configuration_confirmed, sender.backends_confirmed,
+                                    sender.unbroken});
     if (m_source == slot_source::coordinator && member == m_coordinating_member &&
         message->session == m_upstream->session()) {
         take_from_coordinator(std::move(*message));
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -58,6 +58,7 @@
         /// policy/confirmation.hpp.
         std::uint64_t configuration_confirmed = 0;
         std::uint64_t backends_confirmed = 0;
+        std::chrono::milliseconds unbroken{0}; ///< for which the store has answered without a break
     };
     struct observers {
         std::function<versions()> read_versions;
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -74,12 +74,12 @@
     }
 }
 
-void backend_roster::note_other_in_touch() {
-    m_watch.note_other_in_touch(steady_clock::now());
+void backend_roster::note_other_in_touch(steady_clock::duration unbroken) {
+    m_watch.note_other_in_touch(steady_clock::now(), unbroken);
 }
 
-void backend_roster::take_outage() {
-    m_watch.note_outage(steady_clock::now());
+void backend_roster::take_outage(steady_clock::time_point answered) {
+    m_watch.note_outage(steady_clock::now(), answered);
 }
 
 backend_roster::update backend_roster::changes_after(std::uint64_t version) const {
@@ -228,13 +228,21 @@
     if (!m_all.contains(id)) {
         return;
     }
-    if (m_watch.is_gone(id, steady_clock::now())) {
+    if (has_left_for_good(id)) {
+        remove(id, "no longer registered, and had told that it leaves");
+    } else if (m_watch.is_gone(id, steady_clock::now())) {
         remove(id, "no longer registered");
     } else {
         events::write(events::event_kind::backend_missed, {{"backend", id}});
     }
 }
 
+/// No outage is needed to explain that its registration vanished.
+bool backend_roster::has_left_for_good(std::string_view id) const {
+    const auto server = m_backends.find_id(id);
+    return server != nullptr && server->record().state == routing::backend_state::draining;
+}
+
 void backend_roster::remove(const std::string& id, std::string_view reason) {
     m_all.erase(id);
     m_removed.emplace(m_version, id);
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -12,6 +12,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,9 +39,10 @@
     // From the store.
     void take_all(const store::row_page& page);
     void take_change(const store::row_change& change);
-    void take_outage();
-    /// The store answers another gateway.
-    void note_other_in_touch();
+    /// The store couldn't be reached; it had answered last at `answered`.
+    void take_outage(std::chrono::steady_clock::time_point answered = std::chrono::steady_clock::now());
+    /// The store answers another gateway, and has without a break for so long.
+    void note_other_in_touch(std::chrono::steady_clock::duration unbroken);
 
     /// What has changed after a version, for a gateway that holds just that version.
     struct update {
@@ -70,6 +72,7 @@
     void take_out_of_use(const std::string& id);
     void take_restart(const routing::backend_record& record);
     void take_missing(const std::string& id);
+    [[nodiscard]] bool has_left_for_good(std::string_view id) const;
     void remove(const std::string& id, std::string_view reason);
     void tick();
     void check_missed();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -171,7 +171,7 @@
     void hear_peer(const asio::ip::address& peer, const coordination::slot_broker::versions& held) {
         m_exchange.hear(peer, held.configuration, held.backends);
         if (held.is_in_touch) {
-            m_roster.note_other_in_touch();
+            m_roster.note_other_in_touch(held.unbroken);
             m_follower_choice.hear_follower(std::chrono::steady_clock::now());
         }
         // Of another version it says nothing: this gateway, or the peer, is behind.
@@ -193,8 +193,12 @@
     }
 
     [[nodiscard]] coordination::slot_broker::versions held_versions() const {
-        return {m_configuration_keeper.version(), m_roster.version(), is_in_touch(),
-                m_configuration_follower.told_confirmation(), m_backend_follower.told_confirmation()};
+        return {m_configuration_keeper.version(),
+                m_roster.version(),
+                is_in_touch(),
+                m_configuration_follower.told_confirmation(),
+                m_backend_follower.told_confirmation(),
+                std::chrono::duration_cast<milliseconds>(m_backend_follower.unbroken())};
     }
 
     store_follower::handlers make_configuration_handlers() {
@@ -253,7 +257,7 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this] { m_roster.take_outage(); }, [this] { return m_roster.version(); },
+                [this] { m_roster.take_outage(m_backend_follower.confirmed_at()); }, [this] { return m_roster.version(); },
                 [this] {
                     return follower_duty();
                 }};
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -127,6 +127,7 @@
 
 void store_follower::note_lost(std::string_view reason) {
     m_is_in_touch = false;
+    m_confirmation.note_failure(clock::now());
     if (!m_lost_since.has_value()) {
         m_lost_since = clock::now();
         events::write(events::event_kind::store_lost, {{"table", m_table_name}, {"reason", reason}});
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -51,6 +51,13 @@
 
     /// Whether the store is asked and answered the last call.
     [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch && !m_relies; }
+    /// When what is held was confirmed last, to this gateway or to another.
+    [[nodiscard]] clock::time_point confirmed_at() const noexcept { return m_confirmation.noted_at(); }
+    /// For how long the store has answered without a break, as far as this gateway can tell; zero: it isn't
+    /// asked, or doesn't answer.
+    [[nodiscard]] clock::duration unbroken() const {
+        return is_in_touch() ? m_confirmation.unbroken(clock::now()) : clock::duration::zero();
+    }
     /// Whether what is held was confirmed lately, to this gateway or to another.
     [[nodiscard]] bool is_current() const { return m_pace.is_current(m_confirmation.age(clock::now())); }
 
@@ -84,7 +91,7 @@
     store::table& m_table;
     std::string m_table_name;
     policy::follower_pace m_pace;
-    policy::confirmation m_confirmation{clock::now()};
+    policy::confirmation m_confirmation{clock::now(), m_pace.longest_gap()};
     std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
     std::uint64_t m_forgotten_version = 0; ///< the store has dropped the history after it
     bool m_is_in_touch = false;
--- a/src/policy/follower_pace.hpp
+++ b/src/policy/follower_pace.hpp
@@ -39,7 +39,10 @@
     }
 
     /// Whether it was confirmed so lately that others may go by it.
-    [[nodiscard]] bool is_current(duration age) const noexcept { return age <= share(confirming_patience); }
+    [[nodiscard]] bool is_current(duration age) const noexcept { return age <= longest_gap(); }
+
+    /// Between two confirmations, for the store to have been there meanwhile as far as this gateway can tell.
+    [[nodiscard]] duration longest_gap() const noexcept { return share(confirming_patience); }
 
     /// After a question that is to be answered at once, until it is asked once more.
     [[nodiscard]] duration repeat_delay(follower_duty duty) const noexcept {
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -1,6 +1,7 @@
 // One moment for each missed server.
 #include "policy/registration_watch.hpp"
 
+#include <algorithm>
 #include <ranges>
 
 namespace borageford::policy {
@@ -9,10 +10,29 @@
     return m_last_outage != time_point::min() && now - m_last_outage < grace;
 }
 
-void registration_watch::note_outage(time_point now) noexcept {
+void registration_watch::note_outage(time_point now, time_point answered) noexcept {
     const bool answers_others = m_other_in_touch != time_point::min() && now - m_other_in_touch < word_life;
-    if (!answers_others) {
-        m_last_outage = now;
+    if (answers_others) {
+        return;
+    }
+    m_outage_begin = is_around_outage(now) ? std::min(m_outage_begin, answered) : answered;
+    m_last_outage = now;
+}
+
+void registration_watch::note_other_in_touch(time_point now, duration unbroken) {
+    m_other_in_touch = now;
+    const bool is_over = is_around_outage(now) && now - m_last_outage >= word_delay;
+    if (is_over && now - unbroken <= m_outage_begin) {
+        disown_outage(now);
+    }
+}
+
+/// The store was there all the while.
+void registration_watch::disown_outage(time_point now) {
+    m_last_outage = time_point::min();
+    for (auto& [server, until] : m_missed) {
+        const bool was_missed_for_it = until - grace >= m_outage_begin;
+        until = was_missed_for_it ? now : until;
     }
 }
 
--- a/src/policy/registration_watch.hpp
+++ b/src/policy/registration_watch.hpp
@@ -22,12 +22,18 @@
     /// second.
     static constexpr duration word_life = std::chrono::milliseconds(600);
 
-    /// The store couldn't be reached from here. Where it answers another process, only this one is turned
-    /// away: servers renew their registrations, and one that vanishes has left. Missing such a server for a
-    /// while sent requests to it for 2.3 s after it had said that it leaves.
-    void note_outage(time_point now) noexcept;
-    /// Another process says that the store answers it.
-    void note_other_in_touch(time_point now) noexcept { m_other_in_touch = now; }
+    /// Word of before an outage may still be under way when it ends.
+    static constexpr duration word_delay = std::chrono::milliseconds(100);
+
+    /// The store couldn't be reached from here, and had answered last at `answered`. Where it answers another
+    /// process, only this one is turned away: servers renew their registrations, and one that vanishes has
+    /// left. Missing such a server for a while sends requests to it after it has said that it leaves.
+    void note_outage(time_point now, time_point answered) noexcept;
+    void note_outage(time_point now) noexcept { note_outage(now, now); }
+    /// Another process says that the store answers it, and has answered it without a break for so long. Where
+    /// this process was cut off from all others as well, it hears so only afterwards: the outage was its own
+    /// then, and servers that were missed for it have left.
+    void note_other_in_touch(time_point now, duration unbroken = duration::zero());
 
     /// A registration vanished: true when the server is to be taken as gone now; false when it is missed.
     [[nodiscard]] bool is_gone(std::string_view server, time_point now);
@@ -43,8 +49,10 @@
 
 private:
     [[nodiscard]] bool is_around_outage(time_point now) const noexcept;
+    void disown_outage(time_point now);
 
-    time_point m_last_outage = time_point::min();
+    time_point m_last_outage = time_point::min(); ///< min: none, or none of the store's own
+    time_point m_outage_begin = time_point::min(); ///< of a series with gaps shorter than `grace`
     time_point m_other_in_touch = time_point::min();
     std::map<std::string, time_point, std::less<>> m_missed; ///< until when each is missed
 };
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -116,7 +116,7 @@
 
 TEST_CASE("a datagram means the same to its receiver, on the receiver's clock", "[coordination]") {
     datagram sent;
-    sent.sender = {5, true, true, false, 0.19, 4, 17, 23, true, 9, 1000, 2000};
+    sent.sender = {5, true, true, false, 0.19, 4, 17, 23, true, 9, 1000, 2000, 30s};
     sent.wants_reply = true;
     sent.known = {11, 12};
     sent.session = 3;
@@ -139,6 +139,7 @@
     CHECK(taken->sender.domain == 9);
     CHECK(taken->sender.configuration_confirmed == 1000);
     CHECK(taken->sender.backends_confirmed == 2000);
+    CHECK(taken->sender.unbroken == 30s);
     CHECK(taken->known == sent.known);
     CHECK(taken->batch == 2);
     REQUIRE(taken->items.asks.size() == 1);
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -29,6 +29,10 @@
             }
             routing::backend_record record;
             record.id = id;
+            if (value.starts_with("leaving ")) {
+                record.state = routing::backend_state::draining;
+                value.remove_prefix(value.find(' ') + 1);
+            }
             const auto mark = value.find('@'); // "SERVICE@START"
             record.service = value.substr(0, mark);
             if (mark != std::string_view::npos) {
@@ -133,6 +137,19 @@
     CHECK(behind.roster().changes_after(5).missed == std::vector<std::string>{"a"});
 }
 
+TEST_CASE("a server that had told that it leaves isn't missed after an outage", "[gateway][roster]") {
+    // Guards against keeping servers that are known to have left among those that may come back.
+    known_servers here;
+    here.write("a", "engines", 5);
+    here.write("b", "engines", 6);
+    here.write("a", "leaving engines", 7);
+    here.roster().take_outage();
+    here.unregister_server("a", 8);
+    here.unregister_server("b", 9);
+    CHECK_FALSE(here.knows("a"));
+    CHECK(here.knows("b"));
+}
+
 TEST_CASE("a request that holds a slot at a server that isn't known yet hears when it is",
           "[gateway][roster]") {
     // The coordinator has read of a server that has just started, this gateway hasn't. Its grants were given
