--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -212,7 +212,7 @@
     table.add_domain(message.sender.domain);
     table.add_members(static_cast<std::uint16_t>(message.sender.members));
     table.add_configuration_version(message.sender.configuration_version);
-    table.add_backend_version(message.sender.backend_version);
+    table.add_backend_version(message.sender.backends.version);
     table.add_known(known);
     table.add_session(message.session);
     table.add_batch(message.batch);
@@ -226,6 +226,7 @@
     table.add_reports(reports);
     table.add_configuration_confirmed(message.sender.configuration_confirmed);
     table.add_backends_confirmed(message.sender.backends_confirmed);
+    table.add_store_era(message.sender.backends.era);
     table.add_unbroken_ms(to_wire(message.sender.unbroken));
     builder.Finish(table.Finish());
     const auto bytes = std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
@@ -247,7 +248,7 @@
                      table->processor_share(),
                      table->members(),
                      table->configuration_version(),
-                     table->backend_version(),
+                     {table->store_era(), table->backend_version()},
                      table->is_in_touch(),
                      table->domain(),
                      table->configuration_confirmed(),
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -4,6 +4,7 @@
 #include "policy/coordinator_election.hpp"
 #include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
+#include "store/position.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -23,10 +24,10 @@
     double processor_share = 1;
     unsigned members = 0; ///< that it counts, as coordinator
     std::uint64_t configuration_version = 0;
-    std::uint64_t backend_version = 0;
+    store::position backends;      ///< the last change of backend servers that it knows
     bool is_in_touch = false;      ///< the store answers it
     policy::domain_key domain = 0; ///< its failure domain, and that of all that it asks for
-    /// When the store last confirmed each version, in ms of the store's clock; 0: not told.
+    /// When the store last confirmed each, in ms of its clock in the era of `backends`; 0: not told.
     std::uint64_t configuration_confirmed = 0;
     std::uint64_t backends_confirmed = 0;
     /// For how long the store has answered it without a break; zero: it isn't asked, or doesn't answer.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -447,7 +447,8 @@
     VT_REPORTS = 46,
     VT_CONFIGURATION_CONFIRMED = 48,
     VT_BACKENDS_CONFIRMED = 50,
-    VT_UNBROKEN_MS = 52
+    VT_STORE_ERA = 52,
+    VT_UNBROKEN_MS = 54
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -521,6 +522,9 @@
   uint64_t backends_confirmed() const {
     return GetField<uint64_t>(VT_BACKENDS_CONFIRMED, 0);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   uint32_t unbroken_ms() const {
     return GetField<uint32_t>(VT_UNBROKEN_MS, 0);
   }
@@ -558,6 +562,7 @@
            verifier.VerifyVector(reports()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CONFIRMED, 8) &&
            VerifyField<uint64_t>(verifier, VT_BACKENDS_CONFIRMED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            VerifyField<uint32_t>(verifier, VT_UNBROKEN_MS, 4) &&
            verifier.EndTable();
   }
@@ -639,6 +644,9 @@
   void add_backends_confirmed(uint64_t backends_confirmed) {
     fbb_.AddElement<uint64_t>(datagram::VT_BACKENDS_CONFIRMED, backends_confirmed, 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(datagram::VT_STORE_ERA, store_era, 0);
+  }
   void add_unbroken_ms(uint32_t unbroken_ms) {
     fbb_.AddElement<uint32_t>(datagram::VT_UNBROKEN_MS, unbroken_ms, 0);
   }
@@ -679,8 +687,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::report *>> reports = 0,
     uint64_t configuration_confirmed = 0,
     uint64_t backends_confirmed = 0,
+    uint64_t store_era = 0,
     uint32_t unbroken_ms = 0) {
   datagramBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
   builder_.add_configuration_confirmed(configuration_confirmed);
   builder_.add_session(session);
@@ -740,6 +750,7 @@
     const std::vector<borageford::coordination::wire::report> *reports = nullptr,
     uint64_t configuration_confirmed = 0,
     uint64_t backends_confirmed = 0,
+    uint64_t store_era = 0,
     uint32_t unbroken_ms = 0) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
@@ -775,6 +786,7 @@
       reports__,
       configuration_confirmed,
       backends_confirmed,
+      store_era,
       unbroken_ms);
 }
 
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -313,7 +313,7 @@
     result.members = static_cast<unsigned>(m_census.count());
     const auto held = m_observers.read_versions();
     result.configuration_version = held.configuration;
-    result.backend_version = held.backends;
+    result.backends = held.backends;
     result.is_in_touch = held.is_in_touch;
     result.configuration_confirmed = held.configuration_confirmed;
     result.backends_confirmed = held.backends_confirmed;
@@ -392,10 +392,9 @@
     const auto known = std::move(message->known);
     m_election.hear(member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving},
                     now);
-    m_observers.on_member_versions(from.address(),
-                                   {sender.configuration_version, sender.backend_version, sender.is_in_touch,
-                                    sender.configuration_confirmed, sender.backends_confirmed,
-                                    sender.unbroken});
+    m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backends,
+                                                    sender.is_in_touch, sender.configuration_confirmed,
+                                                    sender.backends_confirmed, sender.unbroken});
     if (m_source == slot_source::coordinator && member == m_coordinating_member &&
         message->session == m_upstream->session()) {
         take_from_coordinator(std::move(*message));
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -10,6 +10,7 @@
 #include "coordination/slot_coordinator.hpp"
 #include "policy/coordinator_election.hpp"
 #include "policy/member_census.hpp"
+#include "store/position.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -52,9 +53,9 @@
     /// What this process holds, for the status that it sends.
     struct versions {
         std::uint64_t configuration = 0;
-        std::uint64_t backends = 0;
+        store::position backends;
         bool is_in_touch = false; ///< the store answers
-        /// When the store last confirmed each, in ms of the store's clock, 0: not told; see
+        /// When the store last confirmed each, in ms of its clock in the era of `backends`, 0: not told; see
         /// policy/confirmation.hpp.
         std::uint64_t configuration_confirmed = 0;
         std::uint64_t backends_confirmed = 0;
--- a/src/emulator/emulated_store.cpp
+++ b/src/emulator/emulated_store.cpp
@@ -2,8 +2,10 @@
 #include "emulator/emulated_store.hpp"
 
 #include "base/pause.hpp"
+#include "platform/backend_codec.hpp"
 #include "platform/store_service_codec.hpp"
 
+#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -37,9 +39,10 @@
 } // namespace
 
 emulated_store::emulated_store(asio::any_io_executor executor, timer_service& timers)
-    : m_timers(timers),
+    : m_executor(executor),
+      m_timers(timers),
       m_server(
-          executor, {},
+          m_executor, {},
           [this](const http::request& call, http::response_writer& writer) { return handle(call, writer); },
           refuse_unread) {}
 
@@ -60,14 +63,57 @@
         co_await leave_unanswered(writer);
         co_return;
     }
-    const auto whole = co_await answer(call);
+    auto whole = co_await answer(call);
     if (m_state == store_state::silent) {
         co_await leave_unanswered(writer);
         co_return;
     }
+    platform::tell_era(whole, m_told_era.value_or(m_rows.era()));
     co_await writer.write(whole);
 }
 
+bool emulated_store::refuses_next_call() noexcept {
+    return m_state == store_state::busy || (m_state == store_state::partly && m_calls % 2 == 0);
+}
+
+void emulated_store::return_from_copy(const store_return& how) {
+    const auto lost = m_rows.restore(row_store::clock::now() - how.age);
+    std::vector<store::row_change> of_servers;
+    std::vector<store::row_change> of_operators;
+    for (const auto& change : lost) {
+        auto& writer = change.now.key.starts_with(platform::backend_table) ? of_servers : of_operators;
+        writer.push_back(change);
+    }
+    const auto plan = [this](milliseconds delay, std::vector<store::row_change> changes) {
+        auto write = [this, changes = std::move(changes), copied = m_rows.version()] {
+            write_again(changes, copied);
+        };
+        m_planned_writes.push_back(m_timers.after(m_executor, delay, std::move(write)));
+    };
+    plan(how.servers_after, std::move(of_servers));
+    plan(how.operators_after, std::move(of_operators));
+}
+
+void emulated_store::write_again(const std::vector<store::row_change>& lost, std::uint64_t copied_version) {
+    std::map<std::string, store::row_change> last;
+    for (const auto& change : lost) {
+        last.insert_or_assign(change.now.key, change);
+    }
+    for (const auto& [key, change] : last) {
+        const auto now = m_rows.read(key);
+        if (now.has_value() && now->version > copied_version) {
+            continue;
+        }
+        store::transaction again;
+        if (change.is_removed) {
+            again.deletes.push_back(key);
+        } else {
+            again.puts.push_back({key, change.now.value});
+        }
+        static_cast<void>(m_rows.transact(again));
+    }
+}
+
 asio::awaitable<void> emulated_store::leave_unanswered(http::response_writer& writer) {
     ++m_unanswered;
     co_await writer.wait_for_disconnect();
@@ -76,7 +122,7 @@
 }
 
 asio::awaitable<http::response> emulated_store::answer(const http::request& call) {
-    if (m_state == store_state::busy) {
+    if (refuses_next_call()) {
         co_return refuse(status_unavailable);
     }
     if (m_state == store_state::many) {
@@ -98,7 +144,7 @@
             co_return platform::encode_committed(result);
         }
         store::row_page current;
-        current.version = m_rows.version();
+        current.position = {m_rows.era(), m_rows.version()};
         for (const auto& key : result.failed_keys) {
             if (auto row = m_rows.read(key)) {
                 current.rows.push_back(*std::move(row));
--- a/src/emulator/row_store.cpp
+++ b/src/emulator/row_store.cpp
@@ -1,6 +1,7 @@
 // One ordered map and one list of changes.
 #include "emulator/row_store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageford::emulator {
@@ -32,19 +33,45 @@
     result.version = ++m_version;
     for (const auto& put : changes.puts) {
         const store::row row{put.key, put.value, m_version};
+        remember({row, false}, read(put.key));
         m_rows[put.key] = row;
-        m_history.push_back({row, false});
     }
     for (const auto& key : changes.deletes) {
-        if (m_rows.erase(key) > 0) {
-            m_history.push_back({{key, "", m_version}, true});
+        if (auto former = read(key)) {
+            m_rows.erase(key);
+            remember({{key, "", m_version}, true}, std::move(former));
         }
     }
-    while (m_history.size() > most_history) {
-        m_history_begin = m_history.front().now.version;
+    return result;
+}
+
+void row_store::remember(store::row_change change, std::optional<store::row> former) {
+    m_history.push_back({std::move(change), std::move(former), clock::now()});
+    if (m_history.size() > most_history) {
+        m_history_begin = m_history.front().change.now.version;
         m_history.pop_front();
     }
-    return result;
+}
+
+std::vector<store::row_change> row_store::restore(clock::time_point moment) {
+    std::vector<store::row_change> lost;
+    while (!m_history.empty() && m_history.back().at > moment) {
+        undo(m_history.back());
+        lost.push_back(std::move(m_history.back().change));
+        m_history.pop_back();
+    }
+    m_version = m_history.empty() ? m_history_begin : m_history.back().change.now.version;
+    ++m_era;
+    std::ranges::reverse(lost);
+    return lost;
+}
+
+void row_store::undo(const past_change& last) {
+    if (last.former.has_value()) {
+        m_rows[last.former->key] = *last.former;
+    } else {
+        m_rows.erase(last.change.now.key);
+    }
 }
 
 std::optional<store::row> row_store::read(std::string_view key) const {
@@ -54,7 +81,7 @@
 
 store::row_page row_store::scan(std::string_view prefix, std::string_view after, std::size_t limit) const {
     store::row_page page;
-    page.version = m_version;
+    page.position = {m_era, m_version};
     auto entry = after.empty() ? m_rows.lower_bound(prefix) : m_rows.upper_bound(after);
     for (; entry != m_rows.end() && entry->first.starts_with(prefix); ++entry) {
         if (page.rows.size() == limit) {
@@ -67,12 +94,12 @@
 }
 
 std::optional<store::change_page> row_store::changes(std::string_view table, std::uint64_t after) const {
-    if (after < m_history_begin) {
+    if (after < m_history_begin || after > m_version) {
         return std::nullopt;
     }
     store::change_page page;
-    page.version = m_version;
-    for (const auto& change : m_history) {
+    page.position = {m_era, m_version};
+    for (const auto& [change, former, at] : m_history) {
         if (change.now.version > after && table_of(change.now.key) == table) {
             page.changes.push_back(change);
         }
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -21,6 +21,7 @@
     // What it depends on.
     store_lost,
     store_regained,
+    store_era_changed,
     peer_asked,
     peer_failed,
     slot_source_changed,
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -19,9 +19,6 @@
 
 /// What is missed or expired is noticed that much later at most.
 constexpr std::chrono::milliseconds tick_period{200};
-/// A gateway that missed more asks for everything; some kilobytes in each process.
-constexpr std::size_t most_known_removals = 500;
-
 void report_unreadable(std::string_view id, std::string_view reason) {
     events::write(events::event_kind::backend_unreadable, {{"backend", id}, {"reason", reason}});
 }
@@ -30,12 +27,13 @@
 
 backend_roster::backend_roster(asio::any_io_executor executor, timer_service& timers,
                                const deployment& speech, backend_directory& backends,
-                               coordination::slot_broker& slots)
+                               coordination::slot_broker& slots, std::chrono::milliseconds registration_life)
     : m_executor(std::move(executor)),
       m_timers(timers),
       m_speech(speech),
       m_backends(backends),
-      m_slots(slots) {}
+      m_slots(slots),
+      m_registration_life(registration_life) {}
 
 void backend_roster::start() {
     m_timer = m_timers.every(m_executor, tick_period, [this] { tick(); });
@@ -46,31 +44,115 @@
 }
 
 void backend_roster::take_all(const store::row_page& page) {
+    if (page.position.era < m_position.era) {
+        return;
+    }
+    if (begins_era(page.position)) {
+        begin_era(page.position, "store");
+    }
+    m_position = std::max(m_position, store::position{page.position.era, 0});
     std::set<std::string, std::less<>> present;
     for (const auto& row : page.rows) {
         present.insert(id_of(row));
-        take_present(id_of(row), row.value, row.version);
+        take_present(id_of(row), {row.value, {page.position.era, row.version}});
     }
+    const auto is_missing = [&](const auto& entry) {
+        return !present.contains(entry.first);
+    };
+    if (std::ranges::any_of(m_all, is_missing)) {
+        m_position = std::max(m_position, page.position); // before the removals, which are filed under it
+    }
+    miss_all_but(present);
+    report_era();
+}
+
+void backend_roster::take_change(const store::row_change& change) {
+    const store::position at{m_position.era, change.now.version};
+    m_position = std::max(m_position, at);
+    if (change.is_removed) {
+        take_missing(id_of(change.now));
+    } else {
+        take_present(id_of(change.now), {change.now.value, at});
+    }
+}
+
+/// Also of what is doubted.
+void backend_roster::miss_all_but(const std::set<std::string, std::less<>>& present) {
     std::vector<std::string> missing;
     for (const auto& [id, entry] : m_all) {
         if (!present.contains(id)) {
             missing.push_back(id);
         }
     }
-    if (!missing.empty()) {
-        m_version = std::max(m_version, page.version); // before the removals, which are filed under it
-    }
     for (const auto& id : missing) {
         take_missing(id);
     }
+    std::erase_if(m_doubted, [&](const auto& entry) { return !present.contains(entry.first); });
 }
 
-void backend_roster::take_change(const store::row_change& change) {
-    m_version = std::max(m_version, change.now.version);
-    if (change.is_removed) {
-        take_missing(id_of(change.now));
-    } else {
-        take_present(id_of(change.now), change.now.value, change.now.version);
+// A store that comes back from an older copy has lost what was written last; servers and operators write it
+// again, but not at once. Until then the copy's rows are older than what is known here, and what isn't in it
+// may live or not.
+
+/// At its first look a process has nothing that could be older or newer.
+bool backend_roster::begins_era(store::position seen) const {
+    return seen.era > m_position.era && m_position != store::position{};
+}
+
+void backend_roster::begin_era(store::position first_look, std::string_view source) {
+    m_era_report = era_report{m_position, source};
+    m_first_look = first_look;
+    m_position = {first_look.era, 0};
+    m_watch.note_return_from_copy(steady_clock::now());
+}
+
+void backend_roster::report_era() {
+    if (!m_era_report.has_value()) {
+        return;
+    }
+    events::write(events::event_kind::store_era_changed,
+                  {{"era", m_position.era},
+                   {"former", m_era_report->former.era},
+                   {"held", m_era_report->former.version},
+                   {"version", m_first_look.version},
+                   {"source", m_era_report->source},
+                   {"missing", std::uint64_t(m_era_report->missing)},
+                   {"outdated", std::uint64_t(m_era_report->outdated)}});
+    m_era_report.reset();
+}
+
+/// Two eras share their versions up to the copy's. So a row whose version isn't above the one that is known,
+/// and that stood there at the first look, is either the copy's, or was written anew under a number that was
+/// given out again. Which of the two it is can't be told.
+bool backend_roster::may_be_outdated(store::position known, store::position at) const {
+    return known.era < at.era && at <= m_first_look && at.version <= known.version;
+}
+
+bool backend_roster::was_removed_after(const std::string& id, store::position at) const {
+    const auto removed = m_removals.find(id);
+    return removed.has_value() && may_be_outdated(*removed, at);
+}
+
+/// The copy has a server that is known to have left, whose address may be another's by now. It counts again
+/// once its row is written anew, or has stood for so long that somebody must have renewed it.
+void backend_roster::doubt(const std::string& id, registration entry) {
+    m_position = std::max(m_position, entry.position);
+    m_doubted.try_emplace(id,
+                          doubted_registration{std::move(entry), steady_clock::now() + m_registration_life});
+    note_outdated();
+}
+
+void backend_roster::check_doubted() {
+    const auto now = steady_clock::now();
+    registrations renewed;
+    for (const auto& [id, doubted] : m_doubted) {
+        if (doubted.until <= now) {
+            renewed.emplace(id, doubted.entry);
+        }
+    }
+    for (const auto& [id, entry] : renewed) {
+        m_doubted.erase(id);
+        accept(id, entry);
     }
 }
 
@@ -82,61 +164,85 @@
     m_watch.note_outage(steady_clock::now(), answered);
 }
 
-backend_roster::update backend_roster::changes_after(std::uint64_t version) const {
+backend_roster::update backend_roster::changes_after(store::position held) const {
     update result;
-    result.version = m_version;
-    result.is_whole = version < m_removals_known_after || version == 0;
+    result.position = m_position;
+    const bool is_of_other_era = held.era != m_position.era;
+    result.is_whole = is_of_other_era || held.version == 0 || !m_removals.reaches_back_to(held);
     result.missed = m_watch.missed();
     if (result.is_whole) {
         result.present = m_all;
         return result;
     }
     std::ranges::copy_if(m_all, std::inserter(result.present, result.present.end()),
-                         [version](const auto& entry) { return entry.second.version > version; });
-    for (auto removed = m_removed.upper_bound(version); removed != m_removed.end(); ++removed) {
-        if (!m_all.contains(removed->second)) {
-            result.gone.push_back(removed->second);
+                         [held](const auto& entry) { return entry.second.position > held; });
+    for (auto& id : m_removals.after(held)) {
+        if (!m_all.contains(id)) {
+            result.gone.push_back(std::move(id));
         }
     }
     return result;
 }
 
 void backend_roster::take_update(const update& newer) {
-    if (newer.version <= m_version) {
+    if (newer.position <= m_position) {
         return;
     }
+    const bool is_of_new_era = begins_era(newer.position);
+    if (is_of_new_era) {
+        begin_era(newer.position, "peer");
+    }
+    std::set<std::string, std::less<>> present;
     for (const auto& [id, entry] : newer.present) {
-        take_present(id, entry.value, entry.version);
+        present.insert(id);
+        take_present(id, entry);
     }
     for (const auto& id : newer.missed) {
         m_watch.note_missed(id, steady_clock::now());
     }
-    m_version = std::max(m_version, newer.version);
+    m_position = std::max(m_position, newer.position);
+    if (is_of_new_era) {
+        // The peer may have known less than this process when the era began.
+        miss_all_but(present);
+        report_era();
+        return;
+    }
     auto gone = newer.gone;
     if (newer.is_whole) {
         for (const auto& [id, entry] : m_all) {
-            if (!newer.present.contains(id)) {
+            if (!present.contains(id)) {
                 gone.push_back(id);
             }
         }
     }
     for (const auto& id : gone) {
+        m_doubted.erase(id);
         if (m_all.contains(id)) {
             remove(id, "not known to a peer that is ahead");
         }
     }
 }
 
-void backend_roster::take_present(const std::string& id, const std::string& value, std::uint64_t version) {
+void backend_roster::take_present(const std::string& id, const registration& told) {
     m_watch.note_present(id);
+    if (!m_all.contains(id) && was_removed_after(id, told.position)) {
+        doubt(id, told);
+        return;
+    }
+    m_doubted.erase(id);
+    accept(id, told);
+}
+
+void backend_roster::accept(const std::string& id, const registration& told) {
     auto& known = m_all[id];
-    if (version <= known.version) {
+    if (told.position <= known.position) {
         return;
     }
-    m_version = std::max(m_version, version);
-    const bool is_told = known.version > 0 && known.value.empty();
-    auto record = read(id, value, is_told);
-    known.version = version;
+    m_position = std::max(m_position, told.position);
+    const bool is_told = known.position.version > 0 && known.value.empty();
+    const bool is_outdated = may_be_outdated(known.position, told.position) && !known.value.empty();
+    auto record = read(id, told.value, is_told);
+    known.position = told.position;
     if (!record.has_value()) {
         refuse_entry(id, known);
         return;
@@ -154,11 +260,24 @@
         take_restart(*record);
         break;
     case policy::server_starts::verdict::first:
+        break;
     case policy::server_starts::verdict::same:
+        if (is_outdated && record->state == routing::backend_state::ready) {
+            if (told.value != known.value) {
+                note_outdated();
+            }
+            return; // a server that had told that it leaves would be in use again
+        }
         break;
     }
-    known.value = value;
-    put_in_use(std::move(*record), version);
+    known.value = told.value;
+    put_in_use(std::move(*record), told.position);
+}
+
+void backend_roster::note_outdated() {
+    if (m_era_report.has_value()) {
+        ++m_era_report->outdated;
+    }
 }
 
 /// Also where the id stood for a good server before. Whoever wrote it, it is no word of a server that takes
@@ -184,19 +303,21 @@
     }
 }
 
-void backend_roster::put_in_use(routing::backend_record record, std::uint64_t version) {
+void backend_roster::put_in_use(routing::backend_record record, store::position at) {
     if (record.state == routing::backend_state::ready) {
         events::write(events::event_kind::backend_ready, {{"backend", record.id},
                                                           {"service", record.service},
                                                           {"address", http::to_string(record.address)},
                                                           {"slots", std::uint64_t(record.slots)},
                                                           {"start", record.start},
-                                                          {"version", version}});
+                                                          {"era", at.era},
+                                                          {"version", at.version}});
         m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
                            policy::domain_key_of(record.failure_domain));
     } else {
         m_slots.remove_server(record.key());
-        events::write(events::event_kind::backend_draining, {{"backend", record.id}, {"version", version}});
+        events::write(events::event_kind::backend_draining,
+                      {{"backend", record.id}, {"era", at.era}, {"version", at.version}});
     }
     m_backends.set(std::move(record));
 }
@@ -225,9 +346,13 @@
 }
 
 void backend_roster::take_missing(const std::string& id) {
+    m_doubted.erase(id);
     if (!m_all.contains(id)) {
         return;
     }
+    if (m_era_report.has_value()) {
+        ++m_era_report->missing;
+    }
     if (has_left_for_good(id)) {
         remove(id, "no longer registered, and had told that it leaves");
     } else if (m_watch.is_gone(id, steady_clock::now())) {
@@ -245,11 +370,7 @@
 
 void backend_roster::remove(const std::string& id, std::string_view reason) {
     m_all.erase(id);
-    m_removed.emplace(m_version, id);
-    if (m_removed.size() > most_known_removals) {
-        m_removals_known_after = m_removed.begin()->first;
-        m_removed.erase(m_removed.begin());
-    }
+    m_removals.add(id, m_position);
     m_starts.forget(id);
     if (const auto server = m_backends.find_id(id)) {
         m_slots.remove_server(server->record().key());
@@ -260,6 +381,7 @@
 
 void backend_roster::tick() {
     check_missed();
+    check_doubted();
     m_backends.close_expired(steady_clock::now());
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -64,7 +64,8 @@
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
                     m_configuration,      m_backends,         m_slots,    m_metrics},
           m_configuration_keeper(speech, m_configuration, m_slots),
-          m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots),
+          m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots,
+                   m_settings.registration_life()),
           m_exchange(
               m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster,
               [this] { return is_store_well(); },
@@ -127,6 +128,9 @@
         m_registry.add_gauge("borageford_gateway_lost_log_lines",
                              "Log lines dropped because nobody read them.", {},
                              [] { return static_cast<double>(events::lost_lines()); });
+        m_registry.add_gauge("borageford_gateway_store_era",
+                             "Rises by one each time the store comes back from an older copy; 0: not told.",
+                             {}, [this] { return static_cast<double>(m_roster.position().era); });
         add_store_gauges(m_speech.configuration_table, m_configuration_follower);
         add_store_gauges(m_speech.backend_table, m_backend_follower);
     }
@@ -170,16 +174,17 @@
 
     void hear_peer(const asio::ip::address& peer, const coordination::slot_broker::versions& held) {
         m_exchange.hear(peer, held.configuration, held.backends);
-        if (held.is_in_touch) {
+        // Who lives in a former era says nothing of the store as it is now.
+        if (held.is_in_touch && held.backends.era >= m_roster.position().era) {
             m_roster.note_other_in_touch(held.unbroken);
             m_follower_choice.hear_follower(std::chrono::steady_clock::now());
         }
         // Of another version it says nothing: this gateway, or the peer, is behind.
         if (held.configuration == m_configuration_keeper.version()) {
-            m_configuration_follower.hear_confirmation(held.configuration_confirmed);
+            m_configuration_follower.hear_confirmation({held.backends.era, held.configuration_confirmed});
         }
-        if (held.backends == m_roster.version()) {
-            m_backend_follower.hear_confirmation(held.backends_confirmed);
+        if (held.backends == m_roster.position()) {
+            m_backend_follower.hear_confirmation({held.backends.era, held.backends_confirmed});
         }
     }
 
@@ -194,13 +199,19 @@
 
     [[nodiscard]] coordination::slot_broker::versions held_versions() const {
         return {m_configuration_keeper.version(),
-                m_roster.version(),
+                m_roster.position(),
                 is_in_touch(),
-                m_configuration_follower.told_confirmation(),
-                m_backend_follower.told_confirmation(),
+                told_confirmation(m_configuration_follower),
+                told_confirmation(m_backend_follower),
                 std::chrono::duration_cast<milliseconds>(m_backend_follower.unbroken())};
     }
 
+    /// One era is told for everything, that of the backend servers.
+    [[nodiscard]] std::uint64_t told_confirmation(const store_follower& follower) const {
+        const auto told = follower.told_confirmation();
+        return told.era == m_roster.position().era ? told.milliseconds : 0;
+    }
+
     store_follower::handlers make_configuration_handlers() {
         return {[this](const store::row_page& page) {
                     for (const auto& row : page.rows) {
@@ -208,7 +219,8 @@
                     }
                 },
                 [this](const store::row_change& change) { take_configuration(change.now); }, [] {},
-                [] { return std::uint64_t(0); }, // a document's version isn't the store's
+                // A document's version isn't the store's.
+                [this] { return store::position{m_roster.position().era, 0}; },
                 [this] {
                     return configuration_duty();
                 }};
@@ -257,7 +269,8 @@
     store_follower::handlers make_backend_handlers() {
         return {[this](const store::row_page& page) { m_roster.take_all(page); },
                 [this](const store::row_change& change) { m_roster.take_change(change); },
-                [this] { m_roster.take_outage(m_backend_follower.confirmed_at()); }, [this] { return m_roster.version(); },
+                [this] { m_roster.take_outage(m_backend_follower.confirmed_at()); },
+                [this] { return m_roster.position(); },
                 [this] {
                     return follower_duty();
                 }};
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -73,6 +73,8 @@
     result.store_followers =
         static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
+    result.backend_heartbeat =
+        reader.duration("backend_heartbeat", result.backend_heartbeat, shortest, longest);
     read_slots(reader, result.slots);
     reader.finish();
     return result;
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -54,6 +54,13 @@
     double allowance_slack = 0;             ///< units by which a window may go over it
     milliseconds configuration_limit{2000}; ///< within which a new configuration must be in force
     milliseconds drain_limit{2000};         ///< within which a leaving backend server gets no new work
+
+    milliseconds backend_heartbeat{1500}; ///< between two heartbeats of a backend server to the store
+    /// The store removes a registration that its server hasn't renewed for so long.
+    [[nodiscard]] milliseconds registration_life() const noexcept {
+        constexpr int missed_heartbeats = 3;
+        return backend_heartbeat * (missed_heartbeats + 1);
+    }
 };
 
 /// Reads and checks the whole file; complaints go to `problems`.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr std::string_view configuration_target = "/configuration";
-constexpr std::string_view backends_target = "/backends?after=";
+constexpr std::string_view backends_path = "/backends";
 /// While the store is well it tells this gateway of a change soon, with what else has changed meanwhile.
 constexpr milliseconds patience_with_store{700};
 constexpr milliseconds patience_without_store{100};
@@ -54,18 +54,25 @@
 json::object encode(const backend_roster::update& from) {
     json::object registrations;
     for (const auto& [id, entry] : from.present) {
-        registrations.emplace(id, json::object{{"value", entry.value}, {"version", entry.version}});
+        registrations.emplace(id, json::object{{"value", entry.value},
+                                               {"era", entry.position.era},
+                                               {"version", entry.position.version}});
     }
-    return {{"version", from.version},
+    return {{"era", from.position.era},
+            {"version", from.position.version},
             {"is_whole", from.is_whole},
             {"registrations", std::move(registrations)},
             {"gone", json::value_from(from.gone)},
             {"missed", json::value_from(from.missed)}};
 }
 
+store::position decode_position(const json::object& from) {
+    return {from.at("era").to_number<std::uint64_t>(), from.at("version").to_number<std::uint64_t>()};
+}
+
 backend_roster::update decode(const json::object& from) {
     backend_roster::update result;
-    result.version = from.at("version").to_number<std::uint64_t>();
+    result.position = decode_position(from);
     result.is_whole = from.at("is_whole").as_bool();
     result.gone = json::value_to<std::vector<std::string>>(from.at("gone"));
     if (const auto* missed = from.if_contains("missed")) {
@@ -73,29 +80,46 @@
     }
     for (const auto& [id, entry] : from.at("registrations").as_object()) {
         result.present[id] = {json::value_to<std::string>(entry.at("value")),
-                              entry.at("version").to_number<std::uint64_t>()};
+                              decode_position(entry.as_object())};
     }
     return result;
 }
 
-/// The version that a question names as held; nothing when it isn't such a question.
-std::optional<std::uint64_t> held_version(std::string_view target) {
-    if (!target.starts_with(backends_target)) {
+std::string backends_target(store::position held) {
+    return std::string(backends_path) + "?era=" + std::to_string(held.era) +
+           "&after=" + std::to_string(held.version);
+}
+
+std::optional<std::uint64_t> query_number(std::string_view target, std::string_view name) {
+    const auto text = http::query_value(target, name);
+    if (!text.has_value()) {
         return std::nullopt;
     }
-    target.remove_prefix(backends_target.size());
-    std::uint64_t version = 0;
-    const auto read = std::from_chars(target.data(), target.data() + target.size(), version);
-    if (read.ec != std::errc() || read.ptr != target.data() + target.size()) {
+    std::uint64_t number = 0;
+    const auto* end = text->data() + text->size();
+    const auto read = std::from_chars(text->data(), end, number);
+    return read.ec == std::errc() && read.ptr == end ? std::optional(number) : std::nullopt;
+}
+
+/// The position that a question names as held; nothing when it isn't such a question.
+std::optional<store::position> held_position(std::string_view target) {
+    if (http::path_of(target) != backends_path) {
         return std::nullopt;
     }
-    return version;
+    const auto era = query_number(target, "era");
+    const auto version = query_number(target, "after");
+    return era.has_value() && version.has_value() ? std::optional(store::position{*era, *version})
+                                                  : std::nullopt;
 }
 
-void report_question(const asio::ip::tcp::endpoint& peer, std::string_view what, std::uint64_t held,
-                     std::uint64_t offered) {
-    events::write(events::event_kind::peer_asked,
-                  {{"peer", http::to_string(peer)}, {"what", what}, {"held", held}, {"offered", offered}});
+void report_question(const asio::ip::tcp::endpoint& peer, std::string_view what, store::position held,
+                     store::position offered) {
+    events::write(events::event_kind::peer_asked, {{"peer", http::to_string(peer)},
+                                                   {"what", what},
+                                                   {"held_era", held.era},
+                                                   {"held", held.version},
+                                                   {"offered_era", offered.era},
+                                                   {"offered", offered.version}});
 }
 
 void report_failure(const asio::ip::tcp::endpoint& peer, std::string_view what, std::string_view reason) {
@@ -105,11 +129,7 @@
 
 } // namespace
 
-bool peer_exchange::lag::is_due(std::uint64_t held, std::uint64_t offered, milliseconds patience,
-                                clock::time_point now) {
-    if (offered <= held) {
-        return false;
-    }
+bool peer_exchange::lag::is_due(milliseconds patience, clock::time_point now) {
     if (since == clock::time_point::max()) {
         since = now;
     }
@@ -149,15 +169,16 @@
     m_server.listen(m_local);
 }
 
-std::string peer_exchange::encode_changes_after(std::uint64_t version) {
-    if (version == 0 && !m_whole_update.empty() && m_whole_update_version == m_backends.version()) {
+std::string peer_exchange::encode_changes_after(store::position held) {
+    const bool wants_all = held.version == 0 || held.era != m_backends.position().era;
+    if (wants_all && !m_whole_update.empty() && m_whole_update_position == m_backends.position()) {
         return m_whole_update;
     }
-    const auto update = m_backends.changes_after(version);
+    const auto update = m_backends.changes_after(held);
     auto text = json::serialize(encode(update));
     if (update.is_whole) {
         m_whole_update = text;
-        m_whole_update_version = update.version;
+        m_whole_update_position = update.position;
     }
     return text;
 }
@@ -166,7 +187,7 @@
     if (received.target == configuration_target && m_configuration.version() > 0) {
         return http::make_response(status_ok, "application/json", m_configuration.document());
     }
-    if (const auto held = held_version(received.target)) {
+    if (const auto held = held_position(received.target)) {
         return http::make_response(status_ok, "application/json", encode_changes_after(*held));
     }
     return http::make_response(status_not_found, "text/plain", "");
@@ -201,25 +222,29 @@
     }
 }
 
-void peer_exchange::hear(const asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends) {
+void peer_exchange::hear(const asio::ip::address& peer, std::uint64_t configuration,
+                         store::position backends) {
     const auto now = clock::now();
     note_heard(peer, {configuration, backends, now});
-    if (m_configuration_lag.is_due(m_configuration.version(), configuration, configuration_patience(), now)) {
+    if (configuration > m_configuration.version() &&
+        m_configuration_lag.is_due(configuration_patience(), now)) {
         const auto address = choose_peer(&heard_peer::configuration, m_configuration.version(), now);
-        report_question(address, "configuration", m_configuration.version(), configuration);
+        // Documents have versions of their own, which no return of the store takes back.
+        report_question(address, "configuration", {0, m_configuration.version()}, {0, configuration});
         asio::co_spawn(m_executor, ask_for_configuration(address), asio::detached);
     }
-    if (m_backend_lag.is_due(m_backends.version(), backends, backend_patience(), now)) {
+    if (backends > m_backends.position() && m_backend_lag.is_due(backend_patience(), now)) {
         m_wants_backends = false;
-        const auto address = choose_peer(&heard_peer::backends, m_backends.version(), now);
-        report_question(address, "backends", m_backends.version(), backends);
+        const auto address = choose_peer(&heard_peer::backends, m_backends.position(), now);
+        report_question(address, "backends", m_backends.position(), backends);
         asio::co_spawn(m_executor, ask_for_backends(address), asio::detached);
     }
 }
 
 /// Any of those that are ahead: all gateways hear of a change from the one that coordinates, and it would
 /// have to answer each of them.
-asio::ip::tcp::endpoint peer_exchange::choose_peer(std::uint64_t heard_peer::* version, std::uint64_t held,
+template <typename Version>
+asio::ip::tcp::endpoint peer_exchange::choose_peer(Version heard_peer::* version, const Version& held,
                                                    clock::time_point now) {
     std::vector<asio::ip::address> ahead;
     for (const auto& [peer, heard] : m_heard) {
@@ -246,7 +271,7 @@
 
 asio::awaitable<void> peer_exchange::ask_for_backends(asio::ip::tcp::endpoint peer) {
     try {
-        const auto call = ask(std::string(backends_target) + std::to_string(m_backends.version()));
+        const auto call = ask(backends_target(m_backends.position()));
         const auto received = co_await http::fetch(m_executor, peer, call, limits());
         if (received.head.status == status_ok) {
             m_backends.take_update(decode(json::parse(received.body).as_object()));
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -30,7 +30,7 @@
     void start();
 
     /// A peer holds these versions.
-    void hear(const boost::asio::ip::address& peer, std::uint64_t configuration, std::uint64_t backends);
+    void hear(const boost::asio::ip::address& peer, std::uint64_t configuration, store::position backends);
 
     /// Whether a peer has said lately that it holds a newer one than this process.
     [[nodiscard]] bool hears_newer_configuration() const;
@@ -44,7 +44,7 @@
     [[nodiscard]] std::chrono::milliseconds configuration_patience() const;
     [[nodiscard]] std::chrono::milliseconds backend_patience() const;
     [[nodiscard]] http::response answer(const http::request& received);
-    [[nodiscard]] std::string encode_changes_after(std::uint64_t version);
+    [[nodiscard]] std::string encode_changes_after(store::position held);
     boost::asio::awaitable<void> ask_for_configuration(boost::asio::ip::tcp::endpoint peer);
     boost::asio::awaitable<void> ask_for_backends(boost::asio::ip::tcp::endpoint peer);
 
@@ -53,21 +53,21 @@
         clock::time_point since = clock::time_point::max();
         bool is_asking = false;
 
-        /// Whether it is time to ask, with what is held and what a peer holds.
-        [[nodiscard]] bool is_due(std::uint64_t held, std::uint64_t offered,
-                                  std::chrono::milliseconds patience, clock::time_point now);
+        /// Whether it is time to ask a peer that is ahead.
+        [[nodiscard]] bool is_due(std::chrono::milliseconds patience, clock::time_point now);
     };
 
     /// What a peer said last that it holds.
     struct heard_peer {
         std::uint64_t configuration = 0;
-        std::uint64_t backends = 0;
+        store::position backends;
         clock::time_point at;
     };
     void note_heard(const boost::asio::ip::address& peer, const heard_peer& heard);
     /// One of the peers that hold more than `held`; at least one does.
-    [[nodiscard]] boost::asio::ip::tcp::endpoint choose_peer(std::uint64_t heard_peer::* version,
-                                                             std::uint64_t held, clock::time_point now);
+    template <typename Version>
+    [[nodiscard]] boost::asio::ip::tcp::endpoint choose_peer(Version heard_peer::* version,
+                                                             const Version& held, clock::time_point now);
 
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::endpoint m_local;
@@ -78,7 +78,7 @@
     /// The last whole update as it is sent. After all gateways were killed each asks for it, and encoding
     /// thousands of registrations anew for each would take seconds.
     std::string m_whole_update;
-    std::uint64_t m_whole_update_version = 0;
+    store::position m_whole_update_position;
     send_budget m_sending; ///< outlives the server's answers
     http::server m_server;
     std::minstd_rand m_random{std::random_device{}()};
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -58,8 +58,8 @@
     for (;;) {
         std::string failure;
         try {
-            take_known_version();
-            if (m_version == 0) {
+            take_known_position();
+            if (m_position.version == 0) {
                 co_await read_all();
             }
             co_await follow();
@@ -67,7 +67,7 @@
             failure = error.what();
         }
         if (!failure.empty()) {
-            m_asked_at.reset();
+            m_question.reset();
             note_lost(failure);
             m_handlers.on_outage();
             const auto delay = next_delay();
@@ -76,12 +76,35 @@
     }
 }
 
-void store_follower::take_known_version() {
-    if (const auto known = m_handlers.known_version(); known > m_forgotten_version) {
-        m_version = std::max(m_version, known);
+void store_follower::take_known_position() {
+    if (const auto known = m_handlers.known_position(); known > m_forgotten) {
+        m_position = std::max(m_position, known);
     }
 }
 
+/// Once the store has told an era, an answer without one is of the present era.
+store::position store_follower::complete(store::position told) const {
+    return {told.era > 0 ? told.era : m_position.era, told.version};
+}
+
+/// An answer of before the store came back from an older copy, on a connection opened then, tells of changes
+/// that may never have been.
+void store_follower::refuse_former(store::position told) const {
+    if (told.era < std::max(m_position.era, m_handlers.known_position().era)) {
+        throw store::store_error(store::effect::none, "an answer of a former era");
+    }
+}
+
+/// Returns whether the store came back from an older copy, and everything is to be read anew.
+bool store_follower::take_era(store::position told) {
+    if (told.era == m_position.era) {
+        return false;
+    }
+    m_confirmation.note_failure(clock::now());
+    m_position = {told.era, 0};
+    return true;
+}
+
 /// What was told meanwhile need not be asked for.
 asio::awaitable<void> store_follower::wait_while_told() {
     m_relies = m_handlers.read_duty() == policy::follower_duty::rely;
@@ -92,17 +115,19 @@
         co_await pause(m_timers, duty_check_period);
     }
     m_relies = false;
-    take_known_version();
+    take_known_position();
 }
 
 asio::awaitable<void> store_follower::read_all() {
     note_asked();
     // Spread: one gateway's answer is enough for all, since they pass it on.
     const auto period = draw_between(least_first_read_period, most_first_read_period);
-    const auto all =
-        co_await store::read_all_repeatedly(m_executor, m_timers, m_table, m_table_name + "/", period);
-    m_version = all.version;
-    note_answered(all.version, all.store_time);
+    auto all = co_await store::read_all_repeatedly(m_executor, m_timers, m_table, m_table_name + "/", period);
+    all.position = complete(all.position);
+    refuse_former(all.position);
+    static_cast<void>(take_era(all.position));
+    m_position = all.position;
+    note_answered(all.position, all.store_time);
     m_handlers.on_all(all);
 }
 
@@ -122,7 +147,7 @@
 }
 
 store_follower::clock::duration store_follower::question_age() const {
-    return m_asked_at.has_value() ? clock::now() - *m_asked_at : clock::duration::zero();
+    return m_question.has_value() ? clock::now() - m_question->asked_at : clock::duration::zero();
 }
 
 void store_follower::note_lost(std::string_view reason) {
@@ -134,14 +159,14 @@
     }
 }
 
-void store_follower::note_answered(std::uint64_t version, std::uint64_t store_time) {
-    m_asked_at.reset();
+void store_follower::note_answered(store::position at, std::uint64_t store_time) {
+    m_question.reset();
     m_answered_at = clock::now();
-    m_confirmation.note_answer(store_time, m_answered_at);
-    note_regained(version);
+    m_confirmation.note_answer({at.era, store_time}, m_answered_at);
+    note_regained(at);
 }
 
-void store_follower::note_regained(std::uint64_t version) {
+void store_follower::note_regained(store::position at) {
     m_is_in_touch = true;
     m_failures = 0;
     if (!m_lost_since.has_value()) {
@@ -152,23 +177,29 @@
     events::write(events::event_kind::store_regained,
                   {{"table", m_table_name},
                    {"lost_ms", std::chrono::duration_cast<milliseconds>(lost).count()},
-                   {"version", version}});
+                   {"era", at.era},
+                   {"version", at.version}});
 }
 
-/// Returns when history was lost; throws store_error when the store is away.
+/// Returns when history was lost or an era began; throws store_error when the store is away.
 asio::awaitable<void> store_follower::follow() {
     for (;;) {
         co_await wait_while_told();
         const auto page = co_await ask_for_changes();
         if (!page.has_value()) {
-            m_forgotten_version = std::exchange(m_version, 0);
+            m_forgotten = std::exchange(m_position, {m_position.era, 0});
+            co_return;
+        }
+        const auto at = complete(page->position);
+        refuse_former(at);
+        if (take_era(at)) {
             co_return;
         }
-        note_answered(page->version, page->store_time);
+        note_answered(at, page->store_time);
         for (const auto& change : page->changes) {
             m_handlers.on_change(change);
         }
-        m_version = page->version;
+        m_position = at;
         if (!page->changes.empty()) {
             co_await pause(m_timers, gathering_time);
         }
@@ -179,17 +210,17 @@
     change_question question(m_executor);
     // After an outage at first without waiting, to learn soon whether the store is back.
     const auto age = m_confirmation.age(clock::now());
-    ask(question, m_is_in_touch ? m_pace.wait(m_handlers.read_duty(), age) : clock::duration::zero());
     note_asked();
+    ask(question, m_is_in_touch ? m_pace.wait(m_handlers.read_duty(), age) : clock::duration::zero());
     const auto watch = m_timers.every(m_executor, repeat_check_period, [&] { repeat_if_due(question); });
     co_return co_await question.first_answer();
 }
 
 void store_follower::ask(change_question& question, clock::duration wait) {
-    m_repeated_at = clock::now();
-    m_answer_due = m_repeated_at + m_pace.answer_limit(wait);
+    m_question->repeated_at = clock::now();
+    m_question->answer_due = m_question->repeated_at + m_pace.answer_limit(wait);
     const auto open = std::chrono::duration_cast<milliseconds>(wait);
-    question.ask(m_table.changes(m_table_name, m_version, open));
+    question.ask(m_table.changes(m_table_name, m_position.version, open));
 }
 
 void store_follower::repeat_if_due(change_question& question) {
@@ -197,12 +228,12 @@
     const auto duty = m_handlers.read_duty();
     const bool is_told = duty == policy::follower_duty::rely;
     const bool is_stale = m_pace.is_stale(duty, m_confirmation.age(now));
-    if (is_told || !is_stale || now - m_repeated_at < m_pace.repeat_delay(duty)) {
+    if (is_told || !is_stale || now - m_question->repeated_at < m_pace.repeat_delay(duty)) {
         return;
     }
     // Also when only the others' confirmations are missing: the store may be taking no heartbeats either.
     m_handlers.on_outage();
-    if (now >= m_answer_due) {
+    if (now >= m_question->answer_due) {
         note_lost("a question was left unanswered");
     }
     ask(question, clock::duration::zero());
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -26,15 +26,16 @@
     using clock = std::chrono::steady_clock;
 
     struct handlers {
-        /// All rows as of one moment: at the start, and after history was lost or the store was away.
+        /// All rows as of one moment: at the start, after history was lost, and first of all in a new era.
         std::function<void(const store::row_page&)> on_all;
+        /// Of the era of the rows that were told last.
         std::function<void(const store::row_change&)> on_change;
         /// The store couldn't be reached, refused, or hasn't confirmed for too long what is held; called each
         /// time.
         std::function<void()> on_outage;
-        /// The store's version up to which all changes are known from elsewhere, for instance from another
-        /// gateway; 0: none.
-        std::function<std::uint64_t()> known_version;
+        /// Up to where all changes are known from elsewhere, for instance from another gateway; version 0:
+        /// none are, and the store is known to be in that era.
+        std::function<store::position()> known_position;
         /// Whether this gateway is to ask at all; see policy/follower_duty.hpp.
         std::function<policy::follower_duty()> read_duty;
     };
@@ -45,9 +46,9 @@
     void start();
 
     /// Another gateway holds what is held here, and the store confirmed it at this time of its clock.
-    void hear_confirmation(std::uint64_t store_time) { m_confirmation.hear(store_time, clock::now()); }
-    /// Told to other gateways with the version that is held, 0: nothing is; see policy/confirmation.hpp.
-    [[nodiscard]] std::uint64_t told_confirmation() const { return m_confirmation.news(clock::now()); }
+    void hear_confirmation(policy::store_moment answered) { m_confirmation.hear(answered, clock::now()); }
+    /// Told to other gateways with the version that is held; see policy/confirmation.hpp.
+    [[nodiscard]] policy::store_moment told_confirmation() const { return m_confirmation.news(clock::now()); }
 
     /// Whether the store is asked and answered the last call.
     [[nodiscard]] bool is_in_touch() const noexcept { return m_is_in_touch && !m_relies; }
@@ -70,18 +71,28 @@
     /// Nothing when the store has dropped the history that was asked for.
     using change_question = store::repeated_question<std::optional<store::change_page>>;
 
+    /// When the question that is open was asked, and asked once more.
+    struct open_question {
+        clock::time_point asked_at;
+        clock::time_point repeated_at{};
+        clock::time_point answer_due{}; ///< by then a store that isn't silent answers the repeated one
+    };
+
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
-    void note_asked() { m_asked_at = clock::now(); }
-    void note_answered(std::uint64_t version, std::uint64_t store_time);
+    void note_asked() { m_question = open_question{clock::now()}; }
+    void note_answered(store::position at, std::uint64_t store_time);
+    [[nodiscard]] store::position complete(store::position told) const;
+    void refuse_former(store::position told) const;
+    [[nodiscard]] bool take_era(store::position told);
     void note_lost(std::string_view reason);
-    void note_regained(std::uint64_t version);
+    void note_regained(store::position at);
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> wait_while_told();
     boost::asio::awaitable<std::optional<store::change_page>> ask_for_changes();
     void ask(change_question& question, clock::duration wait);
     void repeat_if_due(change_question& question);
-    void take_known_version();
+    void take_known_position();
     [[nodiscard]] std::chrono::milliseconds next_delay();
     [[nodiscard]] std::chrono::milliseconds draw_between(std::chrono::milliseconds least,
                                                          std::chrono::milliseconds most);
@@ -92,16 +103,15 @@
     std::string m_table_name;
     policy::follower_pace m_pace;
     policy::confirmation m_confirmation{clock::now(), m_pace.longest_gap()};
-    std::uint64_t m_version = 0; ///< up to which all changes were taken; 0: everything is to be read
-    std::uint64_t m_forgotten_version = 0; ///< the store has dropped the history after it
+    /// Up to where all changes were taken; version 0: everything is to be read. Its era never goes back.
+    store::position m_position;
+    store::position m_forgotten; ///< the store has dropped the history after it
     bool m_is_in_touch = false;
     bool m_relies = false;   ///< others tell what changes, and the store isn't asked
     unsigned m_failures = 0; ///< since the last answer
     std::optional<clock::time_point> m_lost_since;
     clock::time_point m_answered_at = clock::now();
-    std::optional<clock::time_point> m_asked_at; ///< of the question that is open
-    clock::time_point m_repeated_at;             ///< when it was asked last
-    clock::time_point m_answer_due;              ///< when that is answered by a store that isn't silent
+    std::optional<open_question> m_question;
     handlers m_handlers;
     std::minstd_rand m_random;
 };
--- a/src/policy/confirmation.hpp
+++ b/src/policy/confirmation.hpp
@@ -5,10 +5,20 @@
 
 #include <algorithm>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 
 namespace borageford::policy {
 
+/// A time of the store's own clock. A store that comes back from an older copy begins a new era, in which its
+/// clock may stand anywhere.
+struct store_moment {
+    std::uint64_t era = 0;
+    std::uint64_t milliseconds = 0; ///< 0: not told
+
+    auto operator<=>(const store_moment&) const = default;
+};
+
 /// Gateways that hold the same version tell each other of confirmations, so that one that asks spares the
 /// others the question. A confirmation is named by the store's own clock and counts once, however often it is
 /// heard. Told as an age instead, it would come out newer by each message's way, and gateways that nobody
@@ -19,31 +29,29 @@
     explicit confirmation(time_point now, duration longest_gap = duration::max()) noexcept
         : m_longest_gap(longest_gap), m_noted(now), m_unbroken_since(now) {}
 
-    /// The store answered a question of this gateway; `store_time`: milliseconds of its clock, 0: not told.
-    void note_answer(std::uint64_t store_time, time_point now) noexcept {
+    /// The store answered a question of this gateway.
+    void note_answer(store_moment answered, time_point now) noexcept {
         if (age(now) > m_longest_gap) {
             m_unbroken_since = now;
         }
-        m_store_time = std::max(m_store_time, store_time);
+        m_answered = std::max(m_answered, answered);
         m_noted = now;
     }
 
-    /// The store refused a question, or couldn't be reached.
+    /// The store refused a question, couldn't be reached, or came back from an older copy.
     void note_failure(time_point now) noexcept { m_unbroken_since = now; }
 
     /// Another gateway, which holds the same version, says that the store confirmed it then.
-    void hear(std::uint64_t store_time, time_point now) noexcept {
-        if (store_time > m_store_time) {
-            note_answer(store_time, now);
+    void hear(store_moment answered, time_point now) noexcept {
+        if (answered.milliseconds > 0 && answered > m_answered) {
+            note_answer(answered, now);
         }
     }
 
-    /// The store's clock at the last confirmation, in milliseconds; 0: not known.
-    [[nodiscard]] std::uint64_t store_time() const noexcept { return m_store_time; }
-    /// What is told to others: the same while it is news, 0 afterwards. A heartbeat that tells it is larger
-    /// by a quarter.
-    [[nodiscard]] std::uint64_t news(time_point now) const noexcept {
-        return age(now) <= news_life ? m_store_time : 0;
+    /// What is told to others: when the store confirmed it, while that is news, and nothing afterwards. A
+    /// heartbeat that tells it is larger by a quarter.
+    [[nodiscard]] store_moment news(time_point now) const noexcept {
+        return age(now) <= news_life ? m_answered : store_moment{};
     }
     /// Since the last confirmation was noted here, or since the start.
     [[nodiscard]] duration age(time_point now) const noexcept { return now - m_noted; }
@@ -59,7 +67,7 @@
     static constexpr std::chrono::milliseconds news_life{300};
 
     duration m_longest_gap;
-    std::uint64_t m_store_time = 0;
+    store_moment m_answered;
     time_point m_noted;
     time_point m_unbroken_since;
 };
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -19,6 +19,12 @@
     m_last_outage = now;
 }
 
+/// Whatever others say of their view before it.
+void registration_watch::note_return_from_copy(time_point now) noexcept {
+    m_outage_begin = time_point::min();
+    m_last_outage = now;
+}
+
 void registration_watch::note_other_in_touch(time_point now, duration unbroken) {
     m_other_in_touch = now;
     const bool is_over = is_around_outage(now) && now - m_last_outage >= word_delay;
--- a/src/policy/registration_watch.hpp
+++ b/src/policy/registration_watch.hpp
@@ -30,6 +30,8 @@
     /// left. Missing such a server for a while sends requests to it after it has said that it leaves.
     void note_outage(time_point now, time_point answered) noexcept;
     void note_outage(time_point now) noexcept { note_outage(now, now); }
+    /// The store has come back from an older copy, in which registrations are missing.
+    void note_return_from_copy(time_point now) noexcept;
     /// Another process says that the store answers it, and has answered it without a break for so long. Where
     /// this process was cut off from all others as well, it hears so only afterwards: the outage was its own
     /// then, and servers that were missed for it have left.
@@ -51,7 +53,7 @@
     [[nodiscard]] bool is_around_outage(time_point now) const noexcept;
     void disown_outage(time_point now);
 
-    time_point m_last_outage = time_point::min(); ///< min: none, or none of the store's own
+    time_point m_last_outage = time_point::min();  ///< min: none, or none of the store's own
     time_point m_outage_begin = time_point::min(); ///< of a series with gaps shorter than `grace`
     time_point m_other_in_touch = time_point::min();
     std::map<std::string, time_point, std::less<>> m_missed; ///< until when each is missed
--- a/src/store/row.hpp
+++ b/src/store/row.hpp
@@ -1,6 +1,8 @@
 // What the transactional table holds and answers, whichever format it is spoken to in.
 #pragma once
 
+#include "store/position.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,7 +43,7 @@
 /// Rows as of one moment.
 struct row_page {
     std::vector<row> rows;
-    std::uint64_t version = 0;    ///< of the whole store at that moment, where the format tells it
+    store::position position;     ///< of the whole store at that moment, where the format tells it
     std::uint64_t store_time = 0; ///< the store's steady clock at that moment, in ms; 0: not told
     bool has_more = false;
 };
@@ -52,10 +54,10 @@
     bool is_removed = false;
 };
 
-/// Changes in their order; the next ones are asked for after `version`.
+/// Changes in their order; the next ones are asked for after `position`.
 struct change_page {
     std::vector<row_change> changes;
-    std::uint64_t version = 0;
+    store::position position;
     std::uint64_t store_time = 0; ///< the store's steady clock when it answered, in ms; 0: not told
 };
 
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -116,8 +116,11 @@
         const auto after = all.rows.empty() ? std::string() : all.rows.back().key;
         auto page = co_await send_scan({m_executor, m_address, m_timeout}, m_format, prefix,
                                        encode_scan(m_format, prefix, after, page_rows));
+        if (!after.empty() && page.position.era != all.position.era) {
+            throw store_error(effect::none, "platform: it came back from a copy while its rows were read");
+        }
         // Later pages may be newer; following from the first page's version tells their changes again.
-        all.version = after.empty() ? page.version : all.version;
+        all.position = after.empty() ? page.position : all.position;
         all.store_time = after.empty() ? page.store_time : all.store_time;
         has_more = page.has_more && !page.rows.empty();
         std::ranges::move(page.rows, std::back_inserter(all.rows));
--- a/src/store/table.hpp
+++ b/src/store/table.hpp
@@ -36,8 +36,8 @@
     boost::asio::awaitable<std::vector<row>> scan(std::string_view prefix, std::string_view after,
                                                   std::size_t limit);
 
-    /// All rows whose keys start with `prefix`, page after page, and the version and the store's clock of the
-    /// first page.
+    /// All rows whose keys start with `prefix`, page after page, and the position and the store's clock of
+    /// the first page. Throws store_error when the store begins a new era between two pages.
     boost::asio::awaitable<row_page> read_all(std::string prefix);
 
     /// What changed in the rows "TABLE/..." after a version; waits up to `wait` for a first change. Nothing
--- /dev/null
+++ b/tests/failure/test_gateway_store_return.cpp
@@ -0,0 +1,188 @@
+// The store comes back from an older copy: versions are given out again, and what was written last is gone
+// until it is written again.
+#include "support/checks.hpp"
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace borageford;
+using namespace borageford::test;
+using emulator::store_state;
+using namespace std::chrono_literals;
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+site_options plain_site(std::size_t backends, std::size_t gateways = 1) {
+    site_options options;
+    options.gateways = gateways;
+    options.configuration = plain_configuration(routing::route_kind::idempotent);
+    for (std::size_t index = 0; index < backends; ++index) {
+        options.backends.push_back(plain_backend("server-" + std::to_string(index)));
+    }
+    return options;
+}
+
+routing::routing_document with_key(routing::routing_document document, std::uint64_t version,
+                                   const std::string& key) {
+    document.version = version;
+    document.workspaces.push_back({});
+    document.workspaces.back().name = "readers";
+    document.workspaces.back().keys = {key};
+    return document;
+}
+
+http::request keyed_call(const std::string& id, const std::string& key) {
+    auto call = make_call("/plain/x", id);
+    call.headers.push_back({"Authorization", "Bearer " + key});
+    return call;
+}
+
+void wait_for_log(gateway_site& site, std::size_t gateway, const std::string& text) {
+    wait_until("the log tells " + text,
+               [&] { return site.process(gateway).output_text().find(text) != std::string::npos; });
+}
+
+void wait_for_status(gateway_site& site, std::size_t gateway, const http::request& call, unsigned status) {
+    wait_until("status " + std::to_string(status), [&] { return site.send(gateway, call).status == status; });
+}
+
+/// Nobody writes again what was lost but the test.
+void return_to(gateway_site& site, clock::time_point moment) {
+    site.on_emulator([&] { static_cast<void>(site.store().rows().restore(moment)); });
+}
+
+void wait_for_era(gateway_site& site, std::size_t gateway, std::uint64_t era) {
+    wait_for_log(site, gateway, R"("event":"store_era_changed","level":"warning")");
+    wait_for_log(site, gateway, "\"era\":" + std::to_string(era));
+}
+
+/// Writes something else until the gateway has looked at the store again.
+void write_until_seen(gateway_site& site, std::size_t gateway, std::size_t server) {
+    site.start_backend(server, plain_backend("marker-" + std::to_string(server)));
+    wait_for_log(site, gateway, "\"backend\":\"marker-" + std::to_string(server) + "\"");
+}
+
+} // namespace
+
+TEST_CASE("gateway: a server that leaves after a return of the store gets nothing new",
+          "[gateway][store_return]") {
+    // Guards against a version that was given out twice, which made its leaving look old.
+    gateway_site site(plain_site(2));
+    const auto copied_at = clock::now();
+    for (int index = 0; index < 3; ++index) {
+        site.register_backend(0, "ready");
+    }
+    write_until_seen(site, 0, 2);
+    return_to(site, copied_at);
+    write_until_seen(site, 0, 3);
+    site.register_backend(0, "draining");
+    wait_for_log(site, 0, R"("event":"backend_draining")");
+    for (int index = 0; index < 10; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        CHECK(site.runs_of(id, 0) == 0);
+    }
+}
+
+TEST_CASE("gateway: a server that drained before a return of the store isn't used again after it",
+          "[gateway][store_return]") {
+    gateway_site site(plain_site(2));
+    const auto copied_at = clock::now();
+    site.register_backend(0, "draining");
+    wait_for_log(site, 0, R"("event":"backend_draining")");
+    return_to(site, copied_at);
+    write_until_seen(site, 0, 2);
+    wait_for_era(site, 0, 2);
+    for (int index = 0; index < 10; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        CHECK(site.runs_of(id, 0) == 0);
+    }
+}
+
+TEST_CASE("gateway: a key that was revoked just before a return of the store stays revoked",
+          "[gateway][store_return]") {
+    // The copy still has the document in which the key is good.
+    auto options = plain_site(1, 2);
+    const auto base = options.configuration;
+    options.configuration = with_key(base, 5, "old-key");
+    gateway_site site(options);
+    const auto copied_at = clock::now();
+    site.configure(with_key(base, 6, "new-key"));
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        wait_for_status(site, gateway, keyed_call("a", "new-key"), 200);
+    }
+    return_to(site, copied_at);
+    write_until_seen(site, 0, 1);
+    site.process(1).kill();
+    site.start_gateway(1); // it reads the older document first
+    site.wait_until_ready(1);
+    wait_for_status(site, 1, keyed_call("b", "new-key"), 200);
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        CHECK(site.send(gateway, keyed_call("c", "old-key")).status == 401);
+        CHECK(site.send(gateway, keyed_call("d", "new-key")).status == 200);
+    }
+    site.configure(with_key(base, 7, "newest-key"));
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        wait_for_status(site, gateway, keyed_call("e", "newest-key"), 200);
+    }
+}
+
+TEST_CASE("gateway: one that slept through a return of the store ends like the others",
+          "[gateway][store_return]") {
+    gateway_site site(plain_site(2, 3));
+    const auto copied_at = clock::now();
+    for (int index = 0; index < 3; ++index) {
+        site.register_backend(1, "ready");
+    }
+    write_until_seen(site, 2, 2);
+    site.process(2).freeze();
+    return_to(site, copied_at);
+    write_until_seen(site, 0, 3);
+    site.register_backend(1, "draining");
+    wait_for_log(site, 0, R"("event":"backend_draining")");
+    site.process(2).thaw();
+    wait_for_log(site, 2, R"("event":"backend_draining")");
+    wait_for_era(site, 2, 2);
+}
+
+TEST_CASE("gateway: returns of the store in quick succession leave nobody behind",
+          "[gateway][store_return]") {
+    // Some callers are turned away while others are served, between the one return and the next.
+    gateway_site site(plain_site(2, 2));
+    for (std::size_t round = 0; round < 2; ++round) {
+        const auto copied_at = clock::now();
+        write_until_seen(site, 0, 2 + 2 * round);
+        site.on_emulator([&] {
+            site.store().set_state(store_state::partly);
+            static_cast<void>(site.store().rows().restore(copied_at));
+        });
+        write_until_seen(site, 0, 3 + 2 * round);
+        site.on_emulator([&] { site.store().set_state(store_state::well); });
+    }
+    site.register_backend(0, "draining");
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        wait_for_log(site, gateway, R"("event":"backend_draining")");
+        CHECK(site.send(gateway, make_call("/plain/x", "call-" + std::to_string(gateway))).status == 200);
+    }
+    CHECK(fetch_text(site.metrics(0), "/metrics").find("\nborageford_gateway_store_era 3\n") !=
+          std::string::npos);
+}
+
+TEST_CASE("gateway: a return of the store costs a few calls", "[gateway][store_return]") {
+    // Guards against asking over and over for a position that the store no longer has.
+    constexpr std::size_t gateways = 3;
+    gateway_site site(plain_site(2, gateways));
+    const auto copied_at = clock::now();
+    write_until_seen(site, 0, 2);
+    const auto before = site.on_emulator([&] { return site.store().calls(); });
+    return_to(site, copied_at);
+    write_until_seen(site, 0, 3);
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        wait_for_era(site, gateway, 2);
+    }
+    CHECK(site.on_emulator([&] { return site.store().calls(); }) - before < gateways * 20);
+}
--- /dev/null
+++ b/tests/unit/test_gateway_store_return.cpp
@@ -0,0 +1,208 @@
+// What a gateway believes of backend servers after the store came back from an older copy.
+#include "support/known_servers.hpp"
+#include "support/run_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using test::known_servers;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Some servers, as the store told of them in its first era.
+void make_first_era(known_servers& here) {
+    here.read_all({1, 40}, {{"a", "engines", 10}, {"b", "engines", 20}});
+}
+
+} // namespace
+
+TEST_CASE("a server that leaves is known to though its version was given out before",
+          "[gateway][store_return]") {
+    // Guards against taking a change of the new era for an older one and keeping the server in use.
+    known_servers here;
+    make_first_era(here);
+    here.write("a", "engines", 100);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("a") != 0);
+    here.write("a", "leaving engines", 60);
+    CHECK(here.usable("a") == 0);
+    CHECK(here.roster().position() == store::position{2, 60});
+}
+
+TEST_CASE("a server that had told that it leaves stays out of use when the copy has it in service",
+          "[gateway][store_return]") {
+    known_servers here;
+    make_first_era(here);
+    here.write("a", "leaving engines", 100);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("a") == 0);
+    CHECK(here.usable("b") != 0);
+    here.write("a", "leaving engines", 60);
+    CHECK(here.usable("a") == 0);
+    here.write("a", "engines@7", 61); // another start, which the store tells of anew
+    CHECK(here.usable("a") != 0);
+}
+
+TEST_CASE("a server that the copy shows as leaving gets nothing, whichever row is older",
+          "[gateway][store_return]") {
+    // Written anew under a number that was given out twice it looks like a row of the copy.
+    known_servers here;
+    make_first_era(here);
+    here.write("a", "engines", 100);
+    here.read_all({2, 60}, {{"a", "leaving engines", 55}, {"b", "engines", 20}});
+    CHECK(here.usable("a") == 0);
+}
+
+TEST_CASE("a server that left isn't used again because the copy still has it", "[gateway][store_return]") {
+    // Its address may belong to a server of another service by now.
+    known_servers here;
+    make_first_era(here);
+    here.unregister_server("a", 100);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("a") == 0);
+    CHECK_FALSE(here.knows("a"));
+    SECTION("until its row is written again") {
+        here.write("a", "engines", 60);
+        CHECK(here.usable("a") != 0);
+    }
+    SECTION("and not when it is removed again") {
+        here.unregister_server("a", 60);
+        CHECK(here.usable("a") == 0);
+    }
+}
+
+TEST_CASE("a row that outlives its registration was renewed", "[gateway][store_return]") {
+    // Guards against a server that lives and is never used again: renewing an entry changes no version.
+    known_servers here(20ms);
+    here.roster().start();
+    make_first_era(here);
+    here.unregister_server("a", 100);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("a") == 0);
+    test::run_until(here.context(), [&] { return here.usable("a") != 0; });
+}
+
+TEST_CASE("a server that is missing from the copy is kept for a while, and then gone",
+          "[gateway][store_return]") {
+    // It registered after the copy was made: it may live, and will write again; or it has left since.
+    known_servers here;
+    here.roster().start();
+    make_first_era(here);
+    here.write("c", "engines", 90);
+    here.write("d", "leaving engines", 91);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("c") != 0);
+    CHECK_FALSE(here.knows("d")); // it had told that it leaves
+    SECTION("gone when it doesn't come back") {
+        test::run_until(here.context(), [&] { return !here.knows("c"); });
+    }
+    SECTION("well when it is written again") {
+        here.write("c", "engines", 60);
+        CHECK(here.usable("c") != 0);
+        CHECK(here.roster().changes_after({2, 50}).missed.empty());
+    }
+    SECTION("whatever others say of their view of the store") {
+        here.roster().note_other_in_touch(1h);
+        CHECK(here.usable("c") != 0);
+    }
+}
+
+TEST_CASE("former starts of a server don't return with the copy", "[gateway][store_return]") {
+    known_servers here;
+    here.read_all({1, 40}, {{"a", "engines@1", 10}});
+    here.write("a", "engines@2", 100);
+    const auto present = here.usable("a");
+    here.read_all({2, 50}, {{"a", "engines@1", 10}});
+    CHECK(here.usable("a") == present);
+}
+
+TEST_CASE("a server that starts anew in the new era takes work though its version is low",
+          "[gateway][store_return]") {
+    known_servers here;
+    here.read_all({1, 40}, {{"a", "engines@1", 10}});
+    here.write("a", "engines@1", 100);
+    const auto former = here.usable("a");
+    here.read_all({2, 60}, {{"a", "engines@2", 55}});
+    CHECK(here.usable("a") != 0);
+    CHECK(here.usable("a") != former);
+}
+
+TEST_CASE("two returns in a row are two eras", "[gateway][store_return]") {
+    known_servers here;
+    make_first_era(here);
+    here.write("a", "leaving engines", 100);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    here.read_all({3, 30}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    CHECK(here.usable("a") == 0);
+    here.write("b", "leaving engines", 31);
+    CHECK(here.usable("b") == 0);
+    CHECK(here.roster().position() == store::position{3, 31});
+}
+
+TEST_CASE("what a former era says never overrules the present one", "[gateway][store_return]") {
+    // A peer that is cut off from the store, or an answer that was on its way, knows nothing of the return.
+    known_servers here;
+    make_first_era(here);
+    known_servers peer;
+    make_first_era(peer);
+    peer.write("b", "leaving engines", 200);
+    here.read_all({2, 50}, {{"a", "engines", 10}, {"b", "engines", 20}});
+    here.write("a", "leaving engines", 60);
+    here.roster().take_update(peer.roster().changes_after({}));
+    here.read_all({1, 300}, {{"a", "engines", 300}});
+    CHECK(here.usable("a") == 0);
+    CHECK(here.usable("b") != 0);
+    CHECK(here.roster().position() == store::position{2, 60});
+}
+
+TEST_CASE("gateways that slept through a return, saw it, or started in it end in one state",
+          "[gateway][store_return]") {
+    const std::vector<known_servers::entry> copy{{"a", "engines", 10}, {"b", "engines", 20}};
+    known_servers saw;
+    known_servers slept;
+    known_servers started;
+    for (auto* each : {&saw, &slept}) {
+        make_first_era(*each);
+        each->write("a", "leaving engines", 100);
+        each->write("c", "engines", 101);
+    }
+    saw.read_all({2, 50}, copy);
+    started.read_all({2, 50}, copy);
+    slept.roster().take_update(saw.roster().changes_after(slept.roster().position()));
+    CHECK(slept.roster().position().era == 2);
+    CHECK(slept.usable("a") == 0);
+    CHECK(slept.usable("c") != 0);
+    // Servers write again.
+    for (auto* each : {&saw, &started}) {
+        each->write("a", "leaving engines", 60);
+        each->write("c", "engines", 61);
+    }
+    slept.roster().take_update(saw.roster().changes_after(slept.roster().position()));
+    for (auto* each : {&saw, &slept, &started}) {
+        CHECK(each->usable("a") == 0);
+        CHECK(each->usable("b") != 0);
+        CHECK(each->usable("c") != 0);
+        CHECK(each->roster().position() == store::position{2, 61});
+    }
+}
+
+TEST_CASE("a gateway of a former era is told everything, not a difference", "[gateway][store_return]") {
+    // Guards against versions of one era compared with those of another.
+    known_servers ahead;
+    ahead.read_all({2, 50}, {{"a", "engines", 10}});
+    ahead.write("b", "engines", 60);
+    CHECK(ahead.roster().changes_after({1, 55}).is_whole);
+    CHECK_FALSE(ahead.roster().changes_after({2, 55}).is_whole);
+}
+
+TEST_CASE("a store that begins to tell eras changes nothing", "[gateway][store_return]") {
+    known_servers here;
+    here.read_all({0, 40}, {{"a", "engines", 10}, {"b", "leaving engines", 20}});
+    here.read_all({1, 41}, {{"a", "engines", 10}, {"b", "leaving engines", 20}});
+    CHECK(here.usable("a") != 0);
+    CHECK(here.usable("b") == 0);
+}
