The soak and emulate play a store that comes back from an older copy

The soak draws store_returns among its faults (away, then 4 s older, what was lost written again after 0.3 s by servers and 1.2 s by operators, or the other way round), an experiment's [fault] takes kind = store_returns with copy_age and rewritten_after.

--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -50,7 +50,8 @@
     drain, ///< servers announce that they leave, finish, and come back afterwards
     store_refuses,
     store_silent,
-    store_slow, ///< each answer takes `factor` times 100 ms
+    store_slow,    ///< each answer takes `factor` times 100 ms
+    store_returns, ///< away, and then back from a copy that is `copy_age` old
 };
 
 struct planned_fault {
@@ -61,6 +62,8 @@
     std::string service;   ///< whose servers; empty for the store's faults
     std::size_t count = 1; ///< servers that meet it, the first ones of the service
     double factor = 3;
+    milliseconds copy_age{2000};        ///< when the store is back
+    milliseconds rewritten_after{1000}; ///< from then until what was lost is written again
 };
 
 /// Where one gateway listens; `borageford emulate` writes its settings file.
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -29,8 +29,9 @@
                                                         "callers",    "burst",   "fault"};
 constexpr std::array<std::string_view, 2> service_kinds{"engine", "plain"};
 constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
-constexpr std::array<std::string_view, 9> fault_kinds{
-    "crash", "hang", "fail", "cut", "slow", "drain", "store_refuses", "store_silent", "store_slow"};
+constexpr std::array<std::string_view, 10> fault_kinds{
+    "crash",         "hang",         "fail",       "cut",          "slow", "drain",
+    "store_refuses", "store_silent", "store_slow", "store_returns"};
 
 template <typename Item>
 std::optional<std::size_t> find_named(const std::vector<Item>& items, std::string_view name) {
@@ -270,6 +271,8 @@
         fault.length = reader.duration("for", fault.length, shortest, longest);
         fault.factor = reader.real("factor", fault.factor, 0.01, 1000);
         fault.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        fault.copy_age = reader.duration("copy_age", fault.copy_age, none, longest);
+        fault.rewritten_after = reader.duration("rewritten_after", fault.rewritten_after, none, longest);
         fault.service = reader.text("service", "");
         const bool needs_service = fault.kind < fault_kind::store_refuses;
         const bool knows_service = find_named(m_plan.configuration.services, fault.service).has_value();
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -257,6 +257,9 @@
     case fault_kind::store_refuses:
         m_store.set_state(store_state::busy);
         break;
+    case fault_kind::store_returns:
+        m_store.set_state(store_state::reset);
+        break;
     case fault_kind::store_silent:
         m_store.set_state(store_state::silent);
         break;
@@ -271,6 +274,9 @@
         m_store.set_delay(milliseconds(0));
         return;
     }
+    if (fault.kind == fault_kind::store_returns) {
+        m_store.return_from_copy({fault.copy_age, fault.rewritten_after, fault.rewritten_after});
+    }
     if (fault.kind >= fault_kind::store_refuses) {
         m_store.set_state(emulator::store_state::well);
         return;
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -48,6 +48,7 @@
     kind_row{fault_kind::configuration_moves_route, "configuration_moves_route"},
     kind_row{fault_kind::server_restarts_in_place, "server_restarts_in_place"},
     kind_row{fault_kind::foreign_entries, "foreign_entries"},
+    kind_row{fault_kind::store_returns, "store_returns"},
 };
 static_assert(kind_names.size() == static_cast<std::size_t>(fault_kind::last_kind) + 1);
 
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -52,7 +52,8 @@
     // Backend servers again, and other programs that write into their table.
     server_restarts_in_place, ///< its connections silenced, back at once under the id that it had
     foreign_entries,          ///< beside the servers' own, and over one of them
-    last_kind = foreign_entries
+    store_returns,            ///< away, and then back from an older copy
+    last_kind = store_returns
 };
 
 [[nodiscard]] std::string_view to_string(fault_kind kind) noexcept;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds route_timeout{4000};
 constexpr milliseconds slow_store_answer{400};
 constexpr milliseconds path_delay{150};
+/// What was written before the store went away, and while it was away, is lost.
+constexpr milliseconds age_of_copy{4000};
+constexpr milliseconds early_rewrite{300};
+constexpr milliseconds late_rewrite{1200};
 constexpr double slow_factor = 6;
 /// Each connection between a gateway and a server takes three descriptors of this process. 250 gateways that
 /// keep theirs for some seconds took all of its 20,000 within 2 s; servers then couldn't be started, nor
@@ -134,7 +138,15 @@
 }
 
 bool is_store_fault(fault_kind kind) {
-    return kind >= fault_kind::store_busy && kind <= fault_kind::store_forgets;
+    return (kind >= fault_kind::store_busy && kind <= fault_kind::store_forgets) ||
+           kind == fault_kind::store_returns;
+}
+
+/// Servers first, or operators first, as the target has it.
+emulator::store_return return_of(const planned_fault& fault) {
+    const bool are_servers_first = fault.target % 2 == 0;
+    return {age_of_copy, are_servers_first ? early_rewrite : late_rewrite,
+            are_servers_first ? late_rewrite : early_rewrite};
 }
 
 bool is_server_path_fault(fault_kind kind) {
@@ -349,6 +361,7 @@
             store.set_state(store_state::many);
             break;
         case fault_kind::store_resetting:
+        case fault_kind::store_returns:
             store.set_state(store_state::reset);
             break;
         case fault_kind::store_silent:
@@ -510,6 +523,9 @@
         }
     } else if (is_store_fault(fault.kind)) {
         on_emulator([&] {
+            if (fault.kind == fault_kind::store_returns) {
+                m_site->store().return_from_copy(return_of(fault));
+            }
             m_site->store().set_state(store_state::well);
             m_site->store().set_delay(milliseconds(0));
         });
