--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -2,7 +2,7 @@
 #include "coordination/slot_broker.hpp"
 
 #include "base/identifier.hpp"
-#include "events/event_log.hpp"
+#include "coordination/broker_events.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
@@ -19,15 +19,6 @@
 namespace {
 
 constexpr milliseconds tick_period{50};
-/// Other candidates than the coordinator hear from this process at every so many ticks.
-constexpr unsigned candidate_ticks = 4;
-/// With more members than this each sends at every second tick only: heartbeats of hundreds at every tick
-/// would take all of a small coordinator's processor. Two of every second tick fit into the silence after
-/// which a coordinator is passed over.
-constexpr std::size_t members_at_each_tick = 60;
-constexpr std::size_t most_heartbeat_ticks = 2;
-/// Absent candidates are asked this rarely.
-constexpr unsigned absent_ticks = 20;
 /// Unacknowledged batches are looked at this often.
 constexpr milliseconds retransmit_check{6};
 /// A member that is silent for this long has its slots given to others.
@@ -43,10 +34,6 @@
     return address.is_v4() ? address.to_v4().to_uint() : 0;
 }
 
-std::string describe_member(policy::member_key member) {
-    return asio::ip::address_v4(static_cast<std::uint32_t>(member)).to_string();
-}
-
 } // namespace
 
 std::string_view to_string(slot_source source) noexcept {
@@ -203,8 +190,11 @@
 /// Decides, and queues what each member is to be told.
 void slot_broker::hand_out(policy::time_point now) {
     for (auto& [member, items] : m_coordinator.decide(now)) {
-        put_off(items.refusals, now);
-        report_refusals(member, items);
+        if (expects_coordinator(now)) {
+            m_deferred.take_from(items.refusals);
+        }
+        const auto& scheduler = m_coordinator.scheduler();
+        report_refusals(member, items.refusals, scheduler.waiting(), scheduler.running());
         if (member == m_self) {
             deliver(items);
             continue;
@@ -229,51 +219,14 @@
     return is_alone && m_election.member_count() > 1 && now - m_alone_since < m_settings.coordinator_patience;
 }
 
-/// Between two coordinators, and after all processes were started at once, each has its part of every
-/// allowance and of the repeats only. One large request needs more than that, so callers who keep within
-/// their limits were refused at each such moment. They wait for the coordinator instead.
-void slot_broker::put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now) {
-    if (!expects_coordinator(now)) {
-        return;
-    }
-    std::erase_if(refusals, [this](const policy::slot_refusal& refusal) {
-        const bool is_for_want_of_part = refusal.reason == policy::refusal_reason::over_allowance ||
-                                         refusal.reason == policy::refusal_reason::over_retry_budget;
-        if (is_for_want_of_part) {
-            m_put_off.push_back(refusal.ticket);
-        }
-        return is_for_want_of_part;
-    });
-}
-
-void slot_broker::ask_put_off_again(policy::time_point now) {
-    const auto tickets = std::exchange(m_put_off, {});
-    m_coordinator.take(m_self, m_requests.ask_again(tickets), now);
+void slot_broker::ask_deferred_again(policy::time_point now) {
+    m_coordinator.take(m_self, m_requests.ask_again(m_deferred.take_all()), now);
 }
 
-void slot_broker::report_refusals(policy::member_key member, const batch_items& items) {
-    for (const auto& refusal : items.refusals) {
-        const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
-        events::write(events::event_kind::slot_refused,
-                      {{"ticket", refusal.ticket},
-                       {"member", describe_member(member)},
-                       {"reason", policy::to_string(refusal.reason)},
-                       {"needed", refusal.needed},
-                       {"available", refusal.available},
-                       {"waiting", std::uint64_t(m_coordinator.scheduler().waiting())},
-                       {"running", std::uint64_t(m_coordinator.scheduler().running())},
-                       {"retry_after_ms", std::int64_t(wait.count())}});
-    }
-}
-
-void slot_broker::report_source(slot_source before) const {
-    events::write(events::event_kind::slot_source_changed,
-                  {{"from", to_string(before)},
-                   {"to", to_string(m_source)},
-                   {"coordinator",
-                    describe_member(m_source == slot_source::coordinator ? m_coordinating_member : m_self)},
-                   {"waiting", std::uint64_t(m_requests.waiting())},
-                   {"running", std::uint64_t(m_requests.running())}});
+void slot_broker::report_change_of_source(slot_source before) const {
+    const bool is_told = m_source == slot_source::coordinator;
+    report_source({to_string(before), to_string(m_source), is_told ? m_coordinating_member : m_self,
+                   m_requests.waiting(), m_requests.running()});
 }
 
 void slot_broker::flush_channel(policy::member_key member, batch_channel& channel, policy::time_point now) {
@@ -342,26 +295,22 @@
     send(member, std::move(message));
 }
 
-/// Members whose heartbeats a coordinator takes at every tick; with more of them each sends at fewer ticks.
-unsigned slot_broker::heartbeat_ticks() const {
-    const auto ticks = m_census.told() / members_at_each_tick;
-    return static_cast<unsigned>(std::clamp<std::size_t>(ticks, 1, most_heartbeat_ticks));
+heartbeat_receiver slot_broker::role_of(policy::member_key candidate) const {
+    if (m_source == slot_source::own_part) {
+        return heartbeat_receiver::next;
+    }
+    const bool coordinates = m_source == slot_source::coordinator && candidate == m_coordinating_member;
+    return coordinates ? heartbeat_receiver::coordinator : heartbeat_receiver::candidate;
 }
 
 void slot_broker::send_heartbeats(policy::time_point now) {
-    ++m_ticks;
-    const auto candidates = m_election.candidates(now);
-    for (const auto member : candidates) {
-        const bool coordinates = m_source == slot_source::coordinator && member == m_coordinating_member &&
-                                 m_ticks % heartbeat_ticks() == 0;
-        // Without a coordinator the next one is looked for at every tick.
-        if (coordinates || m_source == slot_source::own_part ||
-            m_ticks % (candidate_ticks * heartbeat_ticks()) == 0) {
+    m_heartbeats.begin_tick(m_census.told());
+    for (const auto member : m_election.candidates(now)) {
+        if (m_heartbeats.is_due(role_of(member))) {
             send_heartbeat(member);
         }
     }
-    const bool is_early = m_ticks < absent_ticks;
-    if (is_early || m_ticks % absent_ticks == 0) {
+    if (m_heartbeats.is_due(heartbeat_receiver::absent)) {
         for (const auto member : m_election.absent(now)) {
             send_heartbeat(member);
         }
@@ -373,8 +322,8 @@
     m_election.tick(now);
     expire_members(now);
     choose_source(now);
-    if (!m_put_off.empty() && !expects_coordinator(now)) {
-        ask_put_off_again(now);
+    if (!m_deferred.is_empty() && !expects_coordinator(now)) {
+        ask_deferred_again(now);
     }
     send_heartbeats(now);
     schedule_flush();
@@ -451,8 +400,7 @@
             served->second.channel.pending().reports =
                 m_coordinator.scheduler().report_servers(most_reports, now);
         }
-        events::write(events::event_kind::member_attached,
-                      {{"member", describe_member(member)}, {"members", std::uint64_t(m_served.size() + 1)}});
+        report_attached(member, m_served.size() + 1);
     }
     served->second.heard = now;
     m_census.note_served(member, now);
@@ -510,13 +458,13 @@
     }
     m_served.clear();
     m_coordinator.detach(m_self, clock::now());
-    m_put_off.clear(); // told below, like all that wait
+    m_deferred.clear(); // told below, like all that wait
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.tell_all();
     m_upstream->pending().reports = m_coordinator.scheduler().report_servers(most_reports, clock::now());
     schedule_flush();
-    report_source(before);
+    report_change_of_source(before);
 }
 
 void slot_broker::use_own(slot_source source) {
@@ -535,7 +483,7 @@
         m_coordinator.take(m_self, m_requests.tell_all(), now);
     }
     schedule_flush();
-    report_source(before);
+    report_change_of_source(before);
 }
 
 void slot_broker::update_shares(policy::time_point now) {
@@ -550,9 +498,7 @@
 void slot_broker::expire_members(policy::time_point now) {
     for (auto served = m_served.begin(); served != m_served.end();) {
         if (now - served->second.heard > member_silence) {
-            const auto silent = std::chrono::duration_cast<milliseconds>(now - served->second.heard);
-            events::write(events::event_kind::member_lost, {{"member", describe_member(served->first)},
-                                                            {"silent_ms", std::int64_t(silent.count())}});
+            report_lost(served->first, now - served->second.heard);
             m_coordinator.detach(served->first, now);
             served = m_served.erase(served);
         } else {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -4,6 +4,8 @@
 
 #include "base/timer_service.hpp"
 #include "coordination/batch_channel.hpp"
+#include "coordination/deferred_refusals.hpp"
+#include "coordination/heartbeat_schedule.hpp"
 #include "coordination/message.hpp"
 #include "coordination/own_requests.hpp"
 #include "coordination/peer_socket.hpp"
@@ -118,13 +120,12 @@
 
     void tick();
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
-    void report_source(slot_source before) const;
-    void report_refusals(policy::member_key member, const batch_items& items);
+    void report_change_of_source(slot_source before) const;
     void hand_out(policy::time_point now);
     void take_from_coordinator(datagram message);
     void take_from_member(policy::member_key member, datagram message);
     void send_heartbeats(policy::time_point now);
-    [[nodiscard]] unsigned heartbeat_ticks() const;
+    [[nodiscard]] heartbeat_receiver role_of(policy::member_key candidate) const;
     void send_heartbeat(policy::member_key member);
     void send(policy::member_key member, datagram message);
     [[nodiscard]] member_status status() const;
@@ -136,8 +137,7 @@
     void use_own(slot_source source);
     void update_shares(policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
-    void put_off(std::vector<policy::slot_refusal>& refusals, policy::time_point now);
-    void ask_put_off_again(policy::time_point now);
+    void ask_deferred_again(policy::time_point now);
     void expire_members(policy::time_point now);
 
     void deliver(const batch_items& items);
@@ -163,8 +163,7 @@
     policy::member_key m_coordinating_member = 0; ///< while m_source is coordinator
     std::optional<batch_channel> m_upstream;      ///< while m_source is coordinator
     policy::time_point m_alone_since; ///< when this process started, or lost its coordinator, last
-    /// Requests that the own part has no room for, and that a coordinator may have.
-    std::vector<policy::slot_ticket> m_put_off;
+    deferred_refusals m_deferred;     ///< while a coordinator is expected
     std::map<policy::member_key, served_member> m_served; ///< while m_source is own_coordination
     std::set<policy::member_key> m_told_members;          ///< served ones for which something may be due
     policy::member_census m_census;
@@ -174,7 +173,7 @@
     timer_subscription m_tick_timer;
     timer_subscription m_retransmit_timer;
     bool m_flush_is_scheduled = false;
-    unsigned m_ticks = 0;
+    heartbeat_schedule m_heartbeats;
 };
 
 } // namespace borageford::coordination
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -130,7 +130,7 @@
 
 asio::awaitable<std::optional<change_page>> table::changes(std::string table_name, std::uint64_t after,
                                                            std::chrono::milliseconds wait) {
-    const auto* format = std::get_if<platform::store_format>(&m_format);
+    const auto* format = std::get_if<deployed_format>(&m_format);
     if (format == nullptr) {
         throw store_error(effect::none, "platform: this format can't tell changes");
     }
--- a/src/store/table.hpp
+++ b/src/store/table.hpp
@@ -1,7 +1,7 @@
 // The platform's transactional table, in the format that the deployment speaks.
 #pragma once
 
-#include "platform/store_format.hpp"
+#include "store/deployed_format.hpp"
 #include "store/native_format.hpp"
 #include "store/row.hpp"
 #include "store/store_error.hpp"
@@ -21,7 +21,7 @@
 
 namespace borageford::store {
 
-using table_format = std::variant<native_format, platform::store_format>;
+using table_format = std::variant<native_format, deployed_format>;
 
 /// One HTTP exchange a call. Every call throws store_error when the store doesn't answer it.
 class table {
--- a/tests/unit/test_repeated_read.cpp
+++ b/tests/unit/test_repeated_read.cpp
@@ -1,5 +1,6 @@
 // Reading a table from a store that may not answer, against the emulated store.
 #include "emulator/emulated_store.hpp"
+#include "platform/store_format.hpp"
 #include "store/repeated_read.hpp"
 #include "store/store_error.hpp"
 #include "store/table.hpp"
@@ -57,7 +58,7 @@
     emulator::emulated_store m_store{m_context.get_executor(), m_timers};
     store::table m_table{m_context.get_executor(),
                          m_store.listen({boost::asio::ip::address_v4::loopback(), 0}), endless,
-                         platform::store_format()};
+                         platform::table_format()};
     std::optional<store::row_page> m_page;
     std::exception_ptr m_error;
 };
--- a/tests/unit/test_store_follower.cpp
+++ b/tests/unit/test_store_follower.cpp
@@ -1,6 +1,7 @@
 // Following a table of a store that loses questions, against the emulated store.
 #include "emulator/emulated_store.hpp"
 #include "gateway/store_follower.hpp"
+#include "platform/store_format.hpp"
 #include "support/run_until.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -86,7 +87,7 @@
     emulator::emulated_store m_store{m_context.get_executor(), m_timers};
     store::table m_table{m_context.get_executor(),
                          m_store.listen({boost::asio::ip::address_v4::loopback(), 0}), endless,
-                         platform::store_format()};
+                         platform::table_format()};
     gateway::store_follower m_follower{m_context.get_executor(), m_timers,       m_table, "op",
                                        {change_limit, 0.5},      make_handlers()};
 };
