A version that is being rolled out takes no requests while another one serves

Operators order a service to move to another version (op/rollout/SERVICE); servers of that version are started beside the old ones, and some versions are bad. Nothing here knew of the order, so the new servers got their full share of all requests as soon as they registered, where at most a tenth is allowed.

First step of the roll-outs, the part that keeps the rule: the adapter reads orders and the servers' versions; a server of the ordered version is known and gets no slots as long as servers of another version take work, or the order's time isn't over (policy/version_hold). Without an order nothing changes. What is missing, and stays open: a share by stages, the judgement, the status rows, completion; until then an order that is given is not carried out.

Tests: unit cases of the rule, the roster and the codec; real processes, where a server of the new version registers after the order and runs nothing in 20 requests until the order is withdrawn.

--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -38,6 +38,7 @@
     std::string id;
     std::uint64_t start = 0; ///< names this start, as it is registered; 0: not told
     std::string service;
+    std::string version; ///< of its software, as it is registered; empty: not told
     unsigned slots = 8;
     std::size_t queue = 48;
     /// A model engine; nothing for a plain service.
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -31,9 +31,12 @@
     // What it believes.
     configuration_in_force,
     configuration_unreadable,
+    rollout_ordered,
+    rollout_withdrawn,
     backend_ready,
     backend_restarted,
     backend_draining,
+    backend_held_back,
     backend_missed,
     backend_gone,
     backend_unreadable,
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -304,6 +304,7 @@
 }
 
 void backend_roster::put_in_use(routing::backend_record record, store::position at) {
+    const auto id = record.id;
     if (record.state == routing::backend_state::ready) {
         events::write(events::event_kind::backend_ready, {{"backend", record.id},
                                                           {"service", record.service},
@@ -312,9 +313,9 @@
                                                           {"start", record.start},
                                                           {"era", at.era},
                                                           {"version", at.version}});
-        m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
-                           policy::domain_key_of(record.failure_domain));
+        give_slots(record);
     } else {
+        m_held_back.erase(record.id);
         m_slots.remove_server(record.key());
         events::write(events::event_kind::backend_draining,
                       {{"backend", record.id}, {"era", at.era}, {"version", at.version}});
@@ -322,6 +323,65 @@
     m_backends.set(std::move(record));
 }
 
+void backend_roster::give_slots(const routing::backend_record& record) {
+    if (!is_to_hold_back(record)) {
+        m_held_back.erase(record.id);
+        m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
+                           policy::domain_key_of(record.failure_domain));
+        return;
+    }
+    m_slots.remove_server(record.key());
+    if (m_held_back.insert(record.id).second) {
+        events::write(events::event_kind::backend_held_back,
+                      {{"backend", record.id}, {"service", record.service}, {"software", record.version}});
+    }
+}
+
+bool backend_roster::is_to_hold_back(const routing::backend_record& record) const {
+    return m_versions.holds_back(record.service, record.version, has_other_versions(record),
+                                 steady_clock::now());
+}
+
+bool backend_roster::has_other_versions(const routing::backend_record& than) const {
+    return std::ranges::any_of(m_backends.all(), [&](const auto& entry) {
+        const auto& record = entry.second->record();
+        return record.service == than.service && record.version != than.version &&
+               record.state == routing::backend_state::ready;
+    });
+}
+
+void backend_roster::set_rollout(const routing::rollout_order& order) {
+    m_versions.set_order(order.service, order.to, order.duration, steady_clock::now());
+    events::write(events::event_kind::rollout_ordered,
+                  {{"service", order.service},
+                   {"software", order.to},
+                   {"duration_ms", std::int64_t(order.duration.count())}});
+    review_rollouts();
+}
+
+void backend_roster::withdraw_rollout(std::string_view service) {
+    m_versions.withdraw_order(service);
+    events::write(events::event_kind::rollout_withdrawn, {{"service", service}});
+    review_rollouts();
+}
+
+/// Servers come and go, and orders end, so that whom an order holds back changes.
+void backend_roster::review_rollouts() {
+    const auto moving = m_versions.services();
+    if (moving.empty() && m_held_back.empty()) {
+        return;
+    }
+    for (const auto& [id, server] : m_backends.all()) {
+        const auto& record = server->record();
+        const bool is_moving = std::ranges::find(moving, record.service) != moving.end();
+        const bool takes_work = record.state == routing::backend_state::ready;
+        const bool changes = is_to_hold_back(record) != m_held_back.contains(id);
+        if (takes_work && changes && (is_moving || m_held_back.contains(id))) {
+            give_slots(record);
+        }
+    }
+}
+
 /// Requests that run there go on, and connections are kept.
 void backend_roster::take_out_of_use(const std::string& id) {
     const auto server = m_backends.find_id(id);
@@ -329,6 +389,7 @@
         return;
     }
     auto record = server->record();
+    m_held_back.erase(id);
     m_slots.remove_server(record.key());
     record.state = routing::backend_state::draining;
     server->set_record(std::move(record));
@@ -372,6 +433,7 @@
     m_all.erase(id);
     m_removals.add(id, m_position);
     m_starts.forget(id);
+    m_held_back.erase(id);
     if (const auto server = m_backends.find_id(id)) {
         m_slots.remove_server(server->record().key());
         m_backends.remove(id);
@@ -382,6 +444,7 @@
 void backend_roster::tick() {
     check_missed();
     check_doubted();
+    review_rollouts();
     m_backends.close_expired(steady_clock::now());
 }
 
--- a/src/gateway/deployment.hpp
+++ b/src/gateway/deployment.hpp
@@ -4,6 +4,7 @@
 
 #include "routing/backend_record.hpp"
 #include "routing/call_fields.hpp"
+#include "routing/rollout_order.hpp"
 #include "routing/routing_types.hpp"
 #include "store/table.hpp"
 
@@ -22,6 +23,10 @@
     /// Throws std::exception for a document that can't be read.
     std::function<routing::routing_document(std::string_view)> decode_configuration;
 
+    std::string
+        rollout_prefix; ///< of the rows that hold roll-outs, "TABLE/PREFIX", in the configuration's table
+    std::function<routing::rollout_order(std::string_view)> decode_rollout;
+
     std::string backend_table; ///< the table in which backend servers register
     std::function<routing::backend_record(std::string_view id, std::string_view value)> decode_backend;
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -215,10 +215,10 @@
     store_follower::handlers make_configuration_handlers() {
         return {[this](const store::row_page& page) {
                     for (const auto& row : page.rows) {
-                        take_configuration(row);
+                        take_operators_row({row, false});
                     }
                 },
-                [this](const store::row_change& change) { take_configuration(change.now); }, [] {},
+                [this](const store::row_change& change) { take_operators_row(change); }, [] {},
                 // A document's version isn't the store's.
                 [this] { return store::position{m_roster.position().era, 0}; },
                 [this] {
@@ -260,9 +260,26 @@
                        {"failure_share", change.failure_share}});
     }
 
-    void take_configuration(const store::row& row) {
+    void take_operators_row(const store::row_change& change) {
+        const auto& row = change.now;
         if (row.key == m_speech.configuration_key && !row.value.empty()) {
             m_configuration_keeper.take(row.value, "store");
+        } else if (row.key.starts_with(m_speech.rollout_prefix)) {
+            take_rollout(change);
+        }
+    }
+
+    /// An order that is missing from an older copy of the store stands until it is removed.
+    void take_rollout(const store::row_change& change) {
+        if (change.is_removed) {
+            m_roster.withdraw_rollout(change.now.key.substr(m_speech.rollout_prefix.size()));
+            return;
+        }
+        try {
+            m_roster.set_rollout(m_speech.decode_rollout(change.now.value));
+        } catch (const std::exception& error) {
+            events::write(events::event_kind::configuration_unreadable,
+                          {{"source", change.now.key}, {"reason", error.what()}});
         }
     }
 
--- a/src/routing/backend_record.hpp
+++ b/src/routing/backend_record.hpp
@@ -18,6 +18,7 @@
     /// is told by the order in which the store took them.
     std::uint64_t start = 0;
     std::string service;
+    std::string version; ///< of its software; empty: not told
     boost::asio::ip::tcp::endpoint address;
     std::string failure_domain;
     unsigned slots = 1; ///< requests that it works on together
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -6,6 +6,7 @@
 #include "platform/backend_codec.hpp"
 #include "platform/call_names.hpp"
 #include "platform/configuration_codec.hpp"
+#include "platform/rollout_codec.hpp"
 #include "support/free_ports.hpp"
 #include "support/wait_until.hpp"
 
@@ -187,6 +188,19 @@
     on_emulator([&] { static_cast<void>(m_store->rows().transact(change)); });
 }
 
+void gateway_site::order_rollout(const routing::rollout_order& order) {
+    store::transaction change;
+    change.puts.push_back(
+        {std::string(platform::rollout_prefix) + order.service, platform::encode_rollout(order)});
+    on_emulator([&] { static_cast<void>(m_store->rows().transact(change)); });
+}
+
+void gateway_site::withdraw_rollout(const std::string& service) {
+    store::transaction change;
+    change.deletes.push_back(std::string(platform::rollout_prefix) + service);
+    on_emulator([&] { static_cast<void>(m_store->rows().transact(change)); });
+}
+
 void gateway_site::start_backend(std::size_t index, const emulator::backend_options& options) {
     on_emulator([&] {
         auto server = std::make_unique<emulator::emulated_backend>(m_context.get_executor(), m_timers,
@@ -207,6 +221,7 @@
         record.id = unit.server->options().id;
         record.start = unit.server->options().start;
         record.service = unit.server->options().service;
+        record.version = unit.server->options().version;
         record.address = unit.address;
         record.failure_domain = "a";
         record.slots = unit.server->options().slots;
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -4,6 +4,7 @@
 
 #include "emulator/emulated_backend.hpp"
 #include "emulator/emulated_store.hpp"
+#include "routing/rollout_order.hpp"
 #include "routing/routing_types.hpp"
 #include "support/child_process.hpp"
 #include "support/http_caller.hpp"
@@ -70,6 +71,9 @@
 
     /// Writes the configuration into the store, as an operator does.
     void configure(const routing::routing_document& document);
+    /// Orders a service to move to another version, or withdraws the order, as an operator does.
+    void order_rollout(const routing::rollout_order& order);
+    void withdraw_rollout(const std::string& service);
     /// Starts a backend server and registers it; the same index may be used again.
     void start_backend(std::size_t index, const emulator::backend_options& options);
     void register_backend(std::size_t index, const std::string& state);
--- a/tests/support/known_servers.hpp
+++ b/tests/support/known_servers.hpp
@@ -14,8 +14,8 @@
 
 namespace borageford::test {
 
-/// Entries are "SERVICE@START", or "leaving SERVICE@START" of a server that drains; without "@START" they
-/// name no start.
+/// Entries are "SERVICE@START#VERSION", with "leaving " before it of a server that drains; a part that is left
+/// out isn't told.
 class known_servers {
 public:
     explicit known_servers(std::chrono::milliseconds registration_life = std::chrono::hours(1))
@@ -72,6 +72,10 @@
             record.state = routing::backend_state::draining;
             value.remove_prefix(value.find(' ') + 1);
         }
+        if (const auto software = value.find('#'); software != std::string_view::npos) {
+            record.version = value.substr(software + 1);
+            value.remove_suffix(value.size() - software);
+        }
         const auto mark = value.find('@');
         record.service = value.substr(0, mark);
         if (mark != std::string_view::npos) {
