Roll-outs: a small share judged, then all or nothing, and a verdict that stands

An operator's order is carried out, in its thin form from end to end. The coordinator gives the new version 0.05 of the service's requests, one of its servers at a time, judges failures and slow answers against the former version's in the same minutes by a cumulative sum of log-likelihood ratios, and then lets everything new go to it, waits until the former servers work on nothing and records completed, or records rolled_back. The status row is read before anything is decided, written under a condition, settled by reading when an answer was lost, and recorded again after a return of the store.

On the way: the emulated store never found a single row that a client read by its key (its decoder took the begin of the range for the last key not wanted), which made the recorder write against an unread row for ever; mended with a case, and the recorder waits between tries whatever the reason.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -155,11 +155,18 @@
         std::ranges::move(items.withdrawals, std::back_inserter(pending.withdrawals));
         std::ranges::move(items.releases, std::back_inserter(pending.releases));
     } else {
-        m_coordinator.take(m_self, items, clock::now());
+        take_items(m_self, items, clock::now());
     }
     schedule_flush();
 }
 
+void slot_broker::take_items(policy::member_key member, const batch_items& items, policy::time_point now) {
+    m_coordinator.take(member, items, now);
+    for (const auto& ended : items.releases) {
+        m_observers.on_release(ended);
+    }
+}
+
 void slot_broker::schedule_flush() {
     if (std::exchange(m_flush_is_scheduled, true)) {
         return;
@@ -195,6 +202,9 @@
         }
         const auto& scheduler = m_coordinator.scheduler();
         report_refusals(member, items.refusals, scheduler.waiting(), scheduler.running());
+        for (const auto& grant : items.grants) {
+            m_observers.on_grant(grant.server);
+        }
         if (member == m_self) {
             deliver(items);
             continue;
@@ -409,7 +419,7 @@
         return;
     }
     for (const auto& items : served->second.channel.take_batch(message.batch, std::move(message.items))) {
-        m_coordinator.take(member, items, now);
+        take_items(member, items, now);
     }
     hand_out(now);
     datagram reply;
@@ -453,6 +463,7 @@
 
 void slot_broker::attach_to(policy::member_key coordinator) {
     const auto before = std::exchange(m_source, slot_source::coordinator);
+    m_source_since = clock::now();
     for (const auto& [member, served] : m_served) {
         m_coordinator.detach(member, clock::now());
     }
@@ -470,6 +481,7 @@
 void slot_broker::use_own(slot_source source) {
     const auto now = clock::now();
     const auto before = std::exchange(m_source, source);
+    m_source_since = now;
     update_shares(now);
     if (source == slot_source::own_part) {
         for (const auto& [member, served] : m_served) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -69,6 +69,11 @@
         std::function<void(const boost::asio::ip::address&, const versions&)> on_member_versions;
         /// This process gives out slots, and a server has begun to rest, or has recovered.
         std::function<void(const policy::slot_scheduler::health_change&)> on_health_change;
+        /// This process has given a request to a server, or hears that one has left its slot.
+        std::function<void(policy::server_key)> on_grant = [](policy::server_key) {
+        };
+        std::function<void(const policy::slot_release&)> on_release = [](const policy::slot_release&) {
+        };
     };
 
     slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
@@ -102,6 +107,12 @@
     void release(const policy::slot_release& ended);
 
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
+    /// Since when slots come from there.
+    [[nodiscard]] policy::time_point source_since() const noexcept { return m_source_since; }
+    /// Requests that a server works on, as far as this process gives out its slots.
+    [[nodiscard]] unsigned outstanding(policy::server_key server) const {
+        return m_coordinator.scheduler().outstanding(server);
+    }
     /// Whether all other members hear from this process; where nobody coordinates, nobody can be sure to.
     [[nodiscard]] bool is_candidate() const {
         return !m_settings.coordinates || m_election.is_candidate(clock::now());
@@ -122,6 +133,7 @@
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
     void report_change_of_source(slot_source before) const;
     void hand_out(policy::time_point now);
+    void take_items(policy::member_key member, const batch_items& items, policy::time_point now);
     void take_from_coordinator(datagram message);
     void take_from_member(policy::member_key member, datagram message);
     void send_heartbeats(policy::time_point now);
@@ -160,6 +172,7 @@
     std::optional<peer_socket> m_socket;
 
     slot_source m_source = slot_source::own_part;
+    policy::time_point m_source_since;
     policy::member_key m_coordinating_member = 0; ///< while m_source is coordinator
     std::optional<batch_channel> m_upstream;      ///< while m_source is coordinator
     policy::time_point m_alone_since; ///< when this process started, or lost its coordinator, last
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -22,6 +22,7 @@
                      policy::repeat_limits repeats);
 
     [[nodiscard]] policy::slot_scheduler& scheduler() noexcept { return m_scheduler; }
+    [[nodiscard]] const policy::slot_scheduler& scheduler() const noexcept { return m_scheduler; }
     [[nodiscard]] policy::allowance_book& allowances() noexcept { return m_allowances; }
 
     /// The part of all limits that this process may give out.
--- a/src/emulator/emulated_store.cpp
+++ b/src/emulator/emulated_store.cpp
@@ -130,7 +130,7 @@
     }
     const auto decoded = platform::decode_store_call(call);
     if (const auto* scan = std::get_if<platform::scan_call>(&decoded)) {
-        auto page = m_rows.scan(scan->prefix, scan->after, scan->limit);
+        auto page = m_rows.scan(scan->prefix, scan->after, scan->limit, scan->includes_after);
         page.store_time = clock_ms();
         co_return platform::encode_rows(page);
     }
--- a/src/emulator/row_store.cpp
+++ b/src/emulator/row_store.cpp
@@ -79,10 +79,12 @@
     return found == m_rows.end() ? std::nullopt : std::optional(found->second);
 }
 
-store::row_page row_store::scan(std::string_view prefix, std::string_view after, std::size_t limit) const {
+store::row_page row_store::scan(std::string_view prefix, std::string_view after, std::size_t limit,
+                                bool includes_after) const {
     store::row_page page;
     page.position = {m_era, m_version};
-    auto entry = after.empty() ? m_rows.lower_bound(prefix) : m_rows.upper_bound(after);
+    const auto begin = after.empty() ? prefix : after;
+    auto entry = after.empty() || includes_after ? m_rows.lower_bound(begin) : m_rows.upper_bound(begin);
     for (; entry != m_rows.end() && entry->first.starts_with(prefix); ++entry) {
         if (page.rows.size() == limit) {
             page.has_more = true;
--- a/src/emulator/row_store.hpp
+++ b/src/emulator/row_store.hpp
@@ -24,9 +24,9 @@
     store::transaction_result transact(const store::transaction& changes);
 
     [[nodiscard]] std::optional<store::row> read(std::string_view key) const;
-    /// Rows whose keys start with the prefix, from after `after` on.
-    [[nodiscard]] store::row_page scan(std::string_view prefix, std::string_view after,
-                                       std::size_t limit) const;
+    /// Rows whose keys start with the prefix, from after `after` on, or from `after` itself.
+    [[nodiscard]] store::row_page scan(std::string_view prefix, std::string_view after, std::size_t limit,
+                                       bool includes_after = false) const;
 
     /// What changed in a table after a version; nothing when that history is gone, or when there is no such
     /// version.
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -62,6 +62,14 @@
                       "service software duration_ms"},
     event_description{event_kind::rollout_withdrawn, "rollout_withdrawn", info, state_rate,
                       "The order to move a service is gone.", "service"},
+    event_description{
+        event_kind::rollout_moved, "rollout_moved", info, state_rate,
+        "A roll-out is in another phase; with the answers of the new version that were judged, and "
+        "how many of them were bad.",
+        "service software phase answers bad"},
+    event_description{event_kind::rollout_not_recorded, "rollout_not_recorded", warning, state_rate,
+                      "What became of a roll-out couldn't be written into the store; tried again.",
+                      "service reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
                       "A backend server takes work.", "backend service address slots start era version"},
     event_description{event_kind::backend_restarted, "backend_restarted", info, state_rate,
@@ -70,9 +78,10 @@
                       "backend start former_start"},
     event_description{event_kind::backend_draining, "backend_draining", info, state_rate,
                       "A backend server leaves: it gets no new work.", "backend era version"},
-    event_description{event_kind::backend_held_back, "backend_held_back", info, state_rate,
-                      "A backend server takes work and gets none, since its version is being rolled out.",
-                      "backend service software"},
+    event_description{
+        event_kind::backend_held_back, "backend_held_back", info, state_rate,
+        "A backend server takes work and gets none: its version is being rolled out, or was replaced.",
+        "backend service software"},
     event_description{
         event_kind::backend_missed, "backend_missed", info, state_rate,
         "A registration vanished around an outage of the store; the server is kept for a while.", "backend"},
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -33,6 +33,8 @@
     configuration_unreadable,
     rollout_ordered,
     rollout_withdrawn,
+    rollout_moved,
+    rollout_not_recorded,
     backend_ready,
     backend_restarted,
     backend_draining,
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -27,12 +27,14 @@
 
 backend_roster::backend_roster(asio::any_io_executor executor, timer_service& timers,
                                const deployment& speech, backend_directory& backends,
-                               coordination::slot_broker& slots, std::chrono::milliseconds registration_life)
+                               coordination::slot_broker& slots, rollout_keeper& rollouts,
+                               std::chrono::milliseconds registration_life)
     : m_executor(std::move(executor)),
       m_timers(timers),
       m_speech(speech),
       m_backends(backends),
       m_slots(slots),
+      m_rollouts(rollouts),
       m_registration_life(registration_life) {}
 
 void backend_roster::start() {
@@ -104,6 +106,7 @@
     m_first_look = first_look;
     m_position = {first_look.era, 0};
     m_watch.note_return_from_copy(steady_clock::now());
+    m_rollouts.take_return();
 }
 
 void backend_roster::report_era() {
@@ -312,84 +315,15 @@
                                                           {"start", record.start},
                                                           {"era", at.era},
                                                           {"version", at.version}});
-        give_slots(record);
+        m_rollouts.give_slots(record);
     } else {
-        m_held_back.erase(record.id);
-        m_slots.remove_server(record.key());
+        m_rollouts.take_slots(record);
         events::write(events::event_kind::backend_draining,
                       {{"backend", record.id}, {"era", at.era}, {"version", at.version}});
     }
     m_backends.set(std::move(record));
 }
 
-void backend_roster::give_slots(const routing::backend_record& record) {
-    if (!is_to_hold_back(record)) {
-        m_held_back.erase(record.id);
-        m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
-                           policy::domain_key_of(record.failure_domain));
-        return;
-    }
-    m_slots.remove_server(record.key());
-    if (m_held_back.insert(record.id).second) {
-        events::write(events::event_kind::backend_held_back,
-                      {{"backend", record.id}, {"service", record.service}, {"software", record.version}});
-    }
-}
-
-bool backend_roster::is_to_hold_back(const routing::backend_record& record) const {
-    const auto* moving = m_versions.find_order(record.service);
-    if (moving == nullptr || moving->to != record.version) {
-        return false;
-    }
-    const bool has_others = has_other_versions(record.service, record.version);
-    return policy::version_hold::holds_back(*moving, has_others, steady_clock::now());
-}
-
-bool backend_roster::has_other_versions(std::string_view service, std::string_view than) const {
-    return std::ranges::any_of(m_backends.all(), [&](const auto& entry) {
-        const auto& record = entry.second->record();
-        return record.service == service && record.version != than &&
-               record.state == routing::backend_state::ready;
-    });
-}
-
-void backend_roster::set_rollout(const routing::rollout_order& order) {
-    if (!m_versions.set_order(order.service, order.to, order.duration, steady_clock::now())) {
-        return;
-    }
-    events::write(events::event_kind::rollout_ordered,
-                  {{"service", order.service},
-                   {"software", order.to},
-                   {"duration_ms", std::int64_t(order.duration.count())}});
-    review_rollouts();
-}
-
-void backend_roster::withdraw_rollout(std::string_view service) {
-    m_versions.withdraw_order(service);
-    events::write(events::event_kind::rollout_withdrawn, {{"service", service}});
-    review_rollouts();
-}
-
-/// Servers come and go, and orders end, so that whom an order holds back changes.
-void backend_roster::review_rollouts() {
-    if (m_versions.is_empty() && m_held_back.empty()) {
-        return;
-    }
-    std::map<std::string_view, bool> holds; // by service, since one may have hundreds of servers
-    for (const auto& [id, server] : m_backends.all()) {
-        const auto& record = server->record();
-        const auto* moving = m_versions.find_order(record.service);
-        const bool is_ordered = moving != nullptr && moving->to == record.version;
-        if (is_ordered && !holds.contains(record.service)) {
-            holds[record.service] = is_to_hold_back(record);
-        }
-        const bool is_held_back = is_ordered && holds[record.service];
-        if (record.state == routing::backend_state::ready && is_held_back != m_held_back.contains(id)) {
-            give_slots(record);
-        }
-    }
-}
-
 /// Requests that run there go on, and connections are kept.
 void backend_roster::take_out_of_use(const std::string& id) {
     const auto server = m_backends.find_id(id);
@@ -397,8 +331,7 @@
         return;
     }
     auto record = server->record();
-    m_held_back.erase(id);
-    m_slots.remove_server(record.key());
+    m_rollouts.take_slots(record);
     record.state = routing::backend_state::draining;
     server->set_record(std::move(record));
 }
@@ -441,9 +374,8 @@
     m_all.erase(id);
     m_removals.add(id, m_position);
     m_starts.forget(id);
-    m_held_back.erase(id);
     if (const auto server = m_backends.find_id(id)) {
-        m_slots.remove_server(server->record().key());
+        m_rollouts.take_slots(server->record());
         m_backends.remove(id);
     }
     events::write(events::event_kind::backend_gone, {{"backend", id}, {"reason", reason}});
@@ -452,7 +384,7 @@
 void backend_roster::tick() {
     check_missed();
     check_doubted();
-    review_rollouts();
+    m_rollouts.tick();
     m_backends.close_expired(steady_clock::now());
 }
 
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -7,9 +7,9 @@
 #include "gateway/backend_directory.hpp"
 #include "gateway/deployment.hpp"
 #include "gateway/removal_log.hpp"
+#include "gateway/rollout_keeper.hpp"
 #include "policy/registration_watch.hpp"
 #include "policy/server_starts.hpp"
-#include "policy/version_hold.hpp"
 #include "store/row.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -36,7 +36,7 @@
 
     /// `registration_life`: the store removes a registration that its server hasn't renewed for so long.
     backend_roster(boost::asio::any_io_executor executor, timer_service& timers, const deployment& speech,
-                   backend_directory& backends, coordination::slot_broker& slots,
+                   backend_directory& backends, coordination::slot_broker& slots, rollout_keeper& rollouts,
                    std::chrono::milliseconds registration_life = std::chrono::milliseconds(4500));
 
     void start();
@@ -51,12 +51,6 @@
     /// The store answers another gateway, and has without a break for so long.
     void note_other_in_touch(std::chrono::steady_clock::duration unbroken);
 
-    /// The service is to move to another version; see policy/version_hold.hpp.
-    void set_rollout(const routing::rollout_order& order);
-    void withdraw_rollout(std::string_view service);
-    /// Whether the server takes work and gets none, since its version is being rolled out.
-    [[nodiscard]] bool is_held_back(std::string_view id) const { return m_held_back.contains(id); }
-
     /// What has changed after a position, for a gateway that holds just that one.
     struct update {
         store::position position; ///< held after it
@@ -105,10 +99,6 @@
     [[nodiscard]] std::optional<routing::backend_record> read(const std::string& id, std::string_view value,
                                                               bool is_told) const;
     void refuse_entry(const std::string& id, registration& known);
-    void give_slots(const routing::backend_record& record);
-    [[nodiscard]] bool is_to_hold_back(const routing::backend_record& record) const;
-    [[nodiscard]] bool has_other_versions(std::string_view service, std::string_view than) const;
-    void review_rollouts();
     void put_in_use(routing::backend_record record, store::position at);
     void take_out_of_use(const std::string& id);
     void take_restart(const routing::backend_record& record);
@@ -124,10 +114,9 @@
     const deployment& m_speech;
     backend_directory& m_backends;
     coordination::slot_broker& m_slots;
+    rollout_keeper& m_rollouts;
     policy::registration_watch m_watch;
     policy::server_starts m_starts;
-    policy::version_hold m_versions;
-    std::set<std::string, std::less<>> m_held_back; ///< ids of servers without slots for their version
     registrations m_all;
     store::position m_position;
     store::position m_first_look;           ///< at the present era: what is after it was written in this era
--- a/src/gateway/deployment.hpp
+++ b/src/gateway/deployment.hpp
@@ -26,6 +26,10 @@
     std::string
         rollout_prefix; ///< of the rows that hold roll-outs, "TABLE/PREFIX", in the configuration's table
     std::function<routing::rollout_order(std::string_view)> decode_rollout;
+    std::string rollout_status_prefix; ///< of the rows that tell what became of them
+    std::function<routing::rollout_status(std::string_view service, std::string_view value)>
+        decode_rollout_status;
+    std::function<std::string(const routing::rollout_status&)> encode_rollout_status;
 
     std::string backend_table; ///< the table in which backend servers register
     std::function<routing::backend_record(std::string_view id, std::string_view value)> decode_backend;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -15,6 +15,8 @@
 #include "gateway/graceful_stop.hpp"
 #include "gateway/metrics_endpoint.hpp"
 #include "gateway/peer_exchange.hpp"
+#include "gateway/rollout_keeper.hpp"
+#include "gateway/rollout_recorder.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
 #include "process/runtime.hpp"
@@ -41,6 +43,9 @@
 /// Callers come in bursts; a full queue would drop their opening packets for seconds.
 constexpr int listen_backlog = 4096;
 
+/// After which a gateway that coordinates decides about roll-outs.
+constexpr milliseconds settling_time{1000};
+
 /// Lines wait this long for the one system call that writes them all.
 constexpr milliseconds log_flush_period{50};
 
@@ -64,7 +69,11 @@
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, speech.fields,
                     m_configuration,      m_backends,         m_slots,    m_metrics},
           m_configuration_keeper(speech, m_configuration, m_slots),
-          m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots,
+          m_rollouts(m_backends, m_slots),
+          m_rollout_recorder(
+              m_runtime.executor(), m_runtime.timers(), m_table, speech,
+              [this](const routing::rollout_status& status) { m_rollouts.take_status(status); }),
+          m_roster(m_runtime.executor(), m_runtime.timers(), speech, m_backends, m_slots, m_rollouts,
                    m_settings.registration_life()),
           m_exchange(
               m_runtime.executor(), m_settings.peers_listen, m_configuration_keeper, m_roster,
@@ -90,6 +99,10 @@
         m_context.on_unknown_server = [this] {
             m_exchange.want_backends();
         };
+        m_rollouts.observe_with({[this] { return decides_for_all(); },
+                                 [this](const routing::rollout_status& status) {
+                                     m_rollout_recorder.record(status);
+                                 }});
         add_gauges();
         m_roster.start();
         m_exchange.start();
@@ -167,11 +180,19 @@
                 [this](const asio::ip::address& peer, const slot_broker::versions& held) {
                     hear_peer(peer, held);
                 },
-                [this](const policy::slot_scheduler::health_change& change) {
-                    report_health(change);
+                [this](const policy::slot_scheduler::health_change& change) { report_health(change); },
+                [this](policy::server_key server) { m_rollouts.note_grant(server); },
+                [this](const policy::slot_release& ended) {
+                    m_rollouts.note_release(ended);
                 }};
     }
 
+    /// Between two coordinators several gateways may take themselves for the one, each for a moment.
+    [[nodiscard]] bool decides_for_all() const {
+        return m_slots.source() == coordination::slot_source::own_coordination &&
+               std::chrono::steady_clock::now() - m_slots.source_since() >= settling_time;
+    }
+
     void hear_peer(const asio::ip::address& peer, const coordination::slot_broker::versions& held) {
         m_exchange.hear(peer, held.configuration, held.backends);
         // Who lives in a former era says nothing of the store as it is now.
@@ -272,11 +293,11 @@
     /// An order that is missing from an older copy of the store stands until it is removed.
     void take_rollout(const store::row_change& change) {
         if (change.is_removed) {
-            m_roster.withdraw_rollout(change.now.key.substr(m_speech.rollout_prefix.size()));
+            m_rollouts.withdraw_order(change.now.key.substr(m_speech.rollout_prefix.size()));
             return;
         }
         try {
-            m_roster.set_rollout(m_speech.decode_rollout(change.now.value));
+            m_rollouts.set_order(m_speech.decode_rollout(change.now.value));
         } catch (const std::exception& error) {
             events::write(events::event_kind::configuration_unreadable,
                           {{"source", change.now.key}, {"reason", error.what()}});
@@ -349,6 +370,8 @@
     coordination::slot_broker m_slots;
     gateway_context m_context;
     configuration_keeper m_configuration_keeper;
+    rollout_keeper m_rollouts;
+    rollout_recorder m_rollout_recorder;
     backend_roster m_roster;
     peer_exchange m_exchange;
     store_follower m_configuration_follower;
--- /dev/null
+++ b/src/policy/rollout_course.cpp
@@ -0,0 +1,72 @@
+// Phases only go forward, but for a change of who decides.
+#include "policy/rollout_course.hpp"
+
+namespace borageford::policy {
+
+std::string_view to_string(rollout_phase phase) noexcept {
+    switch (phase) {
+    case rollout_phase::waiting:
+        return "waiting";
+    case rollout_phase::probing:
+        return "probing";
+    case rollout_phase::finishing:
+        return "finishing";
+    case rollout_phase::completed:
+        return "completed";
+    case rollout_phase::rolled_back:
+        break;
+    }
+    return "rolled_back";
+}
+
+void rollout_course::begin() noexcept {
+    if (m_phase == rollout_phase::waiting) {
+        m_phase = rollout_phase::probing;
+    }
+}
+
+void rollout_course::pause() noexcept {
+    if (!is_over()) {
+        m_phase = rollout_phase::waiting;
+    }
+}
+
+void rollout_course::record_grant(bool is_next) noexcept {
+    ++m_granted;
+    m_granted_next += is_next ? 1 : 0;
+}
+
+void rollout_course::record_answer(bool is_next, const version_answer& answer) {
+    if (is_next) {
+        m_judgement.record_next(answer);
+    } else {
+        m_judgement.record_former(answer);
+    }
+}
+
+bool rollout_course::has_room_for_next() const noexcept {
+    return static_cast<double>(m_granted_next + 1) <= probing_share * static_cast<double>(m_granted);
+}
+
+void rollout_course::advance(bool is_former_idle, time_point now) {
+    const bool is_open = m_phase == rollout_phase::probing || m_phase == rollout_phase::finishing;
+    if (!is_open) {
+        return;
+    }
+    if (m_judgement.is_bad()) {
+        m_phase = rollout_phase::rolled_back;
+        return;
+    }
+    if (m_phase == rollout_phase::finishing) {
+        m_phase = is_former_idle ? rollout_phase::completed : m_phase;
+        return;
+    }
+    const bool is_time = now - m_begin >= from_seconds(to_seconds(m_length) * judged_after);
+    if (is_time && m_judgement.is_good()) {
+        m_phase = rollout_phase::finishing;
+    } else if (now >= end()) {
+        m_phase = rollout_phase::rolled_back; // too few answers to trust it
+    }
+}
+
+} // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -94,6 +94,11 @@
     }
 }
 
+unsigned slot_scheduler::outstanding(server_key server) const {
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? 0 : found->second.outstanding;
+}
+
 void slot_scheduler::remove_server(server_key server) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end()) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -98,6 +98,8 @@
     /// What has changed since the last call.
     [[nodiscard]] std::vector<health_change> take_health_changes();
 
+    /// Requests that a server works on; 0 for one that isn't known.
+    [[nodiscard]] unsigned outstanding(server_key server) const;
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
     [[nodiscard]] std::size_t running() const noexcept { return m_running.size(); }
 
--- a/tests/unit/test_platform_codecs.cpp
+++ b/tests/unit/test_platform_codecs.cpp
@@ -149,6 +149,28 @@
     CHECK(client.has_lost_history(platform::encode_history_gone()));
 }
 
+TEST_CASE("one row of a table is read by its key", "[platform]") {
+    // Guards against a stand-in that never finds a row which a client asks for by itself.
+    emulator::row_store rows;
+    store::transaction change;
+    for (const auto* key : {"t/a", "t/b", "t/ba", "t/c"}) {
+        change.puts.push_back({key, key});
+    }
+    rows.transact(change);
+    const platform::store_format client;
+    const auto read = [&](std::string_view key) {
+        const auto call = platform::decode_store_call(client.encode_read(key));
+        const auto& scan = std::get<platform::scan_call>(call);
+        std::optional<store::row> found;
+        const auto page = rows.scan(scan.prefix, scan.after, scan.limit, scan.includes_after);
+        CHECK(client.decode_read(platform::encode_rows(page), found));
+        return found;
+    };
+    REQUIRE(read("t/b").has_value());
+    CHECK(read("t/b")->value == "t/b");
+    CHECK(read("t/c")->value == "t/c");
+}
+
 TEST_CASE("pages of a long table are read to the end", "[platform]") {
     emulator::row_store rows;
     store::transaction change;
--- /dev/null
+++ b/tests/unit/test_rollouts.cpp
@@ -0,0 +1,239 @@
+// From an operator's order to its end: the judgement, the course, who gets slots, and what is read and
+// written.
+#include "platform/backend_codec.hpp"
+#include "platform/rollout_codec.hpp"
+#include "policy/rollout_course.hpp"
+#include "support/known_servers.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace borageford;
+using policy::rollout_course;
+using policy::rollout_judgement;
+using policy::rollout_phase;
+using routing::rollout_state;
+using test::known_servers;
+using namespace std::chrono_literals;
+
+namespace {
+
+const policy::time_point start_time = policy::time_point{} + 1h;
+
+/// Answers of one version: some fail, some are slow.
+struct quality {
+    double failing = 0;
+    double slow = 0;
+};
+
+/// Histories drawn from a seed; one answer of the new version to twenty of the former one.
+class played_rollout {
+public:
+    explicit played_rollout(unsigned seed) : m_random(seed) {}
+
+    /// Answers of the new version until it is condemned; `most`: all of them, and it wasn't.
+    std::size_t play(rollout_judgement& judgement, quality former, quality next, std::size_t most) {
+        constexpr int former_answers = 20;
+        for (std::size_t answer = 0; answer < most; ++answer) {
+            for (int index = 0; index < former_answers; ++index) {
+                judgement.record_former(draw(former));
+            }
+            judgement.record_next(draw(next));
+            if (judgement.is_bad()) {
+                return answer + 1;
+            }
+        }
+        return most;
+    }
+
+private:
+    policy::version_answer draw(quality of) {
+        constexpr double mean_ms = 100;
+        constexpr double slow_factor = 6;
+        std::lognormal_distribution<double> time(std::log(mean_ms), 0.4);
+        const bool has_failed = std::bernoulli_distribution(of.failing)(m_random);
+        const bool is_slow = std::bernoulli_distribution(of.slow)(m_random);
+        return {has_failed, policy::from_seconds(time(m_random) * (is_slow ? slow_factor : 1) / 1000)};
+    }
+
+    std::mt19937 m_random;
+};
+
+} // namespace
+
+TEST_CASE("a bad version is condemned before fifty bad answers, a good one isn't", "[policy][rollout]") {
+    struct row {
+        quality former;
+        quality next;
+    };
+    constexpr std::size_t most = 600;
+    constexpr unsigned seeds = 200;
+    for (const auto& [former, next] :
+         {row{{0, 0}, {0.3, 0}}, row{{0, 0}, {0, 0.4}}, row{{0.01, 0}, {0.2, 0.2}}, row{{0.14, 0}, {0.5, 0}},
+          row{{0.05, 0.02}, {1, 0}}}) {
+        for (unsigned seed = 0; seed < seeds; ++seed) {
+            rollout_judgement judgement;
+            CHECK(played_rollout(seed).play(judgement, former, next, most) < most);
+            CHECK(judgement.bad() < 50);
+        }
+    }
+    unsigned condemned = 0;
+    for (const auto& same : {quality{0, 0}, quality{0.01, 0}, quality{0.14, 0}, quality{0.05, 0.05}}) {
+        for (unsigned seed = 0; seed < seeds; ++seed) {
+            rollout_judgement judgement;
+            condemned += played_rollout(seed).play(judgement, same, same, most) < most ? 1 : 0;
+        }
+    }
+    CHECK(condemned <= 4 * seeds / 100);
+}
+
+TEST_CASE("a version that turns bad after a good beginning is condemned as soon", "[policy][rollout]") {
+    rollout_judgement judgement;
+    played_rollout played(7);
+    played.play(judgement, {}, {}, 300);
+    CHECK(judgement.is_good());
+    CHECK(played.play(judgement, {}, {0.5, 0}, 300) < 50);
+    CHECK(judgement.is_bad());
+}
+
+TEST_CASE("a burst that slows both versions condemns neither", "[policy][rollout]") {
+    rollout_judgement judgement;
+    played_rollout played(8);
+    played.play(judgement, {}, {}, 100);
+    CHECK(played.play(judgement, {0, 0.5}, {0, 0.5}, 3) == 3);
+}
+
+TEST_CASE("the new version gets a small share until it is judged", "[policy][rollout]") {
+    rollout_course course("v2", 10s, start_time);
+    course.begin();
+    int next = 0;
+    for (int request = 0; request < 1000; ++request) {
+        const bool is_next = course.has_room_for_next();
+        course.record_grant(is_next);
+        next += is_next ? 1 : 0;
+    }
+    CHECK(next <= 50);
+    CHECK(next > 40);
+}
+
+TEST_CASE("a good version is completed once the former one works on nothing", "[policy][rollout]") {
+    rollout_course course("v2", 10s, start_time);
+    course.begin();
+    for (int answer = 0; answer < 100; ++answer) {
+        course.record_answer(false, {false, 100ms});
+        course.record_answer(true, {false, 100ms});
+    }
+    course.advance(true, start_time + 1s);
+    CHECK(course.phase() == rollout_phase::probing);
+    course.advance(false, start_time + 5s);
+    CHECK(course.phase() == rollout_phase::finishing);
+    course.advance(false, start_time + 6s);
+    CHECK(course.phase() == rollout_phase::finishing);
+    course.advance(true, start_time + 7s);
+    CHECK(course.phase() == rollout_phase::completed);
+}
+
+TEST_CASE("a version that nobody could judge is rolled back at the end of its time", "[policy][rollout]") {
+    rollout_course course("v2", 10s, start_time);
+    course.begin();
+    course.advance(true, start_time + 9s);
+    CHECK(course.phase() == rollout_phase::probing);
+    course.advance(true, start_time + 10s);
+    CHECK(course.phase() == rollout_phase::rolled_back);
+    course.pause();
+    CHECK(course.phase() == rollout_phase::rolled_back);
+}
+
+TEST_CASE("a version that is rolled out gets nothing where nobody decides", "[gateway][rollout]") {
+    known_servers here;
+    here.write("old", "engines#v1", 1);
+    const bool is_server_first = GENERATE(true, false);
+    if (is_server_first) {
+        here.write("new", "engines#v2", 2);
+        CHECK_FALSE(here.rollouts().is_held_back("new"));
+    }
+    here.rollouts().set_order({"engines", "v2", 10s});
+    here.write("new", "engines#v2", 3);
+    here.write("other", "plain#v2", 4);
+    here.rollouts().tick();
+    CHECK(here.rollouts().is_held_back("new"));
+    CHECK_FALSE(here.rollouts().is_held_back("old"));
+    CHECK_FALSE(here.rollouts().is_held_back("other"));
+    CHECK(here.recorded().empty());
+    here.write("new", "leaving engines#v2", 5);
+    CHECK_FALSE(here.rollouts().is_held_back("new")); // it takes no work at all
+    here.write("newer", "engines#v2", 6);
+    CHECK(here.rollouts().is_held_back("newer"));
+    here.rollouts().withdraw_order("engines");
+    CHECK_FALSE(here.rollouts().is_held_back("newer"));
+}
+
+TEST_CASE("who decides asks first what was decided before", "[gateway][rollout]") {
+    // Guards against a successor that begins anew what was rolled back, or goes back on what was completed.
+    known_servers here;
+    here.write("old", "engines#v1", 1);
+    here.write("new", "engines#v2", 2);
+    here.rollouts().set_order({"engines", "v2", 10s});
+    here.decide(true);
+    here.rollouts().tick();
+    REQUIRE(here.recorded().size() == 1);
+    CHECK(here.recorded().front().state == rollout_state::running);
+    CHECK(here.rollouts().is_held_back("new"));
+    SECTION("rolled back") {
+        here.rollouts().take_status({"engines", "v2", rollout_state::rolled_back});
+        here.rollouts().tick();
+        CHECK(here.rollouts().is_held_back("new"));
+        CHECK_FALSE(here.rollouts().is_held_back("old"));
+    }
+    SECTION("completed") {
+        here.rollouts().take_status({"engines", "v2", rollout_state::completed});
+        here.rollouts().tick();
+        CHECK(here.rollouts().is_held_back("old"));
+        CHECK_FALSE(here.rollouts().is_held_back("new"));
+    }
+    SECTION("of another order") {
+        here.rollouts().take_status({"engines", "v1", rollout_state::completed});
+        CHECK_FALSE(here.rollouts().is_held_back("old"));
+    }
+    CHECK(here.recorded().size() == 1);
+}
+
+TEST_CASE("a verdict is recorded again when the store has lost it", "[gateway][rollout]") {
+    known_servers here;
+    here.read_all({1, 10}, {{"old", "engines#v1", 1}, {"new", "engines#v2", 2}});
+    here.rollouts().set_order({"engines", "v2", 10s});
+    here.decide(true);
+    here.rollouts().tick();
+    here.rollouts().take_status({"engines", "v2", rollout_state::rolled_back});
+    here.read_all({2, 5}, {{"old", "engines#v1", 1}, {"new", "engines#v2", 2}});
+    REQUIRE(here.recorded().size() == 2);
+    CHECK(here.recorded().back().state == rollout_state::rolled_back);
+}
+
+TEST_CASE("orders, states and versions mean the same to whoever reads them", "[platform][rollout]") {
+    const auto order = platform::decode_rollout(platform::encode_rollout({"engines", "v2", 12s}));
+    CHECK(order.service == "engines");
+    CHECK(order.to == "v2");
+    CHECK(order.duration == 12s);
+    CHECK_THROWS(platform::decode_rollout(R"({"service":"engines","duration_s":12})"));
+    CHECK_THROWS(platform::decode_rollout(R"({"service":"engines","to":"","duration_s":12})"));
+    CHECK_THROWS(platform::decode_rollout(R"({"service":"engines","to":"v2","duration_s":-1})"));
+    CHECK_THROWS(platform::decode_rollout("v2"));
+    for (const auto state : {rollout_state::running, rollout_state::completed, rollout_state::rolled_back}) {
+        const auto text = platform::encode_rollout_status({"engines", "v2", state});
+        CHECK(platform::decode_rollout_status("engines", text).state == state);
+    }
+    CHECK_THROWS(platform::decode_rollout_status("engines", R"({"state":"paused","to":"v2"})"));
+    routing::backend_record record;
+    record.id = "a";
+    record.service = "engines";
+    record.version = "v2";
+    record.address = {boost::asio::ip::make_address("10.0.0.1"), 80};
+    record.failure_domain = "a";
+    CHECK(platform::decode_backend("a", platform::encode_backend(record)).version == "v2");
+    constexpr std::string_view numbered =
+        R"({"service":"engines","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","version":2})";
+    CHECK(platform::decode_backend("a", numbered).version == "2");
+}
