Roll-outs look once a review for servers of the former version

Read once more: in the waiting phase, after the order's time, each server of the new version looked through all servers for one of another version, five times a second and at each gateway that doesn't decide; after a completed roll-out there is none to find. On 1,300 servers that is 1.7 million comparisons of names at every look, the same fault that the plain hold had been mended of. A review looks once and keeps the answer; a server that registers between two reviews goes by one that is 0.2 s old at most. A verdict's record was composed in two places and is in one.

--- a/src/gateway/rollout_keeper.cpp
+++ b/src/gateway/rollout_keeper.cpp
@@ -33,8 +33,7 @@
     if (const auto* known = find(order.service); known != nullptr && known->course.to() == order.to) {
         return;
     }
-    m_rollouts.insert_or_assign(order.service,
-                                rollout{{order.to, order.duration, steady_clock::now()}, {}, {}, false});
+    m_rollouts.insert_or_assign(order.service, rollout{{order.to, order.duration, steady_clock::now()}});
     events::write(events::event_kind::rollout_ordered,
                   {{"service", order.service},
                    {"software", order.to},
@@ -67,15 +66,18 @@
 void rollout_keeper::take_return() {
     for (auto& [service, moving] : m_rollouts) {
         moving.is_recorded = false;
-        const bool is_completed = moving.course.phase() == rollout_phase::completed;
         if (moving.course.is_over() && m_observers.decides()) {
-            m_observers.record(
-                {service, moving.course.to(),
-                 is_completed ? routing::rollout_state::completed : routing::rollout_state::rolled_back});
+            record_verdict(service, moving);
         }
     }
 }
 
+void rollout_keeper::record_verdict(const std::string& service, const rollout& moving) const {
+    const bool is_good = moving.course.phase() == rollout_phase::completed;
+    m_observers.record({service, moving.course.to(),
+                        is_good ? routing::rollout_state::completed : routing::rollout_state::rolled_back});
+}
+
 void rollout_keeper::give_slots(const routing::backend_record& record) {
     if (!is_to_hold_back(record)) {
         m_held_back.erase(record.id);
@@ -115,7 +117,7 @@
     }
     // Where nobody else serves, refusing for good helps nobody.
     const bool is_late = steady_clock::now() >= course.end();
-    return is_next && (!is_late || has_other_versions(record.service, record.version));
+    return is_next && (!is_late || moving->has_former);
 }
 
 bool rollout_keeper::has_other_versions(std::string_view service, std::string_view than) const {
@@ -192,10 +194,7 @@
     }
     report(service, moving);
     if (moving.course.is_over()) {
-        const bool is_good = after == rollout_phase::completed;
-        m_observers.record(
-            {service, moving.course.to(),
-             is_good ? routing::rollout_state::completed : routing::rollout_state::rolled_back});
+        record_verdict(service, moving);
     }
 }
 
@@ -233,6 +232,9 @@
 
 /// Whom an order holds back changes with its phase, and as servers come and go.
 void rollout_keeper::review(std::string_view service) {
+    if (auto* moving = find(service)) {
+        moving->has_former = has_other_versions(service, moving->course.to());
+    }
     for (const auto& [id, server] : m_backends.all()) {
         const auto& record = server->record();
         const bool concerns = record.service == service && takes_work(record);
--- a/src/gateway/rollout_keeper.hpp
+++ b/src/gateway/rollout_keeper.hpp
@@ -56,9 +56,10 @@
 private:
     struct rollout {
         policy::rollout_course course;
-        std::string open;         ///< id of the one server of the new version that may get requests now
-        std::string last_open;    ///< the same when there was one last
+        std::string open{};       ///< id of the one server of the new version that may get requests now
+        std::string last_open{};  ///< the same when there was one last
         bool is_recorded = false; ///< that it runs
+        bool has_former = false;  ///< at the last review: servers of other versions take work
     };
 
     [[nodiscard]] rollout* find(std::string_view service);
@@ -68,6 +69,7 @@
     void follow_decider(const std::string& service, rollout& moving);
     void advance(const std::string& service, rollout& moving);
     void choose_open(const std::string& service, rollout& moving);
+    void record_verdict(const std::string& service, const rollout& moving) const;
     void report(const std::string& service, const rollout& moving) const;
     void review(std::string_view service);
 
