Gateways read the rate limit that a backend server names, and log it

Cause: on-call engineers couldn't tell from logs or metrics whether any gateway had seen a limit (Server-Limit in the answers of a server in need), which value, when, and from whom.

Change: platform/ decodes the field; each answer's statement becomes a notice with the time span in which the server wrote it (request sent to head received), since of two answers the later one holds. Events backend_limit_named, backend_limit_ended and backend_limit_unreadable, and a gauge for each server that has named a limit. Nothing is decided by it yet: requests are granted as before.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -61,7 +61,9 @@
       m_incarnation(identifier::random().low),
       m_self(key_of(settings.local.address())),
       m_election(m_self, settings.processor_share, settings.election, clock::now()),
-      m_coordinator(settings.slots, settings.quotas, settings.retries) {}
+      m_coordinator(settings.slots, settings.quotas, settings.retries),
+      m_rate_limits(m_self, m_incarnation,
+                    [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }) {}
 
 void slot_broker::start() {
     m_socket.emplace(m_executor, m_settings.local,
@@ -153,6 +155,15 @@
     forward_items(std::move(items));
 }
 
+void slot_broker::observe_rate_limit(policy::server_key server, std::optional<double> limit,
+                                     policy::time_point asked) {
+    m_rate_limits.observe(server, limit, asked);
+}
+
+void slot_broker::apply_rate_limit(const policy::rate_limit_table::change& change) {
+    m_observers.on_rate_limit(change);
+}
+
 void slot_broker::forward_items(batch_items items) {
     if (m_source == slot_source::coordinator) {
         auto& pending = m_upstream->pending();
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -10,9 +10,11 @@
 #include "coordination/local_requests.hpp"
 #include "coordination/message.hpp"
 #include "coordination/peer_socket.hpp"
+#include "coordination/rate_limit_exchange.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/rate_limit_table.hpp"
 #include "store/position.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -85,6 +87,10 @@
         /// A request ended and no longer occupies a slot that this process had granted.
         std::function<void(const policy::slot_release&)> on_release = [](const policy::slot_release&) {
         };
+        /// The rate limit of a server has changed, as far as this process knows.
+        std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
+            [](const policy::rate_limit_table::change&) {
+            };
     };
 
     slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
@@ -122,6 +128,10 @@
     /// Reports that a request has ended and no longer occupies the slot that it was granted.
     void release(const policy::slot_release& ended);
 
+    /// An answer of the server was received by this process. `limit` is the rate limit that it names, in
+    /// requests per second; nothing if it names none. `asked` is when the request was sent.
+    void observe_rate_limit(policy::server_key server, std::optional<double> limit, policy::time_point asked);
+
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
     /// The time at which source() last changed.
     [[nodiscard]] policy::time_point source_since() const noexcept { return m_source_since; }
@@ -170,6 +180,8 @@
     void resubmit_deferred(policy::time_point now);
     void expire_members(policy::time_point now);
 
+    void apply_rate_limit(const policy::rate_limit_table::change& change);
+
     void deliver(const batch_items& items);
     void apply_grant(const policy::slot_grant& grant);
     void forward_items(batch_items items);
@@ -200,6 +212,7 @@
     /// Members of m_coordinated_members whose channels may have datagrams to send.
     std::set<policy::member_key> m_members_to_flush;
     policy::active_members m_active_members;
+    rate_limit_exchange m_rate_limits;
 
     local_requests m_requests;
 
--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -112,6 +112,13 @@
     }
 }
 
+void emulated_backend::set_rate_limit(std::optional<double> per_second) {
+    m_additional_fields.clear();
+    if (per_second.has_value()) {
+        m_additional_fields.push_back({m_fields.rate_limit, std::to_string(*per_second)});
+    }
+}
+
 backend_fault emulated_backend::take_fault() noexcept {
     const auto fault = m_fault;
     if (m_fault_count > 0) {
@@ -129,6 +136,7 @@
     auto answer = http::make_response(status, "text/plain", "");
     if (status != status_misdirected) {
         answer.head.headers.push_back({m_fields.not_executed, "1"});
+        std::ranges::copy(m_additional_fields, std::back_inserter(answer.head.headers));
     }
     return answer;
 }
@@ -139,11 +147,12 @@
     if (m_options.keep_alive.count() > 0) {
         fields.push_back({"Keep-Alive", "timeout=" + std::to_string(m_options.keep_alive.count())});
     }
+    std::ranges::copy(m_additional_fields, std::back_inserter(fields));
     return fields;
 }
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
-    ++m_arrivals;
+    m_arrival_times.push_back(steady_clock::now());
     const auto expected = header_value(call, m_fields.expected_server);
     const bool is_full = m_in_progress >= m_options.slots + m_options.queue;
     unsigned refused = 0;
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -80,6 +80,11 @@
     /// Makes all work take `factor` times as long as usual.
     void set_slowness(double factor);
 
+    /// Names this rate limit, in requests per second, in every answer from now on; nothing: names none.
+    void set_rate_limit(std::optional<double> per_second);
+    /// Adds these fields to every answer from now on.
+    void set_answer_fields(http::header_fields fields) { m_additional_fields = std::move(fields); }
+
     [[nodiscard]] const backend_options& options() const noexcept { return m_options; }
     /// The server's id, followed by "@" and the start number if there is one.
     [[nodiscard]] std::string name() const;
@@ -87,7 +92,11 @@
     [[nodiscard]] std::size_t in_progress() const noexcept { return m_in_progress; }
     [[nodiscard]] std::size_t open_connections() const noexcept { return m_server.open_connections(); }
     /// How many requests arrived, whether they were run or refused.
-    [[nodiscard]] std::uint64_t arrivals() const noexcept { return m_arrivals; }
+    [[nodiscard]] std::uint64_t arrivals() const noexcept { return m_arrival_times.size(); }
+    /// When each of these requests arrived.
+    [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point>& arrival_times() const noexcept {
+        return m_arrival_times;
+    }
 
 private:
     struct engine_driver;
@@ -115,7 +124,8 @@
     double m_slowness = 1;
     std::vector<recorded_run> m_runs;
     std::size_t m_in_progress = 0;
-    std::uint64_t m_arrivals = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
+    http::header_fields m_additional_fields;
     http::server m_server;
 };
 
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -106,6 +106,16 @@
                       "backend rest_ms failures failure_share"},
     event_description{event_kind::backend_recovered, "backend_recovered", info, state_rate,
                       "A backend server served a request again after its cooldown.", "backend"},
+    event_description{event_kind::backend_limit_named, "backend_limit_named", info, state_rate,
+                      "A backend server named a rate limit, in requests per second from all gateways, or "
+                      "another one than before; `former` is 0 if it had none.",
+                      "backend limit former heard_by age_ms"},
+    event_description{event_kind::backend_limit_ended, "backend_limit_ended", info, state_rate,
+                      "A backend server answered without naming a rate limit; its former limit is over.",
+                      "backend former heard_by age_ms"},
+    event_description{event_kind::backend_limit_unreadable, "backend_limit_unreadable", warning, state_rate,
+                      "A backend server's answer names a rate limit that can't be read; it is ignored.",
+                      "backend request value reason"},
     event_description{
         event_kind::request_malformed, "request_malformed", warning, failure_rate,
         "A caller sent bytes that are no valid request, sent too many, or sent them too slowly.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -45,6 +45,9 @@
     backend_unreadable,
     backend_resting,
     backend_recovered,
+    backend_limit_named,
+    backend_limit_ended,
+    backend_limit_unreadable,
 
     // Requests, logged by the gateway that received them from their callers.
     request_malformed,
--- a/src/gateway/deployment.hpp
+++ b/src/gateway/deployment.hpp
@@ -37,6 +37,9 @@
     std::string backend_table; ///< Name of the table in which backend servers register.
     std::function<routing::backend_record(std::string_view id, std::string_view value)> decode_backend;
 
+    /// Decodes a header_names::rate_limit field.
+    std::function<double(std::string_view value)> decode_rate_limit;
+
     std::string readiness_path; ///< Path of the load balancer's readiness checks.
 };
 
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -22,6 +22,7 @@
 class backend_directory;
 class gateway_metrics;
 class client_session;
+class rate_limit_reader;
 
 /// The configuration in force; null until the first one is known.
 using routing_snapshot = snapshot<std::shared_ptr<const routing::routing_table>>;
@@ -45,6 +46,7 @@
     backend_directory& backends;
     coordination::slot_broker& slots;
     gateway_metrics& metrics;
+    rate_limit_reader& rate_limits;
     /// Called when a slot was granted at a server that is unknown here.
     std::function<void()> on_unknown_server{};
     std::set<client_session*> sessions{}; ///< All open connections of callers.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -15,6 +15,7 @@
 #include "gateway/graceful_stop.hpp"
 #include "gateway/metrics_endpoint.hpp"
 #include "gateway/peer_exchange.hpp"
+#include "gateway/rate_limit_reader.hpp"
 #include "gateway/rollout_manager.hpp"
 #include "gateway/rollout_recorder.hpp"
 #include "gateway/store_follower.hpp"
@@ -68,8 +69,10 @@
           m_table(m_runtime.executor(), m_settings.common.platform, m_settings.common.platform_timeout,
                   current_deployment.format),
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
+          m_rate_limits(current_deployment, m_backends, m_slots, m_registry),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, current_deployment.fields,
-                    m_configuration,      m_backends,         m_slots,    m_metrics},
+                    m_configuration,      m_backends,         m_slots,    m_metrics,
+                    m_rate_limits},
           m_configuration_manager(current_deployment, m_configuration, m_slots),
           m_rollouts(m_backends, m_slots),
           m_rollout_recorder(
@@ -184,8 +187,9 @@
                 },
                 [this](const policy::slot_scheduler::health_change& change) { report_health(change); },
                 [this](policy::server_key server) { m_rollouts.record_grant(server); },
-                [this](const policy::slot_release& ended) {
-                    m_rollouts.record_release(ended);
+                [this](const policy::slot_release& ended) { m_rollouts.record_release(ended); },
+                [this](const policy::rate_limit_table::change& change) {
+                    m_rate_limits.report_change(change);
                 }};
     }
 
@@ -382,6 +386,7 @@
     store::table m_table;
     backend_directory m_backends;
     coordination::slot_broker m_slots;
+    rate_limit_reader m_rate_limits;
     gateway_context m_context;
     configuration_manager m_configuration_manager;
     rollout_manager m_rollouts;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -6,6 +6,7 @@
 #include "base/request_error.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/http_heads.hpp"
+#include "gateway/rate_limit_reader.hpp"
 #include "http/message.hpp"
 
 #include <algorithm>
@@ -259,8 +260,13 @@
 }
 
 void request_exchange::handle_head() {
+    const auto& response = m_call->response();
+    if (response.status() != misdirected) {
+        m_context.rate_limits.read_answer(m_call->server()->record(), response.fields(), m_admitted.id,
+                                          m_slot_begin);
+    }
     m_forwards_events =
-        m_admitted.route->kind == routing::route_kind::stream && is_success(m_call->response().status());
+        m_admitted.route->kind == routing::route_kind::stream && is_success(response.status());
     m_answer.clear();
 }
 
--- a/src/routing/header_names.hpp
+++ b/src/routing/header_names.hpp
@@ -31,6 +31,9 @@
     // Sent in answers.
     std::string not_executed; ///< the server reports that it didn't run the request
     std::string signature;    ///< the server's proof that it wrote the answer itself
+    /// Requests per second that the server accepts from all gateways together, until an answer of it has no
+    /// such field.
+    std::string rate_limit;
 };
 
 } // namespace borageford::routing
--- a/tests/fuzz/test_gateway_decoders.cpp
+++ b/tests/fuzz/test_gateway_decoders.cpp
@@ -5,11 +5,13 @@
 #include "fuzz/mutator.hpp"
 #include "platform/backend_codec.hpp"
 #include "platform/configuration_codec.hpp"
+#include "platform/rate_limit_codec.hpp"
 #include "routing/routing_table.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -95,6 +97,17 @@
     CHECK(accepted > 0);
 }
 
+TEST_CASE("damaged rate limits are rejected or are finite numbers of requests", "[fuzz][rate_limit]") {
+    const std::vector<std::string> limits{"1.6",   "0",  "0.0001", "12345678901234567890",
+                                          "1e308", "-1", "nan",    "inf"};
+    const auto accepted = count_accepted(limits, [](const std::string& input) {
+        const auto limit = platform::decode_rate_limit(input);
+        REQUIRE(std::isfinite(limit));
+        REQUIRE(limit >= 0);
+    });
+    CHECK(accepted > 0);
+}
+
 TEST_CASE("damaged configurations are rejected or can be applied", "[fuzz][configuration]") {
     const auto accepted = count_accepted(configurations, [](const std::string& input) {
         const auto document = platform::decode_configuration(input);
