Slots are granted within the rate limits that servers name, in all gateways together

Cause: nothing read the limit. Slots bound how many requests run at a server at a time, not how many arrive in a second; what a server says in an answer reached only the caller.

Change: a limit is a bound of the slot scheduler, like slots. Whoever grants a server's slots has a token bucket for it, so that first sends, retries, resumed streams and what a gateway sends without a coordinator all count. It starts empty, so a handover adds no burst. The coordinator has the whole limit or its part of it while members are missing; a gateway without a coordinator has its part for 10 s after the coordinator's last message, less than the 12 s for which the coordinator reserves that part, and none if parts are so small that saved-up requests of many gateways could add up. Notices travel with every heartbeat and reply, with the first batch of a session both ways, and at once to a process from which the first message arrives; a process that has just started grants nothing until it has heard another one (at most 400 ms). The choice of a server knows the limit; if the limits of all servers hold a request back for longer than it may wait, it is refused at once with a Retry-After from the limits.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <iterator>
 #include <limits>
 
@@ -110,7 +111,8 @@
 }
 
 policy::slot_refusal from_wire(const wire::refusal& from) {
-    const auto reason = std::min(from.reason(), static_cast<std::uint8_t>(policy::refusal_reason::held_back));
+    const auto reason =
+        std::min(from.reason(), static_cast<std::uint8_t>(policy::refusal_reason::last_reason));
     return {from.ticket(), static_cast<policy::refusal_reason>(reason), milliseconds(from.retry_after_ms())};
 }
 
@@ -148,6 +150,34 @@
     return result;
 }
 
+/// A number that is sent in place of a limit by a notice that names none.
+constexpr double no_limit = -1;
+/// Times are sent in ms and arrive late. The time at which a request was sent is set back by this much, so
+/// that an answer isn't taken for a later one only because the notice of it was rounded or delayed.
+constexpr milliseconds transfer_margin{20};
+
+wire::rate_limit to_wire(const policy::rate_limit_notice& from, policy::time_point now) {
+    return {from.server,
+            from.id,
+            from.limit.value_or(no_limit),
+            to_wire(now - from.asked),
+            to_wire(now - from.heard),
+            static_cast<std::uint32_t>(from.heard_by)};
+}
+
+policy::rate_limit_notice from_wire(const wire::rate_limit& from, policy::time_point now) {
+    policy::rate_limit_notice result;
+    result.server = from.server();
+    result.id = from.id();
+    if (std::isfinite(from.limit()) && from.limit() >= 0) {
+        result.limit = from.limit();
+    }
+    result.heard = now - milliseconds(from.heard_ago_ms());
+    result.asked = std::min(now - milliseconds(from.asked_ago_ms()) - transfer_margin, result.heard);
+    result.heard_by = from.heard_by();
+    return result;
+}
+
 template <typename Wire, typename Items, typename... Arguments>
 flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
 encode_items(flatbuffers::FlatBufferBuilder& builder, const Items& items, Arguments... arguments) {
@@ -176,12 +206,13 @@
 } // namespace
 
 bool batch_items::is_empty() const noexcept {
-    return reports.empty() && holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() &&
-           grants.empty() && refusals.empty();
+    return reports.empty() && rate_limits.empty() && holds.empty() && asks.empty() && withdrawals.empty() &&
+           releases.empty() && grants.empty() && refusals.empty();
 }
 
 std::size_t batch_items::encoded_size() const noexcept {
-    return status_size + reports.size() * sizeof(wire::report) + holds.size() * sizeof(wire::hold) +
+    return status_size + reports.size() * sizeof(wire::report) +
+           rate_limits.size() * sizeof(wire::rate_limit) + holds.size() * sizeof(wire::hold) +
            asks.size() * sizeof(wire::ask) + withdrawals.size() * sizeof(std::uint64_t) +
            releases.size() * sizeof(wire::release) + grants.size() * sizeof(wire::grant) +
            refusals.size() * sizeof(wire::refusal);
@@ -192,6 +223,7 @@
     const auto& items = message.items;
     const auto asks = encode_items<wire::ask>(builder, items.asks, now);
     const auto reports = encode_items<wire::report>(builder, items.reports);
+    const auto rate_limits = encode_items<wire::rate_limit>(builder, items.rate_limits, now);
     const auto holds = encode_items<wire::hold>(builder, items.holds);
     const auto releases = encode_items<wire::release>(builder, items.releases);
     const auto grants = encode_items<wire::grant>(builder, items.grants);
@@ -224,6 +256,7 @@
     table.add_grants(grants);
     table.add_refusals(refusals);
     table.add_reports(reports);
+    table.add_rate_limits(rate_limits);
     table.add_configuration_confirmed(message.sender.configuration_confirmed);
     table.add_backends_confirmed(message.sender.backends_confirmed);
     table.add_store_era(message.sender.backends.era);
@@ -267,6 +300,7 @@
     decode_items(table->grants(), result.items.grants);
     decode_items(table->refusals(), result.items.refusals);
     decode_items(table->reports(), result.items.reports);
+    decode_items(table->rate_limits(), result.items.rate_limits, now);
     if (const auto* known = table->known()) {
         result.known.assign(known->begin(), known->end());
     }
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/coordinator_election.hpp"
+#include "policy/rate_limit_notice.hpp"
 #include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 #include "store/position.hpp"
@@ -52,6 +53,9 @@
 /// list in this order.
 struct batch_items {
     std::vector<policy::server_report> reports; ///< sent with the first batches of a session only
+    /// What servers said about their rate limits. Also in datagrams without a batch; the receiver takes them
+    /// over at once, whatever order they arrive in.
+    std::vector<policy::rate_limit_notice> rate_limits;
     /// The sender's requests that already occupy slots, sent to a new coordinator.
     std::vector<slot_hold> holds;
     /// The sender's requests that need slots, sent to a coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -29,6 +29,8 @@
 
 struct report;
 
+struct rate_limit;
+
 struct datagram;
 struct datagramBuilder;
 
@@ -419,6 +421,63 @@
   using type = report;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) rate_limit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint64_t id_;
+  double limit_;
+  uint32_t asked_ago_ms_;
+  uint32_t heard_ago_ms_;
+  uint32_t heard_by_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  rate_limit()
+      : server_(0),
+        id_(0),
+        limit_(0),
+        asked_ago_ms_(0),
+        heard_ago_ms_(0),
+        heard_by_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  rate_limit(uint64_t _server, uint64_t _id, double _limit, uint32_t _asked_ago_ms, uint32_t _heard_ago_ms, uint32_t _heard_by)
+      : server_(flatbuffers::EndianScalar(_server)),
+        id_(flatbuffers::EndianScalar(_id)),
+        limit_(flatbuffers::EndianScalar(_limit)),
+        asked_ago_ms_(flatbuffers::EndianScalar(_asked_ago_ms)),
+        heard_ago_ms_(flatbuffers::EndianScalar(_heard_ago_ms)),
+        heard_by_(flatbuffers::EndianScalar(_heard_by)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  double limit() const {
+    return flatbuffers::EndianScalar(limit_);
+  }
+  uint32_t asked_ago_ms() const {
+    return flatbuffers::EndianScalar(asked_ago_ms_);
+  }
+  uint32_t heard_ago_ms() const {
+    return flatbuffers::EndianScalar(heard_ago_ms_);
+  }
+  uint32_t heard_by() const {
+    return flatbuffers::EndianScalar(heard_by_);
+  }
+};
+FLATBUFFERS_STRUCT_END(rate_limit, 40);
+
+struct rate_limit::Traits {
+  using type = rate_limit;
+};
+
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef datagramBuilder Builder;
   struct Traits;
@@ -448,7 +507,8 @@
     VT_CONFIGURATION_CONFIRMED = 48,
     VT_BACKENDS_CONFIRMED = 50,
     VT_STORE_ERA = 52,
-    VT_UNBROKEN_MS = 54
+    VT_UNBROKEN_MS = 54,
+    VT_RATE_LIMITS = 56
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -528,6 +588,9 @@
   uint32_t unbroken_ms() const {
     return GetField<uint32_t>(VT_UNBROKEN_MS, 0);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::rate_limit *> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::rate_limit *> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -564,6 +627,8 @@
            VerifyField<uint64_t>(verifier, VT_BACKENDS_CONFIRMED, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            VerifyField<uint32_t>(verifier, VT_UNBROKEN_MS, 4) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
            verifier.EndTable();
   }
 };
@@ -650,6 +715,9 @@
   void add_unbroken_ms(uint32_t unbroken_ms) {
     fbb_.AddElement<uint32_t>(datagram::VT_UNBROKEN_MS, unbroken_ms, 0);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits) {
+    fbb_.AddOffset(datagram::VT_RATE_LIMITS, rate_limits);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -688,7 +756,8 @@
     uint64_t configuration_confirmed = 0,
     uint64_t backends_confirmed = 0,
     uint64_t store_era = 0,
-    uint32_t unbroken_ms = 0) {
+    uint32_t unbroken_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -697,6 +766,7 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_unbroken_ms(unbroken_ms);
   builder_.add_reports(reports);
   builder_.add_refusals(refusals);
@@ -751,7 +821,8 @@
     uint64_t configuration_confirmed = 0,
     uint64_t backends_confirmed = 0,
     uint64_t store_era = 0,
-    uint32_t unbroken_ms = 0) {
+    uint32_t unbroken_ms = 0,
+    const std::vector<borageford::coordination::wire::rate_limit> *rate_limits = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -760,6 +831,7 @@
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::grant>(*grants) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::refusal>(*refusals) : 0;
   auto reports__ = reports ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::report>(*reports) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::rate_limit>(*rate_limits) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -787,7 +859,8 @@
       configuration_confirmed,
       backends_confirmed,
       store_era,
-      unbroken_ms);
+      unbroken_ms,
+      rate_limits__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/rate_limit_exchange.cpp
+++ b/src/coordination/rate_limit_exchange.cpp
@@ -14,9 +14,6 @@
 
 /// Notices in one datagram that stays below the size of an Ethernet frame.
 constexpr std::size_t notices_in_datagram = 24;
-/// Bounds what a process is sent when it starts, so that hundreds of processes that start together don't
-/// saturate the network link of a small machine. It receives any others with the heartbeats that follow.
-constexpr std::size_t max_notices_for_new_process = 96;
 constexpr unsigned incarnation_shift = 32;
 
 } // namespace
--- a/src/coordination/rate_limit_exchange.hpp
+++ b/src/coordination/rate_limit_exchange.hpp
@@ -4,6 +4,8 @@
 #include "policy/pause_detector.hpp"
 #include "policy/rate_limit_table.hpp"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -40,6 +42,10 @@
     }
     /// The notices to send with a heartbeat.
     [[nodiscard]] std::vector<policy::rate_limit_notice> take_next();
+    /// The notices to send at the begin of a session.
+    [[nodiscard]] std::vector<policy::rate_limit_notice> list_for_session() const {
+        return m_table.latest(max_notices_for_new_process);
+    }
     /// The notices to send to a process that knows none, in parts that fit into one datagram each.
     [[nodiscard]] std::vector<std::vector<policy::rate_limit_notice>> list_for_new_process() const;
     /// Returns whether `incarnation` is a run of the member's process from which nothing was received before.
@@ -47,6 +53,10 @@
     void forget_member(policy::member_key member) { m_incarnations.erase(member); }
 
 private:
+    /// Bounds what a process is sent when it starts, so that hundreds of processes that start together don't
+    /// saturate the network link of a small machine. It receives any others with the heartbeats that follow.
+    static constexpr std::size_t max_notices_for_new_process = 96;
+
     using clock = std::chrono::steady_clock;
 
     void report(const std::optional<policy::rate_limit_table::change>& change) const;
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -30,6 +30,8 @@
 /// Maximum number of server reports at the start of a session. They fill a few datagrams, so that hundreds of
 /// members that attach at the same time don't saturate the network link of a small machine.
 constexpr std::size_t max_initial_reports = 64;
+/// How long a process that has just started waits for a first message of another one before it grants slots.
+constexpr milliseconds learning_time{400};
 /// The position of the incarnation's bits in a ticket; see policy::slot_ticket.
 constexpr unsigned ticket_shift = 32;
 
@@ -70,8 +72,9 @@
                      [this](const asio::ip::udp::endpoint& from, std::span<const std::byte> bytes) {
                          receive(from, bytes);
                      });
-    m_uncoordinated_since = clock::now();
-    update_shares(m_uncoordinated_since);
+    m_started = clock::now();
+    m_uncoordinated_since = m_started;
+    update_shares(m_started);
     m_tick_timer = m_timers.every(m_executor, tick_period, [this] { tick(); });
 }
 
@@ -97,11 +100,13 @@
 
 void slot_broker::remove_member(const asio::ip::address& address) {
     m_election.forget(key_of(address));
+    m_rate_limits.forget_member(key_of(address));
 }
 
 void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots,
                              policy::domain_key domain) {
     m_coordinator.scheduler().set_server(server, service, slots, domain);
+    m_coordinator.scheduler().set_rate_limit(server, m_rate_limits.limit_of(server), clock::now());
     schedule_flush();
 }
 
@@ -161,7 +166,9 @@
 }
 
 void slot_broker::apply_rate_limit(const policy::rate_limit_table::change& change) {
+    m_coordinator.scheduler().set_rate_limit(change.notice.server, change.notice.limit, clock::now());
     m_observers.on_rate_limit(change);
+    schedule_flush();
 }
 
 void slot_broker::forward_items(batch_items items) {
@@ -214,6 +221,9 @@
 /// Grants slots and refuses requests. Decisions about requests of this process are delivered at once,
 /// decisions about other members' requests are queued in the channels of these members.
 void slot_broker::grant_slots(policy::time_point now) {
+    if (is_learning(now)) {
+        return;
+    }
     for (auto& [member, items] : m_coordinator.decide(now)) {
         if (expects_coordinator(now)) {
             m_deferred.extract_from(items.refusals);
@@ -239,6 +249,9 @@
     for (const auto& change : m_coordinator.scheduler().take_health_changes()) {
         m_observers.on_health_change(change);
     }
+    for (const auto server : m_coordinator.scheduler().take_used_up_limits()) {
+        m_observers.on_rate_limit_used_up(server);
+    }
 }
 
 /// True after a start and after the loss of a coordinator, for the time in which another process is likely to
@@ -250,6 +263,12 @@
            now - m_uncoordinated_since < m_settings.coordinator_patience;
 }
 
+/// True after a start until another process has answered, or until it is unlikely that one will. A process
+/// that has just started doesn't know the servers' rate limits, and would grant slots as if there were none.
+bool slot_broker::is_learning(policy::time_point now) const {
+    return !m_has_heard_member && m_election.member_count() > 1 && now - m_started < learning_time;
+}
+
 void slot_broker::resubmit_deferred(policy::time_point now) {
     m_coordinator.apply_items(m_self, m_requests.find_waiting(m_deferred.take_tickets()), now);
 }
@@ -321,6 +340,7 @@
     datagram message;
     message.wants_reply = true;
     message.known = m_election.known(clock::now());
+    message.items.rate_limits = m_rate_limits.take_next();
     if (m_source == slot_source::coordinator && member == m_coordinating_member) {
         m_upstream->set_session_fields(message);
     }
@@ -352,6 +372,8 @@
 void slot_broker::tick() {
     const auto now = clock::now();
     m_election.tick(now);
+    m_rate_limits.tick(
+        [this](policy::server_key server) { return m_coordinator.scheduler().is_usable(server); });
     expire_members(now);
     choose_source(now);
     if (!m_deferred.is_empty() && !expects_coordinator(now)) {
@@ -373,6 +395,7 @@
     const auto known = std::move(message->known);
     m_election.record_heartbeat(
         member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
+    merge_rate_limits(member, *message);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backends,
                                                     sender.is_in_touch, sender.configuration_confirmed,
                                                     sender.backends_confirmed, sender.unbroken});
@@ -390,6 +413,7 @@
     if (wants_reply) {
         datagram reply;
         reply.known = m_election.known(now);
+        reply.items.rate_limits = m_rate_limits.take_next();
         const auto served = m_coordinated_members.find(member);
         if (served != m_coordinated_members.end()) {
             served->second.channel.set_session_fields(reply);
@@ -398,6 +422,22 @@
     }
 }
 
+/// Takes over the rate limits that a member reports. A process from which the first message arrives may have
+/// just started, and is sent all limits that are known here, before it grants slots without knowing them.
+void slot_broker::merge_rate_limits(policy::member_key member, const datagram& message) {
+    m_has_heard_member = true;
+    m_rate_limits.check_clock();
+    m_rate_limits.merge(message.items.rate_limits);
+    if (!m_rate_limits.is_new_process(member, message.sender.incarnation)) {
+        return;
+    }
+    for (auto& notices : m_rate_limits.list_for_new_process()) {
+        datagram greeting;
+        greeting.items.rate_limits = std::move(notices);
+        send(member, std::move(greeting));
+    }
+}
+
 void slot_broker::handle_coordinator_message(datagram message) {
     m_active_members.record_reported_count(message.sender.members, clock::now());
     m_upstream->handle_acknowledgement(message.acknowledged);
@@ -429,6 +469,7 @@
         served = m_coordinated_members
                      .insert_or_assign(member, coordinated_member{batch_channel(message.session), now})
                      .first;
+        served->second.channel.pending().rate_limits = m_rate_limits.list_for_session();
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
@@ -499,6 +540,7 @@
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.list_all();
+    m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
     schedule_flush();
@@ -510,6 +552,7 @@
     const auto before = std::exchange(m_source, source);
     m_source_since = now;
     update_shares(now);
+    m_coordinator.scheduler().restart_rate_limits(now);
     if (source == slot_source::local_share) {
         for (const auto& [member, served] : m_coordinated_members) {
             m_coordinator.detach(member, now);
@@ -526,13 +569,18 @@
 }
 
 void slot_broker::update_shares(policy::time_point now) {
+    const auto known = m_election.member_count();
     if (m_source == slot_source::own_coordination) {
-        m_coordinator.set_shares(1, m_active_members.coordinator_share(m_coordinated_members.size() + 1, now),
-                                 now);
+        const auto attached = m_coordinated_members.size() + 1;
+        m_coordinator.set_shares(1, m_active_members.coordinator_share(attached, now), now);
+        m_coordinator.set_rate_share({m_active_members.coordinator_rate_share(attached, known, now), false},
+                                     now);
         return;
     }
-    const double share = m_active_members.local_share(m_election.member_count());
+    const double share = m_active_members.local_share(known);
     m_coordinator.set_shares(share, share, now);
+    const double rate_share = m_settings.coordinates ? m_active_members.local_rate_share(known, now) : share;
+    m_coordinator.set_rate_share({rate_share, true}, now);
 }
 
 void slot_broker::expire_members(policy::time_point now) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -91,6 +91,9 @@
         std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
             [](const policy::rate_limit_table::change&) {
             };
+        /// This process granted the last slot that the rate limit of a server allows for now.
+        std::function<void(policy::server_key)> on_rate_limit_used_up = [](policy::server_key) {
+        };
     };
 
     slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
@@ -177,10 +180,12 @@
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
+    [[nodiscard]] bool is_learning(policy::time_point now) const;
     void resubmit_deferred(policy::time_point now);
     void expire_members(policy::time_point now);
 
     void apply_rate_limit(const policy::rate_limit_table::change& change);
+    void merge_rate_limits(policy::member_key member, const datagram& message);
 
     void deliver(const batch_items& items);
     void apply_grant(const policy::slot_grant& grant);
@@ -219,6 +224,8 @@
     timer_subscription m_tick_timer;
     timer_subscription m_retransmit_timer;
     bool m_flush_is_scheduled = false;
+    policy::time_point m_started;
+    bool m_has_heard_member = false; ///< another process has sent a message since the start
     heartbeat_schedule m_heartbeats;
 };
 
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -29,6 +29,10 @@
     /// Sets the shares that this process may grant, each from 0 to 1: `slots` of all slots, `limits` of the
     /// quotas and of the retry budget.
     void set_shares(double slots, double limits, policy::time_point now);
+    /// Sets the part of the servers' rate limits that this process may use.
+    void set_rate_share(policy::rate_share share, policy::time_point now) {
+        m_scheduler.set_rate_share(share, now);
+    }
 
     /// A server restarted under another key. `former` is the key of the run that has ended.
     void handle_restart(policy::server_key former, policy::time_point now);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -181,16 +181,18 @@
 
     coordination::slot_broker::observers make_observers() {
         using coordination::slot_broker;
-        return {[this] { return held_versions(); },
-                [this](const asio::ip::address& peer, const slot_broker::versions& held) {
-                    record_peer(peer, held);
-                },
-                [this](const policy::slot_scheduler::health_change& change) { report_health(change); },
-                [this](policy::server_key server) { m_rollouts.record_grant(server); },
-                [this](const policy::slot_release& ended) { m_rollouts.record_release(ended); },
-                [this](const policy::rate_limit_table::change& change) {
-                    m_rate_limits.report_change(change);
-                }};
+        return {
+            [this] { return held_versions(); },
+            [this](const asio::ip::address& peer, const slot_broker::versions& held) {
+                record_peer(peer, held);
+            },
+            [this](const policy::slot_scheduler::health_change& change) { report_health(change); },
+            [this](policy::server_key server) { m_rollouts.record_grant(server); },
+            [this](const policy::slot_release& ended) { m_rollouts.record_release(ended); },
+            [this](const policy::rate_limit_table::change& change) { m_rate_limits.report_change(change); },
+            [this](policy::server_key server) {
+                m_rate_limits.count_used_up(server);
+            }};
     }
 
     /// Returns whether this process decides about roll-outs. It waits for settling_time, since several
--- a/src/gateway/rate_limit_reader.cpp
+++ b/src/gateway/rate_limit_reader.cpp
@@ -75,6 +75,15 @@
     set_gauge(id, change.notice.limit.value_or(0));
 }
 
+void rate_limit_reader::count_used_up(policy::server_key key) {
+    const auto server = m_backends.find(key);
+    m_registry
+        .get_counter("borageford_gateway_backend_limit_used_up_total",
+                     "Times that a server got the last request that its rate limit allows for a while.",
+                     {{"backend", server != nullptr ? server->record().id : std::string("unknown")}})
+        .add();
+}
+
 void rate_limit_reader::set_gauge(const std::string& backend, double limit) {
     auto& value = m_gauges[backend];
     if (value == nullptr) {
--- a/src/gateway/rate_limit_reader.hpp
+++ b/src/gateway/rate_limit_reader.hpp
@@ -31,6 +31,8 @@
 
     /// Writes a change of a server's limit to the log and to the metrics.
     void report_change(const policy::rate_limit_table::change& change);
+    /// Counts that a server's limit allows no further request for now.
+    void count_used_up(policy::server_key server);
 
 private:
     void set_gauge(const std::string& backend, double limit);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -212,6 +212,7 @@
         end_without_answer(error_kind::held_back, "servers crashed while they ran it", wait);
         return;
     case policy::refusal_reason::over_retry_budget:
+    case policy::refusal_reason::over_server_limit:
     case policy::refusal_reason::overloaded:
         break;
     }
--- a/src/policy/active_members.cpp
+++ b/src/policy/active_members.cpp
@@ -11,6 +11,10 @@
 /// How long the share of an unresponsive member stays reserved: longer than the windows over which the limits
 /// are evaluated (8 s and 10 s).
 constexpr std::chrono::milliseconds share_reservation{12000};
+/// How long a process uses its share of a server's rate limit after the last message of its coordinator. A
+/// coordinator that has lost the process reserves the share from at most a second earlier on, for
+/// share_reservation.
+constexpr std::chrono::milliseconds local_rate_lease{10000};
 /// Members that a process assumes when it has never received a count.
 constexpr std::size_t assumed_members = 4;
 
@@ -37,6 +41,20 @@
     return std::min(1.0, static_cast<double>(attached) / static_cast<double>(count()));
 }
 
+double active_members::coordinator_rate_share(std::size_t attached, std::size_t known_members,
+                                              time_point now) {
+    const double share = coordinator_share(attached, now);
+    if (attached * 2 > known_members) {
+        return share;
+    }
+    return std::min(share, static_cast<double>(attached) / static_cast<double>(known_members));
+}
+
+double active_members::local_rate_share(std::size_t known_members, time_point now) const noexcept {
+    const bool is_reserved = m_reported_count > 0 && now - m_reported_at <= local_rate_lease;
+    return is_reserved ? local_share(known_members) : 0;
+}
+
 double active_members::local_share(std::size_t known_members) const noexcept {
     const auto reported_count = m_reported_count > 0 ? m_reported_count : assumed_members;
     return 1.0 / static_cast<double>(std::max(reported_count, known_members));
--- a/src/policy/active_members.hpp
+++ b/src/policy/active_members.hpp
@@ -27,6 +27,13 @@
     /// Share of all limits that this process may grant as the coordinator of `attached` members, including
     /// itself.
     [[nodiscard]] double coordinator_share(std::size_t attached, time_point now);
+    /// Like coordinator_share(), for the rate limits that servers name. A coordinator that has found only a
+    /// few of the `known_members` counts all of them: the others may have another coordinator.
+    [[nodiscard]] double coordinator_rate_share(std::size_t attached, std::size_t known_members,
+                                                time_point now);
+    /// Share of the rate limits that servers name for this process without a coordinator. It ends a while
+    /// after the last message of a coordinator, before that coordinator stops to reserve it.
+    [[nodiscard]] double local_rate_share(std::size_t known_members, time_point now) const noexcept;
     /// Share of all limits that this process may grant without a coordinator. `known_members`: number of
     /// members that it knows, including itself.
     [[nodiscard]] double local_share(std::size_t known_members) const noexcept;
--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -15,17 +15,19 @@
 /// While a request can wait for a better server, it isn't sent to one where its answer is expected to exceed
 /// the deadline by this much more than on the best server.
 constexpr std::chrono::milliseconds tolerated_overrun{1500};
+/// Bounds the wait for a server's rate limit in sums of durations. Longer than any deadline.
+constexpr std::chrono::hours max_considered_wait{1};
 /// A server in the request's own failure domain is preferred to a server elsewhere that is expected to send
 /// the first event earlier by at most this part of the request's target. That is less than a caller notices,
 /// and less than the difference between slow and fast engines. Traffic between failure domains is charged by
 /// the byte, and prompts are long.
 constexpr double target_share_for_near = 0.05;
 
-/// Whether any server that hasn't failed this request takes work, even if it is busy. If none does, it is
-/// better to send the request to a server that failed it than to none.
+/// Whether any server that hasn't failed this request takes work, even if it is busy, and its rate limit
+/// allows a request. If none does, it is better to send the request to a server that failed it than to none.
 bool has_fresh_server(const slot_request& request, const slot_choice_terms& terms) {
     return std::ranges::any_of(terms.all, [&](const auto* server) {
-        return !has_failed(request, server->key) &&
+        return !has_failed(request, server->key) && !server->is_rate_blocked &&
                server->health.availability_at(terms.now) != server_health::availability::none;
     });
 }
@@ -39,7 +41,8 @@
     }
     auto smallest = duration::max() - tolerated_overrun;
     for (const auto* server : terms.all | std::views::take(max_considered_servers)) {
-        smallest = std::min(smallest, server->expect_overrun(request, duration::zero(), terms.now));
+        const auto wait = std::min<duration>(server->rate_wait(terms.now), max_considered_wait);
+        smallest = std::min(smallest, server->expect_overrun(request, wait, terms.now));
         if (smallest == duration::zero()) {
             break;
         }
@@ -51,8 +54,10 @@
 
 bool can_meet_target(const slot_request& request, slot_servers all, time_point now) {
     const auto left = request.arrived + request.target - now;
-    return std::ranges::any_of(
-        all, [&](const auto* server) { return server->first_event.expect(request.cost.prompt) <= left; });
+    return std::ranges::any_of(all, [&](const auto* server) {
+        return server->rate_wait(now) <= left &&
+               server->rate_wait(now) + server->first_event.expect(request.cost.prompt) <= left;
+    });
 }
 
 /// Among the servers with room, the one with the smallest overrun wins; among equals, the one with the
--- a/src/policy/slot_request.cpp
+++ b/src/policy/slot_request.cpp
@@ -18,9 +18,11 @@
     case refusal_reason::over_retry_budget:
         return "over_retry_budget";
     case refusal_reason::held_back:
+        return "held_back";
+    case refusal_reason::over_server_limit:
         break;
     }
-    return "held_back";
+    return "over_server_limit";
 }
 
 std::string_view to_string(slot_outcome outcome) noexcept {
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -84,7 +84,9 @@
     overloaded,        ///< it can't be served within the maximum wait
     over_allowance,    ///< its workspace has used up its quota
     over_retry_budget, ///< too many requests of its service are being retried
-    held_back          ///< it is quarantined, because servers crashed while they ran it (crash_suspects)
+    held_back,         ///< it is quarantined, because servers crashed while they ran it (crash_suspects)
+    over_server_limit, ///< the rate limits of all servers of its service hold it back for too long
+    last_reason = over_server_limit
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
@@ -95,8 +97,8 @@
     refusal_reason reason = refusal_reason::overloaded;
     duration retry_after{}; ///< delay after which the caller should retry
     /// The two values that were compared for the decision, for the coordinator's own log: seconds of waiting
-    /// (overloaded), units of the quota (over_allowance) or retries in a window (over_retry_budget). They
-    /// aren't sent to other processes.
+    /// (overloaded, over_server_limit), units of the quota (over_allowance) or retries in a window
+    /// (over_retry_budget). They aren't sent to other processes.
     double needed = 0;
     double available = 0;
 };
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -37,6 +37,19 @@
 /// slot_scheduler_limits::reserved_slots.
 constexpr double small_reserve = 0.25;
 
+/// A rate limit that allows no request is examined again after this time at the earliest, and not at all if
+/// it allows none for longer than the other.
+constexpr std::chrono::milliseconds min_rate_wait{1};
+constexpr std::chrono::hours max_rate_wait{24};
+/// Retry-After if the rate limits leave no part to this process. Another one, or a coordinator, may have one
+/// soon.
+constexpr std::chrono::milliseconds no_part_retry{1000};
+/// Bounds of the Retry-After of requests that are refused because of the servers' rate limits.
+constexpr std::chrono::milliseconds min_rate_limit_retry{200};
+constexpr std::chrono::milliseconds max_rate_limit_retry{5000};
+/// Part of this time by which it is lengthened at random.
+constexpr double rate_limit_retry_spread = 0.5;
+
 /// Expected seconds until `waiting` queued requests have got slots at a rate of `per_second` grants.
 double expect_wait(std::size_t waiting, double per_second) {
     if (waiting < min_queue_for_estimate) {
@@ -73,9 +86,9 @@
 }
 
 /// Adds the server to the list of servers with room, or removes it from that list. Must be called whenever
-/// the server's slots, its outstanding requests, the share or is_usable have changed.
+/// the server's slots, its outstanding requests, the share, is_usable or is_rate_blocked have changed.
 void slot_scheduler::update_with_room(slot_server& server) {
-    const bool has_room = server.is_usable && slots_left(server, false) >= 1;
+    const bool has_room = server.is_usable && !server.is_rate_blocked && slots_left(server, false) >= 1;
     if (has_room == server.with_room_index.has_value()) {
         return;
     }
@@ -93,6 +106,78 @@
     list.pop_back();
 }
 
+void slot_scheduler::set_rate_share(rate_share share, time_point now) {
+    if (std::exchange(m_rate_share, share) == share) {
+        return;
+    }
+    for (auto& [key, server] : m_servers) {
+        if (server.rate_limit.has_value()) {
+            server.rate_limit->set_share(share, now);
+            block_by_rate(server, now);
+        }
+    }
+}
+
+void slot_scheduler::set_rate_limit(server_key server, std::optional<double> per_second, time_point now) {
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto& state = found->second;
+    if (!per_second.has_value()) {
+        state.rate_limit.reset();
+    } else if (state.rate_limit.has_value()) {
+        state.rate_limit->set_named(*per_second, now);
+    } else {
+        state.rate_limit.emplace(*per_second, m_rate_share, now);
+    }
+    block_by_rate(state, now);
+}
+
+void slot_scheduler::restart_rate_limits(time_point now) {
+    for (auto& [key, server] : m_servers) {
+        if (server.rate_limit.has_value()) {
+            server.rate_limit->restart(now);
+            block_by_rate(server, now);
+        }
+    }
+}
+
+/// Holds the server back if its rate limit allows no request now, and notes when it will allow one. Must be
+/// called whenever the server's rate limit has changed or was used.
+void slot_scheduler::block_by_rate(slot_server& server, time_point now) {
+    server.is_rate_blocked = server.rate_limit.has_value() && !server.rate_limit->has_room(now);
+    if (server.is_rate_blocked) {
+        const auto wait = std::max<duration>(server.rate_limit->wait(now), min_rate_wait);
+        server.rate_blocked_until = wait < max_rate_wait ? now + wait : time_point::max();
+        if (wait < max_rate_wait) {
+            m_rate_waits.emplace(server.rate_blocked_until, server.key);
+        }
+    }
+    update_with_room(server);
+}
+
+void slot_scheduler::unblock_by_rate(time_point now) {
+    while (!m_rate_waits.empty() && m_rate_waits.begin()->first <= now) {
+        const auto [until, key] = *m_rate_waits.begin();
+        m_rate_waits.erase(m_rate_waits.begin());
+        const auto found = m_servers.find(key);
+        if (found != m_servers.end() && found->second.is_rate_blocked &&
+            found->second.rate_blocked_until == until) {
+            block_by_rate(found->second, now);
+        }
+    }
+}
+
+std::vector<server_key> slot_scheduler::take_used_up_limits() {
+    return std::exchange(m_used_up_limits, {});
+}
+
+bool slot_scheduler::is_usable(server_key server) const {
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() && found->second.is_usable;
+}
+
 void slot_scheduler::remove_from_pool(slot_server& server) {
     if (std::exchange(server.is_usable, false)) {
         std::erase(m_pools[server.service].servers, &server);
@@ -140,7 +225,64 @@
     return state == target_state::in_time ? tier.in_time : tier.late;
 }
 
+/// Number of waiting requests that get a slot before a new request of this service and tier.
+std::size_t slot_scheduler::count_ahead(const slot_request& request) const {
+    const auto queues = m_queues.find(request.service);
+    if (queues == m_queues.end()) {
+        return 0;
+    }
+    std::size_t ahead = 0;
+    for (const auto& [tier_number, tier] : queues->second) {
+        if (tier_number <= request.tier) {
+            ahead += tier.in_time.requests.size() + tier.late.requests.size();
+        }
+    }
+    return ahead;
+}
+
+std::optional<duration> slot_scheduler::expect_rate_wait(const slot_request& request, time_point now) const {
+    const auto servers = servers_of(request.service);
+    if (servers.empty()) {
+        return std::nullopt;
+    }
+    double per_second = 0;
+    auto soonest = duration::max();
+    for (const auto* server : servers) {
+        if (!server->is_rate_blocked) {
+            return std::nullopt;
+        }
+        per_second += server->rate_limit->per_second();
+        soonest = std::min(soonest, server->rate_wait(now));
+    }
+    if (soonest == duration::max()) {
+        return soonest;
+    }
+    return soonest + from_seconds(static_cast<double>(count_ahead(request)) / per_second);
+}
+
+/// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
+/// its maximum wait. Its caller learns at once when it is worth to come back, instead of waiting in vain.
+bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
+    const auto wait = expect_rate_wait(request, now);
+    const auto left = request.arrived + max_wait_of(request) - now;
+    if (!wait.has_value() || *wait <= left) {
+        return false;
+    }
+    const auto retry_after = *wait == duration::max()
+                                 ? no_part_retry
+                                 : std::clamp<duration>(*wait, min_rate_limit_retry, max_rate_limit_retry);
+    // Seeded with the ticket, the draw differs between requests, so that they don't return together.
+    const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
+    m_refusals.push_back({request.ticket, refusal_reason::over_server_limit,
+                          from_seconds(to_seconds(retry_after) * (1 + draw * rate_limit_retry_spread)),
+                          to_seconds(*wait), to_seconds(left)});
+    return true;
+}
+
 void slot_scheduler::add(const slot_request& request, time_point now) {
+    if (refuse_for_rate_limits(request, now)) {
+        return;
+    }
     auto& tier = m_queues[request.service][request.tier];
     if (classify(request, now) == target_state::late) {
         enqueue_late(tier, request, now);
@@ -333,7 +475,7 @@
 bool slot_scheduler::can_take_request(const slot_server& server, const grant_terms& terms,
                                       time_point now) const {
     const bool can_use_slot = terms.state == target_state::in_time || server.has_free_slot(m_limits.share);
-    return can_use_slot && available_slots(server, terms.is_lowest, now) >= 1;
+    return can_use_slot && !server.is_rate_blocked && available_slots(server, terms.is_lowest, now) >= 1;
 }
 
 /// Returns up to `max_considered_servers` servers with room. Each search continues where the last one ended,
@@ -380,6 +522,13 @@
     m_running[request.ticket] = {server.key, request.service, request.tier, request.cost.prompt, mark};
     floor_of(request.service).begin(request.tier, now);
     ++server.outstanding;
+    if (server.rate_limit.has_value()) {
+        server.rate_limit->take(now);
+        block_by_rate(server, now);
+        if (server.is_rate_blocked) {
+            m_used_up_limits.push_back(server.key);
+        }
+    }
     update_with_room(server);
     server.last_grant = ++m_grants;
     queue.grants.record(now);
@@ -472,6 +621,7 @@
 
 std::vector<slot_grant> slot_scheduler::grant(time_point now) {
     std::vector<slot_grant> grants;
+    unblock_by_rate(now);
     refuse_overdue(now);
     for (auto& [service, tiers] : m_queues) {
         for (auto& [tier_number, tier] : tiers) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -65,6 +65,15 @@
     /// Changes slot_scheduler_limits::share.
     void set_share(double share);
 
+    /// Changes the part of the servers' rate limits that this process may use.
+    void set_rate_share(rate_share share, time_point now);
+    /// Sets the rate limit that a server names, in requests per second; nothing if it names none. Ignored for
+    /// a server that isn't known.
+    void set_rate_limit(server_key server, std::optional<double> per_second, time_point now);
+    /// Forgets what was saved up within the servers' rate limits, because other processes have granted slots
+    /// until now.
+    void restart_rate_limits(time_point now);
+
     /// A running request that occupies a slot.
     struct running_slot {
         slot_ticket ticket = 0;
@@ -117,6 +126,12 @@
     /// Returns the health changes since the last call.
     [[nodiscard]] std::vector<health_change> take_health_changes();
 
+    /// Returns the servers whose rate limits were used up by a grant since the last call, each once for each
+    /// time.
+    [[nodiscard]] std::vector<server_key> take_used_up_limits();
+    /// Whether the server may get new requests.
+    [[nodiscard]] bool is_usable(server_key server) const;
+
     /// Number of a server's running requests; 0 for a server that isn't known.
     [[nodiscard]] unsigned outstanding(server_key server) const;
     /// Number of queued requests.
@@ -151,9 +166,9 @@
     /// The usable servers of one service: those that may get new requests, also while they are in a cooldown.
     struct server_pool {
         std::vector<slot_server*> servers;
-        /// The elements of `servers` that have slots left, whether or not they are in a cooldown. Under load
-        /// they are few, whereas the time of a search through all servers of a service would grow with their
-        /// number.
+        /// The elements of `servers` that have slots left and whose rate limits allow a request, whether or
+        /// not they are in a cooldown. Under load they are few, whereas the time of a search through all
+        /// servers of a service would grow with their number.
         std::vector<slot_server*> with_room;
         std::size_t next = 0; ///< index in `with_room` after which the next search starts
     };
@@ -181,12 +196,19 @@
     /// All usable servers of a service, also those in a cooldown.
     [[nodiscard]] slot_servers servers_of(service_key service) const;
     [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
+    /// The expected time until a new request of this service and tier gets a slot, if every server of the
+    /// service is held back by its rate limit; nothing if one isn't.
+    [[nodiscard]] std::optional<duration> expect_rate_wait(const slot_request& request, time_point now) const;
+    [[nodiscard]] std::size_t count_ahead(const slot_request& request) const;
+    bool refuse_for_rate_limits(const slot_request& request, time_point now);
+    void block_by_rate(slot_server& server, time_point now);
+    void unblock_by_rate(time_point now);
     // Four functions compute whether a server has room, and differ in what they consider:
     // - slot_server::has_free_slot(): only whether fewer requests run than this process's share of the
     //   server's slots. No place in the server's own queue, no reserved slots, not the server's health.
     // - slots_left(): how many more requests fit into this process's share, including places in the server's
     //   own queue, less the slots reserved for higher tiers if the request is of the lowest one. Not the
-    //   server's health.
+    //   server's health, and not its rate limit: a server that this holds back isn't in `with_room`.
     // - available_slots(): slots_left(), but 0 during a cooldown, and at most one probe request after it.
     // - can_take_request(): available_slots() for the tier of the queue; for a late request also
     //   has_free_slot().
@@ -241,6 +263,11 @@
     /// skipped.
     std::multimap<time_point, slot_ticket> m_wait_limits;
     std::unordered_map<slot_ticket, running_request> m_running;
+    rate_share m_rate_share;
+    /// When the rate limits of servers with `is_rate_blocked` allow the next request. Servers that aren't
+    /// blocked any more are skipped.
+    std::multimap<time_point, server_key> m_rate_waits;
+    std::vector<server_key> m_used_up_limits;
     std::vector<health_change> m_health_changes;
     std::uint64_t m_grants = 0; ///< number of all grants so far, which numbers the next one
     std::vector<slot_refusal> m_refusals;
--- a/src/policy/slot_server.cpp
+++ b/src/policy/slot_server.cpp
@@ -44,6 +44,10 @@
     return std::max(duration::zero(), now + until_first_event + remaining - request.deadline);
 }
 
+duration slot_server::rate_wait(time_point now) const {
+    return rate_limit.has_value() ? rate_limit->wait(now) : duration::zero();
+}
+
 bool slot_server::has_fast_turnover() const {
     const auto interval = turnover.between_ends();
     return interval > duration::zero() && interval <= fast_turnover;
--- a/src/policy/slot_server.hpp
+++ b/src/policy/slot_server.hpp
@@ -6,6 +6,7 @@
 #include "policy/output_token_time.hpp"
 #include "policy/prompt_backlog.hpp"
 #include "policy/server_health.hpp"
+#include "policy/server_rate_limit.hpp"
 #include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 #include "policy/slot_turnover.hpp"
@@ -28,6 +29,10 @@
     bool is_usable = false; ///< it may get new requests
     /// Index in `server_pool::with_room` of its service; nullopt: not in that list.
     std::optional<std::size_t> with_room_index;
+    /// The rate limit that the server names; nothing if it names none.
+    std::optional<server_rate_limit> rate_limit;
+    bool is_rate_blocked = false; ///< rate_limit allows no further request until rate_blocked_until
+    time_point rate_blocked_until;
     server_health health;
     first_event_model first_event;
     output_token_time token_time;
@@ -40,6 +45,8 @@
     /// `until_first_event`; zero if it is expected to end in time.
     [[nodiscard]] duration expect_overrun(const slot_request& request, duration until_first_event,
                                           time_point now) const;
+    /// How long the server's rate limit allows no further request; zero if it does or if there is none.
+    [[nodiscard]] duration rate_wait(time_point now) const;
     /// Whether slots come free so often that none needs to be reserved for higher tiers.
     [[nodiscard]] bool has_fast_turnover() const;
     /// Whether a slot is free. `share` is the part of the server's slots that this process may grant.
--- a/tests/fuzz/test_gateway_decoders.cpp
+++ b/tests/fuzz/test_gateway_decoders.cpp
@@ -54,6 +54,7 @@
     message.items.withdrawals = {8};
     message.items.releases.push_back({4, 1, policy::slot_outcome::served, {}, {}});
     message.items.grants.push_back({5, 1});
+    message.items.rate_limits.push_back({1, 2, 1.6, {}, {}, 3});
     message.items.refusals.push_back({6, policy::refusal_reason::overloaded, std::chrono::milliseconds(400)});
     const auto bytes = coordination::encode(message, policy::time_point{});
     return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -134,6 +134,8 @@
     sent.items.grants.push_back({6, 61});
     sent.items.refusals.push_back({7, refusal_reason::over_allowance, 250ms});
     sent.items.reports.push_back({81, 40ms, 150ms, 2, 31.5, 0.02, 12, 0.011, 0.25});
+    sent.items.rate_limits.push_back({81, 9, 1.6, start_time - 300ms, start_time - 100ms, 12});
+    sent.items.rate_limits.push_back({82, 10, std::nullopt, start_time, start_time, 12});
     const auto receiver_now = start_time + 1000h;
     const auto received = decode(encode(sent, start_time), receiver_now);
     REQUIRE(received.has_value());
@@ -160,6 +162,15 @@
     CHECK(received->items.refusals.front().reason == refusal_reason::over_allowance);
     CHECK(received->items.withdrawals == std::vector<slot_ticket>{4});
     REQUIRE(received->items.reports.size() == 1);
+    REQUIRE(received->items.rate_limits.size() == 2);
+    const auto& limit = received->items.rate_limits.front();
+    CHECK(limit.server == 81);
+    CHECK(limit.id == 9);
+    CHECK(limit.limit == 1.6);
+    CHECK(limit.asked <= receiver_now - 300ms); // earlier, as the datagram takes some time
+    CHECK(limit.heard == receiver_now - 100ms);
+    CHECK(limit.heard_by == 12);
+    CHECK_FALSE(received->items.rate_limits.back().limit);
     const auto& report = received->items.reports.front();
     CHECK(report.server == 81);
     CHECK(report.failed_ago == 40ms);
--- a/tests/unit/test_slot_broker.cpp
+++ b/tests/unit/test_slot_broker.cpp
@@ -7,7 +7,10 @@
 
 #include <array>
 #include <functional>
+#include <map>
+#include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 using namespace borageford;
@@ -36,6 +39,12 @@
     void coordinate(bool is_acting) { m_is_acting = is_acting; }
     [[nodiscard]] bool has_received(slot_ticket ticket) const { return m_received.contains(ticket); }
     [[nodiscard]] const std::vector<server_report>& reports() const { return m_reports; }
+    /// The rate limits that it received last, by server.
+    [[nodiscard]] const std::map<server_key, rate_limit_notice>& rate_limits() const { return m_rate_limits; }
+    /// Sends these notices with every reply.
+    void announce(std::vector<rate_limit_notice> notices) { m_announced = std::move(notices); }
+    /// Drops every second datagram in both directions.
+    void lose_datagrams() { m_loses_datagrams = true; }
 
 private:
     void receive() {
@@ -50,6 +59,9 @@
     }
 
     void handle_datagram(std::size_t size) {
+        if (m_loses_datagrams && ++m_datagrams % 2 == 0) {
+            return;
+        }
         const auto now = std::chrono::steady_clock::now();
         const auto message = decode(std::as_bytes(std::span(m_bytes)).first(size), now);
         REQUIRE(message.has_value());
@@ -57,7 +69,11 @@
             m_received.insert(request.ticket);
         }
         m_reports.insert(m_reports.end(), message->items.reports.begin(), message->items.reports.end());
+        for (const auto& notice : message->items.rate_limits) {
+            m_rate_limits[notice.server] = notice;
+        }
         datagram reply;
+        reply.items.rate_limits = m_announced;
         reply.sender.incarnation = 1;
         reply.sender.is_acting = m_is_acting;
         reply.sender.is_eligible = true;
@@ -74,6 +90,10 @@
     bool m_is_acting = true;
     std::set<slot_ticket> m_received;
     std::vector<server_report> m_reports;
+    std::map<server_key, rate_limit_notice> m_rate_limits;
+    std::vector<rate_limit_notice> m_announced;
+    bool m_loses_datagrams = false;
+    unsigned m_datagrams = 0;
 };
 
 /// A broker with the simulated member, and the outcome of each slot request.
@@ -115,6 +135,11 @@
         m_broker.release({ticket, 1, outcome, 100ms, 50ms, 10});
     }
     simulated_member& other() { return m_other; }
+    slot_broker& broker() { return m_broker; }
+    /// The changes of rate limits that the broker has reported.
+    [[nodiscard]] const std::vector<rate_limit_table::change>& rate_limit_changes() const {
+        return m_changes;
+    }
 
 private:
     broker_settings make_settings() const {
@@ -124,11 +149,19 @@
         settings.quotas.slack = 60000;
         return settings;
     }
-    static slot_broker::observers make_observers() {
-        return {[] { return slot_broker::versions{}; },
-                [](const asio::ip::address&, const slot_broker::versions&) {},
-                [](const slot_scheduler::health_change&) {
-                }};
+    slot_broker::observers make_observers() {
+        slot_broker::observers result;
+        result.read_versions = [] {
+            return slot_broker::versions{};
+        };
+        result.on_member_versions = [](const asio::ip::address&, const slot_broker::versions&) {
+        };
+        result.on_health_change = [](const slot_scheduler::health_change&) {
+        };
+        result.on_rate_limit = [this](const rate_limit_table::change& change) {
+            m_changes.push_back(change);
+        };
+        return result;
     }
 
     asio::io_context m_context;
@@ -136,6 +169,7 @@
     simulated_member m_other{m_context};
     std::set<slot_ticket> m_granted;
     std::set<slot_ticket> m_refused;
+    std::vector<rate_limit_table::change> m_changes;
     slot_broker m_broker;
 };
 
@@ -192,3 +226,50 @@
     CHECK(report.server == 1);
     CHECK(report.rests == 1);
 }
+
+TEST_CASE("a rate limit that one gateway hears reaches its coordinator, although datagrams are lost",
+          "[coordination][slot_broker][rate_limit]") {
+    // An answer that names a limit is received by one gateway only. The coordinator, which grants the slots
+    // of that server to all gateways, has to know it although half of the datagrams are lost.
+    broker_site site;
+    site.run_until([&] { return site.has_source(slot_source::coordinator); });
+    site.other().lose_datagrams();
+    site.broker().observe_rate_limit(1, 1.6, std::chrono::steady_clock::now());
+    site.run_until([&] { return site.other().rate_limits().contains(1); });
+    CHECK(site.other().rate_limits().at(1).limit == 1.6);
+    site.broker().observe_rate_limit(1, std::nullopt, std::chrono::steady_clock::now());
+    site.run_until([&] { return !site.other().rate_limits().at(1).limit.has_value(); });
+}
+
+TEST_CASE("a gateway that takes over knows the rate limits that others have heard",
+          "[coordination][slot_broker][rate_limit]") {
+    // The coordinator stops. Its successor must know the limits before it grants its first slot, and the
+    // limit of a server that it has yet to read of in the store, too.
+    broker_site site;
+    const auto now = std::chrono::steady_clock::now();
+    site.other().announce({{1, 51, 0.001, now, now, 3}, {2, 52, 0.001, now, now, 3}});
+    site.run_until([&] { return site.rate_limit_changes().size() == 2; });
+    site.other().coordinate(false);
+    site.run_until([&] { return site.has_source(slot_source::local_share); });
+    site.broker().set_server(2, engines, 4, 0);
+    slot_request wanted;
+    wanted.ticket = site.broker().next_ticket();
+    wanted.service = engines;
+    wanted.arrived = now;
+    wanted.deadline = now + 1h;
+    wanted.target = 100ms;
+    bool was_granted = false;
+    site.broker().set_server(3, engines + 1, 4, 0);
+    site.broker().request(wanted, {[&](const slot_grant&) { was_granted = true; },
+                                   [](const slot_refusal&) {
+                                   }});
+    auto elsewhere = wanted;
+    elsewhere.ticket = site.broker().next_ticket();
+    elsewhere.service = engines + 1;
+    bool was_granted_elsewhere = false;
+    site.broker().request(elsewhere, {[&](const slot_grant&) { was_granted_elsewhere = true; },
+                                      [](const slot_refusal&) {
+                                      }});
+    site.run_until([&] { return was_granted_elsewhere; });
+    CHECK_FALSE(was_granted);
+}
