--- a/src/base/error_kind.cpp
+++ b/src/base/error_kind.cpp
@@ -43,8 +43,10 @@
                  "The workspace is over its rate."},
     error_answer{error_kind::concurrency_limited, "concurrency_limited", 429, no, retry_later,
                  "The workspace has as many requests in progress as it may."},
-    error_answer{error_kind::overloaded, "overloaded", 503, no, retry_later,
-                 "Every eligible backend server is too busy for this tier."},
+    error_answer{
+        error_kind::overloaded, "overloaded", 503, no, retry_later,
+        "Every eligible backend server is too busy for this tier, or the rate limits that the servers "
+        "name leave no room."},
     error_answer{error_kind::deadline_unreachable, "deadline_unreachable", 503, no, retry_later,
                  "The deadline can no longer be met."},
     error_answer{error_kind::no_backend_server, "no_backend_server", 503, no, retry_later,
--- a/src/diagnosis/loss_report.cpp
+++ b/src/diagnosis/loss_report.cpp
@@ -32,6 +32,7 @@
     end_row{request_end::late_by_pause, "late_by_pause", "l.paused"},
     end_row{request_end::refused_load, "refused_load", "r.load"},
     end_row{request_end::refused_limit, "refused_limit", "r.limit"},
+    end_row{request_end::refused_server, "refused_server", "r.server"},
     end_row{request_end::refused_caller, "refused_caller", "r.caller"},
     end_row{request_end::failed, "failed", "failed"},
     end_row{request_end::cut, "cut", "cut"},
@@ -57,8 +58,11 @@
     constexpr int first_server_error = 500;
     const auto error = record.text("error");
     if (error == "overloaded" || error == "draining") {
-        const bool is_budget = record.text("reason") == "over_retry_budget";
-        return is_budget ? request_end::refused_limit : request_end::refused_load;
+        const auto reason = record.text("reason");
+        if (reason == "over_server_limit") {
+            return request_end::refused_server;
+        }
+        return reason == "over_retry_budget" ? request_end::refused_limit : request_end::refused_load;
     }
     if (error == "rate_limited" || error == "held_back") {
         return request_end::refused_limit;
@@ -138,7 +142,8 @@
 void loss_report::print(std::ostream& out) const {
     out << "l.: late, by a wait for a slot, at the server, or by a pause between events; r.: refused, for "
            "load,\n"
-           "for a limit of the workspace or of repeats, or for what the caller sent\n";
+           "for a limit of the workspace or of repeats, for the servers' rate limits, or for what the caller "
+           "sent\n";
     print_heading(out, "");
     print_row(out, "all", m_all);
     print_table(out, "route", m_routes);
--- a/tests/unit/test_diagnosis_losses.cpp
+++ b/tests/unit/test_diagnosis_losses.cpp
@@ -39,6 +39,9 @@
     CHECK(classify(record_of("request_answered", answer(10, 600, 0))) == request_end::late_at_server);
     CHECK(classify(record_of("request_answered", answer(10, 100, 301))) == request_end::late_by_pause);
     CHECK(classify(record_of("request_refused", refusal("overloaded", 503))) == request_end::refused_load);
+    CHECK(classify(record_of("request_refused",
+                             refusal("overloaded", 503) + R"(,"reason":"over_server_limit")")) ==
+          request_end::refused_server);
     CHECK(classify(record_of("request_refused", refusal("rate_limited", 429))) == request_end::refused_limit);
     CHECK(classify(record_of("request_refused", refusal("unauthorized", 401))) ==
           request_end::refused_caller);
--- a/tests/unit/test_rate_limits.cpp
+++ b/tests/unit/test_rate_limits.cpp
@@ -1,5 +1,6 @@
 // Tests of what is known of the rate limits that backend servers name: their notation, the order of two
 // answers, and times around a pause of the process.
+#include "coordination/rate_limit_exchange.hpp"
 #include "platform/rate_limit_codec.hpp"
 #include "policy/pause_detector.hpp"
 #include "policy/rate_limit_table.hpp"
@@ -178,3 +179,37 @@
     CHECK(pauses.update(begin + 100ms, 13s) == 0s);
     CHECK(pauses.correct(begin + 90ms) == begin + 90ms);
 }
+
+TEST_CASE("two gateways that can't reach each other learn of a limit from a third one", "[rate_limit]") {
+    // The path between the gateway that hears a limit and the coordinator is cut, and both reach another
+    // gateway.
+    const auto ignore = [](const rate_limit_table::change&) {
+    };
+    coordination::rate_limit_exchange hearing(1, 11, ignore);
+    coordination::rate_limit_exchange between(2, 12, ignore);
+    coordination::rate_limit_exchange coordinating(3, 13, ignore);
+    hearing.observe(server, 1.6, std::chrono::steady_clock::now());
+    between.merge(hearing.take_next());
+    coordinating.merge(between.take_next());
+    CHECK(coordinating.limit_of(server) == 1.6);
+    hearing.observe(server, std::nullopt, std::chrono::steady_clock::now());
+    between.merge(hearing.take_next());
+    coordinating.merge(between.take_next());
+    CHECK_FALSE(coordinating.limit_of(server));
+}
+
+TEST_CASE("a process that restarts under its address is sent all limits again", "[rate_limit]") {
+    coordination::rate_limit_exchange exchange(1, 11, [](const rate_limit_table::change&) {});
+    for (server_key key = 1; key <= 30; ++key) {
+        exchange.observe(key, 1, std::chrono::steady_clock::now());
+    }
+    CHECK(exchange.is_new_process(2, 21));
+    CHECK_FALSE(exchange.is_new_process(2, 21));
+    CHECK(exchange.is_new_process(2, 22));
+    std::size_t notices = 0;
+    for (const auto& part : exchange.list_for_new_process()) {
+        CHECK(part.size() <= 24);
+        notices += part.size();
+    }
+    CHECK(notices == 30);
+}
--- a/tests/unit/test_slot_broker.cpp
+++ b/tests/unit/test_slot_broker.cpp
@@ -273,3 +273,16 @@
     site.run_until([&] { return was_granted_elsewhere; });
     CHECK_FALSE(was_granted);
 }
+
+TEST_CASE("a gateway that has just started grants no slot before it has heard another one",
+          "[coordination][slot_broker][rate_limit]") {
+    // A gateway restarts and knows no rate limits, while callers wait for it already. If it granted slots by
+    // itself at once, it would send a server in need as many requests as the server has slots.
+    broker_site site;
+    site.other().coordinate(false);
+    const auto now = std::chrono::steady_clock::now();
+    site.other().announce({{1, 51, 0.001, now, now, 3}});
+    const auto first = site.request_slot(1);
+    site.run_until([&] { return !site.rate_limit_changes().empty(); });
+    CHECK_FALSE(site.was_granted(first));
+}
