The schedule of rate limits is a class of its own, and notices that changed are found without a search

A coordinator looked at all notices for each heartbeat that it answers; with 1,300 limited servers and 350 members that would be nine million looks a second (arithmetic). Now it keeps the recent changes in a list. No change of behaviour.

--- a/src/emulator/rate_limit_excess.cpp
+++ b/src/emulator/rate_limit_excess.cpp
@@ -2,6 +2,7 @@
 #include "emulator/rate_limit_excess.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace borageford::emulator {
 
@@ -12,15 +13,15 @@
                                     policy::time_point to) {
     std::optional<double> largest;
     auto end = policy::time_point::max();
-    for (auto each = named.rbegin(); each != named.rend(); ++each) {
-        const bool is_within = each->at <= to && end > from;
-        if (is_within && !each->per_second.has_value()) {
+    for (const auto& each : named | std::views::reverse) {
+        const bool is_within = each.at <= to && end > from;
+        if (is_within && !each.per_second.has_value()) {
             return std::nullopt;
         }
         if (is_within) {
-            largest = std::max(largest.value_or(0), *each->per_second);
+            largest = std::max(largest.value_or(0), *each.per_second);
         }
-        end = each->at;
+        end = each.at;
     }
     return end <= from ? largest : std::nullopt;
 }
--- a/src/policy/rate_limit_table.hpp
+++ b/src/policy/rate_limit_table.hpp
@@ -6,6 +6,7 @@
 #include "policy/time.hpp"
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -32,7 +33,7 @@
 
     /// The limit of a server; nothing if it has none.
     [[nodiscard]] std::optional<double> limit_of(server_key server) const;
-    [[nodiscard]] bool is_empty() const noexcept { return m_entries.empty(); }
+    [[nodiscard]] bool is_empty() const noexcept { return m_notices.empty(); }
 
     /// At most `max_count` notices, those that were heard last first.
     [[nodiscard]] std::vector<rate_limit_notice> latest(std::size_t max_count) const;
@@ -47,14 +48,18 @@
     void expire(time_point now, const std::function<bool(server_key)>& is_in_use);
 
 private:
-    struct entry {
-        rate_limit_notice notice;
-        time_point changed; ///< when the limit last changed here
+    /// A server whose limit has changed here, and when.
+    struct changed_server {
+        time_point at;
+        server_key server = 0;
     };
 
     void make_room();
+    void record_change(server_key server, time_point now);
 
-    std::map<server_key, entry> m_entries;
+    std::map<server_key, rate_limit_notice> m_notices;
+    std::deque<changed_server>
+        m_changes;              ///< the recent changes in order of time, at most one for each server
     server_key m_last_sent = 0; ///< the notice after which the next turn of take_next() begins
 };
 
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -37,10 +37,6 @@
 /// slot_scheduler_limits::reserved_slots.
 constexpr double small_reserve = 0.25;
 
-/// A rate limit that allows no request is examined again after this time at the earliest, and not at all if
-/// it allows none for longer than the other.
-constexpr std::chrono::milliseconds min_rate_wait{1};
-constexpr std::chrono::hours max_rate_wait{24};
 /// Retry-After if the rate limits leave no part to this process. Another one, or a coordinator, may have one
 /// soon.
 constexpr std::chrono::milliseconds no_part_retry{1000};
@@ -107,70 +103,40 @@
 }
 
 void slot_scheduler::set_rate_share(rate_share share, time_point now) {
-    if (std::exchange(m_rate_share, share) == share) {
+    if (share == m_rate_limits.share()) {
         return;
     }
+    m_rate_limits.set_share(share);
     for (auto& [key, server] : m_servers) {
-        if (server.rate_limit.has_value()) {
-            server.rate_limit->set_share(share, now);
-            block_by_rate(server, now);
-        }
+        m_rate_limits.apply_share(server, now);
+        update_with_room(server);
     }
 }
 
 void slot_scheduler::set_rate_limit(server_key server, std::optional<double> per_second, time_point now) {
     const auto found = m_servers.find(server);
-    if (found == m_servers.end()) {
-        return;
-    }
-    auto& state = found->second;
-    if (!per_second.has_value()) {
-        state.rate_limit.reset();
-    } else if (state.rate_limit.has_value()) {
-        state.rate_limit->set_named(*per_second, now);
-    } else {
-        state.rate_limit.emplace(*per_second, m_rate_share, now);
+    if (found != m_servers.end()) {
+        m_rate_limits.set_limit(found->second, per_second, now);
+        update_with_room(found->second);
     }
-    block_by_rate(state, now);
 }
 
 void slot_scheduler::restart_rate_limits(time_point now) {
     for (auto& [key, server] : m_servers) {
-        if (server.rate_limit.has_value()) {
-            server.rate_limit->restart(now);
-            block_by_rate(server, now);
-        }
+        m_rate_limits.restart(server, now);
+        update_with_room(server);
     }
 }
 
-/// Holds the server back if its rate limit allows no request now, and notes when it will allow one. Must be
-/// called whenever the server's rate limit has changed or was used.
-void slot_scheduler::block_by_rate(slot_server& server, time_point now) {
-    server.is_rate_blocked = server.rate_limit.has_value() && !server.rate_limit->has_room(now);
-    if (server.is_rate_blocked) {
-        const auto wait = std::max<duration>(server.rate_limit->wait(now), min_rate_wait);
-        server.rate_blocked_until = wait < max_rate_wait ? now + wait : time_point::max();
-        if (wait < max_rate_wait) {
-            m_rate_waits.emplace(server.rate_blocked_until, server.key);
+void slot_scheduler::examine_rate_limits(time_point now) {
+    for (const auto& due : m_rate_limits.take_due(now)) {
+        const auto found = m_servers.find(due.server);
+        const bool is_held_back = found != m_servers.end() && found->second.is_rate_blocked;
+        if (is_held_back && found->second.rate_blocked_until == due.until) {
+            m_rate_limits.examine(found->second, now);
+            update_with_room(found->second);
         }
     }
-    update_with_room(server);
-}
-
-void slot_scheduler::unblock_by_rate(time_point now) {
-    while (!m_rate_waits.empty() && m_rate_waits.begin()->first <= now) {
-        const auto [until, key] = *m_rate_waits.begin();
-        m_rate_waits.erase(m_rate_waits.begin());
-        const auto found = m_servers.find(key);
-        if (found != m_servers.end() && found->second.is_rate_blocked &&
-            found->second.rate_blocked_until == until) {
-            block_by_rate(found->second, now);
-        }
-    }
-}
-
-std::vector<server_key> slot_scheduler::take_used_up_limits() {
-    return std::exchange(m_used_up_limits, {});
 }
 
 bool slot_scheduler::is_usable(server_key server) const {
@@ -240,30 +206,10 @@
     return ahead;
 }
 
-std::optional<duration> slot_scheduler::expect_rate_wait(const slot_request& request, time_point now) const {
-    const auto servers = servers_of(request.service);
-    if (servers.empty()) {
-        return std::nullopt;
-    }
-    double per_second = 0;
-    auto soonest = duration::max();
-    for (const auto* server : servers) {
-        if (!server->is_rate_blocked) {
-            return std::nullopt;
-        }
-        per_second += server->rate_limit->per_second();
-        soonest = std::min(soonest, server->rate_wait(now));
-    }
-    if (soonest == duration::max()) {
-        return soonest;
-    }
-    return soonest + from_seconds(static_cast<double>(count_ahead(request)) / per_second);
-}
-
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
 /// its maximum wait. Its caller learns at once when it is worth to come back, instead of waiting in vain.
 bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
-    const auto wait = expect_rate_wait(request, now);
+    const auto wait = expect_rate_wait(servers_of(request.service), count_ahead(request), now);
     const auto left = request.arrived + max_wait_of(request) - now;
     if (!wait.has_value() || *wait <= left) {
         return false;
@@ -522,13 +468,7 @@
     m_running[request.ticket] = {server.key, request.service, request.tier, request.cost.prompt, mark};
     floor_of(request.service).begin(request.tier, now);
     ++server.outstanding;
-    if (server.rate_limit.has_value()) {
-        server.rate_limit->take(now);
-        block_by_rate(server, now);
-        if (server.is_rate_blocked) {
-            m_used_up_limits.push_back(server.key);
-        }
-    }
+    m_rate_limits.take(server, now);
     update_with_room(server);
     server.last_grant = ++m_grants;
     queue.grants.record(now);
@@ -621,7 +561,7 @@
 
 std::vector<slot_grant> slot_scheduler::grant(time_point now) {
     std::vector<slot_grant> grants;
-    unblock_by_rate(now);
+    examine_rate_limits(now);
     refuse_overdue(now);
     for (auto& [service, tiers] : m_queues) {
         for (auto& [tier_number, tier] : tiers) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -5,6 +5,7 @@
 
 #include "policy/event_rate.hpp"
 #include "policy/overload_tracker.hpp"
+#include "policy/rate_limit_schedule.hpp"
 #include "policy/slot_choice.hpp"
 #include "policy/slot_floor.hpp"
 #include "policy/slot_server.hpp"
@@ -128,7 +129,7 @@
 
     /// Returns the servers whose rate limits were used up by a grant since the last call, each once for each
     /// time.
-    [[nodiscard]] std::vector<server_key> take_used_up_limits();
+    [[nodiscard]] std::vector<server_key> take_used_up_limits() { return m_rate_limits.take_used_up(); }
     /// Whether the server may get new requests.
     [[nodiscard]] bool is_usable(server_key server) const;
 
@@ -196,13 +197,9 @@
     /// All usable servers of a service, also those in a cooldown.
     [[nodiscard]] slot_servers servers_of(service_key service) const;
     [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
-    /// The expected time until a new request of this service and tier gets a slot, if every server of the
-    /// service is held back by its rate limit; nothing if one isn't.
-    [[nodiscard]] std::optional<duration> expect_rate_wait(const slot_request& request, time_point now) const;
     [[nodiscard]] std::size_t count_ahead(const slot_request& request) const;
     bool refuse_for_rate_limits(const slot_request& request, time_point now);
-    void block_by_rate(slot_server& server, time_point now);
-    void unblock_by_rate(time_point now);
+    void examine_rate_limits(time_point now);
     // Four functions compute whether a server has room, and differ in what they consider:
     // - slot_server::has_free_slot(): only whether fewer requests run than this process's share of the
     //   server's slots. No place in the server's own queue, no reserved slots, not the server's health.
@@ -263,11 +260,7 @@
     /// skipped.
     std::multimap<time_point, slot_ticket> m_wait_limits;
     std::unordered_map<slot_ticket, running_request> m_running;
-    rate_share m_rate_share;
-    /// When the rate limits of servers with `is_rate_blocked` allow the next request. Servers that aren't
-    /// blocked any more are skipped.
-    std::multimap<time_point, server_key> m_rate_waits;
-    std::vector<server_key> m_used_up_limits;
+    rate_limit_schedule m_rate_limits;
     std::vector<health_change> m_health_changes;
     std::uint64_t m_grants = 0; ///< number of all grants so far, which numbers the next one
     std::vector<slot_refusal> m_refusals;
