A call to the store that is cancelled while it ends no longer ends the gateway

Cause: the kernel's line of the trap names the instruction, cancellation_signal::emit() in the handler with which Asio 1.24 passes a cancellation on to a coroutine of another executor (co_spawn_cancellation_handler). It dispatches a plain pointer to a signal that the end of that coroutine destroys. The store's calls run on strands of their own; the first answer to a repeated poll cancels the other calls; if the end of one of these is queued already, it comes before the dispatched pointer is used.

Change: store_call passes a cancellation on by hand, as a shared exchange that is cancelled on its strand, and gives Asio no slot to pass on. A cancelled exchange doesn't open its socket again. No other code of the system passes cancellations between executors: revision_survey's parallel group waits for all and is never cancelled.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,6 +53,7 @@
     }
 
     void cancel() noexcept {
+        is_cancelled = true;
         boost::system::error_code ignored;
         stream.socket().close(ignored);
     }
@@ -62,6 +63,7 @@
     beast::flat_buffer buffer;
     beast::http::response_parser<beast::http::buffer_body> parser;
     std::size_t body_bytes = 0;
+    bool is_cancelled = false; ///< connecting would open the closed socket again
 };
 
 client_exchange::client_exchange(const asio::any_io_executor& executor, exchange_limits limits)
@@ -73,6 +75,9 @@
     auto& stream = m_state->stream;
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
+    if (m_state->is_cancelled) {
+        m_state->fail(exchange_stage::connecting, asio::error::operation_aborted);
+    }
 
     stream.expires_after(m_state->limits.connect);
     co_await stream.async_connect(server, token);
@@ -135,6 +140,10 @@
 asio::awaitable<response> fetch(asio::any_io_executor executor, const endpoint& server, const request& call,
                                 exchange_limits limits) {
     client_exchange exchange(executor, limits);
+    co_return co_await fetch(exchange, server, call);
+}
+
+asio::awaitable<response> fetch(client_exchange& exchange, const endpoint& server, const request& call) {
     response answer;
     answer.head = co_await exchange.send(server, call);
     for (auto piece = co_await exchange.read_some(); !piece.empty(); piece = co_await exchange.read_some()) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -84,6 +84,10 @@
 /// temporary that is destroyed before the coroutine first runs.
 boost::asio::awaitable<response> fetch(boost::asio::any_io_executor executor, const endpoint& server,
                                        const request& call, exchange_limits limits);
+/// Like the other fetch(), with an exchange of the caller, which can cancel it. The arguments must stay valid
+/// until the end.
+[[nodiscard]] boost::asio::awaitable<response> fetch(client_exchange& exchange, const endpoint& server,
+                                                     const request& call);
 
 /// Parses an IP address and a port, such as "127.0.0.1:8080" or "[::1]:8080". Host names aren't resolved.
 /// Throws std::invalid_argument.
--- a/src/store/store_call.cpp
+++ b/src/store/store_call.cpp
@@ -3,13 +3,18 @@
 
 #include "http/client.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/grammar/charset.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
+#include <memory>
 #include <utility>
 
 namespace borageford::store {
@@ -36,6 +41,32 @@
     return text;
 }
 
+/// Makes the exchange on its strand.
+asio::awaitable<http::response> run_exchange(std::shared_ptr<http::client_exchange> exchange,
+                                             asio::ip::tcp::endpoint address, const http::request& call) {
+    co_return co_await http::fetch(*exchange, address, call);
+}
+
+/// Waits for the exchange, and cancels it if the calling coroutine is cancelled.
+///
+/// The cancellation is passed to the exchange by hand. Asio (1.24) would pass it on as a pointer to a signal
+/// that the end of the exchange destroys. If the end was already queued, the pointer was used after that, and
+/// the process ended with a segmentation fault.
+asio::awaitable<http::response> wait_for_exchange(asio::any_io_executor strand,
+                                                  std::shared_ptr<http::client_exchange> exchange,
+                                                  asio::ip::tcp::endpoint address,
+                                                  const http::request& call) {
+    auto slot = (co_await asio::this_coro::cancellation_state).slot();
+    if (slot.is_connected()) {
+        slot.assign([strand, exchange](asio::cancellation_type) {
+            asio::post(strand, [exchange] { exchange->cancel(); });
+        });
+    }
+    const asio::cancellation_slot passed_on_by_hand;
+    co_return co_await asio::co_spawn(strand, run_exchange(exchange, address, call),
+                                      asio::bind_cancellation_slot(passed_on_by_hand, asio::use_awaitable));
+}
+
 } // namespace
 
 asio::awaitable<http::response> call_store(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
@@ -50,8 +81,8 @@
         // The timeouts of the stream run on its executor. The strand keeps them from running concurrently
         // with the stream's reads.
         const asio::any_io_executor strand = asio::make_strand(executor);
-        answer =
-            co_await asio::co_spawn(strand, http::fetch(strand, address, call, limits), asio::use_awaitable);
+        const auto exchange = std::make_shared<http::client_exchange>(strand, limits);
+        answer = co_await wait_for_exchange(strand, exchange, address, call);
     } catch (const http::exchange_error& error) {
         throw store_error(effect_of_failure(error.stage(), kind), describe(call, error.what()));
     }
