A release of a slot request that still waits doesn't end the coordinator

A release of a waiting ticket made the coordinator forget the request, which stayed in the scheduler; when its wait was over, decide() read beyond the end of a map. No member that keeps to the protocol sends that, but datagrams aren't authenticated, and the whole fleet would lose its coordinator. Such releases, and a second arrival of a slot request, are ignored.

--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -58,6 +58,9 @@
 
 void slot_coordinator::handle_slot_request(policy::member_key member, const policy::slot_request& request,
                                            policy::time_point now) {
+    if (m_requests.contains(request.ticket)) {
+        return;
+    }
     if (const auto held = m_suspects.quarantine_left(request.fingerprint, now)) {
         refuse(member, {request.ticket, policy::refusal_reason::held_back, *held});
         return;
@@ -97,11 +100,11 @@
 }
 
 void slot_coordinator::handle_release(const policy::slot_release& ended, policy::time_point now) {
-    m_scheduler.release(ended, now);
     const auto found = m_requests.find(ended.ticket);
-    if (found == m_requests.end()) {
-        return;
+    if (found == m_requests.end() || !found->second.is_running) {
+        return; // of a request that still waits: forgetting it here would leave it in the scheduler
     }
+    m_scheduler.release(ended, now);
     if (ended.outcome == policy::slot_outcome::broken) {
         m_suspects.record_broken_connection(found->second.fingerprint, ended.server, now);
     } else if (ended.outcome == policy::slot_outcome::unreachable ||
