A process that ends by a fault leaves a backtrace, and a failed soak's folder is kept

Gateways, entries and sidecars write signal, address and backtrace to standard error before they end. Abseil's own failure handler was tried first: it follows frame pointers and showed one function and a wrong address; this one follows the unwind tables and takes only the names from Abseil.

A soak uses a folder of its own for each run, refuses one that isn't empty, and names the file with a process's last words.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/entry_process.hpp"
 #include "gateway/gateway_process.hpp"
 #include "platform/users_platform.hpp"
+#include "process/crash_report.hpp"
 #include "program/command.hpp"
 #include "program/command_flags.hpp"
 #include "program/entry_client.hpp"
@@ -160,6 +161,7 @@
     if (has_help_flag(raw_arguments.subspan(1))) {
         return help(raw_arguments.subspan(1));
     }
+    borageford::process::install_crash_report(raw_arguments.front());
     absl::FlagsUsageConfig configuration;
     configuration.version_string = [] {
         return std::string("borageford 0.1.0\n");
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -299,8 +299,10 @@
         }
         const auto code = unit.process->wait_for_exit();
         if (!unit.is_stopping || code != 0) {
+            const auto name = "gateway-" + std::to_string(index) + "-" + std::to_string(start_count(index));
             m_unexpected_exits.push_back("gateway " + std::to_string(index) + " ended by itself with code " +
-                                         std::to_string(code));
+                                         std::to_string(code) + "; its last words are in " + name +
+                                         "-errors.log");
         }
         keep_log(index);
         if (unit.is_stopping) {
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 // The program borageford_soak. It runs real gateways with an emulated store and emulated servers, sends
 // requests while it injects faults that are drawn from a seed, and checks the promises against the records of
 // callers and servers. Exit code 0: all promises were kept; 1: one was broken; 2: the soak couldn't be run.
+#include "base/identifier.hpp"
 #include "soak/descriptor_need.hpp"
 #include "soak/fault_schedule.hpp"
 #include "soak/promise_checks.hpp"
@@ -27,7 +28,7 @@
 
 /// Time between two calls of soak_deployment::supervise_gateways().
 constexpr milliseconds supervision_period{50};
-constexpr int wrong_size_exit_code = 2;
+constexpr int cannot_run_exit_code = 2;
 /// Prefix of the route whose service changes.
 constexpr std::string_view moving_prefix = "/moving/";
 
@@ -61,8 +62,9 @@
     options.deployment.engines = read_size("engines", options.deployment.engines);
     options.callers = read_size("callers", options.callers);
     options.schedule.kinds = read_kinds(reader.text("kinds", ""));
-    options.folder = reader.text("folder", (std::filesystem::temp_directory_path() / "soak").string() + "-" +
-                                               std::to_string(options.schedule.seed));
+    const auto folder_name =
+        "soak-" + std::to_string(options.schedule.seed) + "-" + identifier::random().to_string();
+    options.folder = reader.text("folder", (std::filesystem::temp_directory_path() / folder_name).string());
     reader.finish();
     options.schedule.gateways = options.deployment.gateways;
     options.schedule.servers = options.deployment.plain_servers + options.deployment.engines + 1;
@@ -290,9 +292,13 @@
     const soak_size size{options.schedule.gateways, options.schedule.servers, options.callers};
     if (const auto reason = check_size(size, descriptor_limit())) {
         std::cerr << "soak: " << *reason << '\n';
-        return wrong_size_exit_code;
+        return cannot_run_exit_code;
+    }
+    if (std::filesystem::exists(options.folder) && !std::filesystem::is_empty(options.folder)) {
+        std::cerr << "soak: the folder " << options.folder.string()
+                  << " isn't empty; a failed run may have left it\n";
+        return cannot_run_exit_code;
     }
-    std::filesystem::remove_all(options.folder);
     soak_deployment deployment(options.deployment, options.folder);
     const auto faults = draw_faults(options.schedule);
     const callers_owner callers(deployment, options.schedule.seed);
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -34,6 +34,8 @@
     void terminate() { signal_child(15); }
     /// Sends SIGHUP: the process reloads its settings.
     void reload() { signal_child(1); }
+    /// Sends SIGSEGV, as an invalid memory access would.
+    void fault() { signal_child(11); }
     /// Sends SIGKILL and waits for the process to end.
     void kill();
     /// Sends SIGSTOP and waits for it to take effect: the process keeps its connections and does nothing.
