--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -81,9 +81,7 @@
 void slot_broker::leave() {
     m_election.leave();
     std::vector<policy::member_key> receivers = m_election.candidates(clock::now());
-    for (const auto& [member, served] : m_coordinated_members) {
-        receivers.push_back(member);
-    }
+    std::ranges::copy(m_members.members(), std::back_inserter(receivers));
     choose_source(clock::now());
     // The status is sent at once, because the other members keep sending slot requests to this process, where
     // they would wait in vain, until they know that it shuts down.
@@ -215,12 +213,9 @@
         return;
     }
     grant_slots(now);
-    for (const auto member : std::exchange(m_members_to_flush, {})) {
-        const auto served = m_coordinated_members.find(member);
-        if (served != m_coordinated_members.end()) {
-            flush_channel(member, served->second.channel, now);
-        }
-    }
+    m_members.flush([this, now](policy::member_key member, batch_channel& channel) {
+        flush_channel(member, channel, now);
+    });
     watch_retransmission();
 }
 
@@ -243,14 +238,7 @@
             deliver(items);
             continue;
         }
-        const auto served = m_coordinated_members.find(member);
-        if (served == m_coordinated_members.end()) {
-            continue;
-        }
-        auto& pending = served->second.channel.pending();
-        std::ranges::move(items.grants, std::back_inserter(pending.grants));
-        std::ranges::move(items.refusals, std::back_inserter(pending.refusals));
-        m_members_to_flush.insert(member);
+        m_members.queue_decisions(member, items);
     }
     for (const auto& change : m_coordinator.scheduler().take_health_changes()) {
         m_observers.on_health_change(change);
@@ -264,7 +252,7 @@
 /// become the coordinator. This includes a process that coordinates, while no other member has attached to
 /// it.
 bool slot_broker::expects_coordinator(policy::time_point now) const {
-    const bool is_alone = m_source != slot_source::coordinator && m_coordinated_members.empty();
+    const bool is_alone = m_source != slot_source::coordinator && m_members.is_empty();
     return is_alone && m_election.member_count() > 1 &&
            now - m_uncoordinated_since < m_settings.coordinator_patience;
 }
@@ -294,19 +282,13 @@
 }
 
 void slot_broker::watch_retransmission() {
-    const bool is_needed = (m_upstream.has_value() && m_upstream->has_unacknowledged()) ||
-                           std::ranges::any_of(m_coordinated_members, [](const auto& entry) {
-                               return entry.second.channel.has_unacknowledged();
-                           });
+    const bool is_needed =
+        (m_upstream.has_value() && m_upstream->has_unacknowledged()) || m_members.has_unacknowledged();
     if (!is_needed || m_retransmit_timer.is_active()) {
         return;
     }
     m_retransmit_timer = m_timers.after(m_executor, retransmit_check, [this] {
-        for (const auto& [member, served] : m_coordinated_members) {
-            if (served.channel.has_unacknowledged()) {
-                m_members_to_flush.insert(member);
-            }
-        }
+        m_members.flush_unacknowledged();
         schedule_flush();
     });
 }
@@ -420,9 +402,8 @@
         datagram reply;
         reply.known = m_election.known(now);
         reply.items.rate_limits = m_rate_limits.take_next();
-        const auto served = m_coordinated_members.find(member);
-        if (served != m_coordinated_members.end()) {
-            served->second.channel.set_session_fields(reply);
+        if (const auto* served = m_members.find(member)) {
+            served->channel.set_session_fields(reply);
         }
         send(member, std::move(reply));
     }
@@ -464,39 +445,37 @@
 
 void slot_broker::handle_member_message(policy::member_key member, datagram message) {
     const auto now = clock::now();
-    auto served = m_coordinated_members.find(member);
-    if (served == m_coordinated_members.end() || served->second.channel.session() != message.session) {
+    auto* served = m_members.find(member);
+    if (served == nullptr || served->channel.session() != message.session) {
         // A new session begins with batch 1. Any other batch belongs to a session that this process has
         // already dropped; its member starts a new session when it receives no acknowledgement.
         if (message.batch != 1) {
             return;
         }
         m_coordinator.detach(member, now);
-        served = m_coordinated_members
-                     .insert_or_assign(member, coordinated_member{batch_channel(message.session), now})
-                     .first;
-        served->second.channel.pending().rate_limits = m_rate_limits.list_for_session();
+        served = &m_members.begin(member, message.session, now);
+        served->channel.pending().rate_limits = m_rate_limits.list_for_session();
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
-            served->second.channel.pending().reports =
+            served->channel.pending().reports =
                 m_coordinator.scheduler().report_servers(max_initial_reports, now);
         }
-        log_attached_member(member, m_coordinated_members.size() + 1);
+        log_attached_member(member, m_members.size() + 1);
     }
-    served->second.last_message = now;
+    served->last_message = now;
     m_active_members.record_served(member, now);
-    served->second.channel.handle_acknowledgement(message.acknowledged);
+    served->channel.handle_acknowledgement(message.acknowledged);
     if (message.batch == 0) {
         return;
     }
-    for (const auto& items : served->second.channel.receive_batch(message.batch, std::move(message.items))) {
+    for (const auto& items : served->channel.receive_batch(message.batch, std::move(message.items))) {
         apply_items(member, items, now);
     }
     grant_slots(now);
     datagram reply;
-    if (served->second.channel.pending().is_empty()) {
-        served->second.channel.set_session_fields(reply);
+    if (served->channel.pending().is_empty()) {
+        served->channel.set_session_fields(reply);
         send(member, std::move(reply));
     }
     schedule_flush();
@@ -537,10 +516,7 @@
 void slot_broker::attach_to(policy::member_key coordinator) {
     const auto before = std::exchange(m_source, slot_source::coordinator);
     m_source_since = clock::now();
-    for (const auto& [member, served] : m_coordinated_members) {
-        m_coordinator.detach(member, clock::now());
-    }
-    m_coordinated_members.clear();
+    detach_members(clock::now());
     m_coordinator.detach(m_self, clock::now());
     m_deferred.clear(); // list_all() below includes these requests
     m_coordinating_member = coordinator;
@@ -560,10 +536,7 @@
     update_shares(now);
     m_coordinator.scheduler().restart_rate_limits(now);
     if (source == slot_source::local_share) {
-        for (const auto& [member, served] : m_coordinated_members) {
-            m_coordinator.detach(member, now);
-        }
-        m_coordinated_members.clear();
+        detach_members(now);
     }
     if (before == slot_source::coordinator) {
         m_uncoordinated_since = now;
@@ -577,7 +550,7 @@
 void slot_broker::update_shares(policy::time_point now) {
     const auto known = m_election.member_count();
     if (m_source == slot_source::own_coordination) {
-        const auto attached = m_coordinated_members.size() + 1;
+        const auto attached = m_members.size() + 1;
         m_coordinator.set_shares(1, m_active_members.coordinator_share(attached, now), now);
         m_coordinator.set_rate_share({m_active_members.coordinator_rate_share(attached, known, now), false},
                                      now);
@@ -590,15 +563,17 @@
 }
 
 void slot_broker::expire_members(policy::time_point now) {
-    for (auto served = m_coordinated_members.begin(); served != m_coordinated_members.end();) {
-        if (now - served->second.last_message > member_timeout) {
-            log_lost_member(served->first, now - served->second.last_message);
-            m_coordinator.detach(served->first, now);
-            served = m_coordinated_members.erase(served);
-        } else {
-            ++served;
-        }
+    for (const auto& lost : m_members.end_unresponsive(member_timeout, now)) {
+        log_lost_member(lost.member, lost.silent);
+        m_coordinator.detach(lost.member, now);
+    }
+}
+
+void slot_broker::detach_members(policy::time_point now) {
+    for (const auto member : m_members.members()) {
+        m_coordinator.detach(member, now);
     }
+    m_members.clear();
 }
 
 void slot_broker::deliver(const batch_items& items) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -8,6 +8,7 @@
 #include "coordination/deferred_refusals.hpp"
 #include "coordination/heartbeat_schedule.hpp"
 #include "coordination/local_requests.hpp"
+#include "coordination/member_sessions.hpp"
 #include "coordination/message.hpp"
 #include "coordination/peer_socket.hpp"
 #include "coordination/rate_limit_exchange.hpp"
@@ -156,12 +157,6 @@
 private:
     using clock = std::chrono::steady_clock;
 
-    /// A member whose requests this process coordinates.
-    struct coordinated_member {
-        batch_channel channel;
-        policy::time_point last_message; ///< time of its last message
-    };
-
     void tick();
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
     void report_source_change(slot_source before) const;
@@ -185,6 +180,7 @@
     [[nodiscard]] bool is_learning(policy::time_point now) const;
     void resubmit_deferred(policy::time_point now);
     void expire_members(policy::time_point now);
+    void detach_members(policy::time_point now);
 
     void limit_rate(policy::server_key server, std::optional<double> limit);
     void apply_rate_limit(const policy::rate_limit_table::change& change);
@@ -215,10 +211,8 @@
     std::optional<batch_channel> m_upstream;  ///< session with the coordinator, while m_source is coordinator
     policy::time_point m_uncoordinated_since; ///< when this process last started or lost its coordinator
     deferred_refusals m_deferred;             ///< used while a coordinator is expected
-    /// Members that this process coordinates; empty unless m_source is own_coordination.
-    std::map<policy::member_key, coordinated_member> m_coordinated_members;
-    /// Members of m_coordinated_members whose channels may have datagrams to send.
-    std::set<policy::member_key> m_members_to_flush;
+    /// The members that this process coordinates; empty unless m_source is own_coordination.
+    member_sessions m_members;
     policy::active_members m_active_members;
     rate_limit_exchange m_rate_limits;
 
