--- a/src/coordination/member_sessions.cpp
+++ b/src/coordination/member_sessions.cpp
@@ -19,6 +19,7 @@
 
 std::vector<policy::member_key> member_sessions::members() const {
     std::vector<policy::member_key> result;
+    result.reserve(m_sessions.size());
     for (const auto& [member, served] : m_sessions) {
         result.push_back(member);
     }
--- a/src/gateway/rate_limit_reader.cpp
+++ b/src/gateway/rate_limit_reader.cpp
@@ -72,7 +72,9 @@
                                                                 {"heard_by", heard_by},
                                                                 {"age_ms", age_ms(change.notice.heard)}});
     }
-    set_gauge(id, change.notice.limit.value_or(0));
+    if (server != nullptr) {
+        set_gauge(id, change.notice.limit.value_or(0));
+    }
 }
 
 void rate_limit_reader::count_used_up(policy::server_key key) {
--- a/tests/failure/test_gateway_rate_limit.cpp
+++ b/tests/failure/test_gateway_rate_limit.cpp
@@ -53,6 +53,7 @@
                      std::chrono::milliseconds time, const std::string& name) {
     std::atomic<std::size_t> not_served = 0;
     std::vector<std::jthread> callers;
+    callers.reserve(gateways.size());
     const auto end = clock_type::now() + time;
     for (const auto gateway : gateways) {
         callers.emplace_back([&, gateway] {
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -130,6 +130,7 @@
             result.push_back(fault);
         }
     }
+    std::ranges::sort(result, {}, &planned_fault::at);
     return result;
 }
 
@@ -149,6 +150,7 @@
         }
         at += milliseconds(draw<std::int64_t>(random, 1, 2 * mean_gap.count()));
     }
+    std::ranges::sort(result, {}, &planned_fault::at);
     return result;
 }
 
@@ -173,11 +175,11 @@
         std::ranges::transform(kind_names, std::back_inserter(kinds), &kind_row::kind);
     }
     const bool has_limits = std::erase(kinds, fault_kind::server_limits_rate) > 0;
-    auto result = kinds.empty() ? std::vector<planned_fault>() : draw_other_faults(size, kinds);
-    if (has_limits) {
-        std::ranges::copy(draw_limits(size), std::back_inserter(result));
-    }
-    std::ranges::stable_sort(result, {}, &planned_fault::at);
+    const auto others = kinds.empty() ? std::vector<planned_fault>() : draw_other_faults(size, kinds);
+    const auto limits = has_limits ? draw_limits(size) : std::vector<planned_fault>();
+    std::vector<planned_fault> result;
+    std::ranges::merge(others, limits, std::back_inserter(result), {}, &planned_fault::at,
+                       &planned_fault::at);
     return result;
 }
 
