--- a/tests/failure/test_gateway_rate_limit.cpp
+++ b/tests/failure/test_gateway_rate_limit.cpp
@@ -176,3 +176,24 @@
     wait_until("the refusal is logged",
                [&] { return has_logged(site, 0, R"("reason":"over_server_limit")"); });
 }
+
+TEST_CASE("gateway: a server that restarts under its id begins without a rate limit",
+          "[gateway][rate_limit]") {
+    // A server in need is restarted, which is what its operator does about it. Holding the new start to the
+    // limit of the old one would refuse calls that it could serve.
+    auto options = plain_site(1);
+    options.backends.front().start = 1;
+    gateway_site site(options);
+    set_limit(site, 0, 0.1);
+    send_until_logged(site, 0, R"("event":"backend_limit_named")");
+    ++options.backends.front().start;
+    site.start_backend(0, options.backends.front());
+    wait_until("the restart is known", [&] { return has_logged(site, 0, R"("event":"backend_restarted")"); });
+    constexpr int calls = 30;
+    int served = 0;
+    for (int number = 0; number < calls; ++number) {
+        served +=
+            site.send(0, make_call("/plain/x", "after-" + std::to_string(number))).status == 200 ? 1 : 0;
+    }
+    CHECK(served == calls);
+}
