A stream that broke in its first event begins anew without that part of an event

Cause: the relay dropped an incomplete event only if the caller's stream had begun. Before the first complete event it hadn't, and the part stayed in front of the next server's bytes.

'gateway: a stream that broke in its first event begins anew at another engine' got the events 1, 1, 1, 2, 3 ... before and passes.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -220,7 +220,7 @@
         head.append(field.name).append(": ").append(field.value).append("\r\n");
     }
     const auto length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
-    if (fault == backend_fault::cut_midway) {
+    if (fault == backend_fault::cut_midway || fault == backend_fault::cut_first_event) {
         co_await writer.write_raw(head + length + answer.body.substr(0, 3), false);
     } else if (fault == backend_fault::unframed) {
         co_await writer.write_raw(head + "Connection: close\r\n\r\n" + answer.body, false);
@@ -257,6 +257,7 @@
     head.headers.push_back({"Content-Type", "text/event-stream"});
     std::uint64_t event_number = 0;
     bool is_finished = false;
+    bool has_broken_off = false;
     const auto is_gone = std::make_shared<bool>(false);
     watch_caller(writer, is_gone);
     try {
@@ -279,7 +280,10 @@
                     co_await writer.begin(head);
                 }
                 auto text = describe_event(event_number);
-                const bool breaks_off = fault == backend_fault::cut_midway && event_number == begin_after + 2;
+                const bool breaks_off =
+                    (fault == backend_fault::cut_midway && event_number == begin_after + 2) ||
+                    (fault == backend_fault::cut_first_event && event_number == begin_after + 1);
+                has_broken_off = has_broken_off || breaks_off;
                 text.resize(breaks_off ? text.size() / 2 : text.size());
                 co_await writer.write_piece(text);
                 if (breaks_off) {
@@ -296,7 +300,7 @@
     m_engine->made.erase(id);
     if (fault == backend_fault::cut_unanswered) {
         writer.abort();
-    } else if (is_finished && fault != backend_fault::cut_midway) {
+    } else if (is_finished && !has_broken_off && fault != backend_fault::cut_midway) {
         co_await writer.finish();
     }
 }
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -29,10 +29,12 @@
     refuse,         ///< answers 503 with header_names::not_executed, without running the request
     cut_unanswered, ///< runs the request and closes the connection without a complete answer
     cut_midway,     ///< closes the connection in the middle of the answer
-    hang,           ///< runs the request and never answers
-    garble,         ///< answers with bytes that are no HTTP response
-    second_answer,  ///< sends another response, for which there is no request, after the correct one
-    unframed,       ///< answers without a length, so that only the end of the connection ends the answer
+    /// Closes the connection in the middle of the first event of a stream, or of an answer without events.
+    cut_first_event,
+    hang,          ///< runs the request and never answers
+    garble,        ///< answers with bytes that are no HTTP response
+    second_answer, ///< sends another response, for which there is no request, after the correct one
+    unframed,      ///< answers without a length, so that only the end of the connection ends the answer
 };
 
 /// Fixed properties of an emulated server.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -407,9 +407,7 @@
     m_attempts.record(m_slot, outcome);
     release_slot(slot);
     m_call.reset();
-    if (m_has_begun_stream) {
-        m_events.handle_broken_connection();
-    }
+    m_events.handle_broken_connection(); // also before the first event: a part of one may have arrived
     const bool will_retry = may_retry();
     m_journal.attempt_failed(m_admitted, m_server_id, slot, reason, m_attempts, will_retry, busy);
     if (will_retry) {
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -186,6 +186,20 @@
     CHECK(site.runs_of("s") == 3);
 }
 
+TEST_CASE("gateway: a stream that broke in its first event begins anew at another engine",
+          "[gateway][carriage]") {
+    // The engine crashes in the middle of the first event, before the caller got anything. If the gateway
+    // kept that part of an event, the caller's first event would begin with it.
+    gateway_site site(stream_site(true, 2));
+    set_fault_everywhere(site, 2, backend_fault::cut_first_event, 1);
+    const auto answer = site.send(0, stream_call("s", 40));
+    CHECK(answer.status == 200);
+    CHECK(answer.is_complete);
+    CHECK(answer.body.starts_with("id: 1\ndata: token 1\n\nid: 2\n"));
+    CHECK(event_numbers(answer.body) == numbers_up_to(11));
+    CHECK(site.runs_of("s") == 3);
+}
+
 TEST_CASE("gateway: the request of a caller that disconnects is cancelled", "[gateway][carriage]") {
     // The caller of a long stream disconnects. The engine would otherwise continue for nobody and occupy a
     // slot.
