--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -207,7 +207,7 @@
 }
 
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
-/// its maximum wait. Its caller learns at once when it is worth to come back, instead of waiting in vain.
+/// its maximum wait. Its caller learns at once when to come back, instead of waiting in vain.
 bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
     const auto wait = expect_rate_wait(servers_of(request.service), count_ahead(request), now);
     const auto left = request.arrived + max_wait_of(request) - now;
