--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -2,6 +2,7 @@
 #include "emulator/emulated_backend.hpp"
 
 #include "base/pause.hpp"
+#include "platform/rate_limit_codec.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -116,7 +117,7 @@
     m_named_limits.push_back({steady_clock::now(), per_second});
     m_additional_fields.clear();
     if (per_second.has_value()) {
-        m_additional_fields.push_back({m_fields.rate_limit, std::to_string(*per_second)});
+        m_additional_fields.push_back({m_fields.rate_limit, platform::encode_rate_limit(*per_second)});
     }
 }
 
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -46,6 +46,12 @@
 /// Part of this time by which it is lengthened at random.
 constexpr double rate_limit_retry_spread = 0.5;
 
+/// A number from 0 to 1 for the retry delay of a refused request. Seeded with the ticket, it differs between
+/// requests, so that they don't return together, but is the same whenever a run is repeated.
+double draw_for(slot_ticket ticket) {
+    return static_cast<double>(random_sequence(ticket).below(draw_steps)) / draw_steps;
+}
+
 /// Expected seconds until `waiting` queued requests have got slots at a rate of `per_second` grants.
 double expect_wait(std::size_t waiting, double per_second) {
     if (waiting < min_queue_for_estimate) {
@@ -180,9 +186,7 @@
 void slot_scheduler::refuse(tier_state& tier, const slot_request& request, wait_comparison why,
                             time_point now) {
     tier.overload.record_refusal(now);
-    // Seeded with the ticket, the draw differs between requests but is the same whenever a run is repeated.
-    const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
-    const auto wait = tier.overload.retry_after(request.deadline - now, draw, now);
+    const auto wait = tier.overload.retry_after(request.deadline - now, draw_for(request.ticket), now);
     m_refusals.push_back(
         {request.ticket, refusal_reason::overloaded, wait, why.needed_seconds, why.available_seconds});
 }
@@ -217,11 +221,10 @@
     const auto retry_after = *wait == duration::max()
                                  ? no_part_retry
                                  : std::clamp<duration>(*wait, min_rate_limit_retry, max_rate_limit_retry);
-    // Seeded with the ticket, the draw differs between requests, so that they don't return together.
-    const double draw = static_cast<double>(random_sequence(request.ticket).below(draw_steps)) / draw_steps;
-    m_refusals.push_back({request.ticket, refusal_reason::over_server_limit,
-                          from_seconds(to_seconds(retry_after) * (1 + draw * rate_limit_retry_spread)),
-                          to_seconds(*wait), to_seconds(left)});
+    m_refusals.push_back(
+        {request.ticket, refusal_reason::over_server_limit,
+         from_seconds(to_seconds(retry_after) * (1 + draw_for(request.ticket) * rate_limit_retry_spread)),
+         to_seconds(*wait), to_seconds(left)});
     return true;
 }
 
