Losing the gateway that confirms, or its store, isn't taken for an outage of the store

A gateway on which others rely now polls when the last confirmation is 0.60 to 0.62 of the limit old; with the next check and the answer it stays within the 0.7 that count as without interruption. An outage is reported when a poll that the store should have answered is overdue (the earliest limit of all its calls), when a call fails, and before the first answer after a longer gap.

The test 'gateways don't all poll an unresponsive store again at the same moment' asked pollers for different moments around 0.975 of the limit. The roles have different times now: it asks the same of both, each around its own.

'losing the gateway that confirms doesn't look like an interruption of the store' fails with the former times (stale only after 0.7 for the confirming gateway, from 0.85 for pollers).

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -33,8 +33,6 @@
 constexpr milliseconds max_retry_delay_if_not_followed{3000};
 /// How often a gateway that relies on others checks whether it still may.
 constexpr milliseconds role_check_period{100};
-/// How often it is checked whether an open read has to be repeated.
-constexpr milliseconds repeat_check_period{100};
 /// Range of the period after which an unanswered first read is repeated. It is about a hundred times the
 /// store's usual 4 ms, so a store that is slowed down by a factor of 50 still answers the first read.
 constexpr milliseconds min_first_read_period{300};
@@ -151,7 +149,7 @@
 }
 
 store_follower::clock::duration store_follower::poll_age() const {
-    return m_poll.has_value() ? clock::now() - m_poll->asked_at : clock::duration::zero();
+    return m_poll.has_value() ? m_poll->age(clock::now()) : clock::duration::zero();
 }
 
 void store_follower::record_loss(std::string_view reason) {
@@ -163,6 +161,14 @@
     }
 }
 
+/// An outage that began and ended since the last confirmation may have gone unnoticed, since an open poll
+/// that the store has lost looks like one without changes.
+void store_follower::record_gap() {
+    if (m_confirmation.age(clock::now()) > m_schedule.longest_gap()) {
+        m_handlers.on_outage();
+    }
+}
+
 void store_follower::record_answer(store::position at, std::uint64_t store_time) {
     m_poll.reset();
     m_answered_at = clock::now();
@@ -200,6 +206,7 @@
         if (apply_era(at)) {
             co_return;
         }
+        record_gap();
         record_answer(at, page->store_time);
         for (const auto& change : page->changes) {
             m_handlers.on_change(change);
@@ -218,32 +225,33 @@
     record_poll_start();
     start_poll(poll,
                m_is_store_answering ? m_schedule.wait(m_handlers.read_role(), age) : clock::duration::zero());
-    const auto watch = m_timers.every(m_executor, repeat_check_period, [&] { repeat_if_due(poll); });
+    const auto period = std::chrono::duration_cast<milliseconds>(m_schedule.check_period());
+    const auto watch = m_timers.every(m_executor, period, [&] { check_poll(poll); });
     co_return co_await poll.first_answer();
 }
 
 void store_follower::start_poll(change_poll& poll, clock::duration wait) {
-    m_poll->repeated_at = clock::now();
-    m_poll->answer_due = m_poll->repeated_at + m_schedule.answer_limit(wait);
+    m_poll->record_sent(clock::now(), m_schedule.answer_limit(wait));
     const auto open = std::chrono::duration_cast<milliseconds>(wait);
     poll.start_call(m_table.changes(m_table_name, m_position.version, open));
 }
 
-void store_follower::repeat_if_due(change_poll& poll) {
+/// Repeats the poll if the held state wasn't confirmed for too long, and reports an outage if the store
+/// should have answered by now.
+void store_follower::check_poll(change_poll& poll) {
     const auto now = clock::now();
     const auto role = m_handlers.read_role();
     const bool relies_on_others = role == policy::poll_role::passive;
-    const bool is_stale = m_schedule.is_stale(role, m_confirmation.age(now));
-    if (relies_on_others || !is_stale || now - m_poll->repeated_at < m_schedule.repeat_delay(role)) {
+    if (relies_on_others || !m_schedule.is_stale(role, m_confirmation.age(now))) {
         return;
     }
-    // Also called when only the confirmations of other gateways are missing: the store may be accepting no
-    // heartbeats of servers either.
-    m_handlers.on_outage();
-    if (now >= m_poll->answer_due) {
+    if (m_poll->is_overdue(now)) {
+        m_handlers.on_outage();
         record_loss("a poll was not answered in time");
     }
-    start_poll(poll, clock::duration::zero());
+    if (m_poll->time_since_sent(now) >= m_schedule.repeat_delay(role)) {
+        start_poll(poll, clock::duration::zero());
+    }
 }
 
 } // namespace borageford::gateway
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -4,6 +4,7 @@
 
 #include "base/timer_service.hpp"
 #include "policy/confirmation.hpp"
+#include "policy/open_poll.hpp"
 #include "policy/poll_role.hpp"
 #include "policy/poll_schedule.hpp"
 #include "store/repeated_poll.hpp"
@@ -34,10 +35,9 @@
         std::function<void(const store::row_page&)> on_all;
         /// One change, of the same era as the rows last passed to on_all.
         std::function<void(const store::row_change&)> on_change;
-        /// Called on each failed call, that is when the store couldn't be reached or refused the call, and
-        /// each time that a poll is repeated because the held state hasn't been confirmed for too long. The
-        /// latter also happens when only confirmations of other gateways are missing, while the store may be
-        /// available to this gateway.
+        /// Called repeatedly while the store can't be reached, refuses calls or leaves a poll unanswered, and
+        /// before the first answer after a time in which it may have done so unnoticed. Not called when only
+        /// the confirmations of other gateways are missing and the store answers this gateway's poll.
         std::function<void()> on_outage;
         /// Returns the position up to which all changes are known from another source, for instance another
         /// gateway. Version 0: no changes are known, but the store is in that era.
@@ -86,17 +86,10 @@
     /// The answer is empty when the store has dropped the history after the requested version.
     using change_poll = store::repeated_poll<std::optional<store::change_page>>;
 
-    /// When the open read was started, and when it was last repeated.
-    struct open_poll {
-        clock::time_point asked_at;
-        clock::time_point repeated_at{};
-        /// An unresponsive store is assumed if the last repetition has no answer by then.
-        clock::time_point answer_due{};
-    };
-
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
-    void record_poll_start() { m_poll = open_poll{clock::now()}; }
+    void record_poll_start() { m_poll.emplace(clock::now()); }
+    void record_gap();
     void record_answer(store::position at, std::uint64_t store_time);
     [[nodiscard]] store::position add_era(store::position received) const;
     void reject_previous_era(store::position received) const;
@@ -107,7 +100,7 @@
     boost::asio::awaitable<void> wait_while_relying();
     boost::asio::awaitable<std::optional<store::change_page>> poll_changes();
     void start_poll(change_poll& poll, clock::duration wait);
-    void repeat_if_due(change_poll& poll);
+    void check_poll(change_poll& poll);
     void apply_known_position();
     [[nodiscard]] std::chrono::milliseconds next_delay();
     [[nodiscard]] std::chrono::milliseconds draw_between(std::chrono::milliseconds least,
@@ -129,7 +122,7 @@
     unsigned m_failures = 0; ///< Failed calls since the last answer.
     std::optional<clock::time_point> m_lost_since;
     clock::time_point m_answered_at = clock::now();
-    std::optional<open_poll> m_poll;
+    std::optional<policy::open_poll> m_poll;
     handlers m_handlers;
     std::minstd_rand m_random;
 };
--- a/src/policy/poll_schedule.hpp
+++ b/src/policy/poll_schedule.hpp
@@ -38,15 +38,19 @@
     /// Whether the last confirmation is so old that the gateway must poll before it relies on its copy any
     /// longer.
     [[nodiscard]] bool is_stale(poll_role role, duration age) const noexcept {
+        const auto timeout_if_relied_on = share(min_timeout) + random_share(timeout_spread);
         const auto timeout_of_others = share(min_timeout_of_others) + random_share(timeout_spread_of_others);
-        return age > (role == poll_role::confirmer ? share(confirmer_timeout) : timeout_of_others);
+        return age > (is_relied_on(role) ? timeout_if_relied_on : timeout_of_others);
     }
 
+    /// How often to check whether a poll has to be repeated.
+    [[nodiscard]] duration check_period() const noexcept { return share(check_interval); }
+
     /// Whether the last confirmation is recent enough for other gateways to rely on it.
     [[nodiscard]] bool is_current(duration age) const noexcept { return age <= longest_gap(); }
 
     /// Longest time between two confirmations for which the store counts as continuously available.
-    [[nodiscard]] duration longest_gap() const noexcept { return share(confirmer_timeout); }
+    [[nodiscard]] duration longest_gap() const noexcept { return share(longest_gap_share); }
 
     /// How long to wait for the answer to a poll that the store should answer at once before polling again.
     [[nodiscard]] duration repeat_delay(poll_role role) const noexcept {
@@ -65,9 +69,16 @@
 
     // Fractions of the limit, in hundredths.
     static constexpr int confirmation_interval = 50;
-    static constexpr int confirmer_timeout = 70;
-    /// Longer than `confirmer_timeout`: the answer to the confirming gateway's poll should arrive at the
-    /// other gateways before they poll.
+    static constexpr int longest_gap_share = 70;
+    /// Timeout of the gateways that others rely on. It is longer than `confirmation_interval` by the time in
+    /// which the confirming gateway's announcement arrives. With the next check and the answer it still ends
+    /// within `longest_gap_share`: otherwise every loss of the confirming gateway would look like an
+    /// interruption of the store, and servers that shut down soon afterwards would be retained.
+    static constexpr int min_timeout = 60;
+    static constexpr int timeout_spread = 2;
+    static constexpr int check_interval = 4;
+    /// Longer than `longest_gap_share`: the answer to another gateway's poll should arrive at these gateways
+    /// before they poll.
     static constexpr int min_timeout_of_others = 85;
     static constexpr int timeout_spread_of_others = 25;
     static constexpr int min_repeat_delay = 25;
--- a/tests/unit/test_policy_poll_schedule.cpp
+++ b/tests/unit/test_policy_poll_schedule.cpp
@@ -1,6 +1,7 @@
 // Tests of poll_schedule (when a gateway polls the store again) and of confirmation (which confirmations
 // count).
 #include "policy/confirmation.hpp"
+#include "policy/open_poll.hpp"
 #include "policy/poll_schedule.hpp"
 
 #include <catch2/catch.hpp>
@@ -63,9 +64,46 @@
     const poll_schedule first(limit, 0.1);
     const poll_schedule second(limit, 0.9);
     const auto between = limit * 17 / 20 + limit / 8;
-    CHECK(first.is_stale(poll_role::poller, between));
-    CHECK_FALSE(second.is_stale(poll_role::poller, between));
-    CHECK(first.repeat_delay(poll_role::poller) < second.repeat_delay(poll_role::poller));
+    CHECK(first.is_stale(poll_role::fallback, between));
+    CHECK_FALSE(second.is_stale(poll_role::fallback, between));
+    const auto between_pollers = limit * 61 / 100;
+    CHECK(first.is_stale(poll_role::poller, between_pollers));
+    CHECK_FALSE(second.is_stale(poll_role::poller, between_pollers));
+    for (const auto role : {poll_role::poller, poll_role::fallback}) {
+        CHECK(first.repeat_delay(role) < second.repeat_delay(role));
+    }
+}
+
+TEST_CASE("losing the gateway that confirms doesn't look like an interruption of the store",
+          "[policy][poll_schedule]") {
+    // The confirming gateway was cut off, or the store answers all gateways but it. The store answered the
+    // others all the time, but their polls came so late that they counted the time before as an interruption.
+    // A server that shut down soon afterwards was retained, and requests were sent to it.
+    constexpr duration answer_time = 20ms;
+    for (const auto change_limit : {duration(500ms), duration(2s), duration(4s)}) {
+        for (const double draw : {0.0, 0.5, 0.99}) {
+            const poll_schedule schedule(change_limit, draw);
+            for (const auto role : {poll_role::confirmer, poll_role::poller}) {
+                auto age = duration::zero();
+                while (!schedule.is_stale(role, age)) {
+                    age += schedule.check_period();
+                }
+                CHECK(age + answer_time <= schedule.longest_gap());
+            }
+        }
+    }
+}
+
+TEST_CASE("a poll that the store leaves unanswered is overdue", "[policy][poll_schedule]") {
+    // Guards against missing an outage because the poll is sent again and again, each time with a new limit.
+    open_poll poll(start_time);
+    poll.record_sent(start_time, 20s);
+    poll.record_sent(start_time + 1s, 400ms);
+    CHECK_FALSE(poll.is_overdue(start_time + 1300ms));
+    poll.record_sent(start_time + 1300ms, 400ms);
+    CHECK(poll.is_overdue(start_time + 1400ms));
+    CHECK(poll.time_since_sent(start_time + 1400ms) == 100ms);
+    CHECK(poll.age(start_time + 1400ms) == 1400ms);
 }
 
 TEST_CASE("a confirmation that gateways pass around doesn't count again", "[policy][confirmation]") {
