--- a/src/coordination/rate_limit_exchange.cpp
+++ b/src/coordination/rate_limit_exchange.cpp
@@ -14,13 +14,12 @@
 
 /// Notices in one datagram that stays below the size of an Ethernet frame.
 constexpr std::size_t notices_in_datagram = 24;
-constexpr unsigned incarnation_shift = 32;
 
 } // namespace
 
 rate_limit_exchange::rate_limit_exchange(policy::member_key self, std::uint64_t incarnation,
                                          change_handler on_change)
-    : m_self(self), m_incarnation(incarnation), m_on_change(std::move(on_change)), m_pauses(clock::now()) {
+    : m_self(self), m_ids(incarnation), m_on_change(std::move(on_change)), m_pauses(clock::now()) {
     check_clock();
 }
 
@@ -41,10 +40,9 @@
                                   policy::time_point asked) {
     check_clock();
     const auto now = clock::now();
-    const auto id = (m_incarnation << incarnation_shift) | ++m_last_notice;
     const auto sent = m_pauses.correct(asked);
     const auto heard = std::max(sent, m_pauses.earliest_arrival(now));
-    report(m_table.observe({server, id, limit, sent, heard, m_self}, now));
+    report(m_table.observe({server, m_ids.next(), limit, sent, heard, m_self}, now));
 }
 
 void rate_limit_exchange::merge(std::span<const policy::rate_limit_notice> notices) {
--- a/src/coordination/rate_limit_exchange.hpp
+++ b/src/coordination/rate_limit_exchange.hpp
@@ -1,6 +1,7 @@
 // What this process knows of the rate limits of backend servers, and what it tells other gateways of them.
 #pragma once
 
+#include "coordination/id_sequence.hpp"
 #include "policy/pause_detector.hpp"
 #include "policy/rate_limit_table.hpp"
 
@@ -62,8 +63,7 @@
     void report(const std::optional<policy::rate_limit_table::change>& change) const;
 
     policy::member_key m_self;
-    std::uint64_t m_incarnation;
-    std::uint32_t m_last_notice = 0; ///< counts the notices of this process
+    id_sequence m_ids; ///< ids of the notices of this process
     change_handler m_on_change;
     policy::rate_limit_table m_table;
     policy::pause_detector m_pauses;
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -32,8 +32,6 @@
 constexpr std::size_t max_initial_reports = 64;
 /// How long a process that has just started waits for a first message of another one before it grants slots.
 constexpr milliseconds learning_time{400};
-/// The position of the incarnation's bits in a ticket; see policy::slot_ticket.
-constexpr unsigned ticket_shift = 32;
 
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
@@ -61,6 +59,7 @@
       m_settings(settings),
       m_observers(std::move(callbacks)),
       m_incarnation(identifier::random().low),
+      m_tickets(m_incarnation),
       m_self(key_of(settings.local.address())),
       m_election(m_self, settings.processor_share, settings.election, clock::now()),
       m_coordinator(settings.slots, settings.quotas, settings.retries),
@@ -124,10 +123,6 @@
     m_coordinator.quotas().remove(workspace);
 }
 
-policy::slot_ticket slot_broker::next_ticket() noexcept {
-    return (m_incarnation << ticket_shift) | ++m_last_ticket;
-}
-
 void slot_broker::request(const policy::slot_request& wanted, slot_callbacks callbacks) {
     auto local_request = wanted;
     local_request.domain = m_settings.domain;
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -7,6 +7,7 @@
 #include "coordination/batch_channel.hpp"
 #include "coordination/deferred_refusals.hpp"
 #include "coordination/heartbeat_schedule.hpp"
+#include "coordination/id_sequence.hpp"
 #include "coordination/local_requests.hpp"
 #include "coordination/member_sessions.hpp"
 #include "coordination/message.hpp"
@@ -43,8 +44,8 @@
     /// How long a request that exceeds the local share waits for a coordinator after a start or after the
     /// loss of a coordinator. The members usually find a new one within a few heartbeats.
     std::chrono::milliseconds coordinator_patience{400};
-    bool obeys_rate_limits =
-        true; ///< false: servers' rate limits are known, but slots are granted without them
+    /// false: servers' rate limits are known, but slots are granted without them
+    bool obeys_rate_limits = true;
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::quota_limits quotas;
@@ -121,9 +122,9 @@
     void set_quota(policy::workspace_key workspace, policy::quota limit);
     void remove_quota(policy::workspace_key workspace);
 
-    /// Returns the id for the next slot request of this process; see policy::slot_ticket for how far ids
-    /// are unique.
-    [[nodiscard]] policy::slot_ticket next_ticket() noexcept;
+    /// Returns the id for the next slot request of this process; see id_sequence for how far they
+    /// differ.
+    [[nodiscard]] policy::slot_ticket next_ticket() noexcept { return m_tickets.next(); }
 
     /// Requests a slot. One of the callbacks in `callbacks` is called once, after this function has returned,
     /// unless the request is withdrawn before.
@@ -199,7 +200,7 @@
     broker_settings m_settings;
     observers m_observers;
     std::uint64_t m_incarnation;
-    std::uint32_t m_last_ticket = 0;
+    id_sequence m_tickets;
     policy::member_key m_self;
     policy::coordinator_election m_election;
     slot_coordinator m_coordinator;
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -20,10 +20,8 @@
 /// The key of the failure domain with this name; 0 for an empty name.
 [[nodiscard]] domain_key domain_key_of(std::string_view name) noexcept;
 
-/// The id of a slot request. Its upper half consists of random bits that the process drew at its start, its
-/// lower half is a counter of the process (coordination::slot_broker::next_ticket()). So the tickets of one
-/// process differ for its first 2^32 requests, and those of different processes differ unless two
-/// processes draw the same 32 bits, which is unlikely but isn't checked.
+/// The id of a slot request, drawn by coordination::slot_broker::next_ticket(); see coordination::id_sequence
+/// for how far ids differ.
 using slot_ticket = std::uint64_t;
 
 /// Number of distinct tiers of workspaces, and of routes. Higher tier numbers count as the lowest tier.
