A gateway whose address is in use names the address and ends

What an operator saw: exit code 134 with a backtrace and 'bind: Address already in use', without the address.

Cause: nothing caught what starting threw, and the system's error has no address.

net/listening opens, binds and listens for all of them and throws an error that names the address; the gateway writes gateway_failed, as entry and sidecar do, and ends with 1, without destructors for the reason that process/runtime gives.

--- a/src/admin/revision_listener.cpp
+++ b/src/admin/revision_listener.cpp
@@ -3,6 +3,7 @@
 
 #include "admin/configuration_exchange.hpp"
 #include "base/pause.hpp"
+#include "net/listening.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -107,13 +108,9 @@
 }
 
 tcp::endpoint revision_listener::listen(const tcp::endpoint& address) {
-    auto& acceptor = m_state->acceptor;
-    acceptor.open(address.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(address);
-    acceptor.listen();
+    const auto in_use = net::listen(m_state->acceptor, address);
     asio::co_spawn(m_state->strand, state::accept(m_state), asio::detached);
-    return acceptor.local_endpoint();
+    return in_use;
 }
 
 } // namespace borageford::admin
--- a/src/coordination/peer_socket.cpp
+++ b/src/coordination/peer_socket.cpp
@@ -1,6 +1,8 @@
 // Receives datagrams one after another; each completed receive operation starts the next one.
 #include "coordination/peer_socket.hpp"
 
+#include "net/listening.hpp"
+
 #include <boost/asio/buffer.hpp>
 
 #include <utility>
@@ -13,7 +15,7 @@
                          receiver receive)
     : m_socket(executor, local.protocol()), m_receive(std::move(receive)) {
     m_socket.non_blocking(true);
-    m_socket.bind(local);
+    net::bind(m_socket, local);
     receive_next();
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -20,12 +20,15 @@
 #include "gateway/rollout_recorder.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
+#include "net/listening.hpp"
 #include "process/runtime.hpp"
 #include "store/table.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -102,6 +105,19 @@
           m_metrics_server(m_runtime.executor(), m_registry) {}
 
     [[noreturn]] void run() {
+        try {
+            start();
+        } catch (const std::exception& error) {
+            log::error("gateway_failed", {{"why", error.what()}});
+            events::flush();
+            // Without destructors: see process::runtime::run().
+            std::_Exit(EXIT_FAILURE);
+        }
+        m_runtime.run([this] { m_stop.begin(); }, [this] { reload(); }, process::repeated_stop::is_ignored);
+    }
+
+private:
+    void start() {
         m_context.on_unknown_server = [this] {
             m_exchange.fetch_backends_at_once();
         };
@@ -125,10 +141,8 @@
         events::flush();
         m_flush_timer =
             m_runtime.timers().every(m_runtime.executor(), log_flush_period, [] { events::flush(); });
-        m_runtime.run([this] { m_stop.begin(); }, [this] { reload(); }, process::repeated_stop::is_ignored);
     }
 
-private:
     void add_gauges() {
         m_registry.add_gauge("borageford_gateway_requests_in_progress",
                              "Requests without their final answer.", {},
@@ -335,10 +349,7 @@
     }
 
     void listen() {
-        m_acceptor.open(m_settings.callers_listen.protocol());
-        m_acceptor.set_option(asio::socket_base::reuse_address(true));
-        m_acceptor.bind(m_settings.callers_listen);
-        m_acceptor.listen(listen_backlog);
+        net::listen(m_acceptor, m_settings.callers_listen, listen_backlog);
         accept();
     }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "http/server.hpp"
 
 #include "base/log.hpp"
+#include "net/listening.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -410,11 +411,7 @@
 
 tcp::endpoint server::listen(const tcp::endpoint& address) {
     auto& acceptor = m_state->acceptor;
-    acceptor.open(address.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(address);
-    acceptor.listen();
-    const auto in_use = acceptor.local_endpoint();
+    const auto in_use = net::listen(acceptor, address);
     asio::co_spawn(acceptor.get_executor(), m_state->accept(), asio::detached);
     return in_use;
 }
--- a/src/sidecar/peer_registry.cpp
+++ b/src/sidecar/peer_registry.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/peer_registry.hpp"
 
 #include "base/log.hpp"
+#include "net/listening.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -29,12 +30,9 @@
       m_acceptor(m_strand) {}
 
 asio::ip::tcp::endpoint peer_registry::listen(const asio::ip::tcp::endpoint& address) {
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+    const auto in_use = net::listen(m_acceptor, address);
     asio::post(m_strand, [this] { accept_next(); });
-    return m_acceptor.local_endpoint();
+    return in_use;
 }
 
 void peer_registry::accept_next() {
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -78,6 +78,10 @@
     [[nodiscard]] http::endpoint readiness(std::size_t gateway) const;
     [[nodiscard]] http::endpoint metrics(std::size_t gateway) const;
     [[nodiscard]] child_process& process(std::size_t gateway) { return *m_gateways.at(gateway).process; }
+    /// The settings file of a gateway, in the folder that holds all files of the site.
+    [[nodiscard]] const std::filesystem::path& settings_file(std::size_t gateway) const {
+        return m_gateways.at(gateway).settings;
+    }
     /// Starts the process of a gateway (again) with its current settings file.
     void start_gateway(std::size_t index);
     /// Writes a gateway's settings file with `further` as additional lines of [gateway]; it takes effect at
