A negative token count no longer lowers what a request takes of its workspace's quota

What a workspace's caller could do: state 'Token-Usage: 1000,-999' and have a request of a thousand tokens counted as one. Numbers with trailing text counted as the number in front of it ('10,5x' as 10 and 5), and the estimate of the running time could become negative.

Cause: the number in a header field was parsed with from_chars alone, which takes a sign and stops at the first other character. gateway/stated_tokens takes whole integers only, and only counts for tokens; a request whose counts can't be read counts as one that states none (the workspace's default), with the event request_field_unreadable.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -116,6 +116,9 @@
     event_description{event_kind::backend_limit_unreadable, "backend_limit_unreadable", warning, state_rate,
                       "A backend server's answer names a rate limit that can't be read; it is ignored.",
                       "backend request value reason"},
+    event_description{event_kind::request_field_unreadable, "request_field_unreadable", warning, failure_rate,
+                      "A request states a number that can't be read; it is treated as if it stated none.",
+                      "request field value"},
     event_description{
         event_kind::request_malformed, "request_malformed", warning, failure_rate,
         "A caller sent bytes that are no valid request, sent too many, or sent them too slowly.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -50,6 +50,7 @@
     backend_limit_unreadable,
 
     // Requests, logged by the gateway that received them from their callers.
+    request_field_unreadable,
     request_malformed,
     request_placed,
     request_try_failed,
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -3,11 +3,15 @@
 
 #include "base/hash.hpp"
 #include "base/request_error.hpp"
+#include "events/event_log.hpp"
+#include "gateway/stated_tokens.hpp"
 
 #include <algorithm>
-#include <charconv>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <random>
+#include <string>
 #include <string_view>
 
 namespace borageford::gateway {
@@ -19,15 +23,6 @@
 /// receives its configuration within this time if the store works.
 constexpr milliseconds first_configuration_wait{300};
 
-std::optional<std::int64_t> parse_number(std::optional<std::string_view> text) {
-    if (!text.has_value()) {
-        return std::nullopt;
-    }
-    std::int64_t value = 0;
-    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
-    return parsed.ec == std::errc{} ? std::optional(value) : std::nullopt;
-}
-
 double draw() {
     thread_local std::mt19937_64 engine{std::random_device{}()};
     return std::uniform_real_distribution<double>(0, 1)(engine);
@@ -48,24 +43,40 @@
     return found;
 }
 
-/// Token counts stated by the caller: those of the prompt, and the maximum of the output.
-struct stated_tokens {
-    double prompt = 0;
-    double max_output = 0;
-};
+/// Longest part of an unreadable value that is logged; a header field may be thousands of bytes long.
+constexpr std::size_t max_logged_bytes = 40;
 
-stated_tokens read_tokens(const gateway_context& context, const http::field_list& fields) {
-    stated_tokens result;
-    const auto stated = fields.find(context.fields.tokens);
+void report_unreadable(std::string_view request_id, std::string_view field, std::string_view value) {
+    events::write(events::event_kind::request_field_unreadable,
+                  {{"request", request_id}, {"field", field}, {"value", value.substr(0, max_logged_bytes)}});
+}
+
+/// The number in the field; nothing if it is missing or can't be read.
+std::optional<std::int64_t> read_integer(std::string_view request_id, const http::field_list& fields,
+                                         const std::string& name) {
+    const auto stated = fields.find(name);
     if (!stated.has_value()) {
-        return result;
+        return std::nullopt;
     }
-    const auto comma = stated->find(',');
-    result.prompt = static_cast<double>(parse_number(stated->substr(0, comma)).value_or(0));
-    if (comma != std::string_view::npos) {
-        result.max_output = static_cast<double>(parse_number(stated->substr(comma + 1)).value_or(0));
+    const auto value = parse_integer(*stated);
+    if (!value.has_value()) {
+        report_unreadable(request_id, name, *stated);
     }
-    return result;
+    return value;
+}
+
+/// The token counts that the request states; zeros, as if it stated none, if they can't be read.
+stated_tokens read_tokens(std::string_view request_id, const http::field_list& fields,
+                          const std::string& name) {
+    const auto stated = fields.find(name);
+    if (!stated.has_value()) {
+        return {};
+    }
+    const auto tokens = parse_tokens(*stated);
+    if (!tokens.has_value()) {
+        report_unreadable(request_id, name, *stated);
+    }
+    return tokens.value_or(stated_tokens{});
 }
 
 double count_units(const routing::workspace* workspace, const stated_tokens& tokens) {
@@ -98,13 +109,14 @@
     result.service = &result.configuration->choose_service(*result.route, draw());
     result.id = fields.find(context.fields.request_id).value_or("");
     auto limit = result.route->timeout;
-    if (const auto stated = parse_number(fields.find(context.fields.deadline))) {
+    if (const auto stated = read_integer(result.id, fields, context.fields.deadline)) {
         limit = std::min(limit, milliseconds(*stated));
     }
     result.deadline = arrived + limit;
-    const auto tokens = read_tokens(context, fields);
-    const auto expected = parse_number(fields.find(context.fields.expected_length));
-    result.cost = {tokens.prompt, expected ? static_cast<double>(*expected) : tokens.max_output};
+    const auto tokens = read_tokens(result.id, fields, context.fields.tokens);
+    const auto expected = read_integer(result.id, fields, context.fields.expected_length);
+    const bool is_expected_known = expected.has_value() && *expected >= 0;
+    result.cost = {tokens.prompt, is_expected_known ? static_cast<double>(*expected) : tokens.max_output};
     result.units = count_units(result.workspace, tokens);
     const int of_workspace = result.workspace != nullptr ? result.workspace->tier.value_or(0) : 0;
     result.tier = policy::combine_tiers(of_workspace, result.route->tier);
