--- a/tests/failure/test_gateway_rollout.cpp
+++ b/tests/failure/test_gateway_rollout.cpp
@@ -48,13 +48,15 @@
     return site.on_emulator([&] { return site.backend(server).runs().size(); });
 }
 
+bool names_end(const std::string& text) {
+    return text.find("completed") != std::string::npos || text.find("rolled_back") != std::string::npos;
+}
+
 /// Returns the gateway's log line about the end of the roll-out; empty while there is none.
 std::string final_phase_line(gateway_site& site) {
     std::istringstream log(site.process(0).output_text());
     for (std::string line; std::getline(log, line);) {
-        const bool is_final = line.find(R"("phase":"completed")") != std::string::npos ||
-                              line.find(R"("phase":"rolled_back")") != std::string::npos;
-        if (is_final) {
+        if (line.find(R"("event":"rollout_moved")") != std::string::npos && names_end(line)) {
             return line;
         }
     }
@@ -78,8 +80,7 @@
         return !final_phase_line(site).empty();
     });
     INFO(final_phase_line(site));
-    wait_until("the end of the roll-out is recorded",
-               [&] { return status_of(site).find("running") == std::string::npos; });
+    wait_until("the end of the roll-out is recorded", [&] { return names_end(status_of(site)); });
     REQUIRE(status_of(site).find(state) != std::string::npos);
     return sent;
 }
