The requests ahead are counted only where rate limits hold all servers back

Each new slot request looked up its service's queues and added up their lengths, also while no server names a limit, and expect_rate_wait threw the number away. Whether all servers are held back is a question of its own now, asked first, and the expected wait is no longer optional.

--- a/src/policy/rate_limit_schedule.cpp
+++ b/src/policy/rate_limit_schedule.cpp
@@ -78,13 +78,14 @@
     return std::exchange(m_used_up, {});
 }
 
-std::optional<duration> expect_rate_wait(slot_servers servers, std::size_t ahead, time_point now) {
+bool are_all_rate_blocked(slot_servers servers) {
     const auto is_blocked = [](const auto* server) {
         return server->is_rate_blocked;
     };
-    if (servers.empty() || !std::ranges::all_of(servers, is_blocked)) {
-        return std::nullopt;
-    }
+    return !servers.empty() && std::ranges::all_of(servers, is_blocked);
+}
+
+duration expect_rate_wait(slot_servers servers, std::size_t ahead, time_point now) {
     double per_second = 0;
     auto soonest = duration::max();
     for (const auto* server : servers) {
--- a/src/policy/rate_limit_schedule.hpp
+++ b/src/policy/rate_limit_schedule.hpp
@@ -48,9 +48,10 @@
     std::vector<server_key> m_used_up;
 };
 
-/// The expected time until a request gets a slot that has this many others ahead of it, if every one of the
-/// servers is held back by its rate limit; nothing if one isn't, or if there is no server.
-[[nodiscard]] std::optional<duration> expect_rate_wait(slot_servers servers, std::size_t ahead,
-                                                       time_point now);
+/// Whether there are servers, and each of them is held back by its rate limit.
+[[nodiscard]] bool are_all_rate_blocked(slot_servers servers);
+/// The expected time until a request gets a slot that has this many others ahead of it, while all servers are
+/// held back by their rate limits; `duration::max()` if the limits allow none.
+[[nodiscard]] duration expect_rate_wait(slot_servers servers, std::size_t ahead, time_point now);
 
 } // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -213,18 +213,22 @@
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
 /// its maximum wait. Its caller learns at once when to come back, instead of waiting in vain.
 bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
-    const auto wait = expect_rate_wait(servers_of(request.service), count_ahead(request), now);
+    const auto servers = servers_of(request.service);
+    if (!are_all_rate_blocked(servers)) {
+        return false;
+    }
+    const auto wait = expect_rate_wait(servers, count_ahead(request), now);
     const auto left = request.arrived + max_wait_of(request) - now;
-    if (!wait.has_value() || *wait <= left) {
+    if (wait <= left) {
         return false;
     }
-    const auto retry_after = *wait == duration::max()
+    const auto retry_after = wait == duration::max()
                                  ? no_part_retry
-                                 : std::clamp<duration>(*wait, min_rate_limit_retry, max_rate_limit_retry);
+                                 : std::clamp<duration>(wait, min_rate_limit_retry, max_rate_limit_retry);
     m_refusals.push_back(
         {request.ticket, refusal_reason::over_server_limit,
          from_seconds(to_seconds(retry_after) * (1 + draw_for(request.ticket) * rate_limit_retry_spread)),
-         to_seconds(*wait), to_seconds(left)});
+         to_seconds(wait), to_seconds(left)});
     return true;
 }
 
