--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -164,7 +164,7 @@
 /// An outage that began and ended since the last confirmation may have gone unnoticed, since an open poll
 /// that the store has lost looks like one without changes.
 void store_follower::record_gap() {
-    if (m_confirmation.age(clock::now()) > m_schedule.longest_gap()) {
+    if (!is_current()) {
         m_handlers.on_outage();
     }
 }
