--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -110,7 +110,8 @@
         } catch (const std::exception& error) {
             log::error("gateway_failed", {{"why", error.what()}});
             events::flush();
-            // Without destructors: see process::runtime::run().
+            // Without destructors: destroying suspended coroutines may corrupt the heap, see
+            // process::runtime::run().
             std::_Exit(EXIT_FAILURE);
         }
         m_runtime.run([this] { m_stop.begin(); }, [this] { reload(); }, process::repeated_stop::is_ignored);
