One parser of whole numbers, and one excerpt of received values for the log

gateway/stated_tokens wrote once more what settings, audit, the event relay, the peer exchange, the administration and the store's format each had: a number that takes up the whole text. base/parse_number does it for all seven; the parsers that read a number in front of other text stay. The length at which an unreadable field is logged stood twice, with the same comment; events::excerpt has it. The tests keep their texts and assertions.

--- a/src/admin/administration.cpp
+++ b/src/admin/administration.cpp
@@ -5,6 +5,7 @@
 #include "admin/answers.hpp"
 #include "admin/quarantine.hpp"
 #include "base/log.hpp"
+#include "base/parse_number.hpp"
 #include "base/request_error.hpp"
 #include "base/sha256.hpp"
 #include "settings/section_reader.hpp"
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdint>
 #include <utility>
 
@@ -65,13 +65,12 @@
 }
 
 std::uint64_t parse_count(std::string_view text, std::string_view what) {
-    std::uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+    const auto value = parse_number<std::uint64_t>(text);
+    if (!value.has_value()) {
         throw request_error(error_kind::bad_request, std::string(what) + " must be a whole number, found \"" +
                                                          std::string(text) + "\"");
     }
-    return value;
+    return *value;
 }
 
 milliseconds parse_wait(const std::string& text) {
--- a/src/audit/batch_key.cpp
+++ b/src/audit/batch_key.cpp
@@ -1,9 +1,10 @@
 // Composes and parses the object store keys of batches.
 #include "audit/batch_key.hpp"
 
+#include "base/parse_number.hpp"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <vector>
 
@@ -30,16 +31,6 @@
     }
 }
 
-template <typename Number>
-std::optional<Number> parse_number(std::string_view text, int base = 10) {
-    Number value{};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-    if (error != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::optional<minute_point> parse_minute(std::string_view date, std::string_view hour,
                                          std::string_view minute) {
     const auto date_parts = split(date, '-');
--- a/src/events/event_log.hpp
+++ b/src/events/event_log.hpp
@@ -5,6 +5,7 @@
 #include "events/event_kind.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -23,6 +24,13 @@
     field_value value;
 };
 
+/// The beginning of an unreadable value that was received, as it is logged: a header field may be thousands
+/// of bytes long.
+[[nodiscard]] constexpr std::string_view excerpt(std::string_view value) noexcept {
+    constexpr std::size_t max_logged_bytes = 40;
+    return value.substr(0, max_logged_bytes);
+}
+
 /// Sets the process and VM names that every line contains and the lowest level that is written, and directs
 /// the lines to standard output. Must be called once, before any thread starts; without it write() does
 /// nothing.
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -2,12 +2,12 @@
 #include "gateway/admitted_request.hpp"
 
 #include "base/hash.hpp"
+#include "base/parse_number.hpp"
 #include "base/request_error.hpp"
 #include "events/event_log.hpp"
 #include "gateway/stated_tokens.hpp"
 
 #include <algorithm>
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -43,12 +43,9 @@
     return found;
 }
 
-/// Longest part of an unreadable value that is logged; a header field may be thousands of bytes long.
-constexpr std::size_t max_logged_bytes = 40;
-
 void report_unreadable(std::string_view request_id, std::string_view field, std::string_view value) {
     events::write(events::event_kind::request_field_unreadable,
-                  {{"request", request_id}, {"field", field}, {"value", value.substr(0, max_logged_bytes)}});
+                  {{"request", request_id}, {"field", field}, {"value", events::excerpt(value)}});
 }
 
 /// The number in the field; nothing if it is missing or can't be read.
@@ -58,7 +55,7 @@
     if (!stated.has_value()) {
         return std::nullopt;
     }
-    const auto value = parse_integer(*stated);
+    const auto value = parse_number<std::int64_t>(*stated);
     if (!value.has_value()) {
         report_unreadable(request_id, name, *stated);
     }
--- a/src/gateway/event_relay.cpp
+++ b/src/gateway/event_relay.cpp
@@ -2,22 +2,15 @@
 // further server continue the stream.
 #include "gateway/event_relay.hpp"
 
+#include "base/parse_number.hpp"
 #include "http/response_reader.hpp"
 
-#include <charconv>
-
 namespace borageford::gateway {
 
 namespace {
 
 std::optional<std::uint64_t> parse_id(const std::optional<std::string>& text) {
-    if (!text.has_value()) {
-        return std::nullopt;
-    }
-    std::uint64_t value = 0;
-    const auto* end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, value);
-    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(value) : std::nullopt;
+    return text.has_value() ? parse_number<std::uint64_t>(*text) : std::nullopt;
 }
 
 } // namespace
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -2,6 +2,7 @@
 // registrations, and their answers.
 #include "gateway/peer_exchange.hpp"
 
+#include "base/parse_number.hpp"
 #include "events/event_log.hpp"
 #include "http/client.hpp"
 
@@ -10,7 +11,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <string>
 #include <utility>
@@ -96,13 +96,7 @@
 
 std::optional<std::uint64_t> query_number(std::string_view target, std::string_view name) {
     const auto text = http::query_value(target, name);
-    if (!text.has_value()) {
-        return std::nullopt;
-    }
-    std::uint64_t number = 0;
-    const auto* end = text->data() + text->size();
-    const auto read = std::from_chars(text->data(), end, number);
-    return read.ec == std::errc() && read.ptr == end ? std::optional(number) : std::nullopt;
+    return text.has_value() ? parse_number<std::uint64_t>(*text) : std::nullopt;
 }
 
 /// Parses the position that the requester holds; nothing if the target isn't a request for registrations.
--- a/src/gateway/rate_limit_reader.cpp
+++ b/src/gateway/rate_limit_reader.cpp
@@ -4,7 +4,6 @@
 #include "coordination/broker_events.hpp"
 #include "events/event_log.hpp"
 
-#include <cstddef>
 #include <exception>
 #include <optional>
 #include <utility>
@@ -13,14 +12,11 @@
 
 namespace {
 
-/// Longest part of an unreadable value that is logged; a header field may be thousands of bytes long.
-constexpr std::size_t max_logged_bytes = 40;
-
 void report_unreadable(std::string_view backend, std::string_view request_id, std::string_view value,
                        std::string_view reason) {
     events::write(events::event_kind::backend_limit_unreadable, {{"backend", backend},
                                                                  {"request", request_id},
-                                                                 {"value", value.substr(0, max_logged_bytes)},
+                                                                 {"value", events::excerpt(value)},
                                                                  {"reason", reason}});
 }
 
--- a/src/gateway/stated_tokens.hpp
+++ b/src/gateway/stated_tokens.hpp
@@ -1,7 +1,6 @@
-// Reads the numbers that callers state in header fields of their requests.
+// Reads the token counts that callers state in a header field of their requests.
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -13,9 +12,6 @@
     double max_output = 0;
 };
 
-/// Parses a decimal integer; returns nothing for any other text, also if it only begins with one.
-[[nodiscard]] std::optional<std::int64_t> parse_integer(std::string_view text) noexcept;
-
 /// Parses "PROMPT,OUTPUT" or "PROMPT"; returns nothing unless the numbers are counts. A negative count would
 /// lower what the request takes of its workspace's quota.
 [[nodiscard]] std::optional<stated_tokens> parse_tokens(std::string_view text) noexcept;
--- a/src/settings/section_reader.cpp
+++ b/src/settings/section_reader.cpp
@@ -1,6 +1,8 @@
 // Converts the text values of an INI section to numbers, durations, sizes and addresses, with range checks.
 #include "settings/section_reader.hpp"
 
+#include "base/parse_number.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -34,17 +36,6 @@
     return count * found->factor;
 }
 
-template <typename Number>
-std::optional<Number> parse_number(std::string_view text) {
-    Number value{};
-    const auto* last = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), last, value);
-    if (parsed.ec != std::errc{} || parsed.ptr != last) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::string range_text(std::string_view what, const std::string& lowest, const std::string& highest) {
     return std::string(what) + " from " + lowest + " to " + highest;
 }
--- a/tests/unit/test_stated_tokens.cpp
+++ b/tests/unit/test_stated_tokens.cpp
@@ -1,10 +1,13 @@
 // Tests of the numbers that callers state in header fields.
+#include "base/parse_number.hpp"
 #include "gateway/stated_tokens.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
 #include <string_view>
 
+using borageford::parse_number;
 using namespace borageford::gateway;
 
 TEST_CASE("stated token counts that are no counts are ignored", "[gateway][stated_tokens]") {
@@ -30,10 +33,10 @@
 
 TEST_CASE("a stated number with trailing text isn't read as the number in front of it",
           "[gateway][stated_tokens]") {
-    CHECK(parse_integer("600") == 600);
-    CHECK(parse_integer("-3") == -3);
+    CHECK(parse_number<std::int64_t>("600") == 600);
+    CHECK(parse_number<std::int64_t>("-3") == -3);
     for (const std::string_view text : {"", "600ms", "6e2", "+600", "0x10", "600 "}) {
         CAPTURE(text);
-        CHECK_FALSE(parse_integer(text).has_value());
+        CHECK_FALSE(parse_number<std::int64_t>(text).has_value());
     }
 }
