An entry whose clock is ahead no longer removes the claims of calls that have just run

Cause: claim_sweeper compared the time of day in the row, written by one entry, with its own time of day.

--- a/src/entry/claim_sweeper.hpp
+++ b/src/entry/claim_sweeper.hpp
@@ -13,13 +13,15 @@
 namespace borageford::entry {
 
 struct claim_sweeper_settings {
-    std::chrono::milliseconds retention{std::chrono::hours(24)}; ///< claims older than this are removed
+    std::chrono::milliseconds retention{std::chrono::hours(24)}; ///< claims are kept for at least this time
     std::chrono::milliseconds period{std::chrono::minutes(1)};   ///< time between two sweeps
     std::size_t page_size = 200;                                 ///< rows read in one sweep
 };
 
 /// Periodically reads one page of claims from a random position and removes the old ones. Claims are removed
-/// whichever entry wrote them, so those of entries that died are removed as well. Thread-safe.
+/// whichever entry wrote them, so those of entries that died are removed as well. No clock that shows the
+/// time of day is read: if an entry whose clock is ahead removed claims, calls that are sent again would run
+/// again. Thread-safe.
 class claim_sweeper {
 public:
     claim_sweeper(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
--- a/tests/failure/test_4_non_idempotent.cpp
+++ b/tests/failure/test_4_non_idempotent.cpp
@@ -5,8 +5,10 @@
 #include "support/completion.hpp"
 #include "support/wait_until.hpp"
 
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <memory>
 #include <vector>
 
@@ -20,6 +22,24 @@
                 {.name = "estante-1", .is_service = true, .arguments = {"--delay-ms", delay_ms}}}};
 }
 
+/// Makes each claim look as old as it does to an entry whose clock is ahead by this time.
+void set_clock_ahead(const cluster& system, std::chrono::seconds ahead) {
+    namespace json = boost::json;
+    const auto rows = json::parse(fetch_text(system.platform(), "/table/scan?prefix=claim%2F&limit=100"));
+    json::array conditions;
+    json::array puts;
+    for (const auto& row : rows.at("rows").as_array()) {
+        auto claim = json::parse(row.at("value").as_string());
+        auto& time = claim.at("time");
+        time = time.to_number<std::int64_t>() - ahead.count();
+        conditions.push_back({{"key", row.at("key")}, {"version", row.at("version")}});
+        puts.push_back({{"key", row.at("key")}, {"value", json::serialize(claim)}});
+    }
+    REQUIRE(!puts.empty());
+    post_text(system.platform(), "/table/transact",
+              json::serialize(json::object{{"conditions", conditions}, {"puts", puts}}));
+}
+
 } // namespace
 
 // The caller sends a call again to another entry while the first copy is still running. Both copies must get
@@ -163,6 +183,29 @@
     CHECK(system.runs_of(call) == 1);
 }
 
+// An entry whose clock is ahead by more than the retention time removed the claims of calls that had just
+// run, and the sidecar has forgotten the dispatch. A resend must still be told that the call has run.
+TEST_CASE("4 non-idempotent: same key while an entry's clock is ahead by more than the retention time") {
+    auto options = one_service();
+    options.sidecar_settings = "ledger_entries = 1\nanswer_count = 1\n";
+    options.entry_settings = "claim_sweep_period = 5ms\n";
+    cluster system(options);
+    const auto call = make_service_call("capitulo 16", "k16");
+    check_service_answer(system.send(0, call), call);
+    for (int other = 0; other < 5; ++other) {
+        const auto name = "reloj " + std::to_string(other);
+        check_service_answer(system.send(0, make_service_call(name, name)), make_service_call(name, name));
+    }
+    set_clock_ahead(system, std::chrono::hours(25));
+    constexpr std::uint64_t reads_of_many_sweeps = 600;
+    const auto reads = system.platform_count("reads");
+    wait_until("the sweeps", [&] { return system.platform_count("reads") > reads + reads_of_many_sweeps; });
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        check_has_run(system.send(entry, call), call);
+    }
+    CHECK(system.runs_of(call) == 1);
+}
+
 // The caller uses the key of one call for a call with another body, which is an error. The second call must
 // be refused and must not get the first one's answer.
 TEST_CASE("4 non-idempotent: key used for another request") {
--- a/tests/unit/in_process_platform.hpp
+++ b/tests/unit/in_process_platform.hpp
@@ -56,6 +56,11 @@
         const std::scoped_lock lock(m_mutex);
         m_table.set_stale_reads(stale);
     }
+    /// The number of scans of the table so far.
+    [[nodiscard]] std::size_t scans() {
+        const std::scoped_lock lock(m_mutex);
+        return m_scans;
+    }
     /// Replaces the list of VMs; see vm_list::replace().
     void replace_vms(const boost::json::array& vms) {
         const std::scoped_lock lock(m_mutex);
@@ -102,6 +107,7 @@
             return json_response(outcome.status, outcome.body);
         }
         if (path == "/table/scan") {
+            ++m_scans;
             const auto outcome = m_table.scan(value("prefix"), value("after"), std::stoul(value("limit")));
             return json_response(outcome.status, outcome.body);
         }
@@ -125,6 +131,7 @@
     std::map<std::string, std::string, std::less<>> m_objects;
     unsigned m_status = 0;
     unsigned m_lose_answers = 0;
+    std::size_t m_scans = 0;
     std::jthread m_thread;
 };
 
