A sidecar that forgot a dispatch isn't misled by the clock of the entry that asks for it

An entry that finds another entry's claim stated its age by the time of day in the row. If its clock was behind by more than the minute that is allowed for, and the sidecar had forgotten the finished dispatch (after 10 minutes, or at once with a full ledger), the sidecar answered "not begun", the entry replaced the claim, and a call that must run once ran again.

Change: a grant states its time by the sidecar's steady clock, the claim keeps it, and the sidecar gets it back with the request for the fate. A dispatch that was granted after the end of everything that was forgotten can't have been forgotten. The stated age is used only if there is no such time: by earlier versions, and for dispatches found by a lookup.

Evidence: 'sidecar: a forgotten dispatch isn't reported as not begun to an entry whose clock is behind' got not_begun with the stated age (the time of the grant ignored) and gets unknown now.

--- a/src/entry/claim_row.cpp
+++ b/src/entry/claim_row.cpp
@@ -47,6 +47,7 @@
         {"fingerprint", std::to_string(value.fingerprint)},
         {"backend_server", value.backend_server},
         {"incarnation", value.incarnation.to_string()},
+        {"granted_at_ms", value.granted_at_ms},
         {"state", value.state == claim_state::finished ? "finished" : "claimed"},
         {"time", value.time},
     });
@@ -63,6 +64,9 @@
     value.fingerprint = std::stoull(text("fingerprint"));
     value.backend_server = text("backend_server");
     value.incarnation = identifier::parse(text("incarnation")).value();
+    if (const auto* granted = fields.if_contains("granted_at_ms")) { // earlier versions don't write it
+        value.granted_at_ms = granted->to_number<std::uint64_t>();
+    }
     value.state = text("state") == "finished" ? claim_state::finished : claim_state::claimed;
     value.time = fields.at("time").to_number<std::int64_t>();
     value.version = row.version;
--- a/src/entry/claim_row.hpp
+++ b/src/entry/claim_row.hpp
@@ -24,9 +24,12 @@
     request_id request;
     std::uint64_t fingerprint = 0; ///< call::fingerprint of the request that claimed the key
     std::string backend_server;
-    identifier incarnation; ///< incarnation of the sidecar process that is to run the call
+    identifier incarnation;          ///< incarnation of the sidecar process that is to run the call
+    std::uint64_t granted_at_ms = 0; ///< when that sidecar granted the dispatch; see grant_message
     claim_state state = claim_state::claimed;
-    std::int64_t time = 0;     ///< when the key was claimed: seconds since 1970, by that entry's clock
+    /// When the key was claimed: seconds since 1970, by that entry's clock. Other entries must not rely on
+    /// it.
+    std::int64_t time = 0;
     std::uint64_t version = 0; ///< version of the row in the table; 0: no row yet
 };
 
--- a/src/entry/offer_round.cpp
+++ b/src/entry/offer_round.cpp
@@ -329,8 +329,9 @@
     if (found == m_open_offers.end()) {
         return std::nullopt;
     }
-    granted_place where{found->second.link, found->second.backend_server, dispatch,
-                        found->second.link->incarnation(), grant.revision};
+    granted_place where{found->second.link, found->second.backend_server,
+                        dispatch,           found->second.link->incarnation(),
+                        grant.revision,     grant.granted_at_ms};
     if (must_wait_for_lookup()) {
         if (!m_held_grant) {
             m_held_grant = where;
--- a/src/entry/offer_round.hpp
+++ b/src/entry/offer_round.hpp
@@ -24,8 +24,9 @@
     std::shared_ptr<sidecar_link> link;
     std::string backend_server;
     dispatch_id dispatch;
-    identifier incarnation;     ///< incarnation of the sidecar process
-    std::uint64_t revision = 0; ///< configuration revision of the sidecar
+    identifier incarnation;          ///< incarnation of the sidecar process
+    std::uint64_t revision = 0;      ///< configuration revision of the sidecar
+    std::uint64_t granted_at_ms = 0; ///< see grant_message::granted_at_ms
 };
 
 /// A sidecar runs the same request already, or still has its answer. The request was sent before by its
--- a/src/entry/request_claim.cpp
+++ b/src/entry/request_claim.cpp
@@ -19,6 +19,7 @@
     m_claim.fingerprint = m_call.fingerprint;
     m_claim.backend_server = place.backend_server;
     m_claim.incarnation = place.incarnation;
+    m_claim.granted_at_ms = place.granted_at_ms;
     m_claim.state = claim_state::claimed;
     m_claim.time = claim_time_now();
     auto result = co_await m_store.try_claim(m_call.workspace->name, m_call.idempotency_key, m_claim);
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::hours max_event_wait{24};
 
 /// The assumed maximum difference between the clocks of two entries. A claim counts as older by this time.
+/// Used only with sidecars that don't state when they granted a dispatch.
 constexpr std::chrono::minutes max_clock_difference{1};
 
 /// The time since a start, limited to what fits `attach_message::started_ms_ago`.
@@ -231,15 +232,15 @@
                                                         : error_kind::outcome_unknown);
     }
     m_is_joined = true;
-    m_started = started_dispatch{found->second, existing.backend_server, existing.dispatch,
-                                 existing.incarnation, start_of(existing)};
+    m_started = started_dispatch{found->second,        existing.backend_server, existing.dispatch,
+                                 existing.incarnation, start_of(existing),      existing.granted_at_ms};
     m_context.metrics.count_attached();
     attach();
 }
 
 void request_run::join(const attachable_place& place) {
     m_is_joined = true;
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation, {}};
+    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation, {}, 0};
     m_context.metrics.count_attached();
     record(audit::event::attached, *m_started);
     attach();
@@ -248,8 +249,8 @@
 void request_run::start(const granted_place& place) {
     m_is_joined = false;
     m_fate_requests.reset();
-    m_started = started_dispatch{place.link, place.backend_server, place.dispatch, place.incarnation,
-                                 steady_clock::now()};
+    m_started = started_dispatch{place.link,        place.backend_server, place.dispatch,
+                                 place.incarnation, steady_clock::now(),  place.granted_at_ms};
     wire::start_message start;
     start.dispatch = wire::to_wire(place.dispatch);
     start.revision = m_call.configuration->revision;
@@ -271,6 +272,7 @@
     attach.incarnation = wire::to_wire(m_started->incarnation);
     attach.offset = m_answer.received();
     attach.started_ms_ago = static_cast<std::uint32_t>(age_of(m_started->started).count());
+    attach.granted_at_ms = m_started->granted_at_ms;
     m_started->link->send_for_dispatch(m_started->dispatch, m_events, attach);
 }
 
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -34,6 +34,9 @@
     /// sidecar needs it because its ledger forgets old dispatches: for a dispatch that is old enough to be
     /// forgotten, a missing entry doesn't mean that the start never arrived.
     std::chrono::steady_clock::time_point started;
+    /// When the sidecar granted the dispatch, by the sidecar's clock; 0 when it isn't known. If it is known,
+    /// the sidecar uses it instead of `started`.
+    std::uint64_t granted_at_ms = 0;
 };
 
 /// Serves one request, on the strand of its caller's connection.
--- a/src/ledger/dispatch_ledger.cpp
+++ b/src/ledger/dispatch_ledger.cpp
@@ -70,10 +70,10 @@
     end(dispatch, dispatch_state::finished, now);
 }
 
-attach_result dispatch_ledger::attach(dispatch_id dispatch, duration age, time_point now) {
+attach_result dispatch_ledger::attach(dispatch_id dispatch, time_point earliest_start, time_point now) {
     const auto found = m_entries.find(dispatch);
     if (found == m_entries.end()) {
-        if (m_has_removed_finished && now - age <= m_removed_until) {
+        if (m_has_removed_finished && earliest_start <= m_removed_until) {
             return attach_result::unknown;
         }
         end(dispatch, dispatch_state::withdrawn, now);
--- a/src/ledger/dispatch_ledger.hpp
+++ b/src/ledger/dispatch_ledger.hpp
@@ -90,10 +90,11 @@
     /// Records that a started dispatch has ended.
     void finish(dispatch_id dispatch, time_point now);
 
-    /// State of a dispatch whose start was sent `age` ago to this run of the sidecar. A dispatch that hasn't
-    /// started becomes a tombstone. Without the age, a finished id that was removed from the ledger would
-    /// look like one that never arrived, and the request would be run again elsewhere.
-    attach_result attach(dispatch_id dispatch, duration age, time_point now);
+    /// State of a dispatch that was started, if at all, at `earliest_start` or later in this run of the
+    /// sidecar. A dispatch that hasn't started becomes a tombstone. Without that time, a finished id that was
+    /// removed from the ledger would look like one that never arrived, and the request would be run again
+    /// elsewhere.
+    attach_result attach(dispatch_id dispatch, time_point earliest_start, time_point now);
 
     /// Records a dispatch as started that was found running at the backend server, where a previous run of
     /// the sidecar had sent it.
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/dispatch_manager.hpp"
 
 #include "base/log.hpp"
+#include "sidecar/grant_time.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -108,8 +109,8 @@
         }
         return;
     }
-    const auto age = std::chrono::milliseconds(request.started_ms_ago);
-    switch (m_context.ledger.attach(id, age, steady_clock::now())) {
+    const auto now = steady_clock::now();
+    switch (m_context.ledger.attach(id, earliest_start(request, now), now)) {
     case ledger::attach_result::not_begun:
         send_fate(connection, request.dispatch, wire::dispatch_fate::not_begun);
         return;
--- a/src/sidecar/offer_scheduler.cpp
+++ b/src/sidecar/offer_scheduler.cpp
@@ -1,6 +1,8 @@
 // Implementation of offer_scheduler: offers, grants and starts, following docs/design/dispatch.md.
 #include "sidecar/offer_scheduler.hpp"
 
+#include "sidecar/grant_time.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -245,6 +247,7 @@
     grant.dispatch = wire::to_wire(queued->dispatch);
     grant.revision = offer.granted_revision;
     grant.lease_ms = to_wire_milliseconds(lease);
+    grant.granted_at_ms = to_grant_time(now);
     m_context.peers.send(offer.connection, std::move(grant));
 }
 
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -1552,6 +1552,7 @@
   borageford::wire::id dispatch{};
   uint64_t revision = 0;
   uint32_t lease_ms = 0;
+  uint64_t granted_at_ms = 0;
 };
 
 struct grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1561,7 +1562,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DISPATCH = 4,
     VT_REVISION = 6,
-    VT_LEASE_MS = 8
+    VT_LEASE_MS = 8,
+    VT_GRANTED_AT_MS = 10
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
@@ -1572,11 +1574,15 @@
   uint32_t lease_ms() const {
     return GetField<uint32_t>(VT_LEASE_MS, 0);
   }
+  uint64_t granted_at_ms() const {
+    return GetField<uint64_t>(VT_GRANTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_LEASE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED_AT_MS, 8) &&
            verifier.EndTable();
   }
   grant_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1597,6 +1603,9 @@
   void add_lease_ms(uint32_t lease_ms) {
     fbb_.AddElement<uint32_t>(grant::VT_LEASE_MS, lease_ms, 0);
   }
+  void add_granted_at_ms(uint64_t granted_at_ms) {
+    fbb_.AddElement<uint64_t>(grant::VT_GRANTED_AT_MS, granted_at_ms, 0);
+  }
   explicit grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1612,8 +1621,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const borageford::wire::id *dispatch = nullptr,
     uint64_t revision = 0,
-    uint32_t lease_ms = 0) {
+    uint32_t lease_ms = 0,
+    uint64_t granted_at_ms = 0) {
   grantBuilder builder_(_fbb);
+  builder_.add_granted_at_ms(granted_at_ms);
   builder_.add_revision(revision);
   builder_.add_lease_ms(lease_ms);
   builder_.add_dispatch(dispatch);
@@ -2340,6 +2351,7 @@
   borageford::wire::id incarnation{};
   uint64_t offset = 0;
   uint32_t started_ms_ago = 0;
+  uint64_t granted_at_ms = 0;
 };
 
 struct attach FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2350,7 +2362,8 @@
     VT_DISPATCH = 4,
     VT_INCARNATION = 6,
     VT_OFFSET = 8,
-    VT_STARTED_MS_AGO = 10
+    VT_STARTED_MS_AGO = 10,
+    VT_GRANTED_AT_MS = 12
   };
   const borageford::wire::id *dispatch() const {
     return GetStruct<const borageford::wire::id *>(VT_DISPATCH);
@@ -2364,12 +2377,16 @@
   uint32_t started_ms_ago() const {
     return GetField<uint32_t>(VT_STARTED_MS_AGO, 0);
   }
+  uint64_t granted_at_ms() const {
+    return GetField<uint64_t>(VT_GRANTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<borageford::wire::id>(verifier, VT_DISPATCH, 8) &&
            VerifyField<borageford::wire::id>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            VerifyField<uint32_t>(verifier, VT_STARTED_MS_AGO, 4) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED_AT_MS, 8) &&
            verifier.EndTable();
   }
   attach_message *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2393,6 +2410,9 @@
   void add_started_ms_ago(uint32_t started_ms_ago) {
     fbb_.AddElement<uint32_t>(attach::VT_STARTED_MS_AGO, started_ms_ago, 0);
   }
+  void add_granted_at_ms(uint64_t granted_at_ms) {
+    fbb_.AddElement<uint64_t>(attach::VT_GRANTED_AT_MS, granted_at_ms, 0);
+  }
   explicit attachBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2409,8 +2429,10 @@
     const borageford::wire::id *dispatch = nullptr,
     const borageford::wire::id *incarnation = nullptr,
     uint64_t offset = 0,
-    uint32_t started_ms_ago = 0) {
+    uint32_t started_ms_ago = 0,
+    uint64_t granted_at_ms = 0) {
   attachBuilder builder_(_fbb);
+  builder_.add_granted_at_ms(granted_at_ms);
   builder_.add_offset(offset);
   builder_.add_started_ms_ago(started_ms_ago);
   builder_.add_incarnation(incarnation);
@@ -3368,6 +3390,7 @@
   { auto _e = dispatch(); if (_e) _o->dispatch = *_e; }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = lease_ms(); _o->lease_ms = _e; }
+  { auto _e = granted_at_ms(); _o->granted_at_ms = _e; }
 }
 
 inline flatbuffers::Offset<grant> grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const grant_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3381,11 +3404,13 @@
   auto _dispatch = &_o->dispatch;
   auto _revision = _o->revision;
   auto _lease_ms = _o->lease_ms;
+  auto _granted_at_ms = _o->granted_at_ms;
   return borageford::wire::Creategrant(
       _fbb,
       _dispatch,
       _revision,
-      _lease_ms);
+      _lease_ms,
+      _granted_at_ms);
 }
 
 inline start_message *start::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3646,6 +3671,7 @@
   { auto _e = incarnation(); if (_e) _o->incarnation = *_e; }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = started_ms_ago(); _o->started_ms_ago = _e; }
+  { auto _e = granted_at_ms(); _o->granted_at_ms = _e; }
 }
 
 inline flatbuffers::Offset<attach> attach::Pack(flatbuffers::FlatBufferBuilder &_fbb, const attach_message* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3660,12 +3686,14 @@
   auto _incarnation = &_o->incarnation;
   auto _offset = _o->offset;
   auto _started_ms_ago = _o->started_ms_ago;
+  auto _granted_at_ms = _o->granted_at_ms;
   return borageford::wire::Createattach(
       _fbb,
       _dispatch,
       _incarnation,
       _offset,
-      _started_ms_ago);
+      _started_ms_ago,
+      _granted_at_ms);
 }
 
 inline fate_message *fate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/failure/test_sidecar_dispatch.cpp
+++ b/tests/failure/test_sidecar_dispatch.cpp
@@ -61,6 +61,40 @@
     CHECK(system.runs_of(work) == 0);
 }
 
+// A call has run and the sidecar has forgotten its dispatch. An entry whose clock is behind reads the claim
+// and asks for the fate, with an age that is too small. Told "not begun", it would run the call again.
+TEST_CASE("sidecar: a forgotten dispatch isn't reported as not begun to an entry whose clock is behind",
+          "[sidecar]") {
+    cluster system({.entries = 0,
+                    .backend_servers = {{.name = "pluma-1"}},
+                    .sidecar_settings = "ledger_entries = 1\nanswer_count = 1\n"});
+    sidecar_driver driver(system);
+    auto entry = driver.connect();
+    dispatch_id forgotten;
+    std::uint64_t forgotten_granted_at_ms = 0;
+    for (int number = 0; number < 3; ++number) {
+        const auto work = make_completion("reloj " + std::to_string(number), {.tokens = 2});
+        const auto dispatch = driver.offer(entry, work);
+        const auto grant = entry.wait_for<wire::grant_message>(dispatch);
+        driver.start(entry, dispatch, work);
+        static_cast<void>(driver.read_answer(entry, dispatch));
+        wire::acknowledge_message acknowledge;
+        acknowledge.dispatch = wire::to_wire(dispatch);
+        entry.send(acknowledge);
+        if (number == 0) {
+            forgotten = dispatch;
+            forgotten_granted_at_ms = grant.granted_at_ms;
+        }
+    }
+    driver.attach(entry, forgotten, 0, forgotten_granted_at_ms);
+    CHECK(entry.wait_for<wire::fate_message>(forgotten).state == wire::dispatch_fate::unknown);
+    const auto work = make_completion("reloj nuevo", {.tokens = 2});
+    const auto never_begun = driver.offer(entry, work);
+    const auto grant = entry.wait_for<wire::grant_message>(never_begun);
+    driver.attach(entry, never_begun, 0, grant.granted_at_ms);
+    CHECK(entry.wait_for<wire::fate_message>(never_begun).state == wire::dispatch_fate::not_begun);
+}
+
 // The connection breaks in the middle of an answer. On a new connection, the answer must go on at exactly the
 // byte where it stopped.
 TEST_CASE("sidecar: several connections read one answer, each from its own offset", "[sidecar]") {
--- a/tests/support/sidecar_driver.cpp
+++ b/tests/support/sidecar_driver.cpp
@@ -65,11 +65,13 @@
     start(entry, dispatch, work);
 }
 
-void sidecar_driver::attach(peer_client& entry, const dispatch_id& dispatch, std::uint64_t offset) const {
+void sidecar_driver::attach(peer_client& entry, const dispatch_id& dispatch, std::uint64_t offset,
+                            std::uint64_t granted_at_ms) const {
     wire::attach_message attach;
     attach.dispatch = wire::to_wire(dispatch);
     attach.incarnation = wire::to_wire(m_incarnation);
     attach.offset = offset;
+    attach.granted_at_ms = granted_at_ms;
     entry.send(std::move(attach));
 }
 
--- a/tests/support/sidecar_driver.hpp
+++ b/tests/support/sidecar_driver.hpp
@@ -44,8 +44,10 @@
                std::uint64_t revision = 0) const;
     /// Waits for the sidecar's grant, then sends the start message.
     void grant_and_start(peer_client& entry, const dispatch_id& dispatch, const http::request& work) const;
-    /// Requests the answer of the dispatch from the byte `offset` on.
-    void attach(peer_client& entry, const dispatch_id& dispatch, std::uint64_t offset) const;
+    /// Requests the answer of the dispatch from the byte `offset` on, as an entry that states an age of 0.
+    /// `granted_at_ms` is copied from the grant; 0: not known.
+    void attach(peer_client& entry, const dispatch_id& dispatch, std::uint64_t offset,
+                std::uint64_t granted_at_ms = 0) const;
     /// Reads the answer to its end. Throws std::runtime_error when a chunk is missing, repeated or out of
     /// order.
     [[nodiscard]] driven_answer read_answer(peer_client& entry, const dispatch_id& dispatch,
--- a/tests/unit/test_dispatch_ledger.cpp
+++ b/tests/unit/test_dispatch_ledger.cpp
@@ -31,7 +31,7 @@
     ledger.finish(some_dispatch, begin);
     CHECK(ledger.start(some_dispatch, begin) == start_result::already_started);
     CHECK(ledger.record_offer(some_dispatch) == offer_result::tombstoned);
-    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::finished);
+    CHECK(ledger.attach(some_dispatch, begin - 1s, begin) == attach_result::finished);
 }
 
 TEST_CASE("a start without a valid grant makes the dispatch a tombstone", "[ledger]") {
@@ -42,7 +42,7 @@
     CHECK(ledger.start(some_dispatch, begin + 1s) == start_result::not_begun);
     CHECK_FALSE(ledger.grant(some_dispatch, begin + 2s));
     CHECK(ledger.start(some_dispatch, begin) == start_result::not_begun);
-    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::not_begun);
+    CHECK(ledger.attach(some_dispatch, begin - 1s, begin) == attach_result::not_begun);
 }
 
 TEST_CASE("only grants that have reached their expiry time expire", "[ledger]") {
@@ -63,7 +63,7 @@
     // The start is still in transit on an unresponsive connection while the entry process asks for the
     // dispatch's state on a new one.
     dispatch_ledger ledger({});
-    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::not_begun);
+    CHECK(ledger.attach(some_dispatch, begin - 1s, begin) == attach_result::not_begun);
     CHECK(ledger.record_offer(some_dispatch) == offer_result::tombstoned);
     constexpr dispatch_id other{2, 2};
     CHECK(ledger.withdraw(other, begin) == withdraw_result::withdrawn);
@@ -82,8 +82,8 @@
     CHECK(ledger.size() == 1);
     ledger.forget_old(begin + 70s);
     CHECK(ledger.size() == 0);
-    CHECK(ledger.attach(some_dispatch, 75s, begin + 75s) == attach_result::unknown);
-    CHECK(ledger.attach(dispatch_id{2, 2}, 1s, begin + 75s) == attach_result::not_begun);
+    CHECK(ledger.attach(some_dispatch, begin, begin + 75s) == attach_result::unknown);
+    CHECK(ledger.attach(dispatch_id{2, 2}, begin + 74s, begin + 75s) == attach_result::not_begun);
 }
 
 TEST_CASE("the ledger removes ended dispatches when it is full, never running ones", "[ledger]") {
@@ -97,8 +97,8 @@
         ledger.finish(dispatch, begin + 1s);
     }
     CHECK(ledger.size() == 11);
-    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::running);
-    CHECK(ledger.attach(dispatch_id{100, 0}, 2s, begin + 2s) == attach_result::unknown);
+    CHECK(ledger.attach(some_dispatch, begin - 1s, begin) == attach_result::running);
+    CHECK(ledger.attach(dispatch_id{100, 0}, begin, begin + 2s) == attach_result::unknown);
 }
 
 TEST_CASE("an adopted dispatch that the backend server doesn't know becomes unknown again", "[ledger]") {
@@ -106,7 +106,7 @@
     // previous sidecar must not be answered "finished" because of the first request.
     dispatch_ledger ledger({});
     ledger.adopt(some_dispatch);
-    CHECK(ledger.attach(some_dispatch, 1s, begin) == attach_result::running);
+    CHECK(ledger.attach(some_dispatch, begin - 1s, begin) == attach_result::running);
     ledger.forget_adopted(some_dispatch);
     CHECK(ledger.find(some_dispatch) == nullptr);
 }
