The soak's proxy notices a close behind bytes that it holds, and says when it saw and delivered them

It now receives up to 1 MiB ahead while it holds, forwards bytes and close in their order at the release, and records both with their times (held_units).

Also mended: an entry of `half_closed` stayed behind when the other direction of a connection broke. A later connection at the same address was then forgotten as soon as one of its directions had ended, and was no longer held, released or cut. The flags belong to the connection now. `lane::pending` wasn't used and is gone.

Test: 'stand-ins: a connection that is closed behind held bytes ends after their delivery'.

--- a/tests/failure/test_stand_ins.cpp
+++ b/tests/failure/test_stand_ins.cpp
@@ -5,9 +5,11 @@
 #include "support/completion.hpp"
 #include "support/fault_proxy.hpp"
 #include "support/http_caller.hpp"
+#include "support/wait_until.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <filesystem>
 
 using namespace borageford;
@@ -78,3 +80,30 @@
     const auto runs = fetch_text(engine.address, "/control/runs");
     CHECK(runs.find(to_hex(fingerprint_of(request.body)) + "\":1") != std::string::npos);
 }
+
+// A client sends a request on a held path and closes the connection. Real packets arrive late and in order,
+// so the proxy must deliver the request first and the close right after it.
+TEST_CASE("stand-ins: a connection that is closed behind held bytes ends after their delivery") {
+    proxied_engine engine;
+    engine.proxy.arm(direction::up, contains("/health"), fault::hold);
+    const auto begin = std::chrono::steady_clock::now();
+    {
+        pending_call abandoned(engine.proxy.address(), {"GET", "/health", {}, {}});
+        engine.proxy.wait_for_fault();
+    }
+    const auto closed = std::chrono::steady_clock::now();
+    CHECK(engine.proxy.held_units().empty());
+    engine.proxy.release();
+    wait_until("the end of the connection", [&] {
+        const auto held = engine.proxy.held_units();
+        return held.size() == 1 && held.front().end.has_value();
+    });
+    const auto unit = engine.proxy.held_units().front();
+    CHECK(unit.bytes.starts_with("GET /health"));
+    CHECK(unit.way == direction::up);
+    CHECK(unit.received >= begin);
+    CHECK(unit.received <= closed);
+    CHECK(unit.forwarded >= closed);
+    CHECK(unit.end_forwarded >= unit.forwarded);
+    wait_until("the removal of the connection", [&] { return engine.proxy.open_connections() == 0; });
+}
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -17,10 +17,11 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <future>
 #include <list>
-#include <map>
 #include <mutex>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <thread>
@@ -30,10 +31,14 @@
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
+using clock = std::chrono::steady_clock;
 
 namespace {
 
 constexpr std::size_t piece_size = 16384;
+/// Bytes that one direction of a connection takes in while it is held. The sender is blocked after that, as
+/// by a path that loses all packets.
+constexpr std::size_t max_held_bytes = 1'048'576;
 constexpr std::size_t corrupt_stride = 7;
 /// Wait after a failed accept, in which other connections may close and free descriptors.
 constexpr std::chrono::milliseconds accept_pause{50};
@@ -41,10 +46,32 @@
 /// What happens to bytes in one direction of a connection.
 enum class lane_state : std::uint8_t { passing, holding, dropping };
 
+/// A unit that was received and isn't forwarded yet.
+struct waiting_unit {
+    std::string bytes;
+    clock::time_point received;
+    bool is_held = false; ///< the lane was held while the unit waited
+};
+
 /// One direction of a connection.
 struct lane {
+    [[nodiscard]] std::size_t waiting_bytes() const {
+        return std::accumulate(waiting.begin(), waiting.end(), std::size_t{0},
+                               [](std::size_t sum, const auto& unit) { return sum + unit.bytes.size(); });
+    }
+
+    void set_state(lane_state wanted) {
+        state = wanted;
+        for (auto& unit : waiting) {
+            unit.is_held = unit.is_held || state == lane_state::holding;
+        }
+    }
+
     lane_state state = lane_state::passing;
-    std::string pending; ///< bytes that don't form a complete unit yet
+    std::deque<waiting_unit> waiting; ///< the first unit stays here until it is forwarded
+    std::optional<received_end> end;  ///< set once the source has closed the connection
+    std::vector<std::size_t> held;    ///< indices of this lane's units in fault_proxy::state::held
+    bool is_finished = false;         ///< nothing more is forwarded
 };
 
 /// An accepted connection and the connection to the server that its bytes are forwarded on.
@@ -163,62 +190,119 @@
         link->client.set_option(tcp::no_delay(true), error);
         link->server.set_option(tcp::no_delay(true), error);
         relays.push_back(link);
-        asio::co_spawn(context, pump(link, direction::up), asio::detached);
-        asio::co_spawn(context, pump(link, direction::down), asio::detached);
+        for (const auto way : {direction::up, direction::down}) {
+            asio::co_spawn(context, receive(link, way), asio::detached);
+            asio::co_spawn(context, pump(link, way), asio::detached);
+        }
     }
 
-    asio::awaitable<void> pump(std::shared_ptr<relay> link, direction way) {
+    /// Receives units until the source closes the connection. While the lane is held, units are received
+    /// ahead, so that the proxy notices when the source closes the connection behind them.
+    asio::awaitable<void> receive(std::shared_ptr<relay> link, direction way) {
+        auto& way_lane = link->at(way);
+        boost::system::error_code ended;
         try {
-            co_await pump_units(*link, way);
-        } catch (const boost::system::system_error& problem) {
-            if (problem.code() == asio::error::eof) {
-                boost::system::error_code ignored;
-                link->sink(way).shutdown(tcp::socket::shutdown_send, ignored);
-                finish(link, way);
-                co_return;
+            while (true) {
+                auto unit = co_await read_unit(*link, way);
+                way_lane.waiting.push_back(
+                    {std::move(unit), clock::now(), way_lane.state == lane_state::holding});
+                link->changed.cancel();
+                while (!can_receive(way_lane)) {
+                    co_await wait_for_change(*link);
+                }
             }
+        } catch (const boost::system::system_error& problem) {
+            ended = problem.code();
         }
-        link->cut(cut_kind::reset);
-        relays.remove(link);
+        const bool is_orderly = ended == asio::error::eof;
+        way_lane.end = received_end{clock::now(), is_orderly ? cut_kind::end : cut_kind::reset};
+        link->changed.cancel();
+    }
+
+    static bool can_receive(const lane& way_lane) {
+        return way_lane.state == lane_state::holding ? way_lane.waiting_bytes() < max_held_bytes
+                                                     : way_lane.waiting.empty();
     }
 
-    /// Records that one direction has ended; removes the relay once both have.
-    void finish(const std::shared_ptr<relay>& link, direction way) {
-        auto& finished = half_closed[link.get()];
-        finished |= way == direction::up ? 1U : 2U;
-        if (finished == 3U) {
-            half_closed.erase(link.get());
+    asio::awaitable<void> pump(std::shared_ptr<relay> link, direction way) {
+        try {
+            co_await pump_units(*link, way);
+        } catch (const boost::system::system_error&) {
+            link->cut(cut_kind::reset);
+        }
+        link->at(way).is_finished = true;
+        const auto& lanes = link->lanes;
+        if (!link->client.is_open() || std::ranges::all_of(lanes, &lane::is_finished)) {
             relays.remove(link);
         }
     }
 
+    /// Forwards units, and after the last one the end of the connection.
     asio::awaitable<void> pump_units(relay& link, direction way) {
+        auto& way_lane = link.at(way);
         while (true) {
-            while (link.at(way).state == lane_state::holding) {
-                co_await wait_for_change(link);
-            }
-            auto unit = co_await read_unit(link, way);
-            const auto action = find_fault(unit, way);
-            const auto back = way == direction::up ? direction::down : direction::up;
-            if (action == fault::hold || action == fault::isolate) {
-                link.at(way).state = lane_state::holding;
-            } else if (action == fault::drop || action == fault::drop_both) {
-                link.at(way).state = lane_state::dropping;
-            }
-            if (action == fault::drop_both || action == fault::isolate) {
-                link.at(back).state = lane_state::dropping;
-            }
-            update_waiting();
-            while (link.at(way).state == lane_state::holding) {
+            while (way_lane.waiting.empty() &&
+                   (!way_lane.end.has_value() || way_lane.state == lane_state::holding)) {
                 co_await wait_for_change(link);
             }
-            if (link.at(way).state == lane_state::dropping) {
-                continue;
+            if (way_lane.waiting.empty()) {
+                forward_end(link, way);
+                co_return;
             }
-            co_await send_unit(link, way, std::move(unit), action.value_or(fault::pass));
+            co_await forward_unit(link, way);
+            way_lane.waiting.pop_front();
+            link.changed.cancel();
+        }
+    }
+
+    asio::awaitable<void> forward_unit(relay& link, direction way) {
+        auto& way_lane = link.at(way);
+        const auto action = find_fault(way_lane.waiting.front().bytes, way);
+        apply_to_lanes(link, way, action);
+        update_waiting();
+        while (way_lane.state == lane_state::holding) {
+            co_await wait_for_change(link);
+        }
+        if (way_lane.state == lane_state::passing) {
+            co_await send_unit(link, way, way_lane.waiting.front().bytes, action.value_or(fault::pass));
+            record_held_unit(way_lane, way);
+        }
+    }
+
+    void record_held_unit(lane& way_lane, direction way) {
+        const auto& unit = way_lane.waiting.front();
+        if (unit.is_held) {
+            way_lane.held.push_back(held.size());
+            held.push_back({way, unit.bytes, unit.received, clock::now(), std::nullopt, {}});
         }
     }
 
+    static void apply_to_lanes(relay& link, direction way, std::optional<fault> action) {
+        const auto back = way == direction::up ? direction::down : direction::up;
+        if (action == fault::hold || action == fault::isolate) {
+            link.at(way).set_state(lane_state::holding);
+        } else if (action == fault::drop || action == fault::drop_both) {
+            link.at(way).set_state(lane_state::dropping);
+        }
+        if (action == fault::drop_both || action == fault::isolate) {
+            link.at(back).set_state(lane_state::dropping);
+        }
+    }
+
+    void forward_end(relay& link, direction way) {
+        const auto end = *link.at(way).end;
+        for (const auto index : link.at(way).held) {
+            held.at(index).end = end;
+            held.at(index).end_forwarded = clock::now();
+        }
+        if (end.kind == cut_kind::reset) {
+            link.cut(cut_kind::reset);
+            return;
+        }
+        boost::system::error_code ignored;
+        link.sink(way).shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     asio::awaitable<void> send_unit(relay& link, direction way, std::string unit, fault action) {
         if (delay.count() > 0) {
             asio::steady_timer timer(context, delay);
@@ -296,7 +380,7 @@
 
     void set_lanes(direction way, lane_state wanted) {
         for (const auto& link : relays) {
-            link->at(way).state = wanted;
+            link->at(way).set_state(wanted);
             link->changed.cancel();
         }
     }
@@ -304,7 +388,7 @@
     void release_lanes() {
         for (const auto& link : relays) {
             for (auto& each : link->lanes) {
-                each.state = each.state == lane_state::holding ? lane_state::passing : each.state;
+                each.set_state(each.state == lane_state::holding ? lane_state::passing : each.state);
             }
             link->changed.cancel();
         }
@@ -319,7 +403,7 @@
     std::chrono::milliseconds delay{0};
     bool refusing = false;
     std::list<std::shared_ptr<relay>> relays;
-    std::map<relay*, unsigned> half_closed;
+    std::vector<held_unit> held;
     std::vector<armed_fault> armed;
     std::size_t accepted = 0;
     std::size_t next_number = 0;
@@ -397,6 +481,10 @@
     wait_until("the armed faults", [this] { return m_state->has_fired(std::nullopt); });
 }
 
+std::vector<held_unit> fault_proxy::held_units() const {
+    return m_state->on_thread([this] { return m_state->held; });
+}
+
 std::size_t fault_proxy::open_connections() const {
     return m_state->on_thread([this] { return m_state->relays.size(); });
 }
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -9,9 +9,11 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace borageford::test {
 
@@ -37,6 +39,23 @@
 /// What the proxy splits the traffic into: frames of wire/message.hpp, or the bytes of each read.
 enum class proxy_units : std::uint8_t { frames, raw };
 
+/// The end of a connection in one direction, as the proxy received it.
+struct received_end {
+    std::chrono::steady_clock::time_point at;
+    cut_kind kind = cut_kind::end;
+};
+
+/// A unit that was held back and has been forwarded since.
+struct held_unit {
+    direction way = direction::up;
+    std::string bytes;
+    std::chrono::steady_clock::time_point received;
+    std::chrono::steady_clock::time_point forwarded;
+    /// How and when the sender closed the connection; nothing while that hasn't been forwarded.
+    std::optional<received_end> end;
+    std::chrono::steady_clock::time_point end_forwarded; ///< valid if there is an `end`
+};
+
 using unit_matcher = std::function<bool(std::string_view unit)>;
 
 /// Matches a frame whose content is a `Message`.
@@ -81,7 +100,8 @@
     void cut(cut_kind kind);
     /// Drops all further bytes in this direction on the open connections, which stay open.
     void drop(direction way);
-    /// Holds back further bytes in this direction on the open connections until release().
+    /// Holds back further bytes in this direction on the open connections, and the connections' ends, until
+    /// release(). Meanwhile up to 1 MiB is received from each sender.
     void hold(direction way);
     /// Forwards held bytes in their order. Directions that drop bytes go on dropping them.
     void release();
@@ -93,6 +113,9 @@
     void wait_for_fault(std::size_t number);
     /// Returns once every armed fault has fired; throws after `hang_timeout`.
     void wait_for_fault();
+    /// The units that were held back by hold() or by an armed fault, in the order in which they were
+    /// forwarded.
+    [[nodiscard]] std::vector<held_unit> held_units() const;
     [[nodiscard]] std::size_t open_connections() const;
     /// Connections accepted since the proxy was created.
     [[nodiscard]] std::size_t accepted_connections() const;
