--- /dev/null
+++ b/src/coordination/broker_observers.hpp
@@ -0,0 +1,53 @@
+// What a slot_broker asks its owner, and what it reports to it.
+#pragma once
+
+#include "policy/rate_limit_table.hpp"
+#include "policy/slot_scheduler.hpp"
+#include "store/position.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace borageford::coordination {
+
+/// Versions of the configuration and of the table of backend servers that a process has, as reported in
+/// member_status.
+struct broker_versions {
+    std::uint64_t configuration = 0; ///< version of the configuration
+    store::position backends;        ///< the last known change to the table of backend servers
+    /// The value of member_status::is_in_touch.
+    bool is_in_touch = false;
+    /// When the store last confirmed each of the two, in ms of the store's clock in the era of
+    /// `backends`; 0: not known. See policy::confirmation.
+    std::uint64_t configuration_confirmed = 0;
+    std::uint64_t backends_confirmed = 0;
+    std::chrono::milliseconds unbroken{0}; ///< for how long the store has answered without interruption
+};
+
+/// Callbacks to the owner of the broker.
+struct broker_observers {
+    /// Returns the versions that this process has, for the status that it sends.
+    std::function<broker_versions()> read_versions;
+    /// A message from a member arrived, with the versions that the member has.
+    std::function<void(const boost::asio::ip::address&, const broker_versions&)> on_member_versions;
+    /// While this process grants slots: the cooldown of a server began, or the server recovered.
+    std::function<void(const policy::slot_scheduler::health_change&)> on_health_change;
+    /// This process granted a slot of the server, to its own request or to another member's.
+    std::function<void(policy::server_key)> on_grant = [](policy::server_key) {
+    };
+    /// A request ended and no longer occupies a slot that this process had granted.
+    std::function<void(const policy::slot_release&)> on_release = [](const policy::slot_release&) {
+    };
+    /// The rate limit of a server has changed, as far as this process knows.
+    std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
+        [](const policy::rate_limit_table::change&) {
+        };
+    /// This process granted the last slot that the rate limit of a server allows for now.
+    std::function<void(policy::server_key)> on_rate_limit_used_up = [](policy::server_key) {
+    };
+};
+
+} // namespace borageford::coordination
--- a/src/coordination/rate_limit_exchange.hpp
+++ b/src/coordination/rate_limit_exchange.hpp
@@ -51,7 +51,6 @@
     [[nodiscard]] std::vector<std::vector<policy::rate_limit_notice>> list_for_new_process() const;
     /// Returns whether `incarnation` is a run of the member's process from which nothing was received before.
     bool is_new_process(policy::member_key member, std::uint64_t incarnation);
-    void forget_member(policy::member_key member) { m_incarnations.erase(member); }
 
 private:
     /// Bounds what a process is sent when it starts, so that hundreds of processes that start together don't
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -95,11 +95,6 @@
     }
 }
 
-void slot_broker::remove_member(const asio::ip::address& address) {
-    m_election.forget(key_of(address));
-    m_rate_limits.forget_member(key_of(address));
-}
-
 void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots,
                              policy::domain_key domain) {
     m_coordinator.scheduler().set_server(server, service, slots, domain);
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -5,6 +5,8 @@
 
 #include "base/timer_service.hpp"
 #include "coordination/batch_channel.hpp"
+#include "coordination/broker_observers.hpp"
+#include "coordination/broker_settings.hpp"
 #include "coordination/deferred_refusals.hpp"
 #include "coordination/heartbeat_schedule.hpp"
 #include "coordination/id_sequence.hpp"
@@ -17,7 +19,6 @@
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
 #include "policy/rate_limit_table.hpp"
-#include "store/position.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -25,33 +26,12 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
 namespace borageford::coordination {
 
-struct broker_settings {
-    /// Address and UDP port of this process. All members use the same port.
-    boost::asio::ip::udp::endpoint local;
-    double processor_share = 1;    ///< processors that this process may use
-    policy::domain_key domain = 0; ///< failure domain of this process
-    bool coordinates = true;       ///< false: this process always uses its local share
-    /// How long a request that exceeds the local share waits for a coordinator after a start or after the
-    /// loss of a coordinator. The members usually find a new one within a few heartbeats.
-    std::chrono::milliseconds coordinator_patience{400};
-    /// false: servers' rate limits are known, but slots are granted without them
-    bool obeys_rate_limits = true;
-    policy::election_limits election;
-    policy::slot_scheduler_limits slots;
-    policy::quota_limits quotas;
-    policy::server_retry_limits retries;
-};
-
 /// Who grants slots to the requests of this process.
 enum class slot_source : std::uint8_t {
     coordinator,      ///< another process, which coordinates this one
@@ -64,41 +44,8 @@
 /// All calls, including the callbacks, happen on one executor, which runs on a single thread.
 class slot_broker {
 public:
-    /// Versions of the configuration and of the table of backend servers that a process has, as reported in
-    /// member_status.
-    struct versions {
-        std::uint64_t configuration = 0; ///< version of the configuration
-        store::position backends;        ///< the last known change to the table of backend servers
-        /// The value of member_status::is_in_touch.
-        bool is_in_touch = false;
-        /// When the store last confirmed each of the two, in ms of the store's clock in the era of
-        /// `backends`; 0: not known. See policy::confirmation.
-        std::uint64_t configuration_confirmed = 0;
-        std::uint64_t backends_confirmed = 0;
-        std::chrono::milliseconds unbroken{0}; ///< for how long the store has answered without interruption
-    };
-    /// Callbacks to the owner of the broker.
-    struct observers {
-        /// Returns the versions that this process has, for the status that it sends.
-        std::function<versions()> read_versions;
-        /// A message from a member arrived, with the versions that the member has.
-        std::function<void(const boost::asio::ip::address&, const versions&)> on_member_versions;
-        /// While this process grants slots: the cooldown of a server began, or the server recovered.
-        std::function<void(const policy::slot_scheduler::health_change&)> on_health_change;
-        /// This process granted a slot of the server, to its own request or to another member's.
-        std::function<void(policy::server_key)> on_grant = [](policy::server_key) {
-        };
-        /// A request ended and no longer occupies a slot that this process had granted.
-        std::function<void(const policy::slot_release&)> on_release = [](const policy::slot_release&) {
-        };
-        /// The rate limit of a server has changed, as far as this process knows.
-        std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
-            [](const policy::rate_limit_table::change&) {
-            };
-        /// This process granted the last slot that the rate limit of a server allows for now.
-        std::function<void(policy::server_key)> on_rate_limit_used_up = [](policy::server_key) {
-        };
-    };
+    using versions = broker_versions;
+    using observers = broker_observers;
 
     slot_broker(boost::asio::any_io_executor executor, timer_service& timers, broker_settings settings,
                 observers callbacks);
@@ -111,7 +58,6 @@
 
     /// Adds another process that may be a member. Only IPv4 addresses are supported; others are ignored.
     void add_member(const boost::asio::ip::address& address, double processor_share);
-    void remove_member(const boost::asio::ip::address& address);
 
     void set_server(policy::server_key server, policy::service_key service, unsigned slots,
                     policy::domain_key domain);
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -72,7 +72,7 @@
     state.domain = domain;
     state.slots = slots;
     if (!std::exchange(state.is_usable, true)) {
-        m_pools[service].servers.push_back(&state);
+        m_pools.insert(state);
     }
     update_with_room(state);
 }
@@ -91,21 +91,7 @@
 /// the server's slots, its outstanding requests, the share, is_usable or is_rate_blocked have changed.
 void slot_scheduler::update_with_room(slot_server& server) {
     const bool has_room = server.is_usable && !server.is_rate_blocked && slots_left(server, false) >= 1;
-    if (has_room == server.with_room_index.has_value()) {
-        return;
-    }
-    auto& list = m_pools[server.service].with_room;
-    if (has_room) {
-        server.with_room_index = list.size();
-        list.push_back(&server);
-        return;
-    }
-    const auto index = *std::exchange(server.with_room_index, std::nullopt);
-    if (list.back() != &server) {
-        list[index] = list.back();
-        list[index]->with_room_index = index;
-    }
-    list.pop_back();
+    m_pools.set_has_room(server, has_room);
 }
 
 void slot_scheduler::set_rate_share(rate_share share, time_point now) {
@@ -152,8 +138,7 @@
 
 void slot_scheduler::remove_from_pool(slot_server& server) {
     if (std::exchange(server.is_usable, false)) {
-        std::erase(m_pools[server.service].servers, &server);
-        update_with_room(server);
+        m_pools.erase(server);
     }
 }
 
@@ -183,41 +168,22 @@
     return from_seconds(to_seconds(request.target) * times);
 }
 
-void slot_scheduler::refuse(tier_state& tier, const slot_request& request, wait_comparison why,
-                            time_point now) {
-    tier.overload.record_refusal(now);
-    const auto wait = tier.overload.retry_after(request.deadline - now, draw_for(request.ticket), now);
+void slot_scheduler::refuse(const slot_request& request, wait_comparison why, time_point now) {
+    auto& overload = m_queues.tier_of(request).overload;
+    overload.record_refusal(now);
+    const auto wait = overload.retry_after(request.deadline - now, draw_for(request.ticket), now);
     m_refusals.push_back(
         {request.ticket, refusal_reason::overloaded, wait, why.needed_seconds, why.available_seconds});
 }
 
-slot_scheduler::request_queue& slot_scheduler::queue_of(tier_state& tier, target_state state) noexcept {
-    return state == target_state::in_time ? tier.in_time : tier.late;
-}
-
-/// Number of waiting requests that get a slot before a new request of this service and tier.
-std::size_t slot_scheduler::count_ahead(const slot_request& request) const {
-    const auto queues = m_queues.find(request.service);
-    if (queues == m_queues.end()) {
-        return 0;
-    }
-    std::size_t ahead = 0;
-    for (const auto& [tier_number, tier] : queues->second) {
-        if (tier_number <= request.tier) {
-            ahead += tier.in_time.requests.size() + tier.late.requests.size();
-        }
-    }
-    return ahead;
-}
-
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
 /// its maximum wait. Its caller learns at once when to come back, instead of waiting in vain.
 bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
-    const auto servers = servers_of(request.service);
+    const auto servers = m_pools.servers_of(request.service);
     if (!are_all_rate_blocked(servers)) {
         return false;
     }
-    const auto wait = expect_rate_wait(servers, count_ahead(request), now);
+    const auto wait = expect_rate_wait(servers, m_queues.count_ahead(request), now);
     const auto left = request.arrived + max_wait_of(request) - now;
     if (wait <= left) {
         return false;
@@ -236,79 +202,56 @@
     if (refuse_for_rate_limits(request, now)) {
         return;
     }
-    auto& tier = m_queues[request.service][request.tier];
     if (classify(request, now) == target_state::late) {
-        enqueue_late(tier, request, now);
+        enqueue_late(request, now);
     } else {
-        enqueue_in_time(tier, request, now);
+        enqueue_in_time(request, now);
     }
-    if (m_waiting.contains(request.ticket)) {
-        m_wait_limits.emplace(request.arrived + max_wait_of(request), request.ticket);
+    if (m_queues.contains(request.ticket)) {
+        m_queues.set_wait_limit(request.ticket, request.arrived + max_wait_of(request));
     }
 }
 
 /// Refuses the request at once if its expected wait is too long. It would otherwise be refused later, and its
 /// caller would have lost the time until then.
-void slot_scheduler::enqueue_in_time(tier_state& tier, const slot_request& request, time_point now) {
+void slot_scheduler::enqueue_in_time(const slot_request& request, time_point now) {
+    auto& queue = m_queues.tier_of(request).in_time;
     const double max_wait = to_seconds(request.target) * m_limits.max_expected_wait_in_targets;
-    const double expected = expect_wait(tier.in_time.requests.size(), tier.in_time.grants.per_second(now));
+    const double expected = expect_wait(queue.requests.size(), queue.grants.per_second(now));
     if (expected > max_wait) {
-        refuse(tier, request, {expected, max_wait}, now);
+        refuse(request, {expected, max_wait}, now);
         return;
     }
-    enqueue(tier, request, target_state::in_time);
-}
-
-void slot_scheduler::enqueue(tier_state& tier, const slot_request& request, target_state state) {
-    const queue_key key{request.arrived, request.ticket};
-    queue_of(tier, state).requests.emplace(key, request);
-    m_waiting[request.ticket] = {request.service, request.tier, state, key};
+    m_queues.insert(request, target_state::in_time);
 }
 
 /// Late requests only get the slots that the other requests of the tier leave. Under sustained load there are
 /// none, and each late request would wait for its maximum time just to be refused. So only as many are queued
 /// as are expected to get a slot within that time.
-void slot_scheduler::enqueue_late(tier_state& tier, const slot_request& request, time_point now) {
+void slot_scheduler::enqueue_late(const slot_request& request, time_point now) {
+    auto& queue = m_queues.tier_of(request).late;
     const double left = to_seconds(request.arrived + max_wait_of(request) - now);
-    const double expected = expect_wait(tier.late.requests.size(), tier.late.grants.per_second(now));
+    const double expected = expect_wait(queue.requests.size(), queue.grants.per_second(now));
     if (expected > left) {
-        refuse(tier, request, {expected, left}, now);
+        refuse(request, {expected, left}, now);
         return;
     }
-    enqueue(tier, request, target_state::late);
-}
-
-void slot_scheduler::move_to_late_queue(tier_state& tier, request_map::iterator waiting, time_point now) {
-    const auto request = waiting->second;
-    tier.in_time.requests.erase(waiting);
-    m_waiting.erase(request.ticket);
-    enqueue_late(tier, request, now);
+    m_queues.insert(request, target_state::late);
 }
 
-void slot_scheduler::move_late_requests(tier_state& tier, time_point now) {
+void slot_scheduler::move_late_requests(tier_queues& tier, time_point now) {
     auto& requests = tier.in_time.requests;
-    for (auto waiting = requests.begin(); waiting != requests.end();) {
-        const auto next = std::next(waiting);
-        if (classify(waiting->second, now) == target_state::in_time) {
-            return;
-        }
-        move_to_late_queue(tier, waiting, now);
-        waiting = next;
+    while (!requests.empty() && classify(requests.begin()->second, now) == target_state::late) {
+        enqueue_late(m_queues.take(tier.in_time, requests.begin()), now);
     }
 }
 
 bool slot_scheduler::withdraw(slot_ticket ticket) {
-    const auto found = m_waiting.find(ticket);
-    if (found == m_waiting.end()) {
-        // The request may have a refusal that wasn't taken yet. The caller has left, so the refusal is
-        // dropped.
-        return std::erase_if(m_refusals, [ticket](const auto& refusal) { return refusal.ticket == ticket; }) >
-               0;
-    }
-    auto& tier = m_queues[found->second.service][found->second.tier];
-    queue_of(tier, found->second.state).requests.erase(found->second.key);
-    m_waiting.erase(found);
-    return true;
+    if (m_queues.remove(ticket)) {
+        return true;
+    }
+    // The request may have a refusal that wasn't taken yet. The caller has left, so the refusal is dropped.
+    return std::erase_if(m_refusals, [ticket](const auto& refusal) { return refusal.ticket == ticket; }) > 0;
 }
 
 void slot_scheduler::add_running(const running_slot& slot, time_point now) {
@@ -431,45 +374,31 @@
     return can_use_slot && !server.is_rate_blocked && available_slots(server, terms.is_lowest, now) >= 1;
 }
 
-/// Returns up to `max_considered_servers` servers with room. Each search continues where the last one ended,
-/// so that all servers get their turn.
-slot_scheduler::available_servers slot_scheduler::find_available(service_key service,
-                                                                 const grant_terms& terms, time_point now) {
-    available_servers result;
-    auto& pool = m_pools[service];
-    const auto count = pool.with_room.size();
-    for (std::size_t examined = 0; examined < count && result.size() < max_considered_servers; ++examined) {
-        pool.next = (pool.next + 1) % count;
-        auto* server = pool.with_room[pool.next];
-        if (can_take_request(*server, terms, now)) {
-            result.push_back(server);
-        }
-    }
-    return result;
+server_pools::server_list slot_scheduler::find_available(service_key service, const grant_terms& terms,
+                                                         time_point now) {
+    const auto is_suitable = [&](const slot_server& server) {
+        return can_take_request(server, terms, now);
+    };
+    return m_pools.find(service, max_considered_servers, is_suitable);
 }
 
 /// A request is late if no server, busy or not, could still send its first event in time. It also counts as
 /// late after it has waited for some time although a fast enough server exists: under sustained load, the
 /// fast servers may never have a free slot for it. A retried request (slot_request::previous_refusals) always
 /// counts as late.
-slot_scheduler::target_state slot_scheduler::classify(const slot_request& request, time_point now) const {
+target_state slot_scheduler::classify(const slot_request& request, time_point now) const {
     const auto waited = now - request.arrived;
     if (request.previous_refusals > 0 ||
         waited > from_seconds(to_seconds(request.target) * wait_for_fast_server)) {
         return target_state::late;
     }
-    return can_meet_target(request, servers_of(request.service), now) ? target_state::in_time
-                                                                      : target_state::late;
+    return can_meet_target(request, m_pools.servers_of(request.service), now) ? target_state::in_time
+                                                                              : target_state::late;
 }
 
-slot_servers slot_scheduler::servers_of(service_key service) const {
-    const auto pool = m_pools.find(service);
-    return pool == m_pools.end() ? slot_servers() : slot_servers(pool->second.servers);
-}
-
-void slot_scheduler::start(request_queue& queue, request_map::iterator waiting, slot_server& server,
+void slot_scheduler::start(request_queue& queue, request_queue::position waiting, slot_server& server,
                            time_point now, std::vector<slot_grant>& grants) {
-    const auto& request = waiting->second;
+    const auto request = m_queues.take(queue, waiting);
     const auto mark =
         server.prompts_ahead.add(server.first_event.expect_prompt_processing(request.cost.prompt), now);
     m_running[request.ticket] = {server.key, request.service, request.tier, request.cost.prompt, mark};
@@ -480,18 +409,16 @@
     server.last_grant = ++m_grants;
     queue.grants.record(now);
     grants.push_back({request.ticket, server.key});
-    m_waiting.erase(request.ticket);
-    queue.requests.erase(waiting);
 }
 
-void slot_scheduler::grant_from_queue(service_key service, tier_state& tier, grant_terms terms,
+void slot_scheduler::grant_from_queue(service_key service, tier_queues& tier, grant_terms terms,
                                       time_point now, std::vector<slot_grant>& grants) {
-    auto& queue = queue_of(tier, terms.state);
+    auto& queue = tier.of(terms.state);
     if (queue.requests.empty()) {
         return;
     }
     const auto enough = grants.size() + std::min(terms.max_grants, queue.requests.size());
-    const auto all = servers_of(service);
+    const auto all = m_pools.servers_of(service);
     auto available = find_available(service, terms, now);
     for (auto waiting = queue.requests.begin();
          waiting != queue.requests.end() && !available.empty() && grants.size() < enough;) {
@@ -511,7 +438,7 @@
     }
 }
 
-bool slot_scheduler::needs_minimum_share(const tier_state& tier, time_point now) {
+bool slot_scheduler::needs_minimum_share(const tier_queues& tier, time_point now) {
     return std::ranges::any_of(std::array{&tier.in_time.requests, &tier.late.requests},
                                [now](const auto* requests) {
                                    if (requests->empty()) {
@@ -525,8 +452,8 @@
 
 /// Grants slots to tiers that recently got less than their guaranteed minimum share, the tier with the
 /// smallest share first.
-void slot_scheduler::grant_minimum_shares(service_key service, service_queue& tiers, time_point now,
-                                          std::vector<slot_grant>& grants) {
+void slot_scheduler::grant_minimum_shares(service_key service, slot_queues::service_queues& tiers,
+                                          time_point now, std::vector<slot_grant>& grants) {
     auto& floor = floor_of(service);
     std::vector<int> tier_numbers;
     for (const auto& [tier_number, tier] : tiers) {
@@ -546,19 +473,8 @@
 }
 
 void slot_scheduler::refuse_overdue(time_point now) {
-    while (!m_wait_limits.empty() && m_wait_limits.begin()->first <= now) {
-        const auto found = m_waiting.find(m_wait_limits.begin()->second);
-        m_wait_limits.erase(m_wait_limits.begin());
-        if (found == m_waiting.end()) {
-            continue;
-        }
-        auto& tier = m_queues[found->second.service][found->second.tier];
-        auto& requests = queue_of(tier, found->second.state).requests;
-        const auto waiting = requests.find(found->second.key);
-        const auto& request = waiting->second;
-        refuse(tier, request, {to_seconds(now - request.arrived), to_seconds(max_wait_of(request))}, now);
-        requests.erase(waiting);
-        m_waiting.erase(found);
+    for (const auto& request : m_queues.take_overdue(now)) {
+        refuse(request, {to_seconds(now - request.arrived), to_seconds(max_wait_of(request))}, now);
     }
 }
 
@@ -570,7 +486,7 @@
     std::vector<slot_grant> grants;
     examine_rate_limits(now);
     refuse_overdue(now);
-    for (auto& [service, tiers] : m_queues) {
+    for (auto& [service, tiers] : m_queues.services()) {
         for (auto& [tier_number, tier] : tiers) {
             move_late_requests(tier, now);
         }
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -3,17 +3,16 @@
 // returns its decisions.
 #pragma once
 
-#include "policy/event_rate.hpp"
-#include "policy/overload_tracker.hpp"
 #include "policy/rate_limit_schedule.hpp"
+#include "policy/server_pools.hpp"
 #include "policy/slot_choice.hpp"
 #include "policy/slot_floor.hpp"
+#include "policy/slot_queues.hpp"
 #include "policy/slot_server.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -136,54 +135,11 @@
     /// Number of a server's running requests; 0 for a server that isn't known.
     [[nodiscard]] unsigned outstanding(server_key server) const;
     /// Number of queued requests.
-    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
+    [[nodiscard]] std::size_t waiting() const noexcept { return m_queues.size(); }
     /// Number of requests that occupy slots.
     [[nodiscard]] std::size_t running() const noexcept { return m_running.size(); }
 
 private:
-    /// Position of a request in a queue. Compares the arrival time first, so that a queue is sorted by age.
-    struct queue_key {
-        time_point arrived;
-        slot_ticket ticket = 0;
-        auto operator<=>(const queue_key&) const = default;
-    };
-    using request_map = std::map<queue_key, slot_request>;
-    /// One of the two queues of a tier.
-    struct request_queue {
-        request_map requests;
-        event_rate grants; ///< rate of grants from this queue
-    };
-    /// Requests that can still meet their target and late requests wait in separate queues, and late requests
-    /// only get the slots that the first queue leaves. With a single queue, its length would be limited only
-    /// by the maximum wait; nearly all requests that get a slot would be late by then, and all others would
-    /// wait as long just to be refused.
-    struct tier_state {
-        request_queue in_time; ///< requests whose target some server could still meet
-        request_queue late;
-        overload_tracker overload;
-    };
-    /// The queues of one service by tier, highest tier first.
-    using service_queue = std::map<int, tier_state>;
-    /// The usable servers of one service: those that may get new requests, also while they are in a cooldown.
-    struct server_pool {
-        std::vector<slot_server*> servers;
-        /// The elements of `servers` that have slots left and whose rate limits allow a request, whether or
-        /// not they are in a cooldown. Under load they are few, whereas the time of a search through all
-        /// servers of a service would grow with their number.
-        std::vector<slot_server*> with_room;
-        std::size_t next = 0; ///< index in `with_room` after which the next search starts
-    };
-    using available_servers = std::vector<slot_server*>;
-    /// Whether a request can still meet its latency target, which chooses the queue of its tier in which it
-    /// waits.
-    enum class target_state { in_time, late };
-    /// Where a waiting request is queued.
-    struct queue_location {
-        service_key service = 0;
-        int tier = 0;
-        target_state state = target_state::in_time;
-        queue_key key;
-    };
     struct running_request {
         server_key server = 0;
         service_key service = 0;
@@ -194,10 +150,7 @@
     /// Whether a request belongs into the queue of requests that can still meet their target or into that of
     /// late requests.
     [[nodiscard]] target_state classify(const slot_request& request, time_point now) const;
-    /// All usable servers of a service, also those in a cooldown.
-    [[nodiscard]] slot_servers servers_of(service_key service) const;
     [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
-    [[nodiscard]] std::size_t count_ahead(const slot_request& request) const;
     bool refuse_for_rate_limits(const slot_request& request, time_point now);
     void examine_rate_limits(time_point now);
     // Four functions compute whether a server has room, and differ in what they consider:
@@ -220,31 +173,28 @@
     };
     [[nodiscard]] bool can_take_request(const slot_server& server, const grant_terms& terms,
                                         time_point now) const;
-    [[nodiscard]] available_servers find_available(service_key service, const grant_terms& terms,
-                                                   time_point now);
+    [[nodiscard]] server_pools::server_list find_available(service_key service, const grant_terms& terms,
+                                                           time_point now);
     void remove_from_pool(slot_server& server);
-    [[nodiscard]] static request_queue& queue_of(tier_state& tier, target_state state) noexcept;
-    void start(request_queue& queue, request_map::iterator waiting, slot_server& server, time_point now,
+    void start(request_queue& queue, request_queue::position waiting, slot_server& server, time_point now,
                std::vector<slot_grant>& grants);
-    void grant_from_queue(service_key service, tier_state& tier, grant_terms terms, time_point now,
+    void grant_from_queue(service_key service, tier_queues& tier, grant_terms terms, time_point now,
                           std::vector<slot_grant>& grants);
     /// Whether the tier's oldest request has waited so long that the tier needs its guaranteed minimum share.
-    [[nodiscard]] static bool needs_minimum_share(const tier_state& tier, time_point now);
-    void grant_minimum_shares(service_key service, service_queue& tiers, time_point now,
+    [[nodiscard]] static bool needs_minimum_share(const tier_queues& tier, time_point now);
+    void grant_minimum_shares(service_key service, slot_queues::service_queues& tiers, time_point now,
                               std::vector<slot_grant>& grants);
     [[nodiscard]] slot_floor& floor_of(service_key service);
     [[nodiscard]] duration max_wait_of(const slot_request& request) const;
-    void enqueue(tier_state& tier, const slot_request& request, target_state state);
-    void enqueue_in_time(tier_state& tier, const slot_request& request, time_point now);
-    void enqueue_late(tier_state& tier, const slot_request& request, time_point now);
-    void move_to_late_queue(tier_state& tier, request_map::iterator waiting, time_point now);
-    void move_late_requests(tier_state& tier, time_point now);
+    void enqueue_in_time(const slot_request& request, time_point now);
+    void enqueue_late(const slot_request& request, time_point now);
+    void move_late_requests(tier_queues& tier, time_point now);
     /// The wait that led to a refusal, and the limit that it exceeds.
     struct wait_comparison {
         double needed_seconds = 0;
         double available_seconds = 0;
     };
-    void refuse(tier_state& tier, const slot_request& request, wait_comparison why, time_point now);
+    void refuse(const slot_request& request, wait_comparison why, time_point now);
     void refuse_overdue(time_point now);
     void erase_if_unused(server_key server);
     void record_outcome(server_key server, slot_outcome outcome, time_point now);
@@ -252,13 +202,9 @@
     slot_scheduler_limits m_limits;
     std::unordered_map<server_key, slot_server> m_servers;
     /// Invariant: contains exactly the usable servers, each in the pool of its service.
-    std::unordered_map<service_key, server_pool> m_pools;
-    std::unordered_map<service_key, service_queue> m_queues;
+    server_pools m_pools;
+    slot_queues m_queues;
     std::unordered_map<service_key, slot_floor> m_floors;
-    std::unordered_map<slot_ticket, queue_location> m_waiting;
-    /// The time at which each waiting request reaches its maximum wait. Tickets that no longer wait are
-    /// skipped.
-    std::multimap<time_point, slot_ticket> m_wait_limits;
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
     std::vector<health_change> m_health_changes;
