The soak finds the deliveries of a late run once, and one function knows how a server's name begins

Read once more: is_late_on_path_only and describe_delivery searched the same deliveries with the same condition, one after the other, and the separator in a server's name stood in two files, once as a constant and once as '@'. deliveries_of finds them once; check_disconnected judges and describes what it found; server_id_of has the separator. No bound, condition or text has changed.

--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -89,46 +89,25 @@
     return false;
 }
 
-/// True if the run may have begun because of this delivery.
-bool is_delivery_of(const held_delivery& delivery, const server_run& run) {
-    const auto& unit = delivery.unit;
-    const auto difference = run.begun - unit.forwarded;
-    return run.server.substr(0, run.server.find('@')) == delivery.server_id && difference <= delivery_slack &&
-           difference >= -delivery_slack && contains_request(unit.bytes, run.request_id);
-}
-
-/// True if a run that a held path delivered late was sent in time: the gateway had sent each part of it, and
-/// had closed the connection, by the end of `leave_limit`, and the server learned of the close right after
-/// the request.
-bool is_late_on_path_only(const sent_request& request, const server_run& run,
-                          std::span<const held_delivery> held) {
-    const auto limit = request.ended + leave_limit;
-    std::size_t deliveries = 0;
-    for (const auto& delivery : held) {
-        if (!is_delivery_of(delivery, run)) {
-            continue;
-        }
-        ++deliveries;
-        const auto& unit = delivery.unit;
-        const bool is_in_time = unit.received <= limit && unit.end.has_value() && unit.end->at <= limit &&
-                                unit.end_forwarded <= unit.forwarded + delivery_slack;
-        if (!is_in_time) {
-            return false;
+/// The held pieces whose delivery may have begun this run.
+std::vector<test::held_unit> deliveries_of(const server_run& run, std::span<const held_delivery> held) {
+    std::vector<test::held_unit> result;
+    for (const auto& [server_id, unit] : held) {
+        const auto difference = run.begun - unit.forwarded;
+        const bool is_at_that_time = difference <= delivery_slack && difference >= -delivery_slack;
+        if (server_id == server_id_of(run.server) && is_at_that_time &&
+            contains_request(unit.bytes, run.request_id)) {
+            result.push_back(unit);
         }
     }
-    return deliveries > 0;
+    return result;
 }
 
-/// What the proxy saw of the delivery of a run; empty if it wasn't held.
-std::string describe_delivery(const sent_request& request, const server_run& run,
-                              std::span<const held_delivery> held) {
-    std::string text;
-    for (const auto& delivery : held) {
-        if (is_delivery_of(delivery, run)) {
-            text += describe(delivery.unit, request.ended);
-        }
-    }
-    return text;
+/// True if the gateway had sent these bytes and closed the connection by `limit`, and the server learned of
+/// the close right after the bytes.
+bool is_sent_in_time(const test::held_unit& unit, clock::time_point limit) {
+    return unit.received <= limit && unit.end.has_value() && unit.end->at <= limit &&
+           unit.end_forwarded <= unit.forwarded + delivery_slack;
 }
 
 } // namespace
@@ -279,13 +258,23 @@
     broken_promises broken;
     for (const auto& run : runs) {
         const bool is_late = run.request_id == request.id && run.begun > request.ended + leave_limit;
-        if (!is_late || is_late_on_path_only(request, run, held) ||
+        if (!is_late ||
             disturbances.has(disturbance_kind::gateway_down, request.gateway, request.ended, run.begun)) {
             continue;
         }
-        broken.push_back(describe(request) + ": reached " + run.server + " " +
-                         after(request.ended, run.begun) + " its caller had left" +
-                         describe_delivery(request, run, held));
+        const auto deliveries = deliveries_of(run, held);
+        const auto is_in_time = [&request](const test::held_unit& unit) {
+            return is_sent_in_time(unit, request.ended + leave_limit);
+        };
+        if (!deliveries.empty() && std::ranges::all_of(deliveries, is_in_time)) {
+            continue;
+        }
+        auto line = describe(request) + ": reached " + run.server + " " + after(request.ended, run.begun) +
+                    " its caller had left";
+        for (const auto& unit : deliveries) {
+            line += describe(unit, request.ended);
+        }
+        broken.push_back(std::move(line));
     }
     return broken;
 }
--- a/tests/soak/sent_request.hpp
+++ b/tests/soak/sent_request.hpp
@@ -52,10 +52,15 @@
     clock::time_point begun;
 };
 
+/// The server's id, which is the part of its name before the number of its start.
+[[nodiscard]] inline std::string server_id_of(const std::string& server_name) {
+    return server_name.substr(0, server_name.find('@'));
+}
+
 /// Bytes from a gateway that were held back on their way to a backend server, as the proxy before that server
 /// saw them.
 struct held_delivery {
-    std::string server_id; ///< the server's name without the number of its start
+    std::string server_id; ///< see server_id_of()
     test::held_unit unit;
 };
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -44,8 +44,6 @@
 constexpr std::chrono::seconds short_keep_alive{1};
 /// A gateway that has printed this event handles signals.
 constexpr std::string_view started_event = R"("event":"started")";
-/// Between a server's id and the number of its start, in the server's name.
-constexpr char start_separator = '@';
 /// Indices of the services in the configuration.
 enum service_index : std::size_t { plain_service, engine_service, other_service };
 
@@ -617,10 +615,10 @@
 std::vector<held_delivery> soak_deployment::collect_held_deliveries() const {
     std::vector<held_delivery> result;
     for (const auto& [server, proxy] : m_server_proxies) {
-        const auto name = m_site->server_name(server);
+        const auto server_id = server_id_of(m_site->server_name(server));
         for (auto& unit : proxy->held_units()) {
             if (unit.way == test::direction::up) {
-                result.push_back({name.substr(0, name.find(start_separator)), std::move(unit)});
+                result.push_back({server_id, std::move(unit)});
             }
         }
     }
