--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -155,6 +155,7 @@
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
     m_arrival_times.push_back(steady_clock::now());
+    m_arrived_requests.push_back({header_value(call, m_fields.request_id), m_arrival_times.back()});
     const auto expected = header_value(call, m_fields.expected_server);
     const bool is_full = m_in_progress >= m_options.slots + m_options.queue;
     unsigned refused = 0;
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "emulator/batching_engine.hpp"
 #include "emulator/rate_limit_excess.hpp"
+#include "emulator/retry_excess.hpp"
 #include "http/server.hpp"
 #include "routing/header_names.hpp"
 
@@ -102,6 +103,10 @@
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point>& arrival_times() const noexcept {
         return m_arrival_times;
     }
+    /// The same arrivals with the ids of their requests.
+    [[nodiscard]] const std::vector<recorded_arrival>& arrived_requests() const noexcept {
+        return m_arrived_requests;
+    }
 
 private:
     struct engine_driver;
@@ -130,6 +135,7 @@
     std::vector<recorded_run> m_runs;
     std::size_t m_in_progress = 0;
     std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
+    std::vector<recorded_arrival> m_arrived_requests;
     http::header_fields m_additional_fields;
     std::vector<named_limit> m_named_limits;
     http::server m_server;
--- a/tests/failure/test_gateway_coordination.cpp
+++ b/tests/failure/test_gateway_coordination.cpp
@@ -40,25 +40,6 @@
     return process.output_text().find(text) != std::string::npos;
 }
 
-/// Waits until one gateway coordinates and the other gateways request slots from it; returns the
-/// coordinator's index.
-std::size_t wait_for_coordinator(gateway_site& site, std::size_t gateways) {
-    std::size_t coordinator = 0;
-    wait_until("all gateways use one coordinator", [&] {
-        std::size_t asking = 0;
-        for (std::size_t index = 0; index < gateways; ++index) {
-            const auto text = site.process(index).output_text();
-            const auto last = text.rfind(R"("event":"slot_source_changed")");
-            const auto line =
-                last == std::string::npos ? "" : text.substr(last, text.find('\n', last) - last);
-            asking += line.find(R"("to":"coordinator")") != std::string::npos ? 1 : 0;
-            coordinator = line.find(R"("to":"own_coordination")") != std::string::npos ? index : coordinator;
-        }
-        return asking == gateways - 1;
-    });
-    return coordinator;
-}
-
 std::size_t count_served(gateway_site& site, const std::vector<std::size_t>& gateways, int calls,
                          const std::string& name) {
     std::size_t served = 0;
@@ -76,7 +57,7 @@
     // A workspace sends requests through every gateway. If each gateway counted separately, the workspace
     // would get its quota once per gateway, at the expense of other workspaces.
     gateway_site site(limited_site(2));
-    static_cast<void>(wait_for_coordinator(site, 2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
     // One quota, perhaps slightly less than full, allows 8 to 10 calls; two would allow at least sixteen.
     const auto served = count_served(site, {0, 1}, 60, "call-");
     CHECK(served >= 8);
@@ -87,7 +68,7 @@
     // The coordinator crashes. If the next one started with full quotas, a workspace would get its burst
     // again after each crash.
     gateway_site site(limited_site(3));
-    const auto coordinator = wait_for_coordinator(site, 3);
+    const auto coordinator = wait_for_coordinator(site, {0, 1, 2});
     std::vector<std::size_t> others;
     for (std::size_t index = 0; index < 3; ++index) {
         if (index != coordinator) {
@@ -113,7 +94,7 @@
     auto options = limited_site(2);
     options.configuration.workspaces.clear();
     gateway_site site(options);
-    const auto coordinator = wait_for_coordinator(site, 2);
+    const auto coordinator = wait_for_coordinator(site, {0, 1});
     const auto other = 1 - coordinator;
     site.process(coordinator).freeze();
     for (int index = 0; index < 10; ++index) {
@@ -121,7 +102,7 @@
     }
     site.process(coordinator).thaw();
     CHECK(site.send(coordinator, make_call("/plain/x", "thawed")).status == 200);
-    static_cast<void>(wait_for_coordinator(site, 2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
 }
 
 TEST_CASE("gateway: all gateways recover by themselves after being killed at once",
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -18,6 +18,7 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace borageford::test {
 
@@ -176,7 +177,9 @@
     for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
         places.push_back({asio::ip::make_address(gateway_address(gateway)), m_port});
     }
-    return experiment::gateway_file_text(m_store_address, places, index, "retry_reserve = 1000\n" + further,
+    std::ostringstream settings;
+    settings << "retry_reserve = " << m_options.retry_reserve << '\n' << further;
+    return experiment::gateway_file_text(m_store_address, places, index, settings.str(),
                                          m_options.store_timeout);
 }
 
@@ -298,4 +301,25 @@
     return call(callers(gateway), request);
 }
 
+std::size_t wait_for_coordinator(gateway_site& site, const std::vector<std::size_t>& gateways) {
+    std::size_t coordinator = 0;
+    wait_until("all gateways use one coordinator", [&] {
+        std::size_t asking = 0;
+        std::size_t coordinating = 0;
+        for (const auto gateway : gateways) {
+            const auto text = site.process(gateway).output_text();
+            const auto last = text.rfind(R"("event":"slot_source_changed")");
+            const auto line =
+                last == std::string::npos ? "" : text.substr(last, text.find('\n', last) - last);
+            asking += line.find(R"("to":"coordinator")") != std::string::npos ? 1 : 0;
+            if (line.find(R"("to":"own_coordination")") != std::string::npos) {
+                ++coordinating;
+                coordinator = gateway;
+            }
+        }
+        return coordinating == 1 && asking == gateways.size() - 1;
+    });
+    return coordinator;
+}
+
 } // namespace borageford::test
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -34,6 +34,7 @@
     bool is_configured = true;
     std::vector<emulator::backend_options> backends;
     std::string gateway_settings = {}; ///< additional lines of the section [gateway]
+    double retry_reserve = 1000;       ///< retries that the gateways may send in a window beyond the ratio
     /// How long a gateway waits for an answer from the store.
     std::chrono::milliseconds store_timeout{500};
 };
@@ -155,4 +156,8 @@
     std::jthread m_thread;
 };
 
+/// Waits until one of these gateways coordinates and the others request slots from it, as far as their logs
+/// say; returns the coordinator's index.
+[[nodiscard]] std::size_t wait_for_coordinator(gateway_site& site, const std::vector<std::size_t>& gateways);
+
 } // namespace borageford::test
