--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/rate_limit_table.hpp"
+#include "policy/server_retry_budget.hpp"
 #include "policy/slot_scheduler.hpp"
 #include "store/position.hpp"
 
@@ -45,6 +46,11 @@
     std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
         [](const policy::rate_limit_table::change&) {
         };
+    /// The retries of a service that this process has granted and may grant. Called about once a second for
+    /// each service, and with `has_run_out` when a retry was refused for the first time since one was granted.
+    std::function<void(policy::service_key, const policy::server_retry_budget::use&, bool has_run_out)>
+        on_retry_use = [](policy::service_key, const policy::server_retry_budget::use&, bool) {
+        };
     /// This process granted the last slot that the rate limit of a server allows for now.
     std::function<void(policy::server_key)> on_rate_limit_used_up = [](policy::server_key) {
     };
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t max_initial_reports = 64;
 /// How long a process that has just started waits for a first message of another one before it grants slots.
 constexpr milliseconds learning_time{400};
+constexpr milliseconds retry_use_report_period{1000};
 
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
@@ -236,6 +237,21 @@
     for (const auto server : m_coordinator.scheduler().take_used_up_limits()) {
         m_observers.on_rate_limit_used_up(server);
     }
+    auto& retries = m_coordinator.retry_budget();
+    for (const auto service : retries.take_used_up()) {
+        m_observers.on_retry_use(service, retries.current_use(service, now), true);
+    }
+}
+
+void slot_broker::report_retry_use(policy::time_point now) {
+    if (now - m_retry_use_reported < retry_use_report_period) {
+        return;
+    }
+    m_retry_use_reported = now;
+    auto& retries = m_coordinator.retry_budget();
+    for (const auto service : retries.services()) {
+        m_observers.on_retry_use(service, retries.current_use(service, now), false);
+    }
 }
 
 /// True after a start and after the loss of a coordinator, for the time in which another process is likely to
@@ -358,6 +374,7 @@
         resubmit_deferred(now);
     }
     send_heartbeats(now);
+    report_retry_use(now);
     schedule_flush();
 }
 
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -108,6 +108,7 @@
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
     void report_source_change(slot_source before) const;
     void grant_slots(policy::time_point now);
+    void report_retry_use(policy::time_point now);
     void apply_items(policy::member_key member, const batch_items& items, policy::time_point now);
     void handle_coordinator_message(datagram message);
     void handle_member_message(policy::member_key member, datagram message);
@@ -171,6 +172,7 @@
     policy::time_point m_started;
     bool m_has_heard_member = false; ///< another process has sent a message since the start
     heartbeat_schedule m_heartbeats;
+    policy::time_point m_retry_use_reported;
 };
 
 } // namespace borageford::coordination
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -25,6 +25,7 @@
     [[nodiscard]] policy::slot_scheduler& scheduler() noexcept { return m_scheduler; }
     [[nodiscard]] const policy::slot_scheduler& scheduler() const noexcept { return m_scheduler; }
     [[nodiscard]] policy::quota_tracker& quotas() noexcept { return m_quotas; }
+    [[nodiscard]] policy::server_retry_budget& retry_budget() noexcept { return m_retry_budget; }
 
     /// Sets the shares that this process may grant, each from 0 to 1: `slots` of all slots, `limits` of the
     /// quotas and of the retry budget.
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -151,6 +151,11 @@
         "The coordinator refused to grant a slot to a request: the request needed more of the resource named "
         "by `reason` (seconds of waiting, quota units of a workspace, retries) than was available.",
         "ticket member reason needed available waiting running retry_after_ms"},
+    event_description{
+        event_kind::retry_budget_used_up, "retry_budget_used_up", warning, state_rate,
+        "The process that grants slots refused a retry, and had granted the one before: the retry "
+        "budget of the service allows no more for now.",
+        "service retries allowed"},
 };
 
 constexpr bool rows_follow_enumeration() {
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -61,6 +61,7 @@
 
     // Requests, logged by the process that grants slots.
     slot_refused,
+    retry_budget_used_up,
 };
 
 /// The fixed properties of one kind of event.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -16,6 +16,7 @@
 #include "gateway/metrics_endpoint.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/rate_limit_reader.hpp"
+#include "gateway/retry_use_monitor.hpp"
 #include "gateway/rollout_manager.hpp"
 #include "gateway/rollout_recorder.hpp"
 #include "gateway/store_follower.hpp"
@@ -73,6 +74,7 @@
                   current_deployment.format),
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_rate_limits(current_deployment, m_backends, m_slots, m_registry),
+          m_retry_use(m_configuration, m_registry),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, current_deployment.fields,
                     m_configuration,      m_backends,         m_slots,    m_metrics,
                     m_rate_limits},
@@ -206,6 +208,8 @@
             [this](policy::server_key server) { m_rollouts.record_grant(server); },
             [this](const policy::slot_release& ended) { m_rollouts.record_release(ended); },
             [this](const policy::rate_limit_table::change& change) { m_rate_limits.report_change(change); },
+            [this](policy::service_key service, const policy::server_retry_budget::use& current,
+                   bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
             [this](policy::server_key server) {
                 m_rate_limits.count_used_up(server);
             }};
@@ -402,6 +406,7 @@
     backend_directory m_backends;
     coordination::slot_broker m_slots;
     rate_limit_reader m_rate_limits;
+    retry_use_monitor m_retry_use;
     gateway_context m_context;
     configuration_manager m_configuration_manager;
     rollout_manager m_rollouts;
--- a/src/policy/server_retry_budget.cpp
+++ b/src/policy/server_retry_budget.cpp
@@ -15,17 +15,17 @@
 
 void server_retry_budget::forget_old(history& of, time_point now) const {
     const auto slice_length = m_limits.window / slices_per_window;
-    while (!of.empty() && now - of.front().begin > m_limits.window + slice_length) {
-        of.pop_front();
+    while (!of.slices.empty() && now - of.slices.front().begin > m_limits.window + slice_length) {
+        of.slices.pop_front();
     }
 }
 
 server_retry_budget::slice& server_retry_budget::current(history& of, time_point now) const {
     const auto slice_length = m_limits.window / slices_per_window;
-    if (of.empty() || now - of.back().begin >= slice_length) {
-        of.push_back({now, 0, 0});
+    if (of.slices.empty() || now - of.slices.back().begin >= slice_length) {
+        of.slices.push_back({now, 0, 0});
     }
-    return of.back();
+    return of.slices.back();
 }
 
 void server_retry_budget::count_request(service_key service, time_point now) {
@@ -39,7 +39,7 @@
     forget_old(of, now);
     double requests = 0;
     double retries = 0;
-    for (const auto& part : of) {
+    for (const auto& part : of.slices) {
         requests += part.requests;
         retries += part.retries;
     }
@@ -48,11 +48,25 @@
 
 bool server_retry_budget::try_acquire(service_key service, time_point now) {
     const auto used = current_use(service, now);
-    if (used.retries + 1 > used.allowed) {
-        return false;
+    auto& of = m_services[service];
+    const bool is_allowed = used.retries + 1 <= used.allowed;
+    if (!is_allowed && !of.is_used_up) {
+        m_used_up.push_back(service);
+    }
+    of.is_used_up = !is_allowed;
+    if (is_allowed) {
+        ++current(of, now).retries;
+    }
+    return is_allowed;
+}
+
+std::vector<service_key> server_retry_budget::services() const {
+    std::vector<service_key> result;
+    result.reserve(m_services.size());
+    for (const auto& [service, of] : m_services) {
+        result.push_back(service);
     }
-    ++current(m_services[service], now).retries;
-    return true;
+    return result;
 }
 
 } // namespace borageford::policy
--- a/src/policy/server_retry_budget.hpp
+++ b/src/policy/server_retry_budget.hpp
@@ -6,6 +6,8 @@
 
 #include <deque>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace borageford::policy {
 
@@ -38,6 +40,12 @@
     /// Counts a retry and returns true if the budget allows one more.
     [[nodiscard]] bool try_acquire(service_key service, time_point now);
 
+    /// The services whose requests this process has counted.
+    [[nodiscard]] std::vector<service_key> services() const;
+    /// Returns the services whose budget has run out since the last call: a retry was refused, and the one
+    /// before it wasn't.
+    [[nodiscard]] std::vector<service_key> take_used_up() { return std::exchange(m_used_up, {}); }
+
 private:
     /// Counts for one slice of the window.
     struct slice {
@@ -45,7 +53,10 @@
         unsigned requests = 0;
         unsigned retries = 0;
     };
-    using history = std::deque<slice>;
+    struct history {
+        std::deque<slice> slices; ///< oldest first
+        bool is_used_up = false;  ///< the last retry was refused
+    };
 
     slice& current(history& of, time_point now) const;
     void forget_old(history& of, time_point now) const;
@@ -53,6 +64,7 @@
     server_retry_limits m_limits;
     double m_share = 1;
     std::unordered_map<service_key, history> m_services;
+    std::vector<service_key> m_used_up; ///< returned by take_used_up()
 };
 
 } // namespace borageford::policy
