A successor knows what was taken from the retry reserve, and takes only what is left

Cause: server_retry_budget lived in one process and nothing of it was handed over. The old coordinator, the gateways' local shares and the new coordinator each used up to 0.6 of the whole within one window.

Change: processes state what they have used of each reserve (retry_use), a coordinator to its members with the replies to their heartbeats, a member to a new coordinator with the first batch. Uses are kept by the process that granted, so that reports over several ways count once and those of processes that granted at the same time add up. A process takes its share of what all others have left. One that doesn't know the last window (it has just started, or was cut off for more than a second) takes nothing from the reserve until another one that knows tells it, or a window has passed; the ratio's part stays. first_start says that no gateway has run before; the platform's template sets it. A coordinator keeps the share of members that are silent for 300 ms, which may be using it themselves.

--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -42,6 +42,7 @@
 void batch_channel::seal_pending() {
     while (!m_pending.is_empty()) {
         batch_items items;
+        items.retries = std::exchange(m_pending.retries, {});
         // The receiver processes the lists in this order, because a later list can refer to requests and
         // servers of an earlier one.
         [[maybe_unused]] const bool all = move_until_full(m_pending.reports, items.reports, items) &&
--- a/src/coordination/broker_settings.hpp
+++ b/src/coordination/broker_settings.hpp
@@ -23,6 +23,9 @@
     std::chrono::milliseconds coordinator_patience{400};
     /// false: servers' rate limits are known, but slots are granted without them
     bool obeys_rate_limits = true;
+    /// Whether no process of this system has run before. Otherwise a process that starts takes nothing from
+    /// the retry reserves until it knows what was used of them.
+    bool is_first_start = false;
     policy::election_limits election;
     policy::slot_scheduler_limits slots;
     policy::quota_limits quotas;
--- a/src/coordination/member_sessions.cpp
+++ b/src/coordination/member_sessions.cpp
@@ -26,6 +26,11 @@
     return result;
 }
 
+std::size_t member_sessions::count_heard_since(policy::time_point time) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_sessions, [time](const auto& entry) { return entry.second.last_message >= time; }));
+}
+
 void member_sessions::queue_decisions(policy::member_key member, const batch_items& decided) {
     auto* served = find(member);
     if (served == nullptr) {
--- a/src/coordination/member_sessions.hpp
+++ b/src/coordination/member_sessions.hpp
@@ -20,6 +20,7 @@
     struct session {
         batch_channel channel;
         policy::time_point last_message; ///< time of the member's last message
+        unsigned heartbeats = 0;         ///< heartbeats of the member in this session
     };
 
     /// The session of a member; null if it has none. Valid until the session ends.
@@ -30,6 +31,8 @@
 
     [[nodiscard]] bool is_empty() const noexcept { return m_sessions.empty(); }
     [[nodiscard]] std::size_t size() const noexcept { return m_sessions.size(); }
+    /// Number of members that have sent a message since `time`.
+    [[nodiscard]] std::size_t count_heard_since(policy::time_point time) const;
     [[nodiscard]] std::vector<policy::member_key> members() const;
 
     /// Appends grants and refusals to what is sent to a member next. Dropped if it has no session any more.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -31,6 +31,8 @@
 
 struct rate_limit;
 
+struct retry_use;
+
 struct datagram;
 struct datagramBuilder;
 
@@ -478,6 +480,57 @@
   using type = rate_limit;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) retry_use FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t source_;
+  uint64_t service_;
+  uint32_t revision_;
+  uint32_t granted_ago_ms_;
+  float retries_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  retry_use()
+      : source_(0),
+        service_(0),
+        revision_(0),
+        granted_ago_ms_(0),
+        retries_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  retry_use(uint64_t _source, uint64_t _service, uint32_t _revision, uint32_t _granted_ago_ms, float _retries)
+      : source_(flatbuffers::EndianScalar(_source)),
+        service_(flatbuffers::EndianScalar(_service)),
+        revision_(flatbuffers::EndianScalar(_revision)),
+        granted_ago_ms_(flatbuffers::EndianScalar(_granted_ago_ms)),
+        retries_(flatbuffers::EndianScalar(_retries)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t source() const {
+    return flatbuffers::EndianScalar(source_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint32_t revision() const {
+    return flatbuffers::EndianScalar(revision_);
+  }
+  uint32_t granted_ago_ms() const {
+    return flatbuffers::EndianScalar(granted_ago_ms_);
+  }
+  float retries() const {
+    return flatbuffers::EndianScalar(retries_);
+  }
+};
+FLATBUFFERS_STRUCT_END(retry_use, 32);
+
+struct retry_use::Traits {
+  using type = retry_use;
+};
+
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef datagramBuilder Builder;
   struct Traits;
@@ -508,7 +561,9 @@
     VT_BACKENDS_CONFIRMED = 50,
     VT_STORE_ERA = 52,
     VT_UNBROKEN_MS = 54,
-    VT_RATE_LIMITS = 56
+    VT_RATE_LIMITS = 56,
+    VT_RETRY_USES = 58,
+    VT_RETRIES_KNOWN_MS = 60
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -591,6 +646,12 @@
   const flatbuffers::Vector<const borageford::coordination::wire::rate_limit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::rate_limit *> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::retry_use *> *retry_uses() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::retry_use *> *>(VT_RETRY_USES);
+  }
+  uint32_t retries_known_ms() const {
+    return GetField<uint32_t>(VT_RETRIES_KNOWN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -629,6 +690,9 @@
            VerifyField<uint32_t>(verifier, VT_UNBROKEN_MS, 4) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyOffset(verifier, VT_RETRY_USES) &&
+           verifier.VerifyVector(retry_uses()) &&
+           VerifyField<uint32_t>(verifier, VT_RETRIES_KNOWN_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -718,6 +782,12 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits) {
     fbb_.AddOffset(datagram::VT_RATE_LIMITS, rate_limits);
   }
+  void add_retry_uses(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::retry_use *>> retry_uses) {
+    fbb_.AddOffset(datagram::VT_RETRY_USES, retry_uses);
+  }
+  void add_retries_known_ms(uint32_t retries_known_ms) {
+    fbb_.AddElement<uint32_t>(datagram::VT_RETRIES_KNOWN_MS, retries_known_ms, 0);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -757,7 +827,9 @@
     uint64_t backends_confirmed = 0,
     uint64_t store_era = 0,
     uint32_t unbroken_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::retry_use *>> retry_uses = 0,
+    uint32_t retries_known_ms = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -766,6 +838,8 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_retries_known_ms(retries_known_ms);
+  builder_.add_retry_uses(retry_uses);
   builder_.add_rate_limits(rate_limits);
   builder_.add_unbroken_ms(unbroken_ms);
   builder_.add_reports(reports);
@@ -822,7 +896,9 @@
     uint64_t backends_confirmed = 0,
     uint64_t store_era = 0,
     uint32_t unbroken_ms = 0,
-    const std::vector<borageford::coordination::wire::rate_limit> *rate_limits = nullptr) {
+    const std::vector<borageford::coordination::wire::rate_limit> *rate_limits = nullptr,
+    const std::vector<borageford::coordination::wire::retry_use> *retry_uses = nullptr,
+    uint32_t retries_known_ms = 0) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -832,6 +908,7 @@
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::refusal>(*refusals) : 0;
   auto reports__ = reports ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::report>(*reports) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::rate_limit>(*rate_limits) : 0;
+  auto retry_uses__ = retry_uses ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::retry_use>(*retry_uses) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -860,7 +937,9 @@
       backends_confirmed,
       store_era,
       unbroken_ms,
-      rate_limits__);
+      rate_limits__,
+      retry_uses__,
+      retries_known_ms);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -33,6 +33,13 @@
 /// How long a process that has just started waits for a first message of another one before it grants slots.
 constexpr milliseconds learning_time{400};
 constexpr milliseconds retry_use_report_period{1000};
+/// A member from which a coordinator has received nothing for this long may have lost it, as which it waits
+/// election_limits::response_timeout. It then uses its share of the retry reserve itself.
+constexpr milliseconds retry_share_timeout{300};
+/// A coordinator states to its members at each heartbeat which retries were granted, if it has granted one
+/// within this time, and otherwise at one heartbeat in `retry_statement_period`.
+constexpr milliseconds recent_retry{500};
+constexpr unsigned retry_statement_period = 10;
 
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
@@ -63,7 +70,7 @@
       m_tickets(m_incarnation),
       m_self(key_of(settings.local.address())),
       m_election(m_self, settings.processor_share, settings.election, clock::now()),
-      m_coordinator(settings.slots, settings.quotas, settings.retries),
+      m_coordinator(settings.slots, settings.quotas, settings.retries, m_incarnation, clock::now()),
       m_rate_limits(m_self, m_incarnation,
                     [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }) {}
 
@@ -74,6 +81,9 @@
                      });
     m_started = clock::now();
     m_uncoordinated_since = m_started;
+    if (m_settings.is_first_start) {
+        m_coordinator.retry_budget().knowledge().assume_nothing_before(m_started);
+    }
     update_shares(m_started);
     m_tick_timer = m_timers.every(m_executor, tick_period, [this] { tick(); });
 }
@@ -370,6 +380,7 @@
         [this](policy::server_key server) { return m_coordinator.scheduler().is_usable(server); });
     expire_members(now);
     choose_source(now);
+    m_coordinator.retry_budget().knowledge().record_connected(is_connected(), now);
     if (!m_deferred.is_empty() && !expects_coordinator(now)) {
         resubmit_deferred(now);
     }
@@ -391,6 +402,7 @@
     m_election.record_heartbeat(
         member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
     merge_rate_limits(member, *message);
+    m_coordinator.retry_budget().merge(message->items.retries, now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backends,
                                                     sender.is_in_touch, sender.configuration_confirmed,
                                                     sender.backends_confirmed, sender.unbroken});
@@ -409,8 +421,9 @@
         datagram reply;
         reply.known = m_election.known(now);
         reply.items.rate_limits = m_rate_limits.take_next();
-        if (const auto* served = m_members.find(member)) {
+        if (auto* served = m_members.find(member)) {
             served->channel.set_session_fields(reply);
+            reply.items.retries = state_retries(*served, now);
         }
         send(member, std::move(reply));
     }
@@ -462,6 +475,7 @@
         m_coordinator.detach(member, now);
         served = &m_members.begin(member, message.session, now);
         served->channel.pending().rate_limits = m_rate_limits.list_for_session();
+        served->channel.pending().retries = m_coordinator.retry_budget().statement(now);
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
@@ -530,6 +544,7 @@
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.list_all();
     m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
+    m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
     schedule_flush();
@@ -558,17 +573,36 @@
     const auto known = m_election.member_count();
     if (m_source == slot_source::own_coordination) {
         const auto attached = m_members.size() + 1;
-        m_coordinator.set_shares(1, m_active_members.coordinator_share(attached, now), now);
+        const double share = m_active_members.coordinator_share(attached, now);
+        const auto heard = m_members.count_heard_since(now - retry_share_timeout) + 1;
+        const double part_heard = static_cast<double>(heard) / static_cast<double>(attached);
+        m_coordinator.set_shares({1, share, share * part_heard}, now);
         m_coordinator.set_rate_share({m_active_members.coordinator_rate_share(attached, known, now), false},
                                      now);
         return;
     }
     const double share = m_active_members.local_share(known);
-    m_coordinator.set_shares(share, share, now);
+    m_coordinator.set_shares({share, share, share}, now);
     const double rate_share = m_settings.coordinates ? m_active_members.local_rate_share(known, now) : share;
     m_coordinator.set_rate_share({rate_share, true}, now);
 }
 
+/// Whether this process has a coordinator, or coordinates at least half of the members that it counts.
+bool slot_broker::is_connected() const {
+    if (m_source != slot_source::own_coordination) {
+        return m_source == slot_source::coordinator;
+    }
+    return (m_members.size() + 1) * 2 >= m_active_members.count();
+}
+
+/// What a reply to a heartbeat states about retries; nothing if the member knows it well enough.
+policy::retry_statement slot_broker::state_retries(member_sessions::session& to, policy::time_point now) {
+    auto& budget = m_coordinator.retry_budget();
+    const bool is_due = to.heartbeats++ % retry_statement_period == 0;
+    const bool is_recent = budget.has_granted_since(now - recent_retry);
+    return is_due || is_recent ? budget.statement(now) : policy::retry_statement{};
+}
+
 void slot_broker::expire_members(policy::time_point now) {
     for (const auto& lost : m_members.end_unresponsive(member_timeout, now)) {
         log_lost_member(lost.member, lost.silent);
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -124,6 +124,8 @@
     void attach_to(policy::member_key coordinator);
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
+    [[nodiscard]] bool is_connected() const;
+    [[nodiscard]] policy::retry_statement state_retries(member_sessions::session& to, policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
     [[nodiscard]] bool is_learning(policy::time_point now) const;
     void resubmit_deferred(policy::time_point now);
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -22,13 +22,14 @@
 } // namespace
 
 slot_coordinator::slot_coordinator(policy::slot_scheduler_limits slots, policy::quota_limits quotas,
-                                   policy::server_retry_limits retries)
-    : m_scheduler(slots), m_quotas(quotas), m_retry_budget(retries) {}
-
-void slot_coordinator::set_shares(double slots, double limits, policy::time_point now) {
-    m_scheduler.set_share(slots);
-    m_quotas.set_share(limits, now);
-    m_retry_budget.set_share(limits);
+                                   policy::server_retry_limits retries, std::uint64_t source,
+                                   policy::time_point started)
+    : m_scheduler(slots), m_quotas(quotas), m_retry_budget(retries, source, started) {}
+
+void slot_coordinator::set_shares(const shares& own, policy::time_point now) {
+    m_scheduler.set_share(own.slots);
+    m_quotas.set_share(own.quotas, now);
+    m_retry_budget.set_share(own.retry_reserve);
 }
 
 void slot_coordinator::handle_restart(policy::server_key former, policy::time_point now) {
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -19,17 +19,23 @@
 /// tickets of different members differ.
 class slot_coordinator {
 public:
+    /// `source` identifies this run of the process, which started at `started`.
     slot_coordinator(policy::slot_scheduler_limits slots, policy::quota_limits quotas,
-                     policy::server_retry_limits retries);
+                     policy::server_retry_limits retries, std::uint64_t source = 0,
+                     policy::time_point started = {});
 
     [[nodiscard]] policy::slot_scheduler& scheduler() noexcept { return m_scheduler; }
     [[nodiscard]] const policy::slot_scheduler& scheduler() const noexcept { return m_scheduler; }
     [[nodiscard]] policy::quota_tracker& quotas() noexcept { return m_quotas; }
     [[nodiscard]] policy::server_retry_budget& retry_budget() noexcept { return m_retry_budget; }
 
-    /// Sets the shares that this process may grant, each from 0 to 1: `slots` of all slots, `limits` of the
-    /// quotas and of the retry budget.
-    void set_shares(double slots, double limits, policy::time_point now);
+    /// The parts that this process may grant of what all processes together may grant, each from 0 to 1.
+    struct shares {
+        double slots = 1;
+        double quotas = 1;
+        double retry_reserve = 1;
+    };
+    void set_shares(const shares& own, policy::time_point now);
     /// Sets the part of the servers' rate limits that this process may use.
     void set_rate_share(policy::rate_share share, policy::time_point now) {
         m_scheduler.set_rate_share(share, now);
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -153,9 +153,9 @@
         "ticket member reason needed available waiting running retry_after_ms"},
     event_description{
         event_kind::retry_budget_used_up, "retry_budget_used_up", warning, state_rate,
-        "The process that grants slots refused a retry, and had granted the one before: the retry "
-        "budget of the service allows no more for now.",
-        "service retries allowed"},
+        "The process that grants slots refused a retry, since the retry budget of the service allows no more "
+        "for now; written once in a window. `by_others` is what other processes have used of the reserve.",
+        "service retries allowed by_others"},
 };
 
 constexpr bool rows_follow_enumeration() {
--- a/src/experiment/gateway_files.cpp
+++ b/src/experiment/gateway_files.cpp
@@ -9,6 +9,12 @@
 
 namespace borageford::experiment {
 
+namespace {
+
+constexpr std::string_view first_start = "first_start = yes";
+
+} // namespace
+
 std::string gateway_file_text(const boost::asio::ip::tcp::endpoint& store,
                               std::span<const gateway_place> gateways, std::size_t index,
                               std::string_view further, std::chrono::milliseconds store_timeout) {
@@ -25,10 +31,21 @@
     for (std::size_t other = 0; other < gateways.size(); ++other) {
         text << (other > 0 ? ", " : "") << gateways[other].address.to_string();
     }
-    text << '\n' << further;
+    text << '\n' << first_start << '\n' << further;
     return text.str();
 }
 
+void note_earlier_start(const std::filesystem::path& settings) {
+    std::ostringstream content;
+    content << std::ifstream(settings).rdbuf();
+    auto text = content.str();
+    const auto found = text.find(first_start);
+    if (found != std::string::npos) {
+        text.replace(found, first_start.size(), "first_start = no");
+        std::ofstream(settings) << text;
+    }
+}
+
 std::vector<std::filesystem::path> write_gateway_files(const experiment_plan& plan,
                                                        const std::filesystem::path& folder) {
     std::filesystem::create_directories(folder);
--- a/src/experiment/gateway_files.hpp
+++ b/src/experiment/gateway_files.hpp
@@ -23,6 +23,9 @@
                                             std::string_view further,
                                             std::chrono::milliseconds store_timeout = usual_store_timeout);
 
+/// Changes a settings file for a gateway that is started again: the system has run before.
+void note_earlier_start(const std::filesystem::path& settings);
+
 /// Writes one file for each gateway into `folder`, which is created if missing, and returns the paths. Throws
 /// std::runtime_error when one can't be written.
 std::vector<std::filesystem::path> write_gateway_files(const experiment_plan& plan,
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -188,6 +188,7 @@
         result.processor_share = m_settings.processor_share;
         result.domain = policy::domain_key_of(m_settings.common.failure_domain);
         result.coordinates = m_settings.coordinates;
+        result.is_first_start = m_settings.is_first_start;
         result.obeys_rate_limits = m_settings.obeys_server_limits;
         result.coordinator_patience = m_settings.coordinator_patience;
         result.slots = m_settings.slots;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -68,6 +68,7 @@
     result.processor_share = reader.real("processor_share", result.processor_share, 0.001, 1024);
     result.stop_limit = reader.duration("stop_limit", result.stop_limit, shortest, longest);
     result.coordinates = reader.flag("coordination", result.coordinates);
+    result.is_first_start = reader.flag("first_start", result.is_first_start);
     result.obeys_server_limits = reader.flag("obey_server_limits", result.obeys_server_limits);
     result.configuration_patience =
         reader.duration("configuration_patience", result.configuration_patience, shortest, longest);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -34,6 +34,8 @@
     bool coordinates = true;
     /// Whether slots are granted within the rate limits that servers name. Turned off only to compare.
     bool obeys_server_limits = true;
+    /// Whether no process of this system has run before: the retry reserves are at hand at once.
+    bool is_first_start = false;
     /// Limits of the slot scheduling, described at policy::slot_scheduler_limits.
     policy::slot_scheduler_limits slots;
     milliseconds stop_limit{8000}; ///< From SIGTERM until the process is killed from outside.
--- a/src/gateway/retry_use_monitor.cpp
+++ b/src/gateway/retry_use_monitor.cpp
@@ -13,8 +13,10 @@
     values.retries.store(current.retries);
     values.allowed.store(current.allowed);
     if (has_run_out) {
-        events::write(events::event_kind::retry_budget_used_up,
-                      {{"service", name}, {"retries", current.retries}, {"allowed", current.allowed}});
+        events::write(events::event_kind::retry_budget_used_up, {{"service", name},
+                                                                 {"retries", current.retries},
+                                                                 {"allowed", current.allowed},
+                                                                 {"by_others", current.by_others}});
     }
 }
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -253,6 +253,9 @@
         const std::scoped_lock lock(m_start_counts_mutex);
         start_count = ++m_start_counts.at(index);
     }
+    if (start_count > 1) {
+        experiment::note_earlier_start(unit.settings);
+    }
     const auto log =
         m_folder / ("gateway-" + std::to_string(index) + "-" + std::to_string(start_count) + "-errors.log");
     const std::filesystem::path program = std::string(BORAGEFORD_PROGRAM_FOLDER) + "/borageford";
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -192,6 +192,9 @@
 void gateway_site::start_gateway(std::size_t index) {
     auto& unit = m_gateways.at(index);
     unit.address = gateway_address(index);
+    if (unit.starts > 0) {
+        experiment::note_earlier_start(unit.settings);
+    }
     const auto log =
         m_folder / ("gateway-" + std::to_string(index) + "-" + std::to_string(++unit.starts) + ".log");
     const std::filesystem::path program = std::string(BORAGEFORD_PROGRAM_FOLDER) + "/borageford";
