A test that can't start its gateways says why instead of hanging, and one waits for its log line

'gateway: a request at a server that restarted is retried at once' failed once in a whole run of the suite, and 2 of 11 times with twelve copies at once: the answer had arrived and the log line hadn't been written out yet, which happens every few milliseconds. It now waits for the same line. Of the same twelve copies one hung for good: gateway_site's constructor threw, and the thread of the emulated parts was joined while its context still ran. The context is stopped first.

--- a/tests/failure/test_gateway_restarts.cpp
+++ b/tests/failure/test_gateway_restarts.cpp
@@ -55,7 +55,7 @@
     gateway_site site(one_server(routing::route_kind::idempotent));
     CHECK(answer_over_restart(site, "lost").status == 200);
     CHECK(site.runs_of("lost", 0) == 1); // at the new start
-    CHECK(has_logged(site, R"("event":"backend_restarted")"));
+    wait_until("the restart is logged", [&] { return has_logged(site, R"("event":"backend_restarted")"); });
 }
 
 TEST_CASE("gateway: a non-idempotent call isn't retried on the new start", "[gateway][restart]") {
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -154,6 +154,20 @@
     std::vector<gateway_unit> m_gateways;
     std::uint16_t m_port = 0; ///< first of the `ports_per_gateway` ports of every gateway
     std::jthread m_thread;
+
+    /// Ends m_thread when the constructor throws. Without it, the thread would never be joined, and a test
+    /// that can't start its gateways would hang instead of saying why.
+    struct context_stopper {
+        explicit context_stopper(boost::asio::io_context& stopped) : context(stopped) {}
+        ~context_stopper() { context.stop(); }
+        context_stopper(const context_stopper&) = delete;
+        context_stopper& operator=(const context_stopper&) = delete;
+        context_stopper(context_stopper&&) = delete;
+        context_stopper& operator=(context_stopper&&) = delete;
+
+        boost::asio::io_context& context;
+    };
+    context_stopper m_stopper{m_context}; ///< destroyed before m_thread
 };
 
 /// Waits until one of these gateways coordinates and the others request slots from it, as far as their logs
