A request is counted once for the retry budget, however often it asks for a slot

The ratio's part of the retry budget grew with what failed: a request whose server couldn't be reached asks again without having been sent, and a request that waits is listed to a new coordinator; each time it was counted as a new one.

Slot requests say whether they were counted before (in a byte that the message's struct had left unused).

--- a/src/coordination/local_requests.cpp
+++ b/src/coordination/local_requests.cpp
@@ -7,7 +7,10 @@
 namespace borageford::coordination {
 
 void local_requests::add(const policy::slot_request& wanted, slot_callbacks callbacks) {
-    m_waiting.emplace(wanted.ticket, waiting_request{wanted, std::move(callbacks)});
+    auto& request = m_waiting[wanted.ticket];
+    request = {wanted, std::move(callbacks)};
+    // Its first slot request is sent before it is listed to another process.
+    request.request.is_counted = true;
 }
 
 bool local_requests::withdraw(policy::slot_ticket ticket) {
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -44,7 +44,8 @@
             to_wire(from.target),
             static_cast<std::uint8_t>(from.tier),
             static_cast<std::uint8_t>(from.sends),
-            from.is_charged};
+            from.is_charged,
+            from.is_counted};
 }
 
 policy::slot_request from_wire(const wire::ask& from, policy::time_point now) {
@@ -62,6 +63,7 @@
     result.tier = from.tier();
     result.sends = from.sends();
     result.is_charged = from.is_charged();
+    result.is_counted = from.is_counted();
     return result;
 }
 
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -53,7 +53,8 @@
   uint8_t tier_;
   uint8_t sends_;
   uint8_t is_charged_;
-  int8_t padding0__;  int32_t padding1__;
+  uint8_t is_counted_;
+  int32_t padding0__;
 
  public:
   struct Traits;
@@ -73,12 +74,11 @@
         tier_(0),
         sends_(0),
         is_charged_(0),
-        padding0__(0),
-        padding1__(0) {
+        is_counted_(0),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint64_t _fingerprint, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged)
+  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint64_t _fingerprint, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged, bool _is_counted)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         workspace_(flatbuffers::EndianScalar(_workspace)),
@@ -94,10 +94,9 @@
         tier_(flatbuffers::EndianScalar(_tier)),
         sends_(flatbuffers::EndianScalar(_sends)),
         is_charged_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_charged))),
-        padding0__(0),
-        padding1__(0) {
+        is_counted_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_counted))),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -144,6 +143,9 @@
   bool is_charged() const {
     return flatbuffers::EndianScalar(is_charged_) != 0;
   }
+  bool is_counted() const {
+    return flatbuffers::EndianScalar(is_counted_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(ask, 80);
 
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -66,9 +66,10 @@
         refuse(member, {request.ticket, policy::refusal_reason::held_back, *held});
         return;
     }
-    if (request.sends == 0) {
+    if (request.sends == 0 && !request.is_counted) {
         m_retry_budget.count_request(request.service, now);
-    } else if (!m_retry_budget.try_acquire(request.service, now)) {
+    }
+    if (request.sends > 0 && !m_retry_budget.try_acquire(request.service, now)) {
         const auto used = m_retry_budget.current_use(request.service, now);
         refuse(member, {request.ticket, policy::refusal_reason::over_retry_budget, retry_budget_wait,
                         used.retries + 1, used.allowed});
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -128,6 +128,7 @@
     wanted.units = m_admitted.units;
     wanted.is_charged = m_is_charged;
     wanted.sends = m_attempts.delivered_attempts();
+    wanted.is_counted = m_has_asked;
     wanted.avoided = m_attempts.avoided();
     return wanted;
 }
@@ -135,6 +136,7 @@
 void request_exchange::request_slot() {
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
+    m_has_asked = true;
     m_server_id.clear();
     m_is_waiting_for_slot = true;
     const auto self = shared_from_this();
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -107,6 +107,7 @@
     clock::time_point m_last_event;
     /// Events received from previous servers when the current slot was granted.
     std::uint64_t m_events_before = 0;
+    bool m_has_asked = false;  ///< Whether it has requested a slot before.
     bool m_is_charged = false; ///< Whether the request was charged to its workspace's quota.
 
     std::shared_ptr<backend_call> m_call;
