A retry counts in the window in which it is sent, not in the one in which it asks for a slot

The budget now holds a place for a retry that waits, counts it when its slot is granted, and gives the place to another one if it gets none (before, a retry that was refused or withdrawn stayed counted).

--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -69,7 +69,8 @@
     if (request.sends == 0 && !request.is_counted) {
         m_retry_budget.count_request(request.service, now);
     }
-    if (request.sends > 0 && !m_retry_budget.try_acquire(request.service, now)) {
+    const bool is_retry = request.sends > 0;
+    if (is_retry && !m_retry_budget.try_reserve(request.service, now)) {
         const auto used = m_retry_budget.current_use(request.service, now);
         refuse(member, {request.ticket, policy::refusal_reason::over_retry_budget, retry_budget_wait,
                         used.retries + 1, used.allowed});
@@ -80,11 +81,15 @@
     if (units > 0 && !m_quotas.try_take(request.workspace, units, rank, now)) {
         const auto wait = std::clamp<policy::duration>(
             m_quotas.time_until(request.workspace, units, rank, now), min_quota_wait, max_quota_wait);
+        if (is_retry) {
+            m_retry_budget.cancel_reserved(request.service);
+        }
         refuse(member, {request.ticket, policy::refusal_reason::over_allowance, wait, units,
                         m_quotas.available(request.workspace, units, rank, now)});
         return;
     }
-    m_requests[request.ticket] = {member, request.workspace, units, request.fingerprint, false};
+    m_requests[request.ticket] = {member, request.workspace, units,   request.fingerprint,
+                                  false,  request.service,   is_retry};
     auto known = request;
     known.previous_refusals = m_refusal_history.refusals(request.fingerprint, now);
     m_scheduler.add(known, now);
@@ -94,11 +99,21 @@
     if (!m_scheduler.withdraw(ticket)) {
         return; // the slot was granted meanwhile, and the member will release it
     }
+    forget_waiting(ticket, now);
+}
+
+/// Gives back what a request that got no slot was charged.
+void slot_coordinator::forget_waiting(policy::slot_ticket ticket, policy::time_point now) {
     const auto found = m_requests.find(ticket);
-    if (found != m_requests.end()) {
-        m_quotas.refund(found->second.workspace, found->second.charged_units, now);
-        m_requests.erase(found);
+    if (found == m_requests.end()) {
+        return;
     }
+    const auto& request = found->second;
+    m_quotas.refund(request.workspace, request.charged_units, now);
+    if (request.has_reserved_retry) {
+        m_retry_budget.cancel_reserved(request.service);
+    }
+    m_requests.erase(found);
 }
 
 void slot_coordinator::handle_release(const policy::slot_release& ended, policy::time_point now) {
@@ -144,15 +159,17 @@
     for (const auto& grant : m_scheduler.grant(now)) {
         auto& request = m_requests.at(grant.ticket);
         request.is_running = true;
+        if (std::exchange(request.has_reserved_retry, false)) {
+            m_retry_budget.record_reserved(request.service, now);
+        }
         m_refusal_history.forget(request.fingerprint);
         m_output[request.member].grants.push_back(grant);
     }
     for (const auto& refusal : m_scheduler.take_refusals()) {
-        const auto found = m_requests.find(refusal.ticket);
-        m_quotas.refund(found->second.workspace, found->second.charged_units, now);
-        m_refusal_history.record_refused(found->second.fingerprint, now);
-        m_output[found->second.member].refusals.push_back(refusal);
-        m_requests.erase(found);
+        const auto& request = m_requests.at(refusal.ticket);
+        m_refusal_history.record_refused(request.fingerprint, now);
+        m_output[request.member].refusals.push_back(refusal);
+        forget_waiting(refusal.ticket, now);
     }
     return std::exchange(m_output, {});
 }
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -62,6 +62,9 @@
         double charged_units = 0; ///< charged to the workspace's quota; given back if it doesn't run
         std::uint64_t fingerprint = 0;
         bool is_running = false;
+        policy::service_key service = 0;
+        /// It waits, and the retry budget of its service has a retry reserved for it.
+        bool has_reserved_retry = false;
     };
 
     void handle_slot_request(policy::member_key member, const policy::slot_request& request,
@@ -69,6 +72,7 @@
     void handle_withdrawal(policy::slot_ticket ticket, policy::time_point now);
     void handle_release(const policy::slot_release& ended, policy::time_point now);
     void refuse(policy::member_key member, const policy::slot_refusal& refusal);
+    void forget_waiting(policy::slot_ticket ticket, policy::time_point now);
 
     policy::slot_scheduler m_scheduler;
     policy::quota_tracker m_quotas;
--- a/src/policy/server_retry_budget.cpp
+++ b/src/policy/server_retry_budget.cpp
@@ -53,7 +53,7 @@
     auto& of = m_services[service];
     forget_old(of, now);
     double requests = 0;
-    double retries = 0;
+    double retries = of.reserved;
     for (const auto& part : of.slices) {
         requests += part.requests;
         retries += part.retries;
@@ -64,7 +64,7 @@
     return {retries, m_limits.ratio * used_fraction * requests + left * m_share, by_others};
 }
 
-bool server_retry_budget::try_acquire(service_key service, time_point now) {
+bool server_retry_budget::try_reserve(service_key service, time_point now) {
     const auto used = current_use(service, now);
     auto& of = m_services[service];
     const bool is_allowed = used.retries + 1 <= used.allowed;
@@ -72,14 +72,22 @@
         m_used_up.push_back(service);
         of.used_up = now;
     }
-    if (is_allowed) {
-        ++current(of, now).retries;
-        of.last_retry = now;
-        m_last_retry = now;
-    }
+    of.reserved += is_allowed ? 1 : 0;
     return is_allowed;
 }
 
+void server_retry_budget::record_reserved(service_key service, time_point now) {
+    auto& of = m_services[service];
+    --of.reserved;
+    ++current(of, now).retries;
+    of.last_retry = now;
+    m_last_retry = now;
+}
+
+void server_retry_budget::cancel_reserved(service_key service) {
+    --m_services[service].reserved;
+}
+
 std::vector<service_key> server_retry_budget::services() const {
     std::vector<service_key> result;
     result.reserve(m_services.size());
--- a/src/policy/server_retry_budget.hpp
+++ b/src/policy/server_retry_budget.hpp
@@ -55,14 +55,19 @@
     void count_request(service_key service, time_point now);
     /// Retries in a window, and how many are allowed in it.
     struct use {
-        double retries = 0;   ///< granted by this process
+        double retries = 0;   ///< granted or reserved by this process
         double allowed = 0;   ///< to this process
         double by_others = 0; ///< part of the reserve that other processes have used
     };
     /// The retries in the window that ends now.
     [[nodiscard]] use current_use(service_key service, time_point now);
-    /// Counts a retry and returns true if the budget allows one more.
-    [[nodiscard]] bool try_acquire(service_key service, time_point now);
+    /// Reserves a retry and returns true if the budget allows one more. What was reserved must be recorded or
+    /// cancelled later.
+    [[nodiscard]] bool try_reserve(service_key service, time_point now);
+    /// A reserved retry is sent now.
+    void record_reserved(service_key service, time_point now);
+    /// A reserved retry isn't sent.
+    void cancel_reserved(service_key service);
 
     /// The services whose requests this process has counted.
     [[nodiscard]] std::vector<service_key> services() const;
@@ -78,6 +83,7 @@
     };
     struct history {
         std::deque<slice> slices; ///< oldest first
+        unsigned reserved = 0;    ///< retries that wait to be sent
         time_point used_up;       ///< when it was last reported that the budget has run out
         time_point last_retry;    ///< when the last retry was granted
     };
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -77,12 +77,15 @@
     for (int index = 0; index < 1000; ++index) {
         const auto now = start_time + index * 10ms;
         budget.count_request(7, now);
-        retries += budget.try_acquire(7, now) ? 1 : 0;
+        if (budget.try_reserve(7, now)) {
+            budget.record_reserved(7, now);
+            ++retries;
+        }
     }
     CHECK(retries > 50);
     CHECK(retries <= 0.2 * 1000 + 10);
-    CHECK_FALSE(budget.try_acquire(7, start_time + 10s));
-    CHECK(budget.try_acquire(8, start_time));
+    CHECK_FALSE(budget.try_reserve(7, start_time + 10s));
+    CHECK(budget.try_reserve(8, start_time));
 }
 
 TEST_CASE("a quota is a rate with a burst, divided by shares", "[policy][quota_tracker]") {
--- a/tests/unit/test_retry_budget_handover.cpp
+++ b/tests/unit/test_retry_budget_handover.cpp
@@ -25,12 +25,21 @@
     return budget;
 }
 
-int acquire_all(server_retry_budget& budget, time_point now) {
-    int acquired = 0;
-    while (budget.try_acquire(service, now)) {
-        ++acquired;
+/// Grants a retry that doesn't have to wait.
+bool grant(server_retry_budget& budget, time_point now, service_key of = service) {
+    const bool is_allowed = budget.try_reserve(of, now);
+    if (is_allowed) {
+        budget.record_reserved(of, now);
     }
-    return acquired;
+    return is_allowed;
+}
+
+int grant_all(server_retry_budget& budget, time_point now) {
+    int granted = 0;
+    while (grant(budget, now)) {
+        ++granted;
+    }
+    return granted;
 }
 
 } // namespace
@@ -40,10 +49,10 @@
     auto first = make_budget(1);
     auto second = make_budget(2);
     for (int retry = 0; retry < 40; ++retry) {
-        CHECK(first.try_acquire(service, start));
+        CHECK(grant(first, start));
     }
     second.merge(first.statement(start), start);
-    CHECK(acquire_all(second, start) == usable - 40);
+    CHECK(grant_all(second, start) == usable - 40);
     CHECK(second.current_use(service, start).by_others == 40);
 }
 
@@ -52,7 +61,7 @@
     // each report would leave nothing of the reserve.
     auto first = make_budget(1);
     for (int retry = 0; retry < 20; ++retry) {
-        CHECK(first.try_acquire(service, start));
+        CHECK(grant(first, start));
     }
     auto successor = make_budget(2);
     for (std::uint64_t source = 3; source < 6; ++source) {
@@ -60,7 +69,7 @@
         member.merge(first.statement(start), start);
         successor.merge(member.statement(start), start);
     }
-    CHECK(acquire_all(successor, start) == usable - 20);
+    CHECK(grant_all(successor, start) == usable - 20);
 }
 
 TEST_CASE("the retries of two processes that granted at the same time add up",
@@ -70,34 +79,34 @@
     auto third = make_budget(3);
     first.set_share(0.25);
     second.set_share(0.5);
-    CHECK(acquire_all(first, start) == 15);
-    CHECK(acquire_all(second, start) == 30);
+    CHECK(grant_all(first, start) == 15);
+    CHECK(grant_all(second, start) == 30);
     third.merge(first.statement(start), start);
     third.merge(second.statement(start), start);
-    CHECK(acquire_all(third, start) == usable - 45);
+    CHECK(grant_all(third, start) == usable - 45);
 }
 
 TEST_CASE("an old report doesn't replace a newer one of the same process", "[policy][server_retry_budget]") {
     // Datagrams overtake each other.
     auto first = make_budget(1);
-    CHECK(first.try_acquire(service, start));
+    CHECK(grant(first, start));
     const auto early = first.statement(start);
-    CHECK(acquire_all(first, start) == usable - 1);
+    CHECK(grant_all(first, start) == usable - 1);
     const auto late = first.statement(start);
     auto second = make_budget(2);
     second.merge(late, start);
     second.merge(early, start);
-    CHECK(acquire_all(second, start) == 0);
+    CHECK(grant_all(second, start) == 0);
 }
 
 TEST_CASE("the reserve is at hand again when the predecessor's retries have left the window",
           "[policy][server_retry_budget]") {
     auto first = make_budget(1);
-    static_cast<void>(acquire_all(first, start));
+    static_cast<void>(grant_all(first, start));
     auto second = make_budget(2);
     second.merge(first.statement(start), start);
-    CHECK(acquire_all(second, start + 10s) == 0);
-    CHECK(acquire_all(second, start + 10600ms) == usable);
+    CHECK(grant_all(second, start + 10s) == 0);
+    CHECK(grant_all(second, start + 10600ms) == usable);
 }
 
 TEST_CASE("a process that doesn't know the last window takes nothing from the reserve",
@@ -107,22 +116,22 @@
     for (int request = 0; request < 100; ++request) {
         fresh.count_request(service, start);
     }
-    CHECK(acquire_all(fresh, start) == 30); // the ratio's part alone
+    CHECK(grant_all(fresh, start) == 30); // the ratio's part alone
     server_retry_budget other(limits, 2, start);
-    CHECK(acquire_all(other, start + 9s) == 0);
-    CHECK(acquire_all(other, start + 10s) == usable);
+    CHECK(grant_all(other, start + 9s) == 0);
+    CHECK(grant_all(other, start + 10s) == usable);
 }
 
 TEST_CASE("a process that has just started learns what was used from one that knows",
           "[policy][server_retry_budget]") {
     auto old = make_budget(1);
-    CHECK(old.try_acquire(service, start));
+    CHECK(grant(old, start));
     server_retry_budget fresh(limits, 2, start);
     fresh.merge(old.statement(start), start);
-    CHECK(acquire_all(fresh, start) == usable - 1);
+    CHECK(grant_all(fresh, start) == usable - 1);
     server_retry_budget first_of_all(limits, 3, start);
     first_of_all.knowledge().assume_nothing_before(start);
-    CHECK(acquire_all(first_of_all, start) == usable);
+    CHECK(grant_all(first_of_all, start) == usable);
 }
 
 TEST_CASE("a process that was cut off doesn't claim to know what the others granted",
@@ -134,8 +143,8 @@
     CHECK(isolated.statement(start + 3s).known_for == 0s);
     isolated.knowledge().record_connected(true, start + 3s);
     CHECK(isolated.statement(start + 3s).known_for == 0s);
-    CHECK(acquire_all(isolated, start + 3s) == 0);
-    CHECK(acquire_all(isolated, start + 13s) == usable);
+    CHECK(grant_all(isolated, start + 3s) == 0);
+    CHECK(grant_all(isolated, start + 13s) == usable);
 }
 
 TEST_CASE("a window that ends later counts the requests that earned its retries only once",
@@ -147,17 +156,17 @@
         first.count_request(service, start);
     }
     first.set_share(0);
-    CHECK(acquire_all(first, start + 8s) == 30);
+    CHECK(grant_all(first, start + 8s) == 30);
     auto second = make_budget(2);
     second.merge(first.statement(start + 8s), start + 8s);
-    CHECK(acquire_all(second, start + 12s) == usable - 30);
+    CHECK(grant_all(second, start + 12s) == usable - 30);
 }
 
 TEST_CASE("a statement fits into a datagram, and one that leaves out uses doesn't claim to know all",
           "[policy][server_retry_budget]") {
     auto budget = make_budget(1);
     for (service_key each = 1; each <= 30; ++each) {
-        CHECK(budget.try_acquire(each, start));
+        CHECK(grant(budget, start, each));
     }
     const auto stated = budget.statement(start);
     CHECK(stated.uses.size() == 24);
