--- a/tests/failure/test_gateway_retry_budget.cpp
+++ b/tests/failure/test_gateway_retry_budget.cpp
@@ -176,3 +176,36 @@
     CHECK(worst.retries > 0);
     CHECK(static_cast<double>(worst.retries) <= worst.allowed);
 }
+
+TEST_CASE("gateway: without a retry budget no request reaches a second server", "[gateway][retry_budget]") {
+    // Whatever may have arrived counts as a retry: a request whose connection was cut after it was sent, a
+    // stream that is resumed, a request on a kept connection that the server closes.
+    using emulator::backend_fault;
+    auto options = plain_site(server_count);
+    options.retry_reserve = 0;
+    options.gateway_settings = "retry_ratio = 0\n";
+    options.configuration = stream_configuration(true);
+    options.backends = {engine_backend("server-0"), engine_backend("server-1")};
+    gateway_site site(options);
+    std::vector<emulator::recorded_arrival> arrivals;
+    for (const auto fault :
+         {backend_fault::none, backend_fault::error, backend_fault::refuse, backend_fault::cut_unanswered,
+          backend_fault::cut_midway, backend_fault::cut_first_event, backend_fault::garble}) {
+        site.on_emulator([&] {
+            for (std::size_t server = 0; server < server_count; ++server) {
+                site.backend(server).set_fault(fault);
+            }
+        });
+        for (int number = 0; number < 5; ++number) {
+            const auto id = std::to_string(static_cast<int>(fault)) + "-" + std::to_string(number);
+            static_cast<void>(site.send(0, make_call("/stream/x", id)));
+        }
+    }
+    site.on_emulator([&] {
+        for (std::size_t server = 0; server < server_count; ++server) {
+            std::ranges::copy(site.backend(server).arrived_requests(), std::back_inserter(arrivals));
+        }
+    });
+    CHECK(arrivals.size() >= 5);
+    CHECK_FALSE(emulator::find_worst_retry_window(std::move(arrivals), {}, terms).has_value());
+}
