The soak counts retries where they arrive, refused ones too, against the requests of their window

It counted runs only, so that retries which a server refused weren't seen, and allowed the ratio of all requests of the soak in each window. Now: arrivals by service, the ratio of the requests sent in that window, the reserve.

--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -330,4 +330,14 @@
     return {};
 }
 
+broken_promises check_retries(const std::string& service, std::vector<emulator::recorded_arrival> arrivals,
+                              std::vector<clock::time_point> sent, const emulator::retry_terms& terms) {
+    const auto worst = emulator::find_worst_retry_window(std::move(arrivals), std::move(sent), terms);
+    if (!worst.has_value() || worst->excess() <= 0) {
+        return {};
+    }
+    return {service + " got " + std::to_string(worst->retries) + " retries in one window, " +
+            std::to_string(worst->allowed) + " are allowed"};
+}
+
 } // namespace borageford::soak
--- a/tests/soak/promise_checks.hpp
+++ b/tests/soak/promise_checks.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "emulator/rate_limit_excess.hpp"
+#include "emulator/retry_excess.hpp"
 #include "soak/disturbance_log.hpp"
 #include "soak/sent_request.hpp"
 
@@ -108,4 +109,11 @@
 [[nodiscard]] broken_promises check_window(const std::string& what, std::vector<clock::time_point> events,
                                            const window_limit& limit);
 
+/// Promise: in no window does a service get more retries than the terms allow, over all gateways together.
+/// `sent` is when callers sent the requests that may go to the service.
+[[nodiscard]] broken_promises check_retries(const std::string& service,
+                                            std::vector<emulator::recorded_arrival> arrivals,
+                                            std::vector<clock::time_point> sent,
+                                            const emulator::retry_terms& terms);
+
 } // namespace borageford::soak
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -615,6 +615,14 @@
     return result;
 }
 
+std::map<std::string, std::vector<emulator::recorded_arrival>> soak_deployment::collect_arrivals() const {
+    std::map<std::string, std::vector<emulator::recorded_arrival>> result;
+    m_site->visit_servers([&result](const emulator::emulated_backend& server) {
+        std::ranges::copy(server.arrived_requests(), std::back_inserter(result[server.options().service]));
+    });
+    return result;
+}
+
 std::vector<held_delivery> soak_deployment::collect_held_deliveries() const {
     std::vector<held_delivery> result;
     for (const auto& [server, proxy] : m_server_proxies) {
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -107,6 +107,8 @@
     [[nodiscard]] std::optional<server_run> find_run(const std::string& server, std::size_t number) const;
     /// The arrivals at each server that has named a rate limit, including servers that have been stopped.
     [[nodiscard]] std::vector<limited_server> collect_limited_servers() const;
+    /// The requests that reached servers, by service.
+    [[nodiscard]] std::map<std::string, std::vector<emulator::recorded_arrival>> collect_arrivals() const;
     /// What was held back on its way to the servers. All servers must be running.
     [[nodiscard]] std::vector<held_delivery> collect_held_deliveries() const;
     /// The servers that have announced that they drain.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -171,29 +171,34 @@
     std::ranges::move(from, std::back_inserter(to));
 }
 
-/// Checks the limits that hold over all gateways together: the rate of the limited workspace and the number
-/// of retries at each service.
-broken_promises check_limits(const std::vector<sent_request>& requests, const std::vector<server_run>& runs) {
+/// Checks the rate of the limited workspace over all gateways together.
+broken_promises check_allowance(const std::vector<server_run>& runs) {
     std::vector<clock::time_point> of_limited;
-    std::map<std::string, std::vector<clock::time_point>> retries;
-    std::map<std::string, std::size_t> seen;
     for (const auto& run : runs) {
         if (run.workspace == limited_workspace) {
             of_limited.push_back(run.begun);
         }
-        if (++seen[run.request_id] > 1) {
-            retries[run.service].push_back(run.begun);
-        }
     }
     constexpr double tolerance = 1.1; // factor on the configured rate
     const double seconds = std::chrono::duration<double>(allowance_window).count();
-    auto broken = check_window(
+    return check_window(
         "runs of the limited workspace", of_limited,
         {allowance_window, (limited_rate * seconds + limited_burst) * tolerance + allowance_slack});
-    for (const auto& [service, times] : retries) {
-        append(broken, check_window("repeats at " + service, times,
-                                    {retry_window,
-                                     retry_ratio * static_cast<double>(requests.size()) + retry_reserve}));
+}
+
+/// Checks the retries at each service over all gateways together.
+broken_promises check_all_retries(const std::vector<sent_request>& requests,
+                                  std::map<std::string, std::vector<emulator::recorded_arrival>> arrivals) {
+    broken_promises broken;
+    for (auto& [service, of_service] : arrivals) {
+        std::vector<clock::time_point> sent;
+        for (const auto& request : requests) {
+            if (request.service == service || request.service.empty()) {
+                sent.push_back(request.sent);
+            }
+        }
+        append(broken, check_retries(service, std::move(of_service), std::move(sent),
+                                     {retry_ratio, retry_reserve, retry_window}));
     }
     return broken;
 }
@@ -241,7 +246,8 @@
     for (const auto& server : deployment.collect_limited_servers()) {
         append(broken, check_rate_limit(server, disturbances));
     }
-    append(broken, check_limits(requests, runs));
+    append(broken, check_allowance(runs));
+    append(broken, check_all_retries(requests, deployment.collect_arrivals()));
     append(broken, deployment.unexpected_exits());
     return broken;
 }
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -277,3 +277,15 @@
     CHECK(limits > 10);
     CHECK(others.size() + static_cast<std::size_t>(limits) == all.size());
 }
+
+TEST_CASE("soak: retries beyond the budget are reported with their service", "[soak][retry_budget]") {
+    const auto begin = clock::time_point{} + std::chrono::hours(1);
+    std::vector<borageford::emulator::recorded_arrival> arrivals;
+    for (int number = 0; number < 12; ++number) {
+        arrivals.push_back({"same", begin + std::chrono::milliseconds(number)});
+    }
+    const borageford::emulator::retry_terms terms{.ratio = 0.2, .reserve = 10};
+    CHECK(check_retries("plain", arrivals, {begin + std::chrono::milliseconds(5)}, terms).size() == 1);
+    arrivals.pop_back();
+    CHECK(check_retries("plain", arrivals, {}, terms).empty());
+}
