--- a/src/routing/header_names.hpp
+++ b/src/routing/header_names.hpp
@@ -34,6 +34,7 @@
     /// Requests per second that the server accepts from all gateways together, until an answer of it has no
     /// such field.
     std::string rate_limit;
+    std::string leaving; ///< the server is about to end and should get no further requests
 };
 
 } // namespace borageford::routing
--- /dev/null
+++ b/tests/failure/test_gateway_leaving_server.cpp
@@ -0,0 +1,127 @@
+// Tests that a server which says in an answer that it leaves gets no further requests.
+#include "platform/header_field_names.hpp"
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+std::size_t arrivals_of(gateway_site& site, std::size_t server) {
+    return site.on_emulator([&] { return static_cast<std::size_t>(site.backend(server).arrivals()); });
+}
+
+void say_leaving(gateway_site& site, std::size_t server, const std::string& value = "1") {
+    site.on_emulator(
+        [&] { site.backend(server).set_answer_fields({{platform::header_field_names().leaving, value}}); });
+}
+
+/// Sends calls one after the other until this server has answered one of them.
+void send_until_answered_by(gateway_site& site, std::size_t gateway, std::size_t server,
+                            const std::string& name) {
+    const auto before = arrivals_of(site, server);
+    int number = 0;
+    wait_until("the server answers a call", [&] {
+        static_cast<void>(site.send(gateway, make_call("/plain/x", name + std::to_string(++number))));
+        return arrivals_of(site, server) > before;
+    });
+}
+
+/// Sends calls through the gateway and returns how many were answered with 200.
+int count_served(gateway_site& site, std::size_t gateway, const std::string& name) {
+    constexpr int calls = 40;
+    int served = 0;
+    for (int number = 0; number < calls; ++number) {
+        const auto id = name + std::to_string(number);
+        served += site.send(gateway, make_call("/plain/x", id)).status == 200 ? 1 : 0;
+    }
+    return served;
+}
+
+bool has_logged(gateway_site& site, std::size_t gateway, const std::string& text) {
+    return site.process(gateway).output_text().find(text) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("gateway: a server that says in an answer that it leaves gets no more requests",
+          "[gateway][leaving_server]") {
+    // The store doesn't answer, so its row still says that the server is ready. The server ends soon, and
+    // requests that it has begun would be lost.
+    gateway_site site(plain_site(2));
+    say_leaving(site, 0);
+    send_until_answered_by(site, 0, 0, "heard-");
+    const auto before = arrivals_of(site, 0);
+    CHECK(count_served(site, 0, "after-") == 40);
+    CHECK(arrivals_of(site, 0) == before);
+}
+
+TEST_CASE("gateway: a row that says that a leaving server is ready doesn't bring it back",
+          "[gateway][leaving_server]") {
+    // The server's last heartbeat reaches the store after its answer has reached a caller.
+    gateway_site site(plain_site(2));
+    say_leaving(site, 0);
+    send_until_answered_by(site, 0, 0, "heard-");
+    const auto before = arrivals_of(site, 0);
+    site.register_backend(0, "draining");
+    wait_until("the row is read", [&] { return has_logged(site, 0, R"("event":"backend_draining")"); });
+    site.register_backend(0, "ready");
+    CHECK(count_served(site, 0, "after-") == 40);
+    CHECK(arrivals_of(site, 0) == before);
+}
+
+TEST_CASE("gateway: all gateways learn that a server leaves, also one that starts later",
+          "[gateway][leaving_server]") {
+    gateway_site site(plain_site(2, 3));
+    const auto coordinator = wait_for_coordinator(site, {0, 1, 2});
+    const auto hearing = (coordinator + 1) % 3;
+    const auto other = (coordinator + 2) % 3;
+    say_leaving(site, 0);
+    send_until_answered_by(site, hearing, 0, "heard-");
+    for (const std::size_t gateway : {coordinator, other}) {
+        wait_until("it is told", [&] { return has_logged(site, gateway, R"("event":"backend_leaving")"); });
+    }
+    const auto before = arrivals_of(site, 0);
+    site.process(other).kill();
+    site.start_gateway(other);
+    site.wait_until_ready(other);
+    wait_until("it is told again", [&] { return has_logged(site, other, R"("event":"backend_leaving")"); });
+    for (const std::size_t gateway : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+        CHECK(count_served(site, gateway, "after-" + std::to_string(gateway) + "-") == 40);
+    }
+    CHECK(arrivals_of(site, 0) == before);
+}
+
+TEST_CASE("gateway: another start of a leaving server gets requests", "[gateway][leaving_server]") {
+    auto options = plain_site(2);
+    options.backends.front().start = 1;
+    gateway_site site(options);
+    say_leaving(site, 0);
+    send_until_answered_by(site, 0, 0, "heard-");
+    ++options.backends.front().start;
+    site.start_backend(0, options.backends.front());
+    send_until_answered_by(site, 0, 0, "restarted-");
+}
+
+TEST_CASE("gateway: an answer that says anything else about leaving is logged and changes nothing",
+          "[gateway][leaving_server]") {
+    gateway_site site(plain_site(1));
+    const auto field = platform::header_field_names().leaving;
+    const std::vector<http::header_fields> damaged{
+        {{field, ""}}, {{field, "0"}}, {{field, "yes"}}, {{field, "1"}, {field, "1"}}};
+    for (std::size_t index = 0; index < damaged.size(); ++index) {
+        site.on_emulator([&] { site.backend(0).set_answer_fields(damaged[index]); });
+        const auto id = "damaged-" + std::to_string(index);
+        CHECK(site.send(0, make_call("/plain/x", id)).status == 200);
+        wait_until("it is logged",
+                   [&] { return has_logged(site, 0, R"("request":")" + id + R"(","field")"); });
+    }
+    CHECK_FALSE(has_logged(site, 0, "backend_leaving"));
+}
