A server that says in an answer that it leaves gets no more requests

The server ends soon; what it runs then is lost.

Cause: nothing read the field; only a row in the store took a server out of use. Class: what a server says in an answer holds for all callers, and reached none.

Change: the head of every answer that belongs to a request (not 421) is read. The gateway takes the server out of use at once, tells its coordinator with the next batch, before the release of the slot and new slot requests, and the coordinator tells its members; a session and the first contact of a new process begin with all departures. A departure binds one start of a server and is never undone by a row, an older store or a peer. A granted slot, or a request that waits for its connection, is given back without costing the request an attempt. Anything but the one valid value is logged (answer_field_unreadable) and ignored; backend_leaving says who heard it and when.

--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -1,6 +1,7 @@
 // What a slot_broker asks its owner, and what it reports to it.
 #pragma once
 
+#include "policy/departure_table.hpp"
 #include "policy/rate_limit_table.hpp"
 #include "policy/server_retry_budget.hpp"
 #include "policy/slot_scheduler.hpp"
@@ -46,6 +47,9 @@
     std::function<void(const policy::rate_limit_table::change&)> on_rate_limit =
         [](const policy::rate_limit_table::change&) {
         };
+    /// A server said in an answer that it leaves; it gets no more slots.
+    std::function<void(const policy::departure&)> on_departure = [](const policy::departure&) {
+    };
     /// The retries of a service that this process has granted and may grant. Called about once a second for
     /// each service, and with `has_run_out` when a retry was refused, once in a
     /// window.
--- a/src/coordination/member_sessions.cpp
+++ b/src/coordination/member_sessions.cpp
@@ -42,6 +42,13 @@
     m_to_flush.insert(member);
 }
 
+void member_sessions::queue_departure(const policy::departure& heard) {
+    for (auto& [member, session] : m_sessions) {
+        session.channel.pending().departures.push_back(heard);
+        m_to_flush.insert(member);
+    }
+}
+
 void member_sessions::flush(const std::function<void(policy::member_key, batch_channel&)>& send) {
     for (const auto member : std::exchange(m_to_flush, {})) {
         if (auto* served = find(member)) {
--- a/src/coordination/member_sessions.hpp
+++ b/src/coordination/member_sessions.hpp
@@ -37,6 +37,8 @@
 
     /// Appends grants and refusals to what is sent to a member next. Dropped if it has no session any more.
     void queue_decisions(policy::member_key member, const batch_items& decided);
+    /// Appends a departure to what is sent to each member next.
+    void queue_departure(const policy::departure& heard);
     /// Calls `send` for each session that may have datagrams to send.
     void flush(const std::function<void(policy::member_key, batch_channel&)>& send);
 
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/coordinator_election.hpp"
+#include "policy/departure_table.hpp"
 #include "policy/rate_limit_notice.hpp"
 #include "policy/retry_use.hpp"
 #include "policy/server_report.hpp"
@@ -57,6 +58,7 @@
     /// What servers said about their rate limits. Also in datagrams without a batch; the receiver takes them
     /// over at once, whatever order they arrive in.
     std::vector<policy::rate_limit_notice> rate_limits;
+    std::vector<policy::departure> departures; ///< servers that leave; sent and taken over like `rate_limits`
     /// What the sender knows of the uses of the retry reserves; sent and taken over like `rate_limits`.
     policy::retry_statement retries;
     /// The sender's requests that already occupy slots, sent to a new coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -31,6 +31,8 @@
 
 struct rate_limit;
 
+struct departure;
+
 struct retry_use;
 
 struct datagram;
@@ -482,6 +484,40 @@
   using type = rate_limit;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) departure FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t heard_ago_ms_;
+  uint32_t heard_by_;
+
+ public:
+  struct Traits;
+  departure()
+      : server_(0),
+        heard_ago_ms_(0),
+        heard_by_(0) {
+  }
+  departure(uint64_t _server, uint32_t _heard_ago_ms, uint32_t _heard_by)
+      : server_(flatbuffers::EndianScalar(_server)),
+        heard_ago_ms_(flatbuffers::EndianScalar(_heard_ago_ms)),
+        heard_by_(flatbuffers::EndianScalar(_heard_by)) {
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t heard_ago_ms() const {
+    return flatbuffers::EndianScalar(heard_ago_ms_);
+  }
+  uint32_t heard_by() const {
+    return flatbuffers::EndianScalar(heard_by_);
+  }
+};
+FLATBUFFERS_STRUCT_END(departure, 16);
+
+struct departure::Traits {
+  using type = departure;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) retry_use FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t source_;
@@ -565,7 +601,8 @@
     VT_UNBROKEN_MS = 54,
     VT_RATE_LIMITS = 56,
     VT_RETRY_USES = 58,
-    VT_RETRIES_KNOWN_MS = 60
+    VT_RETRIES_KNOWN_MS = 60,
+    VT_DEPARTURES = 62
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -654,6 +691,9 @@
   uint32_t retries_known_ms() const {
     return GetField<uint32_t>(VT_RETRIES_KNOWN_MS, 0);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::departure *> *departures() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::departure *> *>(VT_DEPARTURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -695,6 +735,8 @@
            VerifyOffset(verifier, VT_RETRY_USES) &&
            verifier.VerifyVector(retry_uses()) &&
            VerifyField<uint32_t>(verifier, VT_RETRIES_KNOWN_MS, 4) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
            verifier.EndTable();
   }
 };
@@ -790,6 +832,9 @@
   void add_retries_known_ms(uint32_t retries_known_ms) {
     fbb_.AddElement<uint32_t>(datagram::VT_RETRIES_KNOWN_MS, retries_known_ms, 0);
   }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures) {
+    fbb_.AddOffset(datagram::VT_DEPARTURES, departures);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -831,7 +876,8 @@
     uint32_t unbroken_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::retry_use *>> retry_uses = 0,
-    uint32_t retries_known_ms = 0) {
+    uint32_t retries_known_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -840,6 +886,7 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_departures(departures);
   builder_.add_retries_known_ms(retries_known_ms);
   builder_.add_retry_uses(retry_uses);
   builder_.add_rate_limits(rate_limits);
@@ -900,7 +947,8 @@
     uint32_t unbroken_ms = 0,
     const std::vector<borageford::coordination::wire::rate_limit> *rate_limits = nullptr,
     const std::vector<borageford::coordination::wire::retry_use> *retry_uses = nullptr,
-    uint32_t retries_known_ms = 0) {
+    uint32_t retries_known_ms = 0,
+    const std::vector<borageford::coordination::wire::departure> *departures = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -911,6 +959,7 @@
   auto reports__ = reports ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::report>(*reports) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::rate_limit>(*rate_limits) : 0;
   auto retry_uses__ = retry_uses ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::retry_use>(*retry_uses) : 0;
+  auto departures__ = departures ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::departure>(*departures) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -941,7 +990,8 @@
       unbroken_ms,
       rate_limits__,
       retry_uses__,
-      retries_known_ms);
+      retries_known_ms,
+      departures__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -108,6 +108,9 @@
 
 void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots,
                              policy::domain_key domain) {
+    if (has_departed(server)) {
+        return;
+    }
     m_coordinator.scheduler().set_server(server, service, slots, domain);
     limit_rate(server, m_rate_limits.limit_of(server));
     schedule_flush();
@@ -176,6 +179,26 @@
     schedule_flush();
 }
 
+void slot_broker::observe_departure(policy::server_key server) {
+    const policy::departure heard{server, clock::now(), m_self};
+    if (note_departure(heard) && m_source == slot_source::coordinator) {
+        m_upstream->pending().departures.push_back(heard);
+        schedule_flush();
+    }
+}
+
+/// Takes over a departure and tells the members that this process coordinates. Returns whether it is news.
+bool slot_broker::note_departure(const policy::departure& heard) {
+    if (!m_departures.add(heard, clock::now())) {
+        return false;
+    }
+    m_coordinator.scheduler().remove_server(heard.server);
+    m_members.queue_departure(heard);
+    m_observers.on_departure(heard);
+    schedule_flush();
+    return true;
+}
+
 void slot_broker::forward_items(batch_items items) {
     if (m_source == slot_source::coordinator) {
         auto& pending = m_upstream->pending();
@@ -401,7 +424,7 @@
     const auto known = std::move(message->known);
     m_election.record_heartbeat(
         member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
-    merge_rate_limits(member, *message);
+    merge_notices(member, *message);
     m_coordinator.retry_budget().merge(message->items.retries, now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backends,
                                                     sender.is_in_touch, sender.configuration_confirmed,
@@ -429,15 +452,23 @@
     }
 }
 
-/// Takes over the rate limits that a member reports. A process from which the first message arrives may have
-/// just started, and is sent all limits that are known here, before it grants slots without knowing them.
-void slot_broker::merge_rate_limits(policy::member_key member, const datagram& message) {
+/// Takes over what a member reports about servers. A process from which the first message arrives may have
+/// just started, and is sent all that is known here, before it grants slots without knowing it.
+void slot_broker::merge_notices(policy::member_key member, const datagram& message) {
     m_has_heard_member = true;
     m_rate_limits.check_clock();
     m_rate_limits.merge(message.items.rate_limits);
+    for (const auto& heard : message.items.departures) {
+        note_departure(heard);
+    }
     if (!m_rate_limits.is_new_process(member, message.sender.incarnation)) {
         return;
     }
+    if (!m_departures.is_empty()) {
+        datagram greeting;
+        greeting.items.departures = m_departures.latest();
+        send(member, std::move(greeting));
+    }
     for (auto& notices : m_rate_limits.list_for_new_process()) {
         datagram greeting;
         greeting.items.rate_limits = std::move(notices);
@@ -476,6 +507,7 @@
         served = &m_members.begin(member, message.session, now);
         served->channel.pending().rate_limits = m_rate_limits.list_for_session();
         served->channel.pending().retries = m_coordinator.retry_budget().statement(now);
+        served->channel.pending().departures = m_departures.latest();
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
@@ -545,6 +577,7 @@
     m_upstream->pending() = m_requests.list_all();
     m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
+    m_upstream->pending().departures = m_departures.latest();
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
     schedule_flush();
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -18,6 +18,7 @@
 #include "coordination/slot_coordinator.hpp"
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/departure_table.hpp"
 #include "policy/rate_limit_table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -85,6 +86,11 @@
     /// requests per second; nothing if it names none. `asked` is when the request was sent.
     void observe_rate_limit(policy::server_key server, std::optional<double> limit, policy::time_point asked);
 
+    /// An answer that this process received says that its server leaves.
+    void observe_departure(policy::server_key server);
+    /// Whether the server has said in an answer to some gateway that it leaves, as far as this process knows.
+    [[nodiscard]] bool has_departed(policy::server_key server) const { return m_departures.contains(server); }
+
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
     /// The time at which source() last changed.
     [[nodiscard]] policy::time_point source_since() const noexcept { return m_source_since; }
@@ -134,7 +140,9 @@
 
     void limit_rate(policy::server_key server, std::optional<double> limit);
     void apply_rate_limit(const policy::rate_limit_table::change& change);
-    void merge_rate_limits(policy::member_key member, const datagram& message);
+    void merge_notices(policy::member_key member, const datagram& message);
+
+    bool note_departure(const policy::departure& heard);
 
     void deliver(const batch_items& items);
     void apply_grant(const policy::slot_grant& grant);
@@ -165,6 +173,7 @@
     member_sessions m_members;
     policy::active_members m_active_members;
     rate_limit_exchange m_rate_limits;
+    policy::departure_table m_departures;
 
     local_requests m_requests;
 
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -116,6 +116,13 @@
     event_description{event_kind::backend_limit_unreadable, "backend_limit_unreadable", warning, state_rate,
                       "A backend server's answer names a rate limit that can't be read; it is ignored.",
                       "backend request value reason"},
+    event_description{event_kind::backend_leaving, "backend_leaving", info, state_rate,
+                      "A backend server said in an answer that it leaves: it gets no new requests.",
+                      "backend heard_by age_ms"},
+    event_description{
+        event_kind::answer_field_unreadable, "answer_field_unreadable", warning, state_rate,
+        "A backend server's answer has a field about the server that can't be read; it is ignored.",
+        "backend request field value reason"},
     event_description{event_kind::request_field_unreadable, "request_field_unreadable", warning, failure_rate,
                       "A request states a number that can't be read; it is treated as if it stated none.",
                       "request field value"},
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -48,6 +48,8 @@
     backend_limit_named,
     backend_limit_ended,
     backend_limit_unreadable,
+    backend_leaving,
+    answer_field_unreadable,
 
     // Requests, logged by the gateway that received them from their callers.
     request_field_unreadable,
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -85,6 +85,11 @@
 }
 
 void backend_call::send_on(std::shared_ptr<net::connection> connection) {
+    if (m_server->record().state != routing::backend_state::ready) {
+        connection->close();
+        fail(call_failure::withdrawn, "the server was taken out of use");
+        return;
+    }
     m_connection = std::move(connection);
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
                                               : http::response_reader::body_rule::expected);
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -22,6 +22,7 @@
 enum class call_failure : std::uint8_t {
     unreachable, ///< No connection was established, so no byte of the request was sent.
     unknown,     ///< The server may have executed the request.
+    withdrawn,   ///< The server was taken out of use before a byte of the request was sent.
 };
 
 /// The request that a backend_call sends.
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -312,6 +312,9 @@
 }
 
 void backend_roster::put_in_use(routing::backend_record record, store::position at) {
+    if (m_slots.has_departed(record.key())) {
+        record.state = routing::backend_state::draining;
+    }
     if (record.state == routing::backend_state::ready) {
         events::write(events::event_kind::backend_ready, {{"backend", record.id},
                                                           {"service", record.service},
@@ -341,6 +344,12 @@
     server->set_record(std::move(record));
 }
 
+void backend_roster::handle_departure(policy::server_key server) {
+    if (const auto known = m_backends.find(server)) {
+        take_out_of_use(known->record().id);
+    }
+}
+
 void backend_roster::handle_restart(const routing::backend_record& record) {
     const auto previous = m_backends.find_id(record.id);
     if (previous == nullptr) {
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -45,6 +45,10 @@
     /// Starts the timer that removes overdue registrations and drives the roll-outs.
     void start();
 
+    /// Takes a server out of use that has said in an answer that it leaves. A later registration of the same
+    /// start doesn't bring it back.
+    void handle_departure(policy::server_key server);
+
     // Input from the store.
 
     /// Applies a read of the whole table, of the current era or a newer one. A newer era means that the store
--- a/src/gateway/deployment.hpp
+++ b/src/gateway/deployment.hpp
@@ -40,6 +40,9 @@
     /// Decodes a header_names::rate_limit field.
     std::function<double(std::string_view value)> decode_rate_limit;
 
+    /// Decodes a header_names::leaving field; returns if it says that the server leaves.
+    std::function<void(std::string_view value)> decode_departure;
+
     std::string readiness_path; ///< Path of the load balancer's readiness checks.
 };
 
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -19,6 +19,7 @@
 
 namespace borageford::gateway {
 
+class answer_reader;
 class backend_directory;
 class gateway_metrics;
 class client_session;
@@ -47,6 +48,7 @@
     coordination::slot_broker& slots;
     gateway_metrics& metrics;
     rate_limit_reader& rate_limits;
+    answer_reader& answers;
     /// Called when a slot was granted at a server that is unknown here.
     std::function<void()> on_unknown_server{};
     std::set<client_session*> sessions{}; ///< All open connections of callers.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "base/log.hpp"
 #include "coordination/slot_broker.hpp"
 #include "events/event_log.hpp"
+#include "gateway/answer_reader.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/backend_roster.hpp"
 #include "gateway/client_session.hpp"
@@ -74,10 +75,11 @@
                   current_deployment.format),
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_rate_limits(current_deployment, m_backends, m_slots, m_registry),
+          m_answers(current_deployment, m_backends, m_slots),
           m_retry_use(m_configuration, m_registry),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, current_deployment.fields,
                     m_configuration,      m_backends,         m_slots,    m_metrics,
-                    m_rate_limits},
+                    m_rate_limits,        m_answers},
           m_configuration_manager(current_deployment, m_configuration, m_slots),
           m_rollouts(m_backends, m_slots),
           m_rollout_recorder(
@@ -209,6 +211,10 @@
             [this](policy::server_key server) { m_rollouts.record_grant(server); },
             [this](const policy::slot_release& ended) { m_rollouts.record_release(ended); },
             [this](const policy::rate_limit_table::change& change) { m_rate_limits.report_change(change); },
+            [this](const policy::departure& heard) {
+                m_answers.report(heard);
+                m_roster.handle_departure(heard.server);
+            },
             [this](policy::service_key service, const policy::server_retry_budget::use& current,
                    bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
             [this](policy::server_key server) {
@@ -407,6 +413,7 @@
     backend_directory m_backends;
     coordination::slot_broker m_slots;
     rate_limit_reader m_rate_limits;
+    answer_reader m_answers;
     retry_use_monitor m_retry_use;
     gateway_context m_context;
     configuration_manager m_configuration_manager;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash.hpp"
 #include "base/request_error.hpp"
+#include "gateway/answer_reader.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/http_heads.hpp"
 #include "gateway/rate_limit_reader.hpp"
@@ -33,6 +34,9 @@
 /// How long a granted slot is held for a server whose registration is unknown here. This covers several times
 /// the next message of a gateway that has the registration and the exchange that fetches it.
 constexpr milliseconds registration_timeout{250};
+/// Slots that a request returns without an attempt. More of them mean that the process that grants doesn't
+/// learn that the server is out of use.
+constexpr unsigned max_returned_slots = 16;
 /// Refused requests are told to retry after a time in this range. It depends on the request, so that requests
 /// refused together don't all return at once.
 constexpr milliseconds min_retry_after{300};
@@ -193,6 +197,8 @@
     if (server == nullptr) {
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused,
                      "the server isn't registered here");
+    } else if (m_context.slots.has_departed(grant.server)) {
+        return_slot("the server leaves");
     } else if (server->record().state != routing::backend_state::ready) {
         // The coordinator may not have read that the server is draining, for instance while the store refuses
         // the coordinator's requests.
@@ -203,6 +209,23 @@
     }
 }
 
+/// Returns the slot of a server that may get no more requests, and requests another slot. The request wasn't
+/// sent, so this is no attempt.
+void request_exchange::return_slot(std::string_view reason) {
+    if (++m_returned_slots > max_returned_slots) {
+        fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused, reason);
+        return;
+    }
+    const auto busy = clock::now() - m_slot_begin;
+    m_is_charged = false; // releasing the slot refunds the quota
+    m_attempts.avoid(m_slot);
+    release_slot(policy::slot_outcome::refused);
+    m_call.reset();
+    m_journal.attempt_failed(m_admitted, m_server_id, policy::slot_outcome::refused, reason, m_attempts, true,
+                             busy);
+    request_slot();
+}
+
 void request_exchange::handle_refusal(const policy::slot_refusal& refusal) {
     m_is_waiting_for_slot = false;
     const auto wait = std::chrono::duration_cast<milliseconds>(refusal.retry_after);
@@ -265,6 +288,7 @@
 void request_exchange::handle_head() {
     const auto& response = m_call->response();
     if (response.status() != misdirected) {
+        m_context.answers.read(m_call->server()->record(), response.fields(), m_admitted.id);
         m_context.rate_limits.read_answer(m_call->server()->record(), response.fields(), m_admitted.id,
                                           m_slot_begin);
     }
@@ -394,7 +418,9 @@
 }
 
 void request_exchange::handle_failure(call_failure what, std::string_view reason) {
-    if (what == call_failure::unreachable) {
+    if (what == call_failure::withdrawn) {
+        return_slot(reason);
+    } else if (what == call_failure::unreachable) {
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::unreachable, reason);
     } else {
         fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken, reason);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -60,6 +60,7 @@
     void wait_for_registration(const policy::slot_grant& grant);
     [[nodiscard]] bool is_waiting_to_use(const policy::slot_grant& grant) const;
     void use_slot(const policy::slot_grant& grant);
+    void return_slot(std::string_view reason);
     void handle_refusal(const policy::slot_refusal& refusal);
     void release_slot(policy::slot_outcome outcome);
     [[nodiscard]] double count_output() const;
@@ -100,9 +101,10 @@
     /// Id of the server that the request was last sent to; empty while it waits for a slot.
     std::string m_server_id;
     clock::time_point m_slot_begin;
-    policy::duration m_first_event{};  ///< From the start of the slot to the first event; 0: none received.
-    clock::duration m_waited{};        ///< From the request's arrival to its first slot.
-    clock::duration m_to_first{};      ///< From the request's arrival to its first event.
+    unsigned m_returned_slots = 0;    ///< slots that were returned because their servers got no more requests
+    policy::duration m_first_event{}; ///< From the start of the slot to the first event; 0: none received.
+    clock::duration m_waited{};       ///< From the request's arrival to its first slot.
+    clock::duration m_to_first{};     ///< From the request's arrival to its first event.
     clock::duration m_longest_pause{}; ///< The longest time between two events sent to the caller.
     clock::time_point m_last_event;
     /// Events received from previous servers when the current slot was granted.
--- a/src/policy/attempt_rule.hpp
+++ b/src/policy/attempt_rule.hpp
@@ -29,6 +29,11 @@
         ++m_attempts;
         m_delivered_attempts += outcome == attempt_outcome::unreachable ? 0 : 1;
         m_possible_runs += outcome == attempt_outcome::may_have_run ? 1 : 0;
+        avoid(server);
+    }
+
+    /// Prefers other servers to this one, to which the request wasn't sent.
+    void avoid(server_key server) noexcept {
         std::ranges::rotate(m_failed_servers, m_failed_servers.end() - 1);
         m_failed_servers.front() = server;
     }
