--- a/src/routing/header_names.hpp
+++ b/src/routing/header_names.hpp
@@ -34,6 +34,9 @@
     /// Requests per second that the server accepts from all gateways together, until an answer of it has no
     /// such field.
     std::string rate_limit;
+    /// In an answer that refuses a request: the seconds for which the server wants no request from this
+    /// gateway.
+    std::string backoff;
     std::string leaving; ///< the server is about to end and should get no further requests
 };
 
