A gateway leaves a server alone for as long as the server has asked it to

Cause: nothing read the field. A refusal says nothing about a server's health, so its slot was granted again at once.

Change: each 503 with the field is read, run or not, passed on or retried. The gateway looks at its own pauses again right before it sends; its coordinator is told with the batch that releases the slot, and keeps them by server and gateway, as the others may still send. A new coordinator learns them with the session. A slot that can't be used is given back without costing an attempt. If all servers of a service want nothing of a gateway, its request waits if its maximum wait allows that, and is otherwise refused at once (servers_back_off, 'not run') with the earliest end as Retry-After, also when it was already waiting. What can't be read is logged and ignored. backend_backoff, a counter per server, a cause in losses.

--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -48,6 +48,7 @@
         [[maybe_unused]] const bool all = move_until_full(m_pending.reports, items.reports, items) &&
                                           move_until_full(m_pending.rate_limits, items.rate_limits, items) &&
                                           move_until_full(m_pending.departures, items.departures, items) &&
+                                          move_until_full(m_pending.backoffs, items.backoffs, items) &&
                                           move_until_full(m_pending.holds, items.holds, items) &&
                                           move_until_full(m_pending.asks, items.asks, items) &&
                                           move_until_full(m_pending.withdrawals, items.withdrawals, items) &&
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -188,6 +188,14 @@
     return {from.server(), now - milliseconds(from.heard_ago_ms()), from.heard_by()};
 }
 
+wire::backoff to_wire(const policy::backoff_notice& from, policy::time_point now) {
+    return {from.server, to_wire(from.until - now)};
+}
+
+policy::backoff_notice from_wire(const wire::backoff& from, policy::time_point now) {
+    return {from.server(), now + milliseconds(from.left_ms())};
+}
+
 wire::retry_use to_wire(const policy::retry_use& from, policy::time_point now) {
     return {from.source, from.service, from.revision, to_wire(now - from.granted),
             static_cast<float>(from.retries)};
@@ -228,17 +236,17 @@
 
 bool batch_items::is_empty() const noexcept {
     return reports.empty() && rate_limits.empty() && retries.is_empty() && departures.empty() &&
-           holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() && grants.empty() &&
-           refusals.empty();
+           backoffs.empty() && holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() &&
+           grants.empty() && refusals.empty();
 }
 
 std::size_t batch_items::encoded_size() const noexcept {
     return status_size + reports.size() * sizeof(wire::report) +
            rate_limits.size() * sizeof(wire::rate_limit) + retries.uses.size() * sizeof(wire::retry_use) +
-           departures.size() * sizeof(wire::departure) + holds.size() * sizeof(wire::hold) +
-           asks.size() * sizeof(wire::ask) + withdrawals.size() * sizeof(std::uint64_t) +
-           releases.size() * sizeof(wire::release) + grants.size() * sizeof(wire::grant) +
-           refusals.size() * sizeof(wire::refusal);
+           departures.size() * sizeof(wire::departure) + backoffs.size() * sizeof(wire::backoff) +
+           holds.size() * sizeof(wire::hold) + asks.size() * sizeof(wire::ask) +
+           withdrawals.size() * sizeof(std::uint64_t) + releases.size() * sizeof(wire::release) +
+           grants.size() * sizeof(wire::grant) + refusals.size() * sizeof(wire::refusal);
 }
 
 std::vector<std::byte> encode(const datagram& message, policy::time_point now) {
@@ -249,6 +257,7 @@
     const auto rate_limits = encode_items<wire::rate_limit>(builder, items.rate_limits, now);
     const auto retry_uses = encode_items<wire::retry_use>(builder, items.retries.uses, now);
     const auto departures = encode_items<wire::departure>(builder, items.departures, now);
+    const auto backoffs = encode_items<wire::backoff>(builder, items.backoffs, now);
     const auto holds = encode_items<wire::hold>(builder, items.holds);
     const auto releases = encode_items<wire::release>(builder, items.releases);
     const auto grants = encode_items<wire::grant>(builder, items.grants);
@@ -284,6 +293,7 @@
     table.add_rate_limits(rate_limits);
     table.add_retry_uses(retry_uses);
     table.add_departures(departures);
+    table.add_backoffs(backoffs);
     table.add_retries_known_ms(to_wire(items.retries.known_for));
     table.add_configuration_confirmed(message.sender.configuration_confirmed);
     table.add_backends_confirmed(message.sender.backends_confirmed);
@@ -330,6 +340,7 @@
     decode_items(table->reports(), result.items.reports);
     decode_items(table->rate_limits(), result.items.rate_limits, now);
     decode_items(table->departures(), result.items.departures, now);
+    decode_items(table->backoffs(), result.items.backoffs, now);
     decode_items(table->retry_uses(), result.items.retries.uses, now);
     result.items.retries.known_for = milliseconds(table->retries_known_ms());
     if (const auto* known = table->known()) {
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -5,6 +5,7 @@
 #include "policy/departure_table.hpp"
 #include "policy/rate_limit_notice.hpp"
 #include "policy/retry_use.hpp"
+#include "policy/server_backoff.hpp"
 #include "policy/server_report.hpp"
 #include "policy/slot_request.hpp"
 #include "store/position.hpp"
@@ -61,6 +62,7 @@
     std::vector<policy::departure> departures; ///< servers that leave; sent and taken over like `rate_limits`
     /// What the sender knows of the uses of the retry reserves; sent and taken over like `rate_limits`.
     policy::retry_statement retries;
+    std::vector<policy::backoff_notice> backoffs; ///< servers that want no requests of the sender for a while
     /// The sender's requests that already occupy slots, sent to a new coordinator.
     std::vector<slot_hold> holds;
     /// The sender's requests that need slots, sent to a coordinator.
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -33,6 +33,8 @@
 
 struct departure;
 
+struct backoff;
+
 struct retry_use;
 
 struct datagram;
@@ -518,6 +520,39 @@
   using type = departure;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) backoff FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t left_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  backoff()
+      : server_(0),
+        left_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  backoff(uint64_t _server, uint32_t _left_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        left_ms_(flatbuffers::EndianScalar(_left_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t left_ms() const {
+    return flatbuffers::EndianScalar(left_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(backoff, 16);
+
+struct backoff::Traits {
+  using type = backoff;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) retry_use FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t source_;
@@ -602,7 +637,8 @@
     VT_RATE_LIMITS = 56,
     VT_RETRY_USES = 58,
     VT_RETRIES_KNOWN_MS = 60,
-    VT_DEPARTURES = 62
+    VT_DEPARTURES = 62,
+    VT_BACKOFFS = 64
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -694,6 +730,9 @@
   const flatbuffers::Vector<const borageford::coordination::wire::departure *> *departures() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::departure *> *>(VT_DEPARTURES);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::backoff *> *backoffs() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::backoff *> *>(VT_BACKOFFS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -737,6 +776,8 @@
            VerifyField<uint32_t>(verifier, VT_RETRIES_KNOWN_MS, 4) &&
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
+           VerifyOffset(verifier, VT_BACKOFFS) &&
+           verifier.VerifyVector(backoffs()) &&
            verifier.EndTable();
   }
 };
@@ -835,6 +876,9 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures) {
     fbb_.AddOffset(datagram::VT_DEPARTURES, departures);
   }
+  void add_backoffs(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::backoff *>> backoffs) {
+    fbb_.AddOffset(datagram::VT_BACKOFFS, backoffs);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -877,7 +921,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::rate_limit *>> rate_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::retry_use *>> retry_uses = 0,
     uint32_t retries_known_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::backoff *>> backoffs = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -886,6 +931,7 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_backoffs(backoffs);
   builder_.add_departures(departures);
   builder_.add_retries_known_ms(retries_known_ms);
   builder_.add_retry_uses(retry_uses);
@@ -948,7 +994,8 @@
     const std::vector<borageford::coordination::wire::rate_limit> *rate_limits = nullptr,
     const std::vector<borageford::coordination::wire::retry_use> *retry_uses = nullptr,
     uint32_t retries_known_ms = 0,
-    const std::vector<borageford::coordination::wire::departure> *departures = nullptr) {
+    const std::vector<borageford::coordination::wire::departure> *departures = nullptr,
+    const std::vector<borageford::coordination::wire::backoff> *backoffs = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -960,6 +1007,7 @@
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::rate_limit>(*rate_limits) : 0;
   auto retry_uses__ = retry_uses ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::retry_use>(*retry_uses) : 0;
   auto departures__ = departures ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::departure>(*departures) : 0;
+  auto backoffs__ = backoffs ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::backoff>(*backoffs) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -991,7 +1039,8 @@
       rate_limits__,
       retry_uses__,
       retries_known_ms,
-      departures__);
+      departures__,
+      backoffs__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -179,6 +179,14 @@
     schedule_flush();
 }
 
+void slot_broker::observe_backoff(policy::server_key server, policy::time_point until) {
+    m_coordinator.scheduler().set_backoff(server, m_self, until, clock::now());
+    if (m_source == slot_source::coordinator) {
+        m_upstream->pending().backoffs.push_back({server, until});
+    }
+    schedule_flush();
+}
+
 void slot_broker::observe_departure(policy::server_key server) {
     const policy::departure heard{server, clock::now(), m_self};
     if (note_departure(heard) && m_source == slot_source::coordinator) {
@@ -578,6 +586,7 @@
     m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
     m_upstream->pending().departures = m_departures.latest();
+    m_upstream->pending().backoffs = m_coordinator.scheduler().list_backoffs(m_self, clock::now());
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
     schedule_flush();
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -86,6 +86,8 @@
     /// requests per second; nothing if it names none. `asked` is when the request was sent.
     void observe_rate_limit(policy::server_key server, std::optional<double> limit, policy::time_point asked);
 
+    /// A server has turned this process away and wants none of its requests until `until`.
+    void observe_backoff(policy::server_key server, policy::time_point until);
     /// An answer that this process received says that its server leaves.
     void observe_departure(policy::server_key server);
     /// Whether the server has said in an answer to some gateway that it leaves, as far as this process knows.
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -42,6 +42,9 @@
     for (const auto& report : items.reports) {
         m_scheduler.adopt(report, now);
     }
+    for (const auto& notice : items.backoffs) {
+        m_scheduler.set_backoff(notice.server, member, notice.until, now);
+    }
     for (const auto& hold : items.holds) {
         m_scheduler.add_running({hold.ticket, hold.server, hold.service, hold.tier}, now);
         m_requests[hold.ticket] = {member, 0, 0, 0, true};
@@ -91,6 +94,7 @@
     m_requests[request.ticket] = {member, request.workspace, units,   request.fingerprint,
                                   false,  request.service,   is_retry};
     auto known = request;
+    known.member = member;
     known.previous_refusals = m_refusal_history.refusals(request.fingerprint, now);
     m_scheduler.add(known, now);
 }
--- a/src/diagnosis/loss_report.cpp
+++ b/src/diagnosis/loss_report.cpp
@@ -59,7 +59,7 @@
     const auto error = record.text("error");
     if (error == "overloaded" || error == "draining") {
         const auto reason = record.text("reason");
-        if (reason == "over_server_limit") {
+        if (reason == "over_server_limit" || reason == "servers_back_off") {
             return request_end::refused_server;
         }
         return reason == "over_retry_budget" ? request_end::refused_limit : request_end::refused_load;
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -119,6 +119,9 @@
     event_description{event_kind::backend_leaving, "backend_leaving", info, state_rate,
                       "A backend server said in an answer that it leaves: it gets no new requests.",
                       "backend heard_by age_ms"},
+    event_description{event_kind::backend_backoff, "backend_backoff", info, state_rate,
+                      "A backend server turned this gateway away and wants none of its requests for a while.",
+                      "backend request pause_ms"},
     event_description{
         event_kind::answer_field_unreadable, "answer_field_unreadable", warning, state_rate,
         "A backend server's answer has a field about the server that can't be read; it is ignored.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -49,6 +49,7 @@
     backend_limit_ended,
     backend_limit_unreadable,
     backend_leaving,
+    backend_backoff,
     answer_field_unreadable,
 
     // Requests, logged by the gateway that received them from their callers.
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -4,8 +4,10 @@
 #include "net/connection.hpp"
 #include "routing/backend_record.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +50,14 @@
         return m_last_connection_failure;
     }
 
+    /// The server wants no requests of this process until `until`; a later end that it asked for before
+    /// stays.
+    void back_off(clock::time_point until) noexcept { m_backoff_end = std::max(m_backoff_end, until); }
+    /// When the server wants requests of this process again; nothing if it does now.
+    [[nodiscard]] std::optional<clock::time_point> backoff_end() const noexcept {
+        return m_backoff_end > clock::now() ? std::optional(m_backoff_end) : std::nullopt;
+    }
+
     /// The server has restarted: closes the idle connections and notifies the running calls.
     void retire();
 
@@ -65,6 +75,7 @@
     std::vector<idle_connection> m_idle;
     std::unordered_map<const backend_call*, std::weak_ptr<backend_call>> m_calls;
     clock::time_point m_last_connection_failure = clock::time_point::min();
+    clock::time_point m_backoff_end = clock::time_point::min();
     bool m_is_retired = false; ///< Once set, no connection is kept.
 };
 
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -85,9 +85,9 @@
 }
 
 void backend_call::send_on(std::shared_ptr<net::connection> connection) {
-    if (m_server->record().state != routing::backend_state::ready) {
+    if (m_server->record().state != routing::backend_state::ready || m_server->backoff_end().has_value()) {
         connection->close();
-        fail(call_failure::withdrawn, "the server was taken out of use");
+        fail(call_failure::withdrawn, "the server was taken out of use or asked for a pause");
         return;
     }
     m_connection = std::move(connection);
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -22,7 +22,8 @@
 enum class call_failure : std::uint8_t {
     unreachable, ///< No connection was established, so no byte of the request was sent.
     unknown,     ///< The server may have executed the request.
-    withdrawn,   ///< The server was taken out of use before a byte of the request was sent.
+    /// The server was taken out of use, or asked for a pause, before a byte of the request was sent.
+    withdrawn,
 };
 
 /// The request that a backend_call sends.
--- a/src/gateway/deployment.hpp
+++ b/src/gateway/deployment.hpp
@@ -8,6 +8,7 @@
 #include "routing/routing_types.hpp"
 #include "store/table.hpp"
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -40,6 +41,8 @@
     /// Decodes a header_names::rate_limit field.
     std::function<double(std::string_view value)> decode_rate_limit;
 
+    /// Decodes a header_names::backoff field.
+    std::function<std::chrono::milliseconds(std::string_view value)> decode_backoff;
     /// Decodes a header_names::leaving field; returns if it says that the server leaves.
     std::function<void(std::string_view value)> decode_departure;
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -75,7 +75,7 @@
                   current_deployment.format),
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_rate_limits(current_deployment, m_backends, m_slots, m_registry),
-          m_answers(current_deployment, m_backends, m_slots),
+          m_answers(current_deployment, m_backends, m_slots, m_registry),
           m_retry_use(m_configuration, m_registry),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings, current_deployment.fields,
                     m_configuration,      m_backends,         m_slots,    m_metrics,
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -199,6 +199,8 @@
                      "the server isn't registered here");
     } else if (m_context.slots.has_departed(grant.server)) {
         return_slot("the server leaves");
+    } else if (server->backoff_end().has_value()) {
+        return_slot("the server asked for a pause");
     } else if (server->record().state != routing::backend_state::ready) {
         // The coordinator may not have read that the server is draining, for instance while the store refuses
         // the coordinator's requests.
@@ -217,6 +219,12 @@
         return;
     }
     const auto busy = clock::now() - m_slot_begin;
+    const auto server = m_context.backends.find(m_slot);
+    const auto backoff_end = server != nullptr ? server->backoff_end() : std::nullopt;
+    if (backoff_end.has_value()) {
+        // The process that grants slots may not have known the server when it was told.
+        m_context.slots.observe_backoff(m_slot, *backoff_end);
+    }
     m_is_charged = false; // releasing the slot refunds the quota
     m_attempts.avoid(m_slot);
     release_slot(policy::slot_outcome::refused);
@@ -238,6 +246,7 @@
         return;
     case policy::refusal_reason::over_retry_budget:
     case policy::refusal_reason::over_server_limit:
+    case policy::refusal_reason::servers_back_off:
     case policy::refusal_reason::overloaded:
         break;
     }
@@ -288,7 +297,7 @@
 void request_exchange::handle_head() {
     const auto& response = m_call->response();
     if (response.status() != misdirected) {
-        m_context.answers.read(m_call->server()->record(), response.fields(), m_admitted.id);
+        m_context.answers.read(*m_call->server(), response, m_admitted.id);
         m_context.rate_limits.read_answer(m_call->server()->record(), response.fields(), m_admitted.id,
                                           m_slot_begin);
     }
--- a/src/policy/coordinator_election.hpp
+++ b/src/policy/coordinator_election.hpp
@@ -2,6 +2,7 @@
 // in, and a choice is computed from them.
 #pragma once
 
+#include "policy/member_key.hpp"
 #include "policy/time.hpp"
 
 #include <chrono>
@@ -13,9 +14,6 @@
 
 namespace borageford::policy {
 
-/// Identifies a member; all processes use the same number for it.
-using member_key = std::uint64_t;
-
 /// Status that a member reports about itself in its heartbeats.
 struct member_status {
     double processor_share = 1;
--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -28,6 +28,7 @@
 bool has_fresh_server(const slot_request& request, const slot_choice_terms& terms) {
     return std::ranges::any_of(terms.all, [&](const auto* server) {
         return !has_failed(request, server->key) && !server->is_rate_blocked &&
+               !server->backoff.is_active(request.member, terms.now) &&
                server->health.availability_at(terms.now) != server_health::availability::none;
     });
 }
@@ -41,6 +42,9 @@
     }
     auto smallest = duration::max() - tolerated_overrun;
     for (const auto* server : terms.all | std::views::take(max_considered_servers)) {
+        if (server->backoff.is_active(request.member, terms.now)) {
+            continue;
+        }
         const auto wait = std::min<duration>(server->rate_wait(terms.now), max_considered_wait);
         smallest = std::min(smallest, server->expect_overrun(request, wait, terms.now));
         if (smallest == duration::zero()) {
@@ -55,7 +59,7 @@
 bool can_meet_target(const slot_request& request, slot_servers all, time_point now) {
     const auto left = request.arrived + request.target - now;
     return std::ranges::any_of(all, [&](const auto* server) {
-        return server->rate_wait(now) <= left &&
+        return !server->backoff.is_active(request.member, now) && server->rate_wait(now) <= left &&
                server->rate_wait(now) + server->first_event.expect(request.cost.prompt) <= left;
     });
 }
@@ -77,7 +81,8 @@
     auto smallest_overrun = duration::max();
     auto soonest = duration::max();
     for (auto* server : terms.available) {
-        if (avoids_failed && has_failed(request, server->key)) {
+        if (server->backoff.is_active(request.member, terms.now) ||
+            (avoids_failed && has_failed(request, server->key))) {
             continue;
         }
         const auto expected = server->expect_first_event(request, terms.now);
--- a/src/policy/slot_request.cpp
+++ b/src/policy/slot_request.cpp
@@ -20,9 +20,11 @@
     case refusal_reason::held_back:
         return "held_back";
     case refusal_reason::over_server_limit:
+        return "over_server_limit";
+    case refusal_reason::servers_back_off:
         break;
     }
-    return "over_server_limit";
+    return "servers_back_off";
 }
 
 std::string_view to_string(slot_outcome outcome) noexcept {
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -1,6 +1,7 @@
 // The data types for scheduling slots: requests, grants, refusals and releases.
 #pragma once
 
+#include "policy/member_key.hpp"
 #include "policy/time.hpp"
 
 #include <algorithm>
@@ -53,6 +54,7 @@
     slot_ticket ticket = 0;
     service_key service = 0;
     workspace_key workspace = 0;
+    member_key member = 0; ///< the process that holds the request; set by the process that grants slots
     domain_key domain = 0; ///< failure domain of the process that holds the request; 0: unknown
     int tier = 0;          ///< 0 is the highest
     time_point arrived;    ///< when the request arrived at its gateway
@@ -85,7 +87,8 @@
     over_retry_budget, ///< too many requests of its service are being retried
     held_back,         ///< it is quarantined, because servers crashed while they ran it (crash_suspects)
     over_server_limit, ///< the rate limits of all servers of its service hold it back for too long
-    last_reason = over_server_limit
+    servers_back_off,  ///< all servers of its service want no requests of its gateway for too long
+    last_reason = servers_back_off
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
@@ -96,8 +99,8 @@
     refusal_reason reason = refusal_reason::overloaded;
     duration retry_after{}; ///< delay after which the caller should retry
     /// The two values that were compared for the decision, for the coordinator's own log: seconds of waiting
-    /// (overloaded, over_server_limit), units of the quota (over_allowance) or retries in a window
-    /// (over_retry_budget). They aren't sent to other processes.
+    /// (overloaded, over_server_limit, servers_back_off), units of the quota (over_allowance) or retries in a
+    /// window (over_retry_budget). They aren't sent to other processes.
     double needed = 0;
     double available = 0;
 };
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -198,8 +198,68 @@
     return true;
 }
 
+/// Refuses the request if all servers of its service want no requests of its gateway until after its maximum
+/// wait. Its caller learns at once when to come back.
+bool slot_scheduler::refuse_for_backoffs(const slot_request& request, time_point now) {
+    const auto servers = m_pools.servers_of(request.service);
+    auto earliest = time_point::max();
+    for (const auto* server : servers) {
+        const auto end = server->backoff.end_of(request.member, now);
+        if (!end.has_value()) {
+            return false;
+        }
+        earliest = std::min(earliest, *end);
+    }
+    const auto limit = request.arrived + max_wait_of(request);
+    if (servers.empty() || earliest <= limit) {
+        return false;
+    }
+    m_refusals.push_back({request.ticket, refusal_reason::servers_back_off, earliest - now,
+                          to_seconds(earliest - now), to_seconds(limit - now)});
+    return true;
+}
+
+void slot_scheduler::refuse_waiting_for_backoffs(time_point now) {
+    if (!std::exchange(m_has_new_backoff, false)) {
+        return;
+    }
+    std::vector<slot_ticket> refused;
+    for (const auto& [service, tiers] : m_queues.services()) {
+        for (const auto& [tier_number, tier] : tiers) {
+            for (const auto* queue : {&tier.in_time, &tier.late}) {
+                for (const auto& [key, request] : queue->requests) {
+                    if (refuse_for_backoffs(request, now)) {
+                        refused.push_back(request.ticket);
+                    }
+                }
+            }
+        }
+    }
+    for (const auto ticket : refused) {
+        m_queues.remove(ticket);
+    }
+}
+
+void slot_scheduler::set_backoff(server_key server, member_key member, time_point until, time_point now) {
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end()) {
+        found->second.backoff.extend(member, until, now);
+        m_has_new_backoff = true;
+    }
+}
+
+std::vector<backoff_notice> slot_scheduler::list_backoffs(member_key member, time_point now) const {
+    std::vector<backoff_notice> result;
+    for (const auto& [key, server] : m_servers) {
+        if (const auto end = server.backoff.end_of(member, now)) {
+            result.push_back({key, *end});
+        }
+    }
+    return result;
+}
+
 void slot_scheduler::add(const slot_request& request, time_point now) {
-    if (refuse_for_rate_limits(request, now)) {
+    if (refuse_for_backoffs(request, now) || refuse_for_rate_limits(request, now)) {
         return;
     }
     if (classify(request, now) == target_state::late) {
@@ -485,6 +545,7 @@
 std::vector<slot_grant> slot_scheduler::grant(time_point now) {
     std::vector<slot_grant> grants;
     examine_rate_limits(now);
+    refuse_waiting_for_backoffs(now);
     refuse_overdue(now);
     for (auto& [service, tiers] : m_queues.services()) {
         for (auto& [tier_number, tier] : tiers) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -70,6 +70,10 @@
     /// Sets the rate limit that a server names, in requests per second; nothing if it names none. Ignored for
     /// a server that isn't known.
     void set_rate_limit(server_key server, std::optional<double> per_second, time_point now);
+    /// A server wants no requests of a member until `until`. Ignored for a server that isn't known.
+    void set_backoff(server_key server, member_key member, time_point until, time_point now);
+    /// The servers that want no requests of this member now.
+    [[nodiscard]] std::vector<backoff_notice> list_backoffs(member_key member, time_point now) const;
     /// Forgets what was saved up within the servers' rate limits, because other processes have granted slots
     /// until now.
     void restart_rate_limits(time_point now);
@@ -152,6 +156,8 @@
     [[nodiscard]] target_state classify(const slot_request& request, time_point now) const;
     [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
     bool refuse_for_rate_limits(const slot_request& request, time_point now);
+    bool refuse_for_backoffs(const slot_request& request, time_point now);
+    void refuse_waiting_for_backoffs(time_point now);
     void examine_rate_limits(time_point now);
     // Four functions compute whether a server has room, and differ in what they consider:
     // - slot_server::has_free_slot(): only whether fewer requests run than this process's share of the
@@ -208,7 +214,8 @@
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
     std::vector<health_change> m_health_changes;
-    std::uint64_t m_grants = 0; ///< number of all grants so far, which numbers the next one
+    bool m_has_new_backoff = false; ///< waiting requests may have no server left that takes them in time
+    std::uint64_t m_grants = 0;     ///< number of all grants so far, which numbers the next one
     std::vector<slot_refusal> m_refusals;
 };
 
--- a/src/policy/slot_server.hpp
+++ b/src/policy/slot_server.hpp
@@ -5,6 +5,7 @@
 #include "policy/first_event_model.hpp"
 #include "policy/output_token_time.hpp"
 #include "policy/prompt_backlog.hpp"
+#include "policy/server_backoff.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_rate_limit.hpp"
 #include "policy/server_report.hpp"
@@ -33,6 +34,7 @@
     std::optional<server_rate_limit> rate_limit;
     bool is_rate_blocked = false; ///< rate_limit allows no further request until rate_blocked_until
     time_point rate_blocked_until;
+    server_backoff backoff; ///< by the gateways that it has turned away
     server_health health;
     first_event_model first_event;
     output_token_time token_time;
