Emulated servers say that they leave and ask for pauses, and the soak checks that gateways act on it

A draining server of an experiment or a soak says so in its answers, one that refuses asks for a pause of 1.5 s in a soak.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -2,6 +2,8 @@
 #include "emulator/emulated_backend.hpp"
 
 #include "base/pause.hpp"
+#include "http/message.hpp"
+#include "platform/departure_codec.hpp"
 #include "platform/rate_limit_codec.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -134,22 +136,39 @@
     return m_options.start == 0 ? m_options.id : m_options.id + "@" + std::to_string(m_options.start);
 }
 
-http::response emulated_backend::refusal(unsigned status) const {
+http::response emulated_backend::refuse(const http::request& call, unsigned status) {
     auto answer = http::make_response(status, "text/plain", "");
     if (status != status_misdirected) {
         answer.head.headers.push_back({m_fields.not_executed, "1"});
-        std::ranges::copy(m_additional_fields, std::back_inserter(answer.head.headers));
+        std::ranges::copy(make_statements(call, m_pause), std::back_inserter(answer.head.headers));
     }
     return answer;
 }
 
-http::header_fields emulated_backend::answer_fields(const http::request& call, std::size_t number) const {
+/// Returns the fields of an answer with which the server says something about itself.
+http::header_fields emulated_backend::make_statements(const http::request& call,
+                                                      std::chrono::milliseconds pause) {
+    auto fields = m_additional_fields;
+    if (m_is_leaving) {
+        fields.push_back({m_fields.leaving, std::string(platform::leaving_value)});
+    }
+    if (pause.count() > 0) {
+        fields.push_back({m_fields.backoff, http::to_seconds_text(pause)});
+    }
+    if (m_is_leaving || pause.count() > 0) {
+        m_statements.push_back(
+            {header_value(call, m_fields.request_id), steady_clock::now(), m_is_leaving, pause});
+    }
+    return fields;
+}
+
+http::header_fields emulated_backend::answer_fields(const http::request& call, std::size_t number) {
     http::header_fields fields{{m_fields.request_id, header_value(call, m_fields.request_id)},
                                {m_fields.signature, name() + "." + std::to_string(number)}};
     if (m_options.keep_alive.count() > 0) {
         fields.push_back({"Keep-Alive", "timeout=" + std::to_string(m_options.keep_alive.count())});
     }
-    std::ranges::copy(m_additional_fields, std::back_inserter(fields));
+    std::ranges::copy(make_statements(call, {}), std::back_inserter(fields));
     return fields;
 }
 
@@ -166,7 +185,7 @@
         refused = status_unavailable;
     }
     if (refused != 0) {
-        const auto answer = refusal(refused);
+        const auto answer = refuse(call, refused);
         co_await writer.write(answer);
         co_return;
     }
@@ -250,7 +269,7 @@
     const auto request = make_engine_request(call);
     const auto id = request.id;
     if (!m_engine->engine.add(request, steady_clock::now())) {
-        const auto answer = refusal(status_unavailable);
+        const auto answer = refuse(call, status_unavailable);
         co_await writer.write(answer);
         co_return;
     }
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -6,6 +6,7 @@
 #include "emulator/batching_engine.hpp"
 #include "emulator/rate_limit_excess.hpp"
 #include "emulator/retry_excess.hpp"
+#include "emulator/server_statement.hpp"
 #include "http/server.hpp"
 #include "routing/header_names.hpp"
 
@@ -86,6 +87,12 @@
 
     /// Names this rate limit, in requests per second, in every answer from now on; nothing: names none.
     void set_rate_limit(std::optional<double> per_second);
+    /// Says in every answer from now on that it leaves.
+    void set_leaving() noexcept { m_is_leaving = true; }
+    /// Asks in every refusal from now on for this pause; zero: asks for none.
+    void set_pause(std::chrono::milliseconds pause) noexcept { m_pause = pause; }
+    /// What it has said about itself in its answers, except for rate limits.
+    [[nodiscard]] const std::vector<server_statement>& statements() const noexcept { return m_statements; }
     /// Adds these fields to every answer from now on.
     void set_answer_fields(http::header_fields fields) { m_additional_fields = std::move(fields); }
 
@@ -119,8 +126,10 @@
                                             backend_fault fault, std::size_t number);
     void watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone);
     [[nodiscard]] backend_fault take_fault() noexcept;
-    [[nodiscard]] http::response refusal(unsigned status) const;
-    [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number) const;
+    [[nodiscard]] http::response refuse(const http::request& call, unsigned status);
+    [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number);
+    [[nodiscard]] http::header_fields make_statements(const http::request& call,
+                                                      std::chrono::milliseconds pause);
     [[nodiscard]] engine_request make_engine_request(const http::request& call) const;
 
     boost::asio::any_io_executor m_executor;
@@ -138,6 +147,9 @@
     std::vector<recorded_arrival> m_arrived_requests;
     http::header_fields m_additional_fields;
     std::vector<named_limit> m_named_limits;
+    bool m_is_leaving = false;
+    std::chrono::milliseconds m_pause{0};
+    std::vector<server_statement> m_statements;
     http::server m_server;
 };
 
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -131,6 +131,12 @@
     }
 }
 
+void experiment_site::set_pause(std::size_t server, std::chrono::milliseconds pause) {
+    if (auto& unit = m_servers.at(server); unit.server != nullptr) {
+        unit.server->set_pause(pause);
+    }
+}
+
 void experiment_site::crash(std::size_t server) {
     auto& unit = m_servers.at(server);
     if (unit.server == nullptr) {
@@ -180,6 +186,7 @@
     auto& unit = m_servers.at(server);
     if (unit.server != nullptr) {
         unit.state = routing::backend_state::draining;
+        unit.server->set_leaving();
         write_registration(unit);
     }
 }
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -65,6 +65,8 @@
     void drain(std::size_t server);
 
     /// Calls `visit` with every server, first the running ones, then the stopped ones.
+    /// The server asks in its refusals for this pause; zero: for none.
+    void set_pause(std::size_t server, std::chrono::milliseconds pause);
     void visit_servers(const std::function<void(const emulator::emulated_backend&)>& visit) const;
     /// How often each request was run on any server, by the request's id.
     [[nodiscard]] std::map<std::string, std::size_t> count_runs() const;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned engine_slots = 4;
 constexpr unsigned plain_slots = 8;
 constexpr unsigned server_connections = 96;
+/// What a server that refuses requests asks for in its refusals.
+constexpr milliseconds refusal_pause{1500};
 constexpr unsigned max_attempts = 3;
 constexpr milliseconds route_timeout{4000};
 constexpr milliseconds slow_store_answer{400};
@@ -427,6 +429,8 @@
             }
         } else {
             m_site->set_fault(server, fault_of(fault.kind));
+            m_site->set_pause(server,
+                              fault.kind == fault_kind::server_refuses ? refusal_pause : milliseconds(0));
         }
     });
 }
@@ -443,6 +447,7 @@
         }
         m_site->restart(server);
         m_site->set_fault(server, backend_fault::none);
+        m_site->set_pause(server, milliseconds(0));
         m_site->set_slowness(server, 1);
     });
 }
@@ -623,6 +628,16 @@
     return result;
 }
 
+std::vector<stating_server> soak_deployment::collect_stating_servers() const {
+    std::vector<stating_server> result;
+    m_site->visit_servers([&result](const emulator::emulated_backend& server) {
+        if (!server.statements().empty()) {
+            result.push_back({server.name(), server.arrived_requests(), server.statements()});
+        }
+    });
+    return result;
+}
+
 std::vector<held_delivery> soak_deployment::collect_held_deliveries() const {
     std::vector<held_delivery> result;
     for (const auto& [server, proxy] : m_server_proxies) {
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -10,6 +10,7 @@
 #include "soak/fault_schedule.hpp"
 #include "soak/promise_checks.hpp"
 #include "soak/sent_request.hpp"
+#include "soak/statement_checks.hpp"
 #include "support/child_process.hpp"
 #include "support/fault_proxy.hpp"
 
@@ -107,6 +108,7 @@
     [[nodiscard]] std::optional<server_run> find_run(const std::string& server, std::size_t number) const;
     /// The arrivals at each server that has named a rate limit, including servers that have been stopped.
     [[nodiscard]] std::vector<limited_server> collect_limited_servers() const;
+    [[nodiscard]] std::vector<stating_server> collect_stating_servers() const;
     /// The requests that reached servers, by service.
     [[nodiscard]] std::map<std::string, std::vector<emulator::recorded_arrival>> collect_arrivals() const;
     /// What was held back on its way to the servers. All servers must be running.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -246,6 +246,10 @@
     for (const auto& server : deployment.collect_limited_servers()) {
         append(broken, check_rate_limit(server, disturbances));
     }
+    for (const auto& server : deployment.collect_stating_servers()) {
+        append(broken, check_leaving(server, sent, disturbances));
+        append(broken, check_pauses(server, sent, disturbances));
+    }
     append(broken, check_allowance(runs));
     append(broken, check_all_retries(requests, deployment.collect_arrivals()));
     append(broken, deployment.unexpected_exits());
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -4,6 +4,7 @@
 #include "soak/disturbance_log.hpp"
 #include "soak/fault_schedule.hpp"
 #include "soak/promise_checks.hpp"
+#include "soak/statement_checks.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -289,3 +290,48 @@
     arrivals.pop_back();
     CHECK(check_retries("plain", arrivals, {}, terms).empty());
 }
+
+namespace {
+
+/// A request that a caller sent to gateway 0 and that was answered 10 ms later.
+sent_request make_answered(const std::string& id, clock::time_point sent) {
+    sent_request request;
+    request.id = id;
+    request.sent = sent;
+    request.ended = sent + milliseconds(10);
+    request.result.status = 200;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("soak: requests at a server that had said that it leaves are reported, but not after a restart",
+          "[soak][leaving_server]") {
+    const auto begin = clock::time_point{} + std::chrono::hours(1);
+    const auto heard = make_answered("heard", begin);
+    const auto early = make_answered("early", begin + milliseconds(1900));
+    auto late = make_answered("late", begin + milliseconds(2100));
+    const std::map<std::string, const sent_request*> sent{
+        {"heard", &heard}, {"early", &early}, {"late", &late}};
+    const stating_server server{
+        "plain-1", {{"early", early.sent}, {"late", late.sent}}, {{"heard", begin, true, {}}}};
+    CHECK(check_leaving(server, sent, {}).size() == 1);
+    late.gateway_start_count = 1;
+    CHECK(check_leaving(server, sent, {}).empty());
+}
+
+TEST_CASE("soak: a third request in a pause is reported, unless the gateway was frozen", "[soak][backoff]") {
+    const auto begin = clock::time_point{} + std::chrono::hours(1);
+    const auto turned_away = make_answered("turned-away", begin);
+    const auto again = make_answered("again", begin + milliseconds(600));
+    const std::map<std::string, const sent_request*> sent{{"turned-away", &turned_away}, {"again", &again}};
+    stating_server server{"plain-1",
+                          {{"again", begin + milliseconds(600)}, {"again", begin + milliseconds(700)}},
+                          {{"turned-away", begin, false, milliseconds(1500)}}};
+    CHECK(check_pauses(server, sent, {}).empty());
+    server.arrivals.push_back({"again", begin + milliseconds(1400)});
+    CHECK(check_pauses(server, sent, {}).size() == 1);
+    disturbance_log disturbances;
+    disturbances.begin(disturbance_kind::gateway_down, 0, begin + milliseconds(300));
+    CHECK(check_pauses(server, sent, disturbances).empty());
+}
