Experiments count retries, lose gateways and let servers refuse with a pause

'borageford emulate' prints the worst window of the retries of each service against the gateways' settings.

--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -30,9 +30,9 @@
                                                         "callers",    "burst",   "fault"};
 constexpr std::array<std::string_view, 2> service_kinds{"engine", "plain"};
 constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
-constexpr std::array<std::string_view, 11> fault_kinds{
-    "crash", "hang",          "fail",         "cut",        "slow",         "drain",
-    "limit", "store_refuses", "store_silent", "store_slow", "store_returns"};
+constexpr std::array<std::string_view, 13> fault_kinds{
+    "crash",  "hang",         "fail",          "cut",          "slow",       "drain",        "limit",
+    "refuse", "gateway_lost", "store_refuses", "store_silent", "store_slow", "store_returns"};
 
 /// The index of the item with this name, or nothing.
 template <typename Item>
@@ -277,10 +277,13 @@
         fault.factor = reader.real("factor", fault.factor, 0.01, 1000);
         fault.per_second = reader.real("per_second", fault.per_second, 0, most);
         fault.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        fault.pause = reader.duration("pause", fault.pause, none, longest);
+        const auto last_gateway = std::max<std::int64_t>(std::ssize(m_plan.gateways), 1) - 1;
+        fault.gateway = static_cast<std::size_t>(reader.number("gateway", 0, 0, last_gateway));
         fault.copy_age = reader.duration("copy_age", fault.copy_age, none, longest);
         fault.rewritten_after = reader.duration("rewritten_after", fault.rewritten_after, none, longest);
         fault.service = reader.text("service", "");
-        const bool is_server_fault = fault.kind < fault_kind::store_refuses;
+        const bool is_server_fault = fault.kind < fault_kind::gateway_lost;
         const bool has_service = find_named(m_plan.configuration.services, fault.service).has_value();
         if (is_server_fault && !has_service) {
             reader.report_problem("service", "the name of a [service] section");
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -222,14 +222,15 @@
     m_scheduled_calls.push_back(m_timers.after(m_executor, delay, std::move(call)));
 }
 
-void experiment_site::begin_faults(std::function<void(std::string_view)> on_fault) {
+void experiment_site::begin_faults(fault_observers observers) {
+    m_fault_observers = std::move(observers);
     for (const auto& fault : m_plan.faults) {
-        after(fault.at, [this, &fault, on_fault] {
-            on_fault(fault.name + " begins");
+        after(fault.at, [this, &fault] {
+            m_fault_observers.on_fault(fault.name + " begins");
             begin_fault(fault);
         });
-        after(fault.at + fault.length, [this, &fault, on_fault] {
-            on_fault(fault.name + " ends");
+        after(fault.at + fault.length, [this, &fault] {
+            m_fault_observers.on_fault(fault.name + " ends");
             end_fault(fault);
         });
     }
@@ -274,6 +275,13 @@
     case fault_kind::limit:
         std::ranges::for_each(servers, [&](auto server) { set_rate_limit(server, fault.per_second); });
         break;
+    case fault_kind::refuse:
+        set_all(backend_fault::refuse);
+        std::ranges::for_each(servers, [&](auto server) { set_pause(server, fault.pause); });
+        break;
+    case fault_kind::gateway_lost:
+        m_fault_observers.on_gateway_loss(fault.gateway);
+        break;
     case fault_kind::store_refuses:
         m_store.set_state(store_state::busy);
         break;
@@ -290,6 +298,10 @@
 }
 
 void experiment_site::end_fault(const planned_fault& fault) {
+    if (fault.kind == fault_kind::gateway_lost) {
+        m_fault_observers.on_gateway_return(fault.gateway);
+        return;
+    }
     if (fault.kind == fault_kind::store_slow) {
         m_store.set_delay(milliseconds(0));
         return;
@@ -311,6 +323,7 @@
         }
         restart(server);
         set_fault(server, emulator::backend_fault::none);
+        set_pause(server, milliseconds(0));
         set_slowness(server, m_servers[server].speed);
     }
 }
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -37,8 +37,17 @@
 
     /// Starts the store and the servers, writes the configuration, and registers the servers.
     void start();
-    /// Schedules the faults, whose times count from this call; `on_fault` is called at each begin and end.
-    void begin_faults(std::function<void(std::string_view)> on_fault);
+    /// What the site tells its user about faults.
+    struct fault_observers {
+        std::function<void(std::string_view)> on_fault; ///< called at each begin and end
+        /// A gateway, which runs in another process, has to be killed, or to be started again.
+        std::function<void(std::size_t gateway)> on_gateway_loss = [](std::size_t) {
+        };
+        std::function<void(std::size_t gateway)> on_gateway_return = [](std::size_t) {
+        };
+    };
+    /// Schedules the faults, whose times count from this call.
+    void begin_faults(fault_observers observers);
 
     [[nodiscard]] emulator::emulated_store& store() noexcept { return m_store; }
     [[nodiscard]] const boost::asio::ip::tcp::endpoint& store_address() const noexcept {
@@ -64,9 +73,10 @@
     /// Registers the server as draining. It goes on serving the requests that it has.
     void drain(std::size_t server);
 
-    /// Calls `visit` with every server, first the running ones, then the stopped ones.
-    /// The server asks in its refusals for this pause; zero: for none.
+    /// Lets the server ask for this pause in its refusals, or for none; does nothing while it is stopped.
     void set_pause(std::size_t server, std::chrono::milliseconds pause);
+
+    /// Calls `visit` with every server, first the running ones, then the stopped ones.
     void visit_servers(const std::function<void(const emulator::emulated_backend&)>& visit) const;
     /// How often each request was run on any server, by the request's id.
     [[nodiscard]] std::map<std::string, std::size_t> count_runs() const;
@@ -106,6 +116,7 @@
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
     const experiment_plan& m_plan;
+    fault_observers m_fault_observers;
     emulator::emulated_store m_store;
     boost::asio::ip::tcp::endpoint m_store_address;
     address_mapping m_address_mapping;
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -154,6 +154,7 @@
     sender->id = std::to_string(m_run) + "-" + std::to_string(++m_last_id);
     const auto& group = m_plan.callers[sender->group];
     const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
+    m_sent[m_plan.configuration.services[route->services.front().service].name].push_back(clock::now());
     if (!route->may_repeat()) {
         m_at_most_once_ids.push_back(sender->id);
     }
--- a/src/experiment/load_runner.hpp
+++ b/src/experiment/load_runner.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -42,6 +43,10 @@
     [[nodiscard]] const std::vector<std::string>& at_most_once_ids() const noexcept {
         return m_at_most_once_ids;
     }
+    /// When requests were sent, by the service of their route. Each attempt of a caller counts.
+    [[nodiscard]] const std::map<std::string, std::vector<clock::time_point>>& sent() const noexcept {
+        return m_sent;
+    }
 
 private:
     struct caller;
@@ -60,6 +65,7 @@
     std::shared_ptr<connection_pool> m_pool = std::make_shared<connection_pool>();
     outcome_table m_outcomes;
     std::vector<std::string> m_at_most_once_ids;
+    std::map<std::string, std::vector<clock::time_point>> m_sent;
     std::vector<emulator::offered_request> m_offered;
     std::size_t m_next = 0;        ///< index of the next request to send
     std::size_t m_in_progress = 0; ///< requests sent that haven't ended
--- a/src/program/emulate_command.cpp
+++ b/src/program/emulate_command.cpp
@@ -3,11 +3,13 @@
 #include "program/emulate_command.hpp"
 
 #include "emulator/rate_limit_excess.hpp"
+#include "emulator/retry_excess.hpp"
 #include "experiment/experiment_reader.hpp"
 #include "experiment/experiment_report.hpp"
 #include "experiment/experiment_site.hpp"
 #include "experiment/gateway_files.hpp"
 #include "experiment/load_runner.hpp"
+#include "gateway/gateway_settings.hpp"
 #include "program/command_flags.hpp"
 #include "settings/ini_document.hpp"
 #include "settings/section_reader.hpp"
@@ -15,9 +17,13 @@
 #include <absl/flags/flag.h>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <filesystem>
 #include <functional>
 #include <iostream>
+#include <iterator>
+#include <map>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -53,8 +59,9 @@
     }
 
 private:
-    void show_gateways() const {
-        for (const auto& file : experiment::write_gateway_files(m_plan, m_folder)) {
+    void show_gateways() {
+        m_gateway_files = experiment::write_gateway_files(m_plan, m_folder);
+        for (const auto& file : m_gateway_files) {
             std::cout << "borageford gateway --settings " << file.string() << '\n';
         }
         std::cout << "waiting until these are ready" << std::endl;
@@ -80,11 +87,18 @@
     void begin() {
         std::cout << "playing " << m_plan.name << std::endl;
         m_begin = std::chrono::steady_clock::now();
-        m_site.begin_faults([this](std::string_view what) {
-            const auto at =
-                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_begin);
-            m_marks.emplace_back(at, what);
-        });
+        m_site.begin_faults(
+            {[this](std::string_view what) {
+                 const auto at =
+                     std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_begin);
+                 m_marks.emplace_back(at, what);
+             },
+             // Whoever started the gateways has to follow these lines.
+             [](std::size_t gateway) { std::cout << "kill gateway " << gateway << std::endl; },
+             [this](std::size_t gateway) {
+                 experiment::note_earlier_start(m_gateway_files.at(gateway));
+                 std::cout << "start gateway " << gateway << std::endl;
+             }});
         m_runner.start([this] { report(); });
     }
 
@@ -92,6 +106,7 @@
         experiment::write_summary(std::cout, m_runner.outcomes(), m_marks);
         experiment::write_report(m_folder, m_plan.name, m_runner.outcomes(), m_marks);
         print_rate_limits();
+        print_retries();
         const auto duplicates = count_duplicate_runs();
         std::cout << "requests that may run once and ran more often: " << duplicates << "\nreport in "
                   << m_folder.string() << '\n';
@@ -109,6 +124,37 @@
         });
     }
 
+    /// Prints the worst window of the retries of each service, against the gateways' own settings.
+    void print_retries() const {
+        std::map<std::string, std::vector<emulator::recorded_arrival>> arrivals;
+        m_site.visit_servers([&arrivals](const emulator::emulated_backend& server) {
+            std::ranges::copy(server.arrived_requests(),
+                              std::back_inserter(arrivals[server.options().service]));
+        });
+        const auto terms = read_retry_terms();
+        for (auto& [service, of_service] : arrivals) {
+            const auto sent = m_runner.sent().find(service);
+            const auto worst = emulator::find_worst_retry_window(
+                std::move(of_service),
+                sent != m_runner.sent().end() ? sent->second
+                                              : std::vector<std::chrono::steady_clock::time_point>(),
+                terms);
+            if (worst.has_value()) {
+                std::cout << "retries at " << service << ": at most " << worst->retries
+                          << " in one window, allowed " << worst->allowed << '\n';
+            }
+        }
+    }
+
+    [[nodiscard]] emulator::retry_terms read_retry_terms() const {
+        std::vector<settings::problem> problems;
+        const auto& file = m_gateway_files.front();
+        const auto document =
+            settings::parse_ini(settings::read_file(file.string(), problems), file.string(), problems);
+        const auto read = gateway::read_gateway_settings(document, problems);
+        return {read.retry_ratio, read.retry_reserve, read.retry_window};
+    }
+
     /// Counts the requests that must run at most once but ran more often.
     [[nodiscard]] std::size_t count_duplicate_runs() const {
         const auto runs = m_site.count_runs();
@@ -127,6 +173,7 @@
 
     const experiment::experiment_plan& m_plan;
     std::filesystem::path m_folder;
+    std::vector<std::filesystem::path> m_gateway_files;
     milliseconds m_ready_limit;
     timer_service m_timers;
     boost::asio::io_context m_context{1};
