--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -32,14 +32,9 @@
 constexpr std::size_t max_initial_reports = 64;
 /// How long a process that has just started waits for a first message of another one before it grants slots.
 constexpr milliseconds learning_time{400};
-constexpr milliseconds retry_use_report_period{1000};
 /// A member from which a coordinator has received nothing for this long may have lost it, as which it waits
 /// election_limits::response_timeout. It then uses its share of the retry reserve itself.
 constexpr milliseconds retry_share_timeout{300};
-/// A coordinator states to its members at each heartbeat which retries were granted, if it has granted one
-/// within this time, and otherwise at one heartbeat in `retry_statement_period`.
-constexpr milliseconds recent_retry{500};
-constexpr unsigned retry_statement_period = 10;
 
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
@@ -72,7 +67,8 @@
       m_election(m_self, settings.processor_share, settings.election, clock::now()),
       m_coordinator(settings.slots, settings.quotas, settings.retries, m_incarnation, clock::now()),
       m_rate_limits(m_self, m_incarnation,
-                    [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }) {}
+                    [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }),
+      m_retries(m_coordinator.retry_budget(), m_observers.on_retry_use) {}
 
 void slot_broker::start() {
     m_socket.emplace(m_executor, m_settings.local,
@@ -278,21 +274,7 @@
     for (const auto server : m_coordinator.scheduler().take_used_up_limits()) {
         m_observers.on_rate_limit_used_up(server);
     }
-    auto& retries = m_coordinator.retry_budget();
-    for (const auto service : retries.take_used_up()) {
-        m_observers.on_retry_use(service, retries.current_use(service, now), true);
-    }
-}
-
-void slot_broker::report_retry_use(policy::time_point now) {
-    if (now - m_retry_use_reported < retry_use_report_period) {
-        return;
-    }
-    m_retry_use_reported = now;
-    auto& retries = m_coordinator.retry_budget();
-    for (const auto service : retries.services()) {
-        m_observers.on_retry_use(service, retries.current_use(service, now), false);
-    }
+    m_retries.report_used_up(now);
 }
 
 /// True after a start and after the loss of a coordinator, for the time in which another process is likely to
@@ -411,12 +393,11 @@
         [this](policy::server_key server) { return m_coordinator.scheduler().is_usable(server); });
     expire_members(now);
     choose_source(now);
-    m_coordinator.retry_budget().knowledge().record_connected(is_connected(), now);
+    m_retries.tick(is_connected(), now);
     if (!m_deferred.is_empty() && !expects_coordinator(now)) {
         resubmit_deferred(now);
     }
     send_heartbeats(now);
-    report_retry_use(now);
     schedule_flush();
 }
 
@@ -454,7 +435,7 @@
         reply.items.rate_limits = m_rate_limits.take_next();
         if (auto* served = m_members.find(member)) {
             served->channel.set_session_fields(reply);
-            reply.items.retries = state_retries(*served, now);
+            reply.items.retries = m_retries.state_to_member(served->heartbeats++, now);
         }
         send(member, std::move(reply));
     }
@@ -637,14 +618,6 @@
     return (m_members.size() + 1) * 2 >= m_active_members.count();
 }
 
-/// What a reply to a heartbeat states about retries; nothing if the member knows it well enough.
-policy::retry_statement slot_broker::state_retries(member_sessions::session& to, policy::time_point now) {
-    auto& budget = m_coordinator.retry_budget();
-    const bool is_due = to.heartbeats++ % retry_statement_period == 0;
-    const bool is_recent = budget.has_granted_since(now - recent_retry);
-    return is_due || is_recent ? budget.statement(now) : policy::retry_statement{};
-}
-
 void slot_broker::expire_members(policy::time_point now) {
     for (const auto& lost : m_members.end_unresponsive(member_timeout, now)) {
         log_lost_member(lost.member, lost.silent);
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -15,6 +15,7 @@
 #include "coordination/message.hpp"
 #include "coordination/peer_socket.hpp"
 #include "coordination/rate_limit_exchange.hpp"
+#include "coordination/retry_exchange.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
@@ -116,7 +117,6 @@
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
     void report_source_change(slot_source before) const;
     void grant_slots(policy::time_point now);
-    void report_retry_use(policy::time_point now);
     void apply_items(policy::member_key member, const batch_items& items, policy::time_point now);
     void handle_coordinator_message(datagram message);
     void handle_member_message(policy::member_key member, datagram message);
@@ -133,7 +133,6 @@
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
     [[nodiscard]] bool is_connected() const;
-    [[nodiscard]] policy::retry_statement state_retries(member_sessions::session& to, policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
     [[nodiscard]] bool is_learning(policy::time_point now) const;
     void resubmit_deferred(policy::time_point now);
@@ -175,6 +174,7 @@
     member_sessions m_members;
     policy::active_members m_active_members;
     rate_limit_exchange m_rate_limits;
+    retry_exchange m_retries;
     policy::departure_table m_departures;
 
     local_requests m_requests;
@@ -185,7 +185,6 @@
     policy::time_point m_started;
     bool m_has_heard_member = false; ///< another process has sent a message since the start
     heartbeat_schedule m_heartbeats;
-    policy::time_point m_retry_use_reported;
 };
 
 } // namespace borageford::coordination
