--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -282,6 +282,7 @@
 TEST_CASE("soak: retries beyond the budget are reported with their service", "[soak][retry_budget]") {
     const auto begin = clock::time_point{} + std::chrono::hours(1);
     std::vector<borageford::emulator::recorded_arrival> arrivals;
+    arrivals.reserve(12);
     for (int number = 0; number < 12; ++number) {
         arrivals.push_back({"same", begin + std::chrono::milliseconds(number)});
     }
