--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -51,8 +51,7 @@
     std::function<void(const policy::departure&)> on_departure = [](const policy::departure&) {
     };
     /// The retries of a service that this process has granted and may grant. Called about once a second for
-    /// each service, and with `has_run_out` when a retry was refused, once in a
-    /// window.
+    /// each service, and with `has_run_out` when a retry was refused, once in a window.
     std::function<void(policy::service_key, const policy::server_retry_budget::use&, bool has_run_out)>
         on_retry_use = [](policy::service_key, const policy::server_retry_budget::use&, bool) {
         };
--- a/src/policy/server_retry_budget.hpp
+++ b/src/policy/server_retry_budget.hpp
@@ -30,9 +30,8 @@
 /// have used. While a process doesn't know what was used in the last window, it takes nothing from the
 /// reserve.
 ///
-/// Invariant: in every window, the retries of a service that this process grants don't exceed ratio x
-/// requests
-/// + share x (reserve - the uses by others that it knows).
+/// Invariant: in every window, the retries of a service that this process grants are at most ratio x
+/// requests, and share x (reserve less the uses by others that it knows) in addition.
 class server_retry_budget {
 public:
     /// `source` identifies this run of the process, which started at `started`.
