A new coordinator leaves their shares of the retry reserve to members that haven't attached yet

Traced: after a start of all gateways, three used their local share (8 of 33.6 each) while the fourth had just become coordinator; it had served nobody yet, counted only itself, and used 33. For 12 s a new coordinator now counts the members that it knows.

The unit test shows 0.25 where the former share was 1.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -35,6 +35,9 @@
 /// A member from which a coordinator has received nothing for this long may have lost it, as which it waits
 /// election_limits::response_timeout. It then uses its share of the retry reserve itself.
 constexpr milliseconds retry_share_timeout{300};
+/// For this long a new coordinator leaves the shares of the retry reserve of members that haven't attached to
+/// it: longer than the window of the budget, in which they may have used them without a coordinator.
+constexpr milliseconds retry_share_settling{12000};
 
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
@@ -597,9 +600,7 @@
     if (m_source == slot_source::own_coordination) {
         const auto attached = m_members.size() + 1;
         const double share = m_active_members.coordinator_share(attached, now);
-        const auto heard = m_members.count_heard_since(now - retry_share_timeout) + 1;
-        const double part_heard = static_cast<double>(heard) / static_cast<double>(attached);
-        m_coordinator.set_shares({1, share, share * part_heard}, now);
+        m_coordinator.set_shares({1, share, coordinator_retry_share(attached, now)}, now);
         m_coordinator.set_rate_share({m_active_members.coordinator_rate_share(attached, known, now), false},
                                      now);
         return;
@@ -610,6 +611,16 @@
     m_coordinator.set_rate_share({rate_share, true}, now);
 }
 
+/// The share of the retry reserve of a coordinator with `attached` members, itself included.
+double slot_broker::coordinator_retry_share(std::size_t attached, policy::time_point now) {
+    const bool is_settled = now - m_source_since >= retry_share_settling;
+    const double share =
+        is_settled ? m_active_members.coordinator_share(attached, now)
+                   : m_active_members.new_coordinator_share(attached, m_election.member_count(), now);
+    const auto heard = m_members.count_heard_since(now - retry_share_timeout) + 1;
+    return share * static_cast<double>(heard) / static_cast<double>(attached);
+}
+
 /// Whether this process has a coordinator, or coordinates at least half of the members that it counts.
 bool slot_broker::is_connected() const {
     if (m_source != slot_source::own_coordination) {
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -132,6 +132,7 @@
     void attach_to(policy::member_key coordinator);
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
+    [[nodiscard]] double coordinator_retry_share(std::size_t attached, policy::time_point now);
     [[nodiscard]] bool is_connected() const;
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
     [[nodiscard]] bool is_learning(policy::time_point now) const;
--- a/src/policy/active_members.cpp
+++ b/src/policy/active_members.cpp
@@ -41,6 +41,12 @@
     return std::min(1.0, static_cast<double>(attached) / static_cast<double>(count()));
 }
 
+double active_members::new_coordinator_share(std::size_t attached, std::size_t known_members,
+                                             time_point now) {
+    return std::min(coordinator_share(attached, now),
+                    static_cast<double>(attached) / static_cast<double>(std::max(attached, known_members)));
+}
+
 double active_members::coordinator_rate_share(std::size_t attached, std::size_t known_members,
                                               time_point now) {
     const double share = coordinator_share(attached, now);
--- a/src/policy/active_members.hpp
+++ b/src/policy/active_members.hpp
@@ -27,6 +27,10 @@
     /// Share of all limits that this process may grant as the coordinator of `attached` members, including
     /// itself.
     [[nodiscard]] double coordinator_share(std::size_t attached, time_point now);
+    /// Like coordinator_share(), for a process that has just become the coordinator: `known_members` that
+    /// haven't attached yet may still be granting their shares.
+    [[nodiscard]] double new_coordinator_share(std::size_t attached, std::size_t known_members,
+                                               time_point now);
     /// Like coordinator_share(), for the rate limits that servers name. A coordinator that has found only a
     /// few of the `known_members` counts all of them: the others may have another coordinator.
     [[nodiscard]] double coordinator_rate_share(std::size_t attached, std::size_t known_members,
--- a/tests/unit/test_retry_budget_handover.cpp
+++ b/tests/unit/test_retry_budget_handover.cpp
@@ -1,5 +1,6 @@
 // Tests that the retry budget holds for all processes together when others take over from the one that grants
 // retries.
+#include "policy/active_members.hpp"
 #include "policy/server_retry_budget.hpp"
 
 #include <catch2/catch.hpp>
@@ -172,3 +173,15 @@
     CHECK(stated.uses.size() == 24);
     CHECK(stated.known_for == 0s);
 }
+
+TEST_CASE("a new coordinator leaves their shares to members that haven't attached yet",
+          "[policy][server_retry_budget]") {
+    // All gateways have started at once and grant from their local shares. The first one that coordinates
+    // used the whole reserve in addition, since it had served nobody and so counted only itself.
+    active_members members;
+    CHECK(members.new_coordinator_share(1, 4, start) == 0.25);
+    members.record_served(2, start);
+    CHECK(members.new_coordinator_share(2, 4, start) == 0.5);
+    CHECK(members.new_coordinator_share(4, 3, start) == 1);
+    CHECK(members.coordinator_share(1, start) == 0.5);
+}
