A coordinator of hundreds makes one statement of the granted retries for all of them

One statement now serves all members for 40 ms, expired uses are removed once a second, and uses are kept by service. No decision changes.

--- a/src/coordination/retry_exchange.cpp
+++ b/src/coordination/retry_exchange.cpp
@@ -14,6 +14,9 @@
 /// reply in `statement_period`.
 constexpr milliseconds recent_retry{500};
 constexpr unsigned statement_period = 10;
+/// For how long one statement is sent to all members. Making one for each of hundreds of members that attach
+/// at once takes a coordinator longer than they wait for it.
+constexpr milliseconds statement_lifetime{40};
 
 } // namespace
 
@@ -34,10 +37,18 @@
     }
 }
 
+const policy::retry_statement& retry_exchange::state(policy::time_point now) {
+    if (now - m_stated_at >= statement_lifetime) {
+        m_stated = m_budget.statement(now);
+        m_stated_at = now;
+    }
+    return m_stated;
+}
+
 policy::retry_statement retry_exchange::state_to_member(unsigned heartbeat, policy::time_point now) {
     const bool is_due = heartbeat % statement_period == 0;
     const bool is_recent = m_budget.has_granted_since(now - recent_retry);
-    return is_due || is_recent ? m_budget.statement(now) : policy::retry_statement{};
+    return is_due || is_recent ? state(now) : policy::retry_statement{};
 }
 
 } // namespace borageford::coordination
--- a/src/coordination/retry_exchange.hpp
+++ b/src/coordination/retry_exchange.hpp
@@ -23,6 +23,8 @@
     /// Reports the services whose budget has run out since the last call.
     void report_used_up(policy::time_point now);
 
+    /// The statement for the first batch of a session.
+    [[nodiscard]] const policy::retry_statement& state(policy::time_point now);
     /// The statement for the reply to a heartbeat of a member, the one with this number in its session; empty
     /// if the member knows the uses well enough.
     [[nodiscard]] policy::retry_statement state_to_member(unsigned heartbeat, policy::time_point now);
@@ -30,6 +32,8 @@
 private:
     policy::server_retry_budget& m_budget;
     report_handler m_report;
+    policy::retry_statement m_stated; ///< the last statement, which is sent to all members for a while
+    policy::time_point m_stated_at;
     policy::time_point m_reported; ///< when the use of all services was last reported
 };
 
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -498,7 +498,7 @@
         m_coordinator.detach(member, now);
         served = &m_members.begin(member, message.session, now);
         served->channel.pending().rate_limits = m_rate_limits.list_for_session();
-        served->channel.pending().retries = m_coordinator.retry_budget().statement(now);
+        served->channel.pending().retries = m_retries.state(now);
         served->channel.pending().departures = m_departures.latest();
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
--- a/src/policy/retry_use_table.hpp
+++ b/src/policy/retry_use_table.hpp
@@ -4,8 +4,7 @@
 #include "policy/retry_use.hpp"
 
 #include <cstdint>
-#include <map>
-#include <utility>
+#include <unordered_map>
 #include <vector>
 
 namespace borageford::policy {
@@ -28,9 +27,11 @@
         return now - use.granted <= m_lifetime;
     }
 
+    void expire(time_point now);
+
     duration m_lifetime;
-    /// By process and service.
-    std::map<std::pair<std::uint64_t, service_key>, retry_use> m_uses;
+    std::unordered_map<service_key, std::unordered_map<std::uint64_t, retry_use>> m_uses; ///< by process
+    time_point m_expired; ///< when uses that no longer count were last removed
 };
 
 } // namespace borageford::policy
