Tests: one way to send calls until a server gets one, and to count the served ones

The tests of leaving servers and of pauses had the same two loops; both are functions of the test support now. The number of calls is passed in place of a constant of each copy; all checks are as before.

--- a/tests/failure/test_gateway_backoff.cpp
+++ b/tests/failure/test_gateway_backoff.cpp
@@ -26,27 +26,7 @@
     });
 }
 
-/// Sends calls one after the other until one of them has reached this server.
-void send_until_at(gateway_site& site, std::size_t gateway, std::size_t server, const std::string& name) {
-    const auto before = site.arrivals_at(server);
-    int number = 0;
-    wait_until("a call reaches the server", [&] {
-        static_cast<void>(site.send(gateway, make_call("/plain/x", name + std::to_string(++number))));
-        return site.arrivals_at(server) > before;
-    });
-}
-
-constexpr int calls = 40;
-
-/// Sends `calls` calls through the gateway and returns how many were answered with 200.
-int count_served(gateway_site& site, std::size_t gateway, const std::string& name) {
-    int served = 0;
-    for (int number = 0; number < calls; ++number) {
-        const auto id = name + std::to_string(number);
-        served += site.send(gateway, make_call("/plain/x", id)).status == 200 ? 1 : 0;
-    }
-    return served;
-}
+constexpr int calls = 40; ///< sent to see whether one reaches a server that wants none
 
 } // namespace
 
@@ -56,8 +36,8 @@
     // and again keeps it busy with refusals.
     gateway_site site(plain_site(2));
     ask_for_pause(site, 0, "60");
-    send_until_at(site, 0, 0, "turned-away-");
-    CHECK(count_served(site, 0, "after-") == calls);
+    send_until_arrival(site, 0, 0, "turned-away-");
+    CHECK(count_served(site, 0, calls, "after-") == calls);
     CHECK(site.arrivals_at(0) == 1);
 }
 
@@ -65,8 +45,8 @@
           "[gateway][backoff]") {
     gateway_site site(plain_site(2));
     ask_for_pause(site, 0, "1", 1);
-    send_until_at(site, 0, 0, "turned-away-");
-    send_until_at(site, 0, 0, "again-");
+    send_until_arrival(site, 0, 0, "turned-away-");
+    send_until_arrival(site, 0, 0, "again-");
     const auto times = site.on_emulator([&] { return site.backend(0).arrival_times(); });
     CHECK(times.at(1) - times.at(0) >= 1s);
 }
@@ -76,11 +56,11 @@
     const auto coordinator = wait_for_coordinator(site, {0, 1, 2});
     const auto turned_away = (coordinator + 1) % 3;
     ask_for_pause(site, 0, "60", 1);
-    send_until_at(site, turned_away, 0, "turned-away-");
-    send_until_at(site, coordinator, 0, "coordinator-");
-    send_until_at(site, (coordinator + 2) % 3, 0, "other-");
+    send_until_arrival(site, turned_away, 0, "turned-away-");
+    send_until_arrival(site, coordinator, 0, "coordinator-");
+    send_until_arrival(site, (coordinator + 2) % 3, 0, "other-");
     const auto before = site.arrivals_at(0);
-    CHECK(count_served(site, turned_away, "after-") == calls);
+    CHECK(count_served(site, turned_away, calls, "after-") == calls);
     CHECK(site.arrivals_at(0) == before);
 }
 
@@ -90,11 +70,11 @@
     const auto coordinator = wait_for_coordinator(site, {0, 1, 2});
     const auto turned_away = (coordinator + 1) % 3;
     ask_for_pause(site, 0, "60", 1);
-    send_until_at(site, turned_away, 0, "turned-away-");
+    send_until_arrival(site, turned_away, 0, "turned-away-");
     site.process(coordinator).kill();
-    CHECK(count_served(site, turned_away, "meanwhile-") == calls);
+    CHECK(count_served(site, turned_away, calls, "meanwhile-") == calls);
     static_cast<void>(wait_for_coordinator(site, {turned_away, (coordinator + 2) % 3}));
-    CHECK(count_served(site, turned_away, "after-") == calls);
+    CHECK(count_served(site, turned_away, calls, "after-") == calls);
     CHECK(site.arrivals_at(0) == 1);
 }
 
@@ -103,7 +83,7 @@
     // The caller learns when to come back, and that its call hasn't run.
     gateway_site site(plain_site(1));
     ask_for_pause(site, 0, "5");
-    send_until_at(site, 0, 0, "turned-away-");
+    send_until_arrival(site, 0, 0, "turned-away-");
     const auto begin = clock_type::now();
     const auto refused = site.send(0, make_call("/plain/x", "refused"));
     CHECK(clock_type::now() - begin < 500ms);
--- a/tests/failure/test_gateway_leaving_server.cpp
+++ b/tests/failure/test_gateway_leaving_server.cpp
@@ -19,27 +19,7 @@
         [&] { site.backend(server).set_answer_fields({{platform::header_field_names().leaving, value}}); });
 }
 
-/// Sends calls one after the other until this server has answered one of them.
-void send_until_answered_by(gateway_site& site, std::size_t gateway, std::size_t server,
-                            const std::string& name) {
-    const auto before = site.arrivals_at(server);
-    int number = 0;
-    wait_until("the server answers a call", [&] {
-        static_cast<void>(site.send(gateway, make_call("/plain/x", name + std::to_string(++number))));
-        return site.arrivals_at(server) > before;
-    });
-}
-
-/// Sends calls through the gateway and returns how many were answered with 200.
-int count_served(gateway_site& site, std::size_t gateway, const std::string& name) {
-    constexpr int calls = 40;
-    int served = 0;
-    for (int number = 0; number < calls; ++number) {
-        const auto id = name + std::to_string(number);
-        served += site.send(gateway, make_call("/plain/x", id)).status == 200 ? 1 : 0;
-    }
-    return served;
-}
+constexpr int calls = 40; ///< sent to see whether one reaches the leaving server
 
 } // namespace
 
@@ -49,9 +29,9 @@
     // requests that it has begun would be lost.
     gateway_site site(plain_site(2));
     say_leaving(site, 0);
-    send_until_answered_by(site, 0, 0, "heard-");
+    send_until_arrival(site, 0, 0, "heard-");
     const auto before = site.arrivals_at(0);
-    CHECK(count_served(site, 0, "after-") == 40);
+    CHECK(count_served(site, 0, calls, "after-") == calls);
     CHECK(site.arrivals_at(0) == before);
 }
 
@@ -60,12 +40,12 @@
     // The server's last heartbeat reaches the store after its answer has reached a caller.
     gateway_site site(plain_site(2));
     say_leaving(site, 0);
-    send_until_answered_by(site, 0, 0, "heard-");
+    send_until_arrival(site, 0, 0, "heard-");
     const auto before = site.arrivals_at(0);
     site.register_backend(0, "draining");
     wait_until("the row is read", [&] { return site.has_logged(0, R"("event":"backend_draining")"); });
     site.register_backend(0, "ready");
-    CHECK(count_served(site, 0, "after-") == 40);
+    CHECK(count_served(site, 0, calls, "after-") == calls);
     CHECK(site.arrivals_at(0) == before);
 }
 
@@ -76,7 +56,7 @@
     const auto hearing = (coordinator + 1) % 3;
     const auto other = (coordinator + 2) % 3;
     say_leaving(site, 0);
-    send_until_answered_by(site, hearing, 0, "heard-");
+    send_until_arrival(site, hearing, 0, "heard-");
     for (const std::size_t gateway : {coordinator, other}) {
         wait_until("it is told", [&] { return site.has_logged(gateway, R"("event":"backend_leaving")"); });
     }
@@ -86,7 +66,7 @@
     site.wait_until_ready(other);
     wait_until("it is told again", [&] { return site.has_logged(other, R"("event":"backend_leaving")"); });
     for (const std::size_t gateway : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
-        CHECK(count_served(site, gateway, "after-" + std::to_string(gateway) + "-") == 40);
+        CHECK(count_served(site, gateway, calls, "after-" + std::to_string(gateway) + "-") == calls);
     }
     CHECK(site.arrivals_at(0) == before);
 }
@@ -96,10 +76,10 @@
     options.backends.front().start = 1;
     gateway_site site(options);
     say_leaving(site, 0);
-    send_until_answered_by(site, 0, 0, "heard-");
+    send_until_arrival(site, 0, 0, "heard-");
     ++options.backends.front().start;
     site.start_backend(0, options.backends.front());
-    send_until_answered_by(site, 0, 0, "restarted-");
+    send_until_arrival(site, 0, 0, "restarted-");
 }
 
 TEST_CASE("gateway: an answer that says anything else about leaving is logged and changes nothing",
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -312,6 +312,25 @@
     return call(callers(gateway), request);
 }
 
+void send_until_arrival(gateway_site& site, std::size_t gateway, std::size_t server,
+                        const std::string& name) {
+    const auto before = site.arrivals_at(server);
+    int number = 0;
+    wait_until("a call reaches the server", [&] {
+        static_cast<void>(site.send(gateway, make_call("/plain/x", name + std::to_string(++number))));
+        return site.arrivals_at(server) > before;
+    });
+}
+
+int count_served(const gateway_site& site, std::size_t gateway, int calls, const std::string& name) {
+    int served = 0;
+    for (int number = 0; number < calls; ++number) {
+        const auto id = name + std::to_string(number);
+        served += site.send(gateway, make_call("/plain/x", id)).status == status_ok ? 1 : 0;
+    }
+    return served;
+}
+
 std::size_t wait_for_coordinator(gateway_site& site, const std::vector<std::size_t>& gateways) {
     std::size_t coordinator = 0;
     wait_until("all gateways use one coordinator", [&] {
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -175,6 +175,14 @@
     context_stopper m_stopper{m_context}; ///< destroyed before m_thread
 };
 
+/// Sends calls to the service "plain" through the gateway, one after the other, until one has reached this
+/// server. Their ids begin with `name`.
+void send_until_arrival(gateway_site& site, std::size_t gateway, std::size_t server, const std::string& name);
+/// Sends that many calls to the service "plain" through the gateway and returns how many were answered with
+/// 200.
+[[nodiscard]] int count_served(const gateway_site& site, std::size_t gateway, int calls,
+                               const std::string& name);
+
 /// Waits until one of these gateways coordinates and the others request slots from it, as far as their logs
 /// say; returns the coordinator's index.
 [[nodiscard]] std::size_t wait_for_coordinator(gateway_site& site, const std::vector<std::size_t>& gateways);
