--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -136,6 +136,13 @@
     return m_options.start == 0 ? m_options.id : m_options.id + "@" + std::to_string(m_options.start);
 }
 
+std::vector<steady_clock::time_point> emulated_backend::arrival_times() const {
+    std::vector<steady_clock::time_point> result;
+    result.reserve(m_arrived_requests.size());
+    std::ranges::transform(m_arrived_requests, std::back_inserter(result), &recorded_arrival::at);
+    return result;
+}
+
 http::response emulated_backend::refuse(const http::request& call, unsigned status) {
     auto answer = http::make_response(status, "text/plain", "");
     if (status != status_misdirected) {
@@ -173,8 +180,7 @@
 }
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
-    m_arrival_times.push_back(steady_clock::now());
-    m_arrived_requests.push_back({header_value(call, m_fields.request_id), m_arrival_times.back()});
+    m_arrived_requests.push_back({header_value(call, m_fields.request_id), steady_clock::now()});
     const auto expected = header_value(call, m_fields.expected_server);
     const bool is_full = m_in_progress >= m_options.slots + m_options.queue;
     unsigned refused = 0;
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -103,13 +103,11 @@
     [[nodiscard]] std::size_t in_progress() const noexcept { return m_in_progress; }
     [[nodiscard]] std::size_t open_connections() const noexcept { return m_server.open_connections(); }
     /// How many requests arrived, whether they were run or refused.
-    [[nodiscard]] std::uint64_t arrivals() const noexcept { return m_arrival_times.size(); }
+    [[nodiscard]] std::uint64_t arrivals() const noexcept { return m_arrived_requests.size(); }
     /// The rate limits that it has named so far.
     [[nodiscard]] const std::vector<named_limit>& named_limits() const noexcept { return m_named_limits; }
     /// When each of the requests that it counts as arrivals() arrived.
-    [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point>& arrival_times() const noexcept {
-        return m_arrival_times;
-    }
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
     /// The same arrivals with the ids of their requests.
     [[nodiscard]] const std::vector<recorded_arrival>& arrived_requests() const noexcept {
         return m_arrived_requests;
@@ -143,7 +141,6 @@
     double m_slowness = 1;
     std::vector<recorded_run> m_runs;
     std::size_t m_in_progress = 0;
-    std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
     std::vector<recorded_arrival> m_arrived_requests;
     http::header_fields m_additional_fields;
     std::vector<named_limit> m_named_limits;
