One share for coordinators that count known members, and a visit of the waiting requests

coordinator_rate_share() had the formula that new_coordinator_share() repeats; its second case calls it now, with the same result, since there no more members are attached than known. The five nested loops of refuse_waiting_for_backoffs() are a visit of slot_queues. A comment says why a member's last statement isn't the cached one. No decision changes; unit tests pass.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -32,8 +32,9 @@
 constexpr std::size_t max_initial_reports = 64;
 /// How long a process that has just started waits for a first message of another one before it grants slots.
 constexpr milliseconds learning_time{400};
-/// A member from which a coordinator has received nothing for this long may have lost it, as which it waits
-/// election_limits::response_timeout. It then uses its share of the retry reserve itself.
+/// A coordinator that has received nothing from a member for this long leaves the member's share of the retry
+/// reserve alone. The member may have lost the coordinator (after election_limits::response_timeout) and use
+/// its share by itself.
 constexpr milliseconds retry_share_timeout{300};
 /// For this long a new coordinator leaves the shares of the retry reserve of members that haven't attached to
 /// it: longer than the window of the budget, in which they may have used them without a coordinator.
@@ -568,6 +569,8 @@
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.list_all();
     m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
+    // Not m_retries.state(): a statement that is 40 ms old may lack the last retries that this process
+    // granted.
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
     m_upstream->pending().departures = m_departures.latest();
     m_upstream->pending().backoffs = m_coordinator.scheduler().list_backoffs(m_self, clock::now());
--- a/src/policy/active_members.cpp
+++ b/src/policy/active_members.cpp
@@ -49,11 +49,8 @@
 
 double active_members::coordinator_rate_share(std::size_t attached, std::size_t known_members,
                                               time_point now) {
-    const double share = coordinator_share(attached, now);
-    if (attached * 2 > known_members) {
-        return share;
-    }
-    return std::min(share, static_cast<double>(attached) / static_cast<double>(known_members));
+    return attached * 2 > known_members ? coordinator_share(attached, now)
+                                        : new_coordinator_share(attached, known_members, now);
 }
 
 double active_members::local_rate_share(std::size_t known_members, time_point now) const noexcept {
--- a/src/policy/departure_table.hpp
+++ b/src/policy/departure_table.hpp
@@ -1,7 +1,7 @@
 // The backend servers that have said that they leave.
 #pragma once
 
-#include "policy/coordinator_election.hpp"
+#include "policy/member_key.hpp"
 #include "policy/slot_request.hpp"
 #include "policy/time.hpp"
 
--- a/src/policy/server_backoff.hpp
+++ b/src/policy/server_backoff.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/member_key.hpp"
+#include "policy/slot_request.hpp"
 #include "policy/time.hpp"
 
 #include <algorithm>
@@ -36,7 +37,7 @@
 
 /// Tells a process that grants slots that a server wants no requests of the sender for a while.
 struct backoff_notice {
-    std::uint64_t server = 0; ///< key of the server
+    server_key server = 0;
     time_point until;
 };
 
--- a/src/policy/slot_queues.hpp
+++ b/src/policy/slot_queues.hpp
@@ -5,6 +5,7 @@
 #include "policy/overload_tracker.hpp"
 #include "policy/slot_request.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -67,6 +68,9 @@
     /// Removes the request at a position of a queue and returns it.
     slot_request take(request_queue& queue, request_queue::position waiting);
     [[nodiscard]] bool contains(slot_ticket ticket) const { return m_locations.contains(ticket); }
+    /// Calls `visit` with each waiting request.
+    template <typename Visitor>
+    void for_each(const Visitor& visit) const;
     /// Number of waiting requests.
     [[nodiscard]] std::size_t size() const noexcept { return m_locations.size(); }
     /// Number of waiting requests that get a slot before a new request of this service and tier.
@@ -92,4 +96,15 @@
     std::multimap<time_point, slot_ticket> m_wait_limits;
 };
 
+template <typename Visitor>
+void slot_queues::for_each(const Visitor& visit) const {
+    for (const auto& [service, tiers] : m_services) {
+        for (const auto& [tier_number, tier] : tiers) {
+            for (const auto* queue : {&tier.in_time, &tier.late}) {
+                std::ranges::for_each(queue->requests, [&](const auto& entry) { visit(entry.second); });
+            }
+        }
+    }
+}
+
 } // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -224,17 +224,11 @@
         return;
     }
     std::vector<slot_ticket> refused;
-    for (const auto& [service, tiers] : m_queues.services()) {
-        for (const auto& [tier_number, tier] : tiers) {
-            for (const auto* queue : {&tier.in_time, &tier.late}) {
-                for (const auto& [key, request] : queue->requests) {
-                    if (refuse_for_backoffs(request, now)) {
-                        refused.push_back(request.ticket);
-                    }
-                }
-            }
+    m_queues.for_each([&](const slot_request& request) {
+        if (refuse_for_backoffs(request, now)) {
+            refused.push_back(request.ticket);
         }
-    }
+    });
     for (const auto ticket : refused) {
         m_queues.remove(ticket);
     }
