--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -2,6 +2,7 @@
 #include "emulator/emulated_backend.hpp"
 
 #include "base/pause.hpp"
+#include "emulator/event_text.hpp"
 #include "http/message.hpp"
 #include "platform/departure_codec.hpp"
 #include "platform/rate_limit_codec.hpp"
@@ -45,11 +46,6 @@
     return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
 }
 
-std::string describe_event(std::uint64_t number) {
-    const auto text = std::to_string(number);
-    return "id: " + text + "\ndata: token " + text + "\n\n";
-}
-
 } // namespace
 
 /// The engine's model, and the events that it has produced and that no stream has sent yet.
@@ -306,7 +302,7 @@
                 if (!writer.has_begun()) {
                     co_await writer.begin(head);
                 }
-                auto text = describe_event(event_number);
+                auto text = describe_event(event_number, m_options.version);
                 const bool breaks_off =
                     (fault == backend_fault::cut_midway && event_number == begin_after + 2) ||
                     (fault == backend_fault::cut_first_event && event_number == begin_after + 1);
--- a/src/routing/header_names.hpp
+++ b/src/routing/header_names.hpp
@@ -16,6 +16,9 @@
     std::string expected_length; ///< number of output tokens that the caller expects
     std::string last_event;      ///< id of the last event of a stream that the caller has received
 
+    /// Id of the caller's request that brought the first event of the stream that this request resumes.
+    std::string resumed_request;
+
     // Sent by the caller; read and replaced by this system.
     std::string deadline; ///< remaining time in milliseconds
     std::string workspace;
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -120,6 +120,14 @@
         return *m_backends.at(index).server;
     }
 
+    /// Calls `visit` with each server that has an index. May only be used inside of on_emulator().
+    template <typename Visitor>
+    void visit_backends(const Visitor& visit) {
+        for (auto& [index, unit] : m_backends) {
+            visit(*unit.server);
+        }
+    }
+
     /// How often a request with this id has begun to run, on all servers ever started or on one of them.
     [[nodiscard]] std::size_t runs_of(const std::string& request_id);
     [[nodiscard]] std::size_t runs_of(const std::string& request_id, std::size_t index);
