Slots of a certain software version

A slot request may name the software version that its server must have, and a server may be withheld from new requests but not from those that name its version. The request waits for such a server within its maximum wait, and is refused at once (software_gone) when none is left that takes requests, also while it waits.

--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -27,7 +27,7 @@
 /// allows a request. If none does, it is better to send the request to a server that failed it than to none.
 bool has_fresh_server(const slot_request& request, const slot_choice_terms& terms) {
     return std::ranges::any_of(terms.all, [&](const auto* server) {
-        return !has_failed(request, server->key) && !server->is_rate_blocked &&
+        return server->fits(request) && !has_failed(request, server->key) && !server->is_rate_blocked &&
                !server->backoff.is_active(request.member, terms.now) &&
                server->health.availability_at(terms.now) != server_health::availability::none;
     });
@@ -42,7 +42,7 @@
     }
     auto smallest = duration::max() - tolerated_overrun;
     for (const auto* server : terms.all | std::views::take(max_considered_servers)) {
-        if (server->backoff.is_active(request.member, terms.now)) {
+        if (!server->fits(request) || server->backoff.is_active(request.member, terms.now)) {
             continue;
         }
         const auto wait = std::min<duration>(server->rate_wait(terms.now), max_considered_wait);
@@ -59,7 +59,8 @@
 bool can_meet_target(const slot_request& request, slot_servers all, time_point now) {
     const auto left = request.arrived + request.target - now;
     return std::ranges::any_of(all, [&](const auto* server) {
-        return !server->backoff.is_active(request.member, now) && server->rate_wait(now) <= left &&
+        return server->fits(request) && !server->backoff.is_active(request.member, now) &&
+               server->rate_wait(now) <= left &&
                server->rate_wait(now) + server->first_event.expect(request.cost.prompt) <= left;
     });
 }
@@ -81,7 +82,7 @@
     auto smallest_overrun = duration::max();
     auto soonest = duration::max();
     for (auto* server : terms.available) {
-        if (server->backoff.is_active(request.member, terms.now) ||
+        if (!server->fits(request) || server->backoff.is_active(request.member, terms.now) ||
             (avoids_failed && has_failed(request, server->key))) {
             continue;
         }
--- a/src/policy/slot_queues.cpp
+++ b/src/policy/slot_queues.cpp
@@ -7,7 +7,9 @@
 
 void slot_queues::insert(const slot_request& request, target_state state) {
     const queue_key key{request.arrived, request.ticket};
-    tier_of(request).of(state).requests.emplace(key, request);
+    auto& queue = tier_of(request).of(state);
+    queue.requests.emplace(key, request);
+    queue.resumes += request.software != 0 ? 1 : 0;
     m_locations[request.ticket] = {request.service, request.tier, state, key};
 }
 
@@ -18,14 +20,19 @@
     }
     const auto [service, tier, state, key] = found->second;
     m_locations.erase(found);
-    auto waiting = m_services[service][tier].of(state).requests.extract(key);
-    return waiting.empty() ? std::nullopt : std::optional(std::move(waiting.mapped()));
+    auto& queue = m_services[service][tier].of(state);
+    const auto waiting = queue.requests.find(key);
+    if (waiting == queue.requests.end()) {
+        return std::nullopt;
+    }
+    return take(queue, waiting);
 }
 
 slot_request slot_queues::take(request_queue& queue, request_queue::position waiting) {
     auto request = std::move(waiting->second);
     m_locations.erase(request.ticket);
     queue.requests.erase(waiting);
+    queue.resumes -= request.software != 0 ? 1 : 0;
     return request;
 }
 
--- a/src/policy/slot_queues.hpp
+++ b/src/policy/slot_queues.hpp
@@ -33,7 +33,8 @@
     using position = request_map::iterator;
 
     request_map requests;
-    event_rate grants; ///< rate of grants from this queue
+    std::size_t resumes = 0; ///< number of the requests that need a certain software version
+    event_rate grants;       ///< rate of grants from this queue
 };
 
 /// Requests that can still meet their target and late requests wait in separate queues, and late requests
--- a/src/policy/slot_request.cpp
+++ b/src/policy/slot_request.cpp
@@ -9,6 +9,10 @@
     return name.empty() ? 0 : static_cast<domain_key>(hash_bytes(name));
 }
 
+software_key software_key_of(std::string_view version) noexcept {
+    return hash_bytes(version);
+}
+
 std::string_view to_string(refusal_reason reason) noexcept {
     switch (reason) {
     case refusal_reason::overloaded:
@@ -22,9 +26,11 @@
     case refusal_reason::over_server_limit:
         return "over_server_limit";
     case refusal_reason::servers_back_off:
+        return "servers_back_off";
+    case refusal_reason::software_gone:
         break;
     }
-    return "servers_back_off";
+    return "software_gone";
 }
 
 std::string_view to_string(slot_outcome outcome) noexcept {
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -16,11 +16,15 @@
 using server_key = std::uint64_t;
 using service_key = std::uint64_t;
 using workspace_key = std::uint64_t;
-using domain_key = std::uint32_t; ///< hash of a failure domain's name
+using domain_key = std::uint32_t;   ///< hash of a failure domain's name
+using software_key = std::uint64_t; ///< hash of the version of a backend server's software
 
 /// The key of the failure domain with this name; 0 for an empty name.
 [[nodiscard]] domain_key domain_key_of(std::string_view name) noexcept;
 
+/// The key of a software version; also a server that reports none has one, that of the empty name.
+[[nodiscard]] software_key software_key_of(std::string_view version) noexcept;
+
 /// The id of a slot request, drawn by coordination::slot_broker::next_ticket(); see coordination::id_sequence
 /// for how far ids differ.
 using slot_ticket = std::uint64_t;
@@ -70,6 +74,8 @@
     /// refusal_history). More than 0: a retried request, which its caller sends again after a refusal. A
     /// gateway's retries of a failed request at another server are counted in `sends` instead.
     unsigned previous_refusals = 0;
+    /// The software version that began the stream which the request resumes; 0: any server will do.
+    software_key software = 0;
     /// Servers that failed this request; 0 in unused places.
     std::array<server_key, max_avoided> avoided{};
 };
@@ -88,7 +94,8 @@
     held_back,         ///< it is quarantined, because servers crashed while they ran it (crash_suspects)
     over_server_limit, ///< the rate limits of all servers of its service hold it back for too long
     servers_back_off,  ///< all servers of its service want no requests of its gateway for too long
-    last_reason = servers_back_off
+    software_gone,     ///< no server of the software version that began its stream is left
+    last_reason = software_gone
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -40,6 +41,9 @@
 /// Retry-After if the rate limits leave no part to this process. Another one, or a coordinator, may have one
 /// soon.
 constexpr std::chrono::milliseconds no_part_retry{1000};
+/// Retry-After if no server of the software version that began a stream is left. One that couldn't renew its
+/// registration registers again within about this time.
+constexpr std::chrono::milliseconds software_gone_retry{1000};
 /// Bounds of the Retry-After of requests that are refused because of the servers' rate limits.
 constexpr std::chrono::milliseconds min_rate_limit_retry{200};
 constexpr std::chrono::milliseconds max_rate_limit_retry{5000};
@@ -62,7 +66,8 @@
 
 } // namespace
 
-void slot_scheduler::set_server(server_key server, service_key service, unsigned slots, domain_key domain) {
+void slot_scheduler::set_server(server_key server, service_key service, unsigned slots, domain_key domain,
+                                server_software software) {
     auto& state = m_servers[server];
     if (state.is_usable && state.service != service) {
         remove_from_pool(state);
@@ -70,6 +75,7 @@
     state.key = server;
     state.service = service;
     state.domain = domain;
+    state.software = software;
     state.slots = slots;
     if (!std::exchange(state.is_usable, true)) {
         m_pools.insert(state);
@@ -139,6 +145,7 @@
 void slot_scheduler::remove_from_pool(slot_server& server) {
     if (std::exchange(server.is_usable, false)) {
         m_pools.erase(server);
+        m_has_fewer_servers = true;
     }
 }
 
@@ -179,7 +186,15 @@
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
 /// its maximum wait. Its caller learns at once when to come back, instead of waiting in vain.
 bool slot_scheduler::refuse_for_rate_limits(const slot_request& request, time_point now) {
-    const auto servers = m_pools.servers_of(request.service);
+    const auto of_service = m_pools.servers_of(request.service);
+    if (std::ranges::any_of(of_service, [&](const auto* server) {
+            return server->fits(request) && !server->is_rate_blocked;
+        })) {
+        return false;
+    }
+    server_pools::server_list servers;
+    std::ranges::copy_if(of_service, std::back_inserter(servers),
+                         [&](const auto* server) { return server->fits(request); });
     if (!are_all_rate_blocked(servers)) {
         return false;
     }
@@ -204,6 +219,9 @@
     const auto servers = m_pools.servers_of(request.service);
     auto earliest = time_point::max();
     for (const auto* server : servers) {
+        if (!server->fits(request)) {
+            continue;
+        }
         const auto end = server->backoff.end_of(request.member, now);
         if (!end.has_value()) {
             return false;
@@ -211,7 +229,7 @@
         earliest = std::min(earliest, *end);
     }
     const auto limit = request.arrived + max_wait_of(request);
-    if (servers.empty() || earliest <= limit) {
+    if (earliest == time_point::max() || earliest <= limit) {
         return false;
     }
     m_refusals.push_back({request.ticket, refusal_reason::servers_back_off, earliest - now,
@@ -219,13 +237,27 @@
     return true;
 }
 
-void slot_scheduler::refuse_waiting_for_backoffs(time_point now) {
-    if (!std::exchange(m_has_new_backoff, false)) {
+/// Refuses a request that resumes a stream if no server of the software version that began the stream is
+/// left.
+bool slot_scheduler::refuse_for_software(const slot_request& request) {
+    const auto servers = m_pools.servers_of(request.service);
+    if (request.software == 0 ||
+        std::ranges::any_of(servers, [&](const auto* server) { return server->fits(request); })) {
+        return false;
+    }
+    m_refusals.push_back({request.ticket, refusal_reason::software_gone, software_gone_retry});
+    return true;
+}
+
+/// Refuses the waiting requests whose servers have all gone or want none of them. The callers learn at once
+/// that waiting is useless.
+void slot_scheduler::refuse_waiting_in_vain(time_point now) {
+    if (!std::exchange(m_has_fewer_servers, false)) {
         return;
     }
     std::vector<slot_ticket> refused;
     m_queues.for_each([&](const slot_request& request) {
-        if (refuse_for_backoffs(request, now)) {
+        if (refuse_for_software(request) || refuse_for_backoffs(request, now)) {
             refused.push_back(request.ticket);
         }
     });
@@ -238,7 +270,7 @@
     const auto found = m_servers.find(server);
     if (found != m_servers.end()) {
         found->second.backoff.extend(member, until, now);
-        m_has_new_backoff = true;
+        m_has_fewer_servers = true;
     }
 }
 
@@ -253,7 +285,8 @@
 }
 
 void slot_scheduler::add(const slot_request& request, time_point now) {
-    if (refuse_for_backoffs(request, now) || refuse_for_rate_limits(request, now)) {
+    if (refuse_for_software(request) || refuse_for_backoffs(request, now) ||
+        refuse_for_rate_limits(request, now)) {
         return;
     }
     if (classify(request, now) == target_state::late) {
@@ -428,12 +461,12 @@
     return can_use_slot && !server.is_rate_blocked && available_slots(server, terms.is_lowest, now) >= 1;
 }
 
-server_pools::server_list slot_scheduler::find_available(service_key service, const grant_terms& terms,
-                                                         time_point now) {
+server_pools::server_list slot_scheduler::find_available(const slot_request& request,
+                                                         const grant_terms& terms, time_point now) {
     const auto is_suitable = [&](const slot_server& server) {
-        return can_take_request(server, terms, now);
+        return server.fits(request) && can_take_request(server, terms, now);
     };
-    return m_pools.find(service, max_considered_servers, is_suitable);
+    return m_pools.find(request.service, max_considered_servers, is_suitable);
 }
 
 /// A request is late if no server, busy or not, could still send its first event in time. It also counts as
@@ -473,19 +506,27 @@
     }
     const auto enough = grants.size() + std::min(terms.max_grants, queue.requests.size());
     const auto all = m_pools.servers_of(service);
-    auto available = find_available(service, terms, now);
-    for (auto waiting = queue.requests.begin();
-         waiting != queue.requests.end() && !available.empty() && grants.size() < enough;) {
+    const bool is_in_time = terms.state == target_state::in_time;
+    slot_request any_request;
+    any_request.service = service;
+    auto available = find_available(any_request, terms, now);
+    // A request that resumes a stream may find room where new ones may not go.
+    for (auto waiting = queue.requests.begin(); waiting != queue.requests.end() &&
+                                                (!available.empty() || queue.resumes > 0) &&
+                                                grants.size() < enough;) {
         const auto next = std::next(waiting);
-        const bool is_in_time = terms.state == target_state::in_time;
-        auto* server = choose_server(waiting->second, {available, all, is_in_time, now});
+        const bool is_resume = waiting->second.software != 0;
+        const auto of_version =
+            is_resume ? find_available(waiting->second, terms, now) : server_pools::server_list();
+        auto* server =
+            choose_server(waiting->second, {is_resume ? of_version : available, all, is_in_time, now});
         if (server != nullptr) {
             start(queue, waiting, *server, now, grants);
             if (!can_take_request(*server, terms, now)) {
                 std::erase(available, server);
             }
             if (available.empty()) {
-                available = find_available(service, terms, now);
+                available = find_available(any_request, terms, now);
             }
         }
         waiting = next;
@@ -539,7 +580,7 @@
 std::vector<slot_grant> slot_scheduler::grant(time_point now) {
     std::vector<slot_grant> grants;
     examine_rate_limits(now);
-    refuse_waiting_for_backoffs(now);
+    refuse_waiting_in_vain(now);
     refuse_overdue(now);
     for (auto& [service, tiers] : m_queues.services()) {
         for (auto& [tier_number, tier] : tiers) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -86,8 +86,9 @@
         int tier = 0;
     };
 
-    /// Adds a server, or changes its service, number of slots or failure domain.
-    void set_server(server_key server, service_key service, unsigned slots, domain_key domain = 0);
+    /// Adds a server, or changes its service, number of slots, failure domain or software.
+    void set_server(server_key server, service_key service, unsigned slots, domain_key domain = 0,
+                    server_software software = {});
     /// Grants no more slots of this server. Its running requests continue.
     void remove_server(server_key server);
 
@@ -157,7 +158,8 @@
     [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
     bool refuse_for_rate_limits(const slot_request& request, time_point now);
     bool refuse_for_backoffs(const slot_request& request, time_point now);
-    void refuse_waiting_for_backoffs(time_point now);
+    bool refuse_for_software(const slot_request& request);
+    void refuse_waiting_in_vain(time_point now);
     void examine_rate_limits(time_point now);
     // Four functions compute whether a server has room, and differ in what they consider:
     // - slot_server::has_free_slot(): only whether fewer requests run than this process's share of the
@@ -179,8 +181,8 @@
     };
     [[nodiscard]] bool can_take_request(const slot_server& server, const grant_terms& terms,
                                         time_point now) const;
-    [[nodiscard]] server_pools::server_list find_available(service_key service, const grant_terms& terms,
-                                                           time_point now);
+    [[nodiscard]] server_pools::server_list find_available(const slot_request& request,
+                                                           const grant_terms& terms, time_point now);
     void remove_from_pool(slot_server& server);
     void start(request_queue& queue, request_queue::position waiting, slot_server& server, time_point now,
                std::vector<slot_grant>& grants);
@@ -214,8 +216,8 @@
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
     std::vector<health_change> m_health_changes;
-    bool m_has_new_backoff = false; ///< waiting requests may have no server left that takes them in time
-    std::uint64_t m_grants = 0;     ///< number of all grants so far, which numbers the next one
+    bool m_has_fewer_servers = false; ///< waiting requests may have no server left that takes them in time
+    std::uint64_t m_grants = 0;       ///< number of all grants so far, which numbers the next one
     std::vector<slot_refusal> m_refusals;
 };
 
--- a/src/policy/slot_server.hpp
+++ b/src/policy/slot_server.hpp
@@ -18,11 +18,19 @@
 
 namespace borageford::policy {
 
+/// The software of a backend server, and for what it may get slots.
+struct server_software {
+    software_key version = 0;
+    /// It gets no new requests, only those that resume a stream which its version began.
+    bool only_resumes = false;
+};
+
 /// State and estimates of one backend server.
 struct slot_server {
     server_key key = 0;
     service_key service = 0;
     domain_key domain = 0;
+    server_software software;
     unsigned slots = 1;
     unsigned outstanding = 0; ///< granted requests that haven't ended
     /// Sequence number of its last grant; among equal servers, the one with the lowest is chosen.
@@ -41,6 +49,10 @@
     prompt_backlog prompts_ahead;
     slot_turnover turnover;
 
+    /// Whether the request may run here as far as the server's software is concerned.
+    [[nodiscard]] bool fits(const slot_request& request) const noexcept {
+        return request.software == 0 ? !software.only_resumes : request.software == software.version;
+    }
     /// The expected time until the first event of a request that is sent to the server at `now`.
     [[nodiscard]] duration expect_first_event(const slot_request& request, time_point now) const;
     /// By how much the answer is expected to exceed the request's deadline, if its first event comes after
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -607,3 +607,54 @@
     REQUIRE(in_time.size() == 2);
     CHECK(in_time.front().ticket == 11);
 }
+
+TEST_CASE("a request that resumes a stream only gets slots of the software version that began it",
+          "[policy][slot_scheduler]") {
+    constexpr software_key old_version = 11;
+    constexpr software_key new_version = 12;
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 0});
+    scheduler.set_server(1, engines, 1, 0, {old_version});
+    scheduler.set_server(2, engines, 8, 0, {new_version});
+    auto resume = make_request(1, 0);
+    resume.software = old_version;
+    auto waiting = make_request(2, 0);
+    waiting.software = old_version;
+    auto unknown = make_request(3, 0);
+    unknown.software = 13;
+    scheduler.add(resume, start_time);
+    scheduler.add(waiting, start_time);
+    scheduler.add(unknown, start_time);
+    const auto grants = scheduler.grant(start_time);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants.front().server == 1);
+    const auto refused = scheduler.take_refusals();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.front().ticket == 3);
+    CHECK(refused.front().reason == refusal_reason::software_gone);
+
+    // The last server of the version leaves while a request waits for it.
+    scheduler.remove_server(1);
+    CHECK(scheduler.grant(start_time + 10ms).empty());
+    const auto left_behind = scheduler.take_refusals();
+    REQUIRE(left_behind.size() == 1);
+    CHECK(left_behind.front().ticket == 2);
+    CHECK(left_behind.front().reason == refusal_reason::software_gone);
+    CHECK(scheduler.waiting() == 0);
+}
+
+TEST_CASE("a server that only resumes streams gets no new requests, even if no other has room",
+          "[policy][slot_scheduler]") {
+    constexpr software_key replaced = 11;
+    slot_scheduler scheduler({.outstanding_per_slot = 1, .reserved_slots = 0});
+    scheduler.set_server(1, engines, 8, 0, {replaced, true});
+    scheduler.set_server(2, engines, 1, 0, {12});
+    auto resume = make_request(3, 0);
+    resume.software = replaced;
+    scheduler.add(make_request(1, 0), start_time);
+    scheduler.add(make_request(2, 0), start_time);
+    scheduler.add(resume, start_time);
+    const auto grants = scheduler.grant(start_time);
+    REQUIRE(grants.size() == 2);
+    CHECK(std::ranges::all_of(
+        grants, [](const slot_grant& grant) { return grant.server == (grant.ticket == 3 ? 1U : 2U); }));
+}
