Gateways tell a few others which software version began a stream

What binds a stream was known to nobody: the version of the server that sent its first event wasn't noted, and a request that resumes a stream at another gateway can't know it. Now each gateway notes it and tells the candidates for the coordinator, with the heartbeats that they get anyway and again until they acknowledge; a gateway that doesn't know a stream asks them. Nothing is sent while a service has had one version only, for as long as a caller may come back: then the origin follows from that, unless this process may lack servers.

Nobody uses it yet. Unit tests play gateways that are lost, replaced, cut off and fresh, a version that shows up late, and ids that two callers used. docs/design/stream-software.md weighs the alternatives.

--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -58,6 +58,10 @@
     /// This process granted the last slot that the rate limit of a server allows for now.
     std::function<void(policy::server_key)> on_rate_limit_used_up = [](policy::server_key) {
     };
+    /// Returns whether the store has confirmed recently that this process knows all backend servers.
+    std::function<bool()> has_recent_servers = [] {
+        return true;
+    };
 };
 
 } // namespace borageford::coordination
--- a/src/coordination/broker_settings.hpp
+++ b/src/coordination/broker_settings.hpp
@@ -21,6 +21,8 @@
     /// How long a request that exceeds the local share waits for a coordinator after a start or after the
     /// loss of a coordinator. The members usually find a new one within a few heartbeats.
     std::chrono::milliseconds coordinator_patience{400};
+    /// For how long a caller may come back for a stream that broke off.
+    std::chrono::milliseconds stream_memory{30000};
     /// false: servers' rate limits are known, but slots are granted without them
     bool obeys_rate_limits = true;
     /// Whether no process of this system has run before. Otherwise a process that starts takes nothing from
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -207,6 +207,56 @@
             std::isfinite(retries) ? std::max(retries, 0.0) : 0, now - milliseconds(from.granted_ago_ms())};
 }
 
+wire::stream_origin to_wire(const policy::stream_origin& from, policy::time_point now) {
+    return {from.stream, from.service, from.software, to_wire(now - from.noted)};
+}
+
+policy::stream_origin from_wire(const wire::stream_origin& from, policy::time_point now) {
+    return {from.stream(), from.service(), from.software(), now - milliseconds(from.noted_ago_ms())};
+}
+
+wire::stream_question to_wire(const stream_question& from) {
+    return {from.id, from.stream, from.service};
+}
+
+stream_question from_wire(const wire::stream_question& from) {
+    return {from.id(), from.stream(), from.service()};
+}
+
+wire::stream_answer to_wire(const stream_answer& from) {
+    return {from.id, from.service, from.software, static_cast<std::uint8_t>(from.knowledge)};
+}
+
+stream_answer from_wire(const wire::stream_answer& from) {
+    const bool is_known = from.knowledge() <= static_cast<std::uint8_t>(stream_knowledge::last_knowledge);
+    return {from.id(), is_known ? static_cast<stream_knowledge>(from.knowledge()) : stream_knowledge::none,
+            from.service(), from.software()};
+}
+
+/// The requests among `asks` that resume a stream.
+std::vector<wire::resume> encode_resumes(const std::vector<policy::slot_request>& asks) {
+    std::vector<wire::resume> result;
+    for (const auto& ask : asks) {
+        if (ask.software != 0) {
+            result.emplace_back(ask.ticket, ask.software);
+        }
+    }
+    return result;
+}
+
+void decode_resumes(const flatbuffers::Vector<const wire::resume*>* from,
+                    std::vector<policy::slot_request>& asks) {
+    if (from == nullptr) {
+        return;
+    }
+    for (const auto* resume : *from) {
+        const auto ask = std::ranges::find(asks, resume->ticket(), &policy::slot_request::ticket);
+        if (ask != asks.end()) {
+            ask->software = resume->software();
+        }
+    }
+}
+
 template <typename Wire, typename Items, typename... Arguments>
 flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
 encode_items(flatbuffers::FlatBufferBuilder& builder, const Items& items, Arguments... arguments) {
@@ -253,6 +303,13 @@
     flatbuffers::FlatBufferBuilder builder(usual_size);
     const auto& items = message.items;
     const auto asks = encode_items<wire::ask>(builder, items.asks, now);
+    const auto resumed = encode_resumes(items.asks);
+    const auto resumes = resumed.empty() ? flatbuffers::Offset<flatbuffers::Vector<const wire::resume*>>()
+                                         : builder.CreateVectorOfStructs(resumed);
+    const auto& streams = message.streams;
+    const auto stream_origins = encode_items<wire::stream_origin>(builder, streams.origins, now);
+    const auto stream_questions = encode_items<wire::stream_question>(builder, streams.questions);
+    const auto stream_answers = encode_items<wire::stream_answer>(builder, streams.answers);
     const auto reports = encode_items<wire::report>(builder, items.reports);
     const auto rate_limits = encode_items<wire::rate_limit>(builder, items.rate_limits, now);
     const auto retry_uses = encode_items<wire::retry_use>(builder, items.retries.uses, now);
@@ -294,6 +351,12 @@
     table.add_retry_uses(retry_uses);
     table.add_departures(departures);
     table.add_backoffs(backoffs);
+    table.add_resumes(resumes);
+    table.add_stream_origins(stream_origins);
+    table.add_streams_told(streams.told);
+    table.add_streams_acknowledged(streams.acknowledged);
+    table.add_stream_questions(stream_questions);
+    table.add_stream_answers(stream_answers);
     table.add_retries_known_ms(to_wire(items.retries.known_for));
     table.add_configuration_confirmed(message.sender.configuration_confirmed);
     table.add_backends_confirmed(message.sender.backends_confirmed);
@@ -333,6 +396,12 @@
     for (auto& ask : result.items.asks) {
         ask.domain = result.sender.domain;
     }
+    decode_resumes(table->resumes(), result.items.asks);
+    decode_items(table->stream_origins(), result.streams.origins, now);
+    result.streams.told = table->streams_told();
+    result.streams.acknowledged = table->streams_acknowledged();
+    decode_items(table->stream_questions(), result.streams.questions);
+    decode_items(table->stream_answers(), result.streams.answers);
     decode_items(table->holds(), result.items.holds);
     decode_items(table->releases(), result.items.releases);
     decode_items(table->grants(), result.items.grants);
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -1,6 +1,7 @@
 // The datagrams that gateways exchange, as plain structs, with their encoding and decoding.
 #pragma once
 
+#include "coordination/stream_items.hpp"
 #include "policy/coordinator_election.hpp"
 #include "policy/departure_table.hpp"
 #include "policy/rate_limit_notice.hpp"
@@ -88,6 +89,7 @@
     std::uint32_t batch = 0;        ///< number of the batch in `items`; 0: the datagram contains no batch
     std::uint32_t acknowledged = 0; ///< number of the last batch that the sender received in order; 0: none
     batch_items items;
+    stream_items streams; ///< in datagrams of any kind, taken over at once
 };
 
 /// Encodes a datagram. Points in time are sent as durations before or after `now`, which is the sender's
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -37,6 +37,14 @@
 
 struct retry_use;
 
+struct resume;
+
+struct stream_origin;
+
+struct stream_question;
+
+struct stream_answer;
+
 struct datagram;
 struct datagramBuilder;
 
@@ -604,6 +612,166 @@
   using type = retry_use;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) resume FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t ticket_;
+  uint64_t software_;
+
+ public:
+  struct Traits;
+  resume()
+      : ticket_(0),
+        software_(0) {
+  }
+  resume(uint64_t _ticket, uint64_t _software)
+      : ticket_(flatbuffers::EndianScalar(_ticket)),
+        software_(flatbuffers::EndianScalar(_software)) {
+  }
+  uint64_t ticket() const {
+    return flatbuffers::EndianScalar(ticket_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+};
+FLATBUFFERS_STRUCT_END(resume, 16);
+
+struct resume::Traits {
+  using type = resume;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) stream_origin FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t service_;
+  uint64_t software_;
+  uint32_t noted_ago_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  stream_origin()
+      : stream_(0),
+        service_(0),
+        software_(0),
+        noted_ago_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  stream_origin(uint64_t _stream, uint64_t _service, uint64_t _software, uint32_t _noted_ago_ms)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        service_(flatbuffers::EndianScalar(_service)),
+        software_(flatbuffers::EndianScalar(_software)),
+        noted_ago_ms_(flatbuffers::EndianScalar(_noted_ago_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint32_t noted_ago_ms() const {
+    return flatbuffers::EndianScalar(noted_ago_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(stream_origin, 32);
+
+struct stream_origin::Traits {
+  using type = stream_origin;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) stream_question FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t stream_;
+  uint64_t service_;
+
+ public:
+  struct Traits;
+  stream_question()
+      : id_(0),
+        stream_(0),
+        service_(0) {
+  }
+  stream_question(uint64_t _id, uint64_t _stream, uint64_t _service)
+      : id_(flatbuffers::EndianScalar(_id)),
+        stream_(flatbuffers::EndianScalar(_stream)),
+        service_(flatbuffers::EndianScalar(_service)) {
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+};
+FLATBUFFERS_STRUCT_END(stream_question, 24);
+
+struct stream_question::Traits {
+  using type = stream_question;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) stream_answer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t service_;
+  uint64_t software_;
+  uint8_t knowledge_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  stream_answer()
+      : id_(0),
+        service_(0),
+        software_(0),
+        knowledge_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  stream_answer(uint64_t _id, uint64_t _service, uint64_t _software, uint8_t _knowledge)
+      : id_(flatbuffers::EndianScalar(_id)),
+        service_(flatbuffers::EndianScalar(_service)),
+        software_(flatbuffers::EndianScalar(_software)),
+        knowledge_(flatbuffers::EndianScalar(_knowledge)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint8_t knowledge() const {
+    return flatbuffers::EndianScalar(knowledge_);
+  }
+};
+FLATBUFFERS_STRUCT_END(stream_answer, 32);
+
+struct stream_answer::Traits {
+  using type = stream_answer;
+};
+
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef datagramBuilder Builder;
   struct Traits;
@@ -638,7 +806,13 @@
     VT_RETRY_USES = 58,
     VT_RETRIES_KNOWN_MS = 60,
     VT_DEPARTURES = 62,
-    VT_BACKOFFS = 64
+    VT_BACKOFFS = 64,
+    VT_RESUMES = 66,
+    VT_STREAM_ORIGINS = 68,
+    VT_STREAMS_TOLD = 70,
+    VT_STREAMS_ACKNOWLEDGED = 72,
+    VT_STREAM_QUESTIONS = 74,
+    VT_STREAM_ANSWERS = 76
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -733,6 +907,24 @@
   const flatbuffers::Vector<const borageford::coordination::wire::backoff *> *backoffs() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::backoff *> *>(VT_BACKOFFS);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::resume *> *resumes() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::resume *> *>(VT_RESUMES);
+  }
+  const flatbuffers::Vector<const borageford::coordination::wire::stream_origin *> *stream_origins() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::stream_origin *> *>(VT_STREAM_ORIGINS);
+  }
+  uint32_t streams_told() const {
+    return GetField<uint32_t>(VT_STREAMS_TOLD, 0);
+  }
+  uint32_t streams_acknowledged() const {
+    return GetField<uint32_t>(VT_STREAMS_ACKNOWLEDGED, 0);
+  }
+  const flatbuffers::Vector<const borageford::coordination::wire::stream_question *> *stream_questions() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::stream_question *> *>(VT_STREAM_QUESTIONS);
+  }
+  const flatbuffers::Vector<const borageford::coordination::wire::stream_answer *> *stream_answers() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::stream_answer *> *>(VT_STREAM_ANSWERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -778,6 +970,16 @@
            verifier.VerifyVector(departures()) &&
            VerifyOffset(verifier, VT_BACKOFFS) &&
            verifier.VerifyVector(backoffs()) &&
+           VerifyOffset(verifier, VT_RESUMES) &&
+           verifier.VerifyVector(resumes()) &&
+           VerifyOffset(verifier, VT_STREAM_ORIGINS) &&
+           verifier.VerifyVector(stream_origins()) &&
+           VerifyField<uint32_t>(verifier, VT_STREAMS_TOLD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STREAMS_ACKNOWLEDGED, 4) &&
+           VerifyOffset(verifier, VT_STREAM_QUESTIONS) &&
+           verifier.VerifyVector(stream_questions()) &&
+           VerifyOffset(verifier, VT_STREAM_ANSWERS) &&
+           verifier.VerifyVector(stream_answers()) &&
            verifier.EndTable();
   }
 };
@@ -879,6 +1081,24 @@
   void add_backoffs(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::backoff *>> backoffs) {
     fbb_.AddOffset(datagram::VT_BACKOFFS, backoffs);
   }
+  void add_resumes(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::resume *>> resumes) {
+    fbb_.AddOffset(datagram::VT_RESUMES, resumes);
+  }
+  void add_stream_origins(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_origin *>> stream_origins) {
+    fbb_.AddOffset(datagram::VT_STREAM_ORIGINS, stream_origins);
+  }
+  void add_streams_told(uint32_t streams_told) {
+    fbb_.AddElement<uint32_t>(datagram::VT_STREAMS_TOLD, streams_told, 0);
+  }
+  void add_streams_acknowledged(uint32_t streams_acknowledged) {
+    fbb_.AddElement<uint32_t>(datagram::VT_STREAMS_ACKNOWLEDGED, streams_acknowledged, 0);
+  }
+  void add_stream_questions(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_question *>> stream_questions) {
+    fbb_.AddOffset(datagram::VT_STREAM_QUESTIONS, stream_questions);
+  }
+  void add_stream_answers(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers) {
+    fbb_.AddOffset(datagram::VT_STREAM_ANSWERS, stream_answers);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -922,7 +1142,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::retry_use *>> retry_uses = 0,
     uint32_t retries_known_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::departure *>> departures = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::backoff *>> backoffs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::backoff *>> backoffs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::resume *>> resumes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_origin *>> stream_origins = 0,
+    uint32_t streams_told = 0,
+    uint32_t streams_acknowledged = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_question *>> stream_questions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -931,6 +1157,12 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_stream_answers(stream_answers);
+  builder_.add_stream_questions(stream_questions);
+  builder_.add_streams_acknowledged(streams_acknowledged);
+  builder_.add_streams_told(streams_told);
+  builder_.add_stream_origins(stream_origins);
+  builder_.add_resumes(resumes);
   builder_.add_backoffs(backoffs);
   builder_.add_departures(departures);
   builder_.add_retries_known_ms(retries_known_ms);
@@ -995,7 +1227,13 @@
     const std::vector<borageford::coordination::wire::retry_use> *retry_uses = nullptr,
     uint32_t retries_known_ms = 0,
     const std::vector<borageford::coordination::wire::departure> *departures = nullptr,
-    const std::vector<borageford::coordination::wire::backoff> *backoffs = nullptr) {
+    const std::vector<borageford::coordination::wire::backoff> *backoffs = nullptr,
+    const std::vector<borageford::coordination::wire::resume> *resumes = nullptr,
+    const std::vector<borageford::coordination::wire::stream_origin> *stream_origins = nullptr,
+    uint32_t streams_told = 0,
+    uint32_t streams_acknowledged = 0,
+    const std::vector<borageford::coordination::wire::stream_question> *stream_questions = nullptr,
+    const std::vector<borageford::coordination::wire::stream_answer> *stream_answers = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -1008,6 +1246,10 @@
   auto retry_uses__ = retry_uses ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::retry_use>(*retry_uses) : 0;
   auto departures__ = departures ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::departure>(*departures) : 0;
   auto backoffs__ = backoffs ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::backoff>(*backoffs) : 0;
+  auto resumes__ = resumes ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::resume>(*resumes) : 0;
+  auto stream_origins__ = stream_origins ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_origin>(*stream_origins) : 0;
+  auto stream_questions__ = stream_questions ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_question>(*stream_questions) : 0;
+  auto stream_answers__ = stream_answers ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_answer>(*stream_answers) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -1040,7 +1282,13 @@
       retry_uses__,
       retries_known_ms,
       departures__,
-      backoffs__);
+      backoffs__,
+      resumes__,
+      stream_origins__,
+      streams_told,
+      streams_acknowledged,
+      stream_questions__,
+      stream_answers__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -40,6 +40,11 @@
 /// it: longer than the window of the budget, in which they may have used them without a coordinator.
 constexpr milliseconds retry_share_settling{12000};
 
+/// With at most this many members, keepers are told a stream at the next tick and not with the next
+/// heartbeat, which a gateway that is killed may not send any more. With hundreds, that would be too many
+/// datagrams.
+constexpr std::size_t max_members_told_at_once = 32;
+
 /// The key of a member is its IPv4 address; 0 for an IPv6 address, which has no key.
 policy::member_key key_of(const asio::ip::address& address) {
     return address.is_v4() ? address.to_v4().to_uint() : 0;
@@ -72,7 +77,17 @@
       m_coordinator(settings.slots, settings.quotas, settings.retries, m_incarnation, clock::now()),
       m_rate_limits(m_self, m_incarnation,
                     [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }),
-      m_retries(m_coordinator.retry_budget(), m_observers.on_retry_use) {}
+      m_retries(m_coordinator.retry_budget(), m_observers.on_retry_use),
+      m_streams(settings.stream_memory, settings.is_first_start ? policy::time_point::min() : clock::now(),
+                {[this] { return stream_keepers(); },
+                 [this](policy::member_key member, stream_items items) {
+                     datagram message;
+                     message.streams = std::move(items);
+                     send(member, std::move(message));
+                 },
+                 [this] {
+                     return knows_all_servers();
+                 }}) {}
 
 void slot_broker::start() {
     m_socket.emplace(m_executor, m_settings.local,
@@ -107,11 +122,11 @@
 }
 
 void slot_broker::set_server(policy::server_key server, policy::service_key service, unsigned slots,
-                             policy::domain_key domain) {
+                             policy::domain_key domain, policy::server_software software) {
     if (has_departed(server)) {
         return;
     }
-    m_coordinator.scheduler().set_server(server, service, slots, domain);
+    m_coordinator.scheduler().set_server(server, service, slots, domain, software);
     limit_rate(server, m_rate_limits.limit_of(server));
     schedule_flush();
 }
@@ -362,6 +377,7 @@
     message.wants_reply = true;
     message.known = m_election.known(clock::now());
     message.items.rate_limits = m_rate_limits.take_next();
+    message.streams = m_streams.take_for(member, clock::now());
     if (m_source == slot_source::coordinator && member == m_coordinating_member) {
         m_upstream->set_session_fields(message);
     }
@@ -379,7 +395,7 @@
 void slot_broker::send_heartbeats(policy::time_point now) {
     m_heartbeats.begin_tick(m_active_members.reported_count());
     for (const auto member : m_election.candidates(now)) {
-        if (m_heartbeats.is_due(receiver_kind_of(member))) {
+        if (m_heartbeats.is_due(receiver_kind_of(member)) || has_urgent_streams(member, now)) {
             send_heartbeat(member);
         }
     }
@@ -398,6 +414,7 @@
     expire_members(now);
     choose_source(now);
     m_retries.tick(is_connected(), now);
+    m_streams.tick(now);
     if (!m_deferred.is_empty() && !expects_coordinator(now)) {
         resubmit_deferred(now);
     }
@@ -415,6 +432,7 @@
     const auto sender = message->sender;
     const bool wants_reply = message->wants_reply;
     const auto known = std::move(message->known);
+    const auto received_streams = std::move(message->streams);
     m_election.record_heartbeat(
         member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
     merge_notices(member, *message);
@@ -433,8 +451,10 @@
             send_heartbeat(learned);
         }
     }
-    if (wants_reply) {
+    auto streams = m_streams.receive(member, sender.incarnation, received_streams, now);
+    if (wants_reply || !streams.is_empty()) {
         datagram reply;
+        reply.streams = std::move(streams);
         reply.known = m_election.known(now);
         reply.items.rate_limits = m_rate_limits.take_next();
         if (auto* served = m_members.find(member)) {
@@ -632,6 +652,35 @@
     return (m_members.size() + 1) * 2 >= m_active_members.count();
 }
 
+/// Whether this process knows all servers from which any gateway may have received a stream's first event.
+/// While the store is silent no new ones are known to anybody, except to gateways on the other side of a
+/// network partition: the larger side knows that the others can't have read more.
+bool slot_broker::knows_all_servers() const {
+    if (m_observers.has_recent_servers()) {
+        return true;
+    }
+    const auto known = m_election.member_count();
+    if (m_source == slot_source::own_coordination) {
+        return (m_members.size() + 1) * 2 > known;
+    }
+    return m_source == slot_source::coordinator && reported_members() * 2 > known;
+}
+
+/// The candidates for the coordinator, with which every member exchanges heartbeats.
+std::vector<policy::member_key> slot_broker::stream_keepers() const {
+    auto keepers = m_election.candidates(clock::now());
+    const bool has_other = m_source == slot_source::coordinator &&
+                           std::ranges::find(keepers, m_coordinating_member) == keepers.end();
+    if (has_other) {
+        keepers.push_back(m_coordinating_member);
+    }
+    return keepers;
+}
+
+bool slot_broker::has_urgent_streams(policy::member_key candidate, policy::time_point now) {
+    return m_election.member_count() <= max_members_told_at_once && m_streams.has_news_for(candidate, now);
+}
+
 void slot_broker::expire_members(policy::time_point now) {
     for (const auto& lost : m_members.end_unresponsive(member_timeout, now)) {
         log_lost_member(lost.member, lost.silent);
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -17,6 +17,7 @@
 #include "coordination/rate_limit_exchange.hpp"
 #include "coordination/retry_exchange.hpp"
 #include "coordination/slot_coordinator.hpp"
+#include "coordination/stream_exchange.hpp"
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
 #include "policy/departure_table.hpp"
@@ -62,7 +63,7 @@
     void add_member(const boost::asio::ip::address& address, double processor_share);
 
     void set_server(policy::server_key server, policy::service_key service, unsigned slots,
-                    policy::domain_key domain);
+                    policy::domain_key domain, policy::server_software software = {});
     void remove_server(policy::server_key server);
     /// A server restarted under another key. `former` is the key of the run that has ended.
     void handle_restart(policy::server_key former);
@@ -83,6 +84,9 @@
     /// Reports that a request has ended and no longer occupies the slot that it was granted.
     void release(const policy::slot_release& ended);
 
+    /// What is known of the streams that callers may resume.
+    [[nodiscard]] stream_exchange& streams() noexcept { return m_streams; }
+
     /// An answer of the server was received by this process. `limit` is the rate limit that it names, in
     /// requests per second; nothing if it names none. `asked` is when the request was sent.
     void observe_rate_limit(policy::server_key server, std::optional<double> limit, policy::time_point asked);
@@ -134,6 +138,9 @@
     void update_shares(policy::time_point now);
     [[nodiscard]] double coordinator_retry_share(std::size_t attached, policy::time_point now);
     [[nodiscard]] bool is_connected() const;
+    [[nodiscard]] bool knows_all_servers() const;
+    [[nodiscard]] std::vector<policy::member_key> stream_keepers() const;
+    [[nodiscard]] bool has_urgent_streams(policy::member_key candidate, policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
     [[nodiscard]] bool is_learning(policy::time_point now) const;
     void resubmit_deferred(policy::time_point now);
@@ -177,6 +184,7 @@
     rate_limit_exchange m_rate_limits;
     retry_exchange m_retries;
     policy::departure_table m_departures;
+    stream_exchange m_streams;
 
     local_requests m_requests;
 
