A stream goes on only at the software version that began it

Cause: nothing noted which version began a stream. The slot request of a resumed stream named none, and the field in which a caller names its stream was read by nobody. Both ways are shown alone by a test each.

Now the version is noted when the first event is passed on, from the server to which the request was sent, and each further attempt needs it: in the slot request, again right before sending, and at the head of the answer. A caller's request that resumes a stream first finds its origin. Where it isn't known, the request is refused as not run with a time to return (stream_unknown); where no server of the version is left, at once (software_gone). Before the first event nothing is bound. A roll-out withholds a version's servers from new requests only, until it is over.

Events, metrics and a cause in losses tell what became of a resumed stream.

--- a/src/base/error_kind.cpp
+++ b/src/base/error_kind.cpp
@@ -51,6 +51,8 @@
                  "The deadline can no longer be met."},
     error_answer{error_kind::no_backend_server, "no_backend_server", 503, no, retry_later,
                  "No backend server for this is reachable."},
+    error_answer{error_kind::stream_unknown, "stream_unknown", 503, no, retry_later,
+                 "It is not known here which software version began the stream that the request resumes."},
     error_answer{error_kind::no_configuration, "no_configuration", 503, no, retry_later,
                  "This process has no configuration yet."},
     error_answer{error_kind::draining, "draining", 503, no, retry_later, "This process is shutting down."},
--- a/src/base/error_kind.hpp
+++ b/src/base/error_kind.hpp
@@ -31,6 +31,7 @@
     overloaded,
     deadline_unreachable,
     no_backend_server,
+    stream_unknown,
     no_configuration,
     draining,
     stale_revision,
--- a/src/diagnosis/loss_report.cpp
+++ b/src/diagnosis/loss_report.cpp
@@ -36,10 +36,14 @@
     end_row{request_end::refused_caller, "refused_caller", "r.caller"},
     end_row{request_end::failed, "failed", "failed"},
     end_row{request_end::cut, "cut", "cut"},
+    end_row{request_end::stream_lost, "stream_lost", "s.lost"},
     end_row{request_end::left, "left", "left"},
 };
 static_assert(ends.size() == static_cast<std::size_t>(request_end::last_end) + 1);
 
+/// The reason of a request that resumed a stream whose software version has left.
+constexpr std::string_view software_gone = "software_gone";
+
 /// How a request ended that was answered completely: in time, or late and why.
 request_end classify_answer(const log_record& record) {
     const auto target = record.number("target_ms");
@@ -57,6 +61,9 @@
 request_end classify_refusal(const log_record& record) {
     constexpr int first_server_error = 500;
     const auto error = record.text("error");
+    if (error == "stream_unknown" || record.text("reason") == software_gone) {
+        return request_end::stream_lost;
+    }
     if (error == "overloaded" || error == "draining") {
         const auto reason = record.text("reason");
         if (reason == "over_server_limit" || reason == "servers_back_off") {
@@ -85,7 +92,7 @@
         return classify_refusal(record);
     }
     if (record.event == "request_cut") {
-        return request_end::cut;
+        return record.text("reason") == software_gone ? request_end::stream_lost : request_end::cut;
     }
     if (record.event == "request_abandoned") {
         return request_end::left;
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -81,7 +81,7 @@
                       "service reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
                       "A backend server accepts requests.",
-                      "backend service address slots start era version"},
+                      "backend service address slots software start era version"},
     event_description{event_kind::backend_restarted, "backend_restarted", info, state_rate,
                       "A backend server started again under the same id: the requests that ran there were "
                       "aborted, and its recorded state was reset.",
@@ -135,8 +135,15 @@
         "error detail bytes"},
     event_description{event_kind::request_placed, "request_placed", info, usual_rate,
                       "A request was granted a slot of a backend server.",
-                      "request ticket backend route workspace tier prompt_tokens expected_tokens "
+                      "request ticket backend software route workspace tier prompt_tokens expected_tokens "
                       "configuration decided_by waited_ms try"},
+    event_description{
+        event_kind::stream_resumed, "stream_resumed", info, usual_rate,
+        "A stream that broke off goes on at the software version that began it; `known_by` tells how "
+        "this process knows the version: the stream broke off within this answer (answer), it is "
+        "known here (here), no other version can have begun it (one_version), or another gateway "
+        "was asked (other_gateway).",
+        "request backend software known_by events total_ms"},
     event_description{event_kind::request_try_failed, "request_try_failed", warning, failure_rate,
                       "A backend server failed a request; the field `next` tells whether the request is sent "
                       "to another server.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -56,6 +56,7 @@
     request_field_unreadable,
     request_malformed,
     request_placed,
+    stream_resumed,
     request_try_failed,
     request_answered,
     request_refused,
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -89,6 +89,18 @@
 
 } // namespace
 
+bool admitted_request::choose_service(policy::service_key wanted) {
+    const auto& services = configuration->document().services;
+    const auto found = std::ranges::find_if(route->services, [&](const routing::weighted_service& each) {
+        return hash_bytes(services.at(each.service).name) == wanted;
+    });
+    if (found == route->services.end()) {
+        return false;
+    }
+    service = &services.at(found->service);
+    return true;
+}
+
 admitted_request admit(const gateway_context& context, const http::received_request& request,
                        admitted_request::clock::time_point arrived) {
     const auto& fields = request.fields;
--- a/src/gateway/admitted_request.hpp
+++ b/src/gateway/admitted_request.hpp
@@ -34,6 +34,8 @@
     int tier = 0;
     std::uint64_t fingerprint = 0; ///< Hash of caller, target and body.
 
+    /// Makes the request go to the service with this key; returns false if its route doesn't lead there.
+    bool choose_service(policy::service_key wanted);
     /// Negative once the deadline has passed.
     [[nodiscard]] std::chrono::milliseconds time_left() const {
         return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - clock::now());
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -91,6 +91,7 @@
         return;
     }
     m_connection = std::move(connection);
+    m_software = m_server->record().version;
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
                                               : http::response_reader::body_rule::expected);
     m_sent_before = m_connection->sent_bytes();
@@ -109,6 +110,7 @@
         (m_server->last_connection_failure() != backend::clock::time_point::min() &&
          m_connection->opened_at() > m_server->last_connection_failure());
     if (is_with_new_start) {
+        m_is_software_uncertain = true;
         return;
     }
     asio::post(m_executor, [self = shared_from_this()] {
@@ -118,6 +120,13 @@
     });
 }
 
+std::optional<policy::software_key> backend_call::software() const {
+    if (m_is_software_uncertain || m_software != m_server->record().version) {
+        return std::nullopt;
+    }
+    return policy::software_key_of(m_software);
+}
+
 void backend_call::pause() {
     if (m_connection != nullptr) {
         m_connection->pause_reading();
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -4,6 +4,7 @@
 #include "gateway/backend.hpp"
 #include "http/response_reader.hpp"
 #include "net/connection.hpp"
+#include "policy/slot_request.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -66,6 +67,10 @@
     /// back stayed on connections that nobody closed, until their callers gave up.
     void handle_restart();
 
+    /// The software version of the server that received the request; nothing if it isn't certain, because
+    /// another version has registered under the server's id since. The present registration may be that of
+    /// another process.
+    [[nodiscard]] std::optional<policy::software_key> software() const;
     [[nodiscard]] const http::response_reader& response() const noexcept { return *m_reader; }
     [[nodiscard]] const std::shared_ptr<backend>& server() const noexcept { return m_server; }
 
@@ -98,6 +103,9 @@
     /// reused.
     bool m_must_close = false;
     bool m_is_over = false;
+    std::string m_software; ///< The registered software version when the request was sent.
+    /// The server has restarted, and the request went to either start.
+    bool m_is_software_uncertain = false;
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -320,18 +320,27 @@
                                                           {"service", record.service},
                                                           {"address", http::to_string(record.address)},
                                                           {"slots", std::uint64_t(record.slots)},
+                                                          {"software", record.version},
                                                           {"start", record.start},
                                                           {"era", at.era},
                                                           {"version", at.version}});
+        m_slots.streams().history().add(record.key(), hash_bytes(record.service),
+                                        policy::software_key_of(record.version), steady_clock::now());
         m_rollouts.update_slots(record);
     } else {
-        m_rollouts.withdraw_slots(record);
+        withdraw(record);
         events::write(events::event_kind::backend_draining,
                       {{"backend", record.id}, {"era", at.era}, {"version", at.version}});
     }
     m_backends.set(std::move(record));
 }
 
+/// Removes the slots of a server. No more streams begin there.
+void backend_roster::withdraw(const routing::backend_record& record) {
+    m_rollouts.withdraw_slots(record);
+    m_slots.streams().history().remove(record.key(), steady_clock::now());
+}
+
 /// Stops new requests to the server. Running requests continue, and idle connections are kept.
 void backend_roster::take_out_of_use(const std::string& id) {
     const auto server = m_backends.find_id(id);
@@ -339,7 +348,7 @@
         return;
     }
     auto record = server->record();
-    m_rollouts.withdraw_slots(record);
+    withdraw(record);
     record.state = routing::backend_state::draining;
     server->set_record(std::move(record));
 }
@@ -358,6 +367,7 @@
     events::write(
         events::event_kind::backend_restarted,
         {{"backend", record.id}, {"start", record.start}, {"former_start", previous->record().start}});
+    m_slots.streams().history().remove(previous->record().key(), steady_clock::now());
     m_slots.handle_restart(previous->record().key());
 }
 
@@ -390,7 +400,7 @@
     m_removals.add(id, m_position);
     m_starts.forget(id);
     if (const auto server = m_backends.find_id(id)) {
-        m_rollouts.withdraw_slots(server->record());
+        withdraw(server->record());
         m_backends.remove(id);
     }
     events::write(events::event_kind::backend_gone, {{"backend", id}, {"reason", reason}});
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -117,6 +117,7 @@
                                                               bool was_reported) const;
     void reject_row(const std::string& id, registration& known);
     void put_in_use(routing::backend_record record, store::position at);
+    void withdraw(const routing::backend_record& record);
     void take_out_of_use(const std::string& id);
     void handle_restart(const routing::backend_record& record);
     void handle_missing(const std::string& id);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -52,6 +52,14 @@
         .add();
 }
 
+void gateway_metrics::count_resumed(const admitted_request& request, std::string_view known_by) {
+    m_registry
+        .get_counter("borageford_gateway_resumed_total",
+                     "Streams that went on at the software version that began them.",
+                     {{"service", request.service->name}, {"known_by", std::string(known_by)}})
+        .add();
+}
+
 void gateway_metrics::count_abandoned(const admitted_request& request) {
     m_registry
         .get_counter("borageford_gateway_abandoned_total", "Callers gone before the end of their answer.",
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -25,6 +25,8 @@
     void count_refused(const admitted_request* request, error_kind kind);
     /// Counts a stream that was aborted in the middle.
     void count_aborted(const admitted_request& request);
+    /// Counts a stream that goes on after it broke off; see request_journal::resumed() for `known_by`.
+    void count_resumed(const admitted_request& request, std::string_view known_by);
     /// Counts a caller that disconnected before the end of its answer.
     void count_abandoned(const admitted_request& request);
     /// Counts one attempt at a backend server by its outcome.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -159,6 +159,12 @@
                              [this] { return static_cast<double>(m_configuration_manager.version()); });
         m_registry.add_gauge("borageford_gateway_backend_servers", "Backend servers that are known.", {},
                              [this] { return static_cast<double>(m_backends.all().size()); });
+        m_registry.add_gauge("borageford_gateway_known_streams",
+                             "Streams of which this process knows the software version that began them.", {},
+                             [this] { return static_cast<double>(m_slots.streams().table().size()); });
+        m_registry.add_gauge("borageford_gateway_dropped_streams",
+                             "Streams that were forgotten before their time because there were too many.", {},
+                             [this] { return static_cast<double>(m_slots.streams().table().dropped()); });
         m_registry.add_gauge("borageford_gateway_slot_source",
                              "0: a coordinator, 1: this process for all, 2: its own part.", {},
                              [this] { return static_cast<double>(m_slots.source()); });
@@ -196,6 +202,7 @@
         result.slots = m_settings.slots;
         result.quotas.window = m_settings.allowance_window;
         result.quotas.slack = m_settings.allowance_slack;
+        result.stream_memory = m_settings.stream_memory;
         result.retries = {m_settings.retry_ratio, m_settings.retry_reserve, m_settings.retry_window};
         return result;
     }
@@ -217,8 +224,9 @@
             },
             [this](policy::service_key service, const policy::server_retry_budget::use& current,
                    bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
-            [this](policy::server_key server) {
-                m_rate_limits.count_used_up(server);
+            [this](policy::server_key server) { m_rate_limits.count_used_up(server); },
+            [this] {
+                return m_backend_follower.is_current();
             }};
     }
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -74,6 +74,7 @@
         reader.duration("configuration_patience", result.configuration_patience, shortest, longest);
     result.coordinator_patience =
         reader.duration("coordinator_patience", result.coordinator_patience, shortest, longest);
+    result.stream_memory = reader.duration("stream_memory", result.stream_memory, shortest, longest);
     result.store_followers =
         static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -48,6 +48,10 @@
     /// process's local share of a quota isn't enough for it.
     milliseconds coordinator_patience{400};
 
+    /// For how long a caller may come back for a stream that broke off. At least the longest time for which
+    /// callers wait for an answer in all their attempts.
+    milliseconds stream_memory{30000};
+
     /// How many gateways poll the store for changes besides the candidates for coordination; all other
     /// gateways learn of changes from them. The number is large enough that a store which silently ignores a
     /// third of all gateways still answers some of them.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -101,6 +101,46 @@
             self->handle_timeout();
         }
     });
+    if (m_admitted.route->kind == routing::route_kind::stream) {
+        m_software.read(m_request.fields, m_context.fields, m_admitted);
+    }
+    if (m_software.is_resume() && m_admitted.route->may_repeat()) {
+        find_origin();
+    } else {
+        request_slot();
+    }
+}
+
+/// Finds out which software version began the stream that the caller resumes. It may take some milliseconds,
+/// in which the request holds nothing.
+void request_exchange::find_origin() {
+    const std::weak_ptr<request_exchange> weak = weak_from_this();
+    m_context.slots.streams().find(
+        m_software.stream(),
+        [weak](const coordination::found_origin& found) {
+            const auto self = weak.lock();
+            if (self != nullptr && !self->m_is_over) {
+                self->handle_origin(found);
+            }
+        },
+        clock::now());
+}
+
+void request_exchange::handle_origin(const coordination::found_origin& found) {
+    m_origin_source = found.source;
+    if (found.source == coordination::origin_source::unknown) {
+        end_without_answer(error_kind::stream_unknown,
+                           "it isn't known here which software version began the stream",
+                           choose_retry_after(m_admitted.fingerprint));
+        return;
+    }
+    if (!m_admitted.choose_service(found.service)) {
+        end_without_answer(error_kind::no_backend_server,
+                           "its route no longer leads to the service that began the stream",
+                           choose_retry_after(m_admitted.fingerprint));
+        return;
+    }
+    m_software.require(found.service, found.software);
     request_slot();
 }
 
@@ -133,6 +173,7 @@
     wanted.is_charged = m_is_charged;
     wanted.sends = m_attempts.delivered_attempts();
     wanted.is_counted = m_has_asked;
+    wanted.software = m_software.required();
     wanted.avoided = m_attempts.avoided();
     return wanted;
 }
@@ -193,7 +234,8 @@
 void request_exchange::use_slot(const policy::slot_grant& grant) {
     auto server = m_context.backends.find(grant.server);
     m_server_id = server != nullptr ? server->record().id : "unknown";
-    m_journal.placed(m_admitted, grant, m_server_id, m_attempts.attempt_count());
+    const auto software = server != nullptr ? server->record().version : std::string();
+    m_journal.placed(m_admitted, grant, {m_server_id, software}, m_attempts.attempt_count());
     if (server == nullptr) {
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused,
                      "the server isn't registered here");
@@ -206,6 +248,8 @@
         // the coordinator's requests.
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused,
                      "the server is draining");
+    } else if (m_software.required() != 0 && policy::software_key_of(software) != m_software.required()) {
+        return_slot("its software version isn't the one that began the stream");
     } else {
         send_to(std::move(server));
     }
@@ -244,6 +288,9 @@
     case policy::refusal_reason::held_back:
         end_without_answer(error_kind::held_back, "servers crashed while they ran it", wait);
         return;
+    case policy::refusal_reason::software_gone:
+        end_without_answer(error_kind::no_backend_server, to_string(refusal.reason), wait);
+        return;
     case policy::refusal_reason::over_retry_budget:
     case policy::refusal_reason::over_server_limit:
     case policy::refusal_reason::servers_back_off:
@@ -315,6 +362,12 @@
 }
 
 void request_exchange::handle_events(std::string_view bytes) {
+    if (m_first_event == policy::duration{} && !m_software.fits(*m_call)) {
+        m_call->cancel();
+        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::abandoned,
+                     "its software version isn't the one that began the stream");
+        return;
+    }
     std::string_view complete_events;
     try {
         complete_events = m_events.add(bytes);
@@ -328,8 +381,7 @@
     }
     record_event_time();
     if (m_first_event == policy::duration{}) {
-        m_first_event = clock::now() - m_slot_begin;
-        m_journal.first_event(m_admitted);
+        handle_first_event();
     }
     begin_stream();
     m_session->send_chunk(complete_events);
@@ -338,6 +390,22 @@
     }
 }
 
+/// Notes which software version the stream begins or goes on at.
+void request_exchange::handle_first_event() {
+    m_software.handle_first_event(*m_call);
+    m_first_event = clock::now() - m_slot_begin;
+    m_journal.first_event(m_admitted);
+    if (m_admitted.route->may_repeat()) {
+        const bool is_split = m_admitted.route->services.size() > 1;
+        m_context.slots.streams().note(m_software.origin(clock::now()), is_split, clock::now());
+    }
+    if (m_has_begun_stream || m_origin_source.has_value()) {
+        const auto known_by = m_has_begun_stream ? "answer" : to_string(*m_origin_source);
+        const auto& server = m_call->server()->record();
+        m_journal.resumed(m_admitted, {server.id, server.version}, known_by, m_events_before);
+    }
+}
+
 /// Records the time to the first event and the longest pause between events. Both are written to the log,
 /// since they are what the caller experiences.
 void request_exchange::record_event_time() {
@@ -442,6 +510,9 @@
     // The slot scheduler refunds the quota of a request that didn't run when its slot is released.
     m_is_charged = outcome == policy::attempt_outcome::may_have_run;
     m_attempts.record(m_slot, outcome);
+    if (m_call != nullptr && m_first_event != policy::duration{}) {
+        m_software.handle_break(*m_call);
+    }
     release_slot(slot);
     m_call.reset();
     m_events.handle_broken_connection(); // also before the first event: a part of one may have arrived
@@ -455,9 +526,10 @@
 }
 
 /// Returns whether the request may be sent to another server. A stream of which the caller already has a part
-/// can only continue if its last event has an id, from which the next server resumes.
+/// can only continue if its last event has an id, from which the next server resumes, and if it is certain
+/// which software version began it.
 bool request_exchange::may_retry() const {
-    const bool can_go_on = !m_has_begun_stream || m_events.last_id().has_value();
+    const bool can_go_on = !m_has_begun_stream || (m_events.last_id().has_value() && m_software.can_go_on());
     return can_go_on && m_attempts.may_retry() && m_admitted.time_left() > answer_margin;
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -10,6 +10,7 @@
 #include "gateway/event_relay.hpp"
 #include "gateway/gateway_context.hpp"
 #include "gateway/request_journal.hpp"
+#include "gateway/stream_software.hpp"
 #include "http/request_reader.hpp"
 #include "policy/attempt_rule.hpp"
 #include "policy/slot_request.hpp"
@@ -52,6 +53,8 @@
 private:
     void begin();
     [[nodiscard]] bool has_time_to_finish() const;
+    void find_origin();
+    void handle_origin(const coordination::found_origin& found);
 
     // Obtaining and releasing the slot.
     void request_slot();
@@ -70,6 +73,7 @@
     void handle_head();
     void handle_body(std::string_view bytes);
     void handle_events(std::string_view bytes);
+    void handle_first_event();
     void handle_complete();
     void handle_complete_answer();
     void handle_failure(call_failure what, std::string_view reason);
@@ -117,6 +121,9 @@
     bool m_forwards_events = false;
     std::string m_answer; ///< Body of a response that is forwarded as a whole.
     event_relay m_events;
+    stream_software m_software;
+    /// How the software version that began the stream is known; nothing if the request doesn't resume one.
+    std::optional<coordination::origin_source> m_origin_source;
     bool m_has_begun_stream = false; ///< Whether the head of a stream has been sent to the caller.
     bool m_is_over = false;
     timer_subscription m_timer; ///< First polls for a configuration, then fires at the request's deadline.
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -47,11 +47,12 @@
 }
 
 void request_journal::placed(const admitted_request& request, const policy::slot_grant& grant,
-                             std::string_view backend, unsigned attempts_before) {
+                             const named_server& server, unsigned attempts_before) {
     m_context.metrics.record_wait(request, clock::now() - request.arrived);
     events::write(event_kind::request_placed, {{"request", request.id},
                                                {"ticket", grant.ticket},
-                                               {"backend", backend},
+                                               {"backend", server.id},
+                                               {"software", server.software},
                                                {"route", route_of(&request)},
                                                {"workspace", workspace_of(&request)},
                                                {"tier", std::int64_t(request.tier)},
@@ -63,6 +64,17 @@
                                                {"try", std::uint64_t(attempts_before + 1)}});
 }
 
+void request_journal::resumed(const admitted_request& request, const named_server& server,
+                              std::string_view known_by, std::uint64_t count) {
+    m_context.metrics.count_resumed(request, known_by);
+    events::write(event_kind::stream_resumed, {{"request", request.id},
+                                               {"backend", server.id},
+                                               {"software", server.software},
+                                               {"known_by", known_by},
+                                               {"events", count},
+                                               {"total_ms", age_ms(request)}});
+}
+
 void request_journal::attempt_failed(const admitted_request& request, std::string_view backend,
                                      policy::slot_outcome outcome, std::string_view reason,
                                      const policy::attempt_rule& attempts, bool will_retry,
--- a/src/gateway/request_journal.hpp
+++ b/src/gateway/request_journal.hpp
@@ -21,9 +21,18 @@
 
     explicit request_journal(gateway_context& context) : m_context(context) {}
 
+    /// A server, for the log.
+    struct named_server {
+        std::string_view id;
+        std::string_view software;
+    };
     /// A slot was granted. `attempts_before` is the number of earlier attempts.
-    void placed(const admitted_request& request, const policy::slot_grant& grant, std::string_view backend,
+    void placed(const admitted_request& request, const policy::slot_grant& grant, const named_server& server,
                 unsigned attempts_before);
+    /// A stream that broke off goes on at a server. `known_by` tells how it is known which software version
+    /// began it, `events` how many events of it were forwarded before in this answer.
+    void resumed(const admitted_request& request, const named_server& server, std::string_view known_by,
+                 std::uint64_t events);
     /// An attempt failed. `will_retry` is whether another attempt follows, `busy` the time since the slot was
     /// granted.
     void attempt_failed(const admitted_request& request, std::string_view backend,
--- a/src/gateway/rollout_manager.cpp
+++ b/src/gateway/rollout_manager.cpp
@@ -79,14 +79,17 @@
 }
 
 void rollout_manager::update_slots(const routing::backend_record& record) {
-    if (!should_withhold(record)) {
-        m_withheld.erase(record.id);
+    const bool is_withheld = should_withhold(record);
+    if (is_withheld && !may_resume_streams(record)) {
+        m_slots.remove_server(record.key());
+    } else {
         m_slots.set_server(record.key(), hash_bytes(record.service), record.slots,
-                           policy::domain_key_of(record.failure_domain));
-        return;
+                           policy::domain_key_of(record.failure_domain),
+                           {policy::software_key_of(record.version), is_withheld});
     }
-    m_slots.remove_server(record.key());
-    if (m_withheld.insert(record.id).second) {
+    if (!is_withheld) {
+        m_withheld.erase(record.id);
+    } else if (m_withheld.insert(record.id).second) {
         events::write(events::event_kind::backend_held_back,
                       {{"backend", record.id}, {"service", record.service}, {"software", record.version}});
     }
@@ -121,6 +124,14 @@
     return is_next && (!is_late || current->has_previous);
 }
 
+/// Whether a server whose slots are withheld may go on with the streams that its version began. A stream
+/// can't go on at another version, so it would be lost otherwise. A version that was rejected gets nothing
+/// more, and the servers of a version that was replaced end.
+bool rollout_manager::may_resume_streams(const routing::backend_record& record) const {
+    const auto current = m_rollouts.find(record.service);
+    return current != m_rollouts.end() && !current->second.progress.is_over();
+}
+
 bool rollout_manager::has_other_versions(std::string_view service, std::string_view than) const {
     return std::ranges::any_of(m_backends.all(), [&](const auto& entry) {
         const auto& record = entry.second->record();
@@ -235,13 +246,16 @@
 /// Gives or withholds slots where the decision has changed, since it depends on the phase and on which
 /// servers are registered.
 void rollout_manager::review(std::string_view service) {
+    bool has_ended = false;
     if (auto* current = find(service)) {
         current->has_previous = has_other_versions(service, current->progress.to());
+        const bool is_over = current->progress.is_over();
+        has_ended = std::exchange(current->was_over, is_over) != is_over;
     }
     for (const auto& [id, server] : m_backends.all()) {
         const auto& record = server->record();
         const bool concerns = record.service == service && takes_work(record);
-        if (concerns && should_withhold(record) != m_withheld.contains(id)) {
+        if (concerns && (has_ended || should_withhold(record) != m_withheld.contains(id))) {
             update_slots(record);
         }
     }
--- a/src/gateway/rollout_manager.hpp
+++ b/src/gateway/rollout_manager.hpp
@@ -50,7 +50,7 @@
     void handle_store_restore();
 
     /// Handles a server that accepts work, when it is added or its record changes: makes its slots available,
-    /// or withholds them if a roll-out requires it.
+    /// or withholds them from new requests if a roll-out requires it.
     void update_slots(const routing::backend_record& record);
     /// Removes the slots of a server that no longer accepts work.
     void withdraw_slots(const routing::backend_record& record);
@@ -73,10 +73,12 @@
         std::string last_canary{}; ///< The last non-empty value of `canary`.
         bool is_recorded = false;  ///< Whether the running state was passed to observers::record.
         bool has_previous = false; ///< Whether servers of other versions accepted work at the last review().
+        bool was_over = false;     ///< Whether the roll-out was over at the last review().
     };
 
     [[nodiscard]] rollout* find(std::string_view service);
     [[nodiscard]] bool should_withhold(const routing::backend_record& record);
+    [[nodiscard]] bool may_resume_streams(const routing::backend_record& record) const;
     [[nodiscard]] bool has_other_versions(std::string_view service, std::string_view than) const;
     [[nodiscard]] bool is_previous_idle(std::string_view service, std::string_view to) const;
     void follow_coordination(const std::string& service, rollout& current);
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -113,6 +113,22 @@
     return call;
 }
 
+/// The index of a server of this version, of the first two.
+std::size_t server_of(const std::string& software) {
+    return software == "v1" ? 0 : 1;
+}
+
+/// Takes both servers of a version out of use.
+void drain_version(gateway_site& site, const std::string& software) {
+    for (const auto server : {server_of(software), server_of(software) + 2}) {
+        const auto id = site.on_emulator([&] { return site.backend(server).options().id; });
+        site.register_backend(server, "draining");
+        // backend_draining is the only event with these two fields in succession.
+        wait_until("the server drains",
+                   [&] { return site.has_logged(0, R"("backend":")" + id + R"(","era")"); });
+    }
+}
+
 } // namespace
 
 TEST_CASE("gateway: a stream that breaks off goes on only at the software version that began it",
@@ -167,3 +183,140 @@
         CHECK(emulator::software_in(begun[gateway] + rest.body).size() == 1);
     }
 }
+
+TEST_CASE("gateway: a stream is resumed after the gateway that began it was killed",
+          "[gateway][stream_software]") {
+    // The other gateways have been told which version began it. The killed gateway's next process asks them.
+    gateway_site site(site_with_two_versions(3, 1));
+    static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+    std::vector<std::string> begun;
+    for (int number = 0; number < streams; ++number) {
+        begun.push_back(begin_broken_stream(site, 0, "stream-" + std::to_string(number)));
+    }
+    for (const std::size_t other : {1, 2}) {
+        wait_until("the streams are told",
+                   [&] { return read_gauge(site, other, "borageford_gateway_known_streams") == streams; });
+    }
+    site.process(0).kill();
+    site.start_gateway(0);
+    site.wait_until_ready(0);
+    for (int number = 0; number < streams; ++number) {
+        const auto id = std::to_string(number);
+        const auto rest =
+            site.send(static_cast<std::size_t>(number) % 3, resuming_call("rest-" + id, "stream-" + id));
+        CHECK(rest.is_complete);
+        CHECK(is_whole(begun[static_cast<std::size_t>(number)] + rest.body));
+        CHECK(emulator::software_in(begun[static_cast<std::size_t>(number)] + rest.body).size() == 1);
+    }
+}
+
+TEST_CASE("gateway: a stream isn't resumed at another version when its own has left",
+          "[gateway][stream_software]") {
+    gateway_site site(site_with_two_versions(1, 1));
+    const auto first = begin_broken_stream(site, 0, "stream");
+    drain_version(site, *emulator::software_in(first).begin());
+    const auto rest = site.send(0, resuming_call("rest", "stream"));
+    CHECK(rest.status == 503);
+    CHECK(rest.body.find("no_backend_server") != std::string::npos);
+    CHECK(site.runs_of("rest") == 0);
+    // New streams go to the other version meanwhile.
+    CHECK(site.send(0, stream_call("new")).is_complete);
+}
+
+TEST_CASE("gateway: a stream whose version isn't known is refused as not run", "[gateway][stream_software]") {
+    // The caller names a stream that began nowhere, or names none.
+    gateway_site site(site_with_two_versions(2, 1));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    static_cast<void>(begin_broken_stream(site, 0, "stream"));
+    const auto names = platform::header_field_names();
+    std::vector<http::header_fields> fields{
+        {{names.last_event, "1"}, {names.resumed_request, "never-sent"}},
+        {{names.last_event, "1"}},
+        {{names.last_event, "1"}, {names.resumed_request, ""}},
+        {{names.last_event, "1"}, {names.resumed_request, std::string(10000, 'x')}},
+        {{names.resumed_request, "never-sent"}},
+    };
+    for (std::size_t index = 0; index < fields.size(); ++index) {
+        auto call = stream_call("unknown-" + std::to_string(index));
+        call.headers.insert(call.headers.end(), fields[index].begin(), fields[index].end());
+        const auto answer = site.send(index % 2, call);
+        INFO(index);
+        CHECK(answer.status == 503);
+        CHECK(answer.body.find("stream_unknown") != std::string::npos);
+        CHECK_FALSE(answer.header("Retry-After").empty());
+        CHECK(site.runs_of("unknown-" + std::to_string(index)) == 0);
+    }
+    const auto resumed = names.resumed_request + ": stream\r\n";
+    const auto answer = exchange_raw(site.callers(0),
+                                     "POST /stream/x HTTP/1.1\r\nHost: site.example\r\n" + names.request_id +
+                                         ": twice\r\n" + names.last_event + ": 1\r\n" + resumed + resumed +
+                                         "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                                     2s);
+    CHECK(answer.find("stream_unknown") != std::string::npos);
+    CHECK(site.runs_of("twice") == 0);
+}
+
+TEST_CASE("gateway: with one software version any stream may be resumed", "[gateway][stream_software]") {
+    // A gateway that has known all servers since the system's first start needn't be told anything.
+    site_options options;
+    options.gateways = 2;
+    options.configuration = stream_configuration(true);
+    options.configuration.routes.front().attempts = 1;
+    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
+    gateway_site site(options);
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    CHECK(site.send(1, resuming_call("rest", "unknown")).is_complete);
+    CHECK(site.has_logged(1, R"("known_by":"one_version")"));
+}
+
+TEST_CASE("gateway: before its first event a stream may go to any software version",
+          "[gateway][stream_software]") {
+    // Nothing of the stream has reached the caller, so there is nothing that another version can't go on
+    // with.
+    gateway_site site(site_with_two_versions(1, 3));
+    site.on_emulator([&] {
+        site.backend(0).set_fault(backend_fault::cut_first_event);
+        site.backend(2).set_fault(backend_fault::cut_first_event);
+    });
+    for (int number = 0; number < streams; ++number) {
+        const auto answer = site.send(0, stream_call("stream-" + std::to_string(number)));
+        CHECK(answer.is_complete);
+        CHECK(emulator::software_in(answer.body) == std::set<std::string, std::less<>>{"v2"});
+    }
+}
+
+TEST_CASE("gateway: a server that registers another version between grant and first event",
+          "[gateway][stream_software]") {
+    // Which of the two versions has written the event isn't certain. The stream must not go on at either of
+    // them.
+    site_options options;
+    options.configuration = stream_configuration(true);
+    options.backends = {engine_of("engine-0", "v1")};
+    options.backends.front().engine->setup_ms = 1500; // time to register before the first event
+    gateway_site site(options);
+    site.on_emulator([&] { site.backend(0).set_fault(backend_fault::cut_midway); });
+    pending_call stream(site.callers(0), stream_call("stream"));
+    wait_until("the server has the request", [&] { return site.runs_of("stream") == 1; });
+    site.register_software(0, "v2");
+    wait_until("the registration is read", [&] { return site.has_logged(0, R"("software":"v2")"); });
+    const auto answer = stream.wait();
+    CHECK_FALSE(answer.is_complete);
+    CHECK(site.runs_of("stream") == 1);
+    CHECK(site.send(0, resuming_call("rest", "stream")).status == 503);
+}
+
+TEST_CASE("gateway: a resumed stream stays at its version during a roll-out", "[gateway][stream_software]") {
+    // The order withholds the new version from new requests; a stream that it has begun is not lost for that.
+    gateway_site site(site_with_two_versions(1, 1));
+    std::string first;
+    std::string id;
+    for (int number = 0; emulator::software_in(first) != std::set<std::string, std::less<>>{"v2"}; ++number) {
+        id = "stream-" + std::to_string(number);
+        first = begin_broken_stream(site, 0, id);
+    }
+    site.order_rollout({"engines", "v2", 60s});
+    wait_until("the new version is withheld", [&] { return site.has_logged(0, "backend_held_back"); });
+    const auto rest = site.send(0, resuming_call("rest", id));
+    CHECK(rest.is_complete);
+    CHECK(emulator::software_in(first + rest.body).size() == 1);
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -240,7 +240,7 @@
         if (const auto previous = m_backends.find(index); previous != m_backends.end()) {
             m_previous_backends.push_back(std::move(previous->second.server));
         }
-        m_backends[index] = {std::move(server), address};
+        m_backends[index] = {std::move(server), address, options.version};
     });
     register_backend(index, "ready");
 }
@@ -252,7 +252,7 @@
         record.id = unit.server->options().id;
         record.start = unit.server->options().start;
         record.service = unit.server->options().service;
-        record.version = unit.server->options().version;
+        record.version = unit.software;
         record.address = unit.address;
         record.failure_domain = "a";
         record.slots = unit.server->options().slots;
@@ -264,6 +264,11 @@
     });
 }
 
+void gateway_site::register_software(std::size_t index, const std::string& software) {
+    on_emulator([&] { m_backends.at(index).software = software; });
+    register_backend(index, "ready");
+}
+
 void gateway_site::unregister_backend(std::size_t index) {
     on_emulator([&] {
         store::transaction change;
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -102,6 +102,8 @@
     /// Writes or deletes a server's row in the table of servers. Every `state` but "ready" means draining.
     void register_backend(std::size_t index, const std::string& state);
     void unregister_backend(std::size_t index);
+    /// Registers a server as ready, with another software version than it has reported so far.
+    void register_software(std::size_t index, const std::string& software);
     /// Stops the server without deleting its registration.
     void stop_backend(std::size_t index);
 
@@ -150,6 +152,7 @@
     struct backend_unit {
         std::unique_ptr<emulator::emulated_backend> server;
         http::endpoint address;
+        std::string software = {}; ///< as registered
     };
 
     [[nodiscard]] std::string settings_text(std::size_t index, const std::string& further) const;
