Soaks and experiments resume streams of two software versions

Emulated servers have a version, several in one service, and don't check it. The callers of the soak and of experiments resume a stream that broke off, at any gateway, up to three times; both count streams with events of two versions, in one answer and over all requests of the caller. A fault of an experiment can bring servers back with another version.

--- a/src/experiment/call_text.cpp
+++ b/src/experiment/call_text.cpp
@@ -21,6 +21,10 @@
         add(names.tokens, std::to_string(call.sizes->prompt) + "," + std::to_string(call.sizes->most_output));
         add(names.expected_length, std::to_string(call.sizes->hinted_output));
     }
+    if (call.received.has_value()) {
+        add(names.resumed_request, call.received->request);
+        add(names.last_event, std::to_string(call.received->last_event));
+    }
     if (!call.key.empty()) {
         add("Authorization", "Bearer " + call.key);
     }
--- a/src/experiment/call_text.hpp
+++ b/src/experiment/call_text.hpp
@@ -22,7 +22,13 @@
     std::string id;                         ///< the caller's id of the request
     std::chrono::milliseconds time_left{0}; ///< until the caller's deadline
     std::optional<token_counts> sizes;      ///< sent only on routes of streams
-    std::string key;                        ///< the API key of a workspace; empty on public routes
+    /// What the caller has of a stream that it resumes.
+    struct received_part {
+        std::string request;          ///< id of the request that brought the first event
+        std::uint64_t last_event = 0; ///< id of the last event
+    };
+    std::optional<received_part> received;
+    std::string key; ///< the API key of a workspace; empty on public routes
     std::string body;
 };
 
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -28,7 +28,8 @@
     unsigned slots = 8;                           ///< requests that a server runs at a time
     std::optional<emulator::engine_model> engine; ///< a model engine; nothing for a plain service
     std::vector<double> speeds;                   ///< speeds of the engines, assigned in turn
-    milliseconds work{10};                        ///< how long a call to a plain service takes
+    std::vector<std::string> software; ///< software versions, assigned in turn; empty: none is reported
+    milliseconds work{10};             ///< how long a call to a plain service takes
     /// The timeout for idle connections that the servers announce in the header Keep-Alive; 0: none is
     /// announced.
     std::chrono::seconds keep_alive{0};
@@ -67,15 +68,16 @@
 struct planned_fault {
     std::string name;
     fault_kind kind = fault_kind::crash;
-    milliseconds at{0};          ///< begin, since the experiment's begin
-    milliseconds length{1000};   ///< from the fault's begin to its end
-    std::string service;         ///< whose servers have the fault; empty for the store's faults
-    std::size_t count = 1;       ///< how many servers have it: the first ones of the service
-    double factor = 3;           ///< for the kinds `slow` and `store_slow`
-    double per_second = 1;       ///< the rate limit that the kind `limit` names, in requests per second
-    milliseconds pause{0};       ///< what servers of the kind `refuse` ask for; 0: nothing
-    std::size_t gateway = 0;     ///< which one is lost, for the kind `gateway_lost`; counts from 0
-    milliseconds copy_age{2000}; ///< age of the copy from which the store is restored
+    milliseconds at{0};        ///< begin, since the experiment's begin
+    milliseconds length{1000}; ///< from the fault's begin to its end
+    std::string service;       ///< whose servers have the fault; empty for the store's faults
+    std::size_t count = 1;     ///< how many servers have it: the first ones of the service
+    double factor = 3;         ///< for the kinds `slow` and `store_slow`
+    double per_second = 1;     ///< the rate limit that the kind `limit` names, in requests per second
+    milliseconds pause{0};     ///< what servers of the kind `refuse` ask for; 0: nothing
+    std::string software;    ///< for the kinds `crash` and `drain`: the version of the servers started again
+    std::size_t gateway = 0; ///< which one is lost, for the kind `gateway_lost`; counts from 0
+    milliseconds copy_age{2000};        ///< age of the copy from which the store is restored
     milliseconds rewritten_after{1000}; ///< from the restore until the lost rows are written again
 };
 
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -142,6 +142,7 @@
         group.slots = static_cast<unsigned>(reader.number("slots", group.slots, 1, 4096));
         group.work = reader.duration("work", group.work, none, longest);
         group.speeds = read_speeds(reader);
+        group.software = reader.list("software");
         routing::service service;
         service.name = section.name;
         service.health_path = "/healthz";
@@ -277,6 +278,7 @@
         fault.factor = reader.real("factor", fault.factor, 0.01, 1000);
         fault.per_second = reader.real("per_second", fault.per_second, 0, most);
         fault.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        fault.software = reader.text("software", "");
         fault.pause = reader.duration("pause", fault.pause, none, longest);
         const auto last_gateway = std::max<std::int64_t>(std::ssize(m_plan.gateways), 1) - 1;
         fault.gateway = static_cast<std::size_t>(reader.number("gateway", 0, 0, last_gateway));
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -53,6 +53,7 @@
         unit.group = group;
         unit.address = address;
         unit.speed = planned.speeds[index % planned.speeds.size()];
+        unit.software = planned.software.empty() ? "" : planned.software[index % planned.software.size()];
         start_server(unit, next_id(unit));
     }
 }
@@ -69,6 +70,7 @@
     options.start = ++unit.starts;
     unit.id = options.id;
     options.service = group.service;
+    options.version = unit.software;
     options.slots = group.slots;
     options.work = group.work;
     options.keep_alive = group.keep_alive;
@@ -91,6 +93,7 @@
     record.id = unit.server->options().id;
     record.start = unit.server->options().start;
     record.service = unit.server->options().service;
+    record.version = unit.server->options().version;
     const auto number = static_cast<std::size_t>(&unit - m_servers.data());
     record.address = m_address_mapping ? m_address_mapping(number, unit.address) : unit.address;
     record.failure_domain = "a";
@@ -321,6 +324,9 @@
         if (fault.kind == fault_kind::drain) {
             crash(server);
         }
+        if (!fault.software.empty()) {
+            m_servers[server].software = fault.software;
+        }
         restart(server);
         set_fault(server, emulator::backend_fault::none);
         set_pause(server, milliseconds(0));
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -98,6 +98,7 @@
         std::size_t group = 0; ///< index in experiment_plan::servers
         boost::asio::ip::tcp::endpoint address;
         double speed = 1;                                             ///< factor of an engine's speed
+        std::string software;                                         ///< its version; empty: not reported
         unsigned starts = 0;                                          ///< how often it was started so far
         std::string id;                                               ///< the id of its last start
         routing::backend_state state = routing::backend_state::ready; ///< as registered
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -3,10 +3,13 @@
 #include "experiment/load_runner.hpp"
 
 #include "base/identifier.hpp"
+#include "emulator/event_text.hpp"
 #include "experiment/call_text.hpp"
 #include "platform/users_platform.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace borageford::experiment {
@@ -46,6 +49,9 @@
     unsigned attempts = 0;        ///< how often the request was sent so far
     bool will_disconnect = false; ///< the caller will disconnect early
     std::string id;               ///< of the latest attempt
+    /// What was received of the stream before the latest attempt; nothing before its first event.
+    std::optional<call_description::received_part> received;
+    std::set<std::string, std::less<>> software; ///< that wrote the stream
     call_result last;
     std::shared_ptr<load_call> call;
     timer_subscription timer;
@@ -131,17 +137,18 @@
 std::string load_runner::compose(const caller& sender, const std::string& id) const {
     const auto& group = m_plan.callers[sender.group];
     const auto& sizes = m_plan.load.classes[sender.group];
-    const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
+    const auto& route = route_of(sender);
     call_description call;
-    call.host = route->host;
-    call.target = route->prefix + "x";
+    call.host = route.host;
+    call.target = route.prefix + "x";
     call.id = id;
     call.time_left = std::chrono::duration_cast<milliseconds>(sizes.deadline - (clock::now() - sender.begun));
-    if (route->kind == routing::route_kind::stream) {
+    if (route.kind == routing::route_kind::stream) {
         call.sizes =
             token_counts{static_cast<std::size_t>(sender.sizes.prompt_tokens), sender.sizes.output_tokens,
                          static_cast<std::size_t>(sender.sizes.hinted_output)};
     }
+    call.received = sender.received;
     call.key = group.key;
     const auto size = static_cast<std::size_t>(sender.sizes.prompt_tokens * bytes_per_token);
     call.body.assign(std::min(most_body, size), 'x');
@@ -152,10 +159,9 @@
     const auto& sizes = m_plan.load.classes[sender->group];
     ++sender->attempts;
     sender->id = std::to_string(m_run) + "-" + std::to_string(++m_last_id);
-    const auto& group = m_plan.callers[sender->group];
-    const auto route = std::ranges::find(m_plan.configuration.routes, group.route, &routing::route::name);
-    m_sent[m_plan.configuration.services[route->services.front().service].name].push_back(clock::now());
-    if (!route->may_repeat()) {
+    const auto& route = route_of(*sender);
+    m_sent[m_plan.configuration.services[route.services.front().service].name].push_back(clock::now());
+    if (!route.may_repeat()) {
         m_at_most_once_ids.push_back(sender->id);
     }
     sender->call = std::make_shared<load_call>(
@@ -173,6 +179,7 @@
 void load_runner::handle_result(const std::shared_ptr<caller>& sender, const call_result& result) {
     sender->deadline.cancel();
     sender->last = result;
+    record_stream(*sender, result);
     const bool is_success = result.status >= first_success && result.status < first_redirect;
     const bool is_refused = result.status == too_many_requests || result.status == unavailable;
     const auto& group = m_plan.callers[sender->group];
@@ -191,9 +198,34 @@
         schedule_retry(sender, reconnect_wait);
         return;
     }
+    const bool can_resume = sender->received.has_value() && route_of(*sender).may_repeat();
+    if (may_retry && can_resume && !result.is_complete) {
+        schedule_retry(sender, reconnect_wait);
+        return;
+    }
     end(sender, is_refused ? outcome::refused : outcome::failed);
 }
 
+const routing::route& load_runner::route_of(const caller& sender) const {
+    const auto& name = m_plan.callers[sender.group].route;
+    return *std::ranges::find(m_plan.configuration.routes, name, &routing::route::name);
+}
+
+/// Records what an attempt brought of a stream.
+void load_runner::record_stream(caller& sender, const call_result& result) {
+    if (result.events == 0) {
+        return;
+    }
+    m_streams.resumed += sender.received.has_value() ? 1 : 0;
+    if (!sender.received.has_value()) {
+        sender.received = {sender.id, 0};
+    }
+    sender.received->last_event += result.events;
+    const auto before = sender.software.size();
+    sender.software.merge(emulator::software_in(result.event_text));
+    m_streams.mixed += before < 2 && sender.software.size() >= 2 ? 1 : 0;
+}
+
 void load_runner::schedule_retry(const std::shared_ptr<caller>& sender, milliseconds wait) {
     const auto& sizes = m_plan.load.classes[sender->group];
     if (clock::now() + wait - sender->begun >= sizes.deadline) {
--- a/src/experiment/load_runner.hpp
+++ b/src/experiment/load_runner.hpp
@@ -48,6 +48,13 @@
         return m_sent;
     }
 
+    /// What became of the streams that callers resumed after they had broken off.
+    struct stream_counts {
+        std::size_t resumed = 0; ///< attempts that brought more events of a stream
+        std::size_t mixed = 0;   ///< streams with events of several software versions
+    };
+    [[nodiscard]] const stream_counts& streams() const noexcept { return m_streams; }
+
 private:
     struct caller;
 
@@ -56,6 +63,8 @@
     void handle_result(const std::shared_ptr<caller>& sender, const call_result& result);
     void schedule_retry(const std::shared_ptr<caller>& sender, milliseconds wait);
     void end(const std::shared_ptr<caller>& sender, outcome what);
+    [[nodiscard]] const routing::route& route_of(const caller& sender) const;
+    void record_stream(caller& sender, const call_result& result);
     [[nodiscard]] std::string compose(const caller& sender, const std::string& id) const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint pick_gateway();
 
@@ -66,6 +75,7 @@
     outcome_table m_outcomes;
     std::vector<std::string> m_at_most_once_ids;
     std::map<std::string, std::vector<clock::time_point>> m_sent;
+    stream_counts m_streams;
     std::vector<emulator::offered_request> m_offered;
     std::size_t m_next = 0;        ///< index of the next request to send
     std::size_t m_in_progress = 0; ///< requests sent that haven't ended
--- a/src/program/emulate_command.cpp
+++ b/src/program/emulate_command.cpp
@@ -107,10 +107,13 @@
         experiment::write_report(m_folder, m_plan.name, m_runner.outcomes(), m_marks);
         print_rate_limits();
         print_retries();
+        const auto& streams = m_runner.streams();
+        std::cout << "streams resumed by callers: " << streams.resumed
+                  << "\nstreams with events of several software versions: " << streams.mixed << '\n';
         const auto duplicates = count_duplicate_runs();
         std::cout << "requests that may run once and ran more often: " << duplicates << "\nreport in "
                   << m_folder.string() << '\n';
-        finish(duplicates == 0 ? exit_code::done : exit_code::failed);
+        finish(duplicates == 0 && streams.mixed == 0 ? exit_code::done : exit_code::failed);
     }
 
     /// Prints the worst window of each server that named a rate limit.
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -1,8 +1,12 @@
 // Implements the checks, one function for each promise.
 #include "soak/promise_checks.hpp"
 
+#include "emulator/event_text.hpp"
+
 #include <algorithm>
 #include <cctype>
+#include <set>
+#include <string_view>
 
 namespace borageford::soak {
 
@@ -47,16 +51,26 @@
            status == unavailable;
 }
 
-/// The text of the first `count` events of a stream of an emulated engine.
-std::string expected_events(std::uint64_t count) {
+/// The text of the events of a stream of an emulated engine that a request should have received.
+std::string expected_events(const sent_request& request, std::string_view software) {
     std::string text;
-    for (std::uint64_t number = 1; number <= count; ++number) {
-        const auto digits = std::to_string(number);
-        text.append("id: ").append(digits).append("\ndata: token ").append(digits).append("\n\n");
+    const auto last = request.received_before + request.result.events;
+    for (auto number = request.received_before + 1; number <= last; ++number) {
+        text += emulator::describe_event(number, software);
     }
     return text;
 }
 
+/// The software versions that wrote the events of a stream, as far as this request and those before it have
+/// brought them.
+std::set<std::string, std::less<>> software_of(const sent_request& request) {
+    auto result = emulator::software_in(request.result.event_text);
+    if (!request.software_before.empty()) {
+        result.insert(request.software_before);
+    }
+    return result;
+}
+
 std::string describe(const sent_request& request) {
     return "request " + request.id + " (" + request.target + ", gateway " + std::to_string(request.gateway) +
            ", status " + std::to_string(request.result.status) + ")";
@@ -123,7 +137,11 @@
 broken_promises check_answer(const sent_request& request, answer_maker made_by) {
     broken_promises broken;
     const auto& result = request.result;
-    if (request.is_stream && result.event_text != expected_events(result.events)) {
+    const auto software = request.is_stream ? software_of(request) : std::set<std::string, std::less<>>();
+    if (software.size() > 1) {
+        broken.push_back(describe(request) + ": its stream has events of several software versions");
+    } else if (request.is_stream &&
+               result.event_text != expected_events(request, software.empty() ? "" : *software.begin())) {
         broken.push_back(describe(request) + ": events are missing, doubled or changed");
     }
     if (!is_success(result.status)) {
@@ -134,8 +152,9 @@
     } else if (made_by->request_id != request.id) {
         broken.push_back(describe(request) + ": has the answer to " + made_by->request_id);
     }
-    if (request.is_stream && result.is_complete && result.events != request.output_tokens) {
-        broken.push_back(describe(request) + ": ends as complete after " + std::to_string(result.events) +
+    const auto events = request.received_before + result.events;
+    if (request.is_stream && result.is_complete && events != request.output_tokens) {
+        broken.push_back(describe(request) + ": ends as complete after " + std::to_string(events) +
                          " events of " + std::to_string(request.output_tokens));
     }
     return broken;
--- a/tests/soak/promise_checks.hpp
+++ b/tests/soak/promise_checks.hpp
@@ -27,7 +27,8 @@
 using answer_maker = const server_run*;
 
 /// Promise: a successful answer comes from a run of the same request. The events of a stream arrive in order
-/// and once each, and a stream that ends as complete has all its events.
+/// and once each, and a stream that ends as complete has all its events. All of them, also those that earlier
+/// requests of the caller have brought, are written by one software version.
 [[nodiscard]] broken_promises check_answer(const sent_request& request, answer_maker made_by);
 
 /// Promise: a request that may run only once runs at most once, and a request that was refused with a status
--- a/tests/soak/sent_request.hpp
+++ b/tests/soak/sent_request.hpp
@@ -32,6 +32,11 @@
     bool is_stream = false;
     bool is_in_every_configuration = true; ///< every configuration has the request's route
     unsigned output_tokens = 0;            ///< events of the complete stream
+    /// Id of the request that brought the first event of the stream that this one resumes; empty: none.
+    std::string resumed_request;
+    std::uint64_t received_before = 0; ///< events of the stream that earlier requests have brought
+    std::string software_before;       ///< the software version that wrote them
+    unsigned resumes = 0;              ///< how often the stream was resumed, this request included
     std::size_t gateway = 0;
     unsigned gateway_start_count = 0; ///< how often the gateway had been started when the request was sent
     bool is_same_process = true;      ///< the gateway wasn't started again before the request ended
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -2,6 +2,7 @@
 // down.
 #include "soak/soak_callers.hpp"
 
+#include "emulator/event_text.hpp"
 #include "platform/header_field_names.hpp"
 
 #include <array>
@@ -29,6 +30,8 @@
 constexpr double limited_share = 0.2;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
+/// How often a caller resumes a stream that broke off.
+constexpr unsigned max_resumes = 3;
 
 /// A route that every configuration has.
 struct route_row {
@@ -50,6 +53,26 @@
     std::size_t run = 0;
 };
 
+/// The request with which a caller resumes a stream that broke off, without an id; nothing if it doesn't.
+std::optional<sent_request> make_resume(const sent_request& broken) {
+    const auto received = broken.received_before + broken.result.events;
+    const bool can_resume = broken.is_stream && broken.is_idempotent && broken.end == caller_end::answered &&
+                            !broken.result.is_complete && received > 0 && received < broken.output_tokens;
+    const bool was_refused =
+        !broken.resumed_request.empty() && broken.result.status != 0 && broken.result.status != first_success;
+    if (broken.resumes >= max_resumes || !(can_resume || was_refused)) {
+        return std::nullopt;
+    }
+    auto request = broken;
+    request.result = {};
+    request.resumed_request = broken.resumed_request.empty() ? broken.id : broken.resumed_request;
+    request.received_before = received;
+    const auto software = emulator::software_in(broken.result.event_text);
+    request.software_before = software.empty() ? broken.software_before : *software.begin();
+    ++request.resumes;
+    return request;
+}
+
 std::optional<maker> read_signature(const http::field_list& fields) {
     const auto text = fields.find(platform::header_field_names().signature);
     const auto dot = text.has_value() ? text->rfind('.') : std::string_view::npos;
@@ -63,6 +86,7 @@
 
 struct soak_callers::caller {
     sent_request request;
+    std::optional<sent_request> next; ///< resumes the stream of the last one
     bool is_probe = false;
     std::shared_ptr<experiment::load_call> call;
     timer_subscription limit;
@@ -104,9 +128,12 @@
     return request;
 }
 
+std::size_t soak_callers::draw_gateway() {
+    return std::uniform_int_distribution<std::size_t>(0, m_deployment.gateway_count() - 1)(m_random);
+}
+
 sent_request soak_callers::draw_request() {
-    const auto gateway =
-        std::uniform_int_distribution<std::size_t>(0, m_deployment.gateway_count() - 1)(m_random);
+    const auto gateway = draw_gateway();
     const auto added = m_deployment.added_routes();
     const auto choice = std::uniform_int_distribution<std::size_t>(
         0, added > 0 ? routes.size() : routes.size() - 1)(m_random);
@@ -124,9 +151,16 @@
 }
 
 void soak_callers::send_next(const std::shared_ptr<caller>& sender) {
-    if (!m_is_stopping) {
-        send(sender, draw_request());
+    if (m_is_stopping) {
+        return;
+    }
+    auto next = std::exchange(sender->next, std::nullopt);
+    if (next.has_value()) {
+        next->id = "soak-" + std::to_string(++m_last_number);
+        next->gateway = draw_gateway();
+        ++m_resumed;
     }
+    send(sender, next.has_value() ? std::move(*next) : draw_request());
 }
 
 void soak_callers::send(const std::shared_ptr<caller>& sender, sent_request request) {
@@ -139,6 +173,9 @@
     if (request.is_stream) {
         call.sizes = experiment::token_counts{prompt_tokens, request.output_tokens, request.output_tokens};
     }
+    if (!request.resumed_request.empty()) {
+        call.received = {request.resumed_request, request.received_before};
+    }
     call.key = request.key;
     call.body = request.body;
     sender->request = std::move(request);
@@ -179,6 +216,10 @@
     request.result = result;
     request.is_same_process = request.gateway_start_count == m_deployment.start_count(request.gateway);
     check(request);
+    if (!sender->is_probe) {
+        sender->next = make_resume(request);
+    }
+    m_gone_on += !request.resumed_request.empty() && result.events > 0 ? 1 : 0;
     if (sender->is_probe) {
         const auto route = request.target.substr(1, request.target.find('/', 1) - 1);
         m_probes[{request.gateway, route}] =
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -46,6 +46,10 @@
     /// Violations that check_answer() found when answers were received.
     [[nodiscard]] const broken_promises& broken() const noexcept { return m_broken; }
 
+    /// How often callers have resumed a stream, and how often that brought events.
+    [[nodiscard]] std::size_t resumed() const noexcept { return m_resumed; }
+    [[nodiscard]] std::size_t gone_on() const noexcept { return m_gone_on; }
+
 private:
     struct caller;
 
@@ -53,6 +57,7 @@
     void send(const std::shared_ptr<caller>& sender, sent_request request);
     void finish(const std::shared_ptr<caller>& sender, caller_end end, const experiment::call_result& result);
     void check(const sent_request& request);
+    [[nodiscard]] std::size_t draw_gateway();
     [[nodiscard]] sent_request draw_request();
     [[nodiscard]] sent_request make_request(const std::string& route, std::size_t gateway);
 
@@ -65,6 +70,8 @@
     std::map<std::pair<std::size_t, std::string>, bool> m_probes;
     std::uint64_t m_last_number = 0;
     std::size_t m_requests_in_progress = 0;
+    std::size_t m_resumed = 0;
+    std::size_t m_gone_on = 0;
     bool m_is_stopping = false;
 };
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -95,6 +95,7 @@
     group.slots = is_engine ? engine_slots : plain_slots;
     group.speeds = {1};
     if (is_engine) {
+        group.software = {"v1", "v2"};
         group.engine.emplace();
         group.engine->slots = engine_slots;
         group.engine->step_ms = 3;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -256,8 +256,9 @@
     return broken;
 }
 
-void report(const soak_options& options, const std::vector<sent_request>& requests, std::size_t faults,
-            std::size_t runs, const broken_promises& broken) {
+void report(const soak_options& options, const soak_callers& callers, std::size_t faults, std::size_t runs,
+            const broken_promises& broken) {
+    const auto& requests = callers.requests();
     std::map<unsigned, std::size_t> statuses;
     for (const auto& request : requests) {
         ++statuses[request.result.status];
@@ -268,7 +269,8 @@
         std::cout << ' ' << (status == 0 ? std::string("none") : std::to_string(status)) << ' ' << count
                   << ';';
     }
-    std::cout << ' ' << broken.size() << " broken promises\n";
+    std::cout << " streams resumed " << callers.resumed() << ", gone on " << callers.gone_on() << "; "
+              << broken.size() << " broken promises\n";
     for (const auto& line : broken) {
         std::cout << "  " << line << '\n';
     }
@@ -327,7 +329,7 @@
     }
     const auto runs = deployment.on_emulator([&] { return deployment.collect_runs(); });
     append(broken, deployment.on_emulator([&] { return check_all(deployment, *callers, runs); }));
-    deployment.on_emulator([&] { report(options, callers->requests(), faults.size(), runs.size(), broken); });
+    deployment.on_emulator([&] { report(options, *callers, faults.size(), runs.size(), broken); });
     if (broken.empty()) {
         std::filesystem::remove_all(options.folder);
     }
