--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -164,7 +164,9 @@
     wanted.service = hash_bytes(m_admitted.service->name);
     wanted.workspace = m_admitted.workspace != nullptr ? hash_bytes(m_admitted.workspace->name) : 0;
     wanted.tier = m_admitted.tier;
-    wanted.arrived = m_admitted.arrived;
+    // For the caller of a stream that broke off, the wait for the next event begins then. Counted from the request's
+    // arrival, the longest wait is over, so that every stream older than that would be refused a slot and aborted.
+    wanted.arrived = m_has_begun_stream ? m_broke_off : m_admitted.arrived;
     wanted.deadline = m_admitted.deadline;
     wanted.target = m_admitted.route->latency_target;
     wanted.cost = m_admitted.cost;
@@ -506,7 +508,8 @@
 
 void request_exchange::fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot,
                                     std::string_view reason) {
-    const auto busy = clock::now() - m_slot_begin;
+    m_broke_off = clock::now();
+    const auto busy = m_broke_off - m_slot_begin;
     // The slot scheduler refunds the quota of a request that didn't run when its slot is released.
     m_is_charged = outcome == policy::attempt_outcome::may_have_run;
     m_attempts.record(m_slot, outcome);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -111,6 +111,7 @@
     clock::duration m_to_first{};     ///< From the request's arrival to its first event.
     clock::duration m_longest_pause{}; ///< The longest time between two events sent to the caller.
     clock::time_point m_last_event;
+    clock::time_point m_broke_off; ///< When the last attempt failed.
     /// Events received from previous servers when the current slot was granted.
     std::uint64_t m_events_before = 0;
     bool m_has_asked = false;  ///< Whether it has requested a slot before.
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -320,3 +320,21 @@
     CHECK(rest.is_complete);
     CHECK(emulator::software_in(first + rest.body).size() == 1);
 }
+
+TEST_CASE("gateway: a stream that breaks off late is resumed", "[gateway][stream_software]") {
+    // The request arrived long ago, and its target is about its first event, which the caller has had. The caller waits
+    // for the next event as long as it would wait for a first one.
+    site_options options;
+    options.configuration = stream_configuration(true);
+    options.configuration.routes.front().latency_target = 100ms;
+    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
+    gateway_site site(options);
+    auto call = make_call("/stream/x", "long");
+    call.headers.push_back({platform::header_field_names().tokens, "10,400"});
+    pending_call stream(site.callers(0), call);
+    stream.wait_for_bytes(1500); // some 45 events, which take longer than the longest wait for a slot
+    site.stop_backend(site.runs_of("long", 0) == 1 ? 0 : 1);
+    const auto answer = stream.wait();
+    CHECK(answer.is_complete);
+    CHECK(site.has_logged(0, R"("known_by":"answer")"));
+}
