--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -30,6 +30,7 @@
 constexpr double limited_share = 0.2;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
+constexpr unsigned unavailable = 503;
 /// How often a caller resumes a stream that broke off.
 constexpr unsigned max_resumes = 3;
 
@@ -158,7 +159,7 @@
     if (next.has_value()) {
         next->id = "soak-" + std::to_string(++m_last_number);
         next->gateway = draw_gateway();
-        ++m_resumed;
+        ++m_resumes.sent;
     }
     send(sender, next.has_value() ? std::move(*next) : draw_request());
 }
@@ -219,7 +220,10 @@
     if (!sender->is_probe) {
         sender->next = make_resume(request);
     }
-    m_gone_on += !request.resumed_request.empty() && result.events > 0 ? 1 : 0;
+    if (!request.resumed_request.empty()) {
+        m_resumes.gone_on += result.events > 0 ? 1 : 0;
+        m_resumes.refused += result.status == unavailable ? 1 : 0;
+    }
     if (sender->is_probe) {
         const auto route = request.target.substr(1, request.target.find('/', 1) - 1);
         m_probes[{request.gateway, route}] =
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -46,9 +46,13 @@
     /// Violations that check_answer() found when answers were received.
     [[nodiscard]] const broken_promises& broken() const noexcept { return m_broken; }
 
-    /// How often callers have resumed a stream, and how often that brought events.
-    [[nodiscard]] std::size_t resumed() const noexcept { return m_resumed; }
-    [[nodiscard]] std::size_t gone_on() const noexcept { return m_gone_on; }
+    /// What became of the requests that resumed a stream.
+    struct resume_counts {
+        std::size_t sent = 0;
+        std::size_t gone_on = 0; ///< brought events
+        std::size_t refused = 0; ///< answered as not run
+    };
+    [[nodiscard]] const resume_counts& resumes() const noexcept { return m_resumes; }
 
 private:
     struct caller;
@@ -70,8 +74,7 @@
     std::map<std::pair<std::size_t, std::string>, bool> m_probes;
     std::uint64_t m_last_number = 0;
     std::size_t m_requests_in_progress = 0;
-    std::size_t m_resumed = 0;
-    std::size_t m_gone_on = 0;
+    resume_counts m_resumes;
     bool m_is_stopping = false;
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -269,8 +269,9 @@
         std::cout << ' ' << (status == 0 ? std::string("none") : std::to_string(status)) << ' ' << count
                   << ';';
     }
-    std::cout << " streams resumed " << callers.resumed() << ", gone on " << callers.gone_on() << "; "
-              << broken.size() << " broken promises\n";
+    const auto& resumes = callers.resumes();
+    std::cout << " streams resumed " << resumes.sent << ", gone on " << resumes.gone_on << ", refused "
+              << resumes.refused << "; " << broken.size() << " broken promises\n";
     for (const auto& line : broken) {
         std::cout << "  " << line << '\n';
     }
