Gateways that start after all were killed read which software versions there were

The coordinator now keeps a row in the store with the versions of each service: one write at the first start, one for each version that comes or goes. A gateway that starts reads it once. The test failed before (503 for a stream of a service with one version) and also checks that a version which has left since is not forgotten.

--- a/src/coordination/stream_exchange.cpp
+++ b/src/coordination/stream_exchange.cpp
@@ -97,9 +97,6 @@
     pending.question.id = ++m_last_question;
     const auto added = m_questions.emplace(pending.question.id, std::move(pending)).first;
     send_question(added->second);
-    if (added->second.asked.empty()) {
-        finish(added, {});
-    }
 }
 
 void stream_exchange::send_question(pending_question& pending) {
@@ -140,7 +137,8 @@
             return;
         }
     }
-    if (pending->second.answered.size() >= pending->second.asked.size()) {
+    const bool knows_history = m_history.is_settled(question.service, now);
+    if (knows_history && pending->second.answered.size() >= pending->second.asked.size()) {
         finish(pending, {});
     }
 }
@@ -166,17 +164,19 @@
         }
         m_last_current = now;
     }
-    std::vector<std::uint64_t> given_up;
+    std::map<std::uint64_t, found_origin> ended;
     for (auto& [id, pending] : m_questions) {
-        if (pending.rounds >= max_rounds) {
-            given_up.push_back(id);
+        // A process that has just started may have learned meanwhile which versions there were.
+        const auto found = find_here({pending.question.stream, pending.question.service}, now);
+        if (found.has_value() || pending.rounds >= max_rounds) {
+            ended[id] = found.value_or(found_origin());
         } else {
             send_question(pending);
         }
     }
-    for (const auto id : given_up) {
+    for (const auto& [id, found] : ended) {
         if (const auto pending = m_questions.find(id); pending != m_questions.end()) {
-            finish(pending, {});
+            finish(pending, found);
         }
     }
 }
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -79,6 +79,11 @@
                       "The state of a roll-out couldn't be recorded in the store, because its row couldn't "
                       "be read or written; this will be retried.",
                       "service reason"},
+    event_description{
+        event_kind::software_not_recorded, "software_not_recorded", warning, state_rate,
+        "The record of the software versions that the services have couldn't be read from the store or "
+        "written; this will be retried.",
+        "reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
                       "A backend server accepts requests.",
                       "backend service address slots software start era version"},
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -36,6 +36,7 @@
     rollout_withdrawn,
     rollout_moved,
     rollout_not_recorded,
+    software_not_recorded,
     backend_ready,
     backend_restarted,
     backend_draining,
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -20,6 +20,7 @@
 #include "gateway/retry_use_monitor.hpp"
 #include "gateway/rollout_manager.hpp"
 #include "gateway/rollout_recorder.hpp"
+#include "gateway/software_recorder.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
 #include "net/listening.hpp"
@@ -85,6 +86,12 @@
           m_rollout_recorder(
               m_runtime.executor(), m_runtime.timers(), m_table, current_deployment,
               [this](const routing::rollout_status& status) { m_rollouts.apply_status(status); }),
+          m_software_recorder(m_runtime.executor(), m_runtime.timers(), m_table, m_slots.streams().history(),
+                              m_settings.stream_memory, m_settings.is_first_start,
+                              {[this] { return is_settled_coordinator(); },
+                               [this] {
+                                   return m_roster.position().era;
+                               }}),
           m_roster(m_runtime.executor(), m_runtime.timers(), current_deployment, m_backends, m_slots,
                    m_rollouts, m_settings.registration_life()),
           m_exchange(
@@ -131,6 +138,7 @@
                                       m_rollout_recorder.record(status);
                                   }});
         add_gauges();
+        m_software_recorder.start();
         m_roster.start();
         m_exchange.start();
         m_configuration_follower.start();
@@ -427,6 +435,7 @@
     configuration_manager m_configuration_manager;
     rollout_manager m_rollouts;
     rollout_recorder m_rollout_recorder;
+    software_recorder m_software_recorder;
     backend_roster m_roster;
     peer_exchange m_exchange;
     store_follower m_configuration_follower;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -164,8 +164,9 @@
     wanted.service = hash_bytes(m_admitted.service->name);
     wanted.workspace = m_admitted.workspace != nullptr ? hash_bytes(m_admitted.workspace->name) : 0;
     wanted.tier = m_admitted.tier;
-    // For the caller of a stream that broke off, the wait for the next event begins then. Counted from the request's
-    // arrival, the longest wait is over, so that every stream older than that would be refused a slot and aborted.
+    // For the caller of a stream that broke off, the wait for the next event begins then. Counted from the
+    // request's arrival, the longest wait is over, so that every stream older than that would be refused a
+    // slot and aborted.
     wanted.arrived = m_has_begun_stream ? m_broke_off : m_admitted.arrived;
     wanted.deadline = m_admitted.deadline;
     wanted.target = m_admitted.route->latency_target;
--- a/src/policy/software_history.cpp
+++ b/src/policy/software_history.cpp
@@ -67,6 +67,18 @@
     return only;
 }
 
+software_versions software_history::list(time_point now) const {
+    software_versions result;
+    for (const auto& [service, versions] : m_services) {
+        for (const auto& [software, known] : versions) {
+            if (counts(known, now)) {
+                result[service].insert(software);
+            }
+        }
+    }
+    return result;
+}
+
 bool software_history::is_settled(service_key service, time_point now) const {
     return m_known_since == time_point::min() || now - m_known_since > m_lifetime ||
            m_settled.contains(service);
--- a/src/policy/software_history.hpp
+++ b/src/policy/software_history.hpp
@@ -11,6 +11,9 @@
 
 namespace borageford::policy {
 
+/// Software versions by service.
+using software_versions = std::map<service_key, std::set<software_key>>;
+
 /// With a single version, the origin of any stream is known without being told. So the history remembers a
 /// version for `lifetime` after its last server has left, which is as long as a caller may come back for a
 /// stream that the version began. What was there before this process knew of it can't be excluded, except if
@@ -35,6 +38,8 @@
     /// The only version that may have begun a stream of the service; nothing if there may be several, or
     /// none.
     [[nodiscard]] std::optional<software_key> only_version(service_key service, time_point now) const;
+    /// The versions that may have begun streams which callers may still resume, as far as this process knows.
+    [[nodiscard]] software_versions list(time_point now) const;
     /// Whether this process knows all versions that may have begun a stream of the service.
     [[nodiscard]] bool is_settled(service_key service, time_point now) const;
     /// Changes whenever another version of some service shows up, or this process may have missed one.
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -2,6 +2,7 @@
 // when its caller resumes it with another request.
 #include "emulator/event_text.hpp"
 #include "platform/header_field_names.hpp"
+#include "policy/slot_request.hpp"
 #include "support/gateway_site.hpp"
 #include "support/wait_until.hpp"
 
@@ -269,6 +270,45 @@
     CHECK(site.has_logged(1, R"("known_by":"one_version")"));
 }
 
+TEST_CASE("gateway: after all gateways were killed a stream goes on if there has been one version only",
+          "[gateway][stream_software]") {
+    // None of the new processes knows what was there before. The store has a record of the versions.
+    site_options options;
+    options.gateways = 2;
+    options.configuration = stream_configuration(true);
+    options.configuration.routes.front().attempts = 1;
+    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
+    gateway_site site(options);
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    wait_until("the versions are recorded", [&] {
+        return site.on_emulator([&] { return site.store().rows().read("software/versions").has_value(); });
+    });
+    for (const std::size_t gateway : {0, 1}) {
+        site.process(gateway).kill();
+    }
+    for (const std::size_t gateway : {0, 1}) {
+        site.start_gateway(gateway);
+        site.wait_until_ready(gateway);
+    }
+    CHECK(site.send(0, resuming_call("rest", "stream")).is_complete);
+
+    // With a second version, even if it has left before the next start, it would be a guess.
+    site.start_backend(1, engine_of("other", "v2"));
+    wait_until("the other version is recorded", [&] {
+        const auto row = site.on_emulator([&] { return site.store().rows().read("software/versions"); });
+        return row->value.find(std::to_string(policy::software_key_of("v2"))) != std::string::npos;
+    });
+    site.unregister_backend(1);
+    for (const std::size_t gateway : {0, 1}) {
+        site.process(gateway).kill();
+    }
+    site.start_gateway(0);
+    site.wait_until_ready(0);
+    const auto refused = site.send(0, resuming_call("rest-2", "stream"));
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("stream_unknown") != std::string::npos);
+}
+
 TEST_CASE("gateway: before its first event a stream may go to any software version",
           "[gateway][stream_software]") {
     // Nothing of the stream has reached the caller, so there is nothing that another version can't go on
@@ -322,8 +362,8 @@
 }
 
 TEST_CASE("gateway: a stream that breaks off late is resumed", "[gateway][stream_software]") {
-    // The request arrived long ago, and its target is about its first event, which the caller has had. The caller waits
-    // for the next event as long as it would wait for a first one.
+    // The request arrived long ago, and its target is about its first event, which the caller has had. The
+    // caller waits for the next event as long as it would wait for a first one.
     site_options options;
     options.configuration = stream_configuration(true);
     options.configuration.routes.front().latency_target = 100ms;
