--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -17,6 +17,8 @@
 /// From a server's crash until its registration is removed: in the real system, the registration is removed
 /// after several missing heartbeats.
 constexpr milliseconds registration_life{1500};
+/// From the end of a drained server until another one starts at its address.
+constexpr milliseconds restart_delay{100};
 constexpr double slow_store_unit_ms = 100;
 /// A server's id ends in this number times its count of starts, plus the server's index.
 constexpr std::uint64_t id_base = 1000;
@@ -321,13 +323,16 @@
             set_rate_limit(server, std::nullopt);
             continue;
         }
-        if (fault.kind == fault_kind::drain) {
-            crash(server);
-        }
         if (!fault.software.empty()) {
             m_servers[server].software = fault.software;
         }
-        restart(server);
+        if (fault.kind == fault_kind::drain) {
+            crash(server);
+            // The address is free once the stopped server has closed its socket.
+            after(restart_delay, [this, server] { restart(server); });
+        } else {
+            restart(server);
+        }
         set_fault(server, emulator::backend_fault::none);
         set_pause(server, milliseconds(0));
         set_slowness(server, m_servers[server].speed);
