How many requests a server may have is computed in a file of its own

slot_scheduler was the second largest file; the places of a server by slots and tier don't need its state. A keeper of streams remembers 65,536 of them: 30,000 are told to it in 30 s at the size of CAPACITY.md.

--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "policy/slot_scheduler.hpp"
 
 #include "policy/random_sequence.hpp"
+#include "policy/server_capacity.hpp"
 
 #include <algorithm>
 #include <array>
@@ -30,14 +31,6 @@
 constexpr double min_grant_rate = 2;
 constexpr std::size_t draw_steps = 1000; ///< resolution of the random numbers for the retry delay
 
-/// A small server is sent more requests beyond its slots than a large one: per slot, this many times as many,
-/// but at most `max_queued_by_small` in total.
-constexpr double small_queue_factor = 5.0 / 3;
-constexpr double max_queued_by_small = 2;
-/// Part of a small server's slots that the lowest tier leaves free, instead of
-/// slot_scheduler_limits::reserved_slots.
-constexpr double small_reserve = 0.25;
-
 /// Retry-After if the rate limits leave no part to this process. Another one, or a coordinator, may have one
 /// soon.
 constexpr std::chrono::milliseconds no_part_retry{1000};
@@ -96,7 +89,8 @@
 /// Adds the server to the list of servers with room, or removes it from that list. Must be called whenever
 /// the server's slots, its outstanding requests, the share, is_usable or is_rate_blocked have changed.
 void slot_scheduler::update_with_room(slot_server& server) {
-    const bool has_room = server.is_usable && !server.is_rate_blocked && slots_left(server, false) >= 1;
+    const bool has_room =
+        server.is_usable && !server.is_rate_blocked && slots_left(m_limits, server, false) >= 1;
     m_pools.set_has_room(server, has_room);
 }
 
@@ -420,45 +414,14 @@
     return std::exchange(m_health_changes, {});
 }
 
-/// The maximum number of requests that a server may be sent at a time.
-///
-/// A small server has a higher limit per slot than a large one, for two reasons. With few slots, one rarely
-/// comes free, so each time a slot would be idle for the round trip until the next request arrives. And
-/// reserving two slots would take half of a server with four slots from the lowest tier, which would be
-/// refused while these slots are empty.
-double slot_scheduler::max_outstanding(const slot_server& server, bool is_lowest) const {
-    const double slots = server.slots;
-    const double queued_by_small =
-        std::min(slots * (m_limits.outstanding_per_slot - 1) * small_queue_factor, max_queued_by_small);
-    const double all = std::max(slots * m_limits.outstanding_per_slot, slots + queued_by_small);
-    if (!is_lowest || server.has_fast_turnover()) {
-        return all;
-    }
-    const double reserved = m_limits.reserved_slots;
-    const double unreserved = (slots - reserved) * m_limits.outstanding_per_slot;
-    const double of_small = all - std::min(reserved, slots * small_reserve);
-    return std::max(unreserved, std::min<double>(of_small, m_limits.max_lowest_tier_on_small_server));
-}
-
-double slot_scheduler::slots_left(const slot_server& server, bool is_lowest) const {
-    return std::max(1.0, max_outstanding(server, is_lowest) * m_limits.share) - server.outstanding;
-}
-
-double slot_scheduler::available_slots(const slot_server& server, bool is_lowest, time_point now) const {
-    const auto availability = server.health.availability_at(now);
-    if (availability != server_health::availability::full) {
-        return availability == server_health::availability::probe && server.outstanding == 0 ? 1 : 0;
-    }
-    return slots_left(server, is_lowest);
-}
-
-/// Whether the server may be sent a request under these terms. A late request only gets a free slot and never
+/// A late request only gets a free slot and never
 /// a place in the server's own queue, since a request in that queue can't be overtaken: requests that could
 /// still meet their target would have to wait behind the late one.
 bool slot_scheduler::can_take_request(const slot_server& server, const grant_terms& terms,
                                       time_point now) const {
     const bool can_use_slot = terms.state == target_state::in_time || server.has_free_slot(m_limits.share);
-    return can_use_slot && !server.is_rate_blocked && available_slots(server, terms.is_lowest, now) >= 1;
+    return can_use_slot && !server.is_rate_blocked &&
+           available_slots(m_limits, server, terms.is_lowest, now) >= 1;
 }
 
 server_pools::server_list slot_scheduler::find_available(const slot_request& request,
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -6,8 +6,8 @@
 #include "policy/rate_limit_schedule.hpp"
 #include "policy/server_pools.hpp"
 #include "policy/slot_choice.hpp"
-#include "policy/slot_floor.hpp"
 #include "policy/slot_queues.hpp"
+#include "policy/slot_scheduler_limits.hpp"
 #include "policy/slot_server.hpp"
 
 #include <cstddef>
@@ -19,34 +19,6 @@
 
 namespace borageford::policy {
 
-/// The settings of a slot_scheduler.
-struct slot_scheduler_limits {
-    /// Maximum number of requests sent to a server per slot. A value slightly above 1 keeps a slot from being
-    /// idle for the round trip between the end of one request and the start of the next. But a request that
-    /// waits inside a server can't be overtaken by a more urgent one, so the value should stay small.
-    double outstanding_per_slot = 1.3;
-    /// Number of slots of each server that the lowest tier leaves free, so that requests of higher tiers find
-    /// a free slot at once.
-    unsigned reserved_slots = 2;
-    /// A small server may hold up to this many requests of the lowest tier even if it then has fewer free
-    /// slots than `reserved_slots`; a quarter of its slots still stay free.
-    unsigned max_lowest_tier_on_small_server = 5;
-    /// Maximum wait of a request before it is refused, as a multiple of its latency target.
-    double max_wait_in_targets = 1.5;
-    /// Maximum wait of a retried request (slot_request::previous_refusals above 0: its caller sends it again
-    /// after a refusal), as a multiple of its latency target. A retried request is always treated as late.
-    /// Callers of streams that wait for longer than this give up by themselves.
-    double max_wait_of_retry_in_targets = 2;
-    /// A request is refused on arrival if its expected wait in the queue exceeds this multiple of its latency
-    /// target, because it would be late by then: after 0.4 times its target, a request without a slot is
-    /// moved to the queue of late requests.
-    double max_expected_wait_in_targets = 0.4;
-    slot_floor_limits floor{}; ///< guaranteed minimum shares of the tiers
-    /// Share of all slots that this process may grant; less than 1 if other processes grant the remaining
-    /// slots.
-    double share = 1;
-};
-
 /// Queues slot requests by service and tier and grants them slots. Higher tiers go first, except for the
 /// guaranteed minimum shares of lower tiers (slot_floor). Within a tier, requests that can still meet their
 /// latency target go before late ones.
@@ -155,23 +127,11 @@
     /// Whether a request belongs into the queue of requests that can still meet their target or into that of
     /// late requests.
     [[nodiscard]] target_state classify(const slot_request& request, time_point now) const;
-    [[nodiscard]] double max_outstanding(const slot_server& server, bool is_lowest) const;
     bool refuse_for_rate_limits(const slot_request& request, time_point now);
     bool refuse_for_backoffs(const slot_request& request, time_point now);
     bool refuse_for_software(const slot_request& request);
     void refuse_waiting_in_vain(time_point now);
     void examine_rate_limits(time_point now);
-    // Four functions compute whether a server has room, and differ in what they consider:
-    // - slot_server::has_free_slot(): only whether fewer requests run than this process's share of the
-    //   server's slots. No place in the server's own queue, no reserved slots, not the server's health.
-    // - slots_left(): how many more requests fit into this process's share, including places in the server's
-    //   own queue, less the slots reserved for higher tiers if the request is of the lowest one. Not the
-    //   server's health, and not its rate limit: a server that this holds back isn't in `with_room`.
-    // - available_slots(): slots_left(), but 0 during a cooldown, and at most one probe request after it.
-    // - can_take_request(): available_slots() for the tier of the queue; for a late request also
-    //   has_free_slot().
-    [[nodiscard]] double slots_left(const slot_server& server, bool is_lowest) const;
-    [[nodiscard]] double available_slots(const slot_server& server, bool is_lowest, time_point now) const;
     void update_with_room(slot_server& server);
     /// Restrictions on the grants to one queue.
     struct grant_terms {
@@ -179,6 +139,7 @@
         bool is_lowest = false; ///< the queue is of the lowest tier, which leaves some slots free
         std::size_t max_grants = std::numeric_limits<std::size_t>::max();
     };
+    /// Whether the server may be sent a request under these terms.
     [[nodiscard]] bool can_take_request(const slot_server& server, const grant_terms& terms,
                                         time_point now) const;
     [[nodiscard]] server_pools::server_list find_available(const slot_request& request,
--- /dev/null
+++ b/src/policy/slot_scheduler_limits.hpp
@@ -0,0 +1,36 @@
+// The settings of a slot_scheduler.
+#pragma once
+
+#include "policy/slot_floor.hpp"
+
+namespace borageford::policy {
+
+/// The settings of a slot_scheduler.
+struct slot_scheduler_limits {
+    /// Maximum number of requests sent to a server per slot. A value slightly above 1 keeps a slot from being
+    /// idle for the round trip between the end of one request and the start of the next. But a request that
+    /// waits inside a server can't be overtaken by a more urgent one, so the value should stay small.
+    double outstanding_per_slot = 1.3;
+    /// Number of slots of each server that the lowest tier leaves free, so that requests of higher tiers find
+    /// a free slot at once.
+    unsigned reserved_slots = 2;
+    /// A small server may hold up to this many requests of the lowest tier even if it then has fewer free
+    /// slots than `reserved_slots`; a quarter of its slots still stay free.
+    unsigned max_lowest_tier_on_small_server = 5;
+    /// Maximum wait of a request before it is refused, as a multiple of its latency target.
+    double max_wait_in_targets = 1.5;
+    /// Maximum wait of a retried request (slot_request::previous_refusals above 0: its caller sends it again
+    /// after a refusal), as a multiple of its latency target. A retried request is always treated as late.
+    /// Callers of streams that wait for longer than this give up by themselves.
+    double max_wait_of_retry_in_targets = 2;
+    /// A request is refused on arrival if its expected wait in the queue exceeds this multiple of its latency
+    /// target, because it would be late by then: after 0.4 times its target, a request without a slot is
+    /// moved to the queue of late requests.
+    double max_expected_wait_in_targets = 0.4;
+    slot_floor_limits floor{}; ///< guaranteed minimum shares of the tiers
+    /// Share of all slots that this process may grant; less than 1 if other processes grant the remaining
+    /// slots.
+    double share = 1;
+};
+
+} // namespace borageford::policy
--- a/src/policy/stream_origin_table.hpp
+++ b/src/policy/stream_origin_table.hpp
@@ -15,9 +15,9 @@
 /// Remembers each stream for a while after it was noted last, and the most recent ones if there are too many.
 class stream_origin_table {
 public:
-    /// An entry takes about 100 bytes. 16,384 of them are the streams that begin at one gateway in half a
-    /// minute at 540 a second, and 1.6 MB.
-    static constexpr std::size_t default_capacity = 16384;
+    /// An entry takes about 100 bytes, so that these are 6.5 MB. A keeper is told all streams of the system:
+    /// at 1,000 a second, 30,000 in half a minute.
+    static constexpr std::size_t default_capacity = 65536;
 
     /// `lifetime`: for how long a caller may come back for a stream.
     explicit stream_origin_table(duration lifetime, std::size_t capacity = default_capacity)
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -44,6 +44,13 @@
     return options;
 }
 
+/// Gateways with two servers of "v1", and a route with a single attempt.
+site_options site_with_one_version(std::size_t gateways) {
+    auto options = site_with_two_versions(gateways, 1);
+    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
+    return options;
+}
+
 http::request stream_call(const std::string& id) {
     auto call = make_call("/stream/x", id);
     call.headers.push_back({platform::header_field_names().tokens, "10," + std::to_string(output_tokens)});
@@ -151,10 +158,7 @@
     // The caller's next request may reach the same gateway or another one, which hasn't seen the stream.
     // Servers of another version have room, while the only one of the stream's version takes no more for a
     // moment.
-    site_options options;
-    options.gateways = 3;
-    options.configuration = stream_configuration(true);
-    options.configuration.routes.front().attempts = 1;
+    auto options = site_with_one_version(3);
     options.backends = {engine_of("old", "v1")};
     gateway_site site(options);
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
@@ -259,12 +263,7 @@
 
 TEST_CASE("gateway: with one software version any stream may be resumed", "[gateway][stream_software]") {
     // A gateway that has known all servers since the system's first start needn't be told anything.
-    site_options options;
-    options.gateways = 2;
-    options.configuration = stream_configuration(true);
-    options.configuration.routes.front().attempts = 1;
-    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
-    gateway_site site(options);
+    gateway_site site(site_with_one_version(2));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     CHECK(site.send(1, resuming_call("rest", "unknown")).is_complete);
     CHECK(site.has_logged(1, R"("known_by":"one_version")"));
@@ -273,12 +272,7 @@
 TEST_CASE("gateway: after all gateways were killed a stream goes on if there has been one version only",
           "[gateway][stream_software]") {
     // None of the new processes knows what was there before. The store has a record of the versions.
-    site_options options;
-    options.gateways = 2;
-    options.configuration = stream_configuration(true);
-    options.configuration.routes.front().attempts = 1;
-    options.backends = {engine_of("engine-0", "v1"), engine_of("engine-1", "v1")};
-    gateway_site site(options);
+    gateway_site site(site_with_one_version(2));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     wait_until("the versions are recorded", [&] {
         return site.on_emulator([&] { return site.store().rows().read("software/versions").has_value(); });
