The record of versions is asked for at a bounded pace; lint

A gateway that can't read the record asks again every 2 s and stops when it has itself known all versions for as long as a caller may come back: hundreds that start while the store is away must not press it.

--- a/src/gateway/software_recorder.cpp
+++ b/src/gateway/software_recorder.cpp
@@ -24,8 +24,8 @@
 /// Time between two looks whether the record has to be read or written. A version serves streams for longer
 /// than this before they break off.
 constexpr std::chrono::milliseconds period{100};
-/// Time after a call that failed.
-constexpr std::chrono::milliseconds retry_delay{500};
+/// Time after a call that failed. All gateways may have started while the store was unavailable.
+constexpr std::chrono::milliseconds retry_delay{2000};
 
 std::string encode(const policy::software_versions& versions) {
     json::object services;
@@ -62,6 +62,7 @@
       m_table(table),
       m_history(history),
       m_lifetime(lifetime),
+      m_started(steady_clock::now()),
       m_must_read(!is_first_start),
       m_environment(std::move(surroundings)) {}
 
@@ -85,6 +86,8 @@
 
 asio::awaitable<void> software_recorder::update() {
     const bool is_coordinating = m_environment.is_coordinating();
+    // By then this process has itself known all versions that matter.
+    m_must_read = m_must_read && steady_clock::now() - m_started <= m_lifetime;
     if (!is_coordinating || (m_row.has_value() && m_row->era != m_environment.store_era())) {
         m_row.reset(); // another process may write, or the store was restored from an older copy
     }
--- a/src/gateway/software_recorder.hpp
+++ b/src/gateway/software_recorder.hpp
@@ -56,7 +56,9 @@
     store::table& m_table;
     policy::software_history& m_history;
     std::chrono::milliseconds m_lifetime;
-    bool m_must_read; ///< what was recorded before this process started is still unknown
+    policy::time_point m_started;
+    /// What was recorded before this process started is still unknown.
+    bool m_must_read;
     environment m_environment;
     std::optional<known_row> m_row;
     /// Since when the record has a version that this process doesn't see.
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -62,7 +62,6 @@
 }
 
 bool is_whole(const std::string& events) {
-    std::string expected;
     for (unsigned number = 1; number <= output_tokens / 4; ++number) {
         const auto id = "id: " + std::to_string(number) + "\n";
         if (events.find(id) == std::string::npos || events.find(id) != events.rfind(id)) {
@@ -163,6 +162,7 @@
     gateway_site site(options);
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
     std::vector<std::string> begun;
+    begun.reserve(3);
     for (std::size_t gateway = 0; gateway < 3; ++gateway) {
         begun.push_back(begin_broken_stream(site, 0, "stream-" + std::to_string(gateway)));
     }
@@ -195,6 +195,7 @@
     gateway_site site(site_with_two_versions(3, 1));
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
     std::vector<std::string> begun;
+    begun.reserve(streams);
     for (int number = 0; number < streams; ++number) {
         begun.push_back(begin_broken_stream(site, 0, "stream-" + std::to_string(number)));
     }
