--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -373,3 +374,30 @@
     CHECK(answer.is_complete);
     CHECK(site.has_logged(0, R"("known_by":"answer")"));
 }
+
+TEST_CASE("gateway: a stream of a route to two services goes on at the service that began it",
+          "[gateway][stream_software]") {
+    // The route draws a service for each request, also for one that resumes a stream. Each service has one
+    // version.
+    auto options = site_with_one_version(2);
+    options.configuration.services.push_back({"others", "/healthz", 96, std::nullopt});
+    options.configuration.routes.front().services.push_back({1, 1});
+    options.backends = {engine_of("engine-0", "v1"), engine_of("other-0", "w1")};
+    options.backends.back().service = "others";
+    gateway_site site(options);
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    for (int number = 0; number < streams; ++number) {
+        const auto id = std::to_string(number);
+        const auto first = begin_broken_stream(site, 0, "stream-" + id);
+        wait_until("the stream is told",
+                   [&] { return read_gauge(site, 1, "borageford_gateway_known_streams") > number; });
+        // A server that broke off several streams takes one request at a time for a while.
+        caller_result rest;
+        wait_until("the stream is resumed", [&] {
+            rest = site.send(1, resuming_call("rest-" + id, "stream-" + id));
+            return rest.is_complete && rest.status == 200;
+        });
+        CHECK(is_whole(first + rest.body));
+        CHECK(emulator::software_in(first + rest.body).size() == 1);
+    }
+}
