The record of versions forgets since when it has missed a version

The coordinator drops a recorded version that it hasn't seen for as long as a caller may come back. It kept the time from which it had missed the version after dropping it, and after it had stopped coordinating: a version that another coordinator recorded again would have been dropped at once, and a gateway that starts would have taken the other one for the only one.

A check that can't fail goes, and the description of request_field_unreadable says what it is logged for since a resumed request's field can be unreadable.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -132,7 +132,7 @@
         "A backend server's answer has a field about the server that can't be read; it is ignored.",
         "backend request field value reason"},
     event_description{event_kind::request_field_unreadable, "request_field_unreadable", warning, failure_rate,
-                      "A request states a number that can't be read; it is treated as if it stated none.",
+                      "A request has a field that can't be read; it is treated as if the field said nothing.",
                       "request field value"},
     event_description{
         event_kind::request_malformed, "request_malformed", warning, failure_rate,
--- a/src/gateway/software_recorder.cpp
+++ b/src/gateway/software_recorder.cpp
@@ -91,6 +91,9 @@
     if (!is_coordinating || (m_row.has_value() && m_row->era != m_environment.store_era())) {
         m_row.reset(); // another process may write, or the store was restored from an older copy
     }
+    if (!is_coordinating) {
+        m_unseen.clear(); // another process may have recorded a version again
+    }
     if (m_must_read || (is_coordinating && !m_row.has_value())) {
         co_await read();
     }
@@ -124,7 +127,7 @@
     const auto result = co_await m_table.transact(change);
     if (!result.committed) {
         m_row.reset();
-    } else if (m_row.has_value()) {
+    } else {
         m_row->version = result.version;
         m_row->versions = std::move(wanted);
     }
@@ -145,6 +148,8 @@
             const auto since = m_unseen.try_emplace(unseen, now).first->second;
             if (now - since <= m_lifetime) {
                 result[service].insert(software);
+            } else {
+                m_unseen.erase(unseen);
             }
         }
     }
