--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -89,6 +90,24 @@
     m_server.drain();
 }
 
+void emulated_backend::set_crash_rule(crash_rule rule, std::function<void()> on_crash) {
+    m_crash_rule = std::move(rule);
+    m_on_crash = std::move(on_crash);
+}
+
+bool emulated_backend::apply_crash_rule(const http::request& call) {
+    const bool is_fatal =
+        !m_crash_rule.body_text.empty() && call.body.find(m_crash_rule.body_text) != std::string::npos;
+    if (m_is_stopped || !is_fatal) {
+        return m_is_stopped;
+    }
+    m_fatal_requests.push_back(header_value(call, m_fields.request_id));
+    stop();
+    // Posted, because the callback may destroy this server's successor or replace this server.
+    asio::post(m_executor, m_on_crash);
+    return true;
+}
+
 /// Sets the flag `is_gone` when the caller closes its connection.
 void emulated_backend::watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone) {
     const auto watch = [](http::response_writer watched,
@@ -222,7 +241,7 @@
 asio::awaitable<void> emulated_backend::run_plain(const http::request& call, http::response_writer& writer,
                                                   backend_fault fault, std::size_t number) {
     co_await pause(m_timers, std::chrono::duration_cast<steady_clock::duration>(m_options.work * m_slowness));
-    if (m_is_stopped) {
+    if (apply_crash_rule(call)) {
         writer.abort();
         co_return;
     }
@@ -299,6 +318,9 @@
                 if (is_finished || ++event_number <= begin_after) {
                     continue;
                 }
+                if (!writer.has_begun() && apply_crash_rule(call)) {
+                    break; // the next check of m_is_stopped ends the answer
+                }
                 if (!writer.has_begun()) {
                     co_await writer.begin(head);
                 }
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,11 @@
     bool is_finished = false;
 };
 
+/// Which requests crash the server, as soon as it begins to answer them.
+struct crash_rule {
+    std::string body_text; ///< requests whose bodies contain this text; empty: none
+};
+
 /// Must be used on one executor with one thread only.
 class emulated_backend {
 public:
@@ -77,6 +83,12 @@
     /// Begins to accept connections. Port 0 lets the kernel choose; returns the address in use.
     boost::asio::ip::tcp::endpoint listen(const boost::asio::ip::tcp::endpoint& address);
 
+    /// Crashes, as by stop(), when it begins to answer a request that the rule names, and calls `on_crash`
+    /// then.
+    void set_crash_rule(crash_rule rule, std::function<void()> on_crash);
+    /// The ids of the requests that crashed it, in the order in which it began to answer them.
+    [[nodiscard]] const std::vector<std::string>& fatal_requests() const noexcept { return m_fatal_requests; }
+
     /// Emulates a crash: no more connections are accepted, and the running requests' connections are closed.
     void stop();
 
@@ -123,6 +135,8 @@
     boost::asio::awaitable<void> run_stream(const http::request& call, http::response_writer& writer,
                                             backend_fault fault, std::size_t number);
     void watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone);
+    /// Crashes if the rule names this request. Returns whether the server has crashed by then.
+    bool apply_crash_rule(const http::request& call);
     [[nodiscard]] backend_fault take_fault() noexcept;
     [[nodiscard]] http::response refuse(const http::request& call, unsigned status);
     [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number);
@@ -138,6 +152,9 @@
     backend_fault m_fault = backend_fault::none;
     unsigned m_fault_count = 0;
     bool m_is_stopped = false;
+    crash_rule m_crash_rule;
+    std::function<void()> m_on_crash;
+    std::vector<std::string> m_fatal_requests;
     double m_slowness = 1;
     std::vector<recorded_run> m_runs;
     std::size_t m_in_progress = 0;
--- /dev/null
+++ b/tests/failure/test_gateway_crashing_request.cpp
@@ -0,0 +1,165 @@
+// Tests that requests which crash the servers that run them stop reaching servers, whichever gateway sends
+// them and whichever one grants slots, and that other requests aren't refused for that.
+#include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+/// Crashes after which a request must not reach a server any more.
+constexpr std::size_t tolerated_crashes = 2;
+const std::string fatal_body = "fatal";
+
+http::request fatal_call(const std::string& id) {
+    return make_call("/plain/x", id, fatal_body);
+}
+
+/// Gateways and plain servers that a call with `fatal_body` crashes. Every call is sent to at most `attempts`
+/// servers.
+site_options fatal_site(std::size_t servers, std::size_t gateways, unsigned attempts = 1) {
+    auto options = plain_site(servers, gateways);
+    options.configuration.routes.front().attempts = attempts;
+    return options;
+}
+
+void crash_by_fatal_calls(gateway_site& site) {
+    site.crash_by_requests({.rule = {.body_text = fatal_body}});
+}
+
+/// Sends a harmless call through each gateway. What a gateway or its coordinator told the others before is
+/// known to them afterwards, since messages between two gateways arrive in order.
+void exchange_knowledge(gateway_site& site, const std::vector<std::size_t>& gateways) {
+    for (int round = 0; round < 2; ++round) {
+        for (const auto gateway : gateways) {
+            static_cast<void>(site.send(gateway, make_call("/plain/x", "exchange")));
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("gateway: a request that crashes servers is stopped if nobody tries these servers again",
+          "[gateway][crashing_request]") {
+    // The servers come back under new ids before any other request finds that the former ones are gone.
+    gateway_site site(fatal_site(8, 3));
+    static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+    crash_by_fatal_calls(site);
+    for (int number = 0; number < 12; ++number) {
+        const auto answer =
+            site.send(static_cast<std::size_t>(number % 3), fatal_call(std::to_string(number)));
+        CHECK(answer.status != status_ok);
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: one call doesn't crash one server after the other", "[gateway][crashing_request]") {
+    gateway_site site(fatal_site(8, 1, 5));
+    crash_by_fatal_calls(site);
+    static_cast<void>(site.send(0, fatal_call("retried")));
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: a request that crashes servers is stopped although coordinators are killed",
+          "[gateway][crashing_request]") {
+    // Each coordinator is killed once it has seen one crash, and so are the gateways that sent the request.
+    gateway_site site(fatal_site(8, 4));
+    std::vector<std::size_t> gateways{0, 1, 2, 3};
+    crash_by_fatal_calls(site);
+    for (int lost = 0; lost < 2; ++lost) {
+        const auto coordinator = wait_for_coordinator(site, gateways);
+        static_cast<void>(site.send(coordinator, fatal_call("before-loss-" + std::to_string(lost))));
+        exchange_knowledge(site, gateways);
+        site.process(coordinator).kill();
+        std::erase(gateways, coordinator);
+    }
+    static_cast<void>(wait_for_coordinator(site, gateways));
+    for (const auto gateway : gateways) {
+        static_cast<void>(site.send(gateway, fatal_call("after-loss-" + std::to_string(gateway))));
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: a gateway that starts later knows the requests that crash servers",
+          "[gateway][crashing_request]") {
+    // The gateways are restarted one after the other, so that none of those that saw the crashes is left.
+    gateway_site site(fatal_site(8, 3));
+    crash_by_fatal_calls(site);
+    static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+    static_cast<void>(site.send(0, fatal_call("first")));
+    exchange_knowledge(site, {0, 1, 2});
+    static_cast<void>(site.send(1, fatal_call("second")));
+    exchange_knowledge(site, {0, 1, 2});
+    for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+        site.process(gateway).kill();
+        site.start_gateway(gateway);
+        site.wait_until_ready(gateway);
+        static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+        exchange_knowledge(site, {0, 1, 2});
+    }
+    for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+        static_cast<void>(site.send(gateway, fatal_call("later-" + std::to_string(gateway))));
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: copies of a request that wait for slots are stopped with it",
+          "[gateway][crashing_request]") {
+    // All copies are in the queue before the first crash; a slot becomes free when a server is back.
+    constexpr std::size_t servers = 2;
+    auto options = fatal_site(servers, 2);
+    for (auto& server : options.backends) {
+        server.slots = 1;
+        server.work = 100ms;
+    }
+    gateway_site site(std::move(options));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_fatal_calls(site);
+    std::vector<std::unique_ptr<pending_call>> calls;
+    for (int number = 0; number < 8; ++number) {
+        const auto id = "copy-" + std::to_string(number);
+        calls.push_back(std::make_unique<pending_call>(site.callers(static_cast<std::size_t>(number % 2)),
+                                                       fatal_call(id)));
+    }
+    for (const auto& call : calls) {
+        static_cast<void>(call->wait());
+    }
+    // A place in a server's own queue may have been granted before the first crash, too.
+    CHECK(site.fatal_requests().size() <= servers);
+}
+
+TEST_CASE("gateway: requests that ran beside one that crashes servers are served afterwards",
+          "[gateway][crashing_request]") {
+    auto options = fatal_site(2, 1);
+    for (auto& server : options.backends) {
+        server.work = 100ms;
+    }
+    gateway_site site(std::move(options));
+    crash_by_fatal_calls(site);
+    for (int crash = 0; crash < 2; ++crash) {
+        std::vector<std::unique_ptr<pending_call>> neighbours;
+        for (int number = 0; number < 4; ++number) {
+            const auto id = "neighbour-" + std::to_string(crash) + std::to_string(number);
+            neighbours.push_back(
+                std::make_unique<pending_call>(site.callers(0), make_call("/plain/x", id, "neighbour")));
+        }
+        static_cast<void>(site.send(0, fatal_call("fatal-" + std::to_string(crash))));
+        for (const auto& call : neighbours) {
+            static_cast<void>(call->wait());
+        }
+    }
+    wait_until(
+        "the neighbour is served",
+        [&] { return site.send(0, make_call("/plain/x", "later", "neighbour")).status == status_ok; }, 10s);
+    CHECK(site.fatal_requests().size() == 2);
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -233,49 +233,102 @@
 }
 
 void gateway_site::start_backend(std::size_t index, const emulator::backend_options& options) {
+    on_emulator([&] { listen_backend(index, options, {asio::ip::make_address("127.0.0.1"), 0}); });
+    register_backend(index, "ready");
+}
+
+void gateway_site::listen_backend(std::size_t index, const emulator::backend_options& options,
+                                  const http::endpoint& address) {
+    auto server = std::make_unique<emulator::emulated_backend>(m_context.get_executor(), m_timers,
+                                                               platform::header_field_names(), options);
+    const auto listening = server->listen(address);
+    if (const auto previous = m_backends.find(index); previous != m_backends.end()) {
+        m_previous_backends.push_back(std::move(previous->second.server));
+    }
+    m_backends[index] = {std::move(server), listening, options.version};
+    apply_crash_terms(index);
+}
+
+void gateway_site::crash_by_requests(const crash_terms& terms) {
     on_emulator([&] {
-        auto server = std::make_unique<emulator::emulated_backend>(m_context.get_executor(), m_timers,
-                                                                   platform::header_field_names(), options);
-        const auto address = server->listen({asio::ip::make_address("127.0.0.1"), 0});
-        if (const auto previous = m_backends.find(index); previous != m_backends.end()) {
-            m_previous_backends.push_back(std::move(previous->second.server));
+        m_crash_terms = terms;
+        for (const auto& [index, unit] : m_backends) {
+            apply_crash_terms(index);
         }
-        m_backends[index] = {std::move(server), address, options.version};
     });
-    register_backend(index, "ready");
 }
 
-void gateway_site::register_backend(std::size_t index, const std::string& state) {
-    on_emulator([&] {
-        const auto& unit = m_backends.at(index);
-        routing::backend_record record;
-        record.id = unit.server->options().id;
-        record.start = unit.server->options().start;
-        record.service = unit.server->options().service;
-        record.version = unit.software;
-        record.address = unit.address;
-        record.failure_domain = "a";
-        record.slots = unit.server->options().slots;
-        record.state = state == "ready" ? routing::backend_state::ready : routing::backend_state::draining;
-        store::transaction change;
-        change.puts.push_back(
-            {std::string(platform::backend_table) + "/" + record.id, platform::encode_backend(record)});
-        static_cast<void>(m_store->rows().transact(change));
+void gateway_site::apply_crash_terms(std::size_t index) {
+    if (m_crash_terms.has_value()) {
+        m_backends.at(index).server->set_crash_rule(m_crash_terms->rule,
+                                                    [this, index] { handle_crash(index); });
+    }
+}
+
+void gateway_site::handle_crash(std::size_t index) {
+    const auto& unit = m_backends.at(index);
+    auto options = unit.server->options();
+    const auto former = options.id;
+    options.id += "'";
+    const auto address = unit.address;
+    after(m_crash_terms->registration_life, [this, former] { remove_registration(former); });
+    after(m_crash_terms->back_after, [this, index, options, address] {
+        listen_backend(index, options, address);
+        write_registration(index, "ready");
+    });
+}
+
+std::vector<std::string> gateway_site::fatal_requests() {
+    return on_emulator([&] {
+        std::vector<std::string> result;
+        for (const auto& server : m_previous_backends) {
+            std::ranges::copy(server->fatal_requests(), std::back_inserter(result));
+        }
+        for (const auto& [index, unit] : m_backends) {
+            std::ranges::copy(unit.server->fatal_requests(), std::back_inserter(result));
+        }
+        return result;
     });
 }
 
+void gateway_site::after(std::chrono::milliseconds delay, std::function<void()> call) {
+    m_scheduled_calls.push_back(m_timers.after(m_context.get_executor(), delay, std::move(call)));
+}
+
+void gateway_site::register_backend(std::size_t index, const std::string& state) {
+    on_emulator([&] { write_registration(index, state); });
+}
+
+void gateway_site::write_registration(std::size_t index, const std::string& state) {
+    const auto& unit = m_backends.at(index);
+    routing::backend_record record;
+    record.id = unit.server->options().id;
+    record.start = unit.server->options().start;
+    record.service = unit.server->options().service;
+    record.version = unit.software;
+    record.address = unit.address;
+    record.failure_domain = "a";
+    record.slots = unit.server->options().slots;
+    record.state = state == "ready" ? routing::backend_state::ready : routing::backend_state::draining;
+    store::transaction change;
+    change.puts.push_back(
+        {std::string(platform::backend_table) + "/" + record.id, platform::encode_backend(record)});
+    static_cast<void>(m_store->rows().transact(change));
+}
+
 void gateway_site::register_software(std::size_t index, const std::string& software) {
     on_emulator([&] { m_backends.at(index).software = software; });
     register_backend(index, "ready");
 }
 
 void gateway_site::unregister_backend(std::size_t index) {
-    on_emulator([&] {
-        store::transaction change;
-        change.deletes.push_back(std::string(platform::backend_table) + "/" +
-                                 m_backends.at(index).server->options().id);
-        static_cast<void>(m_store->rows().transact(change));
-    });
+    on_emulator([&] { remove_registration(m_backends.at(index).server->options().id); });
+}
+
+void gateway_site::remove_registration(const std::string& id) {
+    store::transaction change;
+    change.deletes.push_back(std::string(platform::backend_table) + "/" + id);
+    static_cast<void>(m_store->rows().transact(change));
 }
 
 void gateway_site::stop_backend(std::size_t index) {
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -15,9 +15,11 @@
 
 #include <chrono>
 #include <filesystem>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <type_traits>
@@ -107,6 +109,19 @@
     /// Stops the server without deleting its registration.
     void stop_backend(std::size_t index);
 
+    /// What happens to servers that a request crashes.
+    struct crash_terms {
+        emulator::crash_rule rule;
+        /// From the crash until the server is back, under a new id and at the same address.
+        std::chrono::milliseconds back_after{300};
+        /// From the crash until the former registration is removed.
+        std::chrono::milliseconds registration_life{1500};
+    };
+    /// Lets all servers, and those that are started later, crash by these requests.
+    void crash_by_requests(const crash_terms& terms);
+    /// The ids of all requests that have crashed servers so far, also of servers that are back.
+    [[nodiscard]] std::vector<std::string> fatal_requests();
+
     /// Runs `function` on the thread of the emulated store and servers and returns its result.
     template <typename Function>
     auto on_emulator(Function function) -> std::invoke_result_t<Function> {
@@ -155,6 +170,13 @@
         std::string software = {}; ///< as registered
     };
 
+    void apply_crash_terms(std::size_t index);
+    void handle_crash(std::size_t index);
+    void listen_backend(std::size_t index, const emulator::backend_options& options,
+                        const http::endpoint& address);
+    void write_registration(std::size_t index, const std::string& state);
+    void remove_registration(const std::string& id);
+    void after(std::chrono::milliseconds delay, std::function<void()> call);
     [[nodiscard]] std::string settings_text(std::size_t index, const std::string& further) const;
     void show_logs() const;
 
@@ -167,6 +189,8 @@
     http::endpoint m_store_address;
     std::map<std::size_t, backend_unit> m_backends;
     std::vector<std::unique_ptr<emulator::emulated_backend>> m_previous_backends;
+    std::optional<crash_terms> m_crash_terms;
+    std::vector<timer_subscription> m_scheduled_calls; ///< calls at later times, on the emulator's thread
     std::vector<gateway_unit> m_gateways;
     std::uint16_t m_port = 0; ///< first of the `ports_per_gateway` ports of every gateway
     std::jthread m_thread;
