--- a/src/coordination/batch_channel.cpp
+++ b/src/coordination/batch_channel.cpp
@@ -45,16 +45,19 @@
         items.retries = std::exchange(m_pending.retries, {});
         // The receiver processes the lists in this order, because a later list can refer to requests and
         // servers of an earlier one.
-        [[maybe_unused]] const bool all = move_until_full(m_pending.reports, items.reports, items) &&
-                                          move_until_full(m_pending.rate_limits, items.rate_limits, items) &&
-                                          move_until_full(m_pending.departures, items.departures, items) &&
-                                          move_until_full(m_pending.backoffs, items.backoffs, items) &&
-                                          move_until_full(m_pending.holds, items.holds, items) &&
-                                          move_until_full(m_pending.asks, items.asks, items) &&
-                                          move_until_full(m_pending.withdrawals, items.withdrawals, items) &&
-                                          move_until_full(m_pending.releases, items.releases, items) &&
-                                          move_until_full(m_pending.grants, items.grants, items) &&
-                                          move_until_full(m_pending.refusals, items.refusals, items);
+        [[maybe_unused]] const bool all =
+            move_until_full(m_pending.reports, items.reports, items) &&
+            move_until_full(m_pending.rate_limits, items.rate_limits, items) &&
+            move_until_full(m_pending.departures, items.departures, items) &&
+            move_until_full(m_pending.crashes.marks, items.crashes.marks, items) &&
+            move_until_full(m_pending.crashes.clearances, items.crashes.clearances, items) &&
+            move_until_full(m_pending.backoffs, items.backoffs, items) &&
+            move_until_full(m_pending.holds, items.holds, items) &&
+            move_until_full(m_pending.asks, items.asks, items) &&
+            move_until_full(m_pending.withdrawals, items.withdrawals, items) &&
+            move_until_full(m_pending.releases, items.releases, items) &&
+            move_until_full(m_pending.grants, items.grants, items) &&
+            move_until_full(m_pending.refusals, items.refusals, items);
         m_unacknowledged.push_back({++m_last_sealed, std::move(items), {}, {}, 0});
     }
 }
--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -1,6 +1,7 @@
 // What a slot_broker asks its owner, and what it reports to it.
 #pragma once
 
+#include "policy/crash_ledger.hpp"
 #include "policy/departure_table.hpp"
 #include "policy/rate_limit_table.hpp"
 #include "policy/server_retry_budget.hpp"
@@ -50,6 +51,14 @@
     /// A server said in an answer that it leaves; it gets no more slots.
     std::function<void(const policy::departure&)> on_departure = [](const policy::departure&) {
     };
+    /// A server crashed while it may have run a request of some gateway: a mark is new here.
+    std::function<void(const policy::crash_mark&, policy::crash_ledger::change)> on_crash_mark =
+        [](const policy::crash_mark&, policy::crash_ledger::change) {
+        };
+    /// Such marks became void.
+    std::function<void(const policy::crash_clearance&)> on_crash_clearance =
+        [](const policy::crash_clearance&) {
+        };
     /// The retries of a service that this process has granted and may grant. Called about once a second for
     /// each service, and with `has_run_out` when a retry was refused, once in a window.
     std::function<void(policy::service_key, const policy::server_retry_budget::use&, bool has_run_out)>
--- a/src/coordination/member_sessions.cpp
+++ b/src/coordination/member_sessions.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+void member_sessions::queue_crashes(const policy::crash_statement& news, policy::member_key source) {
+    for (auto& [member, session] : m_sessions) {
+        if (member != source) {
+            append(session.channel.pending().crashes, news);
+            m_to_flush.insert(member);
+        }
+    }
+}
+
 void member_sessions::flush(const std::function<void(policy::member_key, batch_channel&)>& send) {
     for (const auto member : std::exchange(m_to_flush, {})) {
         if (auto* served = find(member)) {
--- a/src/coordination/member_sessions.hpp
+++ b/src/coordination/member_sessions.hpp
@@ -39,6 +39,8 @@
     void queue_decisions(policy::member_key member, const batch_items& decided);
     /// Appends a departure to what is sent to each member next.
     void queue_departure(const policy::departure& heard);
+    /// Appends news about crashes to what is sent to each member next, except to the one that told them.
+    void queue_crashes(const policy::crash_statement& news, policy::member_key source);
     /// Calls `send` for each session that may have datagrams to send.
     void flush(const std::function<void(policy::member_key, batch_channel&)>& send);
 
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -188,6 +188,33 @@
     return {from.server(), now - milliseconds(from.heard_ago_ms()), from.heard_by()};
 }
 
+policy::crash_suspect suspect_from_wire(std::uint8_t kind, std::uint64_t key) {
+    // A kind that is unknown here gets no key, so that nothing is refused for it.
+    const bool is_known = kind <= static_cast<std::uint8_t>(policy::suspect_kind::last_kind);
+    return is_known ? policy::crash_suspect{static_cast<policy::suspect_kind>(kind), key}
+                    : policy::crash_suspect{};
+}
+
+wire::crash_mark to_wire(const policy::crash_mark& from, policy::time_point now) {
+    return {from.suspect.key, from.server, to_wire(now - from.at), static_cast<std::uint32_t>(from.heard_by),
+            static_cast<std::uint8_t>(from.suspect.kind)};
+}
+
+policy::crash_mark from_wire(const wire::crash_mark& from, policy::time_point now) {
+    return {suspect_from_wire(from.kind(), from.suspect()), from.server(), now - milliseconds(from.ago_ms()),
+            from.heard_by()};
+}
+
+wire::crash_clearance to_wire(const policy::crash_clearance& from, policy::time_point now) {
+    return {from.suspect.key, to_wire(now - from.at), static_cast<std::uint32_t>(from.heard_by),
+            static_cast<std::uint8_t>(from.suspect.kind)};
+}
+
+policy::crash_clearance from_wire(const wire::crash_clearance& from, policy::time_point now) {
+    return {suspect_from_wire(from.kind(), from.suspect()), now - milliseconds(from.ago_ms()),
+            from.heard_by()};
+}
+
 wire::backoff to_wire(const policy::backoff_notice& from, policy::time_point now) {
     return {from.server, to_wire(from.until - now)};
 }
@@ -286,13 +313,15 @@
 
 bool batch_items::is_empty() const noexcept {
     return reports.empty() && rate_limits.empty() && retries.is_empty() && departures.empty() &&
-           backoffs.empty() && holds.empty() && asks.empty() && withdrawals.empty() && releases.empty() &&
-           grants.empty() && refusals.empty();
+           crashes.is_empty() && backoffs.empty() && holds.empty() && asks.empty() && withdrawals.empty() &&
+           releases.empty() && grants.empty() && refusals.empty();
 }
 
 std::size_t batch_items::encoded_size() const noexcept {
     return status_size + reports.size() * sizeof(wire::report) +
            rate_limits.size() * sizeof(wire::rate_limit) + retries.uses.size() * sizeof(wire::retry_use) +
+           crashes.marks.size() * sizeof(wire::crash_mark) +
+           crashes.clearances.size() * sizeof(wire::crash_clearance) +
            departures.size() * sizeof(wire::departure) + backoffs.size() * sizeof(wire::backoff) +
            holds.size() * sizeof(wire::hold) + asks.size() * sizeof(wire::ask) +
            withdrawals.size() * sizeof(std::uint64_t) + releases.size() * sizeof(wire::release) +
@@ -314,6 +343,8 @@
     const auto rate_limits = encode_items<wire::rate_limit>(builder, items.rate_limits, now);
     const auto retry_uses = encode_items<wire::retry_use>(builder, items.retries.uses, now);
     const auto departures = encode_items<wire::departure>(builder, items.departures, now);
+    const auto crash_marks = encode_items<wire::crash_mark>(builder, items.crashes.marks, now);
+    const auto crash_clearances = encode_items<wire::crash_clearance>(builder, items.crashes.clearances, now);
     const auto backoffs = encode_items<wire::backoff>(builder, items.backoffs, now);
     const auto holds = encode_items<wire::hold>(builder, items.holds);
     const auto releases = encode_items<wire::release>(builder, items.releases);
@@ -351,6 +382,8 @@
     table.add_retry_uses(retry_uses);
     table.add_departures(departures);
     table.add_backoffs(backoffs);
+    table.add_crash_marks(crash_marks);
+    table.add_crash_clearances(crash_clearances);
     table.add_resumes(resumes);
     table.add_stream_origins(stream_origins);
     table.add_streams_told(streams.told);
@@ -410,6 +443,8 @@
     decode_items(table->rate_limits(), result.items.rate_limits, now);
     decode_items(table->departures(), result.items.departures, now);
     decode_items(table->backoffs(), result.items.backoffs, now);
+    decode_items(table->crash_marks(), result.items.crashes.marks, now);
+    decode_items(table->crash_clearances(), result.items.crashes.clearances, now);
     decode_items(table->retry_uses(), result.items.retries.uses, now);
     result.items.retries.known_for = milliseconds(table->retries_known_ms());
     if (const auto* known = table->known()) {
--- a/src/coordination/message.hpp
+++ b/src/coordination/message.hpp
@@ -3,6 +3,7 @@
 
 #include "coordination/stream_items.hpp"
 #include "policy/coordinator_election.hpp"
+#include "policy/crash_mark.hpp"
 #include "policy/departure_table.hpp"
 #include "policy/rate_limit_notice.hpp"
 #include "policy/retry_use.hpp"
@@ -61,6 +62,7 @@
     /// over at once, whatever order they arrive in.
     std::vector<policy::rate_limit_notice> rate_limits;
     std::vector<policy::departure> departures; ///< servers that leave; sent and taken over like `rate_limits`
+    policy::crash_statement crashes; ///< requests that may crash servers; taken over like `rate_limits`
     /// What the sender knows of the uses of the retry reserves; sent and taken over like `rate_limits`.
     policy::retry_statement retries;
     std::vector<policy::backoff_notice> backoffs; ///< servers that want no requests of the sender for a while
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -35,6 +35,10 @@
 
 struct backoff;
 
+struct crash_mark;
+
+struct crash_clearance;
+
 struct retry_use;
 
 struct resume;
@@ -561,6 +565,118 @@
   using type = backoff;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) crash_mark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t suspect_;
+  uint64_t server_;
+  uint32_t ago_ms_;
+  uint32_t heard_by_;
+  uint8_t kind_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  crash_mark()
+      : suspect_(0),
+        server_(0),
+        ago_ms_(0),
+        heard_by_(0),
+        kind_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  crash_mark(uint64_t _suspect, uint64_t _server, uint32_t _ago_ms, uint32_t _heard_by, uint8_t _kind)
+      : suspect_(flatbuffers::EndianScalar(_suspect)),
+        server_(flatbuffers::EndianScalar(_server)),
+        ago_ms_(flatbuffers::EndianScalar(_ago_ms)),
+        heard_by_(flatbuffers::EndianScalar(_heard_by)),
+        kind_(flatbuffers::EndianScalar(_kind)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t suspect() const {
+    return flatbuffers::EndianScalar(suspect_);
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t ago_ms() const {
+    return flatbuffers::EndianScalar(ago_ms_);
+  }
+  uint32_t heard_by() const {
+    return flatbuffers::EndianScalar(heard_by_);
+  }
+  uint8_t kind() const {
+    return flatbuffers::EndianScalar(kind_);
+  }
+};
+FLATBUFFERS_STRUCT_END(crash_mark, 32);
+
+struct crash_mark::Traits {
+  using type = crash_mark;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) crash_clearance FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t suspect_;
+  uint32_t ago_ms_;
+  uint32_t heard_by_;
+  uint8_t kind_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  crash_clearance()
+      : suspect_(0),
+        ago_ms_(0),
+        heard_by_(0),
+        kind_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  crash_clearance(uint64_t _suspect, uint32_t _ago_ms, uint32_t _heard_by, uint8_t _kind)
+      : suspect_(flatbuffers::EndianScalar(_suspect)),
+        ago_ms_(flatbuffers::EndianScalar(_ago_ms)),
+        heard_by_(flatbuffers::EndianScalar(_heard_by)),
+        kind_(flatbuffers::EndianScalar(_kind)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t suspect() const {
+    return flatbuffers::EndianScalar(suspect_);
+  }
+  uint32_t ago_ms() const {
+    return flatbuffers::EndianScalar(ago_ms_);
+  }
+  uint32_t heard_by() const {
+    return flatbuffers::EndianScalar(heard_by_);
+  }
+  uint8_t kind() const {
+    return flatbuffers::EndianScalar(kind_);
+  }
+};
+FLATBUFFERS_STRUCT_END(crash_clearance, 24);
+
+struct crash_clearance::Traits {
+  using type = crash_clearance;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) retry_use FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t source_;
@@ -812,7 +928,9 @@
     VT_STREAMS_TOLD = 70,
     VT_STREAMS_ACKNOWLEDGED = 72,
     VT_STREAM_QUESTIONS = 74,
-    VT_STREAM_ANSWERS = 76
+    VT_STREAM_ANSWERS = 76,
+    VT_CRASH_MARKS = 78,
+    VT_CRASH_CLEARANCES = 80
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -925,6 +1043,12 @@
   const flatbuffers::Vector<const borageford::coordination::wire::stream_answer *> *stream_answers() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::stream_answer *> *>(VT_STREAM_ANSWERS);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::crash_mark *> *crash_marks() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::crash_mark *> *>(VT_CRASH_MARKS);
+  }
+  const flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *> *crash_clearances() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *> *>(VT_CRASH_CLEARANCES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -980,6 +1104,10 @@
            verifier.VerifyVector(stream_questions()) &&
            VerifyOffset(verifier, VT_STREAM_ANSWERS) &&
            verifier.VerifyVector(stream_answers()) &&
+           VerifyOffset(verifier, VT_CRASH_MARKS) &&
+           verifier.VerifyVector(crash_marks()) &&
+           VerifyOffset(verifier, VT_CRASH_CLEARANCES) &&
+           verifier.VerifyVector(crash_clearances()) &&
            verifier.EndTable();
   }
 };
@@ -1099,6 +1227,12 @@
   void add_stream_answers(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers) {
     fbb_.AddOffset(datagram::VT_STREAM_ANSWERS, stream_answers);
   }
+  void add_crash_marks(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_mark *>> crash_marks) {
+    fbb_.AddOffset(datagram::VT_CRASH_MARKS, crash_marks);
+  }
+  void add_crash_clearances(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *>> crash_clearances) {
+    fbb_.AddOffset(datagram::VT_CRASH_CLEARANCES, crash_clearances);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1148,7 +1282,9 @@
     uint32_t streams_told = 0,
     uint32_t streams_acknowledged = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_question *>> stream_questions = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_mark *>> crash_marks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *>> crash_clearances = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -1157,6 +1293,8 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_crash_clearances(crash_clearances);
+  builder_.add_crash_marks(crash_marks);
   builder_.add_stream_answers(stream_answers);
   builder_.add_stream_questions(stream_questions);
   builder_.add_streams_acknowledged(streams_acknowledged);
@@ -1233,7 +1371,9 @@
     uint32_t streams_told = 0,
     uint32_t streams_acknowledged = 0,
     const std::vector<borageford::coordination::wire::stream_question> *stream_questions = nullptr,
-    const std::vector<borageford::coordination::wire::stream_answer> *stream_answers = nullptr) {
+    const std::vector<borageford::coordination::wire::stream_answer> *stream_answers = nullptr,
+    const std::vector<borageford::coordination::wire::crash_mark> *crash_marks = nullptr,
+    const std::vector<borageford::coordination::wire::crash_clearance> *crash_clearances = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -1250,6 +1390,8 @@
   auto stream_origins__ = stream_origins ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_origin>(*stream_origins) : 0;
   auto stream_questions__ = stream_questions ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_question>(*stream_questions) : 0;
   auto stream_answers__ = stream_answers ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_answer>(*stream_answers) : 0;
+  auto crash_marks__ = crash_marks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::crash_mark>(*crash_marks) : 0;
+  auto crash_clearances__ = crash_clearances ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::crash_clearance>(*crash_clearances) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -1288,7 +1430,9 @@
       streams_told,
       streams_acknowledged,
       stream_questions__,
-      stream_answers__);
+      stream_answers__,
+      crash_marks__,
+      crash_clearances__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -78,6 +78,7 @@
       m_rate_limits(m_self, m_incarnation,
                     [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }),
       m_retries(m_coordinator.retry_budget(), m_observers.on_retry_use),
+      m_crashes(m_coordinator.crashes(), m_self, {m_observers.on_crash_mark, m_observers.on_crash_clearance}),
       m_streams(settings.stream_memory, settings.is_first_start ? policy::time_point::min() : clock::now(),
                 {[this] { return stream_keepers(); },
                  [this](policy::member_key member, stream_items items) {
@@ -135,10 +136,6 @@
     m_coordinator.scheduler().remove_server(server);
 }
 
-void slot_broker::handle_restart(policy::server_key former) {
-    m_coordinator.handle_restart(former, clock::now());
-}
-
 void slot_broker::set_quota(policy::workspace_key workspace, policy::quota limit) {
     m_coordinator.quotas().set_limit(workspace, limit, clock::now());
 }
@@ -222,6 +219,30 @@
     return true;
 }
 
+void slot_broker::observe_crash(policy::server_key server, std::span<const policy::crash_suspect> suspects) {
+    pass_on(m_crashes.observe_crash(server, suspects, clock::now()), m_self);
+}
+
+void slot_broker::observe_answer(std::span<const policy::crash_suspect> suspects) {
+    pass_on(m_crashes.observe_answer(suspects, clock::now()), m_self);
+}
+
+/// Tells the coordinator and the coordinated members what is new about crashes, except for the one that told
+/// it, and refuses the waiting requests that are quarantined by now.
+void slot_broker::pass_on(const policy::crash_statement& news, policy::member_key source) {
+    if (news.is_empty()) {
+        return;
+    }
+    m_members.queue_crashes(news, source);
+    if (m_source == slot_source::coordinator && source != m_coordinating_member) {
+        append(m_upstream->pending().crashes, news);
+    }
+    if (!news.marks.empty()) {
+        m_coordinator.refuse_suspects(clock::now());
+    }
+    schedule_flush();
+}
+
 void slot_broker::forward_items(batch_items items) {
     if (m_source == slot_source::coordinator) {
         auto& pending = m_upstream->pending();
@@ -377,6 +398,7 @@
     message.wants_reply = true;
     message.known = m_election.known(clock::now());
     message.items.rate_limits = m_rate_limits.take_next();
+    message.items.crashes = m_crashes.recent(clock::now());
     message.streams = m_streams.take_for(member, clock::now());
     if (m_source == slot_source::coordinator && member == m_coordinating_member) {
         m_upstream->set_session_fields(message);
@@ -457,6 +479,7 @@
         reply.streams = std::move(streams);
         reply.known = m_election.known(now);
         reply.items.rate_limits = m_rate_limits.take_next();
+        reply.items.crashes = m_crashes.recent(now);
         if (auto* served = m_members.find(member)) {
             served->channel.set_session_fields(reply);
             reply.items.retries = m_retries.state_to_member(served->heartbeats++, now);
@@ -474,6 +497,7 @@
     for (const auto& heard : message.items.departures) {
         note_departure(heard);
     }
+    pass_on(m_crashes.merge(message.items.crashes, clock::now()), member);
     if (!m_rate_limits.is_new_process(member, message.sender.incarnation)) {
         return;
     }
@@ -482,6 +506,11 @@
         greeting.items.departures = m_departures.latest();
         send(member, std::move(greeting));
     }
+    if (auto known = m_coordinator.crashes().state(clock::now()); !known.is_empty()) {
+        datagram greeting;
+        greeting.items.crashes = std::move(known);
+        send(member, std::move(greeting));
+    }
     for (auto& notices : m_rate_limits.list_for_new_process()) {
         datagram greeting;
         greeting.items.rate_limits = std::move(notices);
@@ -521,6 +550,7 @@
         served->channel.pending().rate_limits = m_rate_limits.list_for_session();
         served->channel.pending().retries = m_retries.state(now);
         served->channel.pending().departures = m_departures.latest();
+        served->channel.pending().crashes = m_coordinator.crashes().state(now);
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
@@ -593,6 +623,7 @@
     // granted.
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
     m_upstream->pending().departures = m_departures.latest();
+    m_upstream->pending().crashes = m_coordinator.crashes().state(clock::now());
     m_upstream->pending().backoffs = m_coordinator.scheduler().list_backoffs(m_self, clock::now());
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -7,6 +7,7 @@
 #include "coordination/batch_channel.hpp"
 #include "coordination/broker_observers.hpp"
 #include "coordination/broker_settings.hpp"
+#include "coordination/crash_exchange.hpp"
 #include "coordination/deferred_refusals.hpp"
 #include "coordination/heartbeat_schedule.hpp"
 #include "coordination/id_sequence.hpp"
@@ -30,6 +31,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -65,8 +67,6 @@
     void set_server(policy::server_key server, policy::service_key service, unsigned slots,
                     policy::domain_key domain, policy::server_software software = {});
     void remove_server(policy::server_key server);
-    /// A server restarted under another key. `former` is the key of the run that has ended.
-    void handle_restart(policy::server_key former);
     /// Sets the quota of a workspace.
     void set_quota(policy::workspace_key workspace, policy::quota limit);
     void remove_quota(policy::workspace_key workspace);
@@ -98,6 +98,13 @@
     /// Whether the server has said in an answer to some gateway that it leaves, as far as this process knows.
     [[nodiscard]] bool has_departed(policy::server_key server) const { return m_departures.contains(server); }
 
+    /// A server crashed while it may have run a request of this process with these suspects.
+    void observe_crash(policy::server_key server, std::span<const policy::crash_suspect> suspects);
+    /// A server has answered a request with these suspects to this process.
+    void observe_answer(std::span<const policy::crash_suspect> suspects);
+    /// The requests that crash servers, as far as this process knows.
+    [[nodiscard]] const policy::crash_ledger& crashes() const noexcept { return m_coordinator.crashes(); }
+
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
     /// The time at which source() last changed.
     [[nodiscard]] policy::time_point source_since() const noexcept { return m_source_since; }
@@ -152,6 +159,7 @@
     void merge_notices(policy::member_key member, const datagram& message);
 
     bool note_departure(const policy::departure& heard);
+    void pass_on(const policy::crash_statement& news, policy::member_key source);
 
     void deliver(const batch_items& items);
     void apply_grant(const policy::slot_grant& grant);
@@ -184,6 +192,7 @@
     rate_limit_exchange m_rate_limits;
     retry_exchange m_retries;
     policy::departure_table m_departures;
+    crash_exchange m_crashes;
     stream_exchange m_streams;
 
     local_requests m_requests;
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -3,6 +3,7 @@
 #include "coordination/slot_coordinator.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,14 @@
 /// The wait that is suggested to callers when the retry budget of a service is used up.
 constexpr milliseconds retry_budget_wait{500};
 
+/// The wait that is suggested to the callers of further copies of a suspected request: until the first one
+/// has been answered, or has crashed its server.
+constexpr milliseconds copy_wait{1000};
+
+policy::crash_suspect suspect_of(std::uint64_t fingerprint) {
+    return {policy::suspect_kind::request, fingerprint};
+}
+
 } // namespace
 
 slot_coordinator::slot_coordinator(policy::slot_scheduler_limits slots, policy::quota_limits quotas,
@@ -32,11 +41,6 @@
     m_retry_budget.set_share(own.retry_reserve);
 }
 
-void slot_coordinator::handle_restart(policy::server_key former, policy::time_point now) {
-    m_scheduler.remove_server(former);
-    m_suspects.record_restart(former, now);
-}
-
 void slot_coordinator::apply_items(policy::member_key member, const batch_items& items,
                                    policy::time_point now) {
     for (const auto& report : items.reports) {
@@ -65,10 +69,14 @@
     if (m_requests.contains(request.ticket)) {
         return;
     }
-    if (const auto held = m_suspects.quarantine_left(request.fingerprint, now)) {
+    if (const auto held = m_crashes.quarantine_left(suspect_of(request.fingerprint), now)) {
         refuse(member, {request.ticket, policy::refusal_reason::held_back, *held});
         return;
     }
+    if (must_wait_for_copy(request.fingerprint, now)) {
+        refuse(member, {request.ticket, policy::refusal_reason::held_back, copy_wait});
+        return;
+    }
     if (request.sends == 0 && !request.is_counted) {
         m_retry_budget.count_request(request.service, now);
     }
@@ -126,18 +134,46 @@
         return; // of a request that still waits: forgetting it here would leave it in the scheduler
     }
     m_scheduler.release(ended, now);
-    if (ended.outcome == policy::slot_outcome::broken) {
-        m_suspects.record_broken_connection(found->second.fingerprint, ended.server, now);
-    } else if (ended.outcome == policy::slot_outcome::unreachable ||
-               ended.outcome == policy::slot_outcome::replaced) {
-        m_suspects.record_crash(ended.server, now);
-    }
     if (policy::has_not_run(ended.outcome)) {
         m_quotas.refund(found->second.workspace, found->second.charged_units, now);
     }
     m_requests.erase(found);
 }
 
+/// While a request is suspected, one copy of it runs at a time: if it does crash servers, its copies would
+/// crash one each before the first of these crashes is known.
+bool slot_coordinator::must_wait_for_copy(std::uint64_t fingerprint, policy::time_point now) const {
+    return m_crashes.marks(suspect_of(fingerprint), now) > 0 &&
+           std::ranges::any_of(m_requests, [fingerprint](const auto& entry) {
+               return entry.second.fingerprint == fingerprint;
+           });
+}
+
+void slot_coordinator::refuse_suspects(policy::time_point now) {
+    std::set<std::uint64_t> known; // fingerprints of which one copy runs, or may wait
+    for (const auto& [ticket, request] : m_requests) {
+        if (request.is_running) {
+            known.insert(request.fingerprint);
+        }
+    }
+    std::vector<policy::slot_ticket> tickets;
+    for (const auto& [ticket, request] : m_requests) {
+        const auto suspect = suspect_of(request.fingerprint);
+        if (m_crashes.marks(suspect, now) == 0) {
+            continue;
+        }
+        const auto left = m_crashes.quarantine_left(suspect, now);
+        const bool is_first = known.insert(request.fingerprint).second;
+        if ((left.has_value() || !is_first) && m_scheduler.withdraw(ticket)) {
+            refuse(request.member, {ticket, policy::refusal_reason::held_back, left.value_or(copy_wait)});
+            tickets.push_back(ticket);
+        }
+    }
+    for (const auto ticket : tickets) {
+        forget_waiting(ticket, now);
+    }
+}
+
 void slot_coordinator::refuse(policy::member_key member, const policy::slot_refusal& refusal) {
     m_output[member].refusals.push_back(refusal);
 }
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -4,7 +4,7 @@
 
 #include "coordination/message.hpp"
 #include "policy/coordinator_election.hpp"
-#include "policy/crash_suspects.hpp"
+#include "policy/crash_ledger.hpp"
 #include "policy/quota_tracker.hpp"
 #include "policy/refusal_history.hpp"
 #include "policy/server_retry_budget.hpp"
@@ -28,6 +28,8 @@
     [[nodiscard]] const policy::slot_scheduler& scheduler() const noexcept { return m_scheduler; }
     [[nodiscard]] policy::quota_tracker& quotas() noexcept { return m_quotas; }
     [[nodiscard]] policy::server_retry_budget& retry_budget() noexcept { return m_retry_budget; }
+    [[nodiscard]] policy::crash_ledger& crashes() noexcept { return m_crashes; }
+    [[nodiscard]] const policy::crash_ledger& crashes() const noexcept { return m_crashes; }
 
     /// The parts that this process may grant of what all processes together may grant, each from 0 to 1.
     struct shares {
@@ -41,12 +43,13 @@
         m_scheduler.set_rate_share(share, now);
     }
 
-    /// A server restarted under another key. `former` is the key of the run that has ended.
-    void handle_restart(policy::server_key former, policy::time_point now);
-
     /// Processes the items that a member sent.
     void apply_items(policy::member_key member, const batch_items& items, policy::time_point now);
 
+    /// Refuses the waiting requests that are quarantined by now, and all but one copy of each other request
+    /// that is suspected.
+    void refuse_suspects(policy::time_point now);
+
     /// Drops a member. Its waiting requests are removed, and the slots that its requests occupy become free.
     void detach(policy::member_key member, policy::time_point now);
 
@@ -69,6 +72,7 @@
 
     void handle_slot_request(policy::member_key member, const policy::slot_request& request,
                              policy::time_point now);
+    [[nodiscard]] bool must_wait_for_copy(std::uint64_t fingerprint, policy::time_point now) const;
     void handle_withdrawal(policy::slot_ticket ticket, policy::time_point now);
     void handle_release(const policy::slot_release& ended, policy::time_point now);
     void refuse(policy::member_key member, const policy::slot_refusal& refusal);
@@ -77,7 +81,7 @@
     policy::slot_scheduler m_scheduler;
     policy::quota_tracker m_quotas;
     policy::server_retry_budget m_retry_budget;
-    policy::crash_suspects m_suspects;
+    policy::crash_ledger m_crashes;
     policy::refusal_history m_refusal_history;
     std::unordered_map<policy::slot_ticket, known_request> m_requests;
     std::map<policy::member_key, batch_items> m_output; ///< decisions since the last call of decide()
--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -95,10 +95,12 @@
     m_on_crash = std::move(on_crash);
 }
 
+bool emulated_backend::is_fatal(const http::request& call) const {
+    return !m_crash_rule.body_text.empty() && call.body.find(m_crash_rule.body_text) != std::string::npos;
+}
+
 bool emulated_backend::apply_crash_rule(const http::request& call) {
-    const bool is_fatal =
-        !m_crash_rule.body_text.empty() && call.body.find(m_crash_rule.body_text) != std::string::npos;
-    if (m_is_stopped || !is_fatal) {
+    if (m_is_stopped || !is_fatal(call)) {
         return m_is_stopped;
     }
     m_fatal_requests.push_back(header_value(call, m_fields.request_id));
@@ -241,7 +243,8 @@
 asio::awaitable<void> emulated_backend::run_plain(const http::request& call, http::response_writer& writer,
                                                   backend_fault fault, std::size_t number) {
     co_await pause(m_timers, std::chrono::duration_cast<steady_clock::duration>(m_options.work * m_slowness));
-    if (apply_crash_rule(call)) {
+    const bool ends_unframed = m_crash_rule.is_answered && is_fatal(call);
+    if (!ends_unframed && apply_crash_rule(call)) {
         writer.abort();
         co_return;
     }
@@ -253,7 +256,7 @@
     auto answer =
         http::make_response(status, "application/json", R"({"run":)" + std::to_string(number) + "}");
     std::ranges::move(answer_fields(call, number), std::back_inserter(answer.head.headers));
-    if (fault == backend_fault::none || fault == backend_fault::error) {
+    if (!ends_unframed && (fault == backend_fault::none || fault == backend_fault::error)) {
         co_await writer.write(answer);
         co_return;
     }
@@ -264,8 +267,9 @@
     const auto length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
     if (fault == backend_fault::cut_midway || fault == backend_fault::cut_first_event) {
         co_await writer.write_raw(head + length + answer.body.substr(0, 3), false);
-    } else if (fault == backend_fault::unframed) {
+    } else if (fault == backend_fault::unframed || ends_unframed) {
         co_await writer.write_raw(head + "Connection: close\r\n\r\n" + answer.body, false);
+        apply_crash_rule(call);
     } else {
         co_await writer.write_raw(head + length + answer.body + "HTTP/1.1 200 OK\r\n" + m_fields.request_id +
                                       ": somebody-else\r\nContent-Length: 2\r\n\r\nno",
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -67,6 +67,8 @@
 /// Which requests crash the server, as soon as it begins to answer them.
 struct crash_rule {
     std::string body_text; ///< requests whose bodies contain this text; empty: none
+    /// The answer is sent first, without a length, so that it seems to end with its connection.
+    bool is_answered = false;
 };
 
 /// Must be used on one executor with one thread only.
@@ -135,6 +137,7 @@
     boost::asio::awaitable<void> run_stream(const http::request& call, http::response_writer& writer,
                                             backend_fault fault, std::size_t number);
     void watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone);
+    [[nodiscard]] bool is_fatal(const http::request& call) const;
     /// Crashes if the rule names this request. Returns whether the server has crashed by then.
     bool apply_crash_rule(const http::request& call);
     [[nodiscard]] backend_fault take_fault() noexcept;
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -127,6 +127,21 @@
     event_description{event_kind::backend_backoff, "backend_backoff", info, state_rate,
                       "A backend server turned this gateway away and wants none of its requests for a while.",
                       "backend request pause_ms"},
+    event_description{event_kind::backend_crashed, "backend_crashed", warning, state_rate,
+                      "A backend server ended without notice while it may have run requests of this gateway; "
+                      "`suspects` is the number of requests, and of parts of their prompts, that may have "
+                      "caused it.",
+                      "backend suspects sign"},
+    event_description{
+        event_kind::suspect_quarantined, "suspect_quarantined", warning, state_rate,
+        "Several servers crashed while they may have run a request, or requests with one part in "
+        "their prompts: all gateways refuse such requests for a while. `key` identifies it, "
+        "`backend` is the last of these servers.",
+        "suspect key crashes backend heard_by for_ms"},
+    event_description{event_kind::suspect_cleared, "suspect_cleared", info, state_rate,
+                      "A server answered a request that was suspected to crash servers, or that has a "
+                      "suspected part: earlier crashes no longer count.",
+                      "suspect key heard_by"},
     event_description{
         event_kind::answer_field_unreadable, "answer_field_unreadable", warning, state_rate,
         "A backend server's answer has a field about the server that can't be read; it is ignored.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -51,6 +51,9 @@
     backend_limit_unreadable,
     backend_leaving,
     backend_backoff,
+    backend_crashed,
+    suspect_quarantined,
+    suspect_cleared,
     answer_field_unreadable,
 
     // Requests, logged by the gateway that received them from their callers.
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -89,6 +89,10 @@
 
 } // namespace
 
+std::vector<policy::crash_suspect> admitted_request::suspects() const {
+    return {{policy::suspect_kind::request, fingerprint}};
+}
+
 bool admitted_request::choose_service(policy::service_key wanted) {
     const auto& services = configuration->document().services;
     const auto found = std::ranges::find_if(route->services, [&](const routing::weighted_service& each) {
--- a/src/gateway/admitted_request.hpp
+++ b/src/gateway/admitted_request.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_context.hpp"
 #include "http/request_reader.hpp"
+#include "policy/crash_mark.hpp"
 #include "policy/slot_request.hpp"
 #include "routing/routing_table.hpp"
 
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace borageford::gateway {
 
@@ -34,6 +36,9 @@
     int tier = 0;
     std::uint64_t fingerprint = 0; ///< Hash of caller, target and body.
 
+    /// What of the request may crash the servers that run it.
+    [[nodiscard]] std::vector<policy::crash_suspect> suspects() const;
+
     /// Makes the request go to the service with this key; returns false if its route doesn't lead there.
     bool choose_service(policy::service_key wanted);
     /// Negative once the deadline has passed.
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -50,6 +50,15 @@
         return m_last_connection_failure;
     }
 
+    /// Records a sign that the server lives: it has accepted a connection, or sent bytes.
+    void record_life() noexcept { m_last_life = clock::now(); }
+    /// Time of the last such sign; the clock's minimum when there was none.
+    [[nodiscard]] clock::time_point last_life() const noexcept { return m_last_life; }
+    /// Whether the server is registered. A server that is no longer registered may go on serving what it
+    /// has.
+    [[nodiscard]] bool is_registered() const noexcept { return m_is_registered; }
+    void record_removal() noexcept { m_is_registered = false; }
+
     /// The server wants no requests of this process until `until`; a later end that it asked for before
     /// stays.
     void back_off(clock::time_point until) noexcept { m_backoff_end = std::max(m_backoff_end, until); }
@@ -75,7 +84,9 @@
     std::vector<idle_connection> m_idle;
     std::unordered_map<const backend_call*, std::weak_ptr<backend_call>> m_calls;
     clock::time_point m_last_connection_failure = clock::time_point::min();
+    clock::time_point m_last_life = clock::time_point::min();
     clock::time_point m_backoff_end = clock::time_point::min();
+    bool m_is_registered = true;
     bool m_is_retired = false; ///< Once set, no connection is kept.
 };
 
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -2,6 +2,7 @@
 // response.
 #include "gateway/backend_call.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 
 #include <array>
@@ -60,21 +61,23 @@
 
 void backend_call::connect() {
     m_connecting = std::make_shared<asio::ip::tcp::socket>(m_executor);
-    m_connecting->async_connect(
-        m_server->record().address,
-        [self = shared_from_this(), socket = m_connecting](const boost::system::error_code& error) {
-            if (self->m_is_over) {
-                return;
-            }
-            self->m_connect_timer.cancel();
-            self->m_connecting.reset();
-            if (error) {
-                self->m_server->record_connection_failure();
-                self->fail(call_failure::unreachable, "connecting failed");
-                return;
-            }
-            self->send_on(std::make_shared<net::connection>(std::move(*socket)));
-        });
+    m_connecting->async_connect(m_server->record().address, [self = shared_from_this(),
+                                                             socket = m_connecting](
+                                                                const boost::system::error_code& error) {
+        if (self->m_is_over) {
+            return;
+        }
+        self->m_connect_timer.cancel();
+        self->m_connecting.reset();
+        if (error) {
+            self->m_server->record_connection_failure();
+            const bool is_refused = error == asio::error::connection_refused;
+            self->fail(is_refused ? call_failure::refused : call_failure::unreachable, "connecting failed");
+            return;
+        }
+        self->m_server->record_life();
+        self->send_on(std::make_shared<net::connection>(std::move(*socket)));
+    });
     m_connect_timer.expires_after(connect_timeout);
     m_connect_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error && !self->m_is_over && self->m_connecting != nullptr) {
@@ -90,6 +93,11 @@
         fail(call_failure::withdrawn, "the server was taken out of use or asked for a pause");
         return;
     }
+    if (!m_request.may_be_sent()) {
+        connection->close();
+        fail(call_failure::withdrawn, "the request was quarantined");
+        return;
+    }
     m_connection = std::move(connection);
     m_software = m_server->record().version;
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
@@ -141,6 +149,7 @@
 
 void backend_call::handle_input() {
     const auto self = shared_from_this();
+    m_server->record_life();
     try {
         while (!m_is_over && read_response()) {
         }
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -21,9 +21,11 @@
 
 /// What is known about a call that failed.
 enum class call_failure : std::uint8_t {
+    refused,     ///< The server refused the connection: no process listens at its address.
     unreachable, ///< No connection was established, so no byte of the request was sent.
     unknown,     ///< The server may have executed the request.
-    /// The server was taken out of use, or asked for a pause, before a byte of the request was sent.
+    /// The server was taken out of use, or asked for a pause, or the request may no longer be sent, before a
+    /// byte of it was.
     withdrawn,
 };
 
@@ -35,6 +37,10 @@
     std::string request_id_name; ///< Name of the field in which the server echoes the request id.
     bool is_head_method = false;
     bool is_retryable = false;
+    /// Whether the request may still be sent; asked right before its first byte.
+    std::function<bool()> may_be_sent = [] {
+        return true;
+    };
 };
 
 /// The handlers run on the executor, never from within start() or cancel(). Either on_complete or on_failure
@@ -67,6 +73,12 @@
     /// back stayed on connections that nobody closed, until their callers gave up.
     void handle_restart();
 
+    /// Whether the request was sent, or at least a part of it.
+    [[nodiscard]] bool has_been_sent() const noexcept { return m_connection != nullptr; }
+    /// When the connection was opened on which the response arrives.
+    [[nodiscard]] std::chrono::steady_clock::time_point opened_at() const {
+        return m_connection->opened_at();
+    }
     /// The software version of the server that received the request; nothing if it isn't certain, because
     /// another version has registered under the server's id since. The present registration may be that of
     /// another process.
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -66,6 +66,7 @@
 void backend_directory::remove(std::string_view id) {
     const auto found = m_backends.find(id);
     if (found != m_backends.end()) {
+        found->second->record_removal();
         found->second->close_idle();
         m_by_key.erase(found->second->record().key());
         record_previous(found->second->record().key());
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -28,13 +28,14 @@
 
 backend_roster::backend_roster(asio::any_io_executor executor, timer_service& timers,
                                const deployment& current_deployment, backend_directory& backends,
-                               coordination::slot_broker& slots, rollout_manager& rollouts,
-                               std::chrono::milliseconds registration_life)
+                               coordination::slot_broker& slots, crash_watch& crashes,
+                               rollout_manager& rollouts, std::chrono::milliseconds registration_life)
     : m_executor(std::move(executor)),
       m_timers(timers),
       m_deployment(current_deployment),
       m_backends(backends),
       m_slots(slots),
+      m_crashes(crashes),
       m_rollouts(rollouts),
       m_registration_life(registration_life) {}
 
@@ -329,6 +330,7 @@
         m_rollouts.update_slots(record);
     } else {
         withdraw(record);
+        m_crashes.record_leaving(record.key());
         events::write(events::event_kind::backend_draining,
                       {{"backend", record.id}, {"era", at.era}, {"version", at.version}});
     }
@@ -349,6 +351,7 @@
     }
     auto record = server->record();
     withdraw(record);
+    m_crashes.record_leaving(record.key());
     record.state = routing::backend_state::draining;
     server->set_record(std::move(record));
 }
@@ -368,7 +371,8 @@
         events::event_kind::backend_restarted,
         {{"backend", record.id}, {"start", record.start}, {"former_start", previous->record().start}});
     m_slots.streams().history().remove(previous->record().key(), steady_clock::now());
-    m_slots.handle_restart(previous->record().key());
+    m_slots.remove_server(previous->record().key());
+    m_crashes.record_crash(*previous);
 }
 
 void backend_roster::handle_missing(const std::string& id) {
@@ -400,6 +404,7 @@
     m_removals.add(id, m_position);
     m_starts.forget(id);
     if (const auto server = m_backends.find_id(id)) {
+        m_crashes.record_removal(*server);
         withdraw(server->record());
         m_backends.remove(id);
     }
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "coordination/slot_broker.hpp"
 #include "gateway/backend_directory.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/deployment.hpp"
 #include "gateway/removal_log.hpp"
 #include "gateway/rollout_manager.hpp"
@@ -39,7 +40,7 @@
     /// renewed.
     backend_roster(boost::asio::any_io_executor executor, timer_service& timers,
                    const deployment& current_deployment, backend_directory& backends,
-                   coordination::slot_broker& slots, rollout_manager& rollouts,
+                   coordination::slot_broker& slots, crash_watch& crashes, rollout_manager& rollouts,
                    std::chrono::milliseconds registration_life = std::chrono::milliseconds(4500));
 
     /// Starts the timer that removes overdue registrations and drives the roll-outs.
@@ -132,6 +133,7 @@
     const deployment& m_deployment;
     backend_directory& m_backends;
     coordination::slot_broker& m_slots;
+    crash_watch& m_crashes;
     rollout_manager& m_rollouts;
     policy::registration_watch m_watch;
     policy::server_starts m_starts;
--- /dev/null
+++ b/src/gateway/crash_watch.cpp
@@ -0,0 +1,161 @@
+// Implementation of crash_watch: a check opens one connection, which becomes an idle one if it is accepted.
+#include "gateway/crash_watch.hpp"
+
+#include "events/event_log.hpp"
+
+#include <boost/asio/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace borageford::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How long a check waits for its connection. Within a region, a connection is refused in a few milliseconds.
+constexpr milliseconds check_timeout{300};
+/// How long a request that broke off waits for the check before it is sent to another server: several round
+/// trips, so that this server's crash is known if the server refuses connections.
+constexpr milliseconds check_patience{30};
+/// After this time, a server is checked on which a request was abandoned. If the request crashes servers, it
+/// has done so by then, unless it still waits in the server's queue.
+constexpr milliseconds abandoned_check_delay{300};
+/// A connection that a check has opened is kept for the next request for this long.
+constexpr milliseconds keep_checked{1000};
+
+bool may_have_crashed(const backend& server) {
+    return server.is_registered() && server.record().state == routing::backend_state::ready;
+}
+
+} // namespace
+
+crash_watch::crash_watch(asio::any_io_executor executor, timer_service& timers,
+                         coordination::slot_broker& slots)
+    : m_executor(std::move(executor)), m_timers(timers), m_slots(slots) {}
+
+void crash_watch::record_broken(const std::shared_ptr<backend>& server, suspects ended,
+                                std::function<void()> on_checked) {
+    const auto key = server->record().key();
+    if (!may_have_crashed(*server)) {
+        on_checked();
+        return;
+    }
+    if (m_suspects.record_end(key, ended, policy::unanswered_end::broken, clock::now())) {
+        report(*server, ended, "the server is known to have ended");
+        on_checked();
+        return;
+    }
+    begin_check(server);
+    auto& running = m_checks.at(key);
+    running.waiting.push_back(std::move(on_checked));
+    if (!running.patience.is_active()) {
+        running.patience = m_timers.after(m_executor, check_patience, [this, key] { release_waiting(key); });
+    }
+}
+
+void crash_watch::record_abandoned(const std::shared_ptr<backend>& server, suspects ended,
+                                   clock::time_point sent) {
+    // A server that had gone dark before the request was sent wasn't crashed by it.
+    if (!may_have_crashed(*server) || server->last_life() < sent) {
+        return;
+    }
+    const auto key = server->record().key();
+    const auto ended_at = clock::now();
+    if (m_suspects.record_end(key, ended, policy::unanswered_end::abandoned, ended_at)) {
+        report(*server, ended, "the server is known to have ended");
+        return;
+    }
+    auto& planned = m_planned[key];
+    if (planned.is_active()) {
+        return;
+    }
+    planned = m_timers.after(m_executor, abandoned_check_delay, [this, key, server, ended_at] {
+        m_planned.erase(key);
+        if (server->last_life() < ended_at && m_suspects.has_suspects(key)) {
+            begin_check(server);
+        }
+    });
+}
+
+void crash_watch::begin_check(const std::shared_ptr<backend>& server) {
+    const auto key = server->record().key();
+    const auto [entry, is_new] = m_checks.try_emplace(key);
+    if (!is_new) {
+        return;
+    }
+    auto& begun = entry->second;
+    begun.socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    begun.socket->async_connect(
+        server->record().address,
+        [this, key, server](const boost::system::error_code& error) { end_check(key, server, error); });
+    begun.timeout = m_timers.after(m_executor, check_timeout, [this, key] {
+        const auto running = m_checks.find(key);
+        if (running != m_checks.end()) {
+            boost::system::error_code ignored;
+            running->second.socket->close(ignored);
+        }
+    });
+}
+
+void crash_watch::end_check(policy::server_key key, const std::shared_ptr<backend>& server,
+                            const boost::system::error_code& error) {
+    if (error == asio::error::connection_refused) {
+        record_crash(*server);
+    } else if (!error) {
+        server->record_life();
+        const auto connection = std::make_shared<net::connection>(std::move(*m_checks.at(key).socket));
+        server->keep_idle(connection, keep_checked);
+    }
+    release_waiting(key);
+    m_checks.erase(key);
+}
+
+/// Lets the requests go on that wait for the check of this server.
+void crash_watch::release_waiting(policy::server_key key) {
+    const auto running = m_checks.find(key);
+    if (running == m_checks.end()) {
+        return;
+    }
+    running->second.patience.cancel();
+    for (const auto& on_checked : std::exchange(running->second.waiting, {})) {
+        on_checked();
+    }
+}
+
+void crash_watch::record_crash(const backend& server) {
+    if (may_have_crashed(server)) {
+        report(server, m_suspects.record_crash(server.record().key(), clock::now()),
+               "it no longer answers at its address");
+    }
+}
+
+void crash_watch::record_removal(const backend& server) {
+    if (may_have_crashed(server)) {
+        report(server, m_suspects.record_removal(server.record().key(), clock::now()),
+               "its registration was removed");
+    }
+}
+
+void crash_watch::record_alive(const backend& server, clock::time_point opened) {
+    m_suspects.record_alive(server.record().key(), opened, clock::now());
+}
+
+void crash_watch::record_leaving(policy::server_key server) {
+    m_suspects.record_leaving(server);
+}
+
+/// Logs the crash and tells all gateways what may have caused it.
+void crash_watch::report(const backend& server, suspects marked, std::string_view sign) {
+    if (marked.empty()) {
+        return;
+    }
+    events::write(
+        events::event_kind::backend_crashed,
+        {{"backend", server.record().id}, {"suspects", std::uint64_t(marked.size())}, {"sign", sign}});
+    m_slots.observe_crash(server.record().key(), marked);
+}
+
+} // namespace borageford::gateway
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -23,6 +23,7 @@
 class backend_directory;
 class gateway_metrics;
 class client_session;
+class crash_watch;
 class rate_limit_reader;
 
 /// The configuration in force; null until the first one is known.
@@ -49,6 +50,7 @@
     gateway_metrics& metrics;
     rate_limit_reader& rate_limits;
     answer_reader& answers;
+    crash_watch& crashes;
     /// Called when a slot was granted at a server that is unknown here.
     std::function<void()> on_unknown_server{};
     std::set<client_session*> sessions{}; ///< All open connections of callers.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -10,6 +10,8 @@
 #include "gateway/backend_roster.hpp"
 #include "gateway/client_session.hpp"
 #include "gateway/configuration_manager.hpp"
+#include "gateway/crash_reporter.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/gateway_context.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/gateway_settings.hpp"
@@ -77,10 +79,12 @@
           m_slots(m_runtime.executor(), m_runtime.timers(), make_broker_settings(), make_observers()),
           m_rate_limits(current_deployment, m_backends, m_slots, m_registry),
           m_answers(current_deployment, m_backends, m_slots, m_registry),
+          m_crash_watch(m_runtime.executor(), m_runtime.timers(), m_slots),
+          m_crash_reporter(m_backends, m_registry),
           m_retry_use(m_configuration, m_registry),
-          m_context{m_runtime.executor(), m_runtime.timers(), m_settings, current_deployment.fields,
-                    m_configuration,      m_backends,         m_slots,    m_metrics,
-                    m_rate_limits,        m_answers},
+          m_context{m_runtime.executor(), m_runtime.timers(), m_settings,   current_deployment.fields,
+                    m_configuration,      m_backends,         m_slots,      m_metrics,
+                    m_rate_limits,        m_answers,          m_crash_watch},
           m_configuration_manager(current_deployment, m_configuration, m_slots),
           m_rollouts(m_backends, m_slots),
           m_rollout_recorder(
@@ -93,7 +97,7 @@
                                    return m_roster.position().era;
                                }}),
           m_roster(m_runtime.executor(), m_runtime.timers(), current_deployment, m_backends, m_slots,
-                   m_rollouts, m_settings.registration_life()),
+                   m_crash_watch, m_rollouts, m_settings.registration_life()),
           m_exchange(
               m_runtime.executor(), m_settings.peers_listen, m_configuration_manager, m_roster,
               [this] { return is_store_available(); },
@@ -173,6 +177,7 @@
         m_registry.add_gauge("borageford_gateway_dropped_streams",
                              "Streams that were forgotten before their time because there were too many.", {},
                              [this] { return static_cast<double>(m_slots.streams().table().dropped()); });
+        m_crash_reporter.add_gauges(m_slots.crashes());
         m_registry.add_gauge("borageford_gateway_slot_source",
                              "0: a coordinator, 1: this process for all, 2: its own part.", {},
                              [this] { return static_cast<double>(m_slots.source()); });
@@ -230,6 +235,10 @@
                 m_answers.report(heard);
                 m_roster.handle_departure(heard.server);
             },
+            [this](const policy::crash_mark& mark, policy::crash_ledger::change change) {
+                m_crash_reporter.report(mark, change, m_slots.crashes());
+            },
+            [this](const policy::crash_clearance& clearance) { m_crash_reporter.report(clearance); },
             [this](policy::service_key service, const policy::server_retry_budget::use& current,
                    bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
             [this](policy::server_key server) { m_rate_limits.count_used_up(server); },
@@ -430,6 +439,8 @@
     coordination::slot_broker m_slots;
     rate_limit_reader m_rate_limits;
     answer_reader m_answers;
+    crash_watch m_crash_watch;
+    crash_reporter m_crash_reporter;
     retry_use_monitor m_retry_use;
     gateway_context m_context;
     configuration_manager m_configuration_manager;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -6,6 +6,7 @@
 #include "base/request_error.hpp"
 #include "gateway/answer_reader.hpp"
 #include "gateway/backend_directory.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/http_heads.hpp"
 #include "gateway/rate_limit_reader.hpp"
 #include "http/message.hpp"
@@ -37,6 +38,8 @@
 /// Slots that a request returns without an attempt. More of them mean that the process that grants doesn't
 /// learn that the server is out of use.
 constexpr unsigned max_returned_slots = 16;
+/// A server that has sent events for this long runs the request without crashing.
+constexpr milliseconds harmless_after{300};
 /// Refused requests are told to retry after a time in this range. It depends on the request, so that requests
 /// refused together don't all return at once.
 constexpr milliseconds min_retry_after{300};
@@ -181,7 +184,30 @@
     return wanted;
 }
 
+std::optional<milliseconds> request_exchange::quarantine_left() const {
+    const auto& crashes = m_context.slots.crashes();
+    if (crashes.is_empty()) {
+        return std::nullopt;
+    }
+    std::optional<milliseconds> longest;
+    for (const auto& suspect : m_admitted.suspects()) {
+        if (const auto left = crashes.quarantine_left(suspect, clock::now())) {
+            longest =
+                std::max(longest.value_or(milliseconds(0)), std::chrono::duration_cast<milliseconds>(*left));
+        }
+    }
+    return longest;
+}
+
+void request_exchange::refuse_quarantined(milliseconds left) {
+    end_without_answer(error_kind::held_back, "servers crashed while they ran it", left);
+}
+
 void request_exchange::request_slot() {
+    if (const auto left = quarantine_left()) {
+        refuse_quarantined(*left);
+        return;
+    }
     const auto wanted = make_slot_request();
     m_ticket = wanted.ticket;
     m_has_asked = true;
@@ -202,6 +228,7 @@
         m_waited = m_slot_begin - m_admitted.arrived;
     }
     m_first_event = {};
+    m_has_proved_harmless = false;
     m_events_before = m_events.count();
     m_is_charged = true;
     const auto& backends = m_context.backends;
@@ -251,6 +278,8 @@
         // the coordinator's requests.
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused,
                      "the server is draining");
+    } else if (quarantine_left().has_value()) {
+        return_slot("the request was quarantined");
     } else if (m_software.required() != 0 && policy::software_key_of(software) != m_software.required()) {
         return_slot("its software version isn't the one that began the stream");
     } else {
@@ -289,7 +318,7 @@
         end_without_answer(error_kind::rate_limited, "over the workspace's allowance", wait);
         return;
     case policy::refusal_reason::held_back:
-        end_without_answer(error_kind::held_back, "servers crashed while they ran it", wait);
+        refuse_quarantined(wait);
         return;
     case policy::refusal_reason::software_gone:
         end_without_answer(error_kind::no_backend_server, to_string(refusal.reason), wait);
@@ -332,6 +361,9 @@
     request.request_id_name = m_context.fields.request_id;
     request.is_head_method = m_request.method == "HEAD";
     request.is_retryable = m_admitted.route->may_repeat();
+    request.may_be_sent = [this] {
+        return !quarantine_left().has_value();
+    };
     const auto self = shared_from_this();
     m_call = std::make_shared<backend_call>(
         m_context.executor, std::move(server), std::move(request),
@@ -347,6 +379,7 @@
 void request_exchange::handle_head() {
     const auto& response = m_call->response();
     if (response.status() != misdirected) {
+        m_context.crashes.record_alive(*m_call->server(), m_call->opened_at());
         m_context.answers.read(*m_call->server(), response, m_admitted.id);
         m_context.rate_limits.read_answer(m_call->server()->record(), response.fields(), m_admitted.id,
                                           m_slot_begin);
@@ -385,6 +418,8 @@
     record_event_time();
     if (m_first_event == policy::duration{}) {
         handle_first_event();
+    } else if (!m_has_proved_harmless && !is_suspect()) {
+        record_answer();
     }
     begin_stream();
     m_session->send_chunk(complete_events);
@@ -450,6 +485,7 @@
                      "a stream without its last event");
         return;
     }
+    record_answer();
     release_slot(policy::slot_outcome::served);
     m_journal.answered(m_admitted, m_server_id, m_call->response().status(), m_attempts.attempt_count() + 1,
                        answer_times());
@@ -460,6 +496,7 @@
 void request_exchange::handle_complete_answer() {
     const auto& response = m_call->response();
     if (response.status() == misdirected) {
+        m_context.crashes.record_crash(*m_call->server());
         fail_attempt(policy::attempt_outcome::not_executed, policy::slot_outcome::replaced,
                      "another server answers at its address");
         return;
@@ -474,6 +511,7 @@
                      "the stream can't go on there");
         return;
     }
+    record_answer();
     const bool has_failed = response.status() >= first_server_error;
     const auto tries = m_attempts.attempt_count() + 1;
     if (has_failed) {
@@ -500,7 +538,10 @@
 void request_exchange::handle_failure(call_failure what, std::string_view reason) {
     if (what == call_failure::withdrawn) {
         return_slot(reason);
-    } else if (what == call_failure::unreachable) {
+    } else if (what == call_failure::unreachable || what == call_failure::refused) {
+        if (what == call_failure::refused) {
+            m_context.crashes.record_crash(*m_call->server());
+        }
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::unreachable, reason);
     } else {
         fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken, reason);
@@ -517,9 +558,26 @@
     if (m_call != nullptr && m_first_event != policy::duration{}) {
         m_software.handle_break(*m_call);
     }
+    const bool may_have_crashed_it = slot == policy::slot_outcome::broken && is_suspect();
+    const auto server = m_call != nullptr ? m_call->server() : nullptr;
     release_slot(slot);
     m_call.reset();
     m_events.handle_broken_connection(); // also before the first event: a part of one may have arrived
+    if (!may_have_crashed_it || server == nullptr) {
+        continue_after(slot, reason, busy);
+        return;
+    }
+    const auto self = shared_from_this();
+    record_broken(server, [self, slot, reason = std::string(reason), busy] {
+        if (!self->m_is_over) {
+            self->continue_after(slot, reason, busy);
+        }
+    });
+}
+
+/// Sends the request to another server after a failed attempt, or gives it up.
+void request_exchange::continue_after(policy::slot_outcome slot, std::string_view reason,
+                                      clock::duration busy) {
     const bool will_retry = may_retry();
     m_journal.attempt_failed(m_admitted, m_server_id, slot, reason, m_attempts, will_retry, busy);
     if (will_retry) {
@@ -529,6 +587,36 @@
     }
 }
 
+/// Whether the server may crash because of the request, for all that is known: it hasn't been answered yet,
+/// or only just begun to be.
+bool request_exchange::is_suspect() const {
+    return m_first_event == policy::duration{} ||
+           clock::now() - m_slot_begin - m_first_event < harmless_after;
+}
+
+void request_exchange::record_broken(const std::shared_ptr<backend>& server,
+                                     std::function<void()> on_checked) {
+    m_context.crashes.record_broken(server, m_admitted.suspects(), std::move(on_checked));
+}
+
+void request_exchange::record_abandoned() {
+    if (m_call->has_been_sent() && is_suspect()) {
+        m_context.crashes.record_abandoned(m_call->server(), m_admitted.suspects(), m_slot_begin);
+    }
+}
+
+/// The server has answered the request, or has gone on answering it for a while. If the answer ended with its
+/// connection, the server may have crashed as well.
+void request_exchange::record_answer() {
+    const bool may_have_crashed = m_call->response().ends_with_connection() && is_suspect();
+    if (may_have_crashed) {
+        record_broken(m_call->server(), [] {});
+        return;
+    }
+    m_has_proved_harmless = true;
+    m_context.slots.observe_answer(m_admitted.suspects());
+}
+
 /// Returns whether the request may be sent to another server. A stream of which the caller already has a part
 /// can only continue if its last event has an id, from which the next server resumes, and if it is certain
 /// which software version began it.
@@ -542,6 +630,7 @@
 void request_exchange::handle_timeout() {
     const bool is_running = m_call != nullptr;
     if (is_running) {
+        record_abandoned();
         m_call->cancel();
         m_attempts.record(m_slot, policy::attempt_outcome::may_have_run);
     }
@@ -598,6 +687,7 @@
                             m_events.count());
     }
     if (m_call != nullptr) {
+        record_abandoned();
         m_call->cancel();
     }
     end();
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -16,6 +16,7 @@
 #include "policy/slot_request.hpp"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -58,6 +59,8 @@
 
     // Obtaining and releasing the slot.
     void request_slot();
+    [[nodiscard]] std::optional<milliseconds> quarantine_left() const;
+    void refuse_quarantined(milliseconds left);
     [[nodiscard]] policy::slot_request make_slot_request() const;
     void handle_grant(const policy::slot_grant& grant);
     void wait_for_registration(const policy::slot_grant& grant);
@@ -78,6 +81,13 @@
     void handle_complete_answer();
     void handle_failure(call_failure what, std::string_view reason);
     void fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot, std::string_view reason);
+    void continue_after(policy::slot_outcome slot, std::string_view reason, clock::duration busy);
+
+    // Whether the request may crash servers.
+    [[nodiscard]] bool is_suspect() const;
+    void record_broken(const std::shared_ptr<backend>& server, std::function<void()> on_checked);
+    void record_abandoned();
+    void record_answer();
     [[nodiscard]] bool may_retry() const;
 
     // Answering the caller.
@@ -114,8 +124,9 @@
     clock::time_point m_broke_off; ///< When the last attempt failed.
     /// Events received from previous servers when the current slot was granted.
     std::uint64_t m_events_before = 0;
-    bool m_has_asked = false;  ///< Whether it has requested a slot before.
-    bool m_is_charged = false; ///< Whether the request was charged to its workspace's quota.
+    bool m_has_asked = false;           ///< Whether it has requested a slot before.
+    bool m_has_proved_harmless = false; ///< Whether the current server went on after beginning to answer.
+    bool m_is_charged = false;          ///< Whether the request was charged to its workspace's quota.
 
     std::shared_ptr<backend_call> m_call;
     /// Whether the current response is a successful stream, forwarded event by event.
--- a/src/policy/crash_suspects.cpp
+++ b/src/policy/crash_suspects.cpp
@@ -1,84 +1,86 @@
-// Records broken connections, and marks their requests when the server turns out to have crashed.
+// Keeps the ends and the crashes of the last seconds.
 #include "policy/crash_suspects.hpp"
 
 #include <algorithm>
-#include <string>
+#include <utility>
 
 namespace borageford::policy {
 
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
-/// How long a broken connection is remembered. A crash is detected by the next request to that server, which
-/// arrives within this time under any relevant load.
-constexpr milliseconds broken_connection_lifetime{3000};
-constexpr std::size_t max_broken_connections = 4096;
-/// More servers than crash within `broken_connection_lifetime`, unless a complete failure domain is lost.
-constexpr std::size_t max_restarts = 512;
-constexpr std::size_t crashes_before_quarantine = 2;
-/// Long enough for an operator to investigate, short enough that an innocent request isn't refused for good.
-constexpr seconds quarantine_time{60};
-constexpr seconds mark_lifetime{300};
+/// Longer than it takes a store to remove the registration of a server that crashed.
+constexpr milliseconds memory{5000};
+constexpr std::size_t max_ended = 4096;
+/// More servers than crash within `memory`, unless a complete failure domain is lost.
+constexpr std::size_t max_crashes = 512;
+/// For how long a server may run a request that was abandoned.
+constexpr milliseconds run_on{500};
 
 } // namespace
 
-crash_suspects::crash_suspects()
-    : m_quarantine({crashes_before_quarantine, quarantine_time, mark_lifetime, max_broken_connections}) {}
-
 void crash_suspects::forget_old(time_point now) {
-    while (!m_broken_connections.empty() &&
-           (now - m_broken_connections.front().at > broken_connection_lifetime ||
-            m_broken_connections.size() > max_broken_connections)) {
-        m_broken_connections.pop_front();
+    while (!m_ended.empty() && (now - m_ended.front().at > memory || m_ended.size() > max_ended)) {
+        m_ended.pop_front();
     }
-    while (!m_restarts.empty() &&
-           (now - m_restarts.front().at > broken_connection_lifetime || m_restarts.size() > max_restarts)) {
-        m_restarts.pop_front();
+    while (!m_crashes.empty() && (now - m_crashes.front().at > memory || m_crashes.size() > max_crashes)) {
+        m_crashes.pop_front();
     }
 }
 
-void crash_suspects::mark(std::uint64_t fingerprint, server_key server, time_point now) {
-    const identifier death{server, fingerprint};
-    m_quarantine.record_mark(fingerprint, std::to_string(server), death, now);
+bool crash_suspects::has_crashed(server_key server) const {
+    return std::ranges::find(m_crashes, server, &crash::server) != m_crashes.end();
 }
 
-bool crash_suspects::has_restarted(server_key server) const {
-    return std::ranges::any_of(m_restarts,
-                               [server](const restart& restarted) { return restarted.server == server; });
+bool crash_suspects::has_suspects(server_key server) const {
+    return std::ranges::find(m_ended, server, &ended::server) != m_ended.end();
 }
 
-void crash_suspects::record_broken_connection(std::uint64_t fingerprint, server_key server, time_point now) {
-    if (fingerprint == 0) {
-        return;
-    }
+bool crash_suspects::record_end(server_key server, std::span<const crash_suspect> suspects,
+                                unanswered_end how, time_point now) {
     forget_old(now);
-    if (has_restarted(server)) {
-        mark(fingerprint, server, now);
-        return;
+    if (has_crashed(server)) {
+        return true;
+    }
+    for (const auto& suspect : suspects) {
+        m_ended.push_back({suspect, server, now, how});
     }
-    m_broken_connections.push_back({fingerprint, server, now});
+    return false;
 }
 
-void crash_suspects::record_crash(server_key server, time_point now) {
+std::vector<crash_suspect> crash_suspects::record_crash(server_key server, time_point now) {
+    auto result = record_removal(server, now);
+    if (!has_crashed(server)) {
+        m_crashes.push_back({server, now});
+    }
+    return result;
+}
+
+std::vector<crash_suspect> crash_suspects::record_removal(server_key server, time_point now) {
     forget_old(now);
-    for (const auto& entry : m_broken_connections) {
+    std::vector<crash_suspect> result;
+    for (const auto& entry : m_ended) {
         if (entry.server == server) {
-            mark(entry.fingerprint, server, now);
+            result.push_back(entry.suspect);
         }
     }
-    std::erase_if(m_broken_connections,
-                  [server](const broken_connection& entry) { return entry.server == server; });
+    record_leaving(server);
+    return result;
 }
 
-void crash_suspects::record_restart(server_key previous_start, time_point now) {
-    record_crash(previous_start, now);
-    m_restarts.push_back({previous_start, now});
+void crash_suspects::record_alive(server_key server, time_point accepted, time_point now) {
+    if (m_ended.empty()) {
+        return;
+    }
+    std::erase_if(m_ended, [&](const ended& entry) {
+        const auto last_moment = entry.how == unanswered_end::abandoned ? entry.at + run_on : entry.at;
+        return entry.server == server && accepted < entry.at && last_moment < now;
+    });
 }
 
-std::optional<duration> crash_suspects::quarantine_left(std::uint64_t fingerprint, time_point now) const {
-    return fingerprint == 0 ? std::nullopt : m_quarantine.time_left(fingerprint, now);
+void crash_suspects::record_leaving(server_key server) {
+    std::erase_if(m_ended, [server](const ended& entry) { return entry.server == server; });
 }
 
 } // namespace borageford::policy
--- a/src/policy/crash_suspects.hpp
+++ b/src/policy/crash_suspects.hpp
@@ -1,59 +1,68 @@
-// Finds requests that crash the backend servers that run them, and quarantines them.
+// Finds out which requests of a gateway may have crashed a backend server.
 #pragma once
 
-#include "policy/quarantine.hpp"
+#include "policy/crash_mark.hpp"
 #include "policy/slot_request.hpp"
+#include "policy/time.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
+#include <span>
+#include <vector>
 
 namespace borageford::policy {
 
-/// Quarantines requests that were running on two servers when these crashed. The caller of a request that
-/// crashes every server only sees broken connections and sends the request again and again; each time, the
-/// other requests on that server fail as well. Every request whose connection broke when a server crashed is
-/// marked, and a request that is marked for two servers is quarantined.
+/// How a request ended that a server may have run, and that it hadn't answered by then.
+enum class unanswered_end : std::uint8_t {
+    broken,    ///< its connection broke, or its answer ended with its connection
+    abandoned, ///< its caller left, or its deadline passed; the server may go on running it for a moment
+};
+
+/// Matches requests that ended without an answer with the crashes of their servers. Both become known in
+/// either order, and a crash some seconds late: by a connection that is refused, by another server at the
+/// same address, by a registration of a new start or by one that was removed.
 class crash_suspects {
 public:
-    crash_suspects();
-
-    /// The connection of a request broke while this server ran it. `fingerprint` identifies requests with the
-    /// same content; 0 (none) is ignored.
-    void record_broken_connection(std::uint64_t fingerprint, server_key server, time_point now);
-    /// The server refuses connections, or another server answers at its address. This marks all requests
-    /// whose connections to it broke recently.
-    void record_crash(server_key server, time_point now);
-    /// The server with the key `previous_start` has restarted. Connections to it that break after this call
-    /// mark their requests as well, because unresponsive connections are closed only when the restart is
-    /// detected.
-    void record_restart(server_key previous_start, time_point now);
-
-    /// Remaining time of the request's quarantine; nothing when it isn't quarantined.
-    [[nodiscard]] std::optional<duration> quarantine_left(std::uint64_t fingerprint, time_point now) const;
+    /// A request, or what it contains, may be what crashed the server. Returns whether the server has crashed
+    /// for all that is known; then nothing is remembered, and the suspects are to be marked at once.
+    bool record_end(server_key server, std::span<const crash_suspect> suspects, unanswered_end how,
+                    time_point now);
+    /// This start of a server has ended without notice. Returns what may have crashed it. Requests that end
+    /// there later are suspect, too, because unresponsive connections are closed only when the crash is
+    /// known.
+    [[nodiscard]] std::vector<crash_suspect> record_crash(server_key server, time_point now);
+    /// The registration of a server was removed although it hadn't announced that it drains. It may have
+    /// crashed without closing its connections, or it leaves without notice and goes on serving what it has:
+    /// only requests that ended before are suspect.
+    [[nodiscard]] std::vector<crash_suspect> record_removal(server_key server, time_point now);
+    /// The start of a server that had accepted a connection at `accepted` lives at `now`, so no request that
+    /// ended in between has crashed it.
+    void record_alive(server_key server, time_point accepted, time_point now);
+    /// The server has announced that it leaves: its end is no crash.
+    void record_leaving(server_key server);
+    /// Whether requests of this server are remembered.
+    [[nodiscard]] bool has_suspects(server_key server) const;
 
 private:
-    /// A connection that broke while a server ran a request.
-    struct broken_connection {
-        std::uint64_t fingerprint = 0;
+    /// A request, or a part of one, that ended without an answer.
+    struct ended {
+        crash_suspect suspect;
         server_key server = 0;
         time_point at;
+        unanswered_end how = unanswered_end::broken;
     };
-
-    /// A server that has restarted, by the key of its previous start.
-    struct restart {
+    struct crash {
         server_key server = 0;
         time_point at;
     };
 
     void forget_old(time_point now);
-    void mark(std::uint64_t fingerprint, server_key server, time_point now);
-    [[nodiscard]] bool has_restarted(server_key server) const;
+    [[nodiscard]] bool has_crashed(server_key server) const;
 
-    quarantine m_quarantine;
-    std::deque<broken_connection> m_broken_connections; ///< oldest first
-    std::deque<restart> m_restarts;                     ///< oldest first
+    std::deque<ended> m_ended;   ///< oldest first
+    std::deque<crash> m_crashes; ///< oldest first
 };
 
 } // namespace borageford::policy
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -74,25 +74,26 @@
     return true;
 }
 
-bool quarantine::counts(const crash& known, time_point now) const {
-    return !known.is_released && now - known.at <= m_settings.mark_lifetime;
+bool quarantine::counts(const crash& known, time_point when) const {
+    return !known.is_released && when - known.at <= m_settings.mark_lifetime;
 }
 
 std::optional<time_point> quarantine::quarantined_until(const std::vector<crash>& crashes,
                                                         time_point now) const {
-    std::size_t counted = 0;
     time_point last{};
     for (const auto& known : crashes) {
-        if (counts(known, now)) {
-            ++counted;
-            last = std::max(last, known.at);
-        }
+        last = known.is_released ? last : std::max(last, known.at);
     }
-    const auto until = last + m_settings.quarantine_time;
-    if (counted < m_settings.crashes_before_quarantine || until <= now) {
+    // Counted at the time of the last crash, since a quarantine may last longer than the marks count.
+    const auto counted = static_cast<std::size_t>(
+        std::ranges::count_if(crashes, [&](const crash& known) { return counts(known, last); }));
+    if (counted < m_settings.crashes_before_quarantine) {
         return std::nullopt;
     }
-    return until;
+    const bool is_further = counted > m_settings.crashes_before_quarantine;
+    const auto time = is_further ? std::max(m_settings.quarantine_time, m_settings.further_quarantine_time)
+                                 : m_settings.quarantine_time;
+    return last + time > now ? std::optional(last + time) : std::nullopt;
 }
 
 void quarantine::remove_oldest() {
--- a/src/policy/quarantine.hpp
+++ b/src/policy/quarantine.hpp
@@ -20,6 +20,8 @@
     /// Number of crashes after which a request is quarantined.
     std::size_t crashes_before_quarantine = 2;
     duration quarantine_time = std::chrono::hours(1);
+    /// The same after each further crash; zero: no longer than after the first ones.
+    duration further_quarantine_time{};
     /// Lifetime of a mark. A server that crashed for another reason also marks requests that didn't cause the
     /// crash.
     duration mark_lifetime = std::chrono::hours(24);
@@ -71,7 +73,7 @@
         bool is_released = false;
     };
 
-    [[nodiscard]] bool counts(const crash& known, time_point now) const;
+    [[nodiscard]] bool counts(const crash& known, time_point when) const;
     [[nodiscard]] std::optional<time_point> quarantined_until(const std::vector<crash>& crashes,
                                                               time_point now) const;
     void remove_oldest();
--- a/tests/failure/test_gateway_crashing_request.cpp
+++ b/tests/failure/test_gateway_crashing_request.cpp
@@ -47,6 +47,30 @@
     }
 }
 
+/// How often the logs of all gateways contain the text.
+std::size_t count_logged(gateway_site& site, const std::string& text) {
+    std::size_t result = 0;
+    for (std::size_t gateway = 0; gateway < site.gateway_count(); ++gateway) {
+        const auto log = site.process(gateway).output_text();
+        for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1)) {
+            ++result;
+        }
+    }
+    return result;
+}
+
+/// The sum over all gateways of the crash marks that they know.
+std::size_t count_marks(gateway_site& site) {
+    std::size_t result = 0;
+    for (std::size_t gateway = 0; gateway < site.gateway_count(); ++gateway) {
+        const auto page = fetch_text(site.metrics(gateway), "/metrics");
+        const std::string name = "\nborageford_gateway_crash_marks ";
+        const auto at = page.find(name);
+        result += at == std::string::npos ? 0 : std::stoul(page.substr(at + name.size()));
+    }
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("gateway: a request that crashes servers is stopped if nobody tries these servers again",
@@ -163,3 +187,80 @@
         [&] { return site.send(0, make_call("/plain/x", "later", "neighbour")).status == status_ok; }, 10s);
     CHECK(site.fatal_requests().size() == 2);
 }
+
+TEST_CASE("gateway: a request that crashes servers is stopped although its callers leave at once",
+          "[gateway][crashing_request]") {
+    // The servers go on running a request whose connection was closed, and crash a moment later.
+    auto options = fatal_site(6, 2);
+    for (auto& server : options.backends) {
+        server.work = 50ms;
+    }
+    gateway_site site(std::move(options));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_fatal_calls(site);
+    for (std::size_t number = 0; number < 6; ++number) {
+        const auto crashes = site.fatal_requests().size();
+        const auto refused = [&] {
+            return site.has_logged(number % 2, R"("error":"held_back")");
+        };
+        pending_call call(site.callers(number % 2), fatal_call("left-" + std::to_string(number)));
+        wait_until("the call runs or is refused",
+                   [&] { return site.runs_of("left-" + std::to_string(number)) > 0 || call.is_finished(); });
+        call.disconnect();
+        wait_until("the server crashes and the gateway notices it", [&] {
+            return refused() || (site.fatal_requests().size() > crashes &&
+                                 count_logged(site, R"("event":"backend_crashed")") > crashes);
+        });
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: a request is stopped whose answers end with the connections of crashing servers",
+          "[gateway][crashing_request]") {
+    // Each answer seems to be complete, as its length isn't stated.
+    gateway_site site(fatal_site(6, 2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    site.crash_by_requests({.rule = {.body_text = fatal_body, .is_answered = true}});
+    for (std::size_t number = 0; number < 6; ++number) {
+        static_cast<void>(site.send(number % 2, fatal_call("unframed-" + std::to_string(number))));
+        exchange_knowledge(site, {0, 1});
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: a request that crashes servers is stopped by gateways without a coordinator",
+          "[gateway][crashing_request]") {
+    auto options = fatal_site(8, 3);
+    options.gateway_settings = "coordination = no\n";
+    gateway_site site(std::move(options));
+    crash_by_fatal_calls(site);
+    for (std::size_t number = 0; number < 6; ++number) {
+        static_cast<void>(site.send(number % 3, fatal_call("alone-" + std::to_string(number))));
+        wait_until("the others know of the crash", [&] {
+            return count_logged(site, R"("error":"held_back")") > 0 ||
+                   count_marks(site) >= 3 * site.fatal_requests().size();
+        });
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: a request crashes two further servers at most when all gateways are killed at once",
+          "[gateway][crashing_request]") {
+    gateway_site site(fatal_site(8, 3));
+    crash_by_fatal_calls(site);
+    for (int start = 0; start < 2; ++start) {
+        static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+        for (std::size_t number = 0; number < 6; ++number) {
+            const auto id = "start-" + std::to_string(start) + "-" + std::to_string(number);
+            static_cast<void>(site.send(number % 3, fatal_call(id)));
+            exchange_knowledge(site, {0, 1, 2});
+        }
+        for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+            site.process(gateway).kill();
+        }
+        for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+            site.start_gateway(gateway);
+        }
+    }
+    CHECK(site.fatal_requests().size() <= 2 * tolerated_crashes);
+}
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -80,6 +80,7 @@
     [[nodiscard]] http::endpoint callers(std::size_t gateway) const;
     [[nodiscard]] http::endpoint readiness(std::size_t gateway) const;
     [[nodiscard]] http::endpoint metrics(std::size_t gateway) const;
+    [[nodiscard]] std::size_t gateway_count() const noexcept { return m_gateways.size(); }
     [[nodiscard]] child_process& process(std::size_t gateway) { return *m_gateways.at(gateway).process; }
     /// The settings file of a gateway, in the folder that holds all files of the site.
     [[nodiscard]] const std::filesystem::path& settings_file(std::size_t gateway) const {
--- a/tests/support/known_servers.hpp
+++ b/tests/support/known_servers.hpp
@@ -25,8 +25,9 @@
     explicit known_servers(std::chrono::milliseconds registration_life = std::chrono::hours(1))
         : m_slots(m_context.get_executor(), m_timers, {}, {}),
           m_rollouts(m_backends, m_slots),
-          m_roster(m_context.get_executor(), m_timers, m_deployment, m_backends, m_slots, m_rollouts,
-                   registration_life) {
+          m_crashes(m_context.get_executor(), m_timers, m_slots),
+          m_roster(m_context.get_executor(), m_timers, m_deployment, m_backends, m_slots, m_crashes,
+                   m_rollouts, registration_life) {
         m_rollouts.set_observers({[this] { return m_decides; },
                                   [this](const routing::rollout_status& status) {
                                       m_recorded.push_back(status);
@@ -107,6 +108,7 @@
     gateway::backend_directory m_backends;
     coordination::slot_broker m_slots;
     gateway::rollout_manager m_rollouts;
+    gateway::crash_watch m_crashes;
     gateway::backend_roster m_roster;
     bool m_decides = false;
     std::vector<routing::rollout_status> m_recorded;
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -1,7 +1,6 @@
 // Tests of the gateway's policies, which need no network and no clock: server health, attempts, the retry
 // budget, quotas, vanished registrations, requests that crash servers, and retry delays.
 #include "policy/attempt_rule.hpp"
-#include "policy/crash_suspects.hpp"
 #include "policy/overload_tracker.hpp"
 #include "policy/quota_tracker.hpp"
 #include "policy/refusal_history.hpp"
@@ -233,50 +232,6 @@
     CHECK(watch.should_remove("c", start_time + 100ms + registration_watch::grace));
 }
 
-TEST_CASE("a request that was aborted at two crashed servers is quarantined, the ones beside it aren't",
-          "[policy][crash_suspects]") {
-    // One prompt crashes every engine that processes it, and the requests that run there at the same time are
-    // aborted too.
-    crash_suspects suspects;
-    suspects.record_broken_connection(666, 1, start_time);
-    suspects.record_broken_connection(42, 1, start_time);
-    suspects.record_crash(1, start_time + 10ms);
-    CHECK_FALSE(suspects.quarantine_left(666, start_time + 20ms));
-    suspects.record_broken_connection(666, 2, start_time + 1s);
-    suspects.record_broken_connection(43, 2, start_time + 1s);
-    CHECK_FALSE(suspects.quarantine_left(666, start_time + 1s));
-    suspects.record_crash(2, start_time + 1100ms);
-    CHECK(suspects.quarantine_left(666, start_time + 2s));
-    CHECK_FALSE(suspects.quarantine_left(42, start_time + 2s));
-    CHECK_FALSE(suspects.quarantine_left(43, start_time + 2s));
-    CHECK_FALSE(suspects.quarantine_left(666, start_time + 2min));
-}
-
-TEST_CASE("a request that crashes servers is quarantined even if they restart at once",
-          "[policy][crash_suspects]") {
-    // A server restarts under its old id before any request finds it gone, so only the new start shows that
-    // it crashed, and an unresponsive connection is noticed only after that. Otherwise the request would
-    // crash one server after the other, with all answers that are being generated there.
-    crash_suspects suspects;
-    suspects.record_broken_connection(666, 1, start_time);
-    suspects.record_restart(1, start_time + 10ms);
-    suspects.record_restart(2, start_time + 900ms);
-    suspects.record_broken_connection(666, 2, start_time + 1s);
-    CHECK(suspects.quarantine_left(666, start_time + 1s));
-    suspects.record_broken_connection(42, 2, start_time + 1s);
-    CHECK_FALSE(suspects.quarantine_left(42, start_time + 1s));
-}
-
-TEST_CASE("requests that were aborted long before a server was found gone aren't quarantined",
-          "[policy][crash_suspects]") {
-    crash_suspects suspects;
-    for (std::uint64_t server = 1; server < 4; ++server) {
-        suspects.record_broken_connection(42, server, start_time);
-        suspects.record_crash(server, start_time + 10s);
-    }
-    CHECK_FALSE(suspects.quarantine_left(42, start_time + 10s));
-}
-
 TEST_CASE("the retry delay is the time that the overload has lasted", "[policy][overload_tracker]") {
     // A burst lasts for an unknown time. With a delay of half a second, callers would retry again and again;
     // with five seconds, they would wait for nothing after a short burst.
