A coordinator tells its members a bounded number of single crash marks

Some 480 requests run on the servers of a rack: telling each mark to 349 members would be 5.4 MB over the link of a small machine. 64 a second are told (715 KB for all members), and always all marks of what is quarantined. The test fails without the limit (500 told) and without the second part.

--- a/src/coordination/crash_exchange.hpp
+++ b/src/coordination/crash_exchange.hpp
@@ -4,6 +4,7 @@
 #include "policy/crash_ledger.hpp"
 #include "policy/recent_answers.hpp"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <span>
@@ -39,6 +40,12 @@
     [[nodiscard]] policy::crash_statement merge(const policy::crash_statement& received,
                                                 policy::time_point now);
 
+    /// What of the news a coordinator tells its members. Hundreds of requests run on the servers of a rack
+    /// that goes down; telling each mark to hundreds of members would fill the network link of a small
+    /// machine. So only some marks in a second are told, but always all marks of what is quarantined.
+    [[nodiscard]] policy::crash_statement select_for_members(const policy::crash_statement& news,
+                                                             policy::time_point now);
+
     /// The statement for heartbeats and the replies to them: what became known here in the last second. With
     /// it, gateways without a common coordinator learn of crashes from each other.
     [[nodiscard]] policy::crash_statement recent(policy::time_point now);
@@ -58,6 +65,8 @@
     policy::member_key m_self;
     policy::recent_answers m_answers; ///< of this process
     observers m_observers;
+    policy::time_point m_told_since; ///< begin of the second in which m_told marks were told to members
+    std::size_t m_told = 0;
     std::deque<learned<policy::crash_mark>> m_recent_marks; ///< oldest first
     std::deque<learned<policy::crash_clearance>> m_recent_clearances;
 };
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -233,7 +233,9 @@
     if (news.is_empty()) {
         return;
     }
-    m_members.queue_crashes(news, source);
+    if (!m_members.is_empty()) {
+        m_members.queue_crashes(m_crashes.select_for_members(news, clock::now()), source);
+    }
     if (m_source == slot_source::coordinator && source != m_coordinating_member) {
         append(m_upstream->pending().crashes, news);
     }
--- a/src/policy/crash_ledger.cpp
+++ b/src/policy/crash_ledger.cpp
@@ -2,6 +2,7 @@
 #include "policy/crash_ledger.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 namespace borageford::policy {
@@ -91,6 +92,13 @@
     return m_marks.empty() ? 0 : quarantine_of(suspect.kind).marks(suspect.key, now);
 }
 
+std::vector<crash_mark> crash_ledger::list_marks(const crash_suspect& suspect) const {
+    std::vector<crash_mark> result;
+    std::ranges::copy_if(m_marks, std::back_inserter(result),
+                         [&](const crash_mark& mark) { return mark.suspect == suspect; });
+    return result;
+}
+
 std::size_t crash_ledger::count_quarantined(time_point now) const {
     std::size_t result = 0;
     for (const auto& quarantined : m_quarantines) {
--- a/src/policy/crash_ledger.hpp
+++ b/src/policy/crash_ledger.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace borageford::policy {
 
@@ -44,6 +45,8 @@
     [[nodiscard]] std::optional<duration> quarantine_left(const crash_suspect& suspect, time_point now) const;
     /// Number of servers that crashed while they may have run it, as far as these marks still count.
     [[nodiscard]] std::size_t marks(const crash_suspect& suspect, time_point now) const;
+    /// All marks of the suspect that aren't void.
+    [[nodiscard]] std::vector<crash_mark> list_marks(const crash_suspect& suspect) const;
     /// Whether no mark is known, so that nothing else needs to be looked up.
     [[nodiscard]] bool is_empty() const noexcept { return m_marks.empty(); }
     [[nodiscard]] std::size_t size() const noexcept { return m_marks.size(); }
--- a/tests/unit/test_crash_suspects.cpp
+++ b/tests/unit/test_crash_suspects.cpp
@@ -252,6 +252,26 @@
     CHECK(second.exchange.recent(start_time + 2s).is_empty());
 }
 
+TEST_CASE("a rack that goes down doesn't flood the members, and hides no quarantine",
+          "[coordination][crash_exchange]") {
+    knowing_gateway coordinator(1);
+    knowing_gateway member(2);
+    std::size_t told = 0;
+    for (std::uint64_t key = 1000; key < 1500; ++key) {
+        const std::array suspects{request(key)};
+        const auto news = coordinator.exchange.observe_crash(7, suspects, start_time);
+        told += coordinator.exchange.select_for_members(news, start_time).marks.size();
+    }
+    CHECK(told <= 64);
+    for (server_key server = 7; server < 9; ++server) {
+        const std::array suspects{request(666)};
+        const auto news = coordinator.exchange.observe_crash(server, suspects, start_time);
+        static_cast<void>(
+            member.exchange.merge(coordinator.exchange.select_for_members(news, start_time), start_time));
+    }
+    CHECK(member.ledger.quarantine_left(request(666), start_time));
+}
+
 TEST_CASE("what one gateway's servers answered clears the marks of another",
           "[coordination][crash_exchange]") {
     // A popular request runs on two servers when something else crashes them.
