--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -96,7 +96,14 @@
 }
 
 bool emulated_backend::is_fatal(const http::request& call) const {
-    return !m_crash_rule.body_text.empty() && call.body.find(m_crash_rule.body_text) != std::string::npos;
+    const auto& text = m_crash_rule.body_text;
+    if (!text.empty() && call.body.find(text) != std::string::npos) {
+        return true;
+    }
+    const auto parts = "," + header_value(call, m_fields.prompt_parts);
+    const auto found =
+        m_crash_rule.part.empty() ? std::string::npos : parts.find("," + m_crash_rule.part + ":");
+    return found != std::string::npos && found < parts.rfind(',');
 }
 
 bool emulated_backend::apply_crash_rule(const http::request& call) {
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -67,6 +67,8 @@
 /// Which requests crash the server, as soon as it begins to answer them.
 struct crash_rule {
     std::string body_text; ///< requests whose bodies contain this text; empty: none
+    /// Requests that have the part with this id in their prompts, but not as their last one; empty: none.
+    std::string part = {};
     /// The answer is sent first, without a length, so that it seems to end with its connection.
     bool is_answered = false;
 };
--- /dev/null
+++ b/tests/failure/test_gateway_crashing_part.cpp
@@ -0,0 +1,135 @@
+// Tests that requests with a part in their prompts that crashes servers stop reaching servers, although no
+// two of them are alike, and that requests that share their other parts are served.
+#include "platform/header_field_names.hpp"
+#include "support/gateway_site.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_refused = 503;
+/// Crashes after which no request with the part must reach a server any more.
+constexpr std::size_t tolerated_crashes = 3;
+const std::string common_part = "5c1e07a2";
+const std::string fatal_part = "91bd3f06";
+const std::string sound_part = "0f0f0f0f";
+
+/// A call whose prompt has the common part, `middle` and a part of its own; its body is like no other's.
+http::request call_with_parts(const std::string& target, const std::string& id, const std::string& middle) {
+    auto call = make_call(target, id, "body of " + id);
+    const auto names = platform::header_field_names();
+    call.headers.push_back({names.model, "m"});
+    call.headers.push_back({names.prompt_parts, common_part + ":60," + middle + ":300,e4402b7d:20"});
+    return call;
+}
+
+http::request fatal_call(const std::string& id, const std::string& target = "/plain/x") {
+    return call_with_parts(target, id, fatal_part);
+}
+
+site_options fatal_site(std::size_t servers, std::size_t gateways, unsigned attempts = 1) {
+    auto options = plain_site(servers, gateways);
+    options.configuration.routes.front().attempts = attempts;
+    return options;
+}
+
+void crash_by_part(gateway_site& site) {
+    site.crash_by_requests({.rule = {.body_text = {}, .part = fatal_part}});
+}
+
+/// Sends a call without the fatal part through each gateway, which also carries the knowledge of crashes to
+/// all of them. Returns how many were served.
+std::size_t serve_sound_calls(gateway_site& site, const std::vector<std::size_t>& gateways,
+                              const std::string& name, const std::string& target = "/plain/x") {
+    std::size_t served = 0;
+    for (const auto gateway : gateways) {
+        const auto id = name + "-sound-" + std::to_string(gateway);
+        served += site.send(gateway, call_with_parts(target, id, sound_part)).status == status_ok ? 1 : 0;
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("gateway: requests with a part that crashes servers are stopped, and no others",
+          "[gateway][crashing_part]") {
+    gateway_site site(fatal_site(12, 3));
+    static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
+    crash_by_part(site);
+    std::size_t served = 0;
+    for (std::size_t number = 0; number < 20; ++number) {
+        const auto name = "no-" + std::to_string(number);
+        CHECK(site.send(number % 3, fatal_call(name)).status != status_ok);
+        served += serve_sound_calls(site, {0, 1, 2}, name);
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+    CHECK(served == 60);
+    CHECK(site.send(0, fatal_call("refused")).status == status_refused);
+}
+
+TEST_CASE("gateway: retries of requests with a part that crashes servers don't crash further ones",
+          "[gateway][crashing_part]") {
+    gateway_site site(fatal_site(24, 2, 3));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_part(site);
+    for (std::size_t number = 0; number < 8; ++number) {
+        static_cast<void>(site.send(number % 2, fatal_call("retried-" + std::to_string(number))));
+        CHECK(serve_sound_calls(site, {0, 1}, "retried-" + std::to_string(number)) == 2);
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: requests with a part that crashes servers are stopped although coordinators are killed",
+          "[gateway][crashing_part]") {
+    gateway_site site(fatal_site(12, 4));
+    std::vector<std::size_t> gateways{0, 1, 2, 3};
+    crash_by_part(site);
+    for (int lost = 0; lost < 2; ++lost) {
+        const auto coordinator = wait_for_coordinator(site, gateways);
+        const auto name = "before-" + std::to_string(lost);
+        static_cast<void>(site.send(coordinator, fatal_call(name)));
+        static_cast<void>(serve_sound_calls(site, gateways, name));
+        static_cast<void>(serve_sound_calls(site, gateways, name + "-again"));
+        site.process(coordinator).kill();
+        std::erase(gateways, coordinator);
+    }
+    static_cast<void>(wait_for_coordinator(site, gateways));
+    for (int number = 0; number < 4; ++number) {
+        for (const auto gateway : gateways) {
+            const auto id = "after-" + std::to_string(number) + "-" + std::to_string(gateway);
+            static_cast<void>(site.send(gateway, fatal_call(id)));
+            static_cast<void>(serve_sound_calls(site, gateways, id));
+        }
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
+
+TEST_CASE("gateway: streams with a part that crashes servers are stopped", "[gateway][crashing_part]") {
+    // The servers crash when they begin to write.
+    site_options options;
+    options.gateways = 2;
+    options.configuration = stream_configuration(true);
+    options.configuration.routes.front().attempts = 1;
+    for (int index = 0; index < 12; ++index) {
+        options.backends.push_back(engine_backend("engine-" + std::to_string(index)));
+    }
+    gateway_site site(std::move(options));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_part(site);
+    std::size_t served = 0;
+    for (std::size_t number = 0; number < 10; ++number) {
+        const auto id = "stream-" + std::to_string(number);
+        static_cast<void>(site.send(number % 2, fatal_call(id, "/stream/x")));
+        served += serve_sound_calls(site, {0, 1}, id, "/stream/x");
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+    CHECK(served == 20);
+}
