--- a/src/coordination/crash_exchange.cpp
+++ b/src/coordination/crash_exchange.cpp
@@ -46,7 +46,7 @@
                                                       policy::time_point now) {
     policy::crash_statement news;
     for (const auto& suspect : suspects) {
-        add({suspect, server, now, m_self}, now, news);
+        add(policy::crash_mark{suspect, server, now, m_self}, now, news);
     }
     return news;
 }
@@ -57,17 +57,26 @@
     for (const auto& suspect : suspects) {
         m_answers.record(suspect, now);
         if (m_ledger.marks(suspect, now) > 0) {
-            clear({suspect, now, m_self}, now, news);
+            add(policy::crash_clearance{suspect, now, m_self}, now, news);
         }
     }
     return news;
 }
 
+policy::crash_statement crash_exchange::clear(std::span<const policy::crash_suspect> suspects,
+                                              policy::time_point now) {
+    policy::crash_statement news;
+    for (const auto& suspect : suspects) {
+        add(policy::crash_clearance{suspect, now, m_self}, now, news);
+    }
+    return news;
+}
+
 policy::crash_statement crash_exchange::merge(const policy::crash_statement& received,
                                               policy::time_point now) {
     policy::crash_statement news;
     for (const auto& clearance : received.clearances) {
-        clear(clearance, now, news);
+        add(clearance, now, news);
     }
     for (const auto& mark : received.marks) {
         add(mark, now, news);
@@ -102,7 +111,7 @@
                          policy::crash_statement& news) {
     if (m_answers.contains(mark.suspect, now)) {
         if (mark.heard_by != m_self && m_ledger.add(mark, now) != policy::crash_ledger::change::none) {
-            clear({mark.suspect, now, m_self}, now, news);
+            add(policy::crash_clearance{mark.suspect, now, m_self}, now, news);
         }
         return;
     }
@@ -115,8 +124,8 @@
     news.marks.push_back(mark);
 }
 
-void crash_exchange::clear(const policy::crash_clearance& clearance, policy::time_point now,
-                           policy::crash_statement& news) {
+void crash_exchange::add(const policy::crash_clearance& clearance, policy::time_point now,
+                         policy::crash_statement& news) {
     const auto clearing = m_ledger.clear(clearance);
     if (clearing == policy::crash_ledger::clearing::none) {
         return;
--- a/src/coordination/crash_exchange.hpp
+++ b/src/coordination/crash_exchange.hpp
@@ -36,6 +36,9 @@
     /// A server has answered a request with these suspects to this process.
     [[nodiscard]] policy::crash_statement observe_answer(std::span<const policy::crash_suspect> suspects,
                                                          policy::time_point now);
+    /// An operator has released these suspects.
+    [[nodiscard]] policy::crash_statement clear(std::span<const policy::crash_suspect> suspects,
+                                                policy::time_point now);
     /// Another process has made this statement.
     [[nodiscard]] policy::crash_statement merge(const policy::crash_statement& received,
                                                 policy::time_point now);
@@ -52,8 +55,7 @@
 
 private:
     void add(const policy::crash_mark& mark, policy::time_point now, policy::crash_statement& news);
-    void clear(const policy::crash_clearance& clearance, policy::time_point now,
-               policy::crash_statement& news);
+    void add(const policy::crash_clearance& clearance, policy::time_point now, policy::crash_statement& news);
 
     template <typename Item>
     struct learned {
--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -260,30 +260,35 @@
             from.service(), from.software()};
 }
 
-/// The requests among `asks` that resume a stream.
-std::vector<wire::resume> encode_resumes(const std::vector<policy::slot_request>& asks) {
-    std::vector<wire::resume> result;
+/// Encodes a member that few of the requests have: as pairs of ticket and value, for those in which it isn't
+/// 0.
+template <typename Wire>
+std::vector<Wire> encode_rare(const std::vector<policy::slot_request>& asks,
+                              std::uint64_t policy::slot_request::* member) {
+    std::vector<Wire> result;
     for (const auto& ask : asks) {
-        if (ask.software != 0) {
-            result.emplace_back(ask.ticket, ask.software);
+        if (ask.*member != 0) {
+            result.emplace_back(ask.ticket, ask.*member);
         }
     }
     return result;
 }
 
-void decode_resumes(const flatbuffers::Vector<const wire::resume*>* from,
-                    std::vector<policy::slot_request>& asks) {
-    if (from == nullptr) {
-        return;
-    }
-    for (const auto* resume : *from) {
-        const auto ask = std::ranges::find(asks, resume->ticket(), &policy::slot_request::ticket);
-        if (ask != asks.end()) {
-            ask->software = resume->software();
-        }
+void decode_rare(std::vector<policy::slot_request>& asks, std::uint64_t policy::slot_request::* member,
+                 policy::slot_ticket ticket, std::uint64_t value) {
+    const auto ask = std::ranges::find(asks, ticket, &policy::slot_request::ticket);
+    if (ask != asks.end()) {
+        (*ask).*member = value;
     }
 }
 
+template <typename Wire>
+flatbuffers::Offset<flatbuffers::Vector<const Wire*>> add_structs(flatbuffers::FlatBufferBuilder& builder,
+                                                                  const std::vector<Wire>& structs) {
+    return structs.empty() ? flatbuffers::Offset<flatbuffers::Vector<const Wire*>>()
+                           : builder.CreateVectorOfStructs(structs);
+}
+
 template <typename Wire, typename Items, typename... Arguments>
 flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
 encode_items(flatbuffers::FlatBufferBuilder& builder, const Items& items, Arguments... arguments) {
@@ -332,9 +337,10 @@
     flatbuffers::FlatBufferBuilder builder(usual_size);
     const auto& items = message.items;
     const auto asks = encode_items<wire::ask>(builder, items.asks, now);
-    const auto resumed = encode_resumes(items.asks);
-    const auto resumes = resumed.empty() ? flatbuffers::Offset<flatbuffers::Vector<const wire::resume*>>()
-                                         : builder.CreateVectorOfStructs(resumed);
+    const auto resumes =
+        add_structs(builder, encode_rare<wire::resume>(items.asks, &policy::slot_request::software));
+    const auto probes =
+        add_structs(builder, encode_rare<wire::probe>(items.asks, &policy::slot_request::probed_part));
     const auto& streams = message.streams;
     const auto stream_origins = encode_items<wire::stream_origin>(builder, streams.origins, now);
     const auto stream_questions = encode_items<wire::stream_question>(builder, streams.questions);
@@ -385,6 +391,7 @@
     table.add_crash_marks(crash_marks);
     table.add_crash_clearances(crash_clearances);
     table.add_resumes(resumes);
+    table.add_probes(probes);
     table.add_stream_origins(stream_origins);
     table.add_streams_told(streams.told);
     table.add_streams_acknowledged(streams.acknowledged);
@@ -429,7 +436,16 @@
     for (auto& ask : result.items.asks) {
         ask.domain = result.sender.domain;
     }
-    decode_resumes(table->resumes(), result.items.asks);
+    if (const auto* resumes = table->resumes()) {
+        for (const auto* each : *resumes) {
+            decode_rare(result.items.asks, &policy::slot_request::software, each->ticket(), each->software());
+        }
+    }
+    if (const auto* probes = table->probes()) {
+        for (const auto* each : *probes) {
+            decode_rare(result.items.asks, &policy::slot_request::probed_part, each->ticket(), each->part());
+        }
+    }
     decode_items(table->stream_origins(), result.streams.origins, now);
     result.streams.told = table->streams_told();
     result.streams.acknowledged = table->streams_acknowledged();
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -43,6 +43,8 @@
 
 struct resume;
 
+struct probe;
+
 struct stream_origin;
 
 struct stream_question;
@@ -756,6 +758,34 @@
   using type = resume;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) probe FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t ticket_;
+  uint64_t part_;
+
+ public:
+  struct Traits;
+  probe()
+      : ticket_(0),
+        part_(0) {
+  }
+  probe(uint64_t _ticket, uint64_t _part)
+      : ticket_(flatbuffers::EndianScalar(_ticket)),
+        part_(flatbuffers::EndianScalar(_part)) {
+  }
+  uint64_t ticket() const {
+    return flatbuffers::EndianScalar(ticket_);
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+};
+FLATBUFFERS_STRUCT_END(probe, 16);
+
+struct probe::Traits {
+  using type = probe;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) stream_origin FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t stream_;
@@ -930,7 +960,8 @@
     VT_STREAM_QUESTIONS = 74,
     VT_STREAM_ANSWERS = 76,
     VT_CRASH_MARKS = 78,
-    VT_CRASH_CLEARANCES = 80
+    VT_CRASH_CLEARANCES = 80,
+    VT_PROBES = 82
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -1049,6 +1080,9 @@
   const flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *> *crash_clearances() const {
     return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *> *>(VT_CRASH_CLEARANCES);
   }
+  const flatbuffers::Vector<const borageford::coordination::wire::probe *> *probes() const {
+    return GetPointer<const flatbuffers::Vector<const borageford::coordination::wire::probe *> *>(VT_PROBES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -1108,6 +1142,8 @@
            verifier.VerifyVector(crash_marks()) &&
            VerifyOffset(verifier, VT_CRASH_CLEARANCES) &&
            verifier.VerifyVector(crash_clearances()) &&
+           VerifyOffset(verifier, VT_PROBES) &&
+           verifier.VerifyVector(probes()) &&
            verifier.EndTable();
   }
 };
@@ -1233,6 +1269,9 @@
   void add_crash_clearances(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *>> crash_clearances) {
     fbb_.AddOffset(datagram::VT_CRASH_CLEARANCES, crash_clearances);
   }
+  void add_probes(flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::probe *>> probes) {
+    fbb_.AddOffset(datagram::VT_PROBES, probes);
+  }
   explicit datagramBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1284,7 +1323,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_question *>> stream_questions = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::stream_answer *>> stream_answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_mark *>> crash_marks = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *>> crash_clearances = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::crash_clearance *>> crash_clearances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const borageford::coordination::wire::probe *>> probes = 0) {
   datagramBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_backends_confirmed(backends_confirmed);
@@ -1293,6 +1333,7 @@
   builder_.add_backend_version(backend_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_probes(probes);
   builder_.add_crash_clearances(crash_clearances);
   builder_.add_crash_marks(crash_marks);
   builder_.add_stream_answers(stream_answers);
@@ -1373,7 +1414,8 @@
     const std::vector<borageford::coordination::wire::stream_question> *stream_questions = nullptr,
     const std::vector<borageford::coordination::wire::stream_answer> *stream_answers = nullptr,
     const std::vector<borageford::coordination::wire::crash_mark> *crash_marks = nullptr,
-    const std::vector<borageford::coordination::wire::crash_clearance> *crash_clearances = nullptr) {
+    const std::vector<borageford::coordination::wire::crash_clearance> *crash_clearances = nullptr,
+    const std::vector<borageford::coordination::wire::probe> *probes = nullptr) {
   auto known__ = known ? _fbb.CreateVector<uint64_t>(*known) : 0;
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::ask>(*asks) : 0;
   auto holds__ = holds ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::hold>(*holds) : 0;
@@ -1392,6 +1434,7 @@
   auto stream_answers__ = stream_answers ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::stream_answer>(*stream_answers) : 0;
   auto crash_marks__ = crash_marks ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::crash_mark>(*crash_marks) : 0;
   auto crash_clearances__ = crash_clearances ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::crash_clearance>(*crash_clearances) : 0;
+  auto probes__ = probes ? _fbb.CreateVectorOfStructs<borageford::coordination::wire::probe>(*probes) : 0;
   return borageford::coordination::wire::Createdatagram(
       _fbb,
       incarnation,
@@ -1432,7 +1475,8 @@
       stream_questions__,
       stream_answers__,
       crash_marks__,
-      crash_clearances__);
+      crash_clearances__,
+      probes__);
 }
 
 inline const borageford::coordination::wire::datagram *Getdatagram(const void *buf) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -40,6 +40,10 @@
 /// it: longer than the window of the budget, in which they may have used them without a coordinator.
 constexpr milliseconds retry_share_settling{12000};
 
+/// A new coordinator accepts no probe of a quarantined prompt part for this long: one that its predecessor
+/// accepted may still run.
+constexpr milliseconds probe_settling{3000};
+
 /// With at most this many members, keepers are told a stream at the next tick and not with the next
 /// heartbeat, which a gateway that is killed may not send any more. With hundreds, that would be too many
 /// datagrams.
@@ -227,6 +231,10 @@
     pass_on(m_crashes.observe_answer(suspects, clock::now()), m_self);
 }
 
+void slot_broker::clear_suspects(std::span<const policy::crash_suspect> suspects) {
+    pass_on(m_crashes.clear(suspects, clock::now()), m_self);
+}
+
 /// Tells the coordinator and the coordinated members what is new about crashes, except for the one that told
 /// it, and refuses the waiting requests that are quarantined by now.
 void slot_broker::pass_on(const policy::crash_statement& news, policy::member_key source) {
@@ -600,6 +608,8 @@
         use_local_source(slot_source::local_share);
     }
     m_election.set_acting(m_source == slot_source::own_coordination);
+    m_coordinator.set_accepting_probes(m_source == slot_source::own_coordination &&
+                                       now - m_source_since >= probe_settling);
     update_shares(now);
 }
 
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -102,6 +102,8 @@
     void observe_crash(policy::server_key server, std::span<const policy::crash_suspect> suspects);
     /// A server has answered a request with these suspects to this process.
     void observe_answer(std::span<const policy::crash_suspect> suspects);
+    /// An operator has released these suspects.
+    void clear_suspects(std::span<const policy::crash_suspect> suspects);
     /// The requests that crash servers, as far as this process knows.
     [[nodiscard]] const policy::crash_ledger& crashes() const noexcept { return m_coordinator.crashes(); }
 
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -20,6 +20,8 @@
 /// The wait that is suggested to callers when the retry budget of a service is used up.
 constexpr milliseconds retry_budget_wait{500};
 
+/// The time in which a probe is answered, or crashes its server.
+constexpr milliseconds probe_time{10000};
 /// The wait that is suggested to the callers of further copies of a suspected request: until the first one
 /// has been answered, or has crashed its server.
 constexpr milliseconds copy_wait{1000};
@@ -73,6 +75,12 @@
         refuse(member, {request.ticket, policy::refusal_reason::held_back, *held});
         return;
     }
+    if (request.probed_part != 0 && !accepts_probe(request.probed_part, now)) {
+        const policy::crash_suspect part{policy::suspect_kind::prompt_part, request.probed_part};
+        const auto left = m_crashes.quarantine_left(part, now);
+        refuse(member, {request.ticket, policy::refusal_reason::held_back, left.value_or(copy_wait)});
+        return;
+    }
     if (must_wait_for_copy(request.fingerprint, now)) {
         refuse(member, {request.ticket, policy::refusal_reason::held_back, copy_wait});
         return;
@@ -140,6 +148,12 @@
     m_requests.erase(found);
 }
 
+bool slot_coordinator::accepts_probe(std::uint64_t part, policy::time_point now) {
+    std::erase_if(m_probes, [now](const auto& entry) { return now - entry.second >= probe_time; });
+    return m_accepts_probes && m_crashes.is_probe_due({policy::suspect_kind::prompt_part, part}, now) &&
+           m_probes.try_emplace(part, now).second;
+}
+
 /// While a request is suspected, one copy of it runs at a time: if it does crash servers, its copies would
 /// crash one each before the first of these crashes is known.
 bool slot_coordinator::must_wait_for_copy(std::uint64_t fingerprint, policy::time_point now) const {
--- a/src/coordination/slot_coordinator.hpp
+++ b/src/coordination/slot_coordinator.hpp
@@ -46,6 +46,9 @@
     /// Processes the items that a member sent.
     void apply_items(policy::member_key member, const batch_items& items, policy::time_point now);
 
+    /// Whether this process grants the slots of all others, too. Only such a process accepts probes of
+    /// quarantined prompt parts, so that all processes together send one at a time.
+    void set_accepting_probes(bool accepts) noexcept { m_accepts_probes = accepts; }
     /// Refuses the waiting requests that are quarantined by now, and all but one copy of each other request
     /// that is suspected.
     void refuse_suspects(policy::time_point now);
@@ -72,6 +75,7 @@
 
     void handle_slot_request(policy::member_key member, const policy::slot_request& request,
                              policy::time_point now);
+    [[nodiscard]] bool accepts_probe(std::uint64_t part, policy::time_point now);
     [[nodiscard]] bool must_wait_for_copy(std::uint64_t fingerprint, policy::time_point now) const;
     void handle_withdrawal(policy::slot_ticket ticket, policy::time_point now);
     void handle_release(const policy::slot_release& ended, policy::time_point now);
@@ -82,6 +86,8 @@
     policy::quota_tracker m_quotas;
     policy::server_retry_budget m_retry_budget;
     policy::crash_ledger m_crashes;
+    bool m_accepts_probes = false;
+    std::map<std::uint64_t, policy::time_point> m_probes; ///< when the last probe of each part was accepted
     policy::refusal_history m_refusal_history;
     std::unordered_map<policy::slot_ticket, known_request> m_requests;
     std::map<policy::member_key, batch_items> m_output; ///< decisions since the last call of decide()
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -5,6 +5,7 @@
 #include "base/parse_number.hpp"
 #include "base/request_error.hpp"
 #include "events/event_log.hpp"
+#include "gateway/prompt_parts.hpp"
 #include "gateway/stated_tokens.hpp"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace borageford::gateway {
 
@@ -76,6 +79,25 @@
     return tokens.value_or(stated_tokens{});
 }
 
+/// The parts of the prompt that the request shares; none, as if it stated none, if they can't be read.
+std::vector<std::uint64_t> read_shared_parts(std::string_view request_id, const http::field_list& fields,
+                                             const routing::header_names& names) {
+    const auto stated = fields.find(names.prompt_parts);
+    if (!stated.has_value()) {
+        return {};
+    }
+    auto parts = fields.count(names.prompt_parts) == 1 ? parse_shared_parts(*stated) : std::nullopt;
+    if (!parts.has_value()) {
+        report_unreadable(request_id, names.prompt_parts, *stated);
+        return {};
+    }
+    const auto model = fields.find(names.model).value_or("");
+    for (auto& part : *parts) {
+        part = hash_bytes(model, part);
+    }
+    return *std::move(parts);
+}
+
 double count_units(const routing::workspace* workspace, const stated_tokens& tokens) {
     if (workspace == nullptr) {
         return 0;
@@ -90,7 +112,14 @@
 } // namespace
 
 std::vector<policy::crash_suspect> admitted_request::suspects() const {
-    return {{policy::suspect_kind::request, fingerprint}};
+    std::vector<policy::crash_suspect> result{{policy::suspect_kind::request, fingerprint}};
+    if (!shared_parts.empty()) {
+        // The same part may be harmless for other engines.
+        for (const auto part : shared_parts) {
+            result.push_back({policy::suspect_kind::prompt_part, hash_bytes(service->name, part)});
+        }
+    }
+    return result;
 }
 
 bool admitted_request::choose_service(policy::service_key wanted) {
@@ -130,6 +159,7 @@
     const auto expected = read_integer(result.id, fields, context.fields.expected_length);
     const bool is_expected_known = expected.has_value() && *expected >= 0;
     result.cost = {tokens.prompt, is_expected_known ? static_cast<double>(*expected) : tokens.max_output};
+    result.shared_parts = read_shared_parts(result.id, fields, context.fields);
     result.units = count_units(result.workspace, tokens);
     const int of_workspace = result.workspace != nullptr ? result.workspace->tier.value_or(0) : 0;
     result.tier = policy::combine_tiers(of_workspace, result.route->tier);
--- a/src/gateway/admitted_request.hpp
+++ b/src/gateway/admitted_request.hpp
@@ -35,6 +35,8 @@
     /// Combined from the workspace's tier, which counts first, and the route's; 0 is the highest.
     int tier = 0;
     std::uint64_t fingerprint = 0; ///< Hash of caller, target and body.
+    /// Hashes of the parts of its prompt that other requests share, each with the model.
+    std::vector<std::uint64_t> shared_parts;
 
     /// What of the request may crash the servers that run it.
     [[nodiscard]] std::vector<policy::crash_suspect> suspects() const;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -408,8 +408,8 @@
         co_await writer.write(answer);
     }
 
-    /// Reads the settings file again and applies what can change while the process runs: stop_limit and new
-    /// seeds. An invalid file is logged and changes nothing.
+    /// Reads the settings file again and applies what can change while the process runs: stop_limit, new
+    /// seeds and released suspects. An invalid file is logged and changes nothing.
     void reload() {
         std::vector<settings::problem> problems;
         const auto text = settings::read_file(m_settings_file, problems);
@@ -424,9 +424,19 @@
         for (const auto& seed : read.seeds) {
             m_slots.add_member(seed, m_settings.processor_share);
         }
+        release_suspects(read.released_suspects);
         events::write(events::event_kind::settings_reloaded, {{"settings", m_settings_file}});
     }
 
+    void release_suspects(const std::vector<std::uint64_t>& keys) {
+        std::vector<policy::crash_suspect> released;
+        for (const auto key : keys) {
+            released.push_back({policy::suspect_kind::request, key});
+            released.push_back({policy::suspect_kind::prompt_part, key});
+        }
+        m_slots.clear_suspects(released);
+    }
+
     std::string m_settings_file;
     gateway_settings m_settings;
     const deployment& m_deployment;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,6 +1,7 @@
 // Implementation of read_gateway_settings().
 #include "gateway/gateway_settings.hpp"
 
+#include "base/parse_number.hpp"
 #include "settings/section_reader.hpp"
 
 #include <array>
@@ -26,6 +27,19 @@
     }
 }
 
+std::vector<std::uint64_t> read_suspects(settings::section_reader& reader) {
+    std::vector<std::uint64_t> result;
+    for (const auto& text : reader.list("released_suspects")) {
+        const auto key = parse_number<std::uint64_t>(text);
+        if (!key.has_value()) {
+            reader.report_problem("released_suspects", "keys of suspects, as logged, separated by commas");
+            return {};
+        }
+        result.push_back(*key);
+    }
+    return result;
+}
+
 void read_bounds(settings::section_reader& reader, gateway_settings& result) {
     result.retry_ratio = reader.real("retry_ratio", result.retry_ratio, 0, 1);
     result.retry_reserve = reader.real("retry_reserve", result.retry_reserve, 0, most_units);
@@ -75,6 +89,7 @@
     result.coordinator_patience =
         reader.duration("coordinator_patience", result.coordinator_patience, shortest, longest);
     result.stream_memory = reader.duration("stream_memory", result.stream_memory, shortest, longest);
+    result.released_suspects = read_suspects(reader);
     result.store_followers =
         static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -52,6 +52,10 @@
     /// callers wait for an answer in all their attempts.
     milliseconds stream_memory{30000};
 
+    /// The keys of quarantined requests and prompt parts that are released, in all gateways, when the
+    /// settings are read again.
+    std::vector<std::uint64_t> released_suspects;
+
     /// How many gateways poll the store for changes besides the candidates for coordination; all other
     /// gateways learn of changes from them. The number is large enough that a store which silently ignores a
     /// third of all gateways still answers some of them.
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -16,11 +16,13 @@
 #include "policy/slot_request.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace borageford::gateway {
 
@@ -59,8 +61,14 @@
 
     // Obtaining and releasing the slot.
     void request_slot();
-    [[nodiscard]] std::optional<milliseconds> quarantine_left() const;
-    void refuse_quarantined(milliseconds left);
+    /// A suspect for which the request is refused, and for how much longer.
+    struct quarantine {
+        policy::crash_suspect suspect;
+        milliseconds left{};
+    };
+    [[nodiscard]] std::vector<quarantine> find_quarantines() const;
+    [[nodiscard]] bool is_quarantined() const { return !find_quarantines().empty(); }
+    void refuse_quarantined(milliseconds left, policy::suspect_kind kind);
     [[nodiscard]] policy::slot_request make_slot_request() const;
     void handle_grant(const policy::slot_grant& grant);
     void wait_for_registration(const policy::slot_grant& grant);
@@ -126,7 +134,9 @@
     std::uint64_t m_events_before = 0;
     bool m_has_asked = false;           ///< Whether it has requested a slot before.
     bool m_has_proved_harmless = false; ///< Whether the current server went on after beginning to answer.
-    bool m_is_charged = false;          ///< Whether the request was charged to its workspace's quota.
+    /// The quarantined part of its prompt for which the request is a probe; 0: it is none.
+    std::uint64_t m_probed_part = 0;
+    bool m_is_charged = false; ///< Whether the request was charged to its workspace's quota.
 
     std::shared_ptr<backend_call> m_call;
     /// Whether the current response is a successful stream, forwarded event by event.
--- a/src/policy/crash_ledger.cpp
+++ b/src/policy/crash_ledger.cpp
@@ -27,10 +27,17 @@
 /// A part is in many requests, so other crashes hit it by chance more often than one request.
 constexpr std::size_t crashes_by_part = 3;
 
-quarantine_settings settings_for(std::size_t crashes) {
+/// A part is probed this long after the last crash. After each probe that crashed its server, too, the next
+/// one comes later by this factor, so that a harmful part crashes three further servers in an hour.
+constexpr seconds first_probe{10};
+constexpr int probe_factor = 6;
+/// Crashes that are further apart weren't caused by requests that were sent together.
+constexpr seconds same_time{5};
+
+quarantine_settings settings_for(std::size_t crashes, seconds first_time) {
     quarantine_settings result;
     result.crashes_before_quarantine = crashes;
-    result.quarantine_time = first_quarantine;
+    result.quarantine_time = first_time;
     result.further_quarantine_time = further_quarantine;
     result.mark_lifetime = mark_lifetime;
     result.most_fingerprints = max_marks;
@@ -40,8 +47,8 @@
 } // namespace
 
 crash_ledger::crash_ledger()
-    : m_quarantines{quarantine(settings_for(crashes_by_request)), quarantine(settings_for(crashes_by_part))} {
-}
+    : m_quarantines{quarantine(settings_for(crashes_by_request, first_quarantine)),
+                    quarantine(settings_for(crashes_by_part, further_quarantine))} {}
 
 crash_ledger::change crash_ledger::add(const crash_mark& mark, time_point now) {
     const auto cleared = m_clearances.find(mark.suspect);
@@ -88,6 +95,19 @@
                                                : quarantine_of(suspect.kind).time_left(suspect.key, now);
 }
 
+bool crash_ledger::is_probe_due(const crash_suspect& suspect, time_point now) const {
+    if (suspect.kind != suspect_kind::prompt_part || !quarantine_left(suspect, now).has_value()) {
+        return false;
+    }
+    auto known = list_marks(suspect);
+    std::ranges::sort(known, {}, &crash_mark::at);
+    duration wait = first_probe;
+    for (std::size_t index = crashes_by_part; index < known.size(); ++index) {
+        wait *= known[index].at - known[index - 1].at > same_time ? probe_factor : 1;
+    }
+    return !known.empty() && now - known.back().at >= wait;
+}
+
 std::size_t crash_ledger::marks(const crash_suspect& suspect, time_point now) const {
     return m_marks.empty() ? 0 : quarantine_of(suspect.kind).marks(suspect.key, now);
 }
--- a/src/policy/crash_ledger.hpp
+++ b/src/policy/crash_ledger.hpp
@@ -43,6 +43,9 @@
 
     /// Remaining time of the quarantine; nothing when the suspect isn't quarantined.
     [[nodiscard]] std::optional<duration> quarantine_left(const crash_suspect& suspect, time_point now) const;
+    /// Whether one request with a quarantined part may be sent, to see whether the part is harmless. Nothing
+    /// else would tell: no request with the part is answered meanwhile.
+    [[nodiscard]] bool is_probe_due(const crash_suspect& suspect, time_point now) const;
     /// Number of servers that crashed while they may have run it, as far as these marks still count.
     [[nodiscard]] std::size_t marks(const crash_suspect& suspect, time_point now) const;
     /// All marks of the suspect that aren't void.
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -76,6 +76,9 @@
     unsigned previous_refusals = 0;
     /// The software version that began the stream which the request resumes; 0: any server will do.
     software_key software = 0;
+    /// The quarantined part of its prompt for which the request is a probe, as the key of a crash_suspect; 0:
+    /// it is none.
+    std::uint64_t probed_part = 0;
     /// Servers that failed this request; 0 in unused places.
     std::array<server_key, max_avoided> avoided{};
 };
@@ -91,7 +94,7 @@
     overloaded,        ///< it can't be served within the maximum wait
     over_allowance,    ///< its workspace has used up its quota
     over_retry_budget, ///< too many requests of its service are being retried
-    held_back,         ///< it is quarantined, because servers crashed while they ran it (crash_suspects)
+    held_back,         ///< it is quarantined, because servers crashed while they ran it (crash_ledger)
     over_server_limit, ///< the rate limits of all servers of its service hold it back for too long
     servers_back_off,  ///< all servers of its service want no requests of its gateway for too long
     software_gone,     ///< no server of the software version that began its stream is left
--- a/tests/failure/test_gateway_crashing_part.cpp
+++ b/tests/failure/test_gateway_crashing_part.cpp
@@ -2,6 +2,7 @@
 // two of them are alike, and that requests that share their other parts are served.
 #include "platform/header_field_names.hpp"
 #include "support/gateway_site.hpp"
+#include "support/wait_until.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -133,3 +134,48 @@
     CHECK(site.fatal_requests().size() <= tolerated_crashes);
     CHECK(served == 20);
 }
+
+TEST_CASE("gateway: an operator can release a quarantined part", "[gateway][crashing_part]") {
+    gateway_site site(fatal_site(12, 2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_part(site);
+    for (std::size_t number = 0; number < 5; ++number) {
+        const auto name = "fatal-" + std::to_string(number);
+        static_cast<void>(site.send(number % 2, fatal_call(name)));
+        static_cast<void>(serve_sound_calls(site, {0, 1}, name));
+    }
+    CHECK(site.fatal_requests().size() == tolerated_crashes);
+    const auto log = site.process(0).output_text();
+    const std::string before_key = R"("suspect":"prompt_part","key":)";
+    const auto found = log.find(before_key, log.find(R"("event":"suspect_quarantined")"));
+    REQUIRE(found != std::string::npos);
+    const auto key = std::to_string(std::stoull(log.substr(found + before_key.size())));
+    site.write_settings(0, "released_suspects = " + key + "\n");
+    site.process(0).reload();
+    wait_until("both gateways know of the release", [&] {
+        return site.has_logged(1, R"("event":"suspect_cleared","level":"info")") &&
+               site.has_logged(0, R"("event":"settings_reloaded")");
+    });
+    static_cast<void>(serve_sound_calls(site, {0, 1}, "after"));
+    static_cast<void>(site.send(1, fatal_call("released")));
+    CHECK(site.fatal_requests().size() == tolerated_crashes + 1);
+}
+
+TEST_CASE("gateway: one workspace's requests don't get the parts of another quarantined",
+          "[gateway][crashing_part]") {
+    // Its prompts name the other's parts beside the one that crashes servers.
+    gateway_site site(fatal_site(24, 2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    crash_by_part(site);
+    const auto names = platform::header_field_names();
+    for (std::size_t number = 0; number < 10; ++number) {
+        const auto name = "malicious-" + std::to_string(number);
+        auto call = make_call("/plain/x", name, "body of " + name);
+        call.headers.push_back({names.model, "m"});
+        call.headers.push_back({names.prompt_parts,
+                                common_part + ":60," + sound_part + ":300," + fatal_part + ":1,e4402b7d:20"});
+        static_cast<void>(site.send(number % 2, call));
+        CHECK(serve_sound_calls(site, {0, 1}, name) == 2);
+    }
+    CHECK(site.fatal_requests().size() <= tolerated_crashes);
+}
--- a/tests/unit/test_crash_suspects.cpp
+++ b/tests/unit/test_crash_suspects.cpp
@@ -29,6 +29,21 @@
     return {suspect_kind::request, fingerprint};
 }
 
+crash_suspect part(std::uint64_t key) {
+    return {suspect_kind::prompt_part, key};
+}
+
+slot_request wanted_request(slot_ticket ticket, std::uint64_t fingerprint) {
+    slot_request result;
+    result.ticket = ticket;
+    result.service = 7;
+    result.arrived = start_time;
+    result.deadline = start_time + 10min;
+    result.target = 5min;
+    result.fingerprint = fingerprint;
+    return result;
+}
+
 /// The suspects of one gateway, and the ledger into which it enters its marks.
 class watched_servers {
 public:
@@ -297,14 +312,7 @@
     coordinator.crashes().add({request(666), 9, start_time, 1}, start_time);
     const auto ask = [&](slot_ticket ticket, std::uint64_t fingerprint) {
         batch_items items;
-        slot_request wanted;
-        wanted.ticket = ticket;
-        wanted.service = 7;
-        wanted.arrived = start_time;
-        wanted.deadline = start_time + 10s;
-        wanted.target = 5s;
-        wanted.fingerprint = fingerprint;
-        items.asks.push_back(wanted);
+        items.asks.push_back(wanted_request(ticket, fingerprint));
         coordinator.apply_items(3, items, start_time);
         return coordinator.decide(start_time).at(3);
     };
@@ -324,14 +332,7 @@
     slot_coordinator coordinator({}, {}, {}, 1, start_time);
     batch_items items;
     for (slot_ticket ticket = 1; ticket <= 9; ++ticket) {
-        slot_request wanted;
-        wanted.ticket = ticket;
-        wanted.service = 7;
-        wanted.arrived = start_time;
-        wanted.deadline = start_time + 10s;
-        wanted.target = 5s;
-        wanted.fingerprint = ticket <= 8 ? 666 : 42;
-        items.asks.push_back(wanted);
+        items.asks.push_back(wanted_request(ticket, ticket <= 8 ? 666 : 42));
     }
     coordinator.apply_items(3, items, start_time);
     static_cast<void>(coordinator.decide(start_time));
@@ -346,3 +347,94 @@
     REQUIRE(decided.at(3).grants.size() == 1);
     CHECK(decided.at(3).grants.front().ticket == 9);
 }
+
+TEST_CASE("a part is quarantined after three crashes, whatever else the requests held",
+          "[policy][crash_ledger]") {
+    crash_ledger ledger;
+    const auto marks = marks_of(part(9), 3);
+    ledger.add(marks[0], marks[0].at);
+    ledger.add(marks[1], marks[1].at);
+    CHECK_FALSE(ledger.quarantine_left(part(9), start_time + 1s));
+    ledger.add(marks[2], marks[2].at);
+    CHECK(ledger.quarantine_left(part(9), start_time + 1s));
+    CHECK_FALSE(ledger.quarantine_left(request(9), start_time + 1s));
+    CHECK_FALSE(ledger.quarantine_left(part(8), start_time + 1s));
+}
+
+TEST_CASE("a quarantined part is probed, and less often after each probe that crashed a server",
+          "[policy][crash_ledger]") {
+    crash_ledger ledger;
+    for (const auto& mark : marks_of(part(9), 3)) {
+        ledger.add(mark, mark.at);
+    }
+    const auto quarantined = start_time + 300ms;
+    CHECK_FALSE(ledger.is_probe_due(part(9), quarantined + 9s));
+    CHECK(ledger.is_probe_due(part(9), quarantined + 10s));
+    ledger.add({part(9), 4, quarantined + 11s, 1}, quarantined + 11s);
+    CHECK_FALSE(ledger.is_probe_due(part(9), quarantined + 70s));
+    CHECK(ledger.is_probe_due(part(9), quarantined + 71s));
+    ledger.add({part(9), 5, quarantined + 72s, 1}, quarantined + 72s);
+    CHECK_FALSE(ledger.is_probe_due(part(9), quarantined + 72s + 359s));
+    CHECK_FALSE(ledger.is_probe_due(part(8), quarantined + 10s));
+    CHECK_FALSE(ledger.is_probe_due(request(9), quarantined + 10s));
+}
+
+TEST_CASE("a popular part that is in every crash isn't quarantined", "[coordination][crash_exchange]") {
+    // The first part of the route's prompts is in the requests that crash servers, and in all others, of
+    // which some are answered at another gateway.
+    knowing_gateway crashed(1);
+    knowing_gateway served(2);
+    const std::array fatal{part(1), part(666)};
+    const std::array sound{part(1), part(2)};
+    for (server_key server = 1; server < 6; ++server) {
+        const auto at = start_time + server * 500ms;
+        static_cast<void>(served.exchange.observe_answer(sound, at - 100ms));
+        const auto told = crashed.exchange.observe_crash(server, fatal, at);
+        static_cast<void>(crashed.exchange.merge(served.exchange.merge(told, at), at));
+    }
+    for (const auto* ledger : {&crashed.ledger, &served.ledger}) {
+        CHECK_FALSE(ledger->quarantine_left(part(1), start_time + 3s));
+        CHECK(ledger->quarantine_left(part(666), start_time + 3s));
+    }
+}
+
+TEST_CASE("an operator's release ends a quarantine everywhere", "[coordination][crash_exchange]") {
+    knowing_gateway first(1);
+    knowing_gateway second(2);
+    const std::array suspects{part(9)};
+    for (server_key server = 1; server < 4; ++server) {
+        const auto at = start_time + server * 100ms;
+        static_cast<void>(second.exchange.merge(first.exchange.observe_crash(server, suspects, at), at));
+    }
+    REQUIRE(second.ledger.quarantine_left(part(9), start_time + 1s));
+    static_cast<void>(
+        second.exchange.merge(first.exchange.clear(suspects, start_time + 1s), start_time + 1s));
+    CHECK_FALSE(first.ledger.quarantine_left(part(9), start_time + 2s));
+    CHECK_FALSE(second.ledger.quarantine_left(part(9), start_time + 2s));
+}
+
+TEST_CASE("a coordinator accepts one probe of a part at a time, and a gateway on its own none",
+          "[coordination][slot_coordinator]") {
+    slot_coordinator coordinator({}, {}, {}, 1, start_time);
+    coordinator.scheduler().set_server(1, 7, 16, 0);
+    for (const auto& mark : marks_of(part(9), 3)) {
+        coordinator.crashes().add(mark, mark.at);
+    }
+    slot_ticket last_ticket = 0;
+    const auto grants_probe = [&](time_point now) {
+        batch_items items;
+        ++last_ticket;
+        items.asks.push_back(wanted_request(last_ticket, last_ticket));
+        items.asks.back().probed_part = 9;
+        coordinator.apply_items(3, items, now);
+        return !coordinator.decide(now).at(3).grants.empty();
+    };
+    CHECK_FALSE(grants_probe(start_time + 20s));
+    coordinator.set_accepting_probes(true);
+    CHECK_FALSE(grants_probe(start_time + 5s));
+    CHECK(grants_probe(start_time + 20s));
+    CHECK_FALSE(grants_probe(start_time + 21s));
+    coordinator.crashes().add({part(9), 8, start_time + 22s, 1}, start_time + 22s);
+    CHECK_FALSE(grants_probe(start_time + 40s));
+    CHECK(grants_probe(start_time + 90s));
+}
