Soak: requests that crash servers, beside all other faults

At the end the soak counts at its servers how many arrived later than 3 s after the third or fifth crash: three are tolerated, and as many crashes again as all gateways may have been lost together.

--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -231,6 +231,18 @@
     return broken;
 }
 
+broken_promises check_fatal(const std::string& what, const emulator::fatal_record& record,
+                            std::size_t crashes, std::size_t all_lost) {
+    const auto late = record.count_late(crashes);
+    const auto allowed = emulator::tolerated_late_arrivals + all_lost * crashes;
+    if (late <= allowed) {
+        return {};
+    }
+    return {what + " crashed " + std::to_string(record.crashes.size()) + " servers and reached servers " +
+            std::to_string(late) + " times later than 3 s after crash " + std::to_string(crashes) +
+            ", allowed " + std::to_string(allowed)};
+}
+
 broken_promises check_moves_in_time(const sent_request& request, const server_run& run,
                                     std::span<const route_move> moves, const disturbance_log& disturbances) {
     const auto from = request.sent - configuration_limit;
--- a/tests/soak/promise_checks.hpp
+++ b/tests/soak/promise_checks.hpp
@@ -2,6 +2,7 @@
 // check is a pure function that returns one line for each violation, and nothing when the promise was kept.
 #pragma once
 
+#include "emulator/fatal_record.hpp"
 #include "emulator/rate_limit_excess.hpp"
 #include "emulator/retry_excess.hpp"
 #include "soak/disturbance_log.hpp"
@@ -49,6 +50,12 @@
 /// would mean that the gateway went back to an older configuration.
 [[nodiscard]] broken_promises check_configuration_order(std::span<const sent_request> requests);
 
+/// Promise: requests that crash servers stop reaching servers, 3 s after this many crashes, but for a few.
+/// When all gateways were killed, nobody knows of the crashes, so that they happen once more: `all_lost` is
+/// how often that can have happened at most.
+[[nodiscard]] broken_promises check_fatal(const std::string& what, const emulator::fatal_record& record,
+                                          std::size_t crashes, std::size_t all_lost);
+
 /// A change of the service of the route "moving", and when it was written into the store.
 struct route_move {
     clock::time_point at;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -124,6 +124,9 @@
     request.service = known->service;
     request.is_idempotent = known->is_idempotent;
     request.is_stream = known->is_stream;
+    if (request.is_stream) {
+        request.parts = {std::string(harmless_part)};
+    }
     request.output_tokens =
         std::uniform_int_distribution<unsigned>(1, request.is_stream ? max_output_tokens : 1)(m_random);
     return request;
@@ -179,6 +182,7 @@
     }
     call.key = request.key;
     call.body = request.body;
+    call.parts = request.parts;
     sender->request = std::move(request);
     sender->request.sent = clock::now();
     sender->request.gateway_start_count = m_deployment.start_count(sender->request.gateway);
@@ -262,6 +266,33 @@
     send(sender, make_request(route, gateway));
 }
 
+void soak_callers::start_fatal(double per_second) {
+    if (per_second > 0) {
+        const std::chrono::duration<double> period(1 / per_second);
+        m_fatal_timer = m_deployment.timers().every(m_deployment.executor(),
+                                                    std::chrono::duration_cast<clock::duration>(period),
+                                                    [this] { send_fatal(); });
+    }
+}
+
+void soak_callers::send_fatal() {
+    if (m_is_stopping) {
+        return;
+    }
+    auto request = make_request("stream", draw_gateway());
+    request.output_tokens = max_output_tokens;
+    if (m_fatal_requests++ % 2 == 0) {
+        request.target = "/stream/fatal";
+        request.body = experiment::fatal_body_text;
+    } else {
+        request.parts = {std::string(harmless_part), std::string(fatal_part)};
+    }
+    auto sender = std::make_shared<caller>();
+    sender->is_probe = true;
+    m_callers.push_back(sender);
+    send(sender, std::move(request));
+}
+
 bool soak_callers::has_served_probe(std::size_t gateway, const std::string& route) const {
     const auto found = m_probes.find({gateway, route});
     return found != m_probes.end() && found->second;
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -41,6 +41,10 @@
     /// True when the last probe of this route at this gateway was answered successfully.
     [[nodiscard]] bool has_served_probe(std::size_t gateway, const std::string& route) const;
 
+    /// Sends requests that crash servers from now on, at this rate: alternately one that is always the same,
+    /// and others with a certain part in their prompts. They are recorded and checked like the others.
+    void start_fatal(double per_second);
+
     /// All requests that have ended.
     [[nodiscard]] const std::vector<sent_request>& requests() const noexcept { return m_requests; }
     /// Violations that check_answer() found when answers were received.
@@ -57,6 +61,7 @@
 private:
     struct caller;
 
+    void send_fatal();
     void send_next(const std::shared_ptr<caller>& sender);
     void send(const std::shared_ptr<caller>& sender, sent_request request);
     void finish(const std::shared_ptr<caller>& sender, caller_end end, const experiment::call_result& result);
@@ -76,6 +81,8 @@
     std::size_t m_requests_in_progress = 0;
     resume_counts m_resumes;
     bool m_is_stopping = false;
+    std::size_t m_fatal_requests = 0;
+    timer_subscription m_fatal_timer;
 };
 
 } // namespace borageford::soak
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds early_rewrite{300};
 constexpr milliseconds late_rewrite{1200};
 constexpr double slow_factor = 6;
+/// From the crash of a server by a request until it is back.
+constexpr milliseconds back_after_crash{800};
 /// With more gateways than this, servers ask them to keep idle connections for `short_keep_alive` only. Each
 /// connection between a gateway and a server takes three descriptors of this process. 250 gateways that kept
 /// their connections for some seconds used up its 20,000 descriptors within 2 s; after that, no server could
@@ -199,6 +201,9 @@
         m_site->set_address_mapping(
             [this](auto server, const auto& address) { return publish(server, address); });
         m_site->start();
+        m_site->set_crash_rule(
+            {.body_text = std::string(experiment::fatal_body_text), .part = std::string(fatal_part)},
+            back_after_crash);
     });
     std::vector<experiment::gateway_place> places;
     places.reserve(size.gateways);
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -43,6 +43,9 @@
 inline constexpr std::string_view soak_host = "soak.example";
 inline constexpr std::string_view open_workspace = "open";
 inline constexpr std::string_view limited_workspace = "limited";
+/// Parts of prompts: one that all streams share, and one that crashes the servers that begin to write on it.
+inline constexpr std::string_view harmless_part = "5c1e07a2";
+inline constexpr std::string_view fatal_part = "91bd3f06";
 /// Requests per second, and the burst, that the limited workspace may send.
 inline constexpr double limited_rate = 20;
 inline constexpr double limited_burst = 20;
@@ -109,6 +112,9 @@
     /// The arrivals at each server that has named a rate limit, including servers that have been stopped.
     [[nodiscard]] std::vector<limited_server> collect_limited_servers() const;
     [[nodiscard]] std::vector<stating_server> collect_stating_servers() const;
+    /// The requests that crash servers, by their bodies and by a part of their prompts.
+    [[nodiscard]] emulator::fatal_record fatal_by_body() const { return m_site->fatal_by_body(); }
+    [[nodiscard]] emulator::fatal_record fatal_by_part() const { return m_site->fatal_by_part(); }
     /// The requests that reached servers, by service.
     [[nodiscard]] std::map<std::string, std::vector<emulator::recorded_arrival>> collect_arrivals() const;
     /// What was held back on its way to the servers. All servers must be running.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -37,6 +37,7 @@
     schedule_size schedule;
     deployment_size deployment;
     std::size_t callers = 24;
+    double fatal_per_second = 0;  ///< rate of requests that crash servers
     std::filesystem::path folder; ///< for settings and logs; removed when all promises were kept
 };
 
@@ -61,6 +62,7 @@
     options.deployment.plain_servers = read_size("plain-servers", options.deployment.plain_servers);
     options.deployment.engines = read_size("engines", options.deployment.engines);
     options.callers = read_size("callers", options.callers);
+    options.fatal_per_second = reader.number("fatal-per-second", 0);
     options.schedule.kinds = read_kinds(reader.text("kinds", ""));
     const auto folder_name =
         "soak-" + std::to_string(options.schedule.seed) + "-" + identifier::random().to_string();
@@ -216,6 +218,18 @@
     return broken;
 }
 
+broken_promises check_all_fatal(const soak_deployment& deployment) {
+    unsigned least_starts = deployment.start_count(0);
+    for (std::size_t gateway = 1; gateway < deployment.gateway_count(); ++gateway) {
+        least_starts = std::min(least_starts, deployment.start_count(gateway));
+    }
+    auto broken = check_fatal("one request", deployment.fatal_by_body(), emulator::crashes_by_request,
+                              least_starts - 1);
+    append(broken, check_fatal("requests with one part", deployment.fatal_by_part(),
+                               emulator::crashes_by_part, least_starts - 1));
+    return broken;
+}
+
 broken_promises check_all(soak_deployment& deployment, const soak_callers& callers,
                           const std::vector<server_run>& runs) {
     broken_promises broken = callers.broken();
@@ -250,6 +264,7 @@
         append(broken, check_leaving(server, sent, disturbances));
         append(broken, check_pauses(server, sent, disturbances));
     }
+    append(broken, check_all_fatal(deployment));
     append(broken, check_allowance(runs));
     append(broken, check_all_retries(requests, deployment.collect_arrivals()));
     append(broken, deployment.unexpected_exits());
@@ -318,7 +333,10 @@
     const callers_owner callers(deployment, options.schedule.seed);
     auto broken = check_recovery(deployment, *callers);
     if (broken.empty()) {
-        deployment.on_emulator([&] { callers->start(options.callers); });
+        deployment.on_emulator([&] {
+            callers->start(options.callers);
+            callers->start_fatal(options.fatal_per_second);
+        });
         play_faults(deployment, options, faults);
         deployment.restore();
         deployment.on_emulator([&] { callers->stop(); });
