Experiments: most new connections go to one gateway; streams that end with their connection

Two tests of streams without a length or chunks: whole when they end between two events, resumed when they end inside one.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -42,6 +42,15 @@
     return value;
 }
 
+/// The status line of a successful answer and these fields.
+std::string compose_success_head(const http::header_fields& fields) {
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto& field : fields) {
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    return head;
+}
+
 /// The answer to a request that the HTTP server couldn't parse.
 http::response refuse_unread(error_kind kind, std::string_view detail) {
     return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
@@ -243,6 +252,9 @@
         writer.abort();
     } else if (fault == backend_fault::garble) {
         co_await writer.write_raw("not a response at all\r\n\r\n", false);
+    } else if (m_engine != nullptr &&
+               (fault == backend_fault::unframed || fault == backend_fault::unframed_midway)) {
+        co_await run_unframed_stream(call, writer, fault, number);
     } else if (m_engine != nullptr && fault != backend_fault::error) {
         co_await run_stream(call, writer, fault, number);
     } else {
@@ -271,10 +283,7 @@
         co_await writer.write(answer);
         co_return;
     }
-    std::string head = "HTTP/1.1 200 OK\r\n";
-    for (const auto& field : answer.head.headers) {
-        head.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
+    const auto head = compose_success_head(answer.head.headers);
     const auto length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
     if (fault == backend_fault::cut_midway || fault == backend_fault::cut_first_event) {
         co_await writer.write_raw(head + length + answer.body.substr(0, 3), false);
@@ -288,6 +297,25 @@
     }
 }
 
+/// Sends all events at once.
+asio::awaitable<void> emulated_backend::run_unframed_stream(const http::request& call,
+                                                            http::response_writer& writer,
+                                                            backend_fault fault, std::size_t number) {
+    const auto last = make_engine_request(call).output_tokens;
+    const auto first = static_cast<std::uint64_t>(parse_number(header_value(call, m_fields.last_event))) + 1;
+    auto fields = answer_fields(call, number);
+    fields.push_back({"Content-Type", "text/event-stream"});
+    auto text = compose_success_head(fields) + "Connection: close\r\n\r\n";
+    const bool is_cut = fault == backend_fault::unframed_midway;
+    const auto end = is_cut ? first + 1 : last;
+    for (auto event = first; event <= end; ++event) {
+        text += describe_event(event, m_options.version);
+    }
+    constexpr std::size_t cut_bytes = 4;
+    text.resize(text.size() - (is_cut ? cut_bytes : 0));
+    co_await writer.write_raw(text, false);
+}
+
 engine_request emulated_backend::make_engine_request(const http::request& call) const {
     engine_request request;
     request.id = ++m_engine->last_number;
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -92,6 +92,16 @@
     milliseconds rewritten_after{1000}; ///< from the restore until the lost rows are written again
 };
 
+/// For a while, most callers open a new connection for each request, and most of these go to one gateway, or
+/// to the next one that is ready.
+struct connection_rush {
+    std::string name;
+    milliseconds at{0}; ///< begin, since the experiment's begin
+    milliseconds length{5000};
+    std::size_t gateway = 0;
+    double share = 0.9; ///< of all requests, between 0 and 1
+};
+
 /// Where one gateway listens; `borageford emulate` writes its settings file.
 struct gateway_place {
     boost::asio::ip::address address;
@@ -110,6 +120,7 @@
     std::vector<caller_group> callers;
     emulator::load_model load;
     std::vector<planned_fault> faults;
+    std::vector<connection_rush> rushes;
     emulator::crash_rule crash_rule; ///< the requests that crash servers, by the traits of the callers
     milliseconds back_after{1000};   ///< from such a crash until the server is started again
 };
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -26,8 +26,8 @@
 /// A gateway listens on four consecutive ports: for callers, readiness, other gateways and metrics.
 constexpr std::uint16_t ports_of_a_gateway = 4;
 
-constexpr std::array<std::string_view, 7> section_kinds{"experiment", "service", "workspace", "route",
-                                                        "callers",    "burst",   "fault"};
+constexpr std::array<std::string_view, 8> section_kinds{"experiment", "service", "workspace", "route",
+                                                        "callers",    "burst",   "fault",     "rush"};
 constexpr std::array<std::string_view, 2> service_kinds{"engine", "plain"};
 constexpr std::array<std::string_view, 3> fatal_traits{"none", "request", "part"};
 constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
@@ -57,6 +57,7 @@
         read_each("callers", [this](const ini_section& section) { read_callers(section); });
         read_each("burst", [this](const ini_section& section) { read_burst(section); });
         read_each("fault", [this](const ini_section& section) { read_fault(section); });
+        read_each("rush", [this](const ini_section& section) { read_rush(section); });
         m_plan.configuration.version = 1;
         return std::move(m_plan);
     }
@@ -65,9 +66,10 @@
     void check_kinds() {
         for (const auto& section : m_document.sections) {
             if (std::ranges::find(section_kinds, section.kind) == section_kinds.end()) {
-                m_problems.push_back({m_document.file, section.line, section.title(),
-                                      "one of the sections [experiment], [service NAME], [workspace NAME], "
-                                      "[route NAME], [callers NAME], [burst NAME], [fault NAME]"});
+                m_problems.push_back(
+                    {m_document.file, section.line, section.title(),
+                     "one of the sections [experiment], [service NAME], [workspace NAME], "
+                     "[route NAME], [callers NAME], [burst NAME], [fault NAME], [rush NAME]"});
             }
         }
     }
@@ -312,6 +314,19 @@
         m_plan.faults.push_back(std::move(fault));
     }
 
+    void read_rush(const ini_section& section) {
+        auto reader = reader_for(section);
+        connection_rush rush;
+        rush.name = section.name;
+        rush.at = reader.duration("at", none, none, longest);
+        rush.length = reader.duration("for", rush.length, shortest, longest);
+        rush.share = reader.real("share", rush.share, 0, 1);
+        const auto last_gateway = std::max<std::int64_t>(std::ssize(m_plan.gateways), 1) - 1;
+        rush.gateway = static_cast<std::size_t>(reader.number("gateway", 0, 0, last_gateway));
+        reader.report_unknown_keys();
+        m_plan.rushes.push_back(std::move(rush));
+    }
+
     const settings::ini_document& m_document;
     std::vector<problem>& m_problems;
     experiment_plan m_plan;
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -121,17 +121,35 @@
     }
 }
 
-boost::asio::ip::tcp::endpoint load_runner::pick_gateway() {
+/// The gateway to which a rush leads this request; nothing if none does.
+std::optional<std::size_t> load_runner::pick_in_rush(std::span<const std::size_t> ready) {
+    const auto at = since(m_begin, clock::now());
+    for (const auto& rush : m_plan.rushes) {
+        const bool lasts = at >= rush.at && at < rush.at + rush.length;
+        if (lasts && !ready.empty() && std::bernoulli_distribution(rush.share)(m_random)) {
+            const auto first = std::ranges::lower_bound(ready, rush.gateway);
+            return first != ready.end() ? *first : ready.front();
+        }
+    }
+    return std::nullopt;
+}
+
+load_runner::destination load_runner::pick_gateway() {
     std::vector<std::size_t> ready;
     for (std::size_t index = 0; index < m_is_ready.size(); ++index) {
         if (m_is_ready[index]) {
             ready.push_back(index);
         }
     }
+    const auto in_rush = pick_in_rush(ready);
+    if (in_rush.has_value()) {
+        const auto& place = m_plan.gateways[*in_rush];
+        return {{place.address, place.first_port}, std::make_shared<connection_pool>()};
+    }
     const auto draw = m_random();
     const auto index = ready.empty() ? draw % m_plan.gateways.size() : ready[draw % ready.size()];
     const auto& place = m_plan.gateways[index];
-    return {place.address, place.first_port};
+    return {{place.address, place.first_port}, m_pool};
 }
 
 std::string load_runner::compose(const caller& sender, const std::string& id) const {
@@ -172,8 +190,9 @@
     if (!route.may_repeat()) {
         m_at_most_once_ids.push_back(sender->id);
     }
+    const auto to = pick_gateway();
     sender->call = std::make_shared<load_call>(
-        m_executor, m_pool, pick_gateway(), compose(*sender, sender->id),
+        m_executor, to.pool, to.address, compose(*sender, sender->id),
         [this, sender](const call_result& result) { handle_result(sender, result); });
     const auto left = sizes.deadline - (clock::now() - sender->begun);
     const auto timeout = sender->will_disconnect ? left / 4 : left;
--- a/src/experiment/load_runner.hpp
+++ b/src/experiment/load_runner.hpp
@@ -14,7 +14,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -66,7 +68,13 @@
     [[nodiscard]] const routing::route& route_of(const caller& sender) const;
     void record_stream(caller& sender, const call_result& result);
     [[nodiscard]] std::string compose(const caller& sender, const std::string& id) const;
-    [[nodiscard]] boost::asio::ip::tcp::endpoint pick_gateway();
+    /// Where an attempt is sent, and on which connections.
+    struct destination {
+        boost::asio::ip::tcp::endpoint address;
+        std::shared_ptr<connection_pool> pool;
+    };
+    [[nodiscard]] destination pick_gateway();
+    [[nodiscard]] std::optional<std::size_t> pick_in_rush(std::span<const std::size_t> ready);
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
--- a/src/experiment/outcome_table.cpp
+++ b/src/experiment/outcome_table.cpp
@@ -64,6 +64,12 @@
     return summarize(m_requests, [](const auto&) { return true; });
 }
 
+outcome_table::summary outcome_table::of_time(milliseconds begin, milliseconds end) const {
+    return summarize(m_requests, [begin, end](const auto& request) {
+        return request.begun >= begin && request.begun < end;
+    });
+}
+
 std::vector<outcome_table::summary> outcome_table::by_second() const {
     std::chrono::seconds last{-1};
     for (const auto& request : m_requests) {
--- a/src/experiment/outcome_table.hpp
+++ b/src/experiment/outcome_table.hpp
@@ -60,6 +60,8 @@
     };
     [[nodiscard]] summary of_group(std::size_t group) const;
     [[nodiscard]] summary of_all() const;
+    /// Over the requests that were first sent from `begin` on and before `end`.
+    [[nodiscard]] summary of_time(milliseconds begin, milliseconds end) const;
     /// One summary for each second of the experiment, over the requests that were first sent in that second.
     [[nodiscard]] std::vector<summary> by_second() const;
 
--- a/src/program/emulate_command.cpp
+++ b/src/program/emulate_command.cpp
@@ -108,6 +108,7 @@
         experiment::write_report(m_folder, m_plan.name, m_runner.outcomes(), m_marks);
         print_rate_limits();
         print_retries();
+        print_rushes();
         const auto& streams = m_runner.streams();
         std::cout << "streams resumed by callers: " << streams.resumed
                   << "\nstreams with events of several software versions: " << streams.mixed << '\n';
@@ -121,6 +122,21 @@
         finish(is_good ? exit_code::done : exit_code::failed);
     }
 
+    /// Prints the shares of requests that were served during each rush and in the time before it.
+    void print_rushes() const {
+        const auto served = [](const experiment::outcome_table::summary& of) {
+            return of.share(experiment::outcome::in_time) + of.share(experiment::outcome::late);
+        };
+        const auto& outcomes = m_runner.outcomes();
+        for (const auto& rush : m_plan.rushes) {
+            const auto before = outcomes.of_time(milliseconds(0), rush.at);
+            const auto during = outcomes.of_time(rush.at, rush.at + rush.length);
+            std::cout << "served during the rush " << rush.name << ": " << served(during) << " of "
+                      << during.requests << ", before it: " << served(before) << " of " << before.requests
+                      << '\n';
+        }
+    }
+
     /// Prints how many servers requests have crashed; returns whether few enough of them arrived late.
     static bool print_crashes(std::string_view cause, const emulator::fatal_record& record,
                               std::size_t crashes) {
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -200,6 +200,28 @@
     CHECK(site.runs_of("s") == 3);
 }
 
+TEST_CASE("gateway: a stream without a length or chunks is complete when it ends between two events",
+          "[gateway][carriage]") {
+    gateway_site site(stream_site(true, 1));
+    set_fault(site, 0, backend_fault::unframed);
+    const auto answer = site.send(0, stream_call("s", 8));
+    CHECK(answer.status == 200);
+    CHECK(answer.is_complete);
+    CHECK(event_numbers(answer.body) == numbers_up_to(8));
+}
+
+TEST_CASE("gateway: a stream without a length or chunks that ends inside an event is resumed",
+          "[gateway][carriage]") {
+    gateway_site site(stream_site(true, 2));
+    set_fault_everywhere(site, 2, backend_fault::unframed_midway, 1);
+    for (int index = 0; index < 2; ++index) {
+        const auto answer = site.send(0, stream_call("s" + std::to_string(index), 40));
+        CHECK(answer.status == 200);
+        CHECK(answer.is_complete);
+        CHECK(event_numbers(answer.body) == numbers_up_to(11));
+    }
+}
+
 TEST_CASE("gateway: the request of a caller that disconnects is cancelled", "[gateway][carriage]") {
     // The caller of a long stream disconnects. The engine would otherwise continue for nobody and occupy a
     // slot.
