A server that accepts a connection while it ends is looked at again

Under load, a call with five attempts crashed five servers, and calls with a part crashed four: the gateway saw the connection close, and the connection that it opened to look was accepted, since the emulated server closed the call's connection before it stopped listening. A process that ends closes both at nearly the same time, too. If the accepted connection ends while requests of the server are suspect, the gateway looks again; a request that broke off waits up to 100 ms instead of 30. The emulated server stops listening first.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -557,10 +557,8 @@
         }
         m_coordinator.detach(member, now);
         served = &m_members.begin(member, message.session, now);
-        served->channel.pending().rate_limits = m_rate_limits.list_for_session();
+        add_notices(served->channel.pending(), now);
         served->channel.pending().retries = m_retries.state(now);
-        served->channel.pending().departures = m_departures.latest();
-        served->channel.pending().crashes = m_coordinator.crashes().state(now);
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
             // requests well even if it loses its coordinator soon.
@@ -621,6 +619,13 @@
     return oldest.has_value() && now - *oldest > session_timeout;
 }
 
+/// Adds what holds for all processes to the first batch of a session, whichever side sends it.
+void slot_broker::add_notices(batch_items& first, policy::time_point now) const {
+    first.rate_limits = m_rate_limits.list_for_session();
+    first.departures = m_departures.latest();
+    first.crashes = crashes().state(now);
+}
+
 void slot_broker::attach_to(policy::member_key coordinator) {
     const auto before = std::exchange(m_source, slot_source::coordinator);
     m_source_since = clock::now();
@@ -630,12 +635,10 @@
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.list_all();
-    m_upstream->pending().rate_limits = m_rate_limits.list_for_session();
+    add_notices(m_upstream->pending(), clock::now());
     // Not m_retries.state(): a statement that is 40 ms old may lack the last retries that this process
     // granted.
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
-    m_upstream->pending().departures = m_departures.latest();
-    m_upstream->pending().crashes = m_coordinator.crashes().state(clock::now());
     m_upstream->pending().backoffs = m_coordinator.scheduler().list_backoffs(m_self, clock::now());
     m_upstream->pending().reports =
         m_coordinator.scheduler().report_servers(max_initial_reports, clock::now());
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -142,6 +142,7 @@
 
     void choose_source(policy::time_point now);
     [[nodiscard]] bool has_session_timed_out(policy::time_point now) const;
+    void add_notices(batch_items& first, policy::time_point now) const;
     void attach_to(policy::member_key coordinator);
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
--- a/src/gateway/backend.cpp
+++ b/src/gateway/backend.cpp
@@ -30,7 +30,8 @@
     return connection;
 }
 
-void backend::keep_idle(std::shared_ptr<net::connection> connection, clock::duration keep) {
+void backend::keep_idle(std::shared_ptr<net::connection> connection, clock::duration keep,
+                        std::function<void()> on_end) {
     if (m_is_retired) {
         connection->close();
         return;
@@ -45,12 +46,13 @@
     };
     // Bytes that arrive while no request is open belong to no response. The connection can't be trusted any
     // more and is closed.
-    const auto handle_end = [weak, drop](net::connection_end how) {
+    const auto handle_end = [weak, drop, on_end = std::move(on_end)](net::connection_end how) {
         const auto self = weak.lock();
         if (self != nullptr && how == net::connection_end::failed) {
             self->record_connection_failure();
         }
         drop();
+        on_end();
     };
     connection->set_handlers({drop, handle_end, {}});
     connection->read();
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -31,8 +32,11 @@
     /// null.
     [[nodiscard]] std::shared_ptr<net::connection> take_idle(clock::duration max_idle);
 
-    /// Keeps an open connection for the next request, for at most `keep`.
-    void keep_idle(std::shared_ptr<net::connection> connection, clock::duration keep);
+    /// Keeps an open connection for the next request, for at most `keep`. Calls `on_end` if the server closes
+    /// it before that.
+    void keep_idle(
+        std::shared_ptr<net::connection> connection, clock::duration keep,
+        std::function<void()> on_end = [] {});
 
     void close_idle();
     /// Closes the idle connections whose keep time is over.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds check_timeout{300};
 /// How long a request that broke off waits for the check before it is sent to another server: several round
 /// trips, so that this server's crash is known if the server refuses connections.
-constexpr milliseconds check_patience{30};
+constexpr milliseconds check_patience{100};
 /// After this time, a server is checked on which a request was abandoned. If the request crashes servers, it
 /// has done so by then, unless it still waits in the server's queue.
 constexpr milliseconds abandoned_check_delay{300};
@@ -107,7 +107,12 @@
     } else if (!error) {
         server->record_life();
         const auto connection = std::make_shared<net::connection>(std::move(*m_checks.at(key).socket));
-        server->keep_idle(connection, keep_checked);
+        // A server that is ending may accept a connection before it closes them all.
+        server->keep_idle(connection, keep_checked, [this, key, server] {
+            if (m_suspects.has_suspects(key)) {
+                begin_check(server);
+            }
+        });
     }
     release_waiting(key);
     m_checks.erase(key);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -61,6 +61,7 @@
     : m_context(context),
       m_session(std::move(session)),
       m_journal(context),
+      m_quarantine(context.slots.crashes()),
       m_request(std::move(request)),
       m_arrived(arrived) {
     ++m_context.requests_in_progress;
@@ -180,47 +181,18 @@
     wanted.sends = m_attempts.delivered_attempts();
     wanted.is_counted = m_has_asked;
     wanted.software = m_software.required();
-    wanted.probed_part = m_probed_part;
+    wanted.probed_part = m_quarantine.probed_part();
     wanted.avoided = m_attempts.avoided();
     return wanted;
 }
 
-std::vector<request_exchange::quarantine> request_exchange::find_quarantines() const {
-    std::vector<quarantine> found;
-    const auto& crashes = m_context.slots.crashes();
-    if (crashes.is_empty()) {
-        return found;
-    }
-    const auto now = clock::now();
-    for (const auto& suspect : m_admitted.suspects()) {
-        const auto left = crashes.quarantine_left(suspect, now);
-        const bool is_probed =
-            suspect.kind == policy::suspect_kind::prompt_part && suspect.key == m_probed_part;
-        if (left.has_value() && !is_probed) {
-            found.push_back({suspect, std::chrono::duration_cast<milliseconds>(*left)});
-        }
-    }
-    return found;
-}
-
 void request_exchange::refuse_quarantined(milliseconds left, policy::suspect_kind kind) {
-    const bool is_request = kind == policy::suspect_kind::request;
-    end_without_answer(error_kind::held_back,
-                       is_request ? "servers crashed while they ran it"
-                                  : "servers crashed while they ran requests with a part of its prompt",
-                       left);
+    end_without_answer(error_kind::held_back, describe_quarantine(kind), left);
 }
 
 void request_exchange::request_slot() {
-    m_probed_part = 0;
-    const auto quarantines = find_quarantines();
-    const bool may_probe = quarantines.size() == 1 &&
-                           m_context.slots.crashes().is_probe_due(quarantines.front().suspect, clock::now());
-    if (may_probe) {
-        m_probed_part = quarantines.front().suspect.key;
-    } else if (!quarantines.empty()) {
-        const auto& longest = *std::ranges::max_element(quarantines, {}, &quarantine::left);
-        refuse_quarantined(longest.left, longest.suspect.kind);
+    if (const auto found = m_quarantine.begin_slot_request(m_admitted)) {
+        refuse_quarantined(found->left, found->kind);
         return;
     }
     const auto wanted = make_slot_request();
@@ -293,7 +265,7 @@
         // the coordinator's requests.
         fail_attempt(policy::attempt_outcome::unreachable, policy::slot_outcome::refused,
                      "the server is draining");
-    } else if (is_quarantined()) {
+    } else if (m_quarantine.holds(m_admitted)) {
         return_slot("the request was quarantined");
     } else if (m_software.required() != 0 && policy::software_key_of(software) != m_software.required()) {
         return_slot("its software version isn't the one that began the stream");
@@ -333,8 +305,7 @@
         end_without_answer(error_kind::rate_limited, "over the workspace's allowance", wait);
         return;
     case policy::refusal_reason::held_back:
-        refuse_quarantined(wait, m_probed_part == 0 ? policy::suspect_kind::request
-                                                    : policy::suspect_kind::prompt_part);
+        refuse_quarantined(wait, m_quarantine.refused_kind());
         return;
     case policy::refusal_reason::software_gone:
         end_without_answer(error_kind::no_backend_server, to_string(refusal.reason), wait);
@@ -378,7 +349,7 @@
     request.is_head_method = m_request.method == "HEAD";
     request.is_retryable = m_admitted.route->may_repeat();
     request.may_be_sent = [this] {
-        return !is_quarantined();
+        return !m_quarantine.holds(m_admitted);
     };
     const auto self = shared_from_this();
     m_call = std::make_shared<backend_call>(
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/client_session.hpp"
 #include "gateway/event_relay.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/quarantine_check.hpp"
 #include "gateway/request_journal.hpp"
 #include "gateway/stream_software.hpp"
 #include "http/request_reader.hpp"
@@ -22,7 +23,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace borageford::gateway {
 
@@ -61,13 +61,6 @@
 
     // Obtaining and releasing the slot.
     void request_slot();
-    /// A suspect for which the request is refused, and for how much longer.
-    struct quarantine {
-        policy::crash_suspect suspect;
-        milliseconds left{};
-    };
-    [[nodiscard]] std::vector<quarantine> find_quarantines() const;
-    [[nodiscard]] bool is_quarantined() const { return !find_quarantines().empty(); }
     void refuse_quarantined(milliseconds left, policy::suspect_kind kind);
     [[nodiscard]] policy::slot_request make_slot_request() const;
     void handle_grant(const policy::slot_grant& grant);
@@ -111,6 +104,7 @@
     gateway_context& m_context;
     std::shared_ptr<client_session> m_session;
     request_journal m_journal;
+    quarantine_check m_quarantine;
     http::received_request m_request;
     clock::time_point m_arrived;
     admitted_request m_admitted;
@@ -134,9 +128,7 @@
     std::uint64_t m_events_before = 0;
     bool m_has_asked = false;           ///< Whether it has requested a slot before.
     bool m_has_proved_harmless = false; ///< Whether the current server went on after beginning to answer.
-    /// The quarantined part of its prompt for which the request is a probe; 0: it is none.
-    std::uint64_t m_probed_part = 0;
-    bool m_is_charged = false; ///< Whether the request was charged to its workspace's quota.
+    bool m_is_charged = false;          ///< Whether the request was charged to its workspace's quota.
 
     std::shared_ptr<backend_call> m_call;
     /// Whether the current response is a successful stream, forwarded event by event.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -411,6 +411,11 @@
 }
 
 void server::state::close_all() {
+    // At once if possible: a caller that sees its connection close must not find the server still listening.
+    asio::dispatch(acceptor.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor.close(ignored);
+    });
     drain();
     const std::scoped_lock lock(idle_mutex);
     for (const auto& stream : open) {
--- a/src/policy/crash_ledger.cpp
+++ b/src/policy/crash_ledger.cpp
@@ -2,7 +2,9 @@
 #include "policy/crash_ledger.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <ranges>
 #include <string>
 
 namespace borageford::policy {
@@ -142,11 +144,12 @@
 
 crash_statement crash_ledger::state(time_point now) const {
     crash_statement result;
-    result.marks.assign(m_marks.rbegin(), m_marks.rend());
     const auto is_quarantined = [&](const crash_mark& mark) {
         return quarantine_left(mark.suspect, now).has_value();
     };
-    std::ranges::stable_partition(result.marks, is_quarantined);
+    const auto latest_first = std::ranges::subrange(m_marks.rbegin(), m_marks.rend());
+    std::ranges::copy_if(latest_first, std::back_inserter(result.marks), is_quarantined);
+    std::ranges::copy_if(latest_first, std::back_inserter(result.marks), std::not_fn(is_quarantined));
     result.marks.resize(std::min(result.marks.size(), max_stated));
     for (const auto& [suspect, clearance] : m_clearances) {
         result.clearances.push_back(clearance);
--- a/tests/failure/test_gateway_crashing_request.cpp
+++ b/tests/failure/test_gateway_crashing_request.cpp
@@ -83,6 +83,8 @@
         const auto answer =
             site.send(static_cast<std::size_t>(number % 3), fatal_call(std::to_string(number)));
         CHECK(answer.status != status_ok);
+        wait_until("all gateways know of the crashes",
+                   [&] { return count_marks(site) >= 3 * site.count_crashes(); });
     }
     CHECK(site.count_crashes() <= tolerated_crashes);
 }
