A suspected request is retried although its former slot isn't released yet

A request that ran beside one that crashed its server was refused its retry: its gateway sends the release and the new slot request in one batch, of which slot requests are read first, so its own former attempt counted as another copy.

--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -81,7 +81,8 @@
         refuse(member, {request.ticket, policy::refusal_reason::held_back, left.value_or(copy_wait)});
         return;
     }
-    if (must_wait_for_copy(request.fingerprint, now)) {
+    // The slot of a retried request's former attempt may not have been released yet.
+    if (request.sends == 0 && must_wait_for_copy(request.fingerprint, now)) {
         refuse(member, {request.ticket, policy::refusal_reason::held_back, copy_wait});
         return;
     }
--- a/tests/unit/test_crash_suspects.cpp
+++ b/tests/unit/test_crash_suspects.cpp
@@ -327,6 +327,27 @@
     CHECK(ask(5, 666).grants.size() == 1);
 }
 
+TEST_CASE("a suspected request is retried although its former slot isn't released yet",
+          "[coordination][slot_coordinator]") {
+    // It ran beside another one that crashed the server. Its gateway sends the release and the new slot request
+    // together.
+    slot_coordinator coordinator({}, {}, {.ratio = 1, .reserve = 10}, 1, start_time);
+    coordinator.retry_budget().knowledge().assume_nothing_before(start_time);
+    coordinator.scheduler().set_server(1, 7, 16, 0);
+    coordinator.scheduler().set_server(2, 7, 16, 0);
+    batch_items first;
+    first.asks.push_back(wanted_request(1, 42));
+    coordinator.apply_items(3, first, start_time);
+    const auto server = coordinator.decide(start_time).at(3).grants.at(0).server;
+    coordinator.crashes().add({request(42), server, start_time, 3}, start_time);
+    batch_items again;
+    again.asks.push_back(wanted_request(2, 42));
+    again.asks.back().sends = 1;
+    again.releases.push_back({1, server, slot_outcome::broken, 10ms, {}});
+    coordinator.apply_items(3, again, start_time);
+    CHECK(coordinator.decide(start_time).at(3).grants.size() == 1);
+}
+
 TEST_CASE("requests that wait for slots are refused once they are quarantined",
           "[coordination][slot_coordinator]") {
     slot_coordinator coordinator({}, {}, {}, 1, start_time);
