--- a/tests/unit/test_crash_suspects.cpp
+++ b/tests/unit/test_crash_suspects.cpp
@@ -329,8 +329,8 @@
 
 TEST_CASE("a suspected request is retried although its former slot isn't released yet",
           "[coordination][slot_coordinator]") {
-    // It ran beside another one that crashed the server. Its gateway sends the release and the new slot request
-    // together.
+    // It ran beside another one that crashed the server. Its gateway sends the release and the new slot
+    // request together.
     slot_coordinator coordinator({}, {}, {.ratio = 1, .reserve = 10}, 1, start_time);
     coordinator.retry_budget().knowledge().assume_nothing_before(start_time);
     coordinator.scheduler().set_server(1, 7, 16, 0);
