--- a/tests/failure/test_gateway_crashing_part.cpp
+++ b/tests/failure/test_gateway_crashing_part.cpp
@@ -168,12 +168,13 @@
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     crash_by_part(site);
     const auto names = platform::header_field_names();
+    auto parts = common_part;
+    parts.append(":60,").append(sound_part).append(":300,").append(fatal_part).append(":1,e4402b7d:20");
     for (std::size_t number = 0; number < 10; ++number) {
         const auto name = "malicious-" + std::to_string(number);
         auto call = make_call("/plain/x", name, "body of " + name);
         call.headers.push_back({names.model, "m"});
-        call.headers.push_back({names.prompt_parts,
-                                common_part + ":60," + sound_part + ":300," + fatal_part + ":1,e4402b7d:20"});
+        call.headers.push_back({names.prompt_parts, parts});
         static_cast<void>(site.send(number % 2, call));
         CHECK(serve_sound_calls(site, {0, 1}, name) == 2);
     }
