A crash that one gateway has seen marks the requests of all others

Each mark names its server: a gateway that hears it now marks what ended there unanswered at itself.

The connection of a check that is closed at once is a reason to look again after 300 ms, no longer at once: behind such a proxy, that was a connection after the other for 5 s.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -4,6 +4,7 @@
 #include "events/event_log.hpp"
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -20,9 +21,10 @@
 /// How long a request that broke off waits for the check before it is sent to another server: several round
 /// trips, so that this server's crash is known if the server refuses connections.
 constexpr milliseconds check_patience{100};
-/// After this time, a server is checked on which a request was abandoned. If the request crashes servers, it
-/// has done so by then, unless it still waits in the server's queue.
-constexpr milliseconds abandoned_check_delay{300};
+/// After this time, a server is checked on which a request was abandoned, or that has closed the connection
+/// of a check. If a request crashes servers, it has done so by then, unless it still waits in the server's
+/// queue.
+constexpr milliseconds later_check_delay{300};
 /// A connection that a check has opened is kept for the next request for this long.
 constexpr milliseconds keep_checked{1000};
 
@@ -63,18 +65,23 @@
         return;
     }
     const auto key = server->record().key();
-    const auto ended_at = clock::now();
-    if (m_suspects.record_end(key, ended, policy::unanswered_end::abandoned, ended_at)) {
+    if (m_suspects.record_end(key, ended, policy::unanswered_end::abandoned, clock::now())) {
         report(*server, ended, "the server is known to have ended");
         return;
     }
+    plan_check(server);
+}
+
+/// Checks the server later, if it has shown no life until then.
+void crash_watch::plan_check(const std::shared_ptr<backend>& server) {
+    const auto key = server->record().key();
     auto& planned = m_planned[key];
     if (planned.is_active()) {
         return;
     }
-    planned = m_timers.after(m_executor, abandoned_check_delay, [this, key, server, ended_at] {
+    planned = m_timers.after(m_executor, later_check_delay, [this, key, server, since = clock::now()] {
         m_planned.erase(key);
-        if (server->last_life() < ended_at && m_suspects.has_suspects(key)) {
+        if (server->last_life() < since && m_suspects.has_suspects(key)) {
             begin_check(server);
         }
     });
@@ -108,11 +115,7 @@
         server->record_life();
         const auto connection = std::make_shared<net::connection>(std::move(*m_checks.at(key).socket));
         // A server that is ending may accept a connection before it closes them all.
-        server->keep_idle(connection, keep_checked, [this, key, server] {
-            if (m_suspects.has_suspects(key)) {
-                begin_check(server);
-            }
-        });
+        server->keep_idle(connection, keep_checked, [this, server] { plan_check(server); });
     }
     release_waiting(key);
     m_checks.erase(key);
@@ -137,6 +140,13 @@
     }
 }
 
+void crash_watch::record_crash_elsewhere(policy::server_key server) {
+    // Posted, because the ledger is being changed while this is called.
+    asio::post(m_executor, [this, server] {
+        m_slots.observe_crash(server, m_suspects.record_crash(server, clock::now()));
+    });
+}
+
 void crash_watch::record_removal(const backend& server) {
     if (may_have_crashed(server)) {
         report(server, m_suspects.record_removal(server.record().key(), clock::now()),
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -42,6 +42,8 @@
 
     /// It refused a connection, another server answers at its address, or it has registered anew.
     void record_crash(const backend& server);
+    /// Another gateway has said that it crashed.
+    void record_crash_elsewhere(policy::server_key server);
     /// Its registration was removed although it hadn't announced that it drains.
     void record_removal(const backend& server);
 
@@ -58,6 +60,7 @@
         std::vector<std::function<void()>> waiting;
     };
 
+    void plan_check(const std::shared_ptr<backend>& server);
     void begin_check(const std::shared_ptr<backend>& server);
     void end_check(policy::server_key key, const std::shared_ptr<backend>& server,
                    const boost::system::error_code& error);
@@ -69,7 +72,7 @@
     coordination::slot_broker& m_slots;
     policy::crash_suspects m_suspects;
     std::unordered_map<policy::server_key, check> m_checks; ///< the running ones
-    /// Checks that begin when an abandoned request had some time to crash its server.
+    /// Checks that begin later, see plan_check().
     std::unordered_map<policy::server_key, timer_subscription> m_planned;
 };
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -237,6 +237,7 @@
             },
             [this](const policy::crash_mark& mark, policy::crash_ledger::change change) {
                 m_crash_reporter.report(mark, change, m_slots.crashes());
+                m_crash_watch.record_crash_elsewhere(mark.server);
             },
             [this](const policy::crash_clearance& clearance) { m_crash_reporter.report(clearance); },
             [this](policy::service_key service, const policy::server_retry_budget::use& current,
