Soak: crashes are counted anew when all gateways were killed at once

Trace: the three crashes were before all gateways were killed; the late arrivals came 1.7 to 2.8 s after they were started again, in two calls of three attempts each, before the first new crash could be known (proxies accept connections, the store was silent). The check allowed three more arrivals for each such loss, but counted them from the crashes that nobody knew any more. It counts each stretch between two such losses by itself now, without any allowance for losses: stricter where gateways were lost one by one, since restarts allow nothing any more.

--- a/src/emulator/fatal_record.hpp
+++ b/src/emulator/fatal_record.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <iterator>
 #include <vector>
 
 namespace borageford::emulator {
@@ -20,6 +21,17 @@
         crashes.insert(crashes.end(), other.crashes.begin(), other.crashes.end());
     }
 
+    /// What happened from `begin` on and before `end`.
+    [[nodiscard]] fatal_record between(policy::time_point begin, policy::time_point end) const {
+        fatal_record result;
+        const auto is_between = [&](policy::time_point at) {
+            return at >= begin && at < end;
+        };
+        std::ranges::copy_if(arrivals, std::back_inserter(result.arrivals), is_between);
+        std::ranges::copy_if(crashes, std::back_inserter(result.crashes), is_between);
+        return result;
+    }
+
     /// How many such requests reached servers later than `known_after` after this many crashes, when every
     /// gateway has to know that they crash servers.
     [[nodiscard]] std::size_t count_late(std::size_t after_crashes,
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -232,15 +232,20 @@
 }
 
 broken_promises check_fatal(const std::string& what, const emulator::fatal_record& record,
-                            std::size_t crashes, std::size_t all_lost) {
-    const auto late = record.count_late(crashes);
-    const auto allowed = emulator::tolerated_late_arrivals + all_lost * crashes;
-    if (late <= allowed) {
-        return {};
+                            std::size_t crashes, std::vector<clock::time_point> all_lost) {
+    broken_promises broken;
+    all_lost.insert(all_lost.begin(), clock::time_point::min());
+    all_lost.push_back(clock::time_point::max());
+    for (std::size_t index = 0; index + 1 < all_lost.size(); ++index) {
+        const auto known = record.between(all_lost[index], all_lost[index + 1]);
+        const auto late = known.count_late(crashes);
+        if (late > emulator::tolerated_late_arrivals) {
+            broken.push_back(what + " crashed " + std::to_string(known.crashes.size()) +
+                             " servers and reached servers " + std::to_string(late) +
+                             " times later than 3 s after crash " + std::to_string(crashes));
+        }
     }
-    return {what + " crashed " + std::to_string(record.crashes.size()) + " servers and reached servers " +
-            std::to_string(late) + " times later than 3 s after crash " + std::to_string(crashes) +
-            ", allowed " + std::to_string(allowed)};
+    return broken;
 }
 
 broken_promises check_moves_in_time(const sent_request& request, const server_run& run,
--- a/tests/soak/promise_checks.hpp
+++ b/tests/soak/promise_checks.hpp
@@ -51,10 +51,10 @@
 [[nodiscard]] broken_promises check_configuration_order(std::span<const sent_request> requests);
 
 /// Promise: requests that crash servers stop reaching servers, 3 s after this many crashes, but for a few.
-/// When all gateways were killed, nobody knows of the crashes, so that they happen once more: `all_lost` is
-/// how often that can have happened at most.
+/// When all gateways are killed at once, at the times `all_lost`, nobody knows of the crashes any more, so
+/// that they are counted anew from there.
 [[nodiscard]] broken_promises check_fatal(const std::string& what, const emulator::fatal_record& record,
-                                          std::size_t crashes, std::size_t all_lost);
+                                          std::size_t crashes, std::vector<clock::time_point> all_lost);
 
 /// A change of the service of the route "moving", and when it was written into the store.
 struct route_move {
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -338,6 +338,7 @@
         break;
     case fault_kind::all_gateways_killed:
         record_disturbance(fault, disturbance_kind::gateway_down, std::nullopt);
+        m_all_gateways_lost.push_back(clock::now());
         for (std::size_t each = 0; each < m_gateways.size(); ++each) {
             kill_gateway(each);
         }
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -124,6 +124,11 @@
         return m_draining_servers;
     }
 
+    /// When all gateways were killed at once.
+    [[nodiscard]] const std::vector<clock::time_point>& all_gateways_lost() const noexcept {
+        return m_all_gateways_lost;
+    }
+
     // These may only be called on the thread that plays the schedule.
 
     /// The disturbances that the faults caused.
@@ -176,6 +181,7 @@
     std::vector<draining_server> m_draining_servers;
     disturbance_log m_disturbances;
     std::map<const planned_fault*, std::size_t> m_open_disturbances;
+    std::vector<clock::time_point> m_all_gateways_lost;
     broken_promises m_unexpected_exits;
     mutable std::mutex m_start_counts_mutex;
     std::vector<unsigned> m_start_counts; ///< guarded by m_start_counts_mutex
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -219,14 +219,11 @@
 }
 
 broken_promises check_all_fatal(const soak_deployment& deployment) {
-    unsigned least_starts = deployment.start_count(0);
-    for (std::size_t gateway = 1; gateway < deployment.gateway_count(); ++gateway) {
-        least_starts = std::min(least_starts, deployment.start_count(gateway));
-    }
-    auto broken = check_fatal("one request", deployment.fatal_by_body(), emulator::crashes_by_request,
-                              least_starts - 1);
+    const auto& all_lost = deployment.all_gateways_lost();
+    auto broken =
+        check_fatal("one request", deployment.fatal_by_body(), emulator::crashes_by_request, all_lost);
     append(broken, check_fatal("requests with one part", deployment.fatal_by_part(),
-                               emulator::crashes_by_part, least_starts - 1));
+                               emulator::crashes_by_part, all_lost));
     return broken;
 }
 
