--- a/src/coordination/crash_exchange.cpp
+++ b/src/coordination/crash_exchange.cpp
@@ -14,8 +14,7 @@
 
 /// For how long heartbeats repeat what became known: several heartbeats, some of which may be lost.
 constexpr std::chrono::milliseconds repeat_time{1000};
-/// What heartbeats repeat fits into one datagram. If a rack of servers crashes, the rest reaches other
-/// gateways by their coordinator.
+/// What heartbeats repeat fits into one datagram. If a rack of servers crashes, it is the latest marks.
 constexpr std::size_t max_repeated = 16;
 
 template <typename Learned>
