The scheduler learns how long a tier's requests occupy a slot

The parts for contended room need the expected slot time of a request: a preview takes about seven times the slot time of a check, and slots were handed out by count.

--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -357,6 +357,9 @@
     const auto [server, service, tier, prompt, read_mark] = running->second;
     m_running.erase(running);
     floor_of(service).end(tier, now);
+    if (ended.outcome == slot_outcome::served) {
+        m_slot_times.learn(service, tier, ended.busy);
+    }
     auto& state = m_servers[server];
     state.learn(ended, prompt, read_mark, now);
     --state.outstanding;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -9,6 +9,7 @@
 #include "policy/slot_queues.hpp"
 #include "policy/slot_scheduler_limits.hpp"
 #include "policy/slot_server.hpp"
+#include "policy/slot_time_model.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -111,6 +112,10 @@
 
     /// Number of a server's running requests; 0 for a server that isn't known.
     [[nodiscard]] unsigned outstanding(server_key server) const;
+    /// How long a request of this service and tier is expected to occupy a slot; zero if unknown.
+    [[nodiscard]] duration expect_slot_time(service_key service, int tier) const {
+        return m_slot_times.expect(service, tier);
+    }
     /// Number of queued requests.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queues.size(); }
     /// Number of requests that occupy slots.
@@ -174,6 +179,7 @@
     server_pools m_pools;
     slot_queues m_queues;
     std::unordered_map<service_key, slot_floor> m_floors;
+    slot_time_model m_slot_times;
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
     std::vector<health_change> m_health_changes;
--- /dev/null
+++ b/src/policy/slot_time_model.hpp
@@ -0,0 +1,29 @@
+// Estimates for how long a request will occupy a slot, learned from the requests that have ended.
+#pragma once
+
+#include "policy/slot_request.hpp"
+#include "policy/time.hpp"
+
+#include <map>
+#include <utility>
+
+namespace borageford::policy {
+
+/// The slot time of a request differs between tiers by up to a factor of ten: a short check is over in a
+/// tenth of a second, a long streamed answer takes seconds. Requests of one tier of a service are alike, so
+/// their mean is a fair estimate. Decisions that count requests instead of slot time give a tier of long
+/// requests several times the room of a tier of short ones.
+class slot_time_model {
+public:
+    /// Records that a served request of this service and tier occupied its slot for `busy`.
+    void learn(service_key service, int tier, duration busy);
+
+    /// The expected slot time of a request of this service and tier. While no request of the tier has ended,
+    /// the mean of the service's other tiers; zero while none of the service has.
+    [[nodiscard]] duration expect(service_key service, int tier) const;
+
+private:
+    std::map<std::pair<service_key, int>, double> m_seconds; ///< moving averages, by service and tier
+};
+
+} // namespace borageford::policy
