What gateways tell each other about servers moves out of slot_broker

slot_broker held three tables (rate limits, departures, crashes) beside the choice of who grants slots, and composed them in three places. server_news holds them now, merges what arrives and composes what heartbeats and sessions carry.

--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -79,10 +79,18 @@
       m_self(key_of(settings.local.address())),
       m_election(m_self, settings.processor_share, settings.election, clock::now()),
       m_coordinator(settings.slots, settings.quotas, settings.retries, m_incarnation, clock::now()),
-      m_rate_limits(m_self, m_incarnation,
-                    [this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); }),
+      m_news(
+          m_coordinator.crashes(), m_self, m_incarnation,
+          {[this](const policy::rate_limit_table::change& change) { apply_rate_limit(change); },
+           [this](const policy::departure& heard) { apply_departure(heard); },
+           [this](const policy::crash_statement& news, policy::member_key source) { pass_on(news, source); },
+           [this](policy::member_key member, batch_items items) {
+               datagram message;
+               message.items = std::move(items);
+               send(member, std::move(message));
+           },
+           {m_observers.on_crash_mark, m_observers.on_crash_clearance}}),
       m_retries(m_coordinator.retry_budget(), m_observers.on_retry_use),
-      m_crashes(m_coordinator.crashes(), m_self, {m_observers.on_crash_mark, m_observers.on_crash_clearance}),
       m_streams(settings.stream_memory, settings.is_first_start ? policy::time_point::min() : clock::now(),
                 {[this] { return stream_keepers(); },
                  [this](policy::member_key member, stream_items items) {
@@ -132,7 +140,7 @@
         return;
     }
     m_coordinator.scheduler().set_server(server, service, slots, domain, software);
-    limit_rate(server, m_rate_limits.limit_of(server));
+    limit_rate(server, m_news.rate_limit_of(server));
     schedule_flush();
 }
 
@@ -180,7 +188,7 @@
 
 void slot_broker::observe_rate_limit(policy::server_key server, std::optional<double> limit,
                                      policy::time_point asked) {
-    m_rate_limits.observe(server, limit, asked);
+    m_news.observe_rate_limit(server, limit, asked);
 }
 
 void slot_broker::limit_rate(policy::server_key server, std::optional<double> limit) {
@@ -204,35 +212,31 @@
 }
 
 void slot_broker::observe_departure(policy::server_key server) {
-    const policy::departure heard{server, clock::now(), m_self};
-    if (note_departure(heard) && m_source == slot_source::coordinator) {
-        m_upstream->pending().departures.push_back(heard);
-        schedule_flush();
-    }
+    m_news.observe_departure(server, clock::now());
 }
 
-/// Takes over a departure and tells the members that this process coordinates. Returns whether it is news.
-bool slot_broker::note_departure(const policy::departure& heard) {
-    if (!m_departures.add(heard, clock::now())) {
-        return false;
-    }
+/// Takes a departure into account and tells the members that this process coordinates. Also tells the
+/// coordinator if this process heard of it itself.
+void slot_broker::apply_departure(const policy::departure& heard) {
     m_coordinator.scheduler().remove_server(heard.server);
     m_members.queue_departure(heard);
     m_observers.on_departure(heard);
+    if (heard.heard_by == m_self && m_source == slot_source::coordinator) {
+        m_upstream->pending().departures.push_back(heard);
+    }
     schedule_flush();
-    return true;
 }
 
 void slot_broker::observe_crash(policy::server_key server, std::span<const policy::crash_suspect> suspects) {
-    pass_on(m_crashes.observe_crash(server, suspects, clock::now()), m_self);
+    m_news.observe_crash(server, suspects, clock::now());
 }
 
 void slot_broker::observe_answer(std::span<const policy::crash_suspect> suspects) {
-    pass_on(m_crashes.observe_answer(suspects, clock::now()), m_self);
+    m_news.observe_answer(suspects, clock::now());
 }
 
 void slot_broker::clear_suspects(std::span<const policy::crash_suspect> suspects) {
-    pass_on(m_crashes.clear(suspects, clock::now()), m_self);
+    m_news.clear_suspects(suspects, clock::now());
 }
 
 /// Tells the coordinator and the coordinated members what is new about crashes, except for the one that told
@@ -242,7 +246,7 @@
         return;
     }
     if (!m_members.is_empty()) {
-        const auto told = m_crashes.select_for_members(news, clock::now());
+        const auto told = m_news.select_for_members(news, clock::now());
         if (!told.is_empty()) {
             m_members.queue_crashes(told, source);
         }
@@ -413,8 +417,7 @@
     datagram message;
     message.wants_reply = true;
     message.known = m_election.known(clock::now());
-    message.items.rate_limits = m_rate_limits.take_next();
-    message.items.crashes = m_crashes.recent(clock::now());
+    message.items = m_news.for_heartbeat(clock::now());
     message.streams = m_streams.take_for(member, clock::now());
     if (m_source == slot_source::coordinator && member == m_coordinating_member) {
         m_upstream->set_session_fields(message);
@@ -447,8 +450,7 @@
 void slot_broker::tick() {
     const auto now = clock::now();
     m_election.tick(now);
-    m_rate_limits.tick(
-        [this](policy::server_key server) { return m_coordinator.scheduler().is_usable(server); });
+    m_news.tick([this](policy::server_key server) { return m_coordinator.scheduler().is_usable(server); });
     expire_members(now);
     choose_source(now);
     m_retries.tick(is_connected(), now);
@@ -473,7 +475,8 @@
     const auto received_streams = std::move(message->streams);
     m_election.record_heartbeat(
         member, {sender.processor_share, sender.is_acting, sender.is_eligible, sender.is_leaving}, now);
-    merge_notices(member, *message);
+    m_has_heard_member = true;
+    m_news.merge(member, *message, now);
     m_coordinator.retry_budget().merge(message->items.retries, now);
     m_observers.on_member_versions(from.address(), {sender.configuration_version, sender.backends,
                                                     sender.is_in_touch, sender.configuration_confirmed,
@@ -494,8 +497,7 @@
         datagram reply;
         reply.streams = std::move(streams);
         reply.known = m_election.known(now);
-        reply.items.rate_limits = m_rate_limits.take_next();
-        reply.items.crashes = m_crashes.recent(now);
+        reply.items = m_news.for_heartbeat(now);
         if (auto* served = m_members.find(member)) {
             served->channel.set_session_fields(reply);
             reply.items.retries = m_retries.state_to_member(served->heartbeats++, now);
@@ -504,36 +506,6 @@
     }
 }
 
-/// Takes over what a member reports about servers. A process from which the first message arrives may have
-/// just started, and is sent all that is known here, before it grants slots without knowing it.
-void slot_broker::merge_notices(policy::member_key member, const datagram& message) {
-    m_has_heard_member = true;
-    m_rate_limits.check_clock();
-    m_rate_limits.merge(message.items.rate_limits);
-    for (const auto& heard : message.items.departures) {
-        note_departure(heard);
-    }
-    pass_on(m_crashes.merge(message.items.crashes, clock::now()), member);
-    if (!m_rate_limits.is_new_process(member, message.sender.incarnation)) {
-        return;
-    }
-    if (!m_departures.is_empty()) {
-        datagram greeting;
-        greeting.items.departures = m_departures.latest();
-        send(member, std::move(greeting));
-    }
-    if (auto known = m_coordinator.crashes().state(clock::now()); !known.is_empty()) {
-        datagram greeting;
-        greeting.items.crashes = std::move(known);
-        send(member, std::move(greeting));
-    }
-    for (auto& notices : m_rate_limits.list_for_new_process()) {
-        datagram greeting;
-        greeting.items.rate_limits = std::move(notices);
-        send(member, std::move(greeting));
-    }
-}
-
 void slot_broker::handle_coordinator_message(datagram message) {
     m_active_members.record_reported_count(message.sender.members, clock::now());
     m_upstream->handle_acknowledgement(message.acknowledged);
@@ -563,7 +535,7 @@
         }
         m_coordinator.detach(member, now);
         served = &m_members.begin(member, message.session, now);
-        add_notices(served->channel.pending(), now);
+        m_news.add_to_session(served->channel.pending(), now);
         served->channel.pending().retries = m_retries.state(now);
         if (message.items.reports.empty()) {
             // A member without reports has just started. With the reports of this process it can place
@@ -625,13 +597,6 @@
     return oldest.has_value() && now - *oldest > session_timeout;
 }
 
-/// Adds what holds for all processes to the first batch of a session, whichever side sends it.
-void slot_broker::add_notices(batch_items& first, policy::time_point now) const {
-    first.rate_limits = m_rate_limits.list_for_session();
-    first.departures = m_departures.latest();
-    first.crashes = crashes().state(now);
-}
-
 void slot_broker::attach_to(policy::member_key coordinator) {
     const auto before = std::exchange(m_source, slot_source::coordinator);
     m_source_since = clock::now();
@@ -641,7 +606,7 @@
     m_coordinating_member = coordinator;
     m_upstream.emplace(identifier::random().low);
     m_upstream->pending() = m_requests.list_all();
-    add_notices(m_upstream->pending(), clock::now());
+    m_news.add_to_session(m_upstream->pending(), clock::now());
     // Not m_retries.state(): a statement that is 40 ms old may lack the last retries that this process
     // granted.
     m_upstream->pending().retries = m_coordinator.retry_budget().statement(clock::now());
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -7,7 +7,6 @@
 #include "coordination/batch_channel.hpp"
 #include "coordination/broker_observers.hpp"
 #include "coordination/broker_settings.hpp"
-#include "coordination/crash_exchange.hpp"
 #include "coordination/deferred_refusals.hpp"
 #include "coordination/heartbeat_schedule.hpp"
 #include "coordination/id_sequence.hpp"
@@ -15,14 +14,12 @@
 #include "coordination/member_sessions.hpp"
 #include "coordination/message.hpp"
 #include "coordination/peer_socket.hpp"
-#include "coordination/rate_limit_exchange.hpp"
 #include "coordination/retry_exchange.hpp"
+#include "coordination/server_news.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "coordination/stream_exchange.hpp"
 #include "policy/active_members.hpp"
 #include "policy/coordinator_election.hpp"
-#include "policy/departure_table.hpp"
-#include "policy/rate_limit_table.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -96,7 +93,7 @@
     /// An answer that this process received says that its server leaves.
     void observe_departure(policy::server_key server);
     /// Whether the server has said in an answer to some gateway that it leaves, as far as this process knows.
-    [[nodiscard]] bool has_departed(policy::server_key server) const { return m_departures.contains(server); }
+    [[nodiscard]] bool has_departed(policy::server_key server) const { return m_news.has_departed(server); }
 
     /// A server crashed while it may have run a request of this process with these suspects.
     void observe_crash(policy::server_key server, std::span<const policy::crash_suspect> suspects);
@@ -142,7 +139,6 @@
 
     void choose_source(policy::time_point now);
     [[nodiscard]] bool has_session_timed_out(policy::time_point now) const;
-    void add_notices(batch_items& first, policy::time_point now) const;
     void attach_to(policy::member_key coordinator);
     void use_local_source(slot_source source);
     void update_shares(policy::time_point now);
@@ -159,9 +155,7 @@
 
     void limit_rate(policy::server_key server, std::optional<double> limit);
     void apply_rate_limit(const policy::rate_limit_table::change& change);
-    void merge_notices(policy::member_key member, const datagram& message);
-
-    bool note_departure(const policy::departure& heard);
+    void apply_departure(const policy::departure& heard);
     void pass_on(const policy::crash_statement& news, policy::member_key source);
 
     void deliver(const batch_items& items);
@@ -192,10 +186,8 @@
     /// The members that this process coordinates; empty unless m_source is own_coordination.
     member_sessions m_members;
     policy::active_members m_active_members;
-    rate_limit_exchange m_rate_limits;
+    server_news m_news;
     retry_exchange m_retries;
-    policy::departure_table m_departures;
-    crash_exchange m_crashes;
     stream_exchange m_streams;
 
     local_requests m_requests;
