A coordinator remembers a bounded number of quarantined suspects that it told

crash_exchange::m_told lost entries with clearances only, so a coordinator that ran for long kept every suspect that it had ever told. It keeps the latest 1,024 now; of one that it has forgotten, members keep the quarantine until that ends by itself.

--- a/src/coordination/crash_exchange.cpp
+++ b/src/coordination/crash_exchange.cpp
@@ -85,19 +85,27 @@
                                                            policy::time_point now) {
     policy::crash_statement result;
     for (const auto& clearance : news.clearances) {
-        if (m_told.erase(clearance.suspect) > 0) {
+        if (std::erase(m_told, clearance.suspect) > 0) {
             result.clearances.push_back(clearance);
         }
     }
     for (const auto& mark : news.marks) {
         if (m_ledger.quarantine_left(mark.suspect, now).has_value()) {
-            m_told.insert(mark.suspect);
+            remember_told(mark.suspect);
             std::ranges::copy(m_ledger.list_marks(mark.suspect), std::back_inserter(result.marks));
         }
     }
     return result;
 }
 
+void crash_exchange::remember_told(const policy::crash_suspect& suspect) {
+    std::erase(m_told, suspect);
+    m_told.push_back(suspect);
+    if (m_told.size() > max_told) {
+        m_told.pop_front();
+    }
+}
+
 policy::crash_statement crash_exchange::recent(policy::time_point now) {
     return {take_recent(m_recent_marks, now), take_recent(m_recent_clearances, now)};
 }
--- a/src/coordination/crash_exchange.hpp
+++ b/src/coordination/crash_exchange.hpp
@@ -4,9 +4,9 @@
 #include "policy/crash_ledger.hpp"
 #include "policy/recent_answers.hpp"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
-#include <set>
 #include <span>
 #include <utility>
 
@@ -24,6 +24,10 @@
         std::function<void(const policy::crash_clearance&)> on_clearance;
     };
 
+    /// How many quarantined suspects it remembers to have told. Members keep one that it has forgotten in
+    /// quarantine until the quarantine ends by itself.
+    static constexpr std::size_t max_told = 1024;
+
     crash_exchange(policy::crash_ledger& ledger, policy::member_key self, observers callbacks)
         : m_ledger(ledger), m_self(self), m_observers(std::move(callbacks)) {}
 
@@ -55,6 +59,7 @@
     [[nodiscard]] policy::crash_statement recent(policy::time_point now);
 
 private:
+    void remember_told(const policy::crash_suspect& suspect);
     void add(const policy::crash_mark& mark, policy::time_point now, policy::crash_statement& news);
     void add(const policy::crash_clearance& clearance, policy::time_point now, policy::crash_statement& news);
 
@@ -68,7 +73,9 @@
     policy::member_key m_self;
     policy::recent_answers m_answers; ///< of this process
     observers m_observers;
-    std::set<policy::crash_suspect> m_told;                 ///< quarantined suspects that members were told
+    /// Quarantined suspects that members were told, the one that was told last at the end.
+    /// Invariant: at most `max_told`.
+    std::deque<policy::crash_suspect> m_told;
     std::deque<learned<policy::crash_mark>> m_recent_marks; ///< oldest first
     std::deque<learned<policy::crash_clearance>> m_recent_clearances;
 };
--- a/tests/unit/test_crash_suspects.cpp
+++ b/tests/unit/test_crash_suspects.cpp
@@ -287,6 +287,28 @@
     CHECK(member.ledger.quarantine_left(request(666), start_time));
 }
 
+TEST_CASE("a coordinator remembers a bounded number of suspects that it told, the latest ones",
+          "[coordination][crash_exchange]") {
+    knowing_gateway coordinator(1);
+    constexpr std::uint64_t first = 1000;
+    const auto last = first + crash_exchange::max_told;
+    for (auto key = first; key <= last; ++key) {
+        const std::array suspects{request(key)};
+        for (server_key server = 7; server < 9; ++server) {
+            const auto news = coordinator.exchange.observe_crash(server, suspects, start_time);
+            static_cast<void>(coordinator.exchange.select_for_members(news, start_time));
+        }
+    }
+    const auto told_clearances = [&](std::uint64_t key) {
+        const std::array suspects{request(key)};
+        const auto news = coordinator.exchange.clear(suspects, start_time + 1s);
+        return coordinator.exchange.select_for_members(news, start_time + 1s).clearances.size();
+    };
+    CHECK(told_clearances(first) == 0);
+    CHECK(told_clearances(first + 1) == 1);
+    CHECK(told_clearances(last) == 1);
+}
+
 TEST_CASE("what one gateway's servers answered clears the marks of another",
           "[coordination][crash_exchange]") {
     // A popular request runs on two servers when something else crashes them.
