An emulated engine crashes when the requests that it holds exceed its memory

engine_model::memory_tokens (0: any number, as before) bounds prompts and output so far of the requests that wait and run.

--- a/src/emulator/batching_engine.cpp
+++ b/src/emulator/batching_engine.cpp
@@ -13,6 +13,14 @@
 /// whether a setup has ended.
 constexpr double min_step_ms = 1;
 
+double count_prompt_tokens(const engine_request& request) {
+    double tokens = 0;
+    for (const auto& part : request.prompt) {
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
 } // namespace
 
 batching_engine::batching_engine(engine_model model, time_point start) : m_model(model), m_now(start) {}
@@ -158,6 +166,21 @@
     return events;
 }
 
+double batching_engine::held_tokens() const {
+    double tokens = 0;
+    for (const auto& waiting : m_waiting) {
+        tokens += count_prompt_tokens(waiting);
+    }
+    for (const auto& entry : m_running) {
+        tokens += count_prompt_tokens(entry.request) + entry.tokens_made;
+    }
+    return tokens;
+}
+
+bool batching_engine::is_over_memory() const {
+    return m_model.memory_tokens > 0 && held_tokens() > m_model.memory_tokens;
+}
+
 std::optional<time_point> batching_engine::next_step() const {
     return m_step_end;
 }
--- a/src/emulator/batching_engine.hpp
+++ b/src/emulator/batching_engine.hpp
@@ -33,6 +33,9 @@
     std::size_t queue = 48;        ///< the most requests that wait for a slot; further ones are refused
     double speed = 1;              ///< a factor: at 2, all work takes half as long
     double cache_tokens = 375000;  ///< size of the prompt cache, in tokens
+    /// Tokens of prompts and output that the requests which the engine holds may have; 0: any number. See
+    /// batching_engine::is_over_memory().
+    double memory_tokens = 0;
 };
 
 /// One part of a prompt. A part that several requests share is read only once for as long as it stays in the
@@ -78,6 +81,11 @@
     /// Drops all requests and the prompt cache.
     void crash(time_point now);
 
+    /// Tokens of the requests that wait or run: those of their prompts, and the output so far.
+    [[nodiscard]] double held_tokens() const;
+    /// Whether the requests that it holds have more tokens than its memory takes. A real engine crashes then.
+    [[nodiscard]] bool is_over_memory() const;
+
     [[nodiscard]] std::size_t running() const noexcept { return m_running.size(); }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
     /// Prompt tokens that had to be read, of all requests so far.
--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -121,12 +121,25 @@
         return m_is_stopped;
     }
     fatal->crashes.push_back(steady_clock::now());
-    stop();
-    // Posted, because the callback may destroy this server's successor or replace this server.
-    asio::post(m_executor, m_on_crash);
+    crash();
     return true;
 }
 
+void emulated_backend::crash() {
+    stop();
+    if (m_on_crash) {
+        // Posted, because the callback may destroy this server's successor or replace this server.
+        asio::post(m_executor, m_on_crash);
+    }
+}
+
+void emulated_backend::check_memory() {
+    if (!m_is_stopped && m_engine->engine.is_over_memory()) {
+        m_has_run_out_of_memory = true;
+        crash();
+    }
+}
+
 /// Sets the flag `is_gone` when the caller closes its connection.
 void emulated_backend::watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone) {
     const auto watch = [](http::response_writer watched,
@@ -337,6 +350,7 @@
         co_await writer.write(answer);
         co_return;
     }
+    check_memory();
     const auto begin_after = parse_number(header_value(call, m_fields.last_event));
     http::response_head head{status_ok, answer_fields(call, number)};
     head.headers.push_back({"Content-Type", "text/event-stream"});
@@ -354,6 +368,7 @@
                 break;
             }
             m_engine->advance();
+            check_memory();
             auto& made = m_engine->made[id];
             while (!made.empty() && !is_finished) {
                 is_finished = made.front().what == engine_event::kind::finished;
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -91,11 +91,13 @@
     boost::asio::ip::tcp::endpoint listen(const boost::asio::ip::tcp::endpoint& address);
 
     /// Crashes, as by stop(), when it begins to answer a request that the rule names, and calls `on_crash`
-    /// then.
+    /// then; also when its engine's memory runs out.
     void set_crash_rule(crash_rule rule, std::function<void()> on_crash);
     /// The requests that the rule names by their bodies, and those that it names by a part.
     [[nodiscard]] const fatal_record& fatal_by_body() const noexcept { return m_fatal_by_body; }
     [[nodiscard]] const fatal_record& fatal_by_part() const noexcept { return m_fatal_by_part; }
+    /// Whether it crashed because its engine's memory ran out (engine_model::memory_tokens).
+    [[nodiscard]] bool has_run_out_of_memory() const noexcept { return m_has_run_out_of_memory; }
 
     /// Emulates a crash: no more connections are accepted, and the running requests' connections are closed.
     void stop();
@@ -149,6 +151,8 @@
     [[nodiscard]] fatal_record* find_fatal_record(const http::request& call);
     /// Crashes if the rule names this request. Returns whether the server has crashed by then.
     bool apply_crash_rule(const http::request& call);
+    void crash();
+    void check_memory();
     [[nodiscard]] backend_fault take_fault() noexcept;
     [[nodiscard]] http::response refuse(const http::request& call, unsigned status);
     [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number);
@@ -164,6 +168,7 @@
     backend_fault m_fault = backend_fault::none;
     unsigned m_fault_count = 0;
     bool m_is_stopped = false;
+    bool m_has_run_out_of_memory = false;
     crash_rule m_crash_rule;
     std::function<void()> m_on_crash;
     fatal_record m_fatal_by_body;
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -282,7 +282,8 @@
     return on_emulator([&] {
         std::size_t result = 0;
         const auto count = [&result](const emulator::emulated_backend& server) {
-            result += server.fatal_by_body().crashes.size() + server.fatal_by_part().crashes.size();
+            result += server.fatal_by_body().crashes.size() + server.fatal_by_part().crashes.size() +
+                      (server.has_run_out_of_memory() ? 1 : 0);
         };
         for (const auto& server : m_previous_backends) {
             count(*server);
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -120,7 +120,7 @@
     };
     /// Lets all servers, and those that are started later, crash by these requests.
     void crash_by_requests(const crash_terms& terms);
-    /// How many servers such requests have crashed so far.
+    /// How many servers have crashed so far, by such requests or because their memory ran out.
     [[nodiscard]] std::size_t count_crashes();
 
     /// Runs `function` on the thread of the emulated store and servers and returns its result.
