--- a/tests/failure/test_gateway_crashing_part.cpp
+++ b/tests/failure/test_gateway_crashing_part.cpp
@@ -1,6 +1,7 @@
 // Tests that requests with a part in their prompts that crashes servers stop reaching servers, although no
 // two of them are alike, and that requests that share their other parts are served.
 #include "platform/header_field_names.hpp"
+#include "support/crash_site.hpp"
 #include "support/gateway_site.hpp"
 #include "support/wait_until.hpp"
 
@@ -36,33 +37,23 @@
     return call_with_parts(target, id, fatal_part);
 }
 
-site_options fatal_site(std::size_t servers, std::size_t gateways, unsigned attempts = 1) {
-    auto options = plain_site(servers, gateways);
-    options.configuration.routes.front().attempts = attempts;
-    return options;
-}
-
 void crash_by_part(gateway_site& site) {
     site.crash_by_requests({.rule = {.body_text = {}, .part = fatal_part}});
 }
 
-/// Sends a call without the fatal part through each gateway, which also carries the knowledge of crashes to
-/// all of them. Returns how many were served.
+/// Sends a call without the fatal part through each gateway; see send_round().
 std::size_t serve_sound_calls(gateway_site& site, const std::vector<std::size_t>& gateways,
                               const std::string& name, const std::string& target = "/plain/x") {
-    std::size_t served = 0;
-    for (const auto gateway : gateways) {
-        const auto id = name + "-sound-" + std::to_string(gateway);
-        served += site.send(gateway, call_with_parts(target, id, sound_part)).status == status_ok ? 1 : 0;
-    }
-    return served;
+    return send_round(site, gateways, [&](std::size_t gateway) {
+        return call_with_parts(target, name + "-sound-" + std::to_string(gateway), sound_part);
+    });
 }
 
 } // namespace
 
 TEST_CASE("gateway: requests with a part that crashes servers are stopped, and no others",
           "[gateway][crashing_part]") {
-    gateway_site site(fatal_site(12, 3));
+    gateway_site site(crash_site(12, 3));
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
     crash_by_part(site);
     std::size_t served = 0;
@@ -78,7 +69,7 @@
 
 TEST_CASE("gateway: retries of requests with a part that crashes servers don't crash further ones",
           "[gateway][crashing_part]") {
-    gateway_site site(fatal_site(24, 2, 3));
+    gateway_site site(crash_site(24, 2, 3));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     crash_by_part(site);
     for (std::size_t number = 0; number < 8; ++number) {
@@ -90,7 +81,7 @@
 
 TEST_CASE("gateway: requests with a part that crashes servers are stopped although coordinators are killed",
           "[gateway][crashing_part]") {
-    gateway_site site(fatal_site(12, 4));
+    gateway_site site(crash_site(12, 4));
     std::vector<std::size_t> gateways{0, 1, 2, 3};
     crash_by_part(site);
     for (int lost = 0; lost < 2; ++lost) {
@@ -136,7 +127,7 @@
 }
 
 TEST_CASE("gateway: an operator can release a quarantined part", "[gateway][crashing_part]") {
-    gateway_site site(fatal_site(12, 2));
+    gateway_site site(crash_site(12, 2));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     crash_by_part(site);
     for (std::size_t number = 0; number < 5; ++number) {
@@ -164,7 +155,7 @@
 TEST_CASE("gateway: one workspace's requests don't get the parts of another quarantined",
           "[gateway][crashing_part]") {
     // Its prompts name the other's parts beside the one that crashes servers.
-    gateway_site site(fatal_site(24, 2));
+    gateway_site site(crash_site(24, 2));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     crash_by_part(site);
     const auto names = platform::header_field_names();
--- a/tests/failure/test_gateway_crashing_request.cpp
+++ b/tests/failure/test_gateway_crashing_request.cpp
@@ -1,5 +1,6 @@
 // Tests that requests which crash the servers that run them stop reaching servers, whichever gateway sends
 // them and whichever one grants slots, and that other requests aren't refused for that.
+#include "support/crash_site.hpp"
 #include "support/gateway_site.hpp"
 #include "support/wait_until.hpp"
 
@@ -25,25 +26,14 @@
     return make_call("/plain/x", id, fatal_body);
 }
 
-/// Gateways and plain servers that a call with `fatal_body` crashes. Every call is sent to at most `attempts`
-/// servers.
-site_options fatal_site(std::size_t servers, std::size_t gateways, unsigned attempts = 1) {
-    auto options = plain_site(servers, gateways);
-    options.configuration.routes.front().attempts = attempts;
-    return options;
-}
-
 void crash_by_fatal_calls(gateway_site& site) {
     site.crash_by_requests({.rule = {.body_text = fatal_body}});
 }
 
-/// Sends a harmless call through each gateway. What a gateway or its coordinator told the others before is
-/// known to them afterwards, since messages between two gateways arrive in order.
+/// Lets all these gateways learn what the others know.
 void exchange_knowledge(gateway_site& site, const std::vector<std::size_t>& gateways) {
     for (int round = 0; round < 2; ++round) {
-        for (const auto gateway : gateways) {
-            static_cast<void>(site.send(gateway, make_call("/plain/x", "exchange")));
-        }
+        send_round(site, gateways, [](std::size_t) { return make_call("/plain/x", "exchange"); });
     }
 }
 
@@ -76,7 +66,7 @@
 TEST_CASE("gateway: a request that crashes servers is stopped if nobody tries these servers again",
           "[gateway][crashing_request]") {
     // The servers come back under new ids before any other request finds that the former ones are gone.
-    gateway_site site(fatal_site(8, 3));
+    gateway_site site(crash_site(8, 3));
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
     crash_by_fatal_calls(site);
     for (int number = 0; number < 12; ++number) {
@@ -90,7 +80,7 @@
 }
 
 TEST_CASE("gateway: one call doesn't crash one server after the other", "[gateway][crashing_request]") {
-    gateway_site site(fatal_site(8, 1, 5));
+    gateway_site site(crash_site(8, 1, 5));
     crash_by_fatal_calls(site);
     static_cast<void>(site.send(0, fatal_call("retried")));
     CHECK(site.count_crashes() <= tolerated_crashes);
@@ -99,7 +89,7 @@
 TEST_CASE("gateway: a request that crashes servers is stopped although coordinators are killed",
           "[gateway][crashing_request]") {
     // Each coordinator is killed once it has seen one crash, and so are the gateways that sent the request.
-    gateway_site site(fatal_site(8, 4));
+    gateway_site site(crash_site(8, 4));
     std::vector<std::size_t> gateways{0, 1, 2, 3};
     crash_by_fatal_calls(site);
     for (int lost = 0; lost < 2; ++lost) {
@@ -119,7 +109,7 @@
 TEST_CASE("gateway: a gateway that starts later knows the requests that crash servers",
           "[gateway][crashing_request]") {
     // The gateways are restarted one after the other, so that none of those that saw the crashes is left.
-    gateway_site site(fatal_site(8, 3));
+    gateway_site site(crash_site(8, 3));
     crash_by_fatal_calls(site);
     static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
     static_cast<void>(site.send(0, fatal_call("first")));
@@ -143,7 +133,7 @@
           "[gateway][crashing_request]") {
     // All copies are in the queue before the first crash; a slot becomes free when a server is back.
     constexpr std::size_t servers = 2;
-    auto options = fatal_site(servers, 2);
+    auto options = crash_site(servers, 2);
     for (auto& server : options.backends) {
         server.slots = 1;
         server.work = 100ms;
@@ -166,7 +156,7 @@
 
 TEST_CASE("gateway: requests that ran beside one that crashes servers are served afterwards",
           "[gateway][crashing_request]") {
-    auto options = fatal_site(2, 1);
+    auto options = crash_site(2, 1);
     for (auto& server : options.backends) {
         server.work = 100ms;
     }
@@ -193,7 +183,7 @@
 TEST_CASE("gateway: a request that crashes servers is stopped although its callers leave at once",
           "[gateway][crashing_request]") {
     // The servers go on running a request whose connection was closed, and crash a moment later.
-    auto options = fatal_site(6, 2);
+    auto options = crash_site(6, 2);
     for (auto& server : options.backends) {
         server.work = 50ms;
     }
@@ -220,7 +210,7 @@
 TEST_CASE("gateway: a request is stopped whose answers end with the connections of crashing servers",
           "[gateway][crashing_request]") {
     // Each answer seems to be complete, as its length isn't stated.
-    gateway_site site(fatal_site(6, 2));
+    gateway_site site(crash_site(6, 2));
     static_cast<void>(wait_for_coordinator(site, {0, 1}));
     site.crash_by_requests({.rule = {.body_text = fatal_body, .is_answered = true}});
     for (std::size_t number = 0; number < 6; ++number) {
@@ -232,7 +222,7 @@
 
 TEST_CASE("gateway: a request that crashes servers is stopped by gateways without a coordinator",
           "[gateway][crashing_request]") {
-    auto options = fatal_site(8, 3);
+    auto options = crash_site(8, 3);
     options.gateway_settings = "coordination = no\n";
     gateway_site site(std::move(options));
     crash_by_fatal_calls(site);
@@ -248,7 +238,7 @@
 
 TEST_CASE("gateway: a request crashes two further servers at most when all gateways are killed at once",
           "[gateway][crashing_request]") {
-    gateway_site site(fatal_site(8, 3));
+    gateway_site site(crash_site(8, 3));
     crash_by_fatal_calls(site);
     for (int start = 0; start < 2; ++start) {
         static_cast<void>(wait_for_coordinator(site, {0, 1, 2}));
