Engines are sent no more tokens than their memory takes

The configuration names the memory of a service's engines, and nothing that grants slots read it. Prompts go to 39,600 tokens; with places for 9 requests and a memory of 284,782, an engine could be sent 356,400 and crash with all of its requests.

Whoever grants slots now reserves the tokens of prompt and expected output with the slot (policy/engine_memory, policy/memory_model); holds and slot requests carry both already, so messages don't grow. A gateway on its local share uses its share of the memory. A prompt longer than the stated memory is refused with 413; an estimate refuses none.

--- a/src/base/error_kind.cpp
+++ b/src/base/error_kind.cpp
@@ -29,6 +29,8 @@
                  "The request took too long to arrive."},
     error_answer{error_kind::body_too_large, "body_too_large", 413, no, do_not_retry,
                  "The request body is over the limit."},
+    error_answer{error_kind::prompt_too_large, "prompt_too_large", 413, no, do_not_retry,
+                 "The prompt has more tokens than fit into the memory of any engine of its route."},
     error_answer{error_kind::headers_too_large, "headers_too_large", 431, no, do_not_retry,
                  "The request headers are over the limit."},
     error_answer{error_kind::too_many_connections, "too_many_connections", 503, no, retry_later,
--- a/src/base/error_kind.hpp
+++ b/src/base/error_kind.hpp
@@ -21,6 +21,7 @@
     method_not_allowed,
     request_timeout,
     body_too_large,
+    prompt_too_large,
     headers_too_large,
     too_many_connections,
     idempotency_key_required,
--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -71,6 +71,10 @@
     std::function<bool()> has_recent_servers = [] {
         return true;
     };
+    /// While this process grants slots: an engine seems to have less memory than it was said to have.
+    std::function<void(const policy::slot_scheduler::memory_overflow&)> on_memory_overflow =
+        [](const policy::slot_scheduler::memory_overflow&) {
+        };
 };
 
 } // namespace borageford::coordination
--- a/src/coordination/deferred_refusals.hpp
+++ b/src/coordination/deferred_refusals.hpp
@@ -11,8 +11,8 @@
 namespace borageford::coordination {
 
 /// While there is no coordinator, for instance after it was lost or after all processes were started at once,
-/// each process may grant only its local share of each workspace's quota, of the retry budget and of the
-/// servers' rate limits. One large request can need more than that, so callers that keep within their limits
+/// each process may grant only its local share of each workspace's quota, of the retry budget, of the servers'
+/// rate limits and of the engines' memory. One large request can need more than that, so callers that keep within their limits
 /// were refused at each such moment. Their requests wait for the coordinator instead.
 class deferred_refusals {
 public:
@@ -22,7 +22,8 @@
         std::erase_if(refusals, [this](const policy::slot_refusal& refusal) {
             const bool exceeds_local_share = refusal.reason == policy::refusal_reason::over_allowance ||
                                              refusal.reason == policy::refusal_reason::over_retry_budget ||
-                                             refusal.reason == policy::refusal_reason::over_server_limit;
+                                             refusal.reason == policy::refusal_reason::over_server_limit ||
+                                             refusal.reason == policy::refusal_reason::over_memory;
             if (exceeds_local_share) {
                 m_tickets.push_back(refusal.ticket);
             }
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -140,6 +140,11 @@
     m_coordinator.scheduler().remove_server(server);
 }
 
+void slot_broker::set_engine_memory(policy::service_key service, double tokens) {
+    m_coordinator.scheduler().set_engine_memory(service, tokens);
+    schedule_flush();
+}
+
 void slot_broker::set_quota(policy::workspace_key workspace, policy::quota limit) {
     m_coordinator.quotas().set_limit(workspace, limit, clock::now());
 }
@@ -327,6 +332,9 @@
     for (const auto& change : m_coordinator.scheduler().take_health_changes()) {
         m_observers.on_health_change(change);
     }
+    for (const auto& overflow : m_coordinator.scheduler().take_memory_overflows()) {
+        m_observers.on_memory_overflow(overflow);
+    }
     for (const auto server : m_coordinator.scheduler().take_used_up_limits()) {
         m_observers.on_rate_limit_used_up(server);
     }
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -67,6 +67,12 @@
     void set_server(policy::server_key server, policy::service_key service, unsigned slots,
                     policy::domain_key domain, policy::server_software software = {});
     void remove_server(policy::server_key server);
+    /// Sets the tokens that fit into the memory of each engine of the service; 0: not known.
+    void set_engine_memory(policy::service_key service, double tokens);
+    /// How much of the engines' memory is in use, as far as this process knows; see outstanding().
+    [[nodiscard]] std::vector<policy::slot_scheduler::memory_use> measure_memory() const {
+        return m_coordinator.scheduler().measure_memory();
+    }
     /// Sets the quota of a workspace.
     void set_quota(policy::workspace_key workspace, policy::quota limit);
     void remove_quota(policy::workspace_key workspace);
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -52,7 +52,7 @@
         m_scheduler.set_backoff(notice.server, member, notice.until, now);
     }
     for (const auto& hold : items.holds) {
-        m_scheduler.add_running({hold.ticket, hold.server, hold.service, hold.tier}, now);
+        m_scheduler.add_running({hold.ticket, hold.server, hold.service, hold.tier, hold.cost}, now);
         m_requests[hold.ticket] = {member, 0, 0, 0, true};
     }
     for (const auto& request : items.asks) {
--- a/src/diagnosis/loss_report.cpp
+++ b/src/diagnosis/loss_report.cpp
@@ -33,6 +33,7 @@
     end_row{request_end::refused_load, "refused_load", "r.load"},
     end_row{request_end::refused_limit, "refused_limit", "r.limit"},
     end_row{request_end::refused_server, "refused_server", "r.server"},
+    end_row{request_end::refused_memory, "refused_memory", "r.memory"},
     end_row{request_end::refused_caller, "refused_caller", "r.caller"},
     end_row{request_end::failed, "failed", "failed"},
     end_row{request_end::cut, "cut", "cut"},
@@ -69,8 +70,14 @@
         if (reason == "over_server_limit" || reason == "servers_back_off") {
             return request_end::refused_server;
         }
+        if (reason == "over_memory") {
+            return request_end::refused_memory;
+        }
         return reason == "over_retry_budget" ? request_end::refused_limit : request_end::refused_load;
     }
+    if (error == "prompt_too_large") {
+        return request_end::refused_memory;
+    }
     if (error == "rate_limited" || error == "held_back") {
         return request_end::refused_limit;
     }
--- a/src/diagnosis/loss_report.hpp
+++ b/src/diagnosis/loss_report.hpp
@@ -26,6 +26,7 @@
     refused_load,   ///< refused because of the load, or because the gateway was shutting down
     refused_limit,  ///< refused because of its workspace's quota, the retry budget, or its quarantine
     refused_server, ///< refused because the rate limits that servers name left no room
+    refused_memory, ///< refused because the engines' memory had no room, or could never hold its prompt
     refused_caller, ///< refused for an error of the caller: an unknown key, no such path, too large
     failed,         ///< answered with an error after a server may have run it, or after its deadline
     cut,            ///< its stream was aborted before the end
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -111,6 +111,10 @@
                       "backend rest_ms failures failure_share"},
     event_description{event_kind::backend_recovered, "backend_recovered", info, state_rate,
                       "A backend server served a request again after its cooldown.", "backend"},
+    event_description{event_kind::engine_memory_exceeded, "engine_memory_exceeded", warning, state_rate,
+                      "An engine crashed, or turned requests away, while it held many tokens: the engines of "
+                      "its service are given fewer for a while.",
+                      "service backend held_tokens limit_tokens"},
     event_description{event_kind::backend_limit_named, "backend_limit_named", info, state_rate,
                       "A backend server named a rate limit, in requests per second from all gateways, or "
                       "another one than before; `former` is 0 if it had none.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -46,6 +46,7 @@
     backend_unreadable,
     backend_resting,
     backend_recovered,
+    engine_memory_exceeded,
     backend_limit_named,
     backend_limit_ended,
     backend_limit_unreadable,
--- a/src/gateway/admitted_request.cpp
+++ b/src/gateway/admitted_request.cpp
@@ -98,6 +98,29 @@
     return *std::move(parts);
 }
 
+/// Whether a prompt fits into the memory of the service's engines, as the configuration states it.
+bool has_memory_for(const routing::service& service, double prompt) {
+    const auto capacity = service.engine.has_value() ? service.engine->cache_tokens : 0;
+    return capacity == 0 || prompt <= static_cast<double>(capacity);
+}
+
+/// Chooses one of the route's services, by their weights, whose engines can hold the prompt.
+const routing::service* choose_service(const routing::routing_table& configuration,
+                                       const routing::route& route, double prompt) {
+    const auto& chosen = configuration.choose_service(route, draw());
+    if (has_memory_for(chosen, prompt)) {
+        return &chosen;
+    }
+    const auto& services = configuration.document().services;
+    const auto large = std::ranges::find_if(route.services, [&](const routing::weighted_service& each) {
+        return each.weight > 0 && has_memory_for(services.at(each.service), prompt);
+    });
+    if (large == route.services.end()) {
+        throw request_error(error_kind::prompt_too_large);
+    }
+    return &services.at(large->service);
+}
+
 double count_units(const routing::workspace* workspace, const stated_tokens& tokens) {
     if (workspace == nullptr) {
         return 0;
@@ -148,7 +171,6 @@
         throw request_error(error_kind::not_found);
     }
     result.workspace = find_workspace(result, fields);
-    result.service = &result.configuration->choose_service(*result.route, draw());
     result.id = fields.find(context.fields.request_id).value_or("");
     auto limit = result.route->timeout;
     if (const auto stated = read_integer(result.id, fields, context.fields.deadline)) {
@@ -156,9 +178,13 @@
     }
     result.deadline = arrived + limit;
     const auto tokens = read_tokens(result.id, fields, context.fields.tokens);
+    result.service = choose_service(*result.configuration, *result.route, tokens.prompt);
     const auto expected = read_integer(result.id, fields, context.fields.expected_length);
     const bool is_expected_known = expected.has_value() && *expected >= 0;
     result.cost = {tokens.prompt, is_expected_known ? static_cast<double>(*expected) : tokens.max_output};
+    if (tokens.max_output > 0) {
+        result.cost.output = std::min(result.cost.output, tokens.max_output);
+    }
     result.shared_parts = read_shared_parts(result.id, fields, context.fields);
     result.units = count_units(result.workspace, tokens);
     const int of_workspace = result.workspace != nullptr ? result.workspace->tier.value_or(0) : 0;
--- a/src/gateway/configuration_manager.cpp
+++ b/src/gateway/configuration_manager.cpp
@@ -38,6 +38,7 @@
     const auto previous = std::exchange(m_version, table->version());
     m_document = document;
     apply_quotas(*table);
+    apply_engine_memory(*table);
     events::write(events::event_kind::configuration_in_force,
                   {{"version", m_version},
                    {"former", previous},
@@ -63,4 +64,11 @@
     m_workspaces = std::move(present);
 }
 
+void configuration_manager::apply_engine_memory(const routing::routing_table& table) {
+    for (const auto& service : table.document().services) {
+        const auto tokens = service.engine.has_value() ? service.engine->cache_tokens : 0;
+        m_slots.set_engine_memory(hash_bytes(service.name), static_cast<double>(tokens));
+    }
+}
+
 } // namespace borageford::gateway
--- a/src/gateway/configuration_manager.hpp
+++ b/src/gateway/configuration_manager.hpp
@@ -32,6 +32,7 @@
 
 private:
     void apply_quotas(const routing::routing_table& table);
+    void apply_engine_memory(const routing::routing_table& table);
 
     const deployment& m_deployment;
     routing_snapshot& m_configuration;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -13,6 +13,7 @@
 #include "gateway/crash_reporter.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/engine_memory_monitor.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/graceful_stop.hpp"
@@ -82,6 +83,7 @@
           m_crash_watch(m_runtime.executor(), m_runtime.timers(), m_slots),
           m_crash_reporter(m_backends, m_registry),
           m_retry_use(m_configuration, m_registry),
+          m_engine_memory(m_configuration, m_backends, m_slots, m_registry),
           m_context{m_runtime.executor(), m_runtime.timers(), m_settings,   current_deployment.fields,
                     m_configuration,      m_backends,         m_slots,      m_metrics,
                     m_rate_limits,        m_answers,          m_crash_watch},
@@ -151,6 +153,7 @@
             m_slots.add_member(seed, m_settings.processor_share);
         }
         m_slots.start();
+        m_engine_memory.start(m_runtime.executor(), m_runtime.timers());
         listen();
         m_readiness.listen(m_settings.readiness_listen);
         m_metrics_server.listen(m_settings.metrics_listen);
@@ -243,8 +246,9 @@
             [this](policy::service_key service, const policy::server_retry_budget::use& current,
                    bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
             [this](policy::server_key server) { m_rate_limits.count_used_up(server); },
-            [this] {
-                return m_backend_follower.is_current();
+            [this] { return m_backend_follower.is_current(); },
+            [this](const policy::slot_scheduler::memory_overflow& overflow) {
+                m_engine_memory.report(overflow);
             }};
     }
 
@@ -453,6 +457,7 @@
     crash_watch m_crash_watch;
     crash_reporter m_crash_reporter;
     retry_use_monitor m_retry_use;
+    engine_memory_monitor m_engine_memory;
     gateway_context m_context;
     configuration_manager m_configuration_manager;
     rollout_manager m_rollouts;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -313,6 +313,7 @@
     case policy::refusal_reason::over_retry_budget:
     case policy::refusal_reason::over_server_limit:
     case policy::refusal_reason::servers_back_off:
+    case policy::refusal_reason::over_memory:
     case policy::refusal_reason::overloaded:
         break;
     }
--- a/src/policy/server_capacity.cpp
+++ b/src/policy/server_capacity.cpp
@@ -2,6 +2,7 @@
 #include "policy/server_capacity.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace borageford::policy {
 
@@ -37,6 +38,10 @@
 
 } // namespace
 
+double count_places(const slot_scheduler_limits& limits, const slot_server& server) {
+    return std::ceil(max_outstanding(limits, server, false));
+}
+
 double slots_left(const slot_scheduler_limits& limits, const slot_server& server, bool is_lowest) {
     return std::max(1.0, max_outstanding(limits, server, is_lowest) * limits.share) - server.outstanding;
 }
--- a/src/policy/server_capacity.hpp
+++ b/src/policy/server_capacity.hpp
@@ -7,6 +7,9 @@
 
 namespace borageford::policy {
 
+/// The maximum number of requests that all processes together send to the server at a time.
+[[nodiscard]] double count_places(const slot_scheduler_limits& limits, const slot_server& server);
+
 /// How many more requests fit into this process's share of the server, including places in the server's own
 /// queue, less the slots reserved for higher tiers if the request is of the lowest one. Doesn't consider the
 /// server's health or rate limit. slot_server::has_free_slot() considers only the slots.
--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -83,7 +83,8 @@
     auto soonest = duration::max();
     for (auto* server : terms.available) {
         if (!server->fits(request) || server->backoff.is_active(request.member, terms.now) ||
-            (avoids_failed && has_failed(request, server->key))) {
+            (avoids_failed && has_failed(request, server->key)) ||
+            !server->memory.fits(terms.memory, request.ticket)) {
             continue;
         }
         const auto expected = server->expect_first_event(request, terms.now);
--- a/src/policy/slot_choice.hpp
+++ b/src/policy/slot_choice.hpp
@@ -25,6 +25,7 @@
     slot_servers all;       ///< all servers of the service, including busy ones
     bool is_in_time = true; ///< the request waits in the queue of requests that can still meet their target
     time_point now;
+    double memory = 0; ///< tokens of a server's memory that the request needs
 };
 
 /// Chooses the server for a request; nullptr if the request should wait for a better one.
--- a/src/policy/slot_request.cpp
+++ b/src/policy/slot_request.cpp
@@ -28,9 +28,11 @@
     case refusal_reason::servers_back_off:
         return "servers_back_off";
     case refusal_reason::software_gone:
+        return "software_gone";
+    case refusal_reason::over_memory:
         break;
     }
-    return "software_gone";
+    return "over_memory";
 }
 
 std::string_view to_string(slot_outcome outcome) noexcept {
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -79,6 +79,8 @@
     /// The quarantined part of its prompt for which the request is a probe, as the key of a crash_suspect; 0:
     /// it is none.
     std::uint64_t probed_part = 0;
+    /// It has found the memory of servers with a free slot too full; set by the process that grants slots.
+    bool waits_for_memory = false;
     /// Servers that failed this request; 0 in unused places.
     std::array<server_key, max_avoided> avoided{};
 };
@@ -98,7 +100,8 @@
     over_server_limit, ///< the rate limits of all servers of its service hold it back for too long
     servers_back_off,  ///< all servers of its service want no requests of its gateway for too long
     software_gone,     ///< no server of the software version that began its stream is left
-    last_reason = software_gone
+    over_memory,       ///< the memory of the engines of its service had no room for it for too long
+    last_reason = over_memory
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -49,6 +49,13 @@
     return static_cast<double>(random_sequence(ticket).below(draw_steps)) / draw_steps;
 }
 
+/// Servers with enough memory are searched for at most this many requests in one call of grant(). The others
+/// get their turn in the next one.
+constexpr std::size_t max_memory_searches = 16;
+/// A request that a server has turned away took at least this long. One whose slot was given back unused, for
+/// instance because its caller had left, took less.
+constexpr std::chrono::milliseconds min_refusal_time{1};
+
 /// Expected seconds until `waiting` queued requests have got slots at a rate of `per_second` grants.
 double expect_wait(std::size_t waiting, double per_second) {
     if (waiting < min_queue_for_estimate) {
@@ -70,6 +77,7 @@
     state.domain = domain;
     state.software = software;
     state.slots = slots;
+    update_memory_limit(state);
     if (!std::exchange(state.is_usable, true)) {
         m_pools.insert(state);
     }
@@ -82,6 +90,7 @@
     }
     m_limits.share = share;
     for (auto& [key, server] : m_servers) {
+        update_memory_limit(server);
         update_with_room(server);
     }
 }
@@ -173,8 +182,9 @@
     auto& overload = m_queues.tier_of(request).overload;
     overload.record_refusal(now);
     const auto wait = overload.retry_after(request.deadline - now, draw_for(request.ticket), now);
-    m_refusals.push_back(
-        {request.ticket, refusal_reason::overloaded, wait, why.needed_seconds, why.available_seconds});
+    const auto reason =
+        request.waits_for_memory ? refusal_reason::over_memory : refusal_reason::overloaded;
+    m_refusals.push_back({request.ticket, reason, wait, why.needed_seconds, why.available_seconds});
 }
 
 /// Refuses the request if the rate limits of all servers of its service keep it from getting a slot within
@@ -336,10 +346,12 @@
 }
 
 void slot_scheduler::add_running(const running_slot& slot, time_point now) {
-    const running_request request{slot.server, slot.service, slot.tier, 0, {}};
+    const running_request request{
+        slot.server, slot.service, slot.tier, 0, {}, 0, m_memory.expect(slot.service, slot.cost)};
     if (m_running.emplace(slot.ticket, request).second) {
         auto& state = m_servers[slot.server];
         ++state.outstanding;
+        state.memory.reserve(request.memory);
         update_with_room(state);
         floor_of(slot.service).begin(slot.tier, now);
     }
@@ -354,14 +366,17 @@
     if (running == m_running.end()) {
         return;
     }
-    const auto [server, service, tier, prompt, read_mark] = running->second;
+    const auto request = running->second;
+    const auto server = request.server;
     m_running.erase(running);
-    floor_of(service).end(tier, now);
+    floor_of(request.service).end(request.tier, now);
     if (ended.outcome == slot_outcome::served) {
-        m_slot_times.learn(service, tier, ended.busy);
+        m_slot_times.learn(request.service, request.tier, ended.busy);
     }
     auto& state = m_servers[server];
-    state.learn(ended, prompt, read_mark, now);
+    state.learn(ended, request.prompt, request.read_mark, now);
+    learn_memory(state, request, ended, now);
+    state.memory.release(request.memory);
     --state.outstanding;
     update_with_room(state);
     record_outcome(server, ended.outcome, now);
@@ -454,7 +469,10 @@
     const auto request = m_queues.take(queue, waiting);
     const auto mark =
         server.prompts_ahead.add(server.first_event.expect_prompt_processing(request.cost.prompt), now);
-    m_running[request.ticket] = {server.key, request.service, request.tier, request.cost.prompt, mark};
+    const double memory = m_memory.expect(request.service, request.cost);
+    m_running[request.ticket] = {server.key, request.service,     request.tier, request.cost.prompt,
+                                 mark,       request.cost.output, memory};
+    server.memory.reserve(memory);
     floor_of(request.service).begin(request.tier, now);
     ++server.outstanding;
     m_rate_limits.take(server, now);
@@ -484,8 +502,12 @@
         const bool is_resume = waiting->second.software != 0;
         const auto of_version =
             is_resume ? find_available(waiting->second, terms, now) : server_pools::server_list();
-        auto* server =
-            choose_server(waiting->second, {is_resume ? of_version : available, all, is_in_time, now});
+        const slot_choice_terms choice{is_resume ? of_version : available, all, is_in_time, now,
+                                       m_memory.expect(service, waiting->second.cost)};
+        auto* server = choose_server(waiting->second, choice);
+        if (server == nullptr && m_memory.is_limited(service)) {
+            server = choose_by_memory(waiting->second, choice, terms);
+        }
         if (server != nullptr) {
             start(queue, waiting, *server, now, grants);
             if (!can_take_request(*server, terms, now)) {
@@ -548,6 +570,7 @@
     examine_rate_limits(now);
     refuse_waiting_in_vain(now);
     refuse_overdue(now);
+    drop_kept_rooms(now);
     for (auto& [service, tiers] : m_queues.services()) {
         for (auto& [tier_number, tier] : tiers) {
             move_late_requests(tier, now);
@@ -562,4 +585,125 @@
     return grants;
 }
 
+// The memory of engines.
+
+void slot_scheduler::set_engine_memory(service_key service, double tokens) {
+    m_memory.set_capacity(service, tokens);
+    update_memory_limits();
+}
+
+void slot_scheduler::update_memory_limit(slot_server& server) {
+    server.memory.set_limit(
+        m_memory.limit(server.service, m_limits.share, count_places(m_limits, server)));
+}
+
+void slot_scheduler::update_memory_limits() {
+    for (auto& [key, server] : m_servers) {
+        update_memory_limit(server);
+    }
+}
+
+slot_server* slot_scheduler::choose_by_memory(slot_request& request, const slot_choice_terms& choice,
+                                              const grant_terms& terms) {
+    const auto fits = [&](const slot_server& server) {
+        return server.memory.fits(choice.memory, request.ticket);
+    };
+    if (std::ranges::all_of(choice.available, [&](const auto* server) { return fits(*server); })) {
+        return nullptr;
+    }
+    m_memory_waits[request.service] += std::exchange(request.waits_for_memory, true) ? 0 : 1;
+    if (m_memory_searches >= max_memory_searches) {
+        return nullptr;
+    }
+    ++m_memory_searches;
+    const auto fitting = m_pools.find(request.service, max_considered_servers, [&](const slot_server& server) {
+        return fits(server) && server.fits(request) && can_take_request(server, terms, choice.now);
+    });
+    auto with_memory = choice;
+    with_memory.available = fitting;
+    auto* server = choose_server(request, with_memory);
+    if (server == nullptr) {
+        keep_room(request, choice);
+    }
+    return server;
+}
+
+void slot_scheduler::keep_room(const slot_request& request, const slot_choice_terms& choice) {
+    if (!m_kept_rooms.is_due(request, choice.now)) {
+        return;
+    }
+    if (auto* server = kept_rooms::choose(request, choice.memory, choice.all, choice.now)) {
+        server->memory.keep_room(request.ticket, choice.memory);
+        m_kept_rooms.add({request.service, request.ticket, server->key});
+    }
+}
+
+/// Keeps no more room for requests that no longer wait, and none at servers that take no work.
+void slot_scheduler::drop_kept_rooms(time_point now) {
+    m_memory_searches = 0;
+    if (m_memory.recover(now)) {
+        update_memory_limits();
+    }
+    const auto takes_work = [&](server_key key) {
+        const auto found = m_servers.find(key);
+        return found != m_servers.end() && found->second.is_usable &&
+               found->second.health.availability_at(now) != server_health::availability::none;
+    };
+    const auto has_ended = [&](const kept_rooms::room& kept) {
+        return !m_queues.contains(kept.ticket) || !takes_work(kept.server);
+    };
+    for (const auto& kept : m_kept_rooms.take_ended(has_ended)) {
+        const auto found = m_servers.find(kept.server);
+        if (found != m_servers.end()) {
+            found->second.memory.stop_keeping_room();
+        }
+    }
+}
+
+/// A crash, or a request that is turned away with slots free, may mean that the server's memory is smaller
+/// than it was said to be. To be called before the request's tokens are released.
+void slot_scheduler::learn_memory(slot_server& server, const running_request& request,
+                                  const slot_release& ended, time_point now) {
+    if (ended.outcome == slot_outcome::served) {
+        server.memory.record_served();
+        m_memory.learn_output(request.service, request.output, ended.output);
+        return;
+    }
+    const bool is_turned_away = ended.outcome == slot_outcome::refused && ended.busy >= min_refusal_time &&
+                                server.outstanding <= server.slots;
+    if (ended.outcome != slot_outcome::broken && !is_turned_away) {
+        return;
+    }
+    const auto held = server.memory.record_loss(server.outstanding, now);
+    if (held.has_value() && m_memory.learn_overflow(request.service, *held, now)) {
+        update_memory_limits();
+        m_memory_overflows.push_back({server.key, request.service, *held,
+                                      m_memory.limit(request.service, m_limits.share,
+                                                     count_places(m_limits, server))});
+    }
+}
+
+std::vector<slot_scheduler::memory_overflow> slot_scheduler::take_memory_overflows() {
+    return std::exchange(m_memory_overflows, {});
+}
+
+std::vector<slot_scheduler::memory_use> slot_scheduler::measure_memory() const {
+    std::unordered_map<service_key, memory_use> uses;
+    for (const auto& [key, server] : m_servers) {
+        if (server.memory.is_limited()) {
+            auto& use = uses[server.service];
+            use.reserved += server.memory.reserved();
+            use.free += server.memory.free();
+        }
+    }
+    std::vector<memory_use> result;
+    for (auto& [service, use] : uses) {
+        const auto waits = m_memory_waits.find(service);
+        use.service = service;
+        use.waits = waits == m_memory_waits.end() ? 0 : waits->second;
+        result.push_back(use);
+    }
+    return result;
+}
+
 } // namespace borageford::policy
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -3,6 +3,8 @@
 // returns its decisions.
 #pragma once
 
+#include "policy/kept_rooms.hpp"
+#include "policy/memory_model.hpp"
 #include "policy/rate_limit_schedule.hpp"
 #include "policy/server_pools.hpp"
 #include "policy/slot_choice.hpp"
@@ -57,8 +59,12 @@
         server_key server = 0;
         service_key service = 0;
         int tier = 0;
+        token_cost cost{};
     };
 
+    /// Sets the tokens that fit into the memory of each engine of the service; 0: not known.
+    void set_engine_memory(service_key service, double tokens);
+
     /// Adds a server, or changes its service, number of slots, failure domain or software.
     void set_server(server_key server, service_key service, unsigned slots, domain_key domain = 0,
                     server_software software = {});
@@ -104,6 +110,26 @@
     /// Returns the health changes since the last call.
     [[nodiscard]] std::vector<health_change> take_health_changes();
 
+    /// An engine seems to have less memory than it was said to have.
+    struct memory_overflow {
+        server_key server = 0;
+        service_key service = 0;
+        double held = 0;  ///< tokens of the requests that it held when it crashed or turned one away
+        double limit = 0; ///< tokens that this process gives an engine of the service from now on
+    };
+    /// Returns the overflows since the last call.
+    [[nodiscard]] std::vector<memory_overflow> take_memory_overflows();
+
+    /// The memory of the engines of a service.
+    struct memory_use {
+        service_key service = 0;
+        double reserved = 0;     ///< tokens of the requests that this process knows to hold slots
+        double free = 0;         ///< tokens that this process may give them in addition
+        std::uint64_t waits = 0; ///< requests that found the memory too full, so far
+    };
+    /// Returns the use of the engines' memory, of the services whose engines have a known one.
+    [[nodiscard]] std::vector<memory_use> measure_memory() const;
+
     /// Returns the servers whose rate limits were used up by a grant since the last call, each once for each
     /// time.
     [[nodiscard]] std::vector<server_key> take_used_up_limits() { return m_rate_limits.take_used_up(); }
@@ -128,6 +154,8 @@
         int tier = 0;
         double prompt = 0;                ///< tokens
         prompt_backlog::mark read_mark{}; ///< returned by prompt_backlog::add() at the request's start
+        double output = 0;                ///< expected tokens
+        double memory = 0;                ///< tokens reserved in the server's memory
     };
     /// Whether a request belongs into the queue of requests that can still meet their target or into that of
     /// late requests.
@@ -150,6 +178,16 @@
     [[nodiscard]] server_pools::server_list find_available(const slot_request& request,
                                                            const grant_terms& terms, time_point now);
     void remove_from_pool(slot_server& server);
+    void update_memory_limit(slot_server& server);
+    void update_memory_limits();
+    /// Chooses among the servers with enough memory if none of the available ones has it; nullptr if the
+    /// request should wait.
+    [[nodiscard]] slot_server* choose_by_memory(slot_request& request, const slot_choice_terms& choice,
+                                                const grant_terms& terms);
+    void keep_room(const slot_request& request, const slot_choice_terms& choice);
+    void drop_kept_rooms(time_point now);
+    void learn_memory(slot_server& server, const running_request& request, const slot_release& ended,
+                      time_point now);
     void start(request_queue& queue, request_queue::position waiting, slot_server& server, time_point now,
                std::vector<slot_grant>& grants);
     void grant_from_queue(service_key service, tier_queues& tier, grant_terms terms, time_point now,
@@ -182,6 +220,11 @@
     slot_time_model m_slot_times;
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
+    memory_model m_memory;
+    kept_rooms m_kept_rooms;
+    std::unordered_map<service_key, std::uint64_t> m_memory_waits; ///< see memory_use::waits
+    std::size_t m_memory_searches = 0;                             ///< since the last grant() began
+    std::vector<memory_overflow> m_memory_overflows;
     std::vector<health_change> m_health_changes;
     bool m_has_fewer_servers = false; ///< waiting requests may have no server left that takes them in time
     std::uint64_t m_grants = 0;       ///< number of all grants so far, which numbers the next one
--- a/src/policy/slot_server.hpp
+++ b/src/policy/slot_server.hpp
@@ -2,6 +2,7 @@
 // from finished requests.
 #pragma once
 
+#include "policy/engine_memory.hpp"
 #include "policy/first_event_model.hpp"
 #include "policy/output_token_time.hpp"
 #include "policy/prompt_backlog.hpp"
@@ -47,6 +48,7 @@
     first_event_model first_event;
     output_token_time token_time;
     prompt_backlog prompts_ahead;
+    engine_memory memory;
     slot_turnover turnover;
 
     /// Whether the request may run here as far as the server's software is concerned.
--- a/tests/unit/test_diagnosis_losses.cpp
+++ b/tests/unit/test_diagnosis_losses.cpp
@@ -42,6 +42,10 @@
     CHECK(classify(record_of("request_refused",
                              refusal("overloaded", 503) + R"(,"reason":"over_server_limit")")) ==
           request_end::refused_server);
+    CHECK(classify(record_of("request_refused", refusal("overloaded", 503) + R"(,"reason":"over_memory")")) ==
+          request_end::refused_memory);
+    CHECK(classify(record_of("request_refused", refusal("prompt_too_large", 413))) ==
+          request_end::refused_memory);
     CHECK(classify(record_of("request_refused", refusal("rate_limited", 429))) == request_end::refused_limit);
     CHECK(classify(record_of("request_refused", refusal("unauthorized", 401))) ==
           request_end::refused_caller);
