--- a/src/coordination/deferred_refusals.hpp
+++ b/src/coordination/deferred_refusals.hpp
@@ -11,9 +11,10 @@
 namespace borageford::coordination {
 
 /// While there is no coordinator, for instance after it was lost or after all processes were started at once,
-/// each process may grant only its local share of each workspace's quota, of the retry budget, of the servers'
-/// rate limits and of the engines' memory. One large request can need more than that, so callers that keep within their limits
-/// were refused at each such moment. Their requests wait for the coordinator instead.
+/// each process may grant only its local share of each workspace's quota, of the retry budget, of the
+/// servers' rate limits and of the engines' memory. One large request can need more than that, so callers
+/// that keep within their limits were refused at each such moment. Their requests wait for the coordinator
+/// instead.
 class deferred_refusals {
 public:
     /// Removes from `refusals` those that the local share of a limit caused, and keeps the ids of their
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -160,9 +160,8 @@
             engine.setup_ms = reader.real("setup_ms", engine.setup_ms, 0, most);
             engine.tokens_per_event = static_cast<unsigned>(reader.number("tokens_per_event", 4, 1, 10'000));
             engine.memory_tokens = reader.real("memory_tokens", 0, 0, most);
-            service.engine =
-                routing::engine_profile{group.slots, static_cast<std::uint64_t>(engine.memory_tokens),
-                                        engine.tokens_per_event};
+            service.engine = routing::engine_profile{
+                group.slots, static_cast<std::uint64_t>(engine.memory_tokens), engine.tokens_per_event};
         }
         reader.report_unknown_keys();
         m_plan.configuration.services.push_back(std::move(service));
--- a/src/policy/kept_rooms.cpp
+++ b/src/policy/kept_rooms.cpp
@@ -21,8 +21,7 @@
     slot_server* best = nullptr;
     for (auto* server : all) {
         const bool takes_work = server->fits(request) && server->memory.can_hold(tokens) &&
-                                !server->is_rate_blocked &&
-                                !server->backoff.is_active(request.member, now) &&
+                                !server->is_rate_blocked && !server->backoff.is_active(request.member, now) &&
                                 server->health.availability_at(now) == server_health::availability::full;
         if (takes_work && (best == nullptr || server->memory.free() > best->memory.free())) {
             best = server;
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -182,8 +182,7 @@
     auto& overload = m_queues.tier_of(request).overload;
     overload.record_refusal(now);
     const auto wait = overload.retry_after(request.deadline - now, draw_for(request.ticket), now);
-    const auto reason =
-        request.waits_for_memory ? refusal_reason::over_memory : refusal_reason::overloaded;
+    const auto reason = request.waits_for_memory ? refusal_reason::over_memory : refusal_reason::overloaded;
     m_refusals.push_back({request.ticket, reason, wait, why.needed_seconds, why.available_seconds});
 }
 
@@ -593,8 +592,7 @@
 }
 
 void slot_scheduler::update_memory_limit(slot_server& server) {
-    server.memory.set_limit(
-        m_memory.limit(server.service, m_limits.share, count_places(m_limits, server)));
+    server.memory.set_limit(m_memory.limit(server.service, m_limits.share, count_places(m_limits, server)));
 }
 
 void slot_scheduler::update_memory_limits() {
@@ -616,9 +614,10 @@
         return nullptr;
     }
     ++m_memory_searches;
-    const auto fitting = m_pools.find(request.service, max_considered_servers, [&](const slot_server& server) {
-        return fits(server) && server.fits(request) && can_take_request(server, terms, choice.now);
-    });
+    const auto fitting =
+        m_pools.find(request.service, max_considered_servers, [&](const slot_server& server) {
+            return fits(server) && server.fits(request) && can_take_request(server, terms, choice.now);
+        });
     auto with_memory = choice;
     with_memory.available = fitting;
     auto* server = choose_server(request, with_memory);
@@ -677,9 +676,9 @@
     const auto held = server.memory.record_loss(server.outstanding, now);
     if (held.has_value() && m_memory.learn_overflow(request.service, *held, now)) {
         update_memory_limits();
-        m_memory_overflows.push_back({server.key, request.service, *held,
-                                      m_memory.limit(request.service, m_limits.share,
-                                                     count_places(m_limits, server))});
+        m_memory_overflows.push_back(
+            {server.key, request.service, *held,
+             m_memory.limit(request.service, m_limits.share, count_places(m_limits, server))});
     }
 }
 
--- a/tests/unit/test_policy_engine_memory.cpp
+++ b/tests/unit/test_policy_engine_memory.cpp
@@ -288,7 +288,8 @@
     CHECK(model.learn_overflow(engines, 60000, start_time));
     CHECK(model.limit(engines, 1, slots) >= 0.5 * capacity);
     CHECK(model.limit(engines, 1, slots) < 60000);
-    CHECK_FALSE(model.learn_overflow(engines, 40000, start_time)); // crashes of half-empty engines say nothing
+    CHECK_FALSE(
+        model.learn_overflow(engines, 40000, start_time)); // crashes of half-empty engines say nothing
     for (auto now = start_time; now < start_time + 10min; now += 1s) {
         static_cast<void>(model.recover(now));
     }
