--- a/tests/unit/test_policy_slot_floor.cpp
+++ b/tests/unit/test_policy_slot_floor.cpp
@@ -1,131 +1,19 @@
 // Tests of slot_floor, alone and within slot_scheduler, under loads where a strict order of tiers would
 // starve the lowest ones.
 #include "policy/slot_floor.hpp"
-#include "policy/slot_scheduler.hpp"
+#include "support/slot_load.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <map>
 #include <vector>
 
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
 const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
-constexpr auto step = 5ms;
-
-/// The load of one tier: its rate of requests and the time that each one occupies a slot.
-struct tier_load {
-    int tier = 0;
-    double per_second = 0;
-    duration slot_time{};
-    duration target = 500ms;
-};
-
-/// How many requests a tier sent, and how many of them got a slot.
-struct tier_result {
-    unsigned sent = 0;
-    unsigned served = 0;
-    [[nodiscard]] double share() const { return static_cast<double>(served) / sent; }
-};
-
-/// Simulates a scheduler under a steady load in virtual time.
-class load_simulation {
-public:
-    load_simulation(slot_scheduler_limits limits, unsigned servers, unsigned slots)
-        : m_limits(limits), m_servers(servers), m_slots(slots), m_scheduler(make_scheduler()) {}
-
-    void run(const std::vector<tier_load>& load, duration length) {
-        const auto end = m_now + length;
-        for (; m_now < end; m_now += step) {
-            finish_due();
-            for (const auto& tier : load) {
-                arrive(tier);
-            }
-            start_granted();
-            static_cast<void>(m_scheduler.take_refusals());
-        }
-    }
-
-    /// Replaces the scheduler by that of a new coordinator, which knows the running requests and nothing
-    /// else.
-    void change_coordinator() {
-        m_scheduler = make_scheduler();
-        for (const auto& [end, running] : m_running) {
-            m_scheduler.add_running(
-                {running.ticket, running.server, engines, m_requests.at(running.ticket).tier}, m_now);
-        }
-    }
-
-    [[nodiscard]] const tier_result& result(int tier) { return m_results[tier]; }
-    void clear_results() { m_results.clear(); }
-    /// The share of all granted slot time that a tier got.
-    [[nodiscard]] double slot_share(int tier) {
-        duration all{};
-        for (const auto& [other, granted] : m_granted_time) {
-            all += granted;
-        }
-        return to_seconds(m_granted_time[tier]) / to_seconds(all);
-    }
-
-private:
-    [[nodiscard]] slot_scheduler make_scheduler() const {
-        slot_scheduler result(m_limits);
-        for (unsigned server = 1; server <= m_servers; ++server) {
-            result.set_server(server, engines, m_slots);
-        }
-        return result;
-    }
-
-    void arrive(const tier_load& tier) {
-        auto& due = m_due[tier.tier];
-        for (due += tier.per_second * to_seconds(step); due >= 1; --due) {
-            slot_request request;
-            request.ticket = ++m_last_ticket;
-            request.service = engines;
-            request.tier = tier.tier;
-            request.arrived = m_now;
-            request.deadline = m_now + 10s;
-            request.target = tier.target;
-            m_requests[request.ticket] = tier;
-            ++m_results[tier.tier].sent;
-            m_scheduler.add(request, m_now);
-        }
-    }
-
-    void start_granted() {
-        for (const auto& grant : m_scheduler.grant(m_now)) {
-            const auto& tier = m_requests.at(grant.ticket);
-            ++m_results[tier.tier].served;
-            m_granted_time[tier.tier] += tier.slot_time;
-            m_running.emplace(m_now + tier.slot_time, grant);
-        }
-    }
-
-    void finish_due() {
-        while (!m_running.empty() && m_running.begin()->first <= m_now) {
-            const auto [end, grant] = *m_running.begin();
-            m_running.erase(m_running.begin());
-            const auto busy = m_requests.at(grant.ticket).slot_time;
-            m_scheduler.release({grant.ticket, grant.server, slot_outcome::served, busy, 50ms}, m_now);
-        }
-    }
-
-    slot_scheduler_limits m_limits;
-    unsigned m_servers;
-    unsigned m_slots;
-    slot_scheduler m_scheduler;
-    time_point m_now = start_time;
-    slot_ticket m_last_ticket = 0;
-    std::map<int, double> m_due;
-    std::map<slot_ticket, tier_load> m_requests;
-    std::multimap<time_point, slot_grant> m_running;
-    std::map<int, tier_result> m_results;
-    std::map<int, duration> m_granted_time;
-};
 
 /// Twice the load that four engines with nine slots each can handle. Expensive requests of the two highest
 /// tiers are nearly all of it.
@@ -143,10 +31,10 @@
           "[policy][slot_floor]") {
     // Under sustained load, the higher tiers take every slot that comes free. All requests of the lowest tier
     // together need only a tenth of the slots, yet they were all refused for half a minute.
-    load_simulation strict(without_floor(), 4, 9);
+    slot_load strict(without_floor(), {{4, 9}});
     strict.run(heavy_load, 20s);
     CHECK(strict.result(2).share() < 0.1);
-    load_simulation guaranteed({}, 4, 9);
+    slot_load guaranteed({}, {{4, 9}});
     guaranteed.run(heavy_load, 20s);
     CHECK(guaranteed.result(2).share() > 0.5);
     // The lowest tier gets its minimum share and no more, and the highest tier still goes before the middle
@@ -165,7 +53,7 @@
     for (auto& tier : load) {
         tier.per_second /= 5;
     }
-    load_simulation shared(limits, 4, 9);
+    slot_load shared(limits, {{4, 9}});
     shared.run(load, 20s);
     CHECK(shared.result(2).share() > 0.5);
     CHECK(shared.result(0).share() > shared.result(1).share());
@@ -175,7 +63,7 @@
           "[policy][slot_floor]") {
     // A new coordinator learns the running requests from the members, but not the slot time that was granted
     // before.
-    load_simulation load({}, 4, 9);
+    slot_load load({}, {{4, 9}});
     load.run(heavy_load, 5s);
     for (int change = 0; change < 5; ++change) {
         load.clear_results();
@@ -192,7 +80,7 @@
     for (int tier = 1; tier < 8; ++tier) {
         load.push_back({tier, 10, 200ms});
     }
-    load_simulation many({}, 4, 9);
+    slot_load many({}, {{4, 9}});
     many.run(load, 20s);
     double lower = 0;
     for (int tier = 1; tier < 8; ++tier) {
@@ -205,7 +93,7 @@
 }
 
 TEST_CASE("without overload, requests of all tiers are served", "[policy][slot_floor]") {
-    load_simulation calm({}, 4, 9);
+    slot_load calm({}, {{4, 9}});
     calm.run({{0, 10, 1400ms}, {1, 5, 1100ms}, {2, 20, 120ms}}, 10s);
     CHECK(calm.result(0).share() > 0.95);
     CHECK(calm.result(1).share() > 0.95);
