Slots of a service can be kept free by what higher tiers need

The lowest tier left two slots of each server free, whatever was asked of them. With slot_reserve = demand every lower tier leaves as many slots of the whole service free as the higher tiers need in a tenth of their target, with a margin, less those that come free in this time. Off by default: fixed decides as before.

--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -107,6 +107,9 @@
     /// The requests that crash servers, as far as this process knows.
     [[nodiscard]] const policy::crash_ledger& crashes() const noexcept { return m_coordinator.crashes(); }
 
+    /// slot_scheduler::reserved_slots() of the slots that this process grants.
+    [[nodiscard]] double reserved_slots() const { return m_coordinator.scheduler().reserved_slots(); }
+
     [[nodiscard]] slot_source source() const noexcept { return m_source; }
     /// The time at which source() last changed.
     [[nodiscard]] policy::time_point source_since() const noexcept { return m_source_since; }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -181,6 +181,9 @@
         m_registry.add_gauge("borageford_gateway_slot_source",
                              "0: a coordinator, 1: this process for all, 2: its own part.", {},
                              [this] { return static_cast<double>(m_slots.source()); });
+        m_registry.add_gauge("borageford_gateway_reserved_slots",
+                             "Slots that lower tiers leave free for higher ones.", {},
+                             [this] { return m_slots.reserved_slots(); });
         m_registry.add_gauge("borageford_gateway_lost_log_lines",
                              "Log lines dropped because nobody read them.", {},
                              [] { return static_cast<double>(events::lost_lines()); });
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -51,8 +51,13 @@
     result.drain_limit = reader.duration("drain_limit", result.drain_limit, shortest, longest);
 }
 
+/// In the order of policy::reserve_kind.
+constexpr std::array<std::string_view, 2> reserve_kinds{"fixed", "demand"};
+
 void read_slots(settings::section_reader& reader, policy::slot_scheduler_limits& slots) {
     slots.outstanding_per_slot = reader.real("outstanding_per_slot", slots.outstanding_per_slot, 0.1, 100);
+    slots.reserve = static_cast<policy::reserve_kind>(
+        reader.choice("slot_reserve", reserve_kinds, static_cast<std::size_t>(slots.reserve)));
     slots.max_lowest_tier_on_small_server = static_cast<unsigned>(
         reader.number("lowest_in_small", slots.max_lowest_tier_on_small_server, 0, 1000));
     slots.reserved_slots =
--- a/src/policy/server_capacity.cpp
+++ b/src/policy/server_capacity.cpp
@@ -29,6 +29,11 @@
     if (!is_lowest || server.has_fast_turnover()) {
         return all;
     }
+    if (limits.reserve == reserve_kind::demand) {
+        // slot_reserve keeps slots of the whole service free. Places beyond a server's slots aren't for the
+        // lowest tier, since more urgent requests would have to wait behind its long ones.
+        return slots;
+    }
     const double reserved = limits.reserved_slots;
     const double unreserved = (slots - reserved) * limits.outstanding_per_slot;
     const double of_small = all - std::min(reserved, slots * small_reserve);
--- a/src/policy/server_pools.cpp
+++ b/src/policy/server_pools.cpp
@@ -38,4 +38,9 @@
     return found == m_pools.end() ? slot_servers() : slot_servers(found->second.servers);
 }
 
+slot_servers server_pools::with_room(service_key service) const {
+    const auto found = m_pools.find(service);
+    return found == m_pools.end() ? slot_servers() : slot_servers(found->second.with_room);
+}
+
 } // namespace borageford::policy
--- a/src/policy/server_pools.hpp
+++ b/src/policy/server_pools.hpp
@@ -25,6 +25,9 @@
     /// All servers of a service, also those in a cooldown.
     [[nodiscard]] slot_servers servers_of(service_key service) const;
 
+    /// The servers of a service that have slots left, also those in a cooldown.
+    [[nodiscard]] slot_servers with_room(service_key service) const;
+
     /// Returns up to `max_count` servers with room of which `is_suitable` is true. Each search continues
     /// where the last one ended, so that all servers get their turn.
     template <typename Predicate>
--- a/src/policy/slot_floor.hpp
+++ b/src/policy/slot_floor.hpp
@@ -38,6 +38,10 @@
     /// `waiting_tiers` is the number of tiers below the highest that have waiting requests.
     [[nodiscard]] std::size_t slots_below_minimum(int tier, std::size_t waiting_tiers, time_point now);
 
+    /// Calls `visit(tier, running requests of the tier)` for each tier.
+    template <typename Visitor>
+    void for_each_running(const Visitor& visit) const;
+
     /// The tier's share of the slot time of the last seconds, 0 to 1.
     [[nodiscard]] double share(int tier, time_point now);
 
@@ -57,4 +61,11 @@
     time_point m_updated = time_point::min(); ///< time of the last advance(); time_point::min(): never
 };
 
+template <typename Visitor>
+void slot_floor::for_each_running(const Visitor& visit) const {
+    for (const auto& [tier, use] : m_tiers) {
+        visit(tier, use.running);
+    }
+}
+
 } // namespace borageford::policy
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <iterator>
 #include <tuple>
 #include <utility>
@@ -283,6 +284,7 @@
         refuse_for_rate_limits(request, now)) {
         return;
     }
+    record_arrival(reserve_of(request.service), request.tier, request.target, now);
     if (classify(request, now) == target_state::late) {
         enqueue_late(request, now);
     } else {
@@ -349,6 +351,52 @@
     return m_floors.try_emplace(service, m_limits.floor).first->second;
 }
 
+slot_reserve& slot_scheduler::reserve_of(service_key service) {
+    return m_reserves.try_emplace(service, make_slot_reserve(m_limits.reserve)).first->second;
+}
+
+std::vector<tier_occupancy> slot_scheduler::list_occupancies(service_key service) {
+    std::vector<tier_occupancy> result;
+    floor_of(service).for_each_running([&](int tier, std::size_t running) {
+        result.push_back({tier, static_cast<double>(running), m_slot_times.expect(service, tier)});
+    });
+    return result;
+}
+
+std::size_t slot_scheduler::count_unreserved(service_key service, int tier, const grant_terms& terms,
+                                             std::size_t max_count, time_point now) {
+    const auto& reserve = reserve_of(service);
+    if (max_count == 0 || std::holds_alternative<fixed_reserve>(reserve)) {
+        return max_count;
+    }
+    const auto kept = slots_kept_from(reserve, tier, list_occupancies(service), now);
+    if (terms.is_lowest) {
+        m_kept_from_lowest[service] = kept;
+    }
+    if (kept <= 0) {
+        return max_count;
+    }
+    const auto needed = kept + static_cast<double>(max_count);
+    double room = 0;
+    for (const auto* server : m_pools.with_room(service)) {
+        if (can_take_request(*server, terms, now)) {
+            room += std::floor(available_slots(m_limits, *server, terms.is_lowest, now));
+        }
+        if (room >= needed) {
+            return max_count;
+        }
+    }
+    return room > kept ? static_cast<std::size_t>(room - kept) : 0;
+}
+
+double slot_scheduler::reserved_slots() const {
+    double result = 0;
+    for (const auto& [service, kept] : m_kept_from_lowest) {
+        result += kept;
+    }
+    return result;
+}
+
 void slot_scheduler::release(const slot_release& ended, time_point now) {
     const auto running = m_running.find(ended.ticket);
     if (running == m_running.end()) {
@@ -555,8 +603,12 @@
         grant_minimum_shares(service, tiers, now, grants);
         for (auto& [tier_number, tier] : tiers) {
             const bool is_lowest = tiers.size() > 1 && tier_number == tiers.rbegin()->first;
-            grant_from_queue(service, tier, {target_state::in_time, is_lowest}, now, grants);
-            grant_from_queue(service, tier, {target_state::late, is_lowest}, now, grants);
+            for (const auto state : {target_state::in_time, target_state::late}) {
+                grant_terms terms{state, is_lowest};
+                terms.max_grants =
+                    count_unreserved(service, tier_number, terms, tier.of(state).requests.size(), now);
+                grant_from_queue(service, tier, terms, now, grants);
+            }
         }
     }
     return grants;
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -116,6 +116,9 @@
     [[nodiscard]] duration expect_slot_time(service_key service, int tier) const {
         return m_slot_times.expect(service, tier);
     }
+    /// Slots that the latest decisions kept free from the lowest tiers of all services; 0 with
+    /// reserve_kind::fixed.
+    [[nodiscard]] double reserved_slots() const;
     /// Number of queued requests.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_queues.size(); }
     /// Number of requests that occupy slots.
@@ -159,6 +162,12 @@
     void grant_minimum_shares(service_key service, slot_queues::service_queues& tiers, time_point now,
                               std::vector<slot_grant>& grants);
     [[nodiscard]] slot_floor& floor_of(service_key service);
+    [[nodiscard]] slot_reserve& reserve_of(service_key service);
+    [[nodiscard]] std::vector<tier_occupancy> list_occupancies(service_key service);
+    /// Number of requests of a queue, at most `max_count`, that may be granted slots now without those kept
+    /// for higher tiers.
+    [[nodiscard]] std::size_t count_unreserved(service_key service, int tier, const grant_terms& terms,
+                                               std::size_t max_count, time_point now);
     [[nodiscard]] duration max_wait_of(const slot_request& request) const;
     void enqueue_in_time(const slot_request& request, time_point now);
     void enqueue_late(const slot_request& request, time_point now);
@@ -179,6 +188,9 @@
     server_pools m_pools;
     slot_queues m_queues;
     std::unordered_map<service_key, slot_floor> m_floors;
+    std::unordered_map<service_key, slot_reserve> m_reserves;
+    /// The result of the latest slots_kept_from() for the lowest tier of each service.
+    std::unordered_map<service_key, double> m_kept_from_lowest;
     slot_time_model m_slot_times;
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
--- a/src/policy/slot_scheduler_limits.hpp
+++ b/src/policy/slot_scheduler_limits.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/slot_floor.hpp"
+#include "policy/slot_reserve.hpp"
 
 namespace borageford::policy {
 
@@ -11,11 +12,13 @@
     /// idle for the round trip between the end of one request and the start of the next. But a request that
     /// waits inside a server can't be overtaken by a more urgent one, so the value should stay small.
     double outstanding_per_slot = 1.3;
-    /// Number of slots of each server that the lowest tier leaves free, so that requests of higher tiers find
-    /// a free slot at once.
+    /// Which slots lower tiers leave free for higher ones.
+    reserve_kind reserve = reserve_kind::fixed;
+    /// With reserve_kind::fixed: number of slots of each server that the lowest tier leaves free, so that
+    /// requests of higher tiers find a free slot at once.
     unsigned reserved_slots = 2;
-    /// A small server may hold up to this many requests of the lowest tier even if it then has fewer free
-    /// slots than `reserved_slots`; a quarter of its slots still stay free.
+    /// With reserve_kind::fixed: a small server may hold up to this many requests of the lowest tier even if
+    /// it then has fewer free slots than `reserved_slots`; a quarter of its slots still stay free.
     unsigned max_lowest_tier_on_small_server = 5;
     /// Maximum wait of a request before it is refused, as a multiple of its latency target.
     double max_wait_in_targets = 1.5;
