Soak: engines whose memory runs out

They crash with 1,200 tokens and say that they have 1,000: as many requests as slots, if these aren't all among the longest; their places would take 1,560.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -25,6 +25,11 @@
 
 constexpr unsigned engine_slots = 4;
 constexpr unsigned plain_slots = 8;
+/// Tokens of the memory of an engine as the configuration states it: for as many requests as it has slots,
+/// if these aren't all among the longest. An engine crashes with some more, which it may hold only for
+/// gateways that were killed or are frozen.
+constexpr std::uint64_t engine_memory = 1000;
+constexpr double crashing_memory = 1200;
 constexpr unsigned server_connections = 96;
 /// What a server that refuses requests asks for in its refusals.
 constexpr milliseconds refusal_pause{1500};
@@ -76,6 +81,7 @@
     for (const auto* name : {"plain", "engines", "other"}) {
         result.services.push_back({name, "/healthz", server_connections, std::nullopt});
     }
+    result.services[engine_service].engine = routing::engine_profile{engine_slots, engine_memory, 1};
     result.routes.push_back(make_route("plain", routing::route_kind::idempotent, plain_service));
     result.routes.push_back(make_route("once", routing::route_kind::non_idempotent, plain_service));
     result.routes.push_back(make_route("single", routing::route_kind::stream, engine_service));
@@ -103,6 +109,7 @@
         group.engine->step_ms = 3;
         group.engine->setup_ms = 5;
         group.engine->tokens_per_event = 1;
+        group.engine->memory_tokens = crashing_memory;
     }
     return group;
 }
