--- a/src/gateway/engine_memory_monitor.cpp
+++ b/src/gateway/engine_memory_monitor.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-void engine_memory_monitor::start(boost::asio::any_io_executor executor, timer_service& timers) {
-    m_timer = timers.every(std::move(executor), update_period, [this] { update(); });
+void engine_memory_monitor::start(const boost::asio::any_io_executor& executor, timer_service& timers) {
+    m_timer = timers.every(executor, update_period, [this] { update(); });
 }
 
 void engine_memory_monitor::update() {
--- a/src/gateway/engine_memory_monitor.hpp
+++ b/src/gateway/engine_memory_monitor.hpp
@@ -24,7 +24,7 @@
         : m_configuration(configuration), m_backends(backends), m_slots(slots), m_registry(registry) {}
 
     /// Begins to set the gauges of each service once a second.
-    void start(boost::asio::any_io_executor executor, timer_service& timers);
+    void start(const boost::asio::any_io_executor& executor, timer_service& timers);
     /// Logs that an engine seems to have less memory than it was said to have.
     void report(const policy::slot_scheduler::memory_overflow& overflow) const;
 
