Emulated servers end unread answers, emulated callers read late

Trials and tests had no server with large answers, none that ends an answer that nobody reads, and no caller that reads slowly. Servers get `padding` (bytes added to each answer or event) and `unread_limit`, groups of callers `reads_after`; both are keys of an experiment's file. The soak lets a twentieth of its callers read nothing for up to 3 s, with events of 4 KiB, gateways with `memory_limit = 4MiB` and servers that end an unread answer after 2.5 s.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -42,6 +42,12 @@
     return value;
 }
 
+http::server_limits make_limits(const backend_options& options) {
+    http::server_limits result;
+    result.write_time = options.unread_limit;
+    return result;
+}
+
 /// The status line of a successful answer and these fields.
 std::string compose_success_head(const http::header_fields& fields) {
     std::string head = "HTTP/1.1 200 OK\r\n";
@@ -80,7 +86,7 @@
       m_fields(std::move(fields)),
       m_options(std::move(options)),
       m_server(
-          m_executor, {},
+          m_executor, make_limits(m_options),
           [this](const http::request& call, http::response_writer& writer) { return handle(call, writer); },
           refuse_unread) {
     if (m_options.engine.has_value()) {
@@ -276,8 +282,9 @@
         co_return;
     }
     const auto status = fault == backend_fault::error ? status_error : status_ok;
-    auto answer =
-        http::make_response(status, "application/json", R"({"run":)" + std::to_string(number) + "}");
+    auto answer = http::make_response(status, "application/json",
+                                      R"({"run":)" + std::to_string(number) +
+                                          std::string(m_options.padding, ' ') + "}");
     std::ranges::move(answer_fields(call, number), std::back_inserter(answer.head.headers));
     if (!ends_unframed && (fault == backend_fault::none || fault == backend_fault::error)) {
         co_await writer.write(answer);
@@ -309,7 +316,7 @@
     const bool is_cut = fault == backend_fault::unframed_midway;
     const auto end = is_cut ? first + 1 : last;
     for (auto event = first; event <= end; ++event) {
-        text += describe_event(event, m_options.version);
+        text += describe_event(event, m_options.version, m_options.padding);
     }
     constexpr std::size_t cut_bytes = 4;
     text.resize(text.size() - (is_cut ? cut_bytes : 0));
@@ -367,7 +374,7 @@
                 if (!writer.has_begun()) {
                     co_await writer.begin(head);
                 }
-                auto text = describe_event(event_number, m_options.version);
+                auto text = describe_event(event_number, m_options.version, m_options.padding);
                 const bool breaks_off =
                     (fault == backend_fault::cut_midway && event_number == begin_after + 2) ||
                     (fault == backend_fault::cut_first_event && event_number == begin_after + 1);
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -54,6 +54,10 @@
     /// The model engine; nothing for a plain service.
     std::optional<engine_model> engine;
     std::chrono::milliseconds work{10}; ///< how long a call to a plain service takes
+    /// Bytes that are added to each answer or, for an engine, to each event.
+    std::size_t padding = 0;
+    /// It ends an answer of which nothing is read for this time.
+    std::chrono::milliseconds unread_limit{30000};
     std::chrono::seconds keep_alive{0}; ///< announced in the header Keep-Alive of each answer; 0: none
 };
 
--- a/src/emulator/event_text.cpp
+++ b/src/emulator/event_text.cpp
@@ -10,12 +10,15 @@
 
 } // namespace
 
-std::string describe_event(std::uint64_t number, std::string_view software) {
+std::string describe_event(std::uint64_t number, std::string_view software, std::size_t padding) {
     const auto digits = std::to_string(number);
     auto text = "id: " + digits + "\ndata: token " + digits;
     if (!software.empty()) {
         text.append(author_mark).append(software);
     }
+    if (padding > 0) {
+        text += "\n: " + std::string(padding, ' '); // a comment
+    }
     return text + "\n\n";
 }
 
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -35,6 +35,8 @@
     /// The timeout for idle connections that the servers announce in the header Keep-Alive; 0: none is
     /// announced.
     std::chrono::seconds keep_alive{0};
+    std::size_t padding = 0;          ///< bytes that are added to each answer or event
+    milliseconds unread_limit{30000}; ///< a server ends an answer of which nothing is read for this time
 };
 
 /// What of a group's requests crashes the servers that begin to answer them.
@@ -52,6 +54,7 @@
     std::string key;                   ///< the API key of a workspace; empty on public routes
     unsigned max_retries = 1;          ///< how often a refused caller retries at most
     double disconnect_probability = 0; ///< probability that a caller disconnects early, between 0 and 1
+    milliseconds reads_after{0};       ///< how long the callers read nothing of their answers
     std::vector<std::string> parts;    ///< ids of the parts that their prompts share, in hexadecimal
     fatal_trait fatal = fatal_trait::none;
 };
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -23,6 +23,7 @@
 constexpr double most = 1e9;
 constexpr std::int64_t most_servers = 1000;
 constexpr std::int64_t most_tier = 7;
+constexpr std::uint64_t most_padding = 1U << 30U;
 /// A gateway listens on four consecutive ports: for callers, readiness, other gateways and metrics.
 constexpr std::uint16_t ports_of_a_gateway = 4;
 
@@ -147,6 +148,8 @@
         group.work = reader.duration("work", group.work, none, longest);
         group.speeds = read_speeds(reader);
         group.software = reader.list("software");
+        group.padding = reader.size("padding", group.padding, 0, most_padding);
+        group.unread_limit = reader.duration("unread_limit", group.unread_limit, shortest, longest);
         routing::service service;
         service.name = section.name;
         service.health_path = "/healthz";
@@ -224,6 +227,7 @@
         group.route = reader.text("route");
         group.max_retries = static_cast<unsigned>(reader.number("returns", group.max_retries, 0, 100));
         group.disconnect_probability = reader.real("gives_up", group.disconnect_probability, 0, 1);
+        group.reads_after = reader.duration("reads_after", none, none, longest);
         group.key = read_key(reader);
         group.parts = reader.list("parts");
         read_fatal_trait(reader, group);
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -76,6 +76,8 @@
     options.slots = group.slots;
     options.work = group.work;
     options.keep_alive = group.keep_alive;
+    options.padding = group.padding;
+    options.unread_limit = group.unread_limit;
     options.engine = group.engine;
     if (options.engine) {
         options.engine->speed = unit.speed;
--- a/src/experiment/load_call.cpp
+++ b/src/experiment/load_call.cpp
@@ -98,7 +98,16 @@
                                 [] {
                                 }});
     m_connection->send(m_request);
-    m_connection->read();
+    if (m_is_reading) {
+        m_connection->read();
+    }
+}
+
+void load_call::read() {
+    m_is_reading = true;
+    if (m_connection != nullptr) {
+        m_connection->read();
+    }
 }
 
 void load_call::on_input() {
--- a/src/experiment/load_call.hpp
+++ b/src/experiment/load_call.hpp
@@ -62,6 +62,9 @@
               boost::asio::ip::tcp::endpoint server, std::string request, done on_done);
 
     void start();
+    /// Reads nothing of the answer until read() is called, as a slow caller does. Called before start().
+    void hold_reading() noexcept { m_is_reading = false; }
+    void read();
     /// Closes the connection, as a caller that gives up does; `on_done` isn't called.
     void cancel();
 
@@ -85,6 +88,7 @@
     std::string m_piece;
     call_result m_result;
     bool m_is_over = false;
+    bool m_is_reading = true;
 };
 
 } // namespace borageford::experiment
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -56,6 +56,7 @@
     std::shared_ptr<load_call> call;
     timer_subscription timer;
     timer_subscription deadline;
+    timer_subscription reading; ///< begins to read, for a slow caller
     bool is_over = false;
 };
 
@@ -200,6 +201,11 @@
         sender->call->cancel();
         end(sender, sender->will_disconnect ? outcome::left : outcome::failed);
     });
+    const auto reads_after = m_plan.callers[sender->group].reads_after;
+    if (reads_after > milliseconds::zero()) {
+        sender->call->hold_reading();
+        sender->reading = m_timers.after(m_executor, reads_after, [call = sender->call] { call->read(); });
+    }
     sender->call->start();
 }
 
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -56,7 +56,7 @@
     std::string text;
     const auto last = request.received_before + request.result.events;
     for (auto number = request.received_before + 1; number <= last; ++number) {
-        text += emulator::describe_event(number, software);
+        text += emulator::describe_event(number, software, request.padding);
     }
     return text;
 }
--- a/tests/soak/sent_request.hpp
+++ b/tests/soak/sent_request.hpp
@@ -33,6 +33,7 @@
     bool is_stream = false;
     bool is_in_every_configuration = true; ///< every configuration has the request's route
     unsigned output_tokens = 0;            ///< events of the complete stream
+    std::size_t padding = 0;               ///< bytes that are added to each event
     std::vector<std::string> parts;        ///< of its prompt that other requests share
     /// Id of the request that brought the first event of the stream that this one resumes; empty: none.
     std::string resumed_request;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -26,6 +26,9 @@
 /// Share of the requests whose caller disconnects early, after 1 to 300 ms.
 constexpr double disconnect_share = 0.04;
 constexpr milliseconds max_time_to_disconnect{300};
+/// Share of the requests whose caller reads nothing of the answer for 1 to 3000 ms.
+constexpr double slow_share = 0.05;
+constexpr milliseconds max_time_unread{3000};
 /// Share of the requests that are sent by the limited workspace.
 constexpr double limited_share = 0.2;
 constexpr unsigned first_success = 200;
@@ -91,6 +94,7 @@
     bool is_probe = false;
     std::shared_ptr<experiment::load_call> call;
     timer_subscription limit;
+    timer_subscription reading;
     timer_subscription pause;
 };
 
@@ -124,6 +128,7 @@
     request.service = known->service;
     request.is_idempotent = known->is_idempotent;
     request.is_stream = known->is_stream;
+    request.padding = answer_padding;
     if (request.is_stream) {
         request.parts = {std::string(harmless_part)};
     }
@@ -207,6 +212,12 @@
                 finish(self, disconnects_early ? caller_end::disconnected : caller_end::unanswered, {});
             }
         });
+    if (!sender->is_probe && std::bernoulli_distribution(slow_share)(m_random)) {
+        const milliseconds unread(std::uniform_int_distribution<long>(1, max_time_unread.count())(m_random));
+        sender->call->hold_reading();
+        sender->reading = m_deployment.timers().after(m_deployment.executor(), unread,
+                                                      [call = sender->call] { call->read(); });
+    }
     sender->call->start();
 }
 
@@ -214,6 +225,7 @@
                           const experiment::call_result& result) {
     --m_requests_in_progress;
     sender->limit.cancel();
+    sender->reading.cancel();
     sender->call.reset();
     auto& request = sender->request;
     request.ended = clock::now();
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -96,6 +96,8 @@
     group.first_address = {asio::ip::make_address("127.0.0.1"), 0};
     group.slots = is_engine ? engine_slots : plain_slots;
     group.speeds = {1};
+    group.padding = answer_padding;
+    group.unread_limit = unread_limit;
     if (is_engine) {
         group.software = {"v1", "v2"};
         group.engine.emplace();
@@ -112,7 +114,8 @@
     text << "retry_ratio = " << retry_ratio << "\nretry_reserve = " << retry_reserve
          << "\nretry_window = " << retry_window.count()
          << "ms\nallowance_window = " << allowance_window.count()
-         << "ms\nallowance_slack = " << allowance_slack << '\n';
+         << "ms\nallowance_slack = " << allowance_slack << "\nmemory_limit = " << memory_limit
+         << "\nslow_caller_limit = 1s\n";
     return text.str();
 }
 
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -49,6 +49,11 @@
 /// Requests per second, and the burst, that the limited workspace may send.
 inline constexpr double limited_rate = 20;
 inline constexpr double limited_burst = 20;
+/// Bytes that are added to each answer and event, so that callers that read slowly let the servers wait.
+inline constexpr std::size_t answer_padding = 4096;
+/// A server ends an answer of which nothing is read for this time.
+inline constexpr milliseconds unread_limit{2500};
+inline constexpr std::string_view memory_limit = "4MiB";
 /// Values of the gateways' settings with these names, which the checks of limits use, too.
 inline constexpr double allowance_slack = 30;
 inline constexpr milliseconds allowance_window{8000};
