Queued output of a connection lies in blocks and counts whole

Bytes of the write in progress weren't counted as unsent, up to everything that was queued when it began; and bytes appended behind megabytes of unread ones moved all of them. A connection tells of each write instead of only the last one, of the bytes that the kernel holds, and whether the peer has ended it while reading is paused.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,9 @@
 
 #include <algorithm>
 #include <array>
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace borageford::net {
@@ -22,6 +25,18 @@
 /// Largest number of pieces passed to one gathered write; further pieces are queued.
 constexpr std::size_t max_gathered_pieces = 8;
 
+using gathered_buffers = std::array<asio::const_buffer, max_gathered_pieces>;
+
+/// Unused buffers are empty.
+gathered_buffers gather(std::span<const std::string_view> pieces) {
+    gathered_buffers buffers;
+    const auto count = std::min(pieces.size(), buffers.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        buffers.at(index) = asio::buffer(pieces[index].data(), pieces[index].size());
+    }
+    return buffers;
+}
+
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket)
@@ -89,6 +104,12 @@
     }
 }
 
+void connection::release_input() {
+    if (!m_is_reading) {
+        m_input.shrink(0);
+    }
+}
+
 void connection::report_end(connection_end how) {
     if (m_is_end_reported) {
         return;
@@ -99,12 +120,7 @@
 
 std::size_t connection::write_now(std::span<const std::string_view> pieces,
                                   boost::system::error_code& error) {
-    std::array<asio::const_buffer, max_gathered_pieces> buffers;
-    const auto gathered = std::min(pieces.size(), buffers.size());
-    for (std::size_t index = 0; index < gathered; ++index) {
-        buffers.at(index) = asio::buffer(pieces[index].data(), pieces[index].size());
-    }
-    const auto written = m_socket.write_some(buffers, error);
+    const auto written = m_socket.write_some(gather(pieces), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
         error = {};
     }
@@ -116,7 +132,7 @@
         return;
     }
     std::size_t written = 0;
-    if (!m_is_writing && m_output_queue.is_empty()) {
+    if (m_output.is_empty()) {
         boost::system::error_code error;
         written = write_now(pieces, error);
         m_sent_bytes += written;
@@ -130,9 +146,9 @@
     for (const auto piece : pieces) {
         const auto skipped = std::min(written, piece.size());
         written -= skipped;
-        m_output_queue.append(piece.substr(skipped));
+        m_output.append(piece.substr(skipped));
     }
-    if (!m_output_queue.is_empty()) {
+    if (!m_output.is_empty()) {
         write_queued();
     }
 }
@@ -142,12 +158,12 @@
         return;
     }
     m_is_writing = true;
-    std::swap(m_write_buffer, m_output_queue);
-    const auto bytes = m_write_buffer.readable();
+    std::array<std::string_view, max_gathered_pieces> pieces;
+    const auto count = m_output.front(pieces);
     m_socket.async_write_some(
-        asio::buffer(bytes.data(), bytes.size()),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-            self->handle_written(error, count);
+        gather(std::span(pieces).first(count)),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t written) {
+            self->handle_written(error, written);
         });
 }
 
@@ -157,27 +173,46 @@
         return;
     }
     m_sent_bytes += count;
-    m_write_buffer.consume(count);
+    m_output.consume(count);
     if (error) {
         report_end(connection_end::failed);
         return;
     }
-    if (!m_write_buffer.is_empty()) {
-        m_write_buffer.append(m_output_queue.readable());
-        m_output_queue.consume(m_output_queue.size());
-        std::swap(m_write_buffer, m_output_queue);
-    }
-    if (!m_output_queue.is_empty()) {
+    if (!m_output.is_empty()) {
         write_queued();
+    } else if (m_is_shutting_down) {
+        shut_down_when_sent();
         return;
     }
-    m_write_buffer.shrink(default_read_size);
-    m_output_queue.shrink(default_read_size);
-    if (m_is_shutting_down) {
-        shut_down_when_sent();
-    } else {
-        call(&handlers::on_drained);
+    call(&handlers::on_sent);
+}
+
+std::size_t connection::kernel_bytes() {
+    boost::system::error_code ignored;
+    const auto received = m_socket.available(ignored);
+    int unsent = 0;
+    if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &unsent) != 0) {
+        unsent = 0;
     }
+    return received + static_cast<std::size_t>(unsent);
+}
+
+bool connection::has_peer_closed() {
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    ::pollfd watched{m_socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&watched, 1, 0) > 0;
+}
+
+std::string connection::peer_name() const {
+    boost::system::error_code error;
+    const auto peer = m_socket.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+}
+
+void connection::set_acknowledgement_timeout(std::chrono::milliseconds timeout) {
+    net::set_acknowledgement_timeout(m_socket, timeout);
 }
 
 void connection::close() noexcept {
@@ -187,7 +222,7 @@
 }
 
 void connection::shut_down_when_sent() {
-    if (m_is_writing || !m_output_queue.is_empty()) {
+    if (!m_output.is_empty()) {
         return;
     }
     boost::system::error_code ignored;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -2,6 +2,7 @@
 // and queues the remaining bytes, and reports its end once.
 #pragma once
 
+#include "net/block_queue.hpp"
 #include "net/byte_buffer.hpp"
 #include "net/tcp_options.hpp"
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace borageford::net {
@@ -33,8 +35,8 @@
         std::function<void()> on_input;
         /// The connection has ended; called once. input() may still contain unread bytes.
         std::function<void(connection_end)> on_end;
-        /// All queued output has been passed to the kernel.
-        std::function<void()> on_drained;
+        /// Queued output has been passed to the kernel; unsent_bytes() tells how much is left.
+        std::function<void()> on_sent;
     };
 
     explicit connection(boost::asio::ip::tcp::socket socket);
@@ -60,18 +62,32 @@
     /// Removes `count` bytes from the front of input().
     void consume(std::size_t count);
 
+    /// Frees the memory of input() if it is empty and no read is in progress.
+    void release_input();
+
     /// Writes the pieces in order and queues the bytes that the kernel doesn't accept. Does nothing once the
     /// connection has ended; a write error is reported with on_end.
     void send(std::span<const std::string_view> pieces);
     void send(std::string_view bytes) { send(std::span(&bytes, 1)); }
 
-    /// Number of queued bytes for which no write has been started yet.
-    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return m_output_queue.size(); }
+    /// Number of queued bytes that the kernel hasn't accepted yet.
+    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return m_output.size(); }
+    /// Number of bytes that the kernel holds: received and not read yet, or sent and not acknowledged. A
+    /// system call each time.
+    [[nodiscard]] std::size_t kernel_bytes();
+    /// Whether the peer has closed its sending side or the connection was reset, which is reported only after
+    /// all bytes before it were read. Of use while reading is paused. A system call each time.
+    [[nodiscard]] bool has_peer_closed();
+    /// Sets after how long without an acknowledgement, or without room at the peer, the kernel ends the
+    /// connection; see liveness_limits.
+    void set_acknowledgement_timeout(std::chrono::milliseconds timeout);
     /// Whether the kernel has accepted any byte. While it is false, nothing has left this process.
     [[nodiscard]] bool has_sent() const noexcept { return m_sent_bytes > 0; }
     /// Number of bytes that the kernel has accepted since the connection was opened.
     [[nodiscard]] std::uint64_t sent_bytes() const noexcept { return m_sent_bytes; }
 
+    /// The peer's address, for logs; empty if the connection has ended.
+    [[nodiscard]] std::string peer_name() const;
     [[nodiscard]] bool is_open() const noexcept { return m_socket.is_open(); }
     /// When this object was created.
     [[nodiscard]] std::chrono::steady_clock::time_point opened_at() const noexcept { return m_opened_at; }
@@ -99,8 +115,7 @@
     /// Shared, so that a handler stays valid while it replaces the handlers.
     std::shared_ptr<const handlers> m_handlers;
     byte_buffer m_input;
-    byte_buffer m_output_queue; ///< queued bytes for which no write has been started
-    byte_buffer m_write_buffer; ///< the bytes of the asynchronous write in progress
+    block_queue m_output; ///< the bytes at its front are those of the asynchronous write in progress
     std::size_t m_read_size;
     std::uint64_t m_sent_bytes = 0;
     bool m_is_reading_enabled = false;
--- a/src/net/tcp_options.cpp
+++ b/src/net/tcp_options.cpp
@@ -14,6 +14,9 @@
 using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using unsent_limit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
+constexpr int max_unsent_in_kernel = 16 * 1024;
 
 } // namespace
 
@@ -26,7 +29,17 @@
     socket.set_option(keep_idle(interval), ignored);
     socket.set_option(keep_interval(interval), ignored);
     socket.set_option(keep_count(limits.probe_count), ignored);
-    socket.set_option(user_timeout(static_cast<int>(limits.acknowledgement_timeout.count())), ignored);
+    set_acknowledgement_timeout(socket, limits.acknowledgement_timeout);
+}
+
+void set_acknowledgement_timeout(asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout) {
+    boost::system::error_code ignored;
+    socket.set_option(user_timeout(static_cast<int>(timeout.count())), ignored);
+}
+
+void limit_unsent(asio::ip::tcp::acceptor& acceptor) {
+    boost::system::error_code ignored;
+    acceptor.set_option(unsent_limit(max_unsent_in_kernel), ignored); // accepted sockets inherit it
 }
 
 } // namespace borageford::net
--- a/src/net/tcp_options.hpp
+++ b/src/net/tcp_options.hpp
@@ -24,4 +24,12 @@
 /// fails at the next read or write.
 void prepare_socket(boost::asio::ip::tcp::socket& socket, const liveness_limits& limits = {});
 
+/// Changes liveness_limits::acknowledgement_timeout of a socket. The kernel also ends a connection whose peer
+/// acknowledges all bytes, but has had no room for more for this long.
+void set_acknowledgement_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout);
+
+/// Lets the kernel accept only few bytes for each connection that this acceptor will accept before their
+/// receiver has room for them, so that they are counted by this process. Fast receivers get as many as ever.
+void limit_unsent(boost::asio::ip::tcp::acceptor& acceptor);
+
 } // namespace borageford::net
