What a gateway holds for slow callers is bounded, and no server waits long for them

Up to 256 KiB were queued for each slow caller and whole answers without a bound, so that some hundred slow callers exceeded the 88 MB of a small VM. A paused answer kept its slot until the request's deadline, and the server that ended it because it remained unread counted as broken: after three of them it got a cooldown. policy/unread_memory decides now how much is held in all (a quarter of the new setting memory_limit) and for each caller (a quarter of what is free); pauses of one answer end after slow_caller_limit; the slowest and largest are cut first, never a caller that needs less than a second for what is held. A connection that ends in a pause of a second or more, or just after it, is the caller's doing: the slot is released as abandoned, nobody is marked, and a resumable stream goes on when its caller reads again. Without memory_limit, bounds are as before.

Found on the way: a ready answer was cut one second after its end when its connection was to be closed, or after the idle time when it was to be kept, although its caller still read it; callers that sent request after request without reading had no bound. Bodies had no time limit: body_time_limit (30 s), then 408.

--- a/src/diagnosis/loss_report.cpp
+++ b/src/diagnosis/loss_report.cpp
@@ -36,6 +36,7 @@
     end_row{request_end::refused_caller, "refused_caller", "r.caller"},
     end_row{request_end::failed, "failed", "failed"},
     end_row{request_end::cut, "cut", "cut"},
+    end_row{request_end::cut_slow, "cut_slow", "c.slow"},
     end_row{request_end::stream_lost, "stream_lost", "s.lost"},
     end_row{request_end::left, "left", "left"},
 };
@@ -44,6 +45,10 @@
 /// The reason of a request that resumed a stream whose software version has left.
 constexpr std::string_view software_gone = "software_gone";
 
+/// The reasons of answers that were aborted because their callers read too slowly.
+constexpr std::array<std::string_view, 2> slow_reasons{"the caller reads too slowly",
+                                                       "the server ended an answer that remained unread"};
+
 /// How a request ended that was answered completely: in time, or late and why.
 request_end classify_answer(const log_record& record) {
     const auto target = record.number("target_ms");
@@ -77,6 +82,15 @@
     return record.number("status") < first_server_error ? request_end::refused_caller : request_end::failed;
 }
 
+/// How a request ended whose answer was aborted for this reason.
+request_end classify_cut(std::string_view reason) {
+    if (reason == software_gone) {
+        return request_end::stream_lost;
+    }
+    const bool is_slow = std::ranges::find(slow_reasons, reason) != slow_reasons.end();
+    return is_slow ? request_end::cut_slow : request_end::cut;
+}
+
 } // namespace
 
 std::string_view to_string(request_end end) noexcept {
@@ -92,7 +106,7 @@
         return classify_refusal(record);
     }
     if (record.event == "request_cut") {
-        return record.text("reason") == software_gone ? request_end::stream_lost : request_end::cut;
+        return classify_cut(record.text("reason"));
     }
     if (record.event == "request_abandoned") {
         return request_end::left;
@@ -150,7 +164,8 @@
     out << "l.: late, by a wait for a slot, at the server, or by a pause between events; r.: refused, for "
            "load,\n"
            "for a limit of the workspace or of repeats, for the servers' rate limits, or for what the caller "
-           "sent\n";
+           "sent;\n"
+           "c.slow: aborted because the caller read too slowly\n";
     print_heading(out, "");
     print_row(out, "all", m_all);
     print_table(out, "route", m_routes);
--- a/src/diagnosis/loss_report.hpp
+++ b/src/diagnosis/loss_report.hpp
@@ -29,6 +29,7 @@
     refused_caller, ///< refused for an error of the caller: an unknown key, no such path, too large
     failed,         ///< answered with an error after a server may have run it, or after its deadline
     cut,            ///< its stream was aborted before the end
+    cut_slow,       ///< its answer was aborted because its caller read too slowly
     stream_lost,    ///< refused or aborted because the software version that began its stream isn't known or
                     ///< left
     left,           ///< its caller closed the connection before the answer was complete
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -183,6 +183,10 @@
     event_description{event_kind::request_abandoned, "request_abandoned", info, usual_rate,
                       "The caller closed its connection before the answer was complete.",
                       "request stage backend total_ms events"},
+    event_description{event_kind::slow_caller_cut, "slow_caller_cut", warning, failure_rate,
+                      "A caller's connection was ended since it reads its answer too slowly; `reason` tells "
+                      "which bound was reached.",
+                      "caller reason held unread_ms"},
     event_description{
         event_kind::slot_refused, "slot_refused", warning, failure_rate,
         "The coordinator refused to grant a slot to a request: the request needed more of the resource named "
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -66,6 +66,7 @@
     request_refused,
     request_cut,
     request_abandoned,
+    slow_caller_cut,
 
     // Requests, logged by the process that grants slots.
     slot_refused,
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -29,6 +29,13 @@
 /// connection while a request is being sent on it.
 constexpr milliseconds keep_alive_margin{500};
 constexpr unsigned first_final_status = 200;
+/// No server ends an answer sooner because it remains unread. If the connection ends in a shorter pause, the
+/// server may have crashed.
+constexpr milliseconds shortest_unread{1000};
+
+/// Within this time after a pause the bytes arrive that the server had sent before it ended the connection.
+constexpr milliseconds longest_unread_rest{1000};
+constexpr std::string_view unread_reason = "the server ended an answer that remained unread";
 
 milliseconds keep_alive_time(const http::response_reader& response) {
     const auto announced = http::idle_time(response.fields());
@@ -61,6 +68,11 @@
 
 void backend_call::connect() {
     m_connecting = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    if (m_request.receive_buffer > 0) {
+        boost::system::error_code ignored; // connecting reports that the socket couldn't be opened
+        m_connecting->open(m_server->record().address.protocol(), ignored);
+        m_connecting->set_option(asio::socket_base::receive_buffer_size(m_request.receive_buffer), ignored);
+    }
     m_connecting->async_connect(m_server->record().address, [self = shared_from_this(),
                                                              socket = m_connecting](
                                                                 const boost::system::error_code& error) {
@@ -136,17 +148,52 @@
 }
 
 void backend_call::pause() {
-    if (m_connection != nullptr) {
+    if (m_connection != nullptr && !m_paused_at.has_value()) {
+        m_paused_at = clock::now();
         m_connection->pause_reading();
+        m_connection->release_input();
     }
 }
 
 void backend_call::resume() {
-    if (m_connection != nullptr) {
-        m_connection->read();
+    if (m_connection == nullptr || !m_paused_at.has_value()) {
+        return;
+    }
+    const auto length = clock::now() - *m_paused_at;
+    m_earlier_pauses += length;
+    m_paused_at.reset();
+    m_kernel_bytes = 0;
+    if (length >= shortest_unread) {
+        m_long_pause_end = clock::now();
+        m_has_ended_in_pause = m_has_ended_in_pause || m_connection->has_peer_closed();
+    }
+    m_connection->read();
+}
+
+backend_call::clock::duration backend_call::paused_time() const {
+    return m_earlier_pauses + (is_paused() ? clock::now() - *m_paused_at : clock::duration::zero());
+}
+
+/// Whether the answer ended because it had remained unread. The end may arrive only after the bytes that the
+/// server's kernel still had to send.
+bool backend_call::has_ended_unread() const {
+    return m_has_ended_in_pause || clock::now() - m_long_pause_end < longest_unread_rest;
+}
+
+void backend_call::check_paused() {
+    if (!is_paused() || m_connection == nullptr) {
+        return;
+    }
+    m_kernel_bytes = m_connection->kernel_bytes();
+    if (m_connection->has_peer_closed()) {
+        resume();
     }
 }
 
+std::size_t backend_call::held_bytes() const {
+    return m_kernel_bytes + (m_connection != nullptr ? m_connection->unsent_bytes() : 0);
+}
+
 void backend_call::handle_input() {
     const auto self = shared_from_this();
     m_server->record_life();
@@ -204,11 +251,15 @@
         return;
     }
     const auto self = shared_from_this();
-    if (how == net::connection_end::failed) {
+    if (how == net::connection_end::failed && !has_ended_unread()) {
         m_server->record_connection_failure();
     }
     const bool has_sent_bytes = m_connection->sent_bytes() > m_sent_before;
     const auto failure = has_sent_bytes ? call_failure::unknown : call_failure::unreachable;
+    if (has_ended_unread() && how == net::connection_end::failed) {
+        fail(call_failure::unread, unread_reason);
+        return;
+    }
     if (how == net::connection_end::failed || !m_has_reported_head) {
         fail(failure,
              how == net::connection_end::failed ? "the connection failed" : "closed without an answer");
@@ -219,7 +270,11 @@
         m_must_close = true;
         complete();
     } catch (const http::response_error& error) {
-        fail(call_failure::unknown, error.what());
+        if (has_ended_unread()) {
+            fail(call_failure::unread, unread_reason);
+        } else {
+            fail(call_failure::unknown, error.what());
+        }
     }
 }
 
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -27,6 +27,9 @@
     /// The server was taken out of use, or asked for a pause, or the request may no longer be sent, before a
     /// byte of it was.
     withdrawn,
+    /// The server ended the connection after its answer had remained unread for a while, since reading was
+    /// paused. This says nothing about the server's health.
+    unread,
 };
 
 /// The request that a backend_call sends.
@@ -37,6 +40,8 @@
     std::string request_id_name; ///< Name of the field in which the server echoes the request id.
     bool is_head_method = false;
     bool is_retryable = false;
+    /// The size of the kernel's buffer for the answer; 0: chosen by the kernel.
+    int receive_buffer = 0;
     /// Whether the request may still be sent; asked right before its first byte.
     std::function<bool()> may_be_sent = [] {
         return true;
@@ -47,6 +52,8 @@
 /// is called, once, unless the call is cancelled.
 class backend_call : public std::enable_shared_from_this<backend_call> {
 public:
+    using clock = std::chrono::steady_clock;
+
     struct handlers {
         std::function<void()> on_head;
         std::function<void(std::string_view)> on_body;
@@ -64,6 +71,15 @@
     /// Stops reading until resume() is called. A caller that reads slowly thus slows the server down.
     void pause();
     void resume();
+    [[nodiscard]] bool is_paused() const noexcept { return m_paused_at.has_value(); }
+    /// How long reading has been paused, in all pauses together.
+    [[nodiscard]] clock::duration paused_time() const;
+    /// Goes on reading if the server has ended the connection during a pause: what it had sent before is
+    /// already held by the kernel.
+    void check_paused();
+    /// Bytes of the request that the server hasn't taken yet, and of its answer that the kernel holds while
+    /// reading is paused.
+    [[nodiscard]] std::size_t held_bytes() const;
 
     /// The server has restarted, so everything that its previous start was working on is lost. The call
     /// fails, unless its connection was opened after the last sign that the previous start had ended and thus
@@ -96,6 +112,7 @@
     void complete();
     void fail(call_failure what, std::string_view reason);
     void release_connection();
+    [[nodiscard]] bool has_ended_unread() const;
 
     boost::asio::any_io_executor m_executor;
     std::shared_ptr<backend> m_server;
@@ -115,7 +132,14 @@
     /// reused.
     bool m_must_close = false;
     bool m_is_over = false;
-    std::string m_software; ///< The registered software version when the request was sent.
+    std::optional<clock::time_point> m_paused_at; ///< since when reading is paused
+    clock::duration m_earlier_pauses{};
+    std::size_t m_kernel_bytes = 0; ///< What the kernel held of the answer at the last check_paused().
+    /// The server had ended the connection by the end of a pause in which its answer remained unread for long
+    /// enough.
+    bool m_has_ended_in_pause = false;
+    clock::time_point m_long_pause_end; ///< When the last pause ended that was long enough for that.
+    std::string m_software;             ///< The registered software version when the request was sent.
     /// The server has restarted, and the request went to either start.
     bool m_is_software_uncertain = false;
 };
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -27,6 +27,12 @@
 /// How often the idle time and the timeout for a request's head are checked.
 constexpr milliseconds time_check_period{500};
 constexpr std::size_t max_read_size = 64U * 1024;
+/// Retry-After of requests for whose bodies there is no memory. Slow callers are cut within about this time.
+constexpr milliseconds no_memory_retry_after{1000};
+/// Why the connection of a slow caller is ended, for the log and the metrics.
+constexpr std::string_view no_memory_left = "no_memory_left";
+constexpr std::string_view nothing_read = "nothing_read";
+constexpr std::string_view server_waited = "server_waited";
 
 http::request_limits reader_limits(const gateway_context& context) {
     const auto configuration = *context.configuration.read();
@@ -47,6 +53,7 @@
     : m_context(context),
       m_connection(std::make_shared<net::connection>(std::move(socket))),
       m_reader(reader_limits(context)),
+      m_account(context.unread, [this] { cut_slow(no_memory_left); }),
       m_request_begin(clock::now()),
       m_idle_since(m_request_begin) {
     m_context.sessions.insert(this);
@@ -61,7 +68,7 @@
     m_connection->set_handlers({[self] { self->handle_input(); },
                                 [self](net::connection_end how) { self->handle_end(how); },
                                 [self] {
-                                    self->handle_drained();
+                                    self->handle_sent();
                                 }});
     m_connection->read();
     start_time_checks();
@@ -76,13 +83,24 @@
 }
 
 void client_session::check_time() {
-    if (m_is_closed || m_exchange != nullptr) {
+    const auto now = clock::now();
+    check_reading(now);
+    if (m_is_closed || m_closes_when_sent || m_exchange != nullptr) {
         return;
     }
+    if (m_connection->unsent_bytes() > 0) {
+        m_idle_since = now; // the caller still reads an answer
+        if (!m_account.has_room()) {
+            return; // its next request isn't read
+        }
+    }
     const auto limits = time_limits(m_context);
-    const auto now = clock::now();
     if (m_reads_request) {
-        if (!m_reader.has_head() && now - m_request_begin > limits.header_time) {
+        if (m_reader.has_head()) {
+            if (now - m_body_begin > m_context.settings.body_time_limit) {
+                refuse(error_kind::request_timeout, "the body took too long");
+            }
+        } else if (now - m_request_begin > limits.header_time) {
             refuse(error_kind::request_timeout, "the head took too long");
         }
     } else if (now - m_idle_since > limits.idle_time) {
@@ -90,6 +108,67 @@
     }
 }
 
+/// Notices callers that don't read what is held for them, and servers that wait for such callers.
+void client_session::check_reading(clock::time_point now) {
+    if (m_is_closed || !m_context.unread.is_bounded()) {
+        return;
+    }
+    const bool is_unread = m_connection->unsent_bytes() > 0;
+    m_kernel_bytes = is_unread ? m_connection->kernel_bytes() : 0;
+    update_held();
+    if (is_unread != m_is_patient) {
+        // The kernel would end the connection of a caller that reads nothing for two seconds. The path to one
+        // whose bytes have all left the process must be known to work, since a server works for it.
+        m_is_patient = is_unread;
+        m_connection->set_acknowledgement_timeout(is_unread ? m_context.settings.unread_limit
+                                                            : net::liveness_limits{}.acknowledgement_timeout);
+    }
+    const auto exchange = m_exchange;
+    if (m_account.unread_for(now) > m_context.unread.limits().unread) {
+        cut_slow(nothing_read);
+    } else if (exchange != nullptr && exchange->check_reading()) {
+        cut_slow(server_waited);
+    }
+}
+
+std::size_t client_session::count_request_bytes() {
+    return m_reads_request && m_reader.has_head() ? m_reader.message().body.size() : 0;
+}
+
+bool client_session::keeps_server_waiting() const noexcept {
+    return m_exchange != nullptr && m_exchange->keeps_server_waiting();
+}
+
+void client_session::update_held() {
+    const auto held_by_exchange = m_exchange != nullptr ? m_exchange->held_bytes() : 0;
+    const policy::unread_account::held_bytes held{m_connection->unsent_bytes() + m_kernel_bytes,
+                                                  count_request_bytes() + m_connection->input().size() +
+                                                      held_by_exchange};
+    if (held.unread > 0 || held != m_account.held()) {
+        m_account.update(held, m_connection->sent_bytes(), clock::now());
+    }
+}
+
+void client_session::cut_slow(std::string_view reason) {
+    if (m_is_closed) {
+        return;
+    }
+    using std::chrono::duration_cast;
+    const auto self = shared_from_this();
+    m_context.metrics.count_slow_caller_cut(reason);
+    events::write(events::event_kind::slow_caller_cut,
+                  {{"caller", m_connection->peer_name()},
+                   {"reason", reason},
+                   {"held", std::uint64_t(m_account.held().sum())},
+                   {"unread_ms",
+                    std::int64_t(duration_cast<milliseconds>(m_account.unread_for(clock::now())).count())}});
+    if (const auto exchange = m_exchange) {
+        exchange->abort_slow();
+    } else {
+        close();
+    }
+}
+
 void client_session::handle_input() {
     if (m_exchange != nullptr) {
         if (m_connection->input().size() > max_pending_input_bytes) {
@@ -101,11 +180,20 @@
 }
 
 void client_session::read_requests() {
+    if (m_closes_when_sent) {
+        m_connection->consume(m_connection->input().size());
+        return;
+    }
+    if (!m_account.has_room()) {
+        m_connection->pause_reading(); // until it has read its former answers
+        return;
+    }
     while (m_exchange == nullptr && !m_is_closed && !m_connection->input().empty()) {
         if (!m_reads_request) {
             m_reads_request = true;
             m_request_begin = clock::now();
             m_has_continued = false;
+            m_has_body_begun = false;
             m_reader = http::request_reader(reader_limits(m_context));
         }
         std::size_t used = 0;
@@ -123,12 +211,27 @@
         }
     }
     if (m_reads_request && m_reader.has_head() && !m_reader.is_complete()) {
-        m_connection->set_read_size(
-            std::min(max_read_size, std::max<std::size_t>(4096, m_reader.missing_bytes())));
-        if (!m_has_continued && m_reader.expects_continue()) {
-            m_has_continued = true;
-            m_connection->send("HTTP/1.1 100 Continue\r\n\r\n");
-        }
+        check_body();
+    }
+}
+
+/// A body of which further bytes must arrive: it is refused while there is no memory for it, since what has
+/// arrived of many bodies would otherwise leave too little for any of them to be completed.
+void client_session::check_body() {
+    if (!m_has_body_begun) {
+        m_has_body_begun = true;
+        m_body_begin = clock::now();
+    }
+    update_held();
+    if (!m_context.unread.has_room_for_requests()) {
+        refuse(error_kind::overloaded, "no memory for its body", no_memory_retry_after);
+        return;
+    }
+    m_connection->set_read_size(
+        std::min(max_read_size, std::max<std::size_t>(4096, m_reader.missing_bytes())));
+    if (!m_has_continued && m_reader.expects_continue()) {
+        m_has_continued = true;
+        m_connection->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
 }
 
@@ -147,10 +250,17 @@
     close();
 }
 
-void client_session::handle_drained() {
+void client_session::handle_sent() {
+    m_kernel_bytes = 0;
+    update_held();
     if (m_exchange != nullptr) {
         const auto exchange = m_exchange;
-        exchange->handle_drained();
+        exchange->handle_sent();
+    } else if (m_closes_when_sent && !m_is_closed) {
+        close_when_sent();
+    } else if (!m_is_closed && m_account.may_resume()) {
+        m_connection->read();
+        read_requests();
     }
 }
 
@@ -200,6 +310,7 @@
     const std::string_view digits(size.data(), static_cast<std::size_t>(end - size.data()));
     const std::array<std::string_view, 4> pieces{digits, "\r\n", bytes, "\r\n"};
     m_connection->send(pieces);
+    update_held();
 }
 
 void client_session::finish_stream() {
@@ -212,10 +323,9 @@
 void client_session::end_answer() {
     m_exchange.reset();
     m_idle_since = clock::now();
+    update_held();
     if (!m_keeps_connection) {
-        m_is_closed = true;
-        m_timer.cancel();
-        m_connection->close_gracefully(linger_time);
+        close_when_sent();
         return;
     }
     m_connection->read();
@@ -257,12 +367,22 @@
 
 void client_session::close_if_idle() {
     if (is_idle() && !m_is_closed) {
-        m_is_closed = true;
-        m_timer.cancel();
-        m_connection->close_gracefully(linger_time);
+        close_when_sent();
     }
 }
 
+/// Closes the connection once the caller has read its answer, however slowly it does. Until then the session
+/// exists, so that a process that stops waits for it.
+void client_session::close_when_sent() {
+    m_closes_when_sent = true;
+    if (m_connection->unsent_bytes() > 0) {
+        return;
+    }
+    m_is_closed = true;
+    m_timer.cancel();
+    m_connection->close_gracefully(linger_time);
+}
+
 void client_session::close() {
     if (m_is_closed) {
         return;
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -5,6 +5,7 @@
 #include "gateway/gateway_context.hpp"
 #include "http/request_reader.hpp"
 #include "net/connection.hpp"
+#include "policy/unread_memory.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -25,6 +26,8 @@
 /// connection's input.
 class client_session : public std::enable_shared_from_this<client_session> {
 public:
+    using clock = std::chrono::steady_clock;
+
     client_session(gateway_context& context, boost::asio::ip::tcp::socket socket);
     ~client_session();
     client_session(const client_session&) = delete;
@@ -49,19 +52,26 @@
     /// received for the complete answer.
     void abort_answer();
 
-    /// Bytes that have been sent to this session and not yet written to the connection.
-    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return m_connection->unsent_bytes(); }
+    /// What is held for this caller. Up to date after each call of update_held() and of the functions above.
+    [[nodiscard]] const policy::unread_account& account() const noexcept { return m_account; }
+    /// Whether a server's answer is paused until the caller has read what is held for it.
+    [[nodiscard]] bool keeps_server_waiting() const noexcept;
+    /// The exchange holds more or less than before.
+    void update_held();
+    /// The caller reads too slowly: closes the connection, whether or not an answer is complete.
+    void cut_slow(std::string_view reason);
 
     /// Closes the connection if no request is being read or answered. Called while the process shuts down.
     void close_if_idle();
     [[nodiscard]] bool is_idle() const noexcept;
 
 private:
-    using clock = std::chrono::steady_clock;
-
     void handle_input();
     void handle_end(net::connection_end how);
-    void handle_drained();
+    void handle_sent();
+    void check_body();
+    void check_reading(clock::time_point now);
+    [[nodiscard]] std::size_t count_request_bytes();
     void read_requests();
     void begin_exchange();
     void refuse(error_kind kind, std::string_view detail,
@@ -71,18 +81,25 @@
                    std::string_view framing);
     void start_time_checks();
     void check_time();
+    void close_when_sent();
     void close();
 
     gateway_context& m_context;
     std::shared_ptr<net::connection> m_connection;
     http::request_reader m_reader;
     std::shared_ptr<request_exchange> m_exchange;
+    policy::unread_account m_account;
+    std::size_t m_kernel_bytes = 0; ///< Bytes that the kernel holds for a slow caller, when last asked.
+    bool m_is_patient = false;      ///< Whether the connection has the longer timeout of slow callers.
     timer_subscription m_timer;
     clock::time_point m_request_begin; ///< When the first byte of the current request arrived.
+    clock::time_point m_body_begin;    ///< When its header was complete; valid while its body arrives.
     clock::time_point m_idle_since;
     bool m_reads_request = false; ///< Whether the first byte of a request has arrived and its last has not.
     bool m_keeps_connection = true;
     bool m_has_continued = false;
+    bool m_has_body_begun = false;
+    bool m_closes_when_sent = false;
     bool m_is_closed = false;
 };
 
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "base/timer_service.hpp"
 #include "coordination/slot_broker.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "policy/unread_memory.hpp"
 #include "routing/header_names.hpp"
 #include "routing/routing_table.hpp"
 
@@ -51,6 +52,7 @@
     rate_limit_reader& rate_limits;
     answer_reader& answers;
     crash_watch& crashes;
+    policy::unread_memory& unread;
     /// Called when a slot was granted at a server that is unknown here.
     std::function<void()> on_unknown_server{};
     std::set<client_session*> sessions{}; ///< All open connections of callers.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -67,6 +67,21 @@
         .add();
 }
 
+void gateway_metrics::count_slow_caller_cut(std::string_view reason) {
+    m_registry
+        .get_counter("borageford_gateway_slow_callers_cut_total",
+                     "Connections ended since their callers read too slowly.",
+                     {{"reason", std::string(reason)}})
+        .add();
+}
+
+void gateway_metrics::count_paused_call() {
+    m_registry
+        .get_counter("borageford_gateway_paused_calls_total",
+                     "Pauses in answers of servers, which wait for their callers to read.")
+        .add();
+}
+
 void gateway_metrics::count_attempt(const admitted_request& request, policy::slot_outcome outcome) {
     m_registry
         .get_counter("borageford_gateway_tries_total",
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -29,6 +29,10 @@
     void count_resumed(const admitted_request& request, std::string_view known_by);
     /// Counts a caller that disconnected before the end of its answer.
     void count_abandoned(const admitted_request& request);
+    /// Counts a connection that was ended since its caller reads too slowly.
+    void count_slow_caller_cut(std::string_view reason);
+    /// Counts a pause in the answer of a backend server, which waits for its caller to read.
+    void count_paused_call();
     /// Counts one attempt at a backend server by its outcome.
     void count_attempt(const admitted_request& request, policy::slot_outcome outcome);
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -26,6 +26,8 @@
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
 #include "net/listening.hpp"
+#include "net/tcp_options.hpp"
+#include "policy/unread_memory.hpp"
 #include "process/runtime.hpp"
 #include "store/table.hpp"
 
@@ -59,6 +61,8 @@
 /// How long log lines are buffered, so that many are written with one system call.
 constexpr milliseconds log_flush_period{50};
 
+constexpr milliseconds unread_check_period{250};
+
 /// Draws a number in [0, 1).
 double draw_fraction() {
     std::random_device source;
@@ -82,9 +86,9 @@
           m_crash_watch(m_runtime.executor(), m_runtime.timers(), m_slots),
           m_crash_reporter(m_backends, m_registry),
           m_retry_use(m_configuration, m_registry),
-          m_context{m_runtime.executor(), m_runtime.timers(), m_settings,   current_deployment.fields,
-                    m_configuration,      m_backends,         m_slots,      m_metrics,
-                    m_rate_limits,        m_answers,          m_crash_watch},
+          m_context{m_runtime.executor(), m_runtime.timers(), m_settings,    current_deployment.fields,
+                    m_configuration,      m_backends,         m_slots,       m_metrics,
+                    m_rate_limits,        m_answers,          m_crash_watch, m_unread},
           m_configuration_manager(current_deployment, m_configuration, m_slots),
           m_rollouts(m_backends, m_slots),
           m_rollout_recorder(
@@ -152,6 +156,7 @@
         }
         m_slots.start();
         listen();
+        bound_unread();
         m_readiness.listen(m_settings.readiness_listen);
         m_metrics_server.listen(m_settings.metrics_listen);
         events::write(events::event_kind::started, {{"settings", m_settings_file}});
@@ -187,10 +192,37 @@
         m_registry.add_gauge("borageford_gateway_store_era",
                              "Rises by one each time the store comes back from an older copy; 0: not told.",
                              {}, [this] { return static_cast<double>(m_roster.position().era); });
+        add_unread_gauges();
         add_store_gauges(m_deployment.configuration_table, m_configuration_follower);
         add_store_gauges(m_deployment.backend_table, m_backend_follower);
     }
 
+    /// Begins to end the connections of slow callers when more is held for them than may be.
+    void bound_unread() {
+        if (m_unread.is_bounded()) {
+            net::limit_unsent(m_acceptor);
+            m_unread_timer = m_runtime.timers().every(m_runtime.executor(), unread_check_period, [this] {
+                m_unread.relieve(std::chrono::steady_clock::now());
+            });
+        }
+    }
+
+    void add_unread_gauges() {
+        m_registry.add_gauge("borageford_gateway_held_bytes",
+                             "Bytes of requests and answers that are held for callers and servers.", {},
+                             [this] { return static_cast<double>(m_unread.held()); });
+        m_registry.add_gauge(
+            "borageford_gateway_slow_callers", "Callers that need over a second for what is held for them.",
+            {},
+            [this] { return static_cast<double>(m_unread.count_slow(std::chrono::steady_clock::now())); });
+        m_registry.add_gauge("borageford_gateway_paused_calls",
+                             "Answers of servers that aren't read for now, since their callers read slowly.",
+                             {}, [this] {
+                                 return static_cast<double>(std::ranges::count_if(
+                                     m_context.sessions, &client_session::keeps_server_waiting));
+                             });
+    }
+
     void add_store_gauges(const std::string& table, const store_follower& follower) {
         using seconds = std::chrono::duration<double>;
         m_registry.add_gauge("borageford_gateway_store_answer_age_seconds",
@@ -453,6 +485,7 @@
     crash_watch m_crash_watch;
     crash_reporter m_crash_reporter;
     retry_use_monitor m_retry_use;
+    policy::unread_memory m_unread{m_settings.unread_limits()};
     gateway_context m_context;
     configuration_manager m_configuration_manager;
     rollout_manager m_rollouts;
@@ -467,6 +500,7 @@
     http::server m_readiness;
     metrics_endpoint m_metrics_server;
     timer_subscription m_flush_timer;
+    timer_subscription m_unread_timer;
     policy::poll_role_choice m_poll_role_choice{static_cast<double>(m_settings.store_followers),
                                                 draw_fraction()};
 };
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -14,6 +14,10 @@
 constexpr milliseconds shortest{1};
 constexpr milliseconds longest{3'600'000};
 constexpr double most_units = 1e12;
+constexpr std::uint64_t most_memory = 64ULL << 30U;
+/// The part of this process's memory that may be held for callers that don't read at once: what is left
+/// beside the connections themselves, the tables of servers and the messages of other gateways.
+constexpr std::uint64_t parts_of_memory_for_callers = 4;
 
 void read_seeds(settings::section_reader& reader, gateway_settings& result) {
     for (const auto& text : reader.list("seeds")) {
@@ -51,6 +55,14 @@
     result.drain_limit = reader.duration("drain_limit", result.drain_limit, shortest, longest);
 }
 
+void read_caller_bounds(settings::section_reader& reader, gateway_settings& result) {
+    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, most_memory);
+    result.slow_caller_limit =
+        reader.duration("slow_caller_limit", result.slow_caller_limit, shortest, longest);
+    result.unread_limit = reader.duration("unread_limit", result.unread_limit, shortest, longest);
+    result.body_time_limit = reader.duration("body_time_limit", result.body_time_limit, shortest, longest);
+}
+
 void read_slots(settings::section_reader& reader, policy::slot_scheduler_limits& slots) {
     slots.outstanding_per_slot = reader.real("outstanding_per_slot", slots.outstanding_per_slot, 0.1, 100);
     slots.max_lowest_tier_on_small_server = static_cast<unsigned>(
@@ -66,6 +78,11 @@
 
 } // namespace
 
+policy::unread_limits gateway_settings::unread_limits() const noexcept {
+    return {static_cast<std::size_t>(memory_limit / parts_of_memory_for_callers), slow_caller_limit,
+            unread_limit};
+}
+
 gateway_settings read_gateway_settings(const settings::ini_document& document,
                                        std::vector<settings::problem>& problems) {
     gateway_settings result;
@@ -93,6 +110,7 @@
     result.store_followers =
         static_cast<unsigned>(reader.number("store_followers", result.store_followers, 0, 1'000'000));
     read_bounds(reader, result);
+    read_caller_bounds(reader, result);
     result.backend_heartbeat =
         reader.duration("backend_heartbeat", result.backend_heartbeat, shortest, longest);
     read_slots(reader, result.slots);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/slot_scheduler.hpp"
+#include "policy/unread_memory.hpp"
 #include "process/common_settings.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -61,6 +62,18 @@
     /// third of all gateways still answers some of them.
     unsigned store_followers = 12;
 
+    /// The memory that this process may use, in bytes; 0: unknown, so that what is held for callers is
+    /// bounded for each of them only.
+    std::uint64_t memory_limit = 0;
+    /// How long a server's answer may pause in all since its caller reads slowly.
+    milliseconds slow_caller_limit{2000};
+    /// How long bytes may be held of which the caller reads none.
+    milliseconds unread_limit{20000};
+    /// From the end of a request's header to the end of its body.
+    milliseconds body_time_limit{30000};
+    /// The bounds of what is held for callers, as these settings give them.
+    [[nodiscard]] policy::unread_limits unread_limits() const noexcept;
+
     // Limits that all gateways enforce together.
     double retry_ratio = 0.1;  ///< Retries on another server, as a share of a service's requests.
     double retry_reserve = 10; ///< Retries allowed in addition to that share in one window.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -7,6 +7,7 @@
 #include "gateway/answer_reader.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/gateway_metrics.hpp"
 #include "gateway/http_heads.hpp"
 #include "gateway/rate_limit_reader.hpp"
 #include "http/message.hpp"
@@ -21,12 +22,14 @@
 /// Subtracted from a request's remaining time when deciding on a retry, so that the answer still reaches the
 /// caller before its deadline.
 constexpr milliseconds answer_margin{30};
-/// Above this number of unsent bytes, reading from the backend server pauses. A caller that reads slowly then
-/// slows its server down instead of filling this process's memory.
-constexpr std::size_t max_unsent_bytes = 256U * 1024;
 /// Retry-After of requests refused because this process is shutting down. It is short because another gateway
 /// can accept the request at once.
 constexpr milliseconds shutdown_retry_after{100};
+/// For answers where memory is bounded, since what the kernel has received counts as well. The servers are
+/// near: at a round trip of a few milliseconds, some megabytes a second still arrive.
+constexpr int small_receive_buffer = 32 * 1024;
+/// The reason in the log of an answer that was aborted since its caller read it too slowly.
+constexpr std::string_view slow_caller_reason = "the caller reads too slowly";
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
@@ -348,6 +351,7 @@
     request.request_id_name = m_context.fields.request_id;
     request.is_head_method = m_request.method == "HEAD";
     request.is_retryable = m_admitted.route->may_repeat();
+    request.receive_buffer = m_context.unread.is_bounded() ? small_receive_buffer : 0;
     request.may_be_sent = [this] {
         return !m_quarantine.holds(m_admitted);
     };
@@ -374,13 +378,44 @@
     m_forwards_events =
         m_admitted.route->kind == routing::route_kind::stream && is_success(response.status());
     m_answer.clear();
+    m_passes_on = false;
 }
 
 void request_exchange::handle_body(std::string_view bytes) {
     if (m_forwards_events) {
         handle_events(bytes);
     } else {
-        m_answer.append(bytes);
+        collect(bytes);
+    }
+}
+
+/// Collects an answer, so that it can be replaced by another server's. One that is larger than there is
+/// memory for is forwarded as it arrives.
+void request_exchange::collect(std::string_view bytes) {
+    if (m_passes_on) {
+        send_to_caller(bytes);
+        return;
+    }
+    m_answer.append(bytes);
+    if (!m_context.unread.is_bounded()) {
+        return;
+    }
+    m_session->update_held();
+    if (m_has_begun_stream || m_session->account().has_room_to_collect()) {
+        return;
+    }
+    m_passes_on = true;
+    begin_stream();
+    const auto collected = std::exchange(m_answer, {});
+    send_to_caller(collected);
+}
+
+/// Pauses the server's answer when the caller has read too little of it.
+void request_exchange::send_to_caller(std::string_view bytes) {
+    m_session->send_chunk(bytes);
+    if (!m_session->account().has_room() && m_call != nullptr && !m_call->is_paused()) {
+        m_call->pause();
+        m_context.metrics.count_paused_call();
     }
 }
 
@@ -409,10 +444,7 @@
         record_answer();
     }
     begin_stream();
-    m_session->send_chunk(complete_events);
-    if (m_session->unsent_bytes() > max_unsent_bytes) {
-        m_call->pause();
-    }
+    send_to_caller(complete_events);
 }
 
 /// Notes which software version the stream begins or goes on at.
@@ -456,13 +488,77 @@
     m_session->begin_stream(response.status(), response.reason(), compose_passed_fields(response.fields()));
 }
 
-void request_exchange::handle_drained() {
+void request_exchange::handle_sent() {
+    if (!m_session->account().may_resume()) {
+        return;
+    }
     if (m_call != nullptr) {
         m_call->resume();
+    } else if (m_unread_reason.has_value()) {
+        continue_unread();
+    }
+}
+
+bool request_exchange::check_reading() {
+    if (m_call == nullptr) {
+        return false;
+    }
+    m_call->check_paused();
+    return keeps_server_waiting() && m_call->paused_time() > m_context.unread.limits().pause;
+}
+
+void request_exchange::abort_slow() {
+    if (!m_has_begun_stream) {
+        m_session->abort_answer(); // what the caller doesn't read belongs to an earlier answer
+        return;
+    }
+    if (m_call != nullptr) {
+        m_call->cancel();
+        m_call.reset(); // keeps cancel() from taking the end for a sign of the server
+        m_attempts.record(m_slot, policy::attempt_outcome::may_have_run);
+    }
+    end_without_answer(error_kind::outcome_unknown, slow_caller_reason);
+}
+
+std::size_t request_exchange::held_bytes() const {
+    return m_request.body.size() + m_answer.size() + (m_call != nullptr ? m_call->held_bytes() : 0);
+}
+
+/// The server has ended an answer that the caller didn't read. Another server would have to wait for the
+/// caller as well, so a stream goes on only when the caller reads again.
+void request_exchange::handle_unread(std::string_view reason) {
+    m_attempts.avoid(m_slot);
+    m_unread_reason = reason;
+    if (m_session->account().may_resume()) {
+        continue_unread();
+        return;
     }
+    m_software.handle_break(*m_call);
+    release_slot(policy::slot_outcome::abandoned);
+    m_call.reset();
+}
+
+void request_exchange::continue_unread() {
+    const auto reason = *std::exchange(m_unread_reason, std::nullopt);
+    fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::abandoned, reason);
+}
+
+/// The last bytes of an answer that was forwarded as it arrived.
+void request_exchange::handle_complete_passed_on() {
+    const auto status = m_call->response().status();
+    record_answer();
+    release_slot(status >= first_server_error ? policy::slot_outcome::failed : policy::slot_outcome::served);
+    m_to_first = clock::now() - m_admitted.arrived;
+    m_journal.answered(m_admitted, m_server_id, status, m_attempts.attempt_count() + 1, answer_times());
+    m_session->finish_stream();
+    end();
 }
 
 void request_exchange::handle_complete() {
+    if (m_passes_on) {
+        handle_complete_passed_on();
+        return;
+    }
     if (!m_forwards_events) {
         handle_complete_answer();
         return;
@@ -523,7 +619,9 @@
 }
 
 void request_exchange::handle_failure(call_failure what, std::string_view reason) {
-    if (what == call_failure::withdrawn) {
+    if (what == call_failure::unread) {
+        handle_unread(reason);
+    } else if (what == call_failure::withdrawn) {
         return_slot(reason);
     } else if (what == call_failure::unreachable || what == call_failure::refused) {
         if (what == call_failure::refused) {
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -49,9 +49,19 @@
     /// request as abandoned.
     void cancel();
 
-    /// Called when all bytes sent to the caller have left the process; resumes reading from the backend
-    /// server.
-    void handle_drained();
+    /// Called when bytes sent to the caller have left the process; goes on reading from the backend server
+    /// once there is room.
+    void handle_sent();
+    /// Called now and then. Returns whether the backend server has waited for too long for the caller to
+    /// read.
+    [[nodiscard]] bool check_reading();
+    [[nodiscard]] bool keeps_server_waiting() const noexcept {
+        return m_call != nullptr && m_call->is_paused();
+    }
+    /// Aborts the answer to a caller that reads too slowly. This says nothing about the backend server.
+    void abort_slow();
+    /// Bytes of the request and its answer that are held and not yet sent to the session.
+    [[nodiscard]] std::size_t held_bytes() const;
 
 private:
     void begin();
@@ -78,8 +88,13 @@
     void handle_body(std::string_view bytes);
     void handle_events(std::string_view bytes);
     void handle_first_event();
+    void collect(std::string_view bytes);
+    void send_to_caller(std::string_view bytes);
+    void handle_unread(std::string_view reason);
+    void continue_unread();
     void handle_complete();
     void handle_complete_answer();
+    void handle_complete_passed_on();
     void handle_failure(call_failure what, std::string_view reason);
     void fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot, std::string_view reason);
     void continue_after(policy::slot_outcome slot, std::string_view reason, clock::duration busy);
@@ -134,6 +149,11 @@
     /// Whether the current response is a successful stream, forwarded event by event.
     bool m_forwards_events = false;
     std::string m_answer; ///< Body of a response that is forwarded as a whole.
+    /// Whether the current response is larger than there is memory for, so that it is forwarded as it
+    /// arrives.
+    bool m_passes_on = false;
+    /// A stream broke off unread and goes on elsewhere once its caller reads again; why it broke off.
+    std::optional<std::string> m_unread_reason;
     event_relay m_events;
     stream_software m_software;
     /// How the software version that began the stream is known; nothing if the request doesn't resume one.
--- a/tests/unit/test_diagnosis_losses.cpp
+++ b/tests/unit/test_diagnosis_losses.cpp
@@ -51,6 +51,11 @@
     CHECK(classify(record_of("request_refused", refusal("stream_unknown", 503))) == request_end::stream_lost);
     CHECK(classify(record_of("request_cut", R"("request":"r","reason":"software_gone")")) ==
           request_end::stream_lost);
+    CHECK(classify(record_of("request_cut", R"("reason":"the caller reads too slowly")")) ==
+          request_end::cut_slow);
+    CHECK(
+        classify(record_of("request_cut", R"("reason":"the server ended an answer that remained unread")")) ==
+        request_end::cut_slow);
     CHECK(classify(record_of("request_abandoned", R"("request":"r")")) == request_end::left);
     CHECK_FALSE(classify(record_of("request_placed", R"("request":"r")")).has_value());
     CHECK_FALSE(classify(record_of("backend_gone", R"("backend":"b")")).has_value());
