Servers that lose many of their requests are second choice

A server that loses 40% of its requests seldom fails three in a row, so it had no cooldown and was granted as many requests as every other one.

Counts of served and lost requests that fade within seconds (failure_rate) tell such servers. Whoever grants slots prefers the others, and leaves half of their slots to requests that may not be repeated; the lowest tier and repeatable requests get them last, and the latter only while less than half of the retry budget is used. Nobody is kept waiting for it. Events backend_failing and backend_sound.

test_gateway_policy: failure_share() became failures().share(now); the check is the same.

--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -45,7 +45,8 @@
             static_cast<std::uint8_t>(from.tier),
             static_cast<std::uint8_t>(from.sends),
             from.is_charged,
-            from.is_counted};
+            from.is_counted,
+            from.may_repeat};
 }
 
 policy::slot_request from_wire(const wire::ask& from, policy::time_point now) {
@@ -64,6 +65,7 @@
     result.sends = from.sends();
     result.is_charged = from.is_charged();
     result.is_counted = from.is_counted();
+    result.may_repeat = from.may_repeat();
     return result;
 }
 
--- a/src/coordination/messages_generated.h
+++ b/src/coordination/messages_generated.h
@@ -72,7 +72,8 @@
   uint8_t sends_;
   uint8_t is_charged_;
   uint8_t is_counted_;
-  int32_t padding0__;
+  uint8_t may_repeat_;
+  int8_t padding0__;  int16_t padding1__;
 
  public:
   struct Traits;
@@ -93,10 +94,13 @@
         sends_(0),
         is_charged_(0),
         is_counted_(0),
-        padding0__(0) {
+        may_repeat_(0),
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
-  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint64_t _fingerprint, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged, bool _is_counted)
+  ask(uint64_t _ticket, uint64_t _service, uint64_t _workspace, uint64_t _first_avoided, uint64_t _second_avoided, uint64_t _fingerprint, uint32_t _units, uint32_t _prompt_tokens, uint32_t _output_tokens, uint32_t _age_ms, uint32_t _left_ms, uint32_t _target_ms, uint8_t _tier, uint8_t _sends, bool _is_charged, bool _is_counted, bool _may_repeat)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         workspace_(flatbuffers::EndianScalar(_workspace)),
@@ -113,8 +117,11 @@
         sends_(flatbuffers::EndianScalar(_sends)),
         is_charged_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_charged))),
         is_counted_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_counted))),
-        padding0__(0) {
+        may_repeat_(flatbuffers::EndianScalar(static_cast<uint8_t>(_may_repeat))),
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -164,6 +171,9 @@
   bool is_counted() const {
     return flatbuffers::EndianScalar(is_counted_) != 0;
   }
+  bool may_repeat() const {
+    return flatbuffers::EndianScalar(may_repeat_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(ask, 80);
 
--- a/src/coordination/slot_coordinator.cpp
+++ b/src/coordination/slot_coordinator.cpp
@@ -112,6 +112,7 @@
                                   false,  request.service,   is_retry};
     auto known = request;
     known.member = member;
+    known.may_repeat = request.may_repeat && m_retry_budget.is_ample(request.service, now);
     known.previous_refusals = m_refusal_history.refusals(request.fingerprint, now);
     m_scheduler.add(known, now);
 }
--- a/src/diagnosis/request_timeline.cpp
+++ b/src/diagnosis/request_timeline.cpp
@@ -80,8 +80,8 @@
         return {"store " + record.text("table"), event == "store_regained"};
     }
     if (event.starts_with("backend_")) {
-        const bool is_normal =
-            event == "backend_ready" || event == "backend_recovered" || event == "backend_gone";
+        const bool is_normal = event == "backend_ready" || event == "backend_recovered" ||
+                               event == "backend_sound" || event == "backend_gone";
         return {"backend " + record.text("backend"), is_normal};
     }
     if (event == "stop_requested" || event == "started" || event == "stopped") {
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -111,6 +111,13 @@
                       "backend rest_ms failures failure_share"},
     event_description{event_kind::backend_recovered, "backend_recovered", info, state_rate,
                       "A backend server served a request again after its cooldown.", "backend"},
+    event_description{event_kind::backend_failing, "backend_failing", warning, state_rate,
+                      "A backend server loses many of its requests: with `avoid_failing_servers`, other "
+                      "servers are preferred.",
+                      "backend failure_share"},
+    event_description{event_kind::backend_sound, "backend_sound", info, state_rate,
+                      "A backend server that was failing serves nearly all of its requests again.",
+                      "backend"},
     event_description{event_kind::backend_limit_named, "backend_limit_named", info, state_rate,
                       "A backend server named a rate limit, in requests per second from all gateways, or "
                       "another one than before; `former` is 0 if it had none.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -46,6 +46,8 @@
     backend_unreadable,
     backend_resting,
     backend_recovered,
+    backend_failing,
+    backend_sound,
     backend_limit_named,
     backend_limit_ended,
     backend_limit_unreadable,
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -340,16 +340,30 @@
     void report_health(const policy::slot_scheduler::health_change& change) {
         const auto server = m_backends.find(change.server);
         const auto id = server != nullptr ? server->record().id : std::string("unknown");
-        if (!change.is_cooling_down) {
+        using kind = policy::server_health::change;
+        switch (change.what) {
+        case kind::none:
+            break;
+        case kind::recovered:
             events::write(events::event_kind::backend_recovered, {{"backend", id}});
-            return;
+            break;
+        case kind::failing_began:
+            events::write(events::event_kind::backend_failing,
+                          {{"backend", id}, {"failure_share", change.failure_share}});
+            break;
+        case kind::failing_ended:
+            events::write(events::event_kind::backend_sound, {{"backend", id}});
+            break;
+        case kind::cooldown_started: {
+            const auto cooldown = std::chrono::duration_cast<milliseconds>(change.cooldown);
+            events::write(events::event_kind::backend_resting,
+                          {{"backend", id},
+                           {"rest_ms", std::int64_t(cooldown.count())},
+                           {"failures", std::uint64_t(change.failures_in_row)},
+                           {"failure_share", change.failure_share}});
+            break;
+        }
         }
-        const auto cooldown = std::chrono::duration_cast<milliseconds>(change.cooldown);
-        events::write(events::event_kind::backend_resting,
-                      {{"backend", id},
-                       {"rest_ms", std::int64_t(cooldown.count())},
-                       {"failures", std::uint64_t(change.failures_in_row)},
-                       {"failure_share", change.failure_share}});
     }
 
     void apply_operator_row(const store::row_change& change) {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -62,6 +62,7 @@
     slots.max_expected_wait_in_targets =
         reader.real("hopeless_wait", slots.max_expected_wait_in_targets, 0.1, 100);
     slots.max_wait_in_targets = reader.real("patience", slots.max_wait_in_targets, 0.1, 100);
+    slots.avoids_failing_servers = reader.flag("avoid_failing_servers", slots.avoids_failing_servers);
 }
 
 } // namespace
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -180,6 +180,7 @@
     wanted.is_charged = m_is_charged;
     wanted.sends = m_attempts.delivered_attempts();
     wanted.is_counted = m_has_asked;
+    wanted.may_repeat = m_attempts.may_repeat_next();
     wanted.software = m_software.required();
     wanted.probed_part = m_quarantine.probed_part();
     wanted.avoided = m_attempts.avoided();
--- a/src/policy/attempt_rule.hpp
+++ b/src/policy/attempt_rule.hpp
@@ -47,6 +47,10 @@
         return m_possible_runs == 0 || (m_is_repeatable && m_possible_runs < m_allowed_runs);
     }
 
+    /// Whether a further attempt is allowed even if the next server may have run the request.
+    [[nodiscard]] bool may_repeat_next() const noexcept {
+        return m_is_repeatable && m_possible_runs + 1 < m_allowed_runs;
+    }
     /// Whether some server may have run the request.
     [[nodiscard]] bool may_have_run() const noexcept { return m_possible_runs > 0; }
     /// Attempts in which the request reached a server. Each one after the first counts against the retry
--- a/src/policy/server_health.cpp
+++ b/src/policy/server_health.cpp
@@ -22,9 +22,6 @@
 constexpr unsigned tolerated_when_unreachable = 1;
 constexpr milliseconds first_cooldown{150}; ///< length of the first cooldown
 constexpr unsigned max_doublings = 4;       ///< so that the longest cooldown is 2.4 s
-/// Weight of the newest request in the moving average of failures, so that about the last twenty requests
-/// determine it.
-constexpr double newest_weight = 0.05;
 
 } // namespace
 
@@ -54,19 +51,31 @@
 
 server_health::change server_health::record_success(time_point now) {
     m_last_success = now;
-    m_failure_share *= 1 - newest_weight;
+    m_failures.record(false, now);
     m_failures_in_row = 0;
     m_cooldowns = 0;
-    return std::exchange(m_is_probing, false) ? change::recovered : change::none;
+    const auto of_rate = update_failing(now);
+    return std::exchange(m_is_probing, false) ? change::recovered : of_rate;
+}
+
+server_health::change server_health::update_failing(time_point now) {
+    const bool is_high = m_failures.is_high(now);
+    if (std::exchange(m_is_failing, is_high) == is_high) {
+        return change::none;
+    }
+    return is_high ? change::failing_began : change::failing_ended;
 }
 
 server_health::change server_health::record_failure(bool is_unreachable, time_point now) {
     m_last_failure = now;
-    m_failure_share += (1 - m_failure_share) * newest_weight;
+    if (!is_unreachable) {
+        m_failures.record(true, now); // a request that reached nobody isn't lost
+    }
+    const auto of_rate = update_failing(now);
     ++m_failures_in_row;
     const auto tolerated = is_unreachable ? tolerated_when_unreachable : tolerated_failures;
     if (m_failures_in_row < tolerated || now < m_cooldown_until) {
-        return change::none;
+        return of_rate;
     }
     m_cooldown_until = now + first_cooldown * (1U << std::min(m_cooldowns, max_doublings));
     ++m_cooldowns;
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -1,6 +1,7 @@
 // Decides whether a backend server may get requests, by the outcomes of its recent requests.
 #pragma once
 
+#include "policy/failure_rate.hpp"
 #include "policy/slot_request.hpp"
 
 #include <chrono>
@@ -27,9 +28,14 @@
     /// What may be sent to the server at `now`.
     [[nodiscard]] availability availability_at(time_point now) const;
 
-    /// The effect of a request's outcome: a cooldown has started (`cooldown_started`), or the server is
-    /// healthy again after one (`recovered`).
-    enum class change { none, cooldown_started, recovered };
+    /// The effect of a request's outcome.
+    enum class change {
+        none,
+        cooldown_started,
+        recovered,     ///< it is healthy again after a cooldown
+        failing_began, ///< it loses many of its requests, see failure_rate::is_high()
+        failing_ended
+    };
 
     /// Records the outcome of a request.
     change record(slot_outcome outcome, time_point now);
@@ -48,14 +54,16 @@
     /// Number of failures since the last successful request.
     [[nodiscard]] unsigned failures_in_row() const noexcept { return m_failures_in_row; }
 
-    /// Moving average of the share of failed requests, 0 to 1.
-    [[nodiscard]] double failure_share() const noexcept { return m_failure_share; }
+    /// How many of its recent requests were lost.
+    [[nodiscard]] const failure_rate& failures() const noexcept { return m_failures; }
 
 private:
     change record_success(time_point now);
     change record_failure(bool is_unreachable, time_point now);
+    change update_failing(time_point now);
 
-    double m_failure_share = 0;
+    failure_rate m_failures;
+    bool m_is_failing = false; ///< as last reported by update_failing()
     unsigned m_failures_in_row = 0;
     unsigned m_cooldowns = 0; ///< cooldowns since the last success
     time_point m_cooldown_until = time_point::min();
--- a/src/policy/server_retry_budget.cpp
+++ b/src/policy/server_retry_budget.cpp
@@ -15,6 +15,9 @@
 /// this class counts them when they are sent, and what a process granted just before it was lost is known to
 /// nobody.
 constexpr double used_fraction = 0.6;
+/// While less than this fraction of the budget is used, requests may be placed where they are more likely to
+/// need a retry; the rest is for those that need one anyway.
+constexpr double ample_fraction = 0.5;
 /// Uses in one statement, which leave room for other items in its datagram.
 constexpr std::size_t max_stated_uses = 24;
 
@@ -64,6 +67,11 @@
     return {retries, m_limits.ratio * used_fraction * requests + left * m_share, by_others};
 }
 
+bool server_retry_budget::is_ample(service_key service, time_point now) {
+    const auto used = current_use(service, now);
+    return used.retries < used.allowed * ample_fraction;
+}
+
 bool server_retry_budget::try_reserve(service_key service, time_point now) {
     const auto used = current_use(service, now);
     auto& of = m_services[service];
--- a/src/policy/server_retry_budget.hpp
+++ b/src/policy/server_retry_budget.hpp
@@ -60,6 +60,9 @@
     };
     /// The retries in the window that ends now.
     [[nodiscard]] use current_use(service_key service, time_point now);
+    /// Whether so little of the budget is used that requests may be placed at servers that are more likely to
+    /// fail them.
+    [[nodiscard]] bool is_ample(service_key service, time_point now);
     /// Reserves a retry and returns true if the budget allows one more. What was reserved must be recorded or
     /// cancelled later.
     [[nodiscard]] bool try_reserve(service_key service, time_point now);
--- a/src/policy/slot_choice.cpp
+++ b/src/policy/slot_choice.cpp
@@ -23,6 +23,20 @@
 /// the byte, and prompts are long.
 constexpr double target_share_for_near = 0.05;
 
+bool is_failing(const slot_server& server, time_point now) {
+    return server.health.failures().is_high(now);
+}
+
+/// Whether the server is only chosen while no other one is expected to serve the request as well: it loses
+/// many of its requests. While there are such servers, half of the slots of the others are left to requests
+/// that are lost for good when a server loses them. Those of the lowest tier don't count: they often take the
+/// longest, and would soon occupy all of these slots.
+bool is_second_choice(const slot_request& request, const slot_server& server,
+                      const slot_choice_terms& terms) {
+    const bool leaves_room = request.may_repeat || terms.is_lowest;
+    return is_failing(server, terms.now) || (leaves_room && server.outstanding * 2 >= server.slots);
+}
+
 /// Whether any server that hasn't failed this request takes work, even if it is busy, and its rate limit
 /// allows a request. If none does, it is better to send the request to a server that failed it than to none.
 bool has_fresh_server(const slot_request& request, const slot_choice_terms& terms) {
@@ -77,9 +91,14 @@
     const bool avoids_failed = request.avoided.front() != 0 && has_fresh_server(request, terms);
     const auto left = request.arrived + request.target - terms.now;
     const auto max_overrun = max_accepted_overrun(request, terms);
+    const bool has_failing =
+        terms.avoids_failing && std::ranges::any_of(terms.available, [&](const auto* server) {
+            return is_failing(*server, terms.now);
+        });
     const auto near_bonus = from_seconds(to_seconds(request.target) * target_share_for_near);
     slot_server* best = nullptr;
     auto smallest_overrun = duration::max();
+    bool is_best_second_choice = false;
     auto soonest = duration::max();
     for (auto* server : terms.available) {
         if (!server->fits(request) || server->backoff.is_active(request.member, terms.now) ||
@@ -94,10 +113,13 @@
         const bool is_near = request.domain != 0 && server->domain == request.domain;
         const auto adjusted = expected - (is_near ? near_bonus : duration::zero());
         const auto last_grant = server->last_grant;
+        const bool is_second = has_failing && is_second_choice(request, *server, terms);
         if (best == nullptr ||
-            std::tie(overrun, adjusted, last_grant) < std::tie(smallest_overrun, soonest, best->last_grant)) {
+            std::tie(overrun, is_second, adjusted, last_grant) <
+                std::tie(smallest_overrun, is_best_second_choice, soonest, best->last_grant)) {
             best = server;
             smallest_overrun = overrun;
+            is_best_second_choice = is_second;
             soonest = adjusted;
         }
     }
--- a/src/policy/slot_choice.hpp
+++ b/src/policy/slot_choice.hpp
@@ -25,6 +25,9 @@
     slot_servers all;       ///< all servers of the service, including busy ones
     bool is_in_time = true; ///< the request waits in the queue of requests that can still meet their target
     time_point now;
+    /// Prefer servers that don't lose many of their requests, see slot_scheduler_limits.
+    bool avoids_failing = false;
+    bool is_lowest = false; ///< the request is of the lowest tier that waits for the service
 };
 
 /// Chooses the server for a request; nullptr if the request should wait for a better one.
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -70,6 +70,9 @@
     bool is_charged = false;       ///< its units were already subtracted from the quota
     unsigned sends = 0;            ///< number of servers that it was already sent to
     bool is_counted = false;       ///< it was already counted as a request for the retry budget
+    /// It may be sent to one more server if this one fails it; the process that grants also takes the retry
+    /// budget into account.
+    bool may_repeat = false;
     /// How often its caller's earlier requests with the same fingerprint were refused recently (see
     /// refusal_history). More than 0: a retried request, which its caller sends again after a refusal. A
     /// gateway's retries of a failed request at another server are counted in `sends` instead.
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -407,9 +407,8 @@
     auto& health = m_servers[server].health;
     const auto change = health.record(outcome, now);
     if (change != server_health::change::none) {
-        m_health_changes.push_back({server, change == server_health::change::cooldown_started,
-                                    health.cooldown_until() - now, health.failures_in_row(),
-                                    health.failure_share()});
+        m_health_changes.push_back({server, change, health.cooldown_until() - now, health.failures_in_row(),
+                                    health.failures().share(now)});
     }
 }
 
@@ -485,7 +484,8 @@
         const auto of_version =
             is_resume ? find_available(waiting->second, terms, now) : server_pools::server_list();
         auto* server =
-            choose_server(waiting->second, {is_resume ? of_version : available, all, is_in_time, now});
+            choose_server(waiting->second, {is_resume ? of_version : available, all, is_in_time, now,
+                                            m_limits.avoids_failing_servers, terms.is_lowest});
         if (server != nullptr) {
             start(queue, waiting, *server, now, grants);
             if (!can_take_request(*server, terms, now)) {
--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -93,10 +93,10 @@
     /// Returns the refusals since the last call. The refused requests are no longer queued.
     [[nodiscard]] std::vector<slot_refusal> take_refusals();
 
-    /// A server's cooldown has started, or the server has recovered after one.
+    /// A change of a server's health.
     struct health_change {
         server_key server = 0;
-        bool is_cooling_down = false; ///< true: a cooldown has started; false: the server has recovered
+        server_health::change what = server_health::change::none;
         duration cooldown{};          ///< length of the cooldown that has started
         unsigned failures_in_row = 0; ///< failures since the last success
         double failure_share = 0;     ///< moving average of the share of failed requests, 0 to 1
--- a/src/policy/slot_scheduler_limits.hpp
+++ b/src/policy/slot_scheduler_limits.hpp
@@ -27,6 +27,9 @@
     /// target, because it would be late by then: after 0.4 times its target, a request without a slot is
     /// moved to the queue of late requests.
     double max_expected_wait_in_targets = 0.4;
+    /// Whether servers that lose many of their requests (failure_rate) only get requests while no other
+    /// server is expected to serve them as well.
+    bool avoids_failing_servers = false;
     slot_floor_limits floor{}; ///< guaranteed minimum shares of the tiers
     /// Share of all slots that this process may grant; less than 1 if other processes grant the remaining
     /// slots.
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -36,6 +36,7 @@
     request.fingerprint = 99;
     request.sends = 1;
     request.is_charged = true;
+    request.may_repeat = true;
     request.avoided = {11, 12};
     return request;
 }
@@ -172,6 +173,7 @@
     CHECK(request.domain == 9); // the failure domain of the sending gateway
     CHECK(request.avoided == std::array<server_key, 2>{11, 12});
     CHECK(request.is_charged);
+    CHECK(request.may_repeat);
     CHECK(received->items.releases.front().outcome == slot_outcome::broken);
     CHECK(received->items.refusals.front().reason == refusal_reason::over_allowance);
     CHECK(received->items.withdrawals == std::vector<slot_ticket>{4});
--- a/tests/unit/test_gateway_policy.cpp
+++ b/tests/unit/test_gateway_policy.cpp
@@ -48,7 +48,7 @@
         health.record(slot_outcome::served, start_time);
     }
     CHECK(health.availability_at(start_time) == server_health::availability::full);
-    CHECK(health.failure_share() > 0);
+    CHECK(health.failures().share(start_time) > 0);
 }
 
 TEST_CASE("a request that may have run is only sent to another server if it may run twice",
