--- a/src/policy/server_retry_budget.cpp
+++ b/src/policy/server_retry_budget.cpp
@@ -17,7 +17,7 @@
 constexpr double used_fraction = 0.6;
 /// While less than this fraction of the budget is used, requests may be placed where they are more likely to
 /// need a retry; the rest is for those that need one anyway.
-constexpr double ample_fraction = 0.5;
+constexpr double ample_fraction = 0.85;
 /// Uses in one statement, which leave room for other items in its datagram.
 constexpr std::size_t max_stated_uses = 24;
 
