--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -115,6 +115,13 @@
                       "An engine crashed, or turned requests away, while it held many tokens: the engines of "
                       "its service are given fewer for a while.",
                       "service backend held_tokens limit_tokens"},
+    event_description{event_kind::backend_failing, "backend_failing", warning, state_rate,
+                      "A backend server loses many of its requests: with `avoid_failing_servers`, other "
+                      "servers are preferred.",
+                      "backend failure_share"},
+    event_description{event_kind::backend_sound, "backend_sound", info, state_rate,
+                      "A backend server that was failing serves nearly all of its requests again.",
+                      "backend"},
     event_description{event_kind::backend_limit_named, "backend_limit_named", info, state_rate,
                       "A backend server named a rate limit, in requests per second from all gateways, or "
                       "another one than before; `former` is 0 if it had none.",
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -47,6 +47,8 @@
     backend_resting,
     backend_recovered,
     engine_memory_exceeded,
+    backend_failing,
+    backend_sound,
     backend_limit_named,
     backend_limit_ended,
     backend_limit_unreadable,
--- a/src/policy/slot_choice.hpp
+++ b/src/policy/slot_choice.hpp
@@ -26,6 +26,9 @@
     bool is_in_time = true; ///< the request waits in the queue of requests that can still meet their target
     time_point now;
     double memory = 0; ///< tokens of a server's memory that the request needs
+    /// Prefer servers that don't lose many of their requests, see slot_scheduler_limits.
+    bool avoids_failing = false;
+    bool is_lowest = false; ///< the request is of the lowest tier that waits for the service
 };
 
 /// Chooses the server for a request; nullptr if the request should wait for a better one.
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -469,9 +469,8 @@
     auto& health = m_servers[server].health;
     const auto change = health.record(outcome, now);
     if (change != server_health::change::none) {
-        m_health_changes.push_back({server, change == server_health::change::cooldown_started,
-                                    health.cooldown_until() - now, health.failures_in_row(),
-                                    health.failure_share()});
+        m_health_changes.push_back({server, change, health.cooldown_until() - now, health.failures_in_row(),
+                                    health.failures().share(now)});
     }
 }
 
@@ -550,7 +549,8 @@
         const auto of_version =
             is_resume ? find_available(waiting->second, terms, now) : server_pools::server_list();
         const slot_choice_terms choice{is_resume ? of_version : available, all, is_in_time, now,
-                                       m_memory.expect(service, waiting->second.cost)};
+                                       m_memory.expect(service, waiting->second.cost),
+                                       m_limits.avoids_failing_servers, terms.is_lowest};
         auto* server = choose_server(waiting->second, choice);
         if (server == nullptr && m_memory.is_limited(service)) {
             server = choose_by_memory(waiting->second, choice, terms);
