--- a/src/coordination/message.cpp
+++ b/src/coordination/message.cpp
@@ -341,9 +341,10 @@
            crashes.marks.size() * sizeof(wire::crash_mark) +
            crashes.clearances.size() * sizeof(wire::crash_clearance) +
            departures.size() * sizeof(wire::departure) + backoffs.size() * sizeof(wire::backoff) +
-           holds.size() * sizeof(wire::hold) + promises.size() * sizeof(wire::return_promise) + asks.size() * sizeof(wire::ask) +
-           withdrawals.size() * sizeof(std::uint64_t) + releases.size() * sizeof(wire::release) +
-           grants.size() * sizeof(wire::grant) + refusals.size() * sizeof(wire::refusal);
+           holds.size() * sizeof(wire::hold) + promises.size() * sizeof(wire::return_promise) +
+           asks.size() * sizeof(wire::ask) + withdrawals.size() * sizeof(std::uint64_t) +
+           releases.size() * sizeof(wire::release) + grants.size() * sizeof(wire::grant) +
+           refusals.size() * sizeof(wire::refusal);
 }
 
 std::vector<std::byte> encode(const datagram& message, policy::time_point now) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -330,7 +330,8 @@
     for (const auto server : m_coordinator.scheduler().take_used_up_limits()) {
         m_observers.on_rate_limit_used_up(server);
     }
-    if (const auto counts = m_coordinator.scheduler().take_return_counts(); counts != policy::return_counts{}) {
+    if (const auto counts = m_coordinator.scheduler().take_return_counts();
+        counts != policy::return_counts{}) {
         m_observers.on_returns(counts);
     }
     m_retries.report_used_up(now);
--- a/src/coordination/told_promises.cpp
+++ b/src/coordination/told_promises.cpp
@@ -1,18 +1,15 @@
 // Implements told_promises as a bounded queue.
 #include "coordination/told_promises.hpp"
 
-#include <chrono>
 #include <cstddef>
 
 namespace borageford::coordination {
 
 namespace {
 
-/// Bounds the memory, and the first batch to a new coordinator to 10 datagrams. Promises beyond this are lost
+/// Bounds the memory, and the first batch to a new coordinator to 11 datagrams. Promises beyond this are lost
 /// with the coordinator.
 constexpr std::size_t max_promises = 400;
-/// A caller that comes later than this after its time is treated like a new one.
-constexpr std::chrono::milliseconds kept_after_due{1000};
 
 } // namespace
 
@@ -24,13 +21,13 @@
     if (m_promises.size() >= max_promises) {
         m_promises.pop_front();
     }
-    m_promises.push_back({request.fingerprint, request.service, request.workspace, request.tier,
-                          now + refusal.retry_after});
+    m_promises.push_back(
+        {request.fingerprint, request.service, request.workspace, request.tier, now + refusal.retry_after});
 }
 
 std::vector<policy::return_promise> told_promises::list(policy::time_point now) {
     std::erase_if(m_promises, [now](const policy::return_promise& told) {
-        return told.due + kept_after_due < now;
+        return told.due + policy::max_return_lateness < now;
     });
     return {m_promises.begin(), m_promises.end()};
 }
--- a/src/coordination/told_promises.hpp
+++ b/src/coordination/told_promises.hpp
@@ -11,7 +11,8 @@
 namespace borageford::coordination {
 
 /// The coordinator that made a promise may be lost before the caller comes back, and its successor would give
-/// the room away. Each member keeps the promises that it told its callers and lists them to a new coordinator.
+/// the room away. Each member keeps the promises that it told its callers and lists them to a new
+/// coordinator.
 class told_promises {
 public:
     /// A request of this process was refused. Does nothing unless its caller was promised a time.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -63,6 +63,7 @@
         reader.real("hopeless_wait", slots.max_expected_wait_in_targets, 0.1, 100);
     slots.max_wait_in_targets = reader.real("patience", slots.max_wait_in_targets, 0.1, 100);
     slots.promises_returns = reader.flag("return_promises", slots.promises_returns);
+    slots.promised_part = reader.real("promised_part", slots.promised_part, 0, 1);
 }
 
 } // namespace
--- a/src/policy/event_rate.hpp
+++ b/src/policy/event_rate.hpp
@@ -25,8 +25,8 @@
     [[nodiscard]] double decayed(time_point now) const noexcept;
 
     double m_time_constant = usual_time_constant; ///< seconds
-    double m_level = 0;                       ///< decayed count of events at the time `m_updated`
-    time_point m_updated = time_point::min(); ///< time of the last event; time_point::min(): no event yet
+    double m_level = 0;                           ///< decayed count of events at the time `m_updated`
+    time_point m_updated = time_point::min();     ///< time of the last event; time_point::min(): no event yet
 };
 
 } // namespace borageford::policy
--- a/src/policy/return_ledger.cpp
+++ b/src/policy/return_ledger.cpp
@@ -15,9 +15,6 @@
 constexpr milliseconds bucket_width{250};
 /// Lower bound of the time until a caller comes back: those that wait in the queue now come first.
 constexpr milliseconds min_delay{200};
-/// A caller comes back this much after its time at most: it opens a connection first, possibly to a gateway
-/// that is busy.
-constexpr milliseconds grace{1000};
 /// Times are rounded to ms on their way. A caller that comes back this much too soon came as told.
 constexpr milliseconds rounding{5};
 /// Bounds the memory. The slots of a hundred large servers for five seconds of short requests.
@@ -95,7 +92,7 @@
 
 void return_ledger::adopt(const return_promise& told, duration slot_time, time_point now) {
     remove_expired(now);
-    const bool is_current = now <= told.due + grace && told.due <= now + max_return_delay;
+    const bool is_current = now <= told.due + max_return_lateness && told.due <= now + max_return_delay;
     if (told.fingerprint != 0 && is_current && m_promises.size() < max_promises) {
         insert({told, to_seconds(slot_time), 1}, now);
     }
@@ -127,7 +124,7 @@
 }
 
 void return_ledger::remove_expired(time_point now) {
-    while (!m_by_due.empty() && m_by_due.begin()->first + grace < now) {
+    while (!m_by_due.empty() && m_by_due.begin()->first + max_return_lateness < now) {
         const auto found = m_promises.find(m_by_due.begin()->second);
         if (found != m_promises.end() && found->second.promise.due == m_by_due.begin()->first) {
             erase(found);
@@ -135,9 +132,8 @@
         }
         m_by_due.erase(m_by_due.begin());
     }
-    std::erase_if(m_buckets, [oldest = index_of(now)](const auto& each) {
-        return each.first.second < oldest;
-    });
+    std::erase_if(m_buckets,
+                  [oldest = index_of(now)](const auto& each) { return each.first.second < oldest; });
 }
 
 void return_ledger::insert(const entry& added, time_point now) {
@@ -157,8 +153,7 @@
 std::unordered_map<std::uint64_t, return_ledger::entry>::iterator
 return_ledger::erase(std::unordered_map<std::uint64_t, entry>::iterator found) {
     const auto& gone = found->second;
-    const auto owner =
-        m_accounts.find({gone.promise.service, gone.promise.tier, gone.promise.workspace});
+    const auto owner = m_accounts.find({gone.promise.service, gone.promise.tier, gone.promise.workspace});
     owner->second.slot_seconds -= gone.slot_seconds;
     if (--owner->second.promises == 0) {
         m_accounts.erase(owner);
--- a/src/policy/return_ledger.hpp
+++ b/src/policy/return_ledger.hpp
@@ -7,11 +7,11 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 
 namespace borageford::policy {
 
@@ -57,6 +57,8 @@
     /// Promised slot time of a bucket in seconds, by tier.
     using bucket = std::map<int, double>;
     using account_key = std::tuple<service_key, int, workspace_key>;
+
+    /// What a workspace is promised in a tier.
     struct account {
         std::size_t promises = 0;
         double slot_seconds = 0;
@@ -78,7 +80,7 @@
 
     std::unordered_map<std::uint64_t, entry> m_promises; ///< by fingerprint
     std::map<std::pair<service_key, bucket_index>, bucket> m_buckets;
-    std::map<account_key, account> m_accounts; ///< what workspaces are promised
+    std::map<account_key, account> m_accounts;         ///< what workspaces are promised
     std::multimap<time_point, std::uint64_t> m_by_due; ///< fingerprints, also of promises that are gone
     return_counts m_counts;
 };
--- a/src/policy/return_planner.cpp
+++ b/src/policy/return_planner.cpp
@@ -9,11 +9,6 @@
 
 /// Clients come back after a third of the time that they have left at the latest, whatever they are told.
 constexpr double max_part_of_time_left = 1.0 / 3;
-/// Part of a tier's slots that is promised even while its new requests need all of them. More would make more
-/// new requests late, which are worth most to their callers while they are in time; without any, no caller
-/// that is refused during a long overload could be told when to come back.
-constexpr double promised_part = 0.1;
-
 /// The slots that the higher tiers leave.
 double slots_of_tier(const slot_request& request, const tier_room& room, const slot_forecast& forecast,
                      const slot_time_model& times, time_point now) {
@@ -45,10 +40,9 @@
     }
     const auto left = std::max<duration>(request.deadline - now, duration::zero());
     const double of_tier = slots_of_tier(request, room, m_forecast, times, now);
-    const double spare = spare_slots(request, room, times, now);
-    const return_terms terms{
-        slot_time, std::max(spare, of_tier * promised_part), m_forecast.usual_share(request, now),
-        std::min<duration>(from_seconds(to_seconds(left) * max_part_of_time_left), max_return_delay), draw};
+    const auto longest = from_seconds(to_seconds(left) * max_part_of_time_left);
+    const return_terms terms{slot_time, of_tier * room.promised_part, m_forecast.usual_share(request, now),
+                             std::min<duration>(longest, max_return_delay), draw};
     if (const auto due = m_ledger.promise(request, terms, now)) {
         return plan{refusal_reason::return_promised, *due - now};
     }
--- a/src/policy/return_planner.hpp
+++ b/src/policy/return_planner.hpp
@@ -15,11 +15,12 @@
 struct tier_room {
     double slots = 0;         ///< slots in use or free, of all servers that take new requests
     double minimum_share = 0; ///< part of them that the tier gets whatever the higher tiers need
+    double promised_part = 0; ///< part of the tier's slots that may be promised
 };
 
 /// A refused caller that comes back into the same overload has waited for nothing. It is told a time at which
-/// the forecast leaves room for its request, and that room is kept for it. A caller for which there is no such
-/// time within its deadline is told that coming back is useless.
+/// the forecast leaves room for its request, and that room is kept for it. A caller for which there is no
+/// such time within its deadline is told that coming back is useless.
 class return_planner {
 public:
     /// When a refused caller should come back.
--- a/src/policy/return_promise.hpp
+++ b/src/policy/return_promise.hpp
@@ -12,6 +12,10 @@
 /// Upper bound of the time after which a refused caller is told to come back.
 inline constexpr std::chrono::milliseconds max_return_delay{5000};
 
+/// A caller comes back this much after its time at most: it opens a connection first, possibly to a gateway
+/// that is busy. One that comes later is treated like a new one.
+inline constexpr std::chrono::milliseconds max_return_lateness{1000};
+
 /// The caller is recognised by the fingerprint of its request when it comes back.
 struct return_promise {
     std::uint64_t fingerprint = 0;
--- a/src/policy/slot_forecast.cpp
+++ b/src/policy/slot_forecast.cpp
@@ -15,12 +15,15 @@
 } // namespace
 
 void slot_forecast::record_arrival(const slot_request& request, time_point now) {
-    auto& tier = m_services[request.service].try_emplace(request.tier, tier_arrivals{{}, event_rate(usual_seconds), {}})
+    auto& tier = m_services[request.service]
+                     .try_emplace(request.tier, tier_arrivals{{}, event_rate(usual_seconds), {}})
                      .first->second;
     tier.recent.record(now);
     tier.usual.record(now);
-    if (tier.usual_by_workspace.size() < max_workspaces || tier.usual_by_workspace.contains(request.workspace)) {
-        tier.usual_by_workspace.try_emplace(request.workspace, event_rate(usual_seconds)).first->second.record(now);
+    if (tier.usual_by_workspace.size() < max_workspaces ||
+        tier.usual_by_workspace.contains(request.workspace)) {
+        tier.usual_by_workspace.try_emplace(request.workspace, event_rate(usual_seconds))
+            .first->second.record(now);
     }
 }
 
@@ -59,7 +62,8 @@
     const auto& tier = tiers->second.at(request.tier);
     const auto workspace = tier.usual_by_workspace.find(request.workspace);
     const double all = tier.usual.per_second(now);
-    return workspace == tier.usual_by_workspace.end() || all <= 0 ? 1 : workspace->second.per_second(now) / all;
+    return workspace == tier.usual_by_workspace.end() || all <= 0 ? 1
+                                                                  : workspace->second.per_second(now) / all;
 }
 
 } // namespace borageford::policy
--- a/src/policy/slot_request.hpp
+++ b/src/policy/slot_request.hpp
@@ -113,8 +113,9 @@
     refusal_reason reason = refusal_reason::overloaded;
     duration retry_after{}; ///< delay after which the caller should retry
     /// The two values that were compared for the decision, for the coordinator's own log: seconds of waiting
-    /// (overloaded, return_promised, no_slot_in_time, over_server_limit, servers_back_off), units of the quota (over_allowance) or retries in a
-    /// window (over_retry_budget). They aren't sent to other processes.
+    /// (overloaded, return_promised, no_slot_in_time, over_server_limit, servers_back_off), units of the
+    /// quota (over_allowance) or retries in a window (over_retry_budget). They aren't sent to other
+    /// processes.
     double needed = 0;
     double available = 0;
 };
--- a/src/policy/slot_scheduler.cpp
+++ b/src/policy/slot_scheduler.cpp
@@ -174,8 +174,7 @@
     auto& overload = m_queues.tier_of(request).overload;
     overload.record_refusal(now);
     const auto [reason, retry_after] = plan_return(request, now);
-    m_refusals.push_back(
-        {request.ticket, reason, retry_after, why.needed_seconds, why.available_seconds});
+    m_refusals.push_back({request.ticket, reason, retry_after, why.needed_seconds, why.available_seconds});
 }
 
 return_planner::plan slot_scheduler::plan_return(const slot_request& request, time_point now) {
@@ -194,11 +193,11 @@
 tier_room slot_scheduler::room_for(const slot_request& request, time_point now) const {
     double slots = 0;
     for (const auto* server : m_pools.servers_of(request.service)) {
-        const bool is_available =
-            server->health.availability_at(now) == server_health::availability::full;
+        const bool is_available = server->health.availability_at(now) == server_health::availability::full;
         slots += is_available && server->fits(request) ? server->slots : 0;
     }
-    return {slots * m_limits.outstanding_per_slot * m_limits.share, m_limits.floor.share};
+    return {slots * m_limits.outstanding_per_slot * m_limits.share, m_limits.floor.share,
+            m_limits.promised_part};
 }
 
 void slot_scheduler::adopt(const return_promise& told, time_point now) {
@@ -327,8 +326,8 @@
     }
 }
 
-/// Queues a request whose caller came back as it was promised before the new ones of its tier. Returns whether
-/// it is one.
+/// Queues a request whose caller came back as it was promised before the new ones of its tier. Returns
+/// whether it is one.
 bool slot_scheduler::enqueue_promised(const slot_request& request, time_point now) {
     if (!m_limits.promises_returns || !m_returns.ledger().redeem(request, now)) {
         return false;
--- a/src/policy/slot_scheduler_limits.hpp
+++ b/src/policy/slot_scheduler_limits.hpp
@@ -30,6 +30,9 @@
     /// Refused callers are told when there will be room for their requests, and it is kept for them (see
     /// return_planner).
     bool promises_returns = false;
+    /// Part of a tier's slots that is promised to its refused callers at most. They are late when they come
+    /// back, and each of them takes a slot from a new request that would be in time.
+    double promised_part = 0.1;
     /// Maximum wait of a request that came back as it was promised, as a multiple of its latency target.
     double max_wait_of_promised_in_targets = 3;
     slot_floor_limits floor{}; ///< guaranteed minimum shares of the tiers
--- a/tests/unit/test_policy_returns.cpp
+++ b/tests/unit/test_policy_returns.cpp
@@ -1,4 +1,5 @@
-// Tests of slot_scheduler's promises to refused callers: plays a burst against it and checks what callers get.
+// Tests of slot_scheduler's promises to refused callers: plays a burst against it and checks what callers
+// get.
 #include "policy/return_ledger.hpp"
 #include "policy/slot_scheduler.hpp"
 
@@ -38,7 +39,7 @@
 struct sender {
     int tier = 0;
     workspace_key workspace = 1;
-    double per_second = 0;      ///< within the burst
+    double per_second = 0;       ///< within the burst
     double usual_per_second = 0; ///< before and after it
     bool repeats_at_once = false;
 };
@@ -212,8 +213,7 @@
 }
 
 TEST_CASE("callers that repeat at once and often gain nothing by it", "[policy][returns]") {
-    const std::vector<sender> senders{{1, 1, 0.85 * room, 0.4 * room},
-                                      {1, 1, 0.85 * room, 0.4 * room, true}};
+    const std::vector<sender> senders{{1, 1, 0.85 * room, 0.4 * room}, {1, 1, 0.85 * room, 0.4 * room, true}};
     crowd callers(true);
     callers.play(senders);
     const auto patient = callers.total(senders.front());
