--- a/tests/unit/test_return_handover.cpp
+++ b/tests/unit/test_return_handover.cpp
@@ -35,22 +35,29 @@
     return result;
 }
 
+/// Sends a request on its arrival.
+void ask(slot_coordinator& coordinator, member_key member, const slot_request& request) {
+    batch_items items;
+    items.asks.push_back(request);
+    coordinator.apply_items(member, items, request.arrived);
+}
+
 /// A coordinator of one server with one slot that was held by a request for 100 ms.
 slot_coordinator make_coordinator() {
     slot_coordinator result(limits(), {}, {});
     result.scheduler().set_server(1, engines, 1);
-    result.apply_items(first_member, {.asks = {make_request(1000, 0, start_time - 1s)}}, start_time - 1s);
+    ask(result, first_member, make_request(1000, 0, start_time - 1s));
     static_cast<void>(result.decide(start_time - 1s));
-    result.apply_items(first_member, {.releases = {{1000, 1, slot_outcome::served, 100ms, 50ms}}},
-                       start_time - 900ms);
+    batch_items ended;
+    ended.releases.push_back({1000, 1, slot_outcome::served, 100ms, 50ms});
+    result.apply_items(first_member, ended, start_time - 900ms);
     return result;
 }
 
 /// Sends many requests at once and returns the first refusal.
 slot_refusal overload(slot_coordinator& coordinator) {
     for (slot_ticket ticket = 1; ticket <= 30; ++ticket) {
-        coordinator.apply_items(first_member, {.asks = {make_request(ticket, ticket, start_time)}},
-                                start_time);
+        ask(coordinator, first_member, make_request(ticket, ticket, start_time));
     }
     return coordinator.decide(start_time).at(first_member).refusals.at(0);
 }
@@ -73,8 +80,8 @@
 
     // The caller comes back at another member, while newer requests wait there.
     const auto due = start_time + refusal.retry_after + 2ms;
-    successor.apply_items(second_member, {.asks = {make_request(101, 101, due - 10ms)}}, due - 10ms);
-    successor.apply_items(second_member, {.asks = {make_request(102, refusal.ticket, due)}}, due);
+    ask(successor, second_member, make_request(101, 101, due - 10ms));
+    ask(successor, second_member, make_request(102, refusal.ticket, due));
     const auto grants = successor.decide(due).at(second_member).grants;
     REQUIRE(grants.size() == 1);
     CHECK(grants.front().ticket == 102);
