--- a/src/policy/slot_scheduler.hpp
+++ b/src/policy/slot_scheduler.hpp
@@ -6,6 +6,7 @@
 #include "policy/kept_rooms.hpp"
 #include "policy/memory_model.hpp"
 #include "policy/rate_limit_schedule.hpp"
+#include "policy/return_planner.hpp"
 #include "policy/server_pools.hpp"
 #include "policy/slot_choice.hpp"
 #include "policy/slot_queues.hpp"
@@ -18,6 +19,7 @@
 #include <limits>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace borageford::policy {
@@ -98,6 +100,10 @@
     [[nodiscard]] std::vector<slot_grant> grant(time_point now);
     /// Returns the refusals since the last call. The refused requests are no longer queued.
     [[nodiscard]] std::vector<slot_refusal> take_refusals();
+    /// Takes over a promise that another process made to a refused caller.
+    void adopt(const return_promise& told, time_point now);
+    /// Returns what became of the returns of refused callers since the last call.
+    [[nodiscard]] return_counts take_return_counts() { return std::exchange(m_returns.counts(), {}); }
 
     /// A change of a server's health.
     struct health_change {
@@ -209,6 +215,7 @@
     [[nodiscard]] duration max_wait_of(const slot_request& request) const;
     void enqueue_in_time(const slot_request& request, time_point now);
     void enqueue_late(const slot_request& request, time_point now);
+    [[nodiscard]] double spare_slots_per_second(const slot_request& request, time_point now) const;
     void move_late_requests(tier_queues& tier, time_point now);
     /// The wait that led to a refusal, and the limit that it exceeds.
     struct wait_comparison {
@@ -216,6 +223,9 @@
         double available_seconds = 0;
     };
     void refuse(const slot_request& request, wait_comparison why, time_point now);
+    [[nodiscard]] return_planner::plan plan_return(const slot_request& request, time_point now);
+    [[nodiscard]] tier_room room_for(const slot_request& request, time_point now) const;
+    [[nodiscard]] bool enqueue_promised(const slot_request& request, time_point now);
     void refuse_overdue(time_point now);
     void erase_if_unused(server_key server);
     void record_outcome(server_key server, slot_outcome outcome, time_point now);
@@ -230,6 +240,7 @@
     /// The result of the latest slots_kept_from() for the lowest tier of each service.
     std::unordered_map<service_key, double> m_kept_from_lowest;
     slot_time_model m_slot_times;
+    return_planner m_returns;
     std::unordered_map<slot_ticket, running_request> m_running;
     rate_limit_schedule m_rate_limits;
     memory_model m_memory;
--- a/src/policy/slot_scheduler_limits.hpp
+++ b/src/policy/slot_scheduler_limits.hpp
@@ -33,6 +33,14 @@
     /// Whether servers that lose many of their requests (failure_rate) only get requests while no other
     /// server is expected to serve them as well.
     bool avoids_failing_servers = false;
+    /// Refused callers are told when there will be room for their requests, and it is kept for them (see
+    /// return_planner).
+    bool promises_returns = false;
+    /// Part of a tier's slots that is promised to its refused callers at most. They are late when they come
+    /// back, and each of them takes a slot from a new request that would be in time.
+    double promised_part = 0.1;
+    /// Maximum wait of a request that came back as it was promised, as a multiple of its latency target.
+    double max_wait_of_promised_in_targets = 3;
     slot_floor_limits floor{}; ///< guaranteed minimum shares of the tiers
     /// Share of all slots that this process may grant; less than 1 if other processes grant the remaining
     /// slots.
