--- a/src/policy/return_planner.cpp
+++ b/src/policy/return_planner.cpp
@@ -34,6 +34,9 @@
                                                                 const slot_time_model& times, double draw,
                                                                 time_point now) {
     const auto slot_time = times.expect(request.service, request.tier);
+    if (room.promised_part <= 0) {
+        return std::nullopt; // no promise is planned, which doesn't mean that there will be no room
+    }
     // A request that was sent to a server may have run: its caller isn't told to come back.
     if (request.fingerprint == 0 || request.sends > 0 || slot_time == duration::zero()) {
         return std::nullopt;
--- a/tests/unit/test_policy_returns.cpp
+++ b/tests/unit/test_policy_returns.cpp
@@ -48,7 +48,8 @@
 /// they have left, and occupy slots for a fixed time.
 class crowd {
 public:
-    explicit crowd(bool promises) : m_scheduler(limits(promises)) {
+    explicit crowd(bool promises, double promised_part = slot_scheduler_limits().promised_part)
+        : m_scheduler(limits(promises, promised_part)) {
         for (unsigned server = 1; server <= servers; ++server) {
             m_scheduler.set_server(server, engines, slots);
         }
@@ -84,9 +85,10 @@
         bool was_told_plainly = false;
     };
 
-    static slot_scheduler_limits limits(bool promises) {
+    static slot_scheduler_limits limits(bool promises, double promised_part) {
         slot_scheduler_limits result{.outstanding_per_slot = 1, .reserved_slots = 0};
         result.promises_returns = promises;
+        result.promised_part = promised_part;
         return result;
     }
 
@@ -198,6 +200,17 @@
     CHECK(total.refused_twice <= 0.1 * total.refused_once);
 }
 
+TEST_CASE("without a promised part nobody is promised a time or told that there will be none",
+          "[policy][returns]") {
+    const std::vector<sender> senders{{0, 1, 1.7 * room, 0.5 * room}};
+    crowd callers(true, 0);
+    callers.play(senders);
+    const auto counts = callers.counts();
+    CHECK(counts.promised == 0);
+    CHECK(counts.no_room == 0);
+    CHECK(callers.total(senders.front()).refused_once > 0);
+}
+
 TEST_CASE("a workspace that asks for six times its usual doesn't take the promises of the others",
           "[policy][returns]") {
     const std::vector<sender> senders{{1, 1, 0.3 * room, 0.3 * room}, {1, 2, 1.8 * room, 0.3 * room}};
