--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -603,7 +603,13 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
-    void start() {
+    /// The platform's settings file changes; the process gets no signal.
+    void change_seeds(const std::string& seeds) {
+        m_place.seeds = seeds;
+        write_settings();
+    }
+
+    std::string write_settings() const {
         std::ifstream file("deploy/gateway.ini");
         std::stringstream text;
         text << file.rdbuf();
@@ -631,6 +637,11 @@
              {"bounds.config_apply_ms", "2000"},
              {"bounds.drain_ms", "2000"},
              {"heartbeat_ms", "1200"}});
+        return settings;
+    }
+
+    void start() {
+        const auto settings = write_settings();
         const auto log = m_place.folder + "/gateway-" + m_place.ip + ".log";
         m_pid = ::fork();
         if (m_pid == 0) {
