--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -722,7 +722,7 @@
 }
 
 inline std::string temporary_folder() {
-    std::string name = "/tmp/review-XXXXXX";
+    auto name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (::mkdtemp(name.data()) == nullptr) {
         std::exit(could_not_run);
     }
