--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -1,39 +1,39 @@
-// Stand-ins for the scripts of the review: the platform's store, replicas, clients, and the start of a gateway with
-// the command and the template of the deploy file. Loopback addresses and the real clock only.
+// Stand-ins for the scripts of the review: the platform's store, replicas, clients, and the start of a
+// gateway with the command and the template of the deploy file. Loopback addresses and the real clock only.
 #pragma once
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/stat.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
+#include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <cmath>
 #include <condition_variable>
 #include <cstdarg>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <random>
+#include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -126,8 +126,9 @@
         return {};
     }
     [[nodiscard]] bool has(const std::string& name) const {
-        return std::any_of(fields.begin(), fields.end(),
-                           [&](const auto& each) { return ::strcasecmp(each.first.c_str(), name.c_str()) == 0; });
+        return std::any_of(fields.begin(), fields.end(), [&](const auto& each) {
+            return ::strcasecmp(each.first.c_str(), name.c_str()) == 0;
+        });
     }
     [[nodiscard]] int status() const { return start.size() > 12 ? std::atoi(start.c_str() + 9) : 0; }
 };
@@ -347,6 +348,45 @@
     std::function<void(channel&)> m_serve;
 };
 
+// Garble.
+
+/// Decides which answers of one replica are followed by additional bytes: x of those that it gives in spans
+/// of `for_s`, and never more than x of them.
+class garbling {
+public:
+    explicit garbling(bool is_on) : m_is_on(is_on) {}
+
+    bool must_spoil() {
+        const std::lock_guard lock(m_mutex);
+        const double since = std::chrono::duration<double>(clock_type::now() - m_begin).count();
+        if (!m_is_on || std::fmod(since, length_s + gap_s) >= length_s) {
+            return false;
+        }
+        ++m_answers;
+        const bool is_within = m_spoiled + 1 <= part * m_answers;
+        if (!is_within || std::uniform_real_distribution<double>(0, 1)(m_random) >= drawn_part) {
+            return false;
+        }
+        ++m_spoiled;
+        return true;
+    }
+    [[nodiscard]] unsigned answers() const { return m_answers; }
+    [[nodiscard]] unsigned spoiled() const { return m_spoiled; }
+
+private:
+    static constexpr double length_s = 5.0; ///< for_s of the site's entry
+    static constexpr double gap_s = 1.0;
+    static constexpr double part = 0.03; ///< x of the site's entry: the bound
+    static constexpr double drawn_part = 0.03;
+
+    bool m_is_on;
+    clock_type::time_point m_begin = clock_type::now();
+    std::mutex m_mutex;
+    std::mt19937 m_random{std::random_device{}()};
+    unsigned m_answers = 0;
+    unsigned m_spoiled = 0;
+};
+
 // The store.
 
 inline std::string encode_base64(const std::string& bytes) {
@@ -384,7 +424,8 @@
     std::stringstream rest(mark == std::string::npos ? "" : target.substr(mark + 1));
     for (std::string pair; std::getline(rest, pair, '&');) {
         const auto equals = pair.find('=');
-        result[pair.substr(0, equals)] = equals == std::string::npos ? "" : decode_percent(pair.substr(equals + 1));
+        result[pair.substr(0, equals)] =
+            equals == std::string::npos ? "" : decode_percent(pair.substr(equals + 1));
     }
     return result;
 }
@@ -478,8 +519,9 @@
         }
         std::string rows;
         for (const auto& [key, each] : found) {
-            rows += std::string(rows.empty() ? "" : ",") + "{\"table\":\"" + table + "\",\"part\":\"\",\"key\":\"" +
-                    key + "\",\"value\":\"" + each.value + "\",\"ver\":" + std::to_string(each.version) +
+            rows += std::string(rows.empty() ? "" : ",") + "{\"table\":\"" + table +
+                    "\",\"part\":\"\",\"key\":\"" + key + "\",\"value\":\"" + each.value +
+                    "\",\"ver\":" + std::to_string(each.version) +
                     (each.is_removed ? ",\"removed\":true}" : "}");
         }
         const auto now = static_cast<std::uint64_t>(seconds_since_begin() * 1000) + 1000;
@@ -513,7 +555,8 @@
     std::string transact(const std::string& body, std::string& status) {
         for (const auto& each : objects(body, "expected")) {
             const auto found = m_rows.find({member(each, "table"), member(each, "key")});
-            const auto current = found == m_rows.end() || found->second.is_removed ? 0 : found->second.version;
+            const auto current =
+                found == m_rows.end() || found->second.is_removed ? 0 : found->second.version;
             if (current != std::stoull("0" + member(each, "ver"))) {
                 status = "412 Precondition Failed";
                 return "{\"rows\":[]}"; // the gateway then reads the row again
@@ -588,7 +631,7 @@
 
 struct gateway_place {
     std::string ip;
-    std::string folder;         ///< for its settings and its log
+    std::string folder; ///< for its settings and its log
     std::string store_address;
     std::string seeds;
     int memory_mb = 110;
@@ -599,9 +642,7 @@
 class gateway {
 public:
     explicit gateway(gateway_place place) : m_place(std::move(place)) { start(); }
-    ~gateway() {
-        end(SIGKILL);
-    }
+    ~gateway() { end(SIGKILL); }
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
@@ -617,28 +658,28 @@
         text << file.rdbuf();
         const auto settings = m_place.folder + "/settings-" + m_place.ip + ".toml";
         std::ofstream(settings) << fill_template(
-            text.str(),
-            {{"#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap", m_place.is_first_start ? "yes" : "no"},
-             {"node", "edge-" + m_place.ip},
-             {"zone", "zone-a"},
-             {"region", "region-a"},
-             {"platform.address", m_place.store_address},
-             {"listen.front", m_place.ip + ":8221"},
-             {"listen.ready", m_place.ip + ":8224"},
-             {"ip", m_place.ip},
-             {"internal_ports.0", "7600"},
-             {"seeds", m_place.seeds},
-             {"limits.cpu_share", "0.19"},
-             {"limits.memory_mb", std::to_string(m_place.memory_mb)},
-             {"bounds.grace_s", "8"},
-             {"bounds.retry_budget_ratio", "0.2"},
-             {"bounds.budget_slack", "52"},
-             {"bounds.budget_window_s", "10"},
-             {"bounds.quota_window_s", "8"},
-             {"bounds.quota_slack", "110000"},
-             {"bounds.config_apply_ms", "2000"},
-             {"bounds.drain_ms", "2000"},
-             {"heartbeat_ms", "1200"}});
+            text.str(), {{"#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap",
+                          m_place.is_first_start ? "yes" : "no"},
+                         {"node", "edge-" + m_place.ip},
+                         {"zone", "zone-a"},
+                         {"region", "region-a"},
+                         {"platform.address", m_place.store_address},
+                         {"listen.front", m_place.ip + ":8221"},
+                         {"listen.ready", m_place.ip + ":8224"},
+                         {"ip", m_place.ip},
+                         {"internal_ports.0", "7600"},
+                         {"seeds", m_place.seeds},
+                         {"limits.cpu_share", "0.19"},
+                         {"limits.memory_mb", std::to_string(m_place.memory_mb)},
+                         {"bounds.grace_s", "8"},
+                         {"bounds.retry_budget_ratio", "0.2"},
+                         {"bounds.budget_slack", "52"},
+                         {"bounds.budget_window_s", "10"},
+                         {"bounds.quota_window_s", "8"},
+                         {"bounds.quota_slack", "110000"},
+                         {"bounds.config_apply_ms", "2000"},
+                         {"bounds.drain_ms", "2000"},
+                         {"heartbeat_ms", "1200"}});
         return settings;
     }
 
@@ -684,7 +725,8 @@
         const auto probe = channel::connect(m_place.ip, 8224);
         message answer;
         return probe != nullptr && probe->send("GET /borageford/readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
-               probe->read(answer, milliseconds(1000), true) == read_result::complete && answer.status() == 200;
+               probe->read(answer, milliseconds(1000), true) == read_result::complete &&
+               answer.status() == 200;
     }
     [[nodiscard]] bool wait_until_ready() const {
         const auto until = clock_type::now() + std::chrono::seconds(15);
@@ -706,8 +748,8 @@
 inline std::string free_loopback_address() {
     std::random_device source;
     for (;;) {
-        const auto ip = "127." + std::to_string(20 + source() % 200) + "." + std::to_string(source() % 250) + "." +
-                        std::to_string(2 + source() % 250);
+        const auto ip = "127." + std::to_string(20 + source() % 200) + "." + std::to_string(source() % 250) +
+                        "." + std::to_string(2 + source() % 250);
         bool is_free = true;
         for (const int port : {8221, 8224, 7600, 9464}) {
             const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
