Logs tell which connection an attempt used, and which answers were passed over

request_try_failed has sent_before, the number of requests that the connection had carried. answer_passed_over is written for each answer that isn't the current one's. server_connection holds the count beside the connection. No behaviour is changed.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -157,6 +157,10 @@
         event_kind::answer_field_unreadable, "answer_field_unreadable", warning, state_rate,
         "A backend server's answer has a field about the server that can't be read; it is ignored.",
         "backend request field value reason"},
+    event_description{event_kind::answer_passed_over, "answer_passed_over", warning, state_rate,
+                      "A backend server sent bytes that aren't the answer to the request on the connection, "
+                      "for instance a second answer to an earlier one; they were passed over.",
+                      "backend request answers status"},
     event_description{event_kind::request_field_unreadable, "request_field_unreadable", warning, failure_rate,
                       "A request has a field that can't be read; it is treated as if the field said nothing.",
                       "request field value"},
@@ -177,8 +181,9 @@
         "request backend software known_by events total_ms"},
     event_description{event_kind::request_try_failed, "request_try_failed", warning, failure_rate,
                       "A backend server failed a request; the field `next` tells whether the request is sent "
-                      "to another server.",
-                      "request backend outcome reason try runs next busy_ms"},
+                      "to another server, `sent_before` how many requests its connection had carried before "
+                      "(-1: it wasn't sent).",
+                      "request backend outcome reason try runs next busy_ms sent_before"},
     event_description{event_kind::request_answered, "request_answered", info, usual_rate,
                       "A backend server's complete answer was forwarded to the caller.",
                       "request status backend route workspace tries waited_ms first_ms to_first_ms target_ms "
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -58,6 +58,7 @@
     suspect_quarantined,
     suspect_cleared,
     answer_field_unreadable,
+    answer_passed_over,
 
     // Requests, logged by the gateway that received them from their callers.
     request_field_unreadable,
--- a/src/gateway/backend.cpp
+++ b/src/gateway/backend.cpp
@@ -18,26 +18,26 @@
     m_record = std::move(record);
 }
 
-std::shared_ptr<net::connection> backend::take_idle(clock::duration max_idle) {
+std::optional<server_connection> backend::take_idle(clock::duration max_idle) {
     const auto now = clock::now();
     close_expired(now);
     if (m_idle.empty() || now - m_idle.back().since > max_idle) {
-        return nullptr;
+        return std::nullopt;
     }
     auto connection = std::move(m_idle.back().connection);
     m_idle.pop_back();
-    connection->set_handlers({});
+    connection.stream()->set_handlers({});
     return connection;
 }
 
-void backend::keep_idle(std::shared_ptr<net::connection> connection, clock::duration keep,
-                        std::function<void()> on_end) {
+void backend::keep_idle(server_connection connection, clock::duration keep, std::function<void()> on_end) {
+    const auto& stream = connection.stream();
     if (m_is_retired) {
-        connection->close();
+        stream->close();
         return;
     }
     const auto now = clock::now();
-    const auto* raw = connection.get();
+    const auto* raw = stream.get();
     const std::weak_ptr<backend> weak = weak_from_this();
     const auto drop = [weak, raw] {
         if (const auto self = weak.lock()) {
@@ -54,16 +54,16 @@
         drop();
         on_end();
     };
-    connection->set_handlers({drop, handle_end, {}});
-    connection->read();
+    stream->set_handlers({drop, handle_end, {}});
+    stream->read();
     m_idle.push_back({std::move(connection), now, now + keep});
 }
 
 void backend::drop_idle(const net::connection* ended) {
     const auto found = std::ranges::find_if(
-        m_idle, [ended](const idle_connection& entry) { return entry.connection.get() == ended; });
+        m_idle, [ended](const idle_connection& entry) { return entry.connection.stream().get() == ended; });
     if (found != m_idle.end()) {
-        found->connection->close();
+        found->connection.stream()->close();
         m_idle.erase(found);
     }
 }
@@ -73,14 +73,14 @@
         if (entry.until > now) {
             return false;
         }
-        entry.connection->close();
+        entry.connection.stream()->close();
         return true;
     });
 }
 
 void backend::close_idle() {
     for (const auto& entry : m_idle) {
-        entry.connection->close();
+        entry.connection.stream()->close();
     }
     m_idle.clear();
 }
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -1,6 +1,7 @@
 // A backend server as seen by a gateway: its registration, its idle connections and the calls that run on it.
 #pragma once
 
+#include "gateway/server_connection.hpp"
 #include "net/connection.hpp"
 #include "routing/backend_record.hpp"
 
@@ -29,14 +30,12 @@
     void set_record(routing::backend_record record);
 
     /// Returns the most recently used idle connection if it has been idle for at most `max_idle`, else
-    /// null.
-    [[nodiscard]] std::shared_ptr<net::connection> take_idle(clock::duration max_idle);
+    /// nothing.
+    [[nodiscard]] std::optional<server_connection> take_idle(clock::duration max_idle);
 
     /// Keeps an open connection for the next request, for at most `keep`. Calls `on_end` if the server closes
     /// it before that.
-    void keep_idle(
-        std::shared_ptr<net::connection> connection, clock::duration keep,
-        std::function<void()> on_end = [] {});
+    void keep_idle(server_connection connection, clock::duration keep, std::function<void()> on_end = [] {});
 
     void close_idle();
     /// Closes the idle connections whose keep time is over.
@@ -76,7 +75,7 @@
 
 private:
     struct idle_connection {
-        std::shared_ptr<net::connection> connection;
+        server_connection connection;
         clock::time_point since;
         clock::time_point until;
     };
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -2,6 +2,8 @@
 // response.
 #include "gateway/backend_call.hpp"
 
+#include "events/event_log.hpp"
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 
@@ -58,8 +60,8 @@
     m_server->add_call(shared_from_this());
     const auto idle = m_request.is_retryable ? max_idle : max_idle_without_retry;
     auto connection = m_server->take_idle(idle);
-    if (connection != nullptr) {
-        send_on(std::move(connection));
+    if (connection.has_value()) {
+        send_on(*std::move(connection));
     } else {
         connect();
     }
@@ -87,7 +89,7 @@
             return;
         }
         self->m_server->record_life();
-        self->send_on(std::make_shared<net::connection>(std::move(*socket)));
+        self->send_on(server_connection(std::make_shared<net::connection>(std::move(*socket))));
     });
     m_connect_timer.expires_after(connect_timeout);
     m_connect_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -98,36 +100,38 @@
     });
 }
 
-void backend_call::send_on(std::shared_ptr<net::connection> connection) {
+void backend_call::send_on(server_connection connection) {
+    const auto stream = connection.stream();
     if (m_server->record().state != routing::backend_state::ready || m_server->backoff_end().has_value()) {
-        connection->close();
+        stream->close();
         fail(call_failure::withdrawn, "the server was taken out of use or asked for a pause");
         return;
     }
     if (!m_request.may_be_sent()) {
-        connection->close();
+        stream->close();
         fail(call_failure::withdrawn, "the request was quarantined");
         return;
     }
-    m_connection = std::move(connection);
+    m_sent_before = connection.request_count();
+    connection.record();
+    m_connection.emplace(std::move(connection));
     m_software = m_server->record().version;
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
                                               : http::response_reader::body_rule::expected);
-    m_sent_before = m_connection->sent_bytes();
-    m_connection->set_handlers(
-        {[self = shared_from_this()] { self->handle_input(); },
-         [self = shared_from_this()](net::connection_end how) { self->handle_end(how); },
-         {}});
+    m_bytes_before = stream->sent_bytes();
+    stream->set_handlers({[self = shared_from_this()] { self->handle_input(); },
+                          [self = shared_from_this()](net::connection_end how) { self->handle_end(how); },
+                          {}});
     const std::array<std::string_view, 2> pieces{m_request.head, m_request.body};
-    m_connection->send(pieces);
-    m_connection->read();
+    stream->send(pieces);
+    stream->read();
 }
 
 void backend_call::handle_restart() {
     const bool is_with_new_start =
-        m_connection == nullptr ||
+        !m_connection.has_value() ||
         (m_server->last_connection_failure() != backend::clock::time_point::min() &&
-         m_connection->opened_at() > m_server->last_connection_failure());
+         stream().opened_at() > m_server->last_connection_failure());
     if (is_with_new_start) {
         m_is_software_uncertain = true;
         return;
@@ -147,15 +151,15 @@
 }
 
 void backend_call::pause() {
-    if (m_connection != nullptr && !m_paused_at.has_value()) {
+    if (m_connection.has_value() && !m_paused_at.has_value()) {
         m_paused_at = clock::now();
-        m_connection->pause_reading();
-        m_connection->release_input();
+        stream().pause_reading();
+        stream().release_input();
     }
 }
 
 void backend_call::resume() {
-    if (m_connection == nullptr || !m_paused_at.has_value()) {
+    if (!m_connection.has_value() || !m_paused_at.has_value()) {
         return;
     }
     const auto length = clock::now() - *m_paused_at;
@@ -164,9 +168,9 @@
     m_kernel_bytes = 0;
     if (length >= shortest_unread) {
         m_long_pause_end = clock::now();
-        m_has_ended_in_pause = m_has_ended_in_pause || m_connection->has_peer_closed();
+        m_has_ended_in_pause = m_has_ended_in_pause || stream().has_peer_closed();
     }
-    m_connection->read();
+    stream().read();
 }
 
 backend_call::clock::duration backend_call::paused_time() const {
@@ -180,17 +184,17 @@
 }
 
 void backend_call::check_paused() {
-    if (!is_paused() || m_connection == nullptr) {
+    if (!is_paused() || !m_connection.has_value()) {
         return;
     }
-    m_kernel_bytes = m_connection->kernel_bytes();
-    if (m_connection->has_peer_closed()) {
+    m_kernel_bytes = stream().kernel_bytes();
+    if (stream().has_peer_closed()) {
         resume();
     }
 }
 
 std::size_t backend_call::held_bytes() const {
-    return m_kernel_bytes + (m_connection != nullptr ? m_connection->unsent_bytes() : 0);
+    return m_kernel_bytes + (m_connection.has_value() ? stream().unsent_bytes() : 0);
 }
 
 void backend_call::handle_input() {
@@ -207,14 +211,17 @@
 /// Reads the available bytes. Returns true when they may contain another response.
 bool backend_call::read_response() {
     m_body.clear();
-    m_connection->consume(m_reader->read(m_connection->input(), m_body));
+    stream().consume(m_reader->read(stream().input(), m_body));
     if (!m_reader->has_head()) {
         return false;
     }
     if (!m_has_reported_head && !m_is_discarding) {
         const bool is_interim = m_reader->status() < first_final_status;
         m_is_discarding = is_interim || !belongs_to_this_call();
-        m_must_close = m_must_close || (m_is_discarding && !is_interim);
+        if (m_is_discarding && !is_interim) {
+            m_must_close = true;
+            report_passed_over();
+        }
         if (!m_is_discarding) {
             m_has_reported_head = true;
             const auto to_call = m_handlers;
@@ -228,7 +235,7 @@
         m_is_discarding = false;
         m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
                                                   : http::response_reader::body_rule::expected);
-        return !m_connection->input().empty();
+        return !stream().input().empty();
     }
     if (!m_is_over && !m_body.empty()) {
         const auto to_call = m_handlers;
@@ -245,6 +252,15 @@
     return !echoed.has_value() || *echoed == m_request.request_id;
 }
 
+void backend_call::report_passed_over() const {
+    events::write(
+        events::event_kind::answer_passed_over,
+        {{"backend", m_server->record().id},
+         {"request", m_request.request_id},
+         {"answers", events::excerpt(m_reader->fields().find(m_request.request_id_name).value_or(""))},
+         {"status", std::uint64_t(m_reader->status())}});
+}
+
 void backend_call::handle_end(net::connection_end how) {
     if (m_is_over) {
         return;
@@ -253,7 +269,7 @@
     if (how == net::connection_end::failed && !has_ended_unread()) {
         m_server->record_connection_failure();
     }
-    const bool has_sent_bytes = m_connection->sent_bytes() > m_sent_before;
+    const bool has_sent_bytes = stream().sent_bytes() > m_bytes_before;
     const auto failure = has_sent_bytes ? call_failure::unknown : call_failure::unreachable;
     if (has_ended_unread() && how == net::connection_end::failed) {
         fail(call_failure::unread, unread_reason);
@@ -286,14 +302,15 @@
 }
 
 void backend_call::release_connection() {
-    const auto connection = std::exchange(m_connection, nullptr);
+    auto connection = *std::exchange(m_connection, std::nullopt);
+    const auto used = connection.stream();
     const bool is_clean =
-        !m_must_close && connection->input().empty() && m_reader->keeps_connection() && connection->is_open();
+        !m_must_close && used->input().empty() && m_reader->keeps_connection() && used->is_open();
     const auto keep = keep_alive_time(*m_reader);
     if (is_clean && keep > milliseconds::zero()) {
-        m_server->keep_idle(connection, keep);
+        m_server->keep_idle(std::move(connection), keep);
     } else {
-        connection->close();
+        used->close();
     }
 }
 
@@ -315,8 +332,8 @@
         m_connecting->close(ignored);
         m_connecting.reset();
     }
-    if (m_connection != nullptr) {
-        m_connection->close();
+    if (m_connection.has_value()) {
+        stream().close();
         m_connection.reset();
     }
 }
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/backend.hpp"
+#include "gateway/server_connection.hpp"
 #include "http/response_reader.hpp"
 #include "net/connection.hpp"
 #include "policy/slot_request.hpp"
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -90,10 +92,12 @@
     void handle_restart();
 
     /// Whether the request was sent, or at least a part of it.
-    [[nodiscard]] bool has_been_sent() const noexcept { return m_connection != nullptr; }
+    [[nodiscard]] bool has_been_sent() const noexcept { return m_connection.has_value(); }
+    /// How many requests were sent on the connection before this one; nothing if this one wasn't sent.
+    [[nodiscard]] std::optional<std::size_t> sent_before() const noexcept { return m_sent_before; }
     /// When the connection was opened on which the response arrives.
     [[nodiscard]] std::chrono::steady_clock::time_point opened_at() const {
-        return m_connection->opened_at();
+        return m_connection->stream()->opened_at();
     }
     /// The software version of the server that received the request; nothing if it isn't certain, because
     /// another version has registered under the server's id since. The present registration may be that of
@@ -104,11 +108,13 @@
 
 private:
     void connect();
-    void send_on(std::shared_ptr<net::connection> connection);
+    void send_on(server_connection connection);
+    [[nodiscard]] net::connection& stream() const { return *m_connection->stream(); }
     void handle_input();
     void handle_end(net::connection_end how);
     bool read_response();
     [[nodiscard]] bool belongs_to_this_call() const;
+    void report_passed_over() const;
     void complete();
     void fail(call_failure what, std::string_view reason);
     void release_connection();
@@ -119,12 +125,13 @@
     backend_request m_request;
     /// Shared, since a handler may end the call, and with it reset this member, while the handler runs.
     std::shared_ptr<const handlers> m_handlers;
-    std::shared_ptr<net::connection> m_connection;
+    std::optional<server_connection> m_connection;
     std::optional<http::response_reader> m_reader;
     std::string m_body; ///< Body bytes decoded by the last read.
     boost::asio::steady_timer m_connect_timer;
     std::shared_ptr<boost::asio::ip::tcp::socket> m_connecting;
-    std::uint64_t m_sent_before = 0; ///< Bytes sent on the connection before this call.
+    std::uint64_t m_bytes_before = 0;         ///< Bytes sent on the connection before this call.
+    std::optional<std::size_t> m_sent_before; ///< Requests sent on it before this call.
     bool m_has_reported_head = false;
     /// The response being read belongs to another request, or is interim (1xx), and is discarded.
     bool m_is_discarding = false;
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -113,9 +113,9 @@
         record_crash(*server);
     } else if (!error) {
         server->record_life();
-        const auto connection = std::make_shared<net::connection>(std::move(*m_checks.at(key).socket));
+        server_connection connection(std::make_shared<net::connection>(std::move(*m_checks.at(key).socket)));
         // A server that is ending may accept a connection before it closes them all.
-        server->keep_idle(connection, keep_checked, [this, server] { plan_check(server); });
+        server->keep_idle(std::move(connection), keep_checked, [this, server] { plan_check(server); });
     }
     release_waiting(key);
     m_checks.erase(key);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -296,8 +296,8 @@
     m_attempts.avoid(m_slot);
     release_slot(policy::slot_outcome::refused);
     m_call.reset();
-    m_journal.attempt_failed(m_admitted, m_server_id, policy::slot_outcome::refused, reason, m_attempts, true,
-                             busy);
+    m_journal.attempt_failed(m_admitted, m_server_id,
+                             {policy::slot_outcome::refused, std::string(reason), busy}, m_attempts, true);
     request_slot();
 }
 
@@ -608,8 +608,10 @@
         m_attempts.record(m_slot, policy::attempt_outcome::may_have_run);
         release_slot(policy::slot_outcome::failed);
         const bool will_retry = may_retry();
-        m_journal.attempt_failed(m_admitted, m_server_id, policy::slot_outcome::failed,
-                                 "status " + std::to_string(response.status()), m_attempts, will_retry, busy);
+        m_journal.attempt_failed(m_admitted, m_server_id,
+                                 {policy::slot_outcome::failed, "status " + std::to_string(response.status()),
+                                  busy, m_call->sent_before()},
+                                 m_attempts, will_retry);
         if (will_retry) {
             m_call.reset();
             request_slot();
@@ -642,7 +644,8 @@
 void request_exchange::fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot,
                                     std::string_view reason) {
     m_broke_off = clock::now();
-    const auto busy = m_broke_off - m_slot_begin;
+    request_journal::failed_attempt failed{slot, std::string(reason), m_broke_off - m_slot_begin};
+    failed.sent_before = m_call != nullptr ? m_call->sent_before() : std::nullopt;
     // The slot scheduler refunds the quota of a request that didn't run when its slot is released.
     m_is_charged = outcome == policy::attempt_outcome::may_have_run;
     m_attempts.record(m_slot, outcome);
@@ -655,26 +658,25 @@
     m_call.reset();
     m_events.handle_broken_connection(); // also before the first event: a part of one may have arrived
     if (!may_have_crashed_it || server == nullptr) {
-        continue_after(slot, reason, busy);
+        continue_after(failed);
         return;
     }
     const auto self = shared_from_this();
-    record_broken(server, [self, slot, reason = std::string(reason), busy] {
+    record_broken(server, [self, failed] {
         if (!self->m_is_over) {
-            self->continue_after(slot, reason, busy);
+            self->continue_after(failed);
         }
     });
 }
 
 /// Sends the request to another server after a failed attempt, or gives it up.
-void request_exchange::continue_after(policy::slot_outcome slot, std::string_view reason,
-                                      clock::duration busy) {
+void request_exchange::continue_after(const request_journal::failed_attempt& failed) {
     const bool will_retry = may_retry();
-    m_journal.attempt_failed(m_admitted, m_server_id, slot, reason, m_attempts, will_retry, busy);
+    m_journal.attempt_failed(m_admitted, m_server_id, failed, m_attempts, will_retry);
     if (will_retry) {
         request_slot();
     } else {
-        end_without_answer(error_kind::overloaded, reason, choose_retry_after(m_admitted.fingerprint));
+        end_without_answer(error_kind::overloaded, failed.reason, choose_retry_after(m_admitted.fingerprint));
     }
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -97,7 +97,7 @@
     void handle_complete_passed_on();
     void handle_failure(call_failure what, std::string_view reason);
     void fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot, std::string_view reason);
-    void continue_after(policy::slot_outcome slot, std::string_view reason, clock::duration busy);
+    void continue_after(const request_journal::failed_attempt& failed);
 
     // Whether the request may crash servers.
     [[nodiscard]] bool is_suspect() const;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -30,6 +30,11 @@
                                                            : std::string_view();
 }
 
+/// -1: the request wasn't sent.
+std::int64_t sent_before(const request_journal::failed_attempt& attempt) {
+    return attempt.sent_before.has_value() ? std::int64_t(*attempt.sent_before) : -1;
+}
+
 /// Limits the length of texts that callers choose.
 std::string shorten(std::string_view text) {
     constexpr std::size_t longest = 120;
@@ -76,18 +81,18 @@
 }
 
 void request_journal::attempt_failed(const admitted_request& request, std::string_view backend,
-                                     policy::slot_outcome outcome, std::string_view reason,
-                                     const policy::attempt_rule& attempts, bool will_retry,
-                                     clock::duration busy) {
-    m_context.metrics.count_attempt(request, outcome);
+                                     const failed_attempt& attempt, const policy::attempt_rule& attempts,
+                                     bool will_retry) {
+    m_context.metrics.count_attempt(request, attempt.outcome);
     events::write(event_kind::request_try_failed, {{"request", request.id},
                                                    {"backend", backend},
-                                                   {"outcome", to_string(outcome)},
-                                                   {"reason", reason},
+                                                   {"outcome", to_string(attempt.outcome)},
+                                                   {"reason", attempt.reason},
                                                    {"try", std::uint64_t(attempts.attempt_count())},
                                                    {"runs", std::uint64_t(attempts.runs())},
                                                    {"next", will_retry ? "again" : "end"},
-                                                   {"busy_ms", to_ms(busy)}});
+                                                   {"busy_ms", to_ms(attempt.busy)},
+                                                   {"sent_before", sent_before(attempt)}});
 }
 
 void request_journal::first_event(const admitted_request& request) {
--- a/src/gateway/request_journal.hpp
+++ b/src/gateway/request_journal.hpp
@@ -8,8 +8,10 @@
 #include "policy/slot_request.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace borageford::gateway {
@@ -33,11 +35,17 @@
     /// began it, `events` how many events of it were forwarded before in this answer.
     void resumed(const admitted_request& request, const named_server& server, std::string_view known_by,
                  std::uint64_t events);
-    /// An attempt failed. `will_retry` is whether another attempt follows, `busy` the time since the slot was
-    /// granted.
+    /// An attempt that failed, for the log.
+    struct failed_attempt {
+        policy::slot_outcome outcome = policy::slot_outcome::failed;
+        std::string reason;
+        clock::duration busy{}; ///< Since the slot was granted.
+        /// How many requests were sent on its connection before; nothing if it wasn't sent.
+        std::optional<std::size_t> sent_before = std::nullopt;
+    };
+    /// An attempt failed. `will_retry` is whether another attempt follows.
     void attempt_failed(const admitted_request& request, std::string_view backend,
-                        policy::slot_outcome outcome, std::string_view reason,
-                        const policy::attempt_rule& attempts, bool will_retry, clock::duration busy);
+                        const failed_attempt& attempt, const policy::attempt_rule& attempts, bool will_retry);
     /// The first event of the current attempt was received. Only updates a metric.
     void first_event(const admitted_request& request);
     /// Times of an answer as its caller experiences them.
