--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -48,15 +48,23 @@
     return result;
 }
 
-/// The status line of a successful answer and these fields.
-std::string compose_success_head(const http::header_fields& fields) {
-    std::string head = "HTTP/1.1 200 OK\r\n";
-    for (const auto& field : fields) {
+/// The status line and the fields of an answer.
+std::string compose_head(const http::response_head& answer) {
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " \r\n";
+    for (const auto& field : answer.headers) {
         head.append(field.name).append(": ").append(field.value).append("\r\n");
     }
     return head;
 }
 
+std::string compose_length(const std::string& body) {
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+}
+
+std::string compose(const http::response& answer) {
+    return compose_head(answer.head) + compose_length(answer.body) + answer.body;
+}
+
 /// The answer to a request that the HTTP server couldn't parse.
 http::response refuse_unread(error_kind kind, std::string_view detail) {
     return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
@@ -198,6 +206,7 @@
 
 http::response emulated_backend::refuse(const http::request& call, unsigned status) {
     auto answer = http::make_response(status, "text/plain", "");
+    answer.head.headers.push_back({m_fields.request_id, header_value(call, m_fields.request_id)});
     if (status != status_misdirected) {
         answer.head.headers.push_back({m_fields.not_executed, "1"});
         std::ranges::copy(make_statements(call, m_pause), std::back_inserter(answer.head.headers));
@@ -240,14 +249,18 @@
     const auto expected = header_value(call, m_fields.expected_server);
     const bool is_full = m_in_progress >= m_options.slots + m_options.queue;
     unsigned refused = 0;
+    auto fault = backend_fault::none;
     if (!expected.empty() && expected != m_options.id) {
         refused = status_misdirected;
-    } else if (is_full || m_fault == backend_fault::refuse) {
-        static_cast<void>(take_fault());
+    } else if (is_full || m_fault == backend_fault::refuse || m_fault == backend_fault::refuse_and_repeat) {
+        fault = take_fault();
         refused = status_unavailable;
     }
     if (refused != 0) {
         const auto answer = refuse(call, refused);
+        if (fault == backend_fault::refuse_and_repeat) {
+            writer.write_before_next(compose(answer));
+        }
         co_await writer.write(answer);
         co_return;
     }
@@ -299,12 +312,16 @@
                                       R"({"run":)" + std::to_string(number) +
                                           std::string(m_options.padding, ' ') + "}");
     std::ranges::move(answer_fields(call, number), std::back_inserter(answer.head.headers));
-    if (!ends_unframed && (fault == backend_fault::none || fault == backend_fault::error)) {
+    if (!ends_unframed &&
+        (fault == backend_fault::none || fault == backend_fault::error || fault == backend_fault::repeat)) {
+        if (fault == backend_fault::repeat) {
+            writer.write_before_next(compose(answer));
+        }
         co_await writer.write(answer);
         co_return;
     }
-    const auto head = compose_success_head(answer.head.headers);
-    const auto length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    const auto head = compose_head(answer.head);
+    const auto length = compose_length(answer.body);
     if (fault == backend_fault::cut_midway || fault == backend_fault::cut_first_event) {
         co_await writer.write_raw(head + length + answer.body.substr(0, 3), false);
     } else if (fault == backend_fault::unframed || ends_unframed) {
@@ -325,7 +342,7 @@
     const auto first = static_cast<std::uint64_t>(parse_number(header_value(call, m_fields.last_event))) + 1;
     auto fields = answer_fields(call, number);
     fields.push_back({"Content-Type", "text/event-stream"});
-    auto text = compose_success_head(fields) + "Connection: close\r\n\r\n";
+    auto text = compose_head({status_ok, fields}) + "Connection: close\r\n\r\n";
     const bool is_cut = fault == backend_fault::unframed_midway;
     const auto end = is_cut ? first + 1 : last;
     for (auto event = first; event <= end; ++event) {
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -29,8 +29,10 @@
 /// How the server misbehaves.
 enum class backend_fault : std::uint8_t {
     none,
-    error,          ///< runs the request and answers 500
-    refuse,         ///< answers 503 with header_names::not_executed, without running the request
+    error,  ///< runs the request and answers 500
+    refuse, ///< answers 503 with header_names::not_executed, without running the request
+    /// The same, and sends that answer again when the next request has arrived on the connection.
+    refuse_and_repeat,
     cut_unanswered, ///< runs the request and closes the connection without a complete answer
     cut_midway,     ///< closes the connection in the middle of the answer
     /// Closes the connection in the middle of the first event of a stream, or of an answer without events.
@@ -38,7 +40,9 @@
     hang,          ///< runs the request and never answers
     garble,        ///< answers with bytes that are no HTTP response
     second_answer, ///< sends another response, for which there is no request, after the correct one
-    unframed,      ///< answers without a length, so that only the end of the connection ends the answer
+    /// Sends the answer of a plain service again when the next request has arrived on the connection.
+    repeat,
+    unframed, ///< answers without a length, so that only the end of the connection ends the answer
     /// The same, and the connection ends in the middle of the second event of a stream.
     unframed_midway,
 };
--- a/src/gateway/backend.cpp
+++ b/src/gateway/backend.cpp
@@ -5,6 +5,7 @@
 #include "gateway/backend_call.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace borageford::gateway {
@@ -18,14 +19,18 @@
     m_record = std::move(record);
 }
 
-std::optional<server_connection> backend::take_idle(clock::duration max_idle) {
+std::optional<server_connection> backend::take_idle(std::string_view request_id, clock::duration max_idle) {
     const auto now = clock::now();
     close_expired(now);
-    if (m_idle.empty() || now - m_idle.back().since > max_idle) {
+    const auto found =
+        std::ranges::find_if(m_idle.rbegin(), m_idle.rend(), [&](const idle_connection& entry) {
+            return entry.connection.may_carry(request_id);
+        });
+    if (found == m_idle.rend() || now - found->since > max_idle) {
         return std::nullopt;
     }
-    auto connection = std::move(m_idle.back().connection);
-    m_idle.pop_back();
+    auto connection = std::move(found->connection);
+    m_idle.erase(std::next(found).base());
     connection.stream()->set_handlers({});
     return connection;
 }
--- a/src/gateway/backend.hpp
+++ b/src/gateway/backend.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,9 +30,10 @@
     /// changed.
     void set_record(routing::backend_record record);
 
-    /// Returns the most recently used idle connection if it has been idle for at most `max_idle`, else
-    /// nothing.
-    [[nodiscard]] std::optional<server_connection> take_idle(clock::duration max_idle);
+    /// Returns the most recently used idle connection that may carry a request with this id, if it has been
+    /// idle for at most `max_idle`; else nothing.
+    [[nodiscard]] std::optional<server_connection> take_idle(std::string_view request_id,
+                                                             clock::duration max_idle);
 
     /// Keeps an open connection for the next request, for at most `keep`. Calls `on_end` if the server closes
     /// it before that.
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -58,8 +58,14 @@
 
 void backend_call::start() {
     m_server->add_call(shared_from_this());
+    if (m_request.request_id.empty()) {
+        // Nothing tells its answer from those to other requests.
+        m_must_close = true;
+        connect();
+        return;
+    }
     const auto idle = m_request.is_retryable ? max_idle : max_idle_without_retry;
-    auto connection = m_server->take_idle(idle);
+    auto connection = m_server->take_idle(m_request.request_id, idle);
     if (connection.has_value()) {
         send_on(*std::move(connection));
     } else {
@@ -113,7 +119,7 @@
         return;
     }
     m_sent_before = connection.request_count();
-    connection.record();
+    connection.record(m_request.request_id);
     m_connection.emplace(std::move(connection));
     m_software = m_server->record().version;
     m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
@@ -307,7 +313,7 @@
     const bool is_clean =
         !m_must_close && used->input().empty() && m_reader->keeps_connection() && used->is_open();
     const auto keep = keep_alive_time(*m_reader);
-    if (is_clean && keep > milliseconds::zero()) {
+    if (is_clean && !connection.is_used_up() && keep > milliseconds::zero()) {
         m_server->keep_idle(std::move(connection), keep);
     } else {
         used->close();
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -135,8 +135,8 @@
     bool m_has_reported_head = false;
     /// The response being read belongs to another request, or is interim (1xx), and is discarded.
     bool m_is_discarding = false;
-    /// A response to another request arrived on the connection, or the server has closed it: it is not
-    /// reused.
+    /// A response to another request arrived on the connection, or the server has closed it, or the request
+    /// has no id: the connection is not reused.
     bool m_must_close = false;
     bool m_is_over = false;
     std::optional<clock::time_point> m_paused_at; ///< since when reading is paused
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,7 +27,7 @@
 using tcp = asio::ip::tcp;
 
 struct response_writer::state {
-    explicit state(beast::tcp_stream& connection, std::chrono::milliseconds limit)
+    state(beast::tcp_stream& connection, std::chrono::milliseconds limit)
         : stream(connection), write_time(limit) {}
 
     beast::tcp_stream& stream;
@@ -36,7 +36,8 @@
     bool begun = false;
     bool chunked = false;
     bool ended = false;
-    bool is_over = false; ///< the request has ended; `stream` may have been destroyed
+    bool is_over = false;    ///< the request has ended; `stream` may have been destroyed
+    std::string before_next; ///< see write_before_next()
 };
 
 namespace {
@@ -156,6 +157,10 @@
     }
 }
 
+void response_writer::write_before_next(std::string bytes) {
+    m_state->before_next = std::move(bytes);
+}
+
 void response_writer::abort() noexcept {
     m_state->keep_alive = false;
     m_state->ended = true;
@@ -212,7 +217,8 @@
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<bool> wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer);
     std::shared_ptr<request_timer> start_request_timer(beast::tcp_stream& stream) const;
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                    std::string& before_next);
     asio::awaitable<void> answer(const request& call, response_writer& writer);
     asio::awaitable<void> refuse_and_close(beast::tcp_stream& stream, error_kind kind, std::string_view why);
     static asio::awaitable<void> linger(beast::tcp_stream& stream);
@@ -271,7 +277,9 @@
             co_await refuse_and_close(*stream, error_kind::too_many_connections, "");
         } else {
             beast::flat_buffer buffer;
-            while (co_await wait_for_bytes(stream, buffer) && co_await serve_one(*stream, buffer)) {
+            std::string before_next;
+            while (co_await wait_for_bytes(stream, buffer) &&
+                   co_await serve_one(*stream, buffer, before_next)) {
             }
         }
     } catch (const std::exception&) {
@@ -318,7 +326,9 @@
     return limit;
 }
 
-asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+/// `before_next` is what write_before_next() was called with during the previous request.
+asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                               std::string& before_next) {
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
@@ -346,8 +356,14 @@
     shared->keep_alive = parser.get().keep_alive() && !draining.load();
     const auto call = from_library(parser.release());
     response_writer writer(shared);
+    if (!before_next.empty()) {
+        co_await writer.write_raw(std::exchange(before_next, {}), true);
+        shared->begun = false;
+        shared->ended = false;
+    }
     co_await answer(call, writer);
     shared->is_over = true;
+    before_next = std::move(shared->before_next);
     const bool can_go_on = shared->keep_alive && shared->ended;
     co_return can_go_on;
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -53,6 +53,10 @@
     /// unless `keeps_connection` is true.
     boost::asio::awaitable<void> write_raw(std::string bytes, bool keeps_connection);
 
+    /// Writes the bytes when the next request on this connection has arrived, before its response; for
+    /// emulators of faulty servers.
+    void write_before_next(std::string bytes);
+
     /// Closes the connection without an end marker, so that the caller sees a truncated response.
     void abort() noexcept;
 
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -139,6 +139,31 @@
     }
 }
 
+TEST_CASE("gateway: a refusal that a server repeats late isn't taken for the answer to the next attempt",
+          "[gateway][carriage]") {
+    // The caller would be told that its request hasn't run while the server runs it, or it would run twice.
+    const bool is_stream = GENERATE(false, true);
+    auto options = is_stream ? stream_site(false, 1) : plain_site(routing::route_kind::non_idempotent, 1);
+    options.configuration.routes.front().attempts = GENERATE(1, 3);
+    gateway_site site(options);
+    for (int index = 0; index < 4; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        set_fault(site, 0, backend_fault::refuse_and_repeat, 1);
+        const auto answer = site.send(0, is_stream ? stream_call(id, 8) : make_call("/plain/x", id));
+        CHECK(answer.status == 200);
+        CHECK(site.runs_of(id) == 1);
+    }
+}
+
+TEST_CASE("gateway: an answer that a server repeats late isn't taken for a later one with the same id",
+          "[gateway][carriage]") {
+    // A caller that uses an id twice would get the answer to its earlier request.
+    gateway_site site(plain_site(routing::route_kind::idempotent, 1));
+    set_fault(site, 0, backend_fault::repeat, 1);
+    CHECK(site.send(0, make_call("/plain/x", "same")).body == R"({"run":0})");
+    CHECK(site.send(0, make_call("/plain/x", "same")).body == R"({"run":1})");
+}
+
 TEST_CASE("gateway: an answer without a length is complete when its connection is closed normally",
           "[gateway][carriage]") {
     // An old server ends its answers by closing the connection. The caller's connection stays open, so its
--- /dev/null
+++ b/tests/unit/test_backend_call.cpp
@@ -0,0 +1,149 @@
+// Tests of backend_call, against a server whose answers the test writes.
+#include "gateway/backend_call.hpp"
+#include "support/run_until.hpp"
+#include "support/scripted_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace borageford;
+using gateway::backend_call;
+using gateway::call_failure;
+using test::scripted_answer;
+using test::scripted_server;
+
+namespace {
+
+std::string answer_to(const std::string& id, const std::string& body = "whole") {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string refusal_of(const std::string& id) {
+    return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
+           "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// What became of a call.
+struct outcome {
+    unsigned status = 0; ///< 0: it failed
+    std::string body;
+    std::optional<call_failure> failure;
+};
+
+/// One server, and calls to it one after the other.
+class called_server {
+public:
+    called_server() : m_server(m_context) {
+        routing::backend_record record;
+        record.id = "server";
+        record.address = m_server.address();
+        record.state = routing::backend_state::ready;
+        m_backend = std::make_shared<gateway::backend>(record);
+    }
+
+    [[nodiscard]] scripted_server& server() noexcept { return m_server; }
+    [[nodiscard]] boost::asio::io_context& context() noexcept { return m_context; }
+
+    outcome call(const std::string& id) {
+        gateway::backend_request request;
+        request.head = "GET /x HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n";
+        request.request_id = id;
+        request.request_id_name = "Request-Id";
+        outcome result;
+        bool is_over = false;
+        std::shared_ptr<backend_call> running;
+        running = std::make_shared<backend_call>(
+            m_context.get_executor(), m_backend, std::move(request),
+            backend_call::handlers{[&] { result.status = running->response().status(); },
+                                   [&](std::string_view bytes) { result.body.append(bytes); },
+                                   [&] { is_over = true; },
+                                   [&](call_failure what, std::string_view) {
+                                       result = {0, std::move(result.body), what};
+                                       is_over = true;
+                                   }});
+        running->start();
+        test::run_until(m_context, [&] { return is_over; });
+        return result;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    scripted_server m_server;
+    std::shared_ptr<gateway::backend> m_backend;
+};
+
+} // namespace
+
+TEST_CASE("a connection is used again by other requests", "[gateway][backend_call]") {
+    called_server called;
+    called.server().add({answer_to("a")});
+    called.server().add({answer_to("b")});
+    CHECK(called.call("a").status == 200);
+    CHECK(called.call("b").status == 200);
+    CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 0});
+}
+
+TEST_CASE("a request isn't sent again on a connection that has carried it", "[gateway][backend_call]") {
+    // The server repeats its first answer late, which on that connection would pass for the second one.
+    called_server called;
+    called.server().add({refusal_of("a")});
+    called.server().add({answer_to("b")});
+    called.server().add({answer_to("a")});
+    CHECK(called.call("a").status == 503);
+    CHECK(called.call("b").status == 200);
+    CHECK(called.call("a").status == 200);
+    CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 0, 1});
+}
+
+TEST_CASE("an answer to an earlier request is passed over, and its connection isn't kept",
+          "[gateway][backend_call]") {
+    called_server called;
+    called.server().add({refusal_of("a")});
+    called.server().add({refusal_of("a") + answer_to("b", "b's own")});
+    called.server().add({answer_to("c")});
+    CHECK(called.call("a").status == 503);
+    CHECK(called.call("b").body == "b's own");
+    CHECK(called.call("c").status == 200);
+    CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 0, 1});
+}
+
+TEST_CASE("a connection on which bytes arrive between two requests isn't used again",
+          "[gateway][backend_call]") {
+    called_server called;
+    called.server().add({answer_to("a") + answer_to("a")});
+    called.server().add({answer_to("b", "b's own")});
+    CHECK(called.call("a").status == 200);
+    CHECK(called.call("b").body == "b's own");
+    CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 1});
+}
+
+TEST_CASE("a request without an id gets a connection of its own", "[gateway][backend_call]") {
+    called_server called;
+    called.server().add({answer_to("a")});
+    called.server().add({"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"});
+    called.server().add({answer_to("c")});
+    CHECK(called.call("a").status == 200);
+    CHECK(called.call("").status == 400);
+    CHECK(called.call("c").status == 200);
+    CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 1, 0});
+}
+
+TEST_CASE("a connection is replaced before its record of requests grows without bound",
+          "[gateway][backend_call]") {
+    constexpr std::size_t calls = 600;
+    called_server called;
+    for (std::size_t number = 0; number < calls; ++number) {
+        const auto id = std::to_string(number);
+        called.server().add({answer_to(id)});
+        CHECK(called.call(id).status == 200);
+    }
+    CHECK(called.server().arrivals().front() == 0);
+    CHECK(called.server().arrivals().back() == 1);
+}
--- a/tests/unit/test_coordination.cpp
+++ b/tests/unit/test_coordination.cpp
@@ -1,6 +1,7 @@
 // Tests of the messages between gateways (message.hpp, batch_channel), of the election of a coordinator, of
 // active_members and of slot_coordinator.
 #include "coordination/batch_channel.hpp"
+#include "coordination/local_requests.hpp"
 #include "coordination/message.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "policy/active_members.hpp"
@@ -504,3 +505,15 @@
     coordinator.apply_items(100, ended, now);
     CHECK(request(3).grants.size() == 1);
 }
+
+TEST_CASE("a late decision about an earlier slot request doesn't reach the request's next one",
+          "[coordination]") {
+    // It would be sent to a server of which the coordinator has given the slot to somebody else.
+    local_requests requests;
+    requests.add(make_slot_request(1), {});
+    CHECK(requests.withdraw(1));
+    requests.add(make_slot_request(2), {});
+    CHECK_FALSE(requests.apply_grant({.ticket = 1, .server = 7}));
+    requests.apply_refusal({.ticket = 1});
+    CHECK(requests.find(2) != nullptr);
+}
