A call to a server ends when bytes that are no answer have no end

A faulty server may send interim answers, an answer to another request, an extension of a chunk or the fields after the last chunk without end. The first two were read until the request's deadline; of the others all was held in memory, since the parser bounds the head only, and waits for the end of a line however far away it is.

Now a call passes over 4 MiB at most, and a reader holds 64 KiB at most that it can't parse. The call fails as one that may have run and that its server broke off; the connection is closed.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds shortest_unread{1000};
 /// After a pause, the bytes that the server sent before it ended the connection arrive within this time.
 constexpr milliseconds longest_unread_rest{1000};
+/// How many bytes that belong to no answer of the call are passed over, in bytes: enough for a second answer
+/// of any usual length.
+constexpr std::size_t max_passed_over = 4U * 1024 * 1024;
 constexpr std::string_view unread_reason = "the server ended an answer that remained unread";
 
 milliseconds keep_alive_time(const http::response_reader& response) {
@@ -122,8 +125,7 @@
     connection.record(m_request.request_id);
     m_connection.emplace(std::move(connection));
     m_software = m_server->record().version;
-    m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
-                                              : http::response_reader::body_rule::expected);
+    expect_response();
     m_bytes_before = stream->sent_bytes();
     stream->set_handlers({[self = shared_from_this()] { self->handle_input(); },
                           [self = shared_from_this()](net::connection_end how) { self->handle_end(how); },
@@ -217,7 +219,8 @@
 /// Reads the available bytes. Returns true when they may contain another response.
 bool backend_call::read_response() {
     m_body.clear();
-    stream().consume(m_reader->read(stream().input(), m_body));
+    const auto count = m_reader->read(stream().input(), m_body);
+    stream().consume(count);
     if (!m_reader->has_head()) {
         return false;
     }
@@ -235,13 +238,7 @@
         }
     }
     if (m_is_discarding) {
-        if (!m_reader->is_complete()) {
-            return false;
-        }
-        m_is_discarding = false;
-        m_reader.emplace(m_request.is_head_method ? http::response_reader::body_rule::none
-                                                  : http::response_reader::body_rule::expected);
-        return !stream().input().empty();
+        return pass_over(count);
     }
     if (!m_is_over && !m_body.empty()) {
         const auto to_call = m_handlers;
@@ -253,6 +250,28 @@
     return false;
 }
 
+/// Passes over that many bytes of a response that isn't the call's. Returns true when the available bytes may
+/// contain another response.
+bool backend_call::pass_over(std::size_t count) {
+    m_passed_over += count;
+    if (m_passed_over > max_passed_over) {
+        fail(call_failure::unknown, "too many bytes that belong to no answer");
+        return false;
+    }
+    if (!m_reader->is_complete()) {
+        return false;
+    }
+    m_is_discarding = false;
+    expect_response();
+    return !stream().input().empty();
+}
+
+void backend_call::expect_response() {
+    using http::response_reader;
+    m_reader.emplace(m_request.is_head_method ? response_reader::body_rule::none
+                                              : response_reader::body_rule::expected);
+}
+
 bool backend_call::belongs_to_this_call() const {
     const auto echoed = m_reader->fields().find(m_request.request_id_name);
     return !echoed.has_value() || *echoed == m_request.request_id;
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -95,6 +95,8 @@
     [[nodiscard]] bool has_been_sent() const noexcept { return m_connection.has_value(); }
     /// How many requests were sent on the connection before this one; nothing if this one wasn't sent.
     [[nodiscard]] std::optional<std::size_t> sent_before() const noexcept { return m_sent_before; }
+    /// Whether the head of the answer was received.
+    [[nodiscard]] bool has_head() const noexcept { return m_has_reported_head; }
     /// When the connection was opened on which the response arrives.
     [[nodiscard]] std::chrono::steady_clock::time_point opened_at() const {
         return m_connection->stream()->opened_at();
@@ -112,7 +114,9 @@
     [[nodiscard]] net::connection& stream() const { return *m_connection->stream(); }
     void handle_input();
     void handle_end(net::connection_end how);
+    void expect_response();
     bool read_response();
+    bool pass_over(std::size_t count);
     [[nodiscard]] bool belongs_to_this_call() const;
     void report_passed_over() const;
     void complete();
@@ -135,6 +139,7 @@
     bool m_has_reported_head = false;
     /// The response being read belongs to another request, or is interim (1xx), and is discarded.
     bool m_is_discarding = false;
+    std::size_t m_passed_over = 0; ///< Bytes that were discarded.
     /// A response to another request arrived on the connection, or the server has closed it, or the request
     /// has no id: the connection is not reused.
     bool m_must_close = false;
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -16,6 +16,14 @@
 /// exhausting the memory.
 constexpr std::uint32_t head_limit = 64U * 1024;
 
+/// The parser waits for the end of a line or of a group of fields, however far away that is. It bounds the
+/// head only, not the lines between and after the chunks of a body.
+void check_length(std::size_t incomplete) {
+    if (incomplete > head_limit) {
+        throw response_error("a line or its fields are too long");
+    }
+}
+
 class library_parser : public beast::http::basic_parser<false> {
 public:
     unsigned status_code = 0;
@@ -76,6 +84,7 @@
         const auto consumed = m_state->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
         used += consumed;
         if (error == beast::http::error::need_more) {
+            check_length(bytes.size() - used);
             break;
         }
         if (error) {
--- a/src/http/response_reader.hpp
+++ b/src/http/response_reader.hpp
@@ -33,7 +33,8 @@
     response_reader& operator=(response_reader&&) noexcept;
 
     /// Parses bytes from the front of `bytes`, appends the body bytes among them to `body` and returns how
-    /// many bytes it consumed. Throws response_error.
+    /// many bytes it consumed; the others, of which there are at most 64 KiB, must be passed again with
+    /// further ones. Throws response_error.
     std::size_t read(std::string_view bytes, std::string& body);
 
     /// Tells the reader that the server has closed its sending side in order. Throws response_error when the
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -49,7 +49,12 @@
 
 asio::awaitable<void> scripted_server::send(tcp::socket& socket, scripted_answer answer) {
     co_await asio::async_write(socket, asio::buffer(answer.bytes), asio::use_awaitable);
-    while (!answer.endless.empty()) {
+    constexpr std::size_t write_size = 64U * 1024;
+    const auto part = answer.endless;
+    while (!part.empty() && answer.endless.size() < write_size) {
+        answer.endless += part;
+    }
+    while (!part.empty()) {
         m_endless_bytes +=
             co_await asio::async_write(socket, asio::buffer(answer.endless), asio::use_awaitable);
     }
--- a/tests/unit/test_backend_call.cpp
+++ b/tests/unit/test_backend_call.cpp
@@ -30,6 +30,8 @@
            "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+constexpr std::size_t far_too_many = 64U * 1024 * 1024;
+
 /// What became of a call.
 struct outcome {
     unsigned status = 0; ///< 0: it failed
@@ -51,6 +53,7 @@
     [[nodiscard]] scripted_server& server() noexcept { return m_server; }
     [[nodiscard]] boost::asio::io_context& context() noexcept { return m_context; }
 
+    /// Ends when the call is over, or when the server has sent far more than any answer may need.
     outcome call(const std::string& id) {
         gateway::backend_request request;
         request.head = "GET /x HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n";
@@ -69,7 +72,8 @@
                                        is_over = true;
                                    }});
         running->start();
-        test::run_until(m_context, [&] { return is_over; });
+        test::run_until(m_context, [&] { return is_over || m_server.endless_bytes() > far_too_many; });
+        running->cancel();
         return result;
     }
 
@@ -147,3 +151,41 @@
     CHECK(called.server().arrivals().front() == 0);
     CHECK(called.server().arrivals().back() == 1);
 }
+
+TEST_CASE("bytes without end that are no answer end the call, which may have run",
+          "[gateway][backend_call]") {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string own = head + "Request-Id: a\r\n";
+    const std::string foreign = head + "Request-Id: other\r\n";
+    const std::string padding(4000, 'x');
+    const auto answer = GENERATE_COPY(values<scripted_answer>({
+        {"", padding},                                                  // no status line
+        {"HTTP/1.1 200 ", padding},                                     // a status line
+        {head, "X-Padding: " + padding + "\r\n"},                       // fields
+        {head + "X-Padding: ", padding},                                // one field
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"},                        // interim answers
+        {"", answer_to("other", padding)},                              // answers to another request
+        {foreign + "\r\n", padding},                                    // one of them without a length
+        {foreign + "Content-Length: 999999999999\r\n\r\n", padding},    // with a length
+        {foreign + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"}, // in chunks
+        {own + "Transfer-Encoding: chunked\r\n\r\n1;", padding},        // an extension of a chunk
+        {own + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},  // fields after the last chunk
+        {own + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", padding},  // one such field
+    }));
+    CAPTURE(answer.bytes, answer.endless.substr(0, 30));
+    called_server called;
+    called.server().add(answer);
+    const auto result = called.call("a");
+    CHECK(result.failure == call_failure::unknown);
+    CHECK(called.server().endless_bytes() < far_too_many);
+    test::run_until(called.context(), [&] { return called.server().open_connections() == 0; });
+}
+
+TEST_CASE("a sound answer is whole whatever its length", "[gateway][backend_call]") {
+    constexpr std::size_t long_body = 32U * 1024 * 1024;
+    called_server called;
+    called.server().add({answer_to("a", std::string(long_body, 'x'))});
+    const auto result = called.call("a");
+    CHECK(result.status == 200);
+    CHECK(result.body.size() == long_body);
+}
