An event or an answer without end takes neither the memory nor the slot

A gateway holds an event until it is complete, an answer that isn't a stream until there is no memory for it, and the body of an answer with which a stream can't go on.

Now an event ends its attempt at 4 MiB or at a caller's share of the memory, and counts as held; without a limit on memory an answer is passed on after 16 MiB; an answer with which a stream can't go on is decided by its head after 64 KiB. A server whose answer, not a stream, isn't complete at the deadline although nobody kept it waiting counts as faulty.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -284,6 +284,8 @@
         writer.abort();
     } else if (fault == backend_fault::garble) {
         co_await writer.write_raw("not a response at all\r\n\r\n", false);
+    } else if (fault == backend_fault::endless) {
+        co_await run_endless(call, writer, number);
     } else if (m_engine != nullptr &&
                (fault == backend_fault::unframed || fault == backend_fault::unframed_midway)) {
         co_await run_unframed_stream(call, writer, fault, number);
@@ -353,6 +355,20 @@
     co_await writer.write_raw(text, false);
 }
 
+asio::awaitable<void> emulated_backend::run_endless(const http::request& call, http::response_writer& writer,
+                                                    std::size_t number) {
+    auto fields = answer_fields(call, number);
+    fields.push_back({"Content-Type", m_engine != nullptr ? "text/event-stream" : "application/json"});
+    const auto begin = compose_head({status_ok, fields}) + "\r\nid: 1\ndata: ";
+    co_await writer.write_raw(begin, true);
+    constexpr std::size_t write_size = 64U * 1024;
+    const std::string more(write_size, 'x');
+    while (!m_is_stopped) {
+        co_await writer.write_raw(more, true);
+        co_await pause(m_timers, poll_period);
+    }
+}
+
 engine_request emulated_backend::make_engine_request(const http::request& call) const {
     engine_request request;
     request.id = ++m_engine->last_number;
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -45,6 +45,7 @@
     unframed, ///< answers without a length, so that only the end of the connection ends the answer
     /// The same, and the connection ends in the middle of the second event of a stream.
     unframed_midway,
+    endless, ///< begins an answer, or the first event of a stream, and goes on until the caller has gone
 };
 
 /// Fixed properties of an emulated server.
@@ -154,6 +155,8 @@
                                             backend_fault fault, std::size_t number);
     boost::asio::awaitable<void> run_unframed_stream(const http::request& call, http::response_writer& writer,
                                                      backend_fault fault, std::size_t number);
+    boost::asio::awaitable<void> run_endless(const http::request& call, http::response_writer& writer,
+                                             std::size_t number);
     void watch_caller(http::response_writer& writer, const std::shared_ptr<bool>& is_gone);
     /// The record of the requests that the rule names and to which this one belongs; null: to none.
     [[nodiscard]] fatal_record* find_fatal_record(const http::request& call);
--- a/src/gateway/event_relay.hpp
+++ b/src/gateway/event_relay.hpp
@@ -27,6 +27,8 @@
     /// Returns whether the stream may end here: at least one event was forwarded, and none is incomplete.
     [[nodiscard]] bool is_complete() const noexcept { return m_count > 0 && !m_splitter.has_partial_event(); }
 
+    /// Number of bytes of an incomplete event, which are held until the event is complete.
+    [[nodiscard]] std::size_t held_bytes() const noexcept { return m_splitter.partial_size(); }
     /// Id of the last forwarded event that had one; nothing if none had.
     [[nodiscard]] const std::optional<std::string>& last_id() const noexcept { return m_last_id; }
     /// Number of events forwarded.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -30,6 +30,13 @@
 constexpr int small_receive_buffer = 32 * 1024;
 /// The reason in the log of an answer that was aborted since its caller read it too slowly.
 constexpr std::string_view slow_caller_reason = "the caller reads too slowly";
+/// Longest event of a stream. Events hold a few tokens; the limit keeps one without an end from exhausting
+/// the memory.
+constexpr std::size_t max_event_bytes = 4U * 1024 * 1024;
+/// Bytes of an answer that are collected when there is no limit on memory.
+constexpr std::size_t max_collected_bytes = 16U * 1024 * 1024;
+/// How much of an answer is read of which only the head is of use.
+constexpr std::size_t max_unused_bytes = 64U * 1024;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
@@ -403,11 +410,11 @@
         return;
     }
     m_answer.append(bytes);
-    if (!m_context.unread.is_bounded()) {
+    if (m_has_begun_stream) {
+        end_unused_answer();
         return;
     }
-    m_session->update_held();
-    if (m_has_begun_stream || m_session->account().has_room_to_collect()) {
+    if (has_room_to_collect()) {
         return;
     }
     m_passes_on = true;
@@ -416,6 +423,35 @@
     send_to_caller(collected);
 }
 
+bool request_exchange::has_room_to_collect() {
+    if (!m_context.unread.is_bounded()) {
+        return m_answer.size() <= max_collected_bytes;
+    }
+    m_session->update_held();
+    return m_session->account().has_room_to_collect();
+}
+
+/// Stops reading an answer with which a stream can't go on. Its body is of no use and may have no end.
+void request_exchange::end_unused_answer() {
+    if (m_answer.size() > max_unused_bytes) {
+        m_call->cancel();
+        handle_complete_answer();
+    }
+}
+
+/// Whether more of the present event may be held.
+bool request_exchange::has_room_for_event() {
+    const auto held = m_events.held_bytes();
+    if (held == 0) {
+        return true;
+    }
+    if (!m_context.unread.is_bounded()) {
+        return held <= max_event_bytes;
+    }
+    m_session->update_held();
+    return held <= std::min(max_event_bytes, m_context.unread.share());
+}
+
 /// Pauses the server's answer when the caller has read too little of it.
 void request_exchange::send_to_caller(std::string_view bytes) {
     m_session->send_chunk(bytes);
@@ -440,6 +476,12 @@
         fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken, error.what());
         return;
     }
+    if (!has_room_for_event()) {
+        m_call->cancel();
+        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken,
+                     "an event is too long");
+        return;
+    }
     if (complete_events.empty()) {
         return;
     }
@@ -527,7 +569,8 @@
 }
 
 std::size_t request_exchange::held_bytes() const {
-    return m_request.body.size() + m_answer.size() + (m_call != nullptr ? m_call->held_bytes() : 0);
+    return m_request.body.size() + m_answer.size() + m_events.held_bytes() +
+           (m_call != nullptr ? m_call->held_bytes() : 0);
 }
 
 /// The server has ended an answer that the caller didn't read. Another server would have to wait for the
@@ -720,14 +763,21 @@
 
 // Answering the caller.
 
+/// Whether the server has begun an answer that isn't a stream and hasn't ended it, although nobody kept it
+/// waiting.
+bool request_exchange::is_answer_without_end() const {
+    return m_call->has_head() && !m_forwards_events && m_call->paused_time() == clock::duration::zero();
+}
+
 void request_exchange::handle_timeout() {
     const bool is_running = m_call != nullptr;
+    const bool has_no_end = is_running && is_answer_without_end();
     if (is_running) {
         record_abandoned();
         m_call->cancel();
         m_attempts.record(m_slot, policy::attempt_outcome::may_have_run);
     }
-    release_slot(policy::slot_outcome::abandoned);
+    release_slot(has_no_end ? policy::slot_outcome::broken : policy::slot_outcome::abandoned);
     end_without_answer(is_running ? error_kind::backend_stalled : error_kind::deadline_unreachable,
                        is_running ? "its time is over while a server works on it" : "its time is over");
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -89,6 +89,9 @@
     void handle_events(std::string_view bytes);
     void handle_first_event();
     void collect(std::string_view bytes);
+    [[nodiscard]] bool has_room_to_collect();
+    void end_unused_answer();
+    [[nodiscard]] bool has_room_for_event();
     void send_to_caller(std::string_view bytes);
     void handle_unread(std::string_view reason);
     void continue_unread();
@@ -110,6 +113,7 @@
     void record_event_time();
     [[nodiscard]] request_journal::answer_times answer_times() const;
     void begin_stream();
+    [[nodiscard]] bool is_answer_without_end() const;
     void handle_timeout();
     void end_without_answer(error_kind kind, std::string_view reason,
                             std::optional<milliseconds> retry_after = std::nullopt);
--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view id_field = "id:";
+/// Bytes of an event's end that may be at the end of an incomplete event: a line feed and a carriage return.
+constexpr std::size_t longest_partial_end = 2;
 
 /// The position after the empty line that ends the first event after `from`; npos when there is no complete
 /// event.
@@ -29,9 +31,11 @@
 std::string_view event_splitter::add(std::string_view bytes) {
     m_bytes.erase(0, m_returned_size);
     m_returned_size = 0;
+    // Searching a long event from its begin each time would take a time that grows with its square.
+    const auto unsearched = std::max(m_bytes.size(), longest_partial_end) - longest_partial_end;
     m_bytes.append(bytes);
     const std::string_view all(m_bytes);
-    for (auto end = find_event_end(all, m_returned_size); end != std::string_view::npos;
+    for (auto end = find_event_end(all, unsearched); end != std::string_view::npos;
          end = find_event_end(all, m_returned_size)) {
         read_id(all.substr(m_returned_size, end - m_returned_size));
         m_returned_size = end;
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -17,7 +17,9 @@
     [[nodiscard]] std::string_view add(std::string_view bytes);
 
     /// Whether the stream so far ends with an incomplete event.
-    [[nodiscard]] bool has_partial_event() const noexcept { return m_returned_size < m_bytes.size(); }
+    [[nodiscard]] bool has_partial_event() const noexcept { return partial_size() > 0; }
+    /// Number of bytes of the incomplete event.
+    [[nodiscard]] std::size_t partial_size() const noexcept { return m_bytes.size() - m_returned_size; }
 
     /// The last event id in the complete events; std::nullopt when none of them had an id.
     [[nodiscard]] const std::optional<std::string>& last_id() const noexcept { return m_last_id; }
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t mebibyte = 1U << 20;
+
 site_options plain_site(routing::route_kind kind, std::size_t servers) {
     site_options options;
     options.configuration = plain_configuration(kind);
@@ -270,3 +272,45 @@
     CHECK(answer.status == 504);
     CHECK(site.runs_of("hung") == 1);
 }
+
+TEST_CASE("gateway: an event without an end ends the attempt and not the gateway", "[gateway][carriage]") {
+    // The gateway holds an event until it is complete, so that one without an end would take all its memory.
+    const bool is_resumable = GENERATE(false, true);
+    const bool has_limit = GENERATE(false, true);
+    auto options = stream_site(is_resumable, 2);
+    options.gateway_settings = has_limit ? "memory_limit = 88MiB\n" : "";
+    gateway_site site(options);
+    set_fault_everywhere(site, 2, backend_fault::endless, 1);
+    const auto answer = site.send(0, stream_call("s", 40));
+    CHECK(answer.status == (is_resumable ? 200 : 502));
+    CHECK(answer.is_complete);
+    CHECK(site.runs_of("s") == (is_resumable ? 3 : 1));
+    set_fault_everywhere(site, 2, backend_fault::none);
+    wait_until("no server works for nobody", [&] {
+        return site.on_emulator(
+                   [&] { return site.backend(0).in_progress() + site.backend(1).in_progress(); }) == 0;
+    });
+    CHECK(site.send(0, stream_call("next", 40)).status == 200);
+    CHECK(site.process(0).peak_memory() < 88 * mebibyte);
+}
+
+TEST_CASE("gateway: an answer without an end is cut at its deadline, and its server counts as faulty",
+          "[gateway][carriage]") {
+    const bool has_limit = GENERATE(false, true);
+    auto options = plain_site(routing::route_kind::non_idempotent, 1);
+    options.configuration.routes.front().timeout = routing::milliseconds(400);
+    options.gateway_settings = has_limit ? "memory_limit = 88MiB\n" : "";
+    gateway_site site(options);
+    set_fault(site, 0, backend_fault::endless);
+    constexpr int rests_after = 3;
+    for (int index = 0; index < rests_after; ++index) {
+        const auto id = "endless-" + std::to_string(index);
+        const auto answer = site.send(0, make_call("/plain/x", id));
+        CHECK((answer.status == 504 || !answer.is_complete));
+        CHECK(site.runs_of(id) == 1);
+    }
+    wait_until("the server rests", [&] { return site.has_logged(0, "backend_resting"); });
+    wait_until("the server is free",
+               [&] { return site.on_emulator([&] { return site.backend(0).in_progress(); }) == 0; });
+    CHECK(site.process(0).peak_memory() < 88 * mebibyte);
+}
--- a/tests/failure/test_gateway_slow_readers.cpp
+++ b/tests/failure/test_gateway_slow_readers.cpp
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <fstream>
 #include <string>
 #include <thread>
 
@@ -19,17 +18,6 @@
 
 constexpr std::size_t mebibyte = 1U << 20;
 
-/// The largest memory that the process has had, in bytes.
-std::size_t peak_memory(const child_process& process) {
-    std::ifstream status("/proc/" + std::to_string(process.id()) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmHWM:")) {
-            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
-        }
-    }
-    return 0;
-}
-
 http::request long_call(const std::string& target, const std::string& id, unsigned output_tokens = 1) {
     auto call = make_call(target, id);
     call.headers.back().value = "30000";
@@ -126,7 +114,7 @@
     const auto metrics = fetch_text(site.metrics(0), "/metrics");
     CHECK(metrics.find("borageford_gateway_slow_callers_cut_total{") != std::string::npos);
     CHECK(metrics.find(R"(outcome="broken")") == std::string::npos);
-    CHECK(peak_memory(site.process(0)) < 88 * mebibyte);
+    CHECK(site.process(0).peak_memory() < 88 * mebibyte);
 }
 
 TEST_CASE("gateway: a body that arrives too slowly is refused as not run", "[gateway][slow]") {
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -196,4 +196,14 @@
     m_exit_code = WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status) : WEXITSTATUS(status);
 }
 
+std::size_t child_process::peak_memory() const {
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
+        }
+    }
+    return 0;
+}
+
 } // namespace borageford::test
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -54,6 +54,8 @@
     /// Returns the same text as output_text() and consumes it.
     [[nodiscard]] std::string take_output();
     [[nodiscard]] pid_t id() const noexcept { return m_id; }
+    /// The largest memory that the process has had, in bytes.
+    [[nodiscard]] std::size_t peak_memory() const;
 
 private:
     void signal_child(int signal) const;
