--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds delay_with_store{700};
 constexpr milliseconds delay_without_store{100};
 constexpr milliseconds exchange_limit{500};
+/// Longest time for the body of a peer's answer, and its largest size.
+constexpr milliseconds body_limit{5000};
+constexpr std::size_t max_body_bytes = 32U * 1024 * 1024;
 /// A peer that hasn't reported for longer than this may be gone.
 constexpr milliseconds report_lifetime{1000};
 constexpr unsigned status_ok = 200;
@@ -48,6 +51,8 @@
     result.connect = exchange_limit;
     result.head = exchange_limit;
     result.idle = exchange_limit;
+    result.body = body_limit;
+    result.body_limit = max_body_bytes;
     return result;
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t piece_size = 16U * 1024;
 /// Largest accepted response head in bytes.
 constexpr std::uint32_t head_limit = 64U * 1024;
+/// Bytes that are held until they can be parsed. The parser bounds the head only, not the lines between and
+/// after the chunks of a body.
+constexpr std::size_t buffer_limit = std::size_t(2) * head_limit;
 
 beast::http::request<beast::http::string_body> to_library(const endpoint& server, const request& call) {
     beast::http::request<beast::http::string_body> out;
@@ -60,10 +63,11 @@
 
     beast::tcp_stream stream;
     exchange_limits limits;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{buffer_limit};
     beast::http::response_parser<beast::http::buffer_body> parser;
     std::size_t body_bytes = 0;
-    bool is_cancelled = false; ///< connecting would open the closed socket again
+    std::chrono::steady_clock::time_point body_end; ///< when the body must be complete
+    bool is_cancelled = false;                      ///< connecting would open the closed socket again
 };
 
 client_exchange::client_exchange(const asio::any_io_executor& executor, exchange_limits limits)
@@ -97,6 +101,7 @@
         m_state->fail(exchange_stage::waiting, error);
     }
 
+    m_state->body_end = std::chrono::steady_clock::now() + m_state->limits.body;
     response_head head;
     head.status = m_state->parser.get().result_int();
     for (const auto& field : m_state->parser.get()) {
@@ -111,7 +116,11 @@
         std::string piece(piece_size, '\0');
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
-        m_state->stream.expires_after(m_state->limits.idle);
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_state->body_end) {
+            m_state->fail(exchange_stage::reading, beast::error::timeout);
+        }
+        m_state->stream.expires_at(std::min(now + m_state->limits.idle, m_state->body_end));
         beast::error_code error;
         co_await beast::http::async_read_some(m_state->stream, m_state->buffer, parser,
                                               asio::redirect_error(asio::use_awaitable, error));
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -48,6 +48,8 @@
     std::chrono::milliseconds head{30000};
     /// Longest time between two pieces of the response body.
     std::chrono::milliseconds idle{30000};
+    /// Longest time from the end of the response head to the end of the body.
+    std::chrono::milliseconds body = std::chrono::hours(24);
     /// Largest response body in bytes.
     std::size_t body_limit = 64U * 1024 * 1024;
 };
--- a/src/store/object_store.cpp
+++ b/src/store/object_store.cpp
@@ -32,7 +32,8 @@
                                                      asio::ip::tcp::endpoint address,
                                                      std::chrono::milliseconds timeout, std::string target) {
     http::request call{"GET", std::move(target), {}, ""};
-    auto answer = co_await call_store(executor, address, timeout, std::move(call), call_kind::read);
+    auto answer =
+        co_await call_store(executor, address, timeout, std::move(call), call_kind::read, max_object_bytes);
     if (answer.head.status == status_not_found) {
         co_return std::nullopt;
     }
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <exception>
 #include <optional>
 #include <string>
@@ -17,6 +19,9 @@
 
 namespace {
 
+/// What a server sends at most before a test is given up.
+constexpr std::size_t far_too_many = std::size_t(1) << 30U;
+
 /// What became of an exchange.
 struct outcome {
     std::string body;
@@ -41,7 +46,7 @@
         }
     };
     boost::asio::co_spawn(context, http::fetch(context.get_executor(), address, call, limits), handle_end);
-    test::run_until(context, [&] { return is_over; });
+    test::run_until(context, [&] { return is_over || server.endless_bytes() > far_too_many; });
     return result;
 }
 
@@ -57,3 +62,38 @@
     CHECK(fetch(context, server).body == "2");
     CHECK(server.arrivals() == std::vector<std::size_t>{0, 1});
 }
+
+TEST_CASE("bytes without end end an exchange of the HTTP client", "[http][client]") {
+    using test::scripted_answer;
+    const std::string padding(4000, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto answer = GENERATE_COPY(values<scripted_answer>({
+        {head, "X-Padding: " + padding + "\r\n"},                 // fields
+        {head + "X-Padding: ", padding},                          // one field
+        {head + "\r\n", padding},                                 // a body without a length
+        {head + "Content-Length: 999999999999\r\n\r\n", padding}, // with a length
+        {chunked, "1\r\nx\r\n"},                                  // in chunks
+        {chunked + "1;", padding},                                // an extension of a chunk
+        {chunked + "0\r\nX: ", padding},                          // a field after the last chunk
+    }));
+    CAPTURE(answer.bytes, answer.endless.substr(0, 30));
+    boost::asio::io_context context;
+    scripted_server server(context);
+    server.add(answer);
+    http::exchange_limits limits;
+    limits.body_limit = 1024U * 1024;
+    CHECK(fetch(context, server, limits).failed_at.has_value());
+    test::run_until(context, [&] { return server.open_connections() == 0; });
+}
+
+TEST_CASE("a body whose pieces go on arriving ends when its time is over", "[http][client]") {
+    boost::asio::io_context context;
+    scripted_server server(context);
+    server.add({"HTTP/1.1 200 OK\r\n\r\n", "x"});
+    http::exchange_limits limits;
+    limits.body = std::chrono::milliseconds(20);
+    limits.body_limit = std::size_t(1) << 40U;
+    CHECK(fetch(context, server, limits).failed_at == http::exchange_stage::reading);
+    test::run_until(context, [&] { return server.open_connections() == 0; });
+}
