--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -65,6 +65,13 @@
     return compose_head(answer.head) + compose_length(answer.body) + answer.body;
 }
 
+/// Whether the answer itself is a whole one with a length.
+bool is_framed_answer(backend_fault fault) {
+    using enum backend_fault;
+    return fault == none || fault == error || fault == repeat || fault == unnamed_answer ||
+           fault == unsigned_answer;
+}
+
 /// The answer to a request that the HTTP server couldn't parse.
 http::response refuse_unread(error_kind kind, std::string_view detail) {
     return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
@@ -314,11 +321,16 @@
                                       R"({"run":)" + std::to_string(number) +
                                           std::string(m_options.padding, ' ') + "}");
     std::ranges::move(answer_fields(call, number), std::back_inserter(answer.head.headers));
-    if (!ends_unframed &&
-        (fault == backend_fault::none || fault == backend_fault::error || fault == backend_fault::repeat)) {
-        if (fault == backend_fault::repeat) {
-            writer.write_before_next(compose(answer));
-        }
+    if (fault == backend_fault::unsigned_answer) {
+        std::erase_if(answer.head.headers,
+                      [this](const http::header_field& field) { return field.name == m_fields.signature; });
+    }
+    if (fault == backend_fault::repeat) {
+        writer.write_before_next(compose(answer));
+    } else if (fault == backend_fault::unnamed_answer) {
+        writer.write_before_next("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+    if (!ends_unframed && is_framed_answer(fault)) {
         co_await writer.write(answer);
         co_return;
     }
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -40,6 +40,9 @@
     hang,          ///< runs the request and never answers
     garble,        ///< answers with bytes that are no HTTP response
     second_answer, ///< sends another response, for which there is no request, after the correct one
+    /// Sends a success that names no request when the next request has arrived on the connection.
+    unnamed_answer,
+    unsigned_answer, ///< answers without header_names::signature
     /// Sends the answer of a plain service again when the next request has arrived on the connection.
     repeat,
     unframed, ///< answers without a length, so that only the end of the connection ends the answer
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -273,8 +273,10 @@
 }
 
 bool backend_call::belongs_to_this_call() const {
-    const auto echoed = m_reader->fields().find(m_request.request_id_name);
-    return !echoed.has_value() || *echoed == m_request.request_id;
+    if (m_request.request_id.empty()) {
+        return true; // the connection has carried nothing else
+    }
+    return m_reader->fields().find(m_request.request_id_name) == m_request.request_id;
 }
 
 void backend_call::report_passed_over() const {
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -382,6 +382,13 @@
 
 void request_exchange::handle_head() {
     const auto& response = m_call->response();
+    const auto& signature = m_context.fields.signature;
+    if (is_success(response.status()) && !response.fields().find(signature).has_value()) {
+        m_call->cancel();
+        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken,
+                     "a success without the server's signature");
+        return;
+    }
     if (response.status() != misdirected) {
         m_context.crashes.record_alive(*m_call->server(), m_call->opened_at());
         m_context.answers.read(*m_call->server(), response, m_admitted.id);
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -157,6 +157,24 @@
     }
 }
 
+TEST_CASE("gateway: a success that names no request reaches no caller", "[gateway][carriage]") {
+    // The caller of a call that runs once would get an "ok" before the server has done its work.
+    gateway_site site(plain_site(routing::route_kind::non_idempotent, 1));
+    for (int index = 0; index < 4; ++index) {
+        const auto id = "call-" + std::to_string(index);
+        set_fault(site, 0, backend_fault::unnamed_answer, 1);
+        CHECK(site.send(0, make_call("/plain/x", id)).body == R"({"run":)" + std::to_string(index) + "}");
+        CHECK(site.runs_of(id) == 1);
+    }
+}
+
+TEST_CASE("gateway: a success without the server's signature reaches no caller", "[gateway][carriage]") {
+    gateway_site site(plain_site(routing::route_kind::non_idempotent, 1));
+    set_fault(site, 0, backend_fault::unsigned_answer, 1);
+    CHECK(site.send(0, make_call("/plain/x", "once")).status == 502);
+    CHECK(site.runs_of("once") == 1);
+}
+
 TEST_CASE("gateway: an answer that a server repeats late isn't taken for a later one with the same id",
           "[gateway][carriage]") {
     // A caller that uses an id twice would get the answer to its earlier request.
--- a/tests/unit/test_backend_call.cpp
+++ b/tests/unit/test_backend_call.cpp
@@ -118,6 +118,14 @@
     CHECK(called.server().arrivals() == std::vector<std::size_t>{0, 0, 1});
 }
 
+TEST_CASE("an answer that names no request is passed over", "[gateway][backend_call]") {
+    called_server called;
+    called.server().add({answer_to("a")});
+    called.server().add({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + answer_to("b", "b's own")});
+    CHECK(called.call("a").status == 200);
+    CHECK(called.call("b").body == "b's own");
+}
+
 TEST_CASE("a connection on which bytes arrive between two requests isn't used again",
           "[gateway][backend_call]") {
     called_server called;
