--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -23,7 +23,7 @@
     event_description{event_kind::started, "started", info, state_rate,
                       "The process accepts callers' connections.", "settings"},
     event_description{event_kind::settings_reloaded, "settings_reloaded", info, state_rate,
-                      "SIGHUP: the settings file was read again.", "settings"},
+                      "The settings file was read again, after SIGHUP or since it had changed.", "settings"},
     event_description{event_kind::settings_refused, "settings_refused", error, state_rate,
                       "The settings file has errors; the previous settings stay in use.", "settings reason"},
     event_description{
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -31,6 +31,7 @@
 #include "net/tcp_options.hpp"
 #include "policy/unread_memory.hpp"
 #include "process/runtime.hpp"
+#include "settings/file_watch.hpp"
 #include "store/table.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -62,6 +63,8 @@
 
 /// How long log lines are buffered, so that many are written with one system call.
 constexpr milliseconds log_flush_period{50};
+/// How often the settings file is looked at. A change is read after two looks that find the same.
+constexpr milliseconds settings_check_period{500};
 
 constexpr milliseconds unread_check_period{250};
 
@@ -166,6 +169,11 @@
         m_metrics_server.listen(m_settings.metrics_listen);
         events::write(events::event_kind::started, {{"settings", m_settings_file}});
         events::flush();
+        m_settings_timer = m_runtime.timers().every(m_runtime.executor(), settings_check_period, [this] {
+            if (m_settings_watch.has_changed()) {
+                reload();
+            }
+        });
         m_flush_timer =
             m_runtime.timers().every(m_runtime.executor(), log_flush_period, [] { events::flush(); });
     }
@@ -468,6 +476,7 @@
     /// Reads the settings file again and applies what can change while the process runs: stop_limit, new
     /// seeds and released suspects. An invalid file is logged and changes nothing.
     void reload() {
+        m_settings_watch.accept();
         std::vector<settings::problem> problems;
         const auto text = settings::read_file(m_settings_file, problems);
         const auto document = settings::parse_ini(text, m_settings_file, problems);
@@ -525,6 +534,8 @@
     graceful_stop m_stop;
     http::server m_readiness;
     metrics_endpoint m_metrics_server;
+    settings::file_watch m_settings_watch{m_settings_file};
+    timer_subscription m_settings_timer;
     timer_subscription m_flush_timer;
     timer_subscription m_unread_timer;
     policy::poll_role_choice m_poll_role_choice{static_cast<double>(m_settings.store_followers),
--- a/tests/failure/test_gateway_stop.cpp
+++ b/tests/failure/test_gateway_stop.cpp
@@ -103,6 +103,16 @@
     CHECK(site.send(0, make_call("/plain/x", "after")).status == 200);
 }
 
+TEST_CASE("gateway: settings that change without a signal are read", "[gateway][stop]") {
+    // Two gateways whose seeds don't answer go on granting the whole of each quota until they are told
+    // others.
+    gateway_site site(slow_site(std::chrono::milliseconds(0)));
+    site.write_settings(0, "stop_limit = 5s\n");
+    wait_until("the settings are read", [&] { return site.has_logged(0, "settings_reloaded"); });
+    site.write_settings(0, "stop_limit = soon\n");
+    wait_until("the faulty settings are refused", [&] { return site.has_logged(0, "settings_refused"); });
+}
+
 TEST_CASE("gateway: a log that nobody reads loses lines but no requests", "[gateway][logs]") {
     // The log collector hangs and the pipe is full. A process that waited for it would stop serving all its
     // callers.
