--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -36,8 +36,7 @@
 constexpr milliseconds shortest_unread{1000};
 /// After a pause, the bytes that the server sent before it ended the connection arrive within this time.
 constexpr milliseconds longest_unread_rest{1000};
-/// How many bytes that belong to no answer of the call are passed over, in bytes: enough for a second answer
-/// of any usual length.
+/// How many bytes a call passes over that aren't its answer: enough for a second answer of any usual length.
 constexpr std::size_t max_passed_over = 4U * 1024 * 1024;
 constexpr std::string_view unread_reason = "the server ended an answer that remained unread";
 
--- a/tests/unit/test_policy_failure_rate.cpp
+++ b/tests/unit/test_policy_failure_rate.cpp
@@ -1,31 +1,21 @@
 // Tests of failure_rate, and of what slot_scheduler makes of it.
 #include "policy/failure_rate.hpp"
 #include "policy/slot_scheduler.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <vector>
 
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
 constexpr server_key losing = 1;
 constexpr server_key sound = 2;
 
-slot_request request_at(slot_ticket ticket, time_point now) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
-    request.arrived = now;
-    request.deadline = now + 10s;
-    request.target = 500ms;
-    return request;
-}
-
 /// Two servers, of which one loses two requests in five, never three in a row.
 class losing_server_load {
 public:
@@ -39,7 +29,7 @@
         int lost = 0;
         for (; m_now < end; m_now += 20ms) {
             lost += end_requests();
-            m_scheduler.add(request_at(++m_ticket, m_now), m_now);
+            m_scheduler.add(sample_slot_request(++m_ticket, m_now), m_now);
             for (const auto& grant : m_scheduler.grant(m_now)) {
                 m_running.push_back({grant, m_now});
             }
@@ -109,7 +99,7 @@
     load.wait(1s);
     static_cast<void>(load.play_until(load.now() + 20ms));
     for (slot_ticket ticket = 1000; ticket < 1008; ++ticket) {
-        load.scheduler().add(request_at(ticket, load.now()), load.now());
+        load.scheduler().add(sample_slot_request(ticket, load.now()), load.now());
     }
     int at_losing = 0;
     for (const auto& grant : load.scheduler().grant(load.now())) {
@@ -127,7 +117,7 @@
     auto& scheduler = load.scheduler();
     int unrepeatable = 0;
     for (slot_ticket ticket = 1000; ticket < 1006; ++ticket) {
-        auto request = request_at(ticket, load.now());
+        auto request = sample_slot_request(ticket, load.now());
         request.may_repeat = ticket < 1004; // four that come first, and two that no other server may run
         scheduler.add(request, load.now());
         for (const auto& grant : scheduler.grant(load.now())) {
@@ -150,7 +140,7 @@
         }
     }
     for (slot_ticket ticket = 1; ticket <= 8; ++ticket) {
-        scheduler.add(request_at(ticket, start_time), start_time);
+        scheduler.add(sample_slot_request(ticket, start_time), start_time);
     }
     CHECK(scheduler.grant(start_time).size() == 8);
 }
--- a/tests/unit/test_policy_server_report.cpp
+++ b/tests/unit/test_policy_server_report.cpp
@@ -1,6 +1,7 @@
 // Tests of the server reports with which a new coordinator continues from what the members have learned.
 #include "coordination/slot_coordinator.hpp"
 #include "policy/slot_scheduler.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -9,12 +10,11 @@
 
 using namespace borageford;
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
 constexpr server_key dead = 1;
 constexpr server_key slow = 2;
 constexpr server_key fast = 3;
@@ -29,12 +29,7 @@
 }
 
 slot_request make_request(slot_ticket ticket, time_point now) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
-    request.arrived = now;
-    request.deadline = now + 10s;
-    request.target = 500ms;
+    auto request = sample_slot_request(ticket, now);
     request.cost = {1000, 40};
     return request;
 }
--- a/tests/unit/test_policy_slot_scheduler.cpp
+++ b/tests/unit/test_policy_slot_scheduler.cpp
@@ -1,6 +1,7 @@
 // Tests of slot_scheduler: which request gets which slot, which requests are refused, and which servers are
 // avoided.
 #include "policy/slot_scheduler.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -11,21 +12,14 @@
 #include <vector>
 
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
-
 slot_request make_request(slot_ticket ticket, int tier) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
+    auto request = sample_slot_request(ticket);
     request.tier = tier;
-    request.arrived = start_time;
-    request.deadline = start_time + 10s;
-    request.target = 500ms;
     return request;
 }
 
--- a/tests/unit/test_server_rate_limits.cpp
+++ b/tests/unit/test_server_rate_limits.cpp
@@ -2,6 +2,7 @@
 #include "policy/active_members.hpp"
 #include "policy/server_rate_limit.hpp"
 #include "policy/slot_scheduler.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -18,12 +19,11 @@
 #include <vector>
 
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
 constexpr server_key limited = 1;
 constexpr server_key unlimited = 2;
 constexpr auto window = 4s;
@@ -32,12 +32,7 @@
 constexpr double allowance = 5;
 
 slot_request make_request(slot_ticket ticket, time_point now, unsigned sends = 0) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
-    request.arrived = now;
-    request.deadline = now + 10s;
-    request.target = 500ms;
+    auto request = sample_slot_request(ticket, now);
     request.sends = sends;
     return request;
 }
