One way to break an attempt off, and one place that says how long a body may take

Read again: the call was cancelled and its attempt failed in four places alike (break_off() now); store, engine calls and peers each named the limits of a step, and two of them that a body may take five steps (exchange_limits::for_step() now; the peers keep their 5 s). The emulated servers' late bytes went through the response's writer, whose state was then set back; they are written directly. Comments of file_watch said "content" for the time of change and the size. No limit, check or message is changed.

--- a/src/backend/http_exchange.cpp
+++ b/src/backend/http_exchange.cpp
@@ -7,8 +7,6 @@
 constexpr unsigned status_ok = 200;
 /// Largest accepted answer to a control call in bytes.
 constexpr std::size_t control_body_limit = 4U * 1024 * 1024;
-/// The body of a control call may take this many times as long as one of its steps.
-constexpr int body_limits = 5;
 
 } // namespace
 
@@ -35,7 +33,8 @@
                                                 const http::endpoint& server, const http::request& request,
                                                 std::chrono::milliseconds limit) {
     try {
-        const http::exchange_limits limits{limit, limit, limit, limit * body_limits, control_body_limit};
+        auto limits = http::exchange_limits::for_step(limit);
+        limits.body_limit = control_body_limit;
         co_return co_await http::fetch(executor, server, request, limits);
     } catch (const http::exchange_error& error) {
         throw backend_error(to_failure(error), error.what());
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -47,10 +47,7 @@
 constexpr std::size_t max_uncounted_bytes = 64U * 1024;
 
 http::exchange_limits limits() {
-    http::exchange_limits result;
-    result.connect = exchange_limit;
-    result.head = exchange_limit;
-    result.idle = exchange_limit;
+    auto result = http::exchange_limits::for_step(exchange_limit);
     result.body = body_limit;
     result.body_limit = max_body_bytes;
     return result;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -30,8 +30,8 @@
 constexpr int small_receive_buffer = 32 * 1024;
 /// The reason in the log of an answer that was aborted since its caller read it too slowly.
 constexpr std::string_view slow_caller_reason = "the caller reads too slowly";
-/// Longest event of a stream. Events hold a few tokens; the limit keeps one without an end from exhausting
-/// the memory.
+/// Longest event of a stream in bytes. It is far longer than usual events, and keeps one that has no end from
+/// exhausting the memory.
 constexpr std::size_t max_event_bytes = 4U * 1024 * 1024;
 /// Bytes of an answer that are collected when there is no limit on memory.
 constexpr std::size_t max_collected_bytes = 16U * 1024 * 1024;
@@ -384,9 +384,7 @@
     const auto& response = m_call->response();
     const auto& signature = m_context.fields.signature;
     if (is_success(response.status()) && !response.fields().find(signature).has_value()) {
-        m_call->cancel();
-        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken,
-                     "a success without the server's signature");
+        break_off(policy::slot_outcome::broken, "a success without the server's signature");
         return;
     }
     if (response.status() != misdirected) {
@@ -470,23 +468,19 @@
 
 void request_exchange::handle_events(std::string_view bytes) {
     if (m_first_event == policy::duration{} && !m_software.fits(*m_call)) {
-        m_call->cancel();
-        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::abandoned,
-                     "its software version isn't the one that began the stream");
+        break_off(policy::slot_outcome::abandoned,
+                  "its software version isn't the one that began the stream");
         return;
     }
     std::string_view complete_events;
     try {
         complete_events = m_events.add(bytes);
     } catch (const http::response_error& error) {
-        m_call->cancel();
-        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken, error.what());
+        break_off(policy::slot_outcome::broken, error.what());
         return;
     }
     if (!has_room_for_event()) {
-        m_call->cancel();
-        fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken,
-                     "an event is too long");
+        break_off(policy::slot_outcome::broken, "an event is too long");
         return;
     }
     if (complete_events.empty()) {
@@ -691,6 +685,12 @@
     }
 }
 
+/// Ends the call to a server that has begun to answer, with an answer that can't be used.
+void request_exchange::break_off(policy::slot_outcome slot, std::string_view reason) {
+    m_call->cancel();
+    fail_attempt(policy::attempt_outcome::may_have_run, slot, reason);
+}
+
 void request_exchange::fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot,
                                     std::string_view reason) {
     m_broke_off = clock::now();
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -99,6 +99,7 @@
     void handle_complete_answer();
     void handle_complete_passed_on();
     void handle_failure(call_failure what, std::string_view reason);
+    void break_off(policy::slot_outcome slot, std::string_view reason);
     void fail_attempt(policy::attempt_outcome outcome, policy::slot_outcome slot, std::string_view reason);
     void continue_after(const request_journal::failed_attempt& failed);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -43,6 +43,16 @@
 
 } // namespace
 
+exchange_limits exchange_limits::for_step(std::chrono::milliseconds step) {
+    constexpr int steps_of_body = 5;
+    exchange_limits result;
+    result.connect = step;
+    result.head = step;
+    result.idle = step;
+    result.body = step * steps_of_body;
+    return result;
+}
+
 struct client_exchange::state {
     state(const asio::any_io_executor& executor, exchange_limits initial_limits)
         : stream(executor), limits(initial_limits) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -52,6 +52,10 @@
     std::chrono::milliseconds body = std::chrono::hours(24);
     /// Largest response body in bytes.
     std::size_t body_limit = 64U * 1024 * 1024;
+
+    /// Limits for an exchange of which each step may take up to `step`, and the whole body a few times as
+    /// long.
+    [[nodiscard]] static exchange_limits for_step(std::chrono::milliseconds step);
 };
 
 /// One request and its response, which is read in pieces as it arrives. Must not be used by two coroutines at
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -357,9 +357,8 @@
     const auto call = from_library(parser.release());
     response_writer writer(shared);
     if (!before_next.empty()) {
-        co_await writer.write_raw(std::exchange(before_next, {}), true);
-        shared->begun = false;
-        shared->ended = false;
+        stream.expires_after(limits.write_time);
+        co_await asio::async_write(stream, asio::buffer(before_next), asio::use_awaitable);
     }
     co_await answer(call, writer);
     shared->is_over = true;
--- a/src/settings/file_watch.hpp
+++ b/src/settings/file_watch.hpp
@@ -7,16 +7,17 @@
 
 namespace borageford::settings {
 
-/// Compares the file's time of change and size each time it is asked.
+/// Knows a state of the file, its time of change and its size, and compares it with the present one when it
+/// is asked.
 class file_watch {
 public:
-    /// The present content counts as known.
+    /// Knows the present state.
     explicit file_watch(std::filesystem::path file);
 
-    /// Whether the file has another content than the known one, and the same as at the last call: a file that
-    /// is being written isn't read halfway. The content counts as known afterwards.
+    /// Whether the file's state differs from the known one, and is the same as at the last call of this
+    /// function, so that nobody is writing the file. Such a state is known afterwards.
     [[nodiscard]] bool has_changed();
-    /// The present content counts as known.
+    /// Knows the present state from now on: the caller reads the file for another reason.
     void accept();
 
 private:
--- a/src/store/store_call.cpp
+++ b/src/store/store_call.cpp
@@ -26,8 +26,6 @@
 constexpr unsigned too_many_requests = 429;
 constexpr unsigned service_unavailable = 503;
 constexpr unsigned first_server_error = 500;
-/// A body may take this many times as long as the store may take for an answer.
-constexpr int body_timeouts = 5;
 
 /// A write may have taken effect although its answer was lost, unless the connection was never established.
 effect effect_of_failure(http::exchange_stage stage, call_kind kind) {
@@ -74,11 +72,7 @@
 asio::awaitable<http::response> call_store(asio::any_io_executor executor, asio::ip::tcp::endpoint address,
                                            std::chrono::milliseconds timeout, http::request call,
                                            call_kind kind, std::size_t body_limit) {
-    http::exchange_limits limits;
-    limits.connect = timeout;
-    limits.head = timeout;
-    limits.idle = timeout;
-    limits.body = timeout * body_timeouts;
+    auto limits = http::exchange_limits::for_step(timeout);
     limits.body_limit = body_limit;
     http::response answer;
     try {
