--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -65,10 +65,22 @@
     return compose_head(answer.head) + compose_length(answer.body) + answer.body;
 }
 
+/// Whether the server answers with a failure after the run.
+bool is_failure(backend_fault fault) {
+    return fault == backend_fault::error || fault == backend_fault::unavailable;
+}
+
+unsigned status_of(backend_fault fault) {
+    if (!is_failure(fault)) {
+        return status_ok;
+    }
+    return fault == backend_fault::error ? status_error : status_unavailable;
+}
+
 /// Whether the answer itself is a whole one with a length.
 bool is_framed_answer(backend_fault fault) {
     using enum backend_fault;
-    return fault == none || fault == error || fault == repeat || fault == unnamed_answer ||
+    return fault == none || is_failure(fault) || fault == repeat || fault == unnamed_answer ||
            fault == unsigned_answer;
 }
 
@@ -191,8 +203,15 @@
     }
 }
 
-backend_fault emulated_backend::take_fault() noexcept {
+bool emulated_backend::draw(double probability) {
+    return probability > 0 && std::bernoulli_distribution(probability)(m_random);
+}
+
+backend_fault emulated_backend::take_fault() {
     const auto fault = m_fault;
+    if (fault == backend_fault::none && draw(m_partial_faults.unavailable)) {
+        return backend_fault::unavailable;
+    }
     if (m_fault_count > 0) {
         --m_fault_count;
         m_fault = m_fault_count == 0 ? backend_fault::none : m_fault;
@@ -249,7 +268,9 @@
 }
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
-    m_arrived_requests.push_back({header_value(call, m_fields.request_id), steady_clock::now()});
+    const auto arrival = m_arrived_requests.size();
+    m_arrived_requests.push_back(
+        {header_value(call, m_fields.request_id), steady_clock::now(), writer.connection(), false});
     if (auto* const fatal = find_fatal_record(call)) {
         fatal->arrivals.push_back(steady_clock::now());
     }
@@ -262,11 +283,17 @@
     } else if (is_full || m_fault == backend_fault::refuse || m_fault == backend_fault::refuse_and_repeat) {
         fault = take_fault();
         refused = status_unavailable;
+    } else if (draw(m_partial_faults.refused)) {
+        refused = status_unavailable;
     }
+    prepare_nameless_answer(writer);
     if (refused != 0) {
+        m_arrived_requests[arrival].is_refused = true;
         const auto answer = refuse(call, refused);
         if (fault == backend_fault::refuse_and_repeat) {
             writer.write_before_next(compose(answer));
+        } else {
+            prepare_second_answer(answer, writer);
         }
         co_await writer.write(answer);
         co_return;
@@ -281,6 +308,21 @@
     --m_in_progress;
 }
 
+void emulated_backend::prepare_second_answer(const http::response& refusal, http::response_writer& writer) {
+    if (draw(m_partial_faults.repeated)) {
+        ++m_additional_answers;
+        writer.write_before_next(compose(refusal));
+    }
+}
+
+void emulated_backend::prepare_nameless_answer(http::response_writer& writer) {
+    if (draw(m_partial_faults.nameless)) {
+        ++m_additional_answers;
+        writer.write_before_next(
+            compose({{status_unavailable, {{m_fields.not_executed, "1"}}}, std::string()}));
+    }
+}
+
 asio::awaitable<void> emulated_backend::run(const http::request& call, http::response_writer& writer) {
     const auto number = m_runs.size();
     m_runs.push_back({header_value(call, m_fields.request_id), call.target, call.body,
@@ -296,7 +338,7 @@
     } else if (m_engine != nullptr &&
                (fault == backend_fault::unframed || fault == backend_fault::unframed_midway)) {
         co_await run_unframed_stream(call, writer, fault, number);
-    } else if (m_engine != nullptr && fault != backend_fault::error) {
+    } else if (m_engine != nullptr && !is_failure(fault)) {
         co_await run_stream(call, writer, fault, number);
     } else {
         co_await run_plain(call, writer, fault, number);
@@ -316,7 +358,7 @@
         writer.abort();
         co_return;
     }
-    const auto status = fault == backend_fault::error ? status_error : status_ok;
+    const auto status = status_of(fault);
     auto answer = http::make_response(status, "application/json",
                                       R"({"run":)" + std::to_string(number) +
                                           std::string(m_options.padding, ' ') + "}");
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -5,8 +5,9 @@
 #include "base/timer_service.hpp"
 #include "emulator/batching_engine.hpp"
 #include "emulator/fatal_record.hpp"
+#include "emulator/partial_faults.hpp"
 #include "emulator/rate_limit_excess.hpp"
-#include "emulator/retry_excess.hpp"
+#include "emulator/recorded_arrival.hpp"
 #include "emulator/server_statement.hpp"
 #include "http/server.hpp"
 #include "routing/header_names.hpp"
@@ -21,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -29,8 +31,9 @@
 /// How the server misbehaves.
 enum class backend_fault : std::uint8_t {
     none,
-    error,  ///< runs the request and answers 500
-    refuse, ///< answers 503 with header_names::not_executed, without running the request
+    error,       ///< runs the request and answers 500
+    unavailable, ///< runs the request and answers 503, without header_names::not_executed
+    refuse,      ///< answers 503 with header_names::not_executed, without running the request
     /// The same, and sends that answer again when the next request has arrived on the connection.
     refuse_and_repeat,
     cut_unanswered, ///< runs the request and closes the connection without a complete answer
@@ -116,6 +119,10 @@
 
     /// Applies this fault to the next `count` requests; to all further requests when `count` is 0.
     void set_fault(backend_fault fault, unsigned count = 0) noexcept;
+    /// Has these faults in some of its answers from now on, wherever set_fault() asks for no other one.
+    void set_partial_faults(const partial_faults& faults) noexcept { m_partial_faults = faults; }
+    /// How many answers it has sent for which no request was waiting, because of its partial faults.
+    [[nodiscard]] std::size_t additional_answers() const noexcept { return m_additional_answers; }
     /// Makes all work take `factor` times as long as usual.
     void set_slowness(double factor);
 
@@ -167,7 +174,10 @@
     bool apply_crash_rule(const http::request& call);
     void crash();
     void check_memory();
-    [[nodiscard]] backend_fault take_fault() noexcept;
+    [[nodiscard]] backend_fault take_fault();
+    [[nodiscard]] bool draw(double probability);
+    void prepare_second_answer(const http::response& refusal, http::response_writer& writer);
+    void prepare_nameless_answer(http::response_writer& writer);
     [[nodiscard]] http::response refuse(const http::request& call, unsigned status);
     [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number);
     [[nodiscard]] http::header_fields make_statements(const http::request& call,
@@ -181,6 +191,9 @@
     std::unique_ptr<engine_driver> m_engine;
     backend_fault m_fault = backend_fault::none;
     unsigned m_fault_count = 0;
+    partial_faults m_partial_faults;
+    std::size_t m_additional_answers = 0;
+    std::mt19937_64 m_random;
     bool m_is_stopped = false;
     bool m_has_run_out_of_memory = false;
     crash_rule m_crash_rule;
--- a/src/emulator/retry_excess.hpp
+++ b/src/emulator/retry_excess.hpp
@@ -1,22 +1,16 @@
 // Compares the requests that emulated servers got more than once with what a retry budget allows.
 #pragma once
 
+#include "emulator/recorded_arrival.hpp"
 #include "policy/time.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace borageford::emulator {
 
-/// A request reached a server, which may have refused it.
-struct recorded_arrival {
-    std::string request_id;
-    policy::time_point at;
-};
-
 /// What a service may get in a window in addition to the first arrival of each request.
 struct retry_terms {
     double ratio = 0.1;  ///< as a share of the requests that callers sent in the window
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -5,6 +5,7 @@
 #include "emulator/batching_engine.hpp"
 #include "emulator/emulated_backend.hpp"
 #include "emulator/load_model.hpp"
+#include "emulator/partial_faults.hpp"
 #include "routing/routing_types.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -69,6 +70,7 @@
     drain,  ///< servers announce that they drain, stop when the fault ends, and start again under a new id
     limit,  ///< servers name a rate limit in their answers
     refuse, ///< servers refuse all requests, and may ask for a pause
+    part,   ///< servers have `faults` in some of their answers
     gateway_lost,  ///< a gateway is killed, and started again when the fault ends
     store_refuses, ///< the store refuses every call
     store_silent,  ///< the store accepts calls and never answers
@@ -82,13 +84,14 @@
 struct planned_fault {
     std::string name;
     fault_kind kind = fault_kind::crash;
-    milliseconds at{0};        ///< begin, since the experiment's begin
-    milliseconds length{1000}; ///< from the fault's begin to its end
-    std::string service;       ///< whose servers have the fault; empty for the store's faults
-    std::size_t count = 1;     ///< how many servers have it: the first ones of the service
-    double factor = 3;         ///< for the kinds `slow` and `store_slow`
-    double per_second = 1;     ///< the rate limit that the kind `limit` names, in requests per second
-    milliseconds pause{0};     ///< what servers of the kind `refuse` ask for; 0: nothing
+    milliseconds at{0};              ///< begin, since the experiment's begin
+    milliseconds length{1000};       ///< from the fault's begin to its end
+    std::string service;             ///< whose servers have the fault; empty for the store's faults
+    std::size_t count = 1;           ///< how many servers have it: the first ones of the service
+    double factor = 3;               ///< for the kinds `slow` and `store_slow`
+    double per_second = 1;           ///< the rate limit that the kind `limit` names, in requests per second
+    milliseconds pause{0};           ///< what servers of the kind `refuse` ask for; 0: nothing
+    emulator::partial_faults faults; ///< for the kind `part`
     std::string software;    ///< for the kinds `crash` and `drain`: the version of the servers started again
     std::size_t gateway = 0; ///< which one is lost, for the kind `gateway_lost`; counts from 0
     milliseconds copy_age{2000};        ///< age of the copy from which the store is restored
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -32,9 +32,9 @@
 constexpr std::array<std::string_view, 2> service_kinds{"engine", "plain"};
 constexpr std::array<std::string_view, 3> fatal_traits{"none", "request", "part"};
 constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
-constexpr std::array<std::string_view, 13> fault_kinds{
-    "crash",  "hang",         "fail",          "cut",          "slow",       "drain",        "limit",
-    "refuse", "gateway_lost", "store_refuses", "store_silent", "store_slow", "store_returns"};
+constexpr std::array<std::string_view, 14> fault_kinds{
+    "crash",  "hang", "fail",         "cut",           "slow",         "drain",      "limit",
+    "refuse", "part", "gateway_lost", "store_refuses", "store_silent", "store_slow", "store_returns"};
 
 /// The index of the item with this name, or nothing.
 template <typename Item>
@@ -304,6 +304,10 @@
         fault.factor = reader.real("factor", fault.factor, 0.01, 1000);
         fault.per_second = reader.real("per_second", fault.per_second, 0, most);
         fault.count = static_cast<std::size_t>(reader.number("servers", 1, 1, most_servers));
+        fault.faults.refused = reader.real("refused", 0, 0, 1);
+        fault.faults.repeated = reader.real("repeated", 0, 0, 1);
+        fault.faults.nameless = reader.real("nameless", 0, 0, 1);
+        fault.faults.unavailable = reader.real("unavailable", 0, 0, 1);
         fault.software = reader.text("software", "");
         fault.pause = reader.duration("pause", fault.pause, none, longest);
         const auto last_gateway = std::max<std::int64_t>(std::ssize(m_plan.gateways), 1) - 1;
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -161,6 +161,12 @@
     }
 }
 
+void experiment_site::set_partial_faults(std::size_t server, const emulator::partial_faults& faults) {
+    if (auto& unit = m_servers.at(server); unit.server != nullptr) {
+        unit.server->set_partial_faults(faults);
+    }
+}
+
 void experiment_site::set_slowness(std::size_t server, double factor) {
     if (auto& unit = m_servers.at(server); unit.server != nullptr) {
         unit.server->set_slowness(factor);
@@ -245,16 +251,6 @@
     }
 }
 
-std::map<std::string, std::size_t> experiment_site::count_runs() const {
-    std::map<std::string, std::size_t> result;
-    visit_servers([&result](const emulator::emulated_backend& server) {
-        for (const auto& run : server.runs()) {
-            ++result[run.request_id];
-        }
-    });
-    return result;
-}
-
 std::string experiment_site::server_name(std::size_t server) const {
     const auto& unit = m_servers.at(server);
     return unit.server != nullptr ? unit.server->name() : std::string();
@@ -321,6 +317,9 @@
         set_all(backend_fault::refuse);
         std::ranges::for_each(servers, [&](auto server) { set_pause(server, fault.pause); });
         break;
+    case fault_kind::part:
+        std::ranges::for_each(servers, [&](auto server) { set_partial_faults(server, fault.faults); });
+        break;
     case fault_kind::gateway_lost:
         m_fault_observers.on_gateway_loss(fault.gateway);
         break;
@@ -371,6 +370,7 @@
             restart(server);
         }
         set_fault(server, emulator::backend_fault::none);
+        set_partial_faults(server, {});
         set_pause(server, milliseconds(0));
         set_slowness(server, m_servers[server].speed);
     }
--- a/src/experiment/experiment_site.hpp
+++ b/src/experiment/experiment_site.hpp
@@ -11,7 +11,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,6 +58,8 @@
 
     /// Does nothing while the server is stopped.
     void set_fault(std::size_t server, emulator::backend_fault fault);
+    /// The same for faults in some of its answers.
+    void set_partial_faults(std::size_t server, const emulator::partial_faults& faults);
     /// Makes the server's work take `factor` times as long; does nothing while the server is stopped.
     void set_slowness(std::size_t server, double factor);
     /// Lets the server name a rate limit, in requests per second, or none; does nothing while it is stopped.
@@ -84,8 +85,6 @@
 
     /// Calls `visit` with every server, first the running ones, then the stopped ones.
     void visit_servers(const std::function<void(const emulator::emulated_backend&)>& visit) const;
-    /// How often each request was run on any server, by the request's id.
-    [[nodiscard]] std::map<std::string, std::size_t> count_runs() const;
     /// The name of a running server, including its start number; empty while it is stopped.
     [[nodiscard]] std::string server_name(std::size_t server) const;
 
--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -8,6 +8,7 @@
 #include "platform/users_platform.hpp"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <set>
 #include <utility>
@@ -24,8 +25,7 @@
 constexpr milliseconds default_retry_wait{500};
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
-constexpr unsigned too_many_requests = 429;
-constexpr unsigned unavailable = 503;
+constexpr std::array promises_not_run{408U, 421U, 429U, 503U};
 constexpr double bytes_per_token = 1;
 constexpr std::size_t most_body = 64U * 1024; ///< bytes; larger prompts are truncated to it
 
@@ -189,7 +189,7 @@
     const auto& route = route_of(*sender);
     m_sent[m_plan.configuration.services[route.services.front().service].name].push_back(clock::now());
     if (!route.may_repeat()) {
-        m_at_most_once_ids.push_back(sender->id);
+        m_at_most_once_ids.insert(sender->id);
     }
     const auto to = pick_gateway();
     sender->call = std::make_shared<load_call>(
@@ -214,7 +214,10 @@
     sender->last = result;
     record_stream(*sender, result);
     const bool is_success = result.status >= first_success && result.status < first_redirect;
-    const bool is_refused = result.status == too_many_requests || result.status == unavailable;
+    const bool is_refused = std::ranges::find(promises_not_run, result.status) != promises_not_run.end();
+    if (is_refused) {
+        m_not_run_ids.insert(sender->id);
+    }
     const auto& group = m_plan.callers[sender->group];
     const auto& sizes = m_plan.load.classes[sender->group];
     if (result.is_complete && is_success) {
--- a/src/experiment/load_runner.hpp
+++ b/src/experiment/load_runner.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -42,9 +43,13 @@
     [[nodiscard]] const outcome_table& outcomes() const noexcept { return m_outcomes; }
     /// The ids of all requests on routes whose requests must run at most once. Each attempt of a caller has
     /// an id of its own.
-    [[nodiscard]] const std::vector<std::string>& at_most_once_ids() const noexcept {
+    [[nodiscard]] const std::set<std::string, std::less<>>& at_most_once_ids() const noexcept {
         return m_at_most_once_ids;
     }
+    /// The ids of requests whose callers were told that they haven't run and never will.
+    [[nodiscard]] const std::set<std::string, std::less<>>& not_run_ids() const noexcept {
+        return m_not_run_ids;
+    }
     /// When requests were sent, by the service of their route. Each attempt of a caller counts.
     [[nodiscard]] const std::map<std::string, std::vector<clock::time_point>>& sent() const noexcept {
         return m_sent;
@@ -81,7 +86,8 @@
     const experiment_plan& m_plan;
     std::shared_ptr<connection_pool> m_pool = std::make_shared<connection_pool>();
     outcome_table m_outcomes;
-    std::vector<std::string> m_at_most_once_ids;
+    std::set<std::string, std::less<>> m_at_most_once_ids;
+    std::set<std::string, std::less<>> m_not_run_ids;
     std::map<std::string, std::vector<clock::time_point>> m_sent;
     stream_counts m_streams;
     std::vector<emulator::offered_request> m_offered;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,10 +27,11 @@
 using tcp = asio::ip::tcp;
 
 struct response_writer::state {
-    state(beast::tcp_stream& connection, std::chrono::milliseconds limit)
-        : stream(connection), write_time(limit) {}
+    state(beast::tcp_stream& connection, std::uint64_t number, std::chrono::milliseconds limit)
+        : stream(connection), connection_number(number), write_time(limit) {}
 
     beast::tcp_stream& stream;
+    std::uint64_t connection_number;
     std::chrono::milliseconds write_time;
     bool keep_alive = true;
     bool begun = false;
@@ -161,6 +162,10 @@
     m_state->before_next = std::move(bytes);
 }
 
+std::uint64_t response_writer::connection() const noexcept {
+    return m_state->connection_number;
+}
+
 void response_writer::abort() noexcept {
     m_state->keep_alive = false;
     m_state->ended = true;
@@ -217,8 +222,8 @@
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<bool> wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer);
     std::shared_ptr<request_timer> start_request_timer(beast::tcp_stream& stream) const;
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                    std::string& before_next);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, std::uint64_t connection,
+                                    beast::flat_buffer& buffer, std::string& before_next);
     asio::awaitable<void> answer(const request& call, response_writer& writer);
     asio::awaitable<void> refuse_and_close(beast::tcp_stream& stream, error_kind kind, std::string_view why);
     static asio::awaitable<void> linger(beast::tcp_stream& stream);
@@ -232,6 +237,7 @@
     tcp::acceptor acceptor;
     std::atomic<bool> draining = false;
     std::atomic<std::size_t> connections = 0;
+    std::atomic<std::uint64_t> last_connection = 0;
     std::atomic<std::size_t> in_progress = 0;
 
     std::mutex idle_mutex;
@@ -278,8 +284,9 @@
         } else {
             beast::flat_buffer buffer;
             std::string before_next;
+            const auto number = ++last_connection;
             while (co_await wait_for_bytes(stream, buffer) &&
-                   co_await serve_one(*stream, buffer, before_next)) {
+                   co_await serve_one(*stream, number, buffer, before_next)) {
             }
         }
     } catch (const std::exception&) {
@@ -327,8 +334,8 @@
 }
 
 /// `before_next` is what write_before_next() was called with during the previous request.
-asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                               std::string& before_next) {
+asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, std::uint64_t connection,
+                                               beast::flat_buffer& buffer, std::string& before_next) {
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
@@ -352,7 +359,7 @@
         }
         co_return false;
     }
-    const auto shared = std::make_shared<response_writer::state>(stream, limits.write_time);
+    const auto shared = std::make_shared<response_writer::state>(stream, connection, limits.write_time);
     shared->keep_alive = parser.get().keep_alive() && !draining.load();
     const auto call = from_library(parser.release());
     response_writer writer(shared);
@@ -392,7 +399,7 @@
 
 asio::awaitable<void> server::state::refuse_and_close(beast::tcp_stream& stream, error_kind kind,
                                                       std::string_view why) {
-    const auto shared = std::make_shared<response_writer::state>(stream, limits.write_time);
+    const auto shared = std::make_shared<response_writer::state>(stream, 0, limits.write_time);
     shared->keep_alive = false;
     response_writer writer(shared);
     co_await writer.write(refuse(kind, why));
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -57,6 +58,9 @@
     /// emulators of faulty servers.
     void write_before_next(std::string bytes);
 
+    /// The number of the request's connection, which no other connection of the server has.
+    [[nodiscard]] std::uint64_t connection() const noexcept;
+
     /// Closes the connection without an end marker, so that the caller sees a truncated response.
     void abort() noexcept;
 
--- a/src/program/emulate_command.cpp
+++ b/src/program/emulate_command.cpp
@@ -3,6 +3,7 @@
 #include "program/emulate_command.hpp"
 
 #include "emulator/rate_limit_excess.hpp"
+#include "emulator/refusal_record.hpp"
 #include "emulator/retry_excess.hpp"
 #include "experiment/experiment_reader.hpp"
 #include "experiment/experiment_report.hpp"
@@ -24,6 +25,7 @@
 #include <iostream>
 #include <iterator>
 #include <map>
+#include <ranges>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -37,6 +39,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds readiness_check_period{200};
+constexpr std::size_t most_shown = 20; ///< ids of broken requests
 
 /// One run of an experiment, on the calling thread.
 class experiment_run {
@@ -112,13 +115,13 @@
         const auto& streams = m_runner.streams();
         std::cout << "streams resumed by callers: " << streams.resumed
                   << "\nstreams with events of several software versions: " << streams.mixed << '\n';
-        const auto duplicates = count_duplicate_runs();
-        std::cout << "requests that may run once and ran more often: " << duplicates << "\nreport in "
-                  << m_folder.string() << '\n';
+        const auto refusals = count_refusals();
+        print_refusals(refusals);
+        std::cout << "report in " << m_folder.string() << '\n';
         const bool has_stopped_crashes =
             print_crashes("one request", m_site.fatal_by_body(), emulator::crashes_by_request) &&
             print_crashes("one part of prompts", m_site.fatal_by_part(), emulator::crashes_by_part);
-        const bool is_good = duplicates == 0 && streams.mixed == 0 && has_stopped_crashes;
+        const bool is_good = refusals.broken() == 0 && streams.mixed == 0 && has_stopped_crashes;
         finish(is_good ? exit_code::done : exit_code::failed);
     }
 
@@ -191,15 +194,30 @@
         return {read.retry_ratio, read.retry_reserve, read.retry_window};
     }
 
-    /// Counts the requests that must run at most once but ran more often.
-    [[nodiscard]] std::size_t count_duplicate_runs() const {
-        const auto runs = m_site.count_runs();
-        std::size_t result = 0;
-        for (const auto& id : m_runner.at_most_once_ids()) {
-            const auto found = runs.find(id);
-            result += found != runs.end() && found->second > 1 ? 1 : 0;
+    [[nodiscard]] emulator::refusal_counts count_refusals() const {
+        std::vector<emulator::server_arrivals> servers;
+        m_site.visit_servers([&servers](const emulator::emulated_backend& server) {
+            servers.push_back({server.name(), server.arrived_requests()});
+        });
+        return emulator::count_refusals(servers, m_runner.at_most_once_ids(), m_runner.not_run_ids());
+    }
+
+    void print_refusals(const emulator::refusal_counts& counts) const {
+        std::size_t additional = 0;
+        m_site.visit_servers([&additional](const emulator::emulated_backend& server) {
+            additional += server.additional_answers();
+        });
+        std::cout << "refusals by servers: " << counts.refused
+                  << "; requests sent again to a server that had refused them: " << counts.returned_to_server
+                  << ", on the same connection: " << counts.returned_on_connection
+                  << "; additional answers of servers: " << additional
+                  << "\nrequests that may run once and ran more often: " << counts.ran_twice
+                  << "; that ran though refused: " << counts.ran_though_refused
+                  << "; of both, refused first: " << counts.broken_refused_first
+                  << ", ran on the connection of a refusal: " << counts.broken_on_connection << '\n';
+        for (const auto& id : counts.broken_ids | std::views::take(most_shown)) {
+            std::cout << "ran twice or though refused: " << id << '\n';
         }
-        return result;
     }
 
     void finish(exit_code result) {
