--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -52,6 +52,9 @@
     kind_row{fault_kind::foreign_entries, "foreign_entries"},
     kind_row{fault_kind::store_returns, "store_returns"},
     kind_row{fault_kind::server_limits_rate, "server_limits_rate"},
+    kind_row{fault_kind::server_repeats_refusals, "server_repeats_refusals"},
+    kind_row{fault_kind::server_answers_unasked, "server_answers_unasked"},
+    kind_row{fault_kind::server_runs_unavailable, "server_runs_unavailable"},
 };
 static_assert(kind_names.size() == static_cast<std::size_t>(fault_kind::last_kind) + 1);
 
@@ -102,6 +105,18 @@
     return fault;
 }
 
+std::vector<fault_kind> kinds_of(schedule_version version) {
+    const auto last =
+        version == schedule_version::first ? fault_kind::server_limits_rate : fault_kind::last_kind;
+    std::vector<fault_kind> result;
+    for (const auto& row : kind_names) {
+        if (row.kind <= last) {
+            result.push_back(row.kind);
+        }
+    }
+    return result;
+}
+
 double draw_limit(std::mt19937_64& random) {
     return limits.at(draw<std::size_t>(random, 0, limits.size() - 1));
 }
@@ -170,10 +185,7 @@
 }
 
 std::vector<planned_fault> draw_faults(const schedule_size& size) {
-    auto kinds = size.kinds;
-    if (kinds.empty()) {
-        std::ranges::transform(kind_names, std::back_inserter(kinds), &kind_row::kind);
-    }
+    auto kinds = size.kinds.empty() ? kinds_of(size.version) : size.kinds;
     const bool has_limits = std::erase(kinds, fault_kind::server_limits_rate) > 0;
     const auto others = kinds.empty() ? std::vector<planned_fault>() : draw_other_faults(size, kinds);
     const auto limits = has_limits ? draw_limits(size) : std::vector<planned_fault>();
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -58,7 +58,19 @@
     foreign_entries,          ///< unreadable rows in the table of servers; one replaces a server's own row
     store_returns,            ///< the store is unreachable, then restored from an older copy
     server_limits_rate,       ///< a server names a rate limit, which may rise or fall before its end
-    last_kind = server_limits_rate
+    // Faults of one backend server in some of its answers.
+    server_repeats_refusals, ///< refuses requests, and sends refusals again at a later moment
+    server_answers_unasked,  ///< sends refusals that name no request at later moments
+    server_runs_unavailable, ///< answers 503 after a run
+    last_kind = server_runs_unavailable
+};
+
+/// Versions of the schedule; each draws from all kinds of the one before it and from its own. What a version
+/// draws for a seed never changes.
+enum class schedule_version : std::uint8_t {
+    first = 1,  ///< up to server_limits_rate
+    second = 2, ///< all
+    latest = second
 };
 
 /// The name of a kind on the command line.
@@ -83,8 +95,9 @@
     milliseconds length{10000};
     std::size_t gateways = 3;
     std::size_t servers = 5;
-    /// Kinds to draw from; empty: all kinds.
+    /// Kinds to draw from; empty: all kinds of the version.
     std::vector<fault_kind> kinds;
+    schedule_version version = schedule_version::latest;
 };
 
 /// Draws the faults, ordered by their begin; each ends within the soak's length. Equal arguments give equal
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -150,6 +150,21 @@
     }
 }
 
+/// The faults of an emulated server in some of its answers that this kind stands for; none for other kinds.
+emulator::partial_faults partial_faults_of(fault_kind kind) {
+    constexpr double frequent = 0.5;
+    emulator::partial_faults faults;
+    if (kind == fault_kind::server_repeats_refusals) {
+        faults.refused = frequent;
+        faults.repeated = frequent;
+    } else if (kind == fault_kind::server_answers_unasked) {
+        faults.nameless = frequent;
+    } else if (kind == fault_kind::server_runs_unavailable) {
+        faults.unavailable = frequent;
+    }
+    return faults;
+}
+
 server_run describe_run(const emulator::emulated_backend& server, const emulator::recorded_run& run) {
     return {server.name(), server.options().service, run.request_id, run.target, run.body, run.workspace,
             run.begun};
@@ -446,6 +461,7 @@
             }
         } else {
             m_site->set_fault(server, fault_of(fault.kind));
+            m_site->set_partial_faults(server, partial_faults_of(fault.kind));
             m_site->set_pause(server,
                               fault.kind == fault_kind::server_refuses ? refusal_pause : milliseconds(0));
         }
@@ -464,6 +480,7 @@
         }
         m_site->restart(server);
         m_site->set_fault(server, backend_fault::none);
+        m_site->set_partial_faults(server, {});
         m_site->set_pause(server, milliseconds(0));
         m_site->set_slowness(server, 1);
     });
@@ -606,6 +623,7 @@
         for (std::size_t server = 0; server < m_site->server_count(); ++server) {
             m_site->restart(server);
             m_site->set_fault(server, backend_fault::none);
+            m_site->set_partial_faults(server, {});
             m_site->set_slowness(server, 1);
             m_site->set_rate_limit(server, std::nullopt);
         }
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,6 +19,8 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <stdexcept>
+#include <string>
 
 namespace borageford::soak {
 
@@ -50,6 +52,13 @@
     return result;
 }
 
+schedule_version parse_schedule_version(std::size_t number) {
+    if (number < 1 || number > static_cast<std::size_t>(schedule_version::latest)) {
+        throw std::invalid_argument("no such schedule: " + std::to_string(number));
+    }
+    return static_cast<schedule_version>(number);
+}
+
 soak_options read_options(int count, const char* const* arguments) {
     test::argument_reader reader(count, arguments);
     const auto read_size = [&reader](std::string_view name, std::size_t fallback) {
@@ -64,6 +73,8 @@
     options.callers = read_size("callers", options.callers);
     options.fatal_per_second = reader.number("fatal-per-second", 0);
     options.schedule.kinds = read_kinds(reader.text("kinds", ""));
+    const auto latest = static_cast<std::size_t>(schedule_version::latest);
+    options.schedule.version = parse_schedule_version(read_size("schedule", latest));
     const auto folder_name =
         "soak-" + std::to_string(options.schedule.seed) + "-" + identifier::random().to_string();
     options.folder = reader.text("folder", (std::filesystem::temp_directory_path() / folder_name).string());
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -269,6 +269,7 @@
     // A seed that has found a fault must still draw the same faults when a kind is added.
     schedule_size size;
     size.length = milliseconds(60000);
+    size.version = schedule_version::first;
     const auto all = draw_faults(size);
     for (int kind = 0; kind < static_cast<int>(fault_kind::server_limits_rate); ++kind) {
         size.kinds.push_back(static_cast<fault_kind>(kind));
@@ -279,6 +280,19 @@
     CHECK(others.size() + static_cast<std::size_t>(limits) == all.size());
 }
 
+TEST_CASE("soak: a schedule draws from the kinds of its version only", "[soak]") {
+    schedule_size size;
+    size.length = milliseconds(120000);
+    const auto has_new_kinds = [&size](schedule_version version) {
+        size.version = version;
+        return std::ranges::any_of(draw_faults(size), [](const planned_fault& fault) {
+            return fault.kind > fault_kind::server_limits_rate;
+        });
+    };
+    CHECK_FALSE(has_new_kinds(schedule_version::first));
+    CHECK(has_new_kinds(schedule_version::second));
+}
+
 TEST_CASE("soak: retries beyond the budget are reported with their service", "[soak][retry_budget]") {
     const auto begin = clock::time_point{} + std::chrono::hours(1);
     std::vector<borageford::emulator::recorded_arrival> arrivals;
