A server's own 503, 429 or 408 reaches no caller as a promise that its request hasn't run (REFUSED)

Cause: handle_complete_answer() takes a refusal for one only if it has Not-Executed, which is right, but passed any other answer on with its status, and for the caller 408, 429 and 503 promise that the request hasn't run. The class: a promise that is passed on although nobody gave it.

Such an answer ends the attempt as one that may have run: a request that may run again goes to another server, any other gets 502 without the server's signature. An answer too long to be held isn't passed on as it arrives either.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -12,6 +12,8 @@
 #include "http/message.hpp"
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <utility>
 
 namespace borageford::gateway {
@@ -53,6 +55,9 @@
     return min_retry_after + milliseconds(fingerprint % range);
 }
 
+/// Statuses, besides `misdirected`, that tell a caller that its request hasn't run and never will.
+constexpr std::array not_run_statuses{408U, 429U, 503U};
+
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
 }
@@ -225,7 +230,7 @@
         return;
     }
     m_answer.append(bytes);
-    if (m_has_begun_stream) {
+    if (m_has_begun_stream || is_unfounded_refusal()) {
         end_unused_answer();
         return;
     }
@@ -246,7 +251,7 @@
     return m_session->account().has_room_to_collect();
 }
 
-/// Stops reading an answer with which a stream can't go on. Its body is of no use and may have no end.
+/// Stops reading an answer that reaches no caller. Its body is of no use and may have no end.
 void request_exchange::end_unused_answer() {
     if (m_answer.size() > max_unused_bytes) {
         m_call->cancel();
@@ -436,6 +441,14 @@
     end();
 }
 
+/// Whether the answer's status tells the caller that the request hasn't run, while the server doesn't state
+/// that. A caller that relies on it sends the request again, and the request may run twice.
+bool request_exchange::is_unfounded_refusal() const {
+    const auto& response = m_call->response();
+    return std::ranges::find(not_run_statuses, response.status()) != not_run_statuses.end() &&
+           !response.fields().find(m_context.fields.not_executed).has_value();
+}
+
 void request_exchange::handle_complete_answer() {
     const auto& response = m_call->response();
     if (response.status() == misdirected) {
@@ -456,6 +469,13 @@
     }
     record_answer();
     const bool has_failed = response.status() >= first_server_error;
+    if (is_unfounded_refusal()) {
+        fail_attempt(policy::attempt_outcome::may_have_run,
+                     has_failed ? policy::slot_outcome::failed : policy::slot_outcome::served,
+                     "status " + std::to_string(response.status()) +
+                         " without a statement that it hasn't run");
+        return;
+    }
     const auto tries = m_attempts.attempt_count() + 1;
     if (has_failed) {
         const auto busy = clock::now() - m_slot_begin;
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 using namespace borageford;
 using namespace borageford::test;
@@ -175,6 +176,38 @@
     CHECK(site.runs_of("once") == 1);
 }
 
+TEST_CASE("gateway: a server's 503 after a run isn't passed on as a promise that the request hasn't run",
+          "[gateway][carriage]") {
+    const auto [site_of, target] =
+        GENERATE(std::pair(plain_site(routing::route_kind::non_idempotent, 2), "/plain/x"),
+                 std::pair(stream_site(false, 2), "/stream/x"));
+    gateway_site site(site_of);
+    set_fault_everywhere(site, 2, backend_fault::unavailable);
+    const auto answer = site.send(0, make_call(target, "once"));
+    CHECK(answer.status == 502);
+    CHECK(answer.header("Response-Signature") == "");
+    CHECK(site.runs_of("once") == 1);
+}
+
+TEST_CASE("gateway: a server's 503 after a run that is too long to be held isn't passed on, either",
+          "[gateway][carriage]") {
+    auto options = plain_site(routing::route_kind::non_idempotent, 1);
+    options.backends.front().padding = 17 * mebibyte;
+    gateway_site site(options);
+    set_fault(site, 0, backend_fault::unavailable);
+    CHECK(site.send(0, make_call("/plain/x", "once")).status == 502);
+    CHECK(site.runs_of("once") == 1);
+}
+
+TEST_CASE("gateway: an idempotent call that a server answers 503 after a run goes to another server",
+          "[gateway][carriage]") {
+    gateway_site site(plain_site(routing::route_kind::idempotent, 2));
+    set_fault(site, 0, backend_fault::unavailable);
+    for (int index = 0; index < 4; ++index) {
+        CHECK(site.send(0, make_call("/plain/x", "call-" + std::to_string(index))).status == 200);
+    }
+}
+
 TEST_CASE("gateway: an answer that a server repeats late isn't taken for a later one with the same id",
           "[gateway][carriage]") {
     // A caller that uses an id twice would get the answer to its earlier request.
