--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -133,6 +133,10 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    /// Maximum number of server reports at the start of a session. They fill a few datagrams, so that
+    /// hundreds of members that attach at the same time don't saturate the network link of a small machine.
+    static constexpr std::size_t max_initial_reports = 64;
+
     void tick();
     void receive(const boost::asio::ip::udp::endpoint& from, std::span<const std::byte> bytes);
     void report_source_change(slot_source before) const;
