--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -185,7 +185,7 @@
     set_fault_everywhere(site, 2, backend_fault::unavailable);
     const auto answer = site.send(0, make_call(target, "once"));
     CHECK(answer.status == 502);
-    CHECK(answer.header("Response-Signature") == "");
+    CHECK(answer.header("Response-Signature").empty());
     CHECK(site.runs_of("once") == 1);
 }
 
--- a/tests/unit/test_policy_engine_memory.cpp
+++ b/tests/unit/test_policy_engine_memory.cpp
@@ -2,6 +2,7 @@
 // requests nor small ones wait for each other in vain.
 #include "policy/memory_model.hpp"
 #include "policy/slot_scheduler.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,20 +14,16 @@
 #include <vector>
 
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-const time_point start_time = time_point{} + 1h;
-constexpr service_key engines = 77;
 constexpr double capacity = 100000;
 constexpr unsigned slots = 8;
 
 slot_request make_request(slot_ticket ticket, double prompt, time_point arrived = start_time) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
-    request.arrived = arrived;
+    auto request = sample_slot_request(ticket, arrived);
     request.deadline = arrived + 20s;
     request.target = 4s;
     request.cost = {prompt, 0};
--- a/tests/unit/test_return_handover.cpp
+++ b/tests/unit/test_return_handover.cpp
@@ -2,6 +2,7 @@
 #include "coordination/batch_channel.hpp"
 #include "coordination/slot_coordinator.hpp"
 #include "coordination/told_promises.hpp"
+#include "sample_slot_request.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -9,23 +10,18 @@
 
 using namespace borageford::coordination;
 using namespace borageford::policy;
+using namespace borageford::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr service_key engines = 7;
 constexpr member_key first_member = 1;
 constexpr member_key second_member = 2;
-const time_point start_time = time_point{} + 1h;
 
 slot_request make_request(slot_ticket ticket, std::uint64_t fingerprint, time_point arrived) {
-    slot_request request;
-    request.ticket = ticket;
-    request.service = engines;
+    auto request = sample_slot_request(ticket, arrived);
     request.fingerprint = fingerprint;
-    request.arrived = arrived;
     request.deadline = arrived + 6s;
-    request.target = 500ms;
     return request;
 }
 
