Irregular servers draw apart from each other; the kind of fault is named 'irregular', and its keys have a test

All emulated servers drew the same numbers, so that each had its faults at the same requests by count. 'part' named a share and not what goes wrong.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -1,6 +1,7 @@
 // A model engine is driven by the steady clock; the work of a plain service is emulated by a delay.
 #include "emulator/emulated_backend.hpp"
 
+#include "base/hash.hpp"
 #include "base/pause.hpp"
 #include "emulator/event_text.hpp"
 #include "http/message.hpp"
@@ -112,6 +113,7 @@
       m_timers(timers),
       m_fields(std::move(fields)),
       m_options(std::move(options)),
+      m_random(hash_bytes(m_options.id)),
       m_server(
           m_executor, make_limits(m_options),
           [this](const http::request& call, http::response_writer& writer) { return handle(call, writer); },
--- a/src/experiment/experiment_plan.hpp
+++ b/src/experiment/experiment_plan.hpp
@@ -62,15 +62,15 @@
 
 /// What goes wrong. The faults of the store follow the faults of backend servers.
 enum class fault_kind : std::uint8_t {
-    crash,  ///< servers crash, and start again under a new id when the fault ends
-    hang,   ///< servers accept requests and never answer
-    fail,   ///< servers answer 500
-    cut,    ///< servers close connections in the middle of answers
-    slow,   ///< servers take `factor` times as long
-    drain,  ///< servers announce that they drain, stop when the fault ends, and start again under a new id
-    limit,  ///< servers name a rate limit in their answers
-    refuse, ///< servers refuse all requests, and may ask for a pause
-    part,   ///< servers have `faults` in some of their answers
+    crash,     ///< servers crash, and start again under a new id when the fault ends
+    hang,      ///< servers accept requests and never answer
+    fail,      ///< servers answer 500
+    cut,       ///< servers close connections in the middle of answers
+    slow,      ///< servers take `factor` times as long
+    drain,     ///< servers announce that they drain, stop when the fault ends, and start again under a new id
+    limit,     ///< servers name a rate limit in their answers
+    refuse,    ///< servers refuse all requests, and may ask for a pause
+    irregular, ///< servers have `faults` in some of their answers
     gateway_lost,  ///< a gateway is killed, and started again when the fault ends
     store_refuses, ///< the store refuses every call
     store_silent,  ///< the store accepts calls and never answers
@@ -91,7 +91,7 @@
     double factor = 3;               ///< for the kinds `slow` and `store_slow`
     double per_second = 1;           ///< the rate limit that the kind `limit` names, in requests per second
     milliseconds pause{0};           ///< what servers of the kind `refuse` ask for; 0: nothing
-    emulator::partial_faults faults; ///< for the kind `part`
+    emulator::partial_faults faults; ///< for the kind `irregular`
     std::string software;    ///< for the kinds `crash` and `drain`: the version of the servers started again
     std::size_t gateway = 0; ///< which one is lost, for the kind `gateway_lost`; counts from 0
     milliseconds copy_age{2000};        ///< age of the copy from which the store is restored
--- a/src/experiment/experiment_reader.cpp
+++ b/src/experiment/experiment_reader.cpp
@@ -33,8 +33,8 @@
 constexpr std::array<std::string_view, 3> fatal_traits{"none", "request", "part"};
 constexpr std::array<std::string_view, 3> route_kinds{"idempotent", "non_idempotent", "stream"};
 constexpr std::array<std::string_view, 14> fault_kinds{
-    "crash",  "hang", "fail",         "cut",           "slow",         "drain",      "limit",
-    "refuse", "part", "gateway_lost", "store_refuses", "store_silent", "store_slow", "store_returns"};
+    "crash",  "hang",      "fail",         "cut",           "slow",         "drain",      "limit",
+    "refuse", "irregular", "gateway_lost", "store_refuses", "store_silent", "store_slow", "store_returns"};
 
 /// The index of the item with this name, or nothing.
 template <typename Item>
--- a/src/experiment/experiment_site.cpp
+++ b/src/experiment/experiment_site.cpp
@@ -317,7 +317,7 @@
         set_all(backend_fault::refuse);
         std::ranges::for_each(servers, [&](auto server) { set_pause(server, fault.pause); });
         break;
-    case fault_kind::part:
+    case fault_kind::irregular:
         std::ranges::for_each(servers, [&](auto server) { set_partial_faults(server, fault.faults); });
         break;
     case fault_kind::gateway_lost:
--- a/tests/unit/test_fatal_requests.cpp
+++ b/tests/unit/test_fatal_requests.cpp
@@ -1,4 +1,5 @@
-// Tests of the emulated requests that crash servers: how experiments state them, and which arrivals are late.
+// Tests of how experiments state what goes wrong: requests that crash servers, and which of their arrivals
+// are late, and irregular answers.
 #include "emulator/fatal_record.hpp"
 #include "experiment/experiment_reader.hpp"
 
@@ -40,6 +41,17 @@
         read(with_callers("parts = 5c\ncrash_servers_by = part", "parts = 91\ncrash_servers_by = part"), 1));
 }
 
+TEST_CASE("experiments state which of a server's answers are irregular", "[experiment]") {
+    const std::string fault = "[fault f]\nkind = irregular\nservice = s\n";
+    const auto plan = read(with_callers("", fault + "refused = 0.4\nrepeated = 0.03\nunavailable = 1"), 0);
+    CHECK(plan.faults.front().kind == experiment::fault_kind::irregular);
+    CHECK(plan.faults.front().faults.refused == Approx(0.4));
+    CHECK(plan.faults.front().faults.repeated == Approx(0.03));
+    CHECK(plan.faults.front().faults.nameless == 0);
+    CHECK(plan.faults.front().faults.unavailable == 1);
+    static_cast<void>(read(with_callers("", fault + "refused = 1.5"), 1));
+}
+
 TEST_CASE("arrivals are late once every gateway must know that they crash servers", "[emulator]") {
     const policy::time_point begin{1000s};
     emulator::fatal_record record;
