One place says which statuses promise that a request hasn't run

Cause: the gateway, the callers of experiments and the soak's checks each had the list 408, 421, 429, 503, so that a change to one of them would have been missed by the others. The gateway leaves 421 out as before, since it is such a statement by itself.

--- a/src/experiment/load_runner.cpp
+++ b/src/experiment/load_runner.cpp
@@ -6,9 +6,9 @@
 #include "emulator/event_text.hpp"
 #include "experiment/call_text.hpp"
 #include "platform/users_platform.hpp"
+#include "routing/not_run_status.hpp"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <set>
 #include <utility>
@@ -25,7 +25,6 @@
 constexpr milliseconds default_retry_wait{500};
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
-constexpr std::array promises_not_run{408U, 421U, 429U, 503U};
 constexpr double bytes_per_token = 1;
 constexpr std::size_t most_body = 64U * 1024; ///< bytes; larger prompts are truncated to it
 
@@ -214,7 +213,7 @@
     sender->last = result;
     record_stream(*sender, result);
     const bool is_success = result.status >= first_success && result.status < first_redirect;
-    const bool is_refused = std::ranges::find(promises_not_run, result.status) != promises_not_run.end();
+    const bool is_refused = routing::says_not_run(result.status);
     if (is_refused) {
         m_not_run_ids.insert(sender->id);
     }
--- a/src/gateway/request_exchange_answers.cpp
+++ b/src/gateway/request_exchange_answers.cpp
@@ -6,9 +6,9 @@
 #include "gateway/http_heads.hpp"
 #include "gateway/rate_limit_reader.hpp"
 #include "gateway/request_exchange.hpp"
+#include "routing/not_run_status.hpp"
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <utility>
 
@@ -29,8 +29,6 @@
 constexpr unsigned first_redirect = 300;
 constexpr unsigned misdirected = 421;
 constexpr unsigned first_server_error = 500;
-/// Statuses, besides `misdirected`, that tell a caller that its request hasn't run and never will.
-constexpr std::array not_run_statuses{408U, 429U, 503U};
 
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
@@ -285,10 +283,11 @@
 }
 
 /// Whether the answer's status tells the caller that the request hasn't run, while the server doesn't state
-/// that. A caller that relies on it sends the request again, and the request may run twice.
+/// that. 421 is such a statement by itself. A caller that relies on it sends the request again, and the
+/// request may run twice.
 bool request_exchange::is_unfounded_refusal() const {
     const auto& response = m_call->response();
-    return std::ranges::find(not_run_statuses, response.status()) != not_run_statuses.end() &&
+    return routing::says_not_run(response.status()) && response.status() != misdirected &&
            !response.fields().find(m_context.fields.not_executed).has_value();
 }
 
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -2,6 +2,7 @@
 #include "soak/promise_checks.hpp"
 
 #include "emulator/event_text.hpp"
+#include "routing/not_run_status.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -18,10 +19,6 @@
 constexpr unsigned unauthorized = 401;
 constexpr unsigned forbidden = 403;
 constexpr unsigned not_found = 404;
-constexpr unsigned request_timeout = 408;
-constexpr unsigned misdirected = 421;
-constexpr unsigned too_many_requests = 429;
-constexpr unsigned unavailable = 503;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 
@@ -46,11 +43,6 @@
     return status >= first_success && status < first_redirect;
 }
 
-bool says_not_run(unsigned status) {
-    return status == request_timeout || status == misdirected || status == too_many_requests ||
-           status == unavailable;
-}
-
 /// The text of the events of a stream of an emulated engine that a request should have received.
 std::string expected_events(const sent_request& request, std::string_view software) {
     std::string text;
@@ -165,7 +157,7 @@
     if (!request.is_idempotent && runs > 1) {
         broken.push_back(describe(request) + ": may run once and ran " + std::to_string(runs) + " times");
     }
-    if (says_not_run(request.result.status) && runs > 0) {
+    if (routing::says_not_run(request.result.status) && runs > 0) {
         broken.push_back(describe(request) + ": was told that it had not run, and ran");
     }
     return broken;
