Emulated servers count the late answers that they sent; refusals are counted from views

A late answer is counted now when the next request has arrived. All late answers go through one function; the comment of set_partial_faults() said that set_fault() excludes these faults, which holds for one of them only. count_refusals() takes views instead of copies with a name that nobody read, and finds out in its one loop which requests ran on the connection of a refusal. The tests keep their assertions.

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -66,16 +66,20 @@
     return compose_head(answer.head) + compose_length(answer.body) + answer.body;
 }
 
-/// Whether the server answers with a failure after the run.
-bool is_failure(backend_fault fault) {
-    return fault == backend_fault::error || fault == backend_fault::unavailable;
-}
-
+/// The status of an answer after the run.
 unsigned status_of(backend_fault fault) {
-    if (!is_failure(fault)) {
+    switch (fault) {
+    case backend_fault::error:
+        return status_error;
+    case backend_fault::unavailable:
+        return status_unavailable;
+    default:
         return status_ok;
     }
-    return fault == backend_fault::error ? status_error : status_unavailable;
+}
+
+bool is_failure(backend_fault fault) {
+    return status_of(fault) != status_ok;
 }
 
 /// Whether the answer itself is a whole one with a length.
@@ -270,6 +274,7 @@
 }
 
 asio::awaitable<void> emulated_backend::handle(const http::request& call, http::response_writer& writer) {
+    m_late_answers += m_awaiting_next.erase(writer.connection());
     const auto arrival = m_arrived_requests.size();
     m_arrived_requests.push_back(
         {header_value(call, m_fields.request_id), steady_clock::now(), writer.connection()});
@@ -288,15 +293,15 @@
     } else if (draw(m_partial_faults.refused)) {
         refused = status_unavailable;
     }
-    prepare_nameless_answer(writer);
+    if (draw(m_partial_faults.nameless)) {
+        send_before_next(writer, {{status_unavailable, {{m_fields.not_executed, "1"}}}, std::string()});
+    }
     if (refused != 0) {
         m_arrived_requests[arrival].result =
             refused == status_misdirected ? arrival_result::misdirected : arrival_result::refused;
         const auto answer = refuse(call, refused);
-        if (fault == backend_fault::refuse_and_repeat) {
-            writer.write_before_next(compose(answer));
-        } else {
-            prepare_second_answer(answer, writer);
+        if (fault == backend_fault::refuse_and_repeat || draw(m_partial_faults.repeated)) {
+            send_before_next(writer, answer);
         }
         co_await writer.write(answer);
         co_return;
@@ -311,19 +316,10 @@
     --m_in_progress;
 }
 
-void emulated_backend::prepare_second_answer(const http::response& refusal, http::response_writer& writer) {
-    if (draw(m_partial_faults.repeated)) {
-        ++m_additional_answers;
-        writer.write_before_next(compose(refusal));
-    }
-}
-
-void emulated_backend::prepare_nameless_answer(http::response_writer& writer) {
-    if (draw(m_partial_faults.nameless)) {
-        ++m_additional_answers;
-        writer.write_before_next(
-            compose({{status_unavailable, {{m_fields.not_executed, "1"}}}, std::string()}));
-    }
+/// Sends the answer when the next request has arrived on the connection.
+void emulated_backend::send_before_next(http::response_writer& writer, const http::response& answer) {
+    m_awaiting_next.insert(writer.connection());
+    writer.write_before_next(compose(answer));
 }
 
 asio::awaitable<void> emulated_backend::run(const http::request& call, http::response_writer& writer) {
@@ -371,9 +367,9 @@
                       [this](const http::header_field& field) { return field.name == m_fields.signature; });
     }
     if (fault == backend_fault::repeat) {
-        writer.write_before_next(compose(answer));
+        send_before_next(writer, answer);
     } else if (fault == backend_fault::unnamed_answer) {
-        writer.write_before_next("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        send_before_next(writer, {{status_ok, {}}, "ok"});
     }
     if (!ends_unframed && is_framed_answer(fault)) {
         co_await writer.write(answer);
--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,10 +120,11 @@
 
     /// Applies this fault to the next `count` requests; to all further requests when `count` is 0.
     void set_fault(backend_fault fault, unsigned count = 0) noexcept;
-    /// Has these faults in some of its answers from now on, wherever set_fault() asks for no other one.
+    /// From now on, draws for each request which of these faults its answer has, besides the fault of
+    /// set_fault().
     void set_partial_faults(const partial_faults& faults) noexcept { m_partial_faults = faults; }
-    /// How many answers it has sent for which no request was waiting, because of its partial faults.
-    [[nodiscard]] std::size_t additional_answers() const noexcept { return m_additional_answers; }
+    /// How many answers it has sent when a later request had arrived on the connection.
+    [[nodiscard]] std::size_t late_answers() const noexcept { return m_late_answers; }
     /// Makes all work take `factor` times as long as usual.
     void set_slowness(double factor);
 
@@ -176,8 +178,7 @@
     void check_memory();
     [[nodiscard]] backend_fault take_fault();
     [[nodiscard]] bool draw(double probability);
-    void prepare_second_answer(const http::response& refusal, http::response_writer& writer);
-    void prepare_nameless_answer(http::response_writer& writer);
+    void send_before_next(http::response_writer& writer, const http::response& answer);
     [[nodiscard]] http::response refuse(const http::request& call, unsigned status);
     [[nodiscard]] http::header_fields answer_fields(const http::request& call, std::size_t number);
     [[nodiscard]] http::header_fields make_statements(const http::request& call,
@@ -192,7 +193,8 @@
     backend_fault m_fault = backend_fault::none;
     unsigned m_fault_count = 0;
     partial_faults m_partial_faults;
-    std::size_t m_additional_answers = 0;
+    std::set<std::uint64_t> m_awaiting_next; ///< connections with an answer for their next request's arrival
+    std::size_t m_late_answers = 0;
     std::mt19937_64 m_random;
     bool m_is_stopped = false;
     bool m_has_run_out_of_memory = false;
--- a/src/emulator/refusal_record.cpp
+++ b/src/emulator/refusal_record.cpp
@@ -17,7 +17,7 @@
 std::map<std::string_view, std::vector<send>> collect_sends(std::span<const server_arrivals> servers) {
     std::map<std::string_view, std::vector<send>> result;
     for (std::size_t server = 0; server < servers.size(); ++server) {
-        for (const auto& arrival : servers[server].arrivals) {
+        for (const auto& arrival : servers[server]) {
             result[arrival.request_id].push_back({server, &arrival});
         }
     }
@@ -37,15 +37,6 @@
     });
 }
 
-bool ran_after_refusal_on_connection(std::span<const send> sends) {
-    for (std::size_t index = 0; index < sends.size(); ++index) {
-        if (sends[index].arrival->is_run() && was_refused_there(sends, index, true)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 } // namespace
 
 refusal_counts count_refusals(std::span<const server_arrivals> servers,
@@ -54,12 +45,15 @@
     refusal_counts result;
     for (const auto& [id, sends] : collect_sends(servers)) {
         std::size_t runs = 0;
+        bool ran_on_connection = false; // of an earlier refusal
         for (std::size_t index = 0; index < sends.size(); ++index) {
             const bool is_run = sends[index].arrival->is_run();
+            const bool is_on_connection = was_refused_there(sends, index, true);
+            ran_on_connection = ran_on_connection || (is_run && is_on_connection);
             runs += is_run ? 1 : 0;
             result.refused += is_run ? 0 : 1;
             result.returned_to_server += was_refused_there(sends, index, false) ? 1 : 0;
-            result.returned_on_connection += was_refused_there(sends, index, true) ? 1 : 0;
+            result.returned_on_connection += is_on_connection ? 1 : 0;
         }
         const bool ran_twice = runs > 1;
         const bool ran_though_refused = runs > 0 && told_not_run.contains(id);
@@ -69,7 +63,7 @@
         result.ran_twice += ran_twice ? 1 : 0;
         result.ran_though_refused += ran_though_refused ? 1 : 0;
         result.broken_refused_first += sends.front().arrival->is_run() ? 0 : 1;
-        result.broken_on_connection += ran_after_refusal_on_connection(sends) ? 1 : 0;
+        result.broken_on_connection += ran_on_connection ? 1 : 0;
         result.broken_ids.emplace_back(id);
     }
     return result;
--- a/src/emulator/refusal_record.hpp
+++ b/src/emulator/refusal_record.hpp
@@ -12,11 +12,8 @@
 
 namespace borageford::emulator {
 
-/// The arrivals at one server, in order of time.
-struct server_arrivals {
-    std::string server;
-    std::vector<recorded_arrival> arrivals;
-};
+/// The arrivals at one server, in order of time. Not owned.
+using server_arrivals = std::span<const recorded_arrival>;
 
 /// What became of refusals. A request is broken if it ran twice, or ran though its caller was told that it
 /// hadn't.
--- a/src/program/emulate_command.cpp
+++ b/src/program/emulate_command.cpp
@@ -197,20 +197,19 @@
     [[nodiscard]] emulator::refusal_counts count_refusals() const {
         std::vector<emulator::server_arrivals> servers;
         m_site.visit_servers([&servers](const emulator::emulated_backend& server) {
-            servers.push_back({server.name(), server.arrived_requests()});
+            servers.emplace_back(server.arrived_requests());
         });
         return emulator::count_refusals(servers, m_runner.at_most_once_ids(), m_runner.not_run_ids());
     }
 
     void print_refusals(const emulator::refusal_counts& counts) const {
-        std::size_t additional = 0;
-        m_site.visit_servers([&additional](const emulator::emulated_backend& server) {
-            additional += server.additional_answers();
-        });
+        std::size_t late = 0;
+        m_site.visit_servers(
+            [&late](const emulator::emulated_backend& server) { late += server.late_answers(); });
         std::cout << "refusals by servers: " << counts.refused
                   << "; requests sent again to a server that had refused them: " << counts.returned_to_server
                   << ", on the same connection: " << counts.returned_on_connection
-                  << "; additional answers of servers: " << additional
+                  << "; late answers of servers: " << late
                   << "\nrequests that may run once and ran more often: " << counts.ran_twice
                   << "; that ran though refused: " << counts.ran_though_refused
                   << "; of both, refused first: " << counts.broken_refused_first
--- a/tests/unit/test_refusal_record.cpp
+++ b/tests/unit/test_refusal_record.cpp
@@ -21,9 +21,11 @@
 } // namespace
 
 TEST_CASE("a request that ran after its refusal on the same connection is told from others", "[refusals]") {
-    const std::vector<server_arrivals> servers{
-        {"a", {{"twice", begin, 1, refused}, {"twice", begin + 1ms, 1, ran}, {"sound", begin, 2, refused}}},
-        {"b", {{"twice", begin + 2ms, 1, ran}, {"sound", begin + 1ms, 1, ran}, {"told", begin, 2, ran}}}};
+    const std::vector<recorded_arrival> first{
+        {"twice", begin, 1, refused}, {"twice", begin + 1ms, 1, ran}, {"sound", begin, 2, refused}};
+    const std::vector<recorded_arrival> second{
+        {"twice", begin + 2ms, 1, ran}, {"sound", begin + 1ms, 1, ran}, {"told", begin, 2, ran}};
+    const std::vector<server_arrivals> servers{first, second};
     const auto counts = count_refusals(servers, {"twice", "sound", "told"}, {"told"});
     CHECK(counts.refused == 2);
     CHECK(counts.returned_to_server == 1);
@@ -36,8 +38,9 @@
 }
 
 TEST_CASE("requests that may run again, and refusals that are true, break nothing", "[refusals]") {
-    const std::vector<server_arrivals> servers{
-        {"a", {{"again", begin, 1, ran}, {"again", begin + 1ms, 2, ran}, {"told", begin, 3, refused}}}};
+    const std::vector<recorded_arrival> arrivals{
+        {"again", begin, 1, ran}, {"again", begin + 1ms, 2, ran}, {"told", begin, 3, refused}};
+    const std::vector<server_arrivals> servers{arrivals};
     const auto counts = count_refusals(servers, {"told"}, {"told", "again"});
     CHECK(counts.broken() == 0);
     CHECK(counts.returned_to_server == 0);
