--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -137,6 +137,11 @@
     }
 }
 
+/// The versions in the parts of a stream that its caller has got.
+std::size_t versions_in(const std::string& first, const caller_result& rest) {
+    return emulator::software_in(first + (rest.status == 200 ? rest.body : "")).size();
+}
+
 } // namespace
 
 TEST_CASE("gateway: a stream that breaks off goes on only at the software version that began it",
@@ -305,6 +310,31 @@
     CHECK(refused.body.find("stream_unknown") != std::string::npos);
 }
 
+TEST_CASE("gateway: a stream isn't resumed at the version that replaced its own while all gateways were down",
+          "[gateway][stream_software]") {
+    // Guards against taking the only version that is there after a start for the one that was recorded.
+    gateway_site site(site_with_one_version(2));
+    static_cast<void>(wait_for_coordinator(site, {0, 1}));
+    wait_until("the versions are recorded", [&] {
+        return site.on_emulator([&] { return site.store().rows().read("software/versions").has_value(); });
+    });
+    const auto first = begin_broken_stream(site, 0, "stream");
+    for (const std::size_t gateway : {0, 1}) {
+        site.process(gateway).kill();
+    }
+    for (const std::size_t server : {0, 1}) {
+        site.unregister_backend(server);
+        site.start_backend(server + 2, engine_of("new-" + std::to_string(server), "v2"));
+    }
+    for (const std::size_t gateway : {0, 1}) {
+        site.start_gateway(gateway);
+        site.wait_until_ready(gateway);
+        const auto rest = site.send(gateway, resuming_call("rest-" + std::to_string(gateway), "stream"));
+        CHECK(versions_in(first, rest) == 1);
+    }
+    CHECK(site.send(0, stream_call("another")).is_complete);
+}
+
 TEST_CASE("gateway: before its first event a stream may go to any software version",
           "[gateway][stream_software]") {
     // Nothing of the stream has reached the caller, so there is nothing that another version can't go on
