A version that another process vouches for is remembered, whichever version serves now

Cause: the record of the versions, or another gateway, says *which* version was the only one; the history noted only *that* there was one. settle(v1) followed by add(v2) gave v2 as the only version, the other order gave none: a race of two reads at the start.

Now the version that is vouched for is in the history, as left just now. Two statements that contradict each other leave the origin unknown; a unit test had expected that the later one wins, which is as wrong as believing the earlier one, so it now expects none.

--- a/src/policy/software_history.cpp
+++ b/src/policy/software_history.cpp
@@ -32,6 +32,12 @@
     m_servers.erase(known);
 }
 
+void software_history::note_former(service_key service, software_key software, time_point now) {
+    const auto [noted, is_new] = m_services[service].try_emplace(software);
+    noted->second.left = now;
+    m_revision += is_new ? 1 : 0;
+}
+
 void software_history::interrupt(time_point now) {
     m_known_since = now;
     m_settled.clear();
@@ -39,6 +45,7 @@
 }
 
 void software_history::settle(service_key service, software_key software, time_point now) {
+    note_former(service, software, now);
     const auto found = m_services.find(service);
     const bool has_other =
         found != m_services.end() && std::ranges::any_of(found->second, [&](const auto& entry) {
--- a/src/policy/software_history.hpp
+++ b/src/policy/software_history.hpp
@@ -29,10 +29,12 @@
     void add(server_key server, service_key service, software_key software, time_point now);
     /// A server gets no further requests.
     void remove(server_key server, time_point now);
+    /// The service has had this version until now, if none of the servers that are known has it.
+    void note_former(service_key service, software_key software, time_point now);
     /// This process may have missed servers until now.
     void interrupt(time_point now);
     /// Another process, which has known all servers for long enough, says that the service has had this
-    /// version only.
+    /// version only. Servers of another one may have replaced all of it since.
     void settle(service_key service, software_key software, time_point now);
 
     /// The only version that may have begun a stream of the service; nothing if there may be several, or
--- a/tests/unit/test_stream_origins.cpp
+++ b/tests/unit/test_stream_origins.cpp
@@ -210,12 +210,30 @@
     CHECK_FALSE(history.only_version(engines, start_time + 1s).has_value());
     history.settle(engines, old_version, start_time + 1s); // said by a process that has missed the new one
     CHECK_FALSE(history.only_version(engines, start_time + 1s).has_value());
+    history.settle(engines, new_version, start_time + 1s); // contradicts it, so there were two
+    CHECK_FALSE(history.only_version(engines, start_time + 1s).has_value());
+}
+
+TEST_CASE("streams: a process that has just started believes one that knows a single version", "[streams]") {
+    software_history history(lifetime, start_time);
+    history.add(1, engines, new_version, start_time);
     history.settle(engines, new_version, start_time + 1s);
     CHECK(history.only_version(engines, start_time + 1s) == new_version);
     history.interrupt(start_time + 2s);
     CHECK_FALSE(history.only_version(engines, start_time + 3s).has_value());
 }
 
+TEST_CASE("streams: a recorded version that has been replaced since may have begun streams, too",
+          "[streams]") {
+    // Guards against taking the version that servers have after a start for the only one that there was.
+    software_history history(lifetime, start_time);
+    history.settle(engines, old_version, start_time);
+    history.add(1, engines, new_version, start_time + 1s);
+    CHECK_FALSE(history.only_version(engines, start_time + 1s).has_value());
+    CHECK_FALSE(history.only_version(engines, start_time + lifetime).has_value());
+    CHECK(history.only_version(engines, start_time + lifetime + 1s) == new_version);
+}
+
 TEST_CASE("streams: the origin is known at all gateways after the one where the stream began is lost",
           "[streams]") {
     auto group = group_with_two_versions();
