A gateway vouches only for removals of servers since its own complete read

Cause: removal_log began at zero, so a process that had begun with a complete read, from the store or from a peer, said 'all removals since' for any position. Whoever asked it kept servers that had been removed before its read; its own polls went on after the newer position. The same hole was open for servers that came and went between two reads: their removal wasn't noted, since they weren't known.

Now the log begins at the position of each complete read, which goes along with a complete update, and notes removals of unknown servers. An asker behind that begin gets the complete list.

Evidence: both unit tests failed in both variants before ('a gateway that has read all registrations doesn't vouch for removals before its read', 'the removal of a server that wasn't known is passed on').

--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -68,6 +68,7 @@
         m_position = std::max(m_position, page.position);
     }
     handle_absent(present);
+    m_removals.begin_at(std::max(m_position, page.position));
     report_era();
 }
 
@@ -180,6 +181,7 @@
     result.is_complete = is_other_era || held.version == 0 || !m_removals.has_all_since(held);
     result.retained = m_watch.retained();
     if (result.is_complete) {
+        result.removals_begin = m_removals.begin();
         result.present = m_all;
         return result;
     }
@@ -210,6 +212,9 @@
         m_watch.retain_registration(id, steady_clock::now());
     }
     m_position = std::max(m_position, newer.position);
+    if (newer.is_complete) {
+        m_removals.begin_at(std::max(m_position, newer.removals_begin));
+    }
     if (is_of_new_era) {
         // When the era began, the peer may have known fewer servers than this process.
         handle_absent(present);
@@ -228,6 +233,8 @@
         m_suspects.erase(id);
         if (m_all.contains(id)) {
             remove(id, "not registered according to a peer with a newer state");
+        } else {
+            note_removal_of_unknown(id);
         }
     }
 }
@@ -378,6 +385,7 @@
 void backend_roster::handle_missing(const std::string& id) {
     m_suspects.erase(id);
     if (!m_all.contains(id)) {
+        note_removal_of_unknown(id);
         return;
     }
     if (m_era_report.has_value()) {
@@ -392,6 +400,14 @@
     }
 }
 
+/// Notes the removal of a server that registered and left between two reads here. Other gateways may know it,
+/// and learn from this one that it is gone.
+void backend_roster::note_removal_of_unknown(const std::string& id) {
+    if (!m_removals.find(id).has_value()) {
+        m_removals.add(id, m_position);
+    }
+}
+
 /// Returns whether the server had announced that it drains, so that its registration vanished for that reason
 /// and not because of an outage.
 bool backend_roster::has_drained(std::string_view id) const {
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -75,6 +75,8 @@
         /// Ids of retained registrations, whose servers are removed unless they register again soon. They are
         /// listed in every update, since a removal of this kind has no version in the store.
         std::vector<std::string> retained{};
+        /// If is_complete: up to here the sender doesn't know all removals, and neither does the receiver.
+        store::position removals_begin{};
     };
     /// Returns the changes after `held`. The update is complete if `held` has version 0 or is of another era,
     /// or if the removals since then are no longer remembered.
@@ -122,6 +124,7 @@
     void take_out_of_use(const std::string& id);
     void handle_restart(const routing::backend_record& record);
     void handle_missing(const std::string& id);
+    void note_removal_of_unknown(const std::string& id);
     [[nodiscard]] bool has_drained(std::string_view id) const;
     void remove(const std::string& id, std::string_view reason);
     void tick();
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -67,6 +67,8 @@
     return {{"era", from.position.era},
             {"version", from.position.version},
             {"is_whole", from.is_complete},
+            {"removals_era", from.removals_begin.era},
+            {"removals_version", from.removals_begin.version},
             {"registrations", std::move(registrations)},
             {"gone", json::value_from(from.removed)},
             {"missed", json::value_from(from.retained)}};
@@ -81,6 +83,10 @@
     result.position = decode_position(from);
     result.is_complete = from.at("is_whole").as_bool();
     result.removed = json::value_to<std::vector<std::string>>(from.at("gone"));
+    if (from.contains("removals_version")) {
+        result.removals_begin = {from.at("removals_era").to_number<std::uint64_t>(),
+                                 from.at("removals_version").to_number<std::uint64_t>()};
+    }
     if (const auto* retained = from.if_contains("missed")) {
         result.retained = json::value_to<std::vector<std::string>>(*retained);
     }
--- a/src/gateway/removal_log.hpp
+++ b/src/gateway/removal_log.hpp
@@ -3,6 +3,7 @@
 
 #include "store/position.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,7 +18,12 @@
     /// Records that the id is known to be removed at position `at`, which must not be before the position of
     /// an earlier call.
     void add(std::string_view id, store::position at);
+    /// Records that other ids may have been removed up to position `at`: what is known of that time is which
+    /// ids were left.
+    void begin_at(store::position at) { m_begin = std::max(m_begin, at); }
 
+    /// Returns the position up to which removals may be missing.
+    [[nodiscard]] store::position begin() const noexcept { return m_begin; }
     /// Returns whether all removals after a position are still remembered.
     [[nodiscard]] bool has_all_since(store::position from) const noexcept { return from >= m_begin; }
     /// Returns the ids removed after a position; an id that was removed several times is listed as often.
@@ -28,7 +34,7 @@
 
 private:
     std::multimap<store::position, std::string> m_removed;
-    store::position m_begin; ///< Removals up to this position may have been dropped.
+    store::position m_begin; ///< Removals up to this position may be missing.
 };
 
 } // namespace borageford::gateway
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -77,6 +77,52 @@
     CHECK(behind.roster().changes_after({0, 5}).retained == std::vector<std::string>{"a"});
 }
 
+TEST_CASE("a gateway that has read all registrations doesn't vouch for removals before its read",
+          "[gateway][roster]") {
+    // Guards against a gateway that keeps a removed server for good, since it asked one that has just
+    // started.
+    known_servers behind;
+    behind.register_server("removed", 5);
+    behind.register_server("kept", 6);
+    known_servers fresh;
+    const bool was_told = GENERATE(false, true);
+    known_servers started;
+    started.read_all({0, 110}, {{"kept", "engines", 6}});
+    if (was_told) {
+        fresh.roster().apply_update(started.roster().changes_after({}));
+    } else {
+        fresh.read_all({0, 110}, {{"kept", "engines", 6}});
+    }
+    fresh.register_server("new", 120);
+    behind.roster().apply_update(fresh.roster().changes_after(behind.roster().position()));
+    CHECK_FALSE(behind.has_server("removed"));
+    CHECK(behind.has_server("kept"));
+    CHECK(behind.has_server("new"));
+}
+
+TEST_CASE("the removal of a server that wasn't known is passed on", "[gateway][roster]") {
+    // Guards against a gateway that keeps a removed server for good, since the one that it asked never knew
+    // it.
+    known_servers behind;
+    behind.register_server("kept", 5);
+    behind.register_server("brief", 6);
+    known_servers ahead;
+    ahead.register_server("kept", 5);
+    const bool was_told = GENERATE(false, true);
+    known_servers source;
+    source.register_server("kept", 5);
+    source.register_server("brief", 6);
+    source.unregister_server("brief", 7);
+    if (was_told) {
+        ahead.roster().apply_update(source.roster().changes_after({0, 5}));
+    } else {
+        ahead.unregister_server("brief", 7);
+    }
+    behind.roster().apply_update(ahead.roster().changes_after(behind.roster().position()));
+    CHECK_FALSE(behind.has_server("brief"));
+    CHECK(behind.has_server("kept"));
+}
+
 TEST_CASE("the registration of a draining server isn't retained after an outage", "[gateway][roster]") {
     // Guards against retaining a server that is known to have shut down.
     known_servers here;
