A row that can't be read costs only itself, in every table that others may write

What callers see: a row whose name isn't UTF-8 among the servers or the operator's rows kept gateways from learning of any later change; they went on with what they had (servers that are gone, keys that were taken away).

Cause: the answer was parsed as a whole, so one row that can't be read cost the page, at each poll. The same holds for rows of other parts of a table: they were taken for the row of the same key. An exception other than store_error from a handler would have ended the following silently, since it runs detached. The record of the versions, once overwritten with an odd value, failed each read for as long as it stood.

Now each row is read for itself; names may be any bytes, also between gateways; a value that can't be read counts as an empty one, so that a server that had a good row is taken out of use. A change that can't be handled is logged (row_unreadable), and the following goes on whatever is thrown. A record of the versions that is unreadable or missing is replaced by one that says that there may have been another version.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -39,6 +39,8 @@
     event_description{event_kind::store_regained, "store_regained", info, state_rate,
                       "The store answers again; the changes made during the outage are read next.",
                       "table lost_ms era version"},
+    event_description{event_kind::row_unreadable, "row_unreadable", warning, state_rate,
+                      "A row of the store can't be read; it is passed over.", "row reason"},
     event_description{
         event_kind::store_era_changed, "store_era_changed", warning, state_rate,
         "The store was restored from an older copy. Servers that the copy lacks are retained for a while; "
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -22,6 +22,7 @@
     // The processes that this one depends on: the store, other gateways, the coordinator of slots.
     store_lost,
     store_regained,
+    row_unreadable,
     store_era_changed,
     peer_asked,
     peer_failed,
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -280,7 +280,10 @@
         const auto call = make_get_request(backends_target(m_backends.position()));
         const auto received = co_await http::fetch(m_executor, peer, call, limits());
         if (received.head.status == status_ok) {
-            m_backends.apply_update(decode(json::parse(received.body).as_object()));
+            // Another program may have written a row whose name isn't UTF-8.
+            json::parse_options options;
+            options.allow_invalid_utf8 = true;
+            m_backends.apply_update(decode(json::parse(received.body, {}, options).as_object()));
         }
     } catch (const std::exception& error) {
         log_failure(peer, "backends", error.what());
--- a/src/gateway/software_recorder.cpp
+++ b/src/gateway/software_recorder.cpp
@@ -1,6 +1,7 @@
 // Reads and writes one row of the store, under the condition that nobody else has written it since.
 #include "gateway/software_recorder.hpp"
 
+#include "base/parse_number.hpp"
 #include "base/pause.hpp"
 #include "events/event_log.hpp"
 
@@ -10,6 +11,7 @@
 
 #include <exception>
 #include <set>
+#include <stdexcept>
 #include <string_view>
 
 namespace borageford::gateway {
@@ -26,6 +28,8 @@
 constexpr std::chrono::milliseconds period{100};
 /// Time after a call that failed. All gateways may have started while the store was unavailable.
 constexpr std::chrono::milliseconds retry_delay{2000};
+/// Recorded for a version that nobody knows.
+constexpr policy::software_key unknown_version = 0;
 
 std::string encode(const policy::software_versions& versions) {
     json::object services;
@@ -39,11 +43,16 @@
     return json::serialize(services);
 }
 
+/// Throws std::exception for a row of another form.
 policy::software_versions decode(std::string_view text) {
     policy::software_versions result;
     const auto parsed = json::parse(json::string_view(text.data(), text.size()));
     for (const auto& [service, list] : parsed.as_object()) {
-        auto& versions = result[std::stoull(std::string(service))];
+        const auto key = parse_number<std::uint64_t>(std::string_view(service.data(), service.size()));
+        if (!key.has_value()) {
+            throw std::invalid_argument("a service isn't named by its key");
+        }
+        auto& versions = result[*key];
         for (const auto& software : list.as_array()) {
             versions.insert(software.to_number<std::uint64_t>());
         }
@@ -109,8 +118,13 @@
 asio::awaitable<void> software_recorder::read() {
     const auto era = m_environment.store_era();
     const auto row = co_await m_table.read(row_key);
-    m_row = known_row{era, row.has_value() ? row->version : 0,
-                      row.has_value() ? decode(row->value) : policy::software_versions()};
+    m_row = known_row{era, row.has_value() ? row->version : 0, {}};
+    try {
+        m_row->versions = row.has_value() ? decode(row->value) : list_unknown();
+    } catch (const std::exception& error) {
+        events::write(events::event_kind::software_not_recorded, {{"reason", error.what()}});
+        m_row->versions = list_unknown();
+    }
     m_must_read = false;
     for (const auto& [service, versions] : m_row->versions) {
         if (versions.size() == 1) {
@@ -133,6 +147,19 @@
     }
 }
 
+/// Stands for a record that is missing or that another program has overwritten: besides the versions that
+/// each service has, there may have been another one.
+policy::software_versions software_recorder::list_unknown() const {
+    policy::software_versions result;
+    if (m_history.known_since() == policy::time_point::min()) {
+        return result; // no process has run before this one
+    }
+    for (const auto& [service, versions] : m_history.list(steady_clock::now())) {
+        result[service].insert(unknown_version);
+    }
+    return result;
+}
+
 /// The versions to record: those that this process sees, and those of the record until they haven't been seen
 /// for the lifetime.
 policy::software_versions software_recorder::choose_versions() {
--- a/src/gateway/software_recorder.hpp
+++ b/src/gateway/software_recorder.hpp
@@ -50,6 +50,7 @@
     boost::asio::awaitable<void> read();
     boost::asio::awaitable<void> write(policy::software_versions wanted);
     [[nodiscard]] policy::software_versions choose_versions();
+    [[nodiscard]] policy::software_versions list_unknown() const;
 
     boost::asio::any_io_executor m_executor;
     timer_service& m_timers;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace borageford::gateway {
@@ -63,7 +64,8 @@
                 co_await read_all();
             }
             co_await follow();
-        } catch (const store::store_error& error) {
+        } catch (const std::exception& error) {
+            // Also what a handler throws: otherwise the following would end, and nothing would show it.
             failure = error.what();
         }
         if (!failure.empty()) {
@@ -209,7 +211,7 @@
         record_gap();
         record_answer(at, page->store_time);
         for (const auto& change : page->changes) {
-            m_handlers.on_change(change);
+            apply(change);
         }
         m_position = at;
         if (!page->changes.empty()) {
@@ -218,6 +220,16 @@
     }
 }
 
+/// A change that can't be handled costs only itself. Otherwise the changes after it would never arrive.
+void store_follower::apply(const store::row_change& change) {
+    try {
+        m_handlers.on_change(change);
+    } catch (const std::exception& error) {
+        events::write(events::event_kind::row_unreadable,
+                      {{"row", events::excerpt(change.now.key)}, {"reason", error.what()}});
+    }
+}
+
 asio::awaitable<std::optional<store::change_page>> store_follower::poll_changes() {
     change_poll poll(m_executor);
     // After an outage the first poll doesn't wait for a change, to learn soon whether the store is back.
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -88,6 +88,7 @@
 
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
+    void apply(const store::row_change& change);
     void record_poll_start() { m_poll.emplace(clock::now()); }
     void record_gap();
     void record_answer(store::position at, std::uint64_t store_time);
--- a/src/policy/software_history.hpp
+++ b/src/policy/software_history.hpp
@@ -33,6 +33,8 @@
     void note_former(service_key service, software_key software, time_point now);
     /// This process may have missed servers until now.
     void interrupt(time_point now);
+    /// From when on no server has escaped this process; time_point::min() if there was none before.
+    [[nodiscard]] time_point known_since() const noexcept { return m_known_since; }
     /// Another process, which has known all servers for long enough, says that the service has had this
     /// version only. Servers of another one may have replaced all of it since.
     void settle(service_key service, software_key software, time_point now);
--- a/tests/unit/test_platform_codecs.cpp
+++ b/tests/unit/test_platform_codecs.cpp
@@ -9,7 +9,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
 #include <variant>
+#include <vector>
 
 using namespace borageford;
 using namespace std::chrono_literals;
@@ -150,6 +152,40 @@
     CHECK(client.has_lost_history(platform::encode_history_gone()));
 }
 
+TEST_CASE("a row that can't be read costs only itself, and rows of other parts don't count", "[platform]") {
+    // Guards against changes that never arrive, or are another row's, since another program has written one.
+    const std::string rows = R"({"ver":9,"now_ms":1,"rows":[
+        {"table":"servers","part":"","key":"good","value":"eA==","ver":3},
+        {"table":"servers","part":"other","key":"good","value":"eQ==","ver":4},
+        {"table":"servers","part":"","key":"value","value":"%%%","ver":5},
+        {"table":"servers","part":"","key":"typed","value":{"a":[1]},"ver":5},
+        {"table":"servers","part":"","key":7,"value":"eA==","ver":5},
+        {"table":"servers","part":"","key":"version","value":"eA==","ver":1e99},
+        {"table":"servers","part":"","key":"negative","value":"eA==","ver":-1},
+        {"table":"servers"}, [], null, "row",
+        {"table":"servers","part":"","key":")"
+                             "\xff"
+                             R"(","value":"eA==","ver":6},
+        {"table":"servers","part":"","key":"last","value":"eg==","ver":7}]})";
+    const platform::store_format client;
+    const auto answer = http::make_response(200, "application/json", rows);
+    const auto page = client.decode_scan("servers/", answer);
+    const auto changes = client.decode_changes(answer);
+    REQUIRE(page.has_value());
+    REQUIRE(changes.has_value());
+    std::vector<std::string> read;
+    for (const auto& row : page->rows) {
+        read.push_back(row.key + "=" + row.value);
+    }
+    std::vector<std::string> changed;
+    for (const auto& change : changes->changes) {
+        changed.push_back(change.now.key + "=" + change.now.value);
+    }
+    CHECK(read == std::vector<std::string>{"servers/good=x", "servers/value=", "servers/typed=",
+                                           "servers/\xff=x", "servers/last=z"});
+    CHECK(changed == read);
+}
+
 TEST_CASE("one row of a table is read by its key", "[platform]") {
     // An emulated store that handles the range of a single key wrongly never finds a row that is read by
     // its key.
