One version is concluded only when the store has confirmed it after the caller came back

Cause: 'the service has had one version only' was concluded from what this process hadn't seen, without a bound on how old its knowledge is: 1.4 s after the last confirmation, for as long as the store was silent on the larger side of a partition, and a process that thaws could serve a request before the tick that notices the gap. A keeper's answer had the same bound.

Now the conclusion is read at use: the request waits until the store has answered a question for changes that was asked after it came back, here or at a keeper that vouches for it. An answer that waited in a socket doesn't count, so neither freezing nor suspension, cuts or late polls matter. Who can't ask says stream_unknown; while the store is silent to a gateway it tells its streams to the keepers, so that what began there is still found. What a process has missed is no longer guessed from the length of a gap: a server that registered and left unseen, and a complete list in place of changes, end the conclusion until the record in the store or another gateway settles it. Servers that drain at the first read are in the history.

--- a/src/coordination/broker_observers.hpp
+++ b/src/coordination/broker_observers.hpp
@@ -1,6 +1,7 @@
 // What a slot_broker asks its owner, and what it reports to it.
 #pragma once
 
+#include "coordination/server_table_access.hpp"
 #include "policy/crash_ledger.hpp"
 #include "policy/departure_table.hpp"
 #include "policy/rate_limit_table.hpp"
@@ -70,10 +71,7 @@
     /// What became of the returns of callers that this process refused, since the last call.
     std::function<void(const policy::return_counts&)> on_returns = [](const policy::return_counts&) {
     };
-    /// Returns whether the store has confirmed recently that this process knows all backend servers.
-    std::function<bool()> has_recent_servers = [] {
-        return true;
-    };
+    server_table_access server_table = {};
     /// While this process grants slots: an engine seems to have less memory than it was said to have.
     std::function<void(const policy::slot_scheduler::memory_overflow&)> on_memory_overflow =
         [](const policy::slot_scheduler::memory_overflow&) {
--- a/src/coordination/slot_broker.cpp
+++ b/src/coordination/slot_broker.cpp
@@ -66,9 +66,7 @@
                      message.streams = std::move(items);
                      send(member, std::move(message));
                  },
-                 [this] {
-                     return knows_all_servers();
-                 }}) {}
+                 m_observers.server_table}) {}
 
 void slot_broker::start() {
     m_socket.emplace(m_executor, m_settings.local,
--- a/src/coordination/slot_broker.hpp
+++ b/src/coordination/slot_broker.hpp
@@ -160,7 +160,6 @@
     void update_shares(policy::time_point now);
     [[nodiscard]] double coordinator_retry_share(std::size_t attached, policy::time_point now);
     [[nodiscard]] bool is_connected() const;
-    [[nodiscard]] bool knows_all_servers() const;
     [[nodiscard]] std::vector<policy::member_key> stream_keepers() const;
     [[nodiscard]] bool has_urgent_streams(policy::member_key candidate, policy::time_point now);
     [[nodiscard]] bool expects_coordinator(policy::time_point now) const;
--- a/src/coordination/slot_broker_source.cpp
+++ b/src/coordination/slot_broker_source.cpp
@@ -156,20 +156,6 @@
     return (m_members.size() + 1) * 2 >= m_active_members.count();
 }
 
-/// Whether this process knows all servers from which any gateway may have received a stream's first event.
-/// While the store is silent no new ones are known to anybody, except to gateways on the other side of a
-/// network partition: the larger side knows that the others can't have read more.
-bool slot_broker::knows_all_servers() const {
-    if (m_observers.has_recent_servers()) {
-        return true;
-    }
-    const auto known = m_election.member_count();
-    if (m_source == slot_source::own_coordination) {
-        return (m_members.size() + 1) * 2 > known;
-    }
-    return m_source == slot_source::coordinator && reported_members() * 2 > known;
-}
-
 /// True after a start and after the loss of a coordinator, for the time in which another process is likely to
 /// become the coordinator. This includes a process that coordinates, while no other member has attached to
 /// it.
--- a/src/coordination/stream_exchange.cpp
+++ b/src/coordination/stream_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace borageford::coordination {
@@ -16,8 +17,8 @@
 /// Ticks in which a question is sent to the keepers that haven't answered. An answer takes some milliseconds,
 /// and one lost datagram must not leave a stream unknown; the caller waits meanwhile.
 constexpr unsigned max_rounds = 4;
-/// A process that knows all servers again within this time has missed none that served requests and left.
-constexpr std::chrono::milliseconds tolerated_gap{2000};
+/// How long an answer waits for the store. The asker gives up then.
+constexpr std::chrono::milliseconds max_owed_time{200};
 /// Time between two questions of a process that has just started whether a service has had one version only.
 constexpr std::chrono::milliseconds settle_period{1000};
 
@@ -66,37 +67,60 @@
     const auto last = m_settling.find(service);
     if (last == m_settling.end() || now - last->second >= settle_period) {
         m_settling[service] = now;
-        ask({0, 0, service}, [](const found_origin&) {});
+        ask({0, 0, service}, [](const found_origin&) {}, now);
     }
 }
 
 void stream_exchange::find(const resumed_stream& wanted, origin_handler on_found, policy::time_point now) {
-    if (const auto found = find_here(wanted, now)) {
+    auto found = find_told(wanted.stream, now);
+    if (!found.has_value()) {
+        found = find_only_version(wanted.service, now, now);
+    }
+    if (found.has_value()) {
         on_found(*found);
-        return;
+    } else {
+        ask({0, wanted.stream, wanted.service}, std::move(on_found), now);
     }
-    ask({0, wanted.stream, wanted.service}, std::move(on_found));
 }
 
-/// Returns nothing if the other gateways should be asked.
-std::optional<found_origin> stream_exchange::find_here(const resumed_stream& wanted,
+/// The origin of a stream that began here or was told; nothing if the stream isn't known.
+std::optional<found_origin> stream_exchange::find_told(policy::stream_key stream,
                                                        policy::time_point now) const {
-    if (const auto known = m_table.find(wanted.stream, now); known.has_value() && wanted.stream != 0) {
-        const auto source = known->software != 0 ? origin_source::here : origin_source::unknown;
-        return found_origin{source, known->service, known->software};
+    const auto known = m_table.find(stream, now);
+    if (!known.has_value() || stream == 0) {
+        return std::nullopt;
     }
-    const auto only = m_history.only_version(wanted.service, now);
-    if (wanted.service != 0 && only.has_value() && m_environment.knows_all_servers()) {
-        return found_origin{origin_source::one_version, wanted.service, *only};
+    const auto source = known->software != 0 ? origin_source::here : origin_source::unknown;
+    return found_origin{source, known->service, known->software};
+}
+
+/// The only version that the service can have had until now; nothing if the store hasn't confirmed it
+/// since then.
+std::optional<found_origin> stream_exchange::find_only_version(policy::service_key service,
+                                                               policy::time_point since,
+                                                               policy::time_point now) const {
+    if (!has_one_version(service, now) || !m_environment.servers.is_checked_since(since)) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    return found_origin{origin_source::one_version, service, *m_history.only_version(service, now)};
 }
 
-void stream_exchange::ask(const stream_question& question, origin_handler on_found) {
-    pending_question pending{question, std::move(on_found), {}, {}, 0};
+/// Whether the service has had a single version, as far as this process knows.
+bool stream_exchange::has_one_version(policy::service_key service, policy::time_point now) const {
+    return service != 0 && m_history.only_version(service, now).has_value();
+}
+
+/// If the store has to confirm what is known here, the keepers are asked only if it doesn't do so by the next
+/// tick.
+void stream_exchange::ask(const stream_question& question, origin_handler on_found, policy::time_point now) {
+    pending_question pending{question, std::move(on_found), now, {}, {}, 0};
     pending.question.id = ++m_last_question;
     const auto added = m_questions.emplace(pending.question.id, std::move(pending)).first;
-    send_question(added->second);
+    if (has_one_version(question.service, now)) {
+        m_environment.servers.check();
+    } else {
+        send_question(added->second);
+    }
 }
 
 void stream_exchange::send_question(pending_question& pending) {
@@ -143,14 +167,56 @@
     }
 }
 
-stream_answer stream_exchange::answer(const stream_question& question, policy::time_point now) const {
-    const auto found = find_here({question.stream, question.service}, now);
-    if (!found.has_value()) {
-        return {question.id};
+/// The answer to a member's question, which arrived at `since`; nothing if the store has to confirm it first.
+std::optional<stream_answer> stream_exchange::find_answer(const stream_question& question,
+                                                          policy::time_point since,
+                                                          policy::time_point now) const {
+    if (const auto told = find_told(question.stream, now)) {
+        return stream_answer{question.id, stream_knowledge::origin, told->service, told->software};
+    }
+    if (!has_one_version(question.service, now)) {
+        return stream_answer{question.id};
     }
-    const auto knowledge = found->source == origin_source::one_version ? stream_knowledge::only_version
-                                                                       : stream_knowledge::origin;
-    return {question.id, knowledge, found->service, found->software};
+    const auto only = find_only_version(question.service, since, now);
+    if (!only.has_value()) {
+        return std::nullopt;
+    }
+    return stream_answer{question.id, stream_knowledge::only_version, only->service, only->software};
+}
+
+bool stream_exchange::owes(policy::member_key member, const stream_question& question) const {
+    return std::ranges::any_of(m_owed, [&](const owed_answer& owed) {
+        return owed.member == member && owed.question.id == question.id;
+    });
+}
+
+void stream_exchange::send_owed_answers(policy::time_point now) {
+    std::vector<owed_answer> waiting;
+    for (auto& owed : std::exchange(m_owed, {})) {
+        auto answer = find_answer(owed.question, owed.since, now);
+        if (!answer.has_value() && now - owed.since < max_owed_time) {
+            waiting.push_back(std::move(owed));
+            continue;
+        }
+        stream_items items;
+        items.answers.push_back(answer.value_or(stream_answer{owed.question.id}));
+        m_environment.send(owed.member, std::move(items));
+    }
+    std::ranges::move(waiting, std::back_inserter(m_owed));
+}
+
+void stream_exchange::handle_servers_checked(policy::time_point now) {
+    std::map<std::uint64_t, found_origin> ended;
+    for (auto& [id, pending] : m_questions) {
+        const auto service = pending.question.service;
+        if (const auto found = find_only_version(service, pending.since, now)) {
+            ended[id] = *found;
+        } else if (!has_one_version(service, now) && pending.rounds == 0) {
+            send_question(pending);
+        }
+    }
+    finish_all(ended);
+    send_owed_answers(now);
 }
 
 void stream_exchange::tick(policy::time_point now) {
@@ -158,22 +224,28 @@
     if (m_keepers.size() > max_keeper_states) {
         m_keepers.clear();
     }
-    if (m_environment.knows_all_servers()) {
-        if (m_last_current.has_value() && now - *m_last_current > tolerated_gap) {
-            m_history.interrupt(now);
-        }
-        m_last_current = now;
-    }
+    watch_store();
     std::map<std::uint64_t, found_origin> ended;
     for (auto& [id, pending] : m_questions) {
         // A process that has just started may have learned meanwhile which versions there were.
-        const auto found = find_here({pending.question.stream, pending.question.service}, now);
+        auto found = find_told(pending.question.stream, now);
+        if (!found.has_value()) {
+            found = find_only_version(pending.question.service, pending.since, now);
+        }
         if (found.has_value() || pending.rounds >= max_rounds) {
             ended[id] = found.value_or(found_origin());
-        } else {
-            send_question(pending);
+            continue;
+        }
+        send_question(pending);
+        if (has_one_version(pending.question.service, now)) {
+            m_environment.servers.check();
         }
     }
+    finish_all(ended);
+    send_owed_answers(now);
+}
+
+void stream_exchange::finish_all(const std::map<std::uint64_t, found_origin>& ended) {
     for (const auto& [id, found] : ended) {
         if (const auto pending = m_questions.find(id); pending != m_questions.end()) {
             finish(pending, found);
@@ -181,6 +253,15 @@
     }
 }
 
+/// While the store doesn't answer, no gateway may conclude that there was one version. All streams are told
+/// from then on, also those that began before.
+void stream_exchange::watch_store() {
+    const bool is_current = m_environment.servers.is_current();
+    if (std::exchange(m_was_current, is_current) && !is_current) {
+        m_keepers.clear();
+    }
+}
+
 void stream_exchange::drop_old(policy::time_point now) {
     while (!m_log.empty() && now - m_log.front().origin.noted > m_lifetime) {
         m_log.pop_front();
@@ -189,7 +270,8 @@
 }
 
 bool stream_exchange::should_tell(const noted_here& entry, policy::time_point now) const {
-    return entry.must_tell || !m_history.only_version(entry.origin.service, now).has_value();
+    return entry.must_tell || !has_one_version(entry.origin.service, now) ||
+           !m_environment.servers.is_current();
 }
 
 /// The state of a keeper. After another version has shown up, all streams are told that weren't before.
@@ -257,8 +339,17 @@
     }
     stream_items reply;
     reply.acknowledged = received.told;
+    bool must_check = false;
     for (const auto& question : received.questions) {
-        reply.answers.push_back(answer(question, now));
+        if (auto answer = find_answer(question, now, now)) {
+            reply.answers.push_back(*answer);
+        } else if (!owes(member, question)) {
+            m_owed.push_back({member, question, now});
+            must_check = true;
+        }
+    }
+    if (must_check) {
+        m_environment.servers.check();
     }
     return reply;
 }
--- a/src/coordination/stream_exchange.hpp
+++ b/src/coordination/stream_exchange.hpp
@@ -1,6 +1,7 @@
 // Finds out which software version began a stream that a caller resumes, whichever gateway it began at.
 #pragma once
 
+#include "coordination/server_table_access.hpp"
 #include "coordination/stream_items.hpp"
 #include "policy/member_key.hpp"
 #include "policy/software_history.hpp"
@@ -45,6 +46,10 @@
 /// that begin there to a few others, the keepers, and a gateway that doesn't know a stream asks them. A
 /// keeper that was lost is replaced by another one, which is told all streams that may still be resumed. Used
 /// on one executor.
+///
+/// Invariant: that a service has had a single version is only concluded for a stream if the store has
+/// confirmed it to this process or to a keeper after the caller came back. Whoever can't ask the store
+/// doesn't conclude it, and tells its streams to the keepers.
 class stream_exchange {
 public:
     using origin_handler = std::function<void(const found_origin&)>;
@@ -53,8 +58,7 @@
         /// The members that keep the streams of all gateways.
         std::function<std::vector<policy::member_key>()> keepers;
         std::function<void(policy::member_key, stream_items)> send;
-        /// Whether this process knows all servers that any gateway may know.
-        std::function<bool()> knows_all_servers;
+        server_table_access servers = {};
     };
 
     /// `lifetime`: for how long a caller may come back for a stream. `known_since`: see software_history.
@@ -70,6 +74,8 @@
     /// gateway has to be asked.
     void find(const resumed_stream& wanted, origin_handler on_found, policy::time_point now);
 
+    /// The store has confirmed that this process knows all servers.
+    void handle_servers_checked(policy::time_point now);
     /// To be called every 50 ms.
     void tick(policy::time_point now);
     /// Whether take_for() has something to send to this keeper.
@@ -93,19 +99,34 @@
     struct pending_question {
         stream_question question;
         origin_handler on_found;
+        policy::time_point since;
         std::set<policy::member_key> asked;
         std::set<policy::member_key> answered;
         unsigned rounds = 0;
     };
     using pending_questions = std::map<std::uint64_t, pending_question>;
+    /// A member's question that is answered when the store has confirmed what this process knows.
+    struct owed_answer {
+        policy::member_key member = 0;
+        stream_question question;
+        policy::time_point since;
+    };
 
-    [[nodiscard]] std::optional<found_origin> find_here(const resumed_stream& wanted,
+    [[nodiscard]] std::optional<found_origin> find_told(policy::stream_key stream,
                                                         policy::time_point now) const;
-    void ask(const stream_question& question, origin_handler on_found);
+    [[nodiscard]] std::optional<found_origin>
+    find_only_version(policy::service_key service, policy::time_point since, policy::time_point now) const;
+    [[nodiscard]] bool has_one_version(policy::service_key service, policy::time_point now) const;
+    void ask(const stream_question& question, origin_handler on_found, policy::time_point now);
     void send_question(pending_question& pending);
     void apply_answer(policy::member_key member, const stream_answer& answer, policy::time_point now);
     void finish(pending_questions::iterator pending, const found_origin& found);
-    [[nodiscard]] stream_answer answer(const stream_question& question, policy::time_point now) const;
+    void finish_all(const std::map<std::uint64_t, found_origin>& ended);
+    [[nodiscard]] std::optional<stream_answer>
+    find_answer(const stream_question& question, policy::time_point since, policy::time_point now) const;
+    [[nodiscard]] bool owes(policy::member_key member, const stream_question& question) const;
+    void send_owed_answers(policy::time_point now);
+    void watch_store();
     void drop_old(policy::time_point now);
     void settle(policy::service_key service, policy::time_point now);
     [[nodiscard]] bool should_tell(const noted_here& entry, policy::time_point now) const;
@@ -126,8 +147,9 @@
     pending_questions m_questions;
     std::uint64_t m_last_question = 0;
     std::unordered_map<policy::service_key, policy::time_point>
-        m_settling;                                   ///< when the keepers were last asked
-    std::optional<policy::time_point> m_last_current; ///< when this process last knew all servers
+        m_settling; ///< when the keepers were last asked
+    std::vector<owed_answer> m_owed;
+    bool m_was_current = false; ///< the store had confirmed recently, at the last tick, what is known here
 };
 
 } // namespace borageford::coordination
--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -39,6 +39,10 @@
     event_description{event_kind::store_regained, "store_regained", info, state_rate,
                       "The store answers again; the changes made during the outage are read next.",
                       "table lost_ms era version"},
+    event_description{event_kind::store_check_failed, "store_check_failed", warning, state_rate,
+                      "The store didn't confirm what this process knows when it was asked, since a caller "
+                      "resumes a stream; the other gateways are asked which software version began it.",
+                      "table reason"},
     event_description{event_kind::row_unreadable, "row_unreadable", warning, state_rate,
                       "A row of the store can't be read; it is passed over.", "row reason"},
     event_description{
@@ -86,6 +90,11 @@
         "The record of the software versions that the services have couldn't be read from the store or "
         "written; this will be retried.",
         "reason"},
+    event_description{
+        event_kind::software_uncertain, "software_uncertain", info, state_rate,
+        "This process may have missed a backend server, and so a software version: for a while, "
+        "it doesn't take the version that a service has for the only one.",
+        "reason"},
     event_description{event_kind::backend_ready, "backend_ready", info, state_rate,
                       "A backend server accepts requests.",
                       "backend service address slots software start era version"},
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -22,6 +22,7 @@
     // The processes that this one depends on: the store, other gateways, the coordinator of slots.
     store_lost,
     store_regained,
+    store_check_failed,
     row_unreadable,
     store_era_changed,
     peer_asked,
@@ -38,6 +39,7 @@
     rollout_moved,
     rollout_not_recorded,
     software_not_recorded,
+    software_uncertain,
     backend_ready,
     backend_restarted,
     backend_draining,
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -51,6 +51,9 @@
     if (page.position.era < m_position.era) {
         return;
     }
+    if (m_position != store::position{}) {
+        interrupt_history("all servers were read again");
+    }
     if (is_new_era(page.position)) {
         begin_era(page.position, "store");
     }
@@ -199,6 +202,9 @@
     if (newer.position <= m_position) {
         return;
     }
+    if (newer.is_complete && m_position != store::position{}) {
+        interrupt_history("a gateway sent all servers, not the changes");
+    }
     const bool is_of_new_era = is_new_era(newer.position);
     if (is_of_new_era) {
         begin_era(newer.position, "peer");
@@ -336,6 +342,8 @@
                                         policy::software_key_of(record.version), steady_clock::now());
         m_rollouts.update_slots(record);
     } else {
+        m_slots.streams().history().note_former(hash_bytes(record.service),
+                                                policy::software_key_of(record.version), steady_clock::now());
         withdraw(record);
         m_crashes.record_leaving(record.key());
         events::write(events::event_kind::backend_draining,
@@ -405,9 +413,16 @@
 void backend_roster::note_removal_of_unknown(const std::string& id) {
     if (!m_removals.find(id).has_value()) {
         m_removals.add(id, m_position);
+        interrupt_history("a server registered and left unseen: " + id);
     }
 }
 
+/// Streams may have begun at servers of which this process knows nothing.
+void backend_roster::interrupt_history(std::string_view reason) {
+    events::write(events::event_kind::software_uncertain, {{"reason", events::excerpt(reason)}});
+    m_slots.streams().history().interrupt(steady_clock::now());
+}
+
 /// Returns whether the server had announced that it drains, so that its registration vanished for that reason
 /// and not because of an outage.
 bool backend_roster::has_drained(std::string_view id) const {
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -125,6 +125,7 @@
     void handle_restart(const routing::backend_record& record);
     void handle_missing(const std::string& id);
     void note_removal_of_unknown(const std::string& id);
+    void interrupt_history(std::string_view reason);
     [[nodiscard]] bool has_drained(std::string_view id) const;
     void remove(const std::string& id, std::string_view reason);
     void tick();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -292,7 +292,11 @@
                    bool has_run_out) { m_retry_use.report(service, current, has_run_out); },
             [this](policy::server_key server) { m_rate_limits.count_used_up(server); },
             [this](const policy::return_counts& added) { m_returns.count(added); },
-            [this] { return m_backend_follower.is_current(); },
+            {[this] { return m_backend_follower.is_current(); },
+             [this](policy::time_point asked) { return m_backend_follower.checked_at() >= asked; },
+             [this] {
+                 m_backend_follower.check();
+             }},
             [this](const policy::slot_scheduler::memory_overflow& overflow) {
                 m_engine_memory.report(overflow);
             }};
@@ -445,8 +449,9 @@
                 [this](const store::row_change& change) { m_roster.apply_change(change); },
                 [this] { m_roster.record_outage(m_backend_follower.confirmed_at()); },
                 [this] { return m_roster.position(); },
+                [this] { return current_role(); },
                 [this] {
-                    return current_role();
+                    m_slots.streams().handle_servers_checked(std::chrono::steady_clock::now());
                 }};
     }
 
--- a/src/gateway/software_recorder.cpp
+++ b/src/gateway/software_recorder.cpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <stdexcept>
 #include <string_view>
+#include <utility>
 
 namespace borageford::gateway {
 
@@ -71,7 +72,7 @@
       m_table(table),
       m_history(history),
       m_lifetime(lifetime),
-      m_started(steady_clock::now()),
+      m_known_since(history.known_since()),
       m_must_read(!is_first_start),
       m_environment(std::move(surroundings)) {}
 
@@ -95,14 +96,18 @@
 
 asio::awaitable<void> software_recorder::update() {
     const bool is_coordinating = m_environment.is_coordinating();
+    const auto known_before = std::exchange(m_known_since, m_history.known_since());
+    m_must_read = m_must_read || m_known_since != known_before;
     // By then this process has itself known all versions that matter.
-    m_must_read = m_must_read && steady_clock::now() - m_started <= m_lifetime;
+    m_must_read = m_must_read && steady_clock::now() - m_known_since <= m_lifetime;
     if (!is_coordinating || (m_row.has_value() && m_row->era != m_environment.store_era())) {
         m_row.reset(); // another process may write, or the store was restored from an older copy
     }
     if (!is_coordinating) {
         m_unseen.clear(); // another process may have recorded a version again
     }
+    // What the coordinator itself has written doesn't tell it what it has missed.
+    m_must_read = m_must_read && !m_row.has_value();
     if (m_must_read || (is_coordinating && !m_row.has_value())) {
         co_await read();
     }
--- a/src/gateway/software_recorder.hpp
+++ b/src/gateway/software_recorder.hpp
@@ -20,7 +20,8 @@
 
 /// After all gateways were killed at once, none of them knows which versions have left since streams began
 /// that callers now resume. So the coordinator records each version as soon as it shows up, and drops one
-/// that it hasn't seen for as long as a caller may come back. A gateway that starts reads the record once.
+/// that it hasn't seen for as long as a caller may come back. A gateway that starts, or that may have missed
+/// servers, reads the record once.
 /// While each service has a single version, there is one write when the system starts for the first time.
 class software_recorder {
 public:
@@ -57,8 +58,8 @@
     store::table& m_table;
     policy::software_history& m_history;
     std::chrono::milliseconds m_lifetime;
-    policy::time_point m_started;
-    /// What was recorded before this process started is still unknown.
+    policy::time_point m_known_since; ///< the history's, when it was last looked at
+    /// What was recorded before m_known_since is still unknown.
     bool m_must_read;
     environment m_environment;
     std::optional<known_row> m_row;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -38,6 +38,10 @@
 /// store's usual 4 ms, so a store that is slowed down by a factor of 50 still answers the first read.
 constexpr milliseconds min_first_read_period{300};
 constexpr milliseconds max_first_read_period{600};
+/// Shortest time between two questions of check(). Many callers may come back at once.
+constexpr milliseconds min_check_period{50};
+/// How long such a question may take. The callers that wait for it are refused then.
+constexpr milliseconds check_timeout{250};
 
 } // namespace
 
@@ -131,7 +135,7 @@
     reject_previous_era(all.position);
     static_cast<void>(apply_era(all.position));
     m_position = all.position;
-    record_answer(all.position, all.store_time);
+    record_poll_answer(all.position, all.store_time);
     m_handlers.on_all(all);
 }
 
@@ -171,8 +175,12 @@
     }
 }
 
-void store_follower::record_answer(store::position at, std::uint64_t store_time) {
+void store_follower::record_poll_answer(store::position at, std::uint64_t store_time) {
     m_poll.reset();
+    record_answer(at, store_time);
+}
+
+void store_follower::record_answer(store::position at, std::uint64_t store_time) {
     m_answered_at = clock::now();
     m_confirmation.record_answer({at.era, store_time}, m_answered_at);
     record_recovery(at);
@@ -203,23 +211,33 @@
             m_dropped_history = std::exchange(m_position, {m_position.era, 0});
             co_return;
         }
-        const auto at = add_era(page->position);
-        reject_previous_era(at);
-        if (apply_era(at)) {
+        m_poll.reset();
+        if (!apply(*page)) {
             co_return;
         }
-        record_gap();
-        record_answer(at, page->store_time);
-        for (const auto& change : page->changes) {
-            apply(change);
-        }
-        m_position = at;
         if (!page->changes.empty()) {
             co_await pause(m_timers, batching_delay);
         }
     }
 }
 
+/// Applies changes, unless they are older than what is known: a check may have brought newer ones while the
+/// poll was open. Returns false if everything has to be read again, since the store has begun a new era.
+bool store_follower::apply(const store::change_page& page) {
+    const auto at = add_era(page.position);
+    reject_previous_era(at);
+    if (apply_era(at)) {
+        return false;
+    }
+    record_gap();
+    record_answer(at, page.store_time);
+    if (at >= m_position) {
+        std::ranges::for_each(page.changes, [this](const auto& change) { apply(change); });
+        m_position = at;
+    }
+    return true;
+}
+
 /// A change that can't be handled costs only itself. Otherwise the changes after it would never arrive.
 void store_follower::apply(const store::row_change& change) {
     try {
@@ -230,6 +248,55 @@
     }
 }
 
+void store_follower::check() {
+    if (m_is_checking) {
+        m_must_check_again = true;
+        return;
+    }
+    m_is_checking = true;
+    asio::co_spawn(m_executor, run_checks(), asio::detached);
+}
+
+asio::awaitable<void> store_follower::run_checks() {
+    do {
+        m_must_check_again = false;
+        try {
+            co_await check_once();
+        } catch (const std::exception& error) {
+            events::write(events::event_kind::store_check_failed,
+                          {{"table", m_table_name}, {"reason", error.what()}});
+        }
+        co_await pause(m_timers, min_check_period);
+    } while (m_must_check_again);
+    m_is_checking = false;
+}
+
+/// Asks from the position that is known by whatever way. A new era and a dropped history are left to the
+/// poll.
+asio::awaitable<void> store_follower::check_once() {
+    apply_known_position();
+    if (m_position.version == 0) {
+        throw store::store_error(store::effect::none, "the table hasn't been read yet");
+    }
+    const auto asked = clock::now();
+    const auto era = m_position.era;
+    change_poll question(m_executor);
+    question.start_call(m_table.changes(m_table_name, m_position.version, milliseconds(0)));
+    question.start_call(fail_after(check_timeout));
+    const auto page = co_await question.first_answer();
+    if (!page.has_value() || add_era(page->position).era != era || m_position.era != era) {
+        throw store::store_error(store::effect::none, "everything has to be read again");
+    }
+    static_cast<void>(apply(*page));
+    m_checked_at = asked;
+    m_handlers.on_checked();
+}
+
+asio::awaitable<std::optional<store::change_page>> store_follower::fail_after(milliseconds limit) {
+    co_await pause(m_timers, limit);
+    throw store::store_error(store::effect::none, "no answer in time");
+}
+
 asio::awaitable<std::optional<store::change_page>> store_follower::poll_changes() {
     change_poll poll(m_executor);
     // After an outage the first poll doesn't wait for a change, to learn soon whether the store is back.
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -44,6 +44,9 @@
         std::function<store::position()> known_position;
         /// Returns the current role, which decides whether and how often this gateway polls the store.
         std::function<policy::poll_role()> read_role;
+        /// The store has answered a question of check().
+        std::function<void()> on_checked = [] {
+        };
     };
 
     store_follower(boost::asio::any_io_executor executor, timer_service& timers, store::table& table,
@@ -51,6 +54,14 @@
 
     void start();
 
+    /// Asks the store for changes now, whatever the role, and calls on_checked if it answers. A call while
+    /// such a question is open lets another one follow.
+    void check();
+    /// Returns when the last question of check() that the store has answered was asked; time_point::min() if
+    /// there was none. An answer that a poll has waited for may have arrived long before it was read, so
+    /// polls don't count.
+    [[nodiscard]] clock::time_point checked_at() const noexcept { return m_checked_at; }
+
     /// Another gateway holds the same version, and reports that the store confirmed it at `answered`, a time
     /// of the store's clock.
     void record_confirmation(policy::store_moment answered) {
@@ -88,10 +99,15 @@
 
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> read_all();
+    boost::asio::awaitable<void> run_checks();
+    boost::asio::awaitable<void> check_once();
+    boost::asio::awaitable<std::optional<store::change_page>> fail_after(std::chrono::milliseconds limit);
+    [[nodiscard]] bool apply(const store::change_page& page);
     void apply(const store::row_change& change);
     void record_poll_start() { m_poll.emplace(clock::now()); }
     void record_gap();
     void record_answer(store::position at, std::uint64_t store_time);
+    void record_poll_answer(store::position at, std::uint64_t store_time);
     [[nodiscard]] store::position add_era(store::position received) const;
     void reject_previous_era(store::position received) const;
     [[nodiscard]] bool apply_era(store::position received);
@@ -124,6 +140,9 @@
     std::optional<clock::time_point> m_lost_since;
     clock::time_point m_answered_at = clock::now();
     std::optional<policy::open_poll> m_poll;
+    bool m_is_checking = false;
+    bool m_must_check_again = false;
+    clock::time_point m_checked_at = clock::time_point::min();
     handlers m_handlers;
     std::minstd_rand m_random;
 };
--- a/tests/failure/test_gateway_stream_software.cpp
+++ b/tests/failure/test_gateway_stream_software.cpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace borageford;
@@ -142,6 +143,18 @@
     return emulator::software_in(first + (rest.status == 200 ? rest.body : "")).size();
 }
 
+/// Begins streams at a gateway until one has begun at this version; returns its id and its first event.
+std::pair<std::string, std::string> begin_at_version(gateway_site& site, std::size_t gateway,
+                                                     const std::string& software) {
+    for (int number = 0;; ++number) {
+        const auto id = "stream-" + std::to_string(number);
+        const auto first = begin_broken_stream(site, gateway, id);
+        if (emulator::software_in(first).contains(software)) {
+            return {id, first};
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("gateway: a stream that breaks off goes on only at the software version that began it",
@@ -335,6 +348,29 @@
     CHECK(site.send(0, stream_call("another")).is_complete);
 }
 
+TEST_CASE("gateway: a gateway that stood still doesn't take the version that it knows for the only one",
+          "[gateway][stream_software]") {
+    // Guards against resuming a stream at another version while a gateway hasn't learned of the stream's own.
+    constexpr std::size_t gateways = 5;
+    constexpr std::size_t other = 0;
+    for (std::size_t still = 1; still < gateways; ++still) {
+        auto options = site_with_one_version(gateways);
+        options.backends = {engine_of("engine-0", "v1")};
+        options.gateway_settings = "store_followers = 0\n";
+        gateway_site site(options);
+        static_cast<void>(wait_for_coordinator(site, {0, 1, 2, 3, 4}));
+        site.process(still).freeze();
+        site.start_backend(1, engine_of("engine-1", "v2"));
+        wait_until("the other gateway uses the new version",
+                   [&] { return site.has_logged(other, R"("backend":"engine-1")"); });
+        const auto [id, first] = begin_at_version(site, other, "v2");
+        site.process(still).thaw();
+        const auto rest = site.send(still, resuming_call("rest", id));
+        INFO("gateway " << still);
+        CHECK(versions_in(first, rest) == 1);
+    }
+}
+
 TEST_CASE("gateway: before its first event a stream may go to any software version",
           "[gateway][stream_software]") {
     // Nothing of the stream has reached the caller, so there is nothing that another version can't go on
--- a/tests/support/known_servers.hpp
+++ b/tests/support/known_servers.hpp
@@ -40,6 +40,7 @@
     gateway::backend_directory& backends() { return m_backends; }
     gateway::backend_roster& roster() { return m_roster; }
     gateway::rollout_manager& rollouts() { return m_rollouts; }
+    policy::software_history& history() { return m_slots.streams().history(); }
     /// Sets whether this gateway is the one that decides on roll-outs.
     void set_deciding(bool decides) { m_decides = decides; }
     /// The statuses of roll-outs that the gateway would have written into the store.
--- a/tests/unit/test_gateway_roster.cpp
+++ b/tests/unit/test_gateway_roster.cpp
@@ -1,10 +1,13 @@
 // Tests of backend_roster and backend_directory: updates exchanged between gateways, and registrations that
 // restart, vanish or can't be decoded. Also tests send_budget.
+#include "base/hash.hpp"
 #include "gateway/send_budget.hpp"
+#include "policy/slot_request.hpp"
 #include "support/known_servers.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -123,6 +126,44 @@
     CHECK(behind.has_server("kept"));
 }
 
+TEST_CASE("a version whose servers drain at the first read may have begun streams", "[gateway][roster]") {
+    // Guards against taking the version that replaces it for the only one.
+    known_servers here;
+    here.read_all({0, 10}, {{"old", "leaving engines#v1", 5}, {"new", "engines#v2", 6}});
+    const auto versions = here.history().list(std::chrono::steady_clock::now());
+    CHECK(versions.at(hash_bytes("engines")).size() == 2);
+}
+
+TEST_CASE("a gateway that has missed servers doesn't know all versions any more", "[gateway][roster]") {
+    // Guards against taking a version for the only one when another one came and went unseen.
+    const auto service = hash_bytes("engines");
+    const auto now = std::chrono::steady_clock::now();
+    known_servers here;
+    here.read_all({0, 10}, {{"a", "engines#v1", 5}, {"b", "engines#v1", 6}});
+    here.history().settle(service, policy::software_key_of("v1"), now);
+    here.unregister_server("b", 11);
+    here.unregister_server("b", 11);
+    CHECK(here.history().is_settled(service, now));
+    SECTION("one is gone that was never there") {
+        here.unregister_server("brief", 20);
+    }
+    SECTION("a gateway says that one is gone that was never there") {
+        known_servers ahead;
+        ahead.register_server("brief", 19);
+        ahead.unregister_server("brief", 20);
+        here.roster().apply_update(ahead.roster().changes_after(here.roster().position()));
+    }
+    SECTION("all are read again") {
+        here.read_all({0, 20}, {{"a", "engines#v1", 5}});
+    }
+    SECTION("a gateway sends all") {
+        known_servers ahead;
+        ahead.read_all({0, 20}, {{"a", "engines#v1", 5}, {"c", "engines#v1", 20}});
+        here.roster().apply_update(ahead.roster().changes_after({}));
+    }
+    CHECK_FALSE(here.history().is_settled(service, now));
+}
+
 TEST_CASE("the registration of a draining server isn't retained after an outage", "[gateway][roster]") {
     // Guards against retaining a server that is known to have shut down.
     known_servers here;
--- a/tests/unit/test_stream_origins.cpp
+++ b/tests/unit/test_stream_origins.cpp
@@ -48,9 +48,7 @@
                                              ++m_sent;
                                              m_in_transit.push_back({member, to, std::move(items)});
                                          },
-                                         [this, member] {
-                                             return !m_cut.contains(member);
-                                         }});
+                                         access_of(member)});
         for (const auto& [server, software] : m_servers) {
             of(member).history().add(server, engines, software, m_now);
         }
@@ -60,10 +58,15 @@
     /// Cuts a gateway off from all others and from the store, or reconnects it.
     void cut(member_key member) { m_cut.insert(member); }
     void heal(member_key member) { m_cut.erase(member); }
+    /// Suspends a gateway: it does nothing, and goes on with what it knew.
+    void freeze(member_key member) { m_frozen.insert(member); }
+    void thaw(member_key member) { m_frozen.erase(member); }
+    /// From now on the store answers nobody.
+    void silence_store() { m_is_store_silent = true; }
     void add_server(server_key server, software_key software) {
         m_servers[server] = software;
         for (auto& [member, exchange] : m_gateways) {
-            if (!m_cut.contains(member)) {
+            if (!m_cut.contains(member) && !m_frozen.contains(member)) {
                 exchange->history().add(server, engines, software, m_now);
             }
         }
@@ -79,8 +82,9 @@
     void run_for(duration span) {
         for (const auto end = m_now + span; m_now < end; m_now += tick_period) {
             deliver_all();
+            answer_checks();
             for (auto& [member, exchange] : m_gateways) {
-                if (!m_lost.contains(member)) {
+                if (!m_lost.contains(member) && !m_frozen.contains(member)) {
                     exchange->tick(m_now);
                     tell_all(member);
                 }
@@ -111,6 +115,32 @@
         stream_items items;
     };
 
+    [[nodiscard]] server_table_access access_of(member_key member) {
+        return {[this, member] { return reaches_store(member); },
+                [this, member](time_point since) {
+                    const auto checked = m_checked.find(member);
+                    return checked != m_checked.end() && checked->second >= since;
+                },
+                [this, member] {
+                    m_checks.insert(member);
+                }};
+    }
+    [[nodiscard]] bool reaches_store(member_key member) const {
+        return !m_cut.contains(member) && !m_is_store_silent;
+    }
+    /// The store tells the gateways that have asked which servers there are.
+    void answer_checks() {
+        for (const auto member : std::exchange(m_checks, {})) {
+            if (!reaches_store(member)) {
+                continue;
+            }
+            for (const auto& [server, software] : m_servers) {
+                of(member).history().add(server, engines, software, m_now);
+            }
+            m_checked[member] = m_now;
+            of(member).handle_servers_checked(m_now);
+        }
+    }
     void deliver_all() {
         for (const auto& sent : std::exchange(m_in_transit, {})) {
             deliver(sent.from, sent.to, sent.items);
@@ -126,7 +156,10 @@
         return result;
     }
     [[nodiscard]] bool can_reach(member_key from, member_key to) const {
-        return !m_lost.contains(from) && !m_lost.contains(to) && !m_cut.contains(from) && !m_cut.contains(to);
+        const auto is_away = [this](member_key member) {
+            return m_lost.contains(member) || m_cut.contains(member) || m_frozen.contains(member);
+        };
+        return !is_away(from) && !is_away(to);
     }
     void deliver(member_key from, member_key to, const stream_items& items) {
         if (!can_reach(from, to)) {
@@ -150,6 +183,10 @@
     std::map<server_key, software_key> m_servers;
     std::set<member_key> m_lost;
     std::set<member_key> m_cut;
+    std::set<member_key> m_frozen;
+    bool m_is_store_silent = false;
+    std::set<member_key> m_checks;              ///< the gateways that have asked the store
+    std::map<member_key, time_point> m_checked; ///< when it last answered them
     std::size_t m_sent = 0;
     std::vector<message> m_in_transit;
 };
@@ -303,6 +340,38 @@
     CHECK(group.find(1, 5).software == old_version);
 }
 
+TEST_CASE("streams: a gateway that stood still doesn't take the version that it knows for the only one",
+          "[streams]") {
+    // Guards against resuming a stream at another version while a gateway hasn't learned of the stream's own.
+    exchange_group group(3, time_point::min());
+    group.add_server(1, old_version);
+    group.run_for(1s);
+    group.freeze(3);
+    group.add_server(2, new_version);
+    group.begin_stream(1, 5, new_version);
+    group.run_for(200ms);
+    group.thaw(3);
+    CHECK(group.find(3, 5).software == new_version);
+    CHECK(group.find(3, 6).source == origin_source::unknown);
+}
+
+TEST_CASE("streams: while the store is silent streams are told, and no version is taken for the only one",
+          "[streams]") {
+    // Guards against resuming a stream at another version that joins where the store can be reached.
+    exchange_group group(3, time_point::min());
+    group.add_server(1, old_version);
+    group.begin_stream(1, 5, old_version);
+    group.run_for(1s);
+    CHECK(group.sent() == 0);
+    group.silence_store();
+    group.begin_stream(1, 6, old_version);
+    group.run_for(200ms);
+    group.lose(1);
+    CHECK(group.find(2, 5).software == old_version);
+    CHECK(group.find(3, 6).software == old_version);
+    CHECK(group.find(2, 7).source == origin_source::unknown);
+}
+
 TEST_CASE("streams: with one software version nothing is sent, and any stream may go on at it", "[streams]") {
     exchange_group group(3, time_point::min());
     group.add_server(1, old_version);
