A stream or answer without a length is complete only if its server is still there

Cause: an answer without a length ends with its connection. A kernel ends the connections of a killed process in the same, ordinary way, unless bytes are unread; then only the event that was cut told that something was missing.

Now the end of such an answer waits until the server has accepted a connection (one round trip; it is kept for the next request). If it refuses although it hasn't announced that it leaves, the attempt has broken off: a stream that may be resumed goes on elsewhere, others are aborted. A check that is asked for while another one of the same server ends is no longer lost.

Evidence: 'gateway: a stream without a length whose server was killed between two events isn't complete' failed before in both variants (complete, with events 1 and 2 of 11).

--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -335,7 +335,8 @@
     } else if (fault == backend_fault::endless) {
         co_await run_endless(call, writer, number);
     } else if (m_engine != nullptr &&
-               (fault == backend_fault::unframed || fault == backend_fault::unframed_midway)) {
+               (fault == backend_fault::unframed || fault == backend_fault::unframed_midway ||
+                fault == backend_fault::unframed_killed)) {
         co_await run_unframed_stream(call, writer, fault, number);
     } else if (m_engine != nullptr && !is_failure(fault)) {
         co_await run_stream(call, writer, fault, number);
@@ -399,13 +400,17 @@
     fields.push_back({"Content-Type", "text/event-stream"});
     auto text = compose_head({status_ok, fields}) + "Connection: close\r\n\r\n";
     const bool is_cut = fault == backend_fault::unframed_midway;
-    const auto end = is_cut ? first + 1 : last;
+    const bool is_killed = fault == backend_fault::unframed_killed;
+    const auto end = is_cut || is_killed ? first + 1 : last;
     for (auto event = first; event <= end; ++event) {
         text += describe_event(event, m_options.version, m_options.padding);
     }
     constexpr std::size_t cut_bytes = 4;
     text.resize(text.size() - (is_cut ? cut_bytes : 0));
     co_await writer.write_raw(text, false);
+    if (is_killed) {
+        crash();
+    }
 }
 
 asio::awaitable<void> emulated_backend::run_endless(const http::request& call, http::response_writer& writer,
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -50,7 +50,21 @@
         on_checked();
         return;
     }
+    wait_for_check(server, [on_checked = std::move(on_checked)](bool) { on_checked(); });
+}
+
+void crash_watch::check_alive(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked) {
+    if (may_have_crashed(*server)) {
+        wait_for_check(server, std::move(on_checked));
+    } else {
+        on_checked(true);
+    }
+}
+
+void crash_watch::wait_for_check(const std::shared_ptr<backend>& server,
+                                 std::function<void(bool)> on_checked) {
     begin_check(server);
+    const auto key = server->record().key();
     auto& running = m_checks.at(key);
     running.waiting.push_back(std::move(on_checked));
     if (!running.patience.is_active()) {
@@ -109,19 +123,23 @@
 
 void crash_watch::end_check(policy::server_key key, const std::shared_ptr<backend>& server,
                             const boost::system::error_code& error) {
+    // Those that waited may need another check.
+    const auto ended = m_checks.extract(key);
     if (error == asio::error::connection_refused) {
         record_crash(*server);
     } else if (!error) {
         server->record_life();
-        server_connection connection(std::make_shared<net::connection>(std::move(*m_checks.at(key).socket)));
+        server_connection connection(std::make_shared<net::connection>(std::move(*ended.mapped().socket)));
         // A server that is ending may accept a connection before it closes them all.
         server->keep_idle(std::move(connection), keep_checked, [this, server] { plan_check(server); });
     }
-    release_waiting(key);
-    m_checks.erase(key);
+    for (const auto& on_checked : ended.mapped().waiting) {
+        on_checked(error != asio::error::connection_refused);
+    }
 }
 
-/// Lets the requests go on that wait for the check of this server.
+/// Lets the requests go on that wait for the check of this server, which goes on and has shown nothing so
+/// far.
 void crash_watch::release_waiting(policy::server_key key) {
     const auto running = m_checks.find(key);
     if (running == m_checks.end()) {
@@ -129,7 +147,7 @@
     }
     running->second.patience.cancel();
     for (const auto& on_checked : std::exchange(running->second.waiting, {})) {
-        on_checked();
+        on_checked(true);
     }
 }
 
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -34,6 +34,10 @@
     /// `on_checked` once it is known whether the server still accepts connections, or after a short time.
     void record_broken(const std::shared_ptr<backend>& server, suspects ended,
                        std::function<void()> on_checked);
+    /// A server has ended a connection in the ordinary way, as the system also does for a process that was
+    /// killed. Calls `on_checked` with whether the server may still be there: not if it refuses connections
+    /// although it hasn't announced that it leaves.
+    void check_alive(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked);
     /// The caller of a request left, or its deadline passed, before the server had answered it. It was sent
     /// at `sent`.
     void record_abandoned(const std::shared_ptr<backend>& server, suspects ended, clock::time_point sent);
@@ -57,13 +61,15 @@
         std::shared_ptr<boost::asio::ip::tcp::socket> socket;
         timer_subscription timeout;
         timer_subscription patience;
-        std::vector<std::function<void()>> waiting;
+        /// Called with whether the server may still be there.
+        std::vector<std::function<void(bool)>> waiting;
     };
 
     void plan_check(const std::shared_ptr<backend>& server);
     void begin_check(const std::shared_ptr<backend>& server);
     void end_check(policy::server_key key, const std::shared_ptr<backend>& server,
                    const boost::system::error_code& error);
+    void wait_for_check(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked);
     void release_waiting(policy::server_key key);
     void report(const backend& server, suspects marked, std::string_view sign);
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -97,6 +97,7 @@
     void continue_unread();
     void handle_complete();
     [[nodiscard]] bool is_unfounded_refusal() const;
+    void finish_answer();
     void handle_complete_answer();
     void handle_complete_passed_on();
     void handle_failure(call_failure what, std::string_view reason);
--- a/src/gateway/request_exchange_answers.cpp
+++ b/src/gateway/request_exchange_answers.cpp
@@ -260,7 +260,28 @@
     end();
 }
 
+/// An answer without a length ends with its connection. A server whose process was killed ends its
+/// connections in the same way, so that its caller would take a part for the whole.
 void request_exchange::handle_complete() {
+    if (!m_call->response().ends_with_connection()) {
+        finish_answer();
+        return;
+    }
+    const auto self = shared_from_this();
+    m_context.crashes.check_alive(m_call->server(), [self, call = m_call](bool is_alive) {
+        if (self->m_is_over || self->m_call != call) {
+            return;
+        }
+        if (is_alive) {
+            self->finish_answer();
+        } else {
+            self->fail_attempt(policy::attempt_outcome::may_have_run, policy::slot_outcome::broken,
+                               "its server ended with the answer");
+        }
+    });
+}
+
+void request_exchange::finish_answer() {
     if (m_passes_on) {
         handle_complete_passed_on();
         return;
--- a/tests/failure/test_gateway_forwarding.cpp
+++ b/tests/failure/test_gateway_forwarding.cpp
@@ -300,6 +300,26 @@
     }
 }
 
+TEST_CASE("gateway: a stream without a length whose server was killed between two events isn't complete",
+          "[gateway][carriage]") {
+    // Guards against taking the part of a stream that a killed process has sent for the whole.
+    const bool is_resumable = GENERATE(false, true);
+    gateway_site site(stream_site(is_resumable, 2));
+    // One of two consecutive streams goes to the server that is to be killed.
+    for (std::size_t server = 0; server < 2; ++server) {
+        set_fault(site, 1 - server, backend_fault::none);
+        set_fault(site, server, backend_fault::unframed_killed, 1);
+        const auto answer = site.send(0, stream_call("s" + std::to_string(server), 40));
+        const bool was_killed = site.arrivals_at(server) > 0;
+        CHECK(answer.status == 200);
+        CHECK(answer.is_complete == (is_resumable || !was_killed));
+        CHECK(event_numbers(answer.body) == numbers_up_to(is_resumable || !was_killed ? 11 : 2));
+        if (was_killed) {
+            break;
+        }
+    }
+}
+
 TEST_CASE("gateway: the request of a caller that disconnects is cancelled", "[gateway][carriage]") {
     // The caller of a long stream disconnects. The engine would otherwise continue for nobody and occupy a
     // slot.
