--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -195,10 +195,12 @@
                       "to another server, `sent_before` how many requests its connection had carried before "
                       "(-1: it wasn't sent).",
                       "request backend outcome reason try runs next busy_ms sent_before"},
-    event_description{event_kind::request_answered, "request_answered", info, usual_rate,
-                      "A backend server's complete answer was forwarded to the caller.",
-                      "request status backend route workspace tries waited_ms first_ms to_first_ms target_ms "
-                      "longest_pause_ms pause_target_ms total_ms events"},
+    event_description{
+        event_kind::request_answered, "request_answered", info, usual_rate,
+        "A backend server's complete answer was forwarded to the caller. `framed` is false if the "
+        "server sent neither a length nor chunks, so that its connection ended the answer.",
+        "request status backend route workspace tries waited_ms first_ms to_first_ms target_ms "
+        "longest_pause_ms pause_target_ms total_ms events framed"},
     event_description{
         event_kind::request_refused, "request_refused", warning, failure_rate,
         "The gateway answered a request with an error of its own.",
--- a/src/gateway/request_exchange_answers.cpp
+++ b/src/gateway/request_exchange_answers.cpp
@@ -181,7 +181,8 @@
 }
 
 request_journal::answer_times request_exchange::answer_times() const {
-    return {m_waited, m_first_event, m_to_first, m_longest_pause, m_events.count()};
+    return {m_waited,        m_first_event,    m_to_first,
+            m_longest_pause, m_events.count(), m_call->response().ends_with_connection()};
 }
 
 void request_exchange::begin_stream() {
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -116,7 +116,8 @@
                                                  {"longest_pause_ms", to_ms(times.longest_pause)},
                                                  {"pause_target_ms", to_ms(request.route->pause_target)},
                                                  {"total_ms", age_ms(request)},
-                                                 {"events", times.events}});
+                                                 {"events", times.events},
+                                                 {"framed", !times.ends_with_connection}});
 }
 
 void request_journal::refused(const admitted_request* request, const refusal& what) {
--- a/src/gateway/request_journal.hpp
+++ b/src/gateway/request_journal.hpp
@@ -57,6 +57,7 @@
         clock::duration to_first{};
         clock::duration longest_pause{}; ///< The longest time between two events.
         std::uint64_t events = 0;
+        bool ends_with_connection = false; ///< The server has sent neither a length nor chunks.
     };
     void answered(const admitted_request& request, std::string_view backend, unsigned status,
                   unsigned attempts, const answer_times& times);
