After an outage, registrations that vanish late are retained no longer than others

Cause: one gateway was cut off while the others were dark, so nobody could tell it that the store had answered meanwhile. The draining row of a server and its removal fell between two polls, and its removal was taken for a lapse in the outage. The server was retained for 2.3 s from then on, though the store's clients promise to be back within two seconds of the *store's* return.

Now the time runs from the outage's end, as last seen, and starts again if the outage does (before, a second outage didn't extend it, and live servers could have been removed in it).

Evidence: both unit tests failed before.

--- a/src/emulator/emulated_backend.hpp
+++ b/src/emulator/emulated_backend.hpp
@@ -52,7 +52,8 @@
     unframed, ///< answers without a length, so that only the end of the connection ends the answer
     /// The same, and the connection ends in the middle of the second event of a stream.
     unframed_midway,
-    /// The same, but between the second event of a stream and the third, since the server's process is killed.
+    /// The same, but between the second event of a stream and the third, since the server's process is
+    /// killed.
     unframed_killed,
     endless, ///< begins an answer, or the first event of a stream, and goes on until the caller has gone
 };
--- a/src/policy/registration_watch.cpp
+++ b/src/policy/registration_watch.cpp
@@ -18,6 +18,9 @@
     }
     m_outage_begin = is_around_outage(now) ? std::min(m_outage_begin, answered) : answered;
     m_last_outage = now;
+    for (auto& [server, until] : m_retained) {
+        until = std::max(until, now + grace); // it couldn't register again meanwhile
+    }
 }
 
 /// The beginning of the outage is set to the minimum, so that no other process's uninterrupted connection to
@@ -48,12 +51,12 @@
     if (!is_around_outage(now)) {
         return true;
     }
-    retain_registration(server, now);
+    retain_registration(server, m_last_outage);
     return false;
 }
 
-void registration_watch::retain_registration(std::string_view server, time_point now) {
-    m_retained.try_emplace(std::string(server), now + grace);
+void registration_watch::retain_registration(std::string_view server, time_point outage) {
+    m_retained.try_emplace(std::string(server), outage + grace);
 }
 
 std::vector<std::string> registration_watch::retained() const {
--- a/src/policy/registration_watch.hpp
+++ b/src/policy/registration_watch.hpp
@@ -17,8 +17,9 @@
 /// for a while before the server is removed.
 class registration_watch {
 public:
-    /// How long a registration is retained after an outage, so that its server can register again. The
-    /// store's clients promise to do so within about two seconds.
+    /// How long after an outage a registration is retained, so that its server can register again. The
+    /// store's clients promise to do so within about two seconds of its return. One that vanishes later in
+    /// this time isn't retained longer: its server has had as much time as the others.
     static constexpr duration grace = std::chrono::milliseconds(2300);
 
     /// How long another process's message that the store answers it stays valid. Processes send this message
@@ -45,8 +46,9 @@
     /// A registration has disappeared. Returns true when the server must be removed now, false when its
     /// registration is retained.
     [[nodiscard]] bool should_remove(std::string_view server, time_point now);
-    /// Retains a registration that another process, which this one relies on, has announced as retained.
-    void retain_registration(std::string_view server, time_point now);
+    /// Retains a registration for `grace` after `outage`. Another process, which this one relies on, has
+    /// announced it as retained.
+    void retain_registration(std::string_view server, time_point outage);
     /// Servers with a retained registration.
     [[nodiscard]] std::vector<std::string> retained() const;
     /// Records that the server is registered, which ends the retention.
--- a/tests/unit/test_policy_registration_watch.cpp
+++ b/tests/unit/test_policy_registration_watch.cpp
@@ -64,6 +64,25 @@
     CHECK_FALSE(watch.should_remove("expired too", start_time + 4300ms));
 }
 
+TEST_CASE("a registration that vanishes late after an outage isn't retained longer than the others",
+          "[policy][registration_watch]") {
+    // Guards against sending requests to a server that has left while the process was cut off alone.
+    auto watch = make_cut_off();
+    CHECK_FALSE(watch.should_remove("left", start_time + 5s));
+    CHECK(watch.take_expired(start_time + 5200ms).empty());
+    CHECK(watch.take_expired(start_time + 5300ms) == std::vector<std::string>{"left"});
+}
+
+TEST_CASE("a registration is retained as long after the last outage as after the first",
+          "[policy][registration_watch]") {
+    // Guards against removing all servers when the store fails again before they have registered.
+    auto watch = make_cut_off();
+    CHECK_FALSE(watch.should_remove("expired", start_time + 3100ms));
+    watch.record_outage(start_time + 5s, start_time + 4s);
+    CHECK(watch.take_expired(start_time + 5500ms).empty());
+    CHECK(watch.take_expired(start_time + 7300ms) == std::vector<std::string>{"expired"});
+}
+
 TEST_CASE("the time without interruption starts again with the next answer after a failure or a gap",
           "[policy][confirmation]") {
     // Guards against announcing an uninterrupted connection to the store that did have an interruption.
