--- a/src/coordination/stream_exchange.hpp
+++ b/src/coordination/stream_exchange.hpp
@@ -122,6 +122,7 @@
     void apply_answer(policy::member_key member, const stream_answer& answer, policy::time_point now);
     void finish(pending_questions::iterator pending, const found_origin& found);
     void finish_all(const std::map<std::uint64_t, found_origin>& ended);
+    void ask_again(policy::time_point now);
     [[nodiscard]] std::optional<stream_answer>
     find_answer(const stream_question& question, policy::time_point since, policy::time_point now) const;
     [[nodiscard]] bool owes(policy::member_key member, const stream_question& question) const;
