--- a/tests/failure/test_gateway_odd_rows.cpp
+++ b/tests/failure/test_gateway_odd_rows.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace borageford;
@@ -54,9 +55,9 @@
     return {"", "a/b", std::string(5000, 'k'), "q\n\"x", "\xff\xfe", std::string("\0", 1), "\xed\xa0\x80"};
 }
 
-void write_row(gateway_site& site, const std::string& key, const std::string& value) {
+void write_row(gateway_site& site, std::string key, std::string_view name, const std::string& value) {
     store::transaction change;
-    change.puts.push_back({key, value});
+    change.puts.push_back({key.append("/").append(name), value});
     site.on_emulator([&] { static_cast<void>(site.store().rows().transact(change)); });
 }
 
@@ -64,10 +65,10 @@
 void write_odd_rows(gateway_site& site, const std::string& table) {
     int number = 0;
     for (const auto& value : odd_values()) {
-        write_row(site, table + "/odd-" + std::to_string(number++), value);
+        write_row(site, table, "odd-" + std::to_string(number++), value);
     }
     for (const auto& name : odd_names()) {
-        write_row(site, table + "/" + name, registration_at("127.0.0.9:7000"));
+        write_row(site, table, name, registration_at("127.0.0.9:7000"));
     }
 }
 
@@ -119,7 +120,7 @@
     gateway_site site(options);
     const std::string odd = GENERATE(std::string(R"({"seven":[1]})"), std::string(R"({"7":["v1"]})"),
                                      std::string(R"({"7":[1e99]})"), nested(deep), std::string("\xff\xfe"));
-    write_row(site, "software/versions", odd);
+    write_row(site, "software", "versions", odd);
     site.process(0).kill();
     site.start_gateway(0);
     wait_until("the record is replaced", [&] {
