--- a/src/emulator/emulated_backend.cpp
+++ b/src/emulator/emulated_backend.cpp
@@ -407,9 +407,9 @@
     }
     constexpr std::size_t cut_bytes = 4;
     text.resize(text.size() - (is_cut ? cut_bytes : 0));
-    co_await writer.write_raw(text, false);
+    co_await writer.write_raw(text, is_killed);
     if (is_killed) {
-        crash();
+        crash(); // closes the connections, too
     }
 }
 
