A gateway that starts takes no list of servers for a gap, and a silent store doesn't make all gateways tell their streams

A gateway hears of servers from others before its own first read, and read that, and each complete list later, as a gap in what it knew; without a record in the store yet it then told all its streams to the keepers for 30 s. Now a complete list counts as a gap only after the first own read, and only if the store couldn't be reached or hadn't confirmed the table recently. A record that isn't there yet at the system's first start is read again each second.

Telling all streams while the store is silent is withdrawn: at hundreds of gateways the three keepers would get some 9,000 a second in an outage. What was told or began at a keeper is still found; the rest is refused, as not run.

--- a/src/coordination/stream_exchange.cpp
+++ b/src/coordination/stream_exchange.cpp
@@ -44,20 +44,10 @@
     if (m_keepers.size() > max_keeper_states) {
         m_keepers.clear();
     }
-    watch_store();
     ask_again(now);
     send_owed_answers(now);
 }
 
-/// While the store doesn't answer, no gateway may conclude that there was one version. All streams are told
-/// from then on, also those that began before.
-void stream_exchange::watch_store() {
-    const bool is_current = m_environment.servers.is_current();
-    if (std::exchange(m_was_current, is_current) && !is_current) {
-        m_keepers.clear();
-    }
-}
-
 void stream_exchange::drop_old(policy::time_point now) {
     while (!m_log.empty() && now - m_log.front().origin.noted > m_lifetime) {
         m_log.pop_front();
@@ -66,8 +56,7 @@
 }
 
 bool stream_exchange::should_tell(const noted_here& entry, policy::time_point now) const {
-    return entry.must_tell || !has_one_version(entry.origin.service, now) ||
-           !m_environment.servers.is_current();
+    return entry.must_tell || !has_one_version(entry.origin.service, now);
 }
 
 /// The state of a keeper. After another version has shown up, all streams are told that weren't before.
--- a/src/coordination/stream_exchange.hpp
+++ b/src/coordination/stream_exchange.hpp
@@ -49,7 +49,7 @@
 ///
 /// Invariant: that a service has had a single version is only concluded for a stream if the store has
 /// confirmed it to this process or to a keeper after the caller came back. Whoever can't ask the store
-/// doesn't conclude it, and tells its streams to the keepers.
+/// doesn't conclude it.
 class stream_exchange {
 public:
     using origin_handler = std::function<void(const found_origin&)>;
@@ -66,6 +66,8 @@
 
     [[nodiscard]] policy::software_history& history() noexcept { return m_history; }
     [[nodiscard]] const policy::stream_origin_table& table() const noexcept { return m_table; }
+    /// Whether the store has confirmed recently that this process knows all servers.
+    [[nodiscard]] bool has_current_servers() const { return m_environment.servers.is_current(); }
 
     /// A stream began here, or was resumed here. `must_tell`: its route leads to several services, so others
     /// can't know its origin even if the service has one version only.
@@ -127,7 +129,6 @@
     find_answer(const stream_question& question, policy::time_point since, policy::time_point now) const;
     [[nodiscard]] bool owes(policy::member_key member, const stream_question& question) const;
     void send_owed_answers(policy::time_point now);
-    void watch_store();
     void drop_old(policy::time_point now);
     void settle(policy::service_key service, policy::time_point now);
     [[nodiscard]] bool should_tell(const noted_here& entry, policy::time_point now) const;
@@ -150,7 +151,6 @@
     std::unordered_map<policy::service_key, policy::time_point>
         m_settling; ///< when the keepers were last asked
     std::vector<owed_answer> m_owed;
-    bool m_was_current = false; ///< the store had confirmed recently, at the last tick, what is known here
 };
 
 } // namespace borageford::coordination
--- a/src/gateway/backend_roster.cpp
+++ b/src/gateway/backend_roster.cpp
@@ -51,9 +51,11 @@
     if (page.position.era < m_position.era) {
         return;
     }
-    if (m_position != store::position{}) {
+    if (m_has_read_all && m_had_outage) {
         interrupt_history("all servers were read again");
     }
+    m_has_read_all = true;
+    m_had_outage = false;
     if (is_new_era(page.position)) {
         begin_era(page.position, "store");
     }
@@ -105,6 +107,7 @@
 }
 
 void backend_roster::record_outage(steady_clock::time_point answered) {
+    m_had_outage = true;
     m_watch.record_outage(steady_clock::now(), answered);
 }
 
--- a/src/gateway/backend_roster.hpp
+++ b/src/gateway/backend_roster.hpp
@@ -147,6 +147,8 @@
     store::position m_first_read;
     std::optional<era_report> m_era_report; ///< Set while the first read of a new era is being applied.
     removal_log m_removals;
+    bool m_has_read_all = false; ///< The store has sent all registrations.
+    bool m_had_outage = false;   ///< The store couldn't be reached since it did so.
     std::chrono::milliseconds m_registration_life;
     /// Suspect registrations by id; none of them is in m_all.
     std::map<std::string, suspect_registration, std::less<>> m_suspects;
--- a/src/gateway/backend_roster_updates.cpp
+++ b/src/gateway/backend_roster_updates.cpp
@@ -36,7 +36,8 @@
     if (newer.position <= m_position) {
         return;
     }
-    if (newer.is_complete && m_position != store::position{}) {
+    const bool may_lack_servers = m_had_outage || !m_slots.streams().has_current_servers();
+    if (newer.is_complete && m_has_read_all && may_lack_servers) {
         interrupt_history("a gateway sent all servers, not the changes");
     }
     const bool is_of_new_era = is_new_era(newer.position);
--- a/src/gateway/software_recorder.cpp
+++ b/src/gateway/software_recorder.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds period{100};
 /// Time after a call that failed. All gateways may have started while the store was unavailable.
 constexpr std::chrono::milliseconds retry_delay{2000};
+/// Time until a record that isn't there yet is read again. All gateways may have to.
+constexpr std::chrono::milliseconds missing_record_delay{1000};
 /// Recorded for a version that nobody knows.
 constexpr policy::software_key unknown_version = 0;
 
@@ -72,6 +74,7 @@
       m_table(table),
       m_history(history),
       m_lifetime(lifetime),
+      m_is_first_start(is_first_start),
       m_known_since(history.known_since()),
       m_must_read(!is_first_start),
       m_environment(std::move(surroundings)) {}
@@ -108,7 +111,8 @@
     }
     // What the coordinator itself has written doesn't tell it what it has missed.
     m_must_read = m_must_read && !m_row.has_value();
-    if (m_must_read || (is_coordinating && !m_row.has_value())) {
+    const bool is_due = m_must_read && steady_clock::now() >= m_next_read;
+    if (is_due || (is_coordinating && !m_row.has_value())) {
         co_await read();
     }
     if (!is_coordinating || !m_row.has_value()) {
@@ -130,7 +134,8 @@
         events::write(events::event_kind::software_not_recorded, {{"reason", error.what()}});
         m_row->versions = list_unknown();
     }
-    m_must_read = false;
+    m_must_read = m_is_first_start && !row.has_value();
+    m_next_read = steady_clock::now() + missing_record_delay;
     for (const auto& [service, versions] : m_row->versions) {
         if (versions.size() == 1) {
             m_history.settle(service, *versions.begin(), steady_clock::now());
@@ -156,8 +161,8 @@
 /// each service has, there may have been another one.
 policy::software_versions software_recorder::list_unknown() const {
     policy::software_versions result;
-    if (m_history.known_since() == policy::time_point::min()) {
-        return result; // no process has run before this one
+    if (m_is_first_start) {
+        return result; // the first coordinator writes it soon
     }
     for (const auto& [service, versions] : m_history.list(steady_clock::now())) {
         result[service].insert(unknown_version);
--- a/src/gateway/software_recorder.hpp
+++ b/src/gateway/software_recorder.hpp
@@ -58,9 +58,11 @@
     store::table& m_table;
     policy::software_history& m_history;
     std::chrono::milliseconds m_lifetime;
+    bool m_is_first_start;
     policy::time_point m_known_since; ///< the history's, when it was last looked at
     /// What was recorded before m_known_since is still unknown.
     bool m_must_read;
+    policy::time_point m_next_read; ///< not before then, if a record wasn't there
     environment m_environment;
     std::optional<known_row> m_row;
     /// Since when the record has a version that this process doesn't see.
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -135,6 +135,7 @@
     reject_previous_era(all.position);
     static_cast<void>(apply_era(all.position));
     m_position = all.position;
+    record_gap();
     record_poll_answer(all.position, all.store_time);
     m_handlers.on_all(all);
 }
