A check asks from this gateway's own position, not from one that its list of servers names

A list that is read in pages (more than 500 servers) may hold rows that are newer than its first page. check() took the newest of them for the position up to which everything is known, so a change between the two never arrived at a gateway that polls.

Evidence: 'a check doesn't skip changes that another gateway is said to know' hung on the code before and passes.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -272,10 +272,11 @@
     m_is_checking = false;
 }
 
-/// Asks from the position that is known by whatever way. A new era and a dropped history are left to the
-/// poll.
+/// A new era and a dropped history are left to the poll.
 asio::awaitable<void> store_follower::check_once() {
-    apply_known_position();
+    if (m_relies_on_others) {
+        apply_known_position();
+    }
     if (m_position.version == 0) {
         throw store::store_error(store::effect::none, "the table hasn't been read yet");
     }
--- a/tests/unit/test_store_follower.cpp
+++ b/tests/unit/test_store_follower.cpp
@@ -48,6 +48,8 @@
         static_cast<void>(m_store.rows().restore(moment));
     }
 
+    void check() { m_follower.check(); }
+
     /// Reports a confirmation received by another gateway that holds the same state.
     void report_confirmation(std::uint64_t store_time) {
         m_follower.record_confirmation({first_era, store_time});
@@ -106,6 +108,21 @@
     table.run_until([&] { return table.held() == "second"; });
 }
 
+TEST_CASE("a check doesn't skip changes that another gateway is said to know", "[gateway][store_follower]") {
+    // Guards against a change that never arrives, since a list that was read in pages names later ones, too.
+    followed_table table(poll_role::poller);
+    table.lose_poll();
+    table.store().set_state(store_state::available);
+    table.write("second");
+    store::transaction elsewhere;
+    elsewhere.puts.push_back({"other/row", "later"});
+    static_cast<void>(table.store().rows().transact(elsewhere));
+    table.set_known({first_era, table.store().rows().version()});
+    table.check();
+    table.run_until([&] { return table.held() == "second"; });
+    CHECK(table.held() == "second");
+}
+
 TEST_CASE("a change arrives although the poll reached an unresponsive store", "[gateway][store_follower]") {
     // Here the poll itself is lost, since the store becomes unresponsive right after a change.
     followed_table table(poll_role::poller);
