--- a/src/coordination/stream_exchange_questions.cpp
+++ b/src/coordination/stream_exchange_questions.cpp
@@ -68,8 +68,7 @@
     return found_origin{source, known->service, known->software};
 }
 
-/// The only version that the service can have had until now; nothing if the store hasn't confirmed it
-/// since then.
+/// The only version that the service can have had; nothing if the store hasn't confirmed it since this time.
 std::optional<found_origin> stream_exchange::find_only_version(policy::service_key service,
                                                                policy::time_point since,
                                                                policy::time_point now) const {
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -135,8 +135,9 @@
     reject_previous_era(all.position);
     static_cast<void>(apply_era(all.position));
     m_position = all.position;
+    m_poll.reset();
     record_gap();
-    record_poll_answer(all.position, all.store_time);
+    record_answer(all.position, all.store_time);
     m_handlers.on_all(all);
 }
 
@@ -176,11 +177,6 @@
     }
 }
 
-void store_follower::record_poll_answer(store::position at, std::uint64_t store_time) {
-    m_poll.reset();
-    record_answer(at, store_time);
-}
-
 void store_follower::record_answer(store::position at, std::uint64_t store_time) {
     m_answered_at = clock::now();
     m_confirmation.record_answer({at.era, store_time}, m_answered_at);
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -107,7 +107,6 @@
     void record_poll_start() { m_poll.emplace(clock::now()); }
     void record_gap();
     void record_answer(store::position at, std::uint64_t store_time);
-    void record_poll_answer(store::position at, std::uint64_t store_time);
     [[nodiscard]] store::position add_era(store::position received) const;
     void reject_previous_era(store::position received) const;
     [[nodiscard]] bool apply_era(store::position received);
