A version that nobody knows is never taken for the only one

Found by reading the change again. A record of the versions that was missing or overwritten holds 0 for a version that nobody knows. If all known versions expired before that mark did, a gateway that started then read it as the only version, and 0 means 'any' to a request: a stream could have gone on anywhere.

--- a/src/policy/software_history.cpp
+++ b/src/policy/software_history.cpp
@@ -71,7 +71,7 @@
         }
         only = software;
     }
-    return only;
+    return only == software_key{0} ? std::nullopt : only; // 0 stands for a version that nobody knows
 }
 
 software_versions software_history::list(time_point now) const {
--- a/tests/unit/test_stream_origins.cpp
+++ b/tests/unit/test_stream_origins.cpp
@@ -271,6 +271,13 @@
     CHECK(history.only_version(engines, start_time + lifetime + 1s) == new_version);
 }
 
+TEST_CASE("streams: a version that nobody knows isn't taken for the only one", "[streams]") {
+    // Guards against resuming a stream anywhere, since the record holds nothing but the mark of a lost one.
+    software_history history(lifetime, start_time);
+    history.settle(engines, 0, start_time);
+    CHECK_FALSE(history.only_version(engines, start_time).has_value());
+}
+
 TEST_CASE("streams: the origin is known at all gateways after the one where the stream began is lost",
           "[streams]") {
     auto group = group_with_two_versions();
