--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -167,6 +167,10 @@
     return {asio::ip::make_address(gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 1)};
 }
 
+http::endpoint gateway_site::peers(std::size_t gateway) const {
+    return {asio::ip::make_address(gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 2)};
+}
+
 http::endpoint gateway_site::metrics(std::size_t gateway) const {
     return {asio::ip::make_address(gateway_address(gateway)), static_cast<std::uint16_t>(m_port + 3)};
 }
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -76,9 +76,11 @@
     gateway_site(gateway_site&&) = delete;
     gateway_site& operator=(gateway_site&&) = delete;
 
-    /// The addresses on which a gateway answers callers, readiness checks and requests for metrics.
+    /// The addresses on which a gateway answers callers, readiness checks, other gateways and requests for
+    /// metrics.
     [[nodiscard]] http::endpoint callers(std::size_t gateway) const;
     [[nodiscard]] http::endpoint readiness(std::size_t gateway) const;
+    [[nodiscard]] http::endpoint peers(std::size_t gateway) const;
     [[nodiscard]] http::endpoint metrics(std::size_t gateway) const;
     [[nodiscard]] std::size_t gateway_count() const noexcept { return m_gateways.size(); }
     [[nodiscard]] child_process& process(std::size_t gateway) { return *m_gateways.at(gateway).process; }
