A frame takes memory as it arrives, and before the hello it is small

Now the buffer grows by 64 KiB as bytes arrive, and a peer that hasn't said hello may announce 64 KiB at most.

--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -21,6 +21,11 @@
 
 /// Largest receive buffer, in bytes, that a connection keeps for the next frame.
 constexpr std::size_t max_kept_body_capacity = 64U * 1024;
+/// Largest first frame of a peer, a hello, in bytes.
+constexpr std::size_t max_hello_size = 64U * 1024;
+/// How many bytes of a frame are received at a time. Memory is allocated as they arrive, since a length that
+/// is only announced costs its sender nothing.
+constexpr std::size_t body_piece_size = 64U * 1024;
 
 } // namespace
 
@@ -137,8 +142,21 @@
 }
 
 void peer_connection::read_body() {
-    m_body.resize(decode_length(m_header));
-    read_into(asio::buffer(m_body), &peer_connection::handle_body);
+    m_body.clear();
+    m_body_size = decode_length(m_header);
+    if (!m_opened && m_body_size > max_hello_size) {
+        finish("frame before hello is too large");
+        return;
+    }
+    read_body_piece();
+}
+
+void peer_connection::read_body_piece() {
+    const auto begin = m_body.size();
+    const auto size = std::min(body_piece_size, m_body_size - begin);
+    m_body.resize(begin + size);
+    read_into(asio::buffer(m_body.data() + begin, size),
+              begin + size < m_body_size ? &peer_connection::read_body_piece : &peer_connection::handle_body);
 }
 
 void peer_connection::handle_body() {
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -96,6 +96,7 @@
     void write_next();
     void read_header();
     void read_body();
+    void read_body_piece();
     void handle_body();
     void read_into(boost::asio::mutable_buffer target, void (peer_connection::*next_step)());
     void handle(envelope received);
@@ -125,7 +126,8 @@
     bool m_finished = false;
     std::uint64_t m_heartbeat_sequence = 0;
     std::array<std::byte, frame_header_size> m_header{};
-    std::vector<std::byte> m_body;
+    std::vector<std::byte> m_body; ///< what has arrived of a frame, or is about to
+    std::size_t m_body_size = 0;   ///< of the complete frame, in bytes
     std::chrono::steady_clock::time_point m_last_received;
     std::chrono::steady_clock::time_point m_last_written;
     std::chrono::steady_clock::time_point m_last_message; ///< last message but heartbeats, sent or received
