An HTTP server of ours bounds what its requests hold together, and takes connections from the silent for others

Bodies that never end, at the callers' and the administration address of an entry and at the status address of a sidecar: peak 315 to 327 MB with 100 callers; an extension of a chunk without end: 539 MB for one caller. Cause: 4 MiB for each of 10,000 connections whatever the address is for, nothing for all of them, and a buffer without a bound for the framing.

Now what is held is counted while it arrives, capacity included, and above a bound the requests that hold most for longest without being complete are refused as not run: refusing whoever comes next would serve the crowd that came first. Framing has to fit into the buffer of a head. An address whose requests have no body takes none. At the limit of connections the one that has been longest without a complete request is closed for a new one, also when no descriptor is free. After a refusal as many bytes are discarded as a request may have, no longer 16 MiB. An idle connection holds 512 bytes, no longer 4,096. New setting memory_limit of an entry; its default is the memory of the machine, so that there is none without a bound. connections of an entry is by default at most half of the descriptors.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -138,7 +138,7 @@
           },
           make_refusal),
       m_admin_server(
-          m_runtime.executor(), {},
+          m_runtime.executor(), m_settings.operators,
           [this](const http::request& received, http::response_writer& writer) {
               return handle_admin(received, writer);
           },
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -1,6 +1,7 @@
 // Reads an entry's settings from its settings file.
 #include "entry/entry_settings.hpp"
 
+#include "process/machine_limits.hpp"
 #include "settings/section_reader.hpp"
 
 #include <algorithm>
@@ -20,11 +21,30 @@
 constexpr std::int64_t max_connections = 1'000'000;
 constexpr std::size_t hash_digits = 64;
 
+constexpr std::uint64_t most_memory = 64ULL << 30U;
+/// The part of the memory that requests of callers, and those of operators, may take together.
+constexpr std::uint64_t parts_of_memory_for_callers = 4;
+constexpr std::uint64_t parts_of_memory_for_operators = 8;
+/// The part of the descriptors that each address may take by default; the rest is for sidecars and the
+/// platform.
+constexpr std::size_t parts_of_descriptors = 4;
+
 bool is_sha256(std::string_view text) {
     return text.size() == hash_digits &&
            std::ranges::all_of(text, [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
+/// Sets what depends on the memory and the descriptors of the machine.
+void bound_by_machine(settings::section_reader& reader, entry_settings& result) {
+    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, most_memory);
+    const auto memory = result.memory_limit > 0 ? result.memory_limit : process::machine_memory();
+    result.callers.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_callers);
+    result.operators.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_operators);
+    const auto connections = process::descriptor_limit() / parts_of_descriptors;
+    result.callers.connections = std::min(result.callers.connections, 2 * connections);
+    result.operators.connections = std::min(result.operators.connections, connections);
+}
+
 void read_caller_limits(settings::section_reader& reader, http::server_limits& limits) {
     limits.header_bytes = reader.size("header_limit", limits.header_bytes, min_size, max_size);
     limits.body_bytes = reader.size("body_limit", limits.body_bytes, min_size, max_size);
@@ -51,6 +71,7 @@
     if (!result.admin_token_hash.empty() && !is_sha256(result.admin_token_hash)) {
         reader.report_problem("admin_token_sha256", "64 hexadecimal digits");
     }
+    bound_by_machine(reader, result);
     read_caller_limits(reader, result.callers);
     const auto placement = placements.at(reader.choice("placement", placements, 0));
     result.placement = policy::find_placement_policy(placement).value_or(policy::late_binding());
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -23,7 +23,9 @@
     boost::asio::ip::tcp::endpoint admin_listen;
     boost::asio::ip::tcp::endpoint peers_listen; ///< for other entries, which request revisions here
     std::string admin_token_hash;                ///< SHA-256 of the operators' token, 64 hexadecimal digits
+    std::uint64_t memory_limit = 0; ///< memory that this process may use, in bytes; 0: the machine's
     http::server_limits callers;
+    http::server_limits operators; ///< of the administration address
     policy::placement_policy placement;
     milliseconds default_deadline{60000}; ///< time to the request's start when its caller sends no deadline
     milliseconds fate_limit{10000};       ///< how long sidecars are asked for the fate of a lost dispatch
--- /dev/null
+++ b/src/http/request_memory.hpp
@@ -0,0 +1,62 @@
+// Bounds the memory that the requests of one server hold together, and chooses which of them is ended when it
+// is too much.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <unordered_set>
+
+namespace borageford::http {
+
+/// The bytes that are held for the requests of all connections of a server. Safe to use from any thread.
+class request_memory {
+public:
+    using clock = std::chrono::steady_clock;
+
+    /// What is held for one connection. Must not outlive the memory.
+    class account {
+    public:
+        /// `end` is called, at most once for a request, from within update() of any account and while a mutex
+        /// is held; it has to let the connection's own executor end the request.
+        account(request_memory& memory, std::function<void()> end);
+        ~account();
+        account(const account&) = delete;
+        account& operator=(const account&) = delete;
+        account(account&&) = delete;
+        account& operator=(account&&) = delete;
+
+        /// Sets how many bytes are held of a request that isn't complete. Ends requests, perhaps this one,
+        /// until what is held is below the bound.
+        void update(std::size_t bytes);
+        /// The request is complete: it is no longer ended, and its bytes count until release().
+        void complete();
+        /// Nothing is held any more.
+        void release();
+
+    private:
+        friend class request_memory;
+
+        request_memory& m_memory;
+        std::function<void()> m_end;
+        clock::time_point m_since; ///< when the first bytes of the request were held
+        std::size_t m_bytes = 0;
+    };
+
+    /// `limit` in bytes.
+    explicit request_memory(std::size_t limit) noexcept : m_limit(limit) {}
+
+private:
+    void set(account& changed, std::size_t bytes);
+    void relieve(clock::time_point now);
+    [[nodiscard]] account* choose(clock::time_point now) const;
+
+    std::size_t m_limit;
+    std::mutex m_mutex;
+    // All below, and the accounts' members, are guarded by m_mutex.
+    std::size_t m_held = 0;
+    std::unordered_set<account*> m_arriving;
+};
+
+} // namespace borageford::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "http/server.hpp"
 
 #include "base/log.hpp"
+#include "http/request_memory.hpp"
 #include "net/listening.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,8 +15,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -46,8 +49,9 @@
 using stream_pointer = std::shared_ptr<beast::tcp_stream>;
 
 constexpr std::size_t read_size = 4096;
-/// How many bytes, and for how long, the server reads from a caller after it has refused its request.
-constexpr std::size_t max_linger_bytes = 16U * 1024 * 1024;
+/// What a connection holds while it waits for a request.
+constexpr std::size_t first_read_size = 512;
+/// How long the server reads from a caller after it has refused its request.
 constexpr std::chrono::seconds linger_time{2};
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -59,7 +63,40 @@
     return fields;
 }
 
-request from_library(beast::http::request<beast::http::string_body>&& received) {
+/// A body like Beast's string_body, for which memory is allocated as its bytes arrive and not as they are
+/// announced.
+struct arriving_body {
+    using value_type = std::string;
+
+    static std::uint64_t size(const value_type& body) { return body.size(); }
+
+    class reader {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(beast::http::header<IsRequest, Fields>& /*head*/, value_type& body) : m_body(body) {}
+
+        void init(const boost::optional<std::uint64_t>& /*length*/, beast::error_code& error) { error = {}; }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers& buffers, beast::error_code& error) {
+            error = {};
+            const auto before = m_body.size();
+            for (const auto buffer : beast::buffers_range_ref(buffers)) {
+                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+            }
+            return m_body.size() - before;
+        }
+
+        void finish(beast::error_code& error) { error = {}; }
+
+    private:
+        value_type& m_body;
+    };
+};
+
+using request_parser = beast::http::request_parser<arriving_body>;
+
+request from_library(beast::http::request<arriving_body>&& received) {
     request call;
     call.method = std::string(received.method_string());
     call.target = std::string(received.target());
@@ -85,10 +122,25 @@
     bool has_expired = false;
 };
 
+/// Lets the connection's strand end the reading of a request for which there is no memory left.
+struct memory_end {
+    std::weak_ptr<beast::tcp_stream> stream;
+    bool is_reading = false; ///< used on the connection's strand only, like the next one
+    bool is_ended = false;
+
+    void end() {
+        is_ended = is_reading;
+        if (const auto connection = stream.lock(); connection != nullptr && is_reading) {
+            connection->cancel();
+        }
+    }
+};
+
 /// The error kind for a request that couldn't be read; std::nullopt when the caller has closed the
 /// connection.
 std::optional<error_kind> error_kind_for(const beast::error_code& error) {
-    if (error == beast::http::error::header_limit) {
+    // With buffer_overflow, the framing of a body has no end: a line that begins a chunk, or trailing fields.
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow) {
         return error_kind::headers_too_large;
     }
     if (error == beast::http::error::body_limit) {
@@ -101,6 +153,38 @@
     return error_kind::bad_request;
 }
 
+/// What the server has of one connection while it is open.
+struct server_connection {
+    server_connection(stream_pointer opened, std::uint64_t given_number, request_memory& memory,
+                      std::size_t most_buffered)
+        : stream(std::move(opened)),
+          number(given_number),
+          buffer(most_buffered),
+          ending(std::make_shared<memory_end>()),
+          account(memory, [ended = ending, executor = stream->get_executor()] {
+              asio::post(executor, [ended] { ended->end(); });
+          }) {
+        ending->stream = stream;
+    }
+
+    stream_pointer stream;
+    std::uint64_t number;
+    beast::flat_buffer buffer;
+    std::string before_next; ///< what write_before_next() was called with during the previous request
+    std::shared_ptr<memory_end> ending;
+    request_memory::account account;
+};
+
+/// Parses as much as can be parsed of what has arrived.
+beast::error_code parse_buffered(beast::flat_buffer& buffer, request_parser& parser) {
+    beast::error_code error;
+    while (!error && buffer.size() > 0 && !parser.is_done()) {
+        const auto used = parser.put(buffer.data(), error);
+        buffer.consume(used);
+    }
+    return error == beast::http::error::need_more ? beast::error_code() : error;
+}
+
 } // namespace
 
 asio::awaitable<void> response_writer::write(const response& answer) {
@@ -216,17 +300,21 @@
           limits(server_settings),
           handle(std::move(handle_request)),
           refuse(std::move(format)),
+          memory(server_settings.held_bytes),
           acceptor(asio::make_strand(accept_executor)) {}
 
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(tcp::socket socket);
-    asio::awaitable<bool> wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer);
+    asio::awaitable<bool> wait_for_bytes(server_connection& connection);
     std::shared_ptr<request_timer> start_request_timer(beast::tcp_stream& stream) const;
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, std::uint64_t connection,
-                                    beast::flat_buffer& buffer, std::string& before_next);
+    asio::awaitable<beast::error_code> read_request(server_connection& connection,
+                                                    request_parser& parser) const;
+    asio::awaitable<bool> serve_one(server_connection& connection);
+    void begin_waiting(const stream_pointer& stream);
+    bool close_longest_waiting();
     asio::awaitable<void> answer(const request& call, response_writer& writer);
     asio::awaitable<void> refuse_and_close(beast::tcp_stream& stream, error_kind kind, std::string_view why);
-    static asio::awaitable<void> linger(beast::tcp_stream& stream);
+    asio::awaitable<void> linger(beast::tcp_stream& stream) const;
     void drain();
     void close_all();
 
@@ -234,6 +322,7 @@
     server_limits limits;
     handler handle;
     refusal_formatter refuse;
+    request_memory memory;
     tcp::acceptor acceptor;
     std::atomic<bool> draining = false;
     std::atomic<std::size_t> connections = 0;
@@ -243,6 +332,8 @@
     std::mutex idle_mutex;
     /// Connections that wait for a request; drain() closes them. Guarded by `idle_mutex`.
     std::set<stream_pointer> idle;
+    /// When each connection without a complete request began to wait for it. Guarded by `idle_mutex`.
+    std::map<stream_pointer, std::chrono::steady_clock::time_point> waiting;
     /// All connections; close_all() closes them. Guarded by `idle_mutex`.
     std::set<stream_pointer> open;
 };
@@ -259,6 +350,7 @@
             }
             // The process has most likely run out of file descriptors. The pause avoids a busy loop until
             // some are closed.
+            close_longest_waiting();
             asio::steady_timer pause(acceptor.get_executor(), std::chrono::milliseconds(50));
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
@@ -279,14 +371,11 @@
     try {
         boost::system::error_code ignored;
         stream->socket().set_option(tcp::no_delay(true), ignored);
-        if (connections.load() > limits.connections) {
+        if (connections.load() > limits.connections && !close_longest_waiting()) {
             co_await refuse_and_close(*stream, error_kind::too_many_connections, "");
         } else {
-            beast::flat_buffer buffer;
-            std::string before_next;
-            const auto number = ++last_connection;
-            while (co_await wait_for_bytes(stream, buffer) &&
-                   co_await serve_one(*stream, number, buffer, before_next)) {
+            server_connection connection(stream, ++last_connection, memory, limits.header_bytes + read_size);
+            while (co_await wait_for_bytes(connection) && co_await serve_one(connection)) {
             }
         }
     } catch (const std::exception&) {
@@ -295,23 +384,47 @@
     }
     const std::scoped_lock lock(idle_mutex);
     open.erase(stream);
+    waiting.erase(stream);
     --connections;
 }
 
-asio::awaitable<bool> server::state::wait_for_bytes(stream_pointer stream, beast::flat_buffer& buffer) {
-    if (buffer.size() > 0) {
-        co_return true;
+/// Call with `idle_mutex` locked.
+void server::state::begin_waiting(const stream_pointer& stream) {
+    waiting.insert_or_assign(stream, std::chrono::steady_clock::now());
+}
+
+/// Makes room for a connection; returns whether there is one to be closed.
+bool server::state::close_longest_waiting() {
+    const std::scoped_lock lock(idle_mutex);
+    const auto longest = std::ranges::min_element(
+        waiting, {}, &std::pair<const stream_pointer, std::chrono::steady_clock::time_point>::second);
+    if (longest == waiting.end()) {
+        return false;
     }
+    const auto stream = longest->first;
+    waiting.erase(longest);
+    asio::post(stream->get_executor(), [stream] { stream->close(); });
+    return true;
+}
+
+asio::awaitable<bool> server::state::wait_for_bytes(server_connection& connection) {
+    const auto& stream = connection.stream;
+    auto& buffer = connection.buffer;
     {
         const std::scoped_lock lock(idle_mutex);
+        begin_waiting(stream);
+        if (buffer.size() > 0) {
+            co_return true;
+        }
         if (draining.load()) {
             co_return false;
         }
         idle.insert(stream);
     }
+    buffer.shrink_to_fit();
     beast::error_code error;
     stream->expires_after(limits.idle_time);
-    const auto count = co_await stream->async_read_some(buffer.prepare(read_size),
+    const auto count = co_await stream->async_read_some(buffer.prepare(first_read_size),
                                                         asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
     const std::scoped_lock lock(idle_mutex);
@@ -333,43 +446,84 @@
     return limit;
 }
 
-/// `before_next` is what write_before_next() was called with during the previous request.
-asio::awaitable<bool> server::state::serve_one(beast::tcp_stream& stream, std::uint64_t connection,
-                                               beast::flat_buffer& buffer, std::string& before_next) {
-    beast::http::request_parser<beast::http::string_body> parser;
+/// Reads the request piece by piece, so that what is held of it is known at each moment.
+asio::awaitable<beast::error_code> server::state::read_request(server_connection& connection,
+                                                               request_parser& parser) const {
+    auto& stream = *connection.stream;
+    auto& buffer = connection.buffer;
+    bool has_continued = false;
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    while (true) {
+        error = parse_buffered(buffer, parser);
+        if (error || parser.is_done()) {
+            co_return error;
+        }
+        connection.account.update(buffer.capacity() + parser.get().body().capacity());
+        if (parser.is_header_done() && !has_continued) {
+            has_continued = true;
+            if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+                co_await asio::async_write(stream, asio::buffer(continue_line), token);
+            }
+        }
+        const auto size = std::min(read_size, buffer.max_size() - buffer.size());
+        if (size == 0) {
+            co_return beast::http::make_error_code(beast::http::error::buffer_overflow);
+        }
+        if (!error) {
+            buffer.commit(co_await stream.async_read_some(buffer.prepare(size), token));
+        }
+        // A cancellation has no effect on a read that has just completed.
+        if (!error && connection.ending->is_ended) {
+            error = asio::error::operation_aborted;
+        }
+        if (error) {
+            co_return error;
+        }
+    }
+}
+
+asio::awaitable<bool> server::state::serve_one(server_connection& connection) {
+    auto& stream = *connection.stream;
+    request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     // The stream's own timeout would close the socket, and the caller would get no error response.
     stream.expires_never();
     const auto limit = start_request_timer(stream);
-    beast::error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
-    co_await beast::http::async_read_header(stream, buffer, parser, token);
-    if (!error && beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
-        co_await asio::async_write(stream, asio::buffer(continue_line), token);
-    }
-    if (!error) {
-        co_await beast::http::async_read(stream, buffer, parser, token);
-    }
+    *connection.ending = {connection.stream, true, false};
+    const auto error = co_await read_request(connection, parser);
+    connection.ending->is_reading = false;
     limit->cancel();
-    if (error) {
-        const auto kind = limit->has_expired ? error_kind::request_timeout : error_kind_for(error);
+    {
+        const std::scoped_lock lock(idle_mutex);
+        waiting.erase(connection.stream);
+    }
+    if (error || connection.ending->is_ended) {
+        const auto kind = connection.ending->is_ended ? error_kind::overloaded
+                          : limit->has_expired        ? error_kind::request_timeout
+                                                      : error_kind_for(error);
+        static_cast<void>(parser.release()); // frees what has arrived of the request
+        connection.account.release();
         if (kind) {
             co_await refuse_and_close(stream, *kind, error.message());
         }
         co_return false;
     }
-    const auto shared = std::make_shared<response_writer::state>(stream, connection, limits.write_time);
+    connection.account.complete();
+    const auto shared =
+        std::make_shared<response_writer::state>(stream, connection.number, limits.write_time);
     shared->keep_alive = parser.get().keep_alive() && !draining.load();
     const auto call = from_library(parser.release());
     response_writer writer(shared);
-    if (!before_next.empty()) {
+    if (!connection.before_next.empty()) {
         stream.expires_after(limits.write_time);
-        co_await asio::async_write(stream, asio::buffer(before_next), asio::use_awaitable);
+        co_await asio::async_write(stream, asio::buffer(connection.before_next), asio::use_awaitable);
     }
     co_await answer(call, writer);
+    connection.account.release();
     shared->is_over = true;
-    before_next = std::move(shared->before_next);
+    connection.before_next = std::move(shared->before_next);
     const bool can_go_on = shared->keep_alive && shared->ended;
     co_return can_go_on;
 }
@@ -408,13 +562,14 @@
 
 // Closing a socket while the caller still sends would reset the connection, and the caller might never
 // receive the error response that was just written. Reading and discarding the caller's bytes, for a limited
-// time and size, lets the response arrive.
-asio::awaitable<void> server::state::linger(beast::tcp_stream& stream) {
+// time and as many as a request may have, lets the response arrive.
+asio::awaitable<void> server::state::linger(beast::tcp_stream& stream) const {
     beast::error_code error;
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
     stream.expires_after(linger_time);
     std::array<char, read_size> scrap{};
-    for (std::size_t total = 0; !error && total < max_linger_bytes;) {
+    const auto max_bytes = limits.header_bytes + limits.body_bytes + read_size;
+    for (std::size_t total = 0; !error && total < max_bytes;) {
         total += co_await stream.async_read_some(asio::buffer(scrap),
                                                  asio::redirect_error(asio::use_awaitable, error));
     }
@@ -445,6 +600,12 @@
     }
 }
 
+server_limits server_limits::without_body() noexcept {
+    server_limits limits;
+    limits.body_bytes = 0;
+    return limits;
+}
+
 server::server(const asio::any_io_executor& executor, server_limits limits, handler handle,
                refusal_formatter refuse)
     : m_state(std::make_shared<state>(executor, limits, std::move(handle), std::move(refuse))) {}
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -21,7 +21,11 @@
 /// Limits on the size and duration of requests and on the number of connections.
 struct server_limits {
     std::size_t header_bytes = 16U * 1024;
+    /// Longest body of a request; 0: requests have no body.
     std::size_t body_bytes = 4U * 1024 * 1024;
+    /// Most bytes that are held of all requests together. Above that, those that have held most for longest
+    /// without being complete are refused with error_kind::overloaded.
+    std::size_t held_bytes = 32U * 1024 * 1024;
     /// Longest time from the first byte of a request to its last.
     std::chrono::milliseconds request_time{10000};
     /// How long a connection is kept open without a request.
@@ -30,6 +34,9 @@
     std::chrono::milliseconds write_time{30000};
     /// Largest number of open connections.
     std::size_t connections = 10000;
+
+    /// Limits for an address whose requests have no body.
+    [[nodiscard]] static server_limits without_body() noexcept;
 };
 
 /// Writes the response to a request. The coroutines that write throw boost::system::system_error when the
@@ -86,8 +93,9 @@
 
 /// The HTTP server. The destructor calls drain().
 ///
-/// Invariant: at most `limits.connections` connections are served. Further ones get an error response and are
-/// closed.
+/// Invariant: at most `limits.connections` connections are served. For a further one, the connection is
+/// closed that has been longest without a complete request; if there is none, the further one gets an error
+/// response and is closed.
 class server {
 public:
     server(const boost::asio::any_io_executor& executor, server_limits limits, handler handle,
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -117,7 +117,7 @@
                 m_marks,  m_monitor},
       m_core(m_context, m_server, m_runtime.incarnation()),
       m_status_server(
-          m_runtime.executor(), {},
+          m_runtime.executor(), http::server_limits::without_body(),
           [this](const http::request& received, http::response_writer& writer) {
               return handle_status(received, writer);
           },
