The framing of a body ends, and a body takes memory as it arrives

One caller of a gateway that sent the extension of a chunk, or trailing fields, without an end made it hold all of it: peak 559 MB after 300 MB, until the body's time limit of 30 s; with memory_limit one caller took the whole room. The reader bounds heads and bodies, but the parser needs a chunk's line, and all trailing fields, whole, and asked for more. Now more than max_header_bytes that can't be parsed are refused with 431, before anything runs.

--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -18,7 +18,8 @@
 
 class library_parser : public beast::http::basic_parser<true> {
 public:
-    explicit library_parser(received_request& message) : m_message(message) {}
+    library_parser(received_request& message, std::size_t longest_body)
+        : m_message(message), m_longest_body(longest_body) {}
 
     [[nodiscard]] bool has_unsupported_coding() const noexcept { return m_has_unsupported_coding; }
 
@@ -43,27 +44,43 @@
     }
     void on_header_impl(error_code&) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code&) override {
-        m_message.body.reserve(length.value_or(0));
+        m_longest_body = length.value_or(m_longest_body);
     }
     std::size_t on_body_impl(string_view body, error_code&) override {
-        m_message.body.append(body.data(), body.size());
+        append(body);
         return body.size();
     }
     void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
     std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code&) override {
-        m_message.body.append(body.data(), body.size());
+        append(body);
         return body.size();
     }
     void on_finish_impl(error_code&) override {}
 
+    /// Memory is allocated as bytes arrive, since a length that is only announced costs its sender nothing.
+    void append(string_view bytes) {
+        auto& body = m_message.body;
+        const auto needed = body.size() + bytes.size();
+        if (needed > body.capacity()) {
+            // A new text, since one that grows gets twice its former capacity.
+            std::string larger;
+            larger.reserve(
+                std::max<std::size_t>(needed, std::min<std::uint64_t>(2 * body.capacity(), m_longest_body)));
+            larger.append(body);
+            body.swap(larger);
+        }
+        body.append(bytes.data(), bytes.size());
+    }
+
     received_request& m_message;
+    std::uint64_t m_longest_body; ///< as announced, otherwise the limit
     bool m_has_unsupported_coding = false;
 };
 
-/// Whether the head contains a line that ends in LF without CR, a CR inside a line, a folded line or a null
-/// byte. HTTP servers interpret each of these differently.
-bool has_ambiguous_line(std::string_view head) {
-    for (std::size_t index = 0; index < head.size(); ++index) {
+/// Whether the head contains, from `begin` on, a line that ends in LF without CR, a CR inside a line, a
+/// folded line or a null byte. HTTP servers interpret each of these differently.
+bool has_ambiguous_line(std::string_view head, std::size_t begin) {
+    for (std::size_t index = begin; index < head.size(); ++index) {
         const char c = head[index];
         if (c == '\0') {
             return true;
@@ -85,28 +102,39 @@
 } // namespace
 
 struct request_reader::state {
-    explicit state(request_limits initial_limits) : limits(initial_limits), parser(message) {
+    explicit state(request_limits initial_limits)
+        : limits(initial_limits), parser(message, limits.body_bytes) {
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(limits.body_bytes);
     }
 
     std::size_t read_head(std::string_view bytes) {
-        const auto end = bytes.find("\r\n\r\n");
-        const auto head = bytes.substr(0, end == std::string_view::npos ? end : end + 4);
+        constexpr std::string_view head_end = "\r\n\r\n";
+        const auto end = bytes.find(head_end, checked_bytes);
+        const auto head = bytes.substr(0, end == std::string_view::npos ? end : end + head_end.size());
         if (head.size() > limits.header_bytes) {
             throw request_error(error_kind::headers_too_large);
         }
-        if (has_ambiguous_line(head)) {
+        if (has_ambiguous_line(head, checked_bytes)) {
             throw request_error(error_kind::bad_request, "a line of the head can be read in two ways");
         }
+        checked_bytes = head.size() - std::min(head.size(), head_end.size() - 1);
         if (end == std::string_view::npos) {
             return 0;
         }
         const auto used = put(bytes);
         check_head();
+        head_bytes = head.size();
         return used;
     }
 
+    /// Refuses the line of a chunk, or trailing fields, without an end: the parser needs each of them whole.
+    void check_framing(std::size_t unparsed_bytes) const {
+        if (unparsed_bytes > limits.header_bytes) {
+            throw request_error(error_kind::headers_too_large, "the framing of the body");
+        }
+    }
+
     void check_head() {
         const auto& fields = message.fields;
         if (parser.has_unsupported_coding() || fields.count("Transfer-Encoding") > 1) {
@@ -142,6 +170,10 @@
     request_limits limits;
     received_request message;
     library_parser parser;
+    /// Bytes of an incomplete head that needn't be looked at again. Otherwise a head that arrives byte by
+    /// byte would cost time with the square of its length.
+    std::size_t checked_bytes = 0;
+    std::size_t head_bytes = 0; ///< of the complete head
 };
 
 request_reader::request_reader(request_limits limits) : m_state(std::make_unique<state>(limits)) {}
@@ -164,6 +196,9 @@
         }
         used += consumed;
     }
+    if (!is_complete()) {
+        m_state->check_framing(bytes.size() - used);
+    }
     return used;
 }
 
@@ -180,6 +215,10 @@
     return expectation.has_value() && is_same_name(*expectation, "100-continue");
 }
 
+std::size_t request_reader::held_bytes() const noexcept {
+    return m_state->head_bytes + m_state->message.body.capacity();
+}
+
 std::size_t request_reader::missing_bytes() const noexcept {
     return has_head() ? m_state->parser.content_length_remaining().value_or(0) : 0;
 }
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -11,7 +11,8 @@
 
 namespace borageford::http {
 
-/// Largest accepted sizes of a request's head and body in bytes.
+/// Largest accepted sizes of a request's head and body in bytes. The line that begins a chunk, with its
+/// extensions, and all trailing fields together may be as long as a head each.
 struct request_limits {
     std::size_t header_bytes = 16U * 1024;
     std::size_t body_bytes = 4U * 1024 * 1024;
@@ -37,14 +38,17 @@
     request_reader& operator=(request_reader&&) noexcept;
 
     /// Parses bytes from the front of `bytes` and returns how many it consumed. The caller passes the bytes
-    /// that weren't consumed again, together with newly received ones. Throws request_error with bad_request,
-    /// headers_too_large or body_too_large; the reader must not be used after that.
+    /// that weren't consumed again, unchanged, together with newly received ones. Throws request_error with
+    /// bad_request, headers_too_large or body_too_large; the reader must not be used after that.
     std::size_t read(std::string_view bytes);
 
     [[nodiscard]] bool has_head() const noexcept;
     [[nodiscard]] bool is_complete() const noexcept;
     /// Whether the client waits for "100 Continue" before it sends the body.
     [[nodiscard]] bool expects_continue() const noexcept;
+    /// Memory that is held for what was consumed of the request, in bytes.
+    [[nodiscard]] std::size_t held_bytes() const noexcept;
+
     /// Number of body bytes that haven't been received yet; 0 when the request states no length or its head
     /// isn't complete. Used to choose the size of the next read.
     [[nodiscard]] std::size_t missing_bytes() const noexcept;
--- a/tests/unit/test_http_readers.cpp
+++ b/tests/unit/test_http_readers.cpp
@@ -86,6 +86,30 @@
     }
 }
 
+TEST_CASE("the framing of a body is refused when it has no end", "[http][request_reader]") {
+    const std::string framing = GENERATE("5;", "5\r\nhello\r\n0\r\nA: ");
+    request_reader reader({.header_bytes = 1000});
+    std::string bytes = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + framing;
+    bytes.erase(0, reader.read(bytes));
+    bytes += std::string(900, 'x');
+    bytes.erase(0, reader.read(bytes));
+    CHECK_FALSE(reader.is_complete());
+    bytes += std::string(200, 'x');
+    CHECK_THROWS_AS(reader.read(bytes), request_error);
+}
+
+TEST_CASE("a body takes memory as it arrives, and no more than announced", "[http][request_reader]") {
+    constexpr std::size_t announced = 1'000'000;
+    request_reader reader({});
+    static_cast<void>(reader.read("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nb"));
+    CHECK(reader.held_bytes() < 200);
+    for (std::size_t sent = 1; sent < announced; sent += 9'999) {
+        static_cast<void>(reader.read(std::string(std::min<std::size_t>(9'999, announced - sent), 'b')));
+    }
+    CHECK(reader.is_complete());
+    CHECK(reader.held_bytes() < announced + 200);
+}
+
 TEST_CASE("responses are read with a length, in chunks and until the connection ends",
           "[http][response_reader]") {
     for (const std::size_t piece : {std::size_t(1), std::size_t(5), std::size_t(1000)}) {
