The addresses of a gateway that answer GET only take no body, and few connections

100 callers that announced 4 MB and sent 3 MB to the address for metrics, for readiness checks or for other gateways: peak 327 MB each, since each of 10,000 connections might have 4 MiB.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -110,7 +110,8 @@
           m_roster(m_runtime.executor(), m_runtime.timers(), current_deployment, m_backends, m_slots,
                    m_crash_watch, m_rollouts, m_settings.registration_life()),
           m_exchange(
-              m_runtime.executor(), m_settings.peers_listen, m_configuration_manager, m_roster,
+              m_runtime.executor(), m_settings.peers_listen, m_settings.peer_limits(),
+              m_configuration_manager, m_roster,
               [this] { return is_store_available(); },
               [this] { return current_role() == policy::poll_role::passive; }),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
@@ -121,14 +122,14 @@
           m_acceptor(m_runtime.executor()),
           m_stop(m_context, m_acceptor, [this] { m_runtime.finish(); }),
           m_readiness(
-              m_runtime.executor(), {},
+              m_runtime.executor(), m_settings.check_limits(),
               [this](const http::request& received, http::response_writer& writer) {
                   return answer_readiness(received, writer);
               },
               [](error_kind kind, std::string_view detail) {
                   return http::make_response(answer_for(kind).http_status, "text/plain", std::string(detail));
               }),
-          m_metrics_server(m_runtime.executor(), m_registry) {}
+          m_metrics_server(m_runtime.executor(), m_registry, m_settings.check_limits()) {}
 
     [[noreturn]] void run() {
         try {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -2,8 +2,10 @@
 #include "gateway/gateway_settings.hpp"
 
 #include "base/parse_number.hpp"
+#include "process/machine_limits.hpp"
 #include "settings/section_reader.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -18,6 +20,18 @@
 /// The part of this process's memory that may be held for callers that don't read at once: what is left
 /// beside the connections themselves, the tables of servers and the messages of other gateways.
 constexpr std::uint64_t parts_of_memory_for_callers = 4;
+constexpr std::int64_t most_descriptors = 10'000'000;
+/// The part of the descriptors that connections of callers may take, in percent, and those of other gateways
+/// and of each address that is asked for readiness or metrics.
+constexpr std::size_t percent_for_callers = 75;
+constexpr std::size_t percent_for_peers = 8;
+constexpr std::size_t percent_for_checks = 3;
+
+std::size_t part_of_descriptors(const gateway_settings& settings, std::size_t percent) noexcept {
+    const auto limit =
+        settings.descriptor_limit > 0 ? settings.descriptor_limit : process::descriptor_limit();
+    return std::max<std::size_t>(1, limit * percent / 100);
+}
 
 void read_seeds(settings::section_reader& reader, gateway_settings& result) {
     for (const auto& text : reader.list("seeds")) {
@@ -60,6 +74,8 @@
 
 void read_caller_bounds(settings::section_reader& reader, gateway_settings& result) {
     result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, most_memory);
+    result.descriptor_limit = static_cast<std::size_t>(reader.number(
+        "descriptor_limit", static_cast<std::int64_t>(result.descriptor_limit), 0, most_descriptors));
     result.slow_caller_limit =
         reader.duration("slow_caller_limit", result.slow_caller_limit, shortest, longest);
     result.unread_limit = reader.duration("unread_limit", result.unread_limit, shortest, longest);
@@ -91,6 +107,22 @@
             unread_limit};
 }
 
+std::size_t gateway_settings::caller_connections() const noexcept {
+    return part_of_descriptors(*this, percent_for_callers);
+}
+
+http::server_limits gateway_settings::check_limits() const noexcept {
+    auto limits = http::server_limits::without_body();
+    limits.connections = part_of_descriptors(*this, percent_for_checks);
+    return limits;
+}
+
+http::server_limits gateway_settings::peer_limits() const noexcept {
+    auto limits = http::server_limits::without_body();
+    limits.connections = part_of_descriptors(*this, percent_for_peers);
+    return limits;
+}
+
 gateway_settings read_gateway_settings(const settings::ini_document& document,
                                        std::vector<settings::problem>& problems) {
     gateway_settings result;
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -1,6 +1,7 @@
 // The settings of a gateway: its addresses, and the limits that its deployment guarantees.
 #pragma once
 
+#include "http/server.hpp"
 #include "policy/slot_scheduler.hpp"
 #include "policy/unread_memory.hpp"
 #include "process/common_settings.hpp"
@@ -62,9 +63,11 @@
     /// third of all gateways still answers some of them.
     unsigned store_followers = 12;
 
-    /// The memory that this process may use, in bytes; 0: unknown, so that what is held for callers is
-    /// bounded for each of them only.
+    /// The memory that this process may use, in bytes; 0: unknown. Then answers are bounded for each caller
+    /// only, and incomplete requests by the machine's memory.
     std::uint64_t memory_limit = 0;
+    /// How many descriptors this process may have open; 0: as many as the system grants.
+    std::size_t descriptor_limit = 0;
     /// How long a server's answer may pause in all since its caller reads slowly.
     milliseconds slow_caller_limit{2000};
     /// How long bytes may be held of which the caller reads none.
@@ -73,6 +76,13 @@
     milliseconds body_time_limit{30000};
     /// The bounds of what is held for callers, as these settings give them.
     [[nodiscard]] policy::unread_limits unread_limits() const noexcept;
+    /// How many connections of callers may be open. The other descriptors are for servers, other gateways,
+    /// the store and files.
+    [[nodiscard]] std::size_t caller_connections() const noexcept;
+    /// Limits of the addresses for readiness checks and for metrics.
+    [[nodiscard]] http::server_limits check_limits() const noexcept;
+    /// Limits of the address for other gateways.
+    [[nodiscard]] http::server_limits peer_limits() const noexcept;
 
     // Limits that all gateways enforce together.
     double retry_ratio = 0.1;  ///< Retries on another server, as a share of a service's requests.
--- a/src/gateway/metrics_endpoint.cpp
+++ b/src/gateway/metrics_endpoint.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 metrics_endpoint::metrics_endpoint(const boost::asio::any_io_executor& executor,
-                                   const metrics::registry& registry)
+                                   const metrics::registry& registry, const http::server_limits& limits)
     : m_registry(registry),
       m_server(
-          executor, {},
+          executor, limits,
           [this](const http::request& received,
                  http::response_writer& writer) -> boost::asio::awaitable<void> {
               const bool is_known = http::path_of(received.target) == metrics_path;
--- a/src/gateway/metrics_endpoint.hpp
+++ b/src/gateway/metrics_endpoint.hpp
@@ -14,7 +14,8 @@
 /// Answers requests for the path /metrics; every other path gets status 404.
 class metrics_endpoint {
 public:
-    metrics_endpoint(const boost::asio::any_io_executor& executor, const metrics::registry& registry);
+    metrics_endpoint(const boost::asio::any_io_executor& executor, const metrics::registry& registry,
+                     const http::server_limits& limits);
 
     /// Starts listening; does nothing without an address.
     void listen(const std::optional<boost::asio::ip::tcp::endpoint>& address);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -148,8 +148,9 @@
 }
 
 peer_exchange::peer_exchange(asio::any_io_executor executor, const asio::ip::tcp::endpoint& local,
-                             configuration_manager& configuration, backend_roster& backends,
-                             std::function<bool()> is_store_available, std::function<bool()> relies_on_peers)
+                             const http::server_limits& server_limits, configuration_manager& configuration,
+                             backend_roster& backends, std::function<bool()> is_store_available,
+                             std::function<bool()> relies_on_peers)
     : m_executor(std::move(executor)),
       m_local(local),
       m_configuration(configuration),
@@ -158,7 +159,7 @@
       m_relies_on_peers(std::move(relies_on_peers)),
       m_sending(max_bytes_sending, max_uncounted_bytes),
       m_server(
-          m_executor, {},
+          m_executor, server_limits,
           [this](const http::request& received, http::response_writer& writer) -> asio::awaitable<void> {
               auto response = answer(received); // must outlive the write
               const auto sending = m_sending.try_acquire(response.body.size());
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -29,8 +29,9 @@
     /// returns whether the store answers this gateway, `relies_on_peers` whether this gateway learns of
     /// changes from peers only.
     peer_exchange(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& local,
-                  configuration_manager& configuration, backend_roster& backends,
-                  std::function<bool()> is_store_available, std::function<bool()> relies_on_peers);
+                  const http::server_limits& server_limits, configuration_manager& configuration,
+                  backend_roster& backends, std::function<bool()> is_store_available,
+                  std::function<bool()> relies_on_peers);
 
     void start();
 
