What a caller makes a gateway hold is counted as held, and ends with those that held most for longest

Seen with memory_limit = 64 MiB: 3,000 announced bodies of which a byte came, peak 229 MB; bodies inside the limit of 400 callers that come back, 323 MB; 3,000 heads without an end, 92 MB, and ordinary requests in two packets refused; 140 KB behind each of 900 requests that run, 88 MB; chunks far over the limit, 68 MB. Causes: a read prepared a zeroed buffer of up to 64 KiB and waited with it; what had arrived of a body counted, but not the buffers' capacity, nor heads, nor bytes behind a request, nor those in the kernel; it was looked at twice a second; and the only answer was to refuse whoever came next, which serves the crowd that came first. Now a connection waits with 1 KiB of its own, all further bytes go through a buffer of the thread, and an empty input keeps nothing. The account of a caller has the bytes of incomplete requests, with capacity, heads, bytes behind the current request (16 KiB, the rest stays in a kernel buffer of 64 KiB, which counts) and is looked at whenever bytes arrive. Above the bound the requests that held most for longest are ended, as not run (503), until 90% of it is held; an ordinary request is complete long before its turn. Without memory_limit the bound is a quarter of the machine's memory. After a refusal as many bytes are discarded as a request may have. A caller that goes while reading is paused is noticed within 500 ms.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -161,7 +161,6 @@
     if (m_connection.has_value() && !m_paused_at.has_value()) {
         m_paused_at = clock::now();
         stream().pause_reading();
-        stream().release_input();
     }
 }
 
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -20,13 +20,14 @@
 
 /// Above this number of pipelined bytes, reading pauses while a request is being answered; further bytes stay
 /// in the kernel.
-constexpr std::size_t max_pending_input_bytes = 64U * 1024;
+constexpr std::size_t max_pending_input_bytes = 16U * 1024;
 /// How long the caller may still send on a connection that this process is closing. Closing at once would
 /// make the kernel send a reset, which could destroy the answer before the caller has read it.
 constexpr milliseconds linger_time{1000};
 /// How often the idle time and the timeout for a request's head are checked.
 constexpr milliseconds time_check_period{500};
-constexpr std::size_t max_read_size = 64U * 1024;
+/// How many bytes are read at a time, except those of a body.
+constexpr std::size_t usual_read_size = 4096;
 /// Retry-After of requests for whose bodies there is no memory. Slow callers are cut within about this time.
 constexpr milliseconds no_memory_retry_after{1000};
 /// Why the connection of a slow caller is ended, for the log and the metrics.
@@ -53,7 +54,7 @@
     : m_context(context),
       m_connection(std::make_shared<net::connection>(std::move(socket))),
       m_reader(reader_limits(context)),
-      m_account(context.unread, [this] { cut_slow(no_memory_left); }),
+      m_account(context.unread, [this] { end_for_memory(); }),
       m_request_begin(clock::now()),
       m_idle_since(m_request_begin) {
     m_context.sessions.insert(this);
@@ -85,6 +86,7 @@
 void client_session::check_time() {
     const auto now = clock::now();
     check_reading(now);
+    check_paused_input();
     if (m_is_closed || m_closes_when_sent || m_exchange != nullptr) {
         return;
     }
@@ -110,12 +112,15 @@
 
 /// Notices callers that don't read what is held for them, and servers that wait for such callers.
 void client_session::check_reading(clock::time_point now) {
-    if (m_is_closed || !m_context.unread.is_bounded()) {
+    if (m_is_closed) {
         return;
     }
     const bool is_unread = m_connection->unsent_bytes() > 0;
-    m_kernel_bytes = is_unread ? m_connection->kernel_bytes() : 0;
+    m_kernel_bytes = is_unread || m_is_input_paused ? m_connection->kernel_bytes() : 0;
     update_held();
+    if (!m_context.unread.is_bounded()) {
+        return;
+    }
     if (is_unread != m_is_patient) {
         // The kernel would end the connection of a caller that reads nothing for two seconds. The path to one
         // whose bytes have all left the process must be known to work, since a server works for it.
@@ -131,8 +136,18 @@
     }
 }
 
-std::size_t client_session::count_request_bytes() {
-    return m_reads_request && m_reader.has_head() ? m_reader.message().body.size() : 0;
+/// The end of a caller that has sent more than is read for now isn't reported by the connection.
+void client_session::check_paused_input() {
+    if (!m_is_closed && m_is_input_paused && m_connection->has_peer_closed()) {
+        close();
+    }
+}
+
+/// Bytes of a request that isn't complete, or that waits for the answer to the one before it.
+std::size_t client_session::count_arriving_bytes() const {
+    const auto consumed = m_reads_request ? m_reader.held_bytes() : 0;
+    const auto in_kernel = m_is_input_paused ? m_kernel_bytes : 0;
+    return consumed + m_connection->input_capacity() + in_kernel;
 }
 
 bool client_session::keeps_server_waiting() const noexcept {
@@ -141,14 +156,24 @@
 
 void client_session::update_held() {
     const auto held_by_exchange = m_exchange != nullptr ? m_exchange->held_bytes() : 0;
-    const policy::unread_account::held_bytes held{m_connection->unsent_bytes() + m_kernel_bytes,
-                                                  count_request_bytes() + m_connection->input().size() +
-                                                      held_by_exchange};
+    const auto unread_in_kernel = m_is_input_paused ? 0 : m_kernel_bytes;
+    const policy::unread_account::held_bytes held{m_connection->unsent_bytes() + unread_in_kernel,
+                                                  held_by_exchange, count_arriving_bytes()};
     if (held.unread > 0 || held != m_account.held()) {
         m_account.update(held, m_connection->sent_bytes(), clock::now());
     }
 }
 
+/// There is no memory left for what is held for this caller.
+void client_session::end_for_memory() {
+    const bool is_arriving = m_reads_request && !m_closes_when_sent && m_connection->unsent_bytes() == 0;
+    if (is_arriving && !m_is_closed) {
+        refuse(error_kind::overloaded, "no memory for the request", no_memory_retry_after);
+    } else {
+        cut_slow(no_memory_left);
+    }
+}
+
 void client_session::cut_slow(std::string_view reason) {
     if (m_is_closed) {
         return;
@@ -170,13 +195,27 @@
 }
 
 void client_session::handle_input() {
-    if (m_exchange != nullptr) {
-        if (m_connection->input().size() > max_pending_input_bytes) {
-            m_connection->pause_reading();
-        }
+    if (m_exchange == nullptr) {
+        read_requests();
         return;
     }
-    read_requests();
+    pause_pending_input();
+    make_room();
+}
+
+/// Leaves it to the kernel to hold what a caller sends before it has its answer.
+void client_session::pause_pending_input() {
+    if (m_connection->input().size() > max_pending_input_bytes) {
+        m_connection->pause_reading();
+        m_is_input_paused = true;
+    }
+}
+
+/// Ends the connections that hold the most of incomplete requests if that is too much, among them perhaps
+/// this one.
+void client_session::make_room() {
+    update_held();
+    m_context.unread.relieve_arriving(clock::now());
 }
 
 void client_session::read_requests() {
@@ -210,25 +249,31 @@
             break;
         }
     }
-    if (m_reads_request && m_reader.has_head() && !m_reader.is_complete()) {
-        check_body();
+    if (m_reads_request && !m_is_closed && m_exchange == nullptr) {
+        check_arriving();
     }
 }
 
-/// A body of which further bytes must arrive: it is refused while there is no memory for it, since what has
-/// arrived of many bodies would otherwise leave too little for any of them to be completed.
-void client_session::check_body() {
+/// A request of which further bytes must arrive: it is refused while there is no memory for it although the
+/// requests that held most were ended.
+void client_session::check_arriving() {
+    make_room();
+    if (m_is_closed || m_closes_when_sent) {
+        return;
+    }
+    if (!m_context.unread.has_room_for_requests()) {
+        end_for_memory();
+    } else if (m_reader.has_head()) {
+        prepare_for_body();
+    }
+}
+
+void client_session::prepare_for_body() {
     if (!m_has_body_begun) {
         m_has_body_begun = true;
         m_body_begin = clock::now();
+        m_connection->set_read_size(net::connection::max_read_size);
     }
-    update_held();
-    if (!m_context.unread.has_room_for_requests()) {
-        refuse(error_kind::overloaded, "no memory for its body", no_memory_retry_after);
-        return;
-    }
-    m_connection->set_read_size(
-        std::min(max_read_size, std::max<std::size_t>(4096, m_reader.missing_bytes())));
     if (!m_has_continued && m_reader.expects_continue()) {
         m_has_continued = true;
         m_connection->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -237,11 +282,12 @@
 
 void client_session::begin_exchange() {
     m_reads_request = false;
-    m_connection->set_read_size(4096);
+    m_connection->set_read_size(usual_read_size);
     auto& message = m_reader.message();
     m_keeps_connection = message.keeps_connection && !m_context.is_stopping();
     m_exchange =
         std::make_shared<request_exchange>(m_context, shared_from_this(), std::move(message), clock::now());
+    pause_pending_input();
     const auto exchange = m_exchange;
     exchange->start();
 }
@@ -328,6 +374,7 @@
         close_when_sent();
         return;
     }
+    m_is_input_paused = false;
     m_connection->read();
     if (!m_connection->input().empty()) {
         // Posted instead of called, so that a caller with many small requests can't deepen the stack.
@@ -348,12 +395,16 @@
                    {"bytes", std::uint64_t(m_connection->input().size())}});
     const auto& row = answer_for(kind);
     m_keeps_connection = false;
+    m_reads_request = false;
     const std::string body =
         R"({"error":")" + std::string(row.name) + R"(","detail":")" + std::string(detail) + R"("})";
     std::string fields = "Content-Type: application/json\r\n";
     if (retry_after.has_value()) {
         fields.append("Retry-After: ").append(http::to_seconds_text(*retry_after)).append("\r\n");
     }
+    // Freed at once: the caller may leave the refusal unread for long.
+    m_reader = http::request_reader(reader_limits(m_context));
+    m_connection->consume(m_connection->input().size());
     answer(row.http_status, row.name, fields, body);
 }
 
@@ -380,7 +431,8 @@
     }
     m_is_closed = true;
     m_timer.cancel();
-    m_connection->close_gracefully(linger_time);
+    const auto limits = reader_limits(m_context);
+    m_connection->close_gracefully(linger_time, limits.header_bytes + limits.body_bytes);
 }
 
 void client_session::close() {
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -69,9 +69,14 @@
     void handle_input();
     void handle_end(net::connection_end how);
     void handle_sent();
-    void check_body();
+    void check_arriving();
+    void prepare_for_body();
+    void pause_pending_input();
+    void make_room();
+    void end_for_memory();
     void check_reading(clock::time_point now);
-    [[nodiscard]] std::size_t count_request_bytes();
+    void check_paused_input();
+    [[nodiscard]] std::size_t count_arriving_bytes() const;
     void read_requests();
     void begin_exchange();
     void refuse(error_kind kind, std::string_view detail,
@@ -89,7 +94,8 @@
     http::request_reader m_reader;
     std::shared_ptr<request_exchange> m_exchange;
     policy::unread_account m_account;
-    std::size_t m_kernel_bytes = 0; ///< Bytes that the kernel holds for a slow caller, when last asked.
+    std::size_t m_kernel_bytes = 0; ///< Bytes that the kernel holds for the caller, when last asked.
+    bool m_is_input_paused = false; ///< Whether further bytes wait in the kernel for the current answer.
     bool m_is_patient = false;      ///< Whether the connection has the longer timeout of slow callers.
     timer_subscription m_timer;
     clock::time_point m_request_begin; ///< When the first byte of the current request arrived.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -214,14 +214,15 @@
         add_store_gauges(m_deployment.backend_table, m_backend_follower);
     }
 
-    /// Begins to end the connections of slow callers when more is held for them than may be.
+    /// Begins to end the connections of callers when more is held for them than may be.
     void bound_unread() {
+        net::limit_received(m_acceptor);
         if (m_unread.is_bounded()) {
             net::limit_unsent(m_acceptor);
-            m_unread_timer = m_runtime.timers().every(m_runtime.executor(), unread_check_period, [this] {
-                m_unread.relieve(std::chrono::steady_clock::now());
-            });
         }
+        m_unread_timer = m_runtime.timers().every(m_runtime.executor(), unread_check_period, [this] {
+            m_unread.relieve(std::chrono::steady_clock::now());
+        });
     }
 
     void add_unread_gauges() {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -103,8 +103,9 @@
 } // namespace
 
 policy::unread_limits gateway_settings::unread_limits() const noexcept {
-    return {static_cast<std::size_t>(memory_limit / parts_of_memory_for_callers), slow_caller_limit,
-            unread_limit};
+    const auto known = memory_limit > 0 ? memory_limit : process::machine_memory();
+    const auto arriving = static_cast<std::size_t>(known / parts_of_memory_for_callers);
+    return {memory_limit > 0 ? arriving : 0, arriving, slow_caller_limit, unread_limit};
 }
 
 std::size_t gateway_settings::caller_connections() const noexcept {
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -219,10 +219,6 @@
     return m_state->head_bytes + m_state->message.body.capacity();
 }
 
-std::size_t request_reader::missing_bytes() const noexcept {
-    return has_head() ? m_state->parser.content_length_remaining().value_or(0) : 0;
-}
-
 received_request& request_reader::message() noexcept {
     return m_state->message;
 }
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -49,10 +49,6 @@
     /// Memory that is held for what was consumed of the request, in bytes.
     [[nodiscard]] std::size_t held_bytes() const noexcept;
 
-    /// Number of body bytes that haven't been received yet; 0 when the request states no length or its head
-    /// isn't complete. Used to choose the size of the next read.
-    [[nodiscard]] std::size_t missing_bytes() const noexcept;
-
     /// The request; its head is valid once has_head(), its body once is_complete().
     [[nodiscard]] received_request& message() noexcept;
 
--- a/src/net/byte_buffer.cpp
+++ b/src/net/byte_buffer.cpp
@@ -32,8 +32,8 @@
     commit(bytes.size());
 }
 
-void byte_buffer::shrink(std::size_t kept) {
-    if (is_empty() && m_bytes.size() > kept) {
+void byte_buffer::release() {
+    if (is_empty() && !m_bytes.empty()) {
         m_bytes = std::vector<char>();
         m_begin = 0;
         m_end = 0;
--- a/src/net/byte_buffer.hpp
+++ b/src/net/byte_buffer.hpp
@@ -18,6 +18,8 @@
         return {m_bytes.data() + m_begin, m_end - m_begin};
     }
     [[nodiscard]] std::size_t size() const noexcept { return m_end - m_begin; }
+    /// Memory that the buffer has allocated, in bytes.
+    [[nodiscard]] std::size_t capacity() const noexcept { return m_bytes.capacity(); }
     [[nodiscard]] bool is_empty() const noexcept { return m_begin == m_end; }
 
     /// Returns free space for at least `count` bytes after the readable ones. May move the readable bytes.
@@ -30,8 +32,8 @@
     /// Copies bytes to the end.
     void append(std::string_view bytes);
 
-    /// Frees the memory if the buffer is empty and has more than `kept` bytes allocated.
-    void shrink(std::size_t kept);
+    /// Frees the memory if the buffer is empty.
+    void release();
 
 private:
     std::vector<char> m_bytes;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -19,8 +19,7 @@
 
 namespace {
 
-/// Initial size of a read in bytes: enough for a typical request head. An idle connection keeps a buffer of
-/// this size.
+/// Initial size of a read in bytes: enough for a typical request head.
 constexpr std::size_t default_read_size = 4096;
 /// Largest number of pieces passed to one gathered write; further pieces are queued.
 constexpr std::size_t max_gathered_pieces = 8;
@@ -64,27 +63,40 @@
         return;
     }
     m_is_reading = true;
-    const auto room = m_input.prepare(m_read_size);
     m_socket.async_read_some(
-        asio::buffer(room.data(), room.size()),
+        asio::buffer(m_first_bytes, m_read_size),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
             self->handle_read(error, count);
         });
 }
 
-void connection::handle_read(const boost::system::error_code& error, std::size_t count) {
+/// Receives what follows m_first_bytes, as far as it has arrived; returns how many bytes.
+std::size_t connection::read_more(boost::system::error_code& error) {
+    thread_local std::array<char, max_read_size> received;
+    const auto size = std::min(received.size(), m_read_size - m_first_bytes.size());
+    const auto count = m_socket.read_some(asio::buffer(received, size), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        error = {};
+    }
+    if (!m_is_shutting_down) {
+        m_input.append(std::string_view(received.data(), count));
+    }
+    return count;
+}
+
+void connection::handle_read(boost::system::error_code error, std::size_t count) {
     m_is_reading = false;
     if (!m_socket.is_open()) {
         return;
     }
-    m_input.commit(count);
+    if (!m_is_shutting_down) {
+        m_input.append(std::string_view(m_first_bytes.data(), count));
+    }
+    if (!error && count == m_first_bytes.size() && m_read_size > count) {
+        count += read_more(error);
+    }
     if (m_is_shutting_down) {
-        m_input.consume(m_input.size());
-        if (error) {
-            close();
-        } else {
-            read();
-        }
+        discard(error, count);
         return;
     }
     if (count > 0) {
@@ -97,17 +109,18 @@
     }
 }
 
-void connection::consume(std::size_t count) {
-    m_input.consume(count);
-    if (!m_is_reading) {
-        m_input.shrink(default_read_size);
+void connection::discard(const boost::system::error_code& error, std::size_t count) {
+    if (error || count >= m_left_to_discard) {
+        close();
+        return;
     }
+    m_left_to_discard -= count;
+    read();
 }
 
-void connection::release_input() {
-    if (!m_is_reading) {
-        m_input.shrink(0);
-    }
+void connection::consume(std::size_t count) {
+    m_input.consume(count);
+    m_input.release();
 }
 
 void connection::report_end(connection_end how) {
@@ -227,11 +240,11 @@
     }
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_input.consume(m_input.size());
+    consume(m_input.size());
     read();
 }
 
-void connection::close_gracefully(std::chrono::milliseconds linger) {
+void connection::close_gracefully(std::chrono::milliseconds linger, std::size_t most_discarded) {
     if (!m_socket.is_open() || m_is_shutting_down) {
         return;
     }
@@ -241,6 +254,7 @@
     }
     m_handlers.reset();
     m_is_shutting_down = true;
+    m_left_to_discard = most_discarded;
     const auto timer = std::make_shared<asio::steady_timer>(m_socket.get_executor(), linger);
     timer->async_wait(
         [self = shared_from_this(), timer](const boost::system::error_code&) { self->close(); });
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -39,6 +40,8 @@
         std::function<void()> on_sent;
     };
 
+    static constexpr std::size_t max_read_size = 64U * 1024;
+
     explicit connection(boost::asio::ip::tcp::socket socket);
     ~connection();
     connection(const connection&) = delete;
@@ -54,17 +57,16 @@
     /// Stops reading. A read that is in progress may still call on_input once.
     void pause_reading() noexcept { m_is_reading_enabled = false; }
 
-    /// Sets the minimum buffer space for one read in bytes; a larger size suits long bodies.
+    /// Sets how many bytes are received at a time, at most `max_read_size`; a larger size suits long bodies.
     void set_read_size(std::size_t bytes) noexcept { m_read_size = bytes; }
 
     /// The bytes that were received and not consumed yet.
     [[nodiscard]] std::string_view input() const noexcept { return m_input.readable(); }
+    /// Memory that is held for input(), in bytes.
+    [[nodiscard]] std::size_t input_capacity() const noexcept { return m_input.capacity(); }
     /// Removes `count` bytes from the front of input().
     void consume(std::size_t count);
 
-    /// Frees the memory of input() if it is empty and no read is in progress.
-    void release_input();
-
     /// Writes the pieces in order and queues the bytes that the kernel doesn't accept. Does nothing once the
     /// connection has ended; a write error is reported with on_end.
     void send(std::span<const std::string_view> pieces);
@@ -96,14 +98,16 @@
     void close() noexcept;
 
     /// Sends the queued output, shuts down the sending side, and closes the connection when the peer has shut
-    /// down its own or after `linger`. Closing a socket with unread input would reset the connection, and the
-    /// peer could lose an answer that is still in transit.
-    void close_gracefully(std::chrono::milliseconds linger);
+    /// down its own, has sent `most_discarded` further bytes, or after `linger`. Closing a socket with unread
+    /// input would reset the connection, and the peer could lose an answer that is still in transit.
+    void close_gracefully(std::chrono::milliseconds linger, std::size_t most_discarded);
 
 private:
     template <typename Member, typename... Arguments>
     void call(Member member, Arguments... arguments);
-    void handle_read(const boost::system::error_code& error, std::size_t count);
+    void handle_read(boost::system::error_code error, std::size_t count);
+    std::size_t read_more(boost::system::error_code& error);
+    void discard(const boost::system::error_code& error, std::size_t count);
     void report_end(connection_end how);
     void write_queued();
     void handle_written(const boost::system::error_code& error, std::size_t count);
@@ -114,9 +118,13 @@
     std::chrono::steady_clock::time_point m_opened_at = std::chrono::steady_clock::now();
     /// Shared, so that a handler stays valid while it replaces the handlers.
     std::shared_ptr<const handlers> m_handlers;
+    /// What a read that waits for bytes can write to. All else of a read goes through a buffer of the thread,
+    /// so that a connection on which nothing arrives holds no more than this object.
+    std::array<char, 1024> m_first_bytes;
     byte_buffer m_input;
     block_queue m_output; ///< the bytes at its front are those of the asynchronous write in progress
     std::size_t m_read_size;
+    std::size_t m_left_to_discard = 0; ///< valid after close_gracefully()
     std::uint64_t m_sent_bytes = 0;
     bool m_is_reading_enabled = false;
     bool m_is_reading = false;
--- a/src/net/tcp_options.cpp
+++ b/src/net/tcp_options.cpp
@@ -17,6 +17,9 @@
 using unsent_limit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 
 constexpr int max_unsent_in_kernel = 16 * 1024;
+/// Receive buffer of a caller's connection, which the kernel would otherwise enlarge to megabytes for callers
+/// that send what isn't read.
+constexpr int max_received_in_kernel = 64 * 1024;
 
 } // namespace
 
@@ -42,4 +45,9 @@
     acceptor.set_option(unsent_limit(max_unsent_in_kernel), ignored); // accepted sockets inherit it
 }
 
+void limit_received(asio::ip::tcp::acceptor& acceptor) {
+    boost::system::error_code ignored;
+    acceptor.set_option(asio::socket_base::receive_buffer_size(max_received_in_kernel), ignored);
+}
+
 } // namespace borageford::net
--- a/src/net/tcp_options.hpp
+++ b/src/net/tcp_options.hpp
@@ -32,4 +32,8 @@
 /// receiver has room for them, so that they are counted by this process. Fast receivers get as many as ever.
 void limit_unsent(boost::asio::ip::tcp::acceptor& acceptor);
 
+/// Limits what the kernel holds of what a peer sends and this process doesn't read, on each connection that
+/// is accepted from now on. Enough for a long body over paths of some milliseconds.
+void limit_received(boost::asio::ip::tcp::acceptor& acceptor);
+
 } // namespace borageford::net
--- a/src/policy/unread_memory.cpp
+++ b/src/policy/unread_memory.cpp
@@ -2,6 +2,8 @@
 #include "policy/unread_memory.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <limits>
 #include <utility>
 
 namespace borageford::policy {
@@ -33,8 +35,20 @@
     return std::max(smallest_share, free / share_divisor);
 }
 
+std::size_t unread_memory::arriving_limit() const noexcept {
+    constexpr auto none = std::numeric_limits<std::size_t>::max();
+    const auto total = is_bounded() ? m_limits.total : none;
+    return std::min(total, m_limits.arriving > 0 ? m_limits.arriving : none);
+}
+
+/// Whether more than this part of a bound is held.
+bool unread_memory::holds_too_much(std::size_t percent) const noexcept {
+    return (is_bounded() && m_held > percent_of(m_limits.total, percent)) ||
+           m_arriving > percent_of(arriving_limit(), percent);
+}
+
 bool unread_memory::has_room_for_requests() const noexcept {
-    return !is_bounded() || m_held < m_limits.total;
+    return (!is_bounded() || m_held < m_limits.total) && m_arriving < arriving_limit();
 }
 
 std::size_t unread_memory::count_slow(time_point now) const {
@@ -43,6 +57,7 @@
 }
 
 void unread_memory::relieve(time_point now) {
+    relieve_arriving(now);
     if (!is_bounded() || m_held <= m_limits.total) {
         return;
     }
@@ -51,14 +66,49 @@
         if (account == nullptr) {
             return;
         }
-        const auto cut = account->m_cut; // copied, since the account may be destroyed by the call
-        cut();
-        if (m_accounts.contains(account)) {
-            account->update({}, account->m_taken, now);
+        cut(*account, now);
+    }
+}
+
+void unread_memory::relieve_arriving(time_point now) {
+    if (!holds_too_much(100)) {
+        return;
+    }
+    for (const auto& next : find_arriving(now)) {
+        if (!holds_too_much(percent_after_relief)) {
+            return;
+        }
+        if (m_accounts.contains(next.account)) { // ending one connection may have ended others
+            cut(*next.account, now);
         }
     }
 }
 
+/// The connections with a request that isn't complete, in the order in which they are ended. Bytes count for
+/// as long as they have been held: what serves a caller is complete soon, and one that came first has no
+/// right to stay.
+std::vector<unread_memory::candidate> unread_memory::find_arriving(time_point now) const {
+    using seconds = std::chrono::duration<double>;
+    std::vector<candidate> found;
+    for (auto* const account : m_accounts) {
+        const auto held = account->m_held.arriving;
+        if (held > 0) {
+            const auto age = seconds(now - account->m_arriving_since).count();
+            found.push_back({account, static_cast<double>(held) * age});
+        }
+    }
+    std::ranges::sort(found, std::ranges::greater(), &candidate::weight);
+    return found;
+}
+
+void unread_memory::cut(unread_account& account, time_point now) {
+    const auto end = account.m_cut; // copied, since the account may be destroyed by the call
+    end();
+    if (m_accounts.contains(&account)) {
+        account.update({}, account.m_taken, now);
+    }
+}
+
 unread_account* unread_memory::choose_cut(time_point now) const {
     using seconds = std::chrono::duration<double>;
     unread_account* chosen = nullptr;
@@ -85,6 +135,7 @@
 unread_account::~unread_account() {
     m_memory.m_accounts.erase(this);
     m_memory.m_held -= m_held.sum();
+    m_memory.m_arriving -= m_held.arriving;
 }
 
 void unread_account::update(held_bytes held, std::uint64_t taken, time_point now) {
@@ -96,7 +147,11 @@
         m_last_taken = now;
     }
     m_taken = taken;
+    if (m_held.arriving == 0) {
+        m_arriving_since = now;
+    }
     m_memory.m_held += held.sum() - m_held.sum();
+    m_memory.m_arriving += held.arriving - m_held.arriving;
     m_held = held;
 }
 
--- a/src/policy/unread_memory.hpp
+++ b/src/policy/unread_memory.hpp
@@ -1,5 +1,5 @@
-// Decides how many bytes a process may hold for callers that don't read them at once, and whose connection is
-// ended when these bytes become too many.
+// Decides how many bytes a process may hold for callers, of answers that they don't read at once and of
+// requests that they don't complete, and whose connection is ended when these bytes become too many.
 #pragma once
 
 #include <chrono>
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <unordered_set>
+#include <vector>
 
 namespace borageford::policy {
 
@@ -15,6 +16,8 @@
 struct unread_limits {
     /// Bytes that may be held in all; 0: no bound, and each caller has default_share.
     std::size_t total = 0;
+    /// Bytes that may be held in all of requests that aren't complete; 0: as many as in all.
+    std::size_t arriving = 0;
     /// How long the answer of a server may pause, in all its pauses together, since its caller reads slowly.
     std::chrono::milliseconds pause{2000};
     /// How long bytes may be held of which the caller takes none.
@@ -48,17 +51,30 @@
     [[nodiscard]] bool has_room_for_requests() const noexcept;
     [[nodiscard]] std::size_t count_slow(time_point now) const;
 
-    /// Ends connections until what is held is below the bound, the slowest and largest ones first. Ends none
-    /// of a caller that isn't slow.
+    /// Ends connections until what is held is below the bounds, the slowest and largest ones first. Ends none
+    /// of a caller that isn't slow and whose request is complete.
     void relieve(time_point now);
+    /// The same for requests that arrive. Cheap unless a bound is exceeded, so it may be called whenever
+    /// bytes have arrived.
+    void relieve_arriving(time_point now);
 
 private:
     friend class unread_account;
 
+    struct candidate {
+        unread_account* account = nullptr;
+        double weight = 0; ///< bytes times seconds
+    };
+
     [[nodiscard]] unread_account* choose_cut(time_point now) const;
+    [[nodiscard]] std::vector<candidate> find_arriving(time_point now) const;
+    [[nodiscard]] std::size_t arriving_limit() const noexcept;
+    [[nodiscard]] bool holds_too_much(std::size_t percent) const noexcept;
+    void cut(unread_account& account, time_point now);
 
     unread_limits m_limits;
-    std::size_t m_held = 0; ///< the sum over m_accounts
+    std::size_t m_held = 0;     ///< the sum over m_accounts
+    std::size_t m_arriving = 0; ///< the part of m_held that is of requests which aren't complete
     std::unordered_set<unread_account*> m_accounts;
 };
 
@@ -70,8 +86,10 @@
 
     struct held_bytes {
         std::size_t unread = 0; ///< of answers, which the caller can take now
-        std::size_t other = 0;  ///< of its request, and of an answer that isn't complete
-        [[nodiscard]] std::size_t sum() const noexcept { return unread + other; }
+        std::size_t other = 0;  ///< of its complete request, and of an answer that isn't complete
+        /// Of a request that isn't complete, or that waits for the one before it to be answered.
+        std::size_t arriving = 0;
+        [[nodiscard]] std::size_t sum() const noexcept { return unread + other + arriving; }
         bool operator==(const held_bytes&) const = default;
     };
 
@@ -108,6 +126,7 @@
     held_bytes m_held;
     std::uint64_t m_taken = 0;
     std::uint64_t m_taken_before = 0; ///< m_taken at m_since
+    time_point m_arriving_since;      ///< since when a request has been arriving; valid while one is
     time_point m_since;               ///< since when there have been unread bytes; valid if there are any
     time_point m_last_taken;          ///< when the caller last took bytes, or m_since
 };
--- a/tests/unit/test_policy_unread_memory.cpp
+++ b/tests/unit/test_policy_unread_memory.cpp
@@ -97,7 +97,7 @@
     CHECK(two.ended.empty());
 }
 
-TEST_CASE("unread memory: a request that is arriving counts, and isn't taken for slow reading",
+TEST_CASE("unread memory: a request that is answered counts, and isn't taken for slow reading",
           "[unread_memory]") {
     callers one(1, mebibyte);
     one.accounts[0].update({0, 2 * mebibyte}, 0, start);
@@ -107,6 +107,25 @@
     CHECK(one.ended.empty());
 }
 
+TEST_CASE("unread memory: of incomplete requests those that held most for longest are ended, not the newest",
+          "[unread_memory]") {
+    const bool is_stated = GENERATE(true, false);
+    std::vector<std::size_t> ended;
+    unread_memory memory({.total = is_stated ? mebibyte : 0, .arriving = mebibyte});
+    std::deque<unread_account> accounts;
+    for (std::size_t index = 0; index < 3; ++index) {
+        accounts.emplace_back(memory, [&ended, index] { ended.push_back(index); });
+    }
+    accounts[0].update({.arriving = 300'000}, 0, start);
+    accounts[1].update({.arriving = 500'000}, 0, start + 1s);
+    memory.relieve_arriving(start + 2s);
+    CHECK(ended.empty());
+    accounts[2].update({.arriving = 300'000}, 0, start + 2s);
+    memory.relieve_arriving(start + 3s);
+    CHECK(ended == std::vector<std::size_t>{1});
+    CHECK(memory.has_room_for_requests());
+}
+
 TEST_CASE("unread memory: reading goes on once well under the share is held", "[unread_memory]") {
     callers one(1);
     one.fill(0);
