A gateway keeps descriptors for ordinary callers, servers and the store

At the limit the connection that has been idle for longest is closed for a new one, since callers send again what nobody read; if none is idle, the one whose request has been incomplete for longest.

--- a/src/events/event_kind.cpp
+++ b/src/events/event_kind.cpp
@@ -216,6 +216,14 @@
                       "A caller's connection was ended since it reads its answer too slowly; `reason` tells "
                       "which bound was reached.",
                       "caller reason held unread_ms"},
+    event_description{
+        event_kind::caller_turned_away, "caller_turned_away", warning, failure_rate,
+        "There were as many connections of callers as there may be. The one that had been longest "
+        "without a complete request was closed for a new one, or the new one was.",
+        "connections"},
+    event_description{event_kind::accept_failed, "accept_failed", warning, failure_rate,
+                      "A caller's connection couldn't be accepted, most likely since no descriptor is free.",
+                      "reason"},
     event_description{
         event_kind::slot_refused, "slot_refused", warning, failure_rate,
         "The coordinator refused to grant a slot to a request: the request needed more of the resource named "
--- a/src/events/event_kind.hpp
+++ b/src/events/event_kind.hpp
@@ -74,6 +74,8 @@
     request_cut,
     request_abandoned,
     slow_caller_cut,
+    caller_turned_away,
+    accept_failed,
 
     // Requests, logged by the process that grants slots.
     slot_refused,
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -50,9 +50,10 @@
 
 } // namespace
 
-client_session::client_session(gateway_context& context, boost::asio::ip::tcp::socket socket)
+client_session::client_session(gateway_context& context, boost::asio::ip::tcp::socket socket,
+                               std::shared_ptr<void> place)
     : m_context(context),
-      m_connection(std::make_shared<net::connection>(std::move(socket))),
+      m_connection(std::make_shared<net::connection>(std::move(socket), std::move(place))),
       m_reader(reader_limits(context)),
       m_account(context.unread, [this] { end_for_memory(); }),
       m_request_begin(clock::now()),
@@ -416,6 +417,17 @@
     return m_exchange == nullptr && !m_reads_request;
 }
 
+client_session::stage client_session::progress() const noexcept {
+    if (m_exchange != nullptr || m_closes_when_sent || m_connection->unsent_bytes() > 0) {
+        return stage::answering;
+    }
+    return m_reads_request ? stage::arriving : stage::idle;
+}
+
+client_session::clock::time_point client_session::waiting_since() const noexcept {
+    return m_reads_request ? m_request_begin : m_idle_since;
+}
+
 void client_session::close_if_idle() {
     if (is_idle() && !m_is_closed) {
         close_when_sent();
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -28,7 +28,16 @@
 public:
     using clock = std::chrono::steady_clock;
 
-    client_session(gateway_context& context, boost::asio::ip::tcp::socket socket);
+    /// How far the connection is. In the order in which connections are closed when there are too many.
+    enum class stage : std::uint8_t {
+        idle,      ///< no byte of a request has arrived
+        arriving,  ///< a request has arrived in part
+        answering, ///< a request is being answered, or its answer is being sent
+    };
+
+    /// `place` is kept until the connection is closed.
+    client_session(gateway_context& context, boost::asio::ip::tcp::socket socket,
+                   std::shared_ptr<void> place);
     ~client_session();
     client_session(const client_session&) = delete;
     client_session& operator=(const client_session&) = delete;
@@ -64,6 +73,11 @@
     /// Closes the connection if no request is being read or answered. Called while the process shuts down.
     void close_if_idle();
     [[nodiscard]] bool is_idle() const noexcept;
+    [[nodiscard]] stage progress() const noexcept;
+    /// Since when the connection has been in a stage before `answering`.
+    [[nodiscard]] clock::time_point waiting_since() const noexcept;
+    /// Closes a connection whose stage isn't `answering`, so that another caller gets its place.
+    void close_for_others() { close(); }
 
 private:
     void handle_input();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -8,6 +8,7 @@
 #include "gateway/answer_reader.hpp"
 #include "gateway/backend_directory.hpp"
 #include "gateway/backend_roster.hpp"
+#include "gateway/caller_acceptor.hpp"
 #include "gateway/client_session.hpp"
 #include "gateway/configuration_manager.hpp"
 #include "gateway/crash_reporter.hpp"
@@ -27,8 +28,6 @@
 #include "gateway/software_recorder.hpp"
 #include "gateway/store_follower.hpp"
 #include "http/server.hpp"
-#include "net/listening.hpp"
-#include "net/tcp_options.hpp"
 #include "policy/unread_memory.hpp"
 #include "process/runtime.hpp"
 #include "settings/file_watch.hpp"
@@ -49,14 +48,10 @@
 namespace borageford::gateway {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace {
 
 constexpr int wrong_settings_exit_code = 2;
-/// Length of the queue of connections that wait to be accepted. Callers connect in bursts, and a full queue
-/// would drop their first packets, which are repeated only after seconds.
-constexpr int listen_backlog = 4096;
 
 /// How long a gateway must have been the coordinator before it decides about roll-outs.
 constexpr milliseconds settling_time{1000};
@@ -111,16 +106,15 @@
                    m_crash_watch, m_rollouts, m_settings.registration_life()),
           m_exchange(
               m_runtime.executor(), m_settings.peers_listen, m_settings.peer_limits(),
-              m_configuration_manager, m_roster,
-              [this] { return is_store_available(); },
+              m_configuration_manager, m_roster, [this] { return is_store_available(); },
               [this] { return current_role() == policy::poll_role::passive; }),
           m_configuration_follower(m_runtime.executor(), m_runtime.timers(), m_table,
                                    current_deployment.configuration_table, make_poll_schedule(),
                                    make_configuration_handlers()),
           m_backend_follower(m_runtime.executor(), m_runtime.timers(), m_table,
                              current_deployment.backend_table, make_poll_schedule(), make_backend_handlers()),
-          m_acceptor(m_runtime.executor()),
-          m_stop(m_context, m_acceptor, [this] { m_runtime.finish(); }),
+          m_acceptor(m_context, m_settings.caller_connections()),
+          m_stop(m_context, m_acceptor.acceptor(), [this] { m_runtime.finish(); }),
           m_readiness(
               m_runtime.executor(), m_settings.check_limits(),
               [this](const http::request& received, http::response_writer& writer) {
@@ -164,8 +158,10 @@
         }
         m_slots.start();
         m_engine_memory.start(m_runtime.executor(), m_runtime.timers());
-        listen();
-        bound_unread();
+        m_acceptor.listen(m_settings.callers_listen);
+        m_unread_timer = m_runtime.timers().every(m_runtime.executor(), unread_check_period, [this] {
+            m_unread.relieve(std::chrono::steady_clock::now());
+        });
         m_readiness.listen(m_settings.readiness_listen);
         m_metrics_server.listen(m_settings.metrics_listen);
         events::write(events::event_kind::started, {{"settings", m_settings_file}});
@@ -214,17 +210,6 @@
         add_store_gauges(m_deployment.backend_table, m_backend_follower);
     }
 
-    /// Begins to end the connections of callers when more is held for them than may be.
-    void bound_unread() {
-        net::limit_received(m_acceptor);
-        if (m_unread.is_bounded()) {
-            net::limit_unsent(m_acceptor);
-        }
-        m_unread_timer = m_runtime.timers().every(m_runtime.executor(), unread_check_period, [this] {
-            m_unread.relieve(std::chrono::steady_clock::now());
-        });
-    }
-
     void add_unread_gauges() {
         m_registry.add_gauge("borageford_gateway_held_bytes",
                              "Bytes of requests and answers that are held for callers and servers.", {},
@@ -457,22 +442,6 @@
                 }};
     }
 
-    void listen() {
-        net::listen(m_acceptor, m_settings.callers_listen, listen_backlog);
-        accept();
-    }
-
-    void accept() {
-        m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-            if (!error) {
-                std::make_shared<client_session>(m_context, std::move(socket))->start();
-            }
-            if (m_acceptor.is_open()) {
-                accept();
-            }
-        });
-    }
-
     asio::awaitable<void> answer_readiness(const http::request&, http::response_writer& writer) {
         const bool is_ready =
             *m_configuration.read() != nullptr && m_backends.has_ready() && !m_context.is_stopping();
@@ -537,7 +506,7 @@
     peer_exchange m_exchange;
     store_follower m_configuration_follower;
     store_follower m_backend_follower;
-    tcp::acceptor m_acceptor;
+    caller_acceptor m_acceptor;
     graceful_stop m_stop;
     http::server m_readiness;
     metrics_endpoint m_metrics_server;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -38,8 +38,8 @@
 
 } // namespace
 
-connection::connection(asio::ip::tcp::socket socket)
-    : m_socket(std::move(socket)), m_read_size(default_read_size) {
+connection::connection(asio::ip::tcp::socket socket, std::shared_ptr<void> place)
+    : m_socket(std::move(socket)), m_place(std::move(place)), m_read_size(default_read_size) {
     prepare_socket(m_socket);
 }
 
@@ -232,6 +232,7 @@
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_handlers.reset();
+    m_place.reset();
 }
 
 void connection::shut_down_when_sent() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -42,7 +42,8 @@
 
     static constexpr std::size_t max_read_size = 64U * 1024;
 
-    explicit connection(boost::asio::ip::tcp::socket socket);
+    /// `place` is kept until the connection is closed.
+    explicit connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<void> place = nullptr);
     ~connection();
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
@@ -115,6 +116,7 @@
     std::size_t write_now(std::span<const std::string_view> pieces, boost::system::error_code& error);
 
     boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<void> m_place;
     std::chrono::steady_clock::time_point m_opened_at = std::chrono::steady_clock::now();
     /// Shared, so that a handler stays valid while it replaces the handlers.
     std::shared_ptr<const handlers> m_handlers;
