--- a/tests/hostile/test_entry_hostile_callers.cpp
+++ b/tests/hostile/test_entry_hostile_callers.cpp
@@ -86,3 +86,25 @@
     cluster site(one_entry());
     withstand(site, *site.entry(0).process, site.entry(0).peers, announced_frame());
 }
+
+TEST_CASE("hostile: idle connections without end leave places to ordinary callers of an entry", "[hostile]") {
+    auto options = one_entry("connections = 100\n");
+    cluster site(options);
+    const hostile_crowd crowd(site.entry(0).callers, {.members = 300, .reconnections = 2000});
+    crowd.wait_until_settled();
+    site.wait_for_entry(0);
+    CHECK(count_descriptors(*site.entry(0).process) < 200);
+}
+
+TEST_CASE("hostile: connections without a hello leave places to the entries of a sidecar", "[hostile]") {
+    auto options = one_entry();
+    options.backend_servers = {{.name = "pluma-1"}};
+    options.sidecar_settings = "peer_connections = 20\n";
+    cluster site(options);
+    const hostile_crowd crowd(site.backend(0).peers_address, {.members = 100, .reconnections = 10'000});
+    crowd.wait_until_settled();
+    site.entry(0).process->kill();
+    site.start_entry(0);
+    site.wait_for_entry(0);
+    CHECK(count_descriptors(*site.backend(0).sidecar) < 100);
+}
--- a/tests/hostile/test_gateway_hostile_callers.cpp
+++ b/tests/hostile/test_gateway_hostile_callers.cpp
@@ -151,6 +151,17 @@
     CHECK(site.send(0, make_call("/none", "during")).status == 404);
 }
 
+TEST_CASE("hostile: complete requests with long heads that run take no memory", "[hostile]") {
+    gateway_site site(one_server(small_memory, 8s));
+    const hostile_crowd crowd(site.callers(0),
+                              {.members = 3000,
+                               .first = head("Content-Length: 0\r\nX: " + std::string(15'000, 'h') + "\r\n"),
+                               .reconnections = 3000});
+    crowd.wait_until_settled();
+    check_process(site);
+    CHECK(site.send(0, make_call("/none", "during")).status == 404);
+}
+
 TEST_CASE("hostile: requests without end behind each other leave ordinary callers their answers",
           "[hostile]") {
     std::string requests;
@@ -218,6 +229,16 @@
     withstand_connections("POST /plain/x HTTP/1.1\r\nHost: site.example\r\n");
 }
 
+TEST_CASE("hostile: idle connections for the readiness checks leave descriptors to them", "[hostile]") {
+    gateway_site site(one_server(small_memory + "descriptor_limit = 300\n"));
+    const hostile_crowd crowd(site.readiness(0), {.members = 500, .reconnections = 2000});
+    crowd.wait_until_settled();
+    CHECK(site.is_ready(0));
+    CHECK(is_ordinary_answered(site));
+    CHECK(count_descriptors(site.process(0)) < 300);
+    check_process(site);
+}
+
 TEST_CASE("hostile: the largest request inside the limits is served on the smallest machine", "[hostile]") {
     gateway_site site(one_server("memory_limit = 88MiB\n"));
     const auto limits = routing::caller_limits{};
