The head of a request counts while it is answered, and large requests wait for room

3,000 complete requests with heads of 15 kB whose answers take their time: peak 69 MB of 67. The account of a caller had the body of a complete request but not its head, and a complete request was never refused for want of memory. Now the head counts, and a complete request above 4 KiB is refused as not run while nothing is free; smaller ones are answered always, since they need little and callers who hold the memory could otherwise keep all others out.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -26,6 +26,11 @@
 constexpr milliseconds linger_time{1000};
 /// How often the idle time and the timeout for a request's head are checked.
 constexpr milliseconds time_check_period{500};
+/// Complete requests up to this size are answered although nothing is free: they need little, and refusing
+/// them would let the callers who hold the memory keep all others out.
+constexpr std::size_t max_small_request = 4096;
+/// What a request takes while it is answered, besides its bytes.
+constexpr std::size_t request_overhead = 8U * 1024;
 /// How many bytes are read at a time, except those of a body.
 constexpr std::size_t usual_read_size = 4096;
 /// Retry-After of requests for whose bodies there is no memory. Slow callers are cut within about this time.
@@ -159,7 +164,7 @@
     const auto held_by_exchange = m_exchange != nullptr ? m_exchange->held_bytes() : 0;
     const auto unread_in_kernel = m_is_input_paused ? 0 : m_kernel_bytes;
     const policy::unread_account::held_bytes held{m_connection->unsent_bytes() + unread_in_kernel,
-                                                  held_by_exchange, count_arriving_bytes()};
+                                                  held_by_exchange + m_head_bytes, count_arriving_bytes()};
     if (held.unread > 0 || held != m_account.held()) {
         m_account.update(held, m_connection->sent_bytes(), clock::now());
     }
@@ -245,7 +250,7 @@
         }
         m_connection->consume(used);
         if (m_reader.is_complete()) {
-            begin_exchange();
+            handle_request();
         } else if (used == 0) {
             break;
         }
@@ -281,8 +286,18 @@
     }
 }
 
+void client_session::handle_request() {
+    const auto overhead = m_context.requests_in_progress * request_overhead;
+    if (m_reader.held_bytes() > max_small_request && !m_context.unread.has_room_for_requests(overhead)) {
+        refuse(error_kind::overloaded, "no memory for the request", no_memory_retry_after);
+    } else {
+        begin_exchange();
+    }
+}
+
 void client_session::begin_exchange() {
     m_reads_request = false;
+    m_head_bytes = m_reader.head_bytes();
     m_connection->set_read_size(usual_read_size);
     auto& message = m_reader.message();
     m_keeps_connection = message.keeps_connection && !m_context.is_stopping();
@@ -290,6 +305,7 @@
         std::make_shared<request_exchange>(m_context, shared_from_this(), std::move(message), clock::now());
     pause_pending_input();
     const auto exchange = m_exchange;
+    update_held();
     exchange->start();
 }
 
@@ -369,6 +385,7 @@
 
 void client_session::end_answer() {
     m_exchange.reset();
+    m_head_bytes = 0;
     m_idle_since = clock::now();
     update_held();
     if (!m_keeps_connection) {
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -92,6 +92,7 @@
     void check_paused_input();
     [[nodiscard]] std::size_t count_arriving_bytes() const;
     void read_requests();
+    void handle_request();
     void begin_exchange();
     void refuse(error_kind kind, std::string_view detail,
                 std::optional<milliseconds> retry_after = std::nullopt);
@@ -109,6 +110,7 @@
     std::shared_ptr<request_exchange> m_exchange;
     policy::unread_account m_account;
     std::size_t m_kernel_bytes = 0; ///< Bytes that the kernel holds for the caller, when last asked.
+    std::size_t m_head_bytes = 0;   ///< Length of the head of the request that is being answered.
     bool m_is_input_paused = false; ///< Whether further bytes wait in the kernel for the current answer.
     bool m_is_patient = false;      ///< Whether the connection has the longer timeout of slow callers.
     timer_subscription m_timer;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -215,6 +215,10 @@
     return expectation.has_value() && is_same_name(*expectation, "100-continue");
 }
 
+std::size_t request_reader::head_bytes() const noexcept {
+    return m_state->head_bytes;
+}
+
 std::size_t request_reader::held_bytes() const noexcept {
     return m_state->head_bytes + m_state->message.body.capacity();
 }
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -46,6 +46,8 @@
     [[nodiscard]] bool is_complete() const noexcept;
     /// Whether the client waits for "100 Continue" before it sends the body.
     [[nodiscard]] bool expects_continue() const noexcept;
+    /// Length of the head in bytes; 0 until has_head().
+    [[nodiscard]] std::size_t head_bytes() const noexcept;
     /// Memory that is held for what was consumed of the request, in bytes.
     [[nodiscard]] std::size_t held_bytes() const noexcept;
 
--- a/src/policy/unread_memory.cpp
+++ b/src/policy/unread_memory.cpp
@@ -47,8 +47,8 @@
            m_arriving > percent_of(arriving_limit(), percent);
 }
 
-bool unread_memory::has_room_for_requests() const noexcept {
-    return (!is_bounded() || m_held < m_limits.total) && m_arriving < arriving_limit();
+bool unread_memory::has_room_for_requests(std::size_t besides) const noexcept {
+    return (!is_bounded() || m_held + besides < m_limits.total) && m_arriving < arriving_limit();
 }
 
 std::size_t unread_memory::count_slow(time_point now) const {
--- a/src/policy/unread_memory.hpp
+++ b/src/policy/unread_memory.hpp
@@ -47,8 +47,8 @@
     [[nodiscard]] std::size_t held() const noexcept { return m_held; }
     /// How many bytes of answers one caller may hold now.
     [[nodiscard]] std::size_t share() const noexcept;
-    /// Whether there is room for more of a request that is still arriving.
-    [[nodiscard]] bool has_room_for_requests() const noexcept;
+    /// Whether there is room for more of a request, if `besides` bytes are held that no account has.
+    [[nodiscard]] bool has_room_for_requests(std::size_t besides = 0) const noexcept;
     [[nodiscard]] std::size_t count_slow(time_point now) const;
 
     /// Ends connections until what is held is below the bounds, the slowest and largest ones first. Ends none
