--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,7 +3,9 @@
 #include "http/server.hpp"
 
 #include "base/log.hpp"
+#include "http/arriving_request.hpp"
 #include "http/request_memory.hpp"
+#include "http/response_writer_state.hpp"
 #include "net/listening.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,25 +31,11 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
-struct response_writer::state {
-    state(beast::tcp_stream& connection, std::uint64_t number, std::chrono::milliseconds limit)
-        : stream(connection), connection_number(number), write_time(limit) {}
-
-    beast::tcp_stream& stream;
-    std::uint64_t connection_number;
-    std::chrono::milliseconds write_time;
-    bool keep_alive = true;
-    bool begun = false;
-    bool chunked = false;
-    bool ended = false;
-    bool is_over = false;    ///< the request has ended; `stream` may have been destroyed
-    std::string before_next; ///< see write_before_next()
-};
-
 namespace {
 
 using stream_pointer = std::shared_ptr<beast::tcp_stream>;
 
+/// How many bytes are read at a time.
 constexpr std::size_t read_size = 4096;
 /// What a connection holds while it waits for a request.
 constexpr std::size_t first_read_size = 512;
@@ -55,58 +43,6 @@
 constexpr std::chrono::seconds linger_time{2};
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
-beast::http::fields to_library(const header_fields& headers) {
-    beast::http::fields fields;
-    for (const auto& field : headers) {
-        fields.insert(field.name, field.value);
-    }
-    return fields;
-}
-
-/// A body like Beast's string_body, for which memory is allocated as its bytes arrive and not as they are
-/// announced.
-struct arriving_body {
-    using value_type = std::string;
-
-    static std::uint64_t size(const value_type& body) { return body.size(); }
-
-    class reader {
-    public:
-        template <bool IsRequest, typename Fields>
-        reader(beast::http::header<IsRequest, Fields>& /*head*/, value_type& body) : m_body(body) {}
-
-        void init(const boost::optional<std::uint64_t>& /*length*/, beast::error_code& error) { error = {}; }
-
-        template <typename Buffers>
-        std::size_t put(const Buffers& buffers, beast::error_code& error) {
-            error = {};
-            const auto before = m_body.size();
-            for (const auto buffer : beast::buffers_range_ref(buffers)) {
-                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
-            }
-            return m_body.size() - before;
-        }
-
-        void finish(beast::error_code& error) { error = {}; }
-
-    private:
-        value_type& m_body;
-    };
-};
-
-using request_parser = beast::http::request_parser<arriving_body>;
-
-request from_library(beast::http::request<arriving_body>&& received) {
-    request call;
-    call.method = std::string(received.method_string());
-    call.target = std::string(received.target());
-    for (const auto& field : received) {
-        call.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    call.body = std::move(received.body());
-    return call;
-}
-
 /// The timer that limits how long a request may take to arrive. Used on the connection's strand only. The
 /// stream must exist until `is_over` is set.
 struct request_timer {
@@ -136,23 +72,6 @@
     }
 };
 
-/// The error kind for a request that couldn't be read; std::nullopt when the caller has closed the
-/// connection.
-std::optional<error_kind> error_kind_for(const beast::error_code& error) {
-    // With buffer_overflow, the framing of a body has no end: a line that begins a chunk, or trailing fields.
-    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow) {
-        return error_kind::headers_too_large;
-    }
-    if (error == beast::http::error::body_limit) {
-        return error_kind::body_too_large;
-    }
-    if (error == beast::http::error::end_of_stream || error == beast::http::error::partial_message ||
-        error.category() != beast::http::make_error_code(beast::http::error::bad_method).category()) {
-        return std::nullopt;
-    }
-    return error_kind::bad_request;
-}
-
 /// What the server has of one connection while it is open.
 struct server_connection {
     server_connection(stream_pointer opened, std::uint64_t given_number, request_memory& memory,
@@ -175,124 +94,8 @@
     request_memory::account account;
 };
 
-/// Parses as much as can be parsed of what has arrived.
-beast::error_code parse_buffered(beast::flat_buffer& buffer, request_parser& parser) {
-    beast::error_code error;
-    while (!error && buffer.size() > 0 && !parser.is_done()) {
-        const auto used = parser.put(buffer.data(), error);
-        buffer.consume(used);
-    }
-    return error == beast::http::error::need_more ? beast::error_code() : error;
-}
-
 } // namespace
 
-asio::awaitable<void> response_writer::write(const response& answer) {
-    m_state->begun = true;
-    m_state->ended = true;
-    beast::http::response<beast::http::string_body> out(
-        beast::http::response_header<>(to_library(answer.head.headers)));
-    out.version(11);
-    out.result(answer.head.status);
-    out.body() = answer.body;
-    out.keep_alive(m_state->keep_alive);
-    out.prepare_payload();
-    m_state->stream.expires_after(m_state->write_time);
-    co_await beast::http::async_write(m_state->stream, out, asio::use_awaitable);
-}
-
-asio::awaitable<void> response_writer::begin(const response_head& head) {
-    m_state->begun = true;
-    m_state->chunked = true;
-    beast::http::response<beast::http::empty_body> out(
-        beast::http::response_header<>(to_library(head.headers)));
-    out.version(11);
-    out.result(head.status);
-    out.keep_alive(m_state->keep_alive);
-    out.chunked(true);
-    beast::http::response_serializer<beast::http::empty_body> serializer(out);
-    m_state->stream.expires_after(m_state->write_time);
-    co_await beast::http::async_write_header(m_state->stream, serializer, asio::use_awaitable);
-}
-
-asio::awaitable<void> response_writer::write_piece(std::string_view piece) {
-    if (piece.empty()) {
-        co_return; // an empty chunk would mark the end of the response
-    }
-    m_state->stream.expires_after(m_state->write_time);
-    co_await asio::async_write(m_state->stream, beast::http::make_chunk(asio::buffer(piece)),
-                               asio::use_awaitable);
-}
-
-asio::awaitable<void> response_writer::finish() {
-    m_state->ended = true;
-    m_state->stream.expires_after(m_state->write_time);
-    co_await asio::async_write(m_state->stream, beast::http::make_chunk_last(), asio::use_awaitable);
-}
-
-asio::awaitable<void> response_writer::write_raw(std::string bytes, bool keeps_connection) {
-    m_state->begun = true;
-    m_state->ended = true;
-    m_state->keep_alive = m_state->keep_alive && keeps_connection;
-    m_state->stream.expires_after(m_state->write_time);
-    co_await asio::async_write(m_state->stream, asio::buffer(bytes), asio::use_awaitable);
-    if (!keeps_connection) {
-        beast::error_code ignored;
-        m_state->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    }
-}
-
-void response_writer::write_before_next(std::string bytes) {
-    m_state->before_next = std::move(bytes);
-}
-
-std::uint64_t response_writer::connection() const noexcept {
-    return m_state->connection_number;
-}
-
-void response_writer::abort() noexcept {
-    m_state->keep_alive = false;
-    m_state->ended = true;
-    m_state->stream.close();
-}
-
-asio::awaitable<void> response_writer::wait_for_disconnect() {
-    const auto shared = m_state;
-    if (shared->is_over) {
-        co_return;
-    }
-    auto& socket = shared->stream.socket();
-    while (!shared->ended && !shared->is_over) {
-        beast::error_code error;
-        co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        // Bytes that arrive after the response also end the wait, when the connection may have been
-        // destroyed. The connection is therefore used only while the request is in progress.
-        if (error || shared->ended || shared->is_over) {
-            co_return;
-        }
-        // The wait can end although no bytes have arrived, when the socket was still marked as readable
-        // because of the request's own bytes. A blocking read would then stop this thread, and all requests
-        // on it, until the caller disconnects.
-        socket.non_blocking(true, error);
-        char next = 0;
-        socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-        if (error == asio::error::would_block || error == asio::error::try_again) {
-            continue;
-        }
-        if (error) {
-            co_return;
-        }
-        // These are bytes of the next request, which is read after this response. Until then the caller
-        // counts as connected, so the check is repeated after a pause.
-        asio::steady_timer pause(socket.get_executor(), std::chrono::milliseconds(250));
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
-}
-
-bool response_writer::has_begun() const noexcept {
-    return m_state->begun;
-}
-
 struct server::state : std::enable_shared_from_this<server::state> {
     state(const asio::any_io_executor& accept_executor, server_limits server_settings, handler handle_request,
           refusal_formatter format)
