Requests that arrive are ended only for what requests that arrive hold

By reading the change again: when complete requests or unread answers filled the room, every connection with a byte of a next request was ended, an ordinary one that sends its next request early among them, with its answer lost. Now incomplete requests are ended only while they have more than the quarter of the room that is kept for them. The unit test failed before.

--- a/src/policy/unread_memory.cpp
+++ b/src/policy/unread_memory.cpp
@@ -41,10 +41,12 @@
     return std::min(total, m_limits.arriving > 0 ? m_limits.arriving : none);
 }
 
-/// Whether more than this part of a bound is held.
-bool unread_memory::holds_too_much(std::size_t percent) const noexcept {
-    return (is_bounded() && m_held > percent_of(m_limits.total, percent)) ||
-           m_arriving > percent_of(arriving_limit(), percent);
+/// Whether more than this part of a bound is held, of which incomplete requests have more than what is kept
+/// for them.
+bool unread_memory::holds_too_much_arriving(std::size_t percent) const noexcept {
+    const bool is_full = is_bounded() && m_held > percent_of(m_limits.total, percent);
+    const auto kept = percent_of(m_limits.total, 100 - percent_for_answers);
+    return (is_full && m_arriving > kept) || m_arriving > percent_of(arriving_limit(), percent);
 }
 
 bool unread_memory::has_room_for_requests(std::size_t besides) const noexcept {
@@ -71,11 +73,11 @@
 }
 
 void unread_memory::relieve_arriving(time_point now) {
-    if (!holds_too_much(100)) {
+    if (!holds_too_much_arriving(100)) {
         return;
     }
     for (const auto& next : find_arriving(now)) {
-        if (!holds_too_much(percent_after_relief)) {
+        if (!holds_too_much_arriving(percent_after_relief)) {
             return;
         }
         if (m_accounts.contains(next.account)) { // ending one connection may have ended others
--- a/src/policy/unread_memory.hpp
+++ b/src/policy/unread_memory.hpp
@@ -54,8 +54,9 @@
     /// Ends connections until what is held is below the bounds, the slowest and largest ones first. Ends none
     /// of a caller that isn't slow and whose request is complete.
     void relieve(time_point now);
-    /// The same for requests that arrive. Cheap unless a bound is exceeded, so it may be called whenever
-    /// bytes have arrived.
+    /// The same for requests that arrive, which are ended only while they have more than the part of the
+    /// bound that is kept for them. Cheap unless a bound is exceeded, so it may be called whenever bytes have
+    /// arrived.
     void relieve_arriving(time_point now);
 
 private:
@@ -69,7 +70,7 @@
     [[nodiscard]] unread_account* choose_cut(time_point now) const;
     [[nodiscard]] std::vector<candidate> find_arriving(time_point now) const;
     [[nodiscard]] std::size_t arriving_limit() const noexcept;
-    [[nodiscard]] bool holds_too_much(std::size_t percent) const noexcept;
+    [[nodiscard]] bool holds_too_much_arriving(std::size_t percent) const noexcept;
     void cut(unread_account& account, time_point now);
 
     unread_limits m_limits;
--- a/tests/unit/test_policy_unread_memory.cpp
+++ b/tests/unit/test_policy_unread_memory.cpp
@@ -126,6 +126,17 @@
     CHECK(memory.has_room_for_requests());
 }
 
+TEST_CASE("unread memory: requests that arrive aren't ended for what others hold", "[unread_memory]") {
+    callers two(2, mebibyte);
+    two.accounts[0].update({.other = 2 * mebibyte}, 0, start);
+    two.accounts[1].update({.arriving = mebibyte / 5}, 0, start);
+    two.memory.relieve(start + 1h);
+    CHECK(two.ended.empty());
+    two.accounts[1].update({.arriving = mebibyte / 3}, 0, start + 1h);
+    two.memory.relieve(start + 1h);
+    CHECK(two.ended == std::vector<std::size_t>{1});
+}
+
 TEST_CASE("unread memory: reading goes on once well under the share is held", "[unread_memory]") {
     callers one(1);
     one.fill(0);
