An entry that learns of configuration and VMs at once keeps both

Seen once, in a whole test run at load 20: an entry answered 'No backend server for this is reachable' from its start on, for 40 s, with the configuration in force and all sidecars up; the test 'configuration: a revision committed just before an outage reaches every node through peers' failed. Traced by reading: rebuild_servers() is called on two threads, after the configuration and after the list of VMs was replaced. It read both before the directory's mutex was locked. A call that had read an empty list of VMs and was suspended overwrote the table of the other call, which had both, and nothing rebuilt it until the next change. Sidecars never saw a connection of that entry, which fits. Now both are read under a mutex. No test forces this order; the one above held in 60 of 60 runs before at the same load, so a clean run shows nothing.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -23,6 +23,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -90,6 +91,7 @@
     configuration::configuration_follower m_configuration;
     admin::peer_identity m_peer_identity;
     link_context m_link_context;
+    std::mutex m_rebuild_mutex;
     server_directory m_servers;
     claim_store m_claims;
     claim_sweeper m_claim_sweeper;
@@ -268,6 +270,9 @@
 }
 
 void entry_process::rebuild_servers() {
+    // Called on several threads. A call that has read an older list must not overwrite what a later one has
+    // made.
+    const std::scoped_lock lock(m_rebuild_mutex);
     const auto current = m_configuration.current();
     const auto vms = m_vms.current();
     m_servers.update(*current, *vms);
