--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -122,7 +122,7 @@
     std::shared_ptr<const handlers> m_handlers;
     /// What a read that waits for bytes can write to. All else of a read goes through a buffer of the thread,
     /// so that a connection on which nothing arrives holds no more than this object.
-    std::array<char, 1024> m_first_bytes;
+    std::array<char, 1024> m_first_bytes{};
     byte_buffer m_input;
     block_queue m_output; ///< the bytes at its front are those of the asynchronous write in progress
     std::size_t m_read_size;
