--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -39,10 +39,7 @@
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket, std::shared_ptr<void> place)
-    : m_socket(std::move(socket)),
-      m_place(std::move(place)),
-      m_first_bytes{},
-      m_read_size(default_read_size) {
+    : m_socket(std::move(socket)), m_place(std::move(place)), m_read_size(default_read_size) {
     prepare_socket(m_socket);
 }
 
