One mechanism ends the reading of a request, for time and for memory

The server had two twins that mark a request and cancel the stream: request_timer, and memory_end beside it. Now request_reading::end() serves both, and the account of a request lives as long as the request, so a connection has neither. Unit tests of the server and the 12 tests of crowds at HTTP addresses pass.

--- a/src/http/request_memory.hpp
+++ b/src/http/request_memory.hpp
@@ -15,11 +15,11 @@
 public:
     using clock = std::chrono::steady_clock;
 
-    /// What is held for one connection. Must not outlive the memory.
+    /// What is held for one request. Must not outlive the memory.
     class account {
     public:
-        /// `end` is called, at most once for a request, from within update() of any account and while a mutex
-        /// is held; it has to let the connection's own executor end the request.
+        /// `end` is called from within update() of any account and while a mutex is held; it has to let the
+        /// connection's own executor end the request. It may be called again if more is held after that.
         account(request_memory& memory, std::function<void()> end);
         ~account();
         account(const account&) = delete;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,6 +22,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -43,55 +44,31 @@
 constexpr std::chrono::seconds linger_time{2};
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// The timer that limits how long a request may take to arrive. Used on the connection's strand only. The
-/// stream must exist until `is_over` is set.
-struct request_timer {
-    explicit request_timer(const asio::any_io_executor& executor) : timer(executor) {}
+/// The reading of one request, which the server may end before the request is complete. Used on the
+/// connection's strand only.
+struct request_reading {
+    explicit request_reading(const stream_pointer& read) : stream(read) {}
 
-    void cancel() {
-        is_over = true;
-        timer.cancel();
+    void end(error_kind why) {
+        const auto connection = stream.lock();
+        if (connection == nullptr || is_over || ended_by.has_value()) {
+            return;
+        }
+        ended_by = why;
+        connection->cancel(); // without effect on a read that has just completed, see read_request()
     }
 
-    asio::steady_timer timer;
-    bool is_over = false;
-    bool has_expired = false;
-};
-
-/// Lets the connection's strand end the reading of a request for which there is no memory left.
-struct memory_end {
     std::weak_ptr<beast::tcp_stream> stream;
-    bool is_reading = false; ///< used on the connection's strand only, like the next one
-    bool is_ended = false;
-
-    void end() {
-        is_ended = is_reading;
-        if (const auto connection = stream.lock(); connection != nullptr && is_reading) {
-            connection->cancel();
-        }
-    }
+    bool is_over = false; ///< the request is complete or has failed
+    std::optional<error_kind> ended_by;
 };
 
 /// What the server has of one connection while it is open.
 struct server_connection {
-    server_connection(stream_pointer opened, std::uint64_t given_number, request_memory& memory,
-                      std::size_t most_buffered)
-        : stream(std::move(opened)),
-          number(given_number),
-          buffer(most_buffered),
-          ending(std::make_shared<memory_end>()),
-          account(memory, [ended = ending, executor = stream->get_executor()] {
-              asio::post(executor, [ended] { ended->end(); });
-          }) {
-        ending->stream = stream;
-    }
-
     stream_pointer stream;
     std::uint64_t number;
     beast::flat_buffer buffer;
-    std::string before_next; ///< what write_before_next() was called with during the previous request
-    std::shared_ptr<memory_end> ending;
-    request_memory::account account;
+    std::string before_next = {}; ///< what write_before_next() was called with during the previous request
 };
 
 } // namespace
@@ -109,9 +86,10 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<bool> wait_for_bytes(server_connection& connection);
-    std::shared_ptr<request_timer> start_request_timer(beast::tcp_stream& stream) const;
-    asio::awaitable<beast::error_code> read_request(server_connection& connection,
-                                                    request_parser& parser) const;
+    static asio::awaitable<beast::error_code> read_request(server_connection& connection,
+                                                           request_parser& parser,
+                                                           const request_reading& reading,
+                                                           request_memory::account& account);
     asio::awaitable<bool> serve_one(server_connection& connection);
     void begin_waiting(const stream_pointer& stream);
     bool close_longest_waiting();
@@ -177,7 +155,8 @@
         if (connections.load() > limits.connections && !close_longest_waiting()) {
             co_await refuse_and_close(*stream, error_kind::too_many_connections, "");
         } else {
-            server_connection connection(stream, ++last_connection, memory, limits.header_bytes + read_size);
+            server_connection connection{stream, ++last_connection,
+                                         beast::flat_buffer(limits.header_bytes + read_size)};
             while (co_await wait_for_bytes(connection) && co_await serve_one(connection)) {
             }
         }
@@ -235,23 +214,11 @@
     co_return !error;
 }
 
-/// Starts the timer that cancels the reading of a request after `limits.request_time`. The connection stays
-/// open for the error response.
-std::shared_ptr<request_timer> server::state::start_request_timer(beast::tcp_stream& stream) const {
-    auto limit = std::make_shared<request_timer>(stream.get_executor());
-    limit->timer.expires_after(limits.request_time);
-    limit->timer.async_wait([limit, &stream](const beast::error_code& error) {
-        if (!error && !limit->is_over) {
-            limit->has_expired = true;
-            stream.cancel();
-        }
-    });
-    return limit;
-}
-
 /// Reads the request piece by piece, so that what is held of it is known at each moment.
 asio::awaitable<beast::error_code> server::state::read_request(server_connection& connection,
-                                                               request_parser& parser) const {
+                                                               request_parser& parser,
+                                                               const request_reading& reading,
+                                                               request_memory::account& account) {
     auto& stream = *connection.stream;
     auto& buffer = connection.buffer;
     bool has_continued = false;
@@ -262,7 +229,7 @@
         if (error || parser.is_done()) {
             co_return error;
         }
-        connection.account.update(buffer.capacity() + parser.get().body().capacity());
+        account.update(buffer.capacity() + parser.get().body().capacity());
         if (parser.is_header_done() && !has_continued) {
             has_continued = true;
             if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
@@ -276,8 +243,7 @@
         if (!error) {
             buffer.commit(co_await stream.async_read_some(buffer.prepare(size), token));
         }
-        // A cancellation has no effect on a read that has just completed.
-        if (!error && connection.ending->is_ended) {
+        if (!error && reading.ended_by.has_value()) {
             error = asio::error::operation_aborted;
         }
         if (error) {
@@ -293,27 +259,35 @@
     parser.body_limit(limits.body_bytes);
     // The stream's own timeout would close the socket, and the caller would get no error response.
     stream.expires_never();
-    const auto limit = start_request_timer(stream);
-    *connection.ending = {connection.stream, true, false};
-    const auto error = co_await read_request(connection, parser);
-    connection.ending->is_reading = false;
-    limit->cancel();
+    // Shared with handlers that may run after the request has ended. The connection stays open for the error
+    // response.
+    const auto reading = std::make_shared<request_reading>(connection.stream);
+    asio::steady_timer timer(stream.get_executor(), limits.request_time);
+    timer.async_wait([reading](const beast::error_code& error) {
+        if (!error) {
+            reading->end(error_kind::request_timeout);
+        }
+    });
+    request_memory::account account(memory, [reading, executor = stream.get_executor()] {
+        asio::post(executor, [reading] { reading->end(error_kind::overloaded); });
+    });
+    const auto error = co_await read_request(connection, parser, *reading, account);
+    reading->is_over = true;
+    timer.cancel();
     {
         const std::scoped_lock lock(idle_mutex);
         waiting.erase(connection.stream);
     }
-    if (error || connection.ending->is_ended) {
-        const auto kind = connection.ending->is_ended ? error_kind::overloaded
-                          : limit->has_expired        ? error_kind::request_timeout
-                                                      : error_kind_for(error);
+    if (error) {
+        const auto kind = reading->ended_by.has_value() ? reading->ended_by : error_kind_for(error);
         static_cast<void>(parser.release()); // frees what has arrived of the request
-        connection.account.release();
+        account.release();
         if (kind) {
             co_await refuse_and_close(stream, *kind, error.message());
         }
         co_return false;
     }
-    connection.account.complete();
+    account.complete();
     const auto shared =
         std::make_shared<response_writer::state>(stream, connection.number, limits.write_time);
     shared->keep_alive = parser.get().keep_alive() && !draining.load();
@@ -324,7 +298,6 @@
         co_await asio::async_write(stream, asio::buffer(connection.before_next), asio::use_awaitable);
     }
     co_await answer(call, writer);
-    connection.account.release();
     shared->is_over = true;
     connection.before_next = std::move(shared->before_next);
     const bool can_go_on = shared->keep_alive && shared->ended;
