A server keeps one record of an open connection

Now one map has the stage of each connection and since when it has waited; who is idle or waits is derived. Behaviour as before. Unit tests of the server and the tests of entries, sidecars and crowds at HTTP addresses pass.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,7 +23,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <set>
+#include <ranges>
 #include <utility>
 
 namespace borageford::http {
@@ -71,6 +71,23 @@
     std::string before_next = {}; ///< what write_before_next() was called with during the previous request
 };
 
+/// How far an open connection is.
+struct connection_progress {
+    enum class stage : std::uint8_t {
+        idle,      ///< no byte of a request has arrived
+        arriving,  ///< a request has arrived in part
+        answering, ///< a request is being answered or refused
+        closing,   ///< the connection gives way to another one
+    };
+
+    [[nodiscard]] bool is_waiting() const noexcept { return now == stage::idle || now == stage::arriving; }
+
+    stage now = stage::answering;
+    std::chrono::steady_clock::time_point since; ///< when it began to wait for a complete request
+};
+
+using stage = connection_progress::stage;
+
 } // namespace
 
 struct server::state : std::enable_shared_from_this<server::state> {
@@ -91,7 +108,7 @@
                                                            const request_reading& reading,
                                                            request_memory::account& account);
     asio::awaitable<bool> serve_one(server_connection& connection);
-    void begin_waiting(const stream_pointer& stream);
+    void enter(const stream_pointer& stream, stage next);
     bool close_longest_waiting();
     asio::awaitable<void> answer(const request& call, response_writer& writer);
     asio::awaitable<void> refuse_and_close(beast::tcp_stream& stream, error_kind kind, std::string_view why);
@@ -110,13 +127,9 @@
     std::atomic<std::uint64_t> last_connection = 0;
     std::atomic<std::size_t> in_progress = 0;
 
-    std::mutex idle_mutex;
-    /// Connections that wait for a request; drain() closes them. Guarded by `idle_mutex`.
-    std::set<stream_pointer> idle;
-    /// When each connection without a complete request began to wait for it. Guarded by `idle_mutex`.
-    std::map<stream_pointer, std::chrono::steady_clock::time_point> waiting;
-    /// All connections; close_all() closes them. Guarded by `idle_mutex`.
-    std::set<stream_pointer> open;
+    std::mutex open_mutex;
+    /// All connections. Guarded by `open_mutex`.
+    std::map<stream_pointer, connection_progress> open;
 };
 
 asio::awaitable<void> server::state::accept() {
@@ -146,8 +159,8 @@
     ++connections;
     const auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
     {
-        const std::scoped_lock lock(idle_mutex);
-        open.insert(stream);
+        const std::scoped_lock lock(open_mutex);
+        open.emplace(stream, connection_progress{});
     }
     try {
         boost::system::error_code ignored;
@@ -164,28 +177,32 @@
         // The caller has disconnected during a request. The handler that worked on the request has already
         // got the exception from response_writer.
     }
-    const std::scoped_lock lock(idle_mutex);
+    const std::scoped_lock lock(open_mutex);
     open.erase(stream);
-    waiting.erase(stream);
     --connections;
 }
 
-/// Call with `idle_mutex` locked.
-void server::state::begin_waiting(const stream_pointer& stream) {
-    waiting.insert_or_assign(stream, std::chrono::steady_clock::now());
+/// Records the stage of an open connection. `open_mutex` has to be locked.
+void server::state::enter(const stream_pointer& stream, stage next) {
+    auto& progress = open.at(stream);
+    if (!progress.is_waiting()) {
+        progress.since = std::chrono::steady_clock::now();
+    }
+    progress.now = next;
 }
 
 /// Makes room for a connection; returns whether there is one to be closed.
 bool server::state::close_longest_waiting() {
-    const std::scoped_lock lock(idle_mutex);
-    const auto longest = std::ranges::min_element(
-        waiting, {}, &std::pair<const stream_pointer, std::chrono::steady_clock::time_point>::second);
+    const std::scoped_lock lock(open_mutex);
+    auto waiting = open | std::views::filter([](const auto& entry) { return entry.second.is_waiting(); });
+    const auto longest =
+        std::ranges::min_element(waiting, {}, [](const auto& entry) { return entry.second.since; });
     if (longest == waiting.end()) {
         return false;
     }
-    const auto stream = longest->first;
-    waiting.erase(longest);
-    asio::post(stream->get_executor(), [stream] { stream->close(); });
+    auto& [stream, progress] = *longest;
+    progress.now = stage::closing;
+    asio::post(stream->get_executor(), [closed = stream] { closed->close(); });
     return true;
 }
 
@@ -193,15 +210,15 @@
     const auto& stream = connection.stream;
     auto& buffer = connection.buffer;
     {
-        const std::scoped_lock lock(idle_mutex);
-        begin_waiting(stream);
+        const std::scoped_lock lock(open_mutex);
         if (buffer.size() > 0) {
+            enter(stream, stage::arriving);
             co_return true;
         }
         if (draining.load()) {
             co_return false;
         }
-        idle.insert(stream);
+        enter(stream, stage::idle);
     }
     buffer.shrink_to_fit();
     beast::error_code error;
@@ -209,8 +226,8 @@
     const auto count = co_await stream->async_read_some(buffer.prepare(first_read_size),
                                                         asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
-    const std::scoped_lock lock(idle_mutex);
-    idle.erase(stream);
+    const std::scoped_lock lock(open_mutex);
+    enter(stream, stage::arriving);
     co_return !error;
 }
 
@@ -275,8 +292,8 @@
     reading->is_over = true;
     timer.cancel();
     {
-        const std::scoped_lock lock(idle_mutex);
-        waiting.erase(connection.stream);
+        const std::scoped_lock lock(open_mutex);
+        enter(connection.stream, stage::answering);
     }
     if (error) {
         const auto kind = reading->ended_by.has_value() ? reading->ended_by : error_kind_for(error);
@@ -357,9 +374,11 @@
         boost::system::error_code ignored;
         self->acceptor.close(ignored);
     });
-    const std::scoped_lock lock(idle_mutex);
-    for (const auto& stream : idle) {
-        asio::post(stream->get_executor(), [stream] { stream->cancel(); });
+    const std::scoped_lock lock(open_mutex);
+    for (const auto& [stream, progress] : open) {
+        if (progress.now == stage::idle) {
+            asio::post(stream->get_executor(), [idle = stream] { idle->cancel(); });
+        }
     }
 }
 
@@ -370,9 +389,9 @@
         self->acceptor.close(ignored);
     });
     drain();
-    const std::scoped_lock lock(idle_mutex);
-    for (const auto& stream : open) {
-        asio::post(stream->get_executor(), [stream] { stream->close(); });
+    const std::scoped_lock lock(open_mutex);
+    for (const auto& [stream, progress] : open) {
+        asio::post(stream->get_executor(), [closed = stream] { closed->close(); });
     }
 }
 
