The stated limit or the machine's is chosen in one place

A gateway and an entry each chose between the memory that their settings state and the machine's, a gateway the same for descriptors, and both had the largest value of memory_limit; the two addresses without a body built their limits in the same three lines. Now process/machine_limits chooses, and one function builds the limits.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -21,7 +21,6 @@
 constexpr std::int64_t max_connections = 1'000'000;
 constexpr std::size_t hash_digits = 64;
 
-constexpr std::uint64_t most_memory = 64ULL << 30U;
 /// The part of the memory that requests of callers, and those of operators, may take together.
 constexpr std::uint64_t parts_of_memory_for_callers = 4;
 constexpr std::uint64_t parts_of_memory_for_operators = 8;
@@ -36,8 +35,8 @@
 
 /// Sets what depends on the memory and the descriptors of the machine.
 void bound_by_machine(settings::section_reader& reader, entry_settings& result) {
-    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, most_memory);
-    const auto memory = result.memory_limit > 0 ? result.memory_limit : process::machine_memory();
+    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, process::max_memory_limit);
+    const auto memory = process::memory_limit(result.memory_limit);
     result.callers.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_callers);
     result.operators.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_operators);
     const auto connections = process::descriptor_limit() / parts_of_descriptors;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -16,7 +16,6 @@
 constexpr milliseconds shortest{1};
 constexpr milliseconds longest{3'600'000};
 constexpr double most_units = 1e12;
-constexpr std::uint64_t most_memory = 64ULL << 30U;
 /// The part of this process's memory that may be held for callers that don't read at once: what is left
 /// beside the connections themselves, the tables of servers and the messages of other gateways.
 constexpr std::uint64_t parts_of_memory_for_callers = 4;
@@ -28,9 +27,13 @@
 constexpr std::size_t percent_for_checks = 3;
 
 std::size_t part_of_descriptors(const gateway_settings& settings, std::size_t percent) noexcept {
-    const auto limit =
-        settings.descriptor_limit > 0 ? settings.descriptor_limit : process::descriptor_limit();
-    return std::max<std::size_t>(1, limit * percent / 100);
+    return std::max<std::size_t>(1, process::descriptor_limit(settings.descriptor_limit) * percent / 100);
+}
+
+http::server_limits limits_without_body(const gateway_settings& settings, std::size_t percent) noexcept {
+    auto limits = http::server_limits::without_body();
+    limits.connections = part_of_descriptors(settings, percent);
+    return limits;
 }
 
 void read_seeds(settings::section_reader& reader, gateway_settings& result) {
@@ -73,7 +76,7 @@
 constexpr std::array<std::string_view, 2> reserve_kinds{"fixed", "demand"};
 
 void read_caller_bounds(settings::section_reader& reader, gateway_settings& result) {
-    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, most_memory);
+    result.memory_limit = reader.size("memory_limit", result.memory_limit, 0, process::max_memory_limit);
     result.descriptor_limit = static_cast<std::size_t>(reader.number(
         "descriptor_limit", static_cast<std::int64_t>(result.descriptor_limit), 0, most_descriptors));
     result.slow_caller_limit =
@@ -103,8 +106,8 @@
 } // namespace
 
 policy::unread_limits gateway_settings::unread_limits() const noexcept {
-    const auto known = memory_limit > 0 ? memory_limit : process::machine_memory();
-    const auto arriving = static_cast<std::size_t>(known / parts_of_memory_for_callers);
+    const auto arriving =
+        static_cast<std::size_t>(process::memory_limit(memory_limit) / parts_of_memory_for_callers);
     return {memory_limit > 0 ? arriving : 0, arriving, slow_caller_limit, unread_limit};
 }
 
@@ -113,15 +116,11 @@
 }
 
 http::server_limits gateway_settings::check_limits() const noexcept {
-    auto limits = http::server_limits::without_body();
-    limits.connections = part_of_descriptors(*this, percent_for_checks);
-    return limits;
+    return limits_without_body(*this, percent_for_checks);
 }
 
 http::server_limits gateway_settings::peer_limits() const noexcept {
-    auto limits = http::server_limits::without_body();
-    limits.connections = part_of_descriptors(*this, percent_for_peers);
-    return limits;
+    return limits_without_body(*this, percent_for_peers);
 }
 
 gateway_settings read_gateway_settings(const settings::ini_document& document,
