A crowd's script, a read size and a rule stand once; comments say what is there

unfinished_bodies() was in both files of tests with the same text; the usual size of a read was a constant of the session and of the connection. The comment on announced_frame() said that nothing of the frame is sent, while a kilobyte is; the order in which incomplete requests are ended is told in plain words at unread_memory, and request_memory names it as its twin and how it differs: it serves several threads, and complete requests have no part of their own, so merging the two would change which requests are ended. Crowds, bounds and assertions as before.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -31,8 +31,6 @@
 constexpr std::size_t max_small_request = 4096;
 /// What a request takes while it is answered, besides its bytes.
 constexpr std::size_t request_overhead = 8U * 1024;
-/// How many bytes are read at a time, except those of a body.
-constexpr std::size_t usual_read_size = 4096;
 /// Retry-After of requests for whose bodies there is no memory. Slow callers are cut within about this time.
 constexpr milliseconds no_memory_retry_after{1000};
 /// Why the connection of a slow caller is ended, for the log and the metrics.
@@ -298,7 +296,7 @@
 void client_session::begin_exchange() {
     m_reads_request = false;
     m_head_bytes = m_reader.head_bytes();
-    m_connection->set_read_size(usual_read_size);
+    m_connection->set_read_size(net::connection::default_read_size);
     auto& message = m_reader.message();
     m_keeps_connection = message.keeps_connection && !m_context.is_stopping();
     m_exchange =
--- a/src/http/arriving_request.cpp
+++ b/src/http/arriving_request.cpp
@@ -1,4 +1,4 @@
-// Implements the reading of an arriving_request.
+// Implements the parsing of requests that arrive piece by piece.
 #include "http/arriving_request.hpp"
 
 #include <utility>
--- a/src/http/arriving_request.hpp
+++ b/src/http/arriving_request.hpp
@@ -1,4 +1,4 @@
-// A request that a server of this folder reads piece by piece with Boost.Beast's parser.
+// Parses a request whose bytes http::server receives piece by piece, with Boost.Beast.
 #pragma once
 
 #include "base/error_kind.hpp"
--- a/src/http/request_memory.cpp
+++ b/src/http/request_memory.cpp
@@ -59,8 +59,7 @@
     }
 }
 
-/// The request that holds most for longest. One that came first has no right to stay: what serves a caller is
-/// complete soon.
+/// The incomplete request with the largest product of bytes and time, as in policy::unread_memory.
 request_memory::account* request_memory::choose(clock::time_point now) const {
     account* chosen = nullptr;
     double worst = -1;
--- a/src/http/request_memory.hpp
+++ b/src/http/request_memory.hpp
@@ -10,7 +10,9 @@
 
 namespace borageford::http {
 
-/// The bytes that are held for the requests of all connections of a server. Safe to use from any thread.
+/// The bytes that are held for all requests of a server, incomplete ones and those that are being answered.
+/// Its functions may be called on any thread. policy::unread_memory has the same rule for a gateway's
+/// callers, besides shares of answers, on one thread; here complete requests have no part of their own.
 class request_memory {
 public:
     using clock = std::chrono::steady_clock;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-/// Initial size of a read in bytes: enough for a typical request head.
-constexpr std::size_t default_read_size = 4096;
 /// Largest number of pieces passed to one gathered write; further pieces are queued.
 constexpr std::size_t max_gathered_pieces = 8;
 
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -40,6 +40,9 @@
         std::function<void()> on_sent;
     };
 
+    /// How many bytes are received at a time unless set_read_size() is called: enough for a typical request
+    /// head.
+    static constexpr std::size_t default_read_size = 4096;
     static constexpr std::size_t max_read_size = 64U * 1024;
 
     /// `place` is kept until the connection is closed.
--- a/src/policy/unread_memory.cpp
+++ b/src/policy/unread_memory.cpp
@@ -86,9 +86,9 @@
     }
 }
 
-/// The connections with a request that isn't complete, in the order in which they are ended. Bytes count for
-/// as long as they have been held: what serves a caller is complete soon, and one that came first has no
-/// right to stay.
+/// The connections with a request that isn't complete, in the order in which they are ended: those with the
+/// largest product of bytes and time first. An ordinary request is complete soon, so its product stays small,
+/// and a caller that came early doesn't keep its place.
 std::vector<unread_memory::candidate> unread_memory::find_arriving(time_point now) const {
     using seconds = std::chrono::duration<double>;
     std::vector<candidate> found;
--- a/tests/hostile/test_entry_hostile_callers.cpp
+++ b/tests/hostile/test_entry_hostile_callers.cpp
@@ -24,14 +24,7 @@
 
 const std::string small_memory = "memory_limit = 64MiB\n";
 
-crowd_script unread_post(const std::string& target) {
-    return {.members = 100,
-            .first = "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n",
-            .piece = std::string(mebibyte, 'b'),
-            .pieces = 3};
-}
-
-/// The length of the largest frame, and nothing of the frame.
+/// Announces a frame of almost the largest size and sends a kilobyte of it.
 crowd_script announced_frame() {
     return {.members = 100, .first = std::string("\x00\x7f\xff\xff", 4) + std::string(1000, 'f')};
 }
@@ -54,17 +47,17 @@
 
 TEST_CASE("hostile: bodies for an entry that never end take no memory", "[hostile]") {
     cluster site(one_entry(small_memory));
-    withstand(site, *site.entry(0).process, site.entry(0).callers, unread_post("/v1/chat/completions"));
+    withstand(site, *site.entry(0).process, site.entry(0).callers, unfinished_bodies("/v1/chat/completions"));
 }
 
 TEST_CASE("hostile: bodies for the administration address take no memory", "[hostile]") {
     cluster site(one_entry(small_memory));
-    withstand(site, *site.entry(0).process, site.entry(0).admin, unread_post("/v1/plans"));
+    withstand(site, *site.entry(0).process, site.entry(0).admin, unfinished_bodies("/v1/plans"));
 }
 
 TEST_CASE("hostile: bodies for the status address of a sidecar take no memory", "[hostile]") {
     cluster site(one_entry());
-    withstand(site, *site.backend(0).sidecar, site.backend(0).status_address, unread_post("/metrics"));
+    withstand(site, *site.backend(0).sidecar, site.backend(0).status_address, unfinished_bodies("/metrics"));
 }
 
 TEST_CASE("hostile: an extension of a chunk without end takes no memory of an entry", "[hostile]") {
--- a/tests/hostile/test_gateway_hostile_callers.cpp
+++ b/tests/hostile/test_gateway_hostile_callers.cpp
@@ -19,7 +19,7 @@
 /// The memory of the machine, as the settings name it.
 constexpr std::size_t memory = 64 * mebibyte;
 const std::string small_memory = "memory_limit = 64MiB\n";
-/// Descriptors that are open when no caller is connected, with room to spare.
+/// More descriptors than a gateway has open while no caller is connected.
 constexpr std::size_t own_descriptors = 200;
 /// How often an ordinary caller tries while the crowd is there.
 constexpr int tries = 10;
@@ -91,13 +91,6 @@
     withstand(site, site.callers(0), script);
 }
 
-crowd_script unread_post(const std::string& target) {
-    return {.members = 100,
-            .first = "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n",
-            .piece = std::string(mebibyte, 'b'),
-            .pieces = 3};
-}
-
 } // namespace
 
 TEST_CASE("hostile: bodies far over the limit that are announced end no gateway", "[hostile]") {
@@ -186,17 +179,17 @@
 
 TEST_CASE("hostile: bodies for the address of the metrics take no memory", "[hostile]") {
     gateway_site site(one_server(small_memory));
-    withstand(site, site.metrics(0), unread_post("/metrics"));
+    withstand(site, site.metrics(0), unfinished_bodies("/metrics"));
 }
 
 TEST_CASE("hostile: bodies for the address of the readiness checks take no memory", "[hostile]") {
     gateway_site site(one_server(small_memory));
-    withstand(site, site.readiness(0), unread_post("/borageford/readyz"));
+    withstand(site, site.readiness(0), unfinished_bodies("/borageford/readyz"));
 }
 
 TEST_CASE("hostile: bodies for the address of other gateways take no memory", "[hostile]") {
     gateway_site site(one_server(small_memory));
-    withstand(site, site.peers(0), unread_post("/backends"));
+    withstand(site, site.peers(0), unfinished_bodies("/backends"));
 }
 
 namespace {
--- a/tests/support/hostile_crowd.cpp
+++ b/tests/support/hostile_crowd.cpp
@@ -163,6 +163,13 @@
     std::jthread thread; ///< uses all members above
 };
 
+crowd_script unfinished_bodies(const std::string& target) {
+    return {.members = 100,
+            .first = "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n",
+            .piece = std::string(1U << 20U, 'b'),
+            .pieces = 3};
+}
+
 hostile_crowd::hostile_crowd(const http::endpoint& server, crowd_script script)
     : m_state(std::make_unique<state>(server, std::move(script))) {
     m_state->thread =
--- a/tests/support/hostile_crowd.hpp
+++ b/tests/support/hostile_crowd.hpp
@@ -20,6 +20,10 @@
     std::size_t reconnections = 0; ///< how often members come back, all together
 };
 
+/// A hundred members that announce bodies inside the limit for this target, send three quarters of them and
+/// no more.
+[[nodiscard]] crowd_script unfinished_bodies(const std::string& target);
+
 /// A crowd in front of one address, played on a thread of its own. It stays connected until the destructor.
 class hostile_crowd {
 public:
