An answer that is reset during the upload isn't whole

What callers saw: a server answered a long upload at once, with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer; a stream got its last chunk.

Cause: the end of such an answer is the end of its connection, and a read doesn't tell an orderly end from a reset. A server that closes its socket while bytes of the upload are on their way sends FIN, and its kernel answers the next byte with a reset. The read reports the end of the bytes at the FIN; once the reset has come, Linux still reports the end and no error (SOCK_DONE), or the write of the upload has used the error up. The gateway took the end for the end of the answer, and closed the connection with the upload unsent.

Change: net::examine_end() asks the kernel. An end is orderly only when the peer has received all that was sent to it; until then the connection goes on writing and looks again after 5 ms, and a connection that has hung up was reset. Connections to servers report their ends only after that. Whoever notices the reset first, the write or the read, the call fails as one that may have run.

Why it isn't more: a sound server that ends its sending side and takes the rest of the upload still reaches its caller; tests say so.

How fast the caller sends plays no part: a gateway passes a request on when it has all of it.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -130,6 +130,7 @@
                           [self = shared_from_this()](net::connection_end how) { self->handle_end(how); },
                           {}});
     const std::array<std::string_view, 2> pieces{m_request.head, m_request.body};
+    stream->confirm_end();
     stream->send(pieces);
     stream->read();
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,9 +2,10 @@
 // nearly always accepts all bytes at once.
 #include "net/connection.hpp"
 
+#include "net/peer_end.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <array>
@@ -100,13 +101,34 @@
     if (count > 0) {
         call(&handlers::on_input);
     }
-    if (error) {
-        report_end(error == asio::error::eof ? connection_end::closed_by_peer : connection_end::failed);
+    if (error == asio::error::eof) {
+        examine_end();
+    } else if (error) {
+        report_end(connection_end::failed);
     } else if (m_is_reading_enabled) {
         read();
     }
 }
 
+/// Reports the peer's end, later if it isn't certain yet.
+void connection::examine_end() {
+    if (m_is_end_reported || !m_socket.is_open()) {
+        return;
+    }
+    const auto end = m_confirms_end ? net::examine_end(m_socket) : peer_end::orderly;
+    const bool is_undecided = end == peer_end::undecided || (m_confirms_end && !m_output.is_empty());
+    if (end == peer_end::reset || !is_undecided) {
+        report_end(end == peer_end::reset ? connection_end::failed : connection_end::closed_by_peer);
+        return;
+    }
+    m_end_timer.emplace(m_socket.get_executor(), peer_end_period);
+    m_end_timer->async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error) {
+            self->examine_end();
+        }
+    });
+}
+
 void connection::discard(const boost::system::error_code& error, std::size_t count) {
     if (error || count >= m_left_to_discard) {
         close();
@@ -229,6 +251,7 @@
 void connection::close() noexcept {
     boost::system::error_code ignored;
     m_socket.close(ignored);
+    m_end_timer.reset();
     m_handlers.reset();
     m_place.reset();
 }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -7,6 +7,7 @@
 #include "net/tcp_options.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <chrono>
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -58,6 +60,10 @@
 
     /// Starts or resumes reading.
     void read();
+    /// From now on, the peer's end is reported as connection_end::closed_by_peer only once the peer has
+    /// received all that was sent to it, and as connection_end::failed if the connection is reset before
+    /// that.
+    void confirm_end() noexcept { m_confirms_end = true; }
     /// Stops reading. A read that is in progress may still call on_input once.
     void pause_reading() noexcept { m_is_reading_enabled = false; }
 
@@ -113,6 +119,7 @@
     std::size_t read_more(boost::system::error_code& error);
     void discard(const boost::system::error_code& error, std::size_t count);
     void report_end(connection_end how);
+    void examine_end();
     void write_queued();
     void handle_written(const boost::system::error_code& error, std::size_t count);
     void shut_down_when_sent();
@@ -134,6 +141,9 @@
     bool m_is_reading_enabled = false;
     bool m_is_reading = false;
     bool m_is_writing = false;
+    bool m_confirms_end = false;
+    /// Fires when an end that the peer may still follow up with a reset is to be examined again.
+    std::optional<boost::asio::steady_timer> m_end_timer;
     bool m_is_end_reported = false;
     bool m_is_shutting_down =
         false; ///< close_gracefully() was called: input is discarded until the peer closes
--- /dev/null
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -0,0 +1,89 @@
+// Tests that an answer which a server breaks off, or which is none, never reaches a caller as a whole answer.
+#include "support/gateway_site.hpp"
+#include "support/scripted_server_thread.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace borageford;
+using namespace borageford::test;
+using namespace std::string_literals;
+
+namespace {
+
+constexpr int small_buffer = 16 * 1024;
+/// More than the kernel's buffers take on a connection whose receive buffer is small.
+constexpr std::size_t long_upload = 3'900'000;
+
+/// A gateway with one server, whose answers the test writes.
+class scripted_site {
+public:
+    scripted_site(const routing::routing_document& configuration, const std::string& service) {
+        m_server.with_server([](scripted_server& server) { server.set_receive_buffer(small_buffer); });
+        m_site = std::make_unique<gateway_site>(site_options{.configuration = configuration, .backends = {}});
+        m_site->register_address("server", service, m_server.address());
+        m_site->wait_until_ready(0);
+    }
+
+    [[nodiscard]] scripted_server_thread& server() noexcept { return m_server; }
+    [[nodiscard]] gateway_site& site() noexcept { return *m_site; }
+    [[nodiscard]] caller_result send(const http::request& call) const { return m_site->send(0, call); }
+
+private:
+    scripted_server_thread m_server;
+    std::unique_ptr<gateway_site> m_site;
+};
+
+/// The begin of the head of an answer to this request.
+std::string success_of(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: server." + id + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("gateway: the part of an answer that is broken off during the upload isn't passed on as a whole",
+          "[gateway][broken]") {
+    // The server answers a long upload at once, without a length, and closes while the upload goes on.
+    using enum scripted_end;
+    const auto end = GENERATE(close, reset, shut_down_and_reset);
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    for (int number = 0; number < 5; ++number) {
+        const auto id = "upload-" + std::to_string(number);
+        site.server().add(
+            {.bytes = success_of(id) + "\r\n" + std::string(2000, 'p'), .end = end, .read_before = 100'000});
+        CHECK(site.send(make_call("/plain/x", id, std::string(long_upload, 'u'))).status == 502);
+    }
+}
+
+TEST_CASE("gateway: a stream that is broken off during the upload doesn't end as complete",
+          "[gateway][broken]") {
+    // The caller has the first event when the server closes while the upload goes on.
+    scripted_site site(stream_configuration(false), "engines");
+    for (int number = 0; number < 5; ++number) {
+        const auto id = "upload-" + std::to_string(number);
+        site.server().add(
+            {.bytes = success_of(id) + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+             .end = scripted_end::shut_down_and_reset,
+             .holds_end = true,
+             .read_before = 100'000});
+        pending_call call(site.site().callers(0), make_call("/stream/x", id, std::string(long_upload, 'u')));
+        call.wait_for_bytes(10);
+        site.server().with_server([](scripted_server& server) { server.release_ends(); });
+        const auto answer = call.wait();
+        CHECK(answer.status == 200);
+        CHECK_FALSE(answer.is_complete);
+    }
+}
+
+TEST_CASE("gateway: an answer without a length reaches its caller although the upload still goes on",
+          "[gateway][broken]") {
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    site.server().add({.bytes = success_of("upload") + "\r\nwhole",
+                       .end = scripted_end::shut_down,
+                       .read_before = 100'000});
+    const auto answer = site.send(make_call("/plain/x", "upload", std::string(long_upload, 'u')));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "whole");
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -318,12 +318,28 @@
     record.failure_domain = "a";
     record.slots = unit.server->options().slots;
     record.state = state == "ready" ? routing::backend_state::ready : routing::backend_state::draining;
+    write_record(record);
+}
+
+void gateway_site::write_record(const routing::backend_record& record) {
     store::transaction change;
     change.puts.push_back(
         {std::string(platform::backend_table) + "/" + record.id, platform::encode_backend(record)});
     static_cast<void>(m_store->rows().transact(change));
 }
 
+void gateway_site::register_address(const std::string& id, const std::string& service,
+                                    const http::endpoint& address) {
+    routing::backend_record record;
+    record.id = id;
+    record.service = service;
+    record.address = address;
+    record.failure_domain = "a";
+    record.slots = plain_backend(id).slots;
+    record.state = routing::backend_state::ready;
+    on_emulator([&] { write_record(record); });
+}
+
 void gateway_site::register_software(std::size_t index, const std::string& software) {
     on_emulator([&] { m_backends.at(index).software = software; });
     register_backend(index, "ready");
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -4,6 +4,7 @@
 
 #include "emulator/emulated_backend.hpp"
 #include "emulator/emulated_store.hpp"
+#include "routing/backend_record.hpp"
 #include "routing/rollout_order.hpp"
 #include "routing/routing_types.hpp"
 #include "support/child_process.hpp"
@@ -107,6 +108,8 @@
     /// Writes or deletes a server's row in the table of servers. Every `state` but "ready" means draining.
     void register_backend(std::size_t index, const std::string& state);
     void unregister_backend(std::size_t index);
+    /// Registers a server of this service that the test runs itself.
+    void register_address(const std::string& id, const std::string& service, const http::endpoint& address);
     /// Registers a server as ready, with another software version than it has reported so far.
     void register_software(std::size_t index, const std::string& software);
     /// Stops the server without deleting its registration.
@@ -134,6 +137,9 @@
         return result.get();
     }
 
+    /// The event loop of the emulated store and servers. Its objects may only be used inside of
+    /// on_emulator().
+    [[nodiscard]] boost::asio::io_context& emulator_context() noexcept { return m_context; }
     /// May only be used inside of on_emulator().
     [[nodiscard]] emulator::emulated_store& store() { return *m_store; }
     [[nodiscard]] emulator::emulated_backend& backend(std::size_t index) {
@@ -178,6 +184,7 @@
     void listen_backend(std::size_t index, const emulator::backend_options& options,
                         const http::endpoint& address);
     void write_registration(std::size_t index, const std::string& state);
+    void write_record(const routing::backend_record& record);
     void remove_registration(const std::string& id);
     void after(std::chrono::milliseconds delay, std::function<void()> call);
     [[nodiscard]] std::string settings_text(std::size_t index, const std::string& further) const;
--- a/tests/unit/test_backend_call.cpp
+++ b/tests/unit/test_backend_call.cpp
@@ -6,16 +6,20 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 using namespace borageford;
+using namespace std::string_literals;
 using gateway::backend_call;
 using gateway::call_failure;
 using test::scripted_answer;
+using test::scripted_end;
 using test::scripted_server;
 
 namespace {
@@ -54,9 +58,11 @@
     [[nodiscard]] boost::asio::io_context& context() noexcept { return m_context; }
 
     /// Ends when the call is over, or when the server has sent far more than any answer may need.
-    outcome call(const std::string& id) {
+    outcome call(const std::string& id, std::string_view body = {}) {
         gateway::backend_request request;
-        request.head = "GET /x HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n";
+        request.head = "POST /x HTTP/1.1\r\nRequest-Id: " + id +
+                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        request.body = body;
         request.request_id = id;
         request.request_id_name = "Request-Id";
         outcome result;
@@ -65,7 +71,10 @@
         running = std::make_shared<backend_call>(
             m_context.get_executor(), m_backend, std::move(request),
             backend_call::handlers{[&] { result.status = running->response().status(); },
-                                   [&](std::string_view bytes) { result.body.append(bytes); },
+                                   [&](std::string_view bytes) {
+                                       result.body.append(bytes);
+                                       m_server.release_ends();
+                                   },
                                    [&] { is_over = true; },
                                    [&](call_failure what, std::string_view) {
                                        result = {0, std::move(result.body), what};
@@ -197,3 +206,41 @@
     CHECK(result.status == 200);
     CHECK(result.body.size() == long_body);
 }
+
+TEST_CASE("a part of an answer without a length isn't taken for the whole when the upload is broken off",
+          "[gateway][backend_call]") {
+    // The server answers at once, sends a part of the body and resets the connection during the upload.
+    constexpr std::size_t more_than_buffers_take = 40'000'000;
+    const auto end = GENERATE(scripted_end::reset, scripted_end::close, scripted_end::shut_down_and_reset);
+    const bool is_part_read_first = GENERATE(false, true);
+    // If the server's kernel has taken the whole upload, only a reset tells that the server hasn't.
+    const std::size_t upload =
+        end == scripted_end::reset ? GENERATE(1'000, 300'000, 40'000'000) : more_than_buffers_take;
+    const std::size_t read_before = GENERATE(0, 100'000);
+    CAPTURE(end, is_part_read_first, upload, read_before);
+    const std::string body(upload, 'u');
+    const auto head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n"s;
+    for (const std::size_t first_read : {10, 1024, 4096, 30'000}) {
+        const std::string part(std::max(first_read, head.size() + 1) - head.size(), 'p');
+        called_server called;
+        called.server().add({.bytes = head + part,
+                             .end = end,
+                             .holds_end = is_part_read_first,
+                             .read_before = std::min(read_before, upload - 1)});
+        CHECK(called.call("a", body).failure == call_failure::unknown);
+    }
+}
+
+TEST_CASE("an answer without a length is whole when its server still takes the rest of the upload",
+          "[gateway][backend_call]") {
+    const std::size_t upload = GENERATE(0, 1'000, 300'000, 40'000'000);
+    const std::string body(upload, 'u');
+    called_server called;
+    called.server().add({.bytes = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nwhole",
+                         .end = scripted_end::shut_down,
+                         .read_before = 0});
+    const auto result = called.call("a", body);
+    CHECK(result.status == 200);
+    CHECK(result.body == "whole");
+    test::run_until(called.context(), [&] { return called.server().body_bytes() == upload; });
+}
