The HTTP client parses responses with response_reader

Sidecars, calls between gateways, calls to the store and the commands had a parser of their own, set up beside that of the gateway's calls to servers: what one of them refuses the other could let through. Both use Boost.Beast's grammar, but each had its own limits and its own handling of the end. response_reader is now the one place in which answers are read; Beast still writes the requests and keeps the timeouts.

No change of behaviour is meant.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
-// Implements the HTTP client with Boost.Beast.
+// Implements the HTTP client: Boost.Beast writes the request, response_reader parses the response.
 #include "http/client.hpp"
 
+#include "http/response_reader.hpp"
 #include "net/tcp_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -19,13 +20,8 @@
 
 namespace {
 
-/// Largest number of body bytes returned by one call of read_some().
-constexpr std::size_t piece_size = 16U * 1024;
-/// Largest accepted response head in bytes.
-constexpr std::uint32_t head_limit = 64U * 1024;
-/// Bytes that are held until they can be parsed. The parser bounds the head only, not the lines between and
-/// after the chunks of a body.
-constexpr std::size_t buffer_limit = std::size_t(2) * head_limit;
+/// How many bytes are received at a time.
+constexpr std::size_t read_size = 16U * 1024;
 
 beast::http::request<beast::http::string_body> to_library(const endpoint& server, const request& call) {
     beast::http::request<beast::http::string_body> out;
@@ -55,14 +51,15 @@
 
 struct client_exchange::state {
     state(const asio::any_io_executor& executor, exchange_limits initial_limits)
-        : stream(executor), limits(initial_limits) {
-        parser.body_limit(boost::none);
-        parser.header_limit(head_limit);
+        : stream(executor), limits(initial_limits) {}
+
+    [[noreturn]] void fail(exchange_stage stage, bool has_timed_out, const std::string& reason) {
+        cancel();
+        throw exchange_error(stage, has_timed_out, reason);
     }
 
     [[noreturn]] void fail(exchange_stage stage, const beast::error_code& error) {
-        cancel();
-        throw exchange_error(stage, error == beast::error::timeout, error.message());
+        fail(stage, error == beast::error::timeout, error.message());
     }
 
     void cancel() noexcept {
@@ -71,10 +68,35 @@
         stream.socket().close(ignored);
     }
 
+    /// Receives bytes, or the end of the connection, and parses them.
+    asio::awaitable<void> read_more(exchange_stage stage) {
+        beast::error_code error;
+        const auto count = co_await stream.async_read_some(input.prepare(read_size),
+                                                           asio::redirect_error(asio::use_awaitable, error));
+        input.commit(count);
+        if (error && error != asio::error::eof) {
+            fail(stage, error);
+        }
+        parse(stage, error == asio::error::eof);
+    }
+
+    void parse(exchange_stage stage, bool has_ended) {
+        try {
+            const auto bytes = input.cdata();
+            input.consume(reader.read({static_cast<const char*>(bytes.data()), bytes.size()}, body));
+            if (has_ended && !reader.is_complete()) {
+                reader.read_end();
+            }
+        } catch (const response_error& error) {
+            fail(stage, false, error.what());
+        }
+    }
+
     beast::tcp_stream stream;
     exchange_limits limits;
-    beast::flat_buffer buffer{buffer_limit};
-    beast::http::response_parser<beast::http::buffer_body> parser;
+    response_reader reader{response_reader::body_rule::expected};
+    beast::flat_buffer input; ///< bytes that were received and not parsed yet
+    std::string body;         ///< the part of the body that read_some() hasn't returned yet
     std::size_t body_bytes = 0;
     std::chrono::steady_clock::time_point body_end; ///< when the body must be complete
     bool is_cancelled = false;                      ///< connecting would open the closed socket again
@@ -106,50 +128,38 @@
     if (error) {
         m_state->fail(exchange_stage::sending, error);
     }
-    co_await beast::http::async_read_header(stream, m_state->buffer, m_state->parser, token);
-    if (error) {
-        m_state->fail(exchange_stage::waiting, error);
+    if (call.method == "HEAD") {
+        m_state->reader = response_reader(response_reader::body_rule::none);
+    }
+    while (!m_state->reader.has_head()) {
+        co_await m_state->read_more(exchange_stage::waiting);
     }
 
     m_state->body_end = std::chrono::steady_clock::now() + m_state->limits.body;
+    const auto& fields = m_state->reader.fields();
     response_head head;
-    head.status = m_state->parser.get().result_int();
-    for (const auto& field : m_state->parser.get()) {
-        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    head.status = m_state->reader.status();
+    for (std::size_t index = 0; index < fields.size(); ++index) {
+        const auto [name, value] = fields.at(index);
+        head.headers.push_back({std::string(name), std::string(value)});
     }
     co_return head;
 }
 
 asio::awaitable<std::string> client_exchange::read_some() {
-    auto& parser = m_state->parser;
-    while (!parser.is_done()) {
-        std::string piece(piece_size, '\0');
-        parser.get().body().data = piece.data();
-        parser.get().body().size = piece.size();
+    while (m_state->body.empty() && !m_state->reader.is_complete()) {
         const auto now = std::chrono::steady_clock::now();
         if (now >= m_state->body_end) {
             m_state->fail(exchange_stage::reading, beast::error::timeout);
         }
         m_state->stream.expires_at(std::min(now + m_state->limits.idle, m_state->body_end));
-        beast::error_code error;
-        co_await beast::http::async_read_some(m_state->stream, m_state->buffer, parser,
-                                              asio::redirect_error(asio::use_awaitable, error));
-        if (error == beast::http::error::need_buffer) {
-            error = {};
-        }
-        if (error) {
-            m_state->fail(exchange_stage::reading, error);
-        }
-        piece.resize(piece.size() - parser.get().body().size);
-        m_state->body_bytes += piece.size();
-        if (m_state->body_bytes > m_state->limits.body_limit) {
-            m_state->fail(exchange_stage::reading, beast::http::error::body_limit);
-        }
-        if (!piece.empty()) {
-            co_return piece;
-        }
+        co_await m_state->read_more(exchange_stage::reading);
+    }
+    m_state->body_bytes += m_state->body.size();
+    if (m_state->body_bytes > m_state->limits.body_limit) {
+        m_state->fail(exchange_stage::reading, beast::http::error::body_limit);
     }
-    co_return std::string();
+    co_return std::exchange(m_state->body, {});
 }
 
 void client_exchange::cancel() noexcept {
