The HTTP client takes no answer that is reset during the upload for whole

The request is written before the answer is read, but the kernel takes a megabyte at once, so the end of the answer can be read while most of the request is still on its way.

Change: the client asks net::examine_end(), as connections do, until the end is certain, the time of the exchange is over or it is cancelled.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,9 +2,11 @@
 #include "http/client.hpp"
 
 #include "http/response_reader.hpp"
+#include "net/peer_end.hpp"
 #include "net/tcp_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -74,10 +76,31 @@
         const auto count = co_await stream.async_read_some(input.prepare(read_size),
                                                            asio::redirect_error(asio::use_awaitable, error));
         input.commit(count);
-        if (error && error != asio::error::eof) {
+        const bool has_ended = error == asio::error::eof;
+        if (error && !has_ended) {
             fail(stage, error);
         }
-        parse(stage, error == asio::error::eof);
+        if (has_ended && reader.has_head()) {
+            co_await confirm_end();
+        }
+        parse(stage, has_ended);
+    }
+
+    /// Returns once it is certain that the server has ended its sending side in order.
+    asio::awaitable<void> confirm_end() {
+        const auto latest = std::min(std::chrono::steady_clock::now() + limits.idle, body_end);
+        asio::steady_timer timer(stream.get_executor());
+        for (auto end = net::examine_end(stream.socket()); end != net::peer_end::orderly;
+             end = net::examine_end(stream.socket())) {
+            if (end == net::peer_end::reset) {
+                fail(exchange_stage::reading, asio::error::connection_reset);
+            }
+            if (std::chrono::steady_clock::now() >= latest) {
+                fail(exchange_stage::reading, beast::error::timeout);
+            }
+            timer.expires_after(net::peer_end_period);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
     }
 
     void parse(exchange_stage stage, bool has_ended) {
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -15,12 +15,16 @@
 #include <vector>
 
 using namespace borageford;
+using test::scripted_end;
 using test::scripted_server;
 
 namespace {
 
 /// What a server sends at most before a test is given up.
 constexpr std::size_t far_too_many = std::size_t(1) << 30U;
+constexpr int small_buffer = 16 * 1024;
+/// The kernel takes it at once, and the server's small buffer doesn't.
+constexpr std::size_t upload_size = 1'000'000;
 
 /// What became of an exchange.
 struct outcome {
@@ -29,9 +33,8 @@
 };
 
 outcome fetch(boost::asio::io_context& context, const scripted_server& server,
-              const http::exchange_limits& limits = {}) {
+              const http::exchange_limits& limits = {}, const http::request& call = {}) {
     const auto address = server.address();
-    const http::request call;
     outcome result;
     bool is_over = false;
     const auto handle_end = [&](const std::exception_ptr& thrown, const http::response& answer) {
@@ -97,3 +100,28 @@
     CHECK(fetch(context, server, limits).failed_at == http::exchange_stage::reading);
     test::run_until(context, [&] { return server.open_connections() == 0; });
 }
+
+TEST_CASE("the part of a body without a length isn't taken for the whole when the upload is broken off",
+          "[http][client]") {
+    // The kernel has taken the whole upload when the server, which has answered at once, resets it.
+    const auto end = GENERATE(scripted_end::reset, scripted_end::shut_down_and_reset);
+    boost::asio::io_context context;
+    scripted_server server(context);
+    server.set_receive_buffer(small_buffer);
+    server.add({.bytes = "HTTP/1.1 200 OK\r\n\r\npart", .end = end, .read_before = 0});
+    const http::request call{"POST", "/", {}, std::string(upload_size, 'u')};
+    CHECK(fetch(context, server, {}, call).failed_at.has_value());
+}
+
+TEST_CASE("a body without a length is whole when its server still takes the rest of the upload",
+          "[http][client]") {
+    boost::asio::io_context context;
+    scripted_server server(context);
+    server.set_receive_buffer(small_buffer);
+    server.add({.bytes = "HTTP/1.1 200 OK\r\n\r\nwhole", .end = scripted_end::shut_down, .read_before = 0});
+    const http::request call{"POST", "/", {}, std::string(upload_size, 'u')};
+    const auto result = fetch(context, server, {}, call);
+    CHECK_FALSE(result.failed_at.has_value());
+    CHECK(result.body == "whole");
+    test::run_until(context, [&] { return server.body_bytes() == upload_size; });
+}
