A response with a status outside 100 to 599 is none

What callers saw: a server in trouble sent answers with the status 000. At an entry, the caller of 099 or 600 got that status as its answer; of 000, the call ended as 409 "already ran". At a gateway the caller of 600 got it; 000 and 099 were taken for interim answers, so the request waited for its deadline (504), or got as its answer what the server sent next on the connection (200).

Cause: Boost.Beast's parser takes any three digits for a status. All readers relied on it.

Change: response_reader refuses the status line, as RFC 9110 (section 15) allows 100 to 599 only. The attempt ends as one that may have run: 502, or another server if the request may run again.

--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -16,6 +16,10 @@
 /// exhausting the memory.
 constexpr std::uint32_t head_limit = 64U * 1024;
 
+/// RFC 9110, section 15: any other number is no status.
+constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;
+
 /// The parser waits for the end of a line or of a group of fields, however far away that is. It bounds the
 /// head only, not the lines between and after the chunks of a body.
 void check_length(std::size_t incomplete) {
@@ -36,8 +40,12 @@
     using error_code = beast::error_code;
 
     void on_request_impl(beast::http::verb, string_view, string_view, int, error_code&) override {}
-    void on_response_impl(int code, string_view reason, int, error_code&) override {
+    void on_response_impl(int code, string_view reason, int, error_code& error) override {
         status_code = static_cast<unsigned>(code);
+        if (status_code < first_status || status_code > last_status) {
+            error = beast::http::error::bad_status;
+            return;
+        }
         reason_text.assign(reason.data(), reason.size());
     }
     void on_field_impl(beast::http::field, string_view name, string_view value, error_code&) override {
--- a/tests/failure/test_gateway_broken_answers.cpp
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -87,3 +87,35 @@
     CHECK(answer.status == 200);
     CHECK(answer.body == "whole");
 }
+
+TEST_CASE("gateway: bytes that are no answer end the attempt, and its outcome is unknown",
+          "[gateway][broken]") {
+    const auto fields = "Request-Id: a\r\nResponse-Signature: server.a\r\n"s;
+    const auto whole = "Content-Length: 2\r\n\r\nok"s;
+    const auto success = "HTTP/1.1 200 OK\r\n"s + fields;
+    const auto answer = GENERATE_COPY(values<std::string>({
+        "HTTP/1.1 000 None\r\n" + fields + whole,
+        "HTTP/1.1 099 None\r\n" + fields + whole,
+        "HTTP/1.1 600 None\r\n" + fields + whole,
+        "HTTP/1.1 000 None\r\n" + fields + whole + success + whole,
+        success + "X Y: 1\r\n" + whole,
+        success + "X\x01Y: 1\r\n" + whole,
+        success + "Content-Length : 2\r\n\r\nok",
+        success + "X: a\x02" + "b\r\n" + whole,
+    }));
+    CAPTURE(answer);
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    site.server().add({.bytes = answer});
+    CHECK(site.send(make_call("/plain/x", "a")).status == 502);
+}
+
+TEST_CASE("gateway: an answer that ends in its head reaches nobody", "[gateway][broken]") {
+    const auto end = GENERATE(scripted_end::close, scripted_end::reset, scripted_end::shut_down);
+    const auto head = success_of("a") + "Content-Length: 2\r\n\r\n";
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    for (const std::size_t size : {1UL, 12UL, 17UL, 30UL, head.size() - 3, head.size() - 1}) {
+        CAPTURE(size);
+        site.server().add({.bytes = head.substr(0, size), .end = end});
+        CHECK(site.send(make_call("/plain/x", "a")).status == 502);
+    }
+}
--- /dev/null
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -0,0 +1,70 @@
+// Tests that bytes which are no answer never reach a caller of an entry as one, and that the part of an
+// answer which its service breaks off doesn't, either.
+#include "support/cluster.hpp"
+#include "support/completion.hpp"
+#include "support/scripted_server_thread.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace borageford;
+using namespace borageford::test;
+using namespace std::string_literals;
+
+namespace {
+
+/// A cluster with one service, whose answers the test writes.
+class scripted_cluster {
+public:
+    scripted_cluster() : m_system({.backend_servers = {{.name = "estante-1", .is_service = true}}}) {
+        m_server.with_server([](scripted_server& server) {
+            server.answer_always("GET /health ", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        m_system.backend(0).server_link->set_target(m_server.address());
+    }
+
+    /// Sends a call that the service answers so.
+    caller_result send(const std::string& name, scripted_answer answer) {
+        m_server.add(std::move(answer));
+        return m_system.send(0, make_service_call(name, name));
+    }
+
+private:
+    scripted_server_thread m_server;
+    cluster m_system;
+};
+
+} // namespace
+
+TEST_CASE("sidecar: bytes that are no answer reach no caller as one", "[sidecar][broken]") {
+    const auto whole = "Content-Length: 2\r\n\r\nok"s;
+    const auto success = "HTTP/1.1 200 OK\r\n"s;
+    scripted_cluster system;
+    int number = 0;
+    for (const auto& answer : {
+             "HTTP/1.1 000 None\r\n" + whole,
+             "HTTP/1.1 099 None\r\n" + whole,
+             "HTTP/1.1 600 None\r\n" + whole,
+             success + "X Y: 1\r\n" + whole,
+             success + "X\x01Y: 1\r\n" + whole,
+             success + "Content-Length : 2\r\n\r\nok",
+         }) {
+        CAPTURE(answer);
+        const auto got = system.send("broken-" + std::to_string(++number), {.bytes = answer});
+        CHECK(got.status == 502);
+        CHECK(got.header("X-Ran") == "unknown");
+    }
+}
+
+TEST_CASE("sidecar: an answer that ends in its head reaches no caller", "[sidecar][broken]") {
+    scripted_cluster system;
+    const auto head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n"s;
+    for (const std::size_t size : {1UL, 17UL, 30UL, head.size() - 1}) {
+        CAPTURE(size);
+        const auto got = system.send("head-" + std::to_string(size),
+                                     {.bytes = head.substr(0, size), .end = scripted_end::close});
+        CHECK(got.status == 502);
+        CHECK(got.header("X-Ran") == "unknown");
+    }
+}
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -100,7 +100,12 @@
             const auto size = co_await asio::async_read_until(socket, asio::dynamic_buffer(received),
                                                               "\r\n\r\n", asio::use_awaitable);
             body_reader body{socket, received, body_size(std::string_view(received).substr(0, size))};
+            const bool is_usual = !m_usual_begin.empty() && received.starts_with(m_usual_begin);
             received.erase(0, size);
+            if (is_usual) {
+                co_await asio::async_write(socket, asio::buffer(m_usual_answer), asio::use_awaitable);
+                continue;
+            }
             m_arrivals.push_back(number);
             if (m_answers.empty()) {
                 m_body_bytes += co_await body.read(body.left);
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <limits>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace borageford::test {
@@ -51,6 +52,11 @@
     /// Adds the answer to the next request that has none yet. Requests without one aren't answered.
     void add(scripted_answer answer) { m_answers.push_back(std::move(answer)); }
 
+    /// Answers each request that begins with this text so, whatever was added for others.
+    void answer_always(std::string begin, std::string bytes) {
+        m_usual_begin = std::move(begin);
+        m_usual_answer = std::move(bytes);
+    }
     /// Lets the ends that are held now take place.
     void release_ends() { m_held_ends.cancel(); }
 
@@ -69,6 +75,8 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::deque<scripted_answer> m_answers;
+    std::string m_usual_begin;
+    std::string m_usual_answer;
     std::vector<std::size_t> m_arrivals;
     std::size_t m_open = 0;
     boost::asio::steady_timer m_held_ends; ///< runs until the ends that are held are to take place
