Interim responses are passed over by every reader

What callers saw: a service sent "100 Continue" or "103 Early Hints" before its answer, and an entry's caller got 100 with an empty body as the answer; the same with "101 Switching Protocols". A gateway passed 1xx over, but took what followed a 101 for the answer.

Cause: the gateway's calls knew interim responses; the HTTP client, which sidecars and all other readers use, took the first head for the last one.

The gateway's own handling is gone.

At a gateway 100 and 103 were handled before, the test is kept.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -30,7 +30,6 @@
 /// Subtracted from the keep-alive time that the server announces, so that the server doesn't close a
 /// connection while a request is being sent on it.
 constexpr milliseconds keep_alive_margin{500};
-constexpr unsigned first_final_status = 200;
 /// Servers end an unread answer after at least this time. If a connection ends in a shorter pause, the server
 /// may have crashed.
 constexpr milliseconds shortest_unread{1000};
@@ -224,9 +223,8 @@
         return false;
     }
     if (!m_has_reported_head && !m_is_discarding) {
-        const bool is_interim = m_reader->status() < first_final_status;
-        m_is_discarding = is_interim || !belongs_to_this_call();
-        if (m_is_discarding && !is_interim) {
+        m_is_discarding = !belongs_to_this_call();
+        if (m_is_discarding) {
             m_must_close = true;
             report_passed_over();
         }
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -137,7 +137,7 @@
     std::uint64_t m_bytes_before = 0;         ///< Bytes sent on the connection before this call.
     std::optional<std::size_t> m_sent_before; ///< Requests sent on it before this call.
     bool m_has_reported_head = false;
-    /// The response being read belongs to another request, or is interim (1xx), and is discarded.
+    /// The response being read belongs to another request and is discarded.
     bool m_is_discarding = false;
     std::size_t m_passed_over = 0; ///< Bytes that were discarded.
     /// A response to another request arrived on the connection, or the server has closed it, or the request
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <cstdint>
+#include <optional>
 
 namespace borageford::http {
 
@@ -19,6 +20,9 @@
 /// RFC 9110, section 15: any other number is no status.
 constexpr unsigned first_status = 100;
 constexpr unsigned last_status = 599;
+constexpr unsigned first_final_status = 200;
+/// No request asks for another protocol, so what follows such a response can't be read.
+constexpr unsigned switching_protocols = 101;
 
 /// The parser waits for the end of a line or of a group of fields, however far away that is. It bounds the
 /// head only, not the lines between and after the chunks of a body.
@@ -42,7 +46,8 @@
     void on_request_impl(beast::http::verb, string_view, string_view, int, error_code&) override {}
     void on_response_impl(int code, string_view reason, int, error_code& error) override {
         status_code = static_cast<unsigned>(code);
-        if (status_code < first_status || status_code > last_status) {
+        const bool is_known = status_code >= first_status && status_code <= last_status;
+        if (!is_known || status_code == switching_protocols) {
             error = beast::http::error::bad_status;
             return;
         }
@@ -69,15 +74,42 @@
 } // namespace
 
 struct response_reader::state {
-    library_parser parser;
+    explicit state(body_rule body_of_last) : rule(body_of_last) { expect_response(); }
+
+    void expect_response() {
+        parser.emplace();
+        parser->header_limit(head_limit);
+        parser->body_limit(boost::none);
+        parser->eager(true);
+        parser->skip(rule == body_rule::none);
+    }
+
+    void count_head(std::size_t consumed) {
+        const bool is_head = !parser->is_header_done() || is_interim();
+        head_bytes += is_head ? consumed : 0;
+    }
+
+    [[nodiscard]] bool is_interim() const {
+        return parser->is_done() && parser->status_code < first_final_status;
+    }
+
+    /// Expects another response after an interim one, of which there may be no end, either.
+    void pass_over_interim() {
+        if (!is_interim()) {
+            return;
+        }
+        if (head_bytes > head_limit) {
+            throw response_error("too many interim responses");
+        }
+        expect_response();
+    }
+
+    body_rule rule;
+    std::optional<library_parser> parser; ///< never empty
+    std::size_t head_bytes = 0;           ///< of the interim responses and of a head that isn't complete
 };
 
-response_reader::response_reader(body_rule rule) : m_state(std::make_unique<state>()) {
-    m_state->parser.header_limit(head_limit);
-    m_state->parser.body_limit(boost::none);
-    m_state->parser.eager(true);
-    m_state->parser.skip(rule == body_rule::none);
-}
+response_reader::response_reader(body_rule rule) : m_state(std::make_unique<state>(rule)) {}
 
 response_reader::~response_reader() = default;
 response_reader::response_reader(response_reader&&) noexcept = default;
@@ -85,65 +117,67 @@
 
 std::size_t response_reader::read(std::string_view bytes, std::string& body) {
     std::size_t used = 0;
-    m_state->parser.body = &body;
     while (!is_complete() && used < bytes.size()) {
         const auto rest = bytes.substr(used);
         beast::error_code error;
-        const auto consumed = m_state->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
+        m_state->parser->body = &body;
+        const auto consumed = m_state->parser->put(boost::asio::buffer(rest.data(), rest.size()), error);
         used += consumed;
-        if (error == beast::http::error::need_more) {
-            check_length(bytes.size() - used);
-            break;
+        if (error && error != beast::http::error::need_more) {
+            throw response_error(error.message());
         }
+        m_state->count_head(consumed);
         if (error) {
-            throw response_error(error.message());
+            check_length(bytes.size() - used);
+            break;
         }
+        m_state->pass_over_interim();
     }
     return used;
 }
 
 void response_reader::read_end() {
-    if (!m_state->parser.got_some()) {
+    if (!m_state->parser->got_some()) {
         throw response_error("the connection ended before the response");
     }
     beast::error_code error;
-    m_state->parser.put_eof(error);
+    m_state->parser->put_eof(error);
     if (error || !is_complete()) {
         throw response_error("the response ended early");
     }
 }
 
 bool response_reader::has_head() const noexcept {
-    return m_state->parser.is_header_done();
+    return m_state->parser->is_header_done();
 }
 
 bool response_reader::is_complete() const noexcept {
-    return m_state->parser.is_done();
+    return m_state->parser->is_done();
 }
 
 bool response_reader::ends_with_connection() const noexcept {
-    return m_state->parser.need_eof();
+    return m_state->parser->need_eof();
 }
 
 bool response_reader::keeps_connection() const noexcept {
-    return m_state->parser.keep_alive();
+    return m_state->parser->keep_alive();
 }
 
 std::optional<std::size_t> response_reader::content_length() const noexcept {
-    const auto length = m_state->parser.content_length();
+    const auto length = m_state->parser->content_length();
     return length.has_value() ? std::optional<std::size_t>(*length) : std::nullopt;
 }
 
 unsigned response_reader::status() const noexcept {
-    return m_state->parser.status_code;
+    return m_state->parser->status_code;
 }
 
 std::string_view response_reader::reason() const noexcept {
-    return m_state->parser.reason_text;
+    return m_state->parser->reason_text;
 }
 
 const field_list& response_reader::fields() const noexcept {
-    return m_state->parser.fields;
+    return m_state->parser->fields;
 }
 
 std::optional<std::chrono::seconds> idle_time(const field_list& fields) {
--- a/src/http/response_reader.hpp
+++ b/src/http/response_reader.hpp
@@ -19,7 +19,7 @@
     using std::runtime_error::runtime_error;
 };
 
-/// Reads one response; create a new reader for the next one.
+/// Reads one response, and passes over interim ones (1xx) before it; create a new reader for the next one.
 class response_reader {
 public:
     /// Whether the response has a body; `none` is for the response to a HEAD request.
--- a/tests/failure/test_gateway_broken_answers.cpp
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -119,3 +119,13 @@
         CHECK(site.send(make_call("/plain/x", "a")).status == 502);
     }
 }
+
+TEST_CASE("gateway: an interim answer isn't taken for the answer", "[gateway][broken]") {
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    site.server().add({.bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                                success_of("a") + "Content-Length: 5\r\n\r\nwhole"});
+    const auto answer = site.send(make_call("/plain/x", "a"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "whole");
+    CHECK(answer.header("Link").empty());
+}
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -46,6 +46,7 @@
              "HTTP/1.1 000 None\r\n" + whole,
              "HTTP/1.1 099 None\r\n" + whole,
              "HTTP/1.1 600 None\r\n" + whole,
+             "HTTP/1.1 101 Switching Protocols\r\n\r\n" + success + whole,
              success + "X Y: 1\r\n" + whole,
              success + "X\x01Y: 1\r\n" + whole,
              success + "Content-Length : 2\r\n\r\nok",
@@ -57,6 +58,15 @@
     }
 }
 
+TEST_CASE("sidecar: an interim answer isn't taken for the answer", "[sidecar][broken]") {
+    scripted_cluster system;
+    const auto got =
+        system.send("interim", {.bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"});
+    CHECK(got.status == 200);
+    CHECK(got.body == "whole");
+}
+
 TEST_CASE("sidecar: an answer that ends in its head reaches no caller", "[sidecar][broken]") {
     scripted_cluster system;
     const auto head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n"s;
--- a/tests/unit/test_broken_responses.cpp
+++ b/tests/unit/test_broken_responses.cpp
@@ -163,6 +163,21 @@
     }
 }
 
+TEST_CASE("interim responses are passed over", "[http][broken]") {
+    const auto last = with_status("200");
+    const auto response = read(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 X\r\n\r\n" +
+        last);
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(response->body == "ok");
+    CHECK(response->names == std::vector{"Content-Length"s});
+    CHECK_FALSE(is_response("HTTP/1.1 100 Continue\r\n\r\n"));
+    CHECK_FALSE(is_response("HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + last));
+    // Nobody asks for another protocol, so what follows belongs to none that is known here.
+    CHECK_FALSE(is_response("HTTP/1.1 101 Switching Protocols\r\n\r\n" + last));
+}
+
 TEST_CASE("the name of a field consists of the bytes of a token", "[http][broken]") {
     for (const char byte : all_bytes()) {
         const std::string inserted(1, byte);
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -72,6 +72,7 @@
     const std::string head = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
     const auto answer = GENERATE_COPY(values<scripted_answer>({
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"},                  // interim answers
         {head, "X-Padding: " + padding + "\r\n"},                 // fields
         {head + "X-Padding: ", padding},                          // one field
         {head + "\r\n", padding},                                 // a body without a length
