A response with a transfer coding that can't be removed is none

What callers saw: an answer with "Transfer-Encoding: gzip" (or any coding but chunked, alone or around chunked) was passed on as a whole answer: the field was taken off, since it concerns one connection, and the body went on in that coding, with the length given beside it or up to the end of the connection. So a body reached the caller that wasn't the server's. Chunks in a response of HTTP/1.0, which knows none, were decoded.

Cause: Boost.Beast's parser leaves codings other than chunked to its user, and nobody looked at them.

Change: response_reader takes "chunked" alone, from HTTP/1.1 on (RFC 9112, 6.1), and refuses anything else.

Evidence: the new unit test, and its rows at a gateway and at a sidecar (200 in place of 502), failed before.

--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned first_status = 100;
 constexpr unsigned last_status = 599;
 constexpr unsigned first_final_status = 200;
+constexpr int first_chunked_version = 11;
 /// No request asks for another protocol, so what follows such a response can't be read.
 constexpr unsigned switching_protocols = 101;
 
@@ -34,6 +35,7 @@
 
 class library_parser : public beast::http::basic_parser<false> {
 public:
+    int version = 0; ///< 10 times the HTTP version
     unsigned status_code = 0;
     std::string reason_text;
     field_list fields;
@@ -44,7 +46,8 @@
     using error_code = beast::error_code;
 
     void on_request_impl(beast::http::verb, string_view, string_view, int, error_code&) override {}
-    void on_response_impl(int code, string_view reason, int, error_code& error) override {
+    void on_response_impl(int code, string_view reason, int version_code, error_code& error) override {
+        version = version_code;
         status_code = static_cast<unsigned>(code);
         const bool is_known = status_code >= first_status && status_code <= last_status;
         if (!is_known || status_code == switching_protocols) {
@@ -53,7 +56,12 @@
         }
         reason_text.assign(reason.data(), reason.size());
     }
-    void on_field_impl(beast::http::field, string_view name, string_view value, error_code&) override {
+    void on_field_impl(beast::http::field which, string_view name, string_view value,
+                       error_code& error) override {
+        if (which == beast::http::field::transfer_encoding && !can_decode(value)) {
+            error = beast::http::error::bad_transfer_encoding;
+            return;
+        }
         fields.add({name.data(), name.size()}, {value.data(), value.size()});
     }
     void on_header_impl(error_code&) override {}
@@ -65,6 +73,11 @@
     }
     void on_finish_impl(error_code&) override {}
 
+    /// The chunked coding is the only one that this parser removes. Version 1.0 has none.
+    [[nodiscard]] bool can_decode(string_view coding) const {
+        return version >= first_chunked_version && beast::iequals(coding, "chunked");
+    }
+
     std::size_t append(string_view bytes) {
         body->append(bytes.data(), bytes.size());
         return bytes.size();
--- a/tests/failure/test_gateway_broken_answers.cpp
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -101,6 +101,7 @@
         success + "X Y: 1\r\n" + whole,
         success + "X\x01Y: 1\r\n" + whole,
         success + "Content-Length : 2\r\n\r\nok",
+        success + "Transfer-Encoding: gzip\r\n" + whole,
         success + "X: a\x02" + "b\r\n" + whole,
     }));
     CAPTURE(answer);
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -50,6 +50,7 @@
              success + "X Y: 1\r\n" + whole,
              success + "X\x01Y: 1\r\n" + whole,
              success + "Content-Length : 2\r\n\r\nok",
+             success + "Transfer-Encoding: gzip\r\n" + whole,
          }) {
         CAPTURE(answer);
         const auto got = system.send("broken-" + std::to_string(++number), {.bytes = answer});
--- a/tests/unit/test_broken_responses.cpp
+++ b/tests/unit/test_broken_responses.cpp
@@ -252,6 +252,27 @@
     }
 }
 
+TEST_CASE("a transfer coding that can't be removed is no framing", "[http][broken]") {
+    const auto chunks = "2\r\nok\r\n0\r\n\r\n"s;
+    for (const auto* value :
+         {"", "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked, identity",
+          "chunked;q=1", "xchunked", "chunkedx", "chunk ed", "\"chunked\"", "trailers", ", chunked"}) {
+        const auto field = "Transfer-Encoding: "s + value + "\r\n";
+        CAPTURE(value);
+        CHECK_FALSE(is_response(with_fields(field, chunks)));
+        CHECK_FALSE(is_response(with_fields(field + "Content-Length: 2\r\n", "ok")));
+        CHECK_FALSE(is_response(with_fields("Content-Length: 2\r\n" + field, "ok")));
+    }
+    const auto chunked = "Transfer-Encoding: chunked\r\n"s;
+    CHECK_FALSE(is_response(with_fields(chunked + chunked, chunks)));
+    CHECK_FALSE(is_response(with_fields("Transfer-Encoding: gzip\r\n" + chunked, chunks)));
+    CHECK_FALSE(is_response(with_fields(chunked + "Transfer-Encoding: gzip\r\n", chunks)));
+    CHECK_FALSE(is_response(with_fields(chunked + "Content-Length: 2\r\n", chunks)));
+    CHECK_FALSE(is_response(with_fields("Content-Length: 2\r\n" + chunked, chunks)));
+    CHECK_FALSE(is_response("HTTP/1.0 200 OK\r\n" + chunked + "\r\n" + chunks));
+    CHECK(read(with_fields("transfer-encoding:  Chunked \r\n", chunks))->body == "ok");
+}
+
 TEST_CASE("a chunk has a length in hexadecimal digits and ends after it", "[http][broken]") {
     for (const auto* chunks :
          {"\r\n", "x\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n", "0x2\r\nok\r\n0\r\n\r\n",
