Fields after the last chunk are no fields of the answer

What callers saw: an answer in chunks that ended with "Not-Executed: 1" after its last chunk was read as a refusal, though its head was a success. Other fields there were passed on as if the server had sent them in its head.

Cause: Boost.Beast's parser reports trailers in the same way as fields of the head, and the fields of an answer are looked at again at its end.

Found by reading, not by a report.

--- a/tests/failure/test_gateway_broken_answers.cpp
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -130,3 +130,15 @@
     CHECK(answer.body == "whole");
     CHECK(answer.header("Link").empty());
 }
+
+TEST_CASE("gateway: what follows the last chunk of an answer doesn't say that the request hasn't run",
+          "[gateway][broken]") {
+    // A caller that is told so would send the request again, and it would run twice.
+    scripted_site site(plain_configuration(routing::route_kind::non_idempotent), "plain");
+    site.server().add({.bytes = success_of("a") + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+                                "Not-Executed: 1\r\nContent-Type: text/x\r\n\r\n"});
+    const auto answer = site.send(make_call("/plain/x", "a"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ok");
+    CHECK(answer.header("Content-Type").empty());
+}
--- a/tests/unit/test_broken_responses.cpp
+++ b/tests/unit/test_broken_responses.cpp
@@ -286,6 +286,13 @@
           "ok");
 }
 
+TEST_CASE("fields after the last chunk are no fields of the head", "[http][broken]") {
+    const auto response = read(with_trailer("Not-Executed: 1\r\nRequest-Id: b\r\nConnection: close\r\n"));
+    REQUIRE(response.has_value());
+    CHECK(response->body == "ok");
+    CHECK(response->names == std::vector{"Transfer-Encoding"s});
+}
+
 TEST_CASE("responses without a body end with their heads", "[http][broken]") {
     for (const auto* status : {"204", "304"}) {
         const auto response = read("HTTP/1.1 "s + status + " X\r\nContent-Length: 5\r\n\r\n");
