Test: bytes without an end that many callers wait for, at a gateway

The report: a faulty server sent bytes without an end, and the machine that had called it ran out of memory. Nothing was changed for it; the test stays.

--- a/tests/failure/test_gateway_broken_answers.cpp
+++ b/tests/failure/test_gateway_broken_answers.cpp
@@ -4,7 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <cstddef>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace borageford;
@@ -13,6 +17,7 @@
 
 namespace {
 
+constexpr unsigned slots = 64;
 constexpr int small_buffer = 16 * 1024;
 /// More than the kernel's buffers take on a connection whose receive buffer is small.
 constexpr std::size_t long_upload = 3'900'000;
@@ -20,10 +25,12 @@
 /// A gateway with one server, whose answers the test writes.
 class scripted_site {
 public:
-    scripted_site(const routing::routing_document& configuration, const std::string& service) {
+    scripted_site(const routing::routing_document& configuration, const std::string& service,
+                  const std::string& settings = {}) {
         m_server.with_server([](scripted_server& server) { server.set_receive_buffer(small_buffer); });
-        m_site = std::make_unique<gateway_site>(site_options{.configuration = configuration, .backends = {}});
-        m_site->register_address("server", service, m_server.address());
+        m_site = std::make_unique<gateway_site>(
+            site_options{.configuration = configuration, .backends = {}, .gateway_settings = settings});
+        m_site->register_address("server", service, m_server.address(), slots);
         m_site->wait_until_ready(0);
     }
 
@@ -36,6 +43,9 @@
     std::unique_ptr<gateway_site> m_site;
 };
 
+/// The fields of an answer to the request whose id takes the place of ID.
+const std::string own_fields = "Request-Id: ID\r\nResponse-Signature: server\r\n";
+
 /// The begin of the head of an answer to this request.
 std::string success_of(const std::string& id) {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: server." + id + "\r\n";
@@ -142,3 +152,47 @@
     CHECK(answer.body == "ok");
     CHECK(answer.header("Content-Type").empty());
 }
+
+TEST_CASE("gateway: bytes without an end that many callers wait for leave it its memory",
+          "[gateway][broken]") {
+    // Many requests run at a server in trouble at the same time, which sends to all of them until they close.
+    constexpr std::size_t memory = 110'000'000;
+    const bool is_stream = GENERATE(false, true);
+    const auto begin = GENERATE(values<std::string>({
+        "",                                                                         // no status line
+        "HTTP/1.1 200 OK\r\nX: ",                                                   // a field
+        "HTTP/1.1 200 OK\r\n\r\n",                                                  // another request's body
+        "HTTP/1.1 200 OK\r\n" + own_fields + "\r\n",                                // a body without a length
+        "HTTP/1.1 200 OK\r\n" + own_fields + "Content-Length: 99999999999\r\n\r\n", // with one
+        "HTTP/1.1 500 Error\r\n" + own_fields + "\r\n",                             // of a failure
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + own_fields + "\r\n",           // of a refusal
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + own_fields +
+            "\r\n1;", // an extension of a chunk
+    }));
+    CAPTURE(is_stream, begin);
+    auto configuration =
+        is_stream ? stream_configuration(false) : plain_configuration(routing::route_kind::non_idempotent);
+    configuration.routes.front().timeout = std::chrono::milliseconds(700);
+    configuration.services.front().connections = 0;
+    scripted_site site(configuration, is_stream ? "engines" : "plain",
+                       "memory_limit = " + std::to_string(memory) + "B\n");
+    std::vector<std::unique_ptr<pending_call>> running;
+    for (int number = 0; number < static_cast<int>(slots); ++number) {
+        const auto id = "endless-" + std::to_string(number);
+        auto bytes = begin;
+        if (const auto at = bytes.find("ID"); at != std::string::npos) {
+            bytes.replace(at, 2, id);
+        }
+        site.server().add({.bytes = bytes, .endless = std::string(1000, 'x')});
+        auto call = make_call(is_stream ? "/stream/x" : "/plain/x", id);
+        running.push_back(std::make_unique<pending_call>(site.site().callers(0), std::move(call)));
+    }
+    for (auto& call : running) {
+        const auto answer = call->wait();
+        CHECK_FALSE((answer.status == 200 && answer.is_complete));
+    }
+    CHECK(site.server().with_server([](const scripted_server& server) { return server.arrivals().size(); }) >
+          8);
+    CHECK(site.site().process(0).is_running());
+    CHECK(site.site().process(0).peak_memory() < memory);
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -329,13 +329,13 @@
 }
 
 void gateway_site::register_address(const std::string& id, const std::string& service,
-                                    const http::endpoint& address) {
+                                    const http::endpoint& address, unsigned slots) {
     routing::backend_record record;
     record.id = id;
     record.service = service;
     record.address = address;
     record.failure_domain = "a";
-    record.slots = plain_backend(id).slots;
+    record.slots = slots;
     record.state = routing::backend_state::ready;
     on_emulator([&] { write_record(record); });
 }
--- a/tests/support/gateway_site.hpp
+++ b/tests/support/gateway_site.hpp
@@ -109,7 +109,8 @@
     void register_backend(std::size_t index, const std::string& state);
     void unregister_backend(std::size_t index);
     /// Registers a server of this service that the test runs itself.
-    void register_address(const std::string& id, const std::string& service, const http::endpoint& address);
+    void register_address(const std::string& id, const std::string& service, const http::endpoint& address,
+                          unsigned slots);
     /// Registers a server as ready, with another software version than it has reported so far.
     void register_software(std::size_t index, const std::string& software);
     /// Stops the server without deleting its registration.
