Answers without an end leave a sidecar its memory

What users saw: a faulty server sent bytes without an end, and the process that had called it kept them all and ran out of memory, with the requests of all other callers.

Cause: a sidecar bounds one answer (16 MiB) and the answers that it keeps (64 MiB together), but the answers that are still arriving had no bound together. It also read them as fast as they came, whatever the entries had taken: another 64 MiB could wait on each connection. A long answer grew in one block that was moved again and again, and the memory it left was too small for the next one.

Change: dispatch_store counts running answers first; when they use up the memory, an answer above an equal share of it ends as damaged, so short ones still find room. A server waits while all readers of its answer have more than 1 MiB still to take.

The new unit test of dispatch_store states the bound.

--- a/src/sidecar/answer_buffer.hpp
+++ b/src/sidecar/answer_buffer.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,14 +30,19 @@
 
     [[nodiscard]] const std::optional<backend::answer_head>& head() const noexcept { return m_head; }
     [[nodiscard]] const std::optional<answer_ending>& ending() const noexcept { return m_ending; }
-    [[nodiscard]] std::uint64_t length() const noexcept { return m_body.size(); }
-    /// The bytes from `offset` on; empty when `offset` is at or past the end. Valid until the next append().
+    [[nodiscard]] std::uint64_t length() const noexcept { return m_length; }
+    /// Some of the bytes from `offset` on, in one piece; empty when `offset` is at or past the end. Valid
+    /// until the next append().
     [[nodiscard]] std::string_view from(std::uint64_t offset) const noexcept;
-    [[nodiscard]] std::string_view body() const noexcept { return m_body; }
+    /// A copy of the whole body.
+    [[nodiscard]] std::string body() const;
 
 private:
     std::optional<backend::answer_head> m_head;
-    std::string m_body;
+    /// The body in blocks, which are all full but for the last one. A long answer that grows in one block
+    /// would be moved again and again, and leave memory behind that nothing else fits into.
+    std::deque<std::string> m_blocks;
+    std::uint64_t m_length = 0;
     std::optional<answer_ending> m_ending;
 };
 
--- a/src/sidecar/answer_delivery.cpp
+++ b/src/sidecar/answer_delivery.cpp
@@ -7,9 +7,8 @@
 namespace borageford::sidecar {
 namespace {
 
-/// The most bytes of an answer in one frame. A long answer is split so that its frames stay far below the
-/// frame size limit and heartbeats can be sent between them.
-constexpr std::size_t chunk_limit = 256U * 1024;
+/// Bytes on a connection above which a server waits for its answer's readers.
+constexpr std::size_t much_unsent = 1024U * 1024;
 
 } // namespace
 
@@ -28,6 +27,13 @@
     deliver(dispatch);
 }
 
+bool answer_delivery::is_behind(const dispatch_record& dispatch) const {
+    const auto has_much_unsent = [this](const answer_reader& reader) {
+        return m_peers.unsent_bytes(reader.connection) > much_unsent;
+    };
+    return !dispatch.readers.empty() && std::ranges::all_of(dispatch.readers, has_much_unsent);
+}
+
 bool answer_delivery::remove_reader(dispatch_record& dispatch, connection_id connection) {
     return std::erase_if(dispatch.readers, [connection](const answer_reader& reader) {
                return reader.connection == connection;
@@ -45,16 +51,14 @@
         m_peers.send(reader.connection, std::move(head));
         reader.has_head = true;
     }
-    auto unsent = answer.from(reader.next_offset);
-    while (!unsent.empty()) {
-        const auto piece = unsent.substr(0, chunk_limit);
+    for (auto piece = answer.from(reader.next_offset); !piece.empty();
+         piece = answer.from(reader.next_offset)) {
         wire::chunk_message chunk;
         chunk.dispatch = id;
         chunk.offset = reader.next_offset;
         chunk.data.assign(piece.begin(), piece.end());
         m_peers.send(reader.connection, std::move(chunk));
         reader.next_offset += piece.size();
-        unsent.remove_prefix(piece.size());
     }
     if (answer.ending()) {
         send_end(dispatch, reader.connection);
--- a/src/sidecar/answer_delivery.hpp
+++ b/src/sidecar/answer_delivery.hpp
@@ -17,6 +17,10 @@
     /// ended.
     void deliver(dispatch_record& dispatch);
 
+    /// Whether none of the readers takes the answer as fast as it arrives: each has much of what it was sent
+    /// still to take. False when there are no readers.
+    [[nodiscard]] bool is_behind(const dispatch_record& dispatch) const;
+
     /// Starts to send the answer to `connection` from byte `offset` on. Replaces an earlier reader of the
     /// same connection.
     void add_reader(dispatch_record& dispatch, connection_id connection, std::uint64_t offset);
--- a/src/sidecar/dispatch_manager.cpp
+++ b/src/sidecar/dispatch_manager.cpp
@@ -29,11 +29,16 @@
 
 dispatch_runner::callbacks dispatch_manager::make_callbacks() {
     dispatch_runner::callbacks calls;
-    calls.progressed = [this](dispatch_record& dispatch, std::size_t bytes) {
-        m_context.store.count_bytes(bytes);
+    calls.take_memory = [this](const dispatch_record& dispatch, std::size_t bytes) {
+        return m_context.store.add_bytes(dispatch.answer.length(), bytes);
+    };
+    calls.progressed = [this](dispatch_record& dispatch) {
         announce_adopted(dispatch);
         m_delivery.deliver(dispatch);
     };
+    calls.must_wait = [this](const dispatch_record& dispatch) {
+        return m_delivery.is_behind(dispatch);
+    };
     calls.tokens_received = [this](dispatch_record& dispatch, std::size_t tokens) {
         record_tokens(dispatch, tokens);
     };
--- a/src/sidecar/dispatch_runner.cpp
+++ b/src/sidecar/dispatch_runner.cpp
@@ -6,9 +6,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <exception>
 #include <string>
 #include <utility>
@@ -24,6 +27,7 @@
 constexpr std::array<unsigned, 4> request_fault_statuses{400, 404, 413, 422};
 /// How often an answer is resumed without receiving a byte before the dispatch fails.
 constexpr unsigned resume_limit = 3;
+constexpr std::chrono::milliseconds reader_check_period{5};
 
 } // namespace
 
@@ -107,7 +111,7 @@
     } else {
         dispatch.answer.set_head(co_await m_server.run(*dispatch.stream, id, dispatch.call));
     }
-    m_calls.progressed(dispatch, 0);
+    m_calls.progressed(dispatch);
 }
 
 asio::awaitable<void> dispatch_runner::read(dispatch_record& dispatch, attempt& state) {
@@ -132,8 +136,13 @@
         if (tokens > 0) {
             m_calls.tokens_received(dispatch, tokens);
         }
+        if (!m_calls.take_memory(dispatch, piece.size())) {
+            throw backend::backend_error(backend::failure::malformed,
+                                         "the answers take all memory, and this one more than its share");
+        }
         dispatch.answer.append(piece);
-        m_calls.progressed(dispatch, piece.size());
+        m_calls.progressed(dispatch);
+        co_await wait_for_readers(dispatch);
     }
     if (is_checked && is_stream) {
         state.checker.finish();
@@ -143,6 +152,15 @@
     }
 }
 
+/// Leaves it to the server to hold what the readers don't take yet.
+asio::awaitable<void> dispatch_runner::wait_for_readers(const dispatch_record& dispatch) {
+    asio::steady_timer timer(m_strand);
+    while (!dispatch.is_cancelled && m_calls.must_wait(dispatch)) {
+        timer.expires_after(reader_check_period);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 /// Handles the failure in `state`: reports the end of the dispatch and sets `state.is_over`, or leaves it
 /// false when reading is to be resumed.
 asio::awaitable<void> dispatch_runner::recover(const record_pointer& dispatch, attempt& state) {
--- a/src/sidecar/dispatch_runner.hpp
+++ b/src/sidecar/dispatch_runner.hpp
@@ -23,8 +23,13 @@
     using record_pointer = std::shared_ptr<dispatch_record>;
 
     struct callbacks {
-        /// The head or body of the record's answer has grown. `bytes` is the number of new bytes of the body.
-        std::function<void(dispatch_record&, std::size_t bytes)> progressed;
+        /// Whether there is memory for so many further bytes of the record's answer, which then count as
+        /// held.
+        std::function<bool(const dispatch_record&, std::size_t bytes)> take_memory;
+        /// The head or body of the record's answer has grown.
+        std::function<void(dispatch_record&)> progressed;
+        /// Whether the answer's readers should take what they were sent before more of it is read.
+        std::function<bool(const dispatch_record&)> must_wait;
         /// The given number of output tokens of a streamed answer has been received.
         std::function<void(dispatch_record&, std::size_t tokens)> tokens_received;
         /// The answer has ended as described by the answer_ending. The callback must store the ending in the
@@ -55,6 +60,7 @@
     boost::asio::awaitable<void> run(record_pointer dispatch);
     boost::asio::awaitable<void> open(dispatch_record& dispatch, attempt& state);
     boost::asio::awaitable<void> read(dispatch_record& dispatch, attempt& state);
+    boost::asio::awaitable<void> wait_for_readers(const dispatch_record& dispatch);
     boost::asio::awaitable<void> follow(dispatch_record& dispatch, attempt& state);
     boost::asio::awaitable<void> recover(const record_pointer& dispatch, attempt& state);
     boost::asio::awaitable<void> send_cancel(dispatch_id dispatch);
--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -104,11 +104,16 @@
     }
 }
 
-void dispatch_store::count_bytes(std::uint64_t bytes) {
-    m_memory += bytes;
-    while (m_memory > m_limits.memory && !m_kept.empty()) {
+bool dispatch_store::add_bytes(std::uint64_t length, std::uint64_t bytes) {
+    while (m_memory + bytes > m_limits.memory && !m_kept.empty()) {
         forget_oldest_kept();
     }
+    const auto share = m_limits.memory / std::max<std::size_t>(m_running, 1);
+    if (m_memory + bytes > m_limits.memory && length + bytes > share) {
+        return false;
+    }
+    m_memory += bytes;
+    return true;
 }
 
 std::vector<dispatch_store::record_pointer> dispatch_store::running() const {
--- a/src/sidecar/dispatch_store.hpp
+++ b/src/sidecar/dispatch_store.hpp
@@ -68,8 +68,12 @@
     /// Removes the kept answers and remembered other locations that have passed their retention time.
     void forget_old(time_point now);
     /// Adds the new bytes of a growing answer to the memory in use, and removes kept answers when that
-    /// exceeds the limit.
-    void count_bytes(std::uint64_t bytes);
+    /// exceeds the limit. Returns false, and adds nothing, if the memory is used up by running dispatches and
+    /// this answer, of `length` bytes so far, would have more than an equal share of it.
+    ///
+    /// Without this, a server that sends bodies without an end to many callers at once made the process run
+    /// out of memory, although each of the answers was cut at the limit for one.
+    [[nodiscard]] bool add_bytes(std::uint64_t length, std::uint64_t bytes);
 
     [[nodiscard]] std::vector<record_pointer> running() const;
     [[nodiscard]] std::size_t running_count() const noexcept { return m_running; }
--- a/src/sidecar/peer_registry.cpp
+++ b/src/sidecar/peer_registry.cpp
@@ -93,6 +93,11 @@
     }
 }
 
+std::size_t peer_registry::unsent_bytes(connection_id connection) const {
+    const auto found = m_peers.find(connection);
+    return found != m_peers.end() ? found->second.connection->unsent_bytes() : 0;
+}
+
 void peer_registry::send_to_all(const wire::message& content) {
     for (const auto& [id, held] : m_peers) {
         if (held.is_opened) {
--- a/src/sidecar/peer_registry.hpp
+++ b/src/sidecar/peer_registry.hpp
@@ -45,6 +45,8 @@
 
     /// Sends a message. Does nothing when the connection is closed.
     void send(connection_id connection, wire::message content);
+    /// Bytes that were sent on the connection and that its peer hasn't taken yet; 0 when it is closed.
+    [[nodiscard]] std::size_t unsent_bytes(connection_id connection) const;
     /// Sends a message on all connections on which the peer's hello was received.
     void send_to_all(const wire::message& content);
     void close_all(const std::string& reason);
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -49,7 +49,7 @@
 
 void peer_connection::start_on_strand() {
     set_socket_options();
-    enqueue(encode(m_revision(), m_own_hello));
+    enqueue_own(m_own_hello);
     m_heartbeat_timer = m_timers.every(m_strand, m_heartbeat.period, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->check_liveness();
@@ -70,6 +70,7 @@
 
 void peer_connection::send(message content) {
     auto bytes = encode(m_revision(), content);
+    m_unsent_bytes += bytes.size();
     asio::dispatch(m_strand, [self = shared_from_this(), bytes = std::move(bytes)]() mutable {
         self->m_last_message = std::chrono::steady_clock::now();
         self->enqueue(std::move(bytes));
@@ -80,12 +81,18 @@
     asio::dispatch(m_strand, [self = shared_from_this(), reason] { self->finish(reason); });
 }
 
+/// Queues a message of this class, on the strand.
+void peer_connection::enqueue_own(message content) {
+    auto bytes = encode(m_revision(), std::move(content));
+    m_unsent_bytes += bytes.size();
+    enqueue(std::move(bytes));
+}
+
 void peer_connection::enqueue(std::vector<std::byte> bytes) {
     if (m_finished) {
         return;
     }
-    m_outgoing_bytes += bytes.size();
-    if (m_outgoing_bytes > outgoing_limit) {
+    if (m_unsent_bytes > outgoing_limit) {
         finish("peer does not read");
         return;
     }
@@ -107,7 +114,7 @@
             return;
         }
         self->m_last_written = std::chrono::steady_clock::now();
-        self->m_outgoing_bytes -= self->m_outgoing.front().size();
+        self->m_unsent_bytes -= self->m_outgoing.front().size();
         self->m_outgoing.pop_front();
         if (!self->m_outgoing.empty()) {
             self->write_next();
@@ -221,7 +228,7 @@
     if (m_callbacks.current_load) {
         heartbeat.load = m_callbacks.current_load();
     }
-    enqueue(encode(m_revision(), std::move(heartbeat)));
+    enqueue_own(std::move(heartbeat));
 }
 
 bool peer_connection::has_work(std::chrono::steady_clock::time_point now) const {
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -90,8 +90,12 @@
     /// the `closed` callback. Safe to call from any thread.
     void close(const std::string& reason);
 
+    /// Bytes of messages that haven't been passed to the kernel yet. Safe to call from any thread.
+    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return m_unsent_bytes; }
+
 private:
     void start_on_strand();
+    void enqueue_own(message content);
     void enqueue(std::vector<std::byte> bytes);
     void write_next();
     void read_header();
@@ -120,7 +124,7 @@
     callbacks m_callbacks;
 
     std::deque<std::vector<std::byte>> m_outgoing;
-    std::size_t m_outgoing_bytes = 0;
+    std::atomic<std::size_t> m_unsent_bytes = 0; ///< of m_outgoing, and on their way to it
     bool m_writing = false;
     bool m_opened = false;
     bool m_finished = false;
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -6,7 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstddef>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace borageford;
 using namespace borageford::test;
@@ -14,10 +17,15 @@
 
 namespace {
 
+// The memory of the smallest machines beside servers that the users name.
+constexpr std::size_t sidecar_memory = 192'000'000;
+
 /// A cluster with one service, whose answers the test writes.
 class scripted_cluster {
 public:
-    scripted_cluster() : m_system({.backend_servers = {{.name = "estante-1", .is_service = true}}}) {
+    scripted_cluster()
+        : m_system({.backend_servers = {{.name = "estante-1", .is_service = true, .slots = "32"}},
+                    .entry_settings = {}}) {
         m_server.with_server([](scripted_server& server) {
             server.answer_always("GET /health ", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         });
@@ -30,6 +38,9 @@
         return m_system.send(0, make_service_call(name, name));
     }
 
+    [[nodiscard]] cluster& system() noexcept { return m_system; }
+    [[nodiscard]] scripted_server_thread& server() noexcept { return m_server; }
+
 private:
     scripted_server_thread m_server;
     cluster m_system;
@@ -79,3 +90,25 @@
         CHECK(got.header("X-Ran") == "unknown");
     }
 }
+
+TEST_CASE("sidecar: bodies without an end that many callers wait for leave it its memory",
+          "[sidecar][broken]") {
+    constexpr int calls = 32;
+    const std::string head =
+        GENERATE("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n");
+    scripted_cluster cluster;
+    auto& system = cluster.system();
+    std::vector<std::unique_ptr<pending_call>> running;
+    for (int number = 0; number < calls; ++number) {
+        const auto name = "endless-" + std::to_string(number);
+        cluster.server().add({.bytes = head, .endless = std::string(1000, 'x')});
+        running.push_back(
+            std::make_unique<pending_call>(system.entry(0).callers, make_service_call(name, name)));
+    }
+    for (auto& call : running) {
+        CHECK(call->wait().status >= 400);
+    }
+    const auto after = cluster.send("after", {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+    CHECK(after.body == "ok");
+    CHECK(system.backend(0).sidecar->peak_memory() < sidecar_memory);
+}
--- a/tests/unit/test_sidecar_parts.cpp
+++ b/tests/unit/test_sidecar_parts.cpp
@@ -9,6 +9,10 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace borageford;
 using namespace borageford::sidecar;
@@ -29,8 +33,8 @@
 /// Ends the record's answer with `bytes` bytes and hands it to the store to be kept.
 void finish(dispatch_store& store, const dispatch_store::record_pointer& record, std::size_t bytes,
             time_point now, std::optional<error_kind> failure = std::nullopt) {
+    REQUIRE(store.add_bytes(record->answer.length(), bytes));
     record->answer.append(std::string(bytes, 'x'));
-    store.count_bytes(bytes);
     record->answer.end({failure, {}, {}});
     record->ended = now;
     store.keep(record, now);
@@ -45,8 +49,8 @@
     dispatch_store store({.kept_answers = 3, .memory = 1000, .retention = 1min});
     const auto running = make_record(100);
     store.add(running);
+    REQUIRE(store.add_bytes(0, 500));
     running->answer.append(std::string(500, 'r'));
-    store.count_bytes(500);
     for (std::uint64_t number = 0; number < 5; ++number) {
         const auto record = make_record(number);
         store.add(record);
@@ -67,6 +71,37 @@
     CHECK(store.running_count() == 1);
 }
 
+TEST_CASE("running answers that take all of the memory get no more than equal shares of it", "[sidecar]") {
+    // A faulty server sends bodies without an end to several callers. Short answers still find room.
+    constexpr std::uint64_t memory = 1000;
+    constexpr std::uint64_t piece = 10;
+    dispatch_store store({.memory = memory});
+    const auto kept = make_record(100);
+    store.add(kept);
+    finish(store, kept, 500, begin);
+    std::vector<dispatch_store::record_pointer> endless;
+    for (std::uint64_t number = 0; number < 4; ++number) {
+        endless.push_back(make_record(number));
+        store.add(endless.back());
+    }
+    bool has_grown = true;
+    while (has_grown) {
+        has_grown = false;
+        for (const auto& record : endless) {
+            if (store.add_bytes(record->answer.length(), piece)) {
+                record->answer.append(std::string(piece, 'x'));
+                has_grown = true;
+            }
+        }
+        REQUIRE(store.memory() <= memory);
+    }
+    CHECK(store.kept_count() == 0);
+    CHECK(store.memory() == memory);
+    const auto ordinary = make_record(50);
+    store.add(ordinary);
+    CHECK(store.add_bytes(0, piece));
+}
+
 TEST_CASE("resends find running and complete answers, not failed or acknowledged ones", "[sidecar]") {
     dispatch_store store({});
     const auto good = make_record(1, 11);
