Answers without an end leave an entry its memory

What users saw: the same as at a sidecar; the entry that waits for the answers held 16 MiB of each.

Answers that are held until they are complete had a bound each, and none together. And an entry that gave an answer up, since it was over that bound, went on receiving it: the listener stayed, so that the rest of the answer piled up in the queue of a request that had ended.

Change: answer_memory bounds all held answers by an eighth of the memory, with the rule of the sidecar (an answer above an equal share ends as damaged). An entry that gives an answer up tells the sidecar, as it does when its caller has gone.

--- /dev/null
+++ b/src/entry/answer_memory.cpp
@@ -0,0 +1,22 @@
+// Implementation of answer_memory. Two accounts that take room at the same time may both be refused.
+#include "entry/answer_memory.hpp"
+
+namespace borageford::entry {
+
+answer_memory::account::~account() {
+    m_memory.m_held -= m_held;
+    --m_memory.m_accounts;
+}
+
+bool answer_memory::account::take(std::size_t bytes) noexcept {
+    const auto all = m_memory.m_held += bytes;
+    const auto share = m_memory.m_limit / m_memory.m_accounts;
+    if (all > m_memory.m_limit && m_held + bytes > share) {
+        m_memory.m_held -= bytes;
+        return false;
+    }
+    m_held += bytes;
+    return true;
+}
+
+} // namespace borageford::entry
--- a/src/entry/caller_answer.cpp
+++ b/src/entry/caller_answer.cpp
@@ -10,8 +10,16 @@
 
 namespace asio = boost::asio;
 
-caller_answer::caller_answer(const call& request, http::response_writer& writer, std::size_t size_limit)
-    : m_call(request), m_writer(writer), m_size_limit(size_limit) {}
+namespace {
+
+/// Memory that is taken in advance for an answer that grows: this part of what it has already.
+constexpr std::size_t spare_part = 4;
+
+} // namespace
+
+caller_answer::caller_answer(const call& request, http::response_writer& writer, std::size_t size_limit,
+                             answer_memory& memory)
+    : m_call(request), m_writer(writer), m_size_limit(size_limit), m_memory(memory) {}
 
 asio::awaitable<void> caller_answer::set_head(unsigned status, std::string content_type) {
     if (has_head()) {
@@ -48,9 +56,13 @@
         co_await m_writer.write_piece(bytes);
         co_return true;
     }
-    if (m_buffer.size() + bytes.size() > m_size_limit) {
+    if (m_buffer.size() + bytes.size() > m_size_limit || !m_memory.take(bytes.size())) {
         throw request_error(error_kind::backend_garbled, "The answer is over this entry's limit.");
     }
+    const auto needed = m_buffer.size() + bytes.size();
+    if (needed > m_buffer.capacity()) {
+        m_buffer.reserve(needed + needed / spare_part);
+    }
     m_buffer.append(bytes);
     co_return true;
 }
--- a/src/entry/caller_answer.hpp
+++ b/src/entry/caller_answer.hpp
@@ -2,6 +2,7 @@
 // that the caller can never mistake an incomplete answer for a complete one.
 #pragma once
 
+#include "entry/answer_memory.hpp"
 #include "entry/call.hpp"
 #include "http/server.hpp"
 
@@ -20,8 +21,9 @@
 /// Invariant: the first `m_received` bytes of the answer have been accepted, each once and in order.
 class caller_answer {
 public:
-    /// `size_limit` bounds the bytes of a buffered answer; streamed answers have no limit.
-    caller_answer(const call& request, http::response_writer& writer, std::size_t size_limit);
+    /// `size_limit` and `memory` bound the bytes of a buffered answer; streamed answers have no limit.
+    caller_answer(const call& request, http::response_writer& writer, std::size_t size_limit,
+                  answer_memory& memory);
 
     /// Sets the status and content type of the backend server's answer. Only the first call has an effect:
     /// a sidecar sends the head again after each attach message.
@@ -29,7 +31,7 @@
 
     /// Accepts bytes of the answer that begin at `offset`; bytes that were accepted before are dropped.
     /// Returns false when bytes before `offset` are missing: the answer must then be requested again from
-    /// received() on. Throws request_error(backend_garbled) when a buffered answer exceeds the size limit.
+    /// received() on. Throws request_error(backend_garbled) when a buffered answer exceeds its limits.
     boost::asio::awaitable<bool> append(std::uint64_t offset, std::string_view bytes);
 
     /// Ends the answer. Must only be called once all bytes of the answer have been accepted.
@@ -49,6 +51,7 @@
     const call& m_call;
     http::response_writer& m_writer;
     std::size_t m_size_limit;
+    answer_memory::account m_memory;
     unsigned m_status = 0; ///< HTTP status; 0 until the head has arrived
     std::string m_content_type;
     std::string m_buffer; ///< bytes of a buffered answer
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -98,7 +98,7 @@
     const auto events = std::make_shared<event_mailbox>(executor);
     asio::co_spawn(executor, watch_caller(writer, events), asio::detached);
 
-    caller_answer answer(request, writer, m_context.settings.answer_limit);
+    caller_answer answer(request, writer, m_context.settings.answer_limit, m_context.answers);
     request_run run_in_progress(m_context, request, answer, events);
     std::optional<request_error> failure;
     try {
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include "audit/recorder.hpp"
 #include "configuration/configuration_follower.hpp"
 #include "entry/admission.hpp"
+#include "entry/answer_memory.hpp"
 #include "entry/claim_store.hpp"
 #include "entry/crash_mark_tracker.hpp"
 #include "entry/entry_metrics.hpp"
@@ -28,6 +29,7 @@
     audit::recorder& audit;
     std::atomic<std::uint64_t> placement_count = 0; ///< placements planned by this entry so far
     prefix_tracker prefixes{};
+    answer_memory answers{settings.answer_memory};
 };
 
 } // namespace borageford::entry
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -24,6 +24,8 @@
 /// The part of the memory that requests of callers, and those of operators, may take together.
 constexpr std::uint64_t parts_of_memory_for_callers = 4;
 constexpr std::uint64_t parts_of_memory_for_operators = 8;
+/// The part that answers may take which are held until they are complete.
+constexpr std::uint64_t parts_of_memory_for_answers = 8;
 /// The part of the descriptors that each address may take by default; the rest is for sidecars and the
 /// platform.
 constexpr std::size_t parts_of_descriptors = 4;
@@ -39,6 +41,7 @@
     const auto memory = process::memory_limit(result.memory_limit);
     result.callers.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_callers);
     result.operators.held_bytes = static_cast<std::size_t>(memory / parts_of_memory_for_operators);
+    result.answer_memory = static_cast<std::size_t>(memory / parts_of_memory_for_answers);
     const auto connections = process::descriptor_limit() / parts_of_descriptors;
     result.callers.connections = std::min(result.callers.connections, 2 * connections);
     result.operators.connections = std::min(result.operators.connections, connections);
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -23,6 +23,7 @@
     boost::asio::ip::tcp::endpoint admin_listen;
     boost::asio::ip::tcp::endpoint peers_listen; ///< for other entries, which request revisions here
     std::string admin_token_hash;                ///< SHA-256 of the operators' token, 64 hexadecimal digits
+    std::size_t answer_memory = 0;  ///< memory for answers that are held, in bytes; follows from memory_limit
     std::uint64_t memory_limit = 0; ///< memory that this process may use, in bytes; 0: the machine's
     http::server_limits callers;
     http::server_limits operators; ///< of the administration address
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -324,20 +324,32 @@
     } else if (std::holds_alternative<connection_lost>(event)) {
         handle_lost_connection();
     } else if (std::holds_alternative<caller_disconnected>(event)) {
-        wire::abandon_message abandon;
-        abandon.dispatch = wire::to_wire(m_started->dispatch);
-        m_started->link->send_if_connected(abandon);
-        m_started->link->remove_listener(m_started->dispatch);
+        abandon();
         throw caller_disconnected_error();
     }
     co_return std::nullopt;
 }
 
+/// Tells the sidecar that the answer isn't read any more.
+void request_run::abandon() {
+    wire::abandon_message message;
+    message.dispatch = wire::to_wire(m_started->dispatch);
+    m_started->link->send_if_connected(message);
+    m_started->link->remove_listener(m_started->dispatch);
+}
+
 asio::awaitable<void> request_run::handle_chunk(const wire::chunk_message& chunk) {
     const auto now = steady_clock::now();
     const bool is_first = !m_answer.first_piece_time();
     const std::string_view bytes(reinterpret_cast<const char*>(chunk.data.data()), chunk.data.size());
-    if (!co_await m_answer.append(chunk.offset, bytes)) {
+    bool has_appended = false;
+    try {
+        has_appended = co_await m_answer.append(chunk.offset, bytes);
+    } catch (const request_error&) {
+        abandon(); // otherwise the rest of the answer would go on arriving, and be held, for nobody
+        throw;
+    }
+    if (!has_appended) {
         attach(); // bytes are missing: request the answer again from the first missing byte
         co_return;
     }
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -70,6 +70,7 @@
     boost::asio::awaitable<wait_result> wait_for_answer();
     boost::asio::awaitable<std::optional<wait_result>> handle(dispatch_event event);
     boost::asio::awaitable<std::optional<wait_result>> handle_end(const wire::answer_end_message& end);
+    void abandon();
     boost::asio::awaitable<void> handle_chunk(const wire::chunk_message& chunk);
     std::optional<wait_result> handle_fate(const wire::fate_message& fate);
     std::optional<wait_result> handle_not_begun(const wire::not_begun_message& refusal);
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-// The memory of the smallest machines beside servers that the users name.
+// The memory of the smallest machines that the users name.
+constexpr std::size_t entry_memory = 110'000'000;
 constexpr std::size_t sidecar_memory = 192'000'000;
 
 /// A cluster with one service, whose answers the test writes.
@@ -25,7 +26,7 @@
 public:
     scripted_cluster()
         : m_system({.backend_servers = {{.name = "estante-1", .is_service = true, .slots = "32"}},
-                    .entry_settings = {}}) {
+                    .entry_settings = "memory_limit = " + std::to_string(entry_memory) + "B\n"}) {
         m_server.with_server([](scripted_server& server) {
             server.answer_always("GET /health ", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         });
@@ -91,7 +92,7 @@
     }
 }
 
-TEST_CASE("sidecar: bodies without an end that many callers wait for leave it its memory",
+TEST_CASE("sidecar: bodies without an end that many callers wait for leave sidecar and entry their memory",
           "[sidecar][broken]") {
     constexpr int calls = 32;
     const std::string head =
@@ -111,4 +112,5 @@
     const auto after = cluster.send("after", {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
     CHECK(after.body == "ok");
     CHECK(system.backend(0).sidecar->peak_memory() < sidecar_memory);
+    CHECK(system.entry(0).process->peak_memory() < entry_memory);
 }
