A gateway answers the requests that still run when it must end

The report: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and cut without an answer at its end.

Their callers couldn't tell that from a broken connection, and one that waited for a slot wasn't told that it hasn't run.

Change: when the time is over, the gateway ends each attempt and answers: "outcome unknown" (502) if it was sent, "not run" (503) if not; a stream that has begun is broken off, as before. Those that wait are answered first, so that no slot that becomes free lets them be sent.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -449,6 +449,16 @@
     }
 }
 
+bool client_session::has_sent_request() const noexcept {
+    return m_exchange != nullptr && m_exchange->has_been_sent();
+}
+
+void client_session::end_request() {
+    if (const auto exchange = m_exchange) {
+        exchange->handle_stop();
+    }
+}
+
 /// Closes the connection once the caller has read its answer, however slowly it does. Until then the session
 /// exists, so that a process that stops waits for it.
 void client_session::close_when_sent() {
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -72,6 +72,10 @@
 
     /// Closes the connection if no request is being read or answered. Called while the process shuts down.
     void close_if_idle();
+    /// Whether the request in progress was sent to a backend server.
+    [[nodiscard]] bool has_sent_request() const noexcept;
+    /// The process is about to exit: answers the request in progress, if there is one.
+    void end_request();
     [[nodiscard]] bool is_idle() const noexcept;
     [[nodiscard]] stage progress() const noexcept;
     /// Since when the connection has been in a stage before `answering`.
--- a/src/gateway/graceful_stop.cpp
+++ b/src/gateway/graceful_stop.cpp
@@ -4,7 +4,9 @@
 #include "events/event_log.hpp"
 #include "gateway/client_session.hpp"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace borageford::gateway {
 
@@ -44,6 +46,10 @@
     if (m_context.requests_in_progress > 0 && !is_over) {
         return;
     }
+    if (m_context.requests_in_progress > 0 && !m_cut_requests.has_value()) {
+        end_requests(); // their answers have until the next check to leave the process
+        return;
+    }
     boost::system::error_code ignored; // the process exits, so a failure has no consequence
     m_acceptor.close(ignored);
     if (is_over || m_context.sessions.empty()) {
@@ -53,15 +59,26 @@
 
 void graceful_stop::finish() {
     const auto took = std::chrono::duration_cast<milliseconds>(clock::now() - m_begin);
-    events::write(events::event_kind::stopped,
-                  {{"requests_cut", std::uint64_t(m_context.requests_in_progress)},
-                   {"connections_cut", std::uint64_t(m_context.sessions.size())},
-                   {"stopping_ms", std::int64_t(took.count())}});
+    events::write(events::event_kind::stopped, {{"requests_cut", std::uint64_t(m_cut_requests.value_or(0))},
+                                                {"connections_cut", std::uint64_t(m_context.sessions.size())},
+                                                {"stopping_ms", std::int64_t(took.count())}});
     events::flush();
     m_timer.cancel();
     m_on_stopped();
 }
 
+/// Answers the requests that still run. Without an answer, their callers couldn't tell the end of this
+/// process from a failure of their connection, nor those that haven't run from the others.
+void graceful_stop::end_requests() {
+    m_cut_requests = m_context.requests_in_progress;
+    std::vector<client_session*> open(m_context.sessions.begin(), m_context.sessions.end());
+    // Those that wait come first, since the slots of the others would be granted to them.
+    std::ranges::partition(open, [](const auto* session) { return !session->has_sent_request(); });
+    for (auto* session : open) {
+        session->end_request();
+    }
+}
+
 void graceful_stop::close_idle_sessions() {
     const auto open = m_context.sessions; // a copy, since closing a session removes it from the set
     for (auto* session : open) {
--- a/src/gateway/graceful_stop.hpp
+++ b/src/gateway/graceful_stop.hpp
@@ -1,5 +1,5 @@
 // Shuts a gateway down gracefully: running requests are completed, and new ones are served as long as there
-// is time.
+// is time. Those that still run when the time is over are answered by the gateway.
 #pragma once
 
 #include "base/timer_service.hpp"
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <optional>
 
 namespace borageford::gateway {
 
@@ -27,6 +29,7 @@
     using clock = std::chrono::steady_clock;
 
     void check_progress();
+    void end_requests();
     void finish();
     void close_idle_sessions();
 
@@ -35,6 +38,7 @@
     std::function<void()> m_on_stopped;
     clock::time_point m_begin;
     timer_subscription m_timer;
+    std::optional<std::size_t> m_cut_requests; ///< that still ran when the time was over
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -290,6 +290,20 @@
                        is_running ? "its time is over while a server works on it" : "its time is over");
 }
 
+void request_exchange::handle_stop() {
+    if (m_is_over) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (m_call != nullptr) {
+        const bool may_have_run = m_call->has_been_sent();
+        m_call->cancel();
+        m_attempts.record(m_slot, may_have_run ? policy::attempt_outcome::may_have_run
+                                               : policy::attempt_outcome::unreachable);
+    }
+    end_without_answer(error_kind::draining, "this process has stopped", shutdown_retry_after);
+}
+
 /// Answers a request that no backend server has answered. An error that promises "not run" is only sent when
 /// that is certain. A stream that has begun is aborted, so that the caller can't mistake its part for a
 /// complete answer.
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -49,6 +49,11 @@
     /// request as abandoned.
     void cancel();
 
+    /// Whether an attempt is in progress at a backend server.
+    [[nodiscard]] bool has_been_sent() const noexcept { return m_call != nullptr && m_call->has_been_sent(); }
+    /// The process is about to exit: ends the attempt in progress and answers the caller.
+    void handle_stop();
+
     /// Called when bytes sent to the caller have left the process; goes on reading from the backend server
     /// once there is room.
     void handle_sent();
--- a/tests/failure/test_gateway_stop.cpp
+++ b/tests/failure/test_gateway_stop.cpp
@@ -20,6 +20,13 @@
     return options;
 }
 
+/// A call whose caller waits for a minute.
+http::request patient_call(const std::string& id) {
+    auto call = make_call("/plain/x", id);
+    call.headers.back().value = "60000";
+    return call;
+}
+
 std::size_t count_lines(const std::string& text, const std::string& word) {
     std::size_t lines = 0;
     for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) {
@@ -67,6 +74,52 @@
     CHECK(site.process(0).wait_for_exit() == 0);
 }
 
+TEST_CASE("gateway: requests that still run when a graceful shutdown must end are answered",
+          "[gateway][stop]") {
+    // Without an answer, callers can't tell whether the process or their connection has failed.
+    auto options = slow_site(std::chrono::milliseconds(20));
+    options.configuration.routes.front().timeout = std::chrono::seconds(60);
+    options.configuration.routes.front().attempts = 1;
+    options.backends.front().slots = 1;
+    options.gateway_settings = "stop_limit = 3500ms\n";
+    gateway_site site(options);
+    site.on_emulator([&] { site.backend(0).set_fault(emulator::backend_fault::hang); });
+    pending_call running(site.callers(0), patient_call("running"));
+    wait_until("the request runs", [&] { return site.runs_of("running") == 1; });
+    pending_call waiting(site.callers(0), patient_call("waiting"));
+    site.process(0).terminate();
+    const auto unknown = running.wait();
+    CHECK(unknown.status == 502);
+    CHECK(unknown.is_complete);
+    const auto refused = waiting.wait();
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    CHECK(site.runs_of("waiting") == 0);
+    CHECK(site.process(0).wait_for_exit() == 0);
+}
+
+TEST_CASE("gateway: late in a graceful shutdown it passes on no request that may not end in time",
+          "[gateway][stop]") {
+    // A request that is passed on and then cut may have run, and its caller can't send it again.
+    auto options = slow_site(std::chrono::milliseconds(20));
+    options.configuration.routes.front().timeout = std::chrono::seconds(60);
+    options.gateway_settings = "stop_limit = 30s\n";
+    gateway_site site(options);
+    site.on_emulator([&] { site.backend(0).set_fault(emulator::backend_fault::hang, 1); });
+    pending_call running(site.callers(0), patient_call("long"));
+    wait_until("the long request runs", [&] { return site.runs_of("long") == 1; });
+    site.process(0).terminate();
+    // The gateway closes idle connections once the balancer must have noticed; this call returns then.
+    CHECK(exchange_raw(site.callers(0), "", std::chrono::seconds(20)).empty());
+    const auto refused = site.send(0, patient_call("late"));
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    CHECK(site.runs_of("late") == 0);
+    CHECK(site.send(0, make_call("/plain/x", "short")).status == 200);
+    running.disconnect();
+    CHECK(site.process(0).wait_for_exit() == 0);
+}
+
 TEST_CASE("gateway: after a second stop signal it still finishes running requests", "[gateway][stop]") {
     // Two rolling restarts overlap, and the platform sends a second signal to a process that is already
     // shutting down. Exiting at once would abort requests that it was to finish.
