An answer without a length is whole only if its server outlives it

Cause: the kernel ends the connections of a killed process in order, as a server does after such an answer. The gateway asked whether the server still accepts connections, but afterwards: the kernel may still accept one while it closes the others, and a server that leaves wasn't asked at all, since one that has stopped listening may still end its last answers.

Change: life_witness, a connection to the server that is open from the answer's head on, one for all such answers of a server. All connections of a killed process end together, so 50 ms after the end of the answer the witness has ended, too, and a new connection is refused. If it is open, or the server has long stopped listening and leaves, the answer is whole. An end of the witness alone (idle timeout, limit of connections) makes it connect again.

Cost: answers without a length end 50 ms later, and one connection a server while there are such answers; before, a connection at each end. The last answer of a leaving server that exits within 50 ms of its end, and has neither stopped listening nor closed idle connections, isn't told from a killed one and counts as broken off.

Unit tests with a listening socket: idle timeout, killed, leaving, refused from the begin.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -50,19 +50,39 @@
         on_checked();
         return;
     }
-    wait_for_check(server, [on_checked = std::move(on_checked)](bool) { on_checked(); });
+    wait_for_check(server, std::move(on_checked));
 }
 
-void crash_watch::check_alive(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked) {
-    if (may_have_crashed(*server)) {
-        wait_for_check(server, std::move(on_checked));
-    } else {
-        on_checked(true);
+std::shared_ptr<life_witness> crash_watch::watch(const std::shared_ptr<backend>& server) {
+    std::erase_if(m_witnesses, [](const auto& entry) { return entry.second.expired(); });
+    auto& known = m_witnesses[server.get()];
+    auto witness = known.lock();
+    if (witness == nullptr) {
+        witness = std::make_shared<life_witness>(m_executor, server);
+        witness->open();
+        known = witness;
     }
+    return witness;
 }
 
-void crash_watch::wait_for_check(const std::shared_ptr<backend>& server,
-                                 std::function<void(bool)> on_checked) {
+void crash_watch::check_alive(const std::shared_ptr<backend>& server,
+                              const std::shared_ptr<life_witness>& witness,
+                              std::function<void(bool)> on_checked) {
+    const auto timer = std::make_shared<asio::steady_timer>(m_executor, life_witness::settling_time);
+    timer->async_wait(
+        [this, timer, server, witness, on_checked = std::move(on_checked)](const boost::system::error_code&) {
+            const auto sign = witness->read(clock::now());
+            // A server that leaves may stop listening before it ends its last answers.
+            const bool has_ended = sign == life_witness::sign::ended_refused ||
+                                   (sign == life_witness::sign::refused && may_have_crashed(*server));
+            if (has_ended) {
+                record_crash(*server);
+            }
+            on_checked(!has_ended);
+        });
+}
+
+void crash_watch::wait_for_check(const std::shared_ptr<backend>& server, std::function<void()> on_checked) {
     begin_check(server);
     const auto key = server->record().key();
     auto& running = m_checks.at(key);
@@ -134,7 +154,7 @@
         server->keep_idle(std::move(connection), keep_checked, [this, server] { plan_check(server); });
     }
     for (const auto& on_checked : ended.mapped().waiting) {
-        on_checked(error != asio::error::connection_refused);
+        on_checked();
     }
 }
 
@@ -147,7 +167,7 @@
     }
     running->second.patience.cancel();
     for (const auto& on_checked : std::exchange(running->second.waiting, {})) {
-        on_checked(true);
+        on_checked();
     }
 }
 
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -4,6 +4,7 @@
 #include "base/timer_service.hpp"
 #include "coordination/slot_broker.hpp"
 #include "gateway/backend.hpp"
+#include "gateway/life_witness.hpp"
 #include "policy/crash_suspects.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -34,10 +35,14 @@
     /// `on_checked` once it is known whether the server still accepts connections, or after a short time.
     void record_broken(const std::shared_ptr<backend>& server, suspects ended,
                        std::function<void()> on_checked);
-    /// A server has ended a connection in the ordinary way, as the system also does for a process that was
-    /// killed. Calls `on_checked` with whether the server may still be there: not if it refuses connections
-    /// although it hasn't announced that it leaves.
-    void check_alive(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked);
+    /// Begins to watch a server that has begun an answer without a length. Answers that run at the same time
+    /// share the witness.
+    [[nodiscard]] std::shared_ptr<life_witness> watch(const std::shared_ptr<backend>& server);
+    /// A server has ended its connection after such an answer, as the system also does for a process that was
+    /// killed. Calls `on_checked` with whether the server has outlived the answer, as far as the witness
+    /// tells.
+    void check_alive(const std::shared_ptr<backend>& server, const std::shared_ptr<life_witness>& witness,
+                     std::function<void(bool)> on_checked);
     /// The caller of a request left, or its deadline passed, before the server had answered it. It was sent
     /// at `sent`.
     void record_abandoned(const std::shared_ptr<backend>& server, suspects ended, clock::time_point sent);
@@ -61,15 +66,14 @@
         std::shared_ptr<boost::asio::ip::tcp::socket> socket;
         timer_subscription timeout;
         timer_subscription patience;
-        /// Called with whether the server may still be there.
-        std::vector<std::function<void(bool)>> waiting;
+        std::vector<std::function<void()>> waiting;
     };
 
     void plan_check(const std::shared_ptr<backend>& server);
     void begin_check(const std::shared_ptr<backend>& server);
     void end_check(policy::server_key key, const std::shared_ptr<backend>& server,
                    const boost::system::error_code& error);
-    void wait_for_check(const std::shared_ptr<backend>& server, std::function<void(bool)> on_checked);
+    void wait_for_check(const std::shared_ptr<backend>& server, std::function<void()> on_checked);
     void release_waiting(policy::server_key key);
     void report(const backend& server, suspects marked, std::string_view sign);
 
@@ -80,6 +84,7 @@
     std::unordered_map<policy::server_key, check> m_checks; ///< the running ones
     /// Checks that begin later, see plan_check().
     std::unordered_map<policy::server_key, timer_subscription> m_planned;
+    std::unordered_map<const backend*, std::weak_ptr<life_witness>> m_witnesses;
 };
 
 } // namespace borageford::gateway
--- /dev/null
+++ b/src/gateway/life_witness.cpp
@@ -0,0 +1,102 @@
+// Implementation of life_witness.
+#include "gateway/life_witness.hpp"
+
+#include "gateway/server_connection.hpp"
+
+#include <boost/asio/error.hpp>
+
+#include <utility>
+
+namespace borageford::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds connect_timeout{300};
+/// Short enough for two further tries within the settling time.
+constexpr milliseconds retry_delay{15};
+/// A connection that the witness leaves is kept for the next request for this long.
+constexpr milliseconds keep_time{1000};
+/// An end that is older than this has nothing to do with the end of the answer: the settling time, and as
+/// much before the answer's end.
+constexpr milliseconds recent = 2 * life_witness::settling_time;
+
+} // namespace
+
+life_witness::life_witness(asio::any_io_executor executor, std::shared_ptr<backend> server)
+    : m_executor(std::move(executor)),
+      m_server(std::move(server)),
+      m_connecting(m_executor),
+      m_timer(m_executor) {}
+
+life_witness::~life_witness() {
+    if (m_connection != nullptr) {
+        m_server->keep_idle(server_connection(std::move(m_connection)), keep_time);
+    }
+}
+
+void life_witness::open() {
+    m_connecting = asio::ip::tcp::socket(m_executor);
+    m_connecting.async_connect(m_server->record().address,
+                               [weak = weak_from_this()](const boost::system::error_code& error) {
+                                   if (const auto self = weak.lock()) {
+                                       self->handle_connected(error);
+                                   }
+                               });
+    m_timer.expires_after(connect_timeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            boost::system::error_code ignored;
+            self->m_connecting.close(ignored);
+        }
+    });
+}
+
+void life_witness::handle_connected(const boost::system::error_code& error) {
+    m_timer.cancel();
+    m_is_refused = error == asio::error::connection_refused;
+    if (error) {
+        return;
+    }
+    m_connection = std::make_shared<net::connection>(std::move(m_connecting));
+    const auto end = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->handle_end();
+        }
+    };
+    m_connection->set_handlers({end, [end](net::connection_end) { end(); }, {}});
+    m_connection->read();
+}
+
+/// The connection has ended, or bytes have arrived, which belong to no request.
+void life_witness::handle_end() {
+    m_ended = clock::now();
+    m_connection->close();
+    m_connection.reset();
+    open_later();
+}
+
+void life_witness::open_later() {
+    m_timer.expires_after(retry_delay);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            self->open();
+        }
+    });
+}
+
+life_witness::sign life_witness::read(clock::time_point now) const {
+    if (m_connection != nullptr) {
+        return sign::alive;
+    }
+    if (!m_is_refused) {
+        return sign::none;
+    }
+    return m_ended.has_value() && now - *m_ended < recent ? sign::ended_refused : sign::refused;
+}
+
+} // namespace borageford::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -364,6 +364,7 @@
     m_registration_timer.cancel();
     release_slot(policy::slot_outcome::abandoned);
     m_call.reset();
+    m_witness.reset();
 }
 
 } // namespace borageford::gateway
--- a/tests/unit/test_crash_watch.cpp
+++ b/tests/unit/test_crash_watch.cpp
@@ -9,6 +9,9 @@
 
 #include <array>
 #include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
 
 using namespace borageford;
 using namespace std::chrono_literals;
@@ -34,6 +37,42 @@
             m_context.run_one();
         }
     }
+    /// A server begins an answer without a length; the process accepts the connection of the witness.
+    void begin_answer() {
+        m_witness = m_watch.watch(m_server);
+        accept();
+    }
+    /// The same while it doesn't listen any more.
+    void begin_unwitnessed_answer() {
+        stop_listening();
+        m_witness = m_watch.watch(m_server);
+    }
+    void accept() {
+        m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (!error) {
+                m_accepted.push_back(std::move(socket));
+            }
+        });
+        const auto known = m_accepted.size();
+        while (m_accepted.size() == known) {
+            m_context.run_one();
+        }
+    }
+    /// It ends the connections that it has accepted, as it does when they have been idle.
+    void end_connections() { m_accepted.clear(); }
+    void kill() {
+        stop_listening();
+        end_connections();
+    }
+    /// The connection ends in order; returns whether that is taken for the end of the answer.
+    bool is_whole() {
+        std::optional<bool> result;
+        m_watch.check_alive(m_server, m_witness, [&](bool is_alive) { result = is_alive; });
+        while (!result.has_value()) {
+            m_context.run_one();
+        }
+        return *result;
+    }
     void stop_listening() { m_acceptor.close(); }
     void crash_elsewhere() {
         m_watch.record_crash_elsewhere(m_server->record().key());
@@ -56,6 +95,8 @@
     coordination::slot_broker m_slots{m_context.get_executor(), m_timers, {}, {}};
     gateway::crash_watch m_watch{m_context.get_executor(), m_timers, m_slots};
     std::shared_ptr<gateway::backend> m_server;
+    std::shared_ptr<gateway::life_witness> m_witness;
+    std::vector<tcp::socket> m_accepted;
 };
 
 } // namespace
@@ -86,3 +127,41 @@
     server.crash_elsewhere();
     CHECK(server.marks() == 1);
 }
+
+TEST_CASE("an answer without a length is whole if its server outlives it", "[gateway][crash_watch]") {
+    const bool is_leaving = GENERATE(false, true);
+    watched_server server;
+    if (is_leaving) {
+        server.announce_leaving();
+    }
+    server.begin_answer();
+    CHECK(server.is_whole());
+    // Its idle timeout ends the connection of the witness, which opens another one.
+    server.end_connections();
+    server.accept();
+    CHECK(server.is_whole());
+}
+
+TEST_CASE("an answer without a length isn't whole if its server's other connections end with it",
+          "[gateway][crash_watch]") {
+    // The kernel ends the connections of a killed process as a server does at the end of such an answer.
+    const bool is_leaving = GENERATE(false, true);
+    watched_server server;
+    if (is_leaving) {
+        server.announce_leaving();
+    }
+    server.begin_answer();
+    server.kill();
+    CHECK_FALSE(server.is_whole());
+}
+
+TEST_CASE("a server that refuses connections has ended its answer if it leaves, otherwise not",
+          "[gateway][crash_watch]") {
+    const bool is_leaving = GENERATE(false, true);
+    watched_server server;
+    if (is_leaving) {
+        server.announce_leaving();
+    }
+    server.begin_unwitnessed_answer();
+    CHECK(server.is_whole() == is_leaving);
+}
