A sidecar takes no part of a killed service's answer for the whole

What callers saw: a plain service was killed while it sent an answer without a length; the sidecar took the end of its connection for the end of the answer, and the entry's caller got the part as a whole answer.

(Engines aren't concerned: their streams have a last event, their other answers are checked.)

Change: after such an answer a sidecar makes a health check, and any answer to it shows that the process lives. Unlike a gateway, it has a call for that which takes no slot and costs nothing.

--- a/src/backend/answer_stream.hpp
+++ b/src/backend/answer_stream.hpp
@@ -32,6 +32,9 @@
     /// Returns the next piece of the answer, or an empty string at its end.
     boost::asio::awaitable<std::string> read_some();
 
+    /// Whether only the end of the connection ends the answer. Valid after open().
+    [[nodiscard]] bool ends_with_connection() const noexcept { return m_exchange.ends_with_connection(); }
+
     /// Closes the connection; a pending call throws.
     void cancel() noexcept;
 
--- a/src/backend/backend_server.cpp
+++ b/src/backend/backend_server.cpp
@@ -44,6 +44,10 @@
     co_return false;
 }
 
+asio::awaitable<bool> backend_server::is_alive() {
+    return std::visit([](auto& kind) { return kind.is_alive(); }, m_servers.back());
+}
+
 asio::awaitable<bool> backend_server::is_healthy() {
     return std::visit([](auto& kind) { return kind.is_healthy(); }, m_servers.back());
 }
--- a/src/backend/backend_server.hpp
+++ b/src/backend/backend_server.hpp
@@ -43,6 +43,8 @@
     boost::asio::awaitable<bool> cancel(dispatch_id dispatch);
     /// Whether the server answers a health check in time.
     boost::asio::awaitable<bool> is_healthy();
+    /// Whether the server answers a health check in time, whatever it says of its health.
+    boost::asio::awaitable<bool> is_alive();
 
 private:
     /// All servers that were set; the last one is in use. The previous ones are kept because a call in
--- a/src/backend/http_exchange.cpp
+++ b/src/backend/http_exchange.cpp
@@ -1,6 +1,8 @@
 // Implements the HTTP calls that model_engine and plain_service share.
 #include "backend/http_exchange.hpp"
 
+#include <optional>
+
 namespace borageford::backend {
 namespace {
 
@@ -8,6 +10,20 @@
 /// Largest accepted answer to a control call in bytes.
 constexpr std::size_t control_body_limit = 4U * 1024 * 1024;
 
+/// The status of the answer to a health check; nothing if there is none in time.
+boost::asio::awaitable<std::optional<unsigned>> fetch_health_status(boost::asio::any_io_executor executor,
+                                                                    http::endpoint server,
+                                                                    std::chrono::milliseconds limit) {
+    http::request request;
+    request.target = "/health";
+    try {
+        const auto answer = co_await exchange(executor, server, request, limit);
+        co_return answer.head.status;
+    } catch (const backend_error&) {
+        co_return std::nullopt;
+    }
+}
+
 } // namespace
 
 failure to_failure(const http::exchange_error& error) noexcept {
@@ -41,16 +57,16 @@
     }
 }
 
+boost::asio::awaitable<bool> check_life(const boost::asio::any_io_executor& executor,
+                                        const http::endpoint& server, std::chrono::milliseconds limit) {
+    const auto status = co_await fetch_health_status(executor, server, limit);
+    co_return status.has_value();
+}
+
 boost::asio::awaitable<bool> check_health(const boost::asio::any_io_executor& executor,
                                           const http::endpoint& server, std::chrono::milliseconds limit) {
-    http::request request;
-    request.target = "/health";
-    try {
-        const auto answer = co_await exchange(executor, server, request, limit);
-        co_return answer.head.status == status_ok;
-    } catch (const backend_error&) {
-        co_return false;
-    }
+    const auto status = co_await fetch_health_status(executor, server, limit);
+    co_return status == status_ok;
 }
 
 } // namespace borageford::backend
--- a/src/backend/http_exchange.hpp
+++ b/src/backend/http_exchange.hpp
@@ -24,6 +24,10 @@
                                                 const http::endpoint& server, const http::request& request,
                                                 std::chrono::milliseconds limit);
 
+/// Whether the server answers GET /health, with any status; each step may take up to `limit`.
+boost::asio::awaitable<bool> check_life(const boost::asio::any_io_executor& executor,
+                                        const http::endpoint& server, std::chrono::milliseconds limit);
+
 /// Whether the server answers GET /health with status 200; each step may take up to `limit`.
 boost::asio::awaitable<bool> check_health(const boost::asio::any_io_executor& executor,
                                           const http::endpoint& server, std::chrono::milliseconds limit);
--- a/src/backend/model_engine.cpp
+++ b/src/backend/model_engine.cpp
@@ -186,6 +186,10 @@
     co_return co_await check_health(m_executor, m_address, m_control_timeout);
 }
 
+asio::awaitable<bool> model_engine::is_alive() {
+    co_return co_await check_life(m_executor, m_address, m_control_timeout);
+}
+
 asio::awaitable<http::response> model_engine::send_control_request(std::string method, std::string target,
                                                                    std::string body,
                                                                    std::chrono::milliseconds limit) {
--- a/src/backend/model_engine.hpp
+++ b/src/backend/model_engine.hpp
@@ -13,8 +13,8 @@
 
 namespace borageford::backend {
 
-/// Calls one model engine. All coroutines but is_healthy() throw backend_error when the engine can't be
-/// reached, doesn't answer in time or answers with an error.
+/// Calls one model engine. All coroutines but is_healthy() and is_alive() throw backend_error when the engine
+/// can't be reached, doesn't answer in time or answers with an error.
 class model_engine {
 public:
     model_engine(boost::asio::any_io_executor executor, http::endpoint address,
@@ -43,6 +43,8 @@
     boost::asio::awaitable<order_result> send_order(const order& command, std::chrono::milliseconds limit);
     /// Whether the engine answers a health check in time.
     boost::asio::awaitable<bool> is_healthy();
+    /// Whether the engine answers a health check in time, whatever it says of its health.
+    boost::asio::awaitable<bool> is_alive();
 
 private:
     /// Sends a request to the engine and returns the response; throws backend_error.
--- a/src/backend/plain_service.cpp
+++ b/src/backend/plain_service.cpp
@@ -21,4 +21,8 @@
     co_return co_await check_health(m_executor, m_address, m_control_timeout);
 }
 
+boost::asio::awaitable<bool> plain_service::is_alive() {
+    co_return co_await check_life(m_executor, m_address, m_control_timeout);
+}
+
 } // namespace borageford::backend
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -185,6 +185,10 @@
     co_return std::exchange(m_state->body, {});
 }
 
+bool client_exchange::ends_with_connection() const noexcept {
+    return m_state->reader.ends_with_connection();
+}
+
 void client_exchange::cancel() noexcept {
     m_state->cancel();
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -76,6 +76,10 @@
     /// exchange_error when the connection ends before the full length or the last chunk was received.
     boost::asio::awaitable<std::string> read_some();
 
+    /// Whether the body has neither a length nor chunks and ends when the server closes the connection. Valid
+    /// after send().
+    [[nodiscard]] bool ends_with_connection() const noexcept;
+
     /// Closes the connection; a pending call throws exchange_error. Must be called on the exchange's
     /// executor.
     void cancel() noexcept;
--- a/src/sidecar/dispatch_runner.cpp
+++ b/src/sidecar/dispatch_runner.cpp
@@ -144,6 +144,9 @@
         m_calls.progressed(dispatch);
         co_await wait_for_readers(dispatch);
     }
+    if (!m_server.is_engine()) {
+        co_await check_end(dispatch);
+    }
     if (is_checked && is_stream) {
         state.checker.finish();
     }
@@ -152,6 +155,20 @@
     }
 }
 
+/// An answer without a length ends with its connection, and the kernel ends the connections of a service that
+/// was killed in the same way. Without a sign of its life, a part would pass for the whole answer. Engines
+/// end their answers in a way that the checker knows.
+asio::awaitable<void> dispatch_runner::check_end(const dispatch_record& dispatch) {
+    if (!dispatch.stream->ends_with_connection()) {
+        co_return;
+    }
+    const bool is_alive = co_await m_server.is_alive();
+    if (!is_alive) {
+        throw backend::backend_error(backend::failure::connection_broken,
+                                     "the service has ended with its answer");
+    }
+}
+
 /// Leaves it to the server to hold what the readers don't take yet.
 asio::awaitable<void> dispatch_runner::wait_for_readers(const dispatch_record& dispatch) {
     asio::steady_timer timer(m_strand);
--- a/src/sidecar/dispatch_runner.hpp
+++ b/src/sidecar/dispatch_runner.hpp
@@ -60,6 +60,7 @@
     boost::asio::awaitable<void> run(record_pointer dispatch);
     boost::asio::awaitable<void> open(dispatch_record& dispatch, attempt& state);
     boost::asio::awaitable<void> read(dispatch_record& dispatch, attempt& state);
+    boost::asio::awaitable<void> check_end(const dispatch_record& dispatch);
     boost::asio::awaitable<void> wait_for_readers(const dispatch_record& dispatch);
     boost::asio::awaitable<void> follow(dispatch_record& dispatch, attempt& state);
     boost::asio::awaitable<void> recover(const record_pointer& dispatch, attempt& state);
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -92,6 +92,18 @@
     }
 }
 
+TEST_CASE("sidecar: the part of an answer without a length whose service was killed reaches no caller",
+          "[sidecar][broken]") {
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    scripted_cluster cluster;
+    const auto whole = cluster.send("whole", {.bytes = head + "whole", .end = scripted_end::close});
+    CHECK(whole.status == 200);
+    CHECK(whole.body == "whole");
+    const auto part = cluster.send("part", {.bytes = head + "part", .end = scripted_end::die});
+    CHECK(part.status == 502);
+    CHECK(part.header("X-Ran") == "unknown");
+}
+
 TEST_CASE("sidecar: bodies without an end that many callers wait for leave sidecar and entry their memory",
           "[sidecar][broken]") {
     constexpr int calls = 32;
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -67,6 +67,7 @@
         socket.shutdown(tcp::socket::shutdown_send);
         break;
     case scripted_end::close:
+    case scripted_end::die:
         drop_received(socket);
         socket.close();
         break;
@@ -87,9 +88,12 @@
 }
 
 asio::awaitable<void> scripted_server::accept() {
-    for (std::size_t number = 0;; ++number) {
-        auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), number), asio::detached);
+    for (std::size_t number = 0; m_acceptor.is_open(); ++number) {
+        boost::system::error_code error;
+        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), number), asio::detached);
+        }
     }
 }
 
@@ -123,6 +127,9 @@
                 socket.shutdown(tcp::socket::shutdown_send);
                 co_await body.read(read_before_reset);
             }
+            if (answer.end == scripted_end::die) {
+                m_acceptor.close();
+            }
             end(socket, answer.end);
             m_body_bytes += co_await body.read(body.left);
         }
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -22,6 +22,8 @@
     shut_down, ///< ends its sending side, and reads until the caller has ended the connection
     close,     ///< reads what has arrived and closes the socket; the kernel answers later bytes by a reset
     reset,     ///< resets the connection
+    /// Stops listening and closes the socket, in order, as for a process that was killed.
+    die,
     /// Ends its sending side at once, reads a little more of the request, and resets the connection.
     shut_down_and_reset,
 };
