A chunk whose extension holds a control byte is no part of a response

What callers saw: nothing that could be told from an ordinary answer; the bytes of a chunk's extension go nowhere. But such bytes aren't an answer by the grammar, and a server that sends them is in trouble.

Cause: Boost.Beast's parser takes any byte inside the quotes of an extension. Change: response_reader refuses control bytes there.

Connection fields that are no list may be refused or not: they frame nothing.

--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,14 @@
     }
 }
 
+/// Whether no text of a message may hold this byte.
+bool is_control(char byte) noexcept {
+    constexpr unsigned char last_control = 0x1f;
+    constexpr unsigned char delete_control = 0x7f;
+    const auto value = static_cast<unsigned char>(byte);
+    return (value <= last_control && byte != '\t') || value == delete_control;
+}
+
 class library_parser : public beast::http::basic_parser<false> {
 public:
     int version = 0; ///< 10 times the HTTP version
@@ -71,7 +80,11 @@
     void on_header_impl(error_code&) override { has_head = true; }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view bytes, error_code&) override { return append(bytes); }
-    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+    void on_chunk_header_impl(std::uint64_t, string_view extensions, error_code& error) override {
+        if (std::ranges::any_of(extensions, is_control)) {
+            error = beast::http::error::bad_chunk_extension;
+        }
+    }
     std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override {
         return append(bytes);
     }
--- a/tests/unit/test_broken_responses.cpp
+++ b/tests/unit/test_broken_responses.cpp
@@ -277,8 +277,9 @@
     for (const auto* chunks :
          {"\r\n", "x\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n", "0x2\r\nok\r\n0\r\n\r\n",
           " 2\r\nok\r\n0\r\n\r\n", "2 \r\nok\r\n0\r\n\r\n", "1\r\nok\r\n0\r\n\r\n", "3\r\nok\r\n0\r\n\r\n",
-          "2\r\nok0\r\n\r\n", "2;\r\nok\r\n0\r\n\r\n", "2;=\r\nok\r\n0\r\n\r\n",
-          "10000000000000000\r\nok\r\n0\r\n\r\n", "ffffffffffffffff1\r\nok\r\n0\r\n\r\n"}) {
+          "2\r\nok0\r\n\r\n", "2;x=\"\x01\"\r\nok\r\n0\r\n\r\n", "2;x=\"\x7f\"\r\nok\r\n0\r\n\r\n",
+          "2;\r\nok\r\n0\r\n\r\n", "2;=\r\nok\r\n0\r\n\r\n", "10000000000000000\r\nok\r\n0\r\n\r\n",
+          "ffffffffffffffff1\r\nok\r\n0\r\n\r\n"}) {
         CAPTURE(chunks);
         CHECK_FALSE(is_response(with_fields("Transfer-Encoding: chunked\r\n", chunks)));
     }
