An answer that names two requests belongs to neither

What callers saw: an answer with two different ids of requests was taken for the answer to the request in progress if its id came first, though it may as well be the other one's. Found by reading, not by a report.

Cause: whose answer it is was told by the first field with the id.

Change: all of them have to name the request; any other answer is passed over, as one that names no request, and its connection isn't kept.

Evidence: two rows of the new unit test failed before. Ids of other requests first, or as a list in one field, were handled, and stay in it.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -273,7 +273,7 @@
     if (m_request.request_id.empty()) {
         return true; // the connection has carried nothing else
     }
-    return m_reader->fields().find(m_request.request_id_name) == m_request.request_id;
+    return m_reader->fields().all_are(m_request.request_id_name, m_request.request_id);
 }
 
 void backend_call::report_passed_over() const {
--- a/src/http/field_list.cpp
+++ b/src/http/field_list.cpp
@@ -46,6 +46,21 @@
     return std::nullopt;
 }
 
+bool field_list::all_are(std::string_view name, std::string_view value) const {
+    bool is_found = false;
+    for (std::size_t index = 0; index < m_positions.size(); ++index) {
+        const auto found = at(index);
+        if (!is_same_name(found.name, name)) {
+            continue;
+        }
+        if (found.value != value) {
+            return false;
+        }
+        is_found = true;
+    }
+    return is_found;
+}
+
 std::size_t field_list::count(std::string_view name) const {
     std::size_t found = 0;
     for (std::size_t index = 0; index < m_positions.size(); ++index) {
--- a/src/http/field_list.hpp
+++ b/src/http/field_list.hpp
@@ -31,6 +31,8 @@
 
     /// The value of the first field with this name, ignoring case; std::nullopt when there is none.
     [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const;
+    /// Whether there are fields with this name, ignoring case, and all of them have this value.
+    [[nodiscard]] bool all_are(std::string_view name, std::string_view value) const;
     /// Number of fields with this name, ignoring case.
     [[nodiscard]] std::size_t count(std::string_view name) const;
 
--- a/tests/unit/test_backend_call.cpp
+++ b/tests/unit/test_backend_call.cpp
@@ -135,6 +135,20 @@
     CHECK(called.call("b").body == "b's own");
 }
 
+TEST_CASE("an answer that names two requests is passed over", "[gateway][backend_call]") {
+    called_server called;
+    for (const auto* names :
+         {"Request-Id: a\r\nRequest-Id: other\r\n", "Request-Id: other\r\nRequest-Id: a\r\n",
+          "Request-Id: a\r\nRequest-Id: \r\n", "Request-Id: a, other\r\n"}) {
+        CAPTURE(names);
+        called.server().add(
+            {"HTTP/1.1 200 OK\r\n"s + names + "Content-Length: 2\r\n\r\nok" + answer_to("a", "a's own")});
+        CHECK(called.call("a").body == "a's own");
+    }
+    called.server().add({"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nrequest-id: b\r\nContent-Length: 2\r\n\r\nok"});
+    CHECK(called.call("b").body == "ok");
+}
+
 TEST_CASE("a connection on which bytes arrive between two requests isn't used again",
           "[gateway][backend_call]") {
     called_server called;
