--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -53,33 +53,33 @@
     wait_for_check(server, std::move(on_checked));
 }
 
-std::shared_ptr<life_witness> crash_watch::watch(const std::shared_ptr<backend>& server) {
-    std::erase_if(m_witnesses, [](const auto& entry) { return entry.second.expired(); });
-    auto& known = m_witnesses[server.get()];
-    auto witness = known.lock();
-    if (witness == nullptr) {
-        witness = std::make_shared<life_witness>(m_executor, server);
-        witness->open();
-        known = witness;
+std::shared_ptr<liveness_watch> crash_watch::watch(const std::shared_ptr<backend>& server) {
+    std::erase_if(m_watches, [](const auto& entry) { return entry.second.expired(); });
+    auto& known = m_watches[server.get()];
+    auto liveness = known.lock();
+    if (liveness == nullptr) {
+        liveness = std::make_shared<liveness_watch>(m_executor, server);
+        liveness->open();
+        known = liveness;
     }
-    return witness;
+    return liveness;
 }
 
 void crash_watch::check_alive(const std::shared_ptr<backend>& server,
-                              const std::shared_ptr<life_witness>& witness,
+                              const std::shared_ptr<liveness_watch>& liveness,
                               std::function<void(bool)> on_checked) {
-    const auto timer = std::make_shared<asio::steady_timer>(m_executor, life_witness::settling_time);
-    timer->async_wait(
-        [this, timer, server, witness, on_checked = std::move(on_checked)](const boost::system::error_code&) {
-            const auto sign = witness->read(clock::now());
-            // A server that leaves may stop listening before it ends its last answers.
-            const bool has_ended = sign == life_witness::sign::ended_refused ||
-                                   (sign == life_witness::sign::refused && may_have_crashed(*server));
-            if (has_ended) {
-                record_crash(*server);
-            }
-            on_checked(!has_ended);
-        });
+    const auto timer = std::make_shared<asio::steady_timer>(m_executor, liveness_watch::settling_time);
+    timer->async_wait([this, timer, server, liveness,
+                       on_checked = std::move(on_checked)](const boost::system::error_code&) {
+        const auto sign = liveness->read(clock::now());
+        // A server that leaves may stop listening before it ends its last answers.
+        const bool has_ended = sign == liveness_watch::sign::ended_refused ||
+                               (sign == liveness_watch::sign::refused && may_have_crashed(*server));
+        if (has_ended) {
+            record_crash(*server);
+        }
+        on_checked(!has_ended);
+    });
 }
 
 void crash_watch::wait_for_check(const std::shared_ptr<backend>& server, std::function<void()> on_checked) {
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -4,7 +4,7 @@
 #include "base/timer_service.hpp"
 #include "coordination/slot_broker.hpp"
 #include "gateway/backend.hpp"
-#include "gateway/life_witness.hpp"
+#include "gateway/liveness_watch.hpp"
 #include "policy/crash_suspects.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -36,12 +36,12 @@
     void record_broken(const std::shared_ptr<backend>& server, suspects ended,
                        std::function<void()> on_checked);
     /// Begins to watch a server that has begun an answer without a length. Answers that run at the same time
-    /// share the witness.
-    [[nodiscard]] std::shared_ptr<life_witness> watch(const std::shared_ptr<backend>& server);
+    /// share the watch.
+    [[nodiscard]] std::shared_ptr<liveness_watch> watch(const std::shared_ptr<backend>& server);
     /// A server has ended its connection after such an answer, as the system also does for a process that was
-    /// killed. Calls `on_checked` with whether the server has outlived the answer, as far as the witness
+    /// killed. Calls `on_checked` with whether the server has outlived the answer, as far as the watch
     /// tells.
-    void check_alive(const std::shared_ptr<backend>& server, const std::shared_ptr<life_witness>& witness,
+    void check_alive(const std::shared_ptr<backend>& server, const std::shared_ptr<liveness_watch>& liveness,
                      std::function<void(bool)> on_checked);
     /// The caller of a request left, or its deadline passed, before the server had answered it. It was sent
     /// at `sent`.
@@ -84,7 +84,7 @@
     std::unordered_map<policy::server_key, check> m_checks; ///< the running ones
     /// Checks that begin later, see plan_check().
     std::unordered_map<policy::server_key, timer_subscription> m_planned;
-    std::unordered_map<const backend*, std::weak_ptr<life_witness>> m_witnesses;
+    std::unordered_map<const backend*, std::weak_ptr<liveness_watch>> m_watches;
 };
 
 } // namespace borageford::gateway
--- a/src/gateway/life_witness.cpp
+++ b/src/gateway/liveness_watch.cpp
@@ -1,5 +1,5 @@
-// Implementation of life_witness.
-#include "gateway/life_witness.hpp"
+// Implementation of liveness_watch.
+#include "gateway/liveness_watch.hpp"
 
 #include "gateway/server_connection.hpp"
 
@@ -17,27 +17,27 @@
 constexpr milliseconds connect_timeout{300};
 /// Short enough for two further tries within the settling time.
 constexpr milliseconds retry_delay{15};
-/// A connection that the witness leaves is kept for the next request for this long.
+/// A connection that the watch leaves is kept for the next request for this long.
 constexpr milliseconds keep_time{1000};
 /// An end that is older than this has nothing to do with the end of the answer: the settling time, and as
 /// much before the answer's end.
-constexpr milliseconds recent = 2 * life_witness::settling_time;
+constexpr milliseconds recent = 2 * liveness_watch::settling_time;
 
 } // namespace
 
-life_witness::life_witness(asio::any_io_executor executor, std::shared_ptr<backend> server)
+liveness_watch::liveness_watch(asio::any_io_executor executor, std::shared_ptr<backend> server)
     : m_executor(std::move(executor)),
       m_server(std::move(server)),
       m_connecting(m_executor),
       m_timer(m_executor) {}
 
-life_witness::~life_witness() {
+liveness_watch::~liveness_watch() {
     if (m_connection != nullptr) {
         m_server->keep_idle(server_connection(std::move(m_connection)), keep_time);
     }
 }
 
-void life_witness::open() {
+void liveness_watch::open() {
     m_connecting = asio::ip::tcp::socket(m_executor);
     m_connecting.async_connect(m_server->record().address,
                                [weak = weak_from_this()](const boost::system::error_code& error) {
@@ -55,7 +55,7 @@
     });
 }
 
-void life_witness::handle_connected(const boost::system::error_code& error) {
+void liveness_watch::handle_connected(const boost::system::error_code& error) {
     m_timer.cancel();
     m_is_refused = error == asio::error::connection_refused;
     if (error) {
@@ -72,14 +72,14 @@
 }
 
 /// The connection has ended, or bytes have arrived, which belong to no request.
-void life_witness::handle_end() {
+void liveness_watch::handle_end() {
     m_ended = clock::now();
     m_connection->close();
     m_connection.reset();
     open_later();
 }
 
-void life_witness::open_later() {
+void liveness_watch::open_later() {
     m_timer.expires_after(retry_delay);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
@@ -89,7 +89,7 @@
     });
 }
 
-life_witness::sign life_witness::read(clock::time_point now) const {
+liveness_watch::sign liveness_watch::read(clock::time_point now) const {
     if (m_connection != nullptr) {
         return sign::alive;
     }
--- a/src/gateway/life_witness.hpp
+++ b/src/gateway/liveness_watch.hpp
@@ -22,7 +22,7 @@
 ///
 /// Belongs to one thread's executor. Invariant: a connection that has ended is opened again, so that neither
 /// the server's idle timeout nor its limit of connections looks like its end.
-class life_witness : public std::enable_shared_from_this<life_witness> {
+class liveness_watch : public std::enable_shared_from_this<liveness_watch> {
 public:
     using clock = std::chrono::steady_clock;
 
@@ -38,13 +38,13 @@
     /// than a kernel takes for a thousand of them.
     static constexpr std::chrono::milliseconds settling_time{50};
 
-    life_witness(boost::asio::any_io_executor executor, std::shared_ptr<backend> server);
+    liveness_watch(boost::asio::any_io_executor executor, std::shared_ptr<backend> server);
     /// Leaves an open connection to the next request.
-    ~life_witness();
-    life_witness(const life_witness&) = delete;
-    life_witness& operator=(const life_witness&) = delete;
-    life_witness(life_witness&&) = delete;
-    life_witness& operator=(life_witness&&) = delete;
+    ~liveness_watch();
+    liveness_watch(const liveness_watch&) = delete;
+    liveness_watch& operator=(const liveness_watch&) = delete;
+    liveness_watch(liveness_watch&&) = delete;
+    liveness_watch& operator=(liveness_watch&&) = delete;
 
     /// Opens the connection. Must be called once.
     void open();
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -364,7 +364,7 @@
     m_registration_timer.cancel();
     release_slot(policy::slot_outcome::abandoned);
     m_call.reset();
-    m_witness.reset();
+    m_liveness.reset();
 }
 
 } // namespace borageford::gateway
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -9,7 +9,7 @@
 #include "gateway/client_session.hpp"
 #include "gateway/event_relay.hpp"
 #include "gateway/gateway_context.hpp"
-#include "gateway/life_witness.hpp"
+#include "gateway/liveness_watch.hpp"
 #include "gateway/quarantine_check.hpp"
 #include "gateway/request_journal.hpp"
 #include "gateway/stream_software.hpp"
@@ -159,7 +159,7 @@
     bool m_is_charged = false;          ///< Whether the request was charged to its workspace's quota.
 
     std::shared_ptr<backend_call> m_call;
-    std::shared_ptr<life_witness> m_witness; ///< of an answer without a length; null: it has another end
+    std::shared_ptr<liveness_watch> m_liveness; ///< of an answer without a length; null: it has another end
     /// Whether the current response is a successful stream, forwarded event by event.
     bool m_forwards_events = false;
     std::string m_answer; ///< Body of a response that is forwarded as a whole.
--- a/src/gateway/request_exchange_answers.cpp
+++ b/src/gateway/request_exchange_answers.cpp
@@ -53,7 +53,7 @@
         m_admitted.route->kind == routing::route_kind::stream && is_success(response.status());
     m_answer.clear();
     m_passes_on = false;
-    m_witness = response.ends_with_connection() ? m_context.crashes.watch(m_call->server()) : nullptr;
+    m_liveness = response.ends_with_connection() ? m_context.crashes.watch(m_call->server()) : nullptr;
 }
 
 void request_exchange::handle_body(std::string_view bytes) {
@@ -265,12 +265,12 @@
 /// An answer without a length ends with its connection. A server whose process was killed ends its
 /// connections in the same way, so that its caller would take a part for the whole.
 void request_exchange::handle_complete() {
-    if (m_witness == nullptr) {
+    if (m_liveness == nullptr) {
         finish_answer();
         return;
     }
     const auto self = shared_from_this();
-    m_context.crashes.check_alive(m_call->server(), m_witness, [self, call = m_call](bool is_alive) {
+    m_context.crashes.check_alive(m_call->server(), m_liveness, [self, call = m_call](bool is_alive) {
         if (self->m_is_over || self->m_call != call) {
             return;
         }
--- a/tests/unit/test_crash_watch.cpp
+++ b/tests/unit/test_crash_watch.cpp
@@ -37,15 +37,15 @@
             m_context.run_one();
         }
     }
-    /// A server begins an answer without a length; the process accepts the connection of the witness.
+    /// A server begins an answer without a length; the process accepts the connection of the watch.
     void begin_answer() {
-        m_witness = m_watch.watch(m_server);
+        m_liveness = m_watch.watch(m_server);
         accept();
     }
     /// The same while it doesn't listen any more.
-    void begin_unwitnessed_answer() {
+    void begin_unwatched_answer() {
         stop_listening();
-        m_witness = m_watch.watch(m_server);
+        m_liveness = m_watch.watch(m_server);
     }
     void accept() {
         m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
@@ -67,7 +67,7 @@
     /// The connection ends in order; returns whether that is taken for the end of the answer.
     bool is_whole() {
         std::optional<bool> result;
-        m_watch.check_alive(m_server, m_witness, [&](bool is_alive) { result = is_alive; });
+        m_watch.check_alive(m_server, m_liveness, [&](bool is_alive) { result = is_alive; });
         while (!result.has_value()) {
             m_context.run_one();
         }
@@ -95,7 +95,7 @@
     coordination::slot_broker m_slots{m_context.get_executor(), m_timers, {}, {}};
     gateway::crash_watch m_watch{m_context.get_executor(), m_timers, m_slots};
     std::shared_ptr<gateway::backend> m_server;
-    std::shared_ptr<gateway::life_witness> m_witness;
+    std::shared_ptr<gateway::liveness_watch> m_liveness;
     std::vector<tcp::socket> m_accepted;
 };
 
@@ -136,7 +136,7 @@
     }
     server.begin_answer();
     CHECK(server.is_whole());
-    // Its idle timeout ends the connection of the witness, which opens another one.
+    // Its idle timeout ends the connection of the watch, which opens another one.
     server.end_connections();
     server.accept();
     CHECK(server.is_whole());
@@ -162,6 +162,6 @@
     if (is_leaving) {
         server.announce_leaving();
     }
-    server.begin_unwitnessed_answer();
+    server.begin_unwatched_answer();
     CHECK(server.is_whole() == is_leaving);
 }
