Last reading: a request whose answer's end is checked counts as sent

A gateway that must end answers 503 "not run" to requests that weren't sent. It asked the call for its connection, which a call gives back when its answer is complete; for 50 ms after that, the end of an answer without a length is still being checked, and the request counted as not sent. It asks now whether the request was ever sent on a connection. Found by reading; no test forces a stop into those 50 ms.

Also: a connection of a liveness watch whose time was over just when it was established isn't taken for an open one; blocks of a sidecar's answer are in a vector, since a deque takes 600 bytes for an empty answer.

--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -91,7 +91,7 @@
     /// back stayed on connections that nobody closed, until their callers gave up.
     void handle_restart();
 
-    /// Whether the request was sent, or at least a part of it.
+    /// Whether the request, or a part of it, was sent on a connection that the call still has.
     [[nodiscard]] bool has_been_sent() const noexcept { return m_connection.has_value(); }
     /// How many requests were sent on the connection before this one; nothing if this one wasn't sent.
     [[nodiscard]] std::optional<std::size_t> sent_before() const noexcept { return m_sent_before; }
--- a/src/gateway/liveness_watch.cpp
+++ b/src/gateway/liveness_watch.cpp
@@ -58,7 +58,7 @@
 void liveness_watch::handle_connected(const boost::system::error_code& error) {
     m_timer.cancel();
     m_is_refused = error == asio::error::connection_refused;
-    if (error) {
+    if (error || !m_connecting.is_open()) { // the time may have been over just now
         return;
     }
     m_connection = std::make_shared<net::connection>(std::move(m_connecting));
--- a/src/gateway/liveness_watch.hpp
+++ b/src/gateway/liveness_watch.hpp
@@ -15,13 +15,13 @@
 
 namespace borageford::gateway {
 
-/// The kernel ends all connections of a process that is killed, in the same way in which a server ends one
-/// after an answer without a length, and within some milliseconds. So an answer is whole only if another
+/// The kernel ends all connections of a process that is killed, within some milliseconds and in the same way
+/// in which a server ends one after an answer without a length. So such an answer is whole only if another
 /// connection to its server, open since the answer began, doesn't end with it. One that is opened afterwards
 /// may still be accepted by the kernel, and tells nothing about a server that has stopped listening.
 ///
 /// Belongs to one thread's executor. Invariant: a connection that has ended is opened again, so that neither
-/// the server's idle timeout nor its limit of connections looks like its end.
+/// the server's idle timeout nor its limit of connections is taken for its end.
 class liveness_watch : public std::enable_shared_from_this<liveness_watch> {
 public:
     using clock = std::chrono::steady_clock;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -296,7 +296,7 @@
     }
     const auto self = shared_from_this();
     if (m_call != nullptr) {
-        const bool may_have_run = m_call->has_been_sent();
+        const bool may_have_run = has_been_sent(); // also while the end of its answer is checked
         m_call->cancel();
         m_attempts.record(m_slot, may_have_run ? policy::attempt_outcome::may_have_run
                                                : policy::attempt_outcome::unreachable);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -50,8 +50,10 @@
     /// request as abandoned.
     void cancel();
 
-    /// Whether an attempt is in progress at a backend server.
-    [[nodiscard]] bool has_been_sent() const noexcept { return m_call != nullptr && m_call->has_been_sent(); }
+    /// Whether an attempt is in progress that was sent to a backend server.
+    [[nodiscard]] bool has_been_sent() const noexcept {
+        return m_call != nullptr && m_call->sent_before().has_value();
+    }
     /// The process is about to exit: ends the attempt in progress and answers the caller.
     void handle_stop();
 
--- a/src/sidecar/answer_buffer.hpp
+++ b/src/sidecar/answer_buffer.hpp
@@ -7,10 +7,10 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace borageford::sidecar {
 
@@ -41,7 +41,7 @@
     std::optional<backend::answer_head> m_head;
     /// The body in blocks, which are all full but for the last one. A long answer that grows in one block
     /// would be moved again and again, and leave memory behind that nothing else fits into.
-    std::deque<std::string> m_blocks;
+    std::vector<std::string> m_blocks;
     std::uint64_t m_length = 0;
     std::optional<answer_ending> m_ending;
 };
