--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -67,7 +67,7 @@
     }
     void on_field_impl(beast::http::field which, string_view name, string_view value,
                        error_code& error) override {
-        if (has_head) {
+        if (m_has_head) {
             // A trailer: it may say whatever the body's sender likes, and takes no part in the head.
             return;
         }
@@ -77,7 +77,7 @@
         }
         fields.add({name.data(), name.size()}, {value.data(), value.size()});
     }
-    void on_header_impl(error_code&) override { has_head = true; }
+    void on_header_impl(error_code&) override { m_has_head = true; }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view bytes, error_code&) override { return append(bytes); }
     void on_chunk_header_impl(std::uint64_t, string_view extensions, error_code& error) override {
@@ -95,7 +95,7 @@
         return version >= first_chunked_version && beast::iequals(coding, "chunked");
     }
 
-    bool has_head = false; ///< further fields are trailers
+    bool m_has_head = false; ///< further fields are trailers
 
     std::size_t append(string_view bytes) {
         body->append(bytes.data(), bytes.size());
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -82,8 +82,8 @@
 }
 
 /// Queues a message of this class, on the strand.
-void peer_connection::enqueue_own(message content) {
-    auto bytes = encode(m_revision(), std::move(content));
+void peer_connection::enqueue_own(const message& content) {
+    auto bytes = encode(m_revision(), content);
     m_unsent_bytes += bytes.size();
     enqueue(std::move(bytes));
 }
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -95,7 +95,7 @@
 
 private:
     void start_on_strand();
-    void enqueue_own(message content);
+    void enqueue_own(const message& content);
     void enqueue(std::vector<std::byte> bytes);
     void write_next();
     void read_header();
--- a/tests/failure/test_sidecar_broken_answers.cpp
+++ b/tests/failure/test_sidecar_broken_answers.cpp
@@ -50,19 +50,17 @@
 } // namespace
 
 TEST_CASE("sidecar: bytes that are no answer reach no caller as one", "[sidecar][broken]") {
-    const auto whole = "Content-Length: 2\r\n\r\nok"s;
-    const auto success = "HTTP/1.1 200 OK\r\n"s;
     scripted_cluster system;
     int number = 0;
-    for (const auto& answer : {
-             "HTTP/1.1 000 None\r\n" + whole,
-             "HTTP/1.1 099 None\r\n" + whole,
-             "HTTP/1.1 600 None\r\n" + whole,
-             "HTTP/1.1 101 Switching Protocols\r\n\r\n" + success + whole,
-             success + "X Y: 1\r\n" + whole,
-             success + "X\x01Y: 1\r\n" + whole,
-             success + "Content-Length : 2\r\n\r\nok",
-             success + "Transfer-Encoding: gzip\r\n" + whole,
+    for (const std::string& answer : {
+             "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 099 None\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 2\r\n\r\nok"s,
+             "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok"s,
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"s,
          }) {
         CAPTURE(answer);
         const auto got = system.send("broken-" + std::to_string(++number), {.bytes = answer});
--- a/tests/fuzz/test_responses.cpp
+++ b/tests/fuzz/test_responses.cpp
@@ -21,19 +21,26 @@
 constexpr std::uint64_t first_seed = 20261207;
 constexpr int iterations = 60'000;
 
-const std::vector<std::string> responses{
-    "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nResponse-Signature: 3e1b.07\r\nContent-Length: 5\r\n\r\nwhole",
+const std::string framed =
+    "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nResponse-Signature: 3e1b.07\r\nContent-Length: 5\r\n\r\nwhole";
+const std::string chunked =
     "HTTP/1.1 200 \r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nwhole\r\n"
-    "a;x=\"y z\" ; q\r\n0123456789\r\n0\r\nX: a\r\nNot-Executed: 1\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n",
-    "HTTP/1.0 200 OK\r\nContent-Length: 2, 2\r\nConnection: keep-alive, x\r\n\r\nok",
+    "a;x=\"y z\" ; q\r\n0123456789\r\n0\r\nX: a\r\nNot-Executed: 1\r\n\r\n";
+const std::string unframed =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string version_1_0 =
+    "HTTP/1.0 200 OK\r\nContent-Length: 2, 2\r\nConnection: keep-alive, x\r\n\r\nok";
+const std::string after_interim_ones =
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n",
-    "HTTP/1.1 204 None\r\nContent-Length: 7\r\n\r\n",
-    "HTTP/1.1 421 Wrong\r\nX-Folded: a\r\n b\r\n\t\r\n  c \r\nContent-Length: 1\r\nContent-Length: "
-    "1\r\n\r\n!",
-    "HTTP/1.1 000 None\r\nTransfer-Encoding: gzip, chunked\r\nContent-Length : 3\r\nX Y: \x01\r\n\r\nabc",
-};
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
+const std::string without_body = "HTTP/1.1 204 None\r\nContent-Length: 7\r\n\r\n";
+const std::string folded =
+    "HTTP/1.1 421 Wrong\r\nX: a\r\n b\r\n\t\r\n  c \r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n!";
+const std::string broken =
+    "HTTP/1.1 000 None\r\nTransfer-Encoding: gzip, chunked\r\nContent-Length : 3\r\nX Y: \x01\r\n\r\nabc";
+
+const std::vector<std::string> responses{framed,       chunked, unframed, version_1_0, after_interim_ones,
+                                         without_body, folded,  broken};
 
 /// What response_reader makes of the bytes of a connection that ends in order after them.
 std::optional<test::oracle_response> read_in_pieces(std::string_view bytes, test::mutator& random) {
--- a/tests/unit/test_broken_responses.cpp
+++ b/tests/unit/test_broken_responses.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cctype>
 #include <cstddef>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -104,10 +105,8 @@
 /// All values of a byte.
 std::vector<char> all_bytes() {
     constexpr int count = 256;
-    std::vector<char> result;
-    for (int value = 0; value < count; ++value) {
-        result.push_back(static_cast<char>(value));
-    }
+    std::vector<char> result(count);
+    std::iota(result.begin(), result.end(), '\0');
     return result;
 }
 
