One rule for equal shares, no timer where nobody waits, one name a meaning

No behaviour is meant to change; tests keep their assertions.

- A sidecar's dispatch_store and an entry's answer_memory had the same rule written twice: policy::exceeds_equal_share() serves both.
- A sidecar made a coroutine and a timer for each piece of an answer, also when its readers keep up; now only when it has to wait for them.
- has_been_sent() meant two things: a call's asked for its connection, an exchange's whether the request was ever sent.
The call's is has_connection() now.
- Three tests of crash_watch share how they announce that a server leaves; a member and a word in a comment are where they belong.

--- a/src/backend/plain_service.hpp
+++ b/src/backend/plain_service.hpp
@@ -23,7 +23,7 @@
     boost::asio::awaitable<answer_head> run(answer_stream& stream, dispatch_id dispatch, const call& work);
     /// Whether the service answers a health check in time.
     boost::asio::awaitable<bool> is_healthy();
-    /// Whether the server answers a health check in time, whatever it says of its health.
+    /// Whether the service answers a health check in time, whatever it says of its health.
     boost::asio::awaitable<bool> is_alive();
 
 private:
--- a/src/entry/answer_memory.cpp
+++ b/src/entry/answer_memory.cpp
@@ -1,6 +1,8 @@
 // Implementation of answer_memory. Two accounts that take room at the same time may both be refused.
 #include "entry/answer_memory.hpp"
 
+#include "policy/equal_share.hpp"
+
 namespace borageford::entry {
 
 answer_memory::account::~account() {
@@ -9,9 +11,8 @@
 }
 
 bool answer_memory::account::take(std::size_t bytes) noexcept {
-    const auto all = m_memory.m_held += bytes;
-    const auto share = m_memory.m_limit / m_memory.m_accounts;
-    if (all > m_memory.m_limit && m_held + bytes > share) {
+    const policy::memory_use wanted{m_memory.m_held += bytes, m_held + bytes};
+    if (policy::exceeds_equal_share(wanted, m_memory.m_limit, m_memory.m_accounts)) {
         m_memory.m_held -= bytes;
         return false;
     }
--- a/src/gateway/backend_call.hpp
+++ b/src/gateway/backend_call.hpp
@@ -91,8 +91,9 @@
     /// back stayed on connections that nobody closed, until their callers gave up.
     void handle_restart();
 
-    /// Whether the request, or a part of it, was sent on a connection that the call still has.
-    [[nodiscard]] bool has_been_sent() const noexcept { return m_connection.has_value(); }
+    /// Whether the call holds the connection on which the request, or a part of it, was sent. It gives the
+    /// connection back when its answer is complete.
+    [[nodiscard]] bool has_connection() const noexcept { return m_connection.has_value(); }
     /// How many requests were sent on the connection before this one; nothing if this one wasn't sent.
     [[nodiscard]] std::optional<std::size_t> sent_before() const noexcept { return m_sent_before; }
     /// Whether the head of the answer was received.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -244,7 +244,7 @@
 }
 
 void request_exchange::record_abandoned() {
-    if (m_call->has_been_sent() && is_suspect()) {
+    if (m_call->has_connection() && is_suspect()) {
         m_context.crashes.record_abandoned(m_call->server(), m_admitted.suspects(), m_slot_begin);
     }
 }
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -95,12 +95,12 @@
         return version >= first_chunked_version && beast::iequals(coding, "chunked");
     }
 
-    bool m_has_head = false; ///< further fields are trailers
-
     std::size_t append(string_view bytes) {
         body->append(bytes.data(), bytes.size());
         return bytes.size();
     }
+
+    bool m_has_head = false; ///< further fields are trailers
 };
 
 } // namespace
--- a/src/sidecar/dispatch_runner.cpp
+++ b/src/sidecar/dispatch_runner.cpp
@@ -142,7 +142,9 @@
         }
         dispatch.answer.append(piece);
         m_calls.progressed(dispatch);
-        co_await wait_for_readers(dispatch);
+        if (m_calls.must_wait(dispatch)) {
+            co_await wait_for_readers(dispatch);
+        }
     }
     if (!m_server.is_engine()) {
         co_await check_end(dispatch);
--- a/src/sidecar/dispatch_store.cpp
+++ b/src/sidecar/dispatch_store.cpp
@@ -1,6 +1,8 @@
 // Implementation of dispatch_store: adding, finding and removing started dispatches.
 #include "sidecar/dispatch_store.hpp"
 
+#include "policy/equal_share.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -108,8 +110,8 @@
     while (m_memory + bytes > m_limits.memory && !m_kept.empty()) {
         forget_oldest_kept();
     }
-    const auto share = m_limits.memory / std::max<std::size_t>(m_running, 1);
-    if (m_memory + bytes > m_limits.memory && length + bytes > share) {
+    const policy::memory_use wanted{m_memory + bytes, length + bytes};
+    if (policy::exceeds_equal_share(wanted, m_limits.memory, m_running)) {
         return false;
     }
     m_memory += bytes;
--- a/tests/unit/test_crash_watch.cpp
+++ b/tests/unit/test_crash_watch.cpp
@@ -83,6 +83,11 @@
         record.state = routing::backend_state::draining;
         m_server->set_record(record);
     }
+    void announce_leaving_if(bool is_leaving) {
+        if (is_leaving) {
+            announce_leaving();
+        }
+    }
     [[nodiscard]] std::size_t marks() const {
         return m_slots.crashes().marks(m_suspects.front(), std::chrono::steady_clock::now());
     }
@@ -129,11 +134,8 @@
 }
 
 TEST_CASE("an answer without a length is whole if its server outlives it", "[gateway][crash_watch]") {
-    const bool is_leaving = GENERATE(false, true);
     watched_server server;
-    if (is_leaving) {
-        server.announce_leaving();
-    }
+    server.announce_leaving_if(GENERATE(false, true));
     server.begin_answer();
     CHECK(server.is_whole());
     // Its idle timeout ends the connection of the watch, which opens another one.
@@ -145,11 +147,8 @@
 TEST_CASE("an answer without a length isn't whole if its server's other connections end with it",
           "[gateway][crash_watch]") {
     // The kernel ends the connections of a killed process as a server does at the end of such an answer.
-    const bool is_leaving = GENERATE(false, true);
     watched_server server;
-    if (is_leaving) {
-        server.announce_leaving();
-    }
+    server.announce_leaving_if(GENERATE(false, true));
     server.begin_answer();
     server.kill();
     CHECK_FALSE(server.is_whole());
@@ -159,9 +158,7 @@
           "[gateway][crash_watch]") {
     const bool is_leaving = GENERATE(false, true);
     watched_server server;
-    if (is_leaving) {
-        server.announce_leaving();
-    }
+    server.announce_leaving_if(is_leaving);
     server.begin_unwatched_answer();
     CHECK(server.is_whole() == is_leaving);
 }
